Lay out the workspace, entities, view and wire types

Cause: nothing stood yet. Change: a workspace of small crates; entity references, the immutable view, the dispatcher's events and actions, and the wire types that the stand-ins and the daemon share.

--- /dev/null
+++ b/crates/auburnrouter/src/lib.rs
@@ -0,0 +1,1 @@
+//! The subcommands of the one binary, and the drivers around the decisions.
--- /dev/null
+++ b/crates/demo/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs the whole path in one process, on stand-ins, for a first look.
+
+fn main() {}
--- /dev/null
+++ b/crates/entity/src/primary.rs
@@ -0,0 +1,109 @@
+//! The map that hands out entity references.
+
+use core::marker::PhantomData;
+use core::ops::{Index, IndexMut};
+
+use crate::EntityRef;
+
+/// Owns the values of one kind of entity; references are dense from zero.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PrimaryMap<K, V> {
+    values: Vec<V>,
+    kind: PhantomData<K>,
+}
+
+impl<K, V> Default for PrimaryMap<K, V> {
+    fn default() -> Self {
+        Self {
+            values: Vec::new(),
+            kind: PhantomData,
+        }
+    }
+}
+
+impl<K: EntityRef, V> PrimaryMap<K, V> {
+    /// An empty map.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Stores a value and returns the reference to it.
+    pub fn push(&mut self, value: V) -> K {
+        let key = K::new(self.values.len());
+        self.values.push(value);
+        key
+    }
+
+    /// The value behind a reference, or `None` if the map never handed it out.
+    #[must_use]
+    pub fn get(&self, key: K) -> Option<&V> {
+        self.values.get(key.index())
+    }
+
+    /// Number of entities.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.values.len()
+    }
+
+    /// Whether there are no entities.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.values.is_empty()
+    }
+
+    /// All values as a slice, for binary searches.
+    #[must_use]
+    pub fn as_slice(&self) -> &[V] {
+        &self.values
+    }
+
+    /// All references, in order.
+    #[must_use]
+    pub fn keys(&self) -> impl ExactSizeIterator<Item = K> + use<K, V> {
+        (0..self.values.len()).map(K::new)
+    }
+
+    /// All values, in order of their references.
+    pub fn values(&self) -> core::slice::Iter<'_, V> {
+        self.values.iter()
+    }
+
+    /// All references with their values, in order.
+    #[must_use]
+    pub fn iter(&self) -> impl ExactSizeIterator<Item = (K, &V)> {
+        self.values.iter().enumerate().map(|(i, v)| (K::new(i), v))
+    }
+
+    /// All references with mutable values, in order.
+    pub fn iter_mut(&mut self) -> impl ExactSizeIterator<Item = (K, &mut V)> {
+        self.values
+            .iter_mut()
+            .enumerate()
+            .map(|(i, v)| (K::new(i), v))
+    }
+}
+
+impl<K: EntityRef, V> Index<K> for PrimaryMap<K, V> {
+    type Output = V;
+
+    fn index(&self, key: K) -> &V {
+        &self.values[key.index()]
+    }
+}
+
+impl<K: EntityRef, V> IndexMut<K> for PrimaryMap<K, V> {
+    fn index_mut(&mut self, key: K) -> &mut V {
+        &mut self.values[key.index()]
+    }
+}
+
+impl<K: EntityRef, V> FromIterator<V> for PrimaryMap<K, V> {
+    fn from_iter<I: IntoIterator<Item = V>>(iter: I) -> Self {
+        Self {
+            values: iter.into_iter().collect(),
+            kind: PhantomData,
+        }
+    }
+}
--- /dev/null
+++ b/crates/explorer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Drives the decisions through seeded and exhaustive orders of events.
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! A small load-and-measure tool on the stand-ins.
--- /dev/null
+++ b/crates/scenarios/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scripted scenarios against real processes.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! A process's own settings: declared, checked, printed.
--- /dev/null
+++ b/crates/steer/src/connection.rs
@@ -0,0 +1,1 @@
+//! What lives as long as one connection.
--- /dev/null
+++ b/crates/steer/src/process.rs
@@ -0,0 +1,3 @@
+//! What lives as long as the process.
+
+pub mod dispatch;
--- /dev/null
+++ b/crates/steer/src/request.rs
@@ -0,0 +1,5 @@
+//! What lives as long as one request.
+
+pub mod answer;
+pub mod arrival;
+pub mod outcome;
--- /dev/null
+++ b/crates/steer/src/version.rs
@@ -0,0 +1,4 @@
+//! What lives as long as one version of the configuration.
+
+pub mod blocks;
+pub mod view;
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,10 @@
+//! Types as they cross a wire, apart from the types decisions use.
+//!
+//! Invariant: nothing outside this crate serialises a decision type. A type
+//! here converts to its inner twin by `From`, or by `TryFrom` where the bytes
+//! may lie.
+
+pub mod headers;
+pub mod instance;
+pub mod kv;
+pub mod target;
