--- a/crates/steer/src/process.rs
+++ b/crates/steer/src/process.rs
@@ -1,3 +1,4 @@
 //! What lives as long as the process.
 
 pub mod dispatch;
+pub mod target;
--- a/crates/steer/src/process/dispatch.rs
+++ b/crates/steer/src/process/dispatch.rs
@@ -1,192 +1,85 @@
 //! Sends admitted requests to places and settles what becomes of them.
 //!
 //! Invariant: every request that arrives gets exactly one [`Action::Reply`] or
-//! [`Action::Refuse`], unless its caller left; and a request of a service that
-//! is not idempotent is never sent again once it may have run.
+//! [`Action::Refuse`], unless its caller left; a request of a service that is
+//! not idempotent is never sent again once it may have run; and a refusal that
+//! says "not run" is given only while no attempt may have run.
+
+mod group;
+mod job;
+mod message;
+mod place;
+mod queue;
+mod renew;
+mod settle;
+pub mod stats;
+pub mod tuning;
+mod upkeep;
 
-use core::time::Duration;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
+pub use message::{Action, Ending, Event, Home, Place, Report, TICK};
+
 use crate::clock::Time;
-use crate::request::answer::Answer;
+use crate::process::target;
+use crate::request::admission;
 use crate::request::arrival::{Arrival, AttemptId, Origin, RequestId};
-use crate::request::outcome::{Outcome, Reason, Refusal};
-use crate::version::view::{Domain, Incarnation, Member, Service, State, Target, View};
-
-/// Where an attempt is sent.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Place {
-    /// A target of this instance's failure domain.
-    Target {
-        /// Its name.
-        name: Arc<str>,
-        /// Where it listens.
-        addr: SocketAddr,
-    },
-    /// An entry instance of another failure domain.
-    Member {
-        /// Its name.
-        name: Arc<str>,
-        /// Which process.
-        incarnation: Incarnation,
-        /// Where it listens for peers.
-        peer: SocketAddr,
-    },
-}
-
-impl Place {
-    /// Name of the target or entry instance.
-    #[must_use]
-    pub const fn name(&self) -> &Arc<str> {
-        match self {
-            Self::Target { name, .. } | Self::Member { name, .. } => name,
-        }
-    }
-}
-
-/// What a target says of itself, in an answer's headers or to a probe. It may
-/// lag or mislead.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Report {
-    /// Requests it says it is running.
-    pub load: u32,
-    /// Whether it says it takes new work.
-    pub state: State,
-}
-
-/// How an attempt ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Ending {
-    /// The whole answer came.
-    Answered(Arc<Answer>),
-    /// The place refused it: certainly not run there.
-    Refused {
-        /// When the place wants to be asked again.
-        after: Option<Duration>,
-        /// Whether the place said that it is leaving.
-        leaving: bool,
-    },
-    /// A peer gave up on it and says what is certain.
-    PeerRefused(Refusal),
-    /// No connection could be opened: certainly not run there.
-    Unreachable,
-    /// The connection broke after some byte of the request may have left.
-    Broken,
-    /// The answer was cut short or broke the protocol: the request ran.
-    BadAnswer,
-    /// Nothing came before the attempt's budget ran out; it was cancelled.
-    TimedOut,
-}
-
-/// What happens to the dispatcher.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A request that may run has arrived.
-    Arrive(Arrival),
-    /// An attempt ended.
-    Ended {
-        /// The request it was for.
-        id: RequestId,
-        /// The attempt.
-        attempt: AttemptId,
-        /// How it ended.
-        ending: Ending,
-    },
-    /// A target reported its load.
-    Report {
-        /// Name of the target.
-        target: Arc<str>,
-        /// What it says.
-        report: Report,
-    },
-    /// The caller left without waiting for its answer.
-    Gone(RequestId),
-    /// A new view is in force.
-    View(Arc<View>),
-    /// Time passed; due at least every [`TICK`].
-    Tick,
-}
-
-/// Longest time between two [`Event::Tick`]s.
-pub const TICK: Duration = Duration::from_millis(10);
-
-/// What the dispatcher wants done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Send the request to a place; report back by [`Event::Ended`].
-    Send {
-        /// The request.
-        id: RequestId,
-        /// Name of this try.
-        attempt: AttemptId,
-        /// Where to.
-        place: Place,
-        /// Time after which the driver gives the attempt up.
-        budget: Duration,
-    },
-    /// Stop an attempt; no [`Event::Ended`] is due for it, and its connection
-    /// must not be used again.
-    Cancel {
-        /// The request.
-        id: RequestId,
-        /// The try to stop.
-        attempt: AttemptId,
-    },
-    /// Give the caller a target's answer.
-    Reply {
-        /// The request.
-        id: RequestId,
-        /// The whole answer.
-        answer: Arc<Answer>,
-    },
-    /// Give the caller a final refusal.
-    Refuse {
-        /// The request.
-        id: RequestId,
-        /// What to say.
-        refusal: Refusal,
-    },
-}
-
-/// Where this instance stands.
-#[derive(Clone, Debug)]
-pub struct Home {
-    /// Its configured name.
-    pub name: Arc<str>,
-    /// Name of its failure domain.
-    pub domain: Arc<str>,
-}
-
-struct Running {
-    arrival: Arrival,
-    attempt: AttemptId,
-    place: Place,
-    until: Time,
-    tried: Vec<Arc<str>>,
-}
+use crate::request::outcome::{Reason, Refusal};
+use crate::request::{poison, retry};
+use crate::version::view::{Region, View};
+use group::Group;
+use job::{Flight, Job, Running};
+use tuning::{Safeguard, Tuning};
 
 /// The dispatcher's state.
 pub struct Dispatch {
     home: Home,
+    tuning: Tuning,
     view: Arc<View>,
-    running: Vec<Running>,
+    /// Region of the home domain in the view in force.
+    region: Option<Region>,
+    tracks: target::Table,
+    /// Services, sorted by name.
+    groups: Vec<Group>,
+    /// Indices of `groups`, the class served first in front.
+    order: Vec<usize>,
+    flight: Flight,
+    callers: admission::Counts,
+    budget: retry::Budget,
+    suspects: poison::Suspects,
     attempts: u64,
+    picks: u64,
+    probed: Time,
+    stats: stats::Stats,
     rng: fastrand::Rng,
 }
 
-/// When a caller is told to come back where nothing better is known.
-const COME_BACK: Duration = Duration::from_secs(1);
-
 impl Dispatch {
     /// A dispatcher with nothing in flight and an empty view.
     #[must_use]
     pub fn new(home: Home, rng: fastrand::Rng) -> Self {
+        Self::tuned(home, Tuning::default(), rng)
+    }
+
+    /// The same with limits and safeguards of choice.
+    #[must_use]
+    pub fn tuned(home: Home, tuning: Tuning, rng: fastrand::Rng) -> Self {
         Self {
             home,
+            tuning,
             view: Arc::default(),
-            running: Vec::new(),
+            region: None,
+            tracks: target::Table::default(),
+            groups: Vec::new(),
+            order: Vec::new(),
+            flight: Flight::default(),
+            callers: admission::Counts::default(),
+            budget: retry::Budget::default(),
+            suspects: poison::Suspects::default(),
             attempts: 0,
+            picks: 0,
+            probed: Time::ZERO,
+            stats: stats::Stats::default(),
             rng,
         }
     }
@@ -200,171 +93,199 @@
                 attempt,
                 ending,
             } => self.ended(now, id, attempt, ending, out),
-            Event::Gone(id) => self.gone(id, out),
-            Event::View(view) => self.view = view,
-            Event::Report { .. } | Event::Tick => {}
+            Event::Gone(id) => self.gone(now, id, out),
+            Event::View(view) => self.renew(now, view, out),
+            Event::Report { target, report } => self.report(now, &target, report),
+            Event::Probed { target, report } => self.probed(now, &target, report),
+            Event::Suspected {
+                fingerprint,
+                strikes,
+            } => self.suspected(now, fingerprint, strikes, out),
+            Event::Tick => self.tick(now, out),
         }
     }
 
     /// Number of requests in flight.
     #[must_use]
     pub fn in_flight(&self) -> usize {
-        self.running.len()
+        self.flight.len()
+    }
+
+    /// Number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.groups.iter().map(|g| g.queue.len()).sum()
+    }
+
+    /// Counters since the start.
+    #[must_use]
+    pub const fn stats(&self) -> &stats::Stats {
+        &self.stats
     }
 
     fn arrive(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Action>) {
-        let id = arrival.id;
+        let group = match self.admit(&arrival) {
+            Ok(group) => group,
+            Err(refusal) => {
+                let id = arrival.id;
+                return self.refuse(id, refusal, out);
+            }
+        };
+        let allowed = arrival.deadline.unwrap_or(self.groups[group].deadline);
+        self.callers.add(&arrival.caller);
+        self.budget.earn();
+        let job = Job {
+            until: now + allowed,
+            came: now,
+            tried: Vec::new(),
+            maybe: false,
+            failed: None,
+            arrival,
+        };
+        self.place(now, group, job, out);
+    }
+
+    /// Checks that don't depend on time left; returns the service's group.
+    fn admit(&mut self, arrival: &Arrival) -> Result<usize, Refusal> {
         if self.view.version.0 == 0 {
-            let refusal = Refusal::not_run(Reason::NotReady, Some(COME_BACK));
-            return out.push(Action::Refuse { id, refusal });
+            let after = Some(self.soon());
+            return Err(Refusal::not_run(Reason::NotReady, after));
         }
-        let Some(service) = self.view.service(&arrival.service) else {
-            let refusal = Refusal::not_run(Reason::UnknownService, None);
-            return out.push(Action::Refuse { id, refusal });
+        let Some(group) = self.group(&arrival.service) else {
+            return Err(Refusal::not_run(Reason::UnknownService, None));
         };
-        let allowed = arrival
-            .deadline
-            .unwrap_or(self.view.services[service].deadline);
-        self.send(now, arrival, now + allowed, Vec::new(), out);
+        let on = self.tuning.safeguards;
+        let strikes = self.suspects.strikes(arrival.fingerprint);
+        if on.has(Safeguard::Poison) && strikes >= poison::STRIKES {
+            // Earlier tries of the same request ran, so "not run" won't do.
+            return Err(Refusal::unknown(Reason::Poison, None));
+        }
+        let limits = self.tuning.limits;
+        let caller = self.callers.get(&arrival.caller) >= limits.per_caller();
+        if on.has(Safeguard::CallerLimit) && caller {
+            let after = Some(self.soon());
+            return Err(Refusal::not_run(Reason::CallerLimit, after));
+        }
+        let service = self.groups[group].total() >= limits.per_service();
+        if on.has(Safeguard::ServiceLimit) && service {
+            let after = Some(self.soon());
+            return Err(Refusal::not_run(Reason::Overloaded, after));
+        }
+        Ok(group)
+    }
+
+    /// Sends a job, lets it wait, or refuses it at once.
+    fn place(&mut self, now: Time, group: usize, job: Job, out: &mut Vec<Action>) {
+        let left = job.until.since(now);
+        let on = self.tuning.safeguards;
+        let first = self.groups[group].queue.is_empty() || !job.tried.is_empty();
+        let room = self.room(group);
+        let suspect = self.suspect(&job);
+        if (first || suspect)
+            && room
+            && let Some(pick) = self.local(now, group, &job, suspect)
+        {
+            return self.send(now, group, job, pick, out);
+        }
+        let outlook = self.groups[group].outlook();
+        if job.arrival.origin == Origin::Peer {
+            // Only the instance that callers asked lets requests wait: a
+            // request that waits here could have been placed elsewhere.
+            return self.give_up(&job, Reason::Overloaded, outlook.wait(), out);
+        }
+        let hope = !on.has(Safeguard::Admission) || outlook.hopeful(left);
+        let stay = hope && self.has_open(now, group, &job) && self.fits(group);
+        let patience = if stay { outlook.wait() } else { left };
+        let (remote, capped) = self.remote(now, group, &job, patience, left);
+        if let Some(pick) = remote.filter(|_| room) {
+            return self.send(now, group, job, pick, out);
+        }
+        if stay && self.make_room(group, out) {
+            return self.wait(group, job);
+        }
+        if outlook.limit == 0
+            && room
+            && let Some(pick) = self.last_resort(now, group, &job)
+        {
+            return self.send(now, group, job, pick, out);
+        }
+        let reason = match job.failed {
+            _ if capped => Reason::Cap,
+            Some(failed) => failed,
+            None if outlook.limit == 0 => Reason::NoTarget,
+            None if hope => Reason::Overloaded,
+            None => Reason::Deadline,
+        };
+        let wait = if outlook.limit == 0 {
+            admission::COME_BACK.0 * 10
+        } else {
+            outlook.wait()
+        };
+        self.give_up(&job, reason, wait, out);
     }
 
     fn send(
         &mut self,
         now: Time,
-        arrival: Arrival,
-        until: Time,
-        mut tried: Vec<Arc<str>>,
+        group: usize,
+        mut job: Job,
+        pick: place::Pick,
         out: &mut Vec<Action>,
     ) {
-        let id = arrival.id;
-        let place = self
-            .view
-            .service(&arrival.service)
-            .and_then(|service| self.place(service, arrival.origin, &tried));
-        let Some(place) = place else {
-            let refusal = Refusal::not_run(Reason::NoTarget, Some(COME_BACK));
-            return out.push(Action::Refuse { id, refusal });
-        };
+        let left = job.until.since(now);
+        let budget = self.attempt_budget(group, &pick, left);
         self.attempts += 1;
         let attempt = AttemptId(self.attempts);
-        tried.push(Arc::clone(place.name()));
+        let track = &mut self.tracks.slice_mut()[pick.track];
+        track.flight += 1;
+        track.held |= pick.alone;
+        let entry = &mut self.groups[group];
+        entry.running += 1;
+        entry.flight += u32::from(pick.is_local());
+        job.tried.push(Arc::clone(pick.place.name()));
+        self.stats.sent(&pick.place, job.tried.len());
         out.push(Action::Send {
-            id,
+            id: job.arrival.id,
             attempt,
-            place: place.clone(),
-            budget: until.since(now),
+            place: pick.place.clone(),
+            budget,
         });
-        let at = self.running.partition_point(|r| r.arrival.id < id);
-        let running = Running {
-            arrival,
+        self.flight.add(Running {
+            strikes: self.suspects.strikes(job.arrival.fingerprint),
+            job,
             attempt,
-            place,
-            until,
-            tried,
-        };
-        self.running.insert(at, running);
-    }
-
-    fn place(&mut self, service: Service, origin: Origin, tried: &[Arc<str>]) -> Option<Place> {
-        let home = self.view.domain(&self.home.domain);
-        if let Some(target) = self.local(service, home, tried) {
-            let data = &self.view.targets[target];
-            return Some(Place::Target {
-                name: Arc::clone(&data.name),
-                addr: data.addr,
-            });
-        }
-        if origin == Origin::Peer {
-            return None;
-        }
-        let member = self.remote(service, home, tried)?;
-        let data = &self.view.members[member];
-        Some(Place::Member {
-            name: Arc::clone(&data.name),
-            incarnation: data.incarnation,
-            peer: data.peer,
-        })
-    }
-
-    fn local(
-        &mut self,
-        service: Service,
-        home: Option<Domain>,
-        tried: &[Arc<str>],
-    ) -> Option<Target> {
-        let offset = self
-            .rng
-            .usize(..)
-            .wrapping_rem(self.view.targets.len().max(1));
-        let fit = self.view.targets.iter().filter(|(key, data)| {
-            data.service == service
-                && data.state == State::Live
-                && home == Some(self.view.target_domain(*key))
-                && !tried.contains(&data.name)
+            place: pick.place,
+            begun: now,
+            alone: pick.alone,
         });
-        let count = self.view.targets.len();
-        fit.min_by_key(|(key, data)| {
-            let order = (entity::EntityRef::index(*key) + offset) % count;
-            (self.load(&data.name), order)
-        })
-        .map(|(key, _)| key)
     }
 
-    fn remote(&self, service: Service, home: Option<Domain>, tried: &[Arc<str>]) -> Option<Member> {
-        let serves = |domain: Domain| {
-            let sites = &self.view.services[service].sites;
-            sites.iter().any(|&s| self.view.sites[s].domain == domain)
-        };
-        let mut fit = self.view.members.iter().filter(|(_, data)| {
-            Some(data.domain) != home
-                && data.state == State::Live
-                && serves(data.domain)
-                && !tried.contains(&data.name)
-        });
-        fit.next().map(|(key, _)| key)
+    /// Gives a job up: its final answer goes out at once.
+    fn give_up(
+        &mut self,
+        job: &Job,
+        reason: Reason,
+        wait: core::time::Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let after = admission::jitter(wait, &mut self.rng);
+        let refusal = job.refusal(reason, Some(after));
+        self.finish(job, refusal, out);
     }
 
-    fn load(&self, name: &Arc<str>) -> usize {
-        let here = |r: &&Running| r.place.name() == name;
-        self.running.iter().filter(here).count()
+    fn finish(&mut self, job: &Job, refusal: Refusal, out: &mut Vec<Action>) {
+        self.callers.remove(&job.arrival.caller);
+        self.refuse(job.arrival.id, refusal, out);
     }
 
-    fn ended(
-        &mut self,
-        now: Time,
-        id: RequestId,
-        attempt: AttemptId,
-        ending: Ending,
-        out: &mut Vec<Action>,
-    ) {
-        let Ok(at) = self.running.binary_search_by_key(&id, |r| r.arrival.id) else {
-            return;
-        };
-        if self.running[at].attempt != attempt {
-            return;
-        }
-        let done = self.running.remove(at);
-        let reason = match ending {
-            Ending::Answered(answer) => return out.push(Action::Reply { id, answer }),
-            Ending::PeerRefused(refusal) if refusal.outcome != Outcome::NotRun => {
-                return out.push(Action::Refuse { id, refusal });
-            }
-            Ending::PeerRefused(_) | Ending::Refused { .. } | Ending::Unreachable => {
-                return self.send(now, done.arrival, done.until, done.tried, out);
-            }
-            Ending::Broken => Reason::Lost,
-            Ending::BadAnswer => Reason::BadAnswer,
-            Ending::TimedOut => Reason::Deadline,
-        };
-        let refusal = Refusal::unknown(reason, Some(COME_BACK));
+    fn refuse(&mut self, id: RequestId, refusal: Refusal, out: &mut Vec<Action>) {
+        self.stats.refused(refusal.reason);
         out.push(Action::Refuse { id, refusal });
     }
 
-    fn gone(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Ok(at) = self.running.binary_search_by_key(&id, |r| r.arrival.id) else {
-            return;
-        };
-        let attempt = self.running.remove(at).attempt;
-        out.push(Action::Cancel { id, attempt });
+    fn group(&self, service: &str) -> Option<usize> {
+        self.groups
+            .binary_search_by(|g| (*g.name).cmp(service))
+            .ok()
     }
 }
--- /dev/null
+++ b/crates/steer/src/process/dispatch/group.rs
@@ -0,0 +1,110 @@
+//! What one service has here: its targets, peers that serve it, its queue.
+//!
+//! Invariant: references into the table of tracks are renewed with each view;
+//! the queue and what was measured are carried over by the service's name.
+
+use core::time::Duration;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::clock::Time;
+use crate::process::dispatch::job::Job;
+use crate::process::dispatch::tuning::Safeguards;
+use crate::process::target::{Fit, Table, latency};
+use crate::request::admission::Outlook;
+use crate::version::view::{Incarnation, Member};
+
+/// A target of this failure domain.
+#[derive(Clone, Debug)]
+pub struct Local {
+    /// Its track.
+    pub track: usize,
+    /// Where it listens.
+    pub addr: SocketAddr,
+}
+
+/// An entry instance of another failure domain that serves the service.
+#[derive(Clone, Debug)]
+pub struct Remote {
+    /// Its track.
+    pub track: usize,
+    /// Which process.
+    pub incarnation: Incarnation,
+    /// Where it listens for peers.
+    pub peer: SocketAddr,
+    /// Its reference in the view in force.
+    pub member: Member,
+    /// Whether it is in this instance's region.
+    pub near: bool,
+}
+
+/// One service.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Index of its class; lower goes first.
+    pub class: usize,
+    /// Share of the queue that the class may fill, in percent.
+    pub share: usize,
+    /// Whether running a request twice does no harm.
+    pub idempotent: bool,
+    /// Time a request has when its caller states no deadline.
+    pub deadline: Duration,
+    /// Targets of this failure domain.
+    pub locals: Vec<Local>,
+    /// Peers, the near ones in front.
+    pub remotes: Vec<Remote>,
+    /// Number of near peers.
+    pub near: usize,
+    /// Requests that wait, oldest in front.
+    pub queue: VecDeque<Job>,
+    /// Measured time per request on the local targets.
+    pub latency: latency::Latency,
+    /// Lowest mean time of a local target, in microseconds; zero if unknown.
+    pub best: u64,
+    /// Requests that the local targets may run at a time.
+    pub limit: u32,
+    /// Requests of this instance in flight on local targets.
+    pub flight: u32,
+    /// Requests of this service in flight anywhere.
+    pub running: usize,
+}
+
+impl Group {
+    /// Renews what is derived from the tracks.
+    pub fn refresh(&mut self, now: Time, table: &Table, on: Safeguards) {
+        let tracks = table.as_slice();
+        self.best = 0;
+        self.limit = 0;
+        for local in &self.locals {
+            let track = &tracks[local.track];
+            let fit = track.fit(now, on);
+            if matches!(fit, Fit::Free | Fit::Busy) {
+                self.limit = self.limit.saturating_add(track.limit(now, on));
+            }
+            let mean = track.latency.mean().map_or(0, latency::micros);
+            if mean > 0 && (self.best == 0 || mean < self.best) {
+                self.best = mean;
+            }
+        }
+    }
+
+    /// What waiting here would mean for the next request.
+    #[must_use]
+    pub fn outlook(&self) -> Outlook {
+        Outlook {
+            ahead: self.queue.len(),
+            limit: self.limit,
+            mean: self.latency.mean(),
+            high: self.latency.high(),
+        }
+    }
+
+    /// Requests of this service here.
+    #[must_use]
+    pub fn total(&self) -> usize {
+        self.running + self.queue.len()
+    }
+}
--- /dev/null
+++ b/crates/steer/src/process/dispatch/place.rs
@@ -0,0 +1,291 @@
+//! Where a request goes.
+//!
+//! Invariant: a place that leaves, is ejected or has no room is never picked,
+//! but for one trial at a time and for requests that have no other place.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use crate::clock::Time;
+use crate::process::dispatch::group::{Group, Remote};
+use crate::process::dispatch::job::Job;
+use crate::process::dispatch::message::Place;
+use crate::process::dispatch::tuning::Safeguard;
+use crate::process::dispatch::{Dispatch, Origin};
+use crate::process::target::{Fit, Track, choose};
+use crate::request::{poison, retry};
+use crate::version::view::Member;
+
+/// Time that passing a request to a peer of the same region costs.
+pub const NEAR: Duration = Duration::from_millis(2);
+/// Time that passing a request to another region costs.
+pub const FAR: Duration = Duration::from_millis(75);
+
+/// Peers looked at per decision. More would cost time and find little better.
+const SAMPLE: usize = 8;
+
+/// A chosen place.
+pub(super) struct Pick {
+    pub track: usize,
+    pub place: Place,
+    /// Whether the request has the target for itself.
+    pub alone: bool,
+}
+
+impl Pick {
+    pub const fn is_local(&self) -> bool {
+        matches!(self.place, Place::Target { .. })
+    }
+}
+
+impl Dispatch {
+    /// Whether a request may have crashed a target.
+    pub(super) fn suspect(&self, job: &Job) -> bool {
+        let on = self.tuning.safeguards;
+        on.has(Safeguard::Poison)
+            && on.has(Safeguard::Quarantine)
+            && self.suspects.strikes(job.arrival.fingerprint) > 0
+    }
+
+    /// A target of this failure domain with room.
+    pub(super) fn local(
+        &mut self,
+        now: Time,
+        group: usize,
+        job: &Job,
+        suspect: bool,
+    ) -> Option<Pick> {
+        if suspect {
+            return self.empty(now, group, job);
+        }
+        let on = self.tuning.safeguards;
+        let entry = &self.groups[group];
+        if job.arrival.origin == Origin::Peer && on.has(Safeguard::PeerGate) && !spare(entry) {
+            return None;
+        }
+        let tracks = self.tracks.as_slice();
+        let other = on.has(Safeguard::OtherPlace);
+        let open = |track: &Track| !(other && job.tried.contains(&track.name));
+        let trial = entry.locals.iter().position(|local| {
+            let track = &tracks[local.track];
+            let may = entry.idempotent || track.health.vouched();
+            may && open(track) && track.fit(now, on) == Fit::Trial
+        });
+        if let Some(at) = trial.filter(|_| on.has(Safeguard::Ejection)) {
+            return Some(target(entry, tracks, at, false));
+        }
+        let fits = |track: &Track| match track.fit(now, on) {
+            Fit::Free => true,
+            Fit::Trial | Fit::Ejected | Fit::Busy => !on.has(Safeguard::Ejection) && !track.held,
+            Fit::Out => false,
+        };
+        let places = entry
+            .locals
+            .iter()
+            .enumerate()
+            .map(|(at, local)| (at, &tracks[local.track]))
+            .filter(|&(_, track)| open(track) && fits(track))
+            .map(|(at, track)| (at, track.score(now, entry.best, on)));
+        let at = self
+            .tuning
+            .policy
+            .choose(places, self.picks, &mut self.rng)?;
+        self.picks += 1;
+        Some(target(entry, tracks, at, false))
+    }
+
+    /// Whether a target in use is left that the request wasn't sent to.
+    pub(super) fn has_open(&self, now: Time, group: usize, job: &Job) -> bool {
+        let on = self.tuning.safeguards;
+        let other = on.has(Safeguard::OtherPlace);
+        let tracks = self.tracks.as_slice();
+        let mut locals = self.groups[group].locals.iter().map(|l| &tracks[l.track]);
+        locals.any(|track| {
+            let used = matches!(track.fit(now, on), Fit::Free | Fit::Busy);
+            used && !(other && job.tried.contains(&track.name))
+        })
+    }
+
+    /// A target that a suspect can have for itself. If none is empty, one is
+    /// kept from new work until it is.
+    fn empty(&mut self, now: Time, group: usize, job: &Job) -> Option<Pick> {
+        let on = self.tuning.safeguards;
+        let print = job.arrival.fingerprint;
+        let out = |r: &super::Running| r.alone && r.job.arrival.fingerprint == print;
+        if self.flight.iter().any(out) {
+            return None;
+        }
+        let entry = &self.groups[group];
+        let tracks = self.tracks.slice_mut();
+        let usable = |track: &Track| {
+            !job.tried.contains(&track.name)
+                && (track.held || matches!(track.fit(now, on), Fit::Free | Fit::Busy))
+        };
+        let ready = |track: &Track| track.flight == 0 && usable(track);
+        if let Some(at) = entry.locals.iter().position(|l| ready(&tracks[l.track])) {
+            return Some(target(entry, tracks, at, true));
+        }
+        if entry.locals.iter().all(|l| !tracks[l.track].held) {
+            let least = entry
+                .locals
+                .iter()
+                .filter(|l| usable(&tracks[l.track]))
+                .min_by_key(|l| tracks[l.track].flight);
+            if let Some(local) = least {
+                tracks[local.track].held = true;
+            }
+        }
+        None
+    }
+
+    /// A peer that can take the request within `patience` and answer within
+    /// `left`. The second value says whether only a cap stood against one.
+    pub(super) fn remote(
+        &mut self,
+        now: Time,
+        group: usize,
+        job: &Job,
+        patience: Duration,
+        left: Duration,
+    ) -> (Option<Pick>, bool) {
+        let entry = &self.groups[group];
+        // A suspect is held where its strikes are known, as long as it can be.
+        if job.arrival.origin == Origin::Peer || (self.suspect(job) && entry.limit > 0) {
+            return (None, false);
+        }
+        let run = entry.outlook().run();
+        let tiers = [
+            (NEAR, 0..entry.near),
+            (FAR, entry.near..entry.remotes.len()),
+        ];
+        let mut capped = false;
+        for (cost, tier) in tiers {
+            if cost > patience || cost + run > left {
+                continue;
+            }
+            let Some(at) = self.peer(now, group, job, tier) else {
+                continue;
+            };
+            let to = &self.groups[group].remotes[at];
+            let (member, place, track) = (to.member, peer_place(to, &self.tracks), to.track);
+            if self.may_shift(now, group, member, job.arrival.bytes) {
+                let alone = false;
+                return (
+                    Some(Pick {
+                        track,
+                        place,
+                        alone,
+                    }),
+                    false,
+                );
+            }
+            capped = true;
+        }
+        (None, capped)
+    }
+
+    fn peer(
+        &mut self,
+        now: Time,
+        group: usize,
+        job: &Job,
+        tier: core::ops::Range<usize>,
+    ) -> Option<usize> {
+        let on = self.tuning.safeguards;
+        let count = tier.len();
+        if count == 0 {
+            return None;
+        }
+        let start = if count > SAMPLE {
+            self.rng.usize(..count)
+        } else {
+            0
+        };
+        let entry = &self.groups[group];
+        let tracks = self.tracks.as_slice();
+        let places = (0..count.min(SAMPLE))
+            .map(|i| tier.start + (start + i) % count)
+            .map(|at| (at, &tracks[entry.remotes[at].track]))
+            .filter(|(_, track)| !job.tried.contains(&track.name))
+            .filter(|(_, track)| matches!(track.fit(now, on), Fit::Free | Fit::Trial))
+            .map(|(at, track)| (at, u64::from(track.flight)));
+        choose::Policy::Least.choose(places, 0, &mut self.rng)
+    }
+
+    /// Whether the caps let a request of `bytes` go to a peer. The caps of
+    /// operators and links are asked for here, once per request and peer.
+    #[expect(clippy::unused_self, reason = "the caps between sites hook in here")]
+    const fn may_shift(&mut self, _now: Time, _group: usize, _to: Member, _bytes: u64) -> bool {
+        true
+    }
+
+    /// An ejected target, for a request that has no other place. When all are
+    /// ejected the evidence may be at fault, and trying costs nothing; one
+    /// request at a time keeps a target that is really ill from more.
+    pub(super) fn last_resort(&self, now: Time, group: usize, job: &Job) -> Option<Pick> {
+        let on = self.tuning.safeguards;
+        let entry = &self.groups[group];
+        let tracks = self.tracks.as_slice();
+        let at = entry.locals.iter().position(|local| {
+            let track = &tracks[local.track];
+            let ejected = matches!(track.fit(now, on), Fit::Ejected | Fit::Trial);
+            ejected && track.flight == 0 && !job.tried.contains(&track.name)
+        })?;
+        Some(target(entry, tracks, at, false))
+    }
+
+    /// Time given to an attempt. An idempotent request that could be tried
+    /// elsewhere doesn't spend all its time on a target that hangs.
+    pub(super) fn attempt_budget(&self, group: usize, pick: &Pick, left: Duration) -> Duration {
+        let on = self.tuning.safeguards;
+        let entry = &self.groups[group];
+        let others = entry.locals.len() + entry.remotes.len() > 1;
+        let bound = on.has(Safeguard::AttemptBound)
+            && entry.idempotent
+            && others
+            && pick.is_local()
+            && self.budget.any();
+        match entry.latency.high().filter(|_| bound) {
+            Some(high) => left.min((high * 2).max(retry::ATTEMPT_MIN)),
+            None => left,
+        }
+    }
+
+    /// Strikes at which the job's request is refused for good.
+    pub(super) fn poisoned(&self, job: &Job) -> bool {
+        self.tuning.safeguards.has(Safeguard::Poison)
+            && self.suspects.strikes(job.arrival.fingerprint) >= poison::STRIKES
+    }
+}
+
+/// Whether the service has room for work from peers: the first class may fill
+/// the targets, the others leave a quarter to this instance's own callers.
+fn spare(entry: &Group) -> bool {
+    let most = if entry.class == 0 {
+        entry.limit
+    } else {
+        entry.limit - entry.limit / 4
+    };
+    entry.queue.is_empty() && entry.flight < most
+}
+
+fn target(entry: &Group, tracks: &[Track], at: usize, alone: bool) -> Pick {
+    let local = &entry.locals[at];
+    let place = Place::Target {
+        name: Arc::clone(&tracks[local.track].name),
+        addr: local.addr,
+    };
+    Pick {
+        track: local.track,
+        place,
+        alone,
+    }
+}
+
+fn peer_place(remote: &Remote, tracks: &crate::process::target::Table) -> Place {
+    Place::Member {
+        name: Arc::clone(&tracks.as_slice()[remote.track].name),
+        incarnation: remote.incarnation,
+        peer: remote.peer,
+    }
+}
--- /dev/null
+++ b/crates/steer/src/process/dispatch/queue.rs
@@ -0,0 +1,125 @@
+//! Requests that wait for a place.
+//!
+//! Invariant: a class fills no more than its share; the lowest class gives way
+//! first, and still gets a small share of what is picked.
+
+use crate::clock::Time;
+use crate::process::dispatch::Dispatch;
+use crate::process::dispatch::job::Job;
+use crate::process::dispatch::message::Action;
+use crate::process::dispatch::tuning::Safeguard;
+use crate::request::outcome::Reason;
+
+/// One in so many picks goes to whoever waits longest, whatever its class.
+const TURN: u64 = 16;
+
+/// Part of the queue, one in so many places, that each class keeps against
+/// higher classes.
+const KEEP: usize = 16;
+
+impl Dispatch {
+    /// Whether a request of a service may be in flight beside the others.
+    pub(super) fn room(&self, group: usize) -> bool {
+        let limits = self.tuning.limits;
+        let on = self.tuning.safeguards.has(Safeguard::ServiceLimit);
+        let most = limits.in_flight * limits.service / 100;
+        let running = self.groups[group].running;
+        self.flight.len() < limits.in_flight && (!on || running < most.max(1))
+    }
+
+    /// Whether the class of a service has a place in the queue left.
+    pub(super) fn fits(&self, group: usize) -> bool {
+        let (class, share) = (self.groups[group].class, self.groups[group].share);
+        let most = self.tuning.limits.queue * share / 100;
+        let on = self.tuning.safeguards.has(Safeguard::ClassShare);
+        let most = if on {
+            most.max(1)
+        } else {
+            self.tuning.limits.queue
+        };
+        self.waiting_of(class) < most
+    }
+
+    fn waiting_of(&self, class: usize) -> usize {
+        let same = self.groups.iter().filter(|g| g.class == class);
+        same.map(|g| g.queue.len()).sum()
+    }
+
+    /// Whether the whole queue has a place; if it is full, the newest request
+    /// of the lowest class gives way to a higher one, with its answer at once.
+    pub(super) fn make_room(&mut self, group: usize, out: &mut Vec<Action>) -> bool {
+        if self.waiting() < self.tuning.limits.queue {
+            return true;
+        }
+        let class = self.groups[group].class;
+        let keep = self.tuning.limits.queue / KEEP;
+        let mut lower = self.order.iter().rev().copied();
+        let yields = lower.find(|&g| {
+            let other = &self.groups[g];
+            let kept = self.waiting_of(other.class) <= keep;
+            other.class > class && !other.queue.is_empty() && !kept
+        });
+        let Some(yields) = yields else { return false };
+        let wait = self.groups[yields].outlook().wait();
+        if let Some(job) = self.groups[yields].queue.pop_back() {
+            self.give_up(&job, Reason::Overloaded, wait, out);
+        }
+        true
+    }
+
+    /// Lets a job wait; one that was sent before goes to the front.
+    pub(super) fn wait(&mut self, group: usize, job: Job) {
+        let queue = &mut self.groups[group].queue;
+        if job.tried.is_empty() {
+            queue.push_back(job);
+        } else {
+            queue.push_front(job);
+        }
+    }
+
+    /// Sends what can be sent of what waits.
+    pub(super) fn pump(&mut self, now: Time, out: &mut Vec<Action>) {
+        while self.waiting() > 0 {
+            if !self.pump_one(now, out) {
+                return;
+            }
+        }
+    }
+
+    fn pump_one(&mut self, now: Time, out: &mut Vec<Action>) -> bool {
+        let on = self.tuning.safeguards;
+        let turn = self.stats.pumped % TURN == TURN - 1;
+        if turn && on.has(Safeguard::Guarantee) {
+            let heads = (0..self.groups.len()).filter(|&g| !self.groups[g].queue.is_empty());
+            let oldest = heads.min_by_key(|&g| self.groups[g].queue[0].came);
+            if oldest.is_some_and(|g| self.serve(now, g, out)) {
+                return true;
+            }
+        }
+        (0..self.order.len()).any(|at| self.serve(now, self.order[at], out))
+    }
+
+    /// Sends the first request of a service that has a place. A suspect that
+    /// waits for an empty target doesn't hold up those behind it.
+    fn serve(&mut self, now: Time, group: usize, out: &mut Vec<Action>) -> bool {
+        let mut at = 0;
+        while self.room(group) && at < self.groups[group].queue.len() {
+            let Some(job) = self.groups[group].queue.remove(at) else {
+                return false;
+            };
+            let suspect = self.suspect(&job);
+            if let Some(pick) = self.local(now, group, &job, suspect) {
+                self.stats.pumped += 1;
+                self.send(now, group, job, pick, out);
+                return true;
+            }
+            let last = !suspect && job.tried.is_empty();
+            self.groups[group].queue.insert(at, job);
+            if last {
+                return false;
+            }
+            at += 1;
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/steer/src/process/dispatch/tuning.rs
@@ -0,0 +1,176 @@
+//! Limits, and switches that take single safeguards out.
+//!
+//! Invariant: with [`Tuning::default`] every safeguard is on; switches exist so
+//! that each scenario can be shown to fail without its safeguard.
+
+use core::fmt;
+use core::str::FromStr;
+
+use crate::process::target::choose::Policy;
+
+/// A safeguard that can be switched off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Safeguard {
+    /// The own in-flight count outranks reports and bounds each target.
+    OwnCount,
+    /// Reports are bounded in size and age, and lose trust.
+    ReportBound,
+    /// Failing places are ejected.
+    Ejection,
+    /// Soft evidence never ejects all targets of a service.
+    LastTarget,
+    /// Cold targets ramp.
+    Ramp,
+    /// Reports and refusals say that a target is leaving.
+    Leaving,
+    /// What can't be answered in time is refused at once.
+    Admission,
+    /// A class fills no more than its share of the queue.
+    ClassShare,
+    /// The lowest class keeps a small share of what is picked.
+    Guarantee,
+    /// A caller's share of the instance is bounded.
+    CallerLimit,
+    /// A service's share of the instance is bounded.
+    ServiceLimit,
+    /// Work from peers is taken only while there is room.
+    PeerGate,
+    /// Repeats are bounded.
+    Budget,
+    /// A repeat goes to another place.
+    OtherPlace,
+    /// An attempt gives up early enough for another.
+    AttemptBound,
+    /// Requests that crash targets are recognised.
+    Poison,
+    /// Suspects run alone.
+    Quarantine,
+}
+
+impl Safeguard {
+    const NAMES: [(Self, &'static str); 17] = [
+        (Self::OwnCount, "own-count"),
+        (Self::ReportBound, "report-bound"),
+        (Self::Ejection, "ejection"),
+        (Self::LastTarget, "last-target"),
+        (Self::Ramp, "ramp"),
+        (Self::Leaving, "leaving"),
+        (Self::Admission, "admission"),
+        (Self::ClassShare, "class-share"),
+        (Self::Guarantee, "guarantee"),
+        (Self::CallerLimit, "caller-limit"),
+        (Self::ServiceLimit, "service-limit"),
+        (Self::PeerGate, "peer-gate"),
+        (Self::Budget, "budget"),
+        (Self::OtherPlace, "other-place"),
+        (Self::AttemptBound, "attempt-bound"),
+        (Self::Poison, "poison"),
+        (Self::Quarantine, "quarantine"),
+    ];
+}
+
+impl fmt::Display for Safeguard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let named = Self::NAMES.iter().find(|n| n.0 == *self);
+        f.write_str(named.map_or("", |n| n.1))
+    }
+}
+
+/// The name is not a safeguard's.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("no safeguard is called {0:?}; use one of the names in process/dispatch/tuning.rs")]
+pub struct UnknownSafeguard(String);
+
+impl FromStr for Safeguard {
+    type Err = UnknownSafeguard;
+
+    fn from_str(name: &str) -> Result<Self, UnknownSafeguard> {
+        let named = Self::NAMES.iter().find(|n| n.1 == name);
+        named
+            .map(|n| n.0)
+            .ok_or_else(|| UnknownSafeguard(name.to_owned()))
+    }
+}
+
+/// The safeguards that are on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Safeguards {
+    off: u32,
+}
+
+impl Safeguards {
+    /// All of them.
+    pub const ALL: Self = Self { off: 0 };
+
+    /// None of them.
+    pub const NONE: Self = Self { off: u32::MAX };
+
+    /// These without one.
+    #[must_use]
+    pub const fn without(self, safeguard: Safeguard) -> Self {
+        Self {
+            off: self.off | 1 << safeguard as u32,
+        }
+    }
+
+    /// Whether one is on.
+    #[must_use]
+    pub const fn has(self, safeguard: Safeguard) -> bool {
+        self.off & (1 << safeguard as u32) == 0
+    }
+}
+
+impl Default for Safeguards {
+    fn default() -> Self {
+        Self::ALL
+    }
+}
+
+/// Bounds of one instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Requests in flight.
+    pub in_flight: usize,
+    /// Requests waiting.
+    pub queue: usize,
+    /// Share of both that one caller may have, in percent.
+    pub caller: usize,
+    /// Share of both that one service may have, in percent.
+    pub service: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            in_flight: 1024,
+            queue: 256,
+            caller: 25,
+            service: 60,
+        }
+    }
+}
+
+impl Limits {
+    /// Requests that one caller may have here.
+    #[must_use]
+    pub const fn per_caller(&self) -> usize {
+        (self.in_flight + self.queue) * self.caller / 100
+    }
+
+    /// Requests that one service may have here.
+    #[must_use]
+    pub const fn per_service(&self) -> usize {
+        (self.in_flight + self.queue) * self.service / 100
+    }
+}
+
+/// Everything that can be set about a dispatcher.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tuning {
+    /// Bounds.
+    pub limits: Limits,
+    /// How targets are chosen.
+    pub policy: Policy,
+    /// Safeguards that are on.
+    pub safeguards: Safeguards,
+}
--- /dev/null
+++ b/crates/steer/src/process/target/latency.rs
@@ -0,0 +1,76 @@
+//! Smoothed time per request, and how it compares.
+//!
+//! Invariant: a measurement fades, so that a place once slow is tried again.
+
+use core::time::Duration;
+
+use crate::clock::Time;
+
+/// Time in which the memory of slowness halves while there is nothing new.
+const FADE: Duration = Duration::from_secs(5);
+
+/// Below this ratio, in thousandths, two places count as equally fast: their
+/// difference is noise, and preferring one would send it all the traffic.
+const NOISE: u64 = 1500;
+
+/// Mean and mean deviation, weighted to the newest.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Latency {
+    mean: u64,
+    dev: u64,
+    at: Time,
+    known: bool,
+}
+
+impl Latency {
+    /// Takes a measurement, the newest weighing `1 / weight` of the mean.
+    pub fn record(&mut self, now: Time, took: Duration, weight: u64) {
+        let took = micros(took);
+        self.at = now;
+        if !self.known {
+            *self = Self {
+                mean: took,
+                dev: took / 2,
+                at: now,
+                known: true,
+            };
+            return;
+        }
+        let off = self.mean.abs_diff(took);
+        self.dev = (self.dev * (weight - 1) + off) / weight;
+        self.mean = (self.mean * (weight - 1) + took) / weight;
+    }
+
+    /// Mean time, once measured.
+    #[must_use]
+    pub fn mean(&self) -> Option<Duration> {
+        self.known.then(|| Duration::from_micros(self.mean))
+    }
+
+    /// A time that few requests exceed, once measured.
+    #[must_use]
+    pub fn high(&self) -> Option<Duration> {
+        self.known
+            .then(|| Duration::from_micros(self.mean + 4 * self.dev))
+    }
+
+    /// Mean over `best` in thousandths; 1000 if within noise or unknown.
+    #[must_use]
+    pub fn ratio(&self, now: Time, best: u64) -> u64 {
+        if !self.known || best == 0 {
+            return 1000;
+        }
+        let ratio = self.mean * 1000 / best;
+        if ratio < NOISE {
+            return 1000;
+        }
+        let halvings = micros(now.since(self.at)) / micros(FADE);
+        1000 + ((ratio - 1000) >> halvings.min(63))
+    }
+}
+
+/// Whole microseconds of a span.
+#[must_use]
+pub fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/steer/src/process/target/window.rs
@@ -0,0 +1,75 @@
+//! How much of a place this instance may use beside the others.
+//!
+//! Entry instances share targets without agreeing. A refusal is the one thing
+//! that tells of the others' load without lag: it cuts the window, and answers
+//! widen it again (additive increase, multiplicative decrease).
+//!
+//! Invariant: the window is at least one request and at most the slots.
+
+use core::time::Duration;
+
+use crate::clock::Time;
+use crate::process::target::latency;
+
+/// What is left of the window after a refusal, in tenths.
+const CUT: u32 = 7;
+/// Shortest and longest time that a refusal keeps new requests away. The upper
+/// bound keeps a target that misleads from shutting itself out for ever.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(2), Duration::from_millis(500));
+
+/// A limit in thousandths of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Window {
+    limit: u32,
+    max: u32,
+    cut: Time,
+    pause: Time,
+}
+
+impl Window {
+    /// A window that starts at `start` requests.
+    #[must_use]
+    pub const fn new(start: u32, max: u32) -> Self {
+        Self {
+            limit: start.saturating_mul(1000),
+            max: max.saturating_mul(1000),
+            cut: Time::ZERO,
+            pause: Time::ZERO,
+        }
+    }
+
+    /// Sets the most it may reach, in requests.
+    pub fn cap(&mut self, max: u32) {
+        self.max = max.saturating_mul(1000);
+        self.limit = self.limit.min(self.max);
+    }
+
+    /// Requests that may be in flight.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        (self.limit / 1000).max(1)
+    }
+
+    /// Whether a refusal keeps new requests away.
+    #[must_use]
+    pub fn paused(&self, now: Time) -> bool {
+        now < self.pause
+    }
+
+    /// Takes a refusal of an attempt begun at `begun`.
+    pub fn shed(&mut self, now: Time, begun: Time, after: Duration, rng: &mut fastrand::Rng) {
+        let span = latency::micros(after.clamp(PAUSE.0, PAUSE.1));
+        self.pause = now + Duration::from_micros(rng.u64(span / 2..=span * 3 / 2));
+        // Attempts sent before the last cut were sent under the wider window.
+        if begun >= self.cut {
+            self.cut = now;
+            self.limit = (self.limit / 10 * CUT).max(1000);
+        }
+    }
+
+    /// Takes an answer.
+    pub fn widen(&mut self) {
+        let step = 1_000_000 / self.limit.max(1000);
+        self.limit = (self.limit + step / 4).min(self.max);
+    }
+}
--- /dev/null
+++ b/crates/steer/src/request/poison.rs
@@ -0,0 +1,190 @@
+//! Requests that crash the targets that run them.
+//!
+//! A connection that breaks while requests are in flight marks each of them:
+//! one of them may have crashed the target, and nothing tells which. A marked
+//! request is a suspect; it is run alone on a target from then on. If it
+//! succeeds, the mark was unjust and goes. If a second target breaks under it,
+//! it was alone there, and it is refused for good: two targets are lost, not
+//! more. Marks are withdrawn too when the target goes on answering requests
+//! begun before the break, since then only a connection failed.
+//!
+//! Invariant: at most [`MOST`] fingerprints are kept, each for [`KEPT`].
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use crate::clock::Time;
+use crate::request::arrival::Fingerprint;
+
+/// Strikes at which a request is refused for good.
+pub const STRIKES: u8 = 2;
+/// Time after the last strike at which a fingerprint is forgotten.
+pub const KEPT: Duration = Duration::from_mins(10);
+/// Fingerprints kept at most.
+pub const MOST: usize = 1024;
+
+/// A target that broke under a request.
+#[derive(Clone, Debug)]
+struct Mark {
+    target: Arc<str>,
+    at: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    print: Fingerprint,
+    marks: Vec<Mark>,
+    told: u8,
+    at: Time,
+}
+
+impl Entry {
+    fn strikes(&self) -> u8 {
+        let own = u8::try_from(self.marks.len()).unwrap_or(u8::MAX);
+        own.max(self.told)
+    }
+}
+
+/// What became of a fingerprint's strikes, to be told to peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The fingerprint.
+    pub print: Fingerprint,
+    /// Its strikes now; zero clears it.
+    pub strikes: u8,
+}
+
+/// Suspects and culprits, sorted by fingerprint.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    entries: Vec<Entry>,
+}
+
+impl Suspects {
+    /// Strikes against a fingerprint.
+    #[must_use]
+    pub fn strikes(&self, print: Fingerprint) -> u8 {
+        self.find(print).map_or(0, |at| self.entries[at].strikes())
+    }
+
+    /// Number of fingerprints kept.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is suspected.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// `target` broke under a request that had `known` strikes when it was
+    /// sent there.
+    ///
+    /// Only a request that was sent as a suspect can get a further strike.
+    /// Several copies of a popular look-up are in flight at any time; when a
+    /// rack fails they break together on several targets, which says no more
+    /// against them than one break does.
+    pub fn strike(
+        &mut self,
+        now: Time,
+        known: u8,
+        print: Fingerprint,
+        target: &Arc<str>,
+    ) -> Change {
+        let at = self.ensure(now, print);
+        let entry = &mut self.entries[at];
+        let before = entry.strikes();
+        if known >= before {
+            entry.marks.push(Mark {
+                target: Arc::clone(target),
+                at: now,
+            });
+            entry.told = entry.told.max((before + 1).min(STRIKES));
+            entry.at = now;
+        }
+        Change {
+            print,
+            strikes: entry.strikes(),
+        }
+    }
+
+    /// A peer's word. Zero clears, unless the request is refused for good.
+    pub fn told(&mut self, now: Time, print: Fingerprint, strikes: u8) {
+        if strikes == 0 {
+            self.clear(print);
+            return;
+        }
+        let at = self.ensure(now, print);
+        self.entries[at].told = self.entries[at].told.max(strikes);
+        self.entries[at].at = now;
+    }
+
+    /// The request succeeded: it doesn't crash targets.
+    pub fn clear(&mut self, print: Fingerprint) -> Option<Change> {
+        let at = self.find(print)?;
+        if self.entries[at].strikes() >= STRIKES {
+            return None;
+        }
+        self.entries.remove(at);
+        Some(Change { print, strikes: 0 })
+    }
+
+    /// `target` answered a request begun at `begun`: it survived every break
+    /// since then, so the marks of those breaks are withdrawn.
+    pub fn survived(&mut self, target: &str, begun: Time, out: &mut Vec<Change>) {
+        for entry in &mut self.entries {
+            let before = entry.marks.len();
+            entry.marks.retain(|m| *m.target != *target || m.at <= begun);
+            if entry.marks.len() == before {
+                continue;
+            }
+            let own = u8::try_from(entry.marks.len()).unwrap_or(u8::MAX);
+            entry.told = entry.told.saturating_sub(1).max(own);
+            out.push(Change {
+                print: entry.print,
+                strikes: entry.told,
+            });
+        }
+        self.entries.retain(|e| e.strikes() > 0);
+    }
+
+    /// Forgets what is older than [`KEPT`].
+    pub fn forget(&mut self, now: Time) {
+        self.entries.retain(|e| now.since(e.at) < KEPT);
+    }
+
+    fn find(&self, print: Fingerprint) -> Option<usize> {
+        self.entries.binary_search_by_key(&print, |e| e.print).ok()
+    }
+
+    fn ensure(&mut self, now: Time, print: Fingerprint) -> usize {
+        if let Some(at) = self.find(print) {
+            return at;
+        }
+        if self.entries.len() >= MOST {
+            self.evict();
+        }
+        let at = self.entries.partition_point(|e| e.print < print);
+        let entry = Entry {
+            print,
+            marks: Vec::new(),
+            told: 0,
+            at: now,
+        };
+        self.entries.insert(at, entry);
+        at
+    }
+
+    /// Makes room: a suspect goes before a culprit, the older before the newer.
+    fn evict(&mut self) {
+        let oldest = (0..self.entries.len()).min_by_key(|&i| {
+            let entry = &self.entries[i];
+            (entry.strikes() >= STRIKES, entry.at)
+        });
+        if let Some(at) = oldest {
+            self.entries.remove(at);
+        }
+    }
+}
--- /dev/null
+++ b/crates/steer/src/request/retry.rs
@@ -0,0 +1,90 @@
+//! When a request may be sent again.
+//!
+//! Invariant: a request that may have run is sent again only if its service is
+//! idempotent; and over any time an instance sends no more repeats than
+//! [`SHARE`] of its first tries, plus [`BURST`].
+
+use core::time::Duration;
+
+use crate::process::dispatch::Ending;
+use crate::request::outcome::{Outcome, Reason};
+
+/// Repeats earned by a first try, in thousandths.
+pub const SHARE: u64 = 200;
+/// Repeats that may be saved up.
+pub const BURST: u64 = 20;
+
+/// Shortest time an attempt gets where the request could be tried elsewhere.
+pub const ATTEMPT_MIN: Duration = Duration::from_millis(50);
+
+/// What an attempt that failed leaves open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    /// Certainly not run.
+    NotRun,
+    /// It may have run.
+    MayHaveRun,
+}
+
+/// What an ending says about whether the request ran. `None` for an answer.
+#[must_use]
+pub fn doubt(ending: &Ending) -> Option<Doubt> {
+    match ending {
+        Ending::Answered(_) => None,
+        Ending::Refused { .. } | Ending::Unreachable => Some(Doubt::NotRun),
+        Ending::PeerRefused(refusal) if refusal.outcome == Outcome::NotRun => Some(Doubt::NotRun),
+        Ending::PeerRefused(_) | Ending::Broken | Ending::BadAnswer | Ending::TimedOut => {
+            Some(Doubt::MayHaveRun)
+        }
+    }
+}
+
+/// Why a request that is not tried again failed.
+#[must_use]
+pub fn reason(ending: &Ending) -> Reason {
+    match ending {
+        Ending::PeerRefused(refusal) => refusal.reason,
+        Ending::Refused { .. } => Reason::Overloaded,
+        Ending::Unreachable | Ending::Answered(_) => Reason::NoTarget,
+        Ending::Broken => Reason::Lost,
+        Ending::BadAnswer => Reason::BadAnswer,
+        Ending::TimedOut => Reason::Deadline,
+    }
+}
+
+/// Repeats that the instance may still send.
+///
+/// Without a budget a brownout multiplies itself: each request that fails
+/// becomes two, which makes more fail.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    left: u64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self { left: BURST * 1000 }
+    }
+}
+
+impl Budget {
+    /// Notes a first try.
+    pub fn earn(&mut self) {
+        self.left = (self.left + SHARE).min(BURST * 1000);
+    }
+
+    /// Whether a repeat may be sent.
+    #[must_use]
+    pub const fn any(&self) -> bool {
+        self.left >= 1000
+    }
+
+    /// Takes one repeat, if there is one.
+    pub const fn spend(&mut self) -> bool {
+        let any = self.any();
+        if any {
+            self.left -= 1000;
+        }
+        any
+    }
+}
--- /dev/null
+++ b/crates/steer/tests/dispatch_scenarios/script.rs
@@ -0,0 +1,352 @@
+//! Runs one script against a dispatcher and prints what it wants done.
+//!
+//! | line | meaning |
+//! |---|---|
+//! | `at 20ms` / `+5ms` | time passes, with a tick each 10 ms |
+//! | `view 2 look-1 look-2:leaving e2:near` | a view comes into force |
+//! | `arrive 1..9 look caller=c print=7 within=50ms from=peer` | requests |
+//! | `answer 1 [status=500]` | the whole answer came |
+//! | `refuse 1 [after=5ms] [leaving]` | the place refused |
+//! | `unreachable`, `break`, `garble`, `time-out` `1` | other endings |
+//! | `peer-refuse 1 overloaded [unknown]` | a peer gave up |
+//! | `report look-1 99 [leaving]` | what a target says of itself |
+//! | `probed look-1 [dead]` | a probe ended |
+//! | `suspected 7 2` | a peer's word on fingerprint 7 |
+//! | `gone 1` | the caller left |
+//! | `quiet` / `loud` | stop or start printing actions |
+//! | `mark` | start counting anew |
+//! | `check look-1 <= 3` | sends to a place since the mark |
+//! | `check refused-poison >= 1` | refusals by reason since the mark |
+//! | `check replies = 9`, `check sends <= 12`, `check probes <= 1` | likewise |
+
+use core::fmt::Write;
+use core::time::Duration;
+use std::sync::Arc;
+
+use steer::clock::Time;
+use steer::process::dispatch::tuning::{Safeguards, Tuning};
+use steer::process::dispatch::{self, Action, Dispatch, Ending, Event, Place, Report};
+use steer::process::target::choose::Policy;
+use steer::request::answer::Answer;
+use steer::request::arrival::{Arrival, AttemptId, Fingerprint, Origin, RequestId};
+use steer::request::outcome::{Outcome, Reason, Refusal};
+use steer::version::view::State;
+
+use super::world;
+
+const REASONS: [Reason; 6] = [
+    Reason::Overloaded,
+    Reason::NoTarget,
+    Reason::Deadline,
+    Reason::Leaving,
+    Reason::Poison,
+    Reason::Lost,
+];
+
+struct Script {
+    dispatch: Dispatch,
+    now: Time,
+    loud: bool,
+    attempts: Vec<(RequestId, AttemptId, Arc<str>)>,
+    counts: Vec<(String, usize)>,
+    out: String,
+}
+
+/// Runs a case; its arguments are `off=SAFEGUARD,...`, `seed=N`, `queue=N`,
+/// `in-flight=N` and `policy=least|two|weighted|robin`.
+pub fn run(case: &mut datadriven::TestCase) -> String {
+    let mut tuning = Tuning::default();
+    for name in case.words("off") {
+        let safeguard = name.parse().expect("a safeguard's name");
+        tuning.safeguards = tuning.safeguards.without(safeguard);
+    }
+    if let Some(queue) = number(case, "queue") {
+        tuning.limits.queue = queue;
+    }
+    if let Some(flight) = number(case, "in-flight") {
+        tuning.limits.in_flight = flight;
+    }
+    if case.words("policy").iter().any(|p| p == "robin") {
+        tuning.policy = Policy::Robin;
+        tuning.safeguards = Safeguards::NONE;
+    }
+    let seed = number(case, "seed").unwrap_or(1);
+    let home = dispatch::Home {
+        name: Arc::from("e1"),
+        domain: Arc::from("a1"),
+    };
+    let rng = fastrand::Rng::with_seed(seed as u64);
+    let mut script = Script {
+        dispatch: Dispatch::tuned(home, tuning, rng),
+        now: Time::ZERO,
+        loud: true,
+        attempts: Vec::new(),
+        counts: Vec::new(),
+        out: String::new(),
+    };
+    for line in case.input.lines().map(str::trim).filter(|l| !l.is_empty()) {
+        script.line(line);
+    }
+    script.out
+}
+
+trait Args {
+    fn words(&mut self, name: &str) -> Vec<String>;
+}
+
+impl Args for datadriven::TestCase {
+    fn words(&mut self, name: &str) -> Vec<String> {
+        self.args.remove(name).unwrap_or_default()
+    }
+}
+
+fn number(case: &mut datadriven::TestCase, name: &str) -> Option<usize> {
+    let word = case.words(name).pop()?;
+    Some(word.parse().expect("a number"))
+}
+
+impl Script {
+    fn line(&mut self, line: &str) {
+        if let Some(span) = line.strip_prefix('+') {
+            return self.pass(self.now + span_of(span));
+        }
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words[0] {
+            "at" => self.pass(Time::ZERO + span_of(words[1])),
+            "view" => self.view(&words[1..]),
+            "arrive" => self.arrive(&words[1..]),
+            "report" | "probed" => self.report(&words),
+            "suspected" => {
+                let fingerprint = Fingerprint(words[1].parse().expect("a fingerprint"));
+                let strikes = words[2].parse().expect("strikes");
+                self.take(Event::Suspected {
+                    fingerprint,
+                    strikes,
+                });
+            }
+            "gone" => self.take(Event::Gone(RequestId(words[1].parse().expect("a request")))),
+            "quiet" => self.loud = false,
+            "loud" => self.loud = true,
+            "mark" => self.counts.clear(),
+            "check" => self.check(&words[1..]),
+            _ => self.ending(&words),
+        }
+    }
+
+    fn pass(&mut self, until: Time) {
+        while self.now + dispatch::TICK <= until {
+            self.now = self.now + dispatch::TICK;
+            self.take(Event::Tick);
+        }
+        self.now = until;
+    }
+
+    fn view(&mut self, words: &[&str]) {
+        let version = words[0].parse().expect("a version");
+        let view = world::view(version, &words[1..]);
+        self.take(Event::View(Arc::new(view)));
+    }
+
+    fn arrive(&mut self, words: &[&str]) {
+        let option = |name: &str| words.iter().find_map(|w| w.strip_prefix(name));
+        for id in range(words[0]) {
+            let print = option("print=").map_or(1_000_000 + u128::from(id), |p| {
+                p.parse().expect("a fingerprint")
+            });
+            let peer = option("from=").is_some();
+            self.take(Event::Arrive(Arrival {
+                id: RequestId(id),
+                service: Arc::from(words[1]),
+                caller: Arc::from(option("caller=").unwrap_or("caller")),
+                key: None,
+                fingerprint: Fingerprint(print),
+                deadline: option("within=").map(span_of),
+                bytes: 100,
+                origin: if peer { Origin::Peer } else { Origin::Caller },
+            }));
+        }
+    }
+
+    fn report(&mut self, words: &[&str]) {
+        let target = Arc::from(words[1]);
+        let leaving = words.last() == Some(&"leaving");
+        let report = Report {
+            load: words.get(2).and_then(|w| w.parse().ok()).unwrap_or(0),
+            state: if leaving { State::Leaving } else { State::Live },
+        };
+        let dead = words.last() == Some(&"dead");
+        let event = match words[0] {
+            "report" => Event::Report { target, report },
+            _ => Event::Probed {
+                target,
+                report: (!dead).then_some(report),
+            },
+        };
+        self.take(event);
+    }
+
+    fn ending(&mut self, words: &[&str]) {
+        let option = |name: &str| words.iter().find_map(|w| w.strip_prefix(name));
+        let has = |word: &str| words.contains(&word);
+        let ending = match words[0] {
+            "answer" => Ending::Answered(Arc::new(Answer {
+                status: option("status=").map_or(200, |s| s.parse().expect("a status")),
+                headers: Vec::new(),
+                body: Arc::from([]),
+            })),
+            "refuse" => Ending::Refused {
+                after: option("after=").map(span_of),
+                leaving: has("leaving"),
+            },
+            "peer-refuse" => Ending::PeerRefused(Refusal {
+                reason: reason(words[2]),
+                outcome: if has("unknown") {
+                    Outcome::Unknown
+                } else {
+                    Outcome::NotRun
+                },
+                after: option("after=").map(span_of),
+            }),
+            "unreachable" => Ending::Unreachable,
+            "break" => Ending::Broken,
+            "garble" => Ending::BadAnswer,
+            "time-out" => Ending::TimedOut,
+            other => panic!("no line starts with {other:?}; see the table in script.rs"),
+        };
+        for id in self.chosen(words[1]) {
+            let Some(at) = self.attempts.iter().position(|a| a.0 == id) else {
+                continue;
+            };
+            let (id, attempt, _) = self.attempts.remove(at);
+            self.take(Event::Ended {
+                id,
+                attempt,
+                ending: ending.clone(),
+            });
+        }
+    }
+
+    /// Requests of a range, all that are in flight at a place, or those at the
+    /// place of one (`beside-1`).
+    fn chosen(&self, word: &str) -> Vec<RequestId> {
+        if let Some(id) = word.strip_prefix("beside-") {
+            let id = RequestId(id.parse().expect("a request"));
+            let place = self.attempts.iter().find(|a| a.0 == id).map(|a| &*a.2);
+            return place.map_or_else(Vec::new, |place| self.chosen(place));
+        }
+        if word.starts_with(|c: char| c.is_ascii_digit()) {
+            return range(word).map(RequestId).collect();
+        }
+        let there = self
+            .attempts
+            .iter()
+            .filter(|a| word == "all" || *a.2 == *word);
+        there.map(|a| a.0).collect()
+    }
+
+    fn take(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.dispatch.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.act(&action);
+        }
+    }
+
+    fn act(&mut self, action: &Action) {
+        let now = self.now;
+        let line = match action {
+            Action::Send {
+                id,
+                attempt,
+                place,
+                budget,
+            } => {
+                let name = Arc::clone(place.name());
+                let kind = if matches!(place, Place::Member { .. }) {
+                    "peer "
+                } else {
+                    ""
+                };
+                self.count("sends");
+                self.count(&name);
+                self.attempts.retain(|a| a.0 != *id);
+                self.attempts.push((*id, *attempt, Arc::clone(&name)));
+                format!("{id} to {kind}{name}, {}ms", budget.as_millis())
+            }
+            Action::Cancel { id, .. } => {
+                self.attempts.retain(|a| a.0 != *id);
+                format!("{id} cancelled")
+            }
+            Action::Reply { id, answer } => {
+                self.count("replies");
+                format!("{id} answered {}", answer.status)
+            }
+            Action::Refuse { id, refusal } => {
+                self.count("refused");
+                self.count(&format!("refused-{}", refusal.reason));
+                format!("{id} refused: {refusal}")
+            }
+            Action::Probe { target, .. } => {
+                self.count("probes");
+                format!("probe {target}")
+            }
+            Action::Suspect {
+                fingerprint,
+                strikes,
+            } => {
+                format!(
+                    "tell peers: fingerprint {}, strikes {strikes}",
+                    fingerprint.0
+                )
+            }
+        };
+        if self.loud {
+            writeln!(self.out, "{now} {line}").expect("a string takes all");
+        }
+    }
+
+    fn count(&mut self, what: &str) {
+        match self.counts.iter_mut().find(|c| c.0 == what) {
+            Some(count) => count.1 += 1,
+            None => self.counts.push((what.to_owned(), 1)),
+        }
+    }
+
+    fn check(&mut self, words: &[&str]) {
+        let most: usize = words[2].parse().expect("a number");
+        let found = self
+            .counts
+            .iter()
+            .find(|c| c.0 == words[0])
+            .map_or(0, |c| c.1);
+        let holds = match words[1] {
+            "<=" => found <= most,
+            ">=" => found >= most,
+            _ => found == most,
+        };
+        let word = if holds { "holds" } else { "BROKEN" };
+        let text = words.join(" ");
+        writeln!(self.out, "{word}: {text} ({found})").expect("a string takes all");
+    }
+}
+
+fn reason(word: &str) -> Reason {
+    let found = REASONS.iter().find(|r| r.as_str() == word);
+    *found.expect("a reason of the table in script.rs")
+}
+
+fn range(word: &str) -> core::ops::RangeInclusive<u64> {
+    let (first, last) = word.split_once("..").unwrap_or((word, word));
+    first.parse().expect("a request")..=last.parse().expect("a request")
+}
+
+fn span_of(word: &str) -> Duration {
+    let (number, unit) = word.split_at(word.find(char::is_alphabetic).expect("a unit"));
+    let number: u64 = number.parse().expect("a number");
+    match unit {
+        "us" => Duration::from_micros(number),
+        "ms" => Duration::from_millis(number),
+        "s" => Duration::from_secs(number),
+        other => panic!("no unit {other:?}; use us, ms or s"),
+    }
+}
