Bound waiting and connections

Cause: past a point waiting adds latency and no throughput; connections of cancelled attempts may carry late answers. Change: Limits.wait bounds the expected time in the queue; a pool of connections whose type lets only a wholly read answer lead back to it. The round-robin policy leaves the product; the bench keeps its own baseline. Ruled out: a flag "reusable" on connections (nothing stops a wrong call).

--- a/crates/steer/src/connection.rs
+++ b/crates/steer/src/connection.rs
@@ -1,1 +1,3 @@
 //! What lives as long as one connection.
+
+pub mod pool;
--- a/crates/steer/src/process/dispatch.rs
+++ b/crates/steer/src/process/dispatch.rs
@@ -48,7 +48,6 @@
     budget: retry::Budget,
     suspects: poison::Suspects,
     attempts: u64,
-    picks: u64,
     probed: Time,
     stats: stats::Stats,
     rng: fastrand::Rng,
@@ -77,7 +76,6 @@
             budget: retry::Budget::default(),
             suspects: poison::Suspects::default(),
             attempts: 0,
-            picks: 0,
             probed: Time::ZERO,
             stats: stats::Stats::default(),
             rng,
@@ -193,7 +191,8 @@
             // request that waits here could have been placed elsewhere.
             return self.give_up(&job, Reason::Overloaded, outlook.wait(), out);
         }
-        let hope = !on.has(Safeguard::Admission) || outlook.hopeful(left);
+        let short = outlook.wait() <= self.tuning.limits.wait;
+        let hope = !on.has(Safeguard::Admission) || (short && outlook.hopeful(left));
         let stay = hope && self.has_open(now, group, &job) && self.fits(group);
         let patience = if stay { outlook.wait() } else { left };
         let (remote, capped) = self.remote(now, group, &job, patience, left);
--- a/crates/steer/src/process/dispatch/place.rs
+++ b/crates/steer/src/process/dispatch/place.rs
@@ -86,11 +86,7 @@
             .map(|(at, local)| (at, &tracks[local.track]))
             .filter(|&(_, track)| open(track) && fits(track))
             .map(|(at, track)| (at, track.score(now, entry.best, on)));
-        let at = self
-            .tuning
-            .policy
-            .choose(places, self.picks, &mut self.rng)?;
-        self.picks += 1;
+        let at = self.tuning.policy.choose(places, &mut self.rng)?;
         Some(target(entry, tracks, at, false))
     }
 
@@ -209,7 +205,7 @@
             .filter(|(_, track)| !job.tried.contains(&track.name))
             .filter(|(_, track)| matches!(track.fit(now, on), Fit::Free | Fit::Trial))
             .map(|(at, track)| (at, u64::from(track.flight)));
-        choose::Policy::Least.choose(places, 0, &mut self.rng)
+        choose::Policy::Least.choose(places, &mut self.rng)
     }
 
     /// Whether the caps let a request of `bytes` go to a peer. The caps of
--- a/crates/steer/src/process/dispatch/tuning.rs
+++ b/crates/steer/src/process/dispatch/tuning.rs
@@ -5,6 +5,7 @@
 
 use core::fmt;
 use core::str::FromStr;
+use core::time::Duration;
 
 use crate::process::target::choose::Policy;
 
@@ -102,9 +103,6 @@
     /// All of them.
     pub const ALL: Self = Self { off: 0 };
 
-    /// None of them.
-    pub const NONE: Self = Self { off: u32::MAX };
-
     /// These without one.
     #[must_use]
     pub const fn without(self, safeguard: Safeguard) -> Self {
@@ -137,6 +135,9 @@
     pub caller: usize,
     /// Share of both that one service may have, in percent.
     pub service: usize,
+    /// Longest expected time in the queue. Past it waiting adds latency and no
+    /// throughput; short where latency counts, longer where refusals do.
+    pub wait: Duration,
 }
 
 impl Default for Limits {
@@ -146,6 +147,7 @@
             queue: 256,
             caller: 25,
             service: 60,
+            wait: Duration::from_millis(250),
         }
     }
 }
--- a/crates/steer/src/process/target/choose.rs
+++ b/crates/steer/src/process/target/choose.rs
@@ -12,27 +12,19 @@
     Two,
     /// Drawn at random, in inverse proportion to the score.
     Weighted,
-    /// One after the other, whatever the scores: the baseline.
-    Robin,
 }
 
 impl Policy {
-    /// Chooses one of `places`, each with its score. `turn` counts choices.
+    /// Chooses one of `places`, each with its score.
     pub fn choose(
         self,
         places: impl Iterator<Item = (usize, u64)> + Clone,
-        turn: u64,
         rng: &mut fastrand::Rng,
     ) -> Option<usize> {
         match self {
             Self::Least => least(places, rng),
             Self::Two => two(&places, rng),
             Self::Weighted => weighted(&places, rng),
-            Self::Robin => {
-                let count = places.clone().count() as u64;
-                let at = turn.checked_rem(count)?;
-                places.map(|p| p.0).nth(usize::try_from(at).ok()?)
-            }
         }
     }
 }
--- a/crates/steer/src/request/poison.rs
+++ b/crates/steer/src/request/poison.rs
@@ -136,7 +136,9 @@
     pub fn survived(&mut self, target: &str, begun: Time, out: &mut Vec<Change>) {
         for entry in &mut self.entries {
             let before = entry.marks.len();
-            entry.marks.retain(|m| *m.target != *target || m.at <= begun);
+            entry
+                .marks
+                .retain(|m| *m.target != *target || m.at <= begun);
             if entry.marks.len() == before {
                 continue;
             }
