--- /dev/null
+++ b/crates/jsonc/src/node.rs
@@ -0,0 +1,124 @@
+//! The value tree; every key and value keeps its place.
+
+use core::fmt;
+use std::sync::Arc;
+
+use crate::fault::Place;
+
+/// A value and its place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Node {
+    /// Where the value starts.
+    pub place: Place,
+    /// The value.
+    pub value: Value,
+}
+
+/// A value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Value {
+    /// `null`.
+    Null,
+    /// `true` or `false`.
+    Bool(bool),
+    /// A number, as it was written.
+    Number(Arc<str>),
+    /// A string.
+    Text(Arc<str>),
+    /// A list.
+    List(Vec<Node>),
+    /// An object, in the order it was written; names may stand twice.
+    Object(Vec<Field>),
+}
+
+/// One field of an object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Field {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Where the name starts.
+    pub place: Place,
+    /// Its value.
+    pub node: Node,
+}
+
+impl Value {
+    /// The type, as messages name it.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Null => "null",
+            Self::Bool(_) => "true or false",
+            Self::Number(_) => "a number",
+            Self::Text(_) => "a string",
+            Self::List(_) => "a list",
+            Self::Object(_) => "an object",
+        }
+    }
+}
+
+impl Node {
+    /// The first field of this name, if the node is an object that has one.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Node> {
+        let Value::Object(fields) = &self.value else {
+            return None;
+        };
+        let field = fields.iter().find(|f| &*f.name == name)?;
+        Some(&field.node)
+    }
+
+    /// Whether two nodes say the same, wherever they stand.
+    #[must_use]
+    pub fn same(&self, other: &Node) -> bool {
+        match (&self.value, &other.value) {
+            (Value::List(a), Value::List(b)) => {
+                a.len() == b.len() && a.iter().zip(b).all(|(a, b)| a.same(b))
+            }
+            (Value::Object(a), Value::Object(b)) => {
+                a.len() == b.len()
+                    && a.iter()
+                        .all(|f| other.get(&f.name).is_some_and(|n| n.same(&f.node)))
+            }
+            (a, b) => a == b,
+        }
+    }
+}
+
+/// Prints the value as compact JSON without its places.
+impl fmt::Display for Node {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.value {
+            Value::Null => f.write_str("null"),
+            Value::Bool(flag) => write!(f, "{flag}"),
+            Value::Number(text) => f.write_str(text),
+            Value::Text(text) => quote(f, text),
+            Value::List(items) => write_list(f, items),
+            Value::Object(fields) => write_object(f, fields),
+        }
+    }
+}
+
+fn quote(f: &mut fmt::Formatter<'_>, text: &str) -> fmt::Result {
+    let quoted = serde_json::to_string(text).map_err(|_| fmt::Error)?;
+    f.write_str(&quoted)
+}
+
+fn write_list(f: &mut fmt::Formatter<'_>, items: &[Node]) -> fmt::Result {
+    f.write_str("[")?;
+    for (i, item) in items.iter().enumerate() {
+        let comma = if i == 0 { "" } else { ", " };
+        write!(f, "{comma}{item}")?;
+    }
+    f.write_str("]")
+}
+
+fn write_object(f: &mut fmt::Formatter<'_>, fields: &[Field]) -> fmt::Result {
+    f.write_str("{")?;
+    for (i, field) in fields.iter().enumerate() {
+        f.write_str(if i == 0 { "" } else { ", " })?;
+        quote(f, &field.name)?;
+        write!(f, ": {}", field.node)?;
+    }
+    f.write_str("}")
+}
