Start the daemon: listeners, engine, peers, operators, command line

Cause: the whole path needs a process between callers and targets. Change: an accept loop over the HTTP library with typed refusals at the edge, an engine that drives the dispatcher, a pool of connections to targets by hyper, peer calls by tarpc behind a proof of the shared secret, and three subcommands. Ruled out for the hop to targets: the house library's client, which can't tell an unsent request from a sent one.

--- /dev/null
+++ b/crates/auburnrouter/src/cmd/client.rs
@@ -0,0 +1,199 @@
+//! What the operators' subcommands share: where to ask, and how.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use futures_lite::future;
+use lexopt::ValueExt;
+use settings::secret;
+use thiserror::Error;
+use trillium_client::{Client, Conn};
+use trillium_smol::ClientConfig;
+
+use crate::cli;
+
+/// Options that say where to ask.
+#[derive(Debug, Default)]
+pub struct Options {
+    settings: Option<PathBuf>,
+    operators: Option<SocketAddr>,
+    secret: Option<PathBuf>,
+    /// Whether to print JSON.
+    pub json: bool,
+}
+
+/// Help for [`Options`].
+pub const HELP: &str = "\
+Where to ask:
+  --settings FILE     the settings of an instance: its operators' address and secret
+  --operators ADDR    an instance's operators' address, instead of the settings'
+  --secret-file FILE  file with the secret, instead of the settings'
+  --json              print JSON, for scripts
+";
+
+/// Names of [`Options`].
+pub const NAMES: &[&str] = &["settings", "operators", "secret-file", "json", "help"];
+
+/// Longest time for one call.
+const CALL_TIME: Duration = Duration::from_secs(30);
+
+/// Why an instance could not be asked.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// No address or secret given.
+    #[error("say where to ask: --settings FILE, or --operators ADDR and --secret-file FILE")]
+    Where,
+    /// A file can't be read or is wrong.
+    #[error("{0}: {1}")]
+    File(String, String),
+    /// No answer.
+    #[error("{0} does not answer: {1}; check the address, or ask another instance")]
+    Silent(SocketAddr, String),
+    /// The secret is wrong.
+    #[error("{0} does not know this secret; use the one in its settings")]
+    Secret(SocketAddr),
+}
+
+/// One instance's operators' listener.
+pub struct Operators {
+    addr: SocketAddr,
+    secret: secret::Secret,
+}
+
+/// An answer of the listener.
+#[derive(Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: String,
+}
+
+impl Options {
+    /// Takes an option if it is one of these.
+    ///
+    /// # Errors
+    /// If its value is absent or malformed.
+    pub fn take(
+        &mut self,
+        arg: &cli::Arg,
+        args: &mut lexopt::Parser,
+        command: &'static str,
+    ) -> Result<bool, cli::Error> {
+        let wrong = |e: lexopt::Error| cli::malformed(&e, command);
+        let cli::Arg::Long(name) = arg else {
+            return Ok(false);
+        };
+        match name.as_str() {
+            "settings" => self.settings = Some(args.value().map_err(wrong)?.into()),
+            "secret-file" => self.secret = Some(args.value().map_err(wrong)?.into()),
+            "operators" => {
+                let value = args.value().map_err(wrong)?;
+                self.operators = Some(value.parse().map_err(wrong)?);
+            }
+            "json" => self.json = true,
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+
+    /// The listener that the options name.
+    ///
+    /// # Errors
+    /// If they name none, or a file can't be read.
+    pub fn operators(&self) -> Result<Operators, Error> {
+        let settings = self.settings.as_deref().map(read_settings).transpose()?;
+        let addr = self
+            .operators
+            .or(settings.as_ref().map(|s| s.listen.operators));
+        let secret = match (&self.secret, settings) {
+            (Some(path), _) => Some(read_secret(path)?),
+            (None, Some(settings)) => match settings.secret {
+                secret::Source::Inline(secret) => Some(secret),
+                secret::Source::File(path) => Some(read_secret(&path)?),
+            },
+            (None, None) => None,
+        };
+        match (addr, secret) {
+            (Some(addr), Some(secret)) => Ok(Operators { addr, secret }),
+            _ => Err(Error::Where),
+        }
+    }
+}
+
+impl Operators {
+    /// `GET path`.
+    ///
+    /// # Errors
+    /// If no answer comes or the secret is wrong.
+    pub fn get(&self, path: &str) -> Result<Answer, Error> {
+        self.call(client().get(self.url(path)))
+    }
+
+    /// `POST path` with a JSON body.
+    ///
+    /// # Errors
+    /// If no answer comes or the secret is wrong.
+    pub fn post(&self, path: &str, body: String) -> Result<Answer, Error> {
+        self.call(client().post(self.url(path)).with_body(body))
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.addr)
+    }
+
+    fn call(&self, conn: Conn) -> Result<Answer, Error> {
+        let bearer = format!("Bearer {}", String::from_utf8_lossy(self.secret.bytes()));
+        let conn = conn.with_request_header("Authorization", bearer);
+        let answer = call(conn).map_err(|e| Error::Silent(self.addr, e))?;
+        if answer.status == 401 {
+            return Err(Error::Secret(self.addr));
+        }
+        Ok(answer)
+    }
+}
+
+/// A client that keeps no connections.
+pub fn client() -> Client {
+    Client::new(ClientConfig::default())
+}
+
+/// Makes one call, in bounded time.
+///
+/// # Errors
+/// In words, if no whole answer comes.
+pub fn call(conn: Conn) -> Result<Answer, String> {
+    let late = async {
+        smol::Timer::after(CALL_TIME).await;
+        Err("no answer in time".to_owned())
+    };
+    smol::block_on(future::or(exchange(conn), late))
+}
+
+async fn exchange(conn: Conn) -> Result<Answer, String> {
+    let mut conn = conn.await.map_err(|e| e.to_string())?;
+    let status = conn.status().map_or(0, |s| s as u16);
+    let body = conn
+        .response_body()
+        .read_string()
+        .await
+        .map_err(|e| e.to_string())?;
+    Ok(Answer { status, body })
+}
+
+fn read_settings(path: &Path) -> Result<settings::Settings, Error> {
+    let name = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|e| Error::File(name.clone(), e.to_string()))?;
+    settings::Settings::parse(&name, &text).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        Error::File(name.clone(), lines.join("\n"))
+    })
+}
+
+fn read_secret(path: &Path) -> Result<secret::Secret, Error> {
+    let wrong = |e: String| Error::File(path.display().to_string(), e);
+    let text = fs::read_to_string(path).map_err(|e| wrong(e.to_string()))?;
+    secret::Secret::new(&text).map_err(|e| wrong(e.to_string()))
+}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon.rs
@@ -0,0 +1,320 @@
+//! The entry instance: listeners, traffic threads, one control thread.
+//!
+//! Life cycle, by type: [`Bound`] has its sockets and secret, [`Running`]
+//! serves, and [`Running::stop`] consumes it, so that nothing can be asked of
+//! a daemon that has stopped.
+//!
+//! Invariant: whatever is started here has ended when [`Running::stop`]
+//! returns, and no request in flight was cut by it, unless it outlived the
+//! longest deadline.
+
+mod accept;
+mod callers;
+mod control;
+mod engine;
+mod guarded;
+mod inbound;
+mod metrics;
+mod operators;
+mod outbound;
+mod peers;
+mod reply;
+mod snapshot;
+mod workers;
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use serde::Serialize;
+use settings::{Settings, secret};
+use smol::net;
+use steer::process::dispatch;
+use steer::version::view;
+use thiserror::Error;
+use trillium_http::Stopper;
+
+/// Why a daemon can't start.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The secret's file can't be read.
+    #[error("can't read secret file {0}: {1}; create it, readable by its owner only")]
+    SecretFile(String, io::Error),
+    /// The secret is unfit.
+    #[error("secret: {0}")]
+    Secret(#[from] secret::Error),
+    /// An address can't be listened on.
+    #[error("can't listen on {0}: {1}; name a free address of this instance under `listen`")]
+    Listen(SocketAddr, io::Error),
+    /// A thread can't be started.
+    #[error("can't start a thread: {0}; raise the limit on threads")]
+    Thread(io::Error),
+    /// Metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] metrics::Error),
+}
+
+/// Longest time a stop waits for requests in flight beyond their deadlines.
+const STOP_GRACE: Duration = Duration::from_secs(5);
+
+/// Time between looks at what a stop waits for.
+const STOP_POLL: Duration = Duration::from_millis(5);
+
+/// Time for which a leaving instance still serves, so that callers who hold an
+/// old look-up's answer aren't refused. Longer than an answer's lifetime.
+const LEAVE_TIME: Duration = Duration::from_millis(2500);
+
+/// Where a daemon listens.
+#[derive(Clone, Debug, Serialize)]
+pub struct Addresses {
+    /// The entry instance's name.
+    pub name: Arc<str>,
+    /// Callers' listener.
+    pub callers: SocketAddr,
+    /// Peers' listener.
+    pub peers: SocketAddr,
+    /// Operators' listener.
+    pub operators: SocketAddr,
+}
+
+/// A daemon whose sockets are open and whose secret is read.
+pub struct Bound {
+    settings: Settings,
+    secret: secret::Secret,
+    callers: net::TcpListener,
+    peers: net::TcpListener,
+    operators: net::TcpListener,
+    addresses: Addresses,
+}
+
+/// A daemon that serves.
+pub struct Running {
+    addresses: Addresses,
+    longest: Duration,
+    engine: Arc<engine::Engine>,
+    control: control::Handle,
+    open: Arc<AtomicUsize>,
+    listening: Stopper,
+    ticking: Stopper,
+    traffic: workers::Workers,
+    steering: workers::Workers,
+}
+
+impl Bound {
+    /// Reads the secret and opens the sockets. `file` is the settings file,
+    /// whose mode is checked if the secret stands in it.
+    ///
+    /// # Errors
+    /// If the secret or an address can't be had.
+    pub fn new(settings: Settings, file: Option<&Path>) -> Result<Self, Error> {
+        let secret = read_secret(&settings.secret, file)?;
+        let callers = listen(settings.listen.callers)?;
+        let peers = listen(settings.listen.peers)?;
+        let operators = listen(settings.listen.operators)?;
+        let addresses = Addresses {
+            name: Arc::clone(&settings.name),
+            callers: local(&callers, settings.listen.callers)?,
+            peers: local(&peers, settings.listen.peers)?,
+            operators: local(&operators, settings.listen.operators)?,
+        };
+        Ok(Self {
+            settings,
+            secret,
+            callers,
+            peers,
+            operators,
+            addresses,
+        })
+    }
+
+    /// Starts to serve.
+    ///
+    /// # Errors
+    /// If threads or metrics can't be set up.
+    pub fn start(self) -> Result<Running, Error> {
+        let limits = self.settings.limits;
+        let traffic = workers::Workers::start(limits.threads()).map_err(Error::Thread)?;
+        let steering = workers::Workers::start(1).map_err(Error::Thread)?;
+        let metrics = Arc::new(metrics::Metrics::new()?);
+        let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
+        let incarnation = view::Incarnation(fastrand::u64(1..));
+        let executor = Arc::clone(traffic.executor());
+        let peers = Arc::new(peers::Peers::new(
+            Arc::clone(&executor),
+            self.secret.clone(),
+        ));
+        let home = dispatch::Home {
+            name: Arc::clone(&self.settings.name),
+            domain: Arc::clone(&self.settings.domain),
+        };
+        let engine = engine::Engine::new(
+            dispatch::Dispatch::new(home, fastrand::Rng::new()),
+            incarnation,
+            Arc::clone(&executor),
+            outbound::Outbound::new(Arc::clone(&executor), limits.target_connections()),
+            Arc::clone(&peers),
+        );
+        let listening = Stopper::new();
+        let ticking = Stopper::new();
+        let control = control::Handle::start(
+            control::Parts {
+                settings: self.settings.clone(),
+                addresses: self.addresses.clone(),
+                incarnation,
+                engine: Arc::clone(&engine),
+                peers,
+                snapshot: Arc::clone(&snapshot),
+                metrics: Arc::clone(&metrics),
+            },
+            steering.executor(),
+        );
+        let bounds = guarded::Bounds {
+            whole: limits.request_time(),
+            idle: limits.idle_time(),
+            ahead: limits.head_bytes() + 2 * limits.body_bytes(),
+        };
+        let accepting = accept::Limits {
+            bounds,
+            head: limits.head_bytes(),
+            body: limits.body_bytes() as u64,
+            connections: limits.connections(),
+        };
+        let callers = Arc::new(callers::Callers {
+            snapshot,
+            engine: Arc::clone(&engine),
+            metrics: Arc::clone(&metrics),
+            longest: limits.request_time(),
+        });
+        let listener = accept::Listener::new(accepting, Arc::clone(&executor), listening.clone());
+        let open = listener.count();
+        let answer = move |conn, peer| callers::Callers::handle(Arc::clone(&callers), conn, peer);
+        executor.spawn(listener.run(self.callers, answer)).detach();
+        let peering = peers::serve(
+            self.peers,
+            self.secret.clone(),
+            Arc::clone(&engine),
+            Arc::clone(&executor),
+            ticking.clone(),
+        );
+        executor.spawn(peering).detach();
+        let operators = Arc::new(operators::Operators {
+            secret: self.secret,
+            control: control.clone(),
+            engine: Arc::clone(&engine),
+            metrics,
+        });
+        let listener = accept::Listener::new(
+            operators::limits(bounds),
+            Arc::clone(steering.executor()),
+            ticking.clone(),
+        );
+        let answer = move |conn, _| operators::Operators::handle(Arc::clone(&operators), conn);
+        steering
+            .executor()
+            .spawn(listener.run(self.operators, answer))
+            .detach();
+        executor
+            .spawn(tick(Arc::clone(&engine), ticking.clone()))
+            .detach();
+        log::info!(
+            "event=started name={} callers={}",
+            self.addresses.name,
+            self.addresses.callers
+        );
+        Ok(Running {
+            addresses: self.addresses,
+            longest: limits.request_time(),
+            engine,
+            control,
+            open,
+            listening,
+            ticking,
+            traffic,
+            steering,
+        })
+    }
+}
+
+impl Running {
+    /// Where the daemon listens.
+    #[must_use]
+    pub const fn addresses(&self) -> &Addresses {
+        &self.addresses
+    }
+
+    /// Shuts down gracefully: leaves the look-ups' answers, tells the peers,
+    /// serves on for as long as callers may hold an old answer, finishes what
+    /// is in flight, and joins every thread.
+    pub fn stop(self) {
+        log::info!("event=leaving name={}", self.addresses.name);
+        self.control.leave();
+        let until = Instant::now() + LEAVE_TIME + self.longest + STOP_GRACE;
+        let left = Instant::now() + LEAVE_TIME;
+        while Instant::now() < left {
+            std::thread::sleep(STOP_POLL);
+        }
+        self.listening.stop();
+        while self.busy() && Instant::now() < until {
+            std::thread::sleep(STOP_POLL);
+        }
+        let cut = self.engine.in_flight();
+        self.ticking.stop();
+        self.control.stop();
+        self.traffic.join();
+        self.steering.join();
+        log::info!("event=stopped name={} cut={cut}", self.addresses.name);
+    }
+
+    fn busy(&self) -> bool {
+        self.engine.in_flight() > 0 || self.open.load(Ordering::Relaxed) > 0
+    }
+}
+
+async fn tick(engine: Arc<engine::Engine>, stopper: Stopper) {
+    while !stopper.is_stopped() {
+        smol::Timer::after(dispatch::TICK).await;
+        engine.tick();
+    }
+}
+
+fn read_secret(source: &secret::Source, file: Option<&Path>) -> Result<secret::Secret, Error> {
+    match source {
+        secret::Source::Inline(secret) => {
+            if let Some(file) = file {
+                check_mode(file)?;
+            }
+            Ok(secret.clone())
+        }
+        secret::Source::File(path) => {
+            check_mode(path)?;
+            let text = fs::read_to_string(path).map_err(|e| unreadable(path, e))?;
+            Ok(secret::Secret::new(&text)?)
+        }
+    }
+}
+
+fn check_mode(path: &Path) -> Result<(), Error> {
+    let data = fs::metadata(path).map_err(|e| unreadable(path, e))?;
+    match secret::mode_fault(data.permissions().mode()) {
+        Some(fault) => Err(fault.into()),
+        None => Ok(()),
+    }
+}
+
+fn unreadable(path: &Path, error: io::Error) -> Error {
+    Error::SecretFile(path.display().to_string(), error)
+}
+
+fn listen(addr: SocketAddr) -> Result<net::TcpListener, Error> {
+    smol::block_on(net::TcpListener::bind(addr)).map_err(|e| Error::Listen(addr, e))
+}
+
+fn local(socket: &net::TcpListener, addr: SocketAddr) -> Result<SocketAddr, Error> {
+    socket.local_addr().map_err(|e| Error::Listen(addr, e))
+}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/callers.rs
@@ -0,0 +1,237 @@
+//! What callers may ask: look-ups and requests.
+//!
+//! | call | answer |
+//! |---|---|
+//! | `GET /lookup?service=S[&client=A.B.C.D]` | 200 with the entry instances to use, in order |
+//! | any method on `/s/{service}/{path}` | the target's answer, or a refusal |
+//!
+//! Invariant: every answer says by its `Outcome` header whether the request
+//! ran; a request that isn't received whole is never passed on.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use serde::Serialize;
+use steer::request::{arrival, outcome};
+use steer::version::{lookup, view};
+use trillium_http::Method;
+use wire::headers;
+
+use super::accept::{Conn, Peer};
+use super::engine::{Engine, Terms};
+use super::inbound::{self, Inbound};
+use super::metrics::Metrics;
+use super::reply;
+use super::snapshot::Snapshot;
+
+/// How long a caller may use a look-up's answer.
+const LIFETIME: Duration = Duration::from_secs(2);
+
+/// When a caller is told to come back to an instance that isn't ready.
+const NOT_READY: Duration = Duration::from_secs(1);
+
+/// Longest name of a caller in bytes; longer ones are cut.
+const NAME_MAX: usize = 128;
+
+/// What the callers' listener needs.
+pub struct Callers {
+    /// What the control thread published last.
+    pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// Where requests go.
+    pub engine: Arc<Engine>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Longest time that a caller may ask for.
+    pub longest: Duration,
+}
+
+/// A look-up's answer.
+#[derive(Debug, Serialize)]
+struct Found<'a> {
+    version: u64,
+    lifetime_ms: u64,
+    choices: Vec<Choice<'a>>,
+}
+
+/// One entry instance to use.
+#[derive(Debug, Serialize)]
+struct Choice<'a> {
+    name: &'a str,
+    addr: SocketAddr,
+}
+
+impl Callers {
+    /// Answers one request.
+    pub async fn handle(self: Arc<Self>, conn: Conn, peer: Peer) -> Conn {
+        let path = conn.path().to_owned();
+        match path.strip_prefix("/s/") {
+            Some(rest) => self.request(conn, &peer, rest).await,
+            None if path == "/lookup" && conn.method() == Method::Get => self.lookup(conn, &peer),
+            None => self.refuse(
+                conn,
+                outcome::Refusal::not_run(outcome::Reason::BadRequest, None),
+            ),
+        }
+    }
+
+    fn lookup(&self, conn: Conn, peer: &Peer) -> Conn {
+        self.metrics.lookups.inc();
+        let snapshot = self.snapshot.load();
+        if !snapshot.ready {
+            let reason = outcome::Reason::NotReady;
+            return self.refuse(conn, outcome::Refusal::not_run(reason, Some(NOT_READY)));
+        }
+        let query = Query::parse(conn.querystring());
+        if query
+            .service
+            .is_some_and(|name| snapshot.view.service(name).is_none())
+        {
+            let reason = outcome::Reason::UnknownService;
+            return self.refuse(conn, outcome::Refusal::not_run(reason, None));
+        }
+        let Some(addr) = query.client.map_or(Some(peer.ip), |c| c.parse().ok()) else {
+            let reason = outcome::Reason::BadRequest;
+            return self.refuse(conn, outcome::Refusal::not_run(reason, None));
+        };
+        let region = match addr {
+            IpAddr::V4(v4) => snapshot.view.blocks.region(v4),
+            IpAddr::V6(v6) => v6
+                .to_ipv4_mapped()
+                .and_then(|a: Ipv4Addr| snapshot.view.blocks.region(a)),
+        };
+        let caller = header(&conn, headers::CALLER).map_or_else(
+            || lookup::hash_bytes(addr.to_string().as_bytes()),
+            |name| lookup::hash_bytes(name.as_bytes()),
+        );
+        let choices = snapshot.lookup.choose(region, caller);
+        let found = Found {
+            version: snapshot.view.version.0,
+            lifetime_ms: millis(LIFETIME),
+            choices: choices
+                .iter()
+                .flatten()
+                .map(|&m| choice(&snapshot.view, m))
+                .collect(),
+        };
+        reply::json(conn, &found)
+    }
+
+    async fn request(&self, mut conn: Conn, peer: &Peer, rest: &str) -> Conn {
+        let Some(terms) = self.terms(&conn) else {
+            let reason = outcome::Reason::BadRequest;
+            return self.refuse(conn, outcome::Refusal::not_run(reason, None));
+        };
+        let Ok(body) = conn.request_body().await.read_bytes().await else {
+            let reason = outcome::Reason::BadRequest;
+            return self.refuse(conn, outcome::Refusal::not_run(reason, None));
+        };
+        peer.serving.begin();
+        let request = inbound(&conn, peer.ip, rest, body);
+        let served = self.engine.serve(request, terms);
+        match conn.cancel_on_disconnect(served).await {
+            Some(settled) => {
+                self.metrics.settled(&settled);
+                reply::settled(conn, &settled)
+            }
+            None => conn,
+        }
+    }
+
+    fn terms(&self, conn: &Conn) -> Option<Terms> {
+        let deadline = match header(conn, headers::DEADLINE_MS) {
+            None => None,
+            Some(text) => Some(Duration::from_millis(text.parse().ok()?).min(self.longest)),
+        };
+        Some(Terms {
+            deadline,
+            origin: arrival::Origin::Caller,
+        })
+    }
+
+    fn refuse(&self, conn: Conn, refusal: outcome::Refusal) -> Conn {
+        self.metrics.settled(&Err(refusal));
+        reply::refused(conn, &refusal)
+    }
+}
+
+fn choice(view: &view::View, member: view::Member) -> Choice<'_> {
+    let data = &view.members[member];
+    Choice {
+        name: &data.name,
+        addr: data.addr,
+    }
+}
+
+fn inbound(conn: &Conn, ip: IpAddr, rest: &str, body: Vec<u8>) -> Inbound {
+    let (service, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
+    let query = conn.querystring();
+    let mut path = if path.is_empty() { "/" } else { path }.to_owned();
+    if !query.is_empty() {
+        path.push('?');
+        path.push_str(query);
+    }
+    Inbound {
+        service: service.into(),
+        method: conn.method().as_str().into(),
+        path: path.into(),
+        headers: end_to_end(conn),
+        body: body.into(),
+        caller: header(conn, headers::CALLER).map_or_else(|| ip.to_string().into(), cut),
+        key: header(conn, headers::IDEMPOTENCY_KEY).map(Arc::from),
+    }
+}
+
+fn end_to_end(conn: &Conn) -> Vec<(Arc<str>, Arc<str>)> {
+    let mut kept = Vec::new();
+    for (name, values) in conn.request_headers() {
+        let name = name.as_ref();
+        if inbound::is_hop_header(name) {
+            continue;
+        }
+        for value in values {
+            if let Some(value) = value.as_str() {
+                kept.push((name.into(), value.into()));
+            }
+        }
+    }
+    kept
+}
+
+fn header<'a>(conn: &'a Conn, name: &'static str) -> Option<&'a str> {
+    conn.request_headers().get_str(name)
+}
+
+fn cut(name: &str) -> Arc<str> {
+    let mut end = name.len().min(NAME_MAX);
+    while !name.is_char_boundary(end) {
+        end -= 1;
+    }
+    name[..end].into()
+}
+
+/// The parameters of a look-up.
+#[derive(Debug, Default)]
+struct Query<'a> {
+    service: Option<&'a str>,
+    client: Option<&'a str>,
+}
+
+impl<'a> Query<'a> {
+    fn parse(text: &'a str) -> Self {
+        let mut query = Self::default();
+        for pair in text.split('&') {
+            match pair.split_once('=') {
+                Some(("service", value)) => query.service = Some(value),
+                Some(("client", value)) => query.client = Some(value),
+                _ => {}
+            }
+        }
+        query
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/outbound.rs
@@ -0,0 +1,201 @@
+//! Carries one attempt to a target and says how it ended.
+//!
+//! The HTTP client of the house's library isn't used here: it can't tell a
+//! request that never left from one that may have, asks for `100-continue`
+//! before each body, and panics on a status it doesn't know. `hyper`, its
+//! nearest kin, tells.
+//!
+//! Invariant: [`dispatch::Ending::Unreachable`] is only said when no byte of
+//! the request left this process.
+
+mod pool;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::future;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use steer::process::dispatch;
+use steer::request::answer;
+use steer::version::view;
+use wire::headers;
+
+use super::inbound::{self, Inbound};
+use super::workers::Executor;
+
+/// A request as `hyper` sends it.
+type Request = hyper::Request<Full<Bytes>>;
+
+/// Longest answer taken from a target, in bytes.
+const ANSWER_MAX: usize = 16 << 20;
+
+/// Time allowed to tell a target that an attempt is cancelled.
+const CANCEL_TIME: Duration = Duration::from_millis(500);
+
+/// Connections to targets, and what is sent on them.
+pub struct Outbound {
+    pool: pool::Pool,
+}
+
+/// An attempt as it crosses the wire.
+pub struct Attempt<'a> {
+    /// Name of the attempt, unique among all processes.
+    pub name: &'a str,
+    /// Where the target listens.
+    pub addr: SocketAddr,
+    /// What to send.
+    pub request: &'a Inbound,
+    /// Time left.
+    pub budget: Duration,
+}
+
+/// How an attempt ended, and what the target said of itself.
+pub struct Ended {
+    /// How it ended.
+    pub ending: dispatch::Ending,
+    /// The target's report, if it gave one.
+    pub report: Option<dispatch::Report>,
+}
+
+impl From<dispatch::Ending> for Ended {
+    fn from(ending: dispatch::Ending) -> Self {
+        Self {
+            ending,
+            report: None,
+        }
+    }
+}
+
+impl Outbound {
+    /// No connections yet; at most `idle` are kept for each target.
+    #[must_use]
+    pub fn new(executor: Executor, idle: usize) -> Self {
+        Self {
+            pool: pool::Pool::new(executor, idle),
+        }
+    }
+
+    /// Sends an attempt and waits for its end or for its budget to run out.
+    pub async fn send(&self, attempt: Attempt<'_>) -> Ended {
+        let late = async {
+            smol::Timer::after(attempt.budget).await;
+            Ended::from(dispatch::Ending::TimedOut)
+        };
+        future::or(self.exchange(&attempt), late).await
+    }
+
+    /// Tells a target that an attempt's answer is no longer wanted.
+    pub async fn cancel(&self, addr: SocketAddr, name: &str) {
+        let request = hyper::Request::delete(format!("/attempts/{name}"))
+            .header(hyper::header::HOST, addr.to_string())
+            .body(Full::default());
+        let Ok(request) = request else { return };
+        let told = async {
+            // Best effort: the broken connection says the same.
+            if let Ok(exchange) = self.pool.send(addr, request).await {
+                let _ = exchange.response.into_body().collect().await;
+            }
+        };
+        let late = async {
+            smol::Timer::after(CANCEL_TIME).await;
+        };
+        future::or(told, late).await;
+    }
+
+    async fn exchange(&self, attempt: &Attempt<'_>) -> Ended {
+        let Some(request) = build(attempt) else {
+            return dispatch::Ending::Unreachable.into();
+        };
+        match self.pool.send(attempt.addr, request).await {
+            Ok(exchange) => self.receive(attempt.addr, exchange).await,
+            Err(pool::Error::Unsent) => dispatch::Ending::Unreachable.into(),
+            Err(pool::Error::Broken) => dispatch::Ending::Broken.into(),
+            Err(pool::Error::Garbled) => dispatch::Ending::BadAnswer.into(),
+        }
+    }
+
+    async fn receive(&self, addr: SocketAddr, exchange: pool::Exchange) -> Ended {
+        let (head, body) = exchange.response.into_parts();
+        let report = report(&head.headers);
+        let Some(body) = collect(body).await else {
+            // The connection is dropped with its half-read answer.
+            let ending = dispatch::Ending::BadAnswer;
+            return Ended { ending, report };
+        };
+        self.pool.put_back(addr, exchange.connection);
+        let ending = match refusal(&head) {
+            Some(ending) => ending,
+            None => dispatch::Ending::Answered(Arc::new(answer(&head, body))),
+        };
+        Ended { ending, report }
+    }
+}
+
+fn build(attempt: &Attempt<'_>) -> Option<Request> {
+    let request = attempt.request;
+    let mut builder = hyper::Request::builder()
+        .method(&*request.method)
+        .uri(&*request.path)
+        .header(hyper::header::HOST, attempt.addr.to_string())
+        .header(headers::ATTEMPT, attempt.name)
+        .header(headers::DEADLINE_MS, attempt.budget.as_millis().to_string());
+    if let Some(key) = &request.key {
+        builder = builder.header(headers::IDEMPOTENCY_KEY, &**key);
+    }
+    for (name, value) in &request.headers {
+        builder = builder.header(&**name, &**value);
+    }
+    builder.body(Full::new(request.body.clone())).ok()
+}
+
+async fn collect(body: Incoming) -> Option<Bytes> {
+    let collected = Limited::new(body, ANSWER_MAX).collect().await.ok()?;
+    Some(collected.to_bytes())
+}
+
+fn report(fields: &hyper::HeaderMap) -> Option<dispatch::Report> {
+    let text = |name| fields.get(name).and_then(|v| v.to_str().ok());
+    let load = text(headers::TARGET_LOAD)?.parse().ok()?;
+    let state = match text(headers::TARGET_STATE)? {
+        "live" => view::State::Live,
+        "leaving" => view::State::Leaving,
+        _ => return None,
+    };
+    Some(dispatch::Report { load, state })
+}
+
+/// A 503 counts as "not run" only with the header that says so: a 503 from the
+/// service's own code may come after the work was done.
+fn refusal(head: &hyper::http::response::Parts) -> Option<dispatch::Ending> {
+    if head.status != hyper::StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let why = head.headers.get(headers::TARGET_REFUSED)?;
+    let after = head.headers.get(headers::RETRY_AFTER);
+    let seconds = after.and_then(|v| v.to_str().ok()?.parse().ok());
+    Some(dispatch::Ending::Refused {
+        after: seconds.map(Duration::from_secs),
+        leaving: why == "leaving",
+    })
+}
+
+fn answer(head: &hyper::http::response::Parts, body: Bytes) -> answer::Answer {
+    let mut fields = Vec::with_capacity(head.headers.len());
+    for (name, value) in &head.headers {
+        let Ok(value) = value.to_str() else { continue };
+        if inbound::is_hop_header(name.as_str()) {
+            continue;
+        }
+        fields.push(answer::Header {
+            name: name.as_str().into(),
+            value: value.into(),
+        });
+    }
+    answer::Answer {
+        status: head.status.as_u16(),
+        headers: fields,
+        body: Arc::from(&body[..]),
+    }
+}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/peers.rs
@@ -0,0 +1,264 @@
+//! Calls between entry instances, by `tarpc` over TCP.
+//!
+//! The library's futures want the timer context of another runtime; each is
+//! wrapped in a compatibility layer that provides it.
+//!
+//! Invariant: no call is taken or made on a connection before both ends have
+//! shown that they know the shared secret.
+
+mod handshake;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_compat::{Compat, CompatExt};
+use futures_lite::{StreamExt, future};
+use settings::secret::Secret;
+use smol::net;
+use steer::process::dispatch;
+use steer::request::arrival;
+use tarpc::server::{self, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tarpc::{client, context, serde_transport};
+use trillium_http::Stopper;
+use wire::peer;
+
+use super::engine::{Engine, Terms};
+use super::inbound::Inbound;
+use super::workers::Executor;
+
+/// Calls an entry instance takes from its peers.
+#[tarpc::service]
+pub trait Peer {
+    /// Runs a request that another domain's entry instance passes on.
+    async fn forward(request: peer::Forward) -> peer::Forwarded;
+}
+
+/// Time for a connection to a peer to open.
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+
+/// Longest message in bytes.
+const MESSAGE_MAX: usize = 20 << 20;
+
+/// A peer whose connection is open.
+struct Known {
+    addr: SocketAddr,
+    client: PeerClient,
+}
+
+/// Connections to peers, sorted by address.
+pub struct Peers {
+    executor: Executor,
+    secret: Secret,
+    known: Mutex<Vec<Known>>,
+}
+
+impl Peers {
+    /// No connections yet.
+    #[must_use]
+    pub const fn new(executor: Executor, secret: Secret) -> Self {
+        Self {
+            executor,
+            secret,
+            known: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Passes a request on and waits for what becomes of it.
+    pub async fn forward(
+        &self,
+        addr: SocketAddr,
+        request: &Inbound,
+        budget: Duration,
+    ) -> dispatch::Ending {
+        let forward = outgoing(request, budget);
+        let Some(client) = self.client(addr).await else {
+            return dispatch::Ending::Unreachable;
+        };
+        let call = client.forward(context(budget), forward).compat();
+        match call.await {
+            Ok(forwarded) => ending(forwarded),
+            Err(client::RpcError::DeadlineExceeded) => dispatch::Ending::TimedOut,
+            Err(_) => {
+                self.forget(addr);
+                dispatch::Ending::Broken
+            }
+        }
+    }
+
+    async fn client(&self, addr: SocketAddr) -> Option<PeerClient> {
+        if let Some(client) = self.find(addr) {
+            return Some(client);
+        }
+        let late = async {
+            smol::Timer::after(CONNECT_TIME).await;
+            None
+        };
+        let client = future::or(self.connect(addr), late).await?;
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let client_too = client.clone();
+        match known.binary_search_by_key(&addr, |k| k.addr) {
+            Ok(at) => known[at].client = client_too,
+            Err(at) => known.insert(
+                at,
+                Known {
+                    addr,
+                    client: client_too,
+                },
+            ),
+        }
+        Some(client)
+    }
+
+    fn find(&self, addr: SocketAddr) -> Option<PeerClient> {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let at = known.binary_search_by_key(&addr, |k| k.addr).ok()?;
+        Some(known[at].client.clone())
+    }
+
+    fn forget(&self, addr: SocketAddr) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Ok(at) = known.binary_search_by_key(&addr, |k| k.addr) {
+            known.remove(at);
+        }
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Option<PeerClient> {
+        let mut stream = net::TcpStream::connect(addr).await.ok()?;
+        // Not fatal: calls are only a little later without it.
+        let _ = stream.set_nodelay(true);
+        handshake::offer(&mut stream, &self.secret).await.ok()?;
+        let transport = serde_transport::new(frames(stream), Bincode::default());
+        let new = PeerClient::new(client::Config::default(), transport);
+        let dispatch = new.dispatch.compat();
+        let run = async {
+            // Every call on a connection that ends gets an error of its own.
+            let _ = dispatch.await;
+        };
+        self.executor.spawn(run).detach();
+        Some(new.client)
+    }
+}
+
+type Frames = tarpc::tokio_util::codec::Framed<Compat<net::TcpStream>, LengthDelimitedCodec>;
+
+fn frames(stream: net::TcpStream) -> Frames {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MESSAGE_MAX)
+        .new_framed(Compat::new(stream))
+}
+
+fn context(budget: Duration) -> context::Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + budget;
+    context
+}
+
+fn outgoing(request: &Inbound, budget: Duration) -> peer::Forward {
+    let header = |(name, value): &(Arc<str>, Arc<str>)| peer::Header {
+        name: name.as_ref().to_owned(),
+        value: value.as_ref().to_owned(),
+    };
+    peer::Forward {
+        service: request.service.as_ref().to_owned(),
+        method: request.method.as_ref().to_owned(),
+        path: request.path.as_ref().to_owned(),
+        headers: request.headers.iter().map(header).collect(),
+        body: request.body.to_vec(),
+        caller: request.caller.as_ref().to_owned(),
+        key: request.key.as_deref().map(str::to_owned),
+        deadline_ms: u64::try_from(budget.as_millis()).unwrap_or(u64::MAX),
+        owned: false,
+    }
+}
+
+fn ending(forwarded: peer::Forwarded) -> dispatch::Ending {
+    match peer::Settled::try_from(forwarded) {
+        Ok(Ok(answer)) => dispatch::Ending::Answered(answer),
+        Ok(Err(refusal)) => dispatch::Ending::PeerRefused(refusal),
+        Err(_) => dispatch::Ending::BadAnswer,
+    }
+}
+
+/// Takes calls until stopped; calls in progress go on.
+pub async fn serve(
+    socket: net::TcpListener,
+    secret: Secret,
+    engine: Arc<Engine>,
+    executor: Executor,
+    stopper: Stopper,
+) {
+    loop {
+        let accepted = async { Some(socket.accept().await) };
+        let stopped = async {
+            stopper.clone().await;
+            None
+        };
+        match future::or(stopped, accepted).await {
+            None => return,
+            Some(Err(_)) => {
+                smol::Timer::after(Duration::from_millis(20)).await;
+            }
+            Some(Ok((stream, _))) => {
+                let answer = Answering {
+                    engine: Arc::clone(&engine),
+                };
+                let serve = connection(stream, secret.clone(), answer, Arc::clone(&executor));
+                executor.spawn(serve).detach();
+            }
+        }
+    }
+}
+
+async fn connection(
+    mut stream: net::TcpStream,
+    secret: Secret,
+    answering: Answering,
+    executor: Executor,
+) {
+    let _ = stream.set_nodelay(true);
+    if handshake::demand(&mut stream, &secret).await.is_err() {
+        return;
+    }
+    let transport = serde_transport::new(frames(stream), Bincode::default());
+    let channel = server::BaseChannel::with_defaults(transport);
+    let calls = channel.execute(answering.serve());
+    let run = async move {
+        let mut calls = std::pin::pin!(calls);
+        while let Some(call) = calls.next().await {
+            executor.spawn(call.compat()).detach();
+        }
+    };
+    run.compat().await;
+}
+
+#[derive(Clone)]
+struct Answering {
+    engine: Arc<Engine>,
+}
+
+impl Peer for Answering {
+    async fn forward(self, _: context::Context, forward: peer::Forward) -> peer::Forwarded {
+        let terms = Terms {
+            deadline: Some(Duration::from_millis(forward.deadline_ms)),
+            origin: arrival::Origin::Peer,
+        };
+        let settled = self.engine.serve(incoming(forward), terms).await;
+        peer::Forwarded::from(&settled)
+    }
+}
+
+fn incoming(forward: peer::Forward) -> Inbound {
+    let headers = forward.headers.into_iter();
+    Inbound {
+        service: forward.service.into(),
+        method: forward.method.into(),
+        path: forward.path.into(),
+        headers: headers.map(|h| (h.name.into(), h.value.into())).collect(),
+        body: forward.body.into(),
+        caller: forward.caller.into(),
+        key: forward.key.map(Into::into),
+    }
+}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/reply.rs
@@ -0,0 +1,119 @@
+//! Answers and refusals as callers see them.
+//!
+//! Invariant: every refusal carries `Outcome` and `Reason`, and `Retry-After`
+//! wherever asking again can help.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use steer::request::{answer, outcome};
+use trillium_http::{HeaderName, HeaderValue, KnownHeaderName, Status};
+use wire::{headers, peer};
+
+use super::accept::Conn;
+
+/// Sent to a connection beyond the number allowed.
+pub const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nOutcome: not-run\r\nReason: overloaded\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+/// Sent when a request isn't whole in time.
+pub const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nOutcome: not-run\r\nReason: bad-request\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+/// Sent when a request's head is longer than allowed.
+pub const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\nOutcome: not-run\r\nReason: bad-request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+/// Sent when a request's head can't be parsed.
+pub const MALFORMED: &[u8] = b"HTTP/1.1 400 Bad Request\r\nOutcome: not-run\r\nReason: bad-request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+/// The body of a refusal.
+#[derive(Debug, Serialize)]
+struct Body<'a> {
+    outcome: &'a str,
+    reason: &'a str,
+    remedy: &'a str,
+    retry_after_ms: Option<u64>,
+}
+
+/// Sets a target's answer or a refusal on `conn`.
+#[must_use]
+pub fn settled(conn: Conn, settled: &peer::Settled) -> Conn {
+    match settled {
+        Ok(answer) => whole(conn, answer),
+        Err(refusal) => refused(conn, refusal),
+    }
+}
+
+fn whole(mut conn: Conn, answer: &answer::Answer) -> Conn {
+    conn.set_status(status(answer.status));
+    for header in &answer.headers {
+        append(&mut conn, &header.name, &header.value);
+    }
+    append(&mut conn, headers::OUTCOME, outcome::Outcome::Ran.as_str());
+    conn.set_response_body(answer.body.to_vec());
+    conn
+}
+
+/// The status as the HTTP library knows it; a number it doesn't know is given
+/// as the first of its hundred, as HTTP asks of a reader.
+fn status(number: u16) -> Status {
+    let known = Status::try_from(number).or_else(|_| Status::try_from(number / 100 * 100));
+    known.unwrap_or(Status::BadGateway)
+}
+
+/// Sets a refusal on `conn`.
+#[must_use]
+pub fn refused(mut conn: Conn, refusal: &outcome::Refusal) -> Conn {
+    conn.set_status(refusal.reason.status());
+    append(&mut conn, headers::OUTCOME, refusal.outcome.as_str());
+    append(&mut conn, headers::REASON, refusal.reason.as_str());
+    if let Some(after) = refusal.after {
+        append(
+            &mut conn,
+            headers::RETRY_AFTER,
+            &seconds_up(after).to_string(),
+        );
+        append(
+            &mut conn,
+            headers::RETRY_AFTER_MS,
+            &millis(after).to_string(),
+        );
+    }
+    let body = Body {
+        outcome: refusal.outcome.as_str(),
+        reason: refusal.reason.as_str(),
+        remedy: refusal.reason.remedy(),
+        retry_after_ms: refusal.after.map(millis),
+    };
+    json(conn, &body)
+}
+
+/// Sets a JSON body on `conn`.
+#[must_use]
+pub fn json(mut conn: Conn, body: &impl Serialize) -> Conn {
+    match serde_json::to_vec(body) {
+        Ok(bytes) => {
+            let headers = conn.response_headers_mut();
+            headers.insert(KnownHeaderName::ContentType, "application/json");
+            conn.set_response_body(bytes);
+        }
+        Err(_) => conn.set_status(500),
+    }
+    conn
+}
+
+/// Appends a header, unless its name or value can't stand in a head.
+pub fn append(conn: &mut Conn, name: &str, value: &str) {
+    let name = HeaderName::from(name.to_owned());
+    let value = HeaderValue::from(value.to_owned());
+    if name.is_valid() && value.is_valid() {
+        conn.response_headers_mut().append(name, value);
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Whole seconds, rounded up, so that nobody comes back too early.
+const fn seconds_up(span: Duration) -> u64 {
+    span.as_secs() + (span.subsec_nanos() > 0) as u64
+}
--- a/crates/steer/src/request/outcome.rs
+++ b/crates/steer/src/request/outcome.rs
@@ -77,6 +77,28 @@
 }
 
 impl Reason {
+    /// All reasons.
+    pub const ALL: [Self; 18] = [
+        Self::BadRequest,
+        Self::UnknownService,
+        Self::KeyMissing,
+        Self::KeyMalformed,
+        Self::KeyExpired,
+        Self::KeyReused,
+        Self::KeyBusy,
+        Self::NotReady,
+        Self::Leaving,
+        Self::Overloaded,
+        Self::CallerLimit,
+        Self::Deadline,
+        Self::NoTarget,
+        Self::Cap,
+        Self::Store,
+        Self::Lost,
+        Self::BadAnswer,
+        Self::Poison,
+    ];
+
     /// The word that callers and counters see.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
--- a/crates/steer/src/version.rs
+++ b/crates/steer/src/version.rs
@@ -1,4 +1,5 @@
 //! What lives as long as one version of the configuration.
 
 pub mod blocks;
+pub mod lookup;
 pub mod view;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod headers;
 pub mod instance;
 pub mod kv;
+pub mod peer;
 pub mod target;
