Add the at-most-once gate and the traffic engine

Cause: a request that must not repeat has to run at most once without any agreement, and "not run" has to be true.

Change: keys (request/key.rs), words between processes (request/record.rs), the gate (process/gate.rs and folder) and the engine that joins it with the dispatcher (process/traffic.rs).

Interface: `Traffic::new(home, incarnation, Limits::default(), rng)`, `handle(now, Event, &mut Vec<Action>)`, `key_prefix(now)`, `drained()`. - `Send`/`Cancel`/`Reply`/`Refuse` are the dispatcher's, `Ended`/`Report` too. - `Forward` sends the whole request to the key's owner, which arrives there as `Origin::Forward` (a `Send` to a member arrives as `Origin::Peer`: the peer protocol has to carry which); ends by `Forwarded`. `Unreachable` only if nothing was sent. A refusal of the far side is `Ending::PeerRefused`. - `Ask {ask, peer, question}` ends by `Told {ask, word}`, `None` if no answer. The far side handles `Asked {ask: its own name, question}` and gets `Tell {ask, word}` at once. - `Store {id, key, call}` ends by `Stored {id, result}`: `Create` is a PUT with `expect: absent` of the attempt's text; a 409 is `Found(attempt)`; `Away` only if nothing was sent; `Lost` otherwise. - `Issue(prefix)`: publish to the look-up threads; `Display` prints all up to the nonce, which the caller appends (16 to 64 of `A-Za-z0-9-_:`). - A front that refuses a keyed request of a service that is not idempotent before the engine saw it says "unknown", not "not run": another copy may have run.

Two points of the sketch are decided otherwise than first written, to be shown by the explorer: - "not run" ends the key; the caller goes on with a new nonce. Were the same key tried again, a delayed copy could run after its caller was told "not run". - with the store away, a key chosen by its caller is answered "unknown": another instance may have run it before.

--- /dev/null
+++ b/crates/steer/src/process/gate.rs
@@ -0,0 +1,487 @@
+//! Decides whether, and by whom, a request that must not repeat may be run.
+//!
+//! Invariants, over all processes and for every key of a service that is not
+//! idempotent:
+//! 1. The key's request is sent to the dispatcher at most once, in one process:
+//!    the owner named in the key, or the one whose claim the store holds.
+//! 2. Whoever answers "not run" has made sure that the key has not run and never
+//!    will. "Not run" ends the key; the caller goes on with a new nonce.
+//! 3. Whoever can't make sure answers "unknown", also for its own lack of room
+//!    or time: another copy of the request may have run elsewhere.
+//!
+//! Requests of idempotent services pass straight through.
+
+mod book;
+mod chosen;
+mod entry;
+mod held;
+mod issue;
+mod kept;
+mod limits;
+mod owner;
+mod safeguards;
+mod witness;
+
+use core::time::Duration;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::clock::Time;
+use crate::process::dispatch::{Ending, Home};
+use crate::request::answer::Answer;
+use crate::request::arrival::{Arrival, Origin, RequestId};
+use crate::request::key::{Issued, Key, Prefix};
+use crate::request::outcome::{Outcome, Reason, Refusal};
+use crate::request::record::{AskId, Question, StoreCall, StoreResult, Word};
+use crate::version::view::{Incarnation, Member, MemberData, View};
+
+use book::{Book, Name};
+use held::{Held, HeldSet, Stage};
+use issue::Issue;
+use kept::Kept;
+use owner::{Progress, Record};
+use witness::Registry;
+
+pub use limits::Limits;
+pub use safeguards::Safeguards;
+
+/// When a caller is told to come back where nothing better is known.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// Time a caller is taken to wait if neither it nor its service says.
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// Another process of this system, as a destination.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Name of its entry instance.
+    pub name: Arc<str>,
+    /// Which process.
+    pub incarnation: Incarnation,
+    /// Where it listens for peers.
+    pub addr: SocketAddr,
+}
+
+impl From<&MemberData> for Peer {
+    fn from(data: &MemberData) -> Self {
+        Self {
+            name: Arc::clone(&data.name),
+            incarnation: data.incarnation,
+            addr: data.peer,
+        }
+    }
+}
+
+/// What became of a request that was run, or was to be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The target's whole answer.
+    Answered(Arc<Answer>),
+    /// A refusal and what is certain.
+    Refused(Refusal),
+}
+
+/// What happens to the gate.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A request arrived.
+    Arrive(Arrival),
+    /// The dispatcher is done with a request that the gate had it run.
+    Settled {
+        /// The request.
+        id: RequestId,
+        /// What became of it.
+        verdict: Verdict,
+    },
+    /// A request sent to its key's owner came to an end.
+    Forwarded {
+        /// The request.
+        id: RequestId,
+        /// How.
+        ending: Ending,
+    },
+    /// A peer answered a question; `None` if no answer came.
+    Told {
+        /// The question.
+        ask: AskId,
+        /// The answer.
+        word: Option<Word>,
+    },
+    /// A peer asks this process.
+    Asked {
+        /// The driver's name for the question.
+        ask: AskId,
+        /// What it asks.
+        question: Question,
+    },
+    /// A call to the store ended.
+    Stored {
+        /// The request.
+        id: RequestId,
+        /// How.
+        result: StoreResult,
+    },
+    /// The caller left without waiting for its answer.
+    Gone(RequestId),
+    /// A new view is in force.
+    View(Arc<View>),
+    /// Time passed.
+    Tick,
+    /// The process is to stop: no new key may run any more.
+    Leave,
+}
+
+/// What the gate wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Hand the request to the dispatcher.
+    Run(Arrival),
+    /// Give the caller a target's answer.
+    Reply {
+        /// The request.
+        id: RequestId,
+        /// The whole answer.
+        answer: Arc<Answer>,
+    },
+    /// Give the caller a final refusal.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// What to say.
+        refusal: Refusal,
+    },
+    /// Send the whole request to its key's owner.
+    Forward {
+        /// The request.
+        id: RequestId,
+        /// The owner.
+        peer: Peer,
+        /// Time after which to give up.
+        budget: Duration,
+    },
+    /// Ask a peer.
+    Ask {
+        /// Name of the question, for the answer.
+        ask: AskId,
+        /// The peer.
+        peer: Peer,
+        /// The question.
+        question: Question,
+        /// Time after which to give up.
+        budget: Duration,
+    },
+    /// Answer a peer's question.
+    Tell {
+        /// The driver's name for the question.
+        ask: AskId,
+        /// The answer.
+        word: Word,
+    },
+    /// Call the platform's store about a key that its caller chose.
+    Store {
+        /// The request.
+        id: RequestId,
+        /// The key.
+        key: Arc<str>,
+        /// The call.
+        call: StoreCall,
+        /// Time after which to give up.
+        budget: Duration,
+    },
+    /// Look-up answers carry this key prefix from now on; `None`: none.
+    Issue(Option<Prefix>),
+}
+
+/// The gate's state.
+pub struct Gate {
+    me: Incarnation,
+    home: Home,
+    limits: Limits,
+    safe: Safeguards,
+    view: Arc<View>,
+    /// Members by incarnation, sorted.
+    peers: Vec<(Incarnation, Member)>,
+    book: Book<Box<Record>>,
+    kept: Kept,
+    registry: Registry,
+    issue: Issue,
+    held: HeldSet,
+    asks: u64,
+    attempts: u64,
+    /// Epoch in which records were last forgotten.
+    swept: u64,
+    leaving: bool,
+}
+
+impl Gate {
+    /// A gate with no records and an empty view.
+    #[must_use]
+    pub fn new(home: Home, me: Incarnation, limits: Limits) -> Self {
+        Self::with_safeguards(home, me, limits, Safeguards::ALL)
+    }
+
+    /// The same with safeguards taken out. For the explorer and tests only.
+    #[must_use]
+    pub fn with_safeguards(home: Home, me: Incarnation, limits: Limits, safe: Safeguards) -> Self {
+        Self {
+            me,
+            home,
+            limits,
+            safe,
+            view: Arc::default(),
+            peers: Vec::new(),
+            book: Book::new(limits.records),
+            kept: Kept::new(limits.answers),
+            registry: Registry::new(me, &limits, safe),
+            issue: Issue::new(me),
+            held: HeldSet::default(),
+            asks: 0,
+            attempts: 0,
+            swept: 0,
+            leaving: false,
+        }
+    }
+
+    /// Takes one event and appends what is to be done to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Arrive(arrival) => self.arrive(now, arrival, out),
+            Event::Settled { id, verdict } => self.settled(id, verdict, out),
+            Event::Forwarded { id, ending } => self.forwarded(now, id, ending, out),
+            Event::Told { ask, word } => self.told(now, ask, word, out),
+            Event::Asked { ask, question } => {
+                let word = self.registry.answer(self.limits.epoch_at(now), &question);
+                out.push(Action::Tell { ask, word });
+            }
+            Event::Stored { id, result } => self.stored(now, id, result, out),
+            Event::Gone(id) => self.gone(id),
+            Event::View(view) => self.set_view(view),
+            Event::Tick => self.tick(now, out),
+            Event::Leave => self.leaving = true,
+        }
+        self.publish(now, out);
+    }
+
+    /// Whether the gate owes the request's caller an answer, or keeps the
+    /// request although its caller left.
+    #[must_use]
+    pub fn holds(&self, id: RequestId) -> bool {
+        self.held.get(id).is_some()
+    }
+
+    /// Number of requests held.
+    #[must_use]
+    pub const fn in_flight(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Number of records, as an owner and as a witness.
+    #[must_use]
+    pub const fn records(&self) -> (usize, usize) {
+        (self.book.len(), self.registry.len())
+    }
+
+    /// The prefix for keys issued now; `None` while the process can't serve.
+    #[must_use]
+    pub fn key_prefix(&self, now: Time) -> Option<Prefix> {
+        let ready = self.view.version.0 != 0 && !self.leaving;
+        ready.then(|| self.issue.prefix(self.limits.epoch_at(now)))
+    }
+
+    fn arrive(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Action>) {
+        if self.passes(&arrival) {
+            return out.push(Action::Run(arrival));
+        }
+        let id = arrival.id;
+        let Some(text) = &arrival.key else {
+            return refuse(id, Refusal::not_run(Reason::KeyMissing, None), out);
+        };
+        let Ok(key) = Key::try_from(text) else {
+            return refuse(id, Refusal::not_run(Reason::KeyMalformed, None), out);
+        };
+        if self.view.version.0 == 0 {
+            return refuse(id, self.elsewhere(Reason::NotReady), out);
+        }
+        match key {
+            Key::Issued(key) if key.prefix.owner.incarnation == self.me => {
+                self.own(now, arrival, &key, out);
+            }
+            Key::Issued(key) => self.foreign(now, arrival, key, out),
+            Key::Chosen(key) => self.chosen(now, arrival, key, out),
+        }
+    }
+
+    /// Whether the gate has no say in the request: a repeat is harmless, or the
+    /// sending peer holds the right to run it, or there is neither a service
+    /// nor a key. A key whose service is unknown here may have run elsewhere.
+    fn passes(&self, arrival: &Arrival) -> bool {
+        match self.view.service(&arrival.service) {
+            _ if arrival.origin == Origin::Peer => true,
+            Some(service) => self.view.services[service].idempotent,
+            None => arrival.key.is_none(),
+        }
+    }
+
+    fn until(&self, now: Time, arrival: &Arrival) -> Time {
+        let service = self.view.service(&arrival.service);
+        let usual = service.map(|s| self.view.services[s].deadline);
+        now + arrival.deadline.or(usual).unwrap_or(DEADLINE)
+    }
+
+    /// What a process says that can't reach the records of a key. The key may
+    /// have run elsewhere and its answer been lost, so a refusal for a reason
+    /// of this process alone must not say "not run": its caller would send the
+    /// request anew under another key.
+    fn elsewhere(&self, reason: Reason) -> Refusal {
+        if self.safe.unknown_away {
+            Refusal::unknown(reason, Some(COME_BACK))
+        } else {
+            Refusal::not_run(reason, Some(COME_BACK))
+        }
+    }
+
+    fn peer(&self, incarnation: Incarnation) -> Option<Peer> {
+        let at = self
+            .peers
+            .binary_search_by_key(&incarnation, |p| p.0)
+            .ok()?;
+        Some(Peer::from(&self.view.members[self.peers[at].1]))
+    }
+
+    fn ask(
+        &mut self,
+        peer: Peer,
+        question: Question,
+        budget: Duration,
+        out: &mut Vec<Action>,
+    ) -> AskId {
+        self.asks += 1;
+        let ask = AskId(self.asks);
+        out.push(Action::Ask {
+            ask,
+            peer,
+            question,
+            budget,
+        });
+        ask
+    }
+
+    fn told(&mut self, now: Time, ask: AskId, word: Option<Word>, out: &mut Vec<Action>) {
+        let epoch = match word {
+            Some(Word::Epoch(epoch)) => Some(epoch),
+            _ => None,
+        };
+        if self.issue.told(now, &self.limits, ask, epoch) {
+            return;
+        }
+        let Some(id) = self.held.asking(ask) else {
+            return;
+        };
+        match self.held.get(id).map(|h| &h.stage) {
+            Some(Stage::Claiming { .. }) => self.claimed(now, id, word, out),
+            _ => self.sealed(id, word, out),
+        }
+    }
+
+    fn gone(&mut self, id: RequestId) {
+        let Some(held) = self.held.get(id) else {
+            return;
+        };
+        let name = held.name.clone();
+        match held.stage {
+            // The run goes on: its answer is there for the caller's resend.
+            Stage::Claiming { .. } | Stage::Storing { .. } | Stage::Running => {
+                if let Some(record) = self.book.get_mut(&name) {
+                    record.left = true;
+                }
+            }
+            Stage::Waiting => {
+                self.held.remove(id);
+                if let Some(record) = self.book.get_mut(&name) {
+                    record.waiters.retain(|&w| w != id);
+                }
+            }
+            Stage::Forwarding { .. } | Stage::Sealing { .. } => {
+                self.held.remove(id);
+            }
+        }
+    }
+
+    fn set_view(&mut self, view: Arc<View>) {
+        self.issue.view(&view);
+        let members = view.members.iter();
+        self.peers = members.map(|(at, data)| (data.incarnation, at)).collect();
+        self.peers.sort_unstable();
+        self.view = view;
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.forget(now);
+        for id in self.held.overdue(now) {
+            self.overdue(now, id, out);
+        }
+        let due = self
+            .issue
+            .due(now, &self.limits, &self.view, &self.home.domain);
+        if let Some(peer) = due {
+            let incarnation = peer.incarnation;
+            let ask = self.ask(peer, Question::Epoch, self.limits.ask, out);
+            self.issue.asked(now, &self.limits, ask, incarnation);
+        }
+    }
+
+    fn overdue(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        match self.held.get(id).map(|h| &h.stage) {
+            Some(Stage::Claiming { .. }) => self.give_up(now, id, out),
+            Some(Stage::Storing { .. }) => self.unsettled(id, out),
+            Some(Stage::Waiting) => {
+                self.gone(id);
+                refuse(id, Refusal::unknown(Reason::KeyBusy, Some(COME_BACK)), out);
+            }
+            Some(Stage::Forwarding { .. }) => {
+                self.held.remove(id);
+                refuse(id, self.elsewhere(Reason::Deadline), out);
+            }
+            Some(Stage::Sealing { .. }) => self.sealed(id, None, out),
+            Some(Stage::Running) | None => {}
+        }
+    }
+
+    /// Drops what is too old to be asked for; once an epoch.
+    fn forget(&mut self, now: Time) {
+        let epoch = self.limits.epoch_at(now);
+        if epoch == self.swept {
+            return;
+        }
+        self.swept = epoch;
+        self.registry.forget(epoch);
+        let oldest = epoch.saturating_sub(self.limits.keep);
+        let done = |r: &Record| matches!(r.progress, Progress::Done(_));
+        self.book.forget_before(oldest, |r| done(r));
+        self.book
+            .forget_at(chosen::EPOCH, |r| done(r) && r.born < oldest);
+        let book = &self.book;
+        self.kept.retain(|name| book.get(name).is_some());
+    }
+
+    fn publish(&mut self, now: Time, out: &mut Vec<Action>) {
+        let prefix = self.key_prefix(now);
+        if self.issue.publish(prefix) {
+            out.push(Action::Issue(prefix));
+        }
+    }
+}
+
+fn refuse(id: RequestId, refusal: Refusal, out: &mut Vec<Action>) {
+    out.push(Action::Refuse { id, refusal });
+}
+
+fn answer(id: RequestId, verdict: &Verdict, out: &mut Vec<Action>) {
+    match verdict {
+        Verdict::Answered(answer) => out.push(Action::Reply {
+            id,
+            answer: Arc::clone(answer),
+        }),
+        Verdict::Refused(refusal) => refuse(id, *refusal, out),
+    }
+}
--- /dev/null
+++ b/crates/steer/src/process/traffic.rs
@@ -0,0 +1,359 @@
+//! All decisions about requests in one engine: the gate, then the dispatcher.
+//!
+//! Invariant: every request that arrives gets exactly one [`Action::Reply`] or
+//! [`Action::Refuse`], unless its caller left. A request that the gate holds is
+//! answered by the gate alone.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use crate::clock::Time;
+use crate::process::dispatch::{self, Dispatch, Ending, Home, Place, Report};
+use crate::process::gate::{self, Gate, Limits, Peer, Safeguards, Verdict};
+use crate::request::answer::Answer;
+use crate::request::arrival::{Arrival, AttemptId, RequestId};
+use crate::request::key::Prefix;
+use crate::request::outcome::Refusal;
+use crate::request::record::{AskId, Question, StoreCall, StoreResult, Word};
+use crate::version::view::{Incarnation, View};
+
+pub use dispatch::TICK;
+
+/// What happens to the engine.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A request arrived, from a caller or a peer.
+    Arrive(Arrival),
+    /// An [`Action::Send`] ended.
+    Ended {
+        /// The request it was for.
+        id: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// How it ended.
+        ending: Ending,
+    },
+    /// An [`Action::Forward`] ended.
+    Forwarded {
+        /// The request.
+        id: RequestId,
+        /// How it ended.
+        ending: Ending,
+    },
+    /// An [`Action::Ask`] ended; `None` if no answer came.
+    Told {
+        /// The question.
+        ask: AskId,
+        /// The peer's word.
+        word: Option<Word>,
+    },
+    /// A peer asks this process; [`Action::Tell`] answers.
+    Asked {
+        /// The driver's name for the question, never reused.
+        ask: AskId,
+        /// What it asks.
+        question: Question,
+    },
+    /// An [`Action::Store`] ended.
+    Stored {
+        /// The request.
+        id: RequestId,
+        /// How it ended.
+        result: StoreResult,
+    },
+    /// A target reported its load.
+    Report {
+        /// Name of the target.
+        target: Arc<str>,
+        /// What it says.
+        report: Report,
+    },
+    /// The caller left without waiting for its answer.
+    Gone(RequestId),
+    /// A new view is in force.
+    View(Arc<View>),
+    /// Time passed; due at least every [`TICK`].
+    Tick,
+    /// The process is to stop: it runs no new keys, and finishes what it has.
+    Leave,
+}
+
+/// What the engine wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send the request to a place; report back by [`Event::Ended`]. A place
+    /// that is a member takes it as [`Origin::Peer`](crate::request::arrival::Origin::Peer).
+    /// Sent over one connection, once: no layer below may repeat it.
+    Send {
+        /// The request.
+        id: RequestId,
+        /// Name of this try.
+        attempt: AttemptId,
+        /// Where to.
+        place: Place,
+        /// Time after which the driver gives the attempt up.
+        budget: Duration,
+    },
+    /// Stop an attempt; no [`Event::Ended`] is due for it, and its connection
+    /// must not be used again.
+    Cancel {
+        /// The request.
+        id: RequestId,
+        /// The try to stop.
+        attempt: AttemptId,
+    },
+    /// Give the caller a target's answer.
+    Reply {
+        /// The request.
+        id: RequestId,
+        /// The whole answer.
+        answer: Arc<Answer>,
+    },
+    /// Give the caller a final refusal.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// What to say.
+        refusal: Refusal,
+    },
+    /// Send the whole request to its key's owner, which takes it as
+    /// [`Origin::Forward`](crate::request::arrival::Origin::Forward); report
+    /// back by [`Event::Forwarded`].
+    Forward {
+        /// The request.
+        id: RequestId,
+        /// The owner.
+        peer: Peer,
+        /// Time after which the driver gives up.
+        budget: Duration,
+    },
+    /// Ask a peer; report back by [`Event::Told`].
+    Ask {
+        /// Name of the question.
+        ask: AskId,
+        /// The peer.
+        peer: Peer,
+        /// The question.
+        question: Question,
+        /// Time after which the driver gives up.
+        budget: Duration,
+    },
+    /// Answer a peer's question.
+    Tell {
+        /// The driver's name for the question.
+        ask: AskId,
+        /// The answer.
+        word: Word,
+    },
+    /// Call the platform's store; report back by [`Event::Stored`].
+    Store {
+        /// The request.
+        id: RequestId,
+        /// The key.
+        key: Arc<str>,
+        /// The call.
+        call: StoreCall,
+        /// Time after which the driver gives up.
+        budget: Duration,
+    },
+    /// Look-up answers carry this key prefix from now on; `None`: none.
+    Issue(Option<Prefix>),
+}
+
+/// The gate and the dispatcher of one process.
+pub struct Traffic {
+    gate: Gate,
+    dispatch: Dispatch,
+    /// Scratch space, empty between events.
+    asked: Vec<gate::Action>,
+    sent: Vec<dispatch::Action>,
+}
+
+impl Traffic {
+    /// An engine with nothing in flight and an empty view.
+    #[must_use]
+    pub fn new(home: Home, me: Incarnation, limits: Limits, rng: fastrand::Rng) -> Self {
+        Self::with_safeguards(home, me, limits, Safeguards::ALL, rng)
+    }
+
+    /// The same with safeguards taken out. For the explorer and tests only.
+    #[must_use]
+    pub fn with_safeguards(
+        home: Home,
+        me: Incarnation,
+        limits: Limits,
+        safe: Safeguards,
+        rng: fastrand::Rng,
+    ) -> Self {
+        Self {
+            gate: Gate::with_safeguards(home.clone(), me, limits, safe),
+            dispatch: Dispatch::new(home, rng),
+            asked: Vec::new(),
+            sent: Vec::new(),
+        }
+    }
+
+    /// Takes one event and appends what is to be done to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Arrive(arrival) => self.gate(now, gate::Event::Arrive(arrival)),
+            Event::Forwarded { id, ending } => {
+                self.gate(now, gate::Event::Forwarded { id, ending });
+            }
+            Event::Told { ask, word } => self.gate(now, gate::Event::Told { ask, word }),
+            Event::Asked { ask, question } => {
+                self.gate(now, gate::Event::Asked { ask, question });
+            }
+            Event::Stored { id, result } => self.gate(now, gate::Event::Stored { id, result }),
+            Event::Leave => self.gate(now, gate::Event::Leave),
+            Event::Gone(id) if self.gate.holds(id) => self.gate(now, gate::Event::Gone(id)),
+            Event::Gone(id) => self.dispatch(now, dispatch::Event::Gone(id)),
+            Event::Ended {
+                id,
+                attempt,
+                ending,
+            } => {
+                let event = dispatch::Event::Ended {
+                    id,
+                    attempt,
+                    ending,
+                };
+                self.dispatch(now, event);
+            }
+            Event::Report { target, report } => {
+                self.dispatch(now, dispatch::Event::Report { target, report });
+            }
+            Event::View(view) => {
+                self.dispatch(now, dispatch::Event::View(Arc::clone(&view)));
+                self.gate(now, gate::Event::View(view));
+            }
+            Event::Tick => {
+                self.dispatch(now, dispatch::Event::Tick);
+                self.gate(now, gate::Event::Tick);
+            }
+        }
+        self.settle(now, out);
+    }
+
+    /// The prefix for keys issued now; `None` while the process can't serve.
+    /// A change is told by [`Action::Issue`].
+    #[must_use]
+    pub fn key_prefix(&self, now: Time) -> Option<Prefix> {
+        self.gate.key_prefix(now)
+    }
+
+    /// Whether nothing is in flight: after [`Event::Leave`], the process may
+    /// end without cutting a request.
+    #[must_use]
+    pub fn drained(&self) -> bool {
+        self.gate.in_flight() == 0 && self.dispatch.in_flight() == 0
+    }
+
+    /// The gate, for counts and dumps.
+    #[must_use]
+    pub const fn gate_state(&self) -> &Gate {
+        &self.gate
+    }
+
+    /// The dispatcher, for counts and dumps.
+    #[must_use]
+    pub const fn dispatch_state(&self) -> &Dispatch {
+        &self.dispatch
+    }
+
+    fn gate(&mut self, now: Time, event: gate::Event) {
+        self.gate.handle(now, event, &mut self.asked);
+    }
+
+    fn dispatch(&mut self, now: Time, event: dispatch::Event) {
+        self.dispatch.handle(now, event, &mut self.sent);
+    }
+
+    /// Passes actions between the two parts until only the driver's are left.
+    fn settle(&mut self, now: Time, out: &mut Vec<Action>) {
+        while !self.asked.is_empty() || !self.sent.is_empty() {
+            for action in core::mem::take(&mut self.asked) {
+                match action {
+                    gate::Action::Run(arrival) => {
+                        self.dispatch(now, dispatch::Event::Arrive(arrival));
+                    }
+                    other => out.extend(outward(other)),
+                }
+            }
+            for action in core::mem::take(&mut self.sent) {
+                self.after_dispatch(now, action, out);
+            }
+        }
+    }
+
+    /// The dispatcher's answer to a request that the gate holds is the gate's
+    /// to record before any caller hears it.
+    fn after_dispatch(&mut self, now: Time, action: dispatch::Action, out: &mut Vec<Action>) {
+        match action {
+            dispatch::Action::Reply { id, answer } if self.gate.holds(id) => {
+                let verdict = Verdict::Answered(answer);
+                self.gate(now, gate::Event::Settled { id, verdict });
+            }
+            dispatch::Action::Refuse { id, refusal } if self.gate.holds(id) => {
+                let verdict = Verdict::Refused(refusal);
+                self.gate(now, gate::Event::Settled { id, verdict });
+            }
+            other => out.push(other.into()),
+        }
+    }
+}
+
+impl From<dispatch::Action> for Action {
+    fn from(action: dispatch::Action) -> Self {
+        match action {
+            dispatch::Action::Send {
+                id,
+                attempt,
+                place,
+                budget,
+            } => Self::Send {
+                id,
+                attempt,
+                place,
+                budget,
+            },
+            dispatch::Action::Cancel { id, attempt } => Self::Cancel { id, attempt },
+            dispatch::Action::Reply { id, answer } => Self::Reply { id, answer },
+            dispatch::Action::Refuse { id, refusal } => Self::Refuse { id, refusal },
+        }
+    }
+}
+
+/// The driver's part of a gate's action; `None` for what stays inside.
+fn outward(action: gate::Action) -> Option<Action> {
+    Some(match action {
+        gate::Action::Run(_) => return None,
+        gate::Action::Reply { id, answer } => Action::Reply { id, answer },
+        gate::Action::Refuse { id, refusal } => Action::Refuse { id, refusal },
+        gate::Action::Forward { id, peer, budget } => Action::Forward { id, peer, budget },
+        gate::Action::Ask {
+            ask,
+            peer,
+            question,
+            budget,
+        } => Action::Ask {
+            ask,
+            peer,
+            question,
+            budget,
+        },
+        gate::Action::Tell { ask, word } => Action::Tell { ask, word },
+        gate::Action::Store {
+            id,
+            key,
+            call,
+            budget,
+        } => Action::Store {
+            id,
+            key,
+            call,
+            budget,
+        },
+        gate::Action::Issue(prefix) => Action::Issue(prefix),
+    })
+}
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -2,4 +2,6 @@
 
 pub mod answer;
 pub mod arrival;
+pub mod key;
 pub mod outcome;
+pub mod record;
--- a/crates/steer/src/request/arrival.rs
+++ b/crates/steer/src/request/arrival.rs
@@ -37,6 +37,9 @@
     /// From an entry instance of another failure domain, which has applied the
     /// caps; it is served here or refused, never passed on again.
     Peer,
+    /// From an entry instance that its caller reached with a key which only
+    /// this process may run. No cap has been applied yet.
+    Forward,
 }
 
 /// The facts of one request that decisions are made from.
--- a/crates/steer/src/request/outcome.rs
+++ b/crates/steer/src/request/outcome.rs
@@ -52,6 +52,14 @@
     KeyReused,
     /// A request of this key is running; ask again for its answer.
     KeyBusy,
+    /// The key was given up before anything was sent; it never runs.
+    KeySealed,
+    /// The key's request ran, but its answer is no longer kept.
+    Forgotten,
+    /// The instance that alone may run the key is gone or out of reach.
+    OwnerGone,
+    /// The key's witness did not give its word.
+    Witness,
     /// The instance has no configuration yet.
     NotReady,
     /// The instance is shutting down.
@@ -88,6 +96,10 @@
             Self::KeyExpired => "key-expired",
             Self::KeyReused => "key-reused",
             Self::KeyBusy => "key-busy",
+            Self::KeySealed => "key-sealed",
+            Self::Forgotten => "forgotten",
+            Self::OwnerGone => "owner-gone",
+            Self::Witness => "witness",
             Self::NotReady => "not-ready",
             Self::Leaving => "leaving",
             Self::Overloaded => "overloaded",
@@ -108,8 +120,8 @@
         match self {
             Self::BadRequest | Self::KeyMissing | Self::KeyMalformed => 400,
             Self::UnknownService => 404,
-            Self::KeyBusy => 409,
-            Self::KeyExpired => 410,
+            Self::KeyBusy | Self::KeySealed => 409,
+            Self::KeyExpired | Self::Forgotten => 410,
             Self::KeyReused => 422,
             Self::CallerLimit => 429,
             Self::Poison => 500,
@@ -119,6 +131,8 @@
             | Self::Overloaded
             | Self::NoTarget
             | Self::Cap
+            | Self::OwnerGone
+            | Self::Witness
             | Self::Store => 503,
             Self::Deadline => 504,
         }
@@ -135,9 +149,15 @@
             Self::KeyExpired => "find out what became of the request; a new key runs it anew",
             Self::KeyReused => "use a new Idempotency-Key for a new request",
             Self::KeyBusy => "ask again with the same key for the answer",
+            Self::KeySealed => "send the request under a new key; this one never runs",
+            Self::Forgotten => "find out what became of the request; do not send it again",
+            Self::OwnerGone => "ask again with the same key; a new key may repeat the request",
+            Self::Witness => "look up again and send the request under a new key",
             Self::NotReady => "ask another entry instance, or this one later",
             Self::Leaving => "look up another entry instance",
-            Self::Overloaded | Self::NoTarget | Self::Cap => "come back after the time given",
+            Self::Overloaded | Self::NoTarget | Self::Cap => {
+                "come back after the time given; if not run, a keyed request wants a new key"
+            }
             Self::CallerLimit => "wait for requests in flight to finish",
             Self::Deadline => "come back after the time given, or allow more time",
             Self::Store => "use a key made from a look-up's answer, or come back later",
--- /dev/null
+++ b/crates/steer/src/request/record.rs
@@ -0,0 +1,122 @@
+//! What processes tell each other and the store about keys.
+//!
+//! Invariant: an [`Attempt`] names one try of one process at one key; no other
+//! try ever has the same text.
+
+use core::fmt;
+use std::sync::Arc;
+
+use super::arrival::Fingerprint;
+use crate::version::view::Incarnation;
+
+/// Names one question to a peer within the process that asks, and one question
+/// received within the process that answers; never reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AskId(pub u64);
+
+/// What one process asks another in its role as a witness.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Question {
+    /// The owner is about to send the key's request: record it.
+    Claim(Arc<str>),
+    /// The owner can't be reached: make sure that the key never runs, if it
+    /// has not been claimed.
+    Seal(Arc<str>),
+    /// Which epoch do you count?
+    Epoch,
+}
+
+/// What a witness says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Word {
+    /// The key is claimed: its owner may send it, and may have done so.
+    Claimed,
+    /// The key never gets a claim: it has not run and won't.
+    Sealed,
+    /// The key is too old to say.
+    Expired,
+    /// No room for another record; nothing was recorded.
+    Full,
+    /// The key names another process as its witness.
+    Foreign,
+    /// The witness's present epoch.
+    Epoch(u64),
+}
+
+impl fmt::Display for Word {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Claimed => f.write_str("claimed"),
+            Self::Sealed => f.write_str("sealed"),
+            Self::Expired => f.write_str("expired"),
+            Self::Full => f.write_str("full"),
+            Self::Foreign => f.write_str("foreign"),
+            Self::Epoch(epoch) => write!(f, "epoch {epoch}"),
+        }
+    }
+}
+
+/// One process's claim of a key in the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// Who claims.
+    pub incarnation: Incarnation,
+    /// Which of its tries.
+    pub number: u64,
+    /// The request that the key stands for.
+    pub fingerprint: Fingerprint,
+}
+
+impl fmt::Display for Attempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Fingerprint(print) = self.fingerprint;
+        write!(f, "{}.{}.{print:032x}", self.incarnation, self.number)
+    }
+}
+
+impl TryFrom<&str> for Attempt {
+    type Error = AttemptError;
+
+    fn try_from(text: &str) -> Result<Self, AttemptError> {
+        let mut parts = text.split('.');
+        let mut next = || parts.next().ok_or(AttemptError);
+        let attempt = Self {
+            incarnation: Incarnation(u64::from_str_radix(next()?, 16).map_err(|_| AttemptError)?),
+            number: next()?.parse().map_err(|_| AttemptError)?,
+            fingerprint: Fingerprint(u128::from_str_radix(next()?, 16).map_err(|_| AttemptError)?),
+        };
+        match parts.next() {
+            None => Ok(attempt),
+            Some(_) => Err(AttemptError),
+        }
+    }
+}
+
+/// A claim in the store that no version of this program wrote.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a claim in the store is unreadable; nothing else may write below its prefix")]
+pub struct AttemptError;
+
+/// A call to the platform's store about one key chosen by a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreCall {
+    /// Write the attempt if the key is absent.
+    Create(Attempt),
+    /// Read the attempt that holds the key.
+    Read,
+}
+
+/// What became of a [`StoreCall`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreResult {
+    /// The attempt was written.
+    Created,
+    /// This attempt holds the key; `None` if its value is unreadable.
+    Found(Option<Attempt>),
+    /// Nothing holds the key.
+    Absent,
+    /// No connection to the store: the call took no effect.
+    Away,
+    /// No answer: the call may have taken effect, or may yet.
+    Lost,
+}
