--- /dev/null
+++ b/crates/intent/src/draft.rs
@@ -0,0 +1,140 @@
+//! What a base file says, typed, before anyone asked whether it makes sense.
+//!
+//! Invariant: every name and number keeps its place, so that the verifier can
+//! point at it. Reading checks types and ranges of single values; how values
+//! fit together is the verifier's matter.
+
+pub mod read;
+
+use std::sync::Arc;
+
+use jsonc::fault::Place;
+
+/// A value and where it stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Spot<T> {
+    /// The value.
+    pub value: T,
+    /// Its place.
+    pub place: Place,
+}
+
+/// A name and where it stands.
+pub type Name = Spot<Arc<str>>;
+
+/// A region as written.
+#[derive(Clone, Debug)]
+pub struct Region {
+    /// Its name.
+    pub name: Name,
+    /// Its failure domains.
+    pub domains: Vec<Domain>,
+}
+
+/// A failure domain as written.
+#[derive(Clone, Debug)]
+pub struct Domain {
+    /// Its name.
+    pub name: Name,
+    /// Names of its entry instances.
+    pub entries: Vec<Name>,
+    /// Names of its sites.
+    pub sites: Vec<Name>,
+}
+
+/// A class as written.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Its name.
+    pub name: Name,
+    /// Share of an instance's queue that it may fill, in percent.
+    pub queue: Spot<u64>,
+}
+
+/// A service as written.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Its name.
+    pub name: Name,
+    /// Name of its class.
+    pub class: Name,
+    /// Whether running a request twice does no harm.
+    pub idempotent: bool,
+    /// Time of a request whose caller states none, in milliseconds.
+    pub deadline: u64,
+    /// Names of the sites that serve it.
+    pub sites: Vec<Name>,
+}
+
+/// A link as written.
+#[derive(Clone, Debug)]
+pub struct Link {
+    /// Name of the sending region.
+    pub from: Name,
+    /// Name of the receiving region.
+    pub to: Name,
+    /// Megabits a second.
+    pub mbit: u64,
+}
+
+/// A shift as written.
+#[derive(Clone, Debug)]
+pub struct Shift {
+    /// Name of the service.
+    pub service: Name,
+    /// Name of the region whose callers move.
+    pub from: Name,
+    /// Name of the region that takes them.
+    pub to: Name,
+    /// Requests a second.
+    pub cap: u64,
+    /// Seconds until the cap is reached.
+    pub ramp: u64,
+}
+
+/// What is leaving, as written.
+#[derive(Clone, Debug, Default)]
+pub struct Drain {
+    /// Names of sites.
+    pub sites: Vec<Name>,
+    /// Names of targets; the files don't declare targets, so any name goes.
+    pub targets: Vec<Name>,
+    /// Names of entry instances.
+    pub entries: Vec<Name>,
+}
+
+/// A client block as written.
+#[derive(Clone, Debug)]
+pub struct Block {
+    /// First address.
+    pub base: u32,
+    /// Prefix length.
+    pub len: u8,
+    /// Where the block stands.
+    pub place: Place,
+    /// Name of its region.
+    pub region: Name,
+}
+
+/// A whole base file, or one merged with an overlay.
+#[derive(Clone, Debug, Default)]
+pub struct Draft {
+    /// Regions.
+    pub regions: Vec<Region>,
+    /// Classes, the one served first in front.
+    pub classes: Vec<Class>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Links between regions.
+    pub links: Vec<Link>,
+    /// Intents to shift.
+    pub shifts: Vec<Shift>,
+    /// What is leaving.
+    pub drain: Drain,
+    /// Client blocks in the base file itself.
+    pub blocks: Vec<Block>,
+    /// Names of files with more client blocks.
+    pub block_files: Vec<Name>,
+    /// Share of a region's callers that one change may move, in percent.
+    pub move_percent: u64,
+}
--- /dev/null
+++ b/crates/intent/src/verify.rs
@@ -0,0 +1,22 @@
+//! Whether a draft makes sense, apart from the reader that made it.
+//!
+//! Invariant: every check looks at the whole draft and reports every fault it
+//! finds with its place; none stops another.
+
+mod flows;
+mod names;
+mod places;
+
+use jsonc::fault::Fault;
+
+use crate::draft::Draft;
+
+/// All faults of a draft, in no particular order.
+pub fn verify(draft: &Draft, faults: &mut Vec<Fault>) {
+    places::verify(draft, faults);
+    flows::services(draft, faults);
+    flows::links(draft, faults);
+    flows::shifts(draft, faults);
+    flows::drain(draft, faults);
+    flows::blocks(draft, faults);
+}
--- /dev/null
+++ b/crates/intent/src/verify/places.rs
@@ -0,0 +1,59 @@
+//! Checks on regions, failure domains, sites, entry instances and classes.
+
+use jsonc::fault::{Fault, Kind};
+
+use super::names;
+use crate::draft::{Draft, Name};
+
+pub(super) fn verify(draft: &Draft, faults: &mut Vec<Fault>) {
+    names::unique("region", draft.regions.iter().map(|r| &r.name), faults);
+    names::unique("domain", domains(draft), faults);
+    names::unique("site", sites(draft), faults);
+    names::unique("entry instance", entries(draft), faults);
+    names::unique("class", draft.classes.iter().map(|c| &c.name), faults);
+    for domain in draft.regions.iter().flat_map(|r| &r.domains) {
+        if domain.entries.is_empty() {
+            faults.push(Fault::new(
+                &domain.name.place,
+                Kind::Conflict,
+                format!("domain \"{}\" has no entry instance", domain.name.value),
+                "name at least one in \"entries\": cut off, it must serve by itself",
+            ));
+        }
+    }
+    shares(draft, faults);
+}
+
+/// A class served later that may fill more of the queue than one served first
+/// would hold its places while the first is refused.
+fn shares(draft: &Draft, faults: &mut Vec<Fault>) {
+    for pair in draft.classes.windows(2) {
+        let (first, later) = (&pair[0], &pair[1]);
+        if later.queue.value > first.queue.value {
+            faults.push(Fault::new(
+                &later.queue.place,
+                Kind::Conflict,
+                format!(
+                    "class \"{}\" may fill {}% of a queue, but \"{}\" before it only {}%",
+                    later.name.value, later.queue.value, first.name.value, first.queue.value
+                ),
+                format!("use at most {}", first.queue.value),
+            ));
+        }
+    }
+}
+
+pub(super) fn domains(draft: &Draft) -> impl Iterator<Item = &Name> {
+    let domains = draft.regions.iter().flat_map(|r| &r.domains);
+    domains.map(|d| &d.name)
+}
+
+pub(super) fn sites(draft: &Draft) -> impl Iterator<Item = &Name> {
+    let domains = draft.regions.iter().flat_map(|r| &r.domains);
+    domains.flat_map(|d| &d.sites)
+}
+
+pub(super) fn entries(draft: &Draft) -> impl Iterator<Item = &Name> {
+    let domains = draft.regions.iter().flat_map(|r| &r.domains);
+    domains.flat_map(|d| &d.entries)
+}
