--- a/crates/auburnrouter/src/cmd/entry.rs
+++ b/crates/auburnrouter/src/cmd/entry.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io::{self, Write};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use futures_lite::StreamExt;
 use serde::Serialize;
@@ -59,7 +59,7 @@
     Ok(serve(&file))
 }
 
-fn serve(file: &PathBuf) -> Exit {
+fn serve(file: &Path) -> Exit {
     let name = file.display().to_string();
     let text = match fs::read_to_string(file) {
         Ok(text) => text,
@@ -86,7 +86,7 @@
     }
 }
 
-fn start(settings: settings::Settings, file: &PathBuf) -> Result<daemon::Running, StartError> {
+fn start(settings: settings::Settings, file: &Path) -> Result<daemon::Running, StartError> {
     let level = settings.log.level.parse().unwrap_or(log::LevelFilter::Info);
     let target = settings.log.file.as_ref().map(|p| p.display().to_string());
     logs::start(level, target.as_deref())?;
--- a/crates/auburnrouter/src/daemon/callers.rs
+++ b/crates/auburnrouter/src/daemon/callers.rs
@@ -3,6 +3,7 @@
 //! | call | answer |
 //! |---|---|
 //! | `GET /lookup?service=S[&client=A.B.C.D]` | 200 with the entry instances to use, in order |
+//! | `GET /key` | 200 with what idempotency keys for this instance start with |
 //! | any method on `/s/{service}/{path}` | the target's answer, or a refusal |
 //!
 //! Invariant: every answer says by its `Outcome` header whether the request
@@ -29,6 +30,9 @@
 /// How long a caller may use a look-up's answer.
 const LIFETIME: Duration = Duration::from_secs(2);
 
+/// How long a caller may make new keys from one prefix.
+const KEY_LIFETIME: Duration = Duration::from_secs(60);
+
 /// When a caller is told to come back to an instance that isn't ready.
 const NOT_READY: Duration = Duration::from_secs(1);
 
@@ -55,6 +59,13 @@
     choices: Vec<Choice<'a>>,
 }
 
+/// What idempotency keys start with.
+#[derive(Debug, Serialize)]
+struct Issued<'a> {
+    prefix: &'a str,
+    lifetime_ms: u64,
+}
+
 /// One entry instance to use.
 #[derive(Debug, Serialize)]
 struct Choice<'a> {
@@ -69,6 +80,7 @@
         match path.strip_prefix("/s/") {
             Some(rest) => self.request(conn, &peer, rest).await,
             None if path == "/lookup" && conn.method() == Method::Get => self.lookup(conn, &peer),
+            None if path == "/key" && conn.method() == Method::Get => self.key(conn),
             None => self.refuse(
                 conn,
                 outcome::Refusal::not_run(outcome::Reason::BadRequest, None),
@@ -118,14 +130,30 @@
         reply::json(conn, &found)
     }
 
+    fn key(&self, conn: Conn) -> Conn {
+        match self.engine.prefix() {
+            Some(prefix) => {
+                let issued = Issued {
+                    prefix: &prefix,
+                    lifetime_ms: millis(KEY_LIFETIME),
+                };
+                reply::json(conn, &issued)
+            }
+            None => {
+                let reason = outcome::Reason::NotReady;
+                self.refuse(conn, outcome::Refusal::not_run(reason, Some(NOT_READY)))
+            }
+        }
+    }
+
     async fn request(&self, mut conn: Conn, peer: &Peer, rest: &str) -> Conn {
         let Some(terms) = self.terms(&conn) else {
-            let reason = outcome::Reason::BadRequest;
-            return self.refuse(conn, outcome::Refusal::not_run(reason, None));
+            let refusal = unread(&conn);
+            return self.refuse(conn, refusal);
         };
         let Ok(body) = conn.request_body().await.read_bytes().await else {
-            let reason = outcome::Reason::BadRequest;
-            return self.refuse(conn, outcome::Refusal::not_run(reason, None));
+            let refusal = unread(&conn);
+            return self.refuse(conn, refusal);
         };
         peer.serving.begin();
         let request = inbound(&conn, peer.ip, rest, body);
@@ -156,6 +184,16 @@
     }
 }
 
+/// Refuses what no decision has seen. With a key it is "unknown": another copy
+/// may have run under the key, and "not run" would have it billed anew.
+fn unread(conn: &Conn) -> outcome::Refusal {
+    let reason = outcome::Reason::BadRequest;
+    match header(conn, headers::IDEMPOTENCY_KEY) {
+        Some(_) => outcome::Refusal::unknown(reason, None),
+        None => outcome::Refusal::not_run(reason, None),
+    }
+}
+
 fn choice(view: &view::View, member: view::Member) -> Choice<'_> {
     let data = &view.members[member];
     Choice {
--- a/crates/auburnrouter/src/daemon/engine.rs
+++ b/crates/auburnrouter/src/daemon/engine.rs
@@ -4,17 +4,24 @@
 //! its holder is gone; a cancelled attempt's task is dropped, and with it its
 //! connection.
 
+mod claim;
+mod errand;
+mod inner;
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use arc_swap::ArcSwapOption;
 use steer::clock::Time;
-use steer::process::dispatch;
-use steer::request::{arrival, outcome};
+use steer::process::{dispatch, traffic};
+use steer::request::{arrival, outcome, record};
 use steer::version::view;
 use wire::peer;
 
+use self::errand::{Errand, Kind};
+use self::inner::Inner;
 use super::inbound::Inbound;
-use super::outbound::{self, Outbound};
+use super::outbound::Outbound;
 use super::peers::Peers;
 use super::workers::Executor;
 
@@ -22,39 +29,30 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
     /// Time the caller allows, if it said.
-    pub deadline: Option<std::time::Duration>,
+    pub deadline: Option<Duration>,
     /// Where the request came from.
     pub origin: arrival::Origin,
 }
 
-struct Pending {
-    id: arrival::RequestId,
-    request: Arc<Inbound>,
-    mailbox: async_channel::Sender<peer::Settled>,
-}
-
-struct Flight {
-    id: arrival::AttemptId,
-    name: Arc<str>,
-    place: dispatch::Place,
-    _task: smol::Task<()>,
-}
-
-struct Inner {
-    decide: dispatch::Dispatch,
-    requests: Vec<Pending>,
-    flights: Vec<Flight>,
-    next: u64,
+/// What errands are run with.
+pub struct Means {
+    /// Where errands run.
+    pub executor: Executor,
+    /// Connections to targets.
+    pub outbound: Outbound,
+    /// Connections to peers.
+    pub peers: Arc<Peers>,
+    /// The platform's store.
+    pub store: Arc<dyn store::Store>,
 }
 
 /// The engine of one process.
 pub struct Engine {
     start: Instant,
     incarnation: view::Incarnation,
-    executor: Executor,
-    outbound: Outbound,
-    peers: Arc<Peers>,
-    this: Weak<Engine>,
+    means: Means,
+    this: Weak<Self>,
+    prefix: ArcSwapOption<String>,
     inner: Mutex<Inner>,
 }
 
@@ -78,25 +76,17 @@
     /// An engine with nothing in flight.
     #[must_use]
     pub fn new(
-        decide: dispatch::Dispatch,
+        decide: traffic::Traffic,
         incarnation: view::Incarnation,
-        executor: Executor,
-        outbound: Outbound,
-        peers: Arc<Peers>,
+        means: Means,
     ) -> Arc<Self> {
         Arc::new_cyclic(|this| Self {
             start: Instant::now(),
             incarnation,
-            executor,
-            outbound,
-            peers,
+            means,
             this: Weak::clone(this),
-            inner: Mutex::new(Inner {
-                decide,
-                requests: Vec::new(),
-                flights: Vec::new(),
-                next: 0,
-            }),
+            prefix: ArcSwapOption::empty(),
+            inner: Mutex::new(Inner::new(decide)),
         })
     }
 
@@ -118,20 +108,49 @@
         })
     }
 
+    /// Answers a peer's question to this process as a witness; `None` if the
+    /// process ends first.
+    pub async fn witness(&self, question: record::Question) -> Option<record::Word> {
+        let (mailbox, told) = async_channel::bounded(1);
+        let mut inner = self.lock();
+        let ask = inner.expect(mailbox);
+        self.handle(&mut inner, traffic::Event::Asked { ask, question });
+        drop(inner);
+        told.recv().await.ok()
+    }
+
     /// Puts a new view in force.
     pub fn install(&self, view: Arc<view::View>) {
-        self.handle(&mut self.lock(), dispatch::Event::View(view));
+        self.handle(&mut self.lock(), traffic::Event::View(view));
     }
 
     /// Lets time pass for the decisions.
     pub fn tick(&self) {
-        self.handle(&mut self.lock(), dispatch::Event::Tick);
+        self.handle(&mut self.lock(), traffic::Event::Tick);
+    }
+
+    /// Runs no new keys from now on.
+    pub fn leave(&self) {
+        self.handle(&mut self.lock(), traffic::Event::Leave);
+    }
+
+    /// Whether nothing is in flight, also for callers that have left.
+    #[must_use]
+    pub fn drained(&self) -> bool {
+        let inner = self.lock();
+        inner.decide.drained() && inner.waiting() == 0
     }
 
     /// Requests that have no settled answer yet.
     #[must_use]
     pub fn in_flight(&self) -> usize {
-        self.lock().requests.len()
+        self.lock().waiting()
+    }
+
+    /// What a key issued now starts with; `None` while none can be issued.
+    #[must_use]
+    pub fn prefix(&self) -> Option<Arc<String>> {
+        self.prefix.load_full()
     }
 
     /// Time since the process's start, as decisions see it.
@@ -147,36 +166,32 @@
         terms: Terms,
         mailbox: async_channel::Sender<peer::Settled>,
     ) -> arrival::RequestId {
+        let fingerprint = request.fingerprint();
         let mut inner = self.lock();
-        inner.next += 1;
-        let id = arrival::RequestId(inner.next);
+        let id = inner.next_request();
         let arrival = arrival::Arrival {
             id,
             service: Arc::clone(&request.service),
             caller: Arc::clone(&request.caller),
             key: request.key.clone(),
-            fingerprint: request.fingerprint(),
+            fingerprint,
             deadline: terms.deadline,
             bytes: request.bytes(),
             origin: terms.origin,
         };
-        inner.requests.push(Pending {
-            id,
-            request: Arc::new(request),
-            mailbox,
-        });
-        self.handle(&mut inner, dispatch::Event::Arrive(arrival));
+        inner.admit(id, request, mailbox);
+        self.handle(&mut inner, traffic::Event::Arrive(arrival));
         id
     }
 
     fn gone(&self, id: arrival::RequestId) {
         let mut inner = self.lock();
-        if inner.take_request(id).is_some() {
-            self.handle(&mut inner, dispatch::Event::Gone(id));
+        if inner.abandon(id) {
+            self.handle(&mut inner, traffic::Event::Gone(id));
         }
     }
 
-    fn handle(&self, inner: &mut Inner, event: dispatch::Event) {
+    fn handle(&self, inner: &mut Inner, event: traffic::Event) {
         let mut actions = Vec::new();
         inner.decide.handle(self.now(), event, &mut actions);
         for action in actions {
@@ -184,17 +199,62 @@
         }
     }
 
-    fn act(&self, inner: &mut Inner, action: dispatch::Action) {
+    fn act(&self, inner: &mut Inner, action: traffic::Action) {
         match action {
-            dispatch::Action::Send {
+            traffic::Action::Send {
                 id,
                 attempt,
                 place,
                 budget,
             } => self.send(inner, id, attempt, place, budget),
-            dispatch::Action::Cancel { attempt, .. } => self.cancel(inner, attempt),
-            dispatch::Action::Reply { id, answer } => inner.settle(id, Ok(answer)),
-            dispatch::Action::Refuse { id, refusal } => inner.settle(id, Err(refusal)),
+            traffic::Action::Cancel { attempt, .. } => self.cancel(inner, attempt),
+            traffic::Action::Reply { id, answer } => inner.settle(id, Ok(answer)),
+            traffic::Action::Refuse { id, refusal } => inner.settle(id, Err(refusal)),
+            traffic::Action::Forward { id, peer, budget } => {
+                let Some(request) = inner.request(id) else {
+                    return;
+                };
+                let addr = peer.addr;
+                self.go(Kind::Forward { id, addr, request }, budget);
+            }
+            traffic::Action::Ask {
+                ask,
+                peer,
+                question,
+                budget,
+            } => {
+                let addr = peer.addr;
+                self.go(
+                    Kind::Ask {
+                        ask,
+                        addr,
+                        question,
+                    },
+                    budget,
+                );
+            }
+            traffic::Action::Tell { ask, word } => inner.tell(ask, word),
+            traffic::Action::Store {
+                id,
+                key,
+                call,
+                budget,
+            } => self.go(Kind::Store { id, key, call }, budget),
+            traffic::Action::Issue(prefix) => {
+                self.prefix.store(prefix.map(|p| Arc::new(p.to_string())));
+            }
+        }
+    }
+
+    /// Starts an errand that nothing cancels.
+    fn go(&self, kind: Kind, budget: Duration) {
+        if let Some(engine) = self.this.upgrade() {
+            let errand = Errand {
+                engine,
+                kind,
+                budget,
+            };
+            self.means.executor.spawn(errand.run()).detach();
         }
     }
 
@@ -204,124 +264,39 @@
         id: arrival::RequestId,
         attempt: arrival::AttemptId,
         place: dispatch::Place,
-        budget: std::time::Duration,
+        budget: Duration,
     ) {
         let (Some(request), Some(engine)) = (inner.request(id), self.this.upgrade()) else {
             return;
         };
         let name: Arc<str> = format!("{}-{}", self.incarnation, attempt.0).into();
-        let flight = Flying {
+        let errand = Errand {
             engine,
-            id,
-            attempt,
-            name: Arc::clone(&name),
-            place: place.clone(),
+            kind: Kind::Attempt {
+                id,
+                attempt,
+                name: Arc::clone(&name),
+                place: place.clone(),
+                request,
+            },
             budget,
         };
-        let task = self.executor.spawn(flight.run(request));
-        inner.flights.push(Flight {
-            id: attempt,
-            name,
-            place,
-            _task: task,
-        });
+        let task = self.means.executor.spawn(errand.run());
+        inner.fly(attempt, name, place, task);
     }
 
     fn cancel(&self, inner: &mut Inner, attempt: arrival::AttemptId) {
-        let Some(flight) = inner.take_flight(attempt) else {
+        let Some(flight) = inner.land(attempt) else {
             return;
         };
-        let (dispatch::Place::Target { addr, .. }, Some(engine)) =
-            (flight.place.clone(), self.this.upgrade())
-        else {
+        let dispatch::Place::Target { addr, .. } = flight.place else {
             return;
         };
         let name = Arc::clone(&flight.name);
-        let tell = async move { engine.outbound.cancel(addr, &name).await };
-        self.executor.spawn(tell).detach();
-    }
-
-    fn ended(&self, flight: &Flying, ended: outbound::Ended) {
-        let mut inner = self.lock();
-        let Some(over) = inner.take_flight(flight.attempt) else {
-            return;
-        };
-        if let Some(report) = ended.report {
-            let target = Arc::clone(flight.place.name());
-            self.handle(&mut inner, dispatch::Event::Report { target, report });
-        }
-        let event = dispatch::Event::Ended {
-            id: flight.id,
-            attempt: flight.attempt,
-            ending: ended.ending,
-        };
-        self.handle(&mut inner, event);
-        drop(inner);
-        // The flight holds the very task that runs this; it must not be
-        // dropped, and so cancelled, before its work is done.
-        drop(over);
+        self.go(Kind::Cancel { addr, name }, Duration::ZERO);
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// An attempt on its way.
-struct Flying {
-    engine: Arc<Engine>,
-    id: arrival::RequestId,
-    attempt: arrival::AttemptId,
-    name: Arc<str>,
-    place: dispatch::Place,
-    budget: std::time::Duration,
-}
-
-impl Flying {
-    async fn run(self, request: Arc<Inbound>) {
-        let ended = self.carry(&request).await;
-        self.engine.ended(&self, ended);
-    }
-
-    async fn carry(&self, request: &Inbound) -> outbound::Ended {
-        match &self.place {
-            dispatch::Place::Target { addr, .. } => {
-                let attempt = outbound::Attempt {
-                    name: &self.name,
-                    addr: *addr,
-                    request,
-                    budget: self.budget,
-                };
-                self.engine.outbound.send(attempt).await
-            }
-            dispatch::Place::Member { peer, .. } => {
-                let ending = self.engine.peers.forward(*peer, request, self.budget).await;
-                ending.into()
-            }
-        }
-    }
-}
-
-impl Inner {
-    fn request(&self, id: arrival::RequestId) -> Option<Arc<Inbound>> {
-        let at = self.requests.binary_search_by_key(&id, |p| p.id).ok()?;
-        Some(Arc::clone(&self.requests[at].request))
-    }
-
-    fn take_request(&mut self, id: arrival::RequestId) -> Option<Pending> {
-        let at = self.requests.binary_search_by_key(&id, |p| p.id).ok()?;
-        Some(self.requests.remove(at))
-    }
-
-    fn take_flight(&mut self, id: arrival::AttemptId) -> Option<Flight> {
-        let at = self.flights.binary_search_by_key(&id, |f| f.id).ok()?;
-        Some(self.flights.remove(at))
-    }
-
-    fn settle(&mut self, id: arrival::RequestId, settled: peer::Settled) {
-        if let Some(pending) = self.take_request(id) {
-            // Nobody may be waiting any more; then nobody is to be told.
-            let _ = pending.mailbox.try_send(settled);
-        }
-    }
-}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/engine/errand.rs
@@ -0,0 +1,173 @@
+//! One action that takes time: carried out, then reported to the decisions.
+//!
+//! Invariant: an errand reports exactly once, unless it is cancelled.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use steer::process::{dispatch, traffic};
+use steer::request::{arrival, record};
+
+use super::{Engine, claim};
+use crate::daemon::inbound::Inbound;
+use crate::daemon::outbound;
+
+/// What is to be done.
+pub enum Kind {
+    /// Send a request to a place.
+    Attempt {
+        /// The request's name.
+        id: arrival::RequestId,
+        /// The attempt's name.
+        attempt: arrival::AttemptId,
+        /// Its name on the wire.
+        name: Arc<str>,
+        /// Where to.
+        place: dispatch::Place,
+        /// What to send.
+        request: Arc<Inbound>,
+    },
+    /// Send a request to its key's owner.
+    Forward {
+        /// The request's name.
+        id: arrival::RequestId,
+        /// Where the owner listens.
+        addr: SocketAddr,
+        /// What to send.
+        request: Arc<Inbound>,
+    },
+    /// Ask a witness.
+    Ask {
+        /// The question's name.
+        ask: record::AskId,
+        /// Where the witness listens.
+        addr: SocketAddr,
+        /// The question.
+        question: record::Question,
+    },
+    /// Claim a key in the store, or read its claim.
+    Store {
+        /// The request's name.
+        id: arrival::RequestId,
+        /// The key.
+        key: Arc<str>,
+        /// The call.
+        call: record::StoreCall,
+    },
+    /// Tell a target that an answer is no longer wanted.
+    Cancel {
+        /// Where the target listens.
+        addr: SocketAddr,
+        /// The attempt's name on the wire.
+        name: Arc<str>,
+    },
+}
+
+/// An action under way.
+pub struct Errand {
+    /// Whom to report to.
+    pub engine: Arc<Engine>,
+    /// What to do.
+    pub kind: Kind,
+    /// Time for it.
+    pub budget: Duration,
+}
+
+impl Errand {
+    /// Carries it out and reports.
+    pub async fn run(self) {
+        let Self {
+            engine,
+            kind,
+            budget,
+        } = self;
+        match kind {
+            Kind::Attempt {
+                id,
+                attempt,
+                name,
+                place,
+                request,
+            } => {
+                let ended = engine.carry(&place, &name, &request, budget).await;
+                engine.ended(id, attempt, &place, ended);
+            }
+            Kind::Forward { id, addr, request } => {
+                let peers = &engine.means.peers;
+                let ending = peers.forward(addr, &request, budget, true).await;
+                engine.report(traffic::Event::Forwarded { id, ending });
+            }
+            Kind::Ask {
+                ask,
+                addr,
+                question,
+            } => {
+                let word = engine.means.peers.ask(addr, &question, budget).await;
+                engine.report(traffic::Event::Told { ask, word });
+            }
+            Kind::Store { id, key, call } => {
+                let result = claim::settle(&*engine.means.store, &key, call, budget).await;
+                engine.report(traffic::Event::Stored { id, result });
+            }
+            Kind::Cancel { addr, name } => engine.means.outbound.cancel(addr, &name).await,
+        }
+    }
+}
+
+impl Engine {
+    async fn carry(
+        &self,
+        place: &dispatch::Place,
+        name: &str,
+        request: &Inbound,
+        budget: Duration,
+    ) -> outbound::Ended {
+        match place {
+            dispatch::Place::Target { addr, .. } => {
+                let attempt = outbound::Attempt {
+                    name,
+                    addr: *addr,
+                    request,
+                    budget,
+                };
+                self.means.outbound.send(attempt).await
+            }
+            dispatch::Place::Member { peer, .. } => {
+                let peers = &self.means.peers;
+                peers.forward(*peer, request, budget, false).await.into()
+            }
+        }
+    }
+
+    fn ended(
+        &self,
+        id: arrival::RequestId,
+        attempt: arrival::AttemptId,
+        place: &dispatch::Place,
+        ended: outbound::Ended,
+    ) {
+        let mut inner = self.lock();
+        let Some(flight) = inner.land(attempt) else {
+            return;
+        };
+        if let Some(report) = ended.report {
+            let target = Arc::clone(place.name());
+            self.handle(&mut inner, traffic::Event::Report { target, report });
+        }
+        let event = traffic::Event::Ended {
+            id,
+            attempt,
+            ending: ended.ending,
+        };
+        self.handle(&mut inner, event);
+        drop(inner);
+        // The flight holds the very task that runs this; dropped any earlier,
+        // it would be cancelled in the middle of its report.
+        drop(flight);
+    }
+
+    fn report(&self, event: traffic::Event) {
+        self.handle(&mut self.lock(), event);
+    }
+}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/engine/inner.rs
@@ -0,0 +1,149 @@
+//! What the engine keeps for each request, attempt and question.
+//!
+//! Invariant: lists are sorted, since names are handed out in rising order. A
+//! request's bytes stay until the decisions settle it, also when its caller
+//! has left: what must not repeat is finished and recorded all the same.
+
+use std::sync::Arc;
+
+use steer::process::{dispatch, traffic};
+use steer::request::{arrival, record};
+use wire::peer;
+
+use crate::daemon::inbound::Inbound;
+
+struct Pending {
+    id: arrival::RequestId,
+    request: Arc<Inbound>,
+    /// `None` once the caller has left.
+    mailbox: Option<async_channel::Sender<peer::Settled>>,
+}
+
+/// An attempt on its way.
+pub struct Flight {
+    id: arrival::AttemptId,
+    /// Its name on the wire.
+    pub name: Arc<str>,
+    /// Where it goes.
+    pub place: dispatch::Place,
+    /// Dropping it drops the attempt's connection.
+    _task: smol::Task<()>,
+}
+
+struct Asked {
+    id: record::AskId,
+    mailbox: async_channel::Sender<record::Word>,
+}
+
+/// The engine's state behind its lock.
+pub struct Inner {
+    /// The decisions.
+    pub decide: traffic::Traffic,
+    requests: Vec<Pending>,
+    flights: Vec<Flight>,
+    asked: Vec<Asked>,
+    next: u64,
+}
+
+impl Inner {
+    /// Nothing in flight.
+    pub const fn new(decide: traffic::Traffic) -> Self {
+        Self {
+            decide,
+            requests: Vec::new(),
+            flights: Vec::new(),
+            asked: Vec::new(),
+            next: 0,
+        }
+    }
+
+    /// A name for a request.
+    pub const fn next_request(&mut self) -> arrival::RequestId {
+        self.next += 1;
+        arrival::RequestId(self.next)
+    }
+
+    /// Keeps a request until it is settled.
+    pub fn admit(
+        &mut self,
+        id: arrival::RequestId,
+        request: Inbound,
+        mailbox: async_channel::Sender<peer::Settled>,
+    ) {
+        self.requests.push(Pending {
+            id,
+            request: Arc::new(request),
+            mailbox: Some(mailbox),
+        });
+    }
+
+    /// Forgets who waits for a request; false if it is settled already.
+    pub fn abandon(&mut self, id: arrival::RequestId) -> bool {
+        match self.requests.binary_search_by_key(&id, |p| p.id) {
+            Ok(at) => self.requests[at].mailbox.take().is_some(),
+            Err(_) => false,
+        }
+    }
+
+    /// A request that isn't settled.
+    pub fn request(&self, id: arrival::RequestId) -> Option<Arc<Inbound>> {
+        let at = self.requests.binary_search_by_key(&id, |p| p.id).ok()?;
+        Some(Arc::clone(&self.requests[at].request))
+    }
+
+    /// Requests whose caller waits.
+    pub fn waiting(&self) -> usize {
+        self.requests.iter().filter(|p| p.mailbox.is_some()).count()
+    }
+
+    /// Gives a request its settled answer.
+    pub fn settle(&mut self, id: arrival::RequestId, settled: peer::Settled) {
+        let Ok(at) = self.requests.binary_search_by_key(&id, |p| p.id) else {
+            return;
+        };
+        if let Some(mailbox) = self.requests.remove(at).mailbox {
+            // Nobody may be waiting any more; then nobody is to be told.
+            let _ = mailbox.try_send(settled);
+        }
+    }
+
+    /// Keeps an attempt's task.
+    pub fn fly(
+        &mut self,
+        id: arrival::AttemptId,
+        name: Arc<str>,
+        place: dispatch::Place,
+        task: smol::Task<()>,
+    ) {
+        let flight = Flight {
+            id,
+            name,
+            place,
+            _task: task,
+        };
+        self.flights.push(flight);
+    }
+
+    /// Takes an attempt out; `None` if it has ended or was cancelled.
+    pub fn land(&mut self, id: arrival::AttemptId) -> Option<Flight> {
+        let at = self.flights.binary_search_by_key(&id, |f| f.id).ok()?;
+        Some(self.flights.remove(at))
+    }
+
+    /// Keeps a peer's question until it is answered.
+    pub fn expect(&mut self, mailbox: async_channel::Sender<record::Word>) -> record::AskId {
+        self.next += 1;
+        let id = record::AskId(self.next);
+        self.asked.push(Asked { id, mailbox });
+        id
+    }
+
+    /// Answers a peer's question.
+    pub fn tell(&mut self, id: record::AskId, word: record::Word) {
+        let Ok(at) = self.asked.binary_search_by_key(&id, |a| a.id) else {
+            return;
+        };
+        // The peer may have given up; it then treats the word as not given.
+        let _ = self.asked.remove(at).mailbox.try_send(word);
+    }
+}
--- a/crates/auburnrouter/src/daemon/guarded.rs
+++ b/crates/auburnrouter/src/daemon/guarded.rs
@@ -140,7 +140,7 @@
                 }
                 Poll::Pending
             }
-            ready => {
+            ready @ Poll::Ready(_) => {
                 self.timer = None;
                 self.ahead = 0;
                 self.serving.end();
--- a/crates/auburnrouter/src/daemon/operators.rs
+++ b/crates/auburnrouter/src/daemon/operators.rs
@@ -25,7 +25,7 @@
 use super::reply;
 
 /// Longest body that operators may send: a whole configuration.
-const BODY_MAX: u64 = 256 << 20;
+const BODY_MAX: u32 = 256 << 20;
 
 /// What the operators' listener needs.
 pub struct Operators {
@@ -48,7 +48,7 @@
             ..bounds
         },
         head: 16 << 10,
-        body: BODY_MAX,
+        body: BODY_MAX as u64,
         connections: 64,
     }
 }
--- a/crates/auburnrouter/src/daemon/outbound.rs
+++ b/crates/auburnrouter/src/daemon/outbound.rs
@@ -127,7 +127,7 @@
         self.pool.put_back(addr, exchange.connection);
         let ending = match refusal(&head) {
             Some(ending) => ending,
-            None => dispatch::Ending::Answered(Arc::new(answer(&head, body))),
+            None => dispatch::Ending::Answered(Arc::new(answer(&head, &body))),
         };
         Ended { ending, report }
     }
@@ -181,7 +181,7 @@
     })
 }
 
-fn answer(head: &hyper::http::response::Parts, body: Bytes) -> answer::Answer {
+fn answer(head: &hyper::http::response::Parts, body: &Bytes) -> answer::Answer {
     let mut fields = Vec::with_capacity(head.headers.len());
     for (name, value) in &head.headers {
         let Ok(value) = value.to_str() else { continue };
--- a/crates/auburnrouter/src/daemon/peers.rs
+++ b/crates/auburnrouter/src/daemon/peers.rs
@@ -17,13 +17,13 @@
 use settings::secret::Secret;
 use smol::net;
 use steer::process::dispatch;
-use steer::request::arrival;
+use steer::request::{arrival, record};
 use tarpc::server::{self, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tarpc::{client, context, serde_transport};
 use trillium_http::Stopper;
-use wire::peer;
+use wire::{peer, witness};
 
 use super::engine::{Engine, Terms};
 use super::inbound::Inbound;
@@ -34,6 +34,9 @@
 pub trait Peer {
     /// Runs a request that another domain's entry instance passes on.
     async fn forward(request: peer::Forward) -> peer::Forwarded;
+
+    /// Answers as a witness; `None` if this process is ending.
+    async fn witness(question: witness::Question) -> Option<witness::Word>;
 }
 
 /// Time for a connection to a peer to open.
@@ -66,14 +69,16 @@
         }
     }
 
-    /// Passes a request on and waits for what becomes of it.
+    /// Passes a request on and waits for what becomes of it. `owned` says that
+    /// the other end is asked as the owner of the request's key.
     pub async fn forward(
         &self,
         addr: SocketAddr,
         request: &Inbound,
         budget: Duration,
+        owned: bool,
     ) -> dispatch::Ending {
-        let forward = outgoing(request, budget);
+        let forward = outgoing(request, budget, owned);
         let Some(client) = self.client(addr).await else {
             return dispatch::Ending::Unreachable;
         };
@@ -88,6 +93,31 @@
         }
     }
 
+    /// Asks a witness; `None` if no answer came.
+    pub async fn ask(
+        &self,
+        addr: SocketAddr,
+        question: &record::Question,
+        budget: Duration,
+    ) -> Option<record::Word> {
+        let late = async {
+            smol::Timer::after(budget).await;
+            None
+        };
+        let asked = async {
+            let client = self.client(addr).await?;
+            let call = client.witness(context(budget), question.into()).compat();
+            match call.await {
+                Ok(word) => word.map(record::Word::from),
+                Err(_) => {
+                    self.forget(addr);
+                    None
+                }
+            }
+        };
+        future::or(asked, late).await
+    }
+
     async fn client(&self, addr: SocketAddr) -> Option<PeerClient> {
         if let Some(client) = self.find(addr) {
             return Some(client);
@@ -156,7 +186,7 @@
     context
 }
 
-fn outgoing(request: &Inbound, budget: Duration) -> peer::Forward {
+fn outgoing(request: &Inbound, budget: Duration, owned: bool) -> peer::Forward {
     let header = |(name, value): &(Arc<str>, Arc<str>)| peer::Header {
         name: name.as_ref().to_owned(),
         value: value.as_ref().to_owned(),
@@ -170,7 +200,7 @@
         caller: request.caller.as_ref().to_owned(),
         key: request.key.as_deref().map(str::to_owned),
         deadline_ms: u64::try_from(budget.as_millis()).unwrap_or(u64::MAX),
-        owned: false,
+        owned,
     }
 }
 
@@ -192,11 +222,11 @@
 ) {
     loop {
         let accepted = async { Some(socket.accept().await) };
-        let stopped = async {
+        let end = async {
             stopper.clone().await;
             None
         };
-        match future::or(stopped, accepted).await {
+        match future::or(end, accepted).await {
             None => return,
             Some(Err(_)) => {
                 smol::Timer::after(Duration::from_millis(20)).await;
@@ -241,13 +271,26 @@
 
 impl Peer for Answering {
     async fn forward(self, _: context::Context, forward: peer::Forward) -> peer::Forwarded {
+        let origin = match forward.owned {
+            true => arrival::Origin::Forward,
+            false => arrival::Origin::Peer,
+        };
         let terms = Terms {
             deadline: Some(Duration::from_millis(forward.deadline_ms)),
-            origin: arrival::Origin::Peer,
+            origin,
         };
         let settled = self.engine.serve(incoming(forward), terms).await;
         peer::Forwarded::from(&settled)
     }
+
+    async fn witness(
+        self,
+        _: context::Context,
+        question: witness::Question,
+    ) -> Option<witness::Word> {
+        let word = self.engine.witness(question.into()).await?;
+        Some(word.into())
+    }
 }
 
 fn incoming(forward: peer::Forward) -> Inbound {
--- a/crates/auburnrouter/src/daemon/reply.rs
+++ b/crates/auburnrouter/src/daemon/reply.rs
@@ -1,7 +1,8 @@
 //! Answers and refusals as callers see them.
 //!
 //! Invariant: every refusal carries `Outcome` and `Reason`, and `Retry-After`
-//! wherever asking again can help.
+//! wherever asking again can help. What is refused before its head is read is
+//! "unknown": it may repeat a key that another copy has run under already.
 
 use std::time::Duration;
 
@@ -13,16 +14,16 @@
 use super::accept::Conn;
 
 /// Sent to a connection beyond the number allowed.
-pub const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nOutcome: not-run\r\nReason: overloaded\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+pub const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nOutcome: unknown\r\nReason: overloaded\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// Sent when a request isn't whole in time.
-pub const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nOutcome: not-run\r\nReason: bad-request\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+pub const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nOutcome: unknown\r\nReason: bad-request\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// Sent when a request's head is longer than allowed.
-pub const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\nOutcome: not-run\r\nReason: bad-request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+pub const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\nOutcome: unknown\r\nReason: bad-request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// Sent when a request's head can't be parsed.
-pub const MALFORMED: &[u8] = b"HTTP/1.1 400 Bad Request\r\nOutcome: not-run\r\nReason: bad-request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+pub const MALFORMED: &[u8] = b"HTTP/1.1 400 Bad Request\r\nOutcome: unknown\r\nReason: bad-request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// The body of a refusal.
 #[derive(Debug, Serialize)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod kv;
 pub mod peer;
 pub mod target;
+pub mod witness;
--- /dev/null
+++ b/crates/wire/src/witness.rs
@@ -0,0 +1,80 @@
+//! Questions to a witness, and its words, as they cross between processes.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use steer::request::record;
+
+/// Twin of [`record::Question`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Question {
+    /// Record that the key's request is about to be sent.
+    Claim(String),
+    /// Make sure that the key never runs, if it has not been claimed.
+    Seal(String),
+    /// Which epoch do you count?
+    Epoch,
+}
+
+/// Twin of [`record::Word`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// The key is claimed.
+    Claimed,
+    /// The key never gets a claim.
+    Sealed,
+    /// The key is too old to say.
+    Expired,
+    /// No room for another record.
+    Full,
+    /// The key names another process.
+    Foreign,
+    /// The witness's present epoch.
+    Epoch(u64),
+}
+
+impl From<&record::Question> for Question {
+    fn from(question: &record::Question) -> Self {
+        match question {
+            record::Question::Claim(key) => Self::Claim(key.as_ref().to_owned()),
+            record::Question::Seal(key) => Self::Seal(key.as_ref().to_owned()),
+            record::Question::Epoch => Self::Epoch,
+        }
+    }
+}
+
+impl From<Question> for record::Question {
+    fn from(question: Question) -> Self {
+        match question {
+            Question::Claim(key) => Self::Claim(Arc::from(key)),
+            Question::Seal(key) => Self::Seal(Arc::from(key)),
+            Question::Epoch => Self::Epoch,
+        }
+    }
+}
+
+impl From<record::Word> for Word {
+    fn from(word: record::Word) -> Self {
+        match word {
+            record::Word::Claimed => Self::Claimed,
+            record::Word::Sealed => Self::Sealed,
+            record::Word::Expired => Self::Expired,
+            record::Word::Full => Self::Full,
+            record::Word::Foreign => Self::Foreign,
+            record::Word::Epoch(epoch) => Self::Epoch(epoch),
+        }
+    }
+}
+
+impl From<Word> for record::Word {
+    fn from(word: Word) -> Self {
+        match word {
+            Word::Claimed => Self::Claimed,
+            Word::Sealed => Self::Sealed,
+            Word::Expired => Self::Expired,
+            Word::Full => Self::Full,
+            Word::Foreign => Self::Foreign,
+            Word::Epoch(epoch) => Self::Epoch(epoch),
+        }
+    }
+}
