--- /dev/null
+++ b/crates/store/src/http.rs
@@ -0,0 +1,340 @@
+//! The store over HTTP, at one or several addresses.
+//!
+//! Invariants: a call ends within its time; no more calls are under way than
+//! allowed; a write that may have left is not sent to another address.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol::Timer;
+use smol::future::FutureExt;
+use smol::lock::Semaphore;
+use trillium_client::{Conn, KnownHeaderName, Method};
+use wire::{instance, kv};
+
+use crate::backoff::Bounds;
+use crate::counters::Counters;
+use crate::dial::{self, Dialer};
+use crate::error::{Effect, Error};
+use crate::{Pending, Store};
+
+mod rest;
+
+/// How the store is reached.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// Where it listens; the first that answers is kept.
+    pub addrs: Vec<SocketAddr>,
+    /// Time for opening a connection.
+    pub connect: Duration,
+    /// Time for a whole call; a watch has its own wait besides.
+    pub timeout: Duration,
+    /// Calls under way at a time, watches apart.
+    pub calls: usize,
+    /// Watches under way at a time.
+    pub watches: usize,
+    /// Pauses of an address that failed.
+    pub rest: Bounds,
+}
+
+impl Config {
+    /// The usual bounds for a store at these addresses.
+    #[must_use]
+    pub fn new(addrs: Vec<SocketAddr>) -> Self {
+        Self {
+            addrs,
+            connect: Duration::from_millis(200),
+            timeout: Duration::from_secs(1),
+            calls: 64,
+            watches: 8,
+            rest: Bounds::default(),
+        }
+    }
+}
+
+/// A client of the store.
+pub struct Client {
+    config: Config,
+    http: trillium_client::Client,
+    rests: rest::Rests,
+    calls: Semaphore,
+    watches: Semaphore,
+    counters: Counters,
+}
+
+/// Largest answer read, in bytes: a listing holds many values.
+const ANSWER_MAX: u64 = 64 << 20;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Read,
+    Write,
+    Watch(Duration),
+}
+
+struct Call<'a> {
+    kind: Kind,
+    method: Method,
+    path: &'a str,
+    body: Option<Vec<u8>>,
+}
+
+struct Reply {
+    status: u16,
+    body: Vec<u8>,
+}
+
+impl Client {
+    /// A client that has not connected yet.
+    #[must_use]
+    pub fn new(config: Config, rng: fastrand::Rng) -> Self {
+        let dialer = Dialer {
+            timeout: config.connect,
+        };
+        Self {
+            http: trillium_client::Client::new(dialer).with_default_pool(),
+            rests: rest::Rests::new(&config.addrs, config.rest, rng),
+            calls: Semaphore::new(config.calls),
+            watches: Semaphore::new(config.watches),
+            counters: Counters::default(),
+            config,
+        }
+    }
+
+    /// Counts of calls and failures.
+    #[must_use]
+    pub const fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    async fn call(&self, call: Call<'_>) -> Result<Reply, Error> {
+        let result = self.bounded(&call).await;
+        result.inspect_err(|error| self.counters.failed(error))
+    }
+
+    async fn bounded(&self, call: &Call<'_>) -> Result<Reply, Error> {
+        let (pool, wait) = match call.kind {
+            Kind::Watch(wait) => (&self.watches, wait),
+            Kind::Read | Kind::Write => (&self.calls, Duration::ZERO),
+        };
+        let _permit = pool.try_acquire().ok_or(Error::Busy)?;
+        let until = Instant::now() + wait + self.config.timeout;
+        let mut failure = None;
+        for _ in 0..self.config.addrs.len() {
+            let addr = match self.rests.pick(Instant::now()) {
+                Ok(addr) => addr,
+                Err(after) => return Err(failure.unwrap_or(Error::Resting { after })),
+            };
+            let error = match self.attempt(call, addr, until).await {
+                Ok(reply) => {
+                    self.rests.succeeded(addr);
+                    return Ok(reply);
+                }
+                Err(error) => error,
+            };
+            self.rests.failed(addr, Instant::now());
+            if call.kind == Kind::Write && error.effect() == Effect::Unknown {
+                return Err(error);
+            }
+            failure = Some(error);
+        }
+        Err(failure.unwrap_or(Error::Unreachable))
+    }
+
+    async fn attempt(
+        &self,
+        call: &Call<'_>,
+        addr: SocketAddr,
+        until: Instant,
+    ) -> Result<Reply, Error> {
+        self.counters.sent();
+        let late = async {
+            Timer::at(until).await;
+            Err(Error::TimedOut)
+        };
+        self.exchange(call, addr).or(late).await
+    }
+
+    async fn exchange(&self, call: &Call<'_>, addr: SocketAddr) -> Result<Reply, Error> {
+        let url = format!("http://{addr}{}", call.path);
+        let mut conn = self.http.build_conn(call.method, url);
+        if let Some(body) = &call.body {
+            conn = conn
+                .with_request_header(KnownHeaderName::ContentType, "application/json")
+                .with_body(body.clone());
+        }
+        let mut conn = conn.await.map_err(|error| broken(&error))?;
+        let status = status(&conn)?;
+        let body = conn.response_body().with_max_len(ANSWER_MAX);
+        let body = body.read_bytes().await.map_err(|_| Error::Lost)?;
+        if status >= 500 {
+            return Err(Error::BadAnswer { status });
+        }
+        Ok(Reply { status, body })
+    }
+
+    async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<Option<T>, Error> {
+        let reply = self.call(Call::get(Kind::Read, path)).await?;
+        match reply.status {
+            200 => reply.parse().map(Some),
+            404 => Ok(None),
+            status => Err(Error::BadAnswer { status }),
+        }
+    }
+
+    async fn write(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<Reply, Error> {
+        let reply = self
+            .call(Call {
+                kind: Kind::Write,
+                method,
+                path,
+                body,
+            })
+            .await?;
+        let error = match reply.status {
+            200 => return Ok(reply),
+            409 => Error::Conflict {
+                current: reply.parse::<kv::Conflict>()?.current,
+            },
+            404 => Error::LeaseLapsed,
+            status => Error::BadAnswer { status },
+        };
+        self.counters.failed(&error);
+        Err(error)
+    }
+}
+
+impl Store for Client {
+    fn get<'a>(&'a self, key: &'a str) -> Pending<'a, Option<kv::Entry>> {
+        Box::pin(async move { self.read(&path(key)?).await })
+    }
+
+    fn put<'a>(&'a self, key: &'a str, put: kv::Put) -> Pending<'a, kv::Written> {
+        Box::pin(async move {
+            let bytes = put.value.len();
+            if bytes > kv::VALUE_MAX {
+                return Err(Error::TooLarge { bytes });
+            }
+            let reply = self
+                .write(Method::Put, &path(key)?, Some(json(&put)))
+                .await?;
+            reply.parse()
+        })
+    }
+
+    fn delete<'a>(&'a self, key: &'a str, revision: Option<u64>) -> Pending<'a, kv::Written> {
+        Box::pin(async move {
+            let path = match revision {
+                Some(revision) => format!("{}?revision={revision}", path(key)?),
+                None => path(key)?,
+            };
+            self.write(Method::Delete, &path, None).await?.parse()
+        })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> Pending<'a, Option<kv::Entry>> {
+        Box::pin(async move {
+            let path = path(key)?;
+            let path = format!("{path}?after={after}&wait_ms={}", wait.as_millis());
+            let reply = self.call(Call::get(Kind::Watch(wait), &path)).await?;
+            match reply.status {
+                200 => reply.parse().map(Some),
+                204 => Ok(None),
+                status => Err(Error::BadAnswer { status }),
+            }
+        })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> Pending<'a, Vec<kv::Entry>> {
+        Box::pin(async move {
+            check(prefix)?;
+            let path = format!("/kv?prefix={prefix}");
+            let listing = self.read::<kv::Listing>(&path).await?;
+            Ok(listing.unwrap_or_default().entries)
+        })
+    }
+
+    fn grant(&self, ttl: Duration) -> Pending<'_, kv::Lease> {
+        Box::pin(async move {
+            let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+            let body = json(&kv::Grant { ttl_ms });
+            self.write(Method::Post, "/leases", Some(body))
+                .await?
+                .parse()
+        })
+    }
+
+    fn renew(&self, id: u64) -> Pending<'_, kv::Lease> {
+        Box::pin(async move {
+            let path = format!("/leases/{id}/renew");
+            self.write(Method::Post, &path, None).await?.parse()
+        })
+    }
+
+    fn instances(&self) -> Pending<'_, instance::Instances> {
+        Box::pin(async move {
+            let list = self.read("/instances").await?;
+            list.ok_or(Error::BadAnswer { status: 404 })
+        })
+    }
+}
+
+impl<'a> Call<'a> {
+    const fn get(kind: Kind, path: &'a str) -> Self {
+        Self {
+            kind,
+            method: Method::Get,
+            path,
+            body: None,
+        }
+    }
+}
+
+impl Reply {
+    fn parse<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        let status = self.status;
+        serde_json::from_slice(&self.body).map_err(|_| Error::BadAnswer { status })
+    }
+}
+
+fn broken(error: &trillium_client::Error) -> Error {
+    if dial::never_sent(error) {
+        Error::Unreachable
+    } else {
+        Error::Lost
+    }
+}
+
+fn status(conn: &Conn) -> Result<u16, Error> {
+    conn.status().map(|status| status as u16).ok_or(Error::Lost)
+}
+
+fn json(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("plain data serialises")
+}
+
+fn path(key: &str) -> Result<String, Error> {
+    check(key)?;
+    Ok(format!("/kv/{key}"))
+}
+
+fn check(key: &str) -> Result<(), Error> {
+    let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-' | '/');
+    if key.chars().all(fits) && !key.contains("./") {
+        return Ok(());
+    }
+    let key = key.to_owned();
+    Err(Error::BadKey { key })
+}
--- /dev/null
+++ b/crates/store/tests/client.rs
@@ -0,0 +1,277 @@
+//! The client tells what may have happened, and bounds what it asks for.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use standin::memory::{self, Memory};
+use standin::store as fake;
+use standin::store::fault::Fault;
+use store::Store;
+use store::backoff::{Backoff, Bounds};
+use store::error::{Effect, Error, Kind};
+use store::http::{Client, Config};
+use wire::{instance, kv};
+
+const SEED: u64 = 7;
+
+fn start() -> fake::Store {
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let lag = Duration::ZERO;
+    fake::Store::start(fake::Config { listen, lag }).unwrap()
+}
+
+/// Times that tests need not wait long for, yet ample for a busy machine.
+fn config(addrs: &[SocketAddr]) -> Config {
+    Config {
+        timeout: Duration::from_millis(500),
+        rest: Bounds {
+            first: Duration::from_millis(1),
+            most: Duration::from_millis(1),
+        },
+        ..Config::new(addrs.to_vec())
+    }
+}
+
+fn client(config: Config) -> Client {
+    Client::new(config, fastrand::Rng::with_seed(SEED))
+}
+
+/// An address that nothing listens on.
+fn nowhere() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn put(value: &str, expect: kv::Expect) -> kv::Put {
+    kv::Put {
+        value: value.to_owned(),
+        expect,
+        lease: None,
+    }
+}
+
+#[test]
+fn calls_round_trip() {
+    smol::block_on(async {
+        let store = start();
+        let client = client(config(&[store.addr()]));
+        assert_eq!(client.get("a/b").await.unwrap(), None);
+        let written = client.put("a/b", put("1", kv::Expect::Absent)).await;
+        let revision = written.unwrap().revision;
+        let entry = client.get("a/b").await.unwrap().unwrap();
+        assert_eq!((&*entry.value, entry.revision), ("1", revision));
+        let listed = client.list("a/").await.unwrap();
+        assert_eq!(listed, std::slice::from_ref(&entry));
+        let stale = client.put("a/b", put("2", kv::Expect::Absent)).await;
+        let current = Some(entry);
+        assert_eq!(stale, Err(Error::Conflict { current }));
+        client.delete("a/b", Some(revision)).await.unwrap();
+        assert_eq!(client.get("a/b").await.unwrap(), None);
+        let lease = client.grant(Duration::from_secs(9)).await.unwrap();
+        assert_eq!(client.renew(lease.id).await.unwrap(), lease);
+        assert_eq!(client.renew(lease.id + 1).await, Err(Error::LeaseLapsed));
+        let list = client.instances().await.unwrap();
+        assert_eq!(list, instance::Instances::default());
+        assert_eq!(client.counters().calls(), store.stats().calls);
+    });
+}
+
+#[test]
+fn watch_wakes_on_write() {
+    smol::block_on(async {
+        let store = start();
+        let client = client(config(&[store.addr()]));
+        let wait = Duration::from_secs(20);
+        let watch = client.watch("a", 0, wait);
+        let write = async {
+            while store.stats().watches == 0 {
+                smol::Timer::after(Duration::from_millis(1)).await;
+            }
+            client.put("a", put("1", kv::Expect::Any)).await.unwrap();
+        };
+        let (seen, ()) = futures_lite::future::zip(watch, write).await;
+        assert_eq!(seen.unwrap().unwrap().value, "1");
+        assert_eq!(store.stats().watches, 1);
+    });
+}
+
+#[test]
+fn watch_misses_events() {
+    // The write happens while the watch waits, but the store tells nothing. The
+    // watch comes back empty after its time; the next one sees the write.
+    smol::block_on(async {
+        let store = start();
+        store.fault(Fault::MissedEvents);
+        let client = client(config(&[store.addr()]));
+        let wait = Duration::from_millis(300);
+        let watch = client.watch("a", 0, wait);
+        let write = async {
+            while store.stats().watches == 0 {
+                smol::Timer::after(Duration::from_millis(1)).await;
+            }
+            client.put("a", put("1", kv::Expect::Any)).await.unwrap();
+        };
+        let (seen, ()) = futures_lite::future::zip(watch, write).await;
+        assert_eq!(seen, Ok(None));
+        assert!(client.watch("a", 0, wait).await.unwrap().is_some());
+    });
+}
+
+#[rstest]
+#[case::outage(Fault::Outage, Kind::Lost, false)]
+#[case::refuse(Fault::Refuse, Kind::BadAnswer, false)]
+#[case::hang(Fault::Hang, Kind::TimedOut, false)]
+#[case::slow(Fault::Slow { ms: 1500 }, Kind::TimedOut, true)]
+#[case::lost(Fault::LostAnswer { prefix: String::new() }, Kind::Lost, true)]
+fn failed_write_is_in_doubt(#[case] fault: Fault, #[case] kind: Kind, #[case] made: bool) {
+    // The call was sent and no answer tells whether it was made. In some cases
+    // it was, in others not: the client must call all of them unknown.
+    smol::block_on(async {
+        let store = start();
+        store.fault(fault);
+        let client = client(config(&[store.addr()]));
+        let error = client
+            .put("a", put("1", kv::Expect::Any))
+            .await
+            .unwrap_err();
+        assert_eq!((error.kind(), error.effect()), (kind, Effect::Unknown));
+        assert_eq!(client.counters().failures(kind), 1);
+        let writes = || store.stats().writes;
+        assert_eq!(writes(), 1, "a write in doubt is not sent again");
+        store.fault(Fault::None);
+        let found = holds(&client, made).await;
+        assert_eq!(found, made);
+    });
+}
+
+/// Reads until the store answers what is `wanted`, for at most a few seconds.
+async fn holds(client: &Client, wanted: bool) -> bool {
+    let until = Instant::now() + Duration::from_secs(8);
+    loop {
+        let found = client.get("a").await.map(|entry| entry.is_some());
+        if found == Ok(wanted) || Instant::now() > until {
+            return found.unwrap();
+        }
+        smol::Timer::after(Duration::from_millis(5)).await;
+    }
+}
+
+#[test]
+fn unreachable_write_was_not_made() {
+    smol::block_on(async {
+        let client = client(config(&[nowhere()]));
+        let error = client
+            .put("a", put("1", kv::Expect::Any))
+            .await
+            .unwrap_err();
+        assert_eq!(error, Error::Unreachable);
+        assert_eq!(error.effect(), Effect::None);
+    });
+}
+
+#[test]
+fn next_address_is_asked() {
+    smol::block_on(async {
+        let store = start();
+        let client = client(config(&[nowhere(), store.addr()]));
+        client.put("a", put("1", kv::Expect::Any)).await.unwrap();
+        assert_eq!(client.counters().calls(), 2);
+        // The address that answered is kept.
+        client.get("a").await.unwrap();
+        assert_eq!(client.counters().calls(), 3);
+    });
+}
+
+#[test]
+fn failed_address_rests() {
+    // A caller that asks again at once does not reach the store, which may be
+    // down because of such callers; it learns when to ask.
+    smol::block_on(async {
+        let store = start();
+        store.fault(Fault::Outage);
+        let span = Duration::from_secs(50);
+        let rest = Bounds {
+            first: span,
+            most: span,
+        };
+        let client = client(Config {
+            rest,
+            ..config(&[store.addr()])
+        });
+        client.get("a").await.unwrap_err();
+        let error = client.get("a").await.unwrap_err();
+        let Error::Resting { after } = error else {
+            panic!("{error:?}");
+        };
+        assert!(after > span / 3 && after <= span, "{after:?}");
+        assert_eq!(store.stats().calls, 1);
+    });
+}
+
+#[test]
+fn calls_under_way_are_bounded() {
+    smol::block_on(async {
+        let store = start();
+        store.fault(Fault::Hang);
+        let client = client(Config {
+            calls: 1,
+            ..config(&[store.addr()])
+        });
+        let both = futures_lite::future::zip(client.get("a"), client.get("b")).await;
+        assert_eq!(both.0, Err(Error::TimedOut));
+        assert_eq!(both.1, Err(Error::Busy));
+        assert_eq!(store.stats().calls, 1);
+    });
+}
+
+#[rstest]
+#[case::space("a b")]
+#[case::query("a?b")]
+#[case::parent("a/../b")]
+fn key_is_checked(#[case] key: &str) {
+    smol::block_on(async {
+        let client = client(config(&[nowhere()]));
+        let error = client.get(key).await.unwrap_err();
+        assert_eq!(error.kind(), Kind::BadKey);
+    });
+}
+
+#[test]
+fn backoff_grows_to_its_bound() {
+    let bounds = Bounds {
+        first: Duration::from_millis(10),
+        most: Duration::from_millis(50),
+    };
+    let mut rng = fastrand::Rng::with_seed(SEED);
+    let mut backoff = Backoff::new(bounds);
+    for span in [10, 20, 40, 50, 50] {
+        let span = Duration::from_millis(span);
+        let pause = backoff.failed(&mut rng);
+        assert!(pause >= span / 2 && pause <= span, "{pause:?}");
+    }
+    backoff.succeeded();
+    assert!(backoff.failed(&mut rng) <= bounds.first);
+}
+
+#[test]
+fn memory_keeps_same_rules() {
+    smol::block_on(async {
+        let memory = Memory::default();
+        memory.fault(memory::Fault::LostAnswer);
+        let error = memory
+            .put("a", put("1", kv::Expect::Absent))
+            .await
+            .unwrap_err();
+        assert_eq!(error.effect(), Effect::Unknown);
+        memory.fault(memory::Fault::Unreachable);
+        let error = memory
+            .put("a", put("2", kv::Expect::Any))
+            .await
+            .unwrap_err();
+        assert_eq!(error.effect(), Effect::None);
+        memory.fault(memory::Fault::None);
+        let seen = memory.watch("a", 0, Duration::from_secs(9)).await.unwrap();
+        assert_eq!(seen.unwrap().value, "1");
+    });
+}
