Make the path whole: look-up, request, hop to another domain, answer

Cause: control was a stub. Change: an interim control loop reads the base file and the platform's list from the store and meets its peers; refusals set their status; hop-by-hop headers stop at the hop. Seen by hand, as separate processes on loopback: a look-up, a request served in its own domain, a keyed request served through the other domain, a resend that got the kept answer of the same attempt. Conclusion: the thin path is whole; membership and versions come next.

--- a/crates/auburnrouter/src/daemon.rs
+++ b/crates/auburnrouter/src/daemon.rs
@@ -35,7 +35,7 @@
 use serde::Serialize;
 use settings::{Settings, secret};
 use smol::net;
-use steer::process::dispatch;
+use steer::process::{dispatch, gate, traffic};
 use steer::version::view;
 use thiserror::Error;
 use trillium_http::Stopper;
@@ -153,13 +153,22 @@
             name: Arc::clone(&self.settings.name),
             domain: Arc::clone(&self.settings.domain),
         };
-        let engine = engine::Engine::new(
-            dispatch::Dispatch::new(home, fastrand::Rng::new()),
+        let store = store::http::Config::new(self.settings.store.clone());
+        let store: Arc<dyn store::Store> =
+            Arc::new(store::http::Client::new(store, fastrand::Rng::new()));
+        let decide = traffic::Traffic::new(
+            home,
             incarnation,
-            Arc::clone(&executor),
-            outbound::Outbound::new(Arc::clone(&executor), limits.target_connections()),
-            Arc::clone(&peers),
+            gate::Limits::default(),
+            fastrand::Rng::new(),
         );
+        let means = engine::Means {
+            executor: Arc::clone(&executor),
+            outbound: outbound::Outbound::new(Arc::clone(&executor), limits.target_connections()),
+            peers: Arc::clone(&peers),
+            store: Arc::clone(&store),
+        };
+        let engine = engine::Engine::new(decide, incarnation, means);
         let listening = Stopper::new();
         let ticking = Stopper::new();
         let control = control::Handle::start(
@@ -171,6 +180,7 @@
                 peers,
                 snapshot: Arc::clone(&snapshot),
                 metrics: Arc::clone(&metrics),
+                store,
             },
             steering.executor(),
         );
@@ -199,6 +209,7 @@
             self.peers,
             self.secret.clone(),
             Arc::clone(&engine),
+            control.myself(),
             Arc::clone(&executor),
             ticking.clone(),
         );
@@ -272,7 +283,7 @@
     }
 
     fn busy(&self) -> bool {
-        self.engine.in_flight() > 0 || self.open.load(Ordering::Relaxed) > 0
+        !self.engine.drained() || self.open.load(Ordering::Relaxed) > 0
     }
 }
 
--- a/crates/auburnrouter/src/daemon/callers.rs
+++ b/crates/auburnrouter/src/daemon/callers.rs
@@ -17,7 +17,7 @@
 use serde::Serialize;
 use steer::request::{arrival, outcome};
 use steer::version::{lookup, view};
-use trillium_http::Method;
+use trillium_http::{Method, Status};
 use wire::headers;
 
 use super::accept::{Conn, Peer};
@@ -31,7 +31,7 @@
 const LIFETIME: Duration = Duration::from_secs(2);
 
 /// How long a caller may make new keys from one prefix.
-const KEY_LIFETIME: Duration = Duration::from_secs(60);
+const KEY_LIFETIME: Duration = Duration::from_mins(1);
 
 /// When a caller is told to come back to an instance that isn't ready.
 const NOT_READY: Duration = Duration::from_secs(1);
@@ -127,23 +127,19 @@
                 .map(|&m| choice(&snapshot.view, m))
                 .collect(),
         };
-        reply::json(conn, &found)
+        reply::json(conn, Status::Ok, &found)
     }
 
     fn key(&self, conn: Conn) -> Conn {
-        match self.engine.prefix() {
-            Some(prefix) => {
-                let issued = Issued {
-                    prefix: &prefix,
-                    lifetime_ms: millis(KEY_LIFETIME),
-                };
-                reply::json(conn, &issued)
-            }
-            None => {
-                let reason = outcome::Reason::NotReady;
-                self.refuse(conn, outcome::Refusal::not_run(reason, Some(NOT_READY)))
-            }
-        }
+        let Some(prefix) = self.engine.prefix() else {
+            let reason = outcome::Reason::NotReady;
+            return self.refuse(conn, outcome::Refusal::not_run(reason, Some(NOT_READY)));
+        };
+        let issued = Issued {
+            prefix: &prefix,
+            lifetime_ms: millis(KEY_LIFETIME),
+        };
+        reply::json(conn, Status::Ok, &issued)
     }
 
     async fn request(&self, mut conn: Conn, peer: &Peer, rest: &str) -> Conn {
--- a/crates/auburnrouter/src/daemon/control/world.rs
+++ b/crates/auburnrouter/src/daemon/control/world.rs
@@ -82,7 +82,8 @@
         let Some(plan) = &self.plan else { return };
         let view = Arc::new(plan.view(self.version, &self.instances, &self.members));
         self.engine.install(Arc::clone(&view));
-        self.snapshot.store(Arc::new(Snapshot::new(view, self.leaving)));
+        self.snapshot
+            .store(Arc::new(Snapshot::new(view, self.leaving)));
     }
 }
 
--- a/crates/auburnrouter/src/daemon/engine.rs
+++ b/crates/auburnrouter/src/daemon/engine.rs
@@ -112,10 +112,7 @@
     /// process ends first.
     pub async fn witness(&self, question: record::Question) -> Option<record::Word> {
         let (mailbox, told) = async_channel::bounded(1);
-        let mut inner = self.lock();
-        let ask = inner.expect(mailbox);
-        self.handle(&mut inner, traffic::Event::Asked { ask, question });
-        drop(inner);
+        self.asked(question, mailbox);
         told.recv().await.ok()
     }
 
@@ -184,6 +181,12 @@
         id
     }
 
+    fn asked(&self, question: record::Question, mailbox: async_channel::Sender<record::Word>) {
+        let mut inner = self.lock();
+        let ask = inner.expect(mailbox);
+        self.handle(&mut inner, traffic::Event::Asked { ask, question });
+    }
+
     fn gone(&self, id: arrival::RequestId) {
         let mut inner = self.lock();
         if inner.abandon(id) {
--- a/crates/auburnrouter/src/daemon/engine/claim.rs
+++ b/crates/auburnrouter/src/daemon/engine/claim.rs
@@ -3,6 +3,7 @@
 //! Invariant: [`record::StoreResult::Away`] is only said when the write
 //! certainly took no effect and never will.
 
+use std::fmt::Write;
 use std::time::Duration;
 
 use futures_lite::future;
@@ -79,7 +80,8 @@
 fn path(key: &str) -> String {
     let mut path = CLAIMS.to_owned();
     for byte in Sha256::digest(key.as_bytes()) {
-        path.push_str(&format!("{byte:02x}"));
+        // Writing to a string can't fail.
+        let _ = write!(path, "{byte:02x}");
     }
     path
 }
--- a/crates/auburnrouter/src/daemon/inbound.rs
+++ b/crates/auburnrouter/src/daemon/inbound.rs
@@ -50,11 +50,12 @@
 /// Whether a header is meant for the next hop only, or is ours to set.
 #[must_use]
 pub fn is_hop_header(name: &str) -> bool {
-    const HOP: [&str; 16] = [
+    const HOP: [&str; 21] = [
         "attempt-id",
         "caller-name",
         "connection",
         "content-length",
+        "date",
         "deadline-ms",
         "expect",
         "host",
@@ -63,6 +64,10 @@
         "outcome",
         "proxy-authenticate",
         "proxy-authorization",
+        "server",
+        "target-load",
+        "target-refused",
+        "target-state",
         "te",
         "trailer",
         "transfer-encoding",
--- a/crates/auburnrouter/src/daemon/operators.rs
+++ b/crates/auburnrouter/src/daemon/operators.rs
@@ -15,7 +15,7 @@
 
 use settings::secret::Secret;
 use subtle::ConstantTimeEq;
-use trillium_http::{KnownHeaderName, Method};
+use trillium_http::{KnownHeaderName, Method, Status};
 
 use super::accept::{Conn, Limits};
 use super::control;
@@ -63,7 +63,7 @@
         let path = conn.path().to_owned();
         match (conn.method(), path.as_str()) {
             (Method::Get, "/metrics") => self.metrics(conn),
-            (Method::Get, "/dump") => self.dump(conn).await,
+            (Method::Get, "/dump") => self.dump(conn),
             _ => {
                 conn.set_status(404);
                 conn
@@ -93,9 +93,7 @@
         conn
     }
 
-    async fn dump(&self, mut conn: Conn) -> Conn {
-        conn.set_status(200);
-        let state = self.control.dump().await;
-        reply::json(conn, &state)
+    fn dump(&self, conn: Conn) -> Conn {
+        reply::json(conn, Status::Ok, &self.control.dump())
     }
 }
--- a/crates/auburnrouter/src/daemon/peers.rs
+++ b/crates/auburnrouter/src/daemon/peers.rs
@@ -14,10 +14,12 @@
 
 use async_compat::{Compat, CompatExt};
 use futures_lite::{StreamExt, future};
+use intent::instance;
 use settings::secret::Secret;
 use smol::net;
 use steer::process::dispatch;
 use steer::request::{arrival, record};
+use steer::version::view;
 use tarpc::server::{self, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
@@ -35,6 +37,9 @@
     /// Runs a request that another domain's entry instance passes on.
     async fn forward(request: peer::Forward) -> peer::Forwarded;
 
+    /// Tells of itself and hears of the other end.
+    async fn meet(member: peer::Member) -> peer::Member;
+
     /// Answers as a witness; `None` if this process is ending.
     async fn witness(question: witness::Question) -> Option<witness::Word>;
 }
@@ -93,6 +98,28 @@
         }
     }
 
+    /// Tells a peer of this process and hears of it.
+    pub async fn meet(
+        &self,
+        addr: SocketAddr,
+        me: instance::Member,
+    ) -> Option<Vec<instance::Member>> {
+        let late = async {
+            smol::Timer::after(CONNECT_TIME).await;
+            None
+        };
+        let met = async {
+            let client = self.client(addr).await?;
+            let call = client.meet(context(CONNECT_TIME), spoken(&me)).compat();
+            let Ok(member) = call.await else {
+                self.forget(addr);
+                return None;
+            };
+            Some(vec![heard(member)])
+        };
+        future::or(met, late).await
+    }
+
     /// Asks a witness; `None` if no answer came.
     pub async fn ask(
         &self,
@@ -107,13 +134,11 @@
         let asked = async {
             let client = self.client(addr).await?;
             let call = client.witness(context(budget), question.into()).compat();
-            match call.await {
-                Ok(word) => word.map(record::Word::from),
-                Err(_) => {
-                    self.forget(addr);
-                    None
-                }
-            }
+            let Ok(word) = call.await else {
+                self.forget(addr);
+                return None;
+            };
+            word.map(record::Word::from)
         };
         future::or(asked, late).await
     }
@@ -212,11 +237,15 @@
     }
 }
 
+/// Says what this process tells of itself.
+pub type Myself = Arc<dyn Fn(SocketAddr) -> peer::Member + Send + Sync>;
+
 /// Takes calls until stopped; calls in progress go on.
 pub async fn serve(
     socket: net::TcpListener,
     secret: Secret,
     engine: Arc<Engine>,
+    myself: Myself,
     executor: Executor,
     stopper: Stopper,
 ) {
@@ -234,6 +263,7 @@
             Some(Ok((stream, _))) => {
                 let answer = Answering {
                     engine: Arc::clone(&engine),
+                    myself: Arc::clone(&myself),
                 };
                 let serve = connection(stream, secret.clone(), answer, Arc::clone(&executor));
                 executor.spawn(serve).detach();
@@ -267,13 +297,15 @@
 #[derive(Clone)]
 struct Answering {
     engine: Arc<Engine>,
+    myself: Myself,
 }
 
 impl Peer for Answering {
     async fn forward(self, _: context::Context, forward: peer::Forward) -> peer::Forwarded {
-        let origin = match forward.owned {
-            true => arrival::Origin::Forward,
-            false => arrival::Origin::Peer,
+        let origin = if forward.owned {
+            arrival::Origin::Forward
+        } else {
+            arrival::Origin::Peer
         };
         let terms = Terms {
             deadline: Some(Duration::from_millis(forward.deadline_ms)),
@@ -283,6 +315,10 @@
         peer::Forwarded::from(&settled)
     }
 
+    async fn meet(self, _: context::Context, met: peer::Member) -> peer::Member {
+        (self.myself)(met.peer)
+    }
+
     async fn witness(
         self,
         _: context::Context,
@@ -293,6 +329,34 @@
     }
 }
 
+/// What a process tells of itself.
+pub fn spoken(member: &instance::Member) -> peer::Member {
+    peer::Member {
+        name: member.name.as_ref().to_owned(),
+        incarnation: member.incarnation.0,
+        domain: member.domain.as_ref().to_owned(),
+        addr: member.addr,
+        peer: member.peer,
+        leaving: member.state == view::State::Leaving,
+    }
+}
+
+fn heard(member: peer::Member) -> instance::Member {
+    let state = if member.leaving {
+        view::State::Leaving
+    } else {
+        view::State::Live
+    };
+    instance::Member {
+        name: member.name.into(),
+        incarnation: view::Incarnation(member.incarnation),
+        domain: member.domain.into(),
+        addr: member.addr,
+        peer: member.peer,
+        state,
+    }
+}
+
 fn incoming(forward: peer::Forward) -> Inbound {
     let headers = forward.headers.into_iter();
     Inbound {
--- a/crates/auburnrouter/src/daemon/reply.rs
+++ b/crates/auburnrouter/src/daemon/reply.rs
@@ -63,7 +63,6 @@
 /// Sets a refusal on `conn`.
 #[must_use]
 pub fn refused(mut conn: Conn, refusal: &outcome::Refusal) -> Conn {
-    conn.set_status(refusal.reason.status());
     append(&mut conn, headers::OUTCOME, refusal.outcome.as_str());
     append(&mut conn, headers::REASON, refusal.reason.as_str());
     if let Some(after) = refusal.after {
@@ -84,19 +83,20 @@
         remedy: refusal.reason.remedy(),
         retry_after_ms: refusal.after.map(millis),
     };
-    json(conn, &body)
+    json(conn, status(refusal.reason.status()), &body)
 }
 
-/// Sets a JSON body on `conn`.
+/// Sets a status and a JSON body on `conn`.
 #[must_use]
-pub fn json(mut conn: Conn, body: &impl Serialize) -> Conn {
+pub fn json(mut conn: Conn, status: Status, body: &impl Serialize) -> Conn {
     match serde_json::to_vec(body) {
         Ok(bytes) => {
+            conn.set_status(status);
             let headers = conn.response_headers_mut();
             headers.insert(KnownHeaderName::ContentType, "application/json");
             conn.set_response_body(bytes);
         }
-        Err(_) => conn.set_status(500),
+        Err(_) => conn.set_status(Status::InternalServerError),
     }
     conn
 }
