--- a/crates/steer/src/process.rs
+++ b/crates/steer/src/process.rs
@@ -1,4 +1,6 @@
 //! What lives as long as the process.
 
 pub mod dispatch;
+pub mod gate;
 pub mod target;
+pub mod traffic;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,4 +7,6 @@
 pub mod headers;
 pub mod instance;
 pub mod kv;
+pub mod peer;
 pub mod target;
+pub mod witness;
