Measure the decisions in virtual time

Cause: choices were to be made by measurement. Change: a bench of targets, links and callers in virtual time that drives the real dispatchers, a plain round-robin baseline beside it, and processor time per decision.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,1 +1,10 @@
-//! A small load-and-measure tool on the stand-ins.
+//! Measures the decisions of `steer`.
+//!
+//! Two kinds of figures, named apart in all output: *virtual time*, where a
+//! model of targets and latencies drives the real dispatchers and no clock is
+//! read; and *processor time* of single decisions. Neither sends anything.
+
+pub mod cost;
+pub mod model;
+pub mod robin;
+pub mod scenarios;
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,69 @@
+//! `measure steer|policies|cost`.
+
+use std::process::ExitCode;
+
+use lexopt::{Arg, ValueExt};
+use measure::{cost, model, scenarios};
+
+const HELP: &str = "\
+measure steer --deployment bluestone|tesfaye [--seed N] [--seconds N] [--only WORD]
+measure policies [--seed N] [--seconds N]
+measure cost [--seed N]
+
+steer     virtual time: latency and refusals of both engines under load and faults
+policies  virtual time: ways to choose a target, 1 to 22 entry instances sharing 12
+cost      processor time of one decision at 12, 144 and 1500 targets
+";
+
+struct Options {
+    command: String,
+    deployment: &'static model::Deployment,
+    seed: u64,
+    seconds: u64,
+    only: String,
+}
+
+fn main() -> ExitCode {
+    let options = match parse() {
+        Ok(options) => options,
+        Err(error) => {
+            eprint!("{error}\n\n{HELP}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let Options { seed, seconds, .. } = options;
+    let text = match &*options.command {
+        "steer" => scenarios::steer(options.deployment, seed, seconds, &options.only),
+        "policies" => scenarios::policies(seed, seconds),
+        "cost" => cost::table(seed),
+        _ => HELP.to_owned(),
+    };
+    print!("{text}");
+    ExitCode::SUCCESS
+}
+
+fn parse() -> Result<Options, lexopt::Error> {
+    let mut options = Options {
+        command: String::new(),
+        deployment: &model::BLUESTONE,
+        seed: 1,
+        seconds: 30,
+        only: String::new(),
+    };
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Value(command) => options.command = command.string()?,
+            Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+            Arg::Long("seconds") => options.seconds = parser.value()?.parse()?,
+            Arg::Long("only") => options.only = parser.value()?.string()?,
+            Arg::Long("deployment") => {
+                let name = parser.value()?.string()?;
+                let found = model::DEPLOYMENTS.iter().find(|d| d.name == name);
+                options.deployment = found.copied().ok_or("use bluestone or tesfaye")?;
+            }
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(options)
+}
--- a/crates/steer/src/process/dispatch.rs
+++ b/crates/steer/src/process/dispatch.rs
@@ -267,7 +267,10 @@
         wait: core::time::Duration,
         out: &mut Vec<Action>,
     ) {
-        let after = admission::jitter(wait, &mut self.rng);
+        let after = match job.arrival.origin {
+            Origin::Peer => admission::pause(wait, &mut self.rng),
+            Origin::Caller | Origin::Forward => admission::jitter(wait, &mut self.rng),
+        };
         let refusal = job.refusal(reason, Some(after));
         self.finish(job, refusal, out);
     }
--- a/crates/steer/src/process/dispatch/group.rs
+++ b/crates/steer/src/process/dispatch/group.rs
@@ -66,6 +66,8 @@
     pub best: u64,
     /// Requests that the local targets may run at a time.
     pub limit: u32,
+    /// Local targets that are ejected.
+    pub ejected: usize,
     /// Requests of this instance in flight on local targets.
     pub flight: u32,
     /// Requests of this service in flight anywhere.
@@ -78,12 +80,14 @@
         let tracks = table.as_slice();
         self.best = 0;
         self.limit = 0;
+        self.ejected = 0;
         for local in &self.locals {
             let track = &tracks[local.track];
             let fit = track.fit(now, on);
             if matches!(fit, Fit::Free | Fit::Busy) {
                 self.limit = self.limit.saturating_add(track.limit(now, on));
             }
+            self.ejected += usize::from(matches!(fit, Fit::Ejected | Fit::Trial));
             let mean = track.latency.mean().map_or(0, latency::micros);
             if mean > 0 && (self.best == 0 || mean < self.best) {
                 self.best = mean;
--- a/crates/steer/src/process/dispatch/place.rs
+++ b/crates/steer/src/process/dispatch/place.rs
@@ -21,6 +21,10 @@
 /// Time that passing a request to another region costs.
 pub const FAR: Duration = Duration::from_millis(75);
 
+/// Targets looked at per decision, as long as one of them has room. The least
+/// loaded of so many, drawn anew each time, is as good as the least of all.
+const WINDOW: usize = 48;
+
 /// Peers looked at per decision. More would cost time and find little better.
 const SAMPLE: usize = 8;
 
@@ -63,31 +67,51 @@
         if job.arrival.origin == Origin::Peer && on.has(Safeguard::PeerGate) && !spare(entry) {
             return None;
         }
-        let tracks = self.tracks.as_slice();
         let other = on.has(Safeguard::OtherPlace);
         let open = |track: &Track| !(other && job.tried.contains(&track.name));
-        let trial = entry.locals.iter().position(|local| {
-            let track = &tracks[local.track];
-            let may = entry.idempotent || track.health.vouched();
-            may && open(track) && track.fit(now, on) == Fit::Trial
-        });
-        if let Some(at) = trial.filter(|_| on.has(Safeguard::Ejection)) {
-            return Some(target(entry, tracks, at, false));
+        if entry.ejected > 0
+            && let Some(pick) = self.trial(now, entry, &open)
+        {
+            return Some(pick);
         }
         let fits = |track: &Track| match track.fit(now, on) {
             Fit::Free => true,
             Fit::Trial | Fit::Ejected | Fit::Busy => !on.has(Safeguard::Ejection) && !track.held,
             Fit::Out => false,
         };
-        let places = entry
-            .locals
-            .iter()
-            .enumerate()
-            .map(|(at, local)| (at, &tracks[local.track]))
-            .filter(|&(_, track)| open(track) && fits(track))
-            .map(|(at, track)| (at, track.score(now, entry.best, on)));
-        let at = self.tuning.policy.choose(places, &mut self.rng)?;
-        Some(target(entry, tracks, at, false))
+        let count = entry.locals.len();
+        let start = if count > WINDOW {
+            self.rng.usize(..count)
+        } else {
+            0
+        };
+        let tracks = self.tracks.as_slice();
+        let places = |at: core::ops::Range<usize>| {
+            at.map(|i| (start + i) % count)
+                .map(|at| (at, &tracks[entry.locals[at].track]))
+                .filter(|&(_, track)| open(track) && fits(track))
+                .map(|(at, track)| (at, track.score(now, entry.best, on)))
+        };
+        let policy = self.tuning.policy;
+        let found = policy.choose(places(0..count.min(WINDOW)), &mut self.rng);
+        let found = found.or_else(|| {
+            let rest = count.min(WINDOW)..count;
+            policy.choose(places(rest), &mut self.rng)
+        });
+        Some(target(entry, tracks, found?, false))
+    }
+
+    /// An ejected target that is due for its trial.
+    fn trial(&self, now: Time, entry: &Group, open: &impl Fn(&Track) -> bool) -> Option<Pick> {
+        let on = self.tuning.safeguards;
+        let tracks = self.tracks.as_slice();
+        let at = entry.locals.iter().position(|local| {
+            let track = &tracks[local.track];
+            let may = entry.idempotent || track.health.vouched();
+            may && open(track) && track.fit(now, on) == Fit::Trial
+        })?;
+        on.has(Safeguard::Ejection)
+            .then(|| target(entry, tracks, at, false))
     }
 
     /// Whether a target in use is left that the request wasn't sent to.
--- a/crates/steer/src/process/dispatch/renew.rs
+++ b/crates/steer/src/process/dispatch/renew.rs
@@ -167,6 +167,7 @@
             latency,
             best,
             limit: 0,
+            ejected: 0,
             flight: u32::try_from(running.iter().filter(|r| on_target(r)).count())
                 .unwrap_or(u32::MAX),
             running: running.len(),
--- a/crates/steer/src/request/admission.rs
+++ b/crates/steer/src/request/admission.rs
@@ -11,6 +11,9 @@
 /// Shortest and longest time after which a caller is asked to come back.
 pub const COME_BACK: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(10));
 
+/// Shortest and longest time for which a peer is asked to send nothing.
+pub const PAUSE: (Duration, Duration) = (Duration::from_millis(2), Duration::from_millis(200));
+
 /// What waiting here would mean.
 #[derive(Clone, Copy, Debug)]
 pub struct Outlook {
@@ -67,6 +70,14 @@
     span + Duration::from_micros(rng.u64(..=latency::micros(span)))
 }
 
+/// The same for a peer. It asks on behalf of many and has room elsewhere to
+/// find; a slot here is free again in a fraction of a request's time.
+#[must_use]
+pub fn pause(span: Duration, rng: &mut fastrand::Rng) -> Duration {
+    let span = span.clamp(PAUSE.0, PAUSE.1);
+    span + Duration::from_micros(rng.u64(..=latency::micros(span)))
+}
+
 /// Requests per caller, sorted by name; callers without requests are dropped.
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
