--- a/crates/steer/src/process/dispatch.rs
+++ b/crates/steer/src/process/dispatch.rs
@@ -191,7 +191,7 @@
             // request that waits here could have been placed elsewhere.
             return self.give_up(&job, Reason::Overloaded, outlook.wait(), out);
         }
-        let short = outlook.wait() <= self.tuning.limits.wait;
+        let short = outlook.wait() <= self.patience(now, group);
         let hope = !on.has(Safeguard::Admission) || (short && outlook.hopeful(left));
         let stay = hope && self.has_open(now, group, &job) && self.fits(group);
         let patience = if stay { outlook.wait() } else { left };
@@ -200,7 +200,7 @@
             return self.send(now, group, job, pick, out);
         }
         if stay && self.make_room(group, out) {
-            return self.wait(group, job);
+            return self.wait(now, group, job);
         }
         if outlook.limit == 0
             && room
--- a/crates/steer/src/process/dispatch/group.rs
+++ b/crates/steer/src/process/dispatch/group.rs
@@ -60,6 +60,8 @@
     pub near: usize,
     /// Requests that wait, oldest in front.
     pub queue: VecDeque<Job>,
+    /// Since when the queue hasn't been empty.
+    pub since: Time,
     /// Measured time per request on the local targets.
     pub latency: latency::Latency,
     /// Lowest mean time of a local target, in microseconds; zero if unknown.
--- a/crates/steer/src/process/dispatch/queue.rs
+++ b/crates/steer/src/process/dispatch/queue.rs
@@ -3,6 +3,8 @@
 //! Invariant: a class fills no more than its share; the lowest class gives way
 //! first, and still gets a small share of what is picked.
 
+use core::time::Duration;
+
 use crate::clock::Time;
 use crate::process::dispatch::Dispatch;
 use crate::process::dispatch::job::Job;
@@ -13,6 +15,12 @@
 /// One in so many picks goes to whoever waits longest, whatever its class.
 const TURN: u64 = 16;
 
+/// Time after which a queue that was never empty means overload.
+const STANDING: Duration = Duration::from_millis(500);
+
+/// By how much such a queue is kept shorter.
+const SHORTER: u32 = 4;
+
 /// Part of the queue, one in so many places, that each class keeps against
 /// higher classes.
 const KEEP: usize = 16;
@@ -67,9 +75,26 @@
         true
     }
 
+    /// Longest expected wait for which a request is taken in.
+    ///
+    /// A queue evens out bursts. One that hasn't been empty for [`STANDING`] is
+    /// no burst but overload: as many are refused however long it is, and all
+    /// that it adds is latency. It is then kept short.
+    pub(super) fn patience(&self, now: Time, group: usize) -> Duration {
+        let entry = &self.groups[group];
+        let standing = !entry.queue.is_empty() && now.since(entry.since) > STANDING;
+        let wait = self.tuning.limits.wait;
+        let on = self.tuning.safeguards.has(Safeguard::ShortQueue);
+        if on && standing { wait / SHORTER } else { wait }
+    }
+
     /// Lets a job wait; one that was sent before goes to the front.
-    pub(super) fn wait(&mut self, group: usize, job: Job) {
-        let queue = &mut self.groups[group].queue;
+    pub(super) fn wait(&mut self, now: Time, group: usize, job: Job) {
+        let entry = &mut self.groups[group];
+        if entry.queue.is_empty() {
+            entry.since = now;
+        }
+        let queue = &mut entry.queue;
         if job.tried.is_empty() {
             queue.push_back(job);
         } else {
--- a/crates/steer/src/process/dispatch/renew.rs
+++ b/crates/steer/src/process/dispatch/renew.rs
@@ -13,6 +13,7 @@
 use crate::process::dispatch::Dispatch;
 use crate::process::dispatch::group::{Group, Local, Remote};
 use crate::process::dispatch::message::Action;
+use crate::process::target::window::{self, Window};
 use crate::process::target::{Track, latency};
 use crate::request::outcome::Reason;
 use crate::version::view::{Domain, MemberData, Service, State, TargetData, View};
@@ -98,7 +99,8 @@
             return None;
         }
         let (name, service) = (Arc::clone(&data.name), Arc::clone(&service.name));
-        let mut track = Track::new(name, service, data.slots, data.slots, now);
+        let window = Window::new(data.slots, data.slots, window::TARGET);
+        let mut track = Track::new(name, service, data.slots, window, now);
         track.state = state;
         // A process that has just started knows none of the targets, which are
         // no colder for that.
@@ -118,7 +120,8 @@
         let service = &view.services[service].name;
         let make = || {
             let (name, service) = (Arc::clone(&data.name), Arc::clone(service));
-            let mut track = Track::new(name, service, PEER.1, PEER.0, now);
+            let window = Window::new(PEER.0, PEER.1, window::PEER);
+            let mut track = Track::new(name, service, PEER.1, window, now);
             track.incarnation = data.incarnation;
             track.state = data.state;
             track
@@ -147,9 +150,9 @@
         let mut remotes = self.remotes(service, home);
         remotes.sort_by_key(|r| !r.near);
         let near = remotes.partition_point(|r| r.near);
-        let (queue, latency, best) = match kept {
-            Some(kept) => (kept.queue, kept.latency, kept.best),
-            None => (VecDeque::new(), latency::Latency::default(), 0),
+        let (queue, since, latency, best) = match kept {
+            Some(kept) => (kept.queue, kept.since, kept.latency, kept.best),
+            None => (VecDeque::new(), Time::ZERO, latency::Latency::default(), 0),
         };
         let here = |r: &&super::Running| r.job.arrival.service == data.name;
         let on_target = |r: &&super::Running| matches!(r.place, super::Place::Target { .. });
@@ -164,6 +167,7 @@
             remotes,
             near,
             queue,
+            since,
             latency,
             best,
             limit: 0,
--- a/crates/steer/src/process/dispatch/settle.rs
+++ b/crates/steer/src/process/dispatch/settle.rs
@@ -169,7 +169,7 @@
         track.window.widen();
         track
             .foreign
-            .check(track.slots, latency::micros(took) <= best * 2);
+            .check(track.slots, latency::micros(took) <= best);
         if track.health.success(running.begun) {
             track.chill(now);
         }
--- a/crates/steer/src/process/dispatch/tuning.rs
+++ b/crates/steer/src/process/dispatch/tuning.rs
@@ -26,6 +26,8 @@
     Leaving,
     /// What can't be answered in time is refused at once.
     Admission,
+    /// A queue that never empties is kept short.
+    ShortQueue,
     /// A class fills no more than its share of the queue.
     ClassShare,
     /// The lowest class keeps a small share of what is picked.
@@ -49,7 +51,7 @@
 }
 
 impl Safeguard {
-    const NAMES: [(Self, &'static str); 17] = [
+    const NAMES: [(Self, &'static str); 18] = [
         (Self::OwnCount, "own-count"),
         (Self::ReportBound, "report-bound"),
         (Self::Ejection, "ejection"),
@@ -57,6 +59,7 @@
         (Self::Ramp, "ramp"),
         (Self::Leaving, "leaving"),
         (Self::Admission, "admission"),
+        (Self::ShortQueue, "short-queue"),
         (Self::ClassShare, "class-share"),
         (Self::Guarantee, "guarantee"),
         (Self::CallerLimit, "caller-limit"),
--- a/crates/steer/src/process/target.rs
+++ b/crates/steer/src/process/target.rs
@@ -78,7 +78,13 @@
 impl Track {
     /// A place without history.
     #[must_use]
-    pub fn new(name: Arc<str>, service: Arc<str>, slots: u32, start: u32, now: Time) -> Self {
+    pub fn new(
+        name: Arc<str>,
+        service: Arc<str>,
+        slots: u32,
+        window: window::Window,
+        now: Time,
+    ) -> Self {
         Self {
             name,
             service,
@@ -88,7 +94,7 @@
             flight: 0,
             latency: latency::Latency::default(),
             health: health::Health::default(),
-            window: window::Window::new(start, slots),
+            window,
             foreign: report::Foreign::default(),
             held: false,
             evidence: now,
--- a/crates/steer/src/process/target/report.rs
+++ b/crates/steer/src/process/target/report.rs
@@ -14,7 +14,8 @@
 /// The load that is not this instance's, as last reported.
 #[derive(Clone, Copy, Debug)]
 pub struct Foreign {
-    load: u32,
+    /// Thousandths of a request, smoothed.
+    load: u64,
     at: Option<Time>,
     trust: u64,
 }
@@ -31,8 +32,16 @@
 
 impl Foreign {
     /// Takes a reported `load`, of which `own` requests are this instance's.
-    pub const fn note(&mut self, now: Time, load: u32, own: u32) {
-        self.load = load.saturating_sub(own);
+    /// The report is of another moment than `own`, so their difference is
+    /// smoothed.
+    pub fn note(&mut self, now: Time, load: u32, own: u32) {
+        let load = u64::from(load.saturating_sub(own)) * 1000;
+        let fresh = self.at.is_some_and(|at| now.since(at) <= FRESH);
+        self.load = if fresh {
+            (self.load * 3 + load) / 4
+        } else {
+            load
+        };
         self.at = Some(now);
     }
 
@@ -41,22 +50,22 @@
     pub fn extra(&self, now: Time, slots: u32, on: Safeguards) -> u64 {
         let Some(at) = self.at else { return 0 };
         if !on.has(Safeguard::ReportBound) {
-            return u64::from(self.load) * 1000;
+            return self.load;
         }
         if now.since(at) > FRESH {
             return 0;
         }
-        u64::from(self.load.min(slots)) * self.trust
+        self.load.min(u64::from(slots) * 1000) * self.trust / 1000
     }
 
-    /// Compares the claim with an answer. A target that says it is full and
-    /// answers as `quick` as the others loses trust; otherwise it regains it.
+    /// Compares the claim with an answer. A target that says others fill it,
+    /// and answers as `quick` as an idle one, loses trust; else it regains it.
     pub fn check(&mut self, slots: u32, quick: bool) {
-        let full = self.at.is_some() && self.load >= slots;
+        let full = self.at.is_some() && self.load >= u64::from(slots) * 1000;
         self.trust = if full && quick {
-            self.trust * 3 / 4
+            self.trust * 9 / 10
         } else {
-            (self.trust + 20).min(1000)
+            (self.trust + 50).min(1000)
         };
     }
 }
--- a/crates/steer/src/process/target/window.rs
+++ b/crates/steer/src/process/target/window.rs
@@ -11,8 +11,21 @@
 use crate::clock::Time;
 use crate::process::target::latency;
 
-/// What is left of the window after a refusal, in tenths.
-const CUT: u32 = 7;
+/// How a window moves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// What is left of it after a refusal, in tenths.
+    pub cut: u32,
+    /// Answers that widen it by one request, per request that it allows.
+    pub widen: u32,
+}
+
+/// For targets. They refuse after their slots and backlog are full: too late.
+pub const TARGET: Pace = Pace { cut: 7, widen: 4 };
+/// For peers. They refuse before they are full, and often; cut by more than
+/// this, the window stays at one request while the peer has room for several.
+pub const PEER: Pace = Pace { cut: 9, widen: 1 };
+
 /// Shortest and longest time that a refusal keeps new requests away. The upper
 /// bound keeps a target that misleads from shutting itself out for ever.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(2), Duration::from_millis(500));
@@ -22,6 +35,7 @@
 pub struct Window {
     limit: u32,
     max: u32,
+    pace: Pace,
     cut: Time,
     pause: Time,
 }
@@ -29,10 +43,11 @@
 impl Window {
     /// A window that starts at `start` requests.
     #[must_use]
-    pub const fn new(start: u32, max: u32) -> Self {
+    pub const fn new(start: u32, max: u32, pace: Pace) -> Self {
         Self {
             limit: start.saturating_mul(1000),
             max: max.saturating_mul(1000),
+            pace,
             cut: Time::ZERO,
             pause: Time::ZERO,
         }
@@ -63,13 +78,13 @@
         // Attempts sent before the last cut were sent under the wider window.
         if begun >= self.cut {
             self.cut = now;
-            self.limit = (self.limit / 10 * CUT).max(1000);
+            self.limit = (self.limit / 10 * self.pace.cut).max(1000);
         }
     }
 
     /// Takes an answer.
     pub fn widen(&mut self) {
         let step = 1_000_000 / self.limit.max(1000);
-        self.limit = (self.limit + step / 4).min(self.max);
+        self.limit = (self.limit + step / self.pace.widen).min(self.max);
     }
 }
