--- a/crates/steer/src/process/dispatch/group.rs
+++ b/crates/steer/src/process/dispatch/group.rs
@@ -10,7 +10,7 @@
 
 use crate::clock::Time;
 use crate::process::dispatch::job::Job;
-use crate::process::dispatch::tuning::Safeguards;
+use crate::process::dispatch::tuning::{Safeguard, Safeguards};
 use crate::process::target::{Fit, Table, latency};
 use crate::request::admission::Outlook;
 use crate::version::view::{Incarnation, Member};
@@ -80,20 +80,19 @@
     /// Renews what is derived from the tracks.
     pub fn refresh(&mut self, now: Time, table: &Table, on: Safeguards) {
         let tracks = table.as_slice();
-        self.best = 0;
+        let means = self.locals.iter().map(|l| tracks[l.track].latency.mean());
+        self.best = means.flatten().min().map_or(0, latency::micros);
         self.limit = 0;
         self.ejected = 0;
         for local in &self.locals {
             let track = &tracks[local.track];
             let fit = track.fit(now, on);
-            if matches!(fit, Fit::Free | Fit::Busy) {
+            let slow = track.latency.pace(now, self.best, 0) != latency::Pace::Good;
+            let slow = slow && on.has(Safeguard::SlowTarget);
+            if matches!(fit, Fit::Free | Fit::Busy) && !slow {
                 self.limit = self.limit.saturating_add(track.limit(now, on));
             }
             self.ejected += usize::from(matches!(fit, Fit::Ejected | Fit::Trial));
-            let mean = track.latency.mean().map_or(0, latency::micros);
-            if mean > 0 && (self.best == 0 || mean < self.best) {
-                self.best = mean;
-            }
         }
     }
 
--- a/crates/steer/src/process/dispatch/place.rs
+++ b/crates/steer/src/process/dispatch/place.rs
@@ -12,7 +12,7 @@
 use crate::process::dispatch::message::Place;
 use crate::process::dispatch::tuning::Safeguard;
 use crate::process::dispatch::{Dispatch, Origin};
-use crate::process::target::{Fit, Track, choose};
+use crate::process::target::{Fit, Track, choose, latency};
 use crate::request::{poison, retry};
 use crate::version::view::Member;
 
@@ -74,8 +74,17 @@
         {
             return Some(pick);
         }
+        let wait = latency::micros(entry.outlook().wait());
+        let brisk = |track: &Track| {
+            !on.has(Safeguard::SlowTarget)
+                || match track.latency.pace(now, entry.best, wait) {
+                    latency::Pace::Good => true,
+                    latency::Pace::Unsure => track.flight == 0,
+                    latency::Pace::Slow => false,
+                }
+        };
         let fits = |track: &Track| match track.fit(now, on) {
-            Fit::Free => true,
+            Fit::Free => brisk(track),
             Fit::Trial | Fit::Ejected | Fit::Busy => !on.has(Safeguard::Ejection) && !track.held,
             Fit::Out => false,
         };
--- a/crates/steer/src/process/dispatch/settle.rs
+++ b/crates/steer/src/process/dispatch/settle.rs
@@ -161,7 +161,7 @@
         let track = &mut self.tracks.slice_mut()[at];
         // A target that fails fast must not attract requests by its speed.
         if status < 500 || latency::micros(took) >= best {
-            track.latency.record(now, took, 8);
+            track.latency.record(now, took, 16);
             if let Some(group) = group.filter(|_| local) {
                 self.groups[group].latency.record(now, took, 32);
             }
--- a/crates/steer/src/process/dispatch/tuning.rs
+++ b/crates/steer/src/process/dispatch/tuning.rs
@@ -20,6 +20,8 @@
     Ejection,
     /// Soft evidence never ejects all targets of a service.
     LastTarget,
+    /// A target so slow that waiting for another is faster gets nothing.
+    SlowTarget,
     /// Cold targets ramp.
     Ramp,
     /// Reports and refusals say that a target is leaving.
@@ -51,11 +53,12 @@
 }
 
 impl Safeguard {
-    const NAMES: [(Self, &'static str); 18] = [
+    const NAMES: [(Self, &'static str); 19] = [
         (Self::OwnCount, "own-count"),
         (Self::ReportBound, "report-bound"),
         (Self::Ejection, "ejection"),
         (Self::LastTarget, "last-target"),
+        (Self::SlowTarget, "slow-target"),
         (Self::Ramp, "ramp"),
         (Self::Leaving, "leaving"),
         (Self::Admission, "admission"),
--- a/crates/steer/src/process/target/latency.rs
+++ b/crates/steer/src/process/target/latency.rs
@@ -13,6 +13,17 @@
 /// difference is noise, and preferring one would send it all the traffic.
 const NOISE: u64 = 1500;
 
+/// Whether a place is fast enough.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pace {
+    /// As far as known.
+    Good,
+    /// It was too slow, long enough ago to be tried again.
+    Unsure,
+    /// Waiting for another one is faster.
+    Slow,
+}
+
 /// Mean and mean deviation, weighted to the newest.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Latency {
@@ -26,7 +37,6 @@
     /// Takes a measurement, the newest weighing `1 / weight` of the mean.
     pub fn record(&mut self, now: Time, took: Duration, weight: u64) {
         let took = micros(took);
-        self.at = now;
         if !self.known {
             *self = Self {
                 mean: took,
@@ -36,9 +46,12 @@
             };
             return;
         }
+        // After a silence the old mean says little.
+        let weight = if now.since(self.at) > FADE { 2 } else { weight };
         let off = self.mean.abs_diff(took);
         self.dev = (self.dev * (weight - 1) + off) / weight;
         self.mean = (self.mean * (weight - 1) + took) / weight;
+        self.at = now;
     }
 
     /// Mean time, once measured.
@@ -54,6 +67,21 @@
             .then(|| Duration::from_micros(self.mean + 4 * self.dev))
     }
 
+    /// How a request sent now would fare, against one that first waits for
+    /// `wait` microseconds and then takes twice `best`.
+    #[must_use]
+    pub fn pace(&self, now: Time, best: u64, wait: u64) -> Pace {
+        let most = best.saturating_mul(2).saturating_add(wait);
+        if !self.known || best == 0 || self.mean <= most {
+            return Pace::Good;
+        }
+        if self.ratio(now, best).saturating_mul(best) / 1000 <= most {
+            Pace::Unsure
+        } else {
+            Pace::Slow
+        }
+    }
+
     /// Mean over `best` in thousandths; 1000 if within noise or unknown.
     #[must_use]
     pub fn ratio(&self, now: Time, best: u64) -> u64 {
