--- a/crates/steer/src/process/target/choose.rs
+++ b/crates/steer/src/process/target/choose.rs
@@ -6,9 +6,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Policy {
     /// The lowest score; ties are broken at random.
-    #[default]
     Least,
-    /// The lower score of two places drawn at random.
+    /// The lower score of two places drawn at random. Entry instances that
+    /// share targets have the same stale reports; taking the lowest of all,
+    /// they would all go to the same target.
+    #[default]
     Two,
     /// Drawn at random, in inverse proportion to the score.
     Weighted,
