Split the model, and measure hedging

The model draws the second time anew, which favours hedging. Conclusion: not taken into the product.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,21 +3,24 @@
 use std::process::ExitCode;
 
 use lexopt::{Arg, ValueExt};
-use measure::{cost, model, scenarios};
+use measure::model::deployment;
+use measure::{cost, scenarios};
 
 const HELP: &str = "\
 measure steer --deployment bluestone|tesfaye [--seed N] [--seconds N] [--only WORD]
 measure policies [--seed N] [--seconds N]
+measure hedge [--seed N] [--seconds N]
 measure cost [--seed N]
 
 steer     virtual time: latency and refusals of both engines under load and faults
 policies  virtual time: ways to choose a target, 1 to 22 entry instances sharing 12
+hedge     virtual time: a second attempt after 45 ms, its gain and its load
 cost      processor time of one decision at 12, 144 and 1500 targets
 ";
 
 struct Options {
     command: String,
-    deployment: &'static model::Deployment,
+    deployment: &'static deployment::Deployment,
     seed: u64,
     seconds: u64,
     only: String,
@@ -35,6 +38,7 @@
     let text = match &*options.command {
         "steer" => scenarios::steer(options.deployment, seed, seconds, &options.only),
         "policies" => scenarios::policies(seed, seconds),
+        "hedge" => scenarios::hedge(seed, seconds),
         "cost" => cost::table(seed),
         _ => HELP.to_owned(),
     };
@@ -45,7 +49,7 @@
 fn parse() -> Result<Options, lexopt::Error> {
     let mut options = Options {
         command: String::new(),
-        deployment: &model::BLUESTONE,
+        deployment: &deployment::BLUESTONE,
         seed: 1,
         seconds: 30,
         only: String::new(),
@@ -59,7 +63,7 @@
             Arg::Long("only") => options.only = parser.value()?.string()?,
             Arg::Long("deployment") => {
                 let name = parser.value()?.string()?;
-                let found = model::DEPLOYMENTS.iter().find(|d| d.name == name);
+                let found = deployment::DEPLOYMENTS.iter().find(|d| d.name == name);
                 options.deployment = found.copied().ok_or("use bluestone or tesfaye")?;
             }
             other => return Err(other.unexpected()),
--- a/crates/measure/src/scenarios.rs
+++ b/crates/measure/src/scenarios.rs
@@ -7,7 +7,8 @@
 use steer::process::dispatch::tuning::{Safeguard, Safeguards, Tuning};
 use steer::process::target::choose::Policy;
 
-use crate::model::{self, Deployment, Fault, Figures, Kind, Layout, Outcomes, Setup, Sign};
+use crate::model::deployment::{self, Deployment, Layout};
+use crate::model::{self, Fault, Figures, Kind, Outcomes, Setup, Sign};
 
 /// Targets that faults strike: the first of the first service that callers
 /// wait for (`sheetview`, `stock`), in the first failure domain.
@@ -15,6 +16,9 @@
 /// When faults begin.
 const BEGIN: Duration = Duration::from_secs(10);
 
+/// A name, the offered load, and what happens when.
+type Case = (&'static str, f64, Vec<(Duration, Fault)>);
+
 /// Engines that are compared.
 fn engines(deployment: &Deployment) -> Vec<(&'static str, Kind)> {
     vec![
@@ -39,7 +43,7 @@
     );
     let span = Duration::from_secs(seconds) + model::WARM_UP;
     let back = BEGIN + Duration::from_secs(10);
-    let cases: Vec<(&str, f64, Vec<(Duration, Fault)>)> = vec![
+    let cases: Vec<Case> = vec![
         ("load-0.5", 0.5, vec![]),
         ("load-0.9", 0.9, vec![]),
         ("load-1.2", 1.2, vec![]),
@@ -135,7 +139,7 @@
 /// Ways to choose among 12 targets that several instances share.
 #[must_use]
 pub fn policies(seed: u64, seconds: u64) -> String {
-    let deployment = &model::BLUESTONE;
+    let deployment = &deployment::BLUESTONE;
     let mut out = format!(
         "virtual time; 12 targets of 3 slots shared, seed {seed}, {seconds} s measured\n\n"
     );
@@ -174,6 +178,47 @@
     out
 }
 
+/// What a second attempt after the 95th percentile gains and costs.
+#[must_use]
+pub fn hedge(seed: u64, seconds: u64) -> String {
+    let deployment = &deployment::BLUESTONE;
+    let mut out = format!("virtual time; sheetview, seed {seed}, {seconds} s measured\n\n");
+    let tuning = tuning(deployment);
+    let delay = Duration::from_millis(45);
+    let kinds = [
+        ("plain", Kind::Steer(tuning)),
+        ("hedged", Kind::Hedge(tuning, delay)),
+    ];
+    let slow = vec![(Duration::ZERO, Fault::Slow(STRUCK, 10.0))];
+    let cases: [Case; 5] = [
+        ("load 0.5", 0.5, vec![]),
+        ("load 0.7", 0.7, vec![]),
+        ("load 0.9", 0.9, vec![]),
+        ("load 1.2", 1.2, vec![]),
+        ("slow 1 of 12, load 0.7", 0.7, slow),
+    ];
+    for (name, load, faults) in cases {
+        for (kind_name, kind) in kinds {
+            let outcomes = model::run(Setup {
+                deployment,
+                layout: Layout::today(),
+                kind,
+                load,
+                seed,
+                span: Duration::from_secs(seconds) + model::WARM_UP,
+                faults: faults.clone(),
+            });
+            one(&mut out, &format!("{name} {kind_name}"), &outcomes, 3);
+            let asked: u64 = outcomes.services.iter().map(|s| s.asked).sum();
+            line(
+                &mut out,
+                &format!("  attempts {} asked {asked}", outcomes.attempts),
+            );
+        }
+    }
+    out
+}
+
 fn rows(out: &mut String, deployment: &Deployment, label: &str, outcomes: &Outcomes) {
     line(
         out,
