--- a/crates/auburnrouter/src/daemon/engine.rs
+++ b/crates/auburnrouter/src/daemon/engine.rs
@@ -25,6 +25,12 @@
 use super::peers::Peers;
 use super::workers::Executor;
 
+/// Time for a target to answer a probe.
+const PROBE_TIME: Duration = Duration::from_millis(250);
+
+/// Time for a peer to take the word on a request that breaks targets.
+const SUSPECT_TIME: Duration = Duration::from_millis(500);
+
 /// What the drivers give the decisions about a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
@@ -116,6 +122,15 @@
         told.recv().await.ok()
     }
 
+    /// Takes a peer's word on a request that breaks targets.
+    pub fn suspected(&self, fingerprint: arrival::Fingerprint, strikes: u8) {
+        let event = traffic::Event::Suspected {
+            fingerprint,
+            strikes,
+        };
+        self.handle(&mut self.lock(), event);
+    }
+
     /// Puts a new view in force.
     pub fn install(&self, view: Arc<view::View>) {
         self.handle(&mut self.lock(), traffic::Event::View(view));
@@ -243,6 +258,19 @@
                 call,
                 budget,
             } => self.go(Kind::Store { id, key, call }, budget),
+            traffic::Action::Probe { target, addr } => {
+                self.go(Kind::Probe { target, addr }, PROBE_TIME);
+            }
+            traffic::Action::Suspect {
+                fingerprint,
+                strikes,
+            } => self.go(
+                Kind::Suspect {
+                    fingerprint,
+                    strikes,
+                },
+                SUSPECT_TIME,
+            ),
             traffic::Action::Issue(prefix) => {
                 self.prefix.store(prefix.map(|p| Arc::new(p.to_string())));
             }
--- a/crates/auburnrouter/src/daemon/engine/errand.rs
+++ b/crates/auburnrouter/src/daemon/engine/errand.rs
@@ -55,6 +55,20 @@
         /// The call.
         call: record::StoreCall,
     },
+    /// Ask a target how it is.
+    Probe {
+        /// Its name.
+        target: Arc<str>,
+        /// Where it listens.
+        addr: SocketAddr,
+    },
+    /// Tell the peers how many targets broke under a request.
+    Suspect {
+        /// The request's fingerprint.
+        fingerprint: arrival::Fingerprint,
+        /// Targets that broke.
+        strikes: u8,
+    },
     /// Tell a target that an answer is no longer wanted.
     Cancel {
         /// Where the target listens.
@@ -110,6 +124,20 @@
                 let result = claim::settle(&*engine.means.store, &key, call, budget).await;
                 engine.report(traffic::Event::Stored { id, result });
             }
+            Kind::Probe { target, addr } => {
+                let report = engine.means.outbound.probe(addr, budget).await;
+                engine.report(traffic::Event::Probed { target, report });
+            }
+            Kind::Suspect {
+                fingerprint,
+                strikes,
+            } => {
+                engine
+                    .means
+                    .peers
+                    .suspect(fingerprint, strikes, budget)
+                    .await
+            }
             Kind::Cancel { addr, name } => engine.means.outbound.cancel(addr, &name).await,
         }
     }
--- a/crates/steer/src/process.rs
+++ b/crates/steer/src/process.rs
@@ -2,4 +2,5 @@
 
 pub mod dispatch;
 pub mod gate;
+pub mod target;
 pub mod traffic;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -41,6 +41,15 @@
     pub owned: bool,
 }
 
+/// How many targets broke under a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The request's fingerprint.
+    pub fingerprint: u128,
+    /// Targets that broke; zero clears it.
+    pub strikes: u8,
+}
+
 /// What became of a request passed on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Forwarded {
