Add scenarios: a small script language over real processes

Cause: the path from caller to target and back has to be proved with separate processes, and the proofs have to be readable.

`await` is the only way of synchronising.

Ruled out: a harness of its own file format; datadriven and rstest give files, expected output and rewriting.

--- /dev/null
+++ b/crates/scenarios/src/process.rs
@@ -0,0 +1,148 @@
+//! One process of a scenario.
+//!
+//! Invariant: a [`Process`] that is dropped has ended and been reaped, also if
+//! it was frozen.
+
+use std::io::{self, BufRead, BufReader};
+use std::os::unix::process::ExitStatusExt;
+use std::path::Path;
+use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal};
+
+use crate::BOUND;
+use crate::error::Error;
+
+/// Time between two looks at whether a process has ended.
+const POLL: Duration = Duration::from_millis(5);
+
+/// A running process.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts `actor` with `args` and waits for its first line.
+    ///
+    /// # Errors
+    /// It can't be started, or prints no line within [`BOUND`].
+    pub fn start(actor: &Path, name: &str, args: &[String]) -> Result<(Self, String), Error> {
+        let mut child = Command::new(actor)
+            .args(args)
+            // A handful of threads each: a scenario runs many processes.
+            .env("SMOL_THREADS", "2")
+            .env("ASYNC_GLOBAL_EXECUTOR_THREADS", "2")
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let out = child.stdout.take();
+        let process = Self { child };
+        let said = out.map(first_line).transpose()?.unwrap_or_default();
+        if said.is_empty() {
+            let name = name.to_owned();
+            return Err(Error::NotReady { name, said });
+        }
+        Ok((process, said))
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// It has ended already.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let pid = pid.ok_or(io::ErrorKind::InvalidInput)?;
+        Ok(rustix::process::kill_process(pid, signal)?)
+    }
+
+    /// Waits until it has ended.
+    ///
+    /// # Errors
+    /// It did not end within [`BOUND`].
+    pub fn wait(&mut self) -> Result<ExitStatus, Error> {
+        let until = Instant::now() + BOUND;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            if Instant::now() > until {
+                return Err(Error::Late(format!("process {}", self.child.id())));
+            }
+            thread::sleep(POLL);
+        }
+    }
+
+    /// Whether it still runs.
+    ///
+    /// # Errors
+    /// The operating system can't tell.
+    pub fn runs(&mut self) -> io::Result<bool> {
+        Ok(self.child.try_wait()?.is_none())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // SIGKILL ends a frozen process too; both fail only if it has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// How a process ended, in words.
+#[must_use]
+pub fn ending(status: ExitStatus) -> String {
+    match (status.code(), status.signal()) {
+        (Some(code), _) => format!("exit {code}"),
+        (None, Some(signal)) => format!("signal {signal}"),
+        (None, None) => "unknown".to_owned(),
+    }
+}
+
+/// Runs `actor` with `args` to its end. Returns what it printed, and how it
+/// ended.
+///
+/// # Errors
+/// It can't be started, or does not end within [`BOUND`].
+pub fn run(actor: &Path, args: &[String]) -> Result<(String, ExitStatus), Error> {
+    let mut child = Command::new(actor)
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()?;
+    let out = child.stdout.take().map(all);
+    let err = child.stderr.take().map(all);
+    let mut process = Process { child };
+    let status = process.wait()?;
+    let mut said = String::new();
+    for part in [out, err].into_iter().flatten() {
+        said += &part.join().unwrap_or_default();
+    }
+    Ok((said, status))
+}
+
+fn all(mut stream: impl io::Read + Send + 'static) -> thread::JoinHandle<String> {
+    thread::spawn(move || {
+        let mut text = String::new();
+        let _ = stream.read_to_string(&mut text);
+        text
+    })
+}
+
+/// The first line; the rest is read and dropped, else the pipe would fill.
+fn first_line(stream: ChildStdout) -> Result<String, Error> {
+    let (tell, told) = mpsc::channel();
+    thread::spawn(move || {
+        let mut lines = BufReader::new(stream).lines();
+        let first = lines.next().and_then(Result::ok).unwrap_or_default();
+        let _ = tell.send(first);
+        lines.map_while(Result::ok).for_each(drop);
+    });
+    let late = |_| Error::Late("start of a process".to_owned());
+    told.recv_timeout(BOUND).map_err(late)
+}
--- /dev/null
+++ b/crates/scenarios/src/script.rs
@@ -0,0 +1,312 @@
+//! The directives of a scenario.
+//!
+//! | directive | does, and prints |
+//! |---|---|
+//! | `store [lag=MS]` | starts the store |
+//! | `target name= service= site= domain= [slots=] [queue=] [work=MS] [crash=WORD]` | starts a target |
+//! | `entry name= domain=` | starts an entry instance, or its replacement |
+//! | `command` | runs the line in its input as a subcommand of the product |
+//! | `lookup at= [service=] [client=]` | prints the entry instances to use |
+//! | `request at= service= [method=] [key=] [caller=] [deadline=MS] [bytes=N] [body=] [named] [later=ID]` | prints the answer; `later` leaves it to `answer` |
+//! | `answer id=` | waits for the answer of an earlier request |
+//! | `fault name=` | switches the fault in its input on |
+//! | `executed [name=] [key=]` | prints how many runs began |
+//! | `kill`, `freeze`, `thaw`, `term`, `exit`, each `name=` | signals a process; `exit` waits for its end |
+//! | `unlist name=`, `leaving name=` | changes the platform's list |
+//! | `await D …` | repeats directive `D` until it prints what the input says |
+//!
+//! In the input of `command`, `{NAME.callers}`, `{NAME.peers}` and
+//! `{NAME.operators}` stand for addresses, `{secret}` for the secret's file and
+//! `{FILE}` for a file written by `file name=FILE`.
+
+use std::path::Path;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use datadriven::TestCase;
+use rustix::process::Signal;
+use trillium_client::Method;
+use wire::instance::State;
+
+use crate::BOUND;
+use crate::error::Error;
+use crate::http::{Answer, Call};
+use crate::process;
+use crate::world::{TargetFacts, World};
+
+mod print;
+
+/// Pause between two tries of an `await`.
+const PAUSE: Duration = Duration::from_millis(20);
+
+struct Later {
+    id: String,
+    named: bool,
+    thread: JoinHandle<Result<Answer, Error>>,
+}
+
+/// Runs the directives of one scenario.
+pub struct Script {
+    world: World,
+    later: Vec<Later>,
+    files: Vec<(String, String)>,
+}
+
+impl Script {
+    /// A script that has not begun.
+    ///
+    /// # Errors
+    /// The scenario's folder can't be made.
+    pub fn new(program: &Path, dir: &Path) -> Result<Self, Error> {
+        Ok(Self {
+            world: World::new(program, dir)?,
+            later: Vec::new(),
+            files: Vec::new(),
+        })
+    }
+
+    /// Runs one directive. What goes wrong is printed, too.
+    pub fn run(&mut self, case: &mut TestCase) -> String {
+        let directive = case.directive.clone();
+        let mut text = match self.directive(&directive, case) {
+            Ok(text) => text,
+            Err(error) => format!("error: {error}"),
+        };
+        if let Err(error) = case.expect_empty() {
+            text = format!("error: {error}");
+        }
+        if !text.is_empty() && !text.ends_with('\n') {
+            text.push('\n');
+        }
+        text
+    }
+
+    fn directive(&mut self, directive: &str, case: &mut TestCase) -> Result<String, Error> {
+        match directive {
+            "store" => self.store(case),
+            "target" => self.target(case),
+            "entry" => self.entry(case),
+            "file" => self.file(case),
+            "command" => self.command(case),
+            "lookup" => self.lookup(case),
+            "request" => self.request(case),
+            "answer" => self.answer(case),
+            "fault" => self.fault(case),
+            "executed" => self.executed(case),
+            "kill" => self.kill(case),
+            "freeze" => self.signal(case, Signal::STOP),
+            "thaw" => self.signal(case, Signal::CONT),
+            "term" => self.signal(case, Signal::TERM),
+            "exit" => self.exit(case),
+            "unlist" => self.relist(case, None),
+            "leaving" => self.relist(case, Some(State::Leaving)),
+            "await" => self.wait(case),
+            other => Err(Error::Directive(other.to_owned())),
+        }
+    }
+
+    fn store(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let lag = case.try_take_arg("lag")?.unwrap_or(0);
+        self.world.start_store(lag)?;
+        Ok(String::new())
+    }
+
+    fn target(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let mut options = Vec::new();
+        for (arg, option) in [
+            ("queue", "--queue"),
+            ("work", "--work-ms"),
+            ("crash", "--crash-on"),
+            ("cold", "--cold-ms"),
+            ("coldwork", "--cold-work-ms"),
+        ] {
+            if let Some(value) = case.try_take_arg::<String>(arg)? {
+                options.extend([option.to_owned(), value]);
+            }
+        }
+        let facts = TargetFacts {
+            name: case.take_arg("name")?,
+            service: case.take_arg("service")?,
+            site: case.take_arg("site")?,
+            domain: case.take_arg("domain")?,
+            slots: case.try_take_arg("slots")?.unwrap_or(3),
+            options,
+        };
+        self.world.start_target(&facts)?;
+        Ok(String::new())
+    }
+
+    fn entry(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let name: String = case.take_arg("name")?;
+        let domain: String = case.take_arg("domain")?;
+        self.world.start_entry(&name, &domain)?;
+        Ok(String::new())
+    }
+
+    fn file(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let name: String = case.take_arg("name")?;
+        let path = self.world.file(&name, &case.input)?;
+        self.files.push((name, path.display().to_string()));
+        Ok(String::new())
+    }
+
+    fn command(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let mut args = Vec::new();
+        for word in case.input.split_whitespace() {
+            args.push(self.expand(word)?);
+        }
+        let (said, status) = self.world.run(&args)?;
+        let said = print::normal(&said, &self.files);
+        Ok(format!("{said}{}", process::ending(status)))
+    }
+
+    /// Replaces `{…}` by what it stands for.
+    fn expand(&self, word: &str) -> Result<String, Error> {
+        let inner = word.strip_prefix('{').and_then(|w| w.strip_suffix('}'));
+        let Some(inner) = inner else {
+            return Ok(word.to_owned());
+        };
+        if inner == "secret" {
+            return Ok(self.world.secret().display().to_string());
+        }
+        if let Some((_, path)) = self.files.iter().rev().find(|(name, _)| name == inner) {
+            return Ok(path.clone());
+        }
+        let unknown = || Error::Unknown(inner.to_owned());
+        let (name, which) = inner.split_once('.').ok_or_else(unknown)?;
+        let listens = self.world.listens(name)?;
+        match which {
+            "callers" => Ok(listens.callers.to_string()),
+            "peers" => Ok(listens.peers.to_string()),
+            "operators" => Ok(listens.operators.to_string()),
+            _ => Err(unknown()),
+        }
+    }
+
+    fn lookup(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let at: String = case.take_arg("at")?;
+        let service: Option<String> = case.try_take_arg("service")?;
+        let client: Option<String> = case.try_take_arg("client")?;
+        let query = [("service", service), ("client", client)];
+        let query = query
+            .into_iter()
+            .filter_map(|(name, value)| Some(format!("{name}={}", value?)));
+        let path = format!("/lookup?{}", query.collect::<Vec<_>>().join("&"));
+        let answer = Call::new(Method::Get, self.world.addr(&at)?, &path, "").make()?;
+        Ok(print::lookup(&answer))
+    }
+
+    fn request(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let call = self.call(case)?;
+        let named = case.take_flag("named")?;
+        let Some(id) = case.try_take_arg::<String>("later")? else {
+            return Ok(print::answer(&self.world, named, call.make()));
+        };
+        let thread = std::thread::spawn(move || call.make());
+        self.later.push(Later { id, named, thread });
+        Ok(String::new())
+    }
+
+    fn call(&self, case: &mut TestCase) -> Result<Call, Error> {
+        let at: String = case.take_arg("at")?;
+        let service: String = case.take_arg("service")?;
+        let method: Option<String> = case.try_take_arg("method")?;
+        let method = method.as_deref().unwrap_or("POST").parse();
+        let method = method.map_err(|_| Error::Http("no such method".to_owned()))?;
+        let bytes: Option<u64> = case.try_take_arg("bytes")?;
+        let query = bytes.map_or(String::new(), |n| format!("?bytes={n}"));
+        let body: Option<String> = case.try_take_arg("body")?;
+        let body = body.unwrap_or_else(|| case.input.trim_end().to_owned());
+        let path = format!("/s/{service}/work{query}");
+        let mut call = Call::new(method, self.world.addr(&at)?, &path, &body);
+        for (arg, header) in [
+            ("key", wire::headers::IDEMPOTENCY_KEY),
+            ("caller", wire::headers::CALLER),
+            ("deadline", wire::headers::DEADLINE_MS),
+        ] {
+            if let Some(value) = case.try_take_arg::<String>(arg)? {
+                call.headers.push((header, value));
+            }
+        }
+        Ok(call)
+    }
+
+    fn answer(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let id: String = case.take_arg("id")?;
+        let at = self.later.iter().position(|later| later.id == id);
+        let later = self.later.remove(at.ok_or(Error::Unknown(id))?);
+        let gone = |_| Err(Error::Http("the caller's thread panicked".to_owned()));
+        let result = later.thread.join().unwrap_or_else(gone);
+        Ok(print::answer(&self.world, later.named, result))
+    }
+
+    fn fault(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let name: String = case.take_arg("name")?;
+        self.world.fault(&name, &case.input)?;
+        Ok(String::new())
+    }
+
+    fn executed(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let name: Option<String> = case.try_take_arg("name")?;
+        let key: Option<String> = case.try_take_arg("key")?;
+        let executed = self.world.executed(name.as_deref(), key.as_deref())?;
+        Ok(executed.runs.len().to_string())
+    }
+
+    fn kill(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let name: String = case.take_arg("name")?;
+        self.world.signal(&name, Signal::KILL)?;
+        self.world.wait(&name)?;
+        Ok(String::new())
+    }
+
+    fn signal(&mut self, case: &mut TestCase, signal: Signal) -> Result<String, Error> {
+        let name: String = case.take_arg("name")?;
+        self.world.signal(&name, signal)?;
+        Ok(String::new())
+    }
+
+    fn exit(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let name: String = case.take_arg("name")?;
+        Ok(process::ending(self.world.wait(&name)?))
+    }
+
+    fn relist(&mut self, case: &mut TestCase, state: Option<State>) -> Result<String, Error> {
+        let name: String = case.take_arg("name")?;
+        self.world.relist(&name, state)?;
+        Ok(String::new())
+    }
+
+    /// The only way of synchronising: repeats until the wanted output comes.
+    fn wait(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let wanted = case.input.trim_end().to_owned();
+        let directive = awaited(case)?;
+        let args = case.args.clone();
+        let until = Instant::now() + BOUND;
+        loop {
+            case.args.clone_from(&args);
+            case.input.clear();
+            let got = match self.directive(&directive, case) {
+                Ok(text) => text,
+                Err(error) => format!("error: {error}"),
+            };
+            if got.trim_end() == wanted {
+                return Ok(String::new());
+            }
+            if Instant::now() > until {
+                return Ok(format!("still: {got}"));
+            }
+            std::thread::sleep(PAUSE);
+        }
+    }
+}
+
+/// The directive that an `await` repeats: its argument without a value.
+fn awaited(case: &mut TestCase) -> Result<String, Error> {
+    for directive in ["lookup", "request", "executed", "command", "exit"] {
+        if case.take_flag(directive)? {
+            return Ok(directive.to_owned());
+        }
+    }
+    Err(Error::Directive("await".to_owned()))
+}
