Print scenarios' answers as one line of words

Cause: the printer appended formatted text piecewise, which the linter rejects. Change: words joined at the end.

--- a/crates/scenarios/src/script/print.rs
+++ b/crates/scenarios/src/script/print.rs
@@ -40,32 +40,27 @@
     let Ok(echo) = serde_json::from_str::<Echo>(&answer.body) else {
         return head(&answer);
     };
-    let domain = world.domain(&echo.target).unwrap_or("unknown");
-    let mut text = format!("{} in {domain}", head(&answer));
+    let mut text = vec![head(&answer), "in".to_owned()];
+    text.push(world.domain(&echo.target).unwrap_or("unknown").to_owned());
     if named {
-        text += &format!(" by {}", echo.target);
+        text.push(format!("by {}", echo.target));
     }
     if !echo.body.is_empty() {
-        text += &format!(": {}", echo.body);
+        text.push(format!("got \"{}\"", echo.body));
     }
     if !echo.pad.is_empty() {
-        text += &format!(" and {} bytes", echo.pad.len());
+        text.push(format!("gave {} bytes", echo.pad.len()));
     }
-    text
+    text.join(" ")
 }
 
 fn head(answer: &Answer) -> String {
-    let mut text = answer.status.to_string();
-    if let Some(outcome) = answer.header(headers::OUTCOME) {
-        text += &format!(" {outcome}");
-    }
-    if let Some(reason) = answer.header(headers::REASON) {
-        text += &format!(" {reason}");
-    }
-    if answer.header(headers::RETRY_AFTER).is_some() {
-        text += ", come back";
-    }
-    text
+    let status = answer.status.to_string();
+    let outcome = answer.header(headers::OUTCOME);
+    let reason = answer.header(headers::REASON);
+    let after = answer.header(headers::RETRY_AFTER).map(|_| "come back");
+    let words = [Some(&*status), outcome, reason, after];
+    words.into_iter().flatten().collect::<Vec<_>>().join(" ")
 }
 
 /// Replaces paths of the scenario's files by their names.
