--- a/crates/auburnrouter/src/daemon/operators.rs
+++ b/crates/auburnrouter/src/daemon/operators.rs
@@ -15,7 +15,7 @@
 
 use settings::secret::Secret;
 use subtle::ConstantTimeEq;
-use trillium_http::{KnownHeaderName, Method};
+use trillium_http::{KnownHeaderName, Method, Status};
 
 use super::accept::{Conn, Limits};
 use super::control;
@@ -25,7 +25,7 @@
 use super::reply;
 
 /// Longest body that operators may send: a whole configuration.
-const BODY_MAX: u64 = 256 << 20;
+const BODY_MAX: u32 = 256 << 20;
 
 /// What the operators' listener needs.
 pub struct Operators {
@@ -48,7 +48,7 @@
             ..bounds
         },
         head: 16 << 10,
-        body: BODY_MAX,
+        body: BODY_MAX as u64,
         connections: 64,
     }
 }
@@ -63,7 +63,7 @@
         let path = conn.path().to_owned();
         match (conn.method(), path.as_str()) {
             (Method::Get, "/metrics") => self.metrics(conn),
-            (Method::Get, "/dump") => self.dump(conn).await,
+            (Method::Get, "/dump") => self.dump(conn),
             _ => {
                 conn.set_status(404);
                 conn
@@ -93,9 +93,7 @@
         conn
     }
 
-    async fn dump(&self, mut conn: Conn) -> Conn {
-        conn.set_status(200);
-        let state = self.control.dump().await;
-        reply::json(conn, &state)
+    fn dump(&self, conn: Conn) -> Conn {
+        reply::json(conn, Status::Ok, &self.control.dump())
     }
 }
--- a/crates/auburnrouter/src/daemon/peers.rs
+++ b/crates/auburnrouter/src/daemon/peers.rs
@@ -14,16 +14,18 @@
 
 use async_compat::{Compat, CompatExt};
 use futures_lite::{StreamExt, future};
+use intent::instance;
 use settings::secret::Secret;
 use smol::net;
 use steer::process::dispatch;
-use steer::request::arrival;
+use steer::request::{arrival, record};
+use steer::version::view;
 use tarpc::server::{self, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tarpc::{client, context, serde_transport};
 use trillium_http::Stopper;
-use wire::peer;
+use wire::{peer, witness};
 
 use super::engine::{Engine, Terms};
 use super::inbound::Inbound;
@@ -34,6 +36,12 @@
 pub trait Peer {
     /// Runs a request that another domain's entry instance passes on.
     async fn forward(request: peer::Forward) -> peer::Forwarded;
+
+    /// Tells of itself and hears of the other end.
+    async fn meet(member: peer::Member) -> peer::Member;
+
+    /// Answers as a witness; `None` if this process is ending.
+    async fn witness(question: witness::Question) -> Option<witness::Word>;
 }
 
 /// Time for a connection to a peer to open.
@@ -66,14 +74,16 @@
         }
     }
 
-    /// Passes a request on and waits for what becomes of it.
+    /// Passes a request on and waits for what becomes of it. `owned` says that
+    /// the other end is asked as the owner of the request's key.
     pub async fn forward(
         &self,
         addr: SocketAddr,
         request: &Inbound,
         budget: Duration,
+        owned: bool,
     ) -> dispatch::Ending {
-        let forward = outgoing(request, budget);
+        let forward = outgoing(request, budget, owned);
         let Some(client) = self.client(addr).await else {
             return dispatch::Ending::Unreachable;
         };
@@ -88,6 +98,51 @@
         }
     }
 
+    /// Tells a peer of this process and hears of it.
+    pub async fn meet(
+        &self,
+        addr: SocketAddr,
+        me: instance::Member,
+    ) -> Option<Vec<instance::Member>> {
+        let late = async {
+            smol::Timer::after(CONNECT_TIME).await;
+            None
+        };
+        let met = async {
+            let client = self.client(addr).await?;
+            let call = client.meet(context(CONNECT_TIME), spoken(&me)).compat();
+            let Ok(member) = call.await else {
+                self.forget(addr);
+                return None;
+            };
+            Some(vec![heard(member)])
+        };
+        future::or(met, late).await
+    }
+
+    /// Asks a witness; `None` if no answer came.
+    pub async fn ask(
+        &self,
+        addr: SocketAddr,
+        question: &record::Question,
+        budget: Duration,
+    ) -> Option<record::Word> {
+        let late = async {
+            smol::Timer::after(budget).await;
+            None
+        };
+        let asked = async {
+            let client = self.client(addr).await?;
+            let call = client.witness(context(budget), question.into()).compat();
+            let Ok(word) = call.await else {
+                self.forget(addr);
+                return None;
+            };
+            word.map(record::Word::from)
+        };
+        future::or(asked, late).await
+    }
+
     async fn client(&self, addr: SocketAddr) -> Option<PeerClient> {
         if let Some(client) = self.find(addr) {
             return Some(client);
@@ -156,7 +211,7 @@
     context
 }
 
-fn outgoing(request: &Inbound, budget: Duration) -> peer::Forward {
+fn outgoing(request: &Inbound, budget: Duration, owned: bool) -> peer::Forward {
     let header = |(name, value): &(Arc<str>, Arc<str>)| peer::Header {
         name: name.as_ref().to_owned(),
         value: value.as_ref().to_owned(),
@@ -170,7 +225,7 @@
         caller: request.caller.as_ref().to_owned(),
         key: request.key.as_deref().map(str::to_owned),
         deadline_ms: u64::try_from(budget.as_millis()).unwrap_or(u64::MAX),
-        owned: false,
+        owned,
     }
 }
 
@@ -182,21 +237,25 @@
     }
 }
 
+/// Says what this process tells of itself.
+pub type Myself = Arc<dyn Fn(SocketAddr) -> peer::Member + Send + Sync>;
+
 /// Takes calls until stopped; calls in progress go on.
 pub async fn serve(
     socket: net::TcpListener,
     secret: Secret,
     engine: Arc<Engine>,
+    myself: Myself,
     executor: Executor,
     stopper: Stopper,
 ) {
     loop {
         let accepted = async { Some(socket.accept().await) };
-        let stopped = async {
+        let end = async {
             stopper.clone().await;
             None
         };
-        match future::or(stopped, accepted).await {
+        match future::or(end, accepted).await {
             None => return,
             Some(Err(_)) => {
                 smol::Timer::after(Duration::from_millis(20)).await;
@@ -204,6 +263,7 @@
             Some(Ok((stream, _))) => {
                 let answer = Answering {
                     engine: Arc::clone(&engine),
+                    myself: Arc::clone(&myself),
                 };
                 let serve = connection(stream, secret.clone(), answer, Arc::clone(&executor));
                 executor.spawn(serve).detach();
@@ -237,17 +297,64 @@
 #[derive(Clone)]
 struct Answering {
     engine: Arc<Engine>,
+    myself: Myself,
 }
 
 impl Peer for Answering {
     async fn forward(self, _: context::Context, forward: peer::Forward) -> peer::Forwarded {
+        let origin = if forward.owned {
+            arrival::Origin::Forward
+        } else {
+            arrival::Origin::Peer
+        };
         let terms = Terms {
             deadline: Some(Duration::from_millis(forward.deadline_ms)),
-            origin: arrival::Origin::Peer,
+            origin,
         };
         let settled = self.engine.serve(incoming(forward), terms).await;
         peer::Forwarded::from(&settled)
     }
+
+    async fn meet(self, _: context::Context, met: peer::Member) -> peer::Member {
+        (self.myself)(met.peer)
+    }
+
+    async fn witness(
+        self,
+        _: context::Context,
+        question: witness::Question,
+    ) -> Option<witness::Word> {
+        let word = self.engine.witness(question.into()).await?;
+        Some(word.into())
+    }
+}
+
+/// What a process tells of itself.
+pub fn spoken(member: &instance::Member) -> peer::Member {
+    peer::Member {
+        name: member.name.as_ref().to_owned(),
+        incarnation: member.incarnation.0,
+        domain: member.domain.as_ref().to_owned(),
+        addr: member.addr,
+        peer: member.peer,
+        leaving: member.state == view::State::Leaving,
+    }
+}
+
+fn heard(member: peer::Member) -> instance::Member {
+    let state = if member.leaving {
+        view::State::Leaving
+    } else {
+        view::State::Live
+    };
+    instance::Member {
+        name: member.name.into(),
+        incarnation: view::Incarnation(member.incarnation),
+        domain: member.domain.into(),
+        addr: member.addr,
+        peer: member.peer,
+        state,
+    }
 }
 
 fn incoming(forward: peer::Forward) -> Inbound {
--- a/crates/auburnrouter/src/daemon/reply.rs
+++ b/crates/auburnrouter/src/daemon/reply.rs
@@ -1,7 +1,8 @@
 //! Answers and refusals as callers see them.
 //!
 //! Invariant: every refusal carries `Outcome` and `Reason`, and `Retry-After`
-//! wherever asking again can help.
+//! wherever asking again can help. What is refused before its head is read is
+//! "unknown": it may repeat a key that another copy has run under already.
 
 use std::time::Duration;
 
@@ -13,16 +14,16 @@
 use super::accept::Conn;
 
 /// Sent to a connection beyond the number allowed.
-pub const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nOutcome: not-run\r\nReason: overloaded\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+pub const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nOutcome: unknown\r\nReason: overloaded\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// Sent when a request isn't whole in time.
-pub const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nOutcome: not-run\r\nReason: bad-request\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+pub const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nOutcome: unknown\r\nReason: bad-request\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// Sent when a request's head is longer than allowed.
-pub const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\nOutcome: not-run\r\nReason: bad-request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+pub const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\nOutcome: unknown\r\nReason: bad-request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// Sent when a request's head can't be parsed.
-pub const MALFORMED: &[u8] = b"HTTP/1.1 400 Bad Request\r\nOutcome: not-run\r\nReason: bad-request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+pub const MALFORMED: &[u8] = b"HTTP/1.1 400 Bad Request\r\nOutcome: unknown\r\nReason: bad-request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// The body of a refusal.
 #[derive(Debug, Serialize)]
@@ -62,7 +63,6 @@
 /// Sets a refusal on `conn`.
 #[must_use]
 pub fn refused(mut conn: Conn, refusal: &outcome::Refusal) -> Conn {
-    conn.set_status(refusal.reason.status());
     append(&mut conn, headers::OUTCOME, refusal.outcome.as_str());
     append(&mut conn, headers::REASON, refusal.reason.as_str());
     if let Some(after) = refusal.after {
@@ -83,19 +83,20 @@
         remedy: refusal.reason.remedy(),
         retry_after_ms: refusal.after.map(millis),
     };
-    json(conn, &body)
+    json(conn, status(refusal.reason.status()), &body)
 }
 
-/// Sets a JSON body on `conn`.
+/// Sets a status and a JSON body on `conn`.
 #[must_use]
-pub fn json(mut conn: Conn, body: &impl Serialize) -> Conn {
+pub fn json(mut conn: Conn, status: Status, body: &impl Serialize) -> Conn {
     match serde_json::to_vec(body) {
         Ok(bytes) => {
+            conn.set_status(status);
             let headers = conn.response_headers_mut();
             headers.insert(KnownHeaderName::ContentType, "application/json");
             conn.set_response_body(bytes);
         }
-        Err(_) => conn.set_status(500),
+        Err(_) => conn.set_status(Status::InternalServerError),
     }
     conn
 }
