--- a/crates/intent/src/blocks.rs
+++ b/crates/intent/src/blocks.rs
@@ -39,10 +39,7 @@
 pub fn prefix(text: &str) -> Result<(u32, u8), PrefixError> {
     let (addr, len) = text.split_once('/').ok_or(PrefixError::Syntax)?;
     let addr: Ipv4Addr = addr.parse().map_err(|_| PrefixError::Syntax)?;
-    let len: u8 = len.parse().map_err(|_| PrefixError::Syntax)?;
-    if len > 32 {
-        return Err(PrefixError::Syntax);
-    }
+    let len = length(len).ok_or(PrefixError::Syntax)?;
     let base = u32::from(addr);
     let mask = u32::MAX.checked_shl(32 - u32::from(len)).unwrap_or(0);
     if base & !mask != 0 {
@@ -51,6 +48,14 @@
     Ok((base, len))
 }
 
+/// One way to write each length, so that equal blocks are equal texts.
+fn length(text: &str) -> Option<u8> {
+    let digits = text.bytes().all(|b| b.is_ascii_digit());
+    let padded = text.len() > 1 && text.starts_with('0');
+    let len = text.parse().ok().filter(|&len: &u8| len <= 32);
+    len.filter(|_| digits && !padded)
+}
+
 /// Region names with their references, sorted by name.
 pub type Names = [(Arc<str>, Region)];
 
--- a/crates/intent/src/draft.rs
+++ b/crates/intent/src/draft.rs
@@ -62,8 +62,8 @@
     pub idempotent: bool,
     /// Time of a request whose caller states none, in milliseconds.
     pub deadline: u64,
-    /// Names of the sites that serve it.
-    pub sites: Vec<Name>,
+    /// Names of the sites that serve it, and where the list stands.
+    pub sites: Spot<Vec<Name>>,
 }
 
 /// A link as written.
--- a/crates/intent/src/draft/read.rs
+++ b/crates/intent/src/draft/read.rs
@@ -104,13 +104,17 @@
     let idempotent = fields.need("idempotent", faults);
     let idempotent = idempotent.and_then(|node| read::flag(node, faults));
     let deadline = number(fields.find("deadline_ms"), 1, 600_000, faults);
-    let sites = names(fields.need("sites", faults), faults);
+    let list = fields.need("sites", faults);
+    let sites = names(list, faults);
     Some(Service {
         name: own?,
         class: class?,
         idempotent: idempotent?,
         deadline: deadline.unwrap_or(DEADLINE_MS),
-        sites,
+        sites: Spot {
+            value: sites,
+            place: list?.place.clone(),
+        },
     })
 }
 
--- a/crates/intent/src/plan/build.rs
+++ b/crates/intent/src/plan/build.rs
@@ -116,6 +116,7 @@
         .position(|c| c.name == written.class.value)?;
     let mut sites = written
         .sites
+        .value
         .iter()
         .map(|name| plan.site(&name.value))
         .collect::<Option<Vec<Site>>>()?;
--- a/crates/intent/src/verify/flows.rs
+++ b/crates/intent/src/verify/flows.rs
@@ -14,17 +14,17 @@
     names::unique("service", draft.services.iter().map(|s| &s.name), faults);
     for service in &draft.services {
         names::known("class", &service.class, &classes, faults);
-        names::unique("site", service.sites.iter(), faults);
-        for site in &service.sites {
+        names::unique("site", service.sites.value.iter(), faults);
+        for site in &service.sites.value {
             names::known("site", site, &sites, faults);
         }
         let live = |site: &Name| drained.binary_search(&&*site.value).is_err();
-        if !service.sites.iter().any(live) {
+        if !service.sites.value.iter().any(live) {
             faults.push(Fault::new(
-                &service.name.place,
+                &service.sites.place,
                 Kind::Conflict,
                 format!("service \"{}\" has no live site", service.name.value),
-                "add a site to \"sites\", or take one out of \"drain\"",
+                "add a site, or take one out of \"drain\"",
             ));
         }
     }
@@ -140,7 +140,13 @@
         .iter()
         .filter(|r| r.name.value == region.value);
     let mut sites = region.flat_map(|r| &r.domains).flat_map(|d| &d.sites);
-    sites.any(|site| service.sites.iter().any(|own| own.value == site.value))
+    sites.any(|site| {
+        service
+            .sites
+            .value
+            .iter()
+            .any(|own| own.value == site.value)
+    })
 }
 
 pub(super) fn drain(draft: &Draft, faults: &mut Vec<Fault>) {
--- a/crates/jsonc/src/fault.rs
+++ b/crates/jsonc/src/fault.rs
@@ -8,7 +8,7 @@
 pub struct Place {
     /// The file, as its reader names it.
     pub file: Arc<str>,
-    /// Line, from 1.
+    /// Line, from 1; 0 if the value stands in no file, such as a default.
     pub line: u32,
     /// Column in characters, from 1.
     pub column: u32,
@@ -28,6 +28,9 @@
 
 impl fmt::Display for Place {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.line == 0 {
+            return f.write_str(&self.file);
+        }
         write!(f, "{}:{}:{}", self.file, self.line, self.column)
     }
 }
--- a/crates/steer/src/version/blocks.rs
+++ b/crates/steer/src/version/blocks.rs
@@ -61,6 +61,12 @@
         after.checked_sub(1).and_then(|i| self.regions[i])
     }
 
+    /// All ranges in order: first address, and region if a block holds it.
+    pub fn ranges(&self) -> impl Iterator<Item = (u32, Option<Region>)> {
+        let regions = self.regions.iter().copied();
+        self.starts.iter().copied().zip(regions)
+    }
+
     /// Number of disjoint ranges.
     #[must_use]
     pub fn len(&self) -> usize {
