--- a/crates/intent/src/bundle.rs
+++ b/crates/intent/src/bundle.rs
@@ -160,7 +160,7 @@
 /// the same places; the caller drops doubles.
 fn redraft(merged: &Merged, faults: &mut Vec<Fault>) -> Draft {
     let draft = draft::read::draft(&merged.root, faults);
-    verify::verify(&draft, faults);
+    verify::overlaid(&draft, faults);
     draft
 }
 
