Explore the at-most-once decisions with faults at every step

Change: crates/explorer drives several real `Traffic` engines, a network that loses, delays and doubles, targets that count runs, and a store. Decisions lie in an outbox until carried out, so a freeze or death falls between any two of claim, send, answer and record. Clocks of processes are independent. Random runs are functions of their seeds; exhaustive runs try every set of up to N faults.

--- /dev/null
+++ b/crates/explorer/src/main.rs
@@ -0,0 +1,89 @@
+//! `explorer`: seeded and exhaustive runs of the decisions, by command line.
+
+use std::io::{self, Write};
+use std::process::ExitCode;
+
+use explorer::{random, report};
+use steer::process::gate::Safeguards;
+
+const USAGE: &str = "\
+usage: explorer [--seed N] [--runs N] [--steps N] [--off SAFEGUARD]
+  --seed N         first seed; run i uses seed N + i (default 1)
+  --runs N         random runs (default 20000)
+  --steps N        most steps of a run (default 120)
+  --off SAFEGUARD  take one safeguard out; violations are then expected
+  --depth N        instead: all runs with at most N faults, on the standard cases";
+
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error("{0}; see --help")]
+    Arguments(#[from] lexopt::Error),
+    #[error("no safeguard is called {0:?}; there are: {names}", names = report::names())]
+    Safeguard(String),
+    #[error("the report could not be written: {0}")]
+    Output(#[from] io::Error),
+}
+
+struct Options {
+    seed: u64,
+    runs: u64,
+    steps: usize,
+    safe: Safeguards,
+    depth: Option<usize>,
+    help: bool,
+}
+
+fn main() -> ExitCode {
+    match explore() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            let _ = writeln!(io::stderr(), "explorer: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Returns whether every promise was kept.
+fn explore() -> Result<bool, Error> {
+    let options = options()?;
+    let mut out = io::stdout().lock();
+    if options.help {
+        writeln!(out, "{USAGE}")?;
+        return Ok(true);
+    }
+    if let Some(depth) = options.depth {
+        return Ok(report::exhaustive(&mut out, depth, options.safe)?);
+    }
+    let one = |seed| random::run(seed, options.steps, options.safe);
+    let seeds = options.seed..options.seed.saturating_add(options.runs);
+    Ok(report::random(&mut out, seeds, one)?)
+}
+
+fn options() -> Result<Options, Error> {
+    use lexopt::prelude::{Long, ValueExt};
+    let mut options = Options {
+        seed: 1,
+        runs: 20_000,
+        steps: 120,
+        safe: Safeguards::ALL,
+        depth: None,
+        help: false,
+    };
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("seed") => options.seed = parser.value()?.parse()?,
+            Long("runs") => options.runs = parser.value()?.parse()?,
+            Long("steps") => options.steps = parser.value()?.parse()?,
+            Long("depth") => options.depth = Some(parser.value()?.parse()?),
+            Long("off") => {
+                let name = parser.value()?.string()?;
+                options.safe = report::without(&name).ok_or(Error::Safeguard(name))?;
+            }
+            Long("help") => options.help = true,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(options)
+}
--- /dev/null
+++ b/crates/explorer/src/world/message.rs
@@ -0,0 +1,159 @@
+//! What is under way between processes, targets and the store.
+
+use core::fmt;
+
+use steer::process::dispatch::Ending;
+use steer::request::arrival::{AttemptId, RequestId};
+use steer::request::record::{AskId, Question, StoreCall, StoreResult, Word};
+use steer::version::view::Incarnation;
+
+/// Which request a message is about: its key, and which body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Payload {
+    /// Index of the key.
+    pub key: usize,
+    /// Which body.
+    pub body: u32,
+}
+
+impl fmt::Display for Payload {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "key{}", self.key)?;
+        match self.body {
+            0 => Ok(()),
+            body => write!(f, "/body{body}"),
+        }
+    }
+}
+
+/// How a peer came by a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HopKind {
+    /// To the key's owner.
+    Forward,
+    /// To be served there, as this attempt.
+    Serve(AttemptId),
+}
+
+/// Who waits for a message's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sender {
+    /// The caller of this copy.
+    Caller(usize),
+    /// A request of a process.
+    Hop {
+        /// Its process.
+        process: usize,
+        /// Which incarnation of it.
+        incarnation: Incarnation,
+        /// Its request.
+        id: RequestId,
+        /// How the request was passed on.
+        kind: HopKind,
+    },
+    /// A question of a process.
+    Ask {
+        /// Its process.
+        process: usize,
+        /// Which incarnation of it.
+        incarnation: Incarnation,
+        /// Its question.
+        ask: AskId,
+    },
+}
+
+impl Sender {
+    /// The process that waits; `None` for a caller.
+    #[must_use]
+    pub const fn process(&self) -> Option<(usize, Incarnation)> {
+        match *self {
+            Self::Caller(_) => None,
+            Self::Hop {
+                process,
+                incarnation,
+                ..
+            }
+            | Self::Ask {
+                process,
+                incarnation,
+                ..
+            } => Some((process, incarnation)),
+        }
+    }
+}
+
+/// What a message says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A request to the process at an address.
+    Hop {
+        /// Process that listens there.
+        to: usize,
+        /// The request.
+        payload: Payload,
+    },
+    /// How a hop, or a send to a target, ended.
+    Ended(Ending),
+    /// A question to the process at an address.
+    Ask {
+        /// Process that listens there.
+        to: usize,
+        /// The question.
+        question: Question,
+    },
+    /// The answer to a question; `None`: none came.
+    Told(Option<Word>),
+    /// A request to a target.
+    Run(Payload),
+    /// A call to the store.
+    Store(Payload, StoreCall),
+    /// How a call to the store ended.
+    Stored(StoreResult),
+}
+
+/// Something under way.
+#[derive(Clone, Debug)]
+pub struct Message {
+    /// Names it in the trace.
+    pub serial: u32,
+    /// Who waits for an answer, or is being answered.
+    pub sender: Sender,
+    /// What it says.
+    pub kind: Kind,
+    /// Whether it is delayed until nothing else is left to do.
+    pub held: bool,
+    /// Whether its sender has been told already that it failed.
+    pub detached: bool,
+}
+
+impl fmt::Display for Message {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "m{} ", self.serial)?;
+        match &self.kind {
+            Kind::Hop { to, payload } => write!(f, "{payload} to entry{to}"),
+            Kind::Run(payload) => write!(f, "{payload} to a target"),
+            Kind::Ask { to, question } => {
+                let word = match question {
+                    Question::Claim(_) => "claim",
+                    Question::Seal(_) => "seal",
+                    Question::Epoch => "epoch?",
+                };
+                write!(f, "{word} to entry{to}")
+            }
+            Kind::Store(payload, StoreCall::Create(_)) => write!(f, "create {payload}"),
+            Kind::Store(payload, StoreCall::Read) => write!(f, "read {payload}"),
+            Kind::Stored(result) => write!(f, "store says {result:?}"),
+            Kind::Told(Some(word)) => write!(f, "word \"{word}\""),
+            Kind::Told(None) => f.write_str("no word"),
+            Kind::Ended(Ending::Answered(_)) => f.write_str("answer"),
+            Kind::Ended(Ending::PeerRefused(refusal)) => write!(f, "refusal: {refusal}"),
+            Kind::Ended(other) => write!(f, "ending {other:?}"),
+        }?;
+        if let Some((process, _)) = self.sender.process() {
+            let back = matches!(self.kind, Kind::Ended(_) | Kind::Told(_) | Kind::Stored(_));
+            let word = if back { "for" } else { "from" };
+            write!(f, " {word} entry{process}")?;
+        }
+        Ok(())
+    }
+}
