--- /dev/null
+++ b/crates/steer/src/process/control/adopt.rs
@@ -0,0 +1,323 @@
+//! Takes newer versions from the store and from peers.
+
+use core::time::Duration;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::message::{Content, Message};
+use super::store::{Call, CallId, Need, Reply, Stored, Turn};
+use super::{Action, Control, Notice, ROTATION, Standing, WATCHERS};
+use crate::clock::Time;
+use crate::process::config::keeper::{Source, Verdict};
+use crate::process::config::{Body, Hash, Head};
+use crate::process::member::{Record, hash};
+use crate::version::view::Version;
+
+/// Time that a peer has to answer.
+const ANSWER: Duration = Duration::from_secs(1);
+
+/// Bodies asked for at a time.
+const FETCHES: usize = 8;
+
+/// Bytes of bodies in one message, unless one body alone is larger.
+const BODIES_MAX: usize = 1 << 20;
+
+/// Troubles with the store's data that were logged already.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Alarms {
+    /// The store's head is below the version in force.
+    regressed: bool,
+    /// Last version that was met with other files.
+    forked: Version,
+}
+
+/// A head asked of a peer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Pull {
+    until: Time,
+}
+
+/// A body asked for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Fetch {
+    hash: Hash,
+    tries: u32,
+    until: Time,
+}
+
+impl Control {
+    /// A peer has this version in force. The one behind asks.
+    pub(super) fn version_heard(
+        &mut self,
+        now: Time,
+        version: Version,
+        from: &Record,
+        out: &mut Vec<Action>,
+    ) {
+        self.heard = self.heard.max(version);
+        let pulling = self.pull.is_some_and(|pull| now < pull.until);
+        if !self.guards.pull || pulling || !self.keeper.wants(version) {
+            return;
+        }
+        let until = now + ANSWER;
+        self.pull = Some(Pull { until });
+        let known = self.keeper.known();
+        self.send(from.identity.peer, Content::Pull(known), out);
+    }
+
+    /// Messages that carry heads and bodies.
+    pub(super) fn exchange(&mut self, now: Time, message: &Message, out: &mut Vec<Action>) {
+        let to = message.reply_addr();
+        match &message.content {
+            Content::Pull(known) => {
+                let head = self.keeper.head().filter(|h| h.version != *known);
+                if let Some(head) = head.map(Arc::clone) {
+                    self.send(to, Content::Offer(head), out);
+                }
+            }
+            Content::Offer(head) if self.guards.pull => {
+                self.pull = None;
+                self.offered(head, Source::Peer(to), out);
+                self.adopt_step(now, out);
+            }
+            Content::Fetch(hashes) => {
+                let bodies = self.bodies(hashes);
+                if !bodies.is_empty() {
+                    self.send(to, Content::Bodies(bodies), out);
+                }
+            }
+            Content::Bodies(bodies) => {
+                for body in bodies {
+                    self.keeper.put(body.clone());
+                }
+                self.adopt_step(now, out);
+            }
+            _ => {}
+        }
+    }
+
+    fn bodies(&self, hashes: &[Hash]) -> Vec<Body> {
+        let mut bodies: Vec<Body> = Vec::new();
+        let mut bytes = 0;
+        for body in hashes.iter().filter_map(|&h| self.keeper.body(h)) {
+            bytes += body.bytes.len();
+            if bytes > BODIES_MAX && !bodies.is_empty() {
+                break;
+            }
+            bodies.push(body.clone());
+        }
+        bodies
+    }
+
+    fn offered(&mut self, head: &Arc<Head>, source: Source, out: &mut Vec<Action>) {
+        self.heard = self.heard.max(head.version);
+        match self.keeper.offer(head, source) {
+            Verdict::Newer => self.fetches.clear(),
+            Verdict::Same | Verdict::Barred => {}
+            Verdict::Stale => self.counters.stale += 1,
+            Verdict::Forked => {
+                self.counters.forked += 1;
+                if self.alarms.forked != head.version {
+                    self.alarms.forked = head.version;
+                    out.push(Action::Notice(Notice::Forked(head.version)));
+                }
+            }
+        }
+    }
+
+    /// Installs the next version if all of it is here, else asks for the rest.
+    pub(super) fn adopt_step(&mut self, now: Time, out: &mut Vec<Action>) {
+        let newer = self.heard > self.keeper.version() && self.keeper.is_wanted(self.heard);
+        self.slot.set_behind(now, newer);
+        self.end_doubt(now, out);
+        if let Some((head, bodies)) = self.keeper.complete() {
+            self.fetches.clear();
+            return out.push(Action::Install { head, bodies });
+        }
+        let lacking = self.keeper.lacking();
+        self.fetches.retain(|f| lacking.contains(&f.hash));
+        let mut from_peer = Vec::new();
+        for &hash in lacking.iter().take(FETCHES) {
+            if self.fetch(now, hash, out) {
+                from_peer.push(hash);
+            }
+        }
+        let Some(to) = self.body_peer() else { return };
+        if !from_peer.is_empty() {
+            self.send(to, Content::Fetch(from_peer), out);
+        }
+    }
+
+    /// Asks the store for a body that is due, or returns true if a peer is to
+    /// be asked. Sources alternate, beginning with the one that told of it.
+    fn fetch(&mut self, now: Time, hash: Hash, out: &mut Vec<Action>) -> bool {
+        let found = self.fetches.iter().position(|f| f.hash == hash);
+        let at = found.unwrap_or_else(|| {
+            let until = now;
+            self.fetches.push(Fetch {
+                hash,
+                tries: 0,
+                until,
+            });
+            self.fetches.len() - 1
+        });
+        let fetch = &mut self.fetches[at];
+        if now < fetch.until {
+            return false;
+        }
+        let told = u32::from(matches!(self.keeper.source(), Some(Source::Store)));
+        let peer = (fetch.tries + told).is_multiple_of(2) && self.guards.pull;
+        fetch.tries += 1;
+        fetch.until = now + ANSWER;
+        if peer {
+            return true;
+        }
+        let mut calls = Vec::new();
+        if !self.store.body(now, hash, &mut calls) {
+            return self.guards.pull;
+        }
+        push_calls(calls, out);
+        false
+    }
+
+    /// A peer that can be asked for bodies: the one that told of the version,
+    /// or any of the domain that has a version above ours in force.
+    fn body_peer(&mut self) -> Option<SocketAddr> {
+        if let Some(Source::Peer(addr)) = self.keeper.source() {
+            return Some(addr);
+        }
+        let own = self.keeper.version();
+        let ahead = self.peers.iter().filter(|p| p.vitals.version > own);
+        let ahead: Vec<_> = ahead.map(|p| p.addr).collect();
+        self.rng.choice(ahead)
+    }
+
+    pub(super) fn installed(
+        &mut self,
+        now: Time,
+        version: Version,
+        slots: Option<u32>,
+        out: &mut Vec<Action>,
+    ) {
+        let source = self.keeper.source();
+        if !self.keeper.installed(version) {
+            return;
+        }
+        self.counters.installed += 1;
+        self.dirty = true;
+        self.slot.configure(now, slots);
+        out.push(Action::Notice(Notice::InForce(version)));
+        self.adopt_step(now, out);
+        self.publish_due(now, out);
+        if source.is_some_and(|source| self.is_first(source)) {
+            self.beat_all(now, false, out);
+        }
+    }
+
+    /// Whether this process is among the first of its domain to have a version,
+    /// so that it tells the others at once: it had it from the store or from
+    /// another domain.
+    fn is_first(&self, source: Source) -> bool {
+        match source {
+            Source::Store => true,
+            Source::Peer(addr) => !self.peers.iter().any(|p| p.addr == addr),
+        }
+    }
+
+    pub(super) fn rejected(&mut self, version: Version, out: &mut Vec<Action>) {
+        if self.keeper.rejected(version) {
+            self.counters.rejected += 1;
+            out.push(Action::Notice(Notice::Rejected(version)));
+        }
+    }
+
+    pub(super) fn store_step(&mut self, now: Time, out: &mut Vec<Action>) {
+        let turn = self.store.expire(now, &mut self.rng);
+        turned(turn, out);
+        let need = Need {
+            watcher: self.is_watcher(),
+            alone: self.peers.is_empty() && self.fars.iter().all(|f| f.silent),
+        };
+        let mut calls = Vec::new();
+        self.store.step(now, need, &mut self.rng, &mut calls);
+        push_calls(calls, out);
+    }
+
+    /// Whether this process watches for its domain: one of the lowest ranks by
+    /// a hash of name and version among the live ones that reach the store. All
+    /// compute it alike, and the part goes round as versions rise.
+    pub(super) fn is_watcher(&self) -> bool {
+        let turn = self.keeper.version().0 / ROTATION;
+        let weight = |name: &str, store: bool| {
+            let order = hash::mix(&[name.as_bytes(), &turn.to_le_bytes()]);
+            (!store, order)
+        };
+        let mine = weight(&self.me.identity.name, !self.store.is_away());
+        let before = self
+            .peers
+            .iter()
+            .filter(|p| weight(&p.name, p.vitals.store) < mine);
+        before.take(WATCHERS).count() < WATCHERS
+    }
+
+    pub(super) fn stored(&mut self, now: Time, id: CallId, reply: Reply, out: &mut Vec<Action>) {
+        let Some(answered) = self.store.answered(now, id, &reply, &mut self.rng) else {
+            return;
+        };
+        turned(answered.turn, out);
+        match reply {
+            Reply::Head(stored) => {
+                let told = stored.as_ref().map_or(Version(0), |s| s.head.version);
+                self.head_read(stored, out);
+                self.confirmed(now, answered.since, told, out);
+            }
+            Reply::Watched(Some(stored)) => {
+                self.offered(&stored.head, Source::Store, out);
+            }
+            Reply::Body(hash, Some(bytes)) if answered.call == Call::Body(hash) => {
+                self.keeper.put(Body { hash, bytes });
+            }
+            Reply::Listed(hints) => self.listed = hints,
+            Reply::Away | Reply::Malformed => self.counters.failed += 1,
+            Reply::Watched(None) | Reply::Body(..) => {}
+        }
+        if self.standing != Standing::Superseded {
+            self.adopt_step(now, out);
+            self.store_step(now, out);
+        }
+    }
+
+    fn head_read(&mut self, stored: Option<Stored>, out: &mut Vec<Action>) {
+        let force = self.keeper.version();
+        let version = stored.as_ref().map_or(Version(0), |s| s.head.version);
+        let behind = version < force;
+        if behind != core::mem::replace(&mut self.alarms.regressed, behind) {
+            out.push(Action::Notice(if behind {
+                Notice::StoreBehind {
+                    stored: version,
+                    force,
+                }
+            } else {
+                Notice::StoreCaughtUp
+            }));
+        }
+        if let Some(stored) = stored {
+            self.offered(&stored.head, Source::Store, out);
+        }
+    }
+}
+
+fn turned(turn: Turn, out: &mut Vec<Action>) {
+    match turn {
+        Turn::None => {}
+        Turn::Away => out.push(Action::Notice(Notice::StoreAway)),
+        Turn::Back => out.push(Action::Notice(Notice::StoreBack)),
+    }
+}
+
+fn push_calls(calls: Vec<(CallId, Call)>, out: &mut Vec<Action>) {
+    let actions = calls
+        .into_iter()
+        .map(|(id, call)| Action::Store { id, call });
+    out.extend(actions);
+}
--- /dev/null
+++ b/crates/steer/src/process/control/near.rs
@@ -0,0 +1,490 @@
+//! Heartbeats and records within the home domain.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use super::message::{Beat, Content, Heard, Message};
+use super::peer::Peer;
+use super::{Action, Control, DROP, Notice, SILENT, SUSPECT, Standing};
+use crate::clock::Time;
+use crate::process::member::table::Merge;
+use crate::process::member::{Hint, Life, Record, Seen, Vitals};
+
+/// Processes asked about a silent one.
+const WITNESSES: usize = 2;
+
+/// Time between two comparisons of digests.
+const SYNC: Duration = Duration::from_secs(1);
+
+/// The same for a process that is still learning who is there.
+const SYNC_JOINING: Duration = Duration::from_millis(250);
+
+/// Heartbeats with a differing digest before a comparison: a push is under way
+/// more often than it is lost.
+const DIFFERS: u8 = 3;
+
+/// Rows in one message, about 50 KB.
+const ROWS: usize = 600;
+
+impl Control {
+    /// Takes a message of any kind.
+    pub(super) fn receive(&mut self, now: Time, message: &Message, out: &mut Vec<Action>) {
+        self.counters.received += 1;
+        let from = &message.from;
+        if self.is_own(from) {
+            return self.namesake(now, from, out);
+        }
+        if self.standing == Standing::Superseded {
+            return;
+        }
+        if let Content::Superseded(stamp) = message.content {
+            return self.superseded(now, stamp, out);
+        }
+        if !self.admit(now, message, out) {
+            return;
+        }
+        let near = from.identity.domain == self.me.identity.domain;
+        match &message.content {
+            Content::Beat(beat) if near => self.beaten(now, from, beat, out),
+            Content::Across(across) if !near => self.hear_across(now, from, across, out),
+            Content::Beat(_) | Content::Across(_) | Content::Superseded(_) => {}
+            Content::Sync(digests) => {
+                let domains = self.differing(digests);
+                self.send_rows(message, &domains, out);
+            }
+            Content::Want(domains) => self.send_rows(message, domains, out),
+            Content::Rows(rows) => self.learn(now, rows, near, out),
+            Content::Succeeded(stamp) => self.slot.released(*stamp),
+            Content::Ask(name) => self.tell(now, message, name, out),
+            Content::Told { name, stamp, age } => self.told(now, name, *stamp, *age),
+            Content::Pull(_) | Content::Offer(_) | Content::Fetch(_) | Content::Bodies(_) => {
+                self.exchange(now, message, out);
+            }
+        }
+    }
+
+    pub(super) fn is_own(&self, record: &Record) -> bool {
+        let own = &self.me.identity;
+        record.identity.name == own.name && record.identity.domain == own.domain
+    }
+
+    /// Another process of this name speaks: the newer one stays.
+    fn namesake(&mut self, now: Time, from: &Arc<Record>, out: &mut Vec<Action>) {
+        self.own_name(now, from, out);
+        if from.stamp < self.me.stamp && self.guards.stamps {
+            let content = Content::Superseded(self.me.stamp);
+            self.send(from.identity.peer, content, out);
+        }
+    }
+
+    /// Whether the sender is who its name stands for today. If so its record is
+    /// taken.
+    fn admit(&mut self, now: Time, message: &Message, out: &mut Vec<Action>) -> bool {
+        let from = &message.from;
+        let to = message.reply_addr();
+        let known = self.table.get(&from.identity.domain, &from.identity.name);
+        if let Some(row) = known.map(|row| Arc::clone(&row.record)) {
+            if row.stamp > from.stamp && self.guards.stamps {
+                self.counters.outdated += 1;
+                self.send(to, Content::Superseded(row.stamp), out);
+                return false;
+            }
+            let buried = row.stamp == from.stamp && !row.life.is_alive();
+            if buried && from.life.is_alive() && row.serial >= from.serial {
+                self.send_held(now, from, row.serial, out);
+                return false;
+            }
+        }
+        let merged = self.table.merge(now, from, self.guards.stamps);
+        if merged == Merge::Old {
+            return true;
+        }
+        if let Merge::Succeeded(stamp) = merged {
+            self.send(to, Content::Succeeded(stamp), out);
+        }
+        if from.identity.domain != self.me.identity.domain {
+            self.push(std::slice::from_ref(from), out);
+        }
+        self.changed(now);
+        true
+    }
+
+    /// The table changed: peers and published members follow.
+    pub(super) fn changed(&mut self, now: Time) {
+        self.dirty = true;
+        self.moved = true;
+        let rows = self.table.domain(&self.me.identity.domain);
+        let alive = rows.iter().filter(|row| row.record.life.is_alive());
+        let mut peers = Vec::new();
+        for row in alive {
+            let record = &row.record;
+            let identity = &record.identity;
+            if identity.name == self.me.identity.name {
+                continue;
+            }
+            let old = self.peers.binary_search_by(|p| p.name.cmp(&identity.name));
+            let old = old.ok().map(|at| self.peers[at].clone());
+            let same = old.filter(|p| p.stamp == record.stamp);
+            peers.push(same.unwrap_or_else(|| Peer {
+                name: Arc::clone(&identity.name),
+                stamp: record.stamp,
+                addr: identity.peer,
+                heard: now,
+                direct: None,
+                probe: None,
+                vitals: Vitals::default(),
+                asked: false,
+                differs: 0,
+            }));
+        }
+        self.peers = peers;
+    }
+
+    fn beaten(&mut self, now: Time, from: &Arc<Record>, beat: &Beat, out: &mut Vec<Action>) {
+        if let Some(held) = beat.held {
+            return self.refute(now, held, out);
+        }
+        let total = self.table.total();
+        let found = self
+            .peers
+            .binary_search_by(|p| p.name.cmp(&from.identity.name));
+        if let Ok(at) = found {
+            let peer = &mut self.peers[at];
+            peer.heard = now;
+            peer.direct = Some(now);
+            peer.asked = false;
+            peer.probe = Some(beat.probe);
+            peer.vitals = beat.vitals;
+            let same = beat.total == total;
+            peer.differs = if same {
+                0
+            } else {
+                peer.differs.saturating_add(1)
+            };
+            let differs = peer.differs;
+            self.sync_due(now, from, differs, out);
+        }
+        for heard in &beat.heard {
+            self.hear_of(now, &heard.domain, heard.age);
+        }
+        if let Some(echo) = beat.echo {
+            self.confirmed(now, echo, beat.vitals.version, out);
+        }
+        self.version_heard(now, beat.vitals.version, from, out);
+        if beat.reply {
+            self.send_beat(now, &from.identity.name, false, out);
+        }
+    }
+
+    fn sync_due(&mut self, now: Time, from: &Arc<Record>, differs: u8, out: &mut Vec<Action>) {
+        let enough = differs >= DIFFERS || (self.joining && differs > 0);
+        if !enough || now < self.sync {
+            return;
+        }
+        self.sync = now + if self.joining { SYNC_JOINING } else { SYNC };
+        self.counters.syncs += 1;
+        let digests = self.digests();
+        self.send(from.identity.peer, Content::Sync(digests), out);
+    }
+
+    /// Digests as this process tells them: its own row is in its table, so
+    /// that it counts as in the tables of others.
+    fn digests(&self) -> Vec<crate::process::member::table::Digest> {
+        self.table.digests().to_vec()
+    }
+
+    /// One heartbeat to every process of the domain.
+    pub(super) fn beat_all(&mut self, now: Time, reply: bool, out: &mut Vec<Action>) {
+        self.own_row(now);
+        let reply = reply || self.standing != Standing::Current;
+        let beat = self.beat(now, reply);
+        for at in 0..self.peers.len() {
+            let peer = &self.peers[at];
+            let to = peer.addr;
+            let beat = Beat {
+                echo: peer.probe,
+                ..beat.clone()
+            };
+            self.send(to, Content::Beat(beat), out);
+        }
+    }
+
+    fn send_beat(&mut self, now: Time, name: &str, reply: bool, out: &mut Vec<Action>) {
+        let Ok(at) = self.peers.binary_search_by(|p| (*p.name).cmp(name)) else {
+            return;
+        };
+        let peer = &self.peers[at];
+        let to = peer.addr;
+        let beat = Beat {
+            echo: peer.probe,
+            ..self.beat(now, reply)
+        };
+        self.send(to, Content::Beat(beat), out);
+    }
+
+    fn send_held(&mut self, now: Time, to: &Record, serial: u32, out: &mut Vec<Action>) {
+        let held = Some(serial);
+        let content = if to.identity.domain == self.me.identity.domain {
+            Content::Beat(Beat {
+                held,
+                ..self.beat(now, false)
+            })
+        } else {
+            Content::Across(super::message::Across {
+                held,
+                ..self.across(now, false)
+            })
+        };
+        self.send(to.identity.peer, content, out);
+    }
+
+    fn beat(&self, now: Time, reply: bool) -> Beat {
+        let direct = |far: &super::peer::Far| {
+            let age = now.since(far.direct?);
+            let domain = Arc::clone(&far.name);
+            (age < SILENT).then_some(Heard { domain, age })
+        };
+        Beat {
+            vitals: self.vitals(),
+            reply,
+            probe: now,
+            echo: None,
+            held: None,
+            total: self.table.total(),
+            heard: self.fars.iter().filter_map(direct).collect(),
+        }
+    }
+
+    /// Keeps this process's own record in its table, so that digests compare.
+    fn own_row(&mut self, now: Time) {
+        let me = Arc::clone(&self.me);
+        if self.table.merge(now, &me, true) != Merge::Old {
+            self.moved = true;
+            self.dirty = true;
+        }
+    }
+
+    /// Drops processes that nobody hears.
+    pub(super) fn check_peers(&mut self, now: Time, out: &mut Vec<Action>) {
+        let mut dead = Vec::new();
+        let mut silent = Vec::new();
+        for peer in &mut self.peers {
+            let silence = now.since(peer.heard);
+            if silence > DROP {
+                dead.push(Arc::clone(&peer.name));
+            } else if silence > SUSPECT && !peer.asked {
+                peer.asked = true;
+                silent.push(Arc::clone(&peer.name));
+            }
+        }
+        if self.guards.confirm {
+            for name in silent {
+                self.ask(&name, out);
+            }
+        }
+        for name in dead {
+            self.bury(now, &name, out);
+        }
+    }
+
+    fn bury(&mut self, now: Time, name: &Arc<str>, out: &mut Vec<Action>) {
+        let domain = Arc::clone(&self.me.identity.domain);
+        let Some(row) = self.table.get(&domain, name) else {
+            return;
+        };
+        let dead = Arc::new(row.record.with_life(Life::Dead));
+        self.table.merge(now, &dead, true);
+        self.counters.dropped += 1;
+        self.changed(now);
+        out.push(Action::Notice(Notice::Dropped(Arc::clone(name))));
+    }
+
+    /// Asks others about a silent process, lest a single bad connection make
+    /// every caller of this process miss it.
+    fn ask(&mut self, name: &Arc<str>, out: &mut Vec<Action>) {
+        self.counters.suspected += 1;
+        let others = self.peers.iter().filter(|p| p.name != *name && !p.asked);
+        let others: Vec<_> = others.map(|p| p.addr).collect();
+        let few = self.rng.choose_multiple(others, WITNESSES);
+        for to in few {
+            self.send(to, Content::Ask(Arc::clone(name)), out);
+        }
+    }
+
+    fn tell(&mut self, now: Time, message: &Message, name: &Arc<str>, out: &mut Vec<Action>) {
+        let found = self.peers.binary_search_by(|p| p.name.cmp(name));
+        let Ok(at) = found else { return };
+        let peer = &self.peers[at];
+        let Some(direct) = peer.direct else { return };
+        let content = Content::Told {
+            name: Arc::clone(name),
+            stamp: peer.stamp,
+            age: now.since(direct),
+        };
+        self.send(message.reply_addr(), content, out);
+    }
+
+    fn told(
+        &mut self,
+        now: Time,
+        name: &Arc<str>,
+        stamp: crate::process::member::Stamp,
+        age: Duration,
+    ) {
+        let found = self.peers.binary_search_by(|p| p.name.cmp(name));
+        let Ok(at) = found else { return };
+        let peer = &mut self.peers[at];
+        let heard = now - age;
+        if peer.stamp == stamp && heard > peer.heard {
+            peer.heard = heard;
+            peer.asked = now.since(heard) > SUSPECT;
+        }
+    }
+
+    /// Domains whose digest here differs from the sender's, in an order of its
+    /// own, so that a list cut short doesn't always lack the same ones.
+    fn differing(&mut self, digests: &[crate::process::member::table::Digest]) -> Vec<Arc<str>> {
+        let theirs = |domain: &str| {
+            digests
+                .binary_search_by(|d| (*d.domain).cmp(domain))
+                .map_or(0, |at| digests[at].value)
+        };
+        let ours = self.table.digests().iter();
+        let differ = ours.filter(|d| d.value != theirs(&d.domain));
+        let mut domains: Vec<_> = differ.map(|d| Arc::clone(&d.domain)).collect();
+        self.rng.shuffle(&mut domains);
+        domains
+    }
+
+    fn send_rows(&mut self, message: &Message, domains: &[Arc<str>], out: &mut Vec<Action>) {
+        let mut rows = Vec::new();
+        for domain in domains {
+            let more = self.table.domain(domain).iter();
+            rows.extend(more.map(|row| Arc::clone(&row.record)));
+            if rows.len() >= ROWS {
+                break;
+            }
+        }
+        if !rows.is_empty() {
+            self.send(message.reply_addr(), Content::Rows(rows), out);
+        }
+    }
+
+    /// Takes others' rows. What came from another domain is passed on at home.
+    fn learn(&mut self, now: Time, rows: &[Arc<Record>], near: bool, out: &mut Vec<Action>) {
+        let mut fresh = Vec::new();
+        for record in rows {
+            if self.is_own(record) {
+                self.own_name(now, record, out);
+                continue;
+            }
+            if self.contradicts(now, record) {
+                continue;
+            }
+            if self.table.merge(now, record, self.guards.stamps) != Merge::Old {
+                fresh.push(Arc::clone(record));
+            }
+        }
+        if fresh.is_empty() {
+            return;
+        }
+        self.changed(now);
+        if !near {
+            fresh.retain(|r| r.identity.domain != self.me.identity.domain);
+            self.push(&fresh, out);
+        }
+    }
+
+    /// Whether a tombstone is of a process that this one hears well.
+    fn contradicts(&self, now: Time, record: &Record) -> bool {
+        if record.life != Life::Dead || record.identity.domain != self.me.identity.domain {
+            return false;
+        }
+        let name = &record.identity.name;
+        let found = self.peers.binary_search_by(|p| p.name.cmp(name));
+        found.is_ok_and(|at| {
+            let peer = &self.peers[at];
+            let heard = peer.direct.is_some_and(|t| now.since(t) <= DROP);
+            peer.stamp == record.stamp && heard
+        })
+    }
+
+    /// Tells the home domain of records that came from another one.
+    fn push(&mut self, records: &[Arc<Record>], out: &mut Vec<Action>) {
+        if records.is_empty() {
+            return;
+        }
+        for at in 0..self.peers.len() {
+            let to = self.peers[at].addr;
+            self.send(to, Content::Rows(records.to_vec()), out);
+        }
+    }
+
+    /// Tries one address of this domain at which nobody is known to live: a
+    /// newcomer's way in, and the way back after everybody dropped everybody.
+    pub(super) fn try_hint(&mut self, now: Time, out: &mut Vec<Action>) {
+        let own = &self.me.identity;
+        let rows = self.table.domain(&own.domain).iter();
+        let dead = rows.filter(|row| !row.record.life.is_alive());
+        let dead = dead.map(|row| row.record.identity.peer);
+        let hints = self.hints().filter(|h| h.domain == own.domain);
+        let hints = hints.map(|h| h.peer);
+        let fits = |to: &std::net::SocketAddr| {
+            *to != own.peer && !self.peers.iter().any(|p| p.addr == *to)
+        };
+        let tries: Vec<_> = dead.chain(hints).filter(fits).collect();
+        let Some(to) = self.rng.choice(tries) else {
+            return;
+        };
+        let beat = self.beat(now, true);
+        self.send(to, Content::Beat(beat), out);
+    }
+
+    pub(super) fn hints(&self) -> impl Iterator<Item = &Hint> {
+        self.seeds.iter().chain(&self.listed)
+    }
+
+    /// Processes that look-ups may name: those of this domain that are alive,
+    /// and those of other domains that are heard.
+    pub(super) fn members(&self, now: Time) -> Vec<Seen> {
+        let mut members = Vec::with_capacity(self.table.rows().len());
+        let mut last: Option<(&Arc<str>, Option<Vitals>)> = None;
+        for row in self.table.rows() {
+            let record = &row.record;
+            if !record.life.is_alive() || self.is_own(record) {
+                continue;
+            }
+            let domain = &record.identity.domain;
+            let vitals = if *domain == self.me.identity.domain {
+                self.near_vitals(&record.identity.name)
+            } else {
+                if last.is_none_or(|(name, _)| name != domain) {
+                    last = Some((domain, self.far_vitals(now, domain)));
+                }
+                last.and_then(|(_, vitals)| vitals)
+            };
+            if let Some(vitals) = vitals {
+                let record = Arc::clone(record);
+                members.push(Seen { record, vitals });
+            }
+        }
+        if self.me.life.is_alive() && self.standing != Standing::Superseded {
+            members.push(Seen {
+                record: Arc::clone(&self.me),
+                vitals: self.vitals(),
+            });
+        }
+        members.sort_by(|a, b| {
+            let (a, b) = (&a.record, &b.record);
+            let names = a.identity.name.cmp(&b.identity.name);
+            names.then_with(|| b.stamp.cmp(&a.stamp))
+        });
+        members.dedup_by(|b, a| a.record.identity.name == b.record.identity.name);
+        members
+    }
+
+    fn near_vitals(&self, name: &Arc<str>) -> Option<Vitals> {
+        let at = self.peers.binary_search_by(|p| p.name.cmp(name)).ok()?;
+        Some(self.peers[at].vitals)
+    }
+}
--- /dev/null
+++ b/crates/steer/src/process/control/peer.rs
@@ -0,0 +1,79 @@
+//! What is kept of each process of the home domain, and of each other domain.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::clock::Time;
+use crate::process::member::{Stamp, Summary, Vitals};
+
+/// A live process of the home domain.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    /// Its name.
+    pub(super) name: Arc<str>,
+    /// Which process of that name.
+    pub(super) stamp: Stamp,
+    /// Where it is reached.
+    pub(super) addr: SocketAddr,
+    /// When it was last heard, by this process or by one asked about it.
+    pub(super) heard: Time,
+    /// When this process heard it itself.
+    pub(super) direct: Option<Time>,
+    /// Its newest probe, in its own time.
+    pub(super) probe: Option<Time>,
+    /// Its vitals.
+    pub(super) vitals: Vitals,
+    /// Whether others were asked about it since it was last heard.
+    pub(super) asked: bool,
+    /// Heartbeats in a row in which its table differed from this one's.
+    pub(super) differs: u8,
+}
+
+/// Another failure domain.
+#[derive(Clone, Debug)]
+pub(super) struct Far {
+    /// Its name.
+    pub(super) name: Arc<str>,
+    /// When it was last heard, by this process or another of the home domain.
+    pub(super) heard: Option<Time>,
+    /// When this process heard it itself.
+    pub(super) direct: Option<Time>,
+    /// What it said of itself.
+    pub(super) summary: Summary,
+    /// Whether its silence was noticed.
+    pub(super) silent: bool,
+    /// This process's rank among those that keep up the contact.
+    pub(super) rank: Option<usize>,
+    /// Heartbeats sent, to alternate between contacts.
+    pub(super) turn: usize,
+    /// When its rows were last asked for.
+    pub(super) wanted: Option<Time>,
+    /// Its processes that sent a heartbeat lately, with the time.
+    pub(super) callers: Vec<Caller>,
+}
+
+/// A process of another domain that keeps up the contact with this process.
+#[derive(Clone, Debug)]
+pub(super) struct Caller {
+    /// Where it is reached.
+    pub(super) addr: SocketAddr,
+    /// When it last called.
+    pub(super) heard: Time,
+}
+
+impl Far {
+    /// A domain of which only the name is known.
+    pub(super) fn new(name: &Arc<str>) -> Self {
+        Self {
+            name: Arc::clone(name),
+            heard: None,
+            direct: None,
+            summary: Summary::default(),
+            silent: true,
+            rank: None,
+            turn: 0,
+            wanted: None,
+            callers: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/steer/src/process/control/standing.rs
@@ -0,0 +1,159 @@
+//! Whether this process may act on what it knows.
+
+use std::sync::Arc;
+
+use super::{Action, Control, GAP, ISOLATED, Notice, SETTLE, Standing};
+use crate::clock::Time;
+use crate::process::member::{Life, Record, Stamp};
+use crate::version::view::Version;
+
+/// How doubt ends.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Doubt {
+    /// When it began; answers to older questions don't count.
+    from: Time,
+    /// Version that the answer told of, which has to be in force first.
+    told: Option<Version>,
+}
+
+impl Control {
+    /// A gap between events means that the process was frozen.
+    ///
+    /// Without this, a process that wakes serves callers by a configuration and
+    /// a share that others have replaced, until the first message tells it. The
+    /// messages that wait in its sockets can't tell it, since they are as old as
+    /// the freeze; an answer to a question asked after it can.
+    pub(super) fn notice_freeze(&mut self, now: Time, out: &mut Vec<Action>) {
+        let gap = now.since(self.last);
+        self.last = now;
+        if !self.guards.doubt || gap <= GAP || self.standing == Standing::Superseded {
+            return;
+        }
+        self.counters.frozen += 1;
+        for peer in &mut self.peers {
+            peer.heard = now;
+            peer.asked = false;
+        }
+        self.enter_doubt(now, out);
+    }
+
+    pub(super) fn enter_doubt(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.joining = false;
+        self.doubt = Doubt {
+            from: now,
+            told: None,
+        };
+        self.store.hurry(now);
+        self.stand(now, Standing::Doubt, out);
+        self.beat_all(now, true, out);
+        self.round_across(now, out);
+    }
+
+    /// Somebody answered a question of this process's own time `asked`, and
+    /// told the version that it knows.
+    pub(super) fn confirmed(
+        &mut self,
+        now: Time,
+        asked: Time,
+        told: Version,
+        out: &mut Vec<Action>,
+    ) {
+        if asked < self.doubt.from || asked > now {
+            return;
+        }
+        self.slot.confirm(asked);
+        let first = *self.answered.get_or_insert(now);
+        if now.since(first) >= SETTLE {
+            self.joining = false;
+        }
+        let unsure = matches!(self.standing, Standing::Doubt | Standing::Isolated);
+        if unsure && self.doubt.told.is_none() {
+            self.doubt.told = Some(told);
+        }
+        self.end_doubt(now, out);
+    }
+
+    /// Doubt ends once a version no older than the one told of is in force.
+    pub(super) fn end_doubt(&mut self, now: Time, out: &mut Vec<Action>) {
+        let unsure = matches!(self.standing, Standing::Doubt | Standing::Isolated);
+        let Some(told) = self.doubt.told.filter(|_| unsure) else {
+            return;
+        };
+        if told <= self.keeper.version() || !self.keeper.is_wanted(told) {
+            self.stand(now, Standing::Current, out);
+        }
+    }
+
+    pub(super) fn age_doubt(&mut self, now: Time, out: &mut Vec<Action>) {
+        let waited = now.since(self.doubt.from) >= ISOLATED;
+        if self.standing == Standing::Doubt && self.doubt.told.is_none() && waited {
+            self.stand(now, Standing::Isolated, out);
+        }
+    }
+
+    /// A record of this process's own name came up.
+    pub(super) fn own_name(&mut self, now: Time, record: &Arc<Record>, out: &mut Vec<Action>) {
+        if record.stamp > self.me.stamp {
+            return self.superseded(now, record.stamp, out);
+        }
+        if record.stamp < self.me.stamp {
+            self.slot.preceded(record.stamp);
+            if record.life == Life::Released {
+                self.slot.released(record.stamp);
+            }
+            return;
+        }
+        let dead = !record.life.is_alive() && self.me.life.is_alive();
+        if dead && record.serial >= self.me.serial {
+            self.refute(now, record.serial, out);
+        }
+    }
+
+    /// Others hold this process for dead. It raises its serial above their
+    /// tombstone; and since it may have been paused in a way that its clock
+    /// doesn't show, it is in doubt.
+    pub(super) fn refute(&mut self, now: Time, held: u32, out: &mut Vec<Action>) {
+        if held < self.me.serial || !self.me.life.is_alive() {
+            return;
+        }
+        let mut me = Record::clone(&self.me);
+        me.serial = held.saturating_add(1);
+        self.me = Arc::new(me);
+        self.counters.refuted += 1;
+        self.dirty = true;
+        if self.guards.doubt {
+            self.enter_doubt(now, out);
+        } else {
+            self.beat_all(now, false, out);
+        }
+    }
+
+    /// A process with a higher stamp has this process's name. A starting
+    /// process raises its generation instead: its clock is behind that of its
+    /// predecessor's host. One that was ever in doubt doesn't, since then it is
+    /// the other that is newer.
+    pub(super) fn superseded(&mut self, now: Time, stamp: Stamp, out: &mut Vec<Action>) {
+        if stamp <= self.me.stamp || self.standing == Standing::Superseded {
+            return;
+        }
+        if !self.joining {
+            return self.stand(now, Standing::Superseded, out);
+        }
+        let mut me = Record::clone(&self.me);
+        me.stamp.generation = stamp.generation.saturating_add(1);
+        self.me = Arc::new(me);
+        self.slot.preceded(stamp);
+        out.push(Action::Notice(Notice::Raised(self.me.stamp)));
+        self.beat_all(now, true, out);
+    }
+
+    fn stand(&mut self, now: Time, standing: Standing, out: &mut Vec<Action>) {
+        if self.standing == standing {
+            return;
+        }
+        self.standing = standing;
+        self.dirty = true;
+        out.push(Action::Notice(Notice::Standing(standing)));
+        self.publish_due(now, out);
+    }
+}
--- /dev/null
+++ b/crates/steer/src/process/control/store.rs
@@ -0,0 +1,338 @@
+//! When this process calls the store.
+//!
+//! Invariant: at most one call of each kind waits at a time, and while the
+//! store is away at most one call in all, so an outage costs each process one
+//! call per backoff and its return is met by calls spread over that backoff.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use crate::clock::Time;
+use crate::process::config::{Hash, Head};
+use crate::process::member::Hint;
+
+/// A call of the store; bounded by the driver, answered exactly once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Read the head document.
+    Head,
+    /// Wait until the head's revision is above `after`, at most for `wait`.
+    Watch {
+        /// Revision that is known.
+        after: u64,
+        /// Longest wait.
+        wait: Duration,
+    },
+    /// Read a body.
+    Body(Hash),
+    /// Read the platform's list of instances.
+    List,
+}
+
+/// The head document as the store holds it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stored {
+    /// The document.
+    pub head: Arc<Head>,
+    /// The store's revision of it.
+    pub revision: u64,
+}
+
+/// The store's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// To [`Call::Head`]; `None` if there is no head yet.
+    Head(Option<Stored>),
+    /// To [`Call::Watch`]; `None` if the wait ran out.
+    Watched(Option<Stored>),
+    /// To [`Call::Body`]; `None` if there is no such body.
+    Body(Hash, Option<Arc<[u8]>>),
+    /// To [`Call::List`]: the entry instances in it.
+    Listed(Vec<Hint>),
+    /// No answer within the driver's bound, or an error.
+    Away,
+    /// An answer that can't be read.
+    Malformed,
+}
+
+/// Names one call; never reused within a process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallId(pub u64);
+
+/// A call that waits for its answer.
+#[derive(Clone, Debug)]
+struct Waiting {
+    id: CallId,
+    call: Call,
+    since: Time,
+}
+
+/// Longest time of a watch.
+pub const WATCH: Duration = Duration::from_secs(30);
+
+/// Mean time between two reads of the head by a process that doesn't watch; it
+/// covers events that a watch has missed.
+pub const REREAD: Duration = Duration::from_mins(1);
+
+/// Mean time between two reads of the list by a watching process.
+pub const LIST: Duration = Duration::from_secs(30);
+
+/// Time after which an unanswered call counts as lost, beyond its own wait. The
+/// driver's bound has to be below it.
+pub const LOST: Duration = Duration::from_secs(5);
+
+/// First wait after a failure; it doubles up to [`BACKOFF_MAX`].
+pub const BACKOFF: Duration = Duration::from_millis(250);
+
+/// Longest wait between two tries while the store is away, before jitter.
+pub const BACKOFF_MAX: Duration = Duration::from_secs(30);
+
+/// Bodies read at a time.
+const BODIES: usize = 4;
+
+/// How the store does, as this process sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// No change.
+    None,
+    /// It stopped answering.
+    Away,
+    /// It answers again.
+    Back,
+}
+
+/// An answer with the call it is for.
+#[derive(Clone, Debug)]
+pub struct Answered {
+    /// The call.
+    pub call: Call,
+    /// When it was made.
+    pub since: Time,
+    /// Change of the store's state that the answer brought.
+    pub turn: Turn,
+}
+
+/// What the process wants of the store just now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Need {
+    /// Whether this process watches for its domain.
+    pub watcher: bool,
+    /// Whether no peer is heard, so that the list is wanted often.
+    pub alone: bool,
+}
+
+/// The policy's state.
+#[derive(Debug)]
+pub struct Policy {
+    waiting: Vec<Waiting>,
+    calls: u64,
+    fails: u32,
+    away: bool,
+    retry: Time,
+    reread: Time,
+    list: Time,
+    revision: u64,
+    fresh: bool,
+    slow: bool,
+}
+
+impl Policy {
+    /// A process's policy; its first calls come within a jittered moment.
+    /// `reread` off leaves out the slow re-read: the ablation.
+    pub fn new(now: Time, reread: bool, rng: &mut fastrand::Rng) -> Self {
+        let first = now + jitter(BACKOFF, rng);
+        Self {
+            waiting: Vec::new(),
+            calls: 0,
+            fails: 0,
+            away: false,
+            retry: now,
+            reread: first,
+            list: first,
+            revision: 0,
+            fresh: false,
+            slow: reread,
+        }
+    }
+
+    /// Whether the store is believed to answer.
+    #[must_use]
+    pub const fn is_away(&self) -> bool {
+        self.away
+    }
+
+    /// Calls made so far.
+    #[must_use]
+    pub const fn calls(&self) -> u64 {
+        self.calls
+    }
+
+    /// Makes the calls that are due.
+    pub fn step(
+        &mut self,
+        now: Time,
+        need: Need,
+        rng: &mut fastrand::Rng,
+        out: &mut Vec<(CallId, Call)>,
+    ) {
+        if !need.watcher {
+            self.fresh = false;
+        }
+        if self.away {
+            return self.probe(now, rng, out);
+        }
+        if now >= self.reread || (need.watcher && !self.fresh) {
+            self.read_head(now, rng, out);
+        }
+        if need.watcher && self.fresh && !self.waits(|c| matches!(c, Call::Watch { .. })) {
+            let after = self.revision;
+            self.call(now, Call::Watch { after, wait: WATCH }, out);
+        }
+        if now >= self.list && !self.waits(|c| *c == Call::List) {
+            let mean = match need {
+                Need { alone: true, .. } => LIST / 6,
+                Need { watcher: true, .. } => LIST,
+                Need { .. } => LIST * 20,
+            };
+            self.list = now + jitter(mean, rng);
+            self.call(now, Call::List, out);
+        }
+    }
+
+    /// Reads a body, unless the store is away or busy enough with bodies.
+    pub fn body(&mut self, now: Time, hash: Hash, out: &mut Vec<(CallId, Call)>) -> bool {
+        let busy = self
+            .waiting
+            .iter()
+            .filter(|w| matches!(w.call, Call::Body(_)))
+            .count();
+        if self.away || busy >= BODIES || self.waits(|c| *c == Call::Body(hash)) {
+            return false;
+        }
+        self.call(now, Call::Body(hash), out);
+        true
+    }
+
+    /// Matches an answer to its call; `None` if the call was given up.
+    pub fn answered(
+        &mut self,
+        now: Time,
+        id: CallId,
+        reply: &Reply,
+        rng: &mut fastrand::Rng,
+    ) -> Option<Answered> {
+        let at = self.waiting.binary_search_by_key(&id, |w| w.id).ok()?;
+        let Waiting { call, since, .. } = self.waiting.remove(at);
+        let turn = match reply {
+            Reply::Away | Reply::Malformed => self.failed(now, rng),
+            Reply::Head(_) | Reply::Watched(_) | Reply::Body(..) | Reply::Listed(_) => {
+                self.worked(now, rng)
+            }
+        };
+        if let Reply::Head(Some(stored)) | Reply::Watched(Some(stored)) = reply {
+            self.saw(&call, stored.revision);
+        }
+        if matches!(reply, Reply::Head(_)) {
+            self.fresh = true;
+        }
+        Some(Answered { call, since, turn })
+    }
+
+    /// Gives up calls without an answer. A driver that keeps its bound never
+    /// lets this happen; a process frozen with calls open does.
+    pub fn expire(&mut self, now: Time, rng: &mut fastrand::Rng) -> Turn {
+        let before = self.waiting.len();
+        self.waiting.retain(|w| {
+            let wait = match w.call {
+                Call::Watch { wait, .. } => wait,
+                Call::Head | Call::Body(_) | Call::List => Duration::ZERO,
+            };
+            now.since(w.since) <= wait + LOST
+        });
+        if self.waiting.len() < before {
+            self.failed(now, rng)
+        } else {
+            Turn::None
+        }
+    }
+
+    /// Reads the head at the next step, whatever was planned: after a freeze.
+    pub fn hurry(&mut self, now: Time) {
+        self.waiting.retain(|w| w.call != Call::Head);
+        self.reread = now;
+        self.retry = now;
+    }
+
+    /// A store that came back with old data has lower revisions; a watch above
+    /// them would wait for ever.
+    fn saw(&mut self, call: &Call, revision: u64) {
+        let read = *call == Call::Head;
+        if read || revision > self.revision {
+            self.revision = revision;
+        }
+    }
+
+    fn probe(&mut self, now: Time, rng: &mut fastrand::Rng, out: &mut Vec<(CallId, Call)>) {
+        if now >= self.retry {
+            self.read_head(now, rng, out);
+        }
+    }
+
+    fn read_head(&mut self, now: Time, rng: &mut fastrand::Rng, out: &mut Vec<(CallId, Call)>) {
+        if self.waits(|c| *c == Call::Head) {
+            return;
+        }
+        self.reread = if self.slow {
+            now + jitter(REREAD, rng)
+        } else {
+            Time::from_micros(u64::MAX)
+        };
+        self.call(now, Call::Head, out);
+    }
+
+    fn call(&mut self, now: Time, call: Call, out: &mut Vec<(CallId, Call)>) {
+        self.calls += 1;
+        let id = CallId(self.calls);
+        self.waiting.push(Waiting {
+            id,
+            call: call.clone(),
+            since: now,
+        });
+        out.push((id, call));
+    }
+
+    fn waits(&self, fits: impl Fn(&Call) -> bool) -> bool {
+        self.waiting.iter().any(|w| fits(&w.call))
+    }
+
+    fn failed(&mut self, now: Time, rng: &mut fastrand::Rng) -> Turn {
+        let doubled = BACKOFF * 2_u32.saturating_pow(self.fails.min(10));
+        self.fails = self.fails.saturating_add(1);
+        self.retry = now + jitter(doubled.min(BACKOFF_MAX), rng);
+        self.fresh = false;
+        if core::mem::replace(&mut self.away, true) {
+            Turn::None
+        } else {
+            Turn::Away
+        }
+    }
+
+    /// After an outage the next slow read is drawn anew, so that processes that
+    /// noticed the return together don't read together again.
+    fn worked(&mut self, now: Time, rng: &mut fastrand::Rng) -> Turn {
+        self.fails = 0;
+        if !core::mem::replace(&mut self.away, false) {
+            return Turn::None;
+        }
+        if self.slow {
+            self.reread = now + jitter(REREAD, rng);
+        }
+        self.list = now + jitter(LIST, rng);
+        Turn::Back
+    }
+}
+
+/// A time between half and one and a half of `mean`.
+pub fn jitter(mean: Duration, rng: &mut fastrand::Rng) -> Duration {
+    mean.mul_f64(0.5 + rng.f64())
+}
--- /dev/null
+++ b/crates/steer/src/process/member/hash.rs
@@ -0,0 +1,40 @@
+//! A hash that is the same in every process and every build.
+//!
+//! Invariant: its values never change, since processes of two releases choose
+//! watchers and compare digests by it.
+
+use super::Record;
+
+const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const PRIME: u64 = 0x0100_0000_01b3;
+
+/// FNV-1a over the parts, each closed by a byte that UTF-8 never has, then
+/// mixed so that every bit depends on every byte.
+#[must_use]
+pub fn mix(parts: &[&[u8]]) -> u64 {
+    let mut hash = OFFSET;
+    for part in parts {
+        for &byte in *part {
+            hash = (hash ^ u64::from(byte)).wrapping_mul(PRIME);
+        }
+        hash = (hash ^ 0xff).wrapping_mul(PRIME);
+    }
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
+
+/// Hash of all that a record says but its addresses, which a stamp fixes.
+#[must_use]
+pub fn record(record: &Record) -> u64 {
+    mix(&[
+        record.identity.domain.as_bytes(),
+        record.identity.name.as_bytes(),
+        &record.stamp.generation.to_le_bytes(),
+        &record.stamp.incarnation.0.to_le_bytes(),
+        &record.serial.to_le_bytes(),
+        record.life.as_str().as_bytes(),
+    ])
+}
--- /dev/null
+++ b/crates/steer/tests/control_scenarios.rs
@@ -0,0 +1,64 @@
+//! Scenarios of whole fleets, in virtual time.
+//!
+//! Each file of `control_data` names the safeguards that it is about. It is run
+//! with all of them on, which has to give what the file says; and once for each
+//! with that one off, which has to give something else.
+
+#[path = "control_scenarios/fleet.rs"]
+mod fleet;
+#[path = "control_scenarios/script.rs"]
+mod script;
+
+use std::path::Path;
+
+use datadriven::TestCase;
+use rstest::rstest;
+use steer::process::control::Safeguards;
+use steer::process::control::apply;
+
+#[rstest]
+fn scenario_holds(#[files("tests/control_data/*")] path: std::path::PathBuf) {
+    let path = path.to_str().expect("a path in UTF-8");
+    let mut seen: Vec<(TestCase, String)> = Vec::new();
+    datadriven::walk(path, |file| {
+        let mut script = script::Script::new(Safeguards::default(), apply::Guards::default());
+        file.run(|case| -> String {
+            let output = script.step(case);
+            seen.push((case.clone(), output.clone()));
+            output
+        });
+    });
+    for name in safeguards(&seen) {
+        let broken = broken_without(&name, &seen);
+        assert!(broken, "{}: no difference without {name}", short(path));
+    }
+}
+
+fn safeguards(seen: &[(TestCase, String)]) -> Vec<String> {
+    let named = seen.iter().find(|(case, _)| case.directive == "safeguard");
+    let (case, _) = named.expect("a file names its safeguards");
+    case.args["off"].clone()
+}
+
+/// Whether some output differs with the safeguard off.
+fn broken_without(name: &str, seen: &[(TestCase, String)]) -> bool {
+    let mut guards = Safeguards::default();
+    let mut apply = apply::Guards::default();
+    script::ablate(name, &mut guards, &mut apply);
+    let mut script = script::Script::new(guards, apply);
+    let mut broken = false;
+    for (case, expected) in seen {
+        let output = script.step(case);
+        if output != *expected {
+            let directive = &case.directive;
+            println!("without {name}, `{directive}` gives:\n{output}instead of:\n{expected}");
+            broken = true;
+        }
+    }
+    broken
+}
+
+fn short(path: &str) -> String {
+    let name = Path::new(path).file_name();
+    name.unwrap_or_default().to_string_lossy().into_owned()
+}
--- /dev/null
+++ b/crates/steer/tests/control_scenarios/fleet.rs
@@ -0,0 +1,646 @@
+//! Many control states in virtual time, joined by a small fake network and a
+//! fake of the platform's store. Scenarios and the measurement of a whole fleet
+//! both drive it.
+//!
+//! Messages cross as the bytes that the wire types give, so that they are
+//! counted and no two processes share memory.
+
+use core::cmp::Reverse;
+use core::time::Duration;
+use std::collections::BinaryHeap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+
+use steer::clock::Time;
+use steer::process::config::{Body, Hash, Head};
+use steer::process::control::message::Message;
+use steer::process::control::store::{Call, CallId, Reply, Stored};
+use steer::process::control::{
+    Action, Control, Event, Notice, Safeguards, Settings, Snapshot, TICK,
+};
+use steer::process::member::hash;
+use steer::process::member::{Hint, Identity};
+use steer::version::view::{Incarnation, Version};
+
+/// How a fleet is laid out, and what its links do.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// Number of failure domains.
+    pub domains: usize,
+    /// Entry instances, dealt to the domains in turn.
+    pub nodes: usize,
+    /// Failure domains in one region.
+    pub per_region: usize,
+    /// Part of the messages that is lost.
+    pub loss: f64,
+    /// Seed of everything random.
+    pub seed: u64,
+    /// Safeguards that are on.
+    pub guards: Safeguards,
+    /// Delay of the platform's list of instances.
+    pub lag: Duration,
+}
+
+/// One process, alive or not.
+pub struct Node {
+    /// Index of its configured name.
+    pub slot: usize,
+    /// Its domain.
+    pub domain: usize,
+    /// Its control state.
+    pub control: Control,
+    /// Whether it runs.
+    pub alive: bool,
+    /// Whether it is frozen, with what waits for it.
+    pub frozen: bool,
+    waiting: Vec<Event>,
+    /// Its own clock is this far ahead of virtual time.
+    offset: Duration,
+    /// What it published last.
+    pub shown: Option<Snapshot>,
+    /// When it published last, and how often.
+    pub published: u64,
+    /// What it logged, with the virtual time.
+    pub notices: Vec<(Time, Notice)>,
+    /// Versions it put in force, with the virtual time.
+    pub force: Vec<(Time, Version)>,
+    /// Bytes of payload sent and received.
+    pub bytes: [u64; 2],
+    /// Messages sent and received.
+    pub messages: [u64; 2],
+}
+
+enum Due {
+    Tick(usize),
+    Deliver {
+        to: usize,
+        bytes: Arc<[u8]>,
+    },
+    Ask {
+        from: usize,
+        id: CallId,
+        call: Call,
+    },
+    Answer {
+        to: usize,
+        id: CallId,
+        reply: Reply,
+    },
+    Expire {
+        from: usize,
+        id: CallId,
+    },
+    /// A write that lingered in the network reaches the store.
+    Write {
+        head: Arc<Head>,
+        expect: u64,
+    },
+}
+
+struct Entry {
+    at: Time,
+    order: u64,
+    due: Due,
+}
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+impl Eq for Entry {}
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<core::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> core::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+struct Watch {
+    from: usize,
+    id: CallId,
+    after: u64,
+}
+
+struct Listed {
+    hint: Hint,
+    from: Time,
+    until: Time,
+}
+
+/// The platform's store.
+#[derive(Default)]
+pub struct Store {
+    /// The head document.
+    pub stored: Option<Stored>,
+    /// Heads that were there, newest last.
+    pub past: Vec<Stored>,
+    bodies: Vec<Body>,
+    watches: Vec<Watch>,
+    /// Whether it answers nobody.
+    pub away: bool,
+    /// Calls that reached it, by second of virtual time.
+    pub calls: Vec<u32>,
+    list: Vec<Listed>,
+}
+
+/// A place in the network: a failure domain, or the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// A failure domain.
+    Domain(usize),
+    /// The store.
+    Store,
+}
+
+/// The fleet.
+pub struct Fleet {
+    /// Virtual time.
+    pub now: Time,
+    /// Processes, dead ones too, in the order of their starts.
+    pub nodes: Vec<Node>,
+    /// The process of each configured name.
+    pub slots: Vec<usize>,
+    /// The store.
+    pub store: Store,
+    /// Pairs of places that can't reach each other.
+    pub cuts: Vec<(Place, Place)>,
+    /// Real time spent in control, encoding and decoding.
+    pub spent: Duration,
+    /// Whether real time is measured.
+    pub timed: bool,
+    layout: Layout,
+    queue: BinaryHeap<Reverse<Entry>>,
+    order: u64,
+    rng: fastrand::Rng,
+}
+
+/// Time after which the driver gives a call up.
+const BOUND: Duration = Duration::from_secs(1);
+const TO_STORE: Duration = Duration::from_millis(2);
+
+impl Fleet {
+    /// A fleet whose processes all start within a second.
+    pub fn new(layout: Layout) -> Self {
+        let rng = fastrand::Rng::with_seed(layout.seed);
+        let mut fleet = Self {
+            now: Time::ZERO,
+            nodes: Vec::new(),
+            slots: Vec::new(),
+            store: Store::default(),
+            cuts: Vec::new(),
+            spent: Duration::ZERO,
+            timed: false,
+            layout,
+            queue: BinaryHeap::new(),
+            order: 0,
+            rng,
+        };
+        for slot in 0..fleet.layout.nodes {
+            fleet.slots.push(0);
+            fleet.start(slot, None);
+        }
+        fleet
+    }
+
+    /// Name of a configured slot: `d1-0` is the first of domain `d1`.
+    pub fn name(&self, slot: usize) -> String {
+        let domains = self.layout.domains;
+        format!("d{}-{}", slot % domains, slot / domains)
+    }
+
+    /// Slot of a name.
+    pub fn slot(&self, name: &str) -> usize {
+        let mut slots = 0..self.layout.nodes;
+        let found = slots.find(|&s| self.name(s) == name);
+        found.unwrap_or_else(|| panic!("no instance {name}"))
+    }
+
+    /// The process of a name.
+    pub fn node(&self, name: &str) -> &Node {
+        &self.nodes[self.slots[self.slot(name)]]
+    }
+
+    /// Starts a process under a slot's name, and returns its index. Its wall
+    /// clock is right unless `wall` says otherwise.
+    pub fn start(&mut self, slot: usize, wall: Option<u64>) -> usize {
+        let at = self.nodes.len();
+        let domain = slot % self.layout.domains;
+        let identity = Identity {
+            name: self.name(slot).into(),
+            domain: format!("d{domain}").into(),
+            addr: addr(at, 80),
+            peer: addr(at, 90),
+        };
+        let lag = if self.now == Time::ZERO {
+            Duration::ZERO
+        } else {
+            self.layout.lag
+        };
+        self.store.list.push(Listed {
+            hint: Hint {
+                name: Arc::clone(&identity.name),
+                domain: Arc::clone(&identity.domain),
+                peer: identity.peer,
+            },
+            from: self.now + lag,
+            until: Time::from_micros(u64::MAX),
+        });
+        let offset = Duration::from_micros(self.rng.u64(1..1_000_000_000));
+        let millis = self.now.as_micros() / 1000;
+        let settings = Settings {
+            identity,
+            incarnation: Incarnation(self.rng.u64(..)),
+            generation: wall.unwrap_or(1_000_000 + millis),
+            seeds: Vec::new(),
+            guards: self.layout.guards,
+        };
+        let rng = fastrand::Rng::with_seed(self.rng.u64(..));
+        self.nodes.push(Node {
+            slot,
+            domain,
+            control: Control::new(self.now + offset, settings, rng),
+            alive: true,
+            frozen: false,
+            waiting: Vec::new(),
+            offset,
+            shown: None,
+            published: 0,
+            notices: Vec::new(),
+            force: Vec::new(),
+            bytes: [0; 2],
+            messages: [0; 2],
+        });
+        self.slots[slot] = at;
+        let spread = Duration::from_micros(self.rng.u64(..1_000_000));
+        let first = if self.now == Time::ZERO {
+            spread
+        } else {
+            Duration::ZERO
+        };
+        self.push(first, Due::Tick(at));
+        at
+    }
+
+    /// Ends a process at once; the platform's list follows late.
+    pub fn kill(&mut self, at: usize) {
+        self.nodes[at].alive = false;
+        self.store.watches.retain(|w| w.from != at);
+        let peer = addr(at, 90);
+        let until = self.now + self.layout.lag;
+        for listed in &mut self.store.list {
+            if listed.hint.peer == peer {
+                listed.until = until;
+            }
+        }
+    }
+
+    /// Stops a process as its operator does.
+    pub fn stop(&mut self, at: usize) {
+        self.feed(at, Event::Stop);
+        self.kill(at);
+    }
+
+    /// Freezes a process: its clock goes on, and what is sent to it waits.
+    pub fn freeze(&mut self, at: usize) {
+        self.nodes[at].frozen = true;
+    }
+
+    /// Wakes a process: what waited comes first.
+    pub fn thaw(&mut self, at: usize) {
+        self.nodes[at].frozen = false;
+        let waiting = core::mem::take(&mut self.nodes[at].waiting);
+        for event in waiting {
+            self.feed(at, event);
+        }
+        self.push(Duration::ZERO, Due::Tick(at));
+    }
+
+    /// Lets virtual time pass.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.queue.peek().is_some_and(|Reverse(e)| e.at <= end) {
+            let Some(Reverse(entry)) = self.queue.pop() else {
+                break;
+            };
+            self.now = entry.at;
+            self.happen(entry.due);
+        }
+        self.now = end;
+    }
+
+    /// Whether two places reach each other.
+    pub fn joined(&self, a: Place, b: Place) -> bool {
+        !self.cuts.contains(&(a, b)) && !self.cuts.contains(&(b, a))
+    }
+
+    /// Writes a head if the store is at the revision expected; 0 is none, and
+    /// `None` anything. Answers the head that is there if it isn't.
+    pub fn write(&mut self, head: &Arc<Head>, expect: Option<u64>) -> Result<(), Option<Stored>> {
+        let revision = self.store.stored.as_ref().map_or(0, |s| s.revision);
+        if expect.is_some_and(|expect| expect != revision) {
+            return Err(self.store.stored.clone());
+        }
+        let stored = Stored {
+            head: Arc::clone(head),
+            revision: revision + 1,
+        };
+        self.store.past.push(stored.clone());
+        self.store.stored = Some(stored);
+        self.wake_watches();
+        Ok(())
+    }
+
+    /// Lets a write reach the store later.
+    pub fn linger(&mut self, head: &Arc<Head>, expect: u64, span: Duration) {
+        let head = Arc::clone(head);
+        self.push(span, Due::Write { head, expect });
+    }
+
+    /// Writes a body under its hash.
+    pub fn put_body(&mut self, body: Body) {
+        let bodies = &mut self.store.bodies;
+        if let Err(at) = bodies.binary_search_by_key(&body.hash, |b| b.hash) {
+            bodies.insert(at, body);
+        }
+    }
+
+    /// The store stops or starts to answer; its waiting watches are lost.
+    pub fn store_away(&mut self, away: bool) {
+        self.store.away = away;
+        let watches = core::mem::take(&mut self.store.watches);
+        for watch in watches {
+            self.answer(watch.from, watch.id, Reply::Away);
+        }
+    }
+
+    /// Sends every waiting watch an event of this head, whatever it is.
+    pub fn stale_event(&mut self, stored: &Stored) {
+        let watches = core::mem::take(&mut self.store.watches);
+        for watch in watches {
+            let reply = Reply::Watched(Some(stored.clone()));
+            self.answer(watch.from, watch.id, reply);
+        }
+    }
+
+    /// Events that watches should have had are lost: the watches wait on.
+    pub fn write_unseen(&mut self, head: &Arc<Head>) {
+        let watches = core::mem::take(&mut self.store.watches);
+        self.write(head, None).expect("no condition");
+        let revision = self.store.stored.as_ref().map_or(0, |s| s.revision);
+        self.store.watches = watches;
+        for watch in &mut self.store.watches {
+            watch.after = revision;
+        }
+    }
+
+    fn wake_watches(&mut self) {
+        let Some(stored) = self.store.stored.clone() else {
+            return;
+        };
+        let watches = core::mem::take(&mut self.store.watches);
+        let (ready, rest): (Vec<_>, Vec<_>) =
+            watches.into_iter().partition(|w| stored.revision > w.after);
+        self.store.watches = rest;
+        for watch in ready {
+            let reply = Reply::Watched(Some(stored.clone()));
+            self.answer(watch.from, watch.id, reply);
+        }
+    }
+
+    fn answer(&mut self, to: usize, id: CallId, reply: Reply) {
+        let joined = self.joined(Place::Domain(self.nodes[to].domain), Place::Store);
+        let (after, reply) = if joined {
+            (TO_STORE, reply)
+        } else {
+            (BOUND, Reply::Away)
+        };
+        self.push(after, Due::Answer { to, id, reply });
+    }
+
+    fn push(&mut self, after: Duration, due: Due) {
+        self.order += 1;
+        self.queue.push(Reverse(Entry {
+            at: self.now + after,
+            order: self.order,
+            due,
+        }));
+    }
+
+    fn happen(&mut self, due: Due) {
+        match due {
+            Due::Tick(at) => {
+                let node = &self.nodes[at];
+                if node.alive && !node.frozen {
+                    self.feed(at, Event::Tick);
+                    self.push(TICK, Due::Tick(at));
+                }
+            }
+            Due::Deliver { to, bytes } => self.deliver(to, &bytes),
+            Due::Ask { from, id, call } => self.asked(from, id, &call),
+            Due::Answer { to, id, reply } => self.feed(to, Event::Stored { id, reply }),
+            Due::Expire { from, id } => self.expire(from, id),
+            Due::Write { head, expect } => {
+                // A write that comes too late meets another revision.
+                let _refused = self.write(&head, Some(expect));
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: usize, bytes: &[u8]) {
+        if !self.nodes[to].alive {
+            return;
+        }
+        let clock = self.clock();
+        let message = wire::beat::Message::decode(bytes).expect("as encoded");
+        let message = Message::try_from(message).expect("as made");
+        self.count(clock);
+        let node = &mut self.nodes[to];
+        node.bytes[1] += bytes.len() as u64;
+        node.messages[1] += 1;
+        self.feed(to, Event::Received(message));
+    }
+
+    /// Gives an event to a process, or keeps it while the process is frozen.
+    pub fn feed(&mut self, at: usize, event: Event) {
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        if !node.alive {
+            return;
+        }
+        if node.frozen {
+            return node.waiting.push(event);
+        }
+        let mut out = Vec::new();
+        let clock = self.timed.then(std::time::Instant::now);
+        node.control.handle(now + node.offset, event, &mut out);
+        self.count(clock);
+        for action in out {
+            self.act(at, action);
+        }
+    }
+
+    fn clock(&self) -> Option<std::time::Instant> {
+        self.timed.then(std::time::Instant::now)
+    }
+
+    fn count(&mut self, clock: Option<std::time::Instant>) {
+        if let Some(clock) = clock {
+            self.spent += clock.elapsed();
+        }
+    }
+
+    fn act(&mut self, at: usize, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send(at, to, &message),
+            Action::Store { id, call } => self.call(at, id, call),
+            Action::Install { head, bodies } => self.install(at, &head, &bodies),
+            Action::Publish(snapshot) => {
+                let node = &mut self.nodes[at];
+                node.shown = Some(snapshot);
+                node.published += 1;
+            }
+            Action::Notice(notice) => self.nodes[at].notices.push((self.now, notice)),
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: &Message) {
+        let clock = self.clock();
+        let bytes = wire::beat::Message::from(message)
+            .encode()
+            .expect("messages can be written");
+        self.count(clock);
+        let node = &mut self.nodes[from];
+        node.bytes[0] += bytes.len() as u64;
+        node.messages[0] += 1;
+        let to = index(to);
+        let (a, b) = (self.nodes[from].domain, self.nodes[to].domain);
+        let lost = self.rng.f64() < self.layout.loss;
+        if lost || !self.joined(Place::Domain(a), Place::Domain(b)) {
+            return;
+        }
+        let after = self.latency(a, b);
+        let bytes = bytes.into();
+        self.push(after, Due::Deliver { to, bytes });
+    }
+
+    fn latency(&mut self, a: usize, b: usize) -> Duration {
+        let region = |d: usize| d / self.layout.per_region;
+        let micros = if a == b {
+            200
+        } else if region(a) == region(b) {
+            500
+        } else {
+            35_000
+        };
+        let jitter = self.rng.u64(..=micros / 10);
+        Duration::from_micros(micros + jitter)
+    }
+
+    fn call(&mut self, from: usize, id: CallId, call: Call) {
+        let place = Place::Domain(self.nodes[from].domain);
+        if self.joined(place, Place::Store) {
+            self.push(TO_STORE, Due::Ask { from, id, call });
+        } else {
+            self.answer(from, id, Reply::Away);
+        }
+    }
+
+    fn asked(&mut self, from: usize, id: CallId, call: &Call) {
+        let second = usize::try_from(self.now.as_micros() / 1_000_000).expect("small");
+        if self.store.calls.len() <= second {
+            self.store.calls.resize(second + 1, 0);
+        }
+        self.store.calls[second] += 1;
+        if self.store.away {
+            let reply = Reply::Away;
+            return self.push(
+                BOUND,
+                Due::Answer {
+                    to: from,
+                    id,
+                    reply,
+                },
+            );
+        }
+        let reply = match *call {
+            Call::Head => Reply::Head(self.store.stored.clone()),
+            Call::Body(hash) => {
+                let bodies = &self.store.bodies;
+                let found = bodies.binary_search_by_key(&hash, |b| b.hash).ok();
+                Reply::Body(hash, found.map(|at| Arc::clone(&bodies[at].bytes)))
+            }
+            Call::List => {
+                let now = self.now;
+                let seen = |l: &&Listed| l.from <= now && now < l.until;
+                let list = self.store.list.iter().filter(seen);
+                Reply::Listed(list.map(|l| l.hint.clone()).collect())
+            }
+            Call::Watch { after, wait } => return self.watch(from, id, after, wait),
+        };
+        self.answer(from, id, reply);
+    }
+
+    fn watch(&mut self, from: usize, id: CallId, after: u64, wait: Duration) {
+        self.store.watches.push(Watch { from, id, after });
+        self.push(wait, Due::Expire { from, id });
+        self.wake_watches();
+    }
+
+    fn expire(&mut self, from: usize, id: CallId) {
+        let before = self.store.watches.len();
+        self.store.watches.retain(|w| (w.from, w.id) != (from, id));
+        if self.store.watches.len() < before {
+            self.answer(from, id, Reply::Watched(None));
+        }
+    }
+
+    /// Plays the verifier: a file of content `bad` makes a version be turned
+    /// down, and a file named `slots` says how many slots there are.
+    fn install(&mut self, at: usize, head: &Arc<Head>, bodies: &[Body]) {
+        let version = head.version;
+        if bodies.iter().any(|b| &*b.bytes == b"bad") {
+            return self.feed(at, Event::Rejected(version));
+        }
+        let slots = head.files.iter().position(|f| &*f.name == "slots");
+        let slots = slots.and_then(|i| {
+            let text = core::str::from_utf8(&bodies[i].bytes).ok()?;
+            text.parse().ok()
+        });
+        let all = u32::try_from(self.slots.len()).expect("small");
+        let slots = slots.unwrap_or(all);
+        let own = u32::try_from(self.nodes[at].slot).expect("small");
+        let slots = (own < slots).then_some(slots);
+        self.nodes[at].force.push((self.now, version));
+        self.feed(at, Event::Installed { version, slots });
+    }
+}
+
+/// A body of this text; its hash stands in for SHA-256.
+pub fn body(text: &str) -> Body {
+    let mut hash = [0; 32];
+    for (i, chunk) in hash.chunks_mut(8).enumerate() {
+        let salt = [u8::try_from(i).expect("four chunks")];
+        chunk.copy_from_slice(&hash::mix(&[text.as_bytes(), &salt]).to_le_bytes());
+    }
+    Body {
+        hash: Hash(hash),
+        bytes: text.as_bytes().into(),
+    }
+}
+
+fn addr(at: usize, port: u16) -> SocketAddr {
+    let bits = 0x0a00_0000 + u32::try_from(at).expect("small");
+    SocketAddrV4::new(Ipv4Addr::from(bits), port).into()
+}
+
+fn index(addr: SocketAddr) -> usize {
+    let SocketAddr::V4(addr) = addr else {
+        panic!("the fleet is on IPv4");
+    };
+    (u32::from(*addr.ip()) - 0x0a00_0000) as usize
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! here converts to its inner twin by `From`, or by `TryFrom` where the bytes
 //! may lie.
 
+pub mod beat;
 pub mod headers;
 pub mod instance;
 pub mod kv;
