--- a/crates/auburnrouter/src/cli.rs
+++ b/crates/auburnrouter/src/cli.rs
@@ -151,6 +151,25 @@
     value.string().map_err(|e| malformed(&e, command))
 }
 
+/// The number given to an option.
+///
+/// # Errors
+/// If there is none, or it is no number.
+pub fn number(
+    args: &mut lexopt::Parser,
+    option: &str,
+    command: &'static str,
+) -> Result<u64, Error> {
+    let text = text(args, command)?;
+    let wrong = |_| {
+        Error::Args(
+            format!("--{option} takes a whole number, not {text}"),
+            command,
+        )
+    };
+    text.parse().map_err(wrong)
+}
+
 /// The error for an argument that a subcommand doesn't know.
 pub fn unexpected(arg: &Arg, command: &'static str) -> Error {
     let text = match arg {
--- a/crates/auburnrouter/src/cmd/client.rs
+++ b/crates/auburnrouter/src/cmd/client.rs
@@ -12,7 +12,9 @@
 use trillium_client::{Client, Conn};
 use trillium_smol::ClientConfig;
 
+use super::files;
 use crate::cli;
+use crate::daemon::{Change, Made};
 
 /// Options that say where to ask.
 #[derive(Debug, Default)]
@@ -24,15 +26,6 @@
     pub json: bool,
 }
 
-/// Help for [`Options`].
-pub const HELP: &str = "\
-Where to ask:
-  --settings FILE     the settings of an instance: its operators' address and secret
-  --operators ADDR    an instance's operators' address, instead of the settings'
-  --secret-file FILE  file with the secret, instead of the settings'
-  --json              print JSON, for scripts
-";
-
 /// Names of [`Options`].
 pub const NAMES: &[&str] = &["settings", "operators", "secret-file", "json", "help"];
 
@@ -51,6 +44,9 @@
     /// No answer.
     #[error("{0} does not answer: {1}; check the address, or ask another instance")]
     Silent(SocketAddr, String),
+    /// The answer makes no sense.
+    #[error("{0} answers what this version can't read; run the same version on both ends")]
+    Garbled(SocketAddr),
     /// The secret is wrong.
     #[error("{0} does not know this secret; use the one in its settings")]
     Secret(SocketAddr),
@@ -155,6 +151,25 @@
     }
 }
 
+/// The configuration in force at an instance.
+///
+/// # Errors
+/// If no answer comes or it can't be read.
+pub fn config(operators: &Operators) -> Result<files::Config, Error> {
+    let answer = operators.get("/config")?;
+    serde_json::from_str(&answer.body).map_err(|_| Error::Garbled(operators.addr))
+}
+
+/// Makes a change through an instance.
+///
+/// # Errors
+/// If no answer comes or it can't be read.
+pub fn change(operators: &Operators, change: &Change) -> Result<Made, Error> {
+    let body = serde_json::to_string(change).unwrap_or_default();
+    let answer = operators.post("/apply", body)?;
+    serde_json::from_str(&answer.body).map_err(|_| Error::Garbled(operators.addr))
+}
+
 /// A client that keeps no connections.
 pub fn client() -> Client {
     Client::new(ClientConfig::default())
--- /dev/null
+++ b/crates/auburnrouter/src/cmd/files.rs
@@ -0,0 +1,125 @@
+//! A configuration as files in a folder: `base.jsonc`, `overlays/SITE.jsonc`,
+//! `blocks/NAME.txt`; and as the daemon names them.
+
+use std::ffi::OsStr;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::daemon::File;
+
+/// A folder can't be read or written.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// A path can't be read.
+    #[error("can't read {0}: {1}")]
+    Read(String, io::Error),
+    /// A path can't be written.
+    #[error("can't write {0}: {1}")]
+    Write(String, io::Error),
+    /// A file's name from an instance leads out of the folder.
+    #[error("the instance names a file {0}, which leads elsewhere; not written")]
+    Name(String),
+}
+
+/// The files in force, as an instance gives them.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Config {
+    /// Version in force; 0 if none.
+    pub version: u64,
+    /// Its files.
+    pub files: Vec<File>,
+}
+
+/// Where a folder remembers the version it came from.
+const VERSION: &str = ".version";
+
+const KINDS: [(&str, &str); 2] = [("overlays", "jsonc"), ("blocks", "txt")];
+
+/// Reads a folder's files; the base file alone may be named instead.
+///
+/// # Errors
+/// If one can't be read.
+pub fn read(path: &Path) -> Result<Vec<File>, Error> {
+    if path.is_file() {
+        return Ok(vec![file("base".to_owned(), path)?]);
+    }
+    let mut files = vec![file("base".to_owned(), &path.join("base.jsonc"))?];
+    for (kind, ending) in KINDS {
+        let folder = path.join(kind);
+        if folder.is_dir() {
+            files.extend(list(&folder, kind, ending)?);
+        }
+    }
+    Ok(files)
+}
+
+/// The version that a folder's files came from, if it says.
+pub fn version(path: &Path) -> Option<u64> {
+    let text = fs::read_to_string(path.join(VERSION)).ok()?;
+    text.trim().parse().ok()
+}
+
+/// Writes the files in force into a folder, with their version.
+///
+/// # Errors
+/// If one can't be written.
+pub fn write(path: &Path, config: &Config) -> Result<(), Error> {
+    for file in &config.files {
+        let target = place(path, &file.name)?;
+        if let Some(folder) = target.parent() {
+            fs::create_dir_all(folder).map_err(|e| unwritten(folder, e))?;
+        }
+        fs::write(&target, &file.text).map_err(|e| unwritten(&target, e))?;
+    }
+    let target = path.join(VERSION);
+    fs::write(&target, format!("{}\n", config.version)).map_err(|e| unwritten(&target, e))
+}
+
+fn place(path: &Path, name: &str) -> Result<PathBuf, Error> {
+    if name == "base" {
+        return Ok(path.join("base.jsonc"));
+    }
+    for (kind, ending) in KINDS {
+        let Some(rest) = name.strip_prefix(kind).and_then(|r| r.strip_prefix('/')) else {
+            continue;
+        };
+        if !rest.is_empty() && !rest.contains(['/', '\\']) && !rest.starts_with('.') {
+            return Ok(path.join(kind).join(format!("{rest}.{ending}")));
+        }
+    }
+    Err(Error::Name(name.to_owned()))
+}
+
+fn list(folder: &Path, kind: &str, ending: &str) -> Result<Vec<File>, Error> {
+    let entries = fs::read_dir(folder).map_err(|e| unread(folder, e))?;
+    let mut paths = Vec::new();
+    for entry in entries {
+        let path = entry.map_err(|e| unread(folder, e))?.path();
+        if path.extension() == Some(OsStr::new(ending)) {
+            paths.push(path);
+        }
+    }
+    paths.sort();
+    let named = |path: &PathBuf| {
+        let stem = path.file_stem().unwrap_or_default().to_string_lossy();
+        file(format!("{kind}/{stem}"), path)
+    };
+    paths.iter().map(named).collect()
+}
+
+fn file(name: String, path: &Path) -> Result<File, Error> {
+    let text = fs::read_to_string(path).map_err(|e| unread(path, e))?;
+    Ok(File { name, text })
+}
+
+fn unread(path: &Path, error: io::Error) -> Error {
+    Error::Read(path.display().to_string(), error)
+}
+
+fn unwritten(path: &Path, error: io::Error) -> Error {
+    Error::Write(path.display().to_string(), error)
+}
--- a/crates/auburnrouter/src/daemon.rs
+++ b/crates/auburnrouter/src/daemon.rs
@@ -31,9 +31,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+pub use self::control::{Answer as Made, Change, File, Result as ChangeResult};
+
 use arc_swap::ArcSwap;
 use serde::Serialize;
-use settings::{Settings, secret};
+use settings::{Settings, limits, secret};
 use smol::net;
 use steer::process::{dispatch, gate, traffic};
 use steer::version::view;
@@ -141,114 +143,152 @@
         let limits = self.settings.limits;
         let traffic = workers::Workers::start(limits.threads()).map_err(Error::Thread)?;
         let steering = workers::Workers::start(1).map_err(Error::Thread)?;
+        let core = self.core(&traffic, &steering)?;
+        let listening = Stopper::new();
+        let ticking = Stopper::new();
+        let open = core.serve_callers(self.callers, &limits, &traffic, &listening);
+        let serving = peers::Serving {
+            secret: self.secret.clone(),
+            engine: Arc::clone(&core.engine),
+            control: core.control.clone(),
+            traffic: Arc::clone(traffic.executor()),
+            steering: Arc::clone(steering.executor()),
+        };
+        let peering = peers::serve(self.peers, serving, ticking.clone());
+        steering.executor().spawn(peering).detach();
+        core.serve_operators(self.operators, self.secret, &limits, &steering, &ticking);
+        let ticks = tick(Arc::clone(&core.engine), ticking.clone());
+        traffic.executor().spawn(ticks).detach();
+        log::info!(
+            "event=started name={} callers={}",
+            self.addresses.name,
+            self.addresses.callers
+        );
+        Ok(Running {
+            addresses: self.addresses,
+            longest: limits.request_time(),
+            engine: core.engine,
+            control: core.control,
+            open,
+            listening,
+            ticking,
+            traffic,
+            steering,
+        })
+    }
+
+    fn core(&self, traffic: &workers::Workers, steering: &workers::Workers) -> Result<Core, Error> {
+        let settings = &self.settings;
         let metrics = Arc::new(metrics::Metrics::new()?);
         let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
         let incarnation = view::Incarnation(fastrand::u64(1..));
-        let executor = Arc::clone(traffic.executor());
-        let peers = Arc::new(peers::Peers::new(
-            Arc::clone(&executor),
-            self.secret.clone(),
-        ));
-        let home = dispatch::Home {
-            name: Arc::clone(&self.settings.name),
-            domain: Arc::clone(&self.settings.domain),
-        };
-        let store = store::http::Config::new(self.settings.store.clone());
+        let store = store::http::Config::new(settings.store.clone());
         let store: Arc<dyn store::Store> =
             Arc::new(store::http::Client::new(store, fastrand::Rng::new()));
-        let decide = traffic::Traffic::new(
-            home,
-            incarnation,
-            gate::Limits::default(),
-            fastrand::Rng::new(),
-        );
+        let home = dispatch::Home {
+            name: Arc::clone(&settings.name),
+            domain: Arc::clone(&settings.domain),
+        };
+        let limits = gate::Limits::default();
+        let decide = traffic::Traffic::new(home, incarnation, limits, fastrand::Rng::new());
+        let executor = Arc::clone(traffic.executor());
+        let idle = settings.limits.target_connections();
         let means = engine::Means {
             executor: Arc::clone(&executor),
-            outbound: outbound::Outbound::new(Arc::clone(&executor), limits.target_connections()),
-            peers: Arc::clone(&peers),
+            outbound: outbound::Outbound::new(Arc::clone(&executor), idle),
+            peers: self.peering(executor, peers::Lane::Traffic),
             store: Arc::clone(&store),
         };
         let engine = engine::Engine::new(decide, incarnation, means);
-        let listening = Stopper::new();
-        let ticking = Stopper::new();
-        let control = control::Handle::start(
-            control::Parts {
-                settings: self.settings.clone(),
-                addresses: self.addresses.clone(),
-                incarnation,
-                engine: Arc::clone(&engine),
-                peers,
-                snapshot: Arc::clone(&snapshot),
-                metrics: Arc::clone(&metrics),
-                store,
-            },
-            steering.executor(),
-        );
-        let bounds = guarded::Bounds {
-            whole: limits.request_time(),
-            idle: limits.idle_time(),
-            ahead: limits.head_bytes() + 2 * limits.body_bytes(),
+        let parts = control::Parts {
+            settings: settings.clone(),
+            addresses: self.addresses.clone(),
+            incarnation,
+            engine: Arc::clone(&engine),
+            peers: self.peering(Arc::clone(steering.executor()), peers::Lane::Control),
+            snapshot: Arc::clone(&snapshot),
+            metrics: Arc::clone(&metrics),
+            store,
         };
-        let accepting = accept::Limits {
-            bounds,
+        Ok(Core {
+            engine,
+            control: control::Handle::start(parts, steering.executor()),
+            snapshot,
+            metrics,
+        })
+    }
+
+    fn peering(&self, executor: workers::Executor, lane: peers::Lane) -> Arc<peers::Peers> {
+        Arc::new(peers::Peers::new(executor, self.secret.clone(), lane))
+    }
+}
+
+/// What the listeners share.
+struct Core {
+    engine: Arc<engine::Engine>,
+    control: control::Handle,
+    snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
+    metrics: Arc<metrics::Metrics>,
+}
+
+impl Core {
+    /// Gives the count of callers' open connections.
+    fn serve_callers(
+        &self,
+        socket: net::TcpListener,
+        limits: &limits::Limits,
+        traffic: &workers::Workers,
+        listening: &Stopper,
+    ) -> Arc<AtomicUsize> {
+        let callers = Arc::new(callers::Callers {
+            snapshot: Arc::clone(&self.snapshot),
+            engine: Arc::clone(&self.engine),
+            metrics: Arc::clone(&self.metrics),
+            longest: limits.request_time(),
+        });
+        let bounds = accept::Limits {
+            bounds: bounds(limits),
             head: limits.head_bytes(),
             body: limits.body_bytes() as u64,
             connections: limits.connections(),
         };
-        let callers = Arc::new(callers::Callers {
-            snapshot,
-            engine: Arc::clone(&engine),
-            metrics: Arc::clone(&metrics),
-            longest: limits.request_time(),
-        });
-        let listener = accept::Listener::new(accepting, Arc::clone(&executor), listening.clone());
+        let executor = Arc::clone(traffic.executor());
+        let listener = accept::Listener::new(bounds, executor, listening.clone());
         let open = listener.count();
         let answer = move |conn, peer| callers::Callers::handle(Arc::clone(&callers), conn, peer);
-        executor.spawn(listener.run(self.callers, answer)).detach();
-        let peering = peers::serve(
-            self.peers,
-            self.secret.clone(),
-            Arc::clone(&engine),
-            control.myself(),
-            Arc::clone(&executor),
-            ticking.clone(),
-        );
-        executor.spawn(peering).detach();
+        let run = listener.run(socket, answer);
+        traffic.executor().spawn(run).detach();
+        open
+    }
+
+    fn serve_operators(
+        &self,
+        socket: net::TcpListener,
+        secret: secret::Secret,
+        limits: &limits::Limits,
+        steering: &workers::Workers,
+        ticking: &Stopper,
+    ) {
         let operators = Arc::new(operators::Operators {
-            secret: self.secret,
-            control: control.clone(),
-            engine: Arc::clone(&engine),
-            metrics,
+            secret,
+            control: self.control.clone(),
+            engine: Arc::clone(&self.engine),
+            metrics: Arc::clone(&self.metrics),
         });
-        let listener = accept::Listener::new(
-            operators::limits(bounds),
-            Arc::clone(steering.executor()),
-            ticking.clone(),
-        );
+        let bounds = operators::limits(bounds(limits));
+        let executor = Arc::clone(steering.executor());
+        let listener = accept::Listener::new(bounds, executor, ticking.clone());
         let answer = move |conn, _| operators::Operators::handle(Arc::clone(&operators), conn);
-        steering
-            .executor()
-            .spawn(listener.run(self.operators, answer))
-            .detach();
-        executor
-            .spawn(tick(Arc::clone(&engine), ticking.clone()))
-            .detach();
-        log::info!(
-            "event=started name={} callers={}",
-            self.addresses.name,
-            self.addresses.callers
-        );
-        Ok(Running {
-            addresses: self.addresses,
-            longest: limits.request_time(),
-            engine,
-            control,
-            open,
-            listening,
-            ticking,
-            traffic,
-            steering,
-        })
+        let run = listener.run(socket, answer);
+        steering.executor().spawn(run).detach();
+    }
+}
+
+fn bounds(limits: &limits::Limits) -> guarded::Bounds {
+    guarded::Bounds {
+        whole: limits.request_time(),
+        idle: limits.idle_time(),
+        ahead: limits.head_bytes() + 2 * limits.body_bytes(),
     }
 }
 
--- a/crates/auburnrouter/src/daemon/control.rs
+++ b/crates/auburnrouter/src/daemon/control.rs
@@ -3,19 +3,26 @@
 //! Invariant: control state is touched by one task on one thread; traffic
 //! threads see it through published snapshots only.
 
+mod apply;
+mod driver;
+mod dump;
+pub mod force;
+mod keys;
+mod shelf;
 mod world;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
-use arc_swap::ArcSwap;
-use futures_lite::future;
-use intent::instance;
-use serde::Serialize;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use settings::Settings;
+use steer::process::control::message;
+use steer::process::member;
 use steer::version::view;
 
+pub use self::apply::{Answer, Change, File, Result};
+pub use self::dump::Dump;
+use self::force::InForce;
+pub use self::shelf::hash;
 use super::Addresses;
 use super::engine::Engine;
 use super::metrics::Metrics;
@@ -23,12 +30,6 @@
 use super::snapshot::Snapshot;
 use super::workers::Executor;
 
-/// Where the base file stands in the store.
-const BASE: &str = "auburnrouter/config/base";
-
-/// Time between rounds.
-const ROUND: Duration = Duration::from_millis(200);
-
 /// What the control thread works with.
 pub struct Parts {
     /// The settings.
@@ -49,188 +50,95 @@
     pub store: Arc<dyn store::Store>,
 }
 
-/// The state of a process, for reading.
-#[derive(Debug, Serialize)]
-pub struct Dump {
-    name: Arc<str>,
-    incarnation: String,
-    version: u64,
-    in_flight: usize,
-    members: Vec<Arc<str>>,
-    targets: Vec<Arc<str>>,
+impl Parts {
+    /// What this process is.
+    #[must_use]
+    pub fn identity(&self) -> member::Identity {
+        member::Identity {
+            name: Arc::clone(&self.settings.name),
+            domain: Arc::clone(&self.settings.domain),
+            addr: self.addresses.callers,
+            peer: self.addresses.peers,
+        }
+    }
 }
 
 /// A way to ask the control thread.
 #[derive(Clone)]
 pub struct Handle {
     parts: Arc<Parts>,
-    orders: async_channel::Sender<Order>,
-}
-
-enum Order {
-    Met(SocketAddr),
-    Leave,
-    Stop,
+    inputs: async_channel::Sender<driver::Input>,
+    force: Arc<ArcSwapOption<InForce>>,
+    changing: Arc<smol::lock::Mutex<()>>,
 }
 
 impl Handle {
     /// Starts the control loop.
     pub fn start(parts: Parts, executor: &Executor) -> Self {
         let parts = Arc::new(parts);
-        let (orders, inbox) = async_channel::unbounded();
-        let world = world::World::new(Arc::clone(&parts.engine), Arc::clone(&parts.snapshot));
-        let state = Control {
-            parts: Arc::clone(&parts),
-            world,
-            revision: 0,
-            known: parts.settings.seeds.clone(),
-            state: view::State::Live,
-        };
-        executor.spawn(state.run(inbox)).detach();
-        Self { parts, orders }
+        let (inputs, inbox) = async_channel::unbounded();
+        let force = Arc::new(ArcSwapOption::empty());
+        let driver = driver::Driver::new(
+            Arc::clone(&parts),
+            Arc::clone(&force),
+            inputs.clone(),
+            Arc::clone(executor),
+        );
+        executor.spawn(driver.run(inbox)).detach();
+        Self {
+            parts,
+            inputs,
+            force,
+            changing: Arc::default(),
+        }
     }
 
     /// Says that this process is shutting down.
     pub fn leave(&self) {
-        let _ = self.orders.try_send(Order::Leave);
+        self.input(driver::Input::Leave);
     }
 
-    /// Ends the control loop.
+    /// Says the last word to the peers and ends the control loop; returns once
+    /// it has ended.
     pub fn stop(&self) {
-        let _ = self.orders.try_send(Order::Stop);
-    }
-
-    /// What this process tells of itself.
-    pub fn myself(&self) -> super::peers::Myself {
-        let parts = Arc::clone(&self.parts);
-        let orders = self.orders.clone();
-        Arc::new(move |met| {
-            let _ = orders.try_send(Order::Met(met));
-            let state = if parts.snapshot.load().leaving {
-                view::State::Leaving
-            } else {
-                view::State::Live
-            };
-            super::peers::spoken(&parts.member(state))
-        })
-    }
-
-    /// The state of the process.
-    pub fn dump(&self) -> Dump {
-        let snapshot = self.parts.snapshot.load();
-        let view = &snapshot.view;
-        Dump {
-            name: Arc::clone(&self.parts.settings.name),
-            incarnation: self.parts.incarnation.to_string(),
-            version: view.version.0,
-            in_flight: self.parts.engine.in_flight(),
-            members: view.members.values().map(|m| Arc::clone(&m.name)).collect(),
-            targets: view.targets.values().map(|t| Arc::clone(&t.name)).collect(),
-        }
-    }
-}
-
-struct Control {
-    parts: Arc<Parts>,
-    world: world::World,
-    revision: u64,
-    known: Vec<SocketAddr>,
-    state: view::State,
-}
-
-impl Control {
-    async fn run(mut self, inbox: async_channel::Receiver<Order>) {
-        loop {
-            self.round().await;
-            let order = async { inbox.recv().await.ok() };
-            let pause = async {
-                smol::Timer::after(ROUND).await;
-                None
-            };
-            match future::or(order, pause).await {
-                Some(Order::Stop) => return,
-                Some(Order::Leave) => {
-                    self.state = view::State::Leaving;
-                    self.world.leave();
-                    self.parts.engine.leave();
-                }
-                Some(Order::Met(addr)) => self.learn(addr),
-                None => {}
-            }
-        }
+        let (done, ended) = async_channel::bounded(1);
+        self.input(driver::Input::Stop(done));
+        // An error says the same: the loop has ended.
+        let _ = ended.recv_blocking();
     }
 
-    async fn round(&mut self) {
-        self.read_list().await;
-        self.read_config().await;
-        self.meet().await;
+    /// Takes a peer's message.
+    pub fn receive(&self, message: message::Message) {
+        self.input(driver::Input::Message(message));
     }
 
-    async fn read_list(&mut self) {
-        let Ok(list) = self.parts.store.instances().await else {
-            return;
-        };
-        for instance in &list.instances {
-            if let wire::instance::Role::Entry { peer } = instance.role {
-                self.learn(peer);
-            }
-        }
-        let listed = list.instances.into_iter().map(world::listed);
-        self.world.list(listed.collect());
+    /// What this process is.
+    #[must_use]
+    pub fn identity(&self) -> member::Identity {
+        self.parts.identity()
     }
 
-    fn learn(&mut self, peer: SocketAddr) {
-        if peer != self.parts.addresses.peers && !self.known.contains(&peer) {
-            self.known.push(peer);
-        }
+    /// The configuration in force, if there is one.
+    #[must_use]
+    pub fn force(&self) -> Option<Arc<InForce>> {
+        self.force.load_full()
     }
 
-    async fn read_config(&mut self) {
-        let Ok(Some(entry)) = self.parts.store.get(BASE).await else {
-            return;
-        };
-        if entry.revision <= self.revision {
-            return;
-        }
-        if let Ok(plan) = intent::plan::Plan::parse(BASE, &entry.value) {
-            self.revision = entry.revision;
-            let version = view::Version(entry.revision);
-            self.world.install(version, Arc::new(plan));
-            log::info!("event=configuration version={version}");
-        }
+    /// Makes an operator's change, one at a time.
+    pub async fn change(&self, change: Change) -> Answer {
+        let _one = self.changing.lock().await;
+        apply::change(&*self.parts.store, self.force(), change).await
     }
 
-    async fn meet(&mut self) {
-        let mut members = vec![self.myself()];
-        for addr in self.known.clone() {
-            let Some(met) = self.parts.peers.meet(addr, self.myself()).await else {
-                continue;
-            };
-            for member in met {
-                self.learn(member.peer);
-                if !members.iter().any(|m| m.incarnation == member.incarnation) {
-                    members.push(member);
-                }
-            }
-        }
-        members.retain(|m| m.incarnation == self.parts.incarnation || m.state == view::State::Live);
-        self.world.members(members);
+    /// The state of the process; `None` if the control loop has ended.
+    pub async fn dump(&self) -> Option<Dump> {
+        let (reply, told) = async_channel::bounded(1);
+        self.input(driver::Input::Dump(reply));
+        told.recv().await.ok()
     }
 
-    fn myself(&self) -> instance::Member {
-        self.parts.member(self.state)
-    }
-}
-
-impl Parts {
-    fn member(&self, state: view::State) -> instance::Member {
-        instance::Member {
-            name: Arc::clone(&self.settings.name),
-            incarnation: self.incarnation,
-            domain: Arc::clone(&self.settings.domain),
-            addr: self.addresses.callers,
-            peer: self.addresses.peers,
-            state,
-        }
+    fn input(&self, input: driver::Input) {
+        // It fails only once the loop has ended, when nothing is to be told.
+        let _ = self.inputs.try_send(input);
     }
 }
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/control/apply.rs
@@ -0,0 +1,265 @@
+//! An operator's change: verified, judged, then decided by one write.
+//!
+//! Invariant: nothing is written before the whole configuration has passed the
+//! verifier and moves no more traffic than its caps allow. The answer never
+//! says more than is certain.
+
+use std::sync::Arc;
+
+use intent::moves::judge;
+use intent::{bundle, diff};
+use serde::{Deserialize, Serialize};
+use steer::process::config;
+use steer::process::control::apply::{Apply, Base, Expect, Outcome, Step, Verdict};
+use steer::process::control::store::Stored;
+use steer::version::view;
+use store::error;
+use wire::{beat, kv};
+
+use super::force::{self, InForce};
+use super::{keys, shelf};
+
+/// A file of a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct File {
+    /// Its name: `base`, `overlays/SITE` or `blocks/…`.
+    pub name: String,
+    /// Its text.
+    pub text: String,
+}
+
+/// An operator's change: all files of the new version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Name chosen for the change, never reused.
+    pub id: String,
+    /// Version that the operator started from.
+    pub over: u64,
+    /// All files.
+    pub files: Vec<File>,
+    /// Caps stated with the change, `SERVICE:FROM:TO=CAP`.
+    #[serde(default)]
+    pub caps: Vec<String>,
+    /// Whether only to say what would move.
+    #[serde(default)]
+    pub dry_run: bool,
+}
+
+/// What became of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Result {
+    /// It is accepted.
+    Accepted,
+    /// It would be accepted.
+    WouldBe,
+    /// It has faults or moves too much.
+    Refused,
+    /// Another change came first.
+    Conflict,
+    /// It was not accepted.
+    NotAccepted,
+    /// Nobody can tell yet.
+    Unknown,
+}
+
+/// The answer to a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// What became of it.
+    pub result: Result,
+    /// Version that it made, or that is in force instead.
+    pub version: u64,
+    /// Lines for people: faults, moves, what to do.
+    pub lines: Vec<String>,
+}
+
+impl Answer {
+    fn new(result: Result, version: view::Version, lines: Vec<String>) -> Self {
+        Self {
+            result,
+            version: version.0,
+            lines,
+        }
+    }
+}
+
+/// Makes a change.
+pub async fn change(
+    store: &dyn store::Store,
+    force: Option<Arc<InForce>>,
+    change: Change,
+) -> Answer {
+    let old = force.as_deref();
+    let version = old.map_or(view::Version(0), |f| f.version);
+    let next = match verify(&change, version) {
+        Ok(next) => next,
+        Err(error) => return Answer::new(Result::Refused, version, lines(&error.to_string())),
+    };
+    let mut told = Vec::new();
+    if let Some(old) = old {
+        told = difference(old, &next);
+        let refusals = judge(old, &next, &change.caps);
+        if !refusals.is_empty() {
+            return Answer::new(Result::Refused, version, refusals);
+        }
+    }
+    if change.dry_run {
+        return Answer::new(Result::WouldBe, version, told);
+    }
+    write(store, version, &change, &next, told).await
+}
+
+fn verify(change: &Change, version: view::Version) -> std::result::Result<InForce, force::Error> {
+    let mut files: Vec<bundle::File> = change.files.iter().map(bundle::File::from).collect();
+    files.sort_by(|a, b| a.name.cmp(&b.name));
+    InForce::new(version, files)
+}
+
+impl From<&File> for bundle::File {
+    fn from(file: &File) -> Self {
+        Self {
+            name: file.name.as_str().into(),
+            text: file.text.as_str().into(),
+        }
+    }
+}
+
+impl From<&bundle::File> for File {
+    fn from(file: &bundle::File) -> Self {
+        Self {
+            name: file.name.as_ref().to_owned(),
+            text: file.text.as_ref().to_owned(),
+        }
+    }
+}
+
+fn lines(text: &str) -> Vec<String> {
+    text.lines().map(str::to_owned).collect()
+}
+
+/// What a change changes and moves, as lines.
+pub fn difference(old: &InForce, new: &InForce) -> Vec<String> {
+    let diff = diff::diff(&old.checked, &new.checked);
+    lines(&diff.to_string())
+}
+
+fn judge(old: &InForce, new: &InForce, caps: &[String]) -> Vec<String> {
+    let mut stated = Vec::with_capacity(caps.len());
+    for cap in caps {
+        match cap.parse::<judge::Stated>() {
+            Ok(cap) => stated.push(cap),
+            Err(error) => return vec![error.to_string()],
+        }
+    }
+    let moves = intent::moves::moves(&old.checked, &new.checked);
+    let percent = new.checked.base.move_percent;
+    let refusals = judge::refusals(&moves, percent, &[], &stated);
+    refusals.iter().map(ToString::to_string).collect()
+}
+
+async fn write(
+    store: &dyn store::Store,
+    force: view::Version,
+    change: &Change,
+    next: &InForce,
+    told: Vec<String>,
+) -> Answer {
+    let stored = match read(store).await {
+        Ok(stored) => stored,
+        Err(lost) => return Answer::new(Result::NotAccepted, force, vec![lost.to_string()]),
+    };
+    let present = stored.as_ref().map_or(view::Version(0), |s| s.head.version);
+    if present.0 != change.over {
+        let verdict = Verdict::Conflict(present);
+        return Answer::new(Result::Conflict, present, vec![verdict.to_string()]);
+    }
+    let (files, bodies) = contents(next, stored.as_ref());
+    let base = Base { stored, force };
+    let mut apply = Apply::new(change.id.as_str().into(), base, files, bodies);
+    let mut step = apply.start();
+    loop {
+        let outcome = match step {
+            Step::Done(verdict) => return judged(&verdict, force, told),
+            Step::PutBody(body) => put_body(store, &body).await,
+            Step::PutHead { head, expect } => put_head(store, &head, expect).await,
+            Step::ReadHead => read(store).await.map_or(Outcome::Lost, Outcome::Read),
+        };
+        step = apply.next(outcome);
+    }
+}
+
+/// All files by hash, and the bodies that the store doesn't have yet.
+fn contents(next: &InForce, stored: Option<&Stored>) -> (Vec<config::File>, Vec<config::Body>) {
+    let mut files = Vec::with_capacity(next.files.len());
+    let mut bodies = Vec::new();
+    let known = stored.map_or(&[][..], |s| &s.head.files);
+    for file in &next.files {
+        let hash = shelf::hash(file.text.as_bytes());
+        files.push(config::File {
+            name: Arc::clone(&file.name),
+            hash,
+        });
+        if !known.iter().any(|k| k.hash == hash) {
+            let bytes = Arc::from(file.text.as_bytes());
+            bodies.push(config::Body { hash, bytes });
+        }
+    }
+    (files, bodies)
+}
+
+fn judged(verdict: &Verdict, force: view::Version, mut told: Vec<String>) -> Answer {
+    let (result, version) = match verdict {
+        Verdict::InForce(version) => (Result::Accepted, *version),
+        Verdict::NotAccepted | Verdict::StoreBehind { .. } => (Result::NotAccepted, force),
+        Verdict::Conflict(version) => (Result::Conflict, *version),
+        Verdict::Unknown { version, .. } => (Result::Unknown, *version),
+    };
+    told.push(verdict.to_string());
+    Answer::new(result, version, told)
+}
+
+async fn read(store: &dyn store::Store) -> std::result::Result<Option<Stored>, error::Error> {
+    match store.get(keys::HEAD).await? {
+        None => Ok(None),
+        Some(entry) => match shelf::parse(&entry) {
+            Some(stored) => Ok(Some(stored)),
+            None => Err(error::Error::BadAnswer { status: 200 }),
+        },
+    }
+}
+
+async fn put_body(store: &dyn store::Store, body: &config::Body) -> Outcome {
+    let put = kv::Put {
+        value: String::from_utf8_lossy(&body.bytes).into_owned(),
+        expect: kv::Expect::Any,
+        lease: None,
+    };
+    match store.put(&keys::body(body.hash), put).await {
+        Ok(_) => Outcome::Written,
+        Err(_) => Outcome::Lost,
+    }
+}
+
+async fn put_head(store: &dyn store::Store, head: &config::Head, expect: Expect) -> Outcome {
+    let Ok(value) = serde_json::to_string(&beat::Head::from(head)) else {
+        return Outcome::Lost;
+    };
+    let expect = match expect {
+        Expect::Any => kv::Expect::Any,
+        Expect::Absent => kv::Expect::Absent,
+        Expect::Revision(revision) => kv::Expect::Revision(revision),
+    };
+    let put = kv::Put {
+        value,
+        expect,
+        lease: None,
+    };
+    match store.put(keys::HEAD, put).await {
+        Ok(_) => Outcome::Written,
+        Err(error::Error::Conflict { current }) => {
+            Outcome::Conflict(current.as_ref().and_then(shelf::parse))
+        }
+        Err(_) => Outcome::Lost,
+    }
+}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/control/driver.rs
@@ -0,0 +1,275 @@
+//! The loop around the control decisions.
+//!
+//! Invariant: each action is carried out in the order given; calls that take
+//! time run beside the loop and report by its inbox, so that no peer and no
+//! store can hold up a heartbeat.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwapOption;
+use futures_lite::future;
+use intent::instance;
+use steer::process::control::{self, Control, message, store};
+use steer::process::{config, member};
+
+use super::force::InForce;
+use super::{Parts, dump, shelf, world};
+use crate::daemon::workers::Executor;
+
+/// Time between two reads of the platform's list of targets, for each hundred
+/// instances of the fleet: the store's reads a second stay about the same.
+const LIST: Duration = Duration::from_secs(1);
+
+/// Time between two tries to learn who answers at a seed's address.
+const SEEDS: Duration = Duration::from_secs(2);
+
+/// What the loop takes in.
+pub enum Input {
+    /// A peer's message.
+    Message(message::Message),
+    /// A call of the store ended.
+    Stored(store::CallId, store::Reply),
+    /// The platform's list; `None` if it can't be had.
+    Listed(Option<Vec<instance::Instance>>),
+    /// Who answers at the seeds' addresses.
+    Seeds(Vec<member::Hint>),
+    /// This process is shutting down.
+    Leave,
+    /// Say the last word and end.
+    Stop(async_channel::Sender<()>),
+    /// Tell the state.
+    Dump(async_channel::Sender<dump::Dump>),
+}
+
+/// The loop's state.
+pub struct Driver {
+    parts: Arc<Parts>,
+    control: Control,
+    world: world::World,
+    inputs: async_channel::Sender<Input>,
+    executor: Executor,
+    seeds: Vec<member::Hint>,
+    hints: Vec<member::Hint>,
+}
+
+impl Driver {
+    /// A loop that knows nobody.
+    pub fn new(
+        parts: Arc<Parts>,
+        force: Arc<ArcSwapOption<InForce>>,
+        inputs: async_channel::Sender<Input>,
+        executor: Executor,
+    ) -> Self {
+        let outlets = world::Outlets {
+            engine: Arc::clone(&parts.engine),
+            snapshot: Arc::clone(&parts.snapshot),
+            force,
+        };
+        let settings = control::Settings {
+            identity: parts.identity(),
+            incarnation: parts.incarnation,
+            generation: wall_clock(),
+            seeds: Vec::new(),
+            guards: control::Safeguards::default(),
+        };
+        Self {
+            control: Control::new(parts.engine.now(), settings, fastrand::Rng::new()),
+            world: world::World::new(outlets, Arc::clone(&parts.settings.domain)),
+            parts,
+            inputs,
+            executor,
+            seeds: Vec::new(),
+            hints: Vec::new(),
+        }
+    }
+
+    /// Runs until told to stop.
+    pub async fn run(mut self, inbox: async_channel::Receiver<Input>) {
+        self.executor.spawn(self.list_often()).detach();
+        self.executor.spawn(self.greet_seeds()).detach();
+        loop {
+            let input = async { inbox.recv().await.ok() };
+            let pause = async {
+                smol::Timer::after(control::TICK).await;
+                None
+            };
+            match future::or(input, pause).await {
+                Some(Input::Stop(done)) => {
+                    self.handle(control::Event::Stop);
+                    self.parts.peers.flush().await;
+                    let _ = done.try_send(());
+                    return;
+                }
+                Some(input) => self.take(input),
+                None => {}
+            }
+            self.handle(control::Event::Tick);
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Message(message) => self.handle(control::Event::Received(message)),
+            Input::Stored(id, reply) => self.stored(id, reply),
+            Input::Listed(list) => self.listed(list),
+            Input::Seeds(seeds) => {
+                self.seeds = seeds;
+                self.handle(control::Event::Hints(self.all_hints()));
+            }
+            Input::Leave => {
+                self.parts.engine.leave();
+                self.handle(control::Event::Leave);
+            }
+            Input::Dump(reply) => {
+                let _ = reply.try_send(dump::Dump::new(&self.parts, &self.control));
+            }
+            Input::Stop(_) => {}
+        }
+    }
+
+    fn handle(&mut self, event: control::Event) {
+        let mut actions = Vec::new();
+        self.control
+            .handle(self.parts.engine.now(), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: control::Action) {
+        match action {
+            control::Action::Send { to, message } => self.parts.peers.tell(to, &message),
+            control::Action::Store { id, call } => self.call(id, call),
+            control::Action::Install { head, bodies } => self.install(&head, &bodies),
+            control::Action::Publish(snapshot) => self.publish(&snapshot),
+            control::Action::Notice(notice) => dump::note(&notice),
+        }
+    }
+
+    fn call(&self, id: store::CallId, call: store::Call) {
+        let parts = Arc::clone(&self.parts);
+        let inputs = self.inputs.clone();
+        self.parts.metrics.store_calls.inc();
+        let work = async move {
+            let reply = shelf::answer(&*parts.store, &call).await;
+            if reply == store::Reply::Away {
+                parts.metrics.store_failures.inc();
+            }
+            let _ = inputs.try_send(Input::Stored(id, reply));
+        };
+        self.executor.spawn(work).detach();
+    }
+
+    fn stored(&mut self, id: store::CallId, reply: store::Reply) {
+        let reply = match reply {
+            store::Reply::Listed(hints) => {
+                self.hints = hints;
+                store::Reply::Listed(self.all_hints())
+            }
+            other => other,
+        };
+        self.parts
+            .metrics
+            .store_up
+            .set(i64::from(reply != store::Reply::Away));
+        self.handle(control::Event::Stored { id, reply });
+    }
+
+    fn listed(&mut self, list: Option<Vec<instance::Instance>>) {
+        // No news changes nothing: the last list stays.
+        if let Some(list) = list {
+            self.world.list(list);
+        }
+    }
+
+    fn all_hints(&self) -> Vec<member::Hint> {
+        self.seeds.iter().chain(&self.hints).cloned().collect()
+    }
+
+    fn install(&mut self, head: &config::Head, bodies: &[config::Body]) {
+        let version = head.version;
+        match InForce::open(head, bodies) {
+            Ok(force) => {
+                let slots = self.world.install(force, &self.parts.settings.name);
+                self.handle(control::Event::Installed { version, slots });
+            }
+            Err(error) => {
+                log::error!("event=configuration-rejected version={version} error={error:?}");
+                self.handle(control::Event::Rejected(version));
+            }
+        }
+    }
+
+    fn publish(&mut self, snapshot: &control::Snapshot) {
+        let metrics = &self.parts.metrics;
+        metrics
+            .version
+            .set(i64::try_from(snapshot.version.0).unwrap_or(i64::MAX));
+        metrics
+            .members
+            .set(i64::try_from(snapshot.members.len()).unwrap_or(i64::MAX));
+        metrics.ready.set(i64::from(snapshot.ready));
+        let counts = self.parts.peers.counts();
+        metrics
+            .peer_bytes
+            .set(counts.bytes().try_into().unwrap_or(i64::MAX));
+        metrics
+            .peer_messages
+            .set(counts.messages().try_into().unwrap_or(i64::MAX));
+        self.world.members(self.control.record(), snapshot);
+    }
+
+    /// Reads the list of targets again and again, the less often the larger the
+    /// fleet is, and at random times so that instances don't do it together.
+    fn list_often(&self) -> impl Future<Output = ()> + use<> {
+        let parts = Arc::clone(&self.parts);
+        let inputs = self.inputs.clone();
+        async move {
+            loop {
+                parts.metrics.store_calls.inc();
+                let list = parts.store.instances().await.ok();
+                if list.is_none() {
+                    parts.metrics.store_failures.inc();
+                }
+                let list = list.map(|l| l.instances.into_iter().map(world::listed).collect());
+                if inputs.send(Input::Listed(list)).await.is_err() {
+                    return;
+                }
+                let fleet = parts.snapshot.load().view.members.len();
+                let hundreds = u32::try_from(fleet / 100).unwrap_or(u32::MAX);
+                let mean = LIST * hundreds.max(1);
+                smol::Timer::after(mean.mul_f64(0.5 + fastrand::f64())).await;
+            }
+        }
+    }
+
+    /// Learns who answers at the seeds' addresses, until all have.
+    fn greet_seeds(&self) -> impl Future<Output = ()> + use<> {
+        let parts = Arc::clone(&self.parts);
+        let inputs = self.inputs.clone();
+        async move {
+            let mut found: Vec<member::Hint> = Vec::new();
+            let mut left = parts.settings.seeds.clone();
+            while !left.is_empty() && !inputs.is_closed() {
+                let mut silent = Vec::new();
+                for addr in left {
+                    match parts.peers.who(addr).await {
+                        Some(hint) => found.push(hint),
+                        None => silent.push(addr),
+                    }
+                }
+                left = silent;
+                if inputs.send(Input::Seeds(found.clone())).await.is_err() {
+                    return;
+                }
+                smol::Timer::after(SEEDS).await;
+            }
+        }
+    }
+}
+
+fn wall_clock() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/control/dump.rs
@@ -0,0 +1,98 @@
+//! The state of a process, for people, and the log lines of its changes.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+use steer::process::control::{self, Control};
+
+use super::Parts;
+
+/// The state of a process.
+#[derive(Debug, Serialize)]
+pub struct Dump {
+    name: Arc<str>,
+    domain: Arc<str>,
+    incarnation: String,
+    standing: &'static str,
+    ready: bool,
+    version: u64,
+    in_flight: usize,
+    drained: bool,
+    key_prefix: Option<String>,
+    entries: Vec<Row>,
+    targets: Vec<Target>,
+    control: String,
+}
+
+/// What is known of an entry instance.
+#[derive(Debug, Serialize)]
+struct Row {
+    name: Arc<str>,
+    domain: Arc<str>,
+    life: &'static str,
+    stamp: String,
+}
+
+/// What is known of a target.
+#[derive(Debug, Serialize)]
+struct Target {
+    name: Arc<str>,
+    addr: String,
+    state: &'static str,
+}
+
+impl Dump {
+    /// The state as it is now.
+    pub fn new(parts: &Parts, control: &Control) -> Self {
+        let snapshot = parts.snapshot.load();
+        let rows = control.table().rows().iter().map(|row| Row {
+            name: Arc::clone(&row.record.identity.name),
+            domain: Arc::clone(&row.record.identity.domain),
+            life: row.record.life.as_str(),
+            stamp: row.record.stamp.to_string(),
+        });
+        let targets = snapshot.view.targets.values().map(|t| Target {
+            name: Arc::clone(&t.name),
+            addr: t.addr.to_string(),
+            state: match t.state {
+                steer::version::view::State::Live => "live",
+                steer::version::view::State::Leaving => "leaving",
+            },
+        });
+        Self {
+            name: Arc::clone(&parts.settings.name),
+            domain: Arc::clone(&parts.settings.domain),
+            incarnation: parts.incarnation.to_string(),
+            standing: control.standing().as_str(),
+            ready: control.is_ready(),
+            version: control.version().0,
+            in_flight: parts.engine.in_flight(),
+            drained: parts.engine.drained(),
+            key_prefix: parts.engine.prefix().map(|p| p.as_str().to_owned()),
+            entries: rows.collect(),
+            targets: targets.collect(),
+            control: format!("{:?}", control.counters()),
+        }
+    }
+}
+
+/// One log line for a change of state.
+pub fn note(notice: &control::Notice) {
+    use control::Notice;
+    match notice {
+        Notice::StoreAway => log::warn!("event=store-away"),
+        Notice::StoreBack => log::info!("event=store-back"),
+        Notice::StoreBehind { stored, force } => {
+            log::error!("event=store-behind stored={stored} force={force}");
+        }
+        Notice::StoreCaughtUp => log::info!("event=store-caught-up"),
+        Notice::Forked(version) => log::error!("event=forked version={version}"),
+        Notice::Rejected(version) => log::error!("event=rejected version={version}"),
+        Notice::InForce(version) => log::info!("event=in-force version={version}"),
+        Notice::Standing(standing) => log::warn!("event=standing standing={}", standing.as_str()),
+        Notice::Raised(stamp) => log::info!("event=raised stamp={stamp}"),
+        Notice::Dropped(name) => log::warn!("event=dropped entry={name}"),
+        Notice::DomainSilent(domain) => log::warn!("event=domain-silent domain={domain}"),
+        Notice::DomainBack(domain) => log::info!("event=domain-back domain={domain}"),
+    }
+}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/control/shelf.rs
@@ -0,0 +1,98 @@
+//! Control's calls of the store, carried out in bounded time.
+//!
+//! Invariant: a body is handed on only if its bytes have the hash it stands
+//! under; a document that can't be read is "malformed", never a guess.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::future;
+use sha2::{Digest, Sha256};
+use steer::process::config;
+use steer::process::control::store::{Call, Reply, Stored};
+use steer::process::member;
+use wire::{beat, instance, kv};
+
+use super::keys;
+
+/// Time for a call besides its own wait; below what control counts as lost.
+const CALL_TIME: Duration = Duration::from_secs(3);
+
+/// Carries out one call.
+pub async fn answer(store: &dyn store::Store, call: &Call) -> Reply {
+    let wait = match call {
+        Call::Watch { wait, .. } => *wait,
+        Call::Head | Call::Body(_) | Call::List => Duration::ZERO,
+    };
+    let late = async {
+        smol::Timer::after(wait + CALL_TIME).await;
+        Reply::Away
+    };
+    let work = async {
+        match call {
+            Call::Head => head(store).await,
+            Call::Watch { after, wait } => watch(store, *after, *wait).await,
+            Call::Body(hash) => body(store, *hash).await,
+            Call::List => list(store).await,
+        }
+    };
+    future::or(work, late).await
+}
+
+/// The bytes' hash.
+#[must_use]
+pub fn hash(bytes: &[u8]) -> config::Hash {
+    config::Hash(Sha256::digest(bytes).into())
+}
+
+/// Reads a head document.
+#[must_use]
+pub fn parse(entry: &kv::Entry) -> Option<Stored> {
+    let wire: beat::Head = serde_json::from_str(&entry.value).ok()?;
+    Some(Stored {
+        head: Arc::new(config::Head::try_from(wire).ok()?),
+        revision: entry.revision,
+    })
+}
+
+async fn head(store: &dyn store::Store) -> Reply {
+    match store.get(keys::HEAD).await {
+        Ok(None) => Reply::Head(None),
+        Ok(Some(entry)) => parse(&entry).map_or(Reply::Malformed, |s| Reply::Head(Some(s))),
+        Err(_) => Reply::Away,
+    }
+}
+
+async fn watch(store: &dyn store::Store, after: u64, wait: Duration) -> Reply {
+    match store.watch(keys::HEAD, after, wait).await {
+        Ok(None) => Reply::Watched(None),
+        Ok(Some(entry)) => parse(&entry).map_or(Reply::Malformed, |s| Reply::Watched(Some(s))),
+        Err(_) => Reply::Away,
+    }
+}
+
+async fn body(store: &dyn store::Store, wanted: config::Hash) -> Reply {
+    match store.get(&keys::body(wanted)).await {
+        Ok(None) => Reply::Body(wanted, None),
+        Ok(Some(entry)) if hash(entry.value.as_bytes()) == wanted => {
+            Reply::Body(wanted, Some(entry.value.into_bytes().into()))
+        }
+        Ok(Some(_)) => Reply::Malformed,
+        Err(_) => Reply::Away,
+    }
+}
+
+async fn list(store: &dyn store::Store) -> Reply {
+    let Ok(list) = store.instances().await else {
+        return Reply::Away;
+    };
+    let hints = list.instances.into_iter().filter_map(|i| match i.role {
+        instance::Role::Entry { peer } => Some(member::Hint {
+            name: i.name.into(),
+            domain: i.domain.into(),
+            peer,
+        }),
+        instance::Role::Target { .. } => None,
+    });
+    Reply::Listed(hints.collect())
+}
--- a/crates/auburnrouter/src/daemon/control/world.rs
+++ b/crates/auburnrouter/src/daemon/control/world.rs
@@ -5,86 +5,125 @@
 
 use std::sync::Arc;
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use intent::instance;
+use steer::process::{control, member};
 use steer::version::view;
 
+use super::force::InForce;
 use crate::daemon::engine::Engine;
 use crate::daemon::snapshot::Snapshot;
 
-/// The parts of the view, and where it is published.
+/// Where the view is published.
+pub struct Outlets {
+    /// For requests.
+    pub engine: Arc<Engine>,
+    /// For look-ups.
+    pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// For operators' calls.
+    pub force: Arc<ArcSwapOption<InForce>>,
+}
+
+/// The parts of the view.
 pub struct World {
-    engine: Arc<Engine>,
-    snapshot: Arc<ArcSwap<Snapshot>>,
-    version: view::Version,
-    plan: Option<Arc<intent::plan::Plan>>,
+    outlets: Outlets,
+    domain: Arc<str>,
+    force: Option<Arc<InForce>>,
     instances: Vec<instance::Instance>,
     members: Vec<instance::Member>,
-    leaving: bool,
+    serving: bool,
 }
 
 impl World {
     /// Nothing known yet.
-    pub fn new(engine: Arc<Engine>, snapshot: Arc<ArcSwap<Snapshot>>) -> Self {
+    pub const fn new(outlets: Outlets, domain: Arc<str>) -> Self {
         Self {
-            engine,
-            snapshot,
-            version: view::Version::default(),
-            plan: None,
+            outlets,
+            domain,
+            force: None,
             instances: Vec::new(),
             members: Vec::new(),
-            leaving: false,
+            serving: false,
         }
     }
 
-    /// Puts a configuration in force.
-    pub fn install(&mut self, version: view::Version, plan: Arc<intent::plan::Plan>) {
-        self.version = version;
-        self.plan = Some(plan);
+    /// Puts a configuration in force. Gives the number of entry instances that
+    /// share its caps, if `name` is among them.
+    pub fn install(&mut self, force: InForce, name: &str) -> Option<u32> {
+        let force = Arc::new(force);
+        self.outlets.force.store(Some(Arc::clone(&force)));
+        self.force = Some(Arc::clone(&force));
         self.publish();
+        slots(&force.checked.base, name)
     }
 
-    /// Takes a new list of instances; says whether it changed anything.
-    pub fn list(&mut self, instances: Vec<instance::Instance>) -> bool {
-        if self.instances == instances {
-            return false;
+    /// Takes a new list of instances.
+    pub fn list(&mut self, instances: Vec<instance::Instance>) {
+        if self.instances != instances {
+            self.instances = instances;
+            self.publish();
         }
-        self.instances = instances;
-        self.publish();
-        true
     }
 
-    /// Takes the members believed alive, this process included.
-    pub fn members(&mut self, members: Vec<instance::Member>) {
-        if self.members != members {
+    /// Takes what control says of this process and its peers.
+    pub fn members(&mut self, me: &member::Record, told: &control::Snapshot) {
+        let serving = told.ready && me.life == member::Life::Live && sure(told.standing);
+        let mut members: Vec<instance::Member> = told.members.iter().filter_map(seen).collect();
+        if !members
+            .iter()
+            .any(|m| m.incarnation == me.stamp.incarnation)
+        {
+            members.extend(peer(me));
+        }
+        if self.members != members || self.serving != serving {
             self.members = members;
+            self.serving = serving;
             self.publish();
         }
     }
 
-    /// Leaves the look-ups' answers.
-    pub fn leave(&mut self) {
-        self.leaving = true;
-        self.publish();
+    fn publish(&self) {
+        let Some(force) = &self.force else { return };
+        let plan = force.checked.plan_in(&self.domain);
+        let view = plan.view(force.version, &self.instances, &self.members);
+        let view = Arc::new(view);
+        self.outlets.engine.install(Arc::clone(&view));
+        let snapshot = Snapshot::new(view, self.serving);
+        self.outlets.snapshot.store(Arc::new(snapshot));
     }
+}
 
-    /// The configuration in force.
-    pub const fn version(&self) -> view::Version {
-        self.version
-    }
+/// Whether look-ups may be answered: not after a freeze that nobody has
+/// confirmed the end of, and not under a name that a newer process has.
+const fn sure(standing: control::Standing) -> bool {
+    matches!(
+        standing,
+        control::Standing::Current | control::Standing::Isolated
+    )
+}
 
-    /// The plan in force.
-    pub const fn plan(&self) -> Option<&Arc<intent::plan::Plan>> {
-        self.plan.as_ref()
-    }
+/// Entry instances among whose regions' instances a cap is divided.
+fn slots(plan: &intent::plan::Plan, name: &str) -> Option<u32> {
+    let at = plan.entries.values().find(|e| &*e.name == name)?;
+    let region = plan.domains[at.domain].region;
+    let near = |e: &&view::EntryData| plan.domains[e.domain].region == region;
+    let count = plan.entries.values().filter(near).count();
+    u32::try_from(count).ok()
+}
 
-    fn publish(&self) {
-        let Some(plan) = &self.plan else { return };
-        let view = Arc::new(plan.view(self.version, &self.instances, &self.members));
-        self.engine.install(Arc::clone(&view));
-        self.snapshot
-            .store(Arc::new(Snapshot::new(view, self.leaving)));
-    }
+fn seen(seen: &member::Seen) -> Option<instance::Member> {
+    peer(&seen.record)
+}
+
+fn peer(record: &member::Record) -> Option<instance::Member> {
+    Some(instance::Member {
+        name: Arc::clone(&record.identity.name),
+        incarnation: record.stamp.incarnation,
+        domain: Arc::clone(&record.identity.domain),
+        addr: record.identity.addr,
+        peer: record.identity.peer,
+        state: record.life.state()?,
+    })
 }
 
 /// A line of the platform's list, in the terms of decisions.
--- a/crates/auburnrouter/src/daemon/engine.rs
+++ b/crates/auburnrouter/src/daemon/engine.rs
@@ -8,10 +8,11 @@
 mod errand;
 mod inner;
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use steer::clock::Time;
 use steer::process::{dispatch, traffic};
 use steer::request::{arrival, outcome, record};
@@ -59,6 +60,7 @@
     means: Means,
     this: Weak<Self>,
     prefix: ArcSwapOption<String>,
+    others: ArcSwap<Vec<SocketAddr>>,
     inner: Mutex<Inner>,
 }
 
@@ -92,6 +94,7 @@
             means,
             this: Weak::clone(this),
             prefix: ArcSwapOption::empty(),
+            others: ArcSwap::default(),
             inner: Mutex::new(Inner::new(decide)),
         })
     }
@@ -133,6 +136,10 @@
 
     /// Puts a new view in force.
     pub fn install(&self, view: Arc<view::View>) {
+        let others = view.members.values();
+        let others = others.filter(|m| m.incarnation != self.incarnation);
+        let others = others.map(|m| m.peer).collect();
+        self.others.store(Arc::new(others));
         self.handle(&mut self.lock(), traffic::Event::View(view));
     }
 
--- a/crates/auburnrouter/src/daemon/engine/errand.rs
+++ b/crates/auburnrouter/src/daemon/engine/errand.rs
@@ -132,11 +132,9 @@
                 fingerprint,
                 strikes,
             } => {
-                engine
-                    .means
-                    .peers
-                    .suspect(fingerprint, strikes, budget)
-                    .await
+                let peers = engine.others.load();
+                let print = fingerprint;
+                engine.means.peers.suspect(&peers, print, strikes, budget);
             }
             Kind::Cancel { addr, name } => engine.means.outbound.cancel(addr, &name).await,
         }
--- a/crates/auburnrouter/src/daemon/metrics.rs
+++ b/crates/auburnrouter/src/daemon/metrics.rs
@@ -31,6 +31,10 @@
     pub store_calls: IntCounter,
     /// Calls to the platform's store that failed.
     pub store_failures: IntCounter,
+    /// Bytes of control messages sent to peers, without framing.
+    pub peer_bytes: IntGauge,
+    /// Control messages sent to peers.
+    pub peer_messages: IntGauge,
     /// 1 while this instance takes callers.
     pub ready: IntGauge,
 }
@@ -75,6 +79,14 @@
                 "auburnrouter_store_failures_total",
                 "Failed calls to the store",
             )?,
+            peer_bytes: gauge(
+                "auburnrouter_peer_bytes",
+                "Bytes of control messages sent to peers, without framing",
+            )?,
+            peer_messages: gauge(
+                "auburnrouter_peer_messages",
+                "Control messages sent to peers",
+            )?,
             ready: gauge("auburnrouter_ready", "1 while this instance takes callers")?,
             requests,
             registry: registry.clone(),
--- a/crates/auburnrouter/src/daemon/operators.rs
+++ b/crates/auburnrouter/src/daemon/operators.rs
@@ -4,6 +4,8 @@
 //! |---|---|
 //! | `GET /metrics` | the metrics, as text |
 //! | `GET /dump` | the state of the process, as JSON |
+//! | `GET /config` | the files in force, as JSON |
+//! | `POST /apply` | makes a change; says what became of it |
 //!
 //! Every call wants `Authorization: Bearer SECRET`. The listener runs on the
 //! control thread, so that it answers while traffic threads are overloaded.
@@ -13,6 +15,7 @@
 
 use std::sync::Arc;
 
+use serde::Serialize;
 use settings::secret::Secret;
 use subtle::ConstantTimeEq;
 use trillium_http::{KnownHeaderName, Method, Status};
@@ -39,6 +42,13 @@
     pub metrics: Arc<Metrics>,
 }
 
+/// The files in force.
+#[derive(Debug, Serialize)]
+struct Config {
+    version: u64,
+    files: Vec<control::File>,
+}
+
 /// Bounds on the operators' listener.
 #[must_use]
 pub const fn limits(bounds: Bounds) -> Limits {
@@ -63,7 +73,9 @@
         let path = conn.path().to_owned();
         match (conn.method(), path.as_str()) {
             (Method::Get, "/metrics") => self.metrics(conn),
-            (Method::Get, "/dump") => self.dump(conn),
+            (Method::Get, "/dump") => self.dump(conn).await,
+            (Method::Get, "/config") => self.config(conn),
+            (Method::Post, "/apply") => self.apply(conn).await,
             _ => {
                 conn.set_status(404);
                 conn
@@ -93,7 +105,32 @@
         conn
     }
 
-    fn dump(&self, conn: Conn) -> Conn {
-        reply::json(conn, Status::Ok, &self.control.dump())
+    async fn dump(&self, mut conn: Conn) -> Conn {
+        let Some(state) = self.control.dump().await else {
+            conn.set_status(Status::ServiceUnavailable);
+            return conn;
+        };
+        reply::json(conn, Status::Ok, &state)
+    }
+
+    fn config(&self, conn: Conn) -> Conn {
+        let force = self.control.force();
+        let files = force.iter().flat_map(|f| &f.files);
+        let config = Config {
+            version: force.as_ref().map_or(0, |f| f.version.0),
+            files: files.map(control::File::from).collect(),
+        };
+        reply::json(conn, Status::Ok, &config)
+    }
+
+    async fn apply(&self, mut conn: Conn) -> Conn {
+        let body = conn.request_body().await.read_bytes().await;
+        let change = body.ok().and_then(|b| serde_json::from_slice(&b).ok());
+        let Some(change) = change else {
+            conn.set_status(Status::BadRequest);
+            return conn;
+        };
+        let answer = self.control.change(change).await;
+        reply::json(conn, Status::Ok, &answer)
     }
 }
--- a/crates/auburnrouter/src/daemon/peers.rs
+++ b/crates/auburnrouter/src/daemon/peers.rs
@@ -9,24 +9,25 @@
 mod handshake;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_compat::{Compat, CompatExt};
 use futures_lite::{StreamExt, future};
-use intent::instance;
 use settings::secret::Secret;
 use smol::net;
-use steer::process::dispatch;
+use steer::process::control::message;
+use steer::process::{config, dispatch, member};
 use steer::request::{arrival, record};
-use steer::version::view;
 use tarpc::server::{self, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tarpc::{client, context, serde_transport};
 use trillium_http::Stopper;
-use wire::{peer, witness};
+use wire::{beat, peer, witness};
 
+use super::control;
 use super::engine::{Engine, Terms};
 use super::inbound::Inbound;
 use super::workers::Executor;
@@ -37,8 +38,11 @@
     /// Runs a request that another domain's entry instance passes on.
     async fn forward(request: peer::Forward) -> peer::Forwarded;
 
-    /// Tells of itself and hears of the other end.
-    async fn meet(member: peer::Member) -> peer::Member;
+    /// Takes a message between control states; see crate `wire`, `beat`.
+    async fn tell(message: Vec<u8>);
+
+    /// Says who it is.
+    async fn who() -> peer::Who;
 
     /// Hears how many targets broke under a request.
     async fn suspect(suspect: peer::Suspect);
@@ -50,6 +54,16 @@
 /// Time for a connection to a peer to open.
 const CONNECT_TIME: Duration = Duration::from_secs(1);
 
+/// Time for a message of control to be taken.
+const TELL_TIME: Duration = Duration::from_secs(1);
+
+/// Time between looks at messages still under way.
+const FLUSH_POLL: Duration = Duration::from_millis(2);
+
+/// Pause after a failed accept: descriptors ran out, and trying at once would
+/// spin until some are returned.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Longest message in bytes.
 const MESSAGE_MAX: usize = 20 << 20;
 
@@ -59,24 +73,85 @@
     client: PeerClient,
 }
 
+/// What a connection is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lane {
+    /// Requests, and questions about keys.
+    Traffic,
+    /// Messages of control.
+    Control,
+}
+
+/// Bytes and messages of control sent by this process.
+#[derive(Debug, Default)]
+pub struct Counts {
+    messages: AtomicU64,
+    bytes: AtomicU64,
+}
+
+impl Counts {
+    fn sent(&self, bytes: usize) {
+        self.messages.fetch_add(1, Ordering::Relaxed);
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Messages sent.
+    pub fn messages(&self) -> u64 {
+        self.messages.load(Ordering::Relaxed)
+    }
+
+    /// Bytes sent, without the framing of calls.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts a message for as long as it is under way.
+struct Telling(Arc<AtomicUsize>);
+
+impl Telling {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for Telling {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Connections to peers, sorted by address.
 pub struct Peers {
     executor: Executor,
     secret: Secret,
+    lane: Lane,
     known: Mutex<Vec<Known>>,
+    telling: Arc<AtomicUsize>,
+    counts: Counts,
 }
 
 impl Peers {
     /// No connections yet.
     #[must_use]
-    pub const fn new(executor: Executor, secret: Secret) -> Self {
+    pub fn new(executor: Executor, secret: Secret, lane: Lane) -> Self {
         Self {
             executor,
             secret,
+            lane,
             known: Mutex::new(Vec::new()),
+            telling: Arc::default(),
+            counts: Counts::default(),
         }
     }
 
+    /// What was sent so far.
+    #[must_use]
+    pub const fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
     /// Passes a request on and waits for what becomes of it. `owned` says that
     /// the other end is asked as the owner of the request's key.
     pub async fn forward(
@@ -101,26 +176,48 @@
         }
     }
 
-    /// Tells a peer of this process and hears of it.
-    pub async fn meet(
-        &self,
-        addr: SocketAddr,
-        me: instance::Member,
-    ) -> Option<Vec<instance::Member>> {
-        let late = async {
-            smol::Timer::after(CONNECT_TIME).await;
-            None
+    /// Sends a message of control; it may be lost.
+    pub fn tell(self: &Arc<Self>, to: SocketAddr, message: &message::Message) {
+        let Ok(bytes) = beat::Message::from(message).encode() else {
+            return;
         };
-        let met = async {
-            let client = self.client(addr).await?;
-            let call = client.meet(context(CONNECT_TIME), spoken(&me)).compat();
-            let Ok(member) = call.await else {
-                self.forget(addr);
-                return None;
+        self.counts.sent(bytes.len());
+        let peers = Arc::clone(self);
+        let telling = Telling::new(&self.telling);
+        let work = async move {
+            let _telling = telling;
+            let Some(client) = peers.client(to).await else {
+                return;
             };
-            Some(vec![heard(member)])
+            let call = client.tell(context(TELL_TIME), bytes);
+            if call.await.is_err() {
+                peers.forget(to);
+            }
+        };
+        self.executor.spawn(work.compat()).detach();
+    }
+
+    /// Waits until messages under way have left, or had their time.
+    pub async fn flush(&self) {
+        let until = Instant::now() + TELL_TIME;
+        while self.telling.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+            smol::Timer::after(FLUSH_POLL).await;
+        }
+    }
+
+    /// Asks who listens at an address.
+    pub async fn who(&self, addr: SocketAddr) -> Option<member::Hint> {
+        let client = self.client(addr).await?;
+        let call = client.who(context(CONNECT_TIME)).compat();
+        let Ok(who) = call.await else {
+            self.forget(addr);
+            return None;
         };
-        future::or(met, late).await
+        Some(member::Hint {
+            name: who.name.into(),
+            domain: who.domain.into(),
+            peer: who.peer,
+        })
     }
 
     /// Asks a witness; `None` if no answer came.
@@ -146,21 +243,26 @@
         future::or(asked, late).await
     }
 
-    /// Tells every peer known how many targets broke under a request. Best
-    /// effort: whoever misses it finds out by two targets of its own.
-    pub async fn suspect(&self, print: arrival::Fingerprint, strikes: u8, budget: Duration) {
-        let clients: Vec<PeerClient> = {
-            let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-            known.iter().map(|k| k.client.clone()).collect()
+    /// Tells peers how many targets broke under a request. Best effort: whoever
+    /// misses it finds out by two targets of its own.
+    pub fn suspect(
+        self: &Arc<Self>,
+        to: &[SocketAddr],
+        print: arrival::Fingerprint,
+        strikes: u8,
+        budget: Duration,
+    ) {
+        let word = peer::Suspect {
+            fingerprint: print.0,
+            strikes,
         };
-        for client in clients {
-            let word = peer::Suspect {
-                fingerprint: print.0,
-                strikes,
-            };
+        for &addr in to {
+            let peers = Arc::clone(self);
             let tell = async move {
-                // A peer that can't be told is found out by other means.
-                let _ = client.suspect(context(budget), word).await;
+                if let Some(client) = peers.client(addr).await {
+                    // A peer that can't be told is found out by other means.
+                    let _ = client.suspect(context(budget), word).await;
+                }
             };
             self.executor.spawn(tell.compat()).detach();
         }
@@ -207,7 +309,9 @@
         let mut stream = net::TcpStream::connect(addr).await.ok()?;
         // Not fatal: calls are only a little later without it.
         let _ = stream.set_nodelay(true);
-        handshake::offer(&mut stream, &self.secret).await.ok()?;
+        handshake::offer(&mut stream, &self.secret, self.lane)
+            .await
+            .ok()?;
         let transport = serde_transport::new(frames(stream), Bincode::default());
         let new = PeerClient::new(client::Config::default(), transport);
         let dispatch = new.dispatch.compat();
@@ -260,18 +364,24 @@
     }
 }
 
-/// Says what this process tells of itself.
-pub type Myself = Arc<dyn Fn(SocketAddr) -> peer::Member + Send + Sync>;
+/// What serving peers needs.
+#[derive(Clone)]
+pub struct Serving {
+    /// What both ends have to know.
+    pub secret: Secret,
+    /// Where requests go.
+    pub engine: Arc<Engine>,
+    /// Where messages of control go.
+    pub control: control::Handle,
+    /// Where connections for requests run.
+    pub traffic: Executor,
+    /// Where connections for control run, so that heartbeats don't wait behind
+    /// requests.
+    pub steering: Executor,
+}
 
 /// Takes calls until stopped; calls in progress go on.
-pub async fn serve(
-    socket: net::TcpListener,
-    secret: Secret,
-    engine: Arc<Engine>,
-    myself: Myself,
-    executor: Executor,
-    stopper: Stopper,
-) {
+pub async fn serve(socket: net::TcpListener, serving: Serving, stopper: Stopper) {
     loop {
         let accepted = async { Some(socket.accept().await) };
         let end = async {
@@ -281,30 +391,36 @@
         match future::or(end, accepted).await {
             None => return,
             Some(Err(_)) => {
-                smol::Timer::after(Duration::from_millis(20)).await;
+                smol::Timer::after(ACCEPT_PAUSE).await;
             }
             Some(Ok((stream, _))) => {
-                let answer = Answering {
-                    engine: Arc::clone(&engine),
-                    myself: Arc::clone(&myself),
-                };
-                let serve = connection(stream, secret.clone(), answer, Arc::clone(&executor));
-                executor.spawn(serve).detach();
+                let serving = serving.clone();
+                let steering = Arc::clone(&serving.steering);
+                steering.spawn(greet(stream, serving)).detach();
             }
         }
     }
 }
 
-async fn connection(
-    mut stream: net::TcpStream,
-    secret: Secret,
-    answering: Answering,
-    executor: Executor,
-) {
+async fn greet(mut stream: net::TcpStream, serving: Serving) {
+    // Not fatal: answers are only a little later without it.
     let _ = stream.set_nodelay(true);
-    if handshake::demand(&mut stream, &secret).await.is_err() {
+    let Ok(lane) = handshake::demand(&mut stream, &serving.secret).await else {
         return;
-    }
+    };
+    let executor = match lane {
+        Lane::Traffic => Arc::clone(&serving.traffic),
+        Lane::Control => Arc::clone(&serving.steering),
+    };
+    let answering = Answering {
+        engine: serving.engine,
+        control: serving.control,
+    };
+    let serve = connection(stream, answering, Arc::clone(&executor));
+    executor.spawn(serve).detach();
+}
+
+async fn connection(stream: net::TcpStream, answering: Answering, executor: Executor) {
     let transport = serde_transport::new(frames(stream), Bincode::default());
     let channel = server::BaseChannel::with_defaults(transport);
     let calls = channel.execute(answering.serve());
@@ -320,7 +436,7 @@
 #[derive(Clone)]
 struct Answering {
     engine: Arc<Engine>,
-    myself: Myself,
+    control: control::Handle,
 }
 
 impl Peer for Answering {
@@ -338,8 +454,25 @@
         peer::Forwarded::from(&settled)
     }
 
-    async fn meet(self, _: context::Context, met: peer::Member) -> peer::Member {
-        (self.myself)(met.peer)
+    async fn tell(self, _: context::Context, message: Vec<u8>) {
+        // What can't be read is as good as lost.
+        let Ok(message) = beat::Message::decode(&message) else {
+            return;
+        };
+        if let Ok(message) = message::Message::try_from(message)
+            && is_whole(&message)
+        {
+            self.control.receive(message);
+        }
+    }
+
+    async fn who(self, _: context::Context) -> peer::Who {
+        let me = self.control.identity();
+        peer::Who {
+            name: me.name.as_ref().to_owned(),
+            domain: me.domain.as_ref().to_owned(),
+            peer: me.peer,
+        }
     }
 
     async fn suspect(self, _: context::Context, suspect: peer::Suspect) {
@@ -357,31 +490,15 @@
     }
 }
 
-/// What a process tells of itself.
-pub fn spoken(member: &instance::Member) -> peer::Member {
-    peer::Member {
-        name: member.name.as_ref().to_owned(),
-        incarnation: member.incarnation.0,
-        domain: member.domain.as_ref().to_owned(),
-        addr: member.addr,
-        peer: member.peer,
-        leaving: member.state == view::State::Leaving,
-    }
-}
-
-fn heard(member: peer::Member) -> instance::Member {
-    let state = if member.leaving {
-        view::State::Leaving
-    } else {
-        view::State::Live
-    };
-    instance::Member {
-        name: member.name.into(),
-        incarnation: view::Incarnation(member.incarnation),
-        domain: member.domain.into(),
-        addr: member.addr,
-        peer: member.peer,
-        state,
+/// Whether each body in a message has the hash that it claims: control trusts
+/// that, and would otherwise install what nobody accepted.
+fn is_whole(message: &message::Message) -> bool {
+    match &message.content {
+        message::Content::Bodies(bodies) => {
+            let right = |b: &config::Body| control::hash(&b.bytes) == b.hash;
+            bodies.iter().all(right)
+        }
+        _ => true,
     }
 }
 
--- a/crates/auburnrouter/src/daemon/peers/handshake.rs
+++ b/crates/auburnrouter/src/daemon/peers/handshake.rs
@@ -15,6 +15,8 @@
 use sha2::Sha256;
 use smol::net;
 
+use super::Lane;
+
 const NONCE: usize = 16;
 const PROOF: usize = 32;
 const CALLER: &[u8] = b"auburnrouter peer caller 1";
@@ -28,13 +30,14 @@
 /// # Errors
 /// If the connection breaks, is too slow, or the other end doesn't know the
 /// secret.
-pub async fn offer(stream: &mut net::TcpStream, secret: &Secret) -> io::Result<()> {
+pub async fn offer(stream: &mut net::TcpStream, secret: &Secret, lane: Lane) -> io::Result<()> {
     in_time(async {
         let theirs = read::<NONCE>(stream).await?;
         let ours = nonce();
-        let mut message = [0; NONCE + PROOF];
+        let mut message = [0; NONCE + PROOF + 1];
         message[..NONCE].copy_from_slice(&ours);
-        message[NONCE..].copy_from_slice(&prove(secret, CALLER, &theirs));
+        message[NONCE..NONCE + PROOF].copy_from_slice(&prove(secret, CALLER, &theirs));
+        message[NONCE + PROOF] = lane as u8;
         stream.write_all(&message).await?;
         let proof = read::<PROOF>(stream).await?;
         verify(secret, LISTENER, &ours, &proof)
@@ -42,23 +45,29 @@
     .await
 }
 
-/// The listening end.
+/// The listening end; gives what the connection is for.
 ///
 /// # Errors
 /// As for [`offer`].
-pub async fn demand(stream: &mut net::TcpStream, secret: &Secret) -> io::Result<()> {
+pub async fn demand(stream: &mut net::TcpStream, secret: &Secret) -> io::Result<Lane> {
     in_time(async {
         let ours = nonce();
         stream.write_all(&ours).await?;
         let theirs = read::<NONCE>(stream).await?;
         let proof = read::<PROOF>(stream).await?;
+        let [lane] = read::<1>(stream).await?;
         verify(secret, CALLER, &ours, &proof)?;
-        stream.write_all(&prove(secret, LISTENER, &theirs)).await
+        stream.write_all(&prove(secret, LISTENER, &theirs)).await?;
+        match lane {
+            0 => Ok(Lane::Traffic),
+            1 => Ok(Lane::Control),
+            _ => Err(io::ErrorKind::InvalidData.into()),
+        }
     })
     .await
 }
 
-async fn in_time(work: impl Future<Output = io::Result<()>>) -> io::Result<()> {
+async fn in_time<T>(work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
     let late = async {
         smol::Timer::after(TIME).await;
         Err(io::ErrorKind::TimedOut.into())
--- a/crates/auburnrouter/src/daemon/snapshot.rs
+++ b/crates/auburnrouter/src/daemon/snapshot.rs
@@ -13,23 +13,21 @@
     pub view: Arc<view::View>,
     /// Its look-up table.
     pub lookup: Arc<lookup::Table>,
-    /// Whether a configuration is in force here.
+    /// Whether look-ups are answered: a configuration is in force, and this
+    /// process may act on what it knows.
     pub ready: bool,
-    /// Whether this process is shutting down.
-    pub leaving: bool,
 }
 
 impl Snapshot {
     /// The picture of a view.
     #[must_use]
-    pub fn new(view: Arc<view::View>, leaving: bool) -> Self {
+    pub fn new(view: Arc<view::View>, serving: bool) -> Self {
         let lookup = Arc::new(lookup::Table::new(&view));
-        let ready = view.version.0 > 0;
+        let ready = serving && view.version.0 > 0;
         Self {
             view,
             lookup,
             ready,
-            leaving,
         }
     }
 }
--- a/crates/explorer/src/world/perform.rs
+++ b/crates/explorer/src/world/perform.rs
@@ -55,6 +55,8 @@
                     sender => self.post(sender, Kind::Ended(Ending::PeerRefused(refusal))),
                 }
             }
+            // Neither a probe nor a word about suspects says whether a key ran.
+            Action::Probe { .. } | Action::Suspect { .. } => {}
             Action::Issue(prefix) => self.processes[index].issued = prefix,
             // A target may have started the attempt by the time it hears of
             // the cancellation, so a cancellation never stops a run here.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -169,19 +169,13 @@
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// A process of this system, as it speaks of itself.
+/// Who listens at an address.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
+pub struct Who {
     /// Name of its entry instance.
     pub name: String,
-    /// Which process.
-    pub incarnation: u64,
     /// Name of its failure domain.
     pub domain: String,
-    /// Where callers reach it.
-    pub addr: std::net::SocketAddr,
     /// Where its peers reach it.
     pub peer: std::net::SocketAddr,
-    /// Whether it is shutting down.
-    pub leaving: bool,
 }
