Prove the whole path with separate processes

Cause: the path from look-up to the target's answer was seen by hand only.

Directives `config` and `key`.

--- a/crates/scenarios/src/script.rs
+++ b/crates/scenarios/src/script.rs
@@ -6,7 +6,9 @@
 //! | `target name= service= site= domain= [slots=] [queue=] [work=MS] [crash=WORD]` | starts a target |
 //! | `entry name= domain=` | starts an entry instance, or its replacement |
 //! | `command` | runs the line in its input as a subcommand of the product |
+//! | `config [use=FILE]` | puts the base file `config/FILE.jsonc`, or else its input, into the store |
 //! | `lookup at= [service=] [client=]` | prints the entry instances to use |
+//! | `key at= name=` | asks for an idempotency key, later known by its name; prints whether it has a witness |
 //! | `request at= service= [method=] [key=] [caller=] [deadline=MS] [bytes=N] [body=] [named] [later=ID]` | prints the answer; `later` leaves it to `answer` |
 //! | `answer id=` | waits for the answer of an earlier request |
 //! | `fault name=` | switches the fault in its input on |
@@ -19,12 +21,14 @@
 //! `{NAME.operators}` stand for addresses, `{secret}` for the secret's file and
 //! `{FILE}` for a file written by `file name=FILE`.
 
-use std::path::Path;
+use std::fs;
+use std::path::{Path, PathBuf};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use datadriven::TestCase;
 use rustix::process::Signal;
+use serde::Deserialize;
 use trillium_client::Method;
 use wire::instance::State;
 
@@ -39,6 +43,14 @@
 /// Pause between two tries of an `await`.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// Makes the nonces of keys as long as they have to be.
+const NONCE: &str = "0123456789abcdef";
+
+#[derive(Deserialize)]
+struct Issued {
+    prefix: String,
+}
+
 struct Later {
     id: String,
     named: bool,
@@ -47,21 +59,26 @@
 
 /// Runs the directives of one scenario.
 pub struct Script {
+    folder: PathBuf,
     world: World,
     later: Vec<Later>,
     files: Vec<(String, String)>,
+    keys: Vec<(String, String)>,
 }
 
 impl Script {
-    /// A script that has not begun.
+    /// A script that has not begun. `folder` holds the scenarios, `dir` what a
+    /// run of this one needs.
     ///
     /// # Errors
     /// The scenario's folder can't be made.
-    pub fn new(program: &Path, dir: &Path) -> Result<Self, Error> {
+    pub fn new(program: &Path, folder: &Path, dir: &Path) -> Result<Self, Error> {
         Ok(Self {
+            folder: folder.to_owned(),
             world: World::new(program, dir)?,
             later: Vec::new(),
             files: Vec::new(),
+            keys: Vec::new(),
         })
     }
 
@@ -87,6 +104,8 @@
             "target" => self.target(case),
             "entry" => self.entry(case),
             "file" => self.file(case),
+            "config" => self.config(case),
+            "key" => self.key(case),
             "command" => self.command(case),
             "lookup" => self.lookup(case),
             "request" => self.request(case),
@@ -150,6 +169,37 @@
         Ok(String::new())
     }
 
+    fn config(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let Some(name) = case.try_take_arg::<String>("use")? else {
+            self.world.put_config(&case.input)?;
+            return Ok(String::new());
+        };
+        let path = self.folder.join("config").join(name + ".jsonc");
+        self.world.put_config(&fs::read_to_string(path)?)?;
+        Ok(String::new())
+    }
+
+    fn key(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let at: String = case.take_arg("at")?;
+        let name: String = case.take_arg("name")?;
+        let answer = Call::new(Method::Get, self.world.addr(&at)?, "/key", "").make()?;
+        let Ok(issued) = serde_json::from_str::<Issued>(&answer.body) else {
+            return Ok(print::head(&answer));
+        };
+        let alone = issued.prefix.ends_with(".0.0.");
+        let key = format!("{}{name}-{NONCE}", issued.prefix);
+        self.keys.retain(|(known, _)| *known != name);
+        self.keys.push((name, key));
+        let said = if alone { "no witness" } else { "with witness" };
+        Ok(said.to_owned())
+    }
+
+    /// The key known by a name, or else the name itself.
+    fn known(&self, name: String) -> String {
+        let found = self.keys.iter().find(|(known, _)| *known == name);
+        found.map_or(name, |(_, key)| key.clone())
+    }
+
     fn command(&mut self, case: &mut TestCase) -> Result<String, Error> {
         let mut args = Vec::new();
         for word in case.input.split_whitespace() {
@@ -225,7 +275,7 @@
             ("deadline", wire::headers::DEADLINE_MS),
         ] {
             if let Some(value) = case.try_take_arg::<String>(arg)? {
-                call.headers.push((header, value));
+                call.headers.push((header, self.known(value)));
             }
         }
         Ok(call)
@@ -249,6 +299,7 @@
     fn executed(&mut self, case: &mut TestCase) -> Result<String, Error> {
         let name: Option<String> = case.try_take_arg("name")?;
         let key: Option<String> = case.try_take_arg("key")?;
+        let key = key.map(|name| self.known(name));
         let executed = self.world.executed(name.as_deref(), key.as_deref())?;
         Ok(executed.runs.len().to_string())
     }
@@ -303,7 +354,7 @@
 
 /// The directive that an `await` repeats: its argument without a value.
 fn awaited(case: &mut TestCase) -> Result<String, Error> {
-    for directive in ["lookup", "request", "executed", "command", "exit"] {
+    for directive in ["lookup", "key", "request", "executed", "command"] {
         if case.take_flag(directive)? {
             return Ok(directive.to_owned());
         }
--- a/crates/scenarios/src/script/print.rs
+++ b/crates/scenarios/src/script/print.rs
@@ -54,7 +54,8 @@
     text.join(" ")
 }
 
-fn head(answer: &Answer) -> String {
+/// Status, outcome and reason.
+pub(super) fn head(answer: &Answer) -> String {
     let status = answer.status.to_string();
     let outcome = answer.header(headers::OUTCOME);
     let reason = answer.header(headers::REASON);
--- a/crates/scenarios/src/world.rs
+++ b/crates/scenarios/src/world.rs
@@ -10,6 +10,7 @@
 use standin::target::ledger::Executed;
 use trillium_client::Method;
 use wire::instance::{Instance, Instances, Role, State};
+use wire::kv;
 
 use crate::error::Error;
 use crate::http::Call;
@@ -58,6 +59,9 @@
     listed: Vec<Instance>,
 }
 
+/// Key of the base file in the store.
+const BASE: &str = "auburnrouter/config/base";
+
 /// Name of the store's process.
 pub const STORE: &str = "store";
 
@@ -181,6 +185,25 @@
         })
     }
 
+    /// Puts a base file into the store, whatever is there.
+    ///
+    /// # Errors
+    /// The store does not take it.
+    pub fn put_config(&self, text: &str) -> Result<(), Error> {
+        let put = kv::Put {
+            value: text.to_owned(),
+            expect: kv::Expect::Any,
+            lease: None,
+        };
+        let body = serde_json::to_string(&put).expect("plain data serialises");
+        let path = format!("/kv/{BASE}");
+        let call = Call::new(Method::Put, self.addr(STORE)?, &path, &body);
+        match call.make()?.status {
+            200 => Ok(()),
+            status => Err(Error::Http(format!("the store answers {status}"))),
+        }
+    }
+
     /// Where a process listens; an entry instance, for callers.
     ///
     /// # Errors
