--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod blocks;
 pub mod bundle;
 pub mod diff;
+pub mod document;
 pub mod draft;
 pub mod instance;
 pub mod listing;
