--- a/crates/auburnrouter/src/daemon/outbound.rs
+++ b/crates/auburnrouter/src/daemon/outbound.rs
@@ -20,7 +20,7 @@
 use steer::process::dispatch;
 use steer::request::answer;
 use steer::version::view;
-use wire::headers;
+use wire::{headers, target};
 
 use super::inbound::{self, Inbound};
 use super::workers::Executor;
@@ -104,6 +104,29 @@
         future::or(told, late).await;
     }
 
+    /// Asks a target how it is; `None` if it doesn't say in time.
+    pub async fn probe(&self, addr: SocketAddr, budget: Duration) -> Option<dispatch::Report> {
+        let request = hyper::Request::get("/health")
+            .header(hyper::header::HOST, addr.to_string())
+            .body(Full::default())
+            .ok()?;
+        let asked = async {
+            let exchange = self.pool.send(addr, request).await.ok()?;
+            let body = collect(exchange.response.into_body()).await?;
+            self.pool.put_back(addr, exchange.connection);
+            let health: target::Health = serde_json::from_slice(&body).ok()?;
+            Some(dispatch::Report {
+                load: health.load,
+                state: health.state.into(),
+            })
+        };
+        let late = async {
+            smol::Timer::after(budget).await;
+            None
+        };
+        future::or(asked, late).await
+    }
+
     async fn exchange(&self, attempt: &Attempt<'_>) -> Ended {
         let Some(request) = build(attempt) else {
             return dispatch::Ending::Unreachable.into();
--- a/crates/auburnrouter/src/daemon/peers.rs
+++ b/crates/auburnrouter/src/daemon/peers.rs
@@ -40,6 +40,9 @@
     /// Tells of itself and hears of the other end.
     async fn meet(member: peer::Member) -> peer::Member;
 
+    /// Hears how many targets broke under a request.
+    async fn suspect(suspect: peer::Suspect);
+
     /// Answers as a witness; `None` if this process is ending.
     async fn witness(question: witness::Question) -> Option<witness::Word>;
 }
@@ -143,6 +146,26 @@
         future::or(asked, late).await
     }
 
+    /// Tells every peer known how many targets broke under a request. Best
+    /// effort: whoever misses it finds out by two targets of its own.
+    pub async fn suspect(&self, print: arrival::Fingerprint, strikes: u8, budget: Duration) {
+        let clients: Vec<PeerClient> = {
+            let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+            known.iter().map(|k| k.client.clone()).collect()
+        };
+        for client in clients {
+            let word = peer::Suspect {
+                fingerprint: print.0,
+                strikes,
+            };
+            let tell = async move {
+                // A peer that can't be told is found out by other means.
+                let _ = client.suspect(context(budget), word).await;
+            };
+            self.executor.spawn(tell.compat()).detach();
+        }
+    }
+
     async fn client(&self, addr: SocketAddr) -> Option<PeerClient> {
         if let Some(client) = self.find(addr) {
             return Some(client);
@@ -319,6 +342,11 @@
         (self.myself)(met.peer)
     }
 
+    async fn suspect(self, _: context::Context, suspect: peer::Suspect) {
+        let print = arrival::Fingerprint(suspect.fingerprint);
+        self.engine.suspected(print, suspect.strikes);
+    }
+
     async fn witness(
         self,
         _: context::Context,
--- a/crates/steer/src/process.rs
+++ b/crates/steer/src/process.rs
@@ -1,5 +1,10 @@
 //! What lives as long as the process.
 
+pub mod config;
+pub mod control;
 pub mod dispatch;
 pub mod gate;
+pub mod member;
+pub mod slot;
+pub mod target;
 pub mod traffic;
--- a/crates/steer/src/process/traffic.rs
+++ b/crates/steer/src/process/traffic.rs
@@ -5,13 +5,14 @@
 //! answered by the gate alone.
 
 use core::time::Duration;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::clock::Time;
 use crate::process::dispatch::{self, Dispatch, Ending, Home, Place, Report};
 use crate::process::gate::{self, Gate, Limits, Peer, Safeguards, Verdict};
 use crate::request::answer::Answer;
-use crate::request::arrival::{Arrival, AttemptId, RequestId};
+use crate::request::arrival::{Arrival, AttemptId, Fingerprint, RequestId};
 use crate::request::key::Prefix;
 use crate::request::outcome::Refusal;
 use crate::request::record::{AskId, Question, StoreCall, StoreResult, Word};
@@ -68,6 +69,20 @@
         /// What it says.
         report: Report,
     },
+    /// An [`Action::Probe`] ended.
+    Probed {
+        /// Name of the target.
+        target: Arc<str>,
+        /// What it said; `None` if it couldn't be reached.
+        report: Option<Report>,
+    },
+    /// A peer says how many targets broke under a request.
+    Suspected {
+        /// The request's fingerprint.
+        fingerprint: Fingerprint,
+        /// Targets that broke; zero clears it.
+        strikes: u8,
+    },
     /// The caller left without waiting for its answer.
     Gone(RequestId),
     /// A new view is in force.
@@ -156,6 +171,20 @@
         /// Time after which the driver gives up.
         budget: Duration,
     },
+    /// Ask a target how it is; report back by [`Event::Probed`].
+    Probe {
+        /// Its name.
+        target: Arc<str>,
+        /// Where it listens.
+        addr: SocketAddr,
+    },
+    /// Tell all peers how many targets broke under a request.
+    Suspect {
+        /// The request's fingerprint.
+        fingerprint: Fingerprint,
+        /// Targets that broke; zero clears it.
+        strikes: u8,
+    },
     /// Look-up answers carry this key prefix from now on; `None`: none.
     Issue(Option<Prefix>),
 }
@@ -223,6 +252,19 @@
             Event::Report { target, report } => {
                 self.dispatch(now, dispatch::Event::Report { target, report });
             }
+            Event::Probed { target, report } => {
+                self.dispatch(now, dispatch::Event::Probed { target, report });
+            }
+            Event::Suspected {
+                fingerprint,
+                strikes,
+            } => {
+                let event = dispatch::Event::Suspected {
+                    fingerprint,
+                    strikes,
+                };
+                self.dispatch(now, event);
+            }
             Event::View(view) => {
                 self.dispatch(now, dispatch::Event::View(Arc::clone(&view)));
                 self.gate(now, gate::Event::View(view));
@@ -320,6 +362,14 @@
             dispatch::Action::Cancel { id, attempt } => Self::Cancel { id, attempt },
             dispatch::Action::Reply { id, answer } => Self::Reply { id, answer },
             dispatch::Action::Refuse { id, refusal } => Self::Refuse { id, refusal },
+            dispatch::Action::Probe { target, addr } => Self::Probe { target, addr },
+            dispatch::Action::Suspect {
+                fingerprint,
+                strikes,
+            } => Self::Suspect {
+                fingerprint,
+                strikes,
+            },
         }
     }
 }
