Script what is certain about having run, for each ending

Cause: each way in which a request can end needs a stated certainty and a test.

An owner whose caller's deadline passes before the witness's word says so, and no longer suspects the witness.

--- a/crates/steer/src/process/gate/held.rs
+++ b/crates/steer/src/process/gate/held.rs
@@ -8,6 +8,7 @@
 use crate::request::arrival::{Arrival, RequestId};
 use crate::request::key::Issued;
 use crate::request::record::{AskId, Attempt, StoreCall};
+use crate::version::view::Incarnation;
 
 /// How far a held request has come.
 pub enum Stage {
@@ -15,6 +16,8 @@
     Claiming {
         /// The question.
         ask: AskId,
+        /// Who was asked.
+        witness: Incarnation,
         /// When to give up waiting.
         wait: Time,
         /// What to run on the witness's word.
--- a/crates/steer/src/process/gate/owner.rs
+++ b/crates/steer/src/process/gate/owner.rs
@@ -9,7 +9,7 @@
 };
 use crate::clock::Time;
 use crate::request::arrival::{Arrival, Fingerprint, Origin, RequestId};
-use crate::request::key::{Issued, Key, Stamp};
+use crate::request::key::{Issued, Stamp};
 
 /// How far a key has come.
 pub enum Progress {
@@ -163,6 +163,7 @@
             until: self.until(now, &arrival),
             stage: Stage::Claiming {
                 ask,
+                witness: witness.incarnation,
                 wait: now + self.limits.ask,
                 arrival,
             },
@@ -214,12 +215,17 @@
         let Some(held) = self.held.remove(id) else {
             return;
         };
-        if let Ok(Key::Issued(key)) = Key::try_from(&held.name.key)
-            && let Some(witness) = key.prefix.witness
-        {
-            self.issue.suspect(now, &self.limits, witness.incarnation);
-        }
-        self.finish(&held.name, Verdict::Refused(no_witness()), out);
+        let Stage::Claiming { witness, .. } = held.stage else {
+            return;
+        };
+        // A caller in a hurry says nothing about the witness.
+        let refusal = if held.until <= now {
+            Refusal::not_run(Reason::Deadline, Some(COME_BACK))
+        } else {
+            self.issue.suspect(now, &self.limits, witness);
+            no_witness()
+        };
+        self.finish(&held.name, Verdict::Refused(refusal), out);
     }
 
     /// [`Safeguards::stay_given_up`](super::Safeguards) off: the caller is
--- /dev/null
+++ b/crates/steer/tests/gate_scenarios/scene.rs
@@ -0,0 +1,74 @@
+//! Who is there: entry0 in domain0 and entry1 in domain1, both of region0, and
+//! entry2 in domain2 of region1, of incarnations a0, b0 and c0. Each domain has
+//! a target of `lodgement`, which is not idempotent, and of `sheetview`, which
+//! is.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use steer::version::view::{
+    ClassData, DomainData, Incarnation, MemberData, RegionData, ServiceData, SiteData, State,
+    TargetData, Version, View,
+};
+
+pub const INCARNATIONS: [Incarnation; 3] =
+    [Incarnation(0xa0), Incarnation(0xb0), Incarnation(0xc0)];
+
+/// The view in which the numbered entries are alive and, if `targets`, the
+/// targets listed.
+pub fn view(alive: &[usize], targets: bool) -> Arc<View> {
+    let mut view = View {
+        version: Version(1),
+        ..View::default()
+    };
+    let regions = ["region0", "region1"].map(|n| view.regions.push(RegionData { name: n.into() }));
+    let class = view.classes.push(ClassData {
+        name: "work".into(),
+        queue: 100,
+    });
+    let mut sites = Vec::new();
+    let mut domains = Vec::new();
+    for i in 0..3 {
+        let domain = view.domains.push(DomainData {
+            name: format!("domain{i}").into(),
+            region: regions[i / 2],
+        });
+        domains.push(domain);
+        sites.push(view.sites.push(SiteData {
+            name: format!("site{i}").into(),
+            domain,
+            state: State::Live,
+        }));
+    }
+    for (name, idempotent) in [("lodgement", false), ("sheetview", true)] {
+        let service = view.services.push(ServiceData {
+            name: name.into(),
+            class,
+            idempotent,
+            deadline: Duration::from_secs(2),
+            sites: sites.clone(),
+        });
+        let listed = if targets { sites.as_slice() } else { &[] };
+        for (i, &site) in listed.iter().enumerate() {
+            view.targets.push(TargetData {
+                name: format!("{name}{i}").into(),
+                addr: ([127, 0, 0, 1], 8000).into(),
+                site,
+                service,
+                slots: 3,
+                state: State::Live,
+            });
+        }
+    }
+    for &i in alive {
+        view.members.push(MemberData {
+            name: format!("entry{i}").into(),
+            incarnation: INCARNATIONS[i],
+            domain: domains[i],
+            addr: ([127, 0, 0, 1], 7000).into(),
+            peer: ([127, 0, 0, 1], 7000).into(),
+            state: State::Live,
+        });
+    }
+    Arc::new(view)
+}
