--- a/crates/explorer/src/world/perform.rs
+++ b/crates/explorer/src/world/perform.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
-use steer::process::dispatch::{Ending, Place};
+use steer::process::dispatch::{Ending, Place, Report};
 use steer::process::traffic::{Action, Event};
 use steer::request::answer::Answer;
 use steer::request::arrival::{AttemptId, Origin, RequestId};
 use steer::request::outcome::Outcome;
 use steer::request::record::{AskId, StoreCall, StoreResult, Word};
+use steer::version::view::State;
 
 use super::{HopKind, Kind, Message, Payload, Request, Said, Sender, World};
 use crate::scene;
@@ -56,9 +57,18 @@
                 }
             }
             Action::Issue(prefix) => self.processes[index].issued = prefix,
-            // A target may have started the attempt by the time it hears of
-            // the cancellation, so a cancellation never stops a run here.
-            Action::Cancel { .. } => {}
+            // Targets answer probes at once; the gossip about requests that
+            // crash targets is lost.
+            Action::Probe { target, .. } => {
+                let report = Some(Report {
+                    load: 0,
+                    state: State::Live,
+                });
+                self.feed(index, Event::Probed { target, report });
+            }
+            // A target may have started an attempt by the time it hears of its
+            // cancellation, so a cancellation never stops a run here.
+            Action::Suspect { .. } | Action::Cancel { .. } => {}
         }
     }
 
--- a/crates/steer/src/request/outcome.rs
+++ b/crates/steer/src/request/outcome.rs
@@ -86,7 +86,7 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 22] = [
         Self::BadRequest,
         Self::UnknownService,
         Self::KeyMissing,
@@ -94,6 +94,10 @@
         Self::KeyExpired,
         Self::KeyReused,
         Self::KeyBusy,
+        Self::KeySealed,
+        Self::Forgotten,
+        Self::OwnerGone,
+        Self::Witness,
         Self::NotReady,
         Self::Leaving,
         Self::Overloaded,
