Drive control through scenarios, each shown to fail without its safeguard

Found by them, and mended: - With the store away nothing asked for the platform's list either, so a newcomer found nobody. The list now has a backoff of its own. - Of two domains with one process each, only the one that starts the contact was ever confirmed, so the other lost its share. Heartbeats across now echo the probe of the last answer.

Ruled out: a scenario of the share of a frozen process with doubt off: the confirmation that has run out covers it too, so it shows no difference.

--- a/crates/steer/src/process/control/across.rs
+++ b/crates/steer/src/process/control/across.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use super::message::{Across, Content};
-use super::peer::{Caller, Far};
+use super::peer::{self, Contact, Far};
 use super::{Action, BEAT, Control, Notice, REPS, SILENT};
 use crate::clock::Time;
 use crate::process::member::{Record, Summary, Vitals, hash};
@@ -61,7 +61,12 @@
             first + far.turn % CONTACTS
         };
         let to = contacts[turn % contacts.len()];
-        let across = self.across(now, true);
+        let answers = self.fars[at].answers.iter();
+        let echo = answers.filter(|c| c.addr == to).map(|c| c.probe).next();
+        let across = Across {
+            echo,
+            ..self.across(now, true)
+        };
         self.send(to, Content::Across(across), out);
     }
 
@@ -140,8 +145,17 @@
             let domains = vec![Arc::clone(domain)];
             self.send(to, Content::Want(domains), out);
         }
+        let contact = Contact {
+            addr: to,
+            heard: now,
+            probe: across.probe,
+        };
+        let far = self.far(domain);
         if across.reply {
-            self.answer_across(now, from, across.probe, out);
+            peer::note(&mut far.callers, contact);
+            self.answer_across(now, contact, out);
+        } else if across.echo.is_some() {
+            peer::note(&mut far.answers, contact);
         }
         if let Some(echo) = across.echo {
             self.confirmed(now, echo, across.summary.newest, out);
@@ -149,17 +163,12 @@
         self.version_heard(now, across.summary.newest, from, out);
     }
 
-    fn answer_across(&mut self, now: Time, from: &Arc<Record>, probe: Time, out: &mut Vec<Action>) {
-        let addr = from.identity.peer;
-        let far = self.far(&from.identity.domain);
-        far.callers
-            .retain(|c| c.addr != addr && now.since(c.heard) < BEAT * 3);
-        far.callers.push(Caller { addr, heard: now });
+    fn answer_across(&mut self, now: Time, contact: Contact, out: &mut Vec<Action>) {
         let answer = Across {
-            echo: Some(probe),
+            echo: Some(contact.probe),
             ..self.across(now, false)
         };
-        self.send(addr, Content::Across(answer), out);
+        self.send(contact.addr, Content::Across(answer), out);
     }
 
     /// Tells all other domains that this one changed, without waiting for the
--- a/crates/steer/src/process/control/message.rs
+++ b/crates/steer/src/process/control/message.rs
@@ -71,7 +71,7 @@
     pub reply: bool,
     /// The sender's own time.
     pub probe: Time,
-    /// In an answer: the probe answered.
+    /// The newest probe that the sender had from the receiver.
     pub echo: Option<Time>,
     /// As in [`Beat::held`].
     pub held: Option<u32>,
--- a/crates/steer/src/process/control/peer.rs
+++ b/crates/steer/src/process/control/peer.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::BEAT;
 use crate::clock::Time;
 use crate::process::member::{Stamp, Summary, Vitals};
 
@@ -48,17 +49,28 @@
     pub(super) turn: usize,
     /// When its rows were last asked for.
     pub(super) wanted: Option<Time>,
-    /// Its processes that sent a heartbeat lately, with the time.
-    pub(super) callers: Vec<Caller>,
+    /// Its processes that called this one lately.
+    pub(super) callers: Vec<Contact>,
+    /// Its processes that answered this one lately.
+    pub(super) answers: Vec<Contact>,
 }
 
-/// A process of another domain that keeps up the contact with this process.
-#[derive(Clone, Debug)]
-pub(super) struct Caller {
+/// A process of another domain that this one speaks with.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Contact {
     /// Where it is reached.
     pub(super) addr: SocketAddr,
-    /// When it last called.
+    /// When it last spoke.
     pub(super) heard: Time,
+    /// Its newest probe, in its own time.
+    pub(super) probe: Time,
+}
+
+/// Puts a contact in place of its older self, and drops those long silent.
+pub(super) fn note(contacts: &mut Vec<Contact>, contact: Contact) {
+    let now = contact.heard;
+    contacts.retain(|c| c.addr != contact.addr && now.since(c.heard) < BEAT * 5);
+    contacts.push(contact);
 }
 
 impl Far {
@@ -74,6 +86,7 @@
             turn: 0,
             wanted: None,
             callers: Vec::new(),
+            answers: Vec::new(),
         }
     }
 }
--- a/crates/steer/src/process/control/store.rs
+++ b/crates/steer/src/process/control/store.rs
@@ -1,8 +1,10 @@
 //! When this process calls the store.
 //!
 //! Invariant: at most one call of each kind waits at a time, and while the
-//! store is away at most one call in all, so an outage costs each process one
-//! call per backoff and its return is met by calls spread over that backoff.
+//! store is away only one to its head, so an outage costs each process one call
+//! per backoff and its return is met by calls spread over that backoff. The
+//! platform's list has a backoff of its own: either may be away without the
+//! other.
 
 use core::time::Duration;
 use std::sync::Arc;
@@ -131,6 +133,7 @@
     retry: Time,
     reread: Time,
     list: Time,
+    unlisted: u32,
     revision: u64,
     fresh: bool,
     slow: bool,
@@ -149,6 +152,7 @@
             retry: now,
             reread: first,
             list: first,
+            unlisted: 0,
             revision: 0,
             fresh: false,
             slow: reread,
@@ -178,6 +182,7 @@
         if !need.watcher {
             self.fresh = false;
         }
+        self.read_list(now, need, rng, out);
         if self.away {
             return self.probe(now, rng, out);
         }
@@ -188,15 +193,6 @@
             let after = self.revision;
             self.call(now, Call::Watch { after, wait: WATCH }, out);
         }
-        if now >= self.list && !self.waits(|c| *c == Call::List) {
-            let mean = match need {
-                Need { alone: true, .. } => LIST / 6,
-                Need { watcher: true, .. } => LIST,
-                Need { .. } => LIST * 20,
-            };
-            self.list = now + jitter(mean, rng);
-            self.call(now, Call::List, out);
-        }
     }
 
     /// Reads a body, unless the store is away or busy enough with bodies.
@@ -224,10 +220,12 @@
         let at = self.waiting.binary_search_by_key(&id, |w| w.id).ok()?;
         let Waiting { call, since, .. } = self.waiting.remove(at);
         let turn = match reply {
-            Reply::Away | Reply::Malformed => self.failed(now, rng),
-            Reply::Head(_) | Reply::Watched(_) | Reply::Body(..) | Reply::Listed(_) => {
-                self.worked(now, rng)
+            Reply::Away | Reply::Malformed => self.failed(now, &call, rng),
+            Reply::Listed(_) => {
+                self.unlisted = 0;
+                Turn::None
             }
+            Reply::Head(_) | Reply::Watched(_) | Reply::Body(..) => self.worked(now, rng),
         };
         if let Reply::Head(Some(stored)) | Reply::Watched(Some(stored)) = reply {
             self.saw(&call, stored.revision);
@@ -241,19 +239,21 @@
     /// Gives up calls without an answer. A driver that keeps its bound never
     /// lets this happen; a process frozen with calls open does.
     pub fn expire(&mut self, now: Time, rng: &mut fastrand::Rng) -> Turn {
-        let before = self.waiting.len();
-        self.waiting.retain(|w| {
+        let lost = |w: &Waiting| {
             let wait = match w.call {
                 Call::Watch { wait, .. } => wait,
                 Call::Head | Call::Body(_) | Call::List => Duration::ZERO,
             };
-            now.since(w.since) <= wait + LOST
-        });
-        if self.waiting.len() < before {
-            self.failed(now, rng)
-        } else {
-            Turn::None
+            now.since(w.since) > wait + LOST
+        };
+        let mut turn = Turn::None;
+        while let Some(at) = self.waiting.iter().position(lost) {
+            let call = self.waiting.remove(at).call;
+            if self.failed(now, &call, rng) == Turn::Away {
+                turn = Turn::Away;
+            }
         }
+        turn
     }
 
     /// Reads the head at the next step, whatever was planned: after a freeze.
@@ -272,6 +272,25 @@
         }
     }
 
+    fn read_list(
+        &mut self,
+        now: Time,
+        need: Need,
+        rng: &mut fastrand::Rng,
+        out: &mut Vec<(CallId, Call)>,
+    ) {
+        if now < self.list || self.waits(|c| *c == Call::List) {
+            return;
+        }
+        let mean = match need {
+            Need { alone: true, .. } => LIST / 6,
+            Need { watcher: true, .. } => LIST,
+            Need { .. } => LIST * 20,
+        };
+        self.list = now + jitter(mean, rng);
+        self.call(now, Call::List, out);
+    }
+
     fn probe(&mut self, now: Time, rng: &mut fastrand::Rng, out: &mut Vec<(CallId, Call)>) {
         if now >= self.retry {
             self.read_head(now, rng, out);
@@ -305,10 +324,14 @@
         self.waiting.iter().any(|w| fits(&w.call))
     }
 
-    fn failed(&mut self, now: Time, rng: &mut fastrand::Rng) -> Turn {
-        let doubled = BACKOFF * 2_u32.saturating_pow(self.fails.min(10));
+    fn failed(&mut self, now: Time, call: &Call, rng: &mut fastrand::Rng) -> Turn {
+        if *call == Call::List {
+            self.list = now + backoff(self.unlisted, rng);
+            self.unlisted = self.unlisted.saturating_add(1);
+            return Turn::None;
+        }
+        self.retry = now + backoff(self.fails, rng);
         self.fails = self.fails.saturating_add(1);
-        self.retry = now + jitter(doubled.min(BACKOFF_MAX), rng);
         self.fresh = false;
         if core::mem::replace(&mut self.away, true) {
             Turn::None
@@ -327,11 +350,16 @@
         if self.slow {
             self.reread = now + jitter(REREAD, rng);
         }
-        self.list = now + jitter(LIST, rng);
         Turn::Back
     }
 }
 
+/// Wait after so many failures in a row.
+fn backoff(fails: u32, rng: &mut fastrand::Rng) -> Duration {
+    let doubled = BACKOFF * 2_u32.saturating_pow(fails.min(10));
+    jitter(doubled.min(BACKOFF_MAX), rng)
+}
+
 /// A time between half and one and a half of `mean`.
 pub fn jitter(mean: Duration, rng: &mut fastrand::Rng) -> Duration {
     mean.mul_f64(0.5 + rng.f64())
--- a/crates/steer/src/process/control/types.rs
+++ b/crates/steer/src/process/control/types.rs
@@ -160,6 +160,11 @@
 }
 
 /// What other threads see of control.
+///
+/// After a freeze other threads may run before control does, and read what it
+/// published before. So the driver also publishes the time of the last
+/// [`Event::Tick`], and a reader that finds it older than [`GAP`](super::GAP)
+/// reads the standing as [`Standing::Doubt`] and the share as nothing.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
     /// Whether the process may act on what it knows.
@@ -168,8 +173,7 @@
     pub ready: bool,
     /// Version in force.
     pub version: Version,
-    /// Part of every cap that the process may use. It ends by itself: a reader
-    /// that sees a snapshot older than a few seconds uses none.
+    /// Part of every cap that the process may use.
     pub share: slot::Share,
     /// Processes that look-ups may name, this one included, sorted by name.
     pub members: Arc<[Seen]>,
--- a/crates/steer/tests/control_scenarios/fleet.rs
+++ b/crates/steer/tests/control_scenarios/fleet.rs
@@ -141,18 +141,20 @@
     pub past: Vec<Stored>,
     bodies: Vec<Body>,
     watches: Vec<Watch>,
-    /// Whether it answers nobody.
+    /// Whether it answers nobody; the platform's list goes on.
     pub away: bool,
     /// Calls that reached it, by second of virtual time.
     pub calls: Vec<u32>,
     list: Vec<Listed>,
 }
 
-/// A place in the network: a failure domain, or the store.
+/// A place in the network.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
     /// A failure domain.
     Domain(usize),
+    /// The process of this slot, apart from others of its domain.
+    Slot(usize),
     /// The store.
     Store,
 }
@@ -355,6 +357,14 @@
         Ok(())
     }
 
+    /// Text of a body in the store.
+    pub fn content(&self, hash: Hash) -> String {
+        let bodies = &self.store.bodies;
+        let at = bodies.binary_search_by_key(&hash, |b| b.hash);
+        let bytes = at.map(|at| bodies[at].bytes.to_vec());
+        String::from_utf8(bytes.unwrap_or_default()).expect("text")
+    }
+
     /// Lets a write reach the store later.
     pub fn linger(&mut self, head: &Arc<Head>, expect: u64, span: Duration) {
         let head = Arc::clone(head);
@@ -387,17 +397,6 @@
         }
     }
 
-    /// Events that watches should have had are lost: the watches wait on.
-    pub fn write_unseen(&mut self, head: &Arc<Head>) {
-        let watches = core::mem::take(&mut self.store.watches);
-        self.write(head, None).expect("no condition");
-        let revision = self.store.stored.as_ref().map_or(0, |s| s.revision);
-        self.store.watches = watches;
-        for watch in &mut self.store.watches {
-            watch.after = revision;
-        }
-    }
-
     fn wake_watches(&mut self) {
         let Some(stored) = self.store.stored.clone() else {
             return;
@@ -520,7 +519,10 @@
         let to = index(to);
         let (a, b) = (self.nodes[from].domain, self.nodes[to].domain);
         let lost = self.rng.f64() < self.layout.loss;
-        if lost || !self.joined(Place::Domain(a), Place::Domain(b)) {
+        let (from, at) = (self.nodes[from].slot, self.nodes[to].slot);
+        let joined = self.joined(Place::Domain(a), Place::Domain(b))
+            && self.joined(Place::Slot(from), Place::Slot(at));
+        if lost || !joined {
             return;
         }
         let after = self.latency(a, b);
@@ -556,7 +558,7 @@
             self.store.calls.resize(second + 1, 0);
         }
         self.store.calls[second] += 1;
-        if self.store.away {
+        if self.store.away && *call != Call::List {
             let reply = Reply::Away;
             return self.push(
                 BOUND,
--- a/crates/steer/tests/control_scenarios/script.rs
+++ b/crates/steer/tests/control_scenarios/script.rs
@@ -40,7 +40,9 @@
     After,
     /// It is lost.
     Before,
-    /// It takes effect a second later, when its answer is given up.
+    /// It takes effect, and the store goes away.
+    Vanish,
+    /// It takes effect a few seconds later, when its answer is given up.
     Linger,
 }
 
@@ -88,6 +90,8 @@
             "standing" => self.standings(),
             "members" => self.members(&text(case, "of")),
             "shares" => self.shares(),
+            "files" => self.files(&text(case, "of")),
+            "stamps" => self.stamps(&text(case, "of"), &text(case, "about")),
             "notices" => self.notices(&text(case, "of")),
             other => panic!("no directive {other}"),
         }
@@ -150,11 +154,12 @@
             "after" => Fault::After,
             "before" => Fault::Before,
             "linger" => Fault::Linger,
+            "vanish" => Fault::Vanish,
             other => panic!("no fault {other}"),
         };
         let place = match text_or(case, "from", "store").as_str() {
             "store" => Place::Store,
-            domain => place(domain),
+            domain => place(self.fleet(), domain),
         };
         let at = self.plans.iter().position(|p| *p.id == *id);
         let mut plan = self.plans.remove(at.expect("planned before"));
@@ -184,8 +189,11 @@
     }
 
     fn cut(&mut self, case: &TestCase) -> String {
-        let pair = (place(&text(case, "a")), place(&text(case, "b")));
         let fleet = self.fleet();
+        let pair = (
+            place(fleet, &text(case, "a")),
+            place(fleet, &text(case, "b")),
+        );
         if case.directive == "cut" {
             fleet.cuts.push(pair);
         } else {
@@ -195,7 +203,7 @@
     }
 
     /// `store do=away|up`, `do=reset version=N`, `do=stale version=N`,
-    /// `do=unseen id=a`, `do=fork`.
+    /// `do=restore version=N`: an operator writes the head anew as version N.
     fn store(&mut self, case: &TestCase) -> String {
         let version = Version(number_or(case, "version", 0));
         let fleet = self.fleet();
@@ -206,12 +214,12 @@
             "up" => fleet.store_away(false),
             "reset" => fleet.store.stored = past,
             "stale" => fleet.stale_event(&past.expect("a past version")),
-            "unseen" => {
+            "restore" => {
                 let past = fleet.store.stored.clone().expect("a head");
                 let mut head = Head::clone(&past.head);
-                head.version.0 += 1;
-                head.recent[0].version = head.version;
-                fleet.write_unseen(&Arc::new(head));
+                head.version = version;
+                head.recent[0].version = version;
+                fleet.write(&Arc::new(head), None).expect("no condition");
             }
             other => panic!("no such thing as {other}"),
         }
@@ -251,8 +259,13 @@
         let fleet = self.fleet();
         let mut rows = Vec::new();
         let mut back = Vec::new();
-        for node in &fleet.nodes {
-            let name = fleet.name(node.slot);
+        for (at, node) in fleet.nodes.iter().enumerate() {
+            let old = if fleet.slots[node.slot] == at {
+                ""
+            } else {
+                "'"
+            };
+            let name = format!("{}{old}", fleet.name(node.slot));
             if node.force.windows(2).any(|w| w[1].1 < w[0].1) {
                 back.push(name.clone());
             }
@@ -322,6 +335,31 @@
         format!("{}sum {sum:.2}\n", grouped(rows))
     }
 
+    /// Files of the version in force at a process.
+    fn files(&mut self, name: &str) -> String {
+        let fleet = self.fleet();
+        let files = fleet.node(name).control.head().map(|h| h.files.clone());
+        let text = |file: &File| {
+            let content = fleet.content(file.hash);
+            format!("{}: {content}\n", file.name)
+        };
+        files.unwrap_or_default().iter().map(text).collect()
+    }
+
+    /// Which of the processes of a name another one holds for the real one.
+    fn stamps(&mut self, name: &str, about: &str) -> String {
+        let fleet = self.fleet();
+        let slot = fleet.slot(about);
+        let (domain, _) = about.split_once('-').expect("domain and number");
+        let row = fleet.node(name).control.table().get(domain, about);
+        let row = row.expect("a row");
+        let mut of_name = fleet.nodes.iter().filter(|n| n.slot == slot);
+        let incarnation = row.record.stamp.incarnation;
+        let at = of_name.position(|n| n.control.record().stamp.incarnation == incarnation);
+        let life = row.record.life.as_str();
+        format!("process {} of {about}: {life}\n", at.expect("known") + 1)
+    }
+
     fn notices(&mut self, name: &str) -> String {
         let node = self.fleet().node(name);
         let lines = node
@@ -350,6 +388,11 @@
             fleet.linger(head, base, Duration::from_secs(3));
             return Outcome::Lost;
         }
+        Fault::Vanish => {
+            let _lost: Result<(), Option<Stored>> = fleet.write(head, expect);
+            fleet.store_away(true);
+            return Outcome::Lost;
+        }
         Fault::None | Fault::After => {}
     }
     let written: Result<(), Option<Stored>> = fleet.write(head, expect);
@@ -371,7 +414,10 @@
     groups.map(line).collect()
 }
 
-fn place(name: &str) -> Place {
+fn place(fleet: &Fleet, name: &str) -> Place {
+    if name.contains('-') {
+        return Place::Slot(fleet.slot(name));
+    }
     match name.strip_prefix('d') {
         Some(number) => Place::Domain(number.parse().expect("a domain's number")),
         None => Place::Store,
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -140,7 +140,7 @@
     pub reply: bool,
     /// Sender's own time in microseconds.
     pub probe: u64,
-    /// The probe answered.
+    /// Receiver's newest probe.
     pub echo: Option<u64>,
     /// Serial of the receiver's tombstone at the sender.
     pub held: Option<u32>,
