Verify operators' files as documents; put scenarios' versions as heads

Cause: two halves named a version's files differently. Change: the daemon uses crate intent's documents; scenarios write a head and its body.

--- a/crates/auburnrouter/src/cmd/apply.rs
+++ b/crates/auburnrouter/src/cmd/apply.rs
@@ -30,8 +30,8 @@
 const HELP: &str = "\
 Usage: auburnrouter apply DIR --settings FILE [OPTIONS]
 
-Puts the configuration in DIR in force: base.jsonc, overlays/SITE.jsonc and
-blocks/*.txt. DIR may also be a base file alone. The change is verified and
+Puts the configuration in DIR in force: base.jsonc, overlay/SITE.jsonc, and
+files of client blocks. DIR may also be a base file alone. The change is verified and
 judged first; a change that moves more traffic than its caps allow is refused,
 unless the new cap is stated with it. It is then decided by one write: of two
 operators at the same moment one wins, and the other sees a conflict.
--- a/crates/auburnrouter/src/cmd/files.rs
+++ b/crates/auburnrouter/src/cmd/files.rs
@@ -1,5 +1,6 @@
-//! A configuration as files in a folder: `base.jsonc`, `overlays/SITE.jsonc`,
-//! `blocks/NAME.txt`; and as the daemon names them.
+//! A configuration as files in a folder: `base.jsonc`, `overlay/SITE.jsonc`, and
+//! client blocks: operators' files `NAME.txt`, or chunks `blocks/NAME.txt` as an
+//! instance gave them.
 
 use std::ffi::OsStr;
 use std::fs;
@@ -37,7 +38,11 @@
 /// Where a folder remembers the version it came from.
 const VERSION: &str = ".version";
 
-const KINDS: [(&str, &str); 2] = [("overlays", "jsonc"), ("blocks", "txt")];
+/// Ending of files of client blocks.
+const TEXT: &str = "txt";
+
+/// Folders, and the ending of the files in them.
+const KINDS: [(&str, &str); 2] = [("overlay", "jsonc"), ("blocks", TEXT)];
 
 /// Reads a folder's files; the base file alone may be named instead.
 ///
@@ -51,9 +56,11 @@
     for (kind, ending) in KINDS {
         let folder = path.join(kind);
         if folder.is_dir() {
-            files.extend(list(&folder, kind, ending)?);
+            let stem = |path: &Path| format!("{kind}/{}", part(path.file_stem()));
+            files.extend(list(&folder, ending, stem)?);
         }
     }
+    files.extend(list(path, TEXT, |path| part(path.file_name()))?);
     Ok(files)
 }
 
@@ -94,7 +101,7 @@
     Err(Error::Name(name.to_owned()))
 }
 
-fn list(folder: &Path, kind: &str, ending: &str) -> Result<Vec<File>, Error> {
+fn list(folder: &Path, ending: &str, name: impl Fn(&Path) -> String) -> Result<Vec<File>, Error> {
     let entries = fs::read_dir(folder).map_err(|e| unread(folder, e))?;
     let mut paths = Vec::new();
     for entry in entries {
@@ -104,11 +111,11 @@
         }
     }
     paths.sort();
-    let named = |path: &PathBuf| {
-        let stem = path.file_stem().unwrap_or_default().to_string_lossy();
-        file(format!("{kind}/{stem}"), path)
-    };
-    paths.iter().map(named).collect()
+    paths.iter().map(|path| file(name(path), path)).collect()
+}
+
+fn part(name: Option<&OsStr>) -> String {
+    name.unwrap_or_default().to_string_lossy().into_owned()
 }
 
 fn file(name: String, path: &Path) -> Result<File, Error> {
--- a/crates/auburnrouter/src/daemon/control/apply.rs
+++ b/crates/auburnrouter/src/daemon/control/apply.rs
@@ -113,7 +113,7 @@
 fn verify(change: &Change, version: view::Version) -> std::result::Result<InForce, force::Error> {
     let mut files: Vec<bundle::File> = change.files.iter().map(bundle::File::from).collect();
     files.sort_by(|a, b| a.name.cmp(&b.name));
-    InForce::new(version, files)
+    InForce::new(version, &files)
 }
 
 impl From<&File> for bundle::File {
--- a/crates/auburnrouter/src/daemon/control/force.rs
+++ b/crates/auburnrouter/src/daemon/control/force.rs
@@ -1,28 +1,18 @@
 //! The configuration in force, as files and as what they mean.
 //!
-//! Files of a version are named by what they are: [`BASE`], `overlays/SITE` and
-//! `blocks/…`.
+//! Files of a version are named as crate `intent` names its documents.
 //!
 //! Invariant: an [`InForce`] has passed the verifier whole.
 
 use std::str;
 use std::sync::Arc;
 
-use intent::bundle;
+use intent::{bundle, document};
 use jsonc::fault::Fault;
 use steer::process::config;
 use steer::version::view;
 use thiserror::Error;
 
-/// Name of the base file.
-pub const BASE: &str = "base";
-
-/// What names of overlays start with.
-pub const OVERLAYS: &str = "overlays/";
-
-/// What names of client blocks' chunks start with.
-pub const BLOCKS: &str = "blocks/";
-
 /// A version that passed the verifier.
 #[derive(Debug)]
 pub struct InForce {
@@ -40,27 +30,33 @@
     /// A file isn't text.
     #[error("file {0} is not UTF-8 text; save it as such")]
     Text(Arc<str>),
-    /// A file's name says nothing.
-    #[error("file {0} is neither base, overlays/SITE nor blocks/…; name it so")]
-    Name(Arc<str>),
     /// There is no base file.
     #[error("there is no base file; add one named base")]
     NoBase,
     /// The verifier found faults.
     #[error("{}", list(.0))]
     Faults(Vec<Fault>),
+    /// A file can't be a document of the store.
+    #[error(transparent)]
+    Document(#[from] document::Error),
 }
 
 impl InForce {
-    /// Verifies files as a version.
+    /// Verifies files as a version, and cuts its client blocks into documents.
     ///
     /// # Errors
     /// Every fault that the verifier finds.
-    pub fn new(version: view::Version, files: Vec<bundle::File>) -> Result<Self, Error> {
-        let checked = bundle(&files)?.check().map_err(Error::Faults)?;
+    pub fn new(version: view::Version, files: &[bundle::File]) -> Result<Self, Error> {
+        let bundle = bundle(files)?;
+        let checked = bundle.check().map_err(Error::Faults)?;
+        let bodies = document::bodies(&bundle)?;
+        let files = bodies.into_iter().map(|body| bundle::File {
+            name: body.reference.name,
+            text: body.text,
+        });
         Ok(Self {
             version,
-            files,
+            files: files.collect(),
             checked,
         })
     }
@@ -79,30 +75,38 @@
                 text: text.into(),
             });
         }
-        Self::new(head.version, files)
+        Self::new(head.version, &files)
     }
 }
 
+/// Files that are named neither base, overlay nor chunk are operators' files of
+/// client blocks; those of the store are chunks.
 fn bundle(files: &[bundle::File]) -> Result<bundle::Bundle, Error> {
     let mut base = None;
     let mut overlays = Vec::new();
     let mut chunks = Vec::new();
+    let mut blocks = Vec::new();
     for file in files {
         let name = &file.name;
-        if &**name == BASE {
+        if &**name == document::BASE {
             base = Some(file.clone());
-        } else if name.starts_with(OVERLAYS) {
+        } else if name.starts_with(document::OVERLAY) {
             overlays.push(file.clone());
-        } else if name.starts_with(BLOCKS) {
+        } else if name.starts_with(document::BLOCKS) {
             chunks.push(file.clone());
         } else {
-            return Err(Error::Name(Arc::clone(name)));
+            blocks.push(file.clone());
         }
     }
+    let blocks = if blocks.is_empty() {
+        bundle::Blocks::Chunks(chunks)
+    } else {
+        bundle::Blocks::Files(blocks)
+    };
     Ok(bundle::Bundle {
         base: base.ok_or(Error::NoBase)?,
         overlays,
-        blocks: bundle::Blocks::Chunks(chunks),
+        blocks,
     })
 }
 
--- a/crates/scenarios/src/world.rs
+++ b/crates/scenarios/src/world.rs
@@ -7,10 +7,12 @@
 use std::process::ExitStatus;
 
 use rustix::process::Signal;
+use serde_json::json;
+use sha2::{Digest, Sha256};
 use standin::target::ledger::Executed;
 use trillium_client::Method;
 use wire::instance::{Instance, Instances, Role, State};
-use wire::kv;
+use wire::{beat, kv};
 
 use crate::error::Error;
 use crate::http::Call;
@@ -57,11 +59,9 @@
     dir: PathBuf,
     actors: Vec<Actor>,
     listed: Vec<Instance>,
+    version: u64,
 }
 
-/// Key of the base file in the store.
-const BASE: &str = "auburnrouter/config/base";
-
 /// Name of the store's process.
 pub const STORE: &str = "store";
 
@@ -84,6 +84,7 @@
             dir: dir.to_owned(),
             actors: Vec::new(),
             listed: Vec::new(),
+            version: 0,
         })
     }
 
@@ -185,19 +186,42 @@
         })
     }
 
-    /// Puts a base file into the store, whatever is there.
+    /// Puts a base file into the store as its next version, whatever is there.
     ///
     /// # Errors
     /// The store does not take it.
-    pub fn put_config(&self, text: &str) -> Result<(), Error> {
+    pub fn put_config(&mut self, text: &str) -> Result<(), Error> {
+        self.version += 1;
+        let hash = Sha256::digest(text);
+        let hex = format!("{hash:x}");
+        let head = beat::Head {
+            version: self.version,
+            recent: vec![beat::Change {
+                version: self.version,
+                id: format!("scenario-{}", self.version),
+            }],
+            files: vec![beat::File {
+                name: "base".to_owned(),
+                hash: hash.into(),
+            }],
+        };
+        self.put(&format!("auburnrouter/config/bodies/{hex}"), text)?;
+        self.put("auburnrouter/config/head", &json!(head).to_string())
+    }
+
+    fn put(&self, key: &str, value: &str) -> Result<(), Error> {
         let put = kv::Put {
-            value: text.to_owned(),
+            value: value.to_owned(),
             expect: kv::Expect::Any,
             lease: None,
         };
-        let body = serde_json::to_string(&put).expect("plain data serialises");
-        let path = format!("/kv/{BASE}");
-        let call = Call::new(Method::Put, self.addr(STORE)?, &path, &body);
+        let path = format!("/kv/{key}");
+        let call = Call::new(
+            Method::Put,
+            self.addr(STORE)?,
+            &path,
+            &json!(put).to_string(),
+        );
         match call.make()?.status {
             200 => Ok(()),
             status => Err(Error::Http(format!("the store answers {status}"))),
