Install a head chunk by chunk, within a process's memory

Cause: control has 64 MB a process; at 830,000 blocks a bundle's text, lines and two tables of 12 bytes a range would not fit. Control has meanwhile brought its own head, so a second manifest type was one too many. Change: install::plan reads base, own overlay and chunks straight from the bodies that the process keeps; the table packs a region in two bytes and can be built from sorted blocks; heads convert to and from the store's JSON. Ruled out: trusting chunks to be in order; a block out of order would shift every range after it without a sign.

--- a/crates/intent/examples/blocks.rs
+++ b/crates/intent/examples/blocks.rs
@@ -12,9 +12,8 @@
 
 use intent::blocks;
 use intent::bundle::{Blocks, Bundle, File};
-use intent::document::{self, Hash, Manifest};
+use intent::document::{self, install, wire};
 use steer::version::blocks::BlockTable;
-use steer::version::view::Version;
 
 const SIZES: [u32; 4] = [1_000, 10_000, 100_000, 830_000];
 const REGIONS: u32 = 22;
@@ -24,15 +23,16 @@
 fn main() {
     println!("seed {SEED}, {REGIONS} regions");
     println!(
-        "{:>8} {:>8} {:>9} {:>9} {:>9} {:>8} {:>7} {:>9} {:>9} {:>9}",
+        "{:>8} {:>8} {:>9} {:>9} {:>9} {:>10} {:>8} {:>7} {:>9} {:>9} {:>9}",
         "blocks",
         "ranges",
         "read ms",
         "build ms",
         "check ms",
-        "RSS MB",
+        "install ms",
+        "table MB",
         "chunks",
-        "manifest",
+        "head B",
         "change B",
         "lookup ns"
     );
@@ -56,29 +56,31 @@
     let old = bundle(text);
     let (check, checked) = time(|| old.check());
     checked.expect("the generated files have no fault");
-    let bodies = document::bodies(&old).expect("the bodies fit");
+    let documents = document::documents(&old).expect("the documents fit");
+    let head = document::next(None, "first", &documents).expect("a head");
+    let get = |hash| {
+        let found = documents.iter().find(|d| d.hash == hash)?;
+        Some(found.text.as_bytes().into())
+    };
+    let (install, plan) = time(|| install::plan(&head.files, "d0", get));
+    plan.expect("the documents have no fault");
     let changed = lines.len() / 2;
-    let region = lines[changed].1;
-    lines[changed].1 = (region + 1) % REGIONS;
-    let new = document::bodies(&bundle(join(&lines))).expect("the bodies fit");
-    let mut have: Vec<Hash> = bodies.iter().map(|b| b.reference.hash).collect();
-    have.sort();
-    let manifest = Manifest::new(Version(1), "change", &new).expect("a manifest");
-    let missing: Vec<_> = manifest.missing(&have).map(|r| r.hash).collect();
-    let sent: usize = new
-        .iter()
-        .filter(|b| missing.contains(&b.reference.hash))
-        .map(|b| b.text.len())
+    lines[changed].1 = (lines[changed].1 + 1) % REGIONS;
+    let new = document::documents(&bundle(join(&lines))).expect("the documents fit");
+    let next = document::next(Some(&head), "second", &new).expect("a head");
+    let sent: usize = document::unsent(&new, Some(&head))
+        .map(|document| document.text.len())
         .sum();
     println!(
-        "{size:>8} {:>8} {:>9.1} {:>9.1} {:>9.1} {:>8.1} {:>7} {:>9} {sent:>9} {lookup:>9.1}",
+        "{size:>8} {:>8} {:>9.1} {:>9.1} {:>9.1} {:>10.1} {:>8.1} {:>7} {:>9} {sent:>9} {lookup:>9.1}",
         table.len(),
         millis(read),
         millis(build),
         millis(check),
+        millis(install),
         megabytes(resident),
-        bodies.len() - 1,
-        manifest.to_json().len(),
+        documents.len() - 1,
+        wire::to_json(&next).len(),
     );
 }
 
--- a/crates/intent/src/document.rs
+++ b/crates/intent/src/document.rs
@@ -1,18 +1,18 @@
-//! A configuration as the platform's store keeps it.
+//! A configuration as the platform's store and the peers keep it.
 //!
 //! Bodies are values named by their content's hash, each well under a megabyte;
-//! a [`Manifest`] lists them. Invariant: a body never changes, so that a change
-//! sends only bodies the store doesn't have, and whoever has a manifest and its
+//! a head lists them. Invariant: a body never changes, so that a change sends
+//! only bodies that the store doesn't have, and whoever has a head and its
 //! bodies has exactly the configuration that was accepted.
 
 pub mod chunk;
+pub mod install;
 pub mod wire;
 
-use core::fmt;
-use core::str::FromStr;
 use std::sync::Arc;
 
 use sha2::{Digest, Sha256};
+use steer::process::config::{Change, File as Reference, Hash, Head, RECENT};
 use steer::version::view::Version;
 
 use crate::bundle::{Blocks, Bundle, File};
@@ -20,7 +20,7 @@
 /// Largest body in bytes; the store takes a megabyte, keys included.
 pub const BODY_MAX: usize = 1_000_000;
 
-/// Name of the base file's body.
+/// Name of the base file.
 pub const BASE: &str = "base";
 
 /// Start of the name of a site's overlay.
@@ -29,65 +29,39 @@
 /// Start of the name of a chunk of client blocks.
 pub const BLOCKS: &str = "blocks/";
 
-/// Bytes of a SHA-256 hash.
-const HASH_BYTES: usize = 32;
-
-/// Content's SHA-256; prints as 64 hexadecimal digits.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Hash([u8; HASH_BYTES]);
-
-impl Hash {
-    /// Hash of a body.
-    #[must_use]
-    pub fn of(body: &str) -> Self {
-        Self(Sha256::digest(body.as_bytes()).into())
-    }
-}
-
-impl fmt::Display for Hash {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
-    }
-}
-
-impl fmt::Debug for Hash {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::Display::fmt(self, f)
-    }
-}
+/// Longest change id in bytes.
+pub const CHANGE_MAX: usize = 64;
 
 /// Why a document can't be used.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
     /// Not 64 hexadecimal digits.
-    #[error("\"{0}\" is no hash; the manifest is damaged, read it again")]
+    #[error("\"{0}\" is no hash; the head is damaged, read it again")]
     Hash(String),
-    /// A name that no body can have.
-    #[error("\"{0}\" names no document; the writer is newer than this program, upgrade it")]
+    /// A name that no document can have.
+    #[error("\"{0}\" names no document; a newer release wrote it, upgrade this one")]
     Name(String),
     /// Names out of order or twice.
-    #[error("document \"{0}\" is out of order; the manifest is damaged, read it again")]
+    #[error("document \"{0}\" is out of order; the head is damaged, read it again")]
     Order(String),
     /// No base file.
-    #[error("no base file; the manifest is damaged, read it again")]
+    #[error("no base file; the head is damaged, read it again")]
     NoBase,
-    /// A version that doesn't follow its parent.
-    #[error("version {version} can't follow {parent}; the manifest is damaged, read it again")]
-    Parent {
-        /// The version.
-        version: Version,
-        /// What it claims to follow.
-        parent: Version,
-    },
+    /// Changes that don't lead to the version.
+    #[error("the changes of {0} don't lead to it; the head is damaged, read it again")]
+    Recent(Version),
     /// A change id outside its bounds.
     #[error("a change id of {0} bytes; use 1 to {CHANGE_MAX} letters, digits or '-'")]
     Change(usize),
-    /// Not the manifest's JSON.
-    #[error("not a manifest: {0}; the head is damaged or another program wrote it")]
+    /// Not the head's JSON.
+    #[error("not a head: {0}; it is damaged, or another program wrote it")]
     Json(String),
-    /// A body that isn't there.
+    /// A body that isn't there, or isn't what its hash says.
     #[error("document \"{0}\" is missing; fetch the body {1}")]
     Missing(Arc<str>, Hash),
+    /// A body that isn't text.
+    #[error("document \"{0}\" is not UTF-8; apply the configuration again")]
+    Text(Arc<str>),
     /// A body above [`BODY_MAX`].
     #[error(
         "document \"{name}\" has {bytes} bytes, more than {BODY_MAX}; move client blocks to \"block_files\""
@@ -100,154 +74,63 @@
     },
 }
 
-impl FromStr for Hash {
-    type Err = Error;
-
-    fn from_str(text: &str) -> Result<Self, Error> {
-        let error = || Error::Hash(text.escape_debug().to_string());
-        let canonical = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
-        if text.len() != 2 * HASH_BYTES || !text.bytes().all(canonical) {
-            return Err(error());
-        }
-        let mut bytes = [0; HASH_BYTES];
-        for (byte, pair) in bytes.iter_mut().zip(text.as_bytes().chunks(2)) {
-            let pair = core::str::from_utf8(pair).map_err(|_| error())?;
-            *byte = u8::from_str_radix(pair, 16).map_err(|_| error())?;
-        }
-        Ok(Self(bytes))
-    }
-}
-
-/// Longest change id in bytes.
-pub const CHANGE_MAX: usize = 64;
-
-/// A body's name and hash.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Reference {
+/// One file of a configuration with its content.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Document {
     /// [`BASE`], or a name that starts with [`OVERLAY`] or [`BLOCKS`].
     pub name: Arc<str>,
-    /// Hash of its body.
+    /// Hash of the content.
     pub hash: Hash,
-}
-
-/// A body and what names it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Body {
-    /// Name and hash.
-    pub reference: Reference,
     /// The content.
     pub text: Arc<str>,
 }
 
-/// All that a version consists of.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Manifest {
-    /// The version; one more than its parent.
-    pub version: Version,
-    /// Id that the writer chose, to find out whether its write took effect.
-    pub change: Arc<str>,
-    /// Version that the change was made from.
-    pub parent: Version,
-    /// The bodies, sorted by name.
-    pub files: Vec<Reference>,
-}
-
-impl Manifest {
-    /// The manifest of a change.
-    ///
-    /// # Errors
-    /// The id is outside its bounds, or the bodies are not a configuration.
-    pub fn new(parent: Version, change: &str, bodies: &[Body]) -> Result<Self, Error> {
-        let manifest = Self {
-            version: Version(parent.0 + 1),
-            change: change.into(),
-            parent,
-            files: bodies.iter().map(|b| b.reference.clone()).collect(),
-        };
-        manifest.verify()?;
-        Ok(manifest)
-    }
-
-    /// Checks what a writer may get wrong.
-    fn verify(&self) -> Result<(), Error> {
-        let fits = |b: u8| b.is_ascii_alphanumeric() || b == b'-';
-        let length = self.change.len();
-        if !(1..=CHANGE_MAX).contains(&length) || !self.change.bytes().all(fits) {
-            return Err(Error::Change(length));
-        }
-        if self.parent.0.checked_add(1) != Some(self.version.0) {
-            return Err(Error::Parent {
-                version: self.version,
-                parent: self.parent,
-            });
-        }
-        if let Some(pair) = self.files.windows(2).find(|p| p[0].name >= p[1].name) {
-            return Err(Error::Order(pair[1].name.to_string()));
-        }
-        if let Some(file) = self.files.iter().find(|f| !known(&f.name)) {
-            return Err(Error::Name(file.name.escape_debug().to_string()));
-        }
-        self.find(BASE).map(|_| ()).ok_or(Error::NoBase)
-    }
-
-    /// Hash of the body of this name.
-    #[must_use]
-    pub fn find(&self, name: &str) -> Option<Hash> {
-        let found = self.files.binary_search_by(|f| (*f.name).cmp(name));
-        found.ok().map(|i| self.files[i].hash)
-    }
-
-    /// References whose bodies aren't among `have`, which is sorted: what a
-    /// writer must send, or a reader fetch.
-    pub fn missing(&self, have: &[Hash]) -> impl Iterator<Item = &Reference> {
-        let lacks = |file: &&Reference| have.binary_search(&file.hash).is_err();
-        self.files.iter().filter(lacks)
-    }
-}
-
-fn known(name: &str) -> bool {
-    name == BASE || name.starts_with(OVERLAY) || name.starts_with(BLOCKS)
+/// Hash of a body.
+#[must_use]
+pub fn hash(bytes: &[u8]) -> Hash {
+    Hash(Sha256::digest(bytes).into())
 }
 
-/// Turns a checked bundle's files to bodies, sorted by name. Overlays are named
-/// by their sites; block files are joined and cut into chunks.
+/// Turns a checked bundle's files to documents, sorted by name. Overlays are
+/// named by their sites; block files are joined and cut into chunks.
 ///
 /// # Errors
 /// A file is too large for a body. A bundle that wasn't checked may lose an
 /// overlay without a site and lines that are no blocks.
-pub fn bodies(bundle: &Bundle) -> Result<Vec<Body>, Error> {
-    let mut bodies = vec![body(BASE.into(), &bundle.base.text)?];
+pub fn documents(bundle: &Bundle) -> Result<Vec<Document>, Error> {
+    let mut documents = vec![document(BASE.into(), &bundle.base.text)?];
     for overlay in &bundle.overlays {
         if let Some(site) = site(overlay) {
-            bodies.push(body(format!("{OVERLAY}{site}").into(), &overlay.text)?);
+            let name = format!("{OVERLAY}{site}");
+            documents.push(document(name.into(), &overlay.text)?);
         }
     }
     match &bundle.blocks {
         Blocks::Files(files) => {
             for (name, text) in chunk::chunks(files) {
-                bodies.push(body(name, &text.into())?);
+                documents.push(document(name, &text.into())?);
             }
         }
         Blocks::Chunks(chunks) => {
             for chunk in chunks {
-                bodies.push(body(Arc::clone(&chunk.name), &chunk.text)?);
+                documents.push(document(Arc::clone(&chunk.name), &chunk.text)?);
             }
         }
     }
-    bodies.sort_by(|a, b| a.reference.cmp(&b.reference));
-    Ok(bodies)
+    documents.sort_by(|a, b| a.name.cmp(&b.name));
+    Ok(documents)
 }
 
-fn body(name: Arc<str>, text: &Arc<str>) -> Result<Body, Error> {
+fn document(name: Arc<str>, text: &Arc<str>) -> Result<Document, Error> {
     if text.len() > BODY_MAX {
         return Err(Error::TooLarge {
             name,
             bytes: text.len(),
         });
     }
-    let hash = Hash::of(text);
-    Ok(Body {
-        reference: Reference { name, hash },
+    Ok(Document {
+        name,
+        hash: hash(text.as_bytes()),
         text: Arc::clone(text),
     })
 }
@@ -262,23 +145,94 @@
     }
 }
 
-/// Puts a manifest's bodies together again; `find` gives a body by its hash.
+/// The head that puts `documents` in force after `parent`, the head in force,
+/// or as the first one.
 ///
 /// # Errors
-/// A body is missing, or is not what its hash says.
+/// The change's id is outside its bounds.
+pub fn next(parent: Option<&Head>, change: &str, documents: &[Document]) -> Result<Head, Error> {
+    let before = parent.map_or(Version(0), |head| head.version);
+    let version = Version(before.0 + 1);
+    let id = change.into();
+    let mut recent = vec![Change { version, id }];
+    recent.extend(parent.iter().flat_map(|head| head.recent.iter().cloned()));
+    recent.truncate(RECENT);
+    let reference = |document: &Document| Reference {
+        name: Arc::clone(&document.name),
+        hash: document.hash,
+    };
+    let head = Head {
+        version,
+        recent,
+        files: documents.iter().map(reference).collect(),
+    };
+    verify(&head)?;
+    Ok(head)
+}
+
+/// Documents whose bodies no file of the head in force has: what a writer must
+/// send. A body is sent before the head that names it.
+pub fn unsent<'a>(
+    documents: &'a [Document],
+    parent: Option<&Head>,
+) -> impl Iterator<Item = &'a Document> + use<'a> {
+    let files = parent.map_or(&[][..], |head| &head.files);
+    let mut sent: Vec<Hash> = files.iter().map(|file| file.hash).collect();
+    sent.sort_unstable();
+    documents
+        .iter()
+        .filter(move |document| sent.binary_search(&document.hash).is_err())
+}
+
+/// Checks what the writer of a head may have got wrong.
+fn verify(head: &Head) -> Result<(), Error> {
+    for change in &head.recent {
+        let fits = |b: u8| b.is_ascii_alphanumeric() || b == b'-';
+        if !(1..=CHANGE_MAX).contains(&change.id.len()) || !change.id.bytes().all(fits) {
+            return Err(Error::Change(change.id.len()));
+        }
+    }
+    let first = head.recent.first().map(|c| c.version);
+    let falling = head.recent.windows(2).all(|p| p[0].version > p[1].version);
+    if first != Some(head.version) || !falling || head.recent.len() > RECENT {
+        return Err(Error::Recent(head.version));
+    }
+    if let Some(pair) = head.files.windows(2).find(|p| p[0].name >= p[1].name) {
+        return Err(Error::Order(pair[1].name.to_string()));
+    }
+    if let Some(file) = head.files.iter().find(|f| !known(&f.name)) {
+        return Err(Error::Name(file.name.escape_debug().to_string()));
+    }
+    find(&head.files, BASE).map(|_| ()).ok_or(Error::NoBase)
+}
+
+fn known(name: &str) -> bool {
+    name == BASE || name.starts_with(OVERLAY) || name.starts_with(BLOCKS)
+}
+
+/// Hash of the document of this name; `files` are sorted.
+#[must_use]
+pub fn find(files: &[Reference], name: &str) -> Option<Hash> {
+    let found = files.binary_search_by(|file| (*file.name).cmp(name));
+    found.ok().map(|i| files[i].hash)
+}
+
+/// Puts a head's documents together again, for operators' commands; `get` gives
+/// a body by its hash. An entry instance uses [`install`], which needs less.
+///
+/// # Errors
+/// A body is missing, is not what its hash says, or is no text.
 pub fn bundle(
-    manifest: &Manifest,
-    mut find: impl FnMut(Hash) -> Option<Arc<str>>,
+    files: &[Reference],
+    mut get: impl FnMut(Hash) -> Option<Arc<[u8]>>,
 ) -> Result<Bundle, Error> {
     let mut base = None;
     let mut overlays = Vec::new();
     let mut chunks = Vec::new();
-    for reference in &manifest.files {
+    for reference in files {
+        let bytes = body(reference, &mut get)?;
         let name = Arc::clone(&reference.name);
-        let text = find(reference.hash).filter(|text| Hash::of(text) == reference.hash);
-        let Some(text) = text else {
-            return Err(Error::Missing(name, reference.hash));
-        };
+        let text = text(reference, &bytes)?.into();
         let file = File { name, text };
         if &*file.name == BASE {
             base = Some(file);
@@ -294,3 +248,17 @@
         blocks: Blocks::Chunks(chunks),
     })
 }
+
+/// A body that is what its hash says. A damaged or wrong one counts as missing,
+/// so that it is fetched again and never applied.
+fn body(
+    reference: &Reference,
+    get: &mut impl FnMut(Hash) -> Option<Arc<[u8]>>,
+) -> Result<Arc<[u8]>, Error> {
+    let found = get(reference.hash).filter(|bytes| hash(bytes) == reference.hash);
+    found.ok_or_else(|| Error::Missing(Arc::clone(&reference.name), reference.hash))
+}
+
+fn text<'a>(reference: &Reference, bytes: &'a [u8]) -> Result<&'a str, Error> {
+    core::str::from_utf8(bytes).map_err(|_| Error::Text(Arc::clone(&reference.name)))
+}
--- a/crates/intent/src/verify/places.rs
+++ b/crates/intent/src/verify/places.rs
@@ -1,6 +1,7 @@
 //! Checks on regions, failure domains, sites, entry instances and classes.
 
 use jsonc::fault::{Fault, Kind};
+use steer::version::blocks::REGIONS_MAX;
 
 use super::names;
 use crate::draft::{Draft, Name};
@@ -22,6 +23,14 @@
         }
     }
     shares(draft, faults);
+    if let Some(region) = draft.regions.get(REGIONS_MAX) {
+        faults.push(Fault::new(
+            &region.name.place,
+            Kind::OutOfRange,
+            format!("more than {REGIONS_MAX} regions"),
+            "join some of them",
+        ));
+    }
 }
 
 /// A class served later that may fill more of the queue than one served first
--- a/crates/intent/tests/document.rs
+++ b/crates/intent/tests/document.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 
 use intent::bundle::{Blocks, Bundle, File};
-use intent::document::{self, Body, Error, Hash, Manifest, chunk};
+use intent::document::install::{self, Refusal};
+use intent::document::{self, Document, Error, chunk, wire};
 use rstest::rstest;
+use steer::process::config::Hash;
 use steer::version::view::Version;
 
 const BASE: &str = include_str!("../../../deploy/bluestone/base.jsonc");
@@ -38,33 +40,57 @@
             "base.jsonc",
             &BASE.replace("\"drain\"", "\"block_files\": [\"b.txt\"], \"drain\""),
         ),
-        overlays: vec![file("x.jsonc", "{ \"site\": \"cq-1\" }")],
+        overlays: vec![file(
+            "x.jsonc",
+            "{ \"site\": \"cq-1\", \"services\": { \"billing\": { \"deadline_ms\": 9 } } }",
+        )],
         blocks: Blocks::Files(vec![file("b.txt", &text)]),
     }
 }
 
-fn hashes(bodies: &[Body]) -> Vec<Hash> {
-    let mut hashes: Vec<Hash> = bodies.iter().map(|b| b.reference.hash).collect();
-    hashes.sort();
-    hashes
+fn find(documents: &[Document], hash: Hash) -> Option<Arc<[u8]>> {
+    let found = documents.iter().find(|d| d.hash == hash)?;
+    Some(found.text.as_bytes().into())
 }
 
-fn find(bodies: &[Body], hash: Hash) -> Option<Arc<str>> {
-    let body = bodies.iter().find(|b| b.reference.hash == hash)?;
-    Some(Arc::clone(&body.text))
+#[test]
+fn documents_make_same_plan() {
+    let bundle = bundle(&lines(5_000));
+    let documents = document::documents(&bundle).unwrap();
+    let first = document::next(None, "change-1", &documents).unwrap();
+    let second = document::next(Some(&first), "change-2", &documents).unwrap();
+    let read = wire::from_json(&wire::to_json(&second)).unwrap();
+    assert_eq!(*read, second);
+    assert_eq!(read.version, Version(2));
+    assert_eq!(&*read.recent[1].id, "change-1");
+    let back = document::bundle(&read.files, |hash| find(&documents, hash)).unwrap();
+    let plan = bundle.check().unwrap().base;
+    assert_eq!(back.check().unwrap().base, plan);
+    assert_eq!(document::documents(&back).unwrap(), documents);
+    let installed = install::plan(&read.files, "seq-1", |hash| find(&documents, hash)).unwrap();
+    assert_eq!(installed, plan);
 }
 
+/// An entry instance installs a head while other sites' overlays are not there.
+/// It needs its own only, and its own it must have.
 #[test]
-fn bodies_make_same_plan() {
-    let bundle = bundle(&lines(5_000));
-    let bodies = document::bodies(&bundle).unwrap();
-    let manifest = Manifest::new(Version(6), "change-1", &bodies).unwrap();
-    let read = Manifest::from_json(&manifest.to_json()).unwrap();
-    assert_eq!(read, manifest);
-    assert_eq!(read.version, Version(7));
-    let back = document::bundle(&read, |hash| find(&bodies, hash)).unwrap();
-    assert_eq!(back.check().unwrap().base, bundle.check().unwrap().base);
-    assert_eq!(document::bodies(&back).unwrap(), bodies);
+fn install_reads_own_overlay() {
+    let bundle = bundle(&lines(10));
+    let documents = document::documents(&bundle).unwrap();
+    let head = document::next(None, "c", &documents).unwrap();
+    let rest: Vec<Document> = documents
+        .iter()
+        .filter(|d| !d.name.starts_with(document::OVERLAY))
+        .cloned()
+        .collect();
+    let plan = |domain: &str| install::plan(&head.files, domain, |hash| find(&rest, hash));
+    assert!(plan("seq-1").is_ok());
+    assert!(matches!(
+        plan("cq-1"),
+        Err(Refusal::Document(Error::Missing(..)))
+    ));
+    let whole = install::plan(&head.files, "cq-1", |hash| find(&documents, hash)).unwrap();
+    assert_eq!(&whole, bundle.check().unwrap().plan_in("cq-1"));
 }
 
 /// One block of 20,000 gets another region, one is added, one removed. The
@@ -76,57 +102,84 @@
 #[case::removed(|lines: &mut Vec<String>| drop(lines.remove(7_000)))]
 fn change_sends_one_chunk(#[case] change: impl Fn(&mut Vec<String>)) {
     let mut lines = lines(20_000);
-    let before = document::bodies(&bundle(&lines)).unwrap();
+    let before = document::documents(&bundle(&lines)).unwrap();
+    let parent = document::next(None, "c", &before).unwrap();
     change(&mut lines);
-    let after = document::bodies(&bundle(&lines)).unwrap();
-    let manifest = Manifest::new(Version(1), "c", &after).unwrap();
-    let have = hashes(&before);
-    let missing = manifest.missing(&have);
-    let names: Vec<&str> = missing.map(|m| &*m.name).collect();
+    let after = document::documents(&bundle(&lines)).unwrap();
+    let unsent = document::unsent(&after, Some(&parent));
+    let names: Vec<&str> = unsent.map(|d| &*d.name).collect();
     assert_eq!(names.len(), 1, "{names:?}");
     assert!(names[0].starts_with(document::BLOCKS));
 }
 
 #[test]
 fn chunks_stay_small() {
-    let bodies = document::bodies(&bundle(&lines(20_000))).unwrap();
-    let largest = bodies.iter().map(|b| b.text.lines().count()).max();
+    let documents = document::documents(&bundle(&lines(20_000))).unwrap();
+    let largest = documents.iter().map(|d| d.text.lines().count()).max();
     assert!(largest <= Some(chunk::CHUNK_LINES));
-    assert!(bodies.iter().all(|b| b.text.len() < document::BODY_MAX));
+    assert!(documents.iter().all(|d| d.text.len() < document::BODY_MAX));
 }
 
 #[test]
-fn bodies_refuse_large_file() {
+fn documents_refuse_large_file() {
     let mut bundle = bundle(&[]);
     bundle.base.text = " ".repeat(document::BODY_MAX + 1).into();
-    let error = document::bodies(&bundle).unwrap_err();
+    let error = document::documents(&bundle).unwrap_err();
     assert!(matches!(error, Error::TooLarge { .. }));
 }
 
 /// A peer or the store hands over a body that isn't the one named. It counts as
 /// missing, so that a damaged or stale body is fetched again and never applied.
 #[test]
-fn bundle_refuses_wrong_body() {
-    let bodies = document::bodies(&bundle(&lines(10))).unwrap();
-    let manifest = Manifest::new(Version(0), "c", &bodies).unwrap();
-    let wrong = document::bundle(&manifest, |_| Some("{}".into()));
-    assert!(matches!(wrong, Err(Error::Missing(..))));
+fn install_refuses_wrong_body() {
+    let documents = document::documents(&bundle(&lines(10))).unwrap();
+    let head = document::next(None, "c", &documents).unwrap();
+    let get = |_| Some(Arc::from(BASE.as_bytes()));
+    assert!(matches!(
+        document::bundle(&head.files, get),
+        Err(Error::Missing(..))
+    ));
+    assert!(matches!(
+        install::plan(&head.files, "seq-1", get),
+        Err(Refusal::Document(Error::Missing(..)))
+    ));
+}
+
+/// A writer of another release cuts chunks so that they overlap, or repeats a
+/// block of the base. Read in order, such a block would shift all ranges after
+/// it; the head is refused, and the version in force stays.
+#[rstest]
+#[case::twice("10.0.0.0/24 seq\n10.0.0.0/24 cq\n")]
+#[case::falling("10.0.1.0/24 seq\n10.0.0.0/24 cq\n")]
+#[case::own("198.51.100.0/24 cq\n")]
+#[case::region("10.0.0.0/24 north\n")]
+fn install_refuses_damaged_chunk(#[case] text: &str) {
+    let mut bundle = bundle(&[]);
+    bundle.blocks = Blocks::Chunks(vec![file("blocks/0", text)]);
+    let documents = document::documents(&bundle).unwrap();
+    let head = document::next(None, "c", &documents).unwrap();
+    let plan = install::plan(&head.files, "seq-1", |hash| find(&documents, hash));
+    assert!(matches!(plan, Err(Refusal::Faults { others: 0, .. })));
 }
 
+const CHANGE: &str = r#"{"version":2,"id":"c"}"#;
+
 #[rstest]
-#[case::noise("{", "not a manifest")]
-#[case::version(r#"{"version":3,"change":"c","parent":1,"files":[]}"#, "can't follow")]
-#[case::change(r#"{"version":2,"change":"","parent":1,"files":[]}"#, "change id")]
-#[case::overflow(
-    r#"{"version":0,"change":"c","parent":18446744073709551615,"files":[]}"#,
-    "can't follow"
+#[case::noise("{", "not a head")]
+#[case::none(r#"{"version":2,"recent":[],"files":[]}"#, "don't lead")]
+#[case::other(r#"{"version":3,"recent":[CHANGE],"files":[]}"#, "don't lead")]
+#[case::twice(r#"{"version":2,"recent":[CHANGE,CHANGE],"files":[]}"#, "don't lead")]
+#[case::id(
+    r#"{"version":2,"recent":[{"version":2,"id":""}],"files":[]}"#,
+    "change id"
 )]
-#[case::base(r#"{"version":2,"change":"c","parent":1,"files":[]}"#, "no base")]
+#[case::base(r#"{"version":2,"recent":[CHANGE],"files":[]}"#, "no base")]
 #[case::hash(
-    r#"{"version":2,"change":"c","parent":1,"files":[{"name":"base","hash":"00"}]}"#,
+    r#"{"version":2,"recent":[CHANGE],"files":[{"name":"base","hash":"00"}]}"#,
     "no hash"
 )]
 fn from_json_refuses(#[case] text: &str, #[case] message: &str) {
-    let error = Manifest::from_json(text).unwrap_err().to_string();
+    let text = text.replace("CHANGE", CHANGE);
+    let error = wire::from_json(&text).unwrap_err().to_string();
     assert!(error.contains(message), "{error}");
 }
--- a/crates/steer/src/version/blocks.rs
+++ b/crates/steer/src/version/blocks.rs
@@ -5,6 +5,8 @@
 
 use std::net::Ipv4Addr;
 
+use entity::EntityRef;
+
 use super::view::Region;
 
 /// A client block as operators write it: an IPv4 prefix and its region.
@@ -29,19 +31,41 @@
     }
 }
 
+/// Most regions that a table can tell apart.
+pub const REGIONS_MAX: usize = NONE as usize;
+
+/// Stands for "no block" among the regions.
+const NONE: u16 = u16::MAX;
+
 /// Blocks flattened to disjoint ranges. Each range starts at `starts[i]` and
 /// ends before the next start.
+///
+/// Every process holds one for all client blocks, and two while a version
+/// changes; six bytes a range keep that small beside its other state.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct BlockTable {
     starts: Vec<u32>,
-    regions: Vec<Option<Region>>,
+    regions: Vec<u16>,
 }
 
 impl BlockTable {
     /// Flattens nested blocks; where two blocks are equal the later one wins.
+    ///
+    /// # Panics
+    /// If a region's index is not below [`REGIONS_MAX`].
     #[must_use]
     pub fn new(mut blocks: Vec<Block>) -> Self {
         blocks.sort_by_key(|b| (b.base, b.len));
+        Self::from_sorted(blocks)
+    }
+
+    /// The same of blocks that come sorted by first address, then length, so
+    /// that they needn't all be in memory.
+    ///
+    /// # Panics
+    /// If a region's index is not below [`REGIONS_MAX`].
+    #[must_use]
+    pub fn from_sorted(blocks: impl IntoIterator<Item = Block>) -> Self {
         let mut table = Self::default();
         let mut open: Vec<Block> = Vec::new();
         for block in blocks {
@@ -50,6 +74,8 @@
             open.push(block);
         }
         table.close_before(&mut open, 1 << 32);
+        table.starts.shrink_to_fit();
+        table.regions.shrink_to_fit();
         table
     }
 
@@ -58,12 +84,12 @@
     pub fn region(&self, addr: Ipv4Addr) -> Option<Region> {
         let addr = u32::from(addr);
         let after = self.starts.partition_point(|&start| start <= addr);
-        after.checked_sub(1).and_then(|i| self.regions[i])
+        after.checked_sub(1).and_then(|i| unpack(self.regions[i]))
     }
 
     /// All ranges in order: first address, and region if a block holds it.
     pub fn ranges(&self) -> impl Iterator<Item = (u32, Option<Region>)> {
-        let regions = self.regions.iter().copied();
+        let regions = self.regions.iter().copied().map(unpack);
         self.starts.iter().copied().zip(regions)
     }
 
@@ -100,6 +126,7 @@
             self.starts.pop();
             self.regions.pop();
         }
+        let region = pack(region);
         if self.regions.last() == Some(&region) {
             return;
         }
@@ -107,3 +134,17 @@
         self.regions.push(region);
     }
 }
+
+fn pack(region: Option<Region>) -> u16 {
+    let Some(region) = region else {
+        return NONE;
+    };
+    let index = u16::try_from(region.index()).ok();
+    index
+        .filter(|&index| index != NONE)
+        .expect("the verifier keeps regions below REGIONS_MAX")
+}
+
+fn unpack(packed: u16) -> Option<Region> {
+    (packed != NONE).then(|| Region::new(usize::from(packed)))
+}
