State client blocks by their files alone; read them into one list

Cause: a configuration is a folder, whose block files are all of blocks/; naming them once more in the base let the two disagree. Checking 830,000 blocks held them three times. Change: block_files is gone, chunk::recut turns block files to chunks and chunks to themselves; blocks, their places and their order are one list of 24 bytes. Ruled out: keeping both ways, which needs a rule for files that are named and not given, and the other way round.

--- a/crates/auburnrouter/src/daemon/control/force.rs
+++ b/crates/auburnrouter/src/daemon/control/force.rs
@@ -102,7 +102,7 @@
     Ok(bundle::Bundle {
         base: base.ok_or(Error::NoBase)?,
         overlays,
-        blocks: bundle::Blocks::Chunks(chunks),
+        blocks: chunks,
     })
 }
 
--- a/crates/intent/examples/blocks.rs
+++ b/crates/intent/examples/blocks.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use intent::blocks;
-use intent::bundle::{Blocks, Bundle, File};
+use intent::bundle::{Bundle, File};
 use intent::document::{self, install, wire};
 use steer::version::blocks::BlockTable;
 
@@ -133,17 +133,17 @@
     }
     base.push_str("}, \"classes\": [ { \"name\": \"c\", \"queue_percent\": 100 } ],\n");
     base.push_str("\"services\": { \"x\": { \"class\": \"c\", \"idempotent\": true, \"sites\": [\"s0\"] } },\n");
-    base.push_str("\"block_files\": [\"b.txt\"] }\n");
+    base.push_str("}\n");
     Bundle {
         base: File {
             name: "base".into(),
             text: base.into(),
         },
         overlays: Vec::new(),
-        blocks: Blocks::Files(vec![File {
+        blocks: vec![File {
             name: "b.txt".into(),
             text: text.into(),
-        }]),
+        }],
     }
 }
 
--- a/crates/intent/src/bundle.rs
+++ b/crates/intent/src/bundle.rs
@@ -23,15 +23,6 @@
     pub text: Arc<str>,
 }
 
-/// Client blocks beside the base file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Blocks {
-    /// Operators' files: exactly those that the base's `block_files` names.
-    Files(Vec<File>),
-    /// The store's chunks of those files.
-    Chunks(Vec<File>),
-}
-
 /// All files of one configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Bundle {
@@ -39,8 +30,8 @@
     pub base: File,
     /// Overlays, in any order.
     pub overlays: Vec<File>,
-    /// Client blocks.
-    pub blocks: Blocks,
+    /// Files of client blocks, or the chunks that they were cut to.
+    pub blocks: Vec<File>,
 }
 
 /// What holds at one site that has an overlay.
--- a/crates/intent/src/bundle/table.rs
+++ b/crates/intent/src/bundle/table.rs
@@ -6,91 +6,67 @@
 use jsonc::fault::{Fault, Kind, Place};
 use steer::version::blocks::{Block, BlockTable};
 
-use super::{Blocks, File};
-use crate::blocks::{self, Line};
+use super::File;
+use crate::blocks;
 use crate::draft::Draft;
 use crate::plan::build;
 
-/// A block with the file it stands in; sorted by block, then by place.
+/// Stands for the base file among the files.
+const OWN: u32 = 0;
+
+/// A block and the line that states it. The order is that of the table, equal
+/// blocks by their places.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Source {
     base: u32,
     len: u8,
+    /// [`OWN`], or one more than the file's index.
     file: u32,
+    /// Number of the line; index of the block in the base file.
     line: u32,
+    block: Block,
 }
 
-pub(super) fn build(draft: &Draft, blocks: &Blocks, faults: &mut Vec<Fault>) -> Arc<BlockTable> {
-    let names = build::region_names(draft);
-    let files: &[File] = match blocks {
-        Blocks::Files(files) => {
-            report_files(draft, files, faults);
-            files
+impl Source {
+    fn new(block: Block, file: u32, line: u32) -> Self {
+        Self {
+            base: block.base,
+            len: block.len,
+            file,
+            line,
+            block,
         }
-        Blocks::Chunks(chunks) => chunks,
-    };
-    let read: Vec<Vec<Line>> = files
-        .iter()
-        .map(|file| blocks::read(&file.name, &file.text, &names, faults))
-        .collect();
-    report_twice(draft, files, &read, faults);
-    let mut all = build::own_blocks(draft, &names);
-    all.extend(read.iter().flatten().map(|line| line.block));
-    Arc::new(BlockTable::new(all))
+    }
 }
 
-fn report_files(draft: &Draft, files: &[File], faults: &mut Vec<Fault>) {
-    for name in &draft.block_files {
-        if !files
-            .iter()
-            .any(|file| base_name(&file.name) == &*name.value)
-        {
-            faults.push(Fault::new(
-                &name.place,
-                Kind::Missing,
-                format!("block file \"{}\" is not given", name.value),
-                "give its path besides the base file's",
-            ));
-        }
+pub(super) fn build(draft: &Draft, files: &[File], faults: &mut Vec<Fault>) -> Arc<BlockTable> {
+    let names = build::region_names(draft);
+    let mut sources = Vec::new();
+    for (line, written) in (0..).zip(&draft.blocks) {
+        let region = blocks::region(&names, &written.region.value);
+        sources.extend(region.map(|region| {
+            let (base, len) = (written.base, written.len);
+            Source::new(Block { base, len, region }, OWN, line)
+        }));
     }
-    for file in files {
-        let named = |name: &crate::draft::Name| &*name.value == base_name(&file.name);
-        if !draft.block_files.iter().any(named) {
-            faults.push(Fault::new(
-                &Place::start(&file.name),
-                Kind::Redundant,
-                "the base file doesn't name this block file",
-                format!("add \"{}\" to \"block_files\"", base_name(&file.name)),
-            ));
-        }
+    for (number, file) in (OWN + 1..).zip(files) {
+        let lines = blocks::read(&file.name, &file.text, &names, faults);
+        let lines = lines.into_iter();
+        sources.extend(lines.map(|line| Source::new(line.block, number, line.line)));
     }
-}
-
-/// The last part of a path.
-fn base_name(path: &str) -> &str {
-    path.rsplit('/').next().unwrap_or(path)
+    sources.sort_unstable();
+    report_twice(draft, files, &sources, faults);
+    let blocks = sources.iter().map(|source| source.block);
+    Arc::new(BlockTable::from_sorted(blocks))
 }
 
 /// Two equal blocks can't both hold: which one wins would depend on the order
 /// of the files.
-fn report_twice(draft: &Draft, files: &[File], read: &[Vec<Line>], faults: &mut Vec<Fault>) {
-    let count = read.iter().map(Vec::len).sum::<usize>() + draft.blocks.len();
-    let mut sources = Vec::with_capacity(count);
-    for (file, lines) in (1..).zip(read) {
-        sources.extend(lines.iter().map(|line| source(line.block, file, line.line)));
-    }
-    let own = (0..).zip(&draft.blocks);
-    sources.extend(own.map(|(i, block)| Source {
-        base: block.base,
-        len: block.len,
-        file: 0,
-        line: i,
-    }));
-    sources.sort_unstable();
+fn report_twice(draft: &Draft, files: &[File], sources: &[Source], faults: &mut Vec<Fault>) {
     for pair in sources.windows(2) {
         let (first, second) = (pair[0], pair[1]);
         // Two blocks of the base file itself are the verifier's matter.
-        if (first.base, first.len) != (second.base, second.len) || second.file == 0 {
+        if (first.base, first.len) != (second.base, second.len) || second.file == OWN {
             continue;
         }
         let addr = Ipv4Addr::from(second.base);
@@ -103,21 +79,12 @@
     }
 }
 
-fn source(block: Block, file: u32, line: u32) -> Source {
-    Source {
-        base: block.base,
-        len: block.len,
-        file,
-        line,
-    }
-}
-
 fn place(source: Source, draft: &Draft, files: &[File]) -> Place {
-    let Some(file) = source.file.checked_sub(1) else {
+    if source.file == OWN {
         return draft.blocks[source.line as usize].place.clone();
-    };
+    }
     Place {
-        file: Arc::clone(&files[file as usize].name),
+        file: Arc::clone(&files[source.file as usize - 1].name),
         line: source.line,
         column: 1,
     }
--- a/crates/intent/src/document.rs
+++ b/crates/intent/src/document.rs
@@ -15,7 +15,7 @@
 use steer::process::config::{Change, File as Reference, Hash, Head, RECENT};
 use steer::version::view::Version;
 
-use crate::bundle::{Blocks, Bundle, File};
+use crate::bundle::{Bundle, File};
 
 /// Largest body in bytes; the store takes a megabyte, keys included.
 pub const BODY_MAX: usize = 1_000_000;
@@ -24,7 +24,7 @@
 pub const BASE: &str = "base";
 
 /// Start of the name of a site's overlay.
-pub const OVERLAY: &str = "overlay/";
+pub const OVERLAY: &str = "overlays/";
 
 /// Start of the name of a chunk of client blocks.
 pub const BLOCKS: &str = "blocks/";
@@ -64,7 +64,7 @@
     Text(Arc<str>),
     /// A body above [`BODY_MAX`].
     #[error(
-        "document \"{name}\" has {bytes} bytes, more than {BODY_MAX}; move client blocks to \"block_files\""
+        "document \"{name}\" has {bytes} bytes, more than {BODY_MAX}; move client blocks to files of their own"
     )]
     TooLarge {
         /// Its name.
@@ -105,17 +105,8 @@
             documents.push(document(name.into(), &overlay.text)?);
         }
     }
-    match &bundle.blocks {
-        Blocks::Files(files) => {
-            for (name, text) in chunk::chunks(files) {
-                documents.push(document(name, &text.into())?);
-            }
-        }
-        Blocks::Chunks(chunks) => {
-            for chunk in chunks {
-                documents.push(document(Arc::clone(&chunk.name), &chunk.text)?);
-            }
-        }
+    for chunk in chunk::chunks(&bundle.blocks) {
+        documents.push(document(chunk.name, &chunk.text)?);
     }
     documents.sort_by(|a, b| a.name.cmp(&b.name));
     Ok(documents)
@@ -228,7 +219,7 @@
 ) -> Result<Bundle, Error> {
     let mut base = None;
     let mut overlays = Vec::new();
-    let mut chunks = Vec::new();
+    let mut blocks = Vec::new();
     for reference in files {
         let bytes = body(reference, &mut get)?;
         let name = Arc::clone(&reference.name);
@@ -239,13 +230,13 @@
         } else if file.name.starts_with(OVERLAY) {
             overlays.push(file);
         } else {
-            chunks.push(file);
+            blocks.push(file);
         }
     }
     Ok(Bundle {
         base: base.ok_or(Error::NoBase)?,
         overlays,
-        blocks: Blocks::Chunks(chunks),
+        blocks,
     })
 }
 
--- a/crates/intent/src/document/chunk.rs
+++ b/crates/intent/src/document/chunk.rs
@@ -7,7 +7,6 @@
 
 use core::fmt::Write;
 use std::net::Ipv4Addr;
-use std::sync::Arc;
 
 use crate::blocks;
 use crate::bundle::File;
@@ -22,10 +21,12 @@
 /// A block as it is stored: first address, length, region's name.
 type Row<'a> = (u32, u8, &'a str);
 
-/// The names and texts of the chunks, sorted by name. A name is the range's
-/// first address in hexadecimal and its prefix length, `blocks/0a000000-08`.
+/// The chunks of block files, or of chunks, sorted by name; the same blocks give
+/// the same chunks. A name is the range's first address in hexadecimal and its
+/// prefix length, `blocks/0a000000-08`. Lines that are no blocks are lost, so
+/// the files must have passed the check.
 #[must_use]
-pub fn chunks(files: &[File]) -> Vec<(Arc<str>, String)> {
+pub fn chunks(files: &[File]) -> Vec<File> {
     let mut rows: Vec<Row<'_>> = files.iter().flat_map(|f| rows(&f.text)).collect();
     rows.sort_unstable();
     let mut chunks = Vec::new();
@@ -43,15 +44,29 @@
     })
 }
 
+/// Replaces the block files among a configuration's files by their chunks; the
+/// files are named as in a head, and stay sorted by name.
+#[must_use]
+pub fn recut(files: Vec<File>) -> Vec<File> {
+    let is_block = |file: &File| file.name.starts_with(super::BLOCKS);
+    let (blocks, mut files): (Vec<File>, Vec<File>) = files.into_iter().partition(is_block);
+    files.extend(chunks(&blocks));
+    files.sort_by(|a, b| a.name.cmp(&b.name));
+    files
+}
+
 /// Cuts the range that starts at `base` and shares its first `depth` bits.
 /// A single address holds at most 33 blocks, so that it is never cut.
-fn cut(rows: &[Row<'_>], base: u32, depth: u32, chunks: &mut Vec<(Arc<str>, String)>) {
+fn cut(rows: &[Row<'_>], base: u32, depth: u32, chunks: &mut Vec<File>) {
     if rows.is_empty() {
         return;
     }
     if rows.len() <= CHUNK_LINES || depth == BITS {
         let name = format!("{}{base:08x}-{depth:02}", super::BLOCKS);
-        chunks.push((name.into(), text(rows)));
+        chunks.push(File {
+            name: name.into(),
+            text: text(rows).into(),
+        });
         return;
     }
     let half = base | 1 << (BITS - 1 - depth);
--- a/crates/intent/src/draft.rs
+++ b/crates/intent/src/draft.rs
@@ -133,8 +133,6 @@
     pub drain: Drain,
     /// Client blocks in the base file itself.
     pub blocks: Vec<Block>,
-    /// Names of files with more client blocks.
-    pub block_files: Vec<Name>,
     /// Share of a region's callers that one change may move, in percent.
     pub move_percent: u64,
 }
--- a/crates/intent/src/draft/read.rs
+++ b/crates/intent/src/draft/read.rs
@@ -22,7 +22,7 @@
 /// Largest cap in requests a second; keeps products with milliseconds in range.
 const CAP_MAX: u64 = 1_000_000_000;
 
-const FIELDS: [&str; 9] = [
+const FIELDS: [&str; 8] = [
     "regions",
     "classes",
     "services",
@@ -30,7 +30,6 @@
     "shifts",
     "drain",
     "blocks",
-    "block_files",
     "move_percent",
 ];
 
@@ -45,7 +44,6 @@
         shifts: each(fields.find("shifts"), faults, shift),
         drain: drain(fields.find("drain"), faults),
         blocks: blocks(fields.find("blocks"), faults),
-        block_files: names(fields.find("block_files"), faults),
         move_percent: number(fields.find("move_percent"), 0, 100, faults).unwrap_or(MOVE_PERCENT),
     }
 }
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -21,7 +21,7 @@
 use jsonc::fault::Fault;
 
 impl plan::Plan {
-    /// Parses and verifies one base file that names no block files.
+    /// Parses and verifies a base file alone.
     ///
     /// # Errors
     /// Every fault, in the order of their places.
@@ -32,7 +32,7 @@
                 text: text.into(),
             },
             overlays: Vec::new(),
-            blocks: bundle::Blocks::Files(Vec::new()),
+            blocks: Vec::new(),
         };
         Ok(bundle.check()?.base)
     }
--- a/crates/intent/src/merge/shape.rs
+++ b/crates/intent/src/merge/shape.rs
@@ -98,7 +98,6 @@
     ("shifts", Shape::Keyed(&["service", "from", "to"], SHIFT)),
     ("drain", Shape::Base("who leaves, leaves for all sites")),
     ("blocks", Shape::Base("a caller belongs to one region")),
-    ("block_files", Shape::Base("a caller belongs to one region")),
     (
         "move_percent",
         Shape::Base("it bounds a change of the whole"),
