--- a/crates/auburnrouter/src/daemon/control.rs
+++ b/crates/auburnrouter/src/daemon/control.rs
@@ -22,7 +22,6 @@
 pub use self::apply::{Answer, Change, File, Result};
 pub use self::dump::Dump;
 use self::force::InForce;
-pub use self::shelf::hash;
 use super::Addresses;
 use super::engine::Engine;
 use super::metrics::Metrics;
--- a/crates/auburnrouter/src/daemon/control/force.rs
+++ b/crates/auburnrouter/src/daemon/control/force.rs
@@ -1,13 +1,12 @@
-//! The configuration in force, as files and as what they mean.
+//! The configuration in force, as files and as what they mean here.
 //!
-//! Files of a version are named as crate `intent` names its documents.
-//!
-//! Invariant: an [`InForce`] has passed the verifier whole.
+//! Invariant: an [`InForce`] has passed the verifier, as far as it concerns
+//! this failure domain; whoever accepted it has verified it whole.
 
-use std::str;
 use std::sync::Arc;
 
-use intent::{bundle, document};
+use intent::document::{self, install};
+use intent::{bundle, plan};
 use jsonc::fault::Fault;
 use steer::process::config;
 use steer::version::view;
@@ -19,19 +18,18 @@
     /// Its number.
     pub version: view::Version,
     /// Its files, sorted by name.
-    pub files: Vec<bundle::File>,
-    /// What they mean.
-    pub checked: bundle::Checked,
+    pub files: Vec<config::File>,
+    /// Their bodies, in the same order.
+    pub bodies: Vec<config::Body>,
+    /// What they mean in this failure domain.
+    pub plan: plan::Plan,
 }
 
 /// Why files are no configuration.
 #[derive(Debug, Error)]
 pub enum Error {
-    /// A file isn't text.
-    #[error("file {0} is not UTF-8 text; save it as such")]
-    Text(Arc<str>),
     /// There is no base file.
-    #[error("there is no base file; add one named base")]
+    #[error("there is no base file; add one named {}", document::BASE)]
     NoBase,
     /// The verifier found faults.
     #[error("{}", list(.0))]
@@ -41,68 +39,80 @@
     Document(#[from] document::Error),
 }
 
+/// A whole configuration that was verified for every site.
+#[derive(Debug)]
+pub struct Whole {
+    /// Its documents, sorted by name.
+    pub documents: Vec<document::Document>,
+    /// What they mean.
+    pub checked: bundle::Checked,
+}
+
 impl InForce {
-    /// Verifies files as a version, and cuts its client blocks into documents.
+    /// Verifies a head with its bodies, which come in the order of its files.
     ///
     /// # Errors
-    /// Every fault that the verifier finds.
-    pub fn new(version: view::Version, files: &[bundle::File]) -> Result<Self, Error> {
-        let bundle = bundle(files)?;
-        let checked = bundle.check().map_err(Error::Faults)?;
-        let bodies = document::bodies(&bundle)?;
-        let files = bodies.into_iter().map(|body| bundle::File {
-            name: body.reference.name,
-            text: body.text,
-        });
+    /// If a body is damaged or the files have faults.
+    pub fn open(
+        head: &config::Head,
+        bodies: &[config::Body],
+        domain: &str,
+    ) -> Result<Self, install::Refusal> {
+        let get = |hash: config::Hash| {
+            let found = bodies.iter().find(|b| b.hash == hash);
+            found.map(|b| Arc::clone(&b.bytes))
+        };
         Ok(Self {
-            version,
-            files: files.collect(),
-            checked,
+            version: head.version,
+            plan: install::plan(&head.files, domain, get)?,
+            files: head.files.clone(),
+            bodies: bodies.to_vec(),
         })
     }
 
-    /// Verifies a head with its bodies, which come in the order of its files.
+    /// The whole configuration, verified for every site; not kept, since a
+    /// process has no room for it beside the table in use.
     ///
     /// # Errors
-    /// As for [`Self::new`], and if a body isn't text.
-    pub fn open(head: &config::Head, bodies: &[config::Body]) -> Result<Self, Error> {
-        let mut files = Vec::with_capacity(bodies.len());
-        for (file, body) in head.files.iter().zip(bodies) {
-            let text = str::from_utf8(&body.bytes);
-            let text = text.map_err(|_| Error::Text(Arc::clone(&file.name)))?;
-            files.push(bundle::File {
-                name: Arc::clone(&file.name),
-                text: text.into(),
-            });
-        }
-        Self::new(head.version, &files)
+    /// If a body is damaged or the files have faults.
+    pub fn whole(&self) -> Result<Whole, Error> {
+        let get = |hash: config::Hash| {
+            let found = self.bodies.iter().find(|b| b.hash == hash);
+            found.map(|b| Arc::clone(&b.bytes))
+        };
+        Whole::new(&document::bundle(&self.files, get)?)
+    }
+}
+
+impl Whole {
+    /// Verifies a configuration for every site.
+    ///
+    /// # Errors
+    /// Every fault that the verifier finds.
+    pub fn new(bundle: &bundle::Bundle) -> Result<Self, Error> {
+        let checked = bundle.check().map_err(Error::Faults)?;
+        let documents = document::documents(bundle)?;
+        Ok(Self { documents, checked })
     }
 }
 
-/// Files that are named neither base, overlay nor chunk are operators' files of
-/// client blocks; those of the store are chunks.
-fn bundle(files: &[bundle::File]) -> Result<bundle::Bundle, Error> {
+/// Sorts files by what their names say: base, overlays, client blocks.
+///
+/// # Errors
+/// If there is no base file.
+pub fn bundle(files: Vec<bundle::File>) -> Result<bundle::Bundle, Error> {
     let mut base = None;
     let mut overlays = Vec::new();
-    let mut chunks = Vec::new();
     let mut blocks = Vec::new();
     for file in files {
-        let name = &file.name;
-        if &**name == document::BASE {
-            base = Some(file.clone());
-        } else if name.starts_with(document::OVERLAY) {
-            overlays.push(file.clone());
-        } else if name.starts_with(document::BLOCKS) {
-            chunks.push(file.clone());
+        if &*file.name == document::BASE {
+            base = Some(file);
+        } else if file.name.starts_with(document::OVERLAY) {
+            overlays.push(file);
         } else {
-            blocks.push(file.clone());
+            blocks.push(file);
         }
     }
-    let blocks = if blocks.is_empty() {
-        bundle::Blocks::Chunks(chunks)
-    } else {
-        bundle::Blocks::Files(blocks)
-    };
     Ok(bundle::Bundle {
         base: base.ok_or(Error::NoBase)?,
         overlays,
--- a/crates/auburnrouter/src/daemon/control/world.rs
+++ b/crates/auburnrouter/src/daemon/control/world.rs
@@ -27,7 +27,6 @@
 /// The parts of the view.
 pub struct World {
     outlets: Outlets,
-    domain: Arc<str>,
     force: Option<Arc<InForce>>,
     instances: Vec<instance::Instance>,
     members: Vec<instance::Member>,
@@ -36,10 +35,9 @@
 
 impl World {
     /// Nothing known yet.
-    pub const fn new(outlets: Outlets, domain: Arc<str>) -> Self {
+    pub const fn new(outlets: Outlets) -> Self {
         Self {
             outlets,
-            domain,
             force: None,
             instances: Vec::new(),
             members: Vec::new(),
@@ -54,7 +52,7 @@
         self.outlets.force.store(Some(Arc::clone(&force)));
         self.force = Some(Arc::clone(&force));
         self.publish();
-        slots(&force.checked.base, name)
+        slots(&force.plan, name)
     }
 
     /// Takes a new list of instances.
@@ -84,8 +82,9 @@
 
     fn publish(&self) {
         let Some(force) = &self.force else { return };
-        let plan = force.checked.plan_in(&self.domain);
-        let view = plan.view(force.version, &self.instances, &self.members);
+        let view = force
+            .plan
+            .view(force.version, &self.instances, &self.members);
         let view = Arc::new(view);
         self.outlets.engine.install(Arc::clone(&view));
         let snapshot = Snapshot::new(view, self.serving);
--- a/crates/auburnrouter/src/daemon/operators.rs
+++ b/crates/auburnrouter/src/daemon/operators.rs
@@ -115,10 +115,9 @@
 
     fn config(&self, conn: Conn) -> Conn {
         let force = self.control.force();
-        let files = force.iter().flat_map(|f| &f.files);
         let config = Config {
             version: force.as_ref().map_or(0, |f| f.version.0),
-            files: files.map(control::File::from).collect(),
+            files: force.map(|f| f.listing()).unwrap_or_default(),
         };
         reply::json(conn, Status::Ok, &config)
     }
--- a/crates/scenarios/src/world.rs
+++ b/crates/scenarios/src/world.rs
@@ -12,7 +12,7 @@
 use standin::target::ledger::Executed;
 use trillium_client::Method;
 use wire::instance::{Instance, Instances, Role, State};
-use wire::{beat, kv};
+use wire::kv;
 
 use crate::error::Error;
 use crate::http::Call;
@@ -194,19 +194,16 @@
         self.version += 1;
         let hash = Sha256::digest(text);
         let hex = format!("{hash:x}");
-        let head = beat::Head {
-            version: self.version,
-            recent: vec![beat::Change {
-                version: self.version,
-                id: format!("scenario-{}", self.version),
+        let head = json!({
+            "version": self.version,
+            "recent": [{
+                "version": self.version,
+                "id": format!("scenario-{}", self.version),
             }],
-            files: vec![beat::File {
-                name: "base".to_owned(),
-                hash: hash.into(),
-            }],
-        };
+            "files": [{ "name": "base", "hash": hex }],
+        });
         self.put(&format!("auburnrouter/config/bodies/{hex}"), text)?;
-        self.put("auburnrouter/config/head", &json!(head).to_string())
+        self.put("auburnrouter/config/head", &head.to_string())
     }
 
     fn put(&self, key: &str, value: &str) -> Result<(), Error> {
