Measure what each way to run at most once costs and is worth

Cause: the choice between owner, witness and store has to rest on figures.

Tables hold 131,072 records, for 200 keys a second over the 10.5 minutes that they last.

--- a/crates/explorer/src/lib.rs
+++ b/crates/explorer/src/lib.rs
@@ -5,9 +5,11 @@
 //! nothing here reads a clock or the environment.
 
 pub mod check;
+pub mod cost;
 pub mod exhaust;
 pub mod lease;
 pub mod random;
 pub mod report;
 pub mod scene;
+pub mod speed;
 pub mod world;
--- a/crates/explorer/src/main.rs
+++ b/crates/explorer/src/main.rs
@@ -1,7 +1,9 @@
 //! `explorer`: seeded and exhaustive runs of the decisions, by command line.
 
+use std::fs;
 use std::io::{self, Write};
 use std::process::ExitCode;
+use std::time::Instant;
 
 use explorer::{random, report};
 use steer::process::gate::Safeguards;
@@ -12,7 +14,8 @@
   --runs N         random runs (default 20000)
   --steps N        most steps of a run (default 120)
   --off SAFEGUARD  take one safeguard out; violations are then expected
-  --depth N        instead: all runs with at most N faults, on the standard cases";
+  --depth N        instead: all runs with at most N faults, on the standard cases
+  --cost           instead: what each way costs, in virtual and processor time";
 
 #[derive(Debug, thiserror::Error)]
 enum Error {
@@ -30,7 +33,15 @@
     steps: usize,
     safe: Safeguards,
     depth: Option<usize>,
-    help: bool,
+    other: Other,
+}
+
+/// What is asked for instead of an exploration.
+#[derive(PartialEq, Eq)]
+enum Other {
+    Nothing,
+    Help,
+    Cost,
 }
 
 fn main() -> ExitCode {
@@ -48,9 +59,17 @@
 fn explore() -> Result<bool, Error> {
     let options = options()?;
     let mut out = io::stdout().lock();
-    if options.help {
-        writeln!(out, "{USAGE}")?;
-        return Ok(true);
+    match options.other {
+        Other::Nothing => {}
+        Other::Help => {
+            writeln!(out, "{USAGE}")?;
+            return Ok(true);
+        }
+        Other::Cost => {
+            let start = Instant::now();
+            report::cost(&mut out, || start.elapsed(), resident)?;
+            return Ok(true);
+        }
     }
     if let Some(depth) = options.depth {
         return Ok(report::exhaustive(&mut out, depth, options.safe)?);
@@ -60,6 +79,14 @@
     Ok(report::random(&mut out, seeds, one)?)
 }
 
+/// Bytes of memory that this process holds; zero where the system doesn't say.
+fn resident() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|l| l.trim().strip_suffix(" kB")?.parse().ok());
+    kilobytes.unwrap_or(0_u64) * 1024
+}
+
 fn options() -> Result<Options, Error> {
     use lexopt::prelude::{Long, ValueExt};
     let mut options = Options {
@@ -68,7 +95,7 @@
         steps: 120,
         safe: Safeguards::ALL,
         depth: None,
-        help: false,
+        other: Other::Nothing,
     };
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
@@ -81,7 +108,8 @@
                 let name = parser.value()?.string()?;
                 options.safe = report::without(&name).ok_or(Error::Safeguard(name))?;
             }
-            Long("help") => options.help = true,
+            Long("cost") => options.other = Other::Cost,
+            Long("help") => options.other = Other::Help,
             other => return Err(other.unexpected().into()),
         }
     }
--- a/crates/explorer/src/report.rs
+++ b/crates/explorer/src/report.rs
@@ -1,12 +1,15 @@
 //! Names the safeguards and the standard cases, and writes what was found.
 
 use core::ops::Range;
+use core::time::Duration;
 use std::io::{self, Write};
 
 use steer::process::gate::Safeguards;
 
+use crate::cost::{self, Cost};
 use crate::exhaust::{self, Case};
 use crate::random::Report;
+use crate::speed::{self, Work};
 use crate::world::{Plan, Source, Step};
 
 /// One safeguard: its name, and all others without it.
@@ -179,3 +182,62 @@
     }
     Ok(clean)
 }
+
+/// Writes what each way costs and is worth. `clock` reads processor or wall
+/// time, `memory` the bytes this process uses.
+///
+/// # Errors
+/// If the report can't be written.
+pub fn cost(
+    out: &mut impl Write,
+    clock: impl Fn() -> Duration,
+    memory: impl Fn() -> u64,
+) -> io::Result<()> {
+    writeln!(out, "memory of a full table, answers of 200 bytes kept:")?;
+    // First of all, so that no memory freed before is used again.
+    let mut gates = Vec::new();
+    for (name, work) in [("owner", Work::Owner), ("witness", Work::Witness)] {
+        let before = memory();
+        let gate = speed::fill(work);
+        let bytes = memory().saturating_sub(before);
+        let (own, witnessed) = gate.records();
+        let records = own + witnessed;
+        writeln!(out, "  {name}: {records} records, {bytes} bytes")?;
+        gates.push(gate);
+    }
+    drop(gates);
+    writeln!(out, "a request, without its target's time:")?;
+    for way in &cost::WAYS {
+        writeln!(out, "  {}", way.name)?;
+        line(out, "first run", cost::first_run(way))?;
+        line(out, "resend elsewhere", cost::resend(way))?;
+        let worth = cost::worth(way);
+        writeln!(
+            out,
+            "    resend after the owner's death, certain: {:.1} % ({:?} answer, {:?} not run, {:?} unknown)",
+            worth.certain(),
+            worth.answer,
+            worth.not_run,
+            worth.unknown
+        )?;
+    }
+    writeln!(out, "processor time of the gate, a request:")?;
+    for (name, work) in speed::WORKS {
+        for rate in [20, 150] {
+            let (mean, records) = speed::measure(work, rate, SPAN, &clock);
+            writeln!(out, "  {name}, {rate}/s: {mean:?} with {records} records")?;
+        }
+    }
+    Ok(())
+}
+
+/// Virtual time over which the gate's records build up: longer than they last.
+const SPAN: Duration = Duration::from_mins(12);
+
+fn line(out: &mut impl Write, name: &str, cost: Cost) -> io::Result<()> {
+    writeln!(
+        out,
+        "    {name}: {} messages, {} store calls, {:?}",
+        cost.messages, cost.calls, cost.latency
+    )
+}
--- /dev/null
+++ b/crates/explorer/src/speed.rs
@@ -0,0 +1,183 @@
+//! Processor time that the gate takes for a request.
+//!
+//! Invariant: the time is read through the function passed in, so that nothing
+//! here depends on a clock.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use steer::clock::Time;
+use steer::process::gate::{Action, Event, Gate, Limits, Verdict};
+use steer::request::answer::Answer;
+use steer::request::arrival::{Arrival, Fingerprint, Origin, RequestId};
+use steer::request::key::{Prefix, Stamp};
+use steer::request::record::{AskId, Question, StoreResult, Word};
+use steer::version::view::Incarnation;
+
+use crate::scene;
+
+/// What a request's key makes the gate do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Work {
+    /// Run its own key without a witness.
+    Owner,
+    /// Run its own key on a witness's word.
+    Witnessed,
+    /// Pass another's key on to its owner.
+    Entry,
+    /// Record another's key as its witness.
+    Witness,
+    /// Claim a key that its caller chose in the store.
+    Store,
+}
+
+/// All kinds of work with their names.
+pub const WORKS: [(&str, Work); 5] = [
+    ("owner, no witness", Work::Owner),
+    ("owner, with a witness", Work::Witnessed),
+    ("entry for another's key", Work::Entry),
+    ("witness for another's key", Work::Witness),
+    ("claim in the store", Work::Store),
+];
+
+const ME: Incarnation = Incarnation(1);
+const PEER: Incarnation = Incarnation(2);
+
+struct Bench {
+    gate: Gate,
+    out: Vec<Action>,
+    work: Work,
+    answer: Arc<Answer>,
+}
+
+impl Bench {
+    fn new(work: Work) -> Self {
+        let mut gate = Gate::new(scene::home(0), ME, Limits::default());
+        let view = scene::view(3, &[(0, ME), (1, PEER)]);
+        let mut out = Vec::new();
+        gate.handle(Time::ZERO, Event::View(view), &mut out);
+        let answer = Arc::new(Answer {
+            status: 200,
+            headers: Vec::new(),
+            body: vec![0; 200].into(),
+        });
+        Self {
+            gate,
+            out,
+            work,
+            answer,
+        }
+    }
+
+    fn key(&self, now: Time, number: u64) -> Arc<str> {
+        let epoch = Limits::default().epoch_at(now);
+        let stamp = |incarnation| Stamp { incarnation, epoch };
+        let (owner, witness) = match self.work {
+            Work::Store => return format!("chosen-by-the-caller-{number:016x}").into(),
+            Work::Owner => (ME, None),
+            Work::Witnessed => (ME, Some(stamp(PEER))),
+            Work::Entry => (PEER, None),
+            Work::Witness => (PEER, Some(stamp(ME))),
+        };
+        let prefix = Prefix {
+            owner: stamp(owner),
+            witness,
+        };
+        // Nonces come in no order.
+        let nonce = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        format!("{prefix}{nonce:016x}").into()
+    }
+
+    /// Takes one request from its arrival to its answer.
+    fn request(&mut self, now: Time, number: u64) {
+        let key = self.key(now, number);
+        if self.work == Work::Witness {
+            let ask = AskId(number);
+            let question = Question::Claim(key);
+            return self.feed(now, Event::Asked { ask, question });
+        }
+        let id = RequestId(number);
+        let arrival = Arrival {
+            id,
+            service: scene::SERVICE.into(),
+            caller: "caller".into(),
+            key: Some(key),
+            fingerprint: Fingerprint(u128::from(number)),
+            deadline: None,
+            bytes: 1000,
+            origin: Origin::Caller,
+        };
+        self.feed(now, Event::Arrive(arrival));
+        self.follow(now, id);
+    }
+
+    /// Plays the witness, the store, the owner and the dispatcher.
+    fn follow(&mut self, now: Time, id: RequestId) {
+        while let Some(action) = self.out.pop() {
+            let verdict = Verdict::Answered(Arc::clone(&self.answer));
+            match action {
+                Action::Ask { ask, .. } => {
+                    let word = Some(Word::Claimed);
+                    self.feed(now, Event::Told { ask, word });
+                }
+                Action::Store { .. } => {
+                    let result = StoreResult::Created;
+                    self.feed(now, Event::Stored { id, result });
+                }
+                Action::Forward { .. } => {
+                    let ending = steer::process::dispatch::Ending::Answered(self.answer.clone());
+                    self.feed(now, Event::Forwarded { id, ending });
+                }
+                Action::Run(_) => self.feed(now, Event::Settled { id, verdict }),
+                _ => {}
+            }
+        }
+    }
+
+    fn feed(&mut self, now: Time, event: Event) {
+        self.gate.handle(now, event, &mut self.out);
+        if self.work == Work::Witness {
+            self.out.clear();
+        }
+    }
+}
+
+/// Mean processor time of one request, making of its key included, with `rate`
+/// requests a second for `span` of virtual time before it, and the number of
+/// records that stand then.
+#[must_use]
+pub fn measure(
+    work: Work,
+    rate: u64,
+    span: Duration,
+    clock: impl Fn() -> Duration,
+) -> (Duration, usize) {
+    let mut bench = Bench::new(work);
+    let mut now = Time::ZERO;
+    let gap = Duration::from_secs(1) / u32::try_from(rate).unwrap_or(u32::MAX);
+    let total = span.as_secs() * rate;
+    let warm = total - total / 10;
+    let mut begun = clock();
+    for number in 1..=total {
+        if number == warm {
+            begun = clock();
+        }
+        now = now + gap;
+        bench.request(now, number);
+    }
+    let spent = clock().saturating_sub(begun);
+    let count = u32::try_from(total - warm).unwrap_or(u32::MAX).max(1);
+    let (own, witnessed) = bench.gate.records();
+    (spent / count, own + witnessed)
+}
+
+/// A gate whose table for this kind of work is full, to be weighed.
+#[must_use]
+pub fn fill(work: Work) -> Gate {
+    let mut bench = Bench::new(work);
+    let count = Limits::default().records as u64;
+    for number in 1..=count {
+        bench.request(Time::ZERO, number);
+    }
+    bench.gate
+}
--- a/crates/explorer/src/world.rs
+++ b/crates/explorer/src/world.rs
@@ -31,6 +31,8 @@
 pub enum Source {
     /// From a look-up at this process.
     Issued(usize),
+    /// The same, without a witness.
+    Unwitnessed(usize),
     /// The caller's own choice.
     Chosen,
 }
@@ -110,6 +112,8 @@
     pub sent: Vec<Sent>,
     /// What happened, one line a step.
     pub trace: Vec<String>,
+    /// The process that acted last.
+    acting: usize,
     serial: u32,
     starts: u64,
 }
@@ -134,6 +138,7 @@
             plans: VecDeque::new(),
             sent: Vec::new(),
             trace: Vec::new(),
+            acting: 0,
             serial: 0,
             starts: 0,
         };
@@ -204,6 +209,13 @@
         process.outbox.extend(out);
     }
 
+    /// Lets the callers look all keys up, before anything is sent.
+    pub fn look_up(&mut self) {
+        for key in 0..self.keys.len() {
+            self.key_text(key);
+        }
+    }
+
     /// Hands a process a request.
     fn arrive(&mut self, index: usize, payload: Payload, from: Sender, origin: Origin) {
         let Some(text) = self.key_text(payload.key) else {
@@ -238,11 +250,24 @@
                 let prefix = self.processes[index].issued?;
                 format!("{prefix}nonce-of-sixteen-{key}").into()
             }
+            Source::Unwitnessed(index) => {
+                let prefix = Prefix {
+                    witness: None,
+                    ..self.processes[index].issued?
+                };
+                format!("{prefix}nonce-of-sixteen-{key}").into()
+            }
         };
         self.keys[key].text = Some(Arc::clone(&text));
         Some(text)
     }
 
+    /// A message under way, by its serial number.
+    #[must_use]
+    pub fn message(&self, serial: u32) -> Option<&Message> {
+        self.net.iter().find(|m| m.serial == serial)
+    }
+
     /// Incarnation of a process, dead or alive.
     #[must_use]
     pub fn incarnation(&self, index: usize) -> Incarnation {
--- a/crates/explorer/src/world/message.rs
+++ b/crates/explorer/src/world/message.rs
@@ -116,6 +116,9 @@
 pub struct Message {
     /// Names it in the trace.
     pub serial: u32,
+    /// The process that acted last when it was sent: its sender, unless that is
+    /// a target or the store.
+    pub by: usize,
     /// Who waits for an answer, or is being answered.
     pub sender: Sender,
     /// What it says.
--- a/crates/explorer/src/world/perform.rs
+++ b/crates/explorer/src/world/perform.rs
@@ -22,6 +22,7 @@
         let Some(action) = self.processes[index].outbox.pop_front() else {
             return;
         };
+        self.acting = index;
         match action {
             Action::Send {
                 id, attempt, place, ..
@@ -157,6 +158,7 @@
         self.serial += 1;
         let message = Message {
             serial: self.serial,
+            by: self.acting,
             sender,
             kind,
             held: false,
--- a/crates/explorer/src/world/step.rs
+++ b/crates/explorer/src/world/step.rs
@@ -234,7 +234,7 @@
         else {
             return step.to_string();
         };
-        match self.net.iter().find(|m| m.serial == serial) {
+        match self.message(serial) {
             Some(message) => format!("{step}: {message}"),
             None => step.to_string(),
         }
@@ -248,7 +248,7 @@
     /// Whether the message's receiver can take it now. A dead receiver can: its
     /// sender is told, or nobody is.
     fn can_take(&self, serial: u32) -> bool {
-        let Some(message) = self.net.iter().find(|m| m.serial == serial) else {
+        let Some(message) = self.message(serial) else {
             return false;
         };
         let to = match message.kind {
--- a/crates/steer/src/process/gate/limits.rs
+++ b/crates/steer/src/process/gate/limits.rs
@@ -37,7 +37,7 @@
             epoch: Duration::from_secs(30),
             accept: 10,
             keep: 20,
-            records: 65_536,
+            records: 131_072,
             held: 8_192,
             waiters: 4,
             answers: 8 << 20,
