Show what the gate holds, and explore it with hardly any room

Cause: dumps need the gate's state as text; full tables were never reached by the explorer; that records outlive accepted keys had no ablation.

Change: Gate::counts() prints as one line. A quarter of the random runs have one or two records, little room to hold requests and hardly any memory for answers. Limits that would forget before they refuse are put right. New ablation keep-window.

--- a/crates/explorer/src/cost.rs
+++ b/crates/explorer/src/cost.rs
@@ -8,6 +8,7 @@
 
 use steer::process::gate::Safeguards;
 
+use crate::scene;
 use crate::world::{HopKind, Kind, Message, Plan, Said, Sender, Source, Step, World};
 
 /// Processes in the layout: two in region 0, beside the store, one in region 1.
@@ -168,7 +169,8 @@
             to,
         })
         .collect();
-    let mut world = World::new(PROCESSES, Safeguards::ALL, &[way.source], &plans);
+    let bounds = (scene::limits(), Safeguards::ALL);
+    let mut world = World::new(PROCESSES, bounds, &[way.source], &plans);
     world.look_up();
     world
 }
--- a/crates/explorer/src/exhaust.rs
+++ b/crates/explorer/src/exhaust.rs
@@ -7,6 +7,7 @@
 use steer::process::gate::Safeguards;
 
 use crate::check::{self, Violation};
+use crate::scene;
 use crate::world::{Plan, Source, Step, World};
 
 /// What is explored.
@@ -79,7 +80,8 @@
 /// step, after the last deviation made there.
 fn run(case: &Case<'_>, path: &[Deviation], report: &mut Report) -> Vec<usize> {
     report.runs += 1;
-    let mut world = World::new(case.processes, case.safe, case.sources, case.plans);
+    let bounds = (scene::limits(), case.safe);
+    let mut world = World::new(case.processes, bounds, case.sources, case.plans);
     let mut widths = Vec::with_capacity(LENGTH);
     let mut fault = None;
     for at in 0..LENGTH {
--- a/crates/explorer/src/random.rs
+++ b/crates/explorer/src/random.rs
@@ -3,9 +3,10 @@
 //! Invariant: a run is a function of its seed, the number of steps and the
 //! safeguards.
 
-use steer::process::gate::Safeguards;
+use steer::process::gate::{Limits, Safeguards};
 
 use crate::check::{self, Violation};
+use crate::scene;
 use crate::world::{Plan, Source, Step, World};
 
 /// Processes in a random run: owner, witness, another entry, in two regions.
@@ -31,7 +32,8 @@
 pub fn run(seed: u64, steps: usize, safe: Safeguards) -> Report {
     let mut rng = fastrand::Rng::with_seed(seed);
     let (sources, plans) = workload(&mut rng);
-    let mut world = World::new(PROCESSES, safe, &sources, &plans);
+    let limits = limits(&mut rng);
+    let mut world = World::new(PROCESSES, (limits, safe), &sources, &plans);
     let mut report = Report::default();
     // Quiet and stormy runs reach different states.
     let storm = rng.u32(5..50);
@@ -60,6 +62,21 @@
     report
 }
 
+/// In one run of four there is hardly room for records, answers or waiters.
+fn limits(rng: &mut fastrand::Rng) -> Limits {
+    let usual = scene::limits();
+    if rng.u32(..4) > 0 {
+        return usual;
+    }
+    Limits {
+        records: rng.usize(1..=2),
+        held: rng.usize(1..=3),
+        waiters: rng.usize(..=1),
+        answers: rng.u64(..=4),
+        ..usual
+    }
+}
+
 /// One or two keys and two to six copies, most of them of the first key.
 fn workload(rng: &mut fastrand::Rng) -> (Vec<Source>, Vec<Plan>) {
     let source = |rng: &mut fastrand::Rng| match rng.u32(..4) {
--- a/crates/explorer/src/report.rs
+++ b/crates/explorer/src/report.rs
@@ -13,7 +13,7 @@
 use crate::world::{Plan, Source, Step};
 
 /// One safeguard: its name, and all others without it.
-pub const SAFEGUARDS: [(&str, Safeguards); 8] = {
+pub const SAFEGUARDS: [(&str, Safeguards); 9] = {
     const ALL: Safeguards = Safeguards::ALL;
     [
         (
@@ -44,6 +44,13 @@
                 ..ALL
             },
         ),
+        (
+            "keep-window",
+            Safeguards {
+                keep_window: false,
+                ..ALL
+            },
+        ),
         (
             "not-run-final",
             Safeguards {
--- a/crates/explorer/src/world.rs
+++ b/crates/explorer/src/world.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 use steer::clock::Time;
-use steer::process::gate::Safeguards;
+use steer::process::gate::{Limits, Safeguards};
 use steer::process::traffic::{Action, Event, Traffic};
 use steer::request::arrival::{Arrival, Fingerprint, Origin, RequestId};
 use steer::request::key::Prefix;
@@ -100,6 +100,7 @@
 
 /// The explored system.
 pub struct World {
+    limits: Limits,
     safe: Safeguards,
     processes: Vec<Process>,
     net: Vec<Message>,
@@ -122,7 +123,13 @@
     /// `count` processes that know each other, with witnesses chosen; nothing
     /// sent yet.
     #[must_use]
-    pub fn new(count: usize, safe: Safeguards, sources: &[Source], plans: &[Plan]) -> Self {
+    pub fn new(
+        count: usize,
+        bounds: (Limits, Safeguards),
+        sources: &[Source],
+        plans: &[Plan],
+    ) -> Self {
+        let (limits, safe) = bounds;
         let key = |&source: &Source| KeyCase {
             source,
             text: None,
@@ -130,6 +137,7 @@
             not_run: 0,
         };
         let mut world = Self {
+            limits,
             safe,
             processes: Vec::new(),
             net: Vec::new(),
@@ -171,7 +179,7 @@
             traffic: Some(Traffic::with_safeguards(
                 scene::home(index),
                 incarnation,
-                scene::limits(),
+                self.limits,
                 self.safe,
                 rng,
             )),
--- a/crates/explorer/src/world/perform.rs
+++ b/crates/explorer/src/world/perform.rs
@@ -57,8 +57,6 @@
                     sender => self.post(sender, Kind::Ended(Ending::PeerRefused(refusal))),
                 }
             }
-            // Neither a probe nor a word about suspects says whether a key ran.
-            Action::Probe { .. } | Action::Suspect { .. } => {}
             Action::Issue(prefix) => self.processes[index].issued = prefix,
             // Targets answer probes at once; the gossip about requests that
             // crash targets is lost.
--- a/crates/explorer/tests/explore_keys.rs
+++ b/crates/explorer/tests/explore_keys.rs
@@ -40,6 +40,7 @@
         "stay-given-up",
         "seal-window",
         "claim-window",
+        "keep-window",
         "not-run-final",
         "own-only",
         "unknown-away",
@@ -63,8 +64,8 @@
 fn safeguards_listed_cover_all() {
     assert_eq!(
         report::names(),
-        "wait-word, stay-given-up, seal-window, claim-window, not-run-final, own-only, \
-         unknown-away, hop-final"
+        "wait-word, stay-given-up, seal-window, claim-window, keep-window, not-run-final, \
+         own-only, unknown-away, hop-final"
     );
 }
 
--- a/crates/steer/src/process/gate.rs
+++ b/crates/steer/src/process/gate.rs
@@ -13,6 +13,7 @@
 
 mod book;
 mod chosen;
+mod counts;
 mod entry;
 mod held;
 mod issue;
@@ -42,6 +43,7 @@
 use owner::{Progress, Record};
 use witness::Registry;
 
+pub use counts::{Counts, Stages};
 pub use limits::Limits;
 pub use safeguards::Safeguards;
 
@@ -281,6 +283,19 @@
         (self.book.len(), self.registry.len())
     }
 
+    /// What the gate holds, for dumps and counters.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        Counts {
+            stages: self.held.stages(),
+            records: self.book.len(),
+            witnessed: self.registry.len(),
+            kept: self.kept.bytes(),
+            witness: self.issue.witness(),
+            leaving: self.leaving,
+        }
+    }
+
     /// The prefix for keys issued now; `None` while the process can't serve.
     #[must_use]
     pub fn key_prefix(&self, now: Time) -> Option<Prefix> {
@@ -455,7 +470,12 @@
         }
         self.swept = epoch;
         self.registry.forget(epoch);
-        let oldest = epoch.saturating_sub(self.limits.keep);
+        let keep = if self.safe.keep_window {
+            self.limits.keep
+        } else {
+            0
+        };
+        let oldest = epoch.saturating_sub(keep);
         let done = |r: &Record| matches!(r.progress, Progress::Done(_));
         self.book.forget_before(oldest, |r| done(r));
         self.book
--- a/crates/steer/src/process/gate/held.rs
+++ b/crates/steer/src/process/gate/held.rs
@@ -4,6 +4,7 @@
 //! exactly one answer.
 
 use super::book::Name;
+use super::counts::Stages;
 use crate::clock::Time;
 use crate::request::arrival::{Arrival, RequestId};
 use crate::request::key::Issued;
@@ -121,6 +122,23 @@
         self.items.iter().filter(late).map(|h| h.id).collect()
     }
 
+    /// Number of requests at each stage.
+    pub fn stages(&self) -> Stages {
+        let mut stages = Stages::default();
+        for held in &self.items {
+            let count = match held.stage {
+                Stage::Claiming { .. } => &mut stages.claiming,
+                Stage::Storing { .. } => &mut stages.storing,
+                Stage::Running => &mut stages.running,
+                Stage::Waiting => &mut stages.waiting,
+                Stage::Forwarding { .. } => &mut stages.forwarding,
+                Stage::Sealing { .. } => &mut stages.sealing,
+            };
+            *count += 1;
+        }
+        stages
+    }
+
     fn search(&self, id: RequestId) -> Option<usize> {
         self.items.binary_search_by_key(&id, |h| h.id).ok()
     }
--- a/crates/steer/src/process/gate/issue.rs
+++ b/crates/steer/src/process/gate/issue.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// The witness that new keys name.
+    pub fn witness(&self) -> Option<Incarnation> {
+        self.witness.as_ref().map(|w| w.incarnation)
+    }
+
     /// The prefix for keys issued at this process's epoch `epoch`.
     pub fn prefix(&self, epoch: u64) -> Prefix {
         let stamp = |w: &Witness| Stamp {
--- a/crates/steer/src/process/gate/kept.rs
+++ b/crates/steer/src/process/gate/kept.rs
@@ -23,6 +23,11 @@
         }
     }
 
+    /// Bytes of the answers listed.
+    pub const fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
     /// Lists an answer. Returns the records that have to give theirs up, which
     /// may be this one.
     pub fn keep(&mut self, name: Name, bytes: u64) -> Vec<Name> {
--- a/crates/steer/src/process/gate/limits.rs
+++ b/crates/steer/src/process/gate/limits.rs
@@ -50,6 +50,16 @@
 }
 
 impl Limits {
+    /// The same with records that outlive what is accepted. If they didn't, a
+    /// key whose record is forgotten would pass for a new one and run again.
+    #[must_use]
+    pub fn sound(self) -> Self {
+        Self {
+            keep: self.keep.max(self.accept.saturating_add(1)),
+            ..self
+        }
+    }
+
     /// The epoch that a process counts at `now`.
     #[must_use]
     pub fn epoch_at(&self, now: Time) -> u64 {
--- a/crates/steer/src/process/gate/safeguards.rs
+++ b/crates/steer/src/process/gate/safeguards.rs
@@ -23,6 +23,9 @@
     /// The witness refuses claims of old keys. Off: it forgets that it sealed a
     /// key, and a delayed owner claims the key after all.
     pub claim_window: bool,
+    /// The owner's records outlive the age up to which it accepts keys. Off: it
+    /// forgets that a key ran, takes a resend for a first copy and runs it.
+    pub keep_window: bool,
     /// "Not run" ends a key. Off: a copy of the request that was under way when
     /// the caller was told "not run" runs later.
     pub not_run_final: bool,
@@ -44,6 +47,7 @@
         stay_given_up: true,
         seal_window: true,
         claim_window: true,
+        keep_window: true,
         not_run_final: true,
         own_only: true,
         unknown_away: true,
--- a/crates/steer/tests/gate_scenarios/bench.rs
+++ b/crates/steer/tests/gate_scenarios/bench.rs
@@ -103,11 +103,9 @@
                 }
             }
             "state" => {
-                let (own, witnessed) = self.traffic.gate_state().records();
+                let counts = self.traffic.gate_state().counts();
                 let drained = self.traffic.drained();
-                vec![format!(
-                    "{own} own records, {witnessed} witnessed, drained: {drained}"
-                )]
+                vec![format!("{counts}; drained: {drained}")]
             }
             other => panic!("no event is called {other}"),
         }
