--- a/crates/auburnrouter/src/cli.rs
+++ b/crates/auburnrouter/src/cli.rs
@@ -34,6 +34,9 @@
 /// A command line that can't be run.
 #[derive(Debug, Error)]
 pub enum Error {
+    /// There is no such subcommand.
+    #[error("{0}; see `auburnrouter --help`")]
+    Command(String),
     /// An option or argument is not understood.
     #[error("{0}; see `auburnrouter {1} --help`")]
     Args(String, &'static str),
@@ -99,7 +102,7 @@
     }
     let Some(command) = cmd::ALL.iter().find(|c| c.name == name) else {
         let near = nearest(&name, cmd::ALL.iter().map(|c| c.name));
-        return Err(Error::Args(unknown("command", &name, near), ""));
+        return Err(Error::Command(unknown("command", &name, near)));
     };
     let rest: Vec<ffi::OsString> = args.collect();
     if rest.iter().any(|a| a == "--help" || a == "-h") {
--- a/crates/auburnrouter/src/cmd.rs
+++ b/crates/auburnrouter/src/cmd.rs
@@ -2,11 +2,13 @@
 
 mod apply;
 pub mod client;
+mod drain;
 mod dump;
 mod entry;
 mod files;
 mod lookup;
 mod show;
+mod status;
 
 use crate::cli::Command;
 
@@ -15,6 +17,9 @@
     entry::COMMAND,
     apply::COMMAND,
     show::COMMAND,
+    drain::COMMAND,
+    drain::REVERSE,
+    status::COMMAND,
     lookup::COMMAND,
     dump::COMMAND,
 ];
--- a/crates/auburnrouter/src/cmd/client.rs
+++ b/crates/auburnrouter/src/cmd/client.rs
@@ -7,6 +7,7 @@
 
 use futures_lite::future;
 use lexopt::ValueExt;
+use serde::de::DeserializeOwned;
 use settings::secret;
 use thiserror::Error;
 use trillium_client::{Client, Conn};
@@ -128,6 +129,15 @@
         self.call(client().get(self.url(path)))
     }
 
+    /// `GET path`, read as JSON.
+    ///
+    /// # Errors
+    /// If no answer comes or it can't be read.
+    pub fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let answer = self.get(path)?;
+        serde_json::from_str(&answer.body).map_err(|_| Error::Garbled(self.addr))
+    }
+
     /// `POST path` with a JSON body.
     ///
     /// # Errors
@@ -156,8 +166,7 @@
 /// # Errors
 /// If no answer comes or it can't be read.
 pub fn config(operators: &Operators) -> Result<files::Config, Error> {
-    let answer = operators.get("/config")?;
-    serde_json::from_str(&answer.body).map_err(|_| Error::Garbled(operators.addr))
+    operators.read("/config")
 }
 
 /// Makes a change through an instance.
--- a/crates/auburnrouter/src/daemon.rs
+++ b/crates/auburnrouter/src/daemon.rs
@@ -31,7 +31,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-pub use self::control::{Answer as Made, Change, File, Result as ChangeResult};
+pub use self::control::{Answer as Made, Change, File, Result as ChangeResult, Status};
 
 use arc_swap::ArcSwap;
 use serde::Serialize;
@@ -101,6 +101,7 @@
     longest: Duration,
     engine: Arc<engine::Engine>,
     control: control::Handle,
+    snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
     open: Arc<AtomicUsize>,
     listening: Stopper,
     ticking: Stopper,
@@ -169,6 +170,7 @@
             longest: limits.request_time(),
             engine: core.engine,
             control: core.control,
+            snapshot: core.snapshot,
             open,
             listening,
             ticking,
@@ -299,6 +301,12 @@
         &self.addresses
     }
 
+    /// Whether look-ups are answered.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.snapshot.load().ready
+    }
+
     /// Shuts down gracefully: leaves the look-ups' answers, tells the peers,
     /// serves on for as long as callers may hold an old answer, finishes what
     /// is in flight, and joins every thread.
--- a/crates/auburnrouter/src/daemon/control.rs
+++ b/crates/auburnrouter/src/daemon/control.rs
@@ -9,6 +9,7 @@
 pub mod force;
 mod keys;
 mod shelf;
+mod status;
 mod world;
 
 use std::sync::Arc;
@@ -22,6 +23,7 @@
 pub use self::apply::{Answer, Change, File, Result};
 pub use self::dump::Dump;
 use self::force::InForce;
+pub use self::status::Status;
 use super::Addresses;
 use super::engine::Engine;
 use super::metrics::Metrics;
@@ -69,6 +71,7 @@
     inputs: async_channel::Sender<driver::Input>,
     force: Arc<ArcSwapOption<InForce>>,
     changing: Arc<smol::lock::Mutex<()>>,
+    executor: Executor,
 }
 
 impl Handle {
@@ -89,6 +92,7 @@
             inputs,
             force,
             changing: Arc::default(),
+            executor: Arc::clone(executor),
         }
     }
 
@@ -123,6 +127,12 @@
         self.force.load_full()
     }
 
+    /// Version in force; 0 if there is none.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.force.load().as_ref().map_or(0, |f| f.version.0)
+    }
+
     /// Makes an operator's change, one at a time.
     pub async fn change(&self, change: Change) -> Answer {
         let _one = self.changing.lock().await;
--- a/crates/auburnrouter/src/daemon/control/apply.rs
+++ b/crates/auburnrouter/src/daemon/control/apply.rs
@@ -183,6 +183,11 @@
         let verdict = Verdict::Conflict(present);
         return Answer::new(Result::Conflict, present, vec![verdict.to_string()]);
     }
+    if present > force {
+        // What the change moves was judged against an older version.
+        let line = format!("not accepted: {present} isn't in force here yet; apply again at once");
+        return Answer::new(Result::NotAccepted, force, vec![line]);
+    }
     let head = stored.as_ref().map(|s| &*s.head);
     let (files, bodies) = contents(&next.documents, head);
     let base = Base { stored, force };
@@ -237,6 +242,15 @@
     }
 }
 
+/// Whether the change of this id was accepted; `None` if nobody can tell.
+pub async fn accepted(store: &dyn store::Store, id: &str) -> Option<bool> {
+    match read(store).await {
+        Ok(Some(stored)) => stored.head.accepted(view::Version(0), id),
+        Ok(None) => Some(false),
+        Err(_) => None,
+    }
+}
+
 async fn put_body(store: &dyn store::Store, body: &config::Body) -> Outcome {
     let put = kv::Put {
         value: String::from_utf8_lossy(&body.bytes).into_owned(),
--- a/crates/auburnrouter/src/daemon/control/driver.rs
+++ b/crates/auburnrouter/src/daemon/control/driver.rs
@@ -12,6 +12,7 @@
 use intent::instance;
 use steer::process::control::{self, Control, message, store};
 use steer::process::{config, member};
+use wire::peer;
 
 use super::force::InForce;
 use super::{Parts, dump, shelf, world};
@@ -255,7 +256,7 @@
                 let mut silent = Vec::new();
                 for addr in left {
                     match parts.peers.who(addr).await {
-                        Some(hint) => found.push(hint),
+                        Some(who) => found.push(hint(who)),
                         None => silent.push(addr),
                     }
                 }
@@ -269,6 +270,14 @@
     }
 }
 
+fn hint(who: peer::Who) -> member::Hint {
+    member::Hint {
+        name: who.name.into(),
+        domain: who.domain.into(),
+        peer: who.peer,
+    }
+}
+
 fn wall_clock() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
--- a/crates/auburnrouter/src/daemon/operators.rs
+++ b/crates/auburnrouter/src/daemon/operators.rs
@@ -5,6 +5,8 @@
 //! | `GET /metrics` | the metrics, as text |
 //! | `GET /dump` | the state of the process, as JSON |
 //! | `GET /config` | the files in force, as JSON |
+//! | `GET /status` | the version in force at every instance reached, as JSON |
+//! | `GET /changes/{id}` | whether that change was accepted, as JSON |
 //! | `POST /apply` | makes a change; says what became of it |
 //!
 //! Every call wants `Authorization: Bearer SECRET`. The listener runs on the
@@ -42,6 +44,15 @@
     pub metrics: Arc<Metrics>,
 }
 
+/// Where changes are asked for by their ids.
+const CHANGES: &str = "/changes/";
+
+/// What became of a change; `None` if nobody can tell any more.
+#[derive(Debug, Serialize)]
+struct Fate {
+    accepted: Option<bool>,
+}
+
 /// The files in force.
 #[derive(Debug, Serialize)]
 struct Config {
@@ -75,6 +86,11 @@
             (Method::Get, "/metrics") => self.metrics(conn),
             (Method::Get, "/dump") => self.dump(conn).await,
             (Method::Get, "/config") => self.config(conn),
+            (Method::Get, "/status") => reply::json(conn, Status::Ok, &self.control.status().await),
+            (Method::Get, path) if path.starts_with(CHANGES) => {
+                let accepted = self.control.accepted(&path[CHANGES.len()..]).await;
+                reply::json(conn, Status::Ok, &Fate { accepted })
+            }
             (Method::Post, "/apply") => self.apply(conn).await,
             _ => {
                 conn.set_status(404);
--- a/crates/auburnrouter/src/daemon/peers.rs
+++ b/crates/auburnrouter/src/daemon/peers.rs
@@ -19,7 +19,7 @@
 use settings::secret::Secret;
 use smol::net;
 use steer::process::control::message;
-use steer::process::{config, dispatch, member};
+use steer::process::{config, dispatch};
 use steer::request::{arrival, record};
 use tarpc::server::{self, Channel};
 use tarpc::tokio_serde::formats::Bincode;
@@ -207,18 +207,14 @@
     }
 
     /// Asks who listens at an address.
-    pub async fn who(&self, addr: SocketAddr) -> Option<member::Hint> {
+    pub async fn who(&self, addr: SocketAddr) -> Option<peer::Who> {
         let client = self.client(addr).await?;
         let call = client.who(context(CONNECT_TIME)).compat();
         let Ok(who) = call.await else {
             self.forget(addr);
             return None;
         };
-        Some(member::Hint {
-            name: who.name.into(),
-            domain: who.domain.into(),
-            peer: who.peer,
-        })
+        Some(who)
     }
 
     /// Asks a witness; `None` if no answer came.
@@ -473,6 +469,7 @@
             name: me.name.as_ref().to_owned(),
             domain: me.domain.as_ref().to_owned(),
             peer: me.peer,
+            version: self.control.version(),
         }
     }
 
--- a/crates/jsonc/src/lib.rs
+++ b/crates/jsonc/src/lib.rs
@@ -4,6 +4,7 @@
 //! goes on after a fault, so that one run reports all of them. The one
 //! exception is a syntax error: what follows it has no certain meaning.
 
+pub mod edit;
 pub mod fault;
 pub mod fields;
 pub mod nearest;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -178,4 +178,6 @@
     pub domain: String,
     /// Where its peers reach it.
     pub peer: std::net::SocketAddr,
+    /// Version in force at it; 0 if none.
+    pub version: u64,
 }
