--- a/crates/scenarios/src/script.rs
+++ b/crates/scenarios/src/script.rs
@@ -9,13 +9,14 @@
 //! | `config [use=FILE]` | puts the base file `config/FILE.jsonc`, or else its input, into the store |
 //! | `lookup at= [service=] [client=]` | prints the entry instances to use |
 //! | `key at= name=` | asks for an idempotency key, later known by its name; prints whether it has a witness |
-//! | `request at= service= [method=] [key=] [caller=] [deadline=MS] [bytes=N] [body=] [named] [later=ID]` | prints the answer; `later` leaves it to `answer` |
+//! | `request at= service= [method=] [key=] [caller=] [deadline=MS] [bytes=N] [body=] [named] [later=ID] [times=N] [within=MS]` | prints the answer, or how many of N were alike, and `late` if it took longer; `later` leaves it to `answer` |
 //! | `answer id=` | waits for the answer of an earlier request |
+//! | `dump at= show=(…)` | prints parts of an entry instance's state: `version`, `standing`, `targets`, `entries` |
 //! | `fault name=` | switches the fault in its input on |
 //! | `executed [name=] [key=]` | prints how many runs began |
 //! | `kill`, `freeze`, `thaw`, `term`, `exit`, each `name=` | signals a process; `exit` waits for its end |
 //! | `unlist name=`, `leaving name=` | changes the platform's list |
-//! | `await D …` | repeats directive `D` until it prints what the input says |
+//! | `await D … [for=MS]` | repeats directive `D` until it prints what the input says |
 //!
 //! In the input of `command`, `{NAME.callers}`, `{NAME.peers}` and
 //! `{NAME.operators}` stand for addresses, `{secret}` for the secret's file and
@@ -36,6 +37,7 @@
 use crate::error::Error;
 use crate::http::{Answer, Call};
 use crate::process;
+use crate::settings;
 use crate::world::{TargetFacts, World};
 
 mod print;
@@ -110,6 +112,7 @@
             "lookup" => self.lookup(case),
             "request" => self.request(case),
             "answer" => self.answer(case),
+            "dump" => self.dump(case),
             "fault" => self.fault(case),
             "executed" => self.executed(case),
             "kill" => self.kill(case),
@@ -249,8 +252,14 @@
     fn request(&mut self, case: &mut TestCase) -> Result<String, Error> {
         let call = self.call(case)?;
         let named = case.take_flag("named")?;
+        let times = case.try_take_arg("times")?.unwrap_or(1);
+        let within: Option<u64> = case.try_take_arg("within")?;
+        let began = Instant::now();
         let Some(id) = case.try_take_arg::<String>("later")? else {
-            return Ok(print::answer(&self.world, named, call.make()));
+            let answers = (0..times).map(|_| print::answer(&self.world, named, call.make()));
+            let text = print::counted(answers.collect());
+            let late = within.is_some_and(|ms| began.elapsed() > Duration::from_millis(ms));
+            return Ok(if late { text + ", late" } else { text });
         };
         let thread = std::thread::spawn(move || call.make());
         self.later.push(Later { id, named, thread });
@@ -290,6 +299,16 @@
         Ok(print::answer(&self.world, later.named, result))
     }
 
+    fn dump(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let at: String = case.take_arg("at")?;
+        let show: Vec<String> = case.take_args("show")?;
+        let mut call = Call::new(Method::Get, self.world.listens(&at)?.operators, "/dump", "");
+        let bearer = format!("Bearer {}", settings::SECRET);
+        call.headers.push(("Authorization", bearer));
+        let answer = call.make()?;
+        Ok(print::dump(&answer, &show))
+    }
+
     fn fault(&mut self, case: &mut TestCase) -> Result<String, Error> {
         let name: String = case.take_arg("name")?;
         self.world.fault(&name, &case.input)?;
@@ -332,8 +351,9 @@
     fn wait(&mut self, case: &mut TestCase) -> Result<String, Error> {
         let wanted = case.input.trim_end().to_owned();
         let directive = awaited(case)?;
+        let bound = case.try_take_arg("for")?.map(Duration::from_millis);
         let args = case.args.clone();
-        let until = Instant::now() + BOUND;
+        let until = Instant::now() + bound.unwrap_or(BOUND);
         loop {
             case.args.clone_from(&args);
             case.input.clear();
@@ -354,8 +374,9 @@
 
 /// The directive that an `await` repeats: its argument without a value.
 fn awaited(case: &mut TestCase) -> Result<String, Error> {
-    for directive in ["lookup", "key", "request", "executed", "command"] {
-        if case.take_flag(directive)? {
+    for directive in ["lookup", "key", "request", "executed", "command", "dump"] {
+        if case.args.get(directive).is_some_and(Vec::is_empty) {
+            case.args.remove(directive);
             return Ok(directive.to_owned());
         }
     }
--- a/crates/scenarios/src/script/print.rs
+++ b/crates/scenarios/src/script/print.rs
@@ -18,6 +18,57 @@
     name: String,
 }
 
+#[derive(Deserialize)]
+struct Dump {
+    version: u64,
+    standing: String,
+    targets: Vec<Target>,
+    entries: Vec<Entry>,
+}
+
+#[derive(Deserialize)]
+struct Target {
+    name: String,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct Entry {
+    name: String,
+    life: String,
+}
+
+/// The parts of an entry instance's state that are asked for, one a line.
+pub(super) fn dump(answer: &Answer, show: &[String]) -> String {
+    let Ok(dump) = serde_json::from_str::<Dump>(&answer.body) else {
+        return head(answer);
+    };
+    let mut lines = Vec::new();
+    for part in show {
+        let text = match &**part {
+            "version" => dump.version.to_string(),
+            "standing" => dump.standing.clone(),
+            "targets" => listed(dump.targets.iter().map(|t| (&*t.name, &*t.state))),
+            "entries" => listed(dump.entries.iter().map(|e| (&*e.name, &*e.life))),
+            _ => "unknown part".to_owned(),
+        };
+        lines.push(format!("{part}: {text}"));
+    }
+    lines.join("\n")
+}
+
+/// Names in order, with the state of those that are not live.
+fn listed<'a>(items: impl Iterator<Item = (&'a str, &'a str)>) -> String {
+    let mut words: Vec<String> = items
+        .map(|(name, state)| match state {
+            "live" => name.to_owned(),
+            _ => format!("{name}({state})"),
+        })
+        .collect();
+    words.sort();
+    words.join(" ")
+}
+
 /// The names of a look-up's answer in order, or its refusal.
 pub(super) fn lookup(answer: &Answer) -> String {
     match serde_json::from_str::<Found>(&answer.body) {
@@ -54,6 +105,17 @@
     text.join(" ")
 }
 
+/// Each different answer once, with its count if there are several answers.
+pub(super) fn counted(mut answers: Vec<String>) -> String {
+    if answers.len() == 1 {
+        return answers.remove(0);
+    }
+    answers.sort();
+    let alike = answers.chunk_by(|a, b| a == b);
+    let lines = alike.map(|same| format!("{} of {}", same.len(), same[0]));
+    lines.collect::<Vec<_>>().join("\n")
+}
+
 /// Status, outcome and reason.
 pub(super) fn head(answer: &Answer) -> String {
     let status = answer.status.to_string();
