--- a/crates/auburnrouter/src/cmd.rs
+++ b/crates/auburnrouter/src/cmd.rs
@@ -1,11 +1,15 @@
 //! The subcommands, a file each.
 
 mod apply;
+mod check;
 pub mod client;
+mod diff;
 mod dump;
 mod entry;
 mod files;
+mod given;
 mod lookup;
+mod report;
 mod show;
 
 use crate::cli::Command;
@@ -13,6 +17,8 @@
 /// All subcommands, in the order the overview lists them.
 pub const ALL: &[Command] = &[
     entry::COMMAND,
+    check::COMMAND,
+    diff::COMMAND,
     apply::COMMAND,
     show::COMMAND,
     lookup::COMMAND,
--- a/crates/auburnrouter/src/daemon/control/world.rs
+++ b/crates/auburnrouter/src/daemon/control/world.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use intent::instance;
+use intent::{instance, plan};
 use steer::process::{control, member};
 use steer::version::view;
 
@@ -29,6 +29,8 @@
     outlets: Outlets,
     domain: Arc<str>,
     force: Option<Arc<InForce>>,
+    /// What `force` means in this process's failure domain.
+    plan: Arc<plan::Plan>,
     instances: Vec<instance::Instance>,
     members: Vec<instance::Member>,
     serving: bool,
@@ -36,11 +38,12 @@
 
 impl World {
     /// Nothing known yet.
-    pub const fn new(outlets: Outlets, domain: Arc<str>) -> Self {
+    pub fn new(outlets: Outlets, domain: Arc<str>) -> Self {
         Self {
             outlets,
             domain,
             force: None,
+            plan: Arc::default(),
             instances: Vec::new(),
             members: Vec::new(),
             serving: false,
@@ -52,6 +55,7 @@
     pub fn install(&mut self, force: InForce, name: &str) -> Option<u32> {
         let force = Arc::new(force);
         self.outlets.force.store(Some(Arc::clone(&force)));
+        self.plan = force.checked.plan_in(&self.domain);
         self.force = Some(Arc::clone(&force));
         self.publish();
         slots(&force.checked.base, name)
@@ -84,8 +88,9 @@
 
     fn publish(&self) {
         let Some(force) = &self.force else { return };
-        let plan = force.checked.plan_in(&self.domain);
-        let view = plan.view(force.version, &self.instances, &self.members);
+        let view = self
+            .plan
+            .view(force.version, &self.instances, &self.members);
         let view = Arc::new(view);
         self.outlets.engine.install(Arc::clone(&view));
         let snapshot = Snapshot::new(view, self.serving);
@@ -103,7 +108,7 @@
 }
 
 /// Entry instances among whose regions' instances a cap is divided.
-fn slots(plan: &intent::plan::Plan, name: &str) -> Option<u32> {
+fn slots(plan: &plan::Plan, name: &str) -> Option<u32> {
     let at = plan.entries.values().find(|e| &*e.name == name)?;
     let region = plan.domains[at.domain].region;
     let near = |e: &&view::EntryData| plan.domains[e.domain].region == region;
--- a/crates/intent/tests/deploy.rs
+++ b/crates/intent/tests/deploy.rs
@@ -23,7 +23,7 @@
 
 fn checked(name: &str) -> Checked {
     let folder = folder(name);
-    let sites = fs::read_dir(folder.join("overlays")).unwrap();
+    let sites = fs::read_dir(folder.join("overlay")).unwrap();
     let bundle = Bundle {
         base: read(&folder.join("base.jsonc")),
         overlays: sites.map(|site| read(&site.unwrap().path())).collect(),
@@ -60,7 +60,7 @@
 #[case::bluestone("bluestone", 2)]
 #[case::tesfaye("tesfaye", 1)]
 fn check_deployment(#[case] name: &str, #[case] overlays: usize) {
-    assert_eq!(checked(name).sites.len(), overlays);
+    assert_eq!(checked(name).overlays.len(), overlays);
 }
 
 #[rstest]
--- a/crates/intent/tests/document.rs
+++ b/crates/intent/tests/document.rs
@@ -65,7 +65,7 @@
     assert_eq!(back.check().unwrap().base, plan);
     assert_eq!(document::documents(&back).unwrap(), documents);
     let installed = install::plan(&read.files, "seq-1", |hash| find(&documents, hash)).unwrap();
-    assert_eq!(installed, plan);
+    assert_eq!(installed, *plan);
 }
 
 /// An entry instance installs a head while other sites' overlays are not there.
@@ -87,7 +87,7 @@
         Err(Refusal::Document(Error::Missing(..)))
     ));
     let whole = install::plan(&head.files, "cq-1", |hash| find(&documents, hash)).unwrap();
-    assert_eq!(&whole, bundle.check().unwrap().plan_in("cq-1"));
+    assert_eq!(whole, *bundle.check().unwrap().plan_in("cq-1"));
 }
 
 /// One block of 20,000 gets another region, one is added, one removed. The
@@ -115,15 +115,12 @@
     let files = [
         ("base", BASE),
         ("blocks/all", &lines),
-        ("overlays/cq-1", "{}"),
+        ("overlay/cq-1", "{}"),
     ];
     let cut = chunk::recut(files.map(|(name, text)| file(name, text)).into());
     let names: Vec<&str> = cut.iter().map(|f| &*f.name).collect();
     assert!(names.is_sorted());
-    assert_eq!(
-        (names[0], names[names.len() - 1]),
-        ("base", "overlays/cq-1")
-    );
+    assert_eq!((names[0], names[names.len() - 1]), ("base", "overlay/cq-1"));
     assert!(names.len() > 4, "{names:?}");
     assert_eq!(chunk::recut(cut.clone()), cut);
 }
