--- a/crates/auburnrouter/src/cmd/files.rs
+++ b/crates/auburnrouter/src/cmd/files.rs
@@ -1,6 +1,5 @@
-//! A configuration as files in a folder: `base.jsonc`, `overlay/SITE.jsonc`, and
-//! client blocks: operators' files `NAME.txt`, or chunks `blocks/NAME.txt` as an
-//! instance gave them.
+//! A configuration as files in a folder: `base.jsonc`, `overlays/SITE.jsonc` and
+//! client blocks in `blocks/NAME.txt`.
 
 use std::ffi::OsStr;
 use std::fs;
@@ -38,11 +37,8 @@
 /// Where a folder remembers the version it came from.
 const VERSION: &str = ".version";
 
-/// Ending of files of client blocks.
-const TEXT: &str = "txt";
-
 /// Folders, and the ending of the files in them.
-const KINDS: [(&str, &str); 2] = [("overlay", "jsonc"), ("blocks", TEXT)];
+const KINDS: [(&str, &str); 2] = [("overlays", "jsonc"), ("blocks", "txt")];
 
 /// Reads a folder's files; the base file alone may be named instead.
 ///
@@ -60,7 +56,6 @@
             files.extend(list(&folder, ending, stem)?);
         }
     }
-    files.extend(list(path, TEXT, |path| part(path.file_name()))?);
     Ok(files)
 }
 
--- a/crates/auburnrouter/src/daemon/control/driver.rs
+++ b/crates/auburnrouter/src/daemon/control/driver.rs
@@ -75,7 +75,7 @@
         };
         Self {
             control: Control::new(parts.engine.now(), settings, fastrand::Rng::new()),
-            world: world::World::new(outlets, Arc::clone(&parts.settings.domain)),
+            world: world::World::new(outlets),
             parts,
             inputs,
             executor,
@@ -189,13 +189,13 @@
 
     fn install(&mut self, head: &config::Head, bodies: &[config::Body]) {
         let version = head.version;
-        match InForce::open(head, bodies) {
+        match InForce::open(head, bodies, &self.parts.settings.domain) {
             Ok(force) => {
                 let slots = self.world.install(force, &self.parts.settings.name);
                 self.handle(control::Event::Installed { version, slots });
             }
             Err(error) => {
-                log::error!("event=configuration-rejected version={version} error={error:?}");
+                log::error!("event=configuration-rejected version={version} error=\"{error}\"");
                 self.handle(control::Event::Rejected(version));
             }
         }
--- a/crates/auburnrouter/src/daemon/control/world.rs
+++ b/crates/auburnrouter/src/daemon/control/world.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use intent::{instance, plan};
+use intent::instance;
 use steer::process::{control, member};
 use steer::version::view;
 
@@ -27,10 +27,7 @@
 /// The parts of the view.
 pub struct World {
     outlets: Outlets,
-    domain: Arc<str>,
     force: Option<Arc<InForce>>,
-    /// What `force` means in this process's failure domain.
-    plan: Arc<plan::Plan>,
     instances: Vec<instance::Instance>,
     members: Vec<instance::Member>,
     serving: bool,
@@ -38,12 +35,10 @@
 
 impl World {
     /// Nothing known yet.
-    pub fn new(outlets: Outlets, domain: Arc<str>) -> Self {
+    pub const fn new(outlets: Outlets) -> Self {
         Self {
             outlets,
-            domain,
             force: None,
-            plan: Arc::default(),
             instances: Vec::new(),
             members: Vec::new(),
             serving: false,
@@ -55,10 +50,9 @@
     pub fn install(&mut self, force: InForce, name: &str) -> Option<u32> {
         let force = Arc::new(force);
         self.outlets.force.store(Some(Arc::clone(&force)));
-        self.plan = force.checked.plan_in(&self.domain);
         self.force = Some(Arc::clone(&force));
         self.publish();
-        slots(&force.checked.base, name)
+        slots(&force.plan, name)
     }
 
     /// Takes a new list of instances.
@@ -88,7 +82,7 @@
 
     fn publish(&self) {
         let Some(force) = &self.force else { return };
-        let view = self
+        let view = force
             .plan
             .view(force.version, &self.instances, &self.members);
         let view = Arc::new(view);
@@ -108,7 +102,7 @@
 }
 
 /// Entry instances among whose regions' instances a cap is divided.
-fn slots(plan: &plan::Plan, name: &str) -> Option<u32> {
+fn slots(plan: &intent::plan::Plan, name: &str) -> Option<u32> {
     let at = plan.entries.values().find(|e| &*e.name == name)?;
     let region = plan.domains[at.domain].region;
     let near = |e: &&view::EntryData| plan.domains[e.domain].region == region;
--- a/crates/auburnrouter/src/daemon/peers.rs
+++ b/crates/auburnrouter/src/daemon/peers.rs
@@ -15,6 +15,7 @@
 
 use async_compat::{Compat, CompatExt};
 use futures_lite::{StreamExt, future};
+use intent::document;
 use settings::secret::Secret;
 use smol::net;
 use steer::process::control::message;
@@ -495,7 +496,7 @@
 fn is_whole(message: &message::Message) -> bool {
     match &message.content {
         message::Content::Bodies(bodies) => {
-            let right = |b: &config::Body| control::hash(&b.bytes) == b.hash;
+            let right = |b: &config::Body| document::hash(&b.bytes) == b.hash;
             bodies.iter().all(right)
         }
         _ => true,
--- a/crates/explorer/src/world.rs
+++ b/crates/explorer/src/world.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 use steer::clock::Time;
-use steer::process::gate::Safeguards;
+use steer::process::gate::{Limits, Safeguards};
 use steer::process::traffic::{Action, Event, Traffic};
 use steer::request::arrival::{Arrival, Fingerprint, Origin, RequestId};
 use steer::request::key::Prefix;
@@ -31,6 +31,8 @@
 pub enum Source {
     /// From a look-up at this process.
     Issued(usize),
+    /// The same, without a witness.
+    Unwitnessed(usize),
     /// The caller's own choice.
     Chosen,
 }
@@ -98,6 +100,7 @@
 
 /// The explored system.
 pub struct World {
+    limits: Limits,
     safe: Safeguards,
     processes: Vec<Process>,
     net: Vec<Message>,
@@ -110,6 +113,8 @@
     pub sent: Vec<Sent>,
     /// What happened, one line a step.
     pub trace: Vec<String>,
+    /// The process that acted last.
+    acting: usize,
     serial: u32,
     starts: u64,
 }
@@ -118,7 +123,13 @@
     /// `count` processes that know each other, with witnesses chosen; nothing
     /// sent yet.
     #[must_use]
-    pub fn new(count: usize, safe: Safeguards, sources: &[Source], plans: &[Plan]) -> Self {
+    pub fn new(
+        count: usize,
+        bounds: (Limits, Safeguards),
+        sources: &[Source],
+        plans: &[Plan],
+    ) -> Self {
+        let (limits, safe) = bounds;
         let key = |&source: &Source| KeyCase {
             source,
             text: None,
@@ -126,6 +137,7 @@
             not_run: 0,
         };
         let mut world = Self {
+            limits,
             safe,
             processes: Vec::new(),
             net: Vec::new(),
@@ -134,6 +146,7 @@
             plans: VecDeque::new(),
             sent: Vec::new(),
             trace: Vec::new(),
+            acting: 0,
             serial: 0,
             starts: 0,
         };
@@ -166,7 +179,7 @@
             traffic: Some(Traffic::with_safeguards(
                 scene::home(index),
                 incarnation,
-                scene::limits(),
+                self.limits,
                 self.safe,
                 rng,
             )),
@@ -204,6 +217,13 @@
         process.outbox.extend(out);
     }
 
+    /// Lets the callers look all keys up, before anything is sent.
+    pub fn look_up(&mut self) {
+        for key in 0..self.keys.len() {
+            self.key_text(key);
+        }
+    }
+
     /// Hands a process a request.
     fn arrive(&mut self, index: usize, payload: Payload, from: Sender, origin: Origin) {
         let Some(text) = self.key_text(payload.key) else {
@@ -238,11 +258,24 @@
                 let prefix = self.processes[index].issued?;
                 format!("{prefix}nonce-of-sixteen-{key}").into()
             }
+            Source::Unwitnessed(index) => {
+                let prefix = Prefix {
+                    witness: None,
+                    ..self.processes[index].issued?
+                };
+                format!("{prefix}nonce-of-sixteen-{key}").into()
+            }
         };
         self.keys[key].text = Some(Arc::clone(&text));
         Some(text)
     }
 
+    /// A message under way, by its serial number.
+    #[must_use]
+    pub fn message(&self, serial: u32) -> Option<&Message> {
+        self.net.iter().find(|m| m.serial == serial)
+    }
+
     /// Incarnation of a process, dead or alive.
     #[must_use]
     pub fn incarnation(&self, index: usize) -> Incarnation {
