--- a/crates/auburnrouter/src/cli.rs
+++ b/crates/auburnrouter/src/cli.rs
@@ -3,6 +3,7 @@
 //! Invariant: exit codes are those of [`Exit`], for every subcommand.
 
 use std::ffi;
+use std::io::{self, Write};
 use std::process;
 
 use lexopt::ValueExt;
@@ -121,6 +122,12 @@
     println!("\n`auburnrouter COMMAND --help` explains each.\n\n{EXIT_CODES}");
 }
 
+/// Writes to standard output. A reader that has gone, such as `head`, has seen
+/// what it wanted; `println!` would panic.
+pub fn print(text: &str) {
+    let _ = io::stdout().write_all(text.as_bytes());
+}
+
 /// One argument of a subcommand, apart from the parser it came from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Arg {
--- a/crates/intent/src/bundle.rs
+++ b/crates/intent/src/bundle.rs
@@ -4,13 +4,12 @@
 
 use std::sync::Arc;
 
-use jsonc::fault::{Fault, Kind};
+use jsonc::fault::{Fault, Kind, Place};
 use jsonc::nearest;
 use jsonc::node::Node;
-use steer::version::blocks::BlockTable;
 
 use crate::draft::{self, Draft};
-use crate::merge::{self, Merged};
+use crate::merge;
 use crate::plan::{Plan, build};
 use crate::verify;
 
@@ -34,44 +33,65 @@
     pub blocks: Vec<File>,
 }
 
-/// What holds at one site that has an overlay.
+/// A site's overlay.
 #[derive(Clone, Debug)]
-pub struct SitePlan {
+pub struct Overlay {
     /// Name of the site.
     pub site: Arc<str>,
-    /// The merged tree; each value's place says which file it comes from.
-    pub root: Node,
-    /// The plan.
-    pub plan: Plan,
+    /// The overlay's own tree.
+    pub own: Node,
 }
 
 /// A configuration without a fault.
+///
+/// Holds overlays as they were written: merged, a few hundred sites would be a
+/// few hundred copies of the base.
 #[derive(Clone, Debug)]
 pub struct Checked {
     /// The base's tree with its defaults.
     pub root: Node,
     /// What holds where no overlay says otherwise.
-    pub base: Plan,
-    /// Sites with an overlay, sorted by name.
-    pub sites: Vec<SitePlan>,
+    pub base: Arc<Plan>,
+    /// Overlays, sorted by their sites' names.
+    pub overlays: Vec<Overlay>,
 }
 
 impl Checked {
+    /// The merged tree of a site; each value's place says which file it comes
+    /// from.
+    #[must_use]
+    pub fn root_at(&self, site: &str) -> Node {
+        let merged = self.overlay(site).and_then(|overlay| {
+            // The check found no fault in it.
+            merge::merge(&self.root, &overlay.own, &mut Vec::new())
+        });
+        merged.map_or_else(|| self.root.clone(), |merged| merged.root)
+    }
+
     /// What holds at a site.
     #[must_use]
-    pub fn plan_at(&self, site: &str) -> &Plan {
-        let found = self.sites.binary_search_by(|s| (*s.site).cmp(site));
-        found.map_or(&self.base, |i| &self.sites[i].plan)
+    pub fn plan_at(&self, site: &str) -> Arc<Plan> {
+        if self.overlay(site).is_none() {
+            return Arc::clone(&self.base);
+        }
+        let draft = draft::read::draft(&self.root_at(site), &mut Vec::new());
+        let plan = build::plan(&draft, Arc::clone(&self.base.blocks));
+        plan.map_or_else(|| Arc::clone(&self.base), Arc::new)
     }
 
     /// What holds at the entry instances of a failure domain: the overlay of
     /// its first site is theirs.
     #[must_use]
-    pub fn plan_in(&self, domain: &str) -> &Plan {
-        let Some(home) = home(&self.root, domain) else {
-            return &self.base;
-        };
-        self.plan_at(&home)
+    pub fn plan_in(&self, domain: &str) -> Arc<Plan> {
+        match home(&self.root, domain) {
+            Some(site) => self.plan_at(&site),
+            None => Arc::clone(&self.base),
+        }
+    }
+
+    fn overlay(&self, site: &str) -> Option<&Overlay> {
+        let found = self.overlays.binary_search_by(|o| (*o.site).cmp(site));
+        found.ok().map(|i| &self.overlays[i])
     }
 }
 
@@ -119,21 +139,28 @@
         let draft = draft::read::draft(&root, faults);
         verify::verify(&draft, faults);
         let table = table::build(&draft, &self.blocks, faults);
-        let merged: Vec<Merged> = overlays
-            .iter()
-            .filter_map(|overlay| merge::merge(&root, overlay, faults))
-            .collect();
-        report_homeless(&draft, &merged, faults);
-        let drafts: Vec<Draft> = merged.iter().map(|m| redraft(m, faults)).collect();
+        let mut kept: Vec<(Overlay, Place)> = Vec::new();
+        for own in overlays {
+            let Some(merged) = merge::merge(&root, &own, faults) else {
+                continue;
+            };
+            let overlaid = draft::read::draft(&merged.root, faults);
+            verify::overlaid(&overlaid, faults);
+            let site = merged.site;
+            kept.push((Overlay { site, own }, merged.place));
+        }
+        report_homeless(&draft, &kept, faults);
         if !faults.is_empty() {
             return None;
         }
-        let base = build::plan(&draft, Arc::clone(&table))?;
-        let sites = merged.into_iter().zip(&drafts);
-        let sites = sites.map(|(merged, draft)| site_plan(merged, draft, &table));
-        let mut sites = sites.collect::<Option<Vec<SitePlan>>>()?;
-        sites.sort_by(|a, b| a.site.cmp(&b.site));
-        Some(Checked { root, base, sites })
+        let base = Arc::new(build::plan(&draft, table)?);
+        let mut overlays: Vec<Overlay> = kept.into_iter().map(|(overlay, _)| overlay).collect();
+        overlays.sort_by(|a, b| a.site.cmp(&b.site));
+        Some(Checked {
+            root,
+            base,
+            overlays,
+        })
     }
 }
 
@@ -147,34 +174,19 @@
     }
 }
 
-/// Reads and verifies a merged tree. Faults of the base are found once more at
-/// the same places; the caller drops doubles.
-fn redraft(merged: &Merged, faults: &mut Vec<Fault>) -> Draft {
-    let draft = draft::read::draft(&merged.root, faults);
-    verify::overlaid(&draft, faults);
-    draft
-}
-
-fn site_plan(merged: Merged, draft: &Draft, table: &Arc<BlockTable>) -> Option<SitePlan> {
-    Some(SitePlan {
-        plan: build::plan(draft, Arc::clone(table))?,
-        site: merged.site,
-        root: merged.root,
-    })
-}
-
 /// An overlay that no entry instance reads, or that another one hides, would
 /// be accepted and never be in force.
-fn report_homeless(draft: &Draft, merged: &[Merged], faults: &mut Vec<Fault>) {
+fn report_homeless(draft: &Draft, overlays: &[(Overlay, Place)], faults: &mut Vec<Fault>) {
     let domains: Vec<&draft::Domain> = draft.regions.iter().flat_map(|r| &r.domains).collect();
-    for (i, overlay) in merged.iter().enumerate() {
+    for (i, (overlay, place)) in overlays.iter().enumerate() {
         let site = &overlay.site;
-        if let Some(first) = merged[..i].iter().find(|m| m.site == *site) {
+        let same = |other: &&(Overlay, Place)| other.0.site == *site;
+        if let Some((_, first)) = overlays[..i].iter().find(same) {
             faults.push(Fault::new(
-                &overlay.place,
+                place,
                 Kind::Duplicate,
                 format!("site \"{site}\" has two overlays"),
-                format!("join this one with {}", first.place.file),
+                format!("join this one with {}", first.file),
             ));
         }
         let own = |d: &&&draft::Domain| d.sites.iter().any(|s| s.value == *site);
@@ -182,7 +194,7 @@
             let names = domains.iter().flat_map(|d| &d.sites);
             let names: Vec<&str> = names.map(|s| &*s.value).collect();
             faults.push(Fault::new(
-                &overlay.place,
+                place,
                 Kind::Unknown,
                 format!("site \"{site}\" is not in the base"),
                 nearest::remedy(site, names.iter().copied()),
@@ -192,7 +204,7 @@
         let home = &domain.sites[0].value;
         if home != site {
             faults.push(Fault::new(
-                &overlay.place,
+                place,
                 Kind::Redundant,
                 format!(
                     "no entry instance reads the overlay of \"{site}\"; those of \"{}\" read that of \"{home}\"",
--- a/crates/intent/src/bundle/table.rs
+++ b/crates/intent/src/bundle/table.rs
@@ -43,11 +43,11 @@
     let names = build::region_names(draft);
     let mut sources = Vec::new();
     for (line, written) in (0..).zip(&draft.blocks) {
-        let region = blocks::region(&names, &written.region.value);
-        sources.extend(region.map(|region| {
-            let (base, len) = (written.base, written.len);
-            Source::new(Block { base, len, region }, OWN, line)
-        }));
+        let region = written.region.as_ref();
+        let region = region.and_then(|name| blocks::region(&names, &name.value));
+        if let (Some((base, len)), Some(region)) = (written.prefix, region) {
+            sources.push(Source::new(Block { base, len, region }, OWN, line));
+        }
     }
     for (number, file) in (OWN + 1..).zip(files) {
         let lines = blocks::read(&file.name, &file.text, &names, faults);
--- a/crates/intent/src/document.rs
+++ b/crates/intent/src/document.rs
@@ -24,7 +24,7 @@
 pub const BASE: &str = "base";
 
 /// Start of the name of a site's overlay.
-pub const OVERLAY: &str = "overlays/";
+pub const OVERLAY: &str = "overlay/";
 
 /// Start of the name of a chunk of client blocks.
 pub const BLOCKS: &str = "blocks/";
--- a/crates/intent/src/draft.rs
+++ b/crates/intent/src/draft.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariant: every name and number keeps its place, so that the verifier can
 //! point at it. Reading checks types and ranges of single values; how values
-//! fit together is the verifier's matter.
+//! fit together is the verifier's matter. A part that can't be read is `None`, and
+//! the rest of its object stays, so that one fault hides no other.
 
 pub mod read;
 
@@ -48,7 +49,7 @@
     /// Its name.
     pub name: Name,
     /// Share of an instance's queue that it may fill, in percent.
-    pub queue: Spot<u64>,
+    pub queue: Option<Spot<u64>>,
 }
 
 /// A service as written.
@@ -57,37 +58,37 @@
     /// Its name.
     pub name: Name,
     /// Name of its class.
-    pub class: Name,
+    pub class: Option<Name>,
     /// Whether running a request twice does no harm.
-    pub idempotent: bool,
+    pub idempotent: Option<bool>,
     /// Time of a request whose caller states none, in milliseconds.
     pub deadline: u64,
     /// Names of the sites that serve it, and where the list stands.
-    pub sites: Spot<Vec<Name>>,
+    pub sites: Option<Spot<Vec<Name>>>,
 }
 
 /// A link as written.
 #[derive(Clone, Debug)]
 pub struct Link {
     /// Name of the sending region.
-    pub from: Name,
+    pub from: Option<Name>,
     /// Name of the receiving region.
-    pub to: Name,
+    pub to: Option<Name>,
     /// Megabits a second.
-    pub mbit: u64,
+    pub mbit: Option<u64>,
 }
 
 /// A shift as written.
 #[derive(Clone, Debug)]
 pub struct Shift {
     /// Name of the service.
-    pub service: Name,
+    pub service: Option<Name>,
     /// Name of the region whose callers move.
-    pub from: Name,
+    pub from: Option<Name>,
     /// Name of the region that takes them.
-    pub to: Name,
+    pub to: Option<Name>,
     /// Requests a second.
-    pub cap: u64,
+    pub cap: Option<u64>,
     /// Seconds until the cap is reached.
     pub ramp: u64,
 }
@@ -106,14 +107,12 @@
 /// A client block as written.
 #[derive(Clone, Debug)]
 pub struct Block {
-    /// First address.
-    pub base: u32,
-    /// Prefix length.
-    pub len: u8,
+    /// First address and prefix length.
+    pub prefix: Option<(u32, u8)>,
     /// Where the block stands.
     pub place: Place,
     /// Name of its region.
-    pub region: Name,
+    pub region: Option<Name>,
 }
 
 /// A whole base file, or one merged with an overlay.
@@ -136,3 +135,19 @@
     /// Share of a region's callers that one change may move, in percent.
     pub move_percent: u64,
 }
+
+impl Link {
+    /// Both ends, if both could be read.
+    #[must_use]
+    pub fn ends(&self) -> Option<(&Name, &Name)> {
+        self.from.as_ref().zip(self.to.as_ref())
+    }
+}
+
+impl Shift {
+    /// Both ends, if both could be read.
+    #[must_use]
+    pub fn ends(&self) -> Option<(&Name, &Name)> {
+        self.from.as_ref().zip(self.to.as_ref())
+    }
+}
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -34,6 +34,7 @@
             overlays: Vec::new(),
             blocks: Vec::new(),
         };
-        Ok(bundle.check()?.base)
+        let checked = bundle.check()?;
+        Ok(std::sync::Arc::unwrap_or_clone(checked.base))
     }
 }
--- a/crates/intent/src/moves.rs
+++ b/crates/intent/src/moves.rs
@@ -122,7 +122,7 @@
         let (before, after) = (old.plan_at(&site), new.plan_at(&site));
         let region = after.site(&site).map(|s| after.site_region(s));
         let region = region.map(|r| Arc::clone(&after.regions[r].name));
-        moves.extend(sites::moves(before, after, region.as_deref()));
+        moves.extend(sites::moves(&before, &after, region.as_deref()));
     }
     moves.sort();
     moves.dedup_by(|later, first| {
@@ -147,7 +147,7 @@
 
 /// Sites with an overlay on either side.
 fn overlaid(old: &Checked, new: &Checked) -> Vec<Arc<str>> {
-    let both = old.sites.iter().chain(&new.sites);
+    let both = old.overlays.iter().chain(&new.overlays);
     let mut names: Vec<Arc<str>> = both.map(|s| Arc::clone(&s.site)).collect();
     names.sort();
     names.dedup();
