--- a/crates/measure/src/scenarios.rs
+++ b/crates/measure/src/scenarios.rs
@@ -29,6 +29,9 @@
     tuning
 }
 
+/// A case's name, its load as a share of capacity, and what strikes when.
+type Case = (&'static str, f64, Vec<(Duration, Fault)>);
+
 /// Latency and refusals of both engines under load and faults.
 #[must_use]
 pub fn steer(deployment: &'static Deployment, seed: u64, seconds: u64, only: &str) -> String {
@@ -39,7 +42,7 @@
     );
     let span = Duration::from_secs(seconds) + model::WARM_UP;
     let back = BEGIN + Duration::from_secs(10);
-    let cases: Vec<(&str, f64, Vec<(Duration, Fault)>)> = vec![
+    let cases: Vec<Case> = vec![
         ("load-0.5", 0.5, vec![]),
         ("load-0.9", 0.9, vec![]),
         ("load-1.2", 1.2, vec![]),
