--- a/crates/auburnrouter/src/daemon.rs
+++ b/crates/auburnrouter/src/daemon.rs
@@ -192,7 +192,7 @@
             domain: Arc::clone(&settings.domain),
         };
         let limits = gate::Limits::default();
-        let decide = traffic::Traffic::new(home, incarnation, limits, fastrand::Rng::new());
+        let decide = traffic::Traffic::new(home.clone(), incarnation, limits, fastrand::Rng::new());
         let executor = Arc::clone(traffic.executor());
         let idle = settings.limits.target_connections();
         let means = engine::Means {
@@ -201,7 +201,7 @@
             peers: self.peering(executor, peers::Lane::Traffic),
             store: Arc::clone(&store),
         };
-        let engine = engine::Engine::new(decide, incarnation, means);
+        let engine = engine::Engine::new(decide, home, incarnation, means);
         let parts = control::Parts {
             settings: settings.clone(),
             addresses: self.addresses.clone(),
--- a/crates/auburnrouter/src/daemon/callers.rs
+++ b/crates/auburnrouter/src/daemon/callers.rs
@@ -9,7 +9,7 @@
 //! Invariant: every answer says by its `Outcome` header whether the request
 //! ran; a request that isn't received whole is never passed on.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -107,12 +107,7 @@
             let reason = outcome::Reason::BadRequest;
             return self.refuse(conn, outcome::Refusal::not_run(reason, None));
         };
-        let region = match addr {
-            IpAddr::V4(v4) => snapshot.view.blocks.region(v4),
-            IpAddr::V6(v6) => v6
-                .to_ipv4_mapped()
-                .and_then(|a: Ipv4Addr| snapshot.view.blocks.region(a)),
-        };
+        let region = region(&snapshot.view, addr);
         let caller = header(&conn, headers::CALLER).map_or_else(
             || lookup::hash_bytes(addr.to_string().as_bytes()),
             |name| lookup::hash_bytes(name.as_bytes()),
@@ -152,7 +147,10 @@
             return self.refuse(conn, refusal);
         };
         peer.serving.begin();
-        let request = inbound(&conn, peer.ip, rest, body);
+        let request = Inbound {
+            home: self.home(peer.ip),
+            ..inbound(&conn, peer.ip, rest, body)
+        };
         let served = self.engine.serve(request, terms);
         match conn.cancel_on_disconnect(served).await {
             Some(settled) => {
@@ -171,9 +169,16 @@
         Some(Terms {
             deadline,
             origin: arrival::Origin::Caller,
+            via: None,
         })
     }
 
+    fn home(&self, ip: IpAddr) -> Option<Arc<str>> {
+        let snapshot = self.snapshot.load();
+        let region = region(&snapshot.view, ip)?;
+        Some(Arc::clone(&snapshot.view.regions[region].name))
+    }
+
     fn refuse(&self, conn: Conn, refusal: outcome::Refusal) -> Conn {
         self.metrics.settled(&Err(refusal));
         reply::refused(conn, &refusal)
@@ -190,6 +195,14 @@
     }
 }
 
+/// Region whose client block holds an address.
+fn region(view: &view::View, ip: IpAddr) -> Option<view::Region> {
+    match ip {
+        IpAddr::V4(v4) => view.blocks.region(v4),
+        IpAddr::V6(v6) => view.blocks.region(v6.to_ipv4_mapped()?),
+    }
+}
+
 fn choice(view: &view::View, member: view::Member) -> Choice<'_> {
     let data = &view.members[member];
     Choice {
@@ -214,6 +227,7 @@
         body: body.into(),
         caller: header(conn, headers::CALLER).map_or_else(|| ip.to_string().into(), cut),
         key: header(conn, headers::IDEMPOTENCY_KEY).map(Arc::from),
+        home: None,
     }
 }
 
--- a/crates/auburnrouter/src/daemon/engine.rs
+++ b/crates/auburnrouter/src/daemon/engine.rs
@@ -33,12 +33,14 @@
 const SUSPECT_TIME: Duration = Duration::from_millis(500);
 
 /// What the drivers give the decisions about a request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Terms {
     /// Time the caller allows, if it said.
     pub deadline: Option<Duration>,
     /// Where the request came from.
     pub origin: arrival::Origin,
+    /// Name of the region of the peer that passed it on.
+    pub via: Option<Arc<str>>,
 }
 
 /// What errands are run with.
@@ -61,6 +63,8 @@
     this: Weak<Self>,
     prefix: ArcSwapOption<String>,
     others: ArcSwap<Vec<SocketAddr>>,
+    home: dispatch::Home,
+    region: ArcSwapOption<Arc<str>>,
     inner: Mutex<Inner>,
 }
 
@@ -85,6 +89,7 @@
     #[must_use]
     pub fn new(
         decide: traffic::Traffic,
+        home: dispatch::Home,
         incarnation: view::Incarnation,
         means: Means,
     ) -> Arc<Self> {
@@ -95,6 +100,8 @@
             this: Weak::clone(this),
             prefix: ArcSwapOption::empty(),
             others: ArcSwap::default(),
+            home,
+            region: ArcSwapOption::empty(),
             inner: Mutex::new(Inner::new(decide)),
         })
     }
@@ -140,6 +147,11 @@
         let others = others.filter(|m| m.incarnation != self.incarnation);
         let others = others.map(|m| m.peer).collect();
         self.others.store(Arc::new(others));
+        let region = view.domain(&self.home.domain).map(|domain| {
+            let region = view.domains[domain].region;
+            Arc::new(Arc::clone(&view.regions[region].name))
+        });
+        self.region.store(region);
         self.handle(&mut self.lock(), traffic::Event::View(view));
     }
 
@@ -197,6 +209,8 @@
             deadline: terms.deadline,
             bytes: request.bytes(),
             origin: terms.origin,
+            home: request.home.clone(),
+            via: terms.via,
         };
         inner.admit(id, request, mailbox);
         self.handle(&mut inner, traffic::Event::Arrive(arrival));
--- a/crates/auburnrouter/src/daemon/engine/errand.rs
+++ b/crates/auburnrouter/src/daemon/engine/errand.rs
@@ -11,7 +11,7 @@
 
 use super::{Engine, claim};
 use crate::daemon::inbound::Inbound;
-use crate::daemon::outbound;
+use crate::daemon::{outbound, peers};
 
 /// What is to be done.
 pub enum Kind {
@@ -108,8 +108,10 @@
                 engine.ended(id, attempt, &place, ended);
             }
             Kind::Forward { id, addr, request } => {
-                let peers = &engine.means.peers;
-                let ending = peers.forward(addr, &request, budget, true).await;
+                let calls = &engine.means.peers;
+                let ending = calls
+                    .forward(addr, &request, budget, engine.hop(true))
+                    .await;
                 engine.report(traffic::Event::Forwarded { id, ending });
             }
             Kind::Ask {
@@ -160,8 +162,9 @@
                 self.means.outbound.send(attempt).await
             }
             dispatch::Place::Member { peer, .. } => {
-                let peers = &self.means.peers;
-                peers.forward(*peer, request, budget, false).await.into()
+                let calls = &self.means.peers;
+                let ending = calls.forward(*peer, request, budget, self.hop(false)).await;
+                ending.into()
             }
         }
     }
@@ -193,6 +196,13 @@
         drop(flight);
     }
 
+    /// What a peer is told of a hop.
+    fn hop(&self, owned: bool) -> peers::Hop {
+        let region = self.region.load();
+        let via = region.as_ref().map(|name| Arc::clone(&**name));
+        peers::Hop { owned, via }
+    }
+
     fn report(&self, event: traffic::Event) {
         self.handle(&mut self.lock(), event);
     }
--- a/crates/auburnrouter/src/daemon/inbound.rs
+++ b/crates/auburnrouter/src/daemon/inbound.rs
@@ -22,6 +22,8 @@
     pub caller: Arc<str>,
     /// Idempotency key, if any.
     pub key: Option<Arc<str>>,
+    /// Name of the region whose caller sent it, if known.
+    pub home: Option<Arc<str>>,
 }
 
 impl Inbound {
--- a/crates/auburnrouter/src/daemon/peers.rs
+++ b/crates/auburnrouter/src/daemon/peers.rs
@@ -83,6 +83,15 @@
     Control,
 }
 
+/// What the other end is told of a request's hop.
+#[derive(Clone, Debug)]
+pub struct Hop {
+    /// Whether it is asked as the owner of the request's key.
+    pub owned: bool,
+    /// Name of this process's region, if known.
+    pub via: Option<Arc<str>>,
+}
+
 /// Bytes and messages of control sent by this process.
 #[derive(Debug, Default)]
 pub struct Counts {
@@ -153,16 +162,15 @@
         &self.counts
     }
 
-    /// Passes a request on and waits for what becomes of it. `owned` says that
-    /// the other end is asked as the owner of the request's key.
+    /// Passes a request on and waits for what becomes of it.
     pub async fn forward(
         &self,
         addr: SocketAddr,
         request: &Inbound,
         budget: Duration,
-        owned: bool,
+        hop: Hop,
     ) -> dispatch::Ending {
-        let forward = outgoing(request, budget, owned);
+        let forward = outgoing(request, budget, hop);
         let Some(client) = self.client(addr).await else {
             return dispatch::Ending::Unreachable;
         };
@@ -335,7 +343,7 @@
     context
 }
 
-fn outgoing(request: &Inbound, budget: Duration, owned: bool) -> peer::Forward {
+fn outgoing(request: &Inbound, budget: Duration, hop: Hop) -> peer::Forward {
     let header = |(name, value): &(Arc<str>, Arc<str>)| peer::Header {
         name: name.as_ref().to_owned(),
         value: value.as_ref().to_owned(),
@@ -349,7 +357,9 @@
         caller: request.caller.as_ref().to_owned(),
         key: request.key.as_deref().map(str::to_owned),
         deadline_ms: u64::try_from(budget.as_millis()).unwrap_or(u64::MAX),
-        owned,
+        owned: hop.owned,
+        home: request.home.as_deref().map(str::to_owned),
+        via: hop.via.as_deref().map(str::to_owned),
     }
 }
 
@@ -446,6 +456,7 @@
         let terms = Terms {
             deadline: Some(Duration::from_millis(forward.deadline_ms)),
             origin,
+            via: forward.via.as_deref().map(Arc::from),
         };
         let settled = self.engine.serve(incoming(forward), terms).await;
         peer::Forwarded::from(&settled)
@@ -510,5 +521,6 @@
         body: forward.body.into(),
         caller: forward.caller.into(),
         key: forward.key.map(Into::into),
+        home: forward.home.map(Into::into),
     }
 }
--- a/crates/explorer/src/speed.rs
+++ b/crates/explorer/src/speed.rs
@@ -106,6 +106,8 @@
             deadline: None,
             bytes: 1000,
             origin: Origin::Caller,
+            home: None,
+            via: None,
         };
         self.feed(now, Event::Arrive(arrival));
         self.follow(now, id);
--- a/crates/explorer/src/world.rs
+++ b/crates/explorer/src/world.rs
@@ -242,6 +242,8 @@
             deadline: Some(scene::DEADLINE),
             bytes: 100,
             origin,
+            home: None,
+            via: None,
         };
         self.feed(index, Event::Arrive(arrival));
     }
--- a/crates/measure/src/model.rs
+++ b/crates/measure/src/model.rs
@@ -496,6 +496,8 @@
             deadline: Some(Duration::from_secs(spec.deadline)),
             bytes: 500,
             origin: Origin::Caller,
+            home: None,
+            via: None,
         };
         self.tell(request.entry, Event::Arrive(arrival));
     }
@@ -621,6 +623,8 @@
             deadline: Some(budget.saturating_sub(way * 2)),
             bytes: 500,
             origin: Origin::Peer,
+            home: None,
+            via: None,
         };
         // The peer decides on arrival; the model lets the way there pass with
         // the way back, which no decision can tell apart.
--- a/crates/steer/src/request/arrival.rs
+++ b/crates/steer/src/request/arrival.rs
@@ -61,4 +61,10 @@
     pub bytes: u64,
     /// Where it came from.
     pub origin: Origin,
+    /// Name of the region whose caller sent it; `None` if its block is unknown,
+    /// and then the caller counts as one of the instance's own region.
+    pub home: Option<Arc<str>>,
+    /// Name of the region of the peer that passed it on; the answer goes back
+    /// over the link to it.
+    pub via: Option<Arc<str>>,
 }
--- a/crates/steer/tests/dispatch_invariants.rs
+++ b/crates/steer/tests/dispatch_invariants.rs
@@ -192,6 +192,8 @@
                     deadline: Some(Duration::from_millis(within)),
                     bytes: 1,
                     origin: if peer { Origin::Peer } else { Origin::Caller },
+                    home: None,
+                    via: None,
                 }));
             }
             Step::End { nth, how } if !self.out.is_empty() => {
--- a/crates/steer/tests/dispatch_scenarios/script.rs
+++ b/crates/steer/tests/dispatch_scenarios/script.rs
@@ -158,6 +158,8 @@
                 deadline: option("within=").map(span_of),
                 bytes: 100,
                 origin: if peer { Origin::Peer } else { Origin::Caller },
+                home: None,
+                via: None,
             }));
         }
     }
--- a/crates/steer/tests/gate_scenarios/bench.rs
+++ b/crates/steer/tests/gate_scenarios/bench.rs
@@ -153,6 +153,8 @@
             fingerprint: Fingerprint(u128::from(line.number("body").unwrap_or(0))),
             deadline: line.number("ms").map(Duration::from_millis),
             bytes: 100,
+            home: None,
+            via: None,
             origin: match line.get("from") {
                 Some("forward") => Origin::Forward,
                 Some("peer") => Origin::Peer,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -39,6 +39,10 @@
     /// Whether the receiver is asked as the key's owner, and not just to run
     /// what the sender has already guarded.
     pub owned: bool,
+    /// Region of the caller, if known.
+    pub home: Option<String>,
+    /// Region of the sender.
+    pub via: Option<String>,
 }
 
 /// How many targets broke under a request.
