--- a/crates/auburnrouter/src/cmd.rs
+++ b/crates/auburnrouter/src/cmd.rs
@@ -4,6 +4,7 @@
 mod check;
 pub mod client;
 mod diff;
+mod drain;
 mod dump;
 mod entry;
 mod files;
@@ -11,6 +12,7 @@
 mod lookup;
 mod report;
 mod show;
+mod status;
 
 use crate::cli::Command;
 
@@ -21,6 +23,9 @@
     diff::COMMAND,
     apply::COMMAND,
     show::COMMAND,
+    drain::COMMAND,
+    drain::REVERSE,
+    status::COMMAND,
     lookup::COMMAND,
     dump::COMMAND,
 ];
