--- a/crates/intent/src/document.rs
+++ b/crates/intent/src/document.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 use sha2::{Digest, Sha256};
-use steer::process::config::{Change, File as Reference, Hash, Head, RECENT};
+use steer::process::config::{File as Reference, Hash, Head, RECENT};
 use steer::version::view::Version;
 
 use crate::bundle::{Bundle, File};
@@ -136,31 +136,6 @@
     }
 }
 
-/// The head that puts `documents` in force after `parent`, the head in force,
-/// or as the first one.
-///
-/// # Errors
-/// The change's id is outside its bounds.
-pub fn next(parent: Option<&Head>, change: &str, documents: &[Document]) -> Result<Head, Error> {
-    let before = parent.map_or(Version(0), |head| head.version);
-    let version = Version(before.0 + 1);
-    let id = change.into();
-    let mut recent = vec![Change { version, id }];
-    recent.extend(parent.iter().flat_map(|head| head.recent.iter().cloned()));
-    recent.truncate(RECENT);
-    let reference = |document: &Document| Reference {
-        name: Arc::clone(&document.name),
-        hash: document.hash,
-    };
-    let head = Head {
-        version,
-        recent,
-        files: documents.iter().map(reference).collect(),
-    };
-    verify(&head)?;
-    Ok(head)
-}
-
 /// Documents whose bodies no file of the head in force has: what a writer must
 /// send. A body is sent before the head that names it.
 pub fn unsent<'a>(
--- a/crates/intent/src/document/chunk.rs
+++ b/crates/intent/src/document/chunk.rs
@@ -44,17 +44,6 @@
     })
 }
 
-/// Replaces the block files among a configuration's files by their chunks; the
-/// files are named as in a head, and stay sorted by name.
-#[must_use]
-pub fn recut(files: Vec<File>) -> Vec<File> {
-    let is_block = |file: &File| file.name.starts_with(super::BLOCKS);
-    let (blocks, mut files): (Vec<File>, Vec<File>) = files.into_iter().partition(is_block);
-    files.extend(chunks(&blocks));
-    files.sort_by(|a, b| a.name.cmp(&b.name));
-    files
-}
-
 /// Cuts the range that starts at `base` and shares its first `depth` bits.
 /// A single address holds at most 33 blocks, so that it is never cut.
 fn cut(rows: &[Row<'_>], base: u32, depth: u32, chunks: &mut Vec<File>) {
