Compare and verify a large fleet's files without squares

Change: only what an overlay states can differ from the base, so only that is listed; plans are merged only for overlays that state sites or caps; shifts are checked by binary search. Ruled out: a cache of merged plans, which a process has no room for.

--- a/crates/intent/src/bundle.rs
+++ b/crates/intent/src/bundle.rs
@@ -6,7 +6,7 @@
 
 use jsonc::fault::{Fault, Kind, Place};
 use jsonc::nearest;
-use jsonc::node::Node;
+use jsonc::node::{Node, Value};
 
 use crate::draft::{self, Draft};
 use crate::merge;
@@ -42,6 +42,24 @@
     pub own: Node,
 }
 
+impl Overlay {
+    /// Whether it states anything that traffic moves by: sites or caps.
+    #[must_use]
+    pub fn steers(&self) -> bool {
+        let services = self.own.get("services").map(|node| &node.value);
+        let sites = match services {
+            Some(Value::Object(fields)) => fields.iter().any(|f| f.node.get("sites").is_some()),
+            _ => false,
+        };
+        let shifts = self.own.get("shifts").map(|node| &node.value);
+        let caps = match shifts {
+            Some(Value::List(items)) => items.iter().any(|i| i.get("cap_per_s").is_some()),
+            _ => false,
+        };
+        sites || caps
+    }
+}
+
 /// A configuration without a fault.
 ///
 /// Holds overlays as they were written: merged, a few hundred sites would be a
@@ -89,7 +107,9 @@
         }
     }
 
-    fn overlay(&self, site: &str) -> Option<&Overlay> {
+    /// The overlay of a site, if it has one.
+    #[must_use]
+    pub fn overlay(&self, site: &str) -> Option<&Overlay> {
         let found = self.overlays.binary_search_by(|o| (*o.site).cmp(site));
         found.ok().map(|i| &self.overlays[i])
     }
--- a/crates/intent/src/diff.rs
+++ b/crates/intent/src/diff.rs
@@ -10,6 +10,9 @@
 use crate::moves::{self, Move};
 use crate::plan::Plan;
 
+/// Field of an overlay that says whose it is.
+const SITE: &str = "site";
+
 /// One setting that a change adds, removes or alters.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Changed {
@@ -48,15 +51,13 @@
 /// Compares two configurations.
 #[must_use]
 pub fn diff(old: &Checked, new: &Checked) -> Diff {
-    let base = changes(&listing::settings(&old.root), &listing::settings(&new.root));
-    let mut changed = base.clone();
+    let before = sorted(listing::settings(&old.root));
+    let after = sorted(listing::settings(&new.root));
+    let mut changed = changes(&before, &after);
     for site in sites(old, new) {
-        let own = changes(&settings_at(old, &site), &settings_at(new, &site));
-        let differing = own.into_iter().filter(|c| !base.contains(c));
-        changed.extend(differing.map(|c| Changed {
-            site: Some(site.clone()),
-            ..c
-        }));
+        let old = Stated::new(old, &site, &before);
+        let new = Stated::new(new, &site, &after);
+        changed.extend(changes_at(&site, &old, &new));
     }
     Diff {
         changed,
@@ -79,8 +80,55 @@
     before.eq(after)
 }
 
-fn settings_at(checked: &Checked, site: &str) -> Vec<Setting> {
-    listing::settings(&checked.root_at(site))
+/// What one version states for a site. Only what an overlay states can differ
+/// from the base, so that no site's whole result need be listed.
+struct Stated<'a> {
+    own: Vec<Setting>,
+    base: &'a [Setting],
+}
+
+impl<'a> Stated<'a> {
+    fn new(checked: &Checked, site: &str, base: &'a [Setting]) -> Self {
+        let own = checked.overlay(site);
+        let own = own.map_or(Vec::new(), |overlay| listing::settings(&overlay.own));
+        Self {
+            own: sorted(own),
+            base,
+        }
+    }
+
+    fn value(&self, path: &str) -> Option<&String> {
+        find(&self.own, path).or_else(|| find(self.base, path))
+    }
+
+    /// Whether the value at the site is the base's.
+    fn inherits(&self, path: &str) -> bool {
+        self.value(path) == find(self.base, path)
+    }
+}
+
+fn find<'a>(settings: &'a [Setting], path: &str) -> Option<&'a String> {
+    let found = settings.binary_search_by(|s| (*s.path).cmp(path));
+    found.ok().map(|i| &settings[i].value)
+}
+
+fn changes_at(site: &str, old: &Stated<'_>, new: &Stated<'_>) -> Vec<Changed> {
+    let both = old.own.iter().chain(&new.own);
+    let mut paths: Vec<&str> = both.map(|s| &*s.path).collect();
+    paths.sort_unstable();
+    paths.dedup();
+    let differing = paths.into_iter().filter(|path| {
+        let followed = old.inherits(path) && new.inherits(path);
+        *path != SITE && !followed && old.value(path) != new.value(path)
+    });
+    differing
+        .map(|path| Changed {
+            site: Some(site.to_owned()),
+            path: path.to_owned(),
+            old: old.value(path).cloned(),
+            new: new.value(path).cloned(),
+        })
+        .collect()
 }
 
 fn sites(old: &Checked, new: &Checked) -> Vec<String> {
@@ -93,7 +141,6 @@
 
 /// Settings whose value differs, by a merge of the two sorted lists.
 fn changes(old: &[Setting], new: &[Setting]) -> Vec<Changed> {
-    let (old, new) = (sorted(old), sorted(new));
     let mut changed = Vec::new();
     let (mut i, mut j) = (0, 0);
     while i < old.len() || j < new.len() {
@@ -121,10 +168,9 @@
     changed
 }
 
-fn sorted(settings: &[Setting]) -> Vec<&Setting> {
-    let mut sorted: Vec<&Setting> = settings.iter().collect();
-    sorted.sort_by(|a, b| a.path.cmp(&b.path));
-    sorted
+fn sorted(mut settings: Vec<Setting>) -> Vec<Setting> {
+    settings.sort_by(|a, b| a.path.cmp(&b.path));
+    settings
 }
 
 impl fmt::Display for Diff {
--- a/crates/intent/src/moves.rs
+++ b/crates/intent/src/moves.rs
@@ -145,9 +145,10 @@
     moves
 }
 
-/// Sites with an overlay on either side.
+/// Sites with an overlay on either side that traffic moves by.
 fn overlaid(old: &Checked, new: &Checked) -> Vec<Arc<str>> {
     let both = old.overlays.iter().chain(&new.overlays);
+    let both = both.filter(|overlay| overlay.steers());
     let mut names: Vec<Arc<str>> = both.map(|s| Arc::clone(&s.site)).collect();
     names.sort();
     names.dedup();
--- a/crates/intent/src/verify.rs
+++ b/crates/intent/src/verify.rs
@@ -6,6 +6,7 @@
 mod flows;
 mod names;
 mod places;
+mod shifts;
 
 use jsonc::fault::Fault;
 
@@ -26,7 +27,7 @@
     places::verify(draft, faults);
     flows::services(draft, faults);
     flows::links(draft, faults);
-    flows::shifts(draft, faults);
+    shifts::verify(draft, faults);
     flows::drain(draft, faults);
     flows::blocks(draft, faults);
 }
--- a/crates/intent/src/verify/flows.rs
+++ b/crates/intent/src/verify/flows.rs
@@ -1,11 +1,11 @@
-//! Checks on what flows: services, links, shifts, drains, client blocks.
+//! Checks on services, links, drains and client blocks.
 
 use std::net::Ipv4Addr;
 
 use jsonc::fault::{Fault, Kind};
 
 use super::{names, places};
-use crate::draft::{Block, Draft, Link, Name, Service, Shift};
+use crate::draft::{Block, Draft, Link, Name};
 
 pub(super) fn services(draft: &Draft, faults: &mut Vec<Fault>) {
     let sites = names::sorted(places::sites(draft));
@@ -37,14 +37,13 @@
 
 pub(super) fn links(draft: &Draft, faults: &mut Vec<Fault>) {
     let regions = names::sorted(draft.regions.iter().map(|r| &r.name));
-    for (i, link) in draft.links.iter().enumerate() {
+    for link in &draft.links {
         for region in link.from.iter().chain(&link.to) {
             names::known("region", region, &regions, faults);
         }
-        let Some((from, to)) = link.ends() else {
-            continue;
-        };
-        if from.value == to.value {
+        if let Some((from, to)) = link.ends()
+            && from.value == to.value
+        {
             faults.push(Fault::new(
                 &to.place,
                 Kind::Conflict,
@@ -52,120 +51,12 @@
                 "name two regions; traffic within a region has no link",
             ));
         }
-        let first = draft.links[..i].iter().find(|other| joins(other, from, to));
-        if let Some(first) = first.and_then(|first| first.from.as_ref()) {
-            faults.push(Fault::new(
-                &from.place,
-                Kind::Duplicate,
-                format!("link {} -> {} stands twice", from.value, to.value),
-                format!("keep this one or the one at {}", first.place),
-            ));
-        }
-    }
-}
-
-fn joins(link: &Link, from: &Name, to: &Name) -> bool {
-    link.ends()
-        .is_some_and(|own| own.0.value == from.value && own.1.value == to.value)
-}
-
-pub(super) fn shifts(draft: &Draft, faults: &mut Vec<Fault>) {
-    let regions = names::sorted(draft.regions.iter().map(|r| &r.name));
-    let services = names::sorted(draft.services.iter().map(|s| &s.name));
-    for (i, shift) in draft.shifts.iter().enumerate() {
-        if let Some(service) = &shift.service {
-            names::known("service", service, &services, faults);
-        }
-        for region in shift.from.iter().chain(&shift.to) {
-            names::known("region", region, &regions, faults);
-        }
-        report_twice(shift, &draft.shifts[..i], faults);
-        let Some((from, to)) = shift.ends() else {
-            continue;
-        };
-        let known = |name: &Name| regions.binary_search(&&*name.value).is_ok();
-        if !known(from) || !known(to) {
-            continue;
-        }
-        if from.value == to.value {
-            faults.push(Fault::new(
-                &to.place,
-                Kind::Conflict,
-                format!("shift from \"{}\" to itself", from.value),
-                "name another region, or remove the shift",
-            ));
-            continue;
-        }
-        report_unlinked(from, to, draft, faults);
-        if let Some(service) = &shift.service {
-            report_unserved(service, to, draft, faults);
-        }
-    }
-}
-
-/// What tells shifts apart, if all of it could be read.
-fn key(shift: &Shift) -> Option<[&str; 3]> {
-    let (from, to) = shift.ends()?;
-    Some([&shift.service.as_ref()?.value, &from.value, &to.value])
-}
-
-fn report_twice(shift: &Shift, before: &[Shift], faults: &mut Vec<Fault>) {
-    let Some(own) = key(shift) else {
-        return;
-    };
-    let first = before.iter().find(|other| key(other) == Some(own));
-    let first = first.and_then(|first| first.service.as_ref());
-    let Some((service, first)) = shift.service.as_ref().zip(first) else {
-        return;
-    };
-    let [name, from, to] = own;
-    faults.push(Fault::new(
-        &service.place,
-        Kind::Duplicate,
-        format!("shift of \"{name}\" {from} -> {to} stands twice"),
-        format!("keep this one or the one at {}", first.place),
-    ));
-}
-
-fn report_unlinked(from: &Name, to: &Name, draft: &Draft, faults: &mut Vec<Fault>) {
-    if draft.links.iter().any(|link| joins(link, from, to)) {
-        return;
-    }
-    let place = &to.place;
-    let (from, to) = (&from.value, &to.value);
-    faults.push(Fault::new(
-        place,
-        Kind::Conflict,
-        format!("no link {from} -> {to} for this shift"),
-        format!("add {{\"from\": \"{from}\", \"to\": \"{to}\", \"mbit\": …}} to \"links\""),
-    ));
-}
-
-fn report_unserved(service: &Name, to: &Name, draft: &Draft, faults: &mut Vec<Fault>) {
-    let own = |s: &&Service| s.name.value == service.value;
-    let served = draft.services.iter().find(own);
-    let sites = served.and_then(|s| s.sites.as_ref());
-    if sites.is_some_and(|sites| !reach(&sites.value, to, draft)) {
-        faults.push(Fault::new(
-            &to.place,
-            Kind::Conflict,
-            format!(
-                "region \"{}\" has no site that serves \"{}\"",
-                to.value, service.value
-            ),
-            "add a site there to the service, or remove the shift",
-        ));
     }
-}
-
-/// Whether one of the sites lies in the region.
-fn reach(sites: &[Name], region: &Name, draft: &Draft) -> bool {
-    let own = draft
-        .regions
-        .iter()
-        .filter(|r| r.name.value == region.value);
-    let mut places = own.flat_map(|r| &r.domains).flat_map(|d| &d.sites);
-    places.any(|place| sites.iter().any(|site| site.value == place.value))
+    let ends = draft.links.iter().filter_map(Link::ends);
+    let keys = ends.map(|(from, to)| ([&*from.value, &*to.value], &from.place));
+    names::unique_keys(keys.collect(), faults, |[from, to]| {
+        format!("link {from} -> {to} stands twice")
+    });
 }
 
 pub(super) fn drain(draft: &Draft, faults: &mut Vec<Fault>) {
--- a/crates/intent/src/verify/names.rs
+++ b/crates/intent/src/verify/names.rs
@@ -1,6 +1,6 @@
 //! Checks on lists of names.
 
-use jsonc::fault::{Fault, Kind};
+use jsonc::fault::{Fault, Kind, Place};
 use jsonc::nearest;
 
 use crate::draft::Name;
@@ -21,6 +21,22 @@
     }
 }
 
+/// Reports each key that stands more than once; `message` says what is twice.
+pub fn unique_keys<const N: usize>(
+    mut keys: Vec<([&str; N], &Place)>,
+    faults: &mut Vec<Fault>,
+    message: impl Fn([&str; N]) -> String,
+) {
+    keys.sort_unstable();
+    for pair in keys.windows(2) {
+        let ((first, earlier), (second, place)) = (pair[0], pair[1]);
+        if first == second {
+            let remedy = format!("keep this one or the one at {earlier}");
+            faults.push(Fault::new(place, Kind::Duplicate, message(second), remedy));
+        }
+    }
+}
+
 /// Reports `name` unless it is one of `known`, which are sorted.
 pub fn known(what: &str, name: &Name, known: &[&str], faults: &mut Vec<Fault>) -> bool {
     let found = known.binary_search(&&*name.value).is_ok();
