Count callers of renamed and removed regions as moved

Cause: block moves were counted between regions that both versions name, so a change that renamed a region, or took its callers' blocks out, moved all of them unjudged.

--- a/crates/intent/src/bundle.rs
+++ b/crates/intent/src/bundle.rs
@@ -227,7 +227,7 @@
                 place,
                 Kind::Redundant,
                 format!(
-                    "no entry instance reads the overlay of \"{site}\"; those of \"{}\" read that of \"{home}\"",
+                    "no entry instance reads the overlay of \"{site}\", those in domain \"{}\" read that of \"{home}\"",
                     domain.name.value
                 ),
                 format!("state it for \"{home}\""),
--- a/crates/intent/src/moves.rs
+++ b/crates/intent/src/moves.rs
@@ -91,18 +91,29 @@
     pub to: Option<Arc<str>>,
     /// Why.
     pub cause: Cause,
-    /// Share of the traffic of `from`'s callers.
+    /// Share of the traffic of [`Move::home`]'s callers.
     pub share: Permille,
     /// Cap that the new version states for this service and pair of regions.
     pub cap: Option<u64>,
 }
 
+impl Move {
+    /// Name of the region whose callers they are.
+    #[must_use]
+    pub fn home(&self) -> &Arc<str> {
+        match (self.cause, &self.to) {
+            (Cause::Home, Some(to)) => to,
+            _ => &self.from,
+        }
+    }
+}
+
 impl fmt::Display for Move {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let to = self.to.as_deref().unwrap_or(judge::NOWHERE);
         write!(f, "{} {} -> {to}: ", self.service, self.from)?;
         if !matches!(self.cause, Cause::Cap { .. }) {
-            write!(f, "up to {} of its callers, ", self.share)?;
+            write!(f, "up to {} of {}'s callers, ", self.share, self.home())?;
         }
         write!(f, "{}", self.cause)?;
         match (self.cause, self.cap) {
--- a/crates/intent/src/moves/blocks.rs
+++ b/crates/intent/src/moves/blocks.rs
@@ -6,49 +6,53 @@
 use steer::version::blocks::BlockTable;
 use steer::version::view::Region;
 
-use super::{Cause, Move, Permille, cap, regions};
+use super::{Cause, Move, Permille, cap};
 use crate::plan::Plan;
 
 /// Addresses counted by their region in the old version (row) and in the new
-/// one (column). Regions that only one version has count as "no region".
+/// one (column); the last column is "no region".
 struct Counts {
-    size: usize,
+    columns: usize,
     cells: Vec<u64>,
-    rows: Vec<u64>,
 }
 
 impl Counts {
-    fn new(size: usize) -> Self {
+    fn new(old: &Plan, new: &Plan) -> Self {
+        let columns = new.regions.len() + 1;
         Self {
-            size,
-            cells: vec![0; size * size],
-            rows: vec![0; size],
+            columns,
+            cells: vec![0; old.regions.len() * columns],
         }
     }
 
-    fn add(&mut self, old: Option<usize>, new: Option<usize>, addresses: u64) {
-        let Some(row) = old else {
-            return;
-        };
-        self.rows[row] += addresses;
-        if let Some(column) = new {
-            self.cells[row * self.size + column] += addresses;
+    fn add(&mut self, old: Option<Region>, new: Option<Region>, addresses: u64) {
+        let column = new.map_or(self.columns - 1, Region::index);
+        if let Some(row) = old.map(Region::index) {
+            self.cells[row * self.columns + column] += addresses;
         }
     }
+
+    fn row(&self, region: Region) -> &[u64] {
+        let start = region.index() * self.columns;
+        &self.cells[start..start + self.columns]
+    }
 }
 
 pub(super) fn moves(old: &Plan, new: &Plan) -> Vec<Move> {
-    let common = regions(old, new);
-    let counts = count(&old.blocks, &new.blocks, &common);
+    if Arc::ptr_eq(&old.blocks, &new.blocks) && old.regions == new.regions {
+        return Vec::new();
+    }
+    let counts = count(old, new);
     let mut moves = Vec::new();
-    for (row, &(before, _)) in common.iter().enumerate() {
-        for (column, &(_, after)) in common.iter().enumerate() {
-            let addresses = counts.cells[row * counts.size + column];
-            if row == column || addresses == 0 {
-                continue;
+    for (region, data) in old.regions.iter() {
+        let row = counts.row(region);
+        let whole = row.iter().sum();
+        let columns = new.regions.values().map(|r| Some(&r.name)).chain([None]);
+        for (to, &addresses) in columns.zip(row) {
+            if addresses > 0 && to != Some(&data.name) {
+                let share = Permille::of(addresses, whole);
+                push(&mut moves, new, &data.name, to, share);
             }
-            let share = Permille::of(addresses, counts.rows[row]);
-            push(&mut moves, old, new, (before, after), share);
         }
     }
     moves
@@ -57,38 +61,33 @@
 /// A caller's region is the same for all services, so each of them moves.
 fn push(
     moves: &mut Vec<Move>,
-    old: &Plan,
     new: &Plan,
-    (from, to): (Region, Region),
+    from: &Arc<str>,
+    to: Option<&Arc<str>>,
     share: Permille,
 ) {
-    let from = &old.regions[from].name;
-    let to = &new.regions[to].name;
     for service in new.services.values() {
         moves.push(Move {
             service: Arc::clone(&service.name),
             from: Arc::clone(from),
-            to: Some(Arc::clone(to)),
+            to: to.cloned(),
             cause: Cause::Blocks,
             share,
-            cap: cap(new, &service.name, from, to),
+            cap: to.and_then(|to| cap(new, &service.name, from, to)),
         });
     }
 }
 
-fn count(old: &BlockTable, new: &BlockTable, common: &[(Region, Region)]) -> Counts {
-    let mut counts = Counts::new(common.len());
-    let before: Vec<(usize, usize)> = index(common.iter().map(|pair| pair.0));
-    let after: Vec<(usize, usize)> = index(common.iter().map(|pair| pair.1));
-    let mut old = Steps::new(old);
-    let mut new = Steps::new(new);
+fn count(old: &Plan, new: &Plan) -> Counts {
+    let mut counts = Counts::new(old, new);
+    let mut before = Steps::new(&old.blocks);
+    let mut after = Steps::new(&new.blocks);
     let mut start = 0;
     while start < END {
-        let end = old.end.min(new.end);
-        let (row, column) = (find(&before, old.region), find(&after, new.region));
-        counts.add(row, column, end - start);
-        old.advance(end);
-        new.advance(end);
+        let end = before.end.min(after.end);
+        counts.add(before.region, after.region, end - start);
+        before.advance(end);
+        after.advance(end);
         start = end;
     }
     counts
@@ -97,22 +96,6 @@
 /// One past the last address.
 const END: u64 = 1 << 32;
 
-/// Region references with their positions in the list of common regions.
-fn index(regions: impl Iterator<Item = Region>) -> Vec<(usize, usize)> {
-    let mut index: Vec<(usize, usize)> = regions
-        .enumerate()
-        .map(|(i, region)| (region.index(), i))
-        .collect();
-    index.sort_unstable();
-    index
-}
-
-fn find(index: &[(usize, usize)], region: Option<Region>) -> Option<usize> {
-    let region = region?.index();
-    let found = index.binary_search_by_key(&region, |pair| pair.0);
-    found.ok().map(|i| index[i].1)
-}
-
 /// Walks a table's ranges; knows the region up to `end`.
 struct Steps<I> {
     ranges: I,
