--- a/crates/auburnrouter/src/cli.rs
+++ b/crates/auburnrouter/src/cli.rs
@@ -3,6 +3,7 @@
 //! Invariant: exit codes are those of [`Exit`], for every subcommand.
 
 use std::ffi;
+use std::io::{self, Write};
 use std::process;
 
 use lexopt::ValueExt;
@@ -34,6 +35,9 @@
 /// A command line that can't be run.
 #[derive(Debug, Error)]
 pub enum Error {
+    /// There is no such subcommand.
+    #[error("{0}; see `auburnrouter --help`")]
+    Command(String),
     /// An option or argument is not understood.
     #[error("{0}; see `auburnrouter {1} --help`")]
     Args(String, &'static str),
@@ -99,7 +103,7 @@
     }
     let Some(command) = cmd::ALL.iter().find(|c| c.name == name) else {
         let near = nearest(&name, cmd::ALL.iter().map(|c| c.name));
-        return Err(Error::Args(unknown("command", &name, near), ""));
+        return Err(Error::Command(unknown("command", &name, near)));
     };
     let rest: Vec<ffi::OsString> = args.collect();
     if rest.iter().any(|a| a == "--help" || a == "-h") {
@@ -118,6 +122,12 @@
     println!("\n`auburnrouter COMMAND --help` explains each.\n\n{EXIT_CODES}");
 }
 
+/// Writes to standard output. A reader that has gone, such as `head`, has seen
+/// what it wanted; `println!` would panic.
+pub fn print(text: &str) {
+    let _ = io::stdout().write_all(text.as_bytes());
+}
+
 /// One argument of a subcommand, apart from the parser it came from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Arg {
--- a/crates/auburnrouter/src/daemon/control/apply.rs
+++ b/crates/auburnrouter/src/daemon/control/apply.rs
@@ -6,15 +6,15 @@
 
 use std::sync::Arc;
 
-use intent::moves::judge;
-use intent::{bundle, diff};
+use intent::moves::{self, judge};
+use intent::{bundle, diff, document};
 use serde::{Deserialize, Serialize};
 use steer::process::config;
 use steer::process::control::apply::{Apply, Base, Expect, Outcome, Step, Verdict};
 use steer::process::control::store::Stored;
 use steer::version::view;
 use store::error;
-use wire::{beat, kv};
+use wire::kv;
 
 use super::force::{self, InForce};
 use super::{keys, shelf};
@@ -92,28 +92,36 @@
 ) -> Answer {
     let old = force.as_deref();
     let version = old.map_or(view::Version(0), |f| f.version);
-    let next = match verify(&change, version) {
-        Ok(next) => next,
-        Err(error) => return Answer::new(Result::Refused, version, lines(&error.to_string())),
-    };
-    let mut told = Vec::new();
-    if let Some(old) = old {
-        told = difference(old, &next);
-        let refusals = judge(old, &next, &change.caps);
-        if !refusals.is_empty() {
-            return Answer::new(Result::Refused, version, refusals);
-        }
+    match weigh(old, &change) {
+        Err(refused) => Answer::new(Result::Refused, version, refused),
+        Ok(next) if change.dry_run => Answer::new(Result::WouldBe, version, next.told),
+        Ok(next) => write(store, version, &change, next).await,
     }
-    if change.dry_run {
-        return Answer::new(Result::WouldBe, version, told);
-    }
-    write(store, version, &change, &next, told).await
 }
 
-fn verify(change: &Change, version: view::Version) -> std::result::Result<InForce, force::Error> {
-    let mut files: Vec<bundle::File> = change.files.iter().map(bundle::File::from).collect();
-    files.sort_by(|a, b| a.name.cmp(&b.name));
-    InForce::new(version, files)
+/// A change that may be made, with what it changes and moves.
+struct Next {
+    documents: Vec<document::Document>,
+    told: Vec<String>,
+}
+
+/// Verifies a change and judges what it moves; an error is the lines to show.
+fn weigh(old: Option<&InForce>, change: &Change) -> std::result::Result<Next, Vec<String>> {
+    let shown = |error: force::Error| lines(&error.to_string());
+    let files = change.files.iter().map(bundle::File::from).collect();
+    let bundle = force::bundle(files).map_err(shown)?;
+    let next = force::Whole::new(&bundle).map_err(shown)?;
+    let mut told = Vec::new();
+    if let Some(old) = old {
+        let old = old.whole().map_err(shown)?;
+        let diff = diff::diff(&old.checked, &next.checked);
+        told = lines(&diff.to_string());
+        judge(&old.checked, &next.checked, &change.caps)?;
+    }
+    Ok(Next {
+        documents: next.documents,
+        told,
+    })
 }
 
 impl From<&File> for bundle::File {
@@ -125,12 +133,15 @@
     }
 }
 
-impl From<&bundle::File> for File {
-    fn from(file: &bundle::File) -> Self {
-        Self {
+impl InForce {
+    /// The files as operators see them.
+    pub fn listing(&self) -> Vec<File> {
+        let pairs = self.files.iter().zip(&self.bodies);
+        let file = |(file, body): (&config::File, &config::Body)| File {
             name: file.name.as_ref().to_owned(),
-            text: file.text.as_ref().to_owned(),
-        }
+            text: String::from_utf8_lossy(&body.bytes).into_owned(),
+        };
+        pairs.map(file).collect()
     }
 }
 
@@ -138,32 +149,30 @@
     text.lines().map(str::to_owned).collect()
 }
 
-/// What a change changes and moves, as lines.
-pub fn difference(old: &InForce, new: &InForce) -> Vec<String> {
-    let diff = diff::diff(&old.checked, &new.checked);
-    lines(&diff.to_string())
-}
-
-fn judge(old: &InForce, new: &InForce, caps: &[String]) -> Vec<String> {
+fn judge(
+    old: &bundle::Checked,
+    new: &bundle::Checked,
+    caps: &[String],
+) -> std::result::Result<(), Vec<String>> {
     let mut stated = Vec::with_capacity(caps.len());
     for cap in caps {
-        match cap.parse::<judge::Stated>() {
-            Ok(cap) => stated.push(cap),
-            Err(error) => return vec![error.to_string()],
-        }
+        let cap = cap.parse::<judge::Stated>();
+        stated.push(cap.map_err(|e| vec![e.to_string()])?);
     }
-    let moves = intent::moves::moves(&old.checked, &new.checked);
-    let percent = new.checked.base.move_percent;
+    let moves = moves::moves(old, new);
+    let percent = new.base.move_percent;
     let refusals = judge::refusals(&moves, percent, &[], &stated);
-    refusals.iter().map(ToString::to_string).collect()
+    if refusals.is_empty() {
+        return Ok(());
+    }
+    Err(refusals.iter().map(ToString::to_string).collect())
 }
 
 async fn write(
     store: &dyn store::Store,
     force: view::Version,
     change: &Change,
-    next: &InForce,
-    told: Vec<String>,
+    next: Next,
 ) -> Answer {
     let stored = match read(store).await {
         Ok(stored) => stored,
@@ -174,13 +183,19 @@
         let verdict = Verdict::Conflict(present);
         return Answer::new(Result::Conflict, present, vec![verdict.to_string()]);
     }
-    let (files, bodies) = contents(next, stored.as_ref());
+    if present > force {
+        // What the change moves was judged against an older version.
+        let line = format!("not accepted: {present} isn't in force here yet; apply again at once");
+        return Answer::new(Result::NotAccepted, force, vec![line]);
+    }
+    let head = stored.as_ref().map(|s| &*s.head);
+    let (files, bodies) = contents(&next.documents, head);
     let base = Base { stored, force };
     let mut apply = Apply::new(change.id.as_str().into(), base, files, bodies);
     let mut step = apply.start();
     loop {
         let outcome = match step {
-            Step::Done(verdict) => return judged(&verdict, force, told),
+            Step::Done(verdict) => return judged(&verdict, force, next.told),
             Step::PutBody(body) => put_body(store, &body).await,
             Step::PutHead { head, expect } => put_head(store, &head, expect).await,
             Step::ReadHead => read(store).await.map_or(Outcome::Lost, Outcome::Read),
@@ -190,22 +205,20 @@
 }
 
 /// All files by hash, and the bodies that the store doesn't have yet.
-fn contents(next: &InForce, stored: Option<&Stored>) -> (Vec<config::File>, Vec<config::Body>) {
-    let mut files = Vec::with_capacity(next.files.len());
-    let mut bodies = Vec::new();
-    let known = stored.map_or(&[][..], |s| &s.head.files);
-    for file in &next.files {
-        let hash = shelf::hash(file.text.as_bytes());
-        files.push(config::File {
-            name: Arc::clone(&file.name),
-            hash,
-        });
-        if !known.iter().any(|k| k.hash == hash) {
-            let bytes = Arc::from(file.text.as_bytes());
-            bodies.push(config::Body { hash, bytes });
-        }
-    }
-    (files, bodies)
+fn contents(
+    documents: &[document::Document],
+    head: Option<&config::Head>,
+) -> (Vec<config::File>, Vec<config::Body>) {
+    let file = |document: &document::Document| config::File {
+        name: Arc::clone(&document.name),
+        hash: document.hash,
+    };
+    let body = |document: &document::Document| config::Body {
+        hash: document.hash,
+        bytes: Arc::from(document.text.as_bytes()),
+    };
+    let bodies = document::unsent(documents, head).map(body).collect();
+    (documents.iter().map(file).collect(), bodies)
 }
 
 fn judged(verdict: &Verdict, force: view::Version, mut told: Vec<String>) -> Answer {
@@ -229,6 +242,15 @@
     }
 }
 
+/// Whether the change of this id was accepted; `None` if nobody can tell.
+pub async fn accepted(store: &dyn store::Store, id: &str) -> Option<bool> {
+    match read(store).await {
+        Ok(Some(stored)) => stored.head.accepted(view::Version(0), id),
+        Ok(None) => Some(false),
+        Err(_) => None,
+    }
+}
+
 async fn put_body(store: &dyn store::Store, body: &config::Body) -> Outcome {
     let put = kv::Put {
         value: String::from_utf8_lossy(&body.bytes).into_owned(),
@@ -242,9 +264,7 @@
 }
 
 async fn put_head(store: &dyn store::Store, head: &config::Head, expect: Expect) -> Outcome {
-    let Ok(value) = serde_json::to_string(&beat::Head::from(head)) else {
-        return Outcome::Lost;
-    };
+    let value = document::wire::to_json(head);
     let expect = match expect {
         Expect::Any => kv::Expect::Any,
         Expect::Absent => kv::Expect::Absent,
--- a/crates/auburnrouter/src/daemon/control/driver.rs
+++ b/crates/auburnrouter/src/daemon/control/driver.rs
@@ -12,6 +12,7 @@
 use intent::instance;
 use steer::process::control::{self, Control, message, store};
 use steer::process::{config, member};
+use wire::peer;
 
 use super::force::InForce;
 use super::{Parts, dump, shelf, world};
@@ -75,7 +76,7 @@
         };
         Self {
             control: Control::new(parts.engine.now(), settings, fastrand::Rng::new()),
-            world: world::World::new(outlets, Arc::clone(&parts.settings.domain)),
+            world: world::World::new(outlets),
             parts,
             inputs,
             executor,
@@ -189,13 +190,13 @@
 
     fn install(&mut self, head: &config::Head, bodies: &[config::Body]) {
         let version = head.version;
-        match InForce::open(head, bodies) {
+        match InForce::open(head, bodies, &self.parts.settings.domain) {
             Ok(force) => {
                 let slots = self.world.install(force, &self.parts.settings.name);
                 self.handle(control::Event::Installed { version, slots });
             }
             Err(error) => {
-                log::error!("event=configuration-rejected version={version} error={error:?}");
+                log::error!("event=configuration-rejected version={version} error=\"{error}\"");
                 self.handle(control::Event::Rejected(version));
             }
         }
@@ -255,7 +256,7 @@
                 let mut silent = Vec::new();
                 for addr in left {
                     match parts.peers.who(addr).await {
-                        Some(hint) => found.push(hint),
+                        Some(who) => found.push(hint(who)),
                         None => silent.push(addr),
                     }
                 }
@@ -269,6 +270,14 @@
     }
 }
 
+fn hint(who: peer::Who) -> member::Hint {
+    member::Hint {
+        name: who.name.into(),
+        domain: who.domain.into(),
+        peer: who.peer,
+    }
+}
+
 fn wall_clock() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
--- a/crates/auburnrouter/src/daemon/control/force.rs
+++ b/crates/auburnrouter/src/daemon/control/force.rs
@@ -1,108 +1,122 @@
-//! The configuration in force, as files and as what they mean.
+//! The configuration in force, as files and as what they mean here.
 //!
-//! Files of a version are named by what they are: [`BASE`], `overlays/SITE` and
-//! `blocks/…`.
-//!
-//! Invariant: an [`InForce`] has passed the verifier whole.
+//! Invariant: an [`InForce`] has passed the verifier, as far as it concerns
+//! this failure domain; whoever accepted it has verified it whole.
 
-use std::str;
 use std::sync::Arc;
 
-use intent::bundle;
+use intent::document::{self, install};
+use intent::{bundle, plan};
 use jsonc::fault::Fault;
 use steer::process::config;
 use steer::version::view;
 use thiserror::Error;
 
-/// Name of the base file.
-pub const BASE: &str = "base";
-
-/// What names of overlays start with.
-pub const OVERLAYS: &str = "overlays/";
-
-/// What names of client blocks' chunks start with.
-pub const BLOCKS: &str = "blocks/";
-
 /// A version that passed the verifier.
 #[derive(Debug)]
 pub struct InForce {
     /// Its number.
     pub version: view::Version,
     /// Its files, sorted by name.
-    pub files: Vec<bundle::File>,
-    /// What they mean.
-    pub checked: bundle::Checked,
+    pub files: Vec<config::File>,
+    /// Their bodies, in the same order.
+    pub bodies: Vec<config::Body>,
+    /// What they mean in this failure domain.
+    pub plan: plan::Plan,
 }
 
 /// Why files are no configuration.
 #[derive(Debug, Error)]
 pub enum Error {
-    /// A file isn't text.
-    #[error("file {0} is not UTF-8 text; save it as such")]
-    Text(Arc<str>),
-    /// A file's name says nothing.
-    #[error("file {0} is neither base, overlays/SITE nor blocks/…; name it so")]
-    Name(Arc<str>),
     /// There is no base file.
-    #[error("there is no base file; add one named base")]
+    #[error("there is no base file; add one named {}", document::BASE)]
     NoBase,
     /// The verifier found faults.
     #[error("{}", list(.0))]
     Faults(Vec<Fault>),
+    /// A file can't be a document of the store.
+    #[error(transparent)]
+    Document(#[from] document::Error),
+}
+
+/// A whole configuration that was verified for every site.
+#[derive(Debug)]
+pub struct Whole {
+    /// Its documents, sorted by name.
+    pub documents: Vec<document::Document>,
+    /// What they mean.
+    pub checked: bundle::Checked,
 }
 
 impl InForce {
-    /// Verifies files as a version.
+    /// Verifies a head with its bodies, which come in the order of its files.
     ///
     /// # Errors
-    /// Every fault that the verifier finds.
-    pub fn new(version: view::Version, files: Vec<bundle::File>) -> Result<Self, Error> {
-        let checked = bundle(&files)?.check().map_err(Error::Faults)?;
+    /// If a body is damaged or the files have faults.
+    pub fn open(
+        head: &config::Head,
+        bodies: &[config::Body],
+        domain: &str,
+    ) -> Result<Self, install::Refusal> {
+        let get = |hash: config::Hash| {
+            let found = bodies.iter().find(|b| b.hash == hash);
+            found.map(|b| Arc::clone(&b.bytes))
+        };
         Ok(Self {
-            version,
-            files,
-            checked,
+            version: head.version,
+            plan: install::plan(&head.files, domain, get)?,
+            files: head.files.clone(),
+            bodies: bodies.to_vec(),
         })
     }
 
-    /// Verifies a head with its bodies, which come in the order of its files.
+    /// The whole configuration, verified for every site; not kept, since a
+    /// process has no room for it beside the table in use.
     ///
     /// # Errors
-    /// As for [`Self::new`], and if a body isn't text.
-    pub fn open(head: &config::Head, bodies: &[config::Body]) -> Result<Self, Error> {
-        let mut files = Vec::with_capacity(bodies.len());
-        for (file, body) in head.files.iter().zip(bodies) {
-            let text = str::from_utf8(&body.bytes);
-            let text = text.map_err(|_| Error::Text(Arc::clone(&file.name)))?;
-            files.push(bundle::File {
-                name: Arc::clone(&file.name),
-                text: text.into(),
-            });
-        }
-        Self::new(head.version, files)
+    /// If a body is damaged or the files have faults.
+    pub fn whole(&self) -> Result<Whole, Error> {
+        let get = |hash: config::Hash| {
+            let found = self.bodies.iter().find(|b| b.hash == hash);
+            found.map(|b| Arc::clone(&b.bytes))
+        };
+        Whole::new(&document::bundle(&self.files, get)?)
+    }
+}
+
+impl Whole {
+    /// Verifies a configuration for every site.
+    ///
+    /// # Errors
+    /// Every fault that the verifier finds.
+    pub fn new(bundle: &bundle::Bundle) -> Result<Self, Error> {
+        let checked = bundle.check().map_err(Error::Faults)?;
+        let documents = document::documents(bundle)?;
+        Ok(Self { documents, checked })
     }
 }
 
-fn bundle(files: &[bundle::File]) -> Result<bundle::Bundle, Error> {
+/// Sorts files by what their names say: base, overlays, client blocks.
+///
+/// # Errors
+/// If there is no base file.
+pub fn bundle(files: Vec<bundle::File>) -> Result<bundle::Bundle, Error> {
     let mut base = None;
     let mut overlays = Vec::new();
-    let mut chunks = Vec::new();
+    let mut blocks = Vec::new();
     for file in files {
-        let name = &file.name;
-        if &**name == BASE {
-            base = Some(file.clone());
-        } else if name.starts_with(OVERLAYS) {
-            overlays.push(file.clone());
-        } else if name.starts_with(BLOCKS) {
-            chunks.push(file.clone());
+        if &*file.name == document::BASE {
+            base = Some(file);
+        } else if file.name.starts_with(document::OVERLAY) {
+            overlays.push(file);
         } else {
-            return Err(Error::Name(Arc::clone(name)));
+            blocks.push(file);
         }
     }
     Ok(bundle::Bundle {
         base: base.ok_or(Error::NoBase)?,
         overlays,
-        blocks: bundle::Blocks::Chunks(chunks),
+        blocks,
     })
 }
 
--- a/crates/auburnrouter/src/daemon/control/shelf.rs
+++ b/crates/auburnrouter/src/daemon/control/shelf.rs
@@ -3,15 +3,14 @@
 //! Invariant: a body is handed on only if its bytes have the hash it stands
 //! under; a document that can't be read is "malformed", never a guess.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use futures_lite::future;
-use sha2::{Digest, Sha256};
+use intent::document;
 use steer::process::config;
 use steer::process::control::store::{Call, Reply, Stored};
 use steer::process::member;
-use wire::{beat, instance, kv};
+use wire::{instance, kv};
 
 use super::keys;
 
@@ -39,18 +38,11 @@
     future::or(work, late).await
 }
 
-/// The bytes' hash.
-#[must_use]
-pub fn hash(bytes: &[u8]) -> config::Hash {
-    config::Hash(Sha256::digest(bytes).into())
-}
-
 /// Reads a head document.
 #[must_use]
 pub fn parse(entry: &kv::Entry) -> Option<Stored> {
-    let wire: beat::Head = serde_json::from_str(&entry.value).ok()?;
     Some(Stored {
-        head: Arc::new(config::Head::try_from(wire).ok()?),
+        head: document::wire::from_json(&entry.value).ok()?,
         revision: entry.revision,
     })
 }
@@ -74,7 +66,7 @@
 async fn body(store: &dyn store::Store, wanted: config::Hash) -> Reply {
     match store.get(&keys::body(wanted)).await {
         Ok(None) => Reply::Body(wanted, None),
-        Ok(Some(entry)) if hash(entry.value.as_bytes()) == wanted => {
+        Ok(Some(entry)) if document::hash(entry.value.as_bytes()) == wanted => {
             Reply::Body(wanted, Some(entry.value.into_bytes().into()))
         }
         Ok(Some(_)) => Reply::Malformed,
--- a/crates/auburnrouter/src/daemon/peers.rs
+++ b/crates/auburnrouter/src/daemon/peers.rs
@@ -15,10 +15,11 @@
 
 use async_compat::{Compat, CompatExt};
 use futures_lite::{StreamExt, future};
+use intent::document;
 use settings::secret::Secret;
 use smol::net;
 use steer::process::control::message;
-use steer::process::{config, dispatch, member};
+use steer::process::{config, dispatch};
 use steer::request::{arrival, record};
 use tarpc::server::{self, Channel};
 use tarpc::tokio_serde::formats::Bincode;
@@ -206,18 +207,14 @@
     }
 
     /// Asks who listens at an address.
-    pub async fn who(&self, addr: SocketAddr) -> Option<member::Hint> {
+    pub async fn who(&self, addr: SocketAddr) -> Option<peer::Who> {
         let client = self.client(addr).await?;
         let call = client.who(context(CONNECT_TIME)).compat();
         let Ok(who) = call.await else {
             self.forget(addr);
             return None;
         };
-        Some(member::Hint {
-            name: who.name.into(),
-            domain: who.domain.into(),
-            peer: who.peer,
-        })
+        Some(who)
     }
 
     /// Asks a witness; `None` if no answer came.
@@ -472,6 +469,7 @@
             name: me.name.as_ref().to_owned(),
             domain: me.domain.as_ref().to_owned(),
             peer: me.peer,
+            version: self.control.version(),
         }
     }
 
@@ -495,7 +493,7 @@
 fn is_whole(message: &message::Message) -> bool {
     match &message.content {
         message::Content::Bodies(bodies) => {
-            let right = |b: &config::Body| control::hash(&b.bytes) == b.hash;
+            let right = |b: &config::Body| document::hash(&b.bytes) == b.hash;
             bodies.iter().all(right)
         }
         _ => true,
--- a/crates/intent/src/diff.rs
+++ b/crates/intent/src/diff.rs
@@ -80,13 +80,11 @@
 }
 
 fn settings_at(checked: &Checked, site: &str) -> Vec<Setting> {
-    let found = checked.sites.binary_search_by(|s| (*s.site).cmp(site));
-    let root = found.map_or(&checked.root, |i| &checked.sites[i].root);
-    listing::settings(root)
+    listing::settings(&checked.root_at(site))
 }
 
 fn sites(old: &Checked, new: &Checked) -> Vec<String> {
-    let both = old.sites.iter().chain(&new.sites);
+    let both = old.overlays.iter().chain(&new.overlays);
     let mut names: Vec<String> = both.map(|s| s.site.to_string()).collect();
     names.sort();
     names.dedup();
--- a/crates/intent/src/draft/read.rs
+++ b/crates/intent/src/draft/read.rs
@@ -22,7 +22,7 @@
 /// Largest cap in requests a second; keeps products with milliseconds in range.
 const CAP_MAX: u64 = 1_000_000_000;
 
-const FIELDS: [&str; 9] = [
+const FIELDS: [&str; 8] = [
     "regions",
     "classes",
     "services",
@@ -30,7 +30,6 @@
     "shifts",
     "drain",
     "blocks",
-    "block_files",
     "move_percent",
 ];
 
@@ -41,11 +40,10 @@
         regions: regions(fields.need("regions", faults), faults),
         classes: each(fields.need("classes", faults), faults, class),
         services: services(fields.need("services", faults), faults),
-        links: each(fields.find("links"), faults, link),
-        shifts: each(fields.find("shifts"), faults, shift),
+        links: each(fields.find("links"), faults, |n, f| Some(link(n, f))),
+        shifts: each(fields.find("shifts"), faults, |n, f| Some(shift(n, f))),
         drain: drain(fields.find("drain"), faults),
         blocks: blocks(fields.find("blocks"), faults),
-        block_files: names(fields.find("block_files"), faults),
         move_percent: number(fields.find("move_percent"), 0, 100, faults).unwrap_or(MOVE_PERCENT),
     }
 }
@@ -81,13 +79,13 @@
     let fields = Fields::open(node, &["name", "queue_percent"], faults);
     let name = name(fields.need("name", faults), faults);
     let percent = fields.need("queue_percent", faults);
-    let queue = number(percent, 1, 100, faults);
+    let queue = number(percent, 1, 100, faults).zip(percent);
     Some(Class {
         name: name?,
-        queue: Spot {
-            value: queue?,
-            place: percent?.place.clone(),
-        },
+        queue: queue.map(|(value, node)| Spot {
+            value,
+            place: node.place.clone(),
+        }),
     })
 }
 
@@ -105,46 +103,38 @@
     let idempotent = idempotent.and_then(|node| read::flag(node, faults));
     let deadline = number(fields.find("deadline_ms"), 1, 600_000, faults);
     let list = fields.need("sites", faults);
-    let sites = names(list, faults);
+    let sites = list.map(|list| Spot {
+        value: names(Some(list), faults),
+        place: list.place.clone(),
+    });
     Some(Service {
         name: own?,
-        class: class?,
-        idempotent: idempotent?,
+        class,
+        idempotent,
         deadline: deadline.unwrap_or(DEADLINE_MS),
-        sites: Spot {
-            value: sites,
-            place: list?.place.clone(),
-        },
+        sites,
     })
 }
 
-fn link(node: &Node, faults: &mut Vec<Fault>) -> Option<Link> {
+fn link(node: &Node, faults: &mut Vec<Fault>) -> Link {
     let fields = Fields::open(node, &["from", "to", "mbit"], faults);
-    let from = name(fields.need("from", faults), faults);
-    let to = name(fields.need("to", faults), faults);
-    let mbit = number(fields.need("mbit", faults), 1, 10_000_000, faults);
-    Some(Link {
-        from: from?,
-        to: to?,
-        mbit: mbit?,
-    })
+    Link {
+        from: name(fields.need("from", faults), faults),
+        to: name(fields.need("to", faults), faults),
+        mbit: number(fields.need("mbit", faults), 1, 10_000_000, faults),
+    }
 }
 
-fn shift(node: &Node, faults: &mut Vec<Fault>) -> Option<Shift> {
+fn shift(node: &Node, faults: &mut Vec<Fault>) -> Shift {
     let known = ["service", "from", "to", "cap_per_s", "ramp_s"];
     let fields = Fields::open(node, &known, faults);
-    let service = name(fields.need("service", faults), faults);
-    let from = name(fields.need("from", faults), faults);
-    let to = name(fields.need("to", faults), faults);
-    let cap = number(fields.need("cap_per_s", faults), 1, CAP_MAX, faults);
-    let ramp = number(fields.find("ramp_s"), 0, 86_400, faults);
-    Some(Shift {
-        service: service?,
-        from: from?,
-        to: to?,
-        cap: cap?,
-        ramp: ramp.unwrap_or(RAMP_S),
-    })
+    Shift {
+        service: name(fields.need("service", faults), faults),
+        from: name(fields.need("from", faults), faults),
+        to: name(fields.need("to", faults), faults),
+        cap: number(fields.need("cap_per_s", faults), 1, CAP_MAX, faults),
+        ramp: number(fields.find("ramp_s"), 0, 86_400, faults).unwrap_or(RAMP_S),
+    }
 }
 
 fn drain(node: Option<&Node>, faults: &mut Vec<Fault>) -> Drain {
@@ -161,22 +151,16 @@
 
 fn blocks(node: Option<&Node>, faults: &mut Vec<Fault>) -> Vec<Block> {
     let fields = members(node, faults);
-    fields.iter().filter_map(|f| block(f, faults)).collect()
+    fields.iter().map(|f| block(f, faults)).collect()
 }
 
-fn block(field: &Field, faults: &mut Vec<Fault>) -> Option<Block> {
-    let region = name(Some(&field.node), faults);
-    match blocks::prefix(&field.name) {
-        Ok((base, len)) => Some(Block {
-            base,
-            len,
-            place: field.place.clone(),
-            region: region?,
-        }),
-        Err(error) => {
-            faults.push(error.fault(&field.place));
-            None
-        }
+fn block(field: &Field, faults: &mut Vec<Fault>) -> Block {
+    let prefix = blocks::prefix(&field.name);
+    faults.extend(prefix.err().map(|error| error.fault(&field.place)));
+    Block {
+        prefix: prefix.ok(),
+        place: field.place.clone(),
+        region: name(Some(&field.node), faults),
     }
 }
 
--- a/crates/intent/src/verify/flows.rs
+++ b/crates/intent/src/verify/flows.rs
@@ -5,7 +5,7 @@
 use jsonc::fault::{Fault, Kind};
 
 use super::{names, places};
-use crate::draft::{Draft, Name, Service, Shift};
+use crate::draft::{Block, Draft, Link, Name, Service, Shift};
 
 pub(super) fn services(draft: &Draft, faults: &mut Vec<Fault>) {
     let sites = names::sorted(places::sites(draft));
@@ -13,15 +13,20 @@
     let drained = names::sorted(draft.drain.sites.iter());
     names::unique("service", draft.services.iter().map(|s| &s.name), faults);
     for service in &draft.services {
-        names::known("class", &service.class, &classes, faults);
-        names::unique("site", service.sites.value.iter(), faults);
-        for site in &service.sites.value {
+        if let Some(class) = &service.class {
+            names::known("class", class, &classes, faults);
+        }
+        let Some(list) = &service.sites else {
+            continue;
+        };
+        names::unique("site", list.value.iter(), faults);
+        for site in &list.value {
             names::known("site", site, &sites, faults);
         }
         let live = |site: &Name| drained.binary_search(&&*site.value).is_err();
-        if !service.sites.value.iter().any(live) {
+        if !list.value.iter().any(live) {
             faults.push(Fault::new(
-                &service.sites.place,
+                &list.place,
                 Kind::Conflict,
                 format!("service \"{}\" has no live site", service.name.value),
                 "add a site, or take one out of \"drain\"",
@@ -33,120 +38,134 @@
 pub(super) fn links(draft: &Draft, faults: &mut Vec<Fault>) {
     let regions = names::sorted(draft.regions.iter().map(|r| &r.name));
     for (i, link) in draft.links.iter().enumerate() {
-        names::known("region", &link.from, &regions, faults);
-        names::known("region", &link.to, &regions, faults);
-        if link.from.value == link.to.value {
+        for region in link.from.iter().chain(&link.to) {
+            names::known("region", region, &regions, faults);
+        }
+        let Some((from, to)) = link.ends() else {
+            continue;
+        };
+        if from.value == to.value {
             faults.push(Fault::new(
-                &link.to.place,
+                &to.place,
                 Kind::Conflict,
-                format!("link from \"{}\" to itself", link.from.value),
+                format!("link from \"{}\" to itself", from.value),
                 "name two regions; traffic within a region has no link",
             ));
         }
-        let same = |other: &&crate::draft::Link| {
-            (&other.from.value, &other.to.value) == (&link.from.value, &link.to.value)
-        };
-        if let Some(first) = draft.links[..i].iter().find(same) {
+        let first = draft.links[..i].iter().find(|other| joins(other, from, to));
+        if let Some(first) = first.and_then(|first| first.from.as_ref()) {
             faults.push(Fault::new(
-                &link.from.place,
+                &from.place,
                 Kind::Duplicate,
-                format!("link {} -> {} stands twice", link.from.value, link.to.value),
-                format!("keep this one or the one at {}", first.from.place),
+                format!("link {} -> {} stands twice", from.value, to.value),
+                format!("keep this one or the one at {}", first.place),
             ));
         }
     }
 }
 
+fn joins(link: &Link, from: &Name, to: &Name) -> bool {
+    link.ends()
+        .is_some_and(|own| own.0.value == from.value && own.1.value == to.value)
+}
+
 pub(super) fn shifts(draft: &Draft, faults: &mut Vec<Fault>) {
     let regions = names::sorted(draft.regions.iter().map(|r| &r.name));
     let services = names::sorted(draft.services.iter().map(|s| &s.name));
     for (i, shift) in draft.shifts.iter().enumerate() {
-        let named = names::known("service", &shift.service, &services, faults);
-        let left = names::known("region", &shift.from, &regions, faults);
-        let taken = names::known("region", &shift.to, &regions, faults);
+        if let Some(service) = &shift.service {
+            names::known("service", service, &services, faults);
+        }
+        for region in shift.from.iter().chain(&shift.to) {
+            names::known("region", region, &regions, faults);
+        }
         report_twice(shift, &draft.shifts[..i], faults);
-        if !(left && taken) {
+        let Some((from, to)) = shift.ends() else {
+            continue;
+        };
+        let known = |name: &Name| regions.binary_search(&&*name.value).is_ok();
+        if !known(from) || !known(to) {
             continue;
         }
-        if shift.from.value == shift.to.value {
+        if from.value == to.value {
             faults.push(Fault::new(
-                &shift.to.place,
+                &to.place,
                 Kind::Conflict,
-                format!("shift from \"{}\" to itself", shift.from.value),
+                format!("shift from \"{}\" to itself", from.value),
                 "name another region, or remove the shift",
             ));
             continue;
         }
-        report_unlinked(shift, draft, faults);
-        if named {
-            report_unserved(shift, draft, faults);
+        report_unlinked(from, to, draft, faults);
+        if let Some(service) = &shift.service {
+            report_unserved(service, to, draft, faults);
         }
     }
 }
 
+/// What tells shifts apart, if all of it could be read.
+fn key(shift: &Shift) -> Option<[&str; 3]> {
+    let (from, to) = shift.ends()?;
+    Some([&shift.service.as_ref()?.value, &from.value, &to.value])
+}
+
 fn report_twice(shift: &Shift, before: &[Shift], faults: &mut Vec<Fault>) {
-    let same = |other: &&Shift| {
-        other.service.value == shift.service.value
-            && other.from.value == shift.from.value
-            && other.to.value == shift.to.value
+    let Some(own) = key(shift) else {
+        return;
     };
-    if let Some(first) = before.iter().find(same) {
-        faults.push(Fault::new(
-            &shift.service.place,
-            Kind::Duplicate,
-            format!(
-                "shift of \"{}\" {} -> {} stands twice",
-                shift.service.value, shift.from.value, shift.to.value
-            ),
-            format!("keep this one or the one at {}", first.service.place),
-        ));
-    }
+    let first = before.iter().find(|other| key(other) == Some(own));
+    let first = first.and_then(|first| first.service.as_ref());
+    let Some((service, first)) = shift.service.as_ref().zip(first) else {
+        return;
+    };
+    let [name, from, to] = own;
+    faults.push(Fault::new(
+        &service.place,
+        Kind::Duplicate,
+        format!("shift of \"{name}\" {from} -> {to} stands twice"),
+        format!("keep this one or the one at {}", first.place),
+    ));
 }
 
-fn report_unlinked(shift: &Shift, draft: &Draft, faults: &mut Vec<Fault>) {
-    let (from, to) = (&shift.from.value, &shift.to.value);
-    let linked = |link: &crate::draft::Link| &link.from.value == from && &link.to.value == to;
-    if !draft.links.iter().any(linked) {
-        faults.push(Fault::new(
-            &shift.to.place,
-            Kind::Conflict,
-            format!("no link {from} -> {to} for this shift"),
-            format!("add {{\"from\": \"{from}\", \"to\": \"{to}\", \"mbit\": …}} to \"links\""),
-        ));
+fn report_unlinked(from: &Name, to: &Name, draft: &Draft, faults: &mut Vec<Fault>) {
+    if draft.links.iter().any(|link| joins(link, from, to)) {
+        return;
     }
+    let place = &to.place;
+    let (from, to) = (&from.value, &to.value);
+    faults.push(Fault::new(
+        place,
+        Kind::Conflict,
+        format!("no link {from} -> {to} for this shift"),
+        format!("add {{\"from\": \"{from}\", \"to\": \"{to}\", \"mbit\": …}} to \"links\""),
+    ));
 }
 
-fn report_unserved(shift: &Shift, draft: &Draft, faults: &mut Vec<Fault>) {
-    let service = draft
-        .services
-        .iter()
-        .find(|s| s.name.value == shift.service.value);
-    if service.is_some_and(|s| !serves(s, &shift.to, draft)) {
+fn report_unserved(service: &Name, to: &Name, draft: &Draft, faults: &mut Vec<Fault>) {
+    let own = |s: &&Service| s.name.value == service.value;
+    let served = draft.services.iter().find(own);
+    let sites = served.and_then(|s| s.sites.as_ref());
+    if sites.is_some_and(|sites| !reach(&sites.value, to, draft)) {
         faults.push(Fault::new(
-            &shift.to.place,
+            &to.place,
             Kind::Conflict,
             format!(
                 "region \"{}\" has no site that serves \"{}\"",
-                shift.to.value, shift.service.value
+                to.value, service.value
             ),
             "add a site there to the service, or remove the shift",
         ));
     }
 }
 
-fn serves(service: &Service, region: &Name, draft: &Draft) -> bool {
-    let region = draft
+/// Whether one of the sites lies in the region.
+fn reach(sites: &[Name], region: &Name, draft: &Draft) -> bool {
+    let own = draft
         .regions
         .iter()
         .filter(|r| r.name.value == region.value);
-    let mut sites = region.flat_map(|r| &r.domains).flat_map(|d| &d.sites);
-    sites.any(|site| {
-        service
-            .sites
-            .value
-            .iter()
-            .any(|own| own.value == site.value)
-    })
+    let mut places = own.flat_map(|r| &r.domains).flat_map(|d| &d.sites);
+    places.any(|place| sites.iter().any(|site| site.value == place.value))
 }
 
 pub(super) fn drain(draft: &Draft, faults: &mut Vec<Fault>) {
@@ -173,21 +192,20 @@
 
 pub(super) fn blocks(draft: &Draft, faults: &mut Vec<Fault>) {
     let regions = names::sorted(draft.regions.iter().map(|r| &r.name));
-    for block in &draft.blocks {
-        names::known("region", &block.region, &regions, faults);
+    for region in draft.blocks.iter().filter_map(|b| b.region.as_ref()) {
+        names::known("region", region, &regions, faults);
     }
-    names::unique("block file", draft.block_files.iter(), faults);
-    let mut sorted: Vec<&crate::draft::Block> = draft.blocks.iter().collect();
-    sorted.sort_by_key(|b| (b.base, b.len));
+    let mut sorted: Vec<&Block> = draft.blocks.iter().collect();
+    sorted.sort_by_key(|block| block.prefix);
     for pair in sorted.windows(2) {
-        if (pair[0].base, pair[0].len) == (pair[1].base, pair[1].len) {
-            let addr = Ipv4Addr::from(pair[1].base);
-            faults.push(Fault::new(
-                &pair[1].place,
-                Kind::Duplicate,
-                format!("block {addr}/{} stands twice", pair[1].len),
-                format!("keep this one or the one at {}", pair[0].place),
-            ));
-        }
+        let Some((base, len)) = pair[1].prefix.filter(|_| pair[0].prefix == pair[1].prefix) else {
+            continue;
+        };
+        faults.push(Fault::new(
+            &pair[1].place,
+            Kind::Duplicate,
+            format!("block {}/{len} stands twice", Ipv4Addr::from(base)),
+            format!("keep this one or the one at {}", pair[0].place),
+        ));
     }
 }
--- a/crates/intent/src/verify/places.rs
+++ b/crates/intent/src/verify/places.rs
@@ -1,6 +1,7 @@
 //! Checks on regions, failure domains, sites, entry instances and classes.
 
 use jsonc::fault::{Fault, Kind};
+use steer::version::blocks::REGIONS_MAX;
 
 use super::names;
 use crate::draft::{Draft, Name};
@@ -22,6 +23,14 @@
         }
     }
     shares(draft, faults);
+    if let Some(region) = draft.regions.get(REGIONS_MAX) {
+        faults.push(Fault::new(
+            &region.name.place,
+            Kind::OutOfRange,
+            format!("more than {REGIONS_MAX} regions"),
+            "join some of them",
+        ));
+    }
 }
 
 /// A class served later that may fill more of the queue than one served first
@@ -29,15 +38,18 @@
 fn shares(draft: &Draft, faults: &mut Vec<Fault>) {
     for pair in draft.classes.windows(2) {
         let (first, later) = (&pair[0], &pair[1]);
-        if later.queue.value > first.queue.value {
+        let (Some(share), Some(bound)) = (&later.queue, &first.queue) else {
+            continue;
+        };
+        if share.value > bound.value {
             faults.push(Fault::new(
-                &later.queue.place,
+                &share.place,
                 Kind::Conflict,
                 format!(
                     "class \"{}\" may fill {}% of a queue, but \"{}\" before it only {}%",
-                    later.name.value, later.queue.value, first.name.value, first.queue.value
+                    later.name.value, share.value, first.name.value, bound.value
                 ),
-                format!("use at most {}", first.queue.value),
+                format!("use at most {}", bound.value),
             ));
         }
     }
