Keep overload out of the tables of keys

Cause: a request that is refused under overload closes its key, and the record stands for ten minutes. At 1,000 refusals a second the owner's table would be full in little more than two minutes, and no new key could run for minutes after the overload; the witness's table fills with claims alike, and one caller could take all the room for held requests.

Ruled out: claiming only when a target's slot is free. It would spare the witness, but leave the slot idle during the claim.

Change: refused keys are closed only while at most half of the table is taken, beyond that they stay open and their callers are told "unknown"; a full witness is dropped like a silent one; a caller holds at most 512 requests.

Shown: cargo test -p steer -p explorer: all passed. With the first change taken out, gate_scenarios fails: the refused key stays closed and a third key gets "overloaded", where the refused key should be sent.

--- a/crates/auburnrouter/src/cmd.rs
+++ b/crates/auburnrouter/src/cmd.rs
@@ -3,8 +3,8 @@
 mod apply;
 mod check;
 pub mod client;
-mod drain;
 mod diff;
+mod drain;
 mod dump;
 mod entry;
 mod files;
--- a/crates/steer/src/process/gate.rs
+++ b/crates/steer/src/process/gate.rs
@@ -355,6 +355,14 @@
         }
     }
 
+    /// Why no further request of this caller can be held, if none can.
+    fn crowded(&self, caller: &str) -> Option<Reason> {
+        if self.held.len() >= self.limits.held {
+            return Some(Reason::Overloaded);
+        }
+        (self.held.of(caller) >= self.limits.caller).then_some(Reason::CallerLimit)
+    }
+
     fn peer(&self, incarnation: Incarnation) -> Option<Peer> {
         let at = self
             .peers
--- a/crates/steer/src/process/gate/book.rs
+++ b/crates/steer/src/process/gate/book.rs
@@ -40,6 +40,11 @@
         self.slots.len() >= self.max
     }
 
+    /// Whether more than half of the room is taken.
+    pub const fn is_crowded(&self) -> bool {
+        self.slots.len() > self.max / 2
+    }
+
     /// The record of this name.
     pub fn get(&self, name: &Name) -> Option<&V> {
         let at = self.search(name).ok()?;
--- a/crates/steer/src/process/gate/chosen.rs
+++ b/crates/steer/src/process/gate/chosen.rs
@@ -41,8 +41,8 @@
         if self.leaving {
             return refuse(id, self.elsewhere(Reason::Leaving), out);
         }
-        if self.no_room() {
-            return refuse(id, self.elsewhere(Reason::Overloaded), out);
+        if let Some(reason) = self.no_room(&arrival.caller) {
+            return refuse(id, self.elsewhere(reason), out);
         }
         self.attempts += 1;
         let attempt = Attempt {
@@ -55,6 +55,7 @@
         self.book.insert(name.clone(), record);
         self.held.insert(Held {
             id,
+            caller: Arc::clone(&arrival.caller),
             name,
             until: self.until(now, &arrival),
             stage: Stage::Storing {
--- a/crates/steer/src/process/gate/entry.rs
+++ b/crates/steer/src/process/gate/entry.rs
@@ -3,6 +3,8 @@
 //! Invariant: it never runs the request. It passes the owner's answer on, or
 //! the witness's word, or says "unknown".
 
+use std::sync::Arc;
+
 use super::{
     Action, COME_BACK, Ending, Gate, Held, Issued, Name, Question, Reason, Refusal, Stage, Word,
     refuse,
@@ -43,12 +45,17 @@
         out: &mut Vec<Action>,
     ) {
         let id = arrival.id;
-        if self.held.len() >= self.limits.held {
-            return refuse(id, self.elsewhere(Reason::Overloaded), out);
+        if let Some(reason) = self.crowded(&arrival.caller) {
+            return refuse(id, self.elsewhere(reason), out);
         }
         let until = self.until(now, &arrival);
         let Some(peer) = self.peer(owner) else {
-            return self.owner_gone(now, id, until, key.as_ref(), out);
+            let lost = Lost {
+                id,
+                caller: arrival.caller,
+                until,
+            };
+            return self.owner_gone(now, lost, key.as_ref(), out);
         };
         out.push(Action::Forward {
             id,
@@ -57,6 +64,7 @@
         });
         self.held.insert(Held {
             id,
+            caller: Arc::clone(&arrival.caller),
             name: nameless(),
             until,
             stage: Stage::Forwarding { key, arrival },
@@ -92,19 +100,20 @@
             Ending::PeerRefused(_)
             | Ending::Refused { .. }
             | Ending::Unreachable
-            | Ending::Broken => self.owner_gone(now, id, held.until, key.as_ref(), out),
+            | Ending::Broken => {
+                let lost = Lost {
+                    id,
+                    caller: held.caller,
+                    until: held.until,
+                };
+                self.owner_gone(now, lost, key.as_ref(), out);
+            }
         }
     }
 
     /// The owner can't be reached: its witness may know what became of the key.
-    fn owner_gone(
-        &mut self,
-        now: Time,
-        id: RequestId,
-        until: Time,
-        key: Option<&Issued>,
-        out: &mut Vec<Action>,
-    ) {
+    fn owner_gone(&mut self, now: Time, lost: Lost, key: Option<&Issued>, out: &mut Vec<Action>) {
+        let id = lost.id;
         let witness = key.and_then(|k| Some((k, k.prefix.witness?.incarnation)));
         let Some((key, witness)) = witness else {
             return refuse(id, self.elsewhere(Reason::OwnerGone), out);
@@ -120,8 +129,9 @@
         let ask = self.ask(peer, question, self.limits.ask, out);
         self.held.insert(Held {
             id,
+            caller: lost.caller,
             name: nameless(),
-            until,
+            until: lost.until,
             stage: Stage::Sealing {
                 ask,
                 wait: now + self.limits.ask,
@@ -145,6 +155,13 @@
     }
 }
 
+/// A request whose owner can't be reached.
+struct Lost {
+    id: RequestId,
+    caller: Arc<str>,
+    until: Time,
+}
+
 /// Requests that this process only passes on have no record.
 fn nameless() -> Name {
     Name {
--- a/crates/steer/src/process/gate/held.rs
+++ b/crates/steer/src/process/gate/held.rs
@@ -3,9 +3,12 @@
 //! Invariant: sorted by request; each request stands here once, and leaves with
 //! exactly one answer.
 
+use std::sync::Arc;
+
 use super::book::Name;
 use super::counts::Stages;
 use crate::clock::Time;
+use crate::request::admission::Counts;
 use crate::request::arrival::{Arrival, RequestId};
 use crate::request::key::Issued;
 use crate::request::record::{AskId, Attempt, StoreCall};
@@ -59,6 +62,8 @@
 pub struct Held {
     /// The request.
     pub id: RequestId,
+    /// Who asks.
+    pub caller: Arc<str>,
     /// Its key's record.
     pub name: Name,
     /// When its caller stops waiting.
@@ -71,6 +76,7 @@
 #[derive(Default)]
 pub struct HeldSet {
     items: Vec<Held>,
+    callers: Counts,
 }
 
 impl HeldSet {
@@ -79,8 +85,14 @@
         self.items.len()
     }
 
+    /// Number of this caller's requests held.
+    pub fn of(&self, caller: &str) -> usize {
+        self.callers.get(caller)
+    }
+
     /// Adds a request.
     pub fn insert(&mut self, held: Held) {
+        self.callers.add(&held.caller);
         let at = self.items.partition_point(|h| h.id < held.id);
         self.items.insert(at, held);
     }
@@ -100,7 +112,9 @@
     /// Takes a request out.
     pub fn remove(&mut self, id: RequestId) -> Option<Held> {
         let at = self.search(id)?;
-        Some(self.items.remove(at))
+        let held = self.items.remove(at);
+        self.callers.remove(&held.caller);
+        Some(held)
     }
 
     /// The request that waits for the answer to `ask`.
--- a/crates/steer/src/process/gate/limits.rs
+++ b/crates/steer/src/process/gate/limits.rs
@@ -17,6 +17,8 @@
     pub records: usize,
     /// Requests held at a time.
     pub held: usize,
+    /// Requests held at a time for one caller, so that none takes all the room.
+    pub caller: usize,
     /// Resends that wait for one first run.
     pub waiters: usize,
     /// Memory in bytes for answers that a resend may ask for.
@@ -39,6 +41,7 @@
             keep: 20,
             records: 131_072,
             held: 8_192,
+            caller: 512,
             waiters: 4,
             answers: 8 << 20,
             ask: Duration::from_millis(400),
--- a/crates/steer/src/process/gate/owner.rs
+++ b/crates/steer/src/process/gate/owner.rs
@@ -3,9 +3,11 @@
 //! Invariant: a record is made before anything else happens to a key, and its
 //! progress only ever goes forward: claiming, running, done.
 
+use std::sync::Arc;
+
 use super::{
     Action, COME_BACK, Gate, Held, Name, Outcome, Question, Reason, Refusal, Stage, Verdict, Word,
-    answer, refuse,
+    answer, chosen, refuse,
 };
 use crate::clock::Time;
 use crate::request::arrival::{Arrival, Fingerprint, Origin, RequestId};
@@ -65,7 +67,7 @@
         if self.book.get(&name).is_some() {
             return self.resend(now, &arrival, name, out);
         }
-        if let Some(refusal) = self.turned_away(now, name.epoch) {
+        if let Some(refusal) = self.turned_away(now, name.epoch, &arrival.caller) {
             return refuse(id, refusal, out);
         }
         // A forwarded request has met no cap yet: it counts as a caller's here.
@@ -84,7 +86,7 @@
     /// Records outlive the age up to which keys are accepted. Between the two
     /// ages no record means that the key never ran, and it never will: epochs
     /// only grow. The same holds once this process is leaving.
-    fn turned_away(&self, now: Time, issued: u64) -> Option<Refusal> {
+    fn turned_away(&self, now: Time, issued: u64, caller: &str) -> Option<Refusal> {
         let Some(age) = self.limits.epoch_at(now).checked_sub(issued) else {
             // Not issued yet, so not by this process. It must not be called
             // "not run", as it would be accepted once its epoch has come.
@@ -100,12 +102,16 @@
             return Some(Refusal::not_run(Reason::Leaving, Some(COME_BACK)));
         }
         // Without room for a record nothing can be promised about the key.
-        self.no_room()
-            .then_some(Refusal::unknown(Reason::Overloaded, Some(COME_BACK)))
+        let reason = self.no_room(caller)?;
+        Some(Refusal::unknown(reason, Some(COME_BACK)))
     }
 
-    pub(super) fn no_room(&self) -> bool {
-        self.book.is_full() || self.held.len() >= self.limits.held
+    /// Why a key can't be given a record, if it can't.
+    pub(super) fn no_room(&self, caller: &str) -> Option<Reason> {
+        if self.book.is_full() {
+            return Some(Reason::Overloaded);
+        }
+        self.crowded(caller)
     }
 
     /// A further copy of a request that has a record.
@@ -118,7 +124,7 @@
     ) {
         let id = arrival.id;
         let until = self.until(now, arrival);
-        let crowd = self.held.len() >= self.limits.held;
+        let crowd = self.crowded(&arrival.caller).is_some();
         let Some(record) = self.book.get_mut(&name) else {
             return;
         };
@@ -135,6 +141,7 @@
         record.waiters.push(id);
         self.held.insert(Held {
             id,
+            caller: Arc::clone(&arrival.caller),
             name,
             until,
             stage: Stage::Waiting,
@@ -159,6 +166,7 @@
         }
         self.held.insert(Held {
             id: arrival.id,
+            caller: Arc::clone(&arrival.caller),
             name,
             until: self.until(now, &arrival),
             stage: Stage::Claiming {
@@ -182,9 +190,11 @@
             Some(Word::Claimed) => return self.granted(now, id, out),
             Some(Word::Sealed) => Reason::KeySealed,
             Some(Word::Expired) => Reason::KeyExpired,
-            Some(Word::Full) => Reason::Overloaded,
-            Some(Word::Foreign | Word::Epoch(_)) => Reason::Witness,
-            None => return self.give_up(now, id, out),
+            // A full witness stays full for minutes. New keys have to name
+            // another one, or none, or they would all be refused as well.
+            Some(Word::Full | Word::Foreign | Word::Epoch(_)) | None => {
+                return self.give_up(now, id, out);
+            }
         };
         if let Some(held) = self.held.remove(id) {
             let refusal = Refusal::not_run(reason, Some(COME_BACK));
@@ -259,6 +269,7 @@
         arrival.deadline = Some(until.since(now));
         self.held.insert(Held {
             id: arrival.id,
+            caller: Arc::clone(&arrival.caller),
             name,
             until,
             stage: Stage::Running,
@@ -276,6 +287,12 @@
 
     /// Ends a key: records the verdict, then tells all who wait for it.
     pub(super) fn finish(&mut self, name: &Name, verdict: Verdict, out: &mut Vec<Action>) {
+        let open = self.stays_open(name, &verdict);
+        let verdict = if open && self.safe.not_run_final {
+            doubtful(verdict)
+        } else {
+            verdict
+        };
         let Some(record) = self.book.get_mut(name) else {
             return;
         };
@@ -286,12 +303,30 @@
             self.held.remove(id);
             answer(id, &verdict, out);
         }
-        match verdict {
-            Verdict::Answered(answer) => self.keep(name, answer.bytes()),
-            Verdict::Refused(refusal) => self.reopen(name, refusal),
+        if open {
+            self.book.remove(name);
+        } else if let Verdict::Answered(answer) = verdict {
+            self.keep(name, answer.bytes());
         }
     }
 
+    /// Whether a key that did not run stays open, so that a later copy may run.
+    ///
+    /// Closing a key takes its record for as long as records are kept. Under
+    /// overload far more requests are refused than run; their records would
+    /// fill the table and keep every new key out for minutes after the overload
+    /// is over. So beyond half of the room such a key stays open, its record
+    /// goes, and its callers are told "unknown", which promises only that it
+    /// won't run twice. A chosen key stays claimed in the store and could not
+    /// run again, so its record stays.
+    fn stays_open(&self, name: &Name, verdict: &Verdict) -> bool {
+        let Verdict::Refused(refusal) = verdict else {
+            return false;
+        };
+        let crowded = self.book.is_crowded() && name.epoch != chosen::EPOCH;
+        refusal.outcome == Outcome::NotRun && (crowded || !self.safe.not_run_final)
+    }
+
     fn keep(&mut self, name: &Name, bytes: u64) {
         for dropped in self.kept.keep(name.clone(), bytes) {
             if let Some(record) = self.book.get_mut(&dropped) {
@@ -300,14 +335,6 @@
             }
         }
     }
-
-    /// [`Safeguards::not_run_final`](super::Safeguards) off: a key that did not
-    /// run may be tried again.
-    fn reopen(&mut self, name: &Name, refusal: Refusal) {
-        if !self.safe.not_run_final && refusal.outcome == Outcome::NotRun {
-            self.book.remove(name);
-        }
-    }
 }
 
 /// What a resend is told after the fact. A key that did not run is sealed; its
@@ -321,6 +348,17 @@
     }
 }
 
+/// The same refusal without its promise.
+fn doubtful(verdict: Verdict) -> Verdict {
+    match verdict {
+        Verdict::Refused(refusal) => Verdict::Refused(Refusal {
+            outcome: Outcome::Unknown,
+            ..refusal
+        }),
+        answered @ Verdict::Answered(_) => answered,
+    }
+}
+
 const fn no_witness() -> Refusal {
     Refusal::not_run(Reason::Witness, Some(COME_BACK))
 }
--- a/crates/steer/tests/gate_scenarios/bench.rs
+++ b/crates/steer/tests/gate_scenarios/bench.rs
@@ -148,7 +148,7 @@
         Arrival {
             id,
             service: line.get("service").unwrap_or("lodgement").into(),
-            caller: "caller".into(),
+            caller: line.get("caller").unwrap_or("caller").into(),
             key: line.get("key").map(|name| self.text(name)),
             fingerprint: Fingerprint(u128::from(line.number("body").unwrap_or(0))),
             deadline: line.number("ms").map(Duration::from_millis),
@@ -245,6 +245,7 @@
     Limits {
         records: line.count("records", usual.records),
         held: line.count("held", usual.held),
+        caller: line.count("caller", usual.caller),
         waiters: line.count("waiters", usual.waiters),
         answers: line.number("answers").unwrap_or(usual.answers),
         // Later probes would clutter the scenarios.
