--- a/crates/auburnrouter/src/daemon/engine.rs
+++ b/crates/auburnrouter/src/daemon/engine.rs
@@ -8,10 +8,11 @@
 mod errand;
 mod inner;
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use steer::clock::Time;
 use steer::process::{dispatch, traffic};
 use steer::request::{arrival, outcome, record};
@@ -25,13 +26,21 @@
 use super::peers::Peers;
 use super::workers::Executor;
 
+/// Time for a target to answer a probe.
+const PROBE_TIME: Duration = Duration::from_millis(250);
+
+/// Time for a peer to take the word on a request that breaks targets.
+const SUSPECT_TIME: Duration = Duration::from_millis(500);
+
 /// What the drivers give the decisions about a request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Terms {
     /// Time the caller allows, if it said.
     pub deadline: Option<Duration>,
     /// Where the request came from.
     pub origin: arrival::Origin,
+    /// Name of the region of the peer that passed it on.
+    pub via: Option<Arc<str>>,
 }
 
 /// What errands are run with.
@@ -53,6 +62,9 @@
     means: Means,
     this: Weak<Self>,
     prefix: ArcSwapOption<String>,
+    others: ArcSwap<Vec<SocketAddr>>,
+    home: dispatch::Home,
+    region: ArcSwapOption<Arc<str>>,
     inner: Mutex<Inner>,
 }
 
@@ -77,6 +89,7 @@
     #[must_use]
     pub fn new(
         decide: traffic::Traffic,
+        home: dispatch::Home,
         incarnation: view::Incarnation,
         means: Means,
     ) -> Arc<Self> {
@@ -86,6 +99,9 @@
             means,
             this: Weak::clone(this),
             prefix: ArcSwapOption::empty(),
+            others: ArcSwap::default(),
+            home,
+            region: ArcSwapOption::empty(),
             inner: Mutex::new(Inner::new(decide)),
         })
     }
@@ -116,8 +132,26 @@
         told.recv().await.ok()
     }
 
+    /// Takes a peer's word on a request that breaks targets.
+    pub fn suspected(&self, fingerprint: arrival::Fingerprint, strikes: u8) {
+        let event = traffic::Event::Suspected {
+            fingerprint,
+            strikes,
+        };
+        self.handle(&mut self.lock(), event);
+    }
+
     /// Puts a new view in force.
     pub fn install(&self, view: Arc<view::View>) {
+        let others = view.members.values();
+        let others = others.filter(|m| m.incarnation != self.incarnation);
+        let others = others.map(|m| m.peer).collect();
+        self.others.store(Arc::new(others));
+        let region = view.domain(&self.home.domain).map(|domain| {
+            let region = view.domains[domain].region;
+            Arc::new(Arc::clone(&view.regions[region].name))
+        });
+        self.region.store(region);
         self.handle(&mut self.lock(), traffic::Event::View(view));
     }
 
@@ -175,6 +209,8 @@
             deadline: terms.deadline,
             bytes: request.bytes(),
             origin: terms.origin,
+            home: request.home.clone(),
+            via: terms.via,
         };
         inner.admit(id, request, mailbox);
         self.handle(&mut inner, traffic::Event::Arrive(arrival));
@@ -243,9 +279,19 @@
                 call,
                 budget,
             } => self.go(Kind::Store { id, key, call }, budget),
-            // Not carried yet: without them the decisions go by traffic alone,
-            // and each instance counts strikes for itself.
-            traffic::Action::Probe { .. } | traffic::Action::Suspect { .. } => {}
+            traffic::Action::Probe { target, addr } => {
+                self.go(Kind::Probe { target, addr }, PROBE_TIME);
+            }
+            traffic::Action::Suspect {
+                fingerprint,
+                strikes,
+            } => self.go(
+                Kind::Suspect {
+                    fingerprint,
+                    strikes,
+                },
+                SUSPECT_TIME,
+            ),
             traffic::Action::Issue(prefix) => {
                 self.prefix.store(prefix.map(|p| Arc::new(p.to_string())));
             }
--- a/crates/auburnrouter/src/daemon/engine/errand.rs
+++ b/crates/auburnrouter/src/daemon/engine/errand.rs
@@ -11,7 +11,7 @@
 
 use super::{Engine, claim};
 use crate::daemon::inbound::Inbound;
-use crate::daemon::outbound;
+use crate::daemon::{outbound, peers};
 
 /// What is to be done.
 pub enum Kind {
@@ -55,6 +55,20 @@
         /// The call.
         call: record::StoreCall,
     },
+    /// Ask a target how it is.
+    Probe {
+        /// Its name.
+        target: Arc<str>,
+        /// Where it listens.
+        addr: SocketAddr,
+    },
+    /// Tell the peers how many targets broke under a request.
+    Suspect {
+        /// The request's fingerprint.
+        fingerprint: arrival::Fingerprint,
+        /// Targets that broke.
+        strikes: u8,
+    },
     /// Tell a target that an answer is no longer wanted.
     Cancel {
         /// Where the target listens.
@@ -94,8 +108,10 @@
                 engine.ended(id, attempt, &place, ended);
             }
             Kind::Forward { id, addr, request } => {
-                let peers = &engine.means.peers;
-                let ending = peers.forward(addr, &request, budget, true).await;
+                let calls = &engine.means.peers;
+                let ending = calls
+                    .forward(addr, &request, budget, engine.hop(true))
+                    .await;
                 engine.report(traffic::Event::Forwarded { id, ending });
             }
             Kind::Ask {
@@ -110,6 +126,18 @@
                 let result = claim::settle(&*engine.means.store, &key, call, budget).await;
                 engine.report(traffic::Event::Stored { id, result });
             }
+            Kind::Probe { target, addr } => {
+                let report = engine.means.outbound.probe(addr, budget).await;
+                engine.report(traffic::Event::Probed { target, report });
+            }
+            Kind::Suspect {
+                fingerprint,
+                strikes,
+            } => {
+                let peers = engine.others.load();
+                let print = fingerprint;
+                engine.means.peers.suspect(&peers, print, strikes, budget);
+            }
             Kind::Cancel { addr, name } => engine.means.outbound.cancel(addr, &name).await,
         }
     }
@@ -134,8 +162,9 @@
                 self.means.outbound.send(attempt).await
             }
             dispatch::Place::Member { peer, .. } => {
-                let peers = &self.means.peers;
-                peers.forward(*peer, request, budget, false).await.into()
+                let calls = &self.means.peers;
+                let ending = calls.forward(*peer, request, budget, self.hop(false)).await;
+                ending.into()
             }
         }
     }
@@ -167,6 +196,13 @@
         drop(flight);
     }
 
+    /// What a peer is told of a hop.
+    fn hop(&self, owned: bool) -> peers::Hop {
+        let region = self.region.load();
+        let via = region.as_ref().map(|name| Arc::clone(&**name));
+        peers::Hop { owned, via }
+    }
+
     fn report(&self, event: traffic::Event) {
         self.handle(&mut self.lock(), event);
     }
--- a/crates/intent/src/plan/build.rs
+++ b/crates/intent/src/plan/build.rs
@@ -26,7 +26,7 @@
         ..Plan::default()
     };
     places(&mut plan, draft);
-    plan.classes = draft.classes.iter().map(class).collect();
+    plan.classes = draft.classes.iter().map(class).collect::<Option<_>>()?;
     services(&mut plan, draft)?;
     plan.links = links(&plan, draft)?;
     plan.shifts = shifts(&plan, draft)?;
@@ -91,11 +91,11 @@
     State::Live
 }
 
-fn class(written: &draft::Class) -> ClassData {
-    ClassData {
+fn class(written: &draft::Class) -> Option<ClassData> {
+    Some(ClassData {
         name: Arc::clone(&written.name.value),
-        queue: u8::try_from(written.queue.value).unwrap_or(u8::MAX),
-    }
+        queue: u8::try_from(written.queue.as_ref()?.value).ok()?,
+    })
 }
 
 fn services(plan: &mut Plan, draft: &Draft) -> Option<()> {
@@ -110,12 +110,12 @@
 }
 
 fn service(plan: &Plan, written: &draft::Service) -> Option<ServiceData> {
-    let class = plan
-        .classes
-        .values()
-        .position(|c| c.name == written.class.value)?;
+    let name = &written.class.as_ref()?.value;
+    let class = plan.classes.values().position(|c| c.name == *name)?;
     let mut sites = written
         .sites
+        .as_ref()?
+        .value
         .iter()
         .map(|name| plan.site(&name.value))
         .collect::<Option<Vec<Site>>>()?;
@@ -123,7 +123,7 @@
     Some(ServiceData {
         name: Arc::clone(&written.name.value),
         class: Class::new(class),
-        idempotent: written.idempotent,
+        idempotent: written.idempotent?,
         deadline: Duration::from_millis(written.deadline),
         sites,
     })
@@ -133,9 +133,9 @@
     let mut links = Vec::new();
     for written in &draft.links {
         links.push(Link {
-            from: plan.region(&written.from.value)?,
-            to: plan.region(&written.to.value)?,
-            bits: written.mbit * MEGABIT,
+            from: plan.region(&written.from.as_ref()?.value)?,
+            to: plan.region(&written.to.as_ref()?.value)?,
+            bits: written.mbit? * MEGABIT,
         });
     }
     links.sort_by_key(|link| (link.from, link.to));
@@ -146,10 +146,10 @@
     let mut shifts = Vec::new();
     for written in &draft.shifts {
         shifts.push(Shift {
-            service: plan.service(&written.service.value)?,
-            from: plan.region(&written.from.value)?,
-            to: plan.region(&written.to.value)?,
-            cap: written.cap,
+            service: plan.service(&written.service.as_ref()?.value)?,
+            from: plan.region(&written.from.as_ref()?.value)?,
+            to: plan.region(&written.to.as_ref()?.value)?,
+            cap: written.cap?,
             ramp: Duration::from_secs(written.ramp),
         });
     }
@@ -181,10 +181,11 @@
 #[must_use]
 pub fn own_blocks(draft: &Draft, names: &crate::blocks::Names) -> Vec<Block> {
     let known = draft.blocks.iter().filter_map(|written| {
+        let (base, len) = written.prefix?;
         Some(Block {
-            base: written.base,
-            len: written.len,
-            region: crate::blocks::region(names, &written.region.value)?,
+            base,
+            len,
+            region: crate::blocks::region(names, &written.region.as_ref()?.value)?,
         })
     });
     known.collect()
--- a/crates/measure/src/model/asking.rs
+++ b/crates/measure/src/model/asking.rs
@@ -70,6 +70,8 @@
             deadline: Some(Duration::from_secs(spec.deadline)),
             bytes: 500,
             origin: Origin::Caller,
+            home: None,
+            via: None,
         };
         self.tell(request.entry, Event::Arrive(arrival));
     }
--- a/crates/measure/src/model/driver.rs
+++ b/crates/measure/src/model/driver.rs
@@ -129,6 +129,8 @@
             deadline: Some(budget.saturating_sub(way * 2)),
             bytes: 500,
             origin: Origin::Peer,
+            home: None,
+            via: None,
         };
         // The peer decides on arrival; the model lets the way there pass with
         // the way back, which no decision can tell apart.
--- a/crates/measure/src/scenarios.rs
+++ b/crates/measure/src/scenarios.rs
@@ -16,9 +16,6 @@
 /// When faults begin.
 const BEGIN: Duration = Duration::from_secs(10);
 
-/// A name, the offered load, and what happens when.
-type Case = (&'static str, f64, Vec<(Duration, Fault)>);
-
 /// Engines that are compared.
 fn engines(deployment: &Deployment) -> Vec<(&'static str, Kind)> {
     vec![
@@ -33,6 +30,9 @@
     tuning
 }
 
+/// A case's name, its load as a share of capacity, and what strikes when.
+type Case = (&'static str, f64, Vec<(Duration, Fault)>);
+
 /// Latency and refusals of both engines under load and faults.
 #[must_use]
 pub fn steer(deployment: &'static Deployment, seed: u64, seconds: u64, only: &str) -> String {
--- a/crates/steer/src/process.rs
+++ b/crates/steer/src/process.rs
@@ -1,6 +1,11 @@
 //! What lives as long as the process.
 
+pub mod config;
+pub mod control;
 pub mod dispatch;
 pub mod gate;
+pub mod member;
+pub mod share;
+pub mod slot;
 pub mod target;
 pub mod traffic;
--- a/crates/steer/src/process/gate/held.rs
+++ b/crates/steer/src/process/gate/held.rs
@@ -3,11 +3,16 @@
 //! Invariant: sorted by request; each request stands here once, and leaves with
 //! exactly one answer.
 
+use std::sync::Arc;
+
 use super::book::Name;
+use super::counts::Stages;
 use crate::clock::Time;
+use crate::request::admission::Counts;
 use crate::request::arrival::{Arrival, RequestId};
 use crate::request::key::Issued;
 use crate::request::record::{AskId, Attempt, StoreCall};
+use crate::version::view::Incarnation;
 
 /// How far a held request has come.
 pub enum Stage {
@@ -15,6 +20,8 @@
     Claiming {
         /// The question.
         ask: AskId,
+        /// Who was asked.
+        witness: Incarnation,
         /// When to give up waiting.
         wait: Time,
         /// What to run on the witness's word.
@@ -55,6 +62,8 @@
 pub struct Held {
     /// The request.
     pub id: RequestId,
+    /// Who asks.
+    pub caller: Arc<str>,
     /// Its key's record.
     pub name: Name,
     /// When its caller stops waiting.
@@ -67,6 +76,7 @@
 #[derive(Default)]
 pub struct HeldSet {
     items: Vec<Held>,
+    callers: Counts,
 }
 
 impl HeldSet {
@@ -75,8 +85,14 @@
         self.items.len()
     }
 
+    /// Number of this caller's requests held.
+    pub fn of(&self, caller: &str) -> usize {
+        self.callers.get(caller)
+    }
+
     /// Adds a request.
     pub fn insert(&mut self, held: Held) {
+        self.callers.add(&held.caller);
         let at = self.items.partition_point(|h| h.id < held.id);
         self.items.insert(at, held);
     }
@@ -96,7 +112,9 @@
     /// Takes a request out.
     pub fn remove(&mut self, id: RequestId) -> Option<Held> {
         let at = self.search(id)?;
-        Some(self.items.remove(at))
+        let held = self.items.remove(at);
+        self.callers.remove(&held.caller);
+        Some(held)
     }
 
     /// The request that waits for the answer to `ask`.
@@ -118,6 +136,23 @@
         self.items.iter().filter(late).map(|h| h.id).collect()
     }
 
+    /// Number of requests at each stage.
+    pub fn stages(&self) -> Stages {
+        let mut stages = Stages::default();
+        for held in &self.items {
+            let count = match held.stage {
+                Stage::Claiming { .. } => &mut stages.claiming,
+                Stage::Storing { .. } => &mut stages.storing,
+                Stage::Running => &mut stages.running,
+                Stage::Waiting => &mut stages.waiting,
+                Stage::Forwarding { .. } => &mut stages.forwarding,
+                Stage::Sealing { .. } => &mut stages.sealing,
+            };
+            *count += 1;
+        }
+        stages
+    }
+
     fn search(&self, id: RequestId) -> Option<usize> {
         self.items.binary_search_by_key(&id, |h| h.id).ok()
     }
--- a/crates/steer/src/process/gate/limits.rs
+++ b/crates/steer/src/process/gate/limits.rs
@@ -17,6 +17,8 @@
     pub records: usize,
     /// Requests held at a time.
     pub held: usize,
+    /// Requests held at a time for one caller, so that none takes all the room.
+    pub caller: usize,
     /// Resends that wait for one first run.
     pub waiters: usize,
     /// Memory in bytes for answers that a resend may ask for.
@@ -37,8 +39,9 @@
             epoch: Duration::from_secs(30),
             accept: 10,
             keep: 20,
-            records: 65_536,
+            records: 131_072,
             held: 8_192,
+            caller: 512,
             waiters: 4,
             answers: 8 << 20,
             ask: Duration::from_millis(400),
@@ -50,6 +53,16 @@
 }
 
 impl Limits {
+    /// The same with records that outlive what is accepted. If they didn't, a
+    /// key whose record is forgotten would pass for a new one and run again.
+    #[must_use]
+    pub fn sound(self) -> Self {
+        Self {
+            keep: self.keep.max(self.accept.saturating_add(1)),
+            ..self
+        }
+    }
+
     /// The epoch that a process counts at `now`.
     #[must_use]
     pub fn epoch_at(&self, now: Time) -> u64 {
--- a/crates/steer/src/process/traffic.rs
+++ b/crates/steer/src/process/traffic.rs
@@ -76,7 +76,7 @@
         /// What it said; `None` if it couldn't be reached.
         report: Option<Report>,
     },
-    /// A peer's [`Action::Suspect`].
+    /// A peer says how many targets broke under a request.
     Suspected {
         /// The request's fingerprint.
         fingerprint: Fingerprint,
@@ -131,20 +131,6 @@
         /// What to say.
         refusal: Refusal,
     },
-    /// Ask a target how it is; report back by [`Event::Probed`].
-    Probe {
-        /// Its name.
-        target: Arc<str>,
-        /// Where it listens.
-        addr: SocketAddr,
-    },
-    /// Tell all peers how many targets broke under a request.
-    Suspect {
-        /// The request's fingerprint.
-        fingerprint: Fingerprint,
-        /// Targets that broke; zero clears it.
-        strikes: u8,
-    },
     /// Send the whole request to its key's owner, which takes it as
     /// [`Origin::Forward`](crate::request::arrival::Origin::Forward); report
     /// back by [`Event::Forwarded`].
@@ -185,6 +171,20 @@
         /// Time after which the driver gives up.
         budget: Duration,
     },
+    /// Ask a target how it is; report back by [`Event::Probed`].
+    Probe {
+        /// Its name.
+        target: Arc<str>,
+        /// Where it listens.
+        addr: SocketAddr,
+    },
+    /// Tell all peers how many targets broke under a request.
+    Suspect {
+        /// The request's fingerprint.
+        fingerprint: Fingerprint,
+        /// Targets that broke; zero clears it.
+        strikes: u8,
+    },
     /// Look-up answers carry this key prefix from now on; `None`: none.
     Issue(Option<Prefix>),
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -39,6 +39,19 @@
     /// Whether the receiver is asked as the key's owner, and not just to run
     /// what the sender has already guarded.
     pub owned: bool,
+    /// Region of the caller, if known.
+    pub home: Option<String>,
+    /// Region of the sender.
+    pub via: Option<String>,
+}
+
+/// How many targets broke under a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The request's fingerprint.
+    pub fingerprint: u128,
+    /// Targets that broke; zero clears it.
+    pub strikes: u8,
 }
 
 /// What became of a request passed on.
@@ -160,19 +173,15 @@
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// A process of this system, as it speaks of itself.
+/// Who listens at an address.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
+pub struct Who {
     /// Name of its entry instance.
     pub name: String,
-    /// Which process.
-    pub incarnation: u64,
     /// Name of its failure domain.
     pub domain: String,
-    /// Where callers reach it.
-    pub addr: std::net::SocketAddr,
     /// Where its peers reach it.
     pub peer: std::net::SocketAddr,
-    /// Whether it is shutting down.
-    pub leaving: bool,
+    /// Version in force at it; 0 if none.
+    pub version: u64,
 }
