Dump the dispatcher's state; ask each region's cap

Cause: operators want a dump of each process; a cap that stood against one far peer kept requests from all far regions. The scenario runner itself now fails if a check breaks with all safeguards on, or none breaks with one off.

--- a/crates/steer/src/process/dispatch.rs
+++ b/crates/steer/src/process/dispatch.rs
@@ -5,6 +5,7 @@
 //! not idempotent is never sent again once it may have run; and a refusal that
 //! says "not run" is given only while no attempt may have run.
 
+pub mod dump;
 mod group;
 mod job;
 mod message;
@@ -121,6 +122,15 @@
         &self.stats
     }
 
+    /// The state as text, at a point in time.
+    #[must_use]
+    pub const fn dump(&self, now: Time) -> dump::Dump<'_> {
+        dump::Dump {
+            dispatch: self,
+            now,
+        }
+    }
+
     fn arrive(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Action>) {
         let group = match self.admit(&arrival) {
             Ok(group) => group,
@@ -195,10 +205,18 @@
         let hope = !on.has(Safeguard::Admission) || (short && outlook.hopeful(left));
         let stay = hope && self.has_open(now, group, &job) && self.fits(group);
         let patience = if stay { outlook.wait() } else { left };
-        let (remote, capped) = self.remote(now, group, &job, patience, left);
-        if let Some(pick) = remote.filter(|_| room) {
-            return self.send(now, group, job, pick, out);
-        }
+        // What a cap allows counts as used, so it is asked only where the
+        // request would then go.
+        let remote = if room {
+            self.remote(now, group, &job, patience, left)
+        } else {
+            Ok(None)
+        };
+        let capped = match remote {
+            Ok(Some(pick)) => return self.send(now, group, job, pick, out),
+            Ok(None) => None,
+            Err(after) => Some(after),
+        };
         if stay && self.make_room(group, out) {
             return self.wait(now, group, job);
         }
@@ -209,16 +227,16 @@
             return self.send(now, group, job, pick, out);
         }
         let reason = match job.failed {
-            _ if capped => Reason::Cap,
+            _ if capped.is_some() => Reason::Cap,
             Some(failed) => failed,
             None if outlook.limit == 0 => Reason::NoTarget,
             None if hope => Reason::Overloaded,
             None => Reason::Deadline,
         };
-        let wait = if outlook.limit == 0 {
-            admission::COME_BACK.0 * 10
-        } else {
-            outlook.wait()
+        let wait = match capped {
+            Some(after) => after,
+            None if outlook.limit == 0 => admission::COME_BACK.0 * 10,
+            None => outlook.wait(),
         };
         self.give_up(&job, reason, wait, out);
     }
--- a/crates/steer/src/process/dispatch/group.rs
+++ b/crates/steer/src/process/dispatch/group.rs
@@ -13,7 +13,7 @@
 use crate::process::dispatch::tuning::{Safeguard, Safeguards};
 use crate::process::target::{Fit, Table, latency};
 use crate::request::admission::Outlook;
-use crate::version::view::{Incarnation, Member};
+use crate::version::view::{Incarnation, Member, Region};
 
 /// A target of this failure domain.
 #[derive(Clone, Debug)]
@@ -35,7 +35,9 @@
     pub peer: SocketAddr,
     /// Its reference in the view in force.
     pub member: Member,
-    /// Whether it is in this instance's region.
+    /// Its region.
+    pub region: Region,
+    /// Whether that is this instance's region.
     pub near: bool,
 }
 
--- a/crates/steer/src/process/dispatch/place.rs
+++ b/crates/steer/src/process/dispatch/place.rs
@@ -13,8 +13,9 @@
 use crate::process::dispatch::tuning::Safeguard;
 use crate::process::dispatch::{Dispatch, Origin};
 use crate::process::target::{Fit, Track, choose, latency};
+use crate::request::arrival::Arrival;
 use crate::request::{poison, retry};
-use crate::version::view::Member;
+use crate::version::view::{Member, Region};
 
 /// Time that passing a request to a peer of the same region costs.
 pub const NEAR: Duration = Duration::from_millis(2);
@@ -168,7 +169,10 @@
     }
 
     /// A peer that can take the request within `patience` and answer within
-    /// `left`. The second value says whether only a cap stood against one.
+    /// `left`.
+    ///
+    /// # Errors
+    /// Only caps stood against one: when they may allow it.
     pub(super) fn remote(
         &mut self,
         now: Time,
@@ -176,41 +180,46 @@
         job: &Job,
         patience: Duration,
         left: Duration,
-    ) -> (Option<Pick>, bool) {
+    ) -> Result<Option<Pick>, Duration> {
         let entry = &self.groups[group];
         // A suspect is held where its strikes are known, as long as it can be.
         if job.arrival.origin == Origin::Peer || (self.suspect(job) && entry.limit > 0) {
-            return (None, false);
+            return Ok(None);
         }
         let run = entry.outlook().run();
         let tiers = [
             (NEAR, 0..entry.near),
             (FAR, entry.near..entry.remotes.len()),
         ];
-        let mut capped = false;
+        let mut capped: Option<Duration> = None;
+        let mut closed = Vec::new();
         for (cost, tier) in tiers {
             if cost > patience || cost + run > left {
                 continue;
             }
-            let Some(at) = self.peer(now, group, job, tier) else {
-                continue;
-            };
-            let to = &self.groups[group].remotes[at];
-            let (member, place, track) = (to.member, peer_place(to, &self.tracks), to.track);
-            if self.may_shift(now, group, member, job.arrival.bytes) {
-                let alone = false;
-                return (
-                    Some(Pick {
-                        track,
-                        place,
-                        alone,
-                    }),
-                    false,
-                );
+            while let Some(at) = self.peer(now, group, job, tier.clone(), &closed) {
+                let to = self.groups[group].remotes[at].clone();
+                match self.may_shift(now, &job.arrival, to.member) {
+                    Ok(()) => return Ok(Some(self.peer_pick(&to))),
+                    Err(after) => capped = Some(capped.map_or(after, |c| c.min(after))),
+                }
+                // Caps are between regions: another one may still be open.
+                closed.push(to.region);
             }
-            capped = true;
         }
-        (None, capped)
+        capped.map_or(Ok(None), Err)
+    }
+
+    fn peer_pick(&self, to: &Remote) -> Pick {
+        Pick {
+            track: to.track,
+            place: Place::Member {
+                name: Arc::clone(&self.tracks.as_slice()[to.track].name),
+                incarnation: to.incarnation,
+                peer: to.peer,
+            },
+            alone: false,
+        }
     }
 
     fn peer(
@@ -219,6 +228,7 @@
         group: usize,
         job: &Job,
         tier: core::ops::Range<usize>,
+        closed: &[Region],
     ) -> Option<usize> {
         let on = self.tuning.safeguards;
         let count = tier.len();
@@ -234,6 +244,7 @@
         let tracks = self.tracks.as_slice();
         let places = (0..count.min(SAMPLE))
             .map(|i| tier.start + (start + i) % count)
+            .filter(|&at| !closed.contains(&entry.remotes[at].region))
             .map(|at| (at, &tracks[entry.remotes[at].track]))
             .filter(|(_, track)| !job.tried.contains(&track.name))
             .filter(|(_, track)| matches!(track.fit(now, on), Fit::Free | Fit::Trial))
@@ -241,11 +252,21 @@
         choose::Policy::Least.choose(places, &mut self.rng)
     }
 
-    /// Whether the caps let a request of `bytes` go to a peer. The caps of
-    /// operators and links are asked for here, once per request and peer.
-    #[expect(clippy::unused_self, reason = "the caps between sites hook in here")]
-    const fn may_shift(&mut self, _now: Time, _group: usize, _to: Member, _bytes: u64) -> bool {
-        true
+    /// Whether the caps let a request go to a peer; if not, when they may. The
+    /// caps of operators and links are asked for here, once per request and
+    /// peer, and what is allowed counts as used.
+    #[expect(
+        clippy::unused_self,
+        clippy::unnecessary_wraps,
+        reason = "the caps between sites hook in here"
+    )]
+    const fn may_shift(
+        &mut self,
+        _now: Time,
+        _arrival: &Arrival,
+        _to: Member,
+    ) -> Result<(), Duration> {
+        Ok(())
     }
 
     /// An ejected target, for a request that has no other place. When all are
@@ -310,11 +331,3 @@
         alone,
     }
 }
-
-fn peer_place(remote: &Remote, tracks: &crate::process::target::Table) -> Place {
-    Place::Member {
-        name: Arc::clone(&tracks.as_slice()[remote.track].name),
-        incarnation: remote.incarnation,
-        peer: remote.peer,
-    }
-}
--- a/crates/steer/src/process/dispatch/renew.rs
+++ b/crates/steer/src/process/dispatch/renew.rs
@@ -203,12 +203,14 @@
         });
         there
             .filter_map(|(member, data)| {
+                let region = view.domains[data.domain].region;
                 Some(Remote {
                     track: self.tracks.find(&data.name, name).ok()?,
                     incarnation: data.incarnation,
                     peer: data.peer,
                     member,
-                    near: Some(view.domains[data.domain].region) == self.region,
+                    region,
+                    near: Some(region) == self.region,
                 })
             })
             .collect()
--- a/crates/steer/src/process/dispatch/upkeep.rs
+++ b/crates/steer/src/process/dispatch/upkeep.rs
@@ -85,8 +85,8 @@
                 return;
             };
             let left = job.until.since(now);
-            let (pick, _) = self.remote(now, group, &job, wait, left);
-            let Some(pick) = pick else {
+            let pick = self.remote(now, group, &job, wait, left);
+            let Ok(Some(pick)) = pick else {
                 return self.groups[group].queue.push_back(job);
             };
             self.send(now, group, job, pick, out);
--- a/crates/steer/tests/dispatch_scenarios/script.rs
+++ b/crates/steer/tests/dispatch_scenarios/script.rs
@@ -14,6 +14,7 @@
 //! | `suspected 7 2` | a peer's word on fingerprint 7 |
 //! | `gone 1` | the caller left |
 //! | `quiet` / `loud` | stop or start printing actions |
+//! | `dump` | print the state |
 //! | `mark` | start counting anew |
 //! | `check look-1 <= 3` | sends to a place since the mark |
 //! | `check refused-poison >= 1` | refusals by reason since the mark |
@@ -55,7 +56,8 @@
 /// and `in-flight=N`.
 pub fn run(case: &mut datadriven::TestCase) -> String {
     let mut tuning = Tuning::default();
-    for name in case.words("off") {
+    let off = case.words("off");
+    for name in &off {
         let safeguard = name.parse().expect("a safeguard's name");
         tuning.safeguards = tuning.safeguards.without(safeguard);
     }
@@ -82,6 +84,10 @@
     for line in case.input.lines().map(str::trim).filter(|l| !l.is_empty()) {
         script.line(line);
     }
+    // A recorded output must not hide that a check fails, nor that a safeguard
+    // isn't needed.
+    let broken = script.out.contains("BROKEN");
+    assert_eq!(broken, !off.is_empty(), "off {off:?}:\n{}", script.out);
     script.out
 }
 
@@ -120,6 +126,10 @@
                 });
             }
             "gone" => self.take(Event::Gone(RequestId(words[1].parse().expect("a request")))),
+            "dump" => {
+                let dump = self.dispatch.dump(self.now);
+                write!(self.out, "{dump}").expect("a string takes all");
+            }
             "quiet" => self.loud = false,
             "loud" => self.loud = true,
             "mark" => self.counts.clear(),
