--- /dev/null
+++ b/crates/measure/tests/virtual_time.rs
@@ -0,0 +1,64 @@
+//! The bench itself: one seed gives one result, and the model has the failures
+//! that the decisions are measured against.
+
+use core::time::Duration;
+
+use measure::model::deployment::{self, Layout};
+use measure::model::{self, Fault, Kind, Outcomes, Setup, Sign};
+use rstest::rstest;
+use steer::process::dispatch::tuning::Tuning;
+
+/// The first target of `sheetview`.
+const STRUCK: usize = 36;
+
+fn run(kind: Kind, load: f64, faults: Vec<(Duration, Fault)>) -> Outcomes {
+    model::run(Setup {
+        deployment: &deployment::BLUESTONE,
+        layout: Layout::today(),
+        kind,
+        load,
+        seed: 1,
+        span: model::WARM_UP + Duration::from_secs(3),
+        faults,
+    })
+}
+
+fn refused(outcomes: &Outcomes) -> u64 {
+    outcomes.services.iter().map(|s| s.refused).sum()
+}
+
+#[test]
+fn seed_repeats() {
+    let once = run(Kind::Steer(Tuning::default()), 0.9, vec![]);
+    let again = run(Kind::Steer(Tuning::default()), 0.9, vec![]);
+    assert_eq!(once.attempts, again.attempts);
+    for (a, b) in once.services.iter().zip(&again.services) {
+        assert_eq!(a.asked, b.asked);
+        assert_eq!(a.latency, b.latency);
+    }
+}
+
+/// Callers of a busy region see refusals while its other domain has room. The
+/// baseline keeps to its own targets; the dispatcher passes the surplus on.
+#[test]
+fn surplus_moves() {
+    let robin = run(Kind::Robin, 0.9, vec![]);
+    let steer = run(Kind::Steer(Tuning::default()), 0.9, vec![]);
+    assert!(refused(&steer) * 4 < refused(&robin));
+}
+
+/// A target says that it leaves; the list shows it three seconds later. New
+/// work must have stopped within three seconds of the first sign, whichever.
+#[rstest]
+#[case::report(Sign::Report, 100)]
+#[case::refusal(Sign::Refusal, 100)]
+#[case::list(Sign::List, 3000)]
+#[case::operator(Sign::Operator, 1000)]
+fn leaving_drains(#[case] sign: Sign, #[case] most: u64) {
+    let faults = vec![(model::WARM_UP, Fault::Leave(STRUCK, sign))];
+    let steer = run(Kind::Steer(Tuning::default()), 0.7, faults);
+    let [begun, sent, _] = steer.drain;
+    let begun = begun.expect("the target leaves");
+    let span = sent.map_or(Duration::ZERO, |sent| sent.since(begun));
+    assert!(span <= Duration::from_millis(most), "{span:?}");
+}
