Ask for caps where traffic leaves its region, and lend parts of them

Cause: the dispatcher let any request pass to any region. Change: a request that is served outside its caller's region takes of the shift's cap, a hop between regions takes of the link, and an answer leaves over a link only when the second has room for it; instances borrow from each other. What no operator allowed is refused with reason cap. Tests changed: the gate's scenes now state the shifts and links that they use, since a hop to another region needs an operator's leave; what they expect is unchanged.

--- a/crates/auburnrouter/src/daemon/engine.rs
+++ b/crates/auburnrouter/src/daemon/engine.rs
@@ -14,7 +14,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use steer::clock::Time;
-use steer::process::{dispatch, traffic};
+use steer::process::{dispatch, share, traffic};
 use steer::request::{arrival, outcome, record};
 use steer::version::view;
 use wire::peer;
@@ -29,6 +29,9 @@
 /// Time for a target to answer a probe.
 const PROBE_TIME: Duration = Duration::from_millis(250);
 
+/// Time for a peer to lend a part of a cap.
+const LOAN_TIME: Duration = Duration::from_millis(500);
+
 /// Time for a peer to take the word on a request that breaks targets.
 const SUSPECT_TIME: Duration = Duration::from_millis(500);
 
@@ -132,6 +135,18 @@
         told.recv().await.ok()
     }
 
+    /// Says whether this process holds its part of every cap.
+    pub fn hold(&self, held: bool) {
+        self.handle(&mut self.lock(), traffic::Event::Hold(held));
+    }
+
+    /// Lends a peer a part of a cap; zero is "nothing".
+    pub async fn lend(&self, route: share::Route, amount: u64) -> u64 {
+        let (mailbox, told) = async_channel::bounded(1);
+        self.wanted(route, amount, mailbox);
+        told.recv().await.unwrap_or(0)
+    }
+
     /// Takes a peer's word on a request that breaks targets.
     pub fn suspected(&self, fingerprint: arrival::Fingerprint, strikes: u8) {
         let event = traffic::Event::Suspected {
@@ -217,6 +232,12 @@
         id
     }
 
+    fn wanted(&self, route: share::Route, amount: u64, mailbox: async_channel::Sender<u64>) {
+        let mut inner = self.lock();
+        let ask = inner.expect_loan(mailbox);
+        self.handle(&mut inner, traffic::Event::Wanted { ask, route, amount });
+    }
+
     fn asked(&self, question: record::Question, mailbox: async_channel::Sender<record::Word>) {
         let mut inner = self.lock();
         let ask = inner.expect(mailbox);
@@ -282,6 +303,21 @@
             traffic::Action::Probe { target, addr } => {
                 self.go(Kind::Probe { target, addr }, PROBE_TIME);
             }
+            traffic::Action::Borrow {
+                peer,
+                route,
+                amount,
+                asked,
+            } => {
+                let kind = Kind::Borrow {
+                    addr: peer,
+                    route,
+                    amount,
+                    asked,
+                };
+                self.go(kind, LOAN_TIME);
+            }
+            traffic::Action::Lend { ask, amount } => inner.lend(ask, amount),
             traffic::Action::Suspect {
                 fingerprint,
                 strikes,
--- a/crates/auburnrouter/src/daemon/engine/errand.rs
+++ b/crates/auburnrouter/src/daemon/engine/errand.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use steer::process::{dispatch, traffic};
+use steer::clock::Time;
+use steer::process::{dispatch, share, traffic};
 use steer::request::{arrival, record};
 
 use super::{Engine, claim};
@@ -55,6 +56,17 @@
         /// The call.
         call: record::StoreCall,
     },
+    /// Ask a peer for a part of a cap.
+    Borrow {
+        /// Where the peer listens.
+        addr: SocketAddr,
+        /// The cap.
+        route: share::Route,
+        /// How much of it.
+        amount: u64,
+        /// When the decision was made.
+        asked: Time,
+    },
     /// Ask a target how it is.
     Probe {
         /// Its name.
@@ -126,6 +138,22 @@
                 let result = claim::settle(&*engine.means.store, &key, call, budget).await;
                 engine.report(traffic::Event::Stored { id, result });
             }
+            Kind::Borrow {
+                addr,
+                route,
+                amount,
+                asked,
+            } => {
+                let calls = &engine.means.peers;
+                let lent = calls.borrow(addr, &route, amount, budget).await;
+                if let Some(amount) = lent {
+                    engine.report(traffic::Event::Borrowed {
+                        route,
+                        amount,
+                        asked,
+                    });
+                }
+            }
             Kind::Probe { target, addr } => {
                 let report = engine.means.outbound.probe(addr, budget).await;
                 engine.report(traffic::Event::Probed { target, report });
--- a/crates/auburnrouter/src/daemon/engine/inner.rs
+++ b/crates/auburnrouter/src/daemon/engine/inner.rs
@@ -30,9 +30,18 @@
     _task: smol::Task<()>,
 }
 
-struct Asked {
+/// A peer's question, until it is answered with a `T`.
+struct Asked<T> {
     id: record::AskId,
-    mailbox: async_channel::Sender<record::Word>,
+    mailbox: async_channel::Sender<T>,
+}
+
+/// Answers a question. The peer may have given up; it then treats the answer as
+/// not given.
+fn answer<T>(asked: &mut Vec<Asked<T>>, id: record::AskId, with: T) {
+    if let Ok(at) = asked.binary_search_by_key(&id, |a| a.id) {
+        let _ = asked.remove(at).mailbox.try_send(with);
+    }
 }
 
 /// The engine's state behind its lock.
@@ -41,7 +50,8 @@
     pub decide: traffic::Traffic,
     requests: Vec<Pending>,
     flights: Vec<Flight>,
-    asked: Vec<Asked>,
+    asked: Vec<Asked<record::Word>>,
+    loans: Vec<Asked<u64>>,
     next: u64,
 }
 
@@ -53,6 +63,7 @@
             requests: Vec::new(),
             flights: Vec::new(),
             asked: Vec::new(),
+            loans: Vec::new(),
             next: 0,
         }
     }
@@ -140,10 +151,19 @@
 
     /// Answers a peer's question.
     pub fn tell(&mut self, id: record::AskId, word: record::Word) {
-        let Ok(at) = self.asked.binary_search_by_key(&id, |a| a.id) else {
-            return;
-        };
-        // The peer may have given up; it then treats the word as not given.
-        let _ = self.asked.remove(at).mailbox.try_send(word);
+        answer(&mut self.asked, id, word);
+    }
+
+    /// Keeps a peer's wish for a loan until it is answered.
+    pub fn expect_loan(&mut self, mailbox: async_channel::Sender<u64>) -> record::AskId {
+        self.next += 1;
+        let id = record::AskId(self.next);
+        self.loans.push(Asked { id, mailbox });
+        id
+    }
+
+    /// Answers a peer's wish for a loan.
+    pub fn lend(&mut self, id: record::AskId, amount: u64) {
+        answer(&mut self.loans, id, amount);
     }
 }
--- a/crates/auburnrouter/src/daemon/peers.rs
+++ b/crates/auburnrouter/src/daemon/peers.rs
@@ -19,7 +19,7 @@
 use settings::secret::Secret;
 use smol::net;
 use steer::process::control::message;
-use steer::process::{config, dispatch};
+use steer::process::{config, dispatch, share};
 use steer::request::{arrival, record};
 use tarpc::server::{self, Channel};
 use tarpc::tokio_serde::formats::Bincode;
@@ -48,6 +48,9 @@
     /// Hears how many targets broke under a request.
     async fn suspect(suspect: peer::Suspect);
 
+    /// Lends a part of a cap; zero is "nothing".
+    async fn lend(route: wire::share::Route, amount: u64) -> u64;
+
     /// Answers as a witness; `None` if this process is ending.
     async fn witness(question: witness::Question) -> Option<witness::Word>;
 }
@@ -170,7 +173,7 @@
         budget: Duration,
         hop: Hop,
     ) -> dispatch::Ending {
-        let forward = outgoing(request, budget, hop);
+        let forward = outgoing(request, budget, &hop);
         let Some(client) = self.client(addr).await else {
             return dispatch::Ending::Unreachable;
         };
@@ -248,6 +251,19 @@
         future::or(asked, late).await
     }
 
+    /// Asks a peer for a part of a cap; `None` if it lends none in time.
+    pub async fn borrow(
+        &self,
+        addr: SocketAddr,
+        route: &share::Route,
+        amount: u64,
+        budget: Duration,
+    ) -> Option<u64> {
+        let client = self.client(addr).await?;
+        let call = client.lend(context(budget), route.into(), amount).compat();
+        call.await.ok().filter(|&lent| lent > 0)
+    }
+
     /// Tells peers how many targets broke under a request. Best effort: whoever
     /// misses it finds out by two targets of its own.
     pub fn suspect(
@@ -343,7 +359,7 @@
     context
 }
 
-fn outgoing(request: &Inbound, budget: Duration, hop: Hop) -> peer::Forward {
+fn outgoing(request: &Inbound, budget: Duration, hop: &Hop) -> peer::Forward {
     let header = |(name, value): &(Arc<str>, Arc<str>)| peer::Header {
         name: name.as_ref().to_owned(),
         value: value.as_ref().to_owned(),
@@ -489,6 +505,10 @@
         self.engine.suspected(print, suspect.strikes);
     }
 
+    async fn lend(self, _: context::Context, route: wire::share::Route, amount: u64) -> u64 {
+        self.engine.lend(route.into(), amount).await
+    }
+
     async fn witness(
         self,
         _: context::Context,
--- a/crates/explorer/src/world/perform.rs
+++ b/crates/explorer/src/world/perform.rs
@@ -68,8 +68,9 @@
                 self.feed(index, Event::Probed { target, report });
             }
             // A target may have started an attempt by the time it hears of its
-            // cancellation, so a cancellation never stops a run here.
-            Action::Cancel { .. } => {}
+            // cancellation, so a cancellation never stops a run here. Loans
+            // bear on how much is shifted, not on how often a key runs.
+            Action::Cancel { .. } | Action::Borrow { .. } | Action::Lend { .. } => {}
             Action::Suspect {
                 fingerprint,
                 strikes,
--- a/crates/measure/src/model.rs
+++ b/crates/measure/src/model.rs
@@ -534,6 +534,7 @@
                 let target = self.target(&target);
                 self.after(LOCAL * 2, Happening::Probed(entry, target));
             }
+            Action::Borrow { .. } | Action::Lend { .. } => {}
             Action::Suspect {
                 fingerprint,
                 strikes,
--- a/crates/steer/src/process.rs
+++ b/crates/steer/src/process.rs
@@ -5,6 +5,7 @@
 pub mod dispatch;
 pub mod gate;
 pub mod member;
+pub mod outbox;
 pub mod share;
 pub mod slot;
 pub mod target;
--- a/crates/steer/src/process/dispatch.rs
+++ b/crates/steer/src/process/dispatch.rs
@@ -5,6 +5,7 @@
 //! not idempotent is never sent again once it may have run; and a refusal that
 //! says "not run" is given only while no attempt may have run.
 
+mod caps;
 mod group;
 mod job;
 mod message;
@@ -21,7 +22,7 @@
 pub use message::{Action, Ending, Event, Home, Place, Report, TICK};
 
 use crate::clock::Time;
-use crate::process::target;
+use crate::process::{share, target};
 use crate::request::admission;
 use crate::request::arrival::{Arrival, AttemptId, Origin, RequestId};
 use crate::request::outcome::{Reason, Refusal};
@@ -47,6 +48,9 @@
     callers: admission::Counts,
     budget: retry::Budget,
     suspects: poison::Suspects,
+    shares: share::Shares,
+    /// Loans to ask for; empty between events.
+    wishes: Vec<Action>,
     attempts: u64,
     probed: Time,
     stats: stats::Stats,
@@ -75,6 +79,8 @@
             callers: admission::Counts::default(),
             budget: retry::Budget::default(),
             suspects: poison::Suspects::default(),
+            shares: share::Shares::default(),
+            wishes: Vec::new(),
             attempts: 0,
             probed: Time::ZERO,
             stats: stats::Stats::default(),
@@ -91,6 +97,16 @@
                 attempt,
                 ending,
             } => self.ended(now, id, attempt, ending, out),
+            Event::Hold(held) => self.shares.hold(now, held),
+            Event::Borrowed {
+                route,
+                amount,
+                asked,
+            } => self.shares.borrow(asked, &route, amount),
+            Event::Wanted { ask, route, amount } => {
+                let amount = self.shares.lend(now, &route, amount);
+                out.push(Action::Lend { ask, amount });
+            }
             Event::Gone(id) => self.gone(now, id, out),
             Event::View(view) => self.renew(now, view, out),
             Event::Report { target, report } => self.report(now, &target, report),
@@ -101,6 +117,7 @@
             } => self.suspected(now, fingerprint, strikes, out),
             Event::Tick => self.tick(now, out),
         }
+        out.append(&mut self.wishes);
     }
 
     /// Number of requests in flight.
@@ -129,6 +146,11 @@
                 return self.refuse(id, refusal, out);
             }
         };
+        if let Err(wait) = self.may_serve(now, &arrival) {
+            let after = Some(admission::jitter(wait, &mut self.rng));
+            let refusal = Refusal::not_run(Reason::Cap, after);
+            return self.refuse(arrival.id, refusal, out);
+        }
         let allowed = arrival.deadline.unwrap_or(self.groups[group].deadline);
         self.callers.add(&arrival.caller);
         self.budget.earn();
--- /dev/null
+++ b/crates/steer/src/process/dispatch/caps.rs
@@ -0,0 +1,134 @@
+//! Where the caps on traffic between regions are asked for.
+//!
+//! A request shifts when it is served in another region than its caller's: it
+//! came straight to an instance of that region, or is passed on to one. A peer
+//! that passes a request on has asked for it already.
+//!
+//! Invariant: no request is served in another region than its caller's, and
+//! none crosses a link, unless this process's part of the cap had room for it.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use crate::clock::Time;
+use crate::process::dispatch::tuning::Safeguard;
+use crate::process::dispatch::{Action, Dispatch};
+use crate::process::share::{Route, Shares};
+use crate::request::arrival::{Arrival, Origin};
+use crate::version::view::{Member, Region, State};
+
+/// Bytes that a message between regions has besides its request or answer.
+const OVERHEAD: u64 = 512;
+
+/// Peers asked for a loan at a time.
+const LENDERS: usize = 2;
+
+impl Dispatch {
+    /// This process's parts of the caps.
+    pub const fn shares(&mut self) -> &mut Shares {
+        &mut self.shares
+    }
+
+    /// Name of this process's region, once known.
+    #[must_use]
+    pub fn region(&self) -> Option<&Arc<str>> {
+        Some(&self.view.regions.get(self.region?)?.name)
+    }
+
+    /// Whether a request that came from another region's caller may be served
+    /// here.
+    ///
+    /// # Errors
+    /// The time after which it may be.
+    pub(super) fn may_serve(&mut self, now: Time, arrival: &Arrival) -> Result<(), Duration> {
+        let (Some(home), Some(here)) = (&arrival.home, self.region) else {
+            return Ok(());
+        };
+        let here = &self.view.regions[here].name;
+        let passed_on = arrival.origin == Origin::Peer;
+        if passed_on || home == here || !self.tuning.safeguards.has(Safeguard::Caps) {
+            return Ok(());
+        }
+        let route = Route::Shift {
+            service: Arc::clone(&arrival.service),
+            from: Arc::clone(home),
+            to: Arc::clone(here),
+        };
+        self.take(now, &[(&route, 1)])
+    }
+
+    /// Whether a request may be passed on to a peer; if so, it is counted.
+    pub(super) fn may_shift(
+        &mut self,
+        now: Time,
+        group: usize,
+        to: Member,
+        arrival: &Arrival,
+    ) -> bool {
+        let Some(here) = self.region else {
+            return false;
+        };
+        let there = self.view.domains[self.view.members[to].domain].region;
+        if here == there || !self.tuning.safeguards.has(Safeguard::Caps) {
+            return true;
+        }
+        let name = |region: Region| Arc::clone(&self.view.regions[region].name);
+        let (here, there) = (name(here), name(there));
+        let home = arrival.home.clone().unwrap_or_else(|| Arc::clone(&here));
+        let link = Route::Link {
+            from: here,
+            to: Arc::clone(&there),
+        };
+        let bytes = arrival.bytes + OVERHEAD;
+        if home == there {
+            // It goes back to its caller's own region: no shift.
+            return self.take(now, &[(&link, bytes)]).is_ok();
+        }
+        let shift = Route::Shift {
+            service: Arc::clone(&self.groups[group].name),
+            from: home,
+            to: there,
+        };
+        self.take(now, &[(&shift, 1), (&link, bytes)]).is_ok()
+    }
+
+    /// Takes of all routes or of none, and asks for loans where room lacks.
+    fn take(&mut self, now: Time, uses: &[(&Route, u64)]) -> Result<(), Duration> {
+        let taken = self.shares.take(now, uses);
+        if taken.is_err() {
+            for &(route, amount) in uses {
+                if self.shares.room(now, route) < amount {
+                    self.wish(now, route);
+                }
+            }
+        }
+        taken
+    }
+
+    /// Asks a few of the instances that have a part of the same cap.
+    fn wish(&mut self, now: Time, route: &Route) {
+        let Some(amount) = self.shares.want(now, route) else {
+            return;
+        };
+        let regions = match route {
+            Route::Shift { from, to, .. } => [from, to],
+            Route::Link { from, .. } => [from, from],
+        };
+        let view = Arc::clone(&self.view);
+        let fits = |member: &Member| {
+            let data = &view.members[*member];
+            let region = &view.regions[view.domains[data.domain].region].name;
+            let other = data.name != self.home.name && data.state == State::Live;
+            other && regions.contains(&region)
+        };
+        let lenders: Vec<Member> = view.members.keys().filter(fits).collect();
+        for lender in self.rng.choose_multiple(lenders, LENDERS) {
+            self.wishes.push(Action::Borrow {
+                peer: view.members[lender].peer,
+                route: route.clone(),
+                amount,
+                asked: now,
+            });
+        }
+    }
+}
--- a/crates/steer/src/process/dispatch/message.rs
+++ b/crates/steer/src/process/dispatch/message.rs
@@ -4,9 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::clock::Time;
+use crate::process::share::Route;
 use crate::request::answer::Answer;
 use crate::request::arrival::{Arrival, AttemptId, Fingerprint, RequestId};
 use crate::request::outcome::Refusal;
+use crate::request::record::AskId;
 use crate::version::view::{Incarnation, State, View};
 
 /// Where an attempt is sent.
@@ -109,6 +112,27 @@
         /// Targets that broke; zero clears it.
         strikes: u8,
     },
+    /// Control says whether this process holds its part of every cap. Due every
+    /// two seconds; an old word doesn't count.
+    Hold(bool),
+    /// A peer lent a part of a cap, as [`Action::Borrow`] asked.
+    Borrowed {
+        /// The cap.
+        route: Route,
+        /// How much of it.
+        amount: u64,
+        /// When it was asked for.
+        asked: Time,
+    },
+    /// A peer asks for a part of a cap; [`Action::Lend`] answers.
+    Wanted {
+        /// The driver's name for the question.
+        ask: AskId,
+        /// The cap.
+        route: Route,
+        /// How much of it.
+        amount: u64,
+    },
     /// The caller left without waiting for its answer.
     Gone(RequestId),
     /// A new view is in force.
@@ -163,6 +187,25 @@
         /// Where it listens.
         addr: SocketAddr,
     },
+    /// Ask a peer for a part of a cap; report back by [`Event::Borrowed`] if it
+    /// lends any.
+    Borrow {
+        /// The peer's address.
+        peer: SocketAddr,
+        /// The cap.
+        route: Route,
+        /// How much of it.
+        amount: u64,
+        /// To be given back with the answer.
+        asked: Time,
+    },
+    /// Answer a peer that asked for a part of a cap; zero is "nothing".
+    Lend {
+        /// The driver's name for the question.
+        ask: AskId,
+        /// How much it gets.
+        amount: u64,
+    },
     /// Tell all peers how many targets broke under a request.
     Suspect {
         /// The request's fingerprint.
--- a/crates/steer/src/process/dispatch/place.rs
+++ b/crates/steer/src/process/dispatch/place.rs
@@ -14,7 +14,6 @@
 use crate::process::dispatch::{Dispatch, Origin};
 use crate::process::target::{Fit, Track, choose, latency};
 use crate::request::{poison, retry};
-use crate::version::view::Member;
 
 /// Time that passing a request to a peer of the same region costs.
 pub const NEAR: Duration = Duration::from_millis(2);
@@ -197,7 +196,7 @@
             };
             let to = &self.groups[group].remotes[at];
             let (member, place, track) = (to.member, peer_place(to, &self.tracks), to.track);
-            if self.may_shift(now, group, member, job.arrival.bytes) {
+            if self.may_shift(now, group, member, &job.arrival) {
                 let alone = false;
                 return (
                     Some(Pick {
@@ -241,13 +240,6 @@
         choose::Policy::Least.choose(places, &mut self.rng)
     }
 
-    /// Whether the caps let a request of `bytes` go to a peer. The caps of
-    /// operators and links are asked for here, once per request and peer.
-    #[expect(clippy::unused_self, reason = "the caps between sites hook in here")]
-    const fn may_shift(&mut self, _now: Time, _group: usize, _to: Member, _bytes: u64) -> bool {
-        true
-    }
-
     /// An ejected target, for a request that has no other place. When all are
     /// ejected the evidence may be at fault, and trying costs nothing; one
     /// request at a time keeps a target that is really ill from more.
--- a/crates/steer/src/process/dispatch/renew.rs
+++ b/crates/steer/src/process/dispatch/renew.rs
@@ -28,6 +28,7 @@
         let home = view.domain(&self.home.domain);
         self.region = home.map(|h| view.domains[h].region);
         self.view = view;
+        self.shares.configure(now, &self.view, &self.home.name);
         self.renew_tracks(now, home, first);
         let mut old = mem::take(&mut self.groups);
         for service in self.view.services.keys() {
--- a/crates/steer/src/process/dispatch/tuning.rs
+++ b/crates/steer/src/process/dispatch/tuning.rs
@@ -50,10 +50,12 @@
     Poison,
     /// Suspects run alone.
     Quarantine,
+    /// Traffic between regions is capped.
+    Caps,
 }
 
 impl Safeguard {
-    const NAMES: [(Self, &'static str); 19] = [
+    const NAMES: [(Self, &'static str); 20] = [
         (Self::OwnCount, "own-count"),
         (Self::ReportBound, "report-bound"),
         (Self::Ejection, "ejection"),
@@ -73,6 +75,7 @@
         (Self::AttemptBound, "attempt-bound"),
         (Self::Poison, "poison"),
         (Self::Quarantine, "quarantine"),
+        (Self::Caps, "caps"),
     ];
 }
 
--- a/crates/steer/src/process/traffic.rs
+++ b/crates/steer/src/process/traffic.rs
@@ -11,10 +11,12 @@
 use crate::clock::Time;
 use crate::process::dispatch::{self, Dispatch, Ending, Home, Place, Report};
 use crate::process::gate::{self, Gate, Limits, Peer, Safeguards, Verdict};
+use crate::process::outbox::{Last, Outbox};
+use crate::process::share::{self, Route};
 use crate::request::answer::Answer;
-use crate::request::arrival::{Arrival, AttemptId, Fingerprint, RequestId};
+use crate::request::arrival::{Arrival, AttemptId, Fingerprint, Origin, RequestId};
 use crate::request::key::Prefix;
-use crate::request::outcome::Refusal;
+use crate::request::outcome::{Reason, Refusal};
 use crate::request::record::{AskId, Question, StoreCall, StoreResult, Word};
 use crate::version::view::{Incarnation, View};
 
@@ -83,6 +85,27 @@
         /// Targets that broke; zero clears it.
         strikes: u8,
     },
+    /// Control says whether this process holds its part of every cap. Due every
+    /// two seconds; an old word doesn't count.
+    Hold(bool),
+    /// A peer lent a part of a cap, as [`Action::Borrow`] asked.
+    Borrowed {
+        /// The cap.
+        route: Route,
+        /// How much of it.
+        amount: u64,
+        /// When it was asked for.
+        asked: Time,
+    },
+    /// A peer asks for a part of a cap; [`Action::Lend`] answers.
+    Wanted {
+        /// The driver's name for the question.
+        ask: AskId,
+        /// The cap.
+        route: Route,
+        /// How much of it.
+        amount: u64,
+    },
     /// The caller left without waiting for its answer.
     Gone(RequestId),
     /// A new view is in force.
@@ -178,6 +201,25 @@
         /// Where it listens.
         addr: SocketAddr,
     },
+    /// Ask a peer for a part of a cap; report back by [`Event::Borrowed`] if it
+    /// lends any.
+    Borrow {
+        /// The peer's address.
+        peer: SocketAddr,
+        /// The cap.
+        route: Route,
+        /// How much of it.
+        amount: u64,
+        /// To be given back with the answer.
+        asked: Time,
+    },
+    /// Answer a peer that asked for a part of a cap; zero is "nothing".
+    Lend {
+        /// The driver's name for the question.
+        ask: AskId,
+        /// How much it gets.
+        amount: u64,
+    },
     /// Tell all peers how many targets broke under a request.
     Suspect {
         /// The request's fingerprint.
@@ -193,6 +235,7 @@
 pub struct Traffic {
     gate: Gate,
     dispatch: Dispatch,
+    outbox: Outbox,
     /// Scratch space, empty between events.
     asked: Vec<gate::Action>,
     sent: Vec<dispatch::Action>,
@@ -217,6 +260,7 @@
         Self {
             gate: Gate::with_safeguards(home.clone(), me, limits, safe),
             dispatch: Dispatch::new(home, rng),
+            outbox: Outbox::default(),
             asked: Vec::new(),
             sent: Vec::new(),
         }
@@ -225,7 +269,7 @@
     /// Takes one event and appends what is to be done to `out`.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Arrive(arrival) => self.gate(now, gate::Event::Arrive(arrival)),
+            Event::Arrive(arrival) => self.arrive(now, arrival, out),
             Event::Forwarded { id, ending } => {
                 self.gate(now, gate::Event::Forwarded { id, ending });
             }
@@ -235,8 +279,14 @@
             }
             Event::Stored { id, result } => self.gate(now, gate::Event::Stored { id, result }),
             Event::Leave => self.gate(now, gate::Event::Leave),
-            Event::Gone(id) if self.gate.holds(id) => self.gate(now, gate::Event::Gone(id)),
-            Event::Gone(id) => self.dispatch(now, dispatch::Event::Gone(id)),
+            Event::Gone(id) => {
+                self.outbox.forget(id);
+                if self.gate.holds(id) {
+                    self.gate(now, gate::Event::Gone(id));
+                } else {
+                    self.dispatch(now, dispatch::Event::Gone(id));
+                }
+            }
             Event::Ended {
                 id,
                 attempt,
@@ -265,6 +315,22 @@
                 };
                 self.dispatch(now, event);
             }
+            Event::Hold(held) => self.dispatch(now, dispatch::Event::Hold(held)),
+            Event::Borrowed {
+                route,
+                amount,
+                asked,
+            } => {
+                let event = dispatch::Event::Borrowed {
+                    route,
+                    amount,
+                    asked,
+                };
+                self.dispatch(now, event);
+            }
+            Event::Wanted { ask, route, amount } => {
+                self.dispatch(now, dispatch::Event::Wanted { ask, route, amount });
+            }
             Event::View(view) => {
                 self.dispatch(now, dispatch::Event::View(Arc::clone(&view)));
                 self.gate(now, gate::Event::View(view));
@@ -277,6 +343,34 @@
         self.settle(now, out);
     }
 
+    /// A request that came over a link is refused at once if its answer may
+    /// find no room on the way back. Another copy of a request that must not
+    /// repeat may have run, so its refusal isn't "not run".
+    fn arrive(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Action>) {
+        let id = arrival.id;
+        if let Some(link) = self.link_back(&arrival)
+            && !self.outbox.admit(now, id, link, self.dispatch.shares())
+        {
+            let after = Some(share::window::SPAN);
+            let refusal = if arrival.origin == Origin::Peer {
+                Refusal::not_run(Reason::Cap, after)
+            } else {
+                Refusal::unknown(Reason::Cap, after)
+            };
+            return out.push(Action::Refuse { id, refusal });
+        }
+        self.gate(now, gate::Event::Arrive(arrival));
+    }
+
+    fn link_back(&self, arrival: &Arrival) -> Option<Route> {
+        let via = arrival.via.as_ref()?;
+        let here = self.dispatch.region()?;
+        (via != here).then(|| Route::Link {
+            from: Arc::clone(here),
+            to: Arc::clone(via),
+        })
+    }
+
     /// The prefix for keys issued now; `None` while the process can't serve.
     /// A change is told by [`Action::Issue`].
     #[must_use]
@@ -288,7 +382,8 @@
     /// end without cutting a request.
     #[must_use]
     pub fn drained(&self) -> bool {
-        self.gate.in_flight() == 0 && self.dispatch.in_flight() == 0
+        let done = self.gate.in_flight() == 0 && self.dispatch.in_flight() == 0;
+        done && self.outbox.waiting() == 0
     }
 
     /// The gate, for counts and dumps.
@@ -311,8 +406,34 @@
         self.dispatch.handle(now, event, &mut self.sent);
     }
 
-    /// Passes actions between the two parts until only the driver's are left.
+    /// Passes actions between the parts until only the driver's are left.
     fn settle(&mut self, now: Time, out: &mut Vec<Action>) {
+        let first = out.len();
+        self.exchange(now, out);
+        self.hold_back(now, first, out);
+    }
+
+    /// Takes out answers that go over a link, and puts in those with room.
+    fn hold_back(&mut self, now: Time, first: usize, out: &mut Vec<Action>) {
+        for action in out.split_off(first) {
+            match action {
+                Action::Reply { id, answer } if self.outbox.holds(id) => {
+                    self.outbox.put(id, Last::Reply(answer));
+                }
+                Action::Refuse { id, refusal } if self.outbox.holds(id) => {
+                    self.outbox.put(id, Last::Refuse(refusal));
+                }
+                other => out.push(other),
+            }
+        }
+        let free = self.outbox.release(now, self.dispatch.shares());
+        out.extend(free.into_iter().map(|(id, last)| match last {
+            Last::Reply(answer) => Action::Reply { id, answer },
+            Last::Refuse(refusal) => Action::Refuse { id, refusal },
+        }));
+    }
+
+    fn exchange(&mut self, now: Time, out: &mut Vec<Action>) {
         while !self.asked.is_empty() || !self.sent.is_empty() {
             for action in core::mem::take(&mut self.asked) {
                 match action {
@@ -363,6 +484,18 @@
             dispatch::Action::Reply { id, answer } => Self::Reply { id, answer },
             dispatch::Action::Refuse { id, refusal } => Self::Refuse { id, refusal },
             dispatch::Action::Probe { target, addr } => Self::Probe { target, addr },
+            dispatch::Action::Borrow {
+                peer,
+                route,
+                amount,
+                asked,
+            } => Self::Borrow {
+                peer,
+                route,
+                amount,
+                asked,
+            },
+            dispatch::Action::Lend { ask, amount } => Self::Lend { ask, amount },
             dispatch::Action::Suspect {
                 fingerprint,
                 strikes,
--- a/crates/steer/tests/dispatch_invariants.rs
+++ b/crates/steer/tests/dispatch_invariants.rs
@@ -165,7 +165,10 @@
                 let promise = refusal.outcome == Outcome::NotRun;
                 assert!(!(promise && fate.doubt), "{id} may have run: {refusal}");
             }
-            Action::Probe { .. } | Action::Suspect { .. } => {}
+            Action::Probe { .. }
+            | Action::Suspect { .. }
+            | Action::Borrow { .. }
+            | Action::Lend { .. } => {}
         }
     }
 
--- a/crates/steer/tests/dispatch_scenarios/script.rs
+++ b/crates/steer/tests/dispatch_scenarios/script.rs
@@ -287,6 +287,8 @@
                 self.count("probes");
                 format!("probe {target}")
             }
+            Action::Borrow { route, amount, .. } => format!("borrow {amount} of {route}"),
+            Action::Lend { amount, .. } => format!("lend {amount}"),
             Action::Suspect {
                 fingerprint,
                 strikes,
--- a/crates/steer/tests/gate_scenarios/bench.rs
+++ b/crates/steer/tests/gate_scenarios/bench.rs
@@ -51,9 +51,16 @@
 
     fn feed(&mut self, event: Event) -> Vec<String> {
         let mut out = Vec::new();
+        // Control is well here, and the caps are wide: neither bears on keys.
+        self.traffic.handle(self.now, Event::Hold(true), &mut out);
         self.traffic.handle(self.now, event, &mut out);
         // Probes of targets and gossip about them are not what is tested here.
-        out.retain(|a| !matches!(a, Action::Probe { .. } | Action::Suspect { .. }));
+        out.retain(|a| {
+            !matches!(
+                a,
+                Action::Probe { .. } | Action::Suspect { .. } | Action::Borrow { .. }
+            )
+        });
         out.iter().map(|action| self.show(action)).collect()
     }
 
@@ -220,7 +227,10 @@
                 };
                 format!("store {id} {}: {what}", self.name(key))
             }
-            Action::Probe { .. } | Action::Suspect { .. } => unreachable!("not shown"),
+            Action::Probe { .. }
+            | Action::Suspect { .. }
+            | Action::Borrow { .. }
+            | Action::Lend { .. } => unreachable!("not shown"),
             Action::Issue(Some(prefix)) => format!("issue {prefix}"),
             Action::Issue(None) => "issue nothing".into(),
         }
--- a/crates/steer/tests/gate_scenarios/scene.rs
+++ b/crates/steer/tests/gate_scenarios/scene.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 
 use steer::version::view::{
-    ClassData, DomainData, Incarnation, MemberData, RegionData, ServiceData, SiteData, State,
-    TargetData, Version, View,
+    ClassData, DomainData, EntryData, Incarnation, Link, MemberData, Region, RegionData,
+    ServiceData, Shift, SiteData, State, TargetData, Version, View,
 };
 
 pub const INCARNATIONS: [Incarnation; 3] =
@@ -60,6 +60,14 @@
             });
         }
     }
+    for (i, &domain) in domains.iter().enumerate() {
+        view.entries.push(EntryData {
+            name: format!("entry{i}").into(),
+            domain,
+            state: State::Live,
+        });
+    }
+    allow_shifts(&mut view, regions);
     for &i in alive {
         view.members.push(MemberData {
             name: format!("entry{i}").into(),
@@ -72,3 +80,23 @@
     }
     Arc::new(view)
 }
+
+/// Caps wide enough never to bear on what is tested here.
+fn allow_shifts(view: &mut View, [a, b]: [Region; 2]) {
+    for (from, to) in [(a, b), (b, a)] {
+        view.links.push(Link {
+            from,
+            to,
+            bits: 1 << 40,
+        });
+        view.shifts
+            .extend(view.services.keys().map(|service| Shift {
+                service,
+                from,
+                to,
+                cap: 1 << 20,
+                ramp: Duration::ZERO,
+            }));
+    }
+    view.shifts.sort_by_key(|s| (s.service, s.from, s.to));
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod instance;
 pub mod kv;
 pub mod peer;
+pub mod share;
 pub mod target;
 pub mod witness;
