Read block files in small steps

Cause: one function split, checked and reported a line. Change: words, known regions and faults apart.

--- a/crates/intent/src/blocks.rs
+++ b/crates/intent/src/blocks.rs
@@ -78,69 +78,89 @@
 /// Reads one block file; what can't be read is reported and left out.
 pub fn read(file: &str, text: &str, names: &Names, faults: &mut Vec<Fault>) -> Vec<Line> {
     let file: Arc<str> = file.into();
-    let mut lines = Vec::with_capacity(text.len() / 20);
-    let mut last: Option<(&str, Region)> = None;
-    for (i, line) in text.lines().enumerate() {
-        let number = u32::try_from(i + 1).unwrap_or(u32::MAX);
-        let content = line.split('#').next().unwrap_or_default();
-        let mut words = content.split_ascii_whitespace();
-        let Some(first) = words.next() else {
+    let mut lines = Vec::with_capacity(text.len() / LINE_BYTES);
+    let mut known = Known { names, last: None };
+    for (number, line) in (1..).zip(text.lines()) {
+        let Some(words) = Words::new(line) else {
             continue;
         };
-        let second = words.next().unwrap_or_default();
-        let known = last
-            .filter(|(name, _)| *name == second)
-            .or_else(|| region(names, second).map(|found| (second, found)));
-        last = known.or(last);
-        match (prefix(first), known, words.next()) {
-            (Ok((base, len)), Some((_, region)), None) => lines.push(Line {
-                block: Block { base, len, region },
+        let prefix = prefix(words.prefix);
+        let region = known.region(words.region);
+        if let (Ok((base, len)), Some(region), None) = (prefix, region, words.extra) {
+            let block = Block { base, len, region };
+            lines.push(Line {
+                block,
                 line: number,
-            }),
-            (found, region, extra) => {
-                let place = Place {
-                    file: Arc::clone(&file),
-                    line: number,
-                    column: 1,
-                };
-                report(&place, found.err(), second, region.is_some(), names, faults);
-                if let Some(extra) = extra {
-                    faults.push(Fault::new(
-                        &place,
-                        Kind::Syntax,
-                        format!("\"{}\" is one word too many", extra.escape_debug()),
-                        "write one block a line: PREFIX REGION",
-                    ));
-                }
-            }
+            });
+            continue;
         }
+        let place = Place {
+            file: Arc::clone(&file),
+            line: number,
+            column: 1,
+        };
+        faults.extend(prefix.err().map(|error| error.fault(&place)));
+        if region.is_none() {
+            faults.push(unknown(&place, words.region, names));
+        }
+        faults.extend(words.extra.map(|extra| too_many(&place, extra)));
     }
     lines
 }
 
-fn report(
-    place: &Place,
-    error: Option<PrefixError>,
-    name: &str,
-    known: bool,
-    names: &Names,
-    faults: &mut Vec<Fault>,
-) {
-    faults.extend(error.map(|error| error.fault(place)));
-    if known {
-        return;
+/// Typical bytes of a line; a guess at how many lines a text has.
+const LINE_BYTES: usize = 20;
+
+/// The words of a line that isn't empty.
+struct Words<'a> {
+    prefix: &'a str,
+    /// Empty if there is none.
+    region: &'a str,
+    extra: Option<&'a str>,
+}
+
+impl<'a> Words<'a> {
+    fn new(line: &'a str) -> Option<Self> {
+        let content = line.split('#').next()?;
+        let mut words = content.split_ascii_whitespace();
+        Some(Self {
+            prefix: words.next()?,
+            region: words.next().unwrap_or_default(),
+            extra: words.next(),
+        })
+    }
+}
+
+/// Finds regions by name; neighbouring lines tend to name the same one.
+struct Known<'a> {
+    names: &'a Names,
+    last: Option<(&'a str, Region)>,
+}
+
+impl<'a> Known<'a> {
+    fn region(&mut self, name: &'a str) -> Option<Region> {
+        if let Some((_, region)) = self.last.filter(|(last, _)| *last == name) {
+            return Some(region);
+        }
+        let found = region(self.names, name)?;
+        self.last = Some((name, found));
+        Some(found)
+    }
+}
+
+fn unknown(place: &Place, name: &str, names: &Names) -> Fault {
+    if name.is_empty() {
+        let message = "no region after the prefix";
+        return Fault::new(place, Kind::Unknown, message, FORM);
     }
     let all = names.iter().map(|(name, _)| &**name);
-    let (message, remedy) = if name.is_empty() {
-        (
-            "no region after the prefix".into(),
-            "write one block a line: PREFIX REGION".into(),
-        )
-    } else {
-        (
-            format!("unknown region \"{}\"", name.escape_debug()),
-            nearest::remedy(name, all),
-        )
-    };
-    faults.push(Fault::new(place, Kind::Unknown, message, remedy));
+    let message = format!("unknown region \"{}\"", name.escape_debug());
+    Fault::new(place, Kind::Unknown, message, nearest::remedy(name, all))
 }
+
+fn too_many(place: &Place, extra: &str) -> Fault {
+    let message = format!("\"{}\" is one word too many", extra.escape_debug());
+    Fault::new(place, Kind::Syntax, message, FORM)
+}
+
+const FORM: &str = "write one block a line: PREFIX REGION";
