--- a/crates/steer/src/process/dispatch/caps.rs
+++ b/crates/steer/src/process/dispatch/caps.rs
@@ -13,7 +13,7 @@
 use crate::clock::Time;
 use crate::process::dispatch::tuning::Safeguard;
 use crate::process::dispatch::{Action, Dispatch};
-use crate::process::share::{Route, Shares};
+use crate::process::share::{self, Route, Shares};
 use crate::request::arrival::{Arrival, Origin};
 use crate::version::view::{Member, Region, State};
 
@@ -58,19 +58,21 @@
     }
 
     /// Whether a request may be passed on to a peer; if so, it is counted.
+    ///
+    /// # Errors
+    /// The time after which it may be.
     pub(super) fn may_shift(
         &mut self,
         now: Time,
-        group: usize,
-        to: Member,
         arrival: &Arrival,
-    ) -> bool {
+        to: Member,
+    ) -> Result<(), Duration> {
         let Some(here) = self.region else {
-            return false;
+            return Err(share::window::SPAN);
         };
         let there = self.view.domains[self.view.members[to].domain].region;
         if here == there || !self.tuning.safeguards.has(Safeguard::Caps) {
-            return true;
+            return Ok(());
         }
         let name = |region: Region| Arc::clone(&self.view.regions[region].name);
         let (here, there) = (name(here), name(there));
@@ -82,14 +84,14 @@
         let bytes = arrival.bytes + OVERHEAD;
         if home == there {
             // It goes back to its caller's own region: no shift.
-            return self.take(now, &[(&link, bytes)]).is_ok();
+            return self.take(now, &[(&link, bytes)]);
         }
         let shift = Route::Shift {
-            service: Arc::clone(&self.groups[group].name),
+            service: Arc::clone(&arrival.service),
             from: home,
             to: there,
         };
-        self.take(now, &[(&shift, 1), (&link, bytes)]).is_ok()
+        self.take(now, &[(&shift, 1), (&link, bytes)])
     }
 
     /// Takes of all routes or of none, and asks for loans where room lacks.
--- a/crates/steer/src/process/traffic.rs
+++ b/crates/steer/src/process/traffic.rs
@@ -378,12 +378,12 @@
         self.gate.key_prefix(now)
     }
 
-    /// Whether nothing is in flight: after [`Event::Leave`], the process may
+    /// Whether nothing is in flight or waits: after [`Event::Leave`], the process may
     /// end without cutting a request.
     #[must_use]
     pub fn drained(&self) -> bool {
-        let done = self.gate.in_flight() == 0 && self.dispatch.in_flight() == 0;
-        done && self.outbox.waiting() == 0
+        let busy = self.gate.in_flight() + self.dispatch.in_flight() + self.dispatch.waiting();
+        busy + self.outbox.waiting() == 0
     }
 
     /// The gate, for counts and dumps.
