--- a/crates/scenarios/src/process.rs
+++ b/crates/scenarios/src/process.rs
@@ -5,7 +5,7 @@
 
 use std::io::{self, BufRead, BufReader};
 use std::os::unix::process::ExitStatusExt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::sync::mpsc;
 use std::thread;
@@ -103,27 +103,46 @@
     }
 }
 
-/// Runs `actor` with `args` to its end. Returns what it printed, and how it
-/// ended.
-///
-/// # Errors
-/// It can't be started, or does not end within [`BOUND`].
-pub fn run(actor: &Path, args: &[String]) -> Result<(String, ExitStatus), Error> {
-    let mut child = Command::new(actor)
-        .args(args)
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()?;
-    let out = child.stdout.take().map(all);
-    let err = child.stderr.take().map(all);
-    let mut process = Process { child };
-    let status = process.wait()?;
-    let mut said = String::new();
-    for part in [out, err].into_iter().flatten() {
-        said += &part.join().unwrap_or_default();
+/// A process that is to end by itself.
+#[derive(Clone, Debug)]
+pub struct Subcommand {
+    /// The actor.
+    pub actor: PathBuf,
+    /// Its arguments.
+    pub args: Vec<String>,
+}
+
+/// How a [`Subcommand`] ended.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// What it printed, errors last.
+    pub said: String,
+    /// Its exit status.
+    pub status: ExitStatus,
+}
+
+impl Subcommand {
+    /// Runs it to its end.
+    ///
+    /// # Errors
+    /// It can't be started, or does not end within [`BOUND`].
+    pub fn run(&self) -> Result<Ended, Error> {
+        let mut child = Command::new(&self.actor)
+            .args(&self.args)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let out = child.stdout.take().map(all);
+        let err = child.stderr.take().map(all);
+        let mut process = Process { child };
+        let status = process.wait()?;
+        let mut said = String::new();
+        for part in [out, err].into_iter().flatten() {
+            said += &part.join().unwrap_or_default();
+        }
+        Ok(Ended { said, status })
     }
-    Ok((said, status))
 }
 
 fn all(mut stream: impl io::Read + Send + 'static) -> thread::JoinHandle<String> {
--- a/crates/scenarios/src/script.rs
+++ b/crates/scenarios/src/script.rs
@@ -7,6 +7,8 @@
 //! | `entry name= domain=` | starts an entry instance, or its replacement |
 //! | `command` | runs the line in its input as a subcommand of the product |
 //! | `config [use=FILE]` | puts the base file `config/FILE.jsonc`, or else its input, into the store |
+//! | `race` | runs each line of its input as a subcommand, all at once; prints how they ended, sorted |
+//! | `same` | runs each line of its input as a subcommand; prints whether all said the same |
 //! | `lookup at= [service=] [client=]` | prints the entry instances to use |
 //! | `key at= name=` | asks for an idempotency key, later known by its name; prints whether it has a witness |
 //! | `request at= service= [method=] [key=] [caller=] [deadline=MS] [bytes=N] [body=] [named] [later=ID] [times=N] [within=MS]` | prints the answer, or how many of N were alike, and `late` if it took longer; `later` leaves it to `answer` |
@@ -14,6 +16,7 @@
 //! | `dump at= show=(…)` | prints parts of an entry instance's state: `version`, `standing`, `targets`, `entries` |
 //! | `fault name=` | switches the fault in its input on |
 //! | `executed [name=] [key=]` | prints how many runs began |
+//! | `alive` | prints how many targets run |
 //! | `kill`, `freeze`, `thaw`, `term`, `exit`, each `name=` | signals a process; `exit` waits for its end |
 //! | `unlist name=`, `leaving name=` | changes the platform's list |
 //! | `await D … [for=MS]` | repeats directive `D` until it prints what the input says |
@@ -109,6 +112,9 @@
             "config" => self.config(case),
             "key" => self.key(case),
             "command" => self.command(case),
+            "race" => self.race(case),
+            "same" => self.same(case),
+            "alive" => Ok(self.world.alive()?.to_string()),
             "lookup" => self.lookup(case),
             "request" => self.request(case),
             "answer" => self.answer(case),
@@ -204,13 +210,40 @@
     }
 
     fn command(&mut self, case: &mut TestCase) -> Result<String, Error> {
-        let mut args = Vec::new();
-        for word in case.input.split_whitespace() {
-            args.push(self.expand(word)?);
+        let args = self.words(&case.input)?;
+        let ended = self.world.command(args).run()?;
+        Ok(print::ended(&ended, &self.files))
+    }
+
+    fn race(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let mut threads = Vec::new();
+        for line in case.input.lines() {
+            let command = self.world.command(self.words(line)?);
+            threads.push(std::thread::spawn(move || command.run()));
+        }
+        let mut said = Vec::new();
+        for thread in threads {
+            let gone = |_| Err(Error::Http("an operator's thread panicked".to_owned()));
+            let ended = thread.join().unwrap_or_else(gone)?;
+            said.push(print::last(&ended));
+        }
+        said.sort();
+        Ok(said.join("\n"))
+    }
+
+    fn same(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let mut said = Vec::new();
+        for line in case.input.lines() {
+            let ended = self.world.command(self.words(line)?).run()?;
+            said.push(print::ended(&ended, &self.files));
         }
-        let (said, status) = self.world.run(&args)?;
-        let said = print::normal(&said, &self.files);
-        Ok(format!("{said}{}", process::ending(status)))
+        said.dedup();
+        let word = if said.len() == 1 { "same" } else { "different" };
+        Ok(word.to_owned())
+    }
+
+    fn words(&self, line: &str) -> Result<Vec<String>, Error> {
+        line.split_whitespace().map(|w| self.expand(w)).collect()
     }
 
     /// Replaces `{…}` by what it stands for.
--- a/crates/scenarios/src/script/print.rs
+++ b/crates/scenarios/src/script/print.rs
@@ -6,6 +6,7 @@
 
 use crate::error::Error;
 use crate::http::Answer;
+use crate::process;
 use crate::world::World;
 
 #[derive(Deserialize)]
@@ -126,14 +127,22 @@
     words.into_iter().flatten().collect::<Vec<_>>().join(" ")
 }
 
-/// Replaces paths of the scenario's files by their names.
-pub(super) fn normal(said: &str, files: &[(String, String)]) -> String {
-    let mut text = said.to_owned();
+/// What a subcommand said, with the names of the scenario's files for their
+/// paths, and how it ended.
+pub(super) fn ended(ended: &process::Ended, files: &[(String, String)]) -> String {
+    let mut text = ended.said.clone();
     for (name, path) in files {
         text = text.replace(path, name);
     }
     if !text.is_empty() && !text.ends_with('\n') {
         text.push('\n');
     }
+    text.push_str(&process::ending(ended.status));
     text
 }
+
+/// The last line that a subcommand said, and how it ended.
+pub(super) fn last(ended: &process::Ended) -> String {
+    let line = ended.said.lines().last().unwrap_or_default();
+    format!("{line}, {}", process::ending(ended.status))
+}
--- a/crates/scenarios/src/world.rs
+++ b/crates/scenarios/src/world.rs
@@ -304,6 +304,19 @@
         })
     }
 
+    /// Number of targets that run.
+    ///
+    /// # Errors
+    /// The operating system can't tell.
+    pub fn alive(&mut self) -> Result<usize, Error> {
+        let mut count = 0;
+        for actor in &mut self.actors {
+            let is_target = matches!(actor.kind, Kind::Target { .. });
+            count += usize::from(is_target && actor.process.runs()?);
+        }
+        Ok(count)
+    }
+
     /// Changes the state of an instance in the platform's list; `None` takes
     /// it off.
     ///
@@ -318,14 +331,15 @@
         self.send_list()
     }
 
-    /// Runs a subcommand of the product to its end.
-    ///
-    /// # Errors
-    /// It can't be started or does not end in time.
-    pub fn run(&self, args: &[String]) -> Result<(String, ExitStatus), Error> {
+    /// A subcommand of the product, to be run to its end.
+    #[must_use]
+    pub fn command(&self, args: Vec<String>) -> process::Subcommand {
         let mut all = vec!["auburnrouter".to_owned()];
-        all.extend_from_slice(args);
-        process::run(&self.program, &all)
+        all.extend(args);
+        process::Subcommand {
+            actor: self.program.clone(),
+            args: all,
+        }
     }
 
     fn start_standin(&self, name: &str, args: &[String]) -> Result<(SocketAddr, Process), Error> {
--- a/crates/standin/src/store/calls.rs
+++ b/crates/standin/src/store/calls.rs
@@ -66,6 +66,10 @@
         )
     }
 
+    const fn is_list(&self) -> bool {
+        matches!(self, Self::Instances)
+    }
+
     fn key(&self) -> &str {
         match self {
             Self::Get(key) | Self::Watch(key) | Self::Put(key) | Self::Delete(key) => key,
@@ -107,6 +111,7 @@
     let fault = shared.lock().fault.clone();
     match fault {
         Fault::Outage => return http::cut(conn),
+        Fault::KeysOutage if !call.is_list() => return http::cut(conn),
         Fault::Refuse => return http::status(conn, Status::ServiceUnavailable),
         Fault::Hang => {
             let _ = conn.cancel_on_disconnect(Timer::after(WAIT_MAX)).await;
@@ -115,7 +120,7 @@
         Fault::Slow { ms } => {
             Timer::after(Duration::from_millis(ms)).await;
         }
-        Fault::None | Fault::LostAnswer { .. } | Fault::MissedEvents => {}
+        Fault::None | Fault::KeysOutage | Fault::LostAnswer { .. } | Fault::MissedEvents => {}
     }
     let lost = match &fault {
         Fault::LostAnswer { prefix } => call.is_write() && call.key().starts_with(&**prefix),
--- a/crates/standin/src/store/fault.rs
+++ b/crates/standin/src/store/fault.rs
@@ -11,6 +11,8 @@
     None,
     /// Each call's connection is cut; nothing takes effect.
     Outage,
+    /// As [`Fault::Outage`], but the list of instances still answers.
+    KeysOutage,
     /// Each call is answered with 503; nothing takes effect.
     Refuse,
     /// No call is answered; nothing takes effect.
