--- a/crates/explorer/src/check.rs
+++ b/crates/explorer/src/check.rs
@@ -2,7 +2,7 @@
 
 use core::fmt;
 
-use crate::world::{Payload, Said, World};
+use crate::world;
 
 /// A promise that was broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -74,7 +74,7 @@
 impl Violation {
     /// The violation at the world's present state.
     #[must_use]
-    pub fn new(fault: Fault, world: &World) -> Self {
+    pub fn new(fault: Fault, world: &world::World) -> Self {
         Self {
             fault,
             trace: world.trace.clone(),
@@ -93,7 +93,7 @@
 
 /// What must hold after every step.
 #[must_use]
-pub fn safety(world: &World) -> Option<Fault> {
+pub fn safety(world: &world::World) -> Option<Fault> {
     for (key, case) in world.keys.iter().enumerate() {
         if case.runs.len() > 1 {
             return Some(Fault::RanTwice { key });
@@ -106,11 +106,11 @@
         if sent.said.len() > 1 {
             return Some(Fault::AnsweredTwice { copy });
         }
-        let own = Payload {
+        let own = world::Payload {
             key: sent.plan.key,
             body: sent.plan.body,
         };
-        if let Some(Said::Answer(payload)) = sent.said.first()
+        if let Some(world::Said::Answer(payload)) = sent.said.first()
             && *payload != own
         {
             return Some(Fault::WrongAnswer { copy });
@@ -119,9 +119,9 @@
     None
 }
 
-/// What must hold once [`World::settle`] is done.
+/// What must hold once [`world::World::settle`] is done.
 #[must_use]
-pub fn end(world: &World) -> Option<Fault> {
+pub fn end(world: &world::World) -> Option<Fault> {
     let silent = |s: &crate::world::Sent| s.said.is_empty() && !s.hung && world.lives(s.at);
     let unanswered = world.sent.iter().position(silent);
     safety(world).or(unanswered.map(|copy| Fault::Unanswered { copy }))
--- a/crates/explorer/src/cost.rs
+++ b/crates/explorer/src/cost.rs
@@ -6,10 +6,9 @@
 
 use core::time::Duration;
 
-use steer::process::gate::Safeguards;
+use steer::process::gate;
 
-use crate::scene;
-use crate::world::{HopKind, Kind, Message, Plan, Said, Sender, Source, Step, World};
+use crate::{scene, world};
 
 /// Processes in the layout: two in region 0, beside the store, one in region 1.
 const PROCESSES: usize = 3;
@@ -32,7 +31,7 @@
     /// What it is called in reports.
     pub name: &'static str,
     /// Which keys it uses.
-    pub source: Source,
+    pub source: world::Source,
     /// The process that the first copy reaches.
     pub first: usize,
     /// The process that a resend reaches once the first is gone.
@@ -43,31 +42,31 @@
 pub const WAYS: [Way; 5] = [
     Way {
         name: "owner only",
-        source: Source::Unwitnessed(0),
+        source: world::Source::Unwitnessed(0),
         first: 0,
         other: 1,
     },
     Way {
         name: "witness in the region",
-        source: Source::Issued(0),
+        source: world::Source::Issued(0),
         first: 0,
         other: 1,
     },
     Way {
         name: "witness in another region",
-        source: Source::Issued(2),
+        source: world::Source::Issued(2),
         first: 2,
         other: 0,
     },
     Way {
         name: "claim in the store, from its region",
-        source: Source::Chosen,
+        source: world::Source::Chosen,
         first: 0,
         other: 1,
     },
     Way {
         name: "claim in the store, from another region",
-        source: Source::Chosen,
+        source: world::Source::Chosen,
         first: 2,
         other: 1,
     },
@@ -135,8 +134,10 @@
     for (at, span) in steps.into_iter().enumerate() {
         let said = killed(way, at);
         let sum = match said {
-            Some(Said::Answer(_)) => &mut worth.answer,
-            Some(Said::Refused(outcome)) if outcome.as_str() == "not-run" => &mut worth.not_run,
+            Some(world::Said::Answer(_)) => &mut worth.answer,
+            Some(world::Said::Refused(outcome)) if outcome.as_str() == "not-run" => {
+                &mut worth.not_run
+            }
             _ => &mut worth.unknown,
         };
         *sum += span;
@@ -145,47 +146,47 @@
 }
 
 /// What the resend is told if the first process dies before its step `at`.
-fn killed(way: &Way, at: usize) -> Option<Said> {
+fn killed(way: &Way, at: usize) -> Option<world::Said> {
     let mut world = world(way, &[way.first, way.other]);
     for _ in 0..at {
         if let Some(step) = world.usual() {
             world.step(step);
         }
     }
-    world.step(Step::Kill(way.first));
+    world.step(world::Step::Kill(way.first));
     for index in (0..PROCESSES).filter(|&i| i != way.first) {
-        world.step(Step::Refresh(index));
+        world.step(world::Step::Refresh(index));
     }
     world.settle();
     world.sent.last()?.said.first().copied()
 }
 
-fn world(way: &Way, to: &[usize]) -> World {
-    let plans: Vec<Plan> = to
+fn world(way: &Way, to: &[usize]) -> world::World {
+    let plans: Vec<world::Plan> = to
         .iter()
-        .map(|&to| Plan {
+        .map(|&to| world::Plan {
             key: 0,
             body: 0,
             to,
         })
         .collect();
-    let bounds = (scene::limits(), Safeguards::ALL);
-    let mut world = World::new(PROCESSES, bounds, &[way.source], &plans);
+    let bounds = (scene::limits(), gate::Safeguards::ALL);
+    let mut world = world::World::new(PROCESSES, bounds, &[way.source], &plans);
     world.look_up();
     world
 }
 
 /// Runs to the end; returns the cost and how long each step lasted.
-fn run(world: &mut World) -> (Cost, Vec<Duration>) {
+fn run(world: &mut world::World) -> (Cost, Vec<Duration>) {
     let mut cost = Cost::default();
     let mut spans = Vec::new();
     while let Some(step) = world.usual() {
         let delivered = match step {
-            Step::Deliver(serial) => world.message(serial),
+            world::Step::Deliver(serial) => world.message(serial),
             _ => None,
         };
         spans.push(match (step, delivered) {
-            (Step::Call, _) => CALLER,
+            (world::Step::Call, _) => CALLER,
             (_, Some(message)) => account(message, &mut cost),
             _ => Duration::ZERO,
         });
@@ -195,24 +196,26 @@
 }
 
 /// Counts a message; returns how long it took to come.
-fn account(message: &Message, cost: &mut Cost) -> Duration {
+fn account(message: &world::Message, cost: &mut Cost) -> Duration {
     let from = message.sender.process().map_or(0, |(process, _)| process);
     let span = match (&message.kind, message.sender) {
-        (Kind::Run(_), _) => return SERVICE,
-        (Kind::Store(..), _) => {
+        (world::Kind::Run(_), _) => return SERVICE,
+        (world::Kind::Store(..), _) => {
             cost.calls += 1;
             distance(from, 0)
         }
-        (Kind::Stored(_), _) => distance(from, 0),
-        (Kind::Hop { to, .. } | Kind::Ask { to, .. }, _) => {
+        (world::Kind::Stored(_), _) => distance(from, 0),
+        (world::Kind::Hop { to, .. } | world::Kind::Ask { to, .. }, _) => {
             cost.messages += 1;
             distance(from, *to)
         }
         // A target's answer, from the same failure domain.
-        (Kind::Ended(_), Sender::Hop { kind, .. }) if kind != HopKind::Forward => {
+        (world::Kind::Ended(_), world::Sender::Hop { kind, .. })
+            if kind != world::HopKind::Forward =>
+        {
             return Duration::ZERO;
         }
-        (Kind::Ended(_) | Kind::Told(_), _) => {
+        (world::Kind::Ended(_) | world::Kind::Told(_), _) => {
             cost.messages += 1;
             distance(from, message.by)
         }
--- a/crates/explorer/src/exhaust.rs
+++ b/crates/explorer/src/exhaust.rs
@@ -4,11 +4,9 @@
 //! chosen fault happens before what usually would. Every set of up to `depth`
 //! deviations within the run's length is tried, in a fixed order.
 
-use steer::process::gate::Safeguards;
+use steer::process::gate;
 
-use crate::check::{self, Violation};
-use crate::scene;
-use crate::world::{Plan, Source, Step, World};
+use crate::{check, scene, world};
 
 /// What is explored.
 #[derive(Clone, Copy, Debug)]
@@ -16,15 +14,15 @@
     /// Number of processes.
     pub processes: usize,
     /// Keys.
-    pub sources: &'a [Source],
+    pub sources: &'a [world::Source],
     /// Copies, in the order in which they are usually sent.
-    pub plans: &'a [Plan],
+    pub plans: &'a [world::Plan],
     /// Safeguards that are on.
-    pub safe: Safeguards,
+    pub safe: gate::Safeguards,
     /// Most deviations in one run.
     pub depth: usize,
     /// Which faults count as deviations.
-    pub menu: fn(&Step) -> bool,
+    pub menu: fn(&world::Step) -> bool,
 }
 
 /// What an exploration did.
@@ -35,7 +33,7 @@
     /// Runs that broke a promise.
     pub violations: u64,
     /// The first of them.
-    pub first: Option<Violation>,
+    pub first: Option<check::Violation>,
 }
 
 #[derive(Clone, Copy)]
@@ -81,7 +79,7 @@
 fn run(case: &Case<'_>, path: &[Deviation], report: &mut Report) -> Vec<usize> {
     report.runs += 1;
     let bounds = (scene::limits(), case.safe);
-    let mut world = World::new(case.processes, bounds, case.sources, case.plans);
+    let mut world = world::World::new(case.processes, bounds, case.sources, case.plans);
     let mut widths = Vec::with_capacity(LENGTH);
     let mut fault = None;
     for at in 0..LENGTH {
@@ -109,12 +107,12 @@
         report.violations += 1;
         report
             .first
-            .get_or_insert_with(|| Violation::new(fault, &world));
+            .get_or_insert_with(|| check::Violation::new(fault, &world));
     }
     widths
 }
 
-fn menu(case: &Case<'_>, world: &World) -> Vec<Step> {
+fn menu(case: &Case<'_>, world: &world::World) -> Vec<world::Step> {
     let mut steps = world.unusual();
     steps.retain(case.menu);
     steps
--- a/crates/explorer/src/main.rs
+++ b/crates/explorer/src/main.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use explorer::{random, report};
-use steer::process::gate::Safeguards;
+use steer::process::gate;
 
 const USAGE: &str = "\
 usage: explorer [--seed N] [--runs N] [--steps N] [--off SAFEGUARD]
@@ -31,7 +31,7 @@
     seed: u64,
     runs: u64,
     steps: usize,
-    safe: Safeguards,
+    safe: gate::Safeguards,
     depth: Option<usize>,
     other: Other,
 }
@@ -93,7 +93,7 @@
         seed: 1,
         runs: 20_000,
         steps: 120,
-        safe: Safeguards::ALL,
+        safe: gate::Safeguards::ALL,
         depth: None,
         other: Other::Nothing,
     };
--- a/crates/explorer/src/random.rs
+++ b/crates/explorer/src/random.rs
@@ -3,11 +3,9 @@
 //! Invariant: a run is a function of its seed, the number of steps and the
 //! safeguards.
 
-use steer::process::gate::{Limits, Safeguards};
+use steer::process::gate;
 
-use crate::check::{self, Violation};
-use crate::scene;
-use crate::world::{Plan, Source, Step, World};
+use crate::{check, scene, world};
 
 /// Processes in a random run: owner, witness, another entry, in two regions.
 const PROCESSES: usize = 3;
@@ -24,16 +22,16 @@
     /// Copies that got a target's answer, "not run", "unknown".
     pub said: [usize; 3],
     /// A broken promise.
-    pub violation: Option<Violation>,
+    pub violation: Option<check::Violation>,
 }
 
 /// One run of at most `steps` steps.
 #[must_use]
-pub fn run(seed: u64, steps: usize, safe: Safeguards) -> Report {
+pub fn run(seed: u64, steps: usize, safe: gate::Safeguards) -> Report {
     let mut rng = fastrand::Rng::with_seed(seed);
     let (sources, plans) = workload(&mut rng);
     let limits = limits(&mut rng);
-    let mut world = World::new(PROCESSES, (limits, safe), &sources, &plans);
+    let mut world = world::World::new(PROCESSES, (limits, safe), &sources, &plans);
     let mut report = Report::default();
     // Quiet and stormy runs reach different states.
     let storm = rng.u32(5..50);
@@ -51,24 +49,24 @@
         report.faults += usize::from(fault);
         world.step(step);
         if let Some(fault) = check::safety(&world) {
-            report.violation = Some(Violation::new(fault, &world));
+            report.violation = Some(check::Violation::new(fault, &world));
             return report;
         }
     }
     world.settle();
-    report.violation = check::end(&world).map(|fault| Violation::new(fault, &world));
+    report.violation = check::end(&world).map(|fault| check::Violation::new(fault, &world));
     report.copies = world.sent.len();
     report.said = world.tally();
     report
 }
 
 /// In one run of four there is hardly room for records, answers or waiters.
-fn limits(rng: &mut fastrand::Rng) -> Limits {
+fn limits(rng: &mut fastrand::Rng) -> gate::Limits {
     let usual = scene::limits();
     if rng.u32(..4) > 0 {
         return usual;
     }
-    Limits {
+    gate::Limits {
         records: rng.usize(1..=2),
         held: rng.usize(1..=3),
         waiters: rng.usize(..=1),
@@ -78,14 +76,14 @@
 }
 
 /// One or two keys and two to six copies, most of them of the first key.
-fn workload(rng: &mut fastrand::Rng) -> (Vec<Source>, Vec<Plan>) {
+fn workload(rng: &mut fastrand::Rng) -> (Vec<world::Source>, Vec<world::Plan>) {
     let source = |rng: &mut fastrand::Rng| match rng.u32(..4) {
-        0 => Source::Chosen,
-        _ => Source::Issued(rng.usize(..PROCESSES)),
+        0 => world::Source::Chosen,
+        _ => world::Source::Issued(rng.usize(..PROCESSES)),
     };
-    let sources: Vec<Source> = (0..rng.usize(1..=2)).map(|_| source(rng)).collect();
+    let sources: Vec<world::Source> = (0..rng.usize(1..=2)).map(|_| source(rng)).collect();
     let plans = (0..rng.usize(2..=6))
-        .map(|_| Plan {
+        .map(|_| world::Plan {
             key: rng.usize(..sources.len()) * rng.usize(..=1),
             body: u32::from(rng.u32(..8) == 0),
             to: rng.usize(..PROCESSES),
@@ -96,11 +94,14 @@
 
 /// A step from those that may happen instead of the usual one. Steps that end a
 /// process are drawn less often, or there would be nobody left to go wrong.
-fn unusual(rng: &mut fastrand::Rng, world: &World) -> Option<Step> {
+fn unusual(rng: &mut fastrand::Rng, world: &world::World) -> Option<world::Step> {
     let steps = world.unusual();
     for _ in 0..8 {
         let step = *rng.choice(&steps)?;
-        let rare = matches!(step, Step::Kill(_) | Step::Leave(_) | Step::Hang(_));
+        let rare = matches!(
+            step,
+            world::Step::Kill(_) | world::Step::Leave(_) | world::Step::Hang(_)
+        );
         if !rare || rng.u32(..4) == 0 {
             return Some(step);
         }
--- a/crates/explorer/src/report.rs
+++ b/crates/explorer/src/report.rs
@@ -4,77 +4,73 @@
 use core::time::Duration;
 use std::io::{self, Write};
 
-use steer::process::gate::Safeguards;
+use steer::process::gate;
 
-use crate::cost::{self, Cost};
-use crate::exhaust::{self, Case};
-use crate::random::Report;
-use crate::speed::{self, Work};
-use crate::world::{Plan, Source, Step};
+use crate::{cost, exhaust, random, speed, world};
 
 /// One safeguard: its name, and all others without it.
-pub const SAFEGUARDS: [(&str, Safeguards); 9] = {
-    const ALL: Safeguards = Safeguards::ALL;
+pub const SAFEGUARDS: [(&str, gate::Safeguards); 9] = {
+    const ALL: gate::Safeguards = gate::Safeguards::ALL;
     [
         (
             "wait-word",
-            Safeguards {
+            gate::Safeguards {
                 wait_word: false,
                 ..ALL
             },
         ),
         (
             "stay-given-up",
-            Safeguards {
+            gate::Safeguards {
                 stay_given_up: false,
                 ..ALL
             },
         ),
         (
             "seal-window",
-            Safeguards {
+            gate::Safeguards {
                 seal_window: false,
                 ..ALL
             },
         ),
         (
             "claim-window",
-            Safeguards {
+            gate::Safeguards {
                 claim_window: false,
                 ..ALL
             },
         ),
         (
             "keep-window",
-            Safeguards {
+            gate::Safeguards {
                 keep_window: false,
                 ..ALL
             },
         ),
         (
             "not-run-final",
-            Safeguards {
+            gate::Safeguards {
                 not_run_final: false,
                 ..ALL
             },
         ),
         (
             "own-only",
-            Safeguards {
+            gate::Safeguards {
                 own_only: false,
                 ..ALL
             },
         ),
         (
             "unknown-away",
-            Safeguards {
+            gate::Safeguards {
                 unknown_away: false,
                 ..ALL
             },
         ),
         (
             "hop-final",
-            Safeguards {
+            gate::Safeguards {
                 hop_final: false,
                 ..ALL
             },
@@ -84,7 +80,7 @@
 
 /// All safeguards but the one of this name.
 #[must_use]
-pub fn without(name: &str) -> Option<Safeguards> {
+pub fn without(name: &str) -> Option<gate::Safeguards> {
     let found = SAFEGUARDS.iter().find(|(n, _)| *n == name);
     found.map(|&(_, safe)| safe)
 }
@@ -96,18 +92,18 @@
 }
 
 /// A key issued by process 0 whose copies reach it and another entry.
-pub const ISSUED: (&[Source], &[Plan]) = (&[Source::Issued(0)], &COPIES);
+pub const ISSUED: (&[world::Source], &[world::Plan]) = (&[world::Source::Issued(0)], &COPIES);
 
 /// A key chosen by its caller whose copies reach two entries.
-pub const CHOSEN: (&[Source], &[Plan]) = (&[Source::Chosen], &COPIES);
+pub const CHOSEN: (&[world::Source], &[world::Plan]) = (&[world::Source::Chosen], &COPIES);
 
-const COPIES: [Plan; 2] = [
-    Plan {
+const COPIES: [world::Plan; 2] = [
+    world::Plan {
         key: 0,
         body: 0,
         to: 0,
     },
-    Plan {
+    world::Plan {
         key: 0,
         body: 0,
         to: 2,
@@ -116,7 +112,7 @@
 
 /// Every fault there is.
 #[must_use]
-pub const fn any(_: &Step) -> bool {
+pub const fn any(_: &world::Step) -> bool {
     true
 }
 
@@ -127,7 +123,7 @@
 pub fn random(
     out: &mut impl Write,
     seeds: Range<u64>,
-    run: impl Fn(u64) -> Report,
+    run: impl Fn(u64) -> random::Report,
 ) -> io::Result<bool> {
     let (mut steps, mut faults, mut violations) = (0, 0, 0);
     let mut said = [0; 3];
@@ -165,10 +161,10 @@
 ///
 /// # Errors
 /// If the report can't be written.
-pub fn exhaustive(out: &mut impl Write, depth: usize, safe: Safeguards) -> io::Result<bool> {
+pub fn exhaustive(out: &mut impl Write, depth: usize, safe: gate::Safeguards) -> io::Result<bool> {
     let mut clean = true;
     for (name, (sources, plans)) in [("issued key", ISSUED), ("chosen key", CHOSEN)] {
-        let case = Case {
+        let case = exhaust::Case {
             processes: 3,
             sources,
             plans,
@@ -203,7 +199,10 @@
     writeln!(out, "memory of a full table, answers of 200 bytes kept:")?;
     // First of all, so that no memory freed before is used again.
     let mut gates = Vec::new();
-    for (name, work) in [("owner", Work::Owner), ("witness", Work::Witness)] {
+    for (name, work) in [
+        ("owner", speed::Work::Owner),
+        ("witness", speed::Work::Witness),
+    ] {
         let before = memory();
         let gate = speed::fill(work);
         let bytes = memory().saturating_sub(before);
@@ -241,7 +240,7 @@
 /// Virtual time over which the gate's records build up: longer than they last.
 const SPAN: Duration = Duration::from_mins(12);
 
-fn line(out: &mut impl Write, name: &str, cost: Cost) -> io::Result<()> {
+fn line(out: &mut impl Write, name: &str, cost: cost::Cost) -> io::Result<()> {
     writeln!(
         out,
         "    {name}: {} messages, {} store calls, {:?}",
--- a/crates/explorer/src/scene.rs
+++ b/crates/explorer/src/scene.rs
@@ -7,12 +7,8 @@
 use core::time::Duration;
 use std::sync::Arc;
 
-use steer::process::dispatch::Home;
-use steer::process::gate::Limits;
-use steer::version::view::{
-    Class, ClassData, Domain, DomainData, EntryData, Incarnation, MemberData, Region, RegionData,
-    Service, ServiceData, Site, SiteData, State, TargetData, Version, View,
-};
+use steer::process::{dispatch, gate};
+use steer::version::view;
 
 /// The service that all explored requests are for; it is not idempotent.
 pub const SERVICE: &str = "lodgement";
@@ -28,21 +24,21 @@
 
 /// Bounds as in the product, but small enough that a run reaches them.
 #[must_use]
-pub fn limits() -> Limits {
-    Limits {
+pub fn limits() -> gate::Limits {
+    gate::Limits {
         accept: 2,
         keep: 4,
         records: 16,
         held: 16,
         waiters: 2,
-        ..Limits::default()
+        ..gate::Limits::default()
     }
 }
 
 /// Where process `index` stands.
 #[must_use]
-pub fn home(index: usize) -> Home {
-    Home {
+pub fn home(index: usize) -> dispatch::Home {
+    dispatch::Home {
         name: name("entry", index),
         domain: name("domain", index),
     }
@@ -58,36 +54,36 @@
 /// incarnation)`. The last of `count` failure domains lies in a region of its
 /// own.
 #[must_use]
-pub fn view(count: usize, alive: &[(usize, Incarnation)]) -> Arc<View> {
-    let mut view = View {
-        version: Version(1),
-        ..View::default()
+pub fn view(count: usize, alive: &[(usize, view::Incarnation)]) -> Arc<view::View> {
+    let mut view = view::View {
+        version: view::Version(1),
+        ..view::View::default()
     };
-    let regions: [Region; 2] =
-        ["region0", "region1"].map(|name| view.regions.push(RegionData { name: name.into() }));
-    let class: Class = view.classes.push(ClassData {
+    let regions: [view::Region; 2] = ["region0", "region1"]
+        .map(|name| view.regions.push(view::RegionData { name: name.into() }));
+    let class: view::Class = view.classes.push(view::ClassData {
         name: "work".into(),
         queue: 100,
     });
-    let domains: Vec<Domain> = (0..count)
+    let domains: Vec<view::Domain> = (0..count)
         .map(|i| {
             let region = regions[usize::from(i + 1 == count)];
-            view.domains.push(DomainData {
+            view.domains.push(view::DomainData {
                 name: name("domain", i),
                 region,
             })
         })
         .collect();
-    let sites: Vec<Site> = (0..count)
+    let sites: Vec<view::Site> = (0..count)
         .map(|i| {
-            view.sites.push(SiteData {
+            view.sites.push(view::SiteData {
                 name: name("site", i),
                 domain: domains[i],
-                state: State::Live,
+                state: view::State::Live,
             })
         })
         .collect();
-    let service: Service = view.services.push(ServiceData {
+    let service: view::Service = view.services.push(view::ServiceData {
         name: SERVICE.into(),
         class,
         idempotent: false,
@@ -95,28 +91,28 @@
         sites: sites.clone(),
     });
     for (i, &site) in sites.iter().enumerate() {
-        view.targets.push(TargetData {
+        view.targets.push(view::TargetData {
             name: name("target", i),
             addr: address(TARGET_PORT, i),
             site,
             service,
             slots: 3,
-            state: State::Live,
+            state: view::State::Live,
         });
-        view.entries.push(EntryData {
+        view.entries.push(view::EntryData {
             name: name("entry", i),
             domain: domains[i],
-            state: State::Live,
+            state: view::State::Live,
         });
     }
     for &(i, incarnation) in alive {
-        view.members.push(MemberData {
+        view.members.push(view::MemberData {
             name: name("entry", i),
             incarnation,
             domain: domains[i],
             addr: address(PEER_PORT, i),
             peer: address(PEER_PORT, i),
-            state: State::Live,
+            state: view::State::Live,
         });
     }
     Arc::new(view)
--- a/crates/explorer/src/speed.rs
+++ b/crates/explorer/src/speed.rs
@@ -6,13 +6,10 @@
 use core::time::Duration;
 use std::sync::Arc;
 
-use steer::clock::Time;
-use steer::process::gate::{Action, Event, Gate, Limits, Verdict};
-use steer::request::answer::Answer;
-use steer::request::arrival::{Arrival, Fingerprint, Origin, RequestId};
-use steer::request::key::{Prefix, Stamp};
-use steer::request::record::{AskId, Question, StoreResult, Word};
-use steer::version::view::Incarnation;
+use steer::clock;
+use steer::process::gate;
+use steer::request::{answer, arrival, key, record};
+use steer::version::view;
 
 use crate::scene;
 
@@ -40,23 +37,23 @@
     ("claim in the store", Work::Store),
 ];
 
-const ME: Incarnation = Incarnation(1);
-const PEER: Incarnation = Incarnation(2);
+const ME: view::Incarnation = view::Incarnation(1);
+const PEER: view::Incarnation = view::Incarnation(2);
 
 struct Bench {
-    gate: Gate,
-    out: Vec<Action>,
+    gate: gate::Gate,
+    out: Vec<gate::Action>,
     work: Work,
-    answer: Arc<Answer>,
+    answer: Arc<answer::Answer>,
 }
 
 impl Bench {
     fn new(work: Work) -> Self {
-        let mut gate = Gate::new(scene::home(0), ME, Limits::default());
+        let mut gate = gate::Gate::new(scene::home(0), ME, gate::Limits::default());
         let view = scene::view(3, &[(0, ME), (1, PEER)]);
         let mut out = Vec::new();
-        gate.handle(Time::ZERO, Event::View(view), &mut out);
-        let answer = Arc::new(Answer {
+        gate.handle(clock::Time::ZERO, gate::Event::View(view), &mut out);
+        let answer = Arc::new(answer::Answer {
             status: 200,
             headers: Vec::new(),
             body: vec![0; 200].into(),
@@ -69,9 +66,9 @@
         }
     }
 
-    fn key(&self, now: Time, number: u64) -> Arc<str> {
-        let epoch = Limits::default().epoch_at(now);
-        let stamp = |incarnation| Stamp { incarnation, epoch };
+    fn key(&self, now: clock::Time, number: u64) -> Arc<str> {
+        let epoch = gate::Limits::default().epoch_at(now);
+        let stamp = |incarnation| key::Stamp { incarnation, epoch };
         let (owner, witness) = match self.work {
             Work::Store => return format!("chosen-by-the-caller-{number:016x}").into(),
             Work::Owner => (ME, None),
@@ -79,7 +76,7 @@
             Work::Entry => (PEER, None),
             Work::Witness => (PEER, Some(stamp(ME))),
         };
-        let prefix = Prefix {
+        let prefix = key::Prefix {
             owner: stamp(owner),
             witness,
         };
@@ -89,52 +86,52 @@
     }
 
     /// Takes one request from its arrival to its answer.
-    fn request(&mut self, now: Time, number: u64) {
+    fn request(&mut self, now: clock::Time, number: u64) {
         let key = self.key(now, number);
         if self.work == Work::Witness {
-            let ask = AskId(number);
-            let question = Question::Claim(key);
-            return self.feed(now, Event::Asked { ask, question });
+            let ask = record::AskId(number);
+            let question = record::Question::Claim(key);
+            return self.feed(now, gate::Event::Asked { ask, question });
         }
-        let id = RequestId(number);
-        let arrival = Arrival {
+        let id = arrival::RequestId(number);
+        let arrival = arrival::Arrival {
             id,
             service: scene::SERVICE.into(),
             caller: "caller".into(),
             key: Some(key),
-            fingerprint: Fingerprint(u128::from(number)),
+            fingerprint: arrival::Fingerprint(u128::from(number)),
             deadline: None,
             bytes: 1000,
-            origin: Origin::Caller,
+            origin: arrival::Origin::Caller,
         };
-        self.feed(now, Event::Arrive(arrival));
+        self.feed(now, gate::Event::Arrive(arrival));
         self.follow(now, id);
     }
 
     /// Plays the witness, the store, the owner and the dispatcher.
-    fn follow(&mut self, now: Time, id: RequestId) {
+    fn follow(&mut self, now: clock::Time, id: arrival::RequestId) {
         while let Some(action) = self.out.pop() {
-            let verdict = Verdict::Answered(Arc::clone(&self.answer));
+            let verdict = gate::Verdict::Answered(Arc::clone(&self.answer));
             match action {
-                Action::Ask { ask, .. } => {
-                    let word = Some(Word::Claimed);
-                    self.feed(now, Event::Told { ask, word });
+                gate::Action::Ask { ask, .. } => {
+                    let word = Some(record::Word::Claimed);
+                    self.feed(now, gate::Event::Told { ask, word });
                 }
-                Action::Store { .. } => {
-                    let result = StoreResult::Created;
-                    self.feed(now, Event::Stored { id, result });
+                gate::Action::Store { .. } => {
+                    let result = record::StoreResult::Created;
+                    self.feed(now, gate::Event::Stored { id, result });
                 }
-                Action::Forward { .. } => {
+                gate::Action::Forward { .. } => {
                     let ending = steer::process::dispatch::Ending::Answered(self.answer.clone());
-                    self.feed(now, Event::Forwarded { id, ending });
+                    self.feed(now, gate::Event::Forwarded { id, ending });
                 }
-                Action::Run(_) => self.feed(now, Event::Settled { id, verdict }),
+                gate::Action::Run(_) => self.feed(now, gate::Event::Settled { id, verdict }),
                 _ => {}
             }
         }
     }
 
-    fn feed(&mut self, now: Time, event: Event) {
+    fn feed(&mut self, now: clock::Time, event: gate::Event) {
         self.gate.handle(now, event, &mut self.out);
         if self.work == Work::Witness {
             self.out.clear();
@@ -153,7 +150,7 @@
     clock: impl Fn() -> Duration,
 ) -> (Duration, usize) {
     let mut bench = Bench::new(work);
-    let mut now = Time::ZERO;
+    let mut now = clock::Time::ZERO;
     let gap = Duration::from_secs(1) / u32::try_from(rate).unwrap_or(u32::MAX);
     let total = span.as_secs() * rate;
     let warm = total - total / 10;
@@ -173,11 +170,11 @@
 
 /// A gate whose table for this kind of work is full, to be weighed.
 #[must_use]
-pub fn fill(work: Work) -> Gate {
+pub fn fill(work: Work) -> gate::Gate {
     let mut bench = Bench::new(work);
-    let count = Limits::default().records as u64;
+    let count = gate::Limits::default().records as u64;
     for number in 1..=count {
-        bench.request(Time::ZERO, number);
+        bench.request(clock::Time::ZERO, number);
     }
     bench.gate
 }
--- a/crates/explorer/src/world.rs
+++ b/crates/explorer/src/world.rs
@@ -12,14 +12,10 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use steer::clock::Time;
-use steer::process::gate::{Limits, Safeguards};
-use steer::process::traffic::{Action, Event, Traffic};
-use steer::request::arrival::{Arrival, Fingerprint, Origin, RequestId};
-use steer::request::key::Prefix;
-use steer::request::outcome::Outcome;
-use steer::request::record::{AskId, Attempt};
-use steer::version::view::Incarnation;
+use steer::clock;
+use steer::process::{gate, traffic};
+use steer::request::{arrival, key, outcome, record};
+use steer::version::view;
 
 use crate::scene;
 
@@ -64,7 +60,7 @@
     /// A target's answer to this key and body.
     Answer(Payload),
     /// A refusal with this outcome.
-    Refused(Outcome),
+    Refused(outcome::Outcome),
 }
 
 /// A copy that was sent.
@@ -72,7 +68,7 @@
     /// What it is.
     pub plan: Plan,
     /// The process that took it.
-    pub at: Incarnation,
+    pub at: view::Incarnation,
     /// Whether its caller hung up.
     pub hung: bool,
     /// All answers it got.
@@ -80,31 +76,31 @@
 }
 
 struct Request {
-    id: RequestId,
+    id: arrival::RequestId,
     payload: Payload,
     from: Sender,
 }
 
 struct Process {
-    incarnation: Incarnation,
+    incarnation: view::Incarnation,
     /// `None` once killed.
-    traffic: Option<Traffic>,
-    now: Time,
+    traffic: Option<traffic::Traffic>,
+    now: clock::Time,
     frozen: bool,
-    outbox: VecDeque<Action>,
+    outbox: VecDeque<traffic::Action>,
     requests: Vec<Request>,
-    asked: Vec<(AskId, Sender)>,
-    issued: Option<Prefix>,
+    asked: Vec<(record::AskId, Sender)>,
+    issued: Option<key::Prefix>,
     next: u64,
 }
 
 /// The explored system.
 pub struct World {
-    limits: Limits,
-    safe: Safeguards,
+    limits: gate::Limits,
+    safe: gate::Safeguards,
     processes: Vec<Process>,
     net: Vec<Message>,
-    store: Vec<(Arc<str>, Attempt)>,
+    store: Vec<(Arc<str>, record::Attempt)>,
     /// Keys in use.
     pub keys: Vec<KeyCase>,
     /// Copies not yet sent, in the order in which they are by default.
@@ -125,7 +121,7 @@
     #[must_use]
     pub fn new(
         count: usize,
-        bounds: (Limits, Safeguards),
+        bounds: (gate::Limits, gate::Safeguards),
         sources: &[Source],
         plans: &[Plan],
     ) -> Self {
@@ -163,7 +159,7 @@
     fn boot(&mut self) {
         for index in 0..self.processes.len() {
             self.refresh(index);
-            self.feed(index, Event::Tick);
+            self.feed(index, traffic::Event::Tick);
         }
         self.quiesce();
         self.trace.clear();
@@ -172,18 +168,18 @@
     fn start(&mut self, index: usize) -> Process {
         self.starts += 1;
         // Far apart, so that no arithmetic relates two incarnations.
-        let incarnation = Incarnation(self.starts.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let incarnation = view::Incarnation(self.starts.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let rng = fastrand::Rng::with_seed(self.starts);
         Process {
             incarnation,
-            traffic: Some(Traffic::with_safeguards(
+            traffic: Some(traffic::Traffic::with_safeguards(
                 scene::home(index),
                 incarnation,
                 self.limits,
                 self.safe,
                 rng,
             )),
-            now: Time::ZERO,
+            now: clock::Time::ZERO,
             frozen: false,
             outbox: VecDeque::new(),
             requests: Vec::new(),
@@ -203,11 +199,11 @@
             .map(|(i, p)| (i, p.incarnation))
             .collect();
         let view = scene::view(self.processes.len(), &alive);
-        self.feed(index, Event::View(view));
+        self.feed(index, traffic::Event::View(view));
     }
 
     /// Hands a process an event; what it decides goes to its outbox.
-    fn feed(&mut self, index: usize, event: Event) {
+    fn feed(&mut self, index: usize, event: traffic::Event) {
         let process = &mut self.processes[index];
         let Some(traffic) = &mut process.traffic else {
             return;
@@ -225,25 +221,25 @@
     }
 
     /// Hands a process a request.
-    fn arrive(&mut self, index: usize, payload: Payload, from: Sender, origin: Origin) {
+    fn arrive(&mut self, index: usize, payload: Payload, from: Sender, origin: arrival::Origin) {
         let Some(text) = self.key_text(payload.key) else {
             return;
         };
         let process = &mut self.processes[index];
         process.next += 1;
-        let id = RequestId(process.next);
+        let id = arrival::RequestId(process.next);
         process.requests.push(Request { id, payload, from });
-        let arrival = Arrival {
+        let arrival = arrival::Arrival {
             id,
             service: scene::SERVICE.into(),
             caller: "caller".into(),
             key: Some(text),
-            fingerprint: Fingerprint(u128::from(payload.body) << 64 | payload.key as u128),
+            fingerprint: arrival::Fingerprint(u128::from(payload.body) << 64 | payload.key as u128),
             deadline: Some(scene::DEADLINE),
             bytes: 100,
             origin,
         };
-        self.feed(index, Event::Arrive(arrival));
+        self.feed(index, traffic::Event::Arrive(arrival));
     }
 
     /// The key's text; an issued key is made at its first use from the prefix
@@ -259,7 +255,7 @@
                 format!("{prefix}nonce-of-sixteen-{key}").into()
             }
             Source::Unwitnessed(index) => {
-                let prefix = Prefix {
+                let prefix = key::Prefix {
                     witness: None,
                     ..self.processes[index].issued?
                 };
@@ -278,13 +274,13 @@
 
     /// Incarnation of a process, dead or alive.
     #[must_use]
-    pub fn incarnation(&self, index: usize) -> Incarnation {
+    pub fn incarnation(&self, index: usize) -> view::Incarnation {
         self.processes[index].incarnation
     }
 
     /// Whether the process of this incarnation is alive.
     #[must_use]
-    pub fn lives(&self, incarnation: Incarnation) -> bool {
+    pub fn lives(&self, incarnation: view::Incarnation) -> bool {
         let found = |p: &&Process| p.incarnation == incarnation;
         let process = self.processes.iter().find(found);
         process.is_some_and(|p| p.traffic.is_some())
@@ -294,7 +290,7 @@
     #[must_use]
     pub fn drained(&self) -> bool {
         let mut living = self.processes.iter().filter_map(|p| p.traffic.as_ref());
-        living.all(Traffic::drained)
+        living.all(traffic::Traffic::drained)
     }
 
     /// Copies that got a target's answer, "not run", "unknown".
@@ -303,9 +299,9 @@
         let mut tally = [0; 3];
         for said in self.sent.iter().flat_map(|s| &s.said) {
             let at = match said {
-                Said::Answer(_) | Said::Refused(Outcome::Ran) => 0,
-                Said::Refused(Outcome::NotRun) => 1,
-                Said::Refused(Outcome::Unknown) => 2,
+                Said::Answer(_) | Said::Refused(outcome::Outcome::Ran) => 0,
+                Said::Refused(outcome::Outcome::NotRun) => 1,
+                Said::Refused(outcome::Outcome::Unknown) => 2,
             };
             tally[at] += 1;
         }
--- a/crates/explorer/src/world/message.rs
+++ b/crates/explorer/src/world/message.rs
@@ -2,10 +2,9 @@
 
 use core::fmt;
 
-use steer::process::dispatch::Ending;
-use steer::request::arrival::{AttemptId, RequestId};
-use steer::request::record::{AskId, Question, StoreCall, StoreResult, Word};
-use steer::version::view::Incarnation;
+use steer::process::dispatch;
+use steer::request::{arrival, record};
+use steer::version::view;
 
 /// Which request a message is about: its key, and which body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,7 +31,7 @@
     /// To the key's owner.
     Forward,
     /// To be served there, as this attempt.
-    Serve(AttemptId),
+    Serve(arrival::AttemptId),
 }
 
 /// Who waits for a message's answer.
@@ -45,9 +44,9 @@
         /// Its process.
         process: usize,
         /// Which incarnation of it.
-        incarnation: Incarnation,
+        incarnation: view::Incarnation,
         /// Its request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// How the request was passed on.
         kind: HopKind,
     },
@@ -56,16 +55,16 @@
         /// Its process.
         process: usize,
         /// Which incarnation of it.
-        incarnation: Incarnation,
+        incarnation: view::Incarnation,
         /// Its question.
-        ask: AskId,
+        ask: record::AskId,
     },
 }
 
 impl Sender {
     /// The process that waits; `None` for a caller.
     #[must_use]
-    pub const fn process(&self) -> Option<(usize, Incarnation)> {
+    pub const fn process(&self) -> Option<(usize, view::Incarnation)> {
         match *self {
             Self::Caller(_) => None,
             Self::Hop {
@@ -93,22 +92,22 @@
         payload: Payload,
     },
     /// How a hop, or a send to a target, ended.
-    Ended(Ending),
+    Ended(dispatch::Ending),
     /// A question to the process at an address.
     Ask {
         /// Process that listens there.
         to: usize,
         /// The question.
-        question: Question,
+        question: record::Question,
     },
     /// The answer to a question; `None`: none came.
-    Told(Option<Word>),
+    Told(Option<record::Word>),
     /// A request to a target.
     Run(Payload),
     /// A call to the store.
-    Store(Payload, StoreCall),
+    Store(Payload, record::StoreCall),
     /// How a call to the store ended.
-    Stored(StoreResult),
+    Stored(record::StoreResult),
 }
 
 /// Something under way.
@@ -137,19 +136,19 @@
             Kind::Run(payload) => write!(f, "{payload} to a target"),
             Kind::Ask { to, question } => {
                 let word = match question {
-                    Question::Claim(_) => "claim",
-                    Question::Seal(_) => "seal",
-                    Question::Epoch => "epoch?",
+                    record::Question::Claim(_) => "claim",
+                    record::Question::Seal(_) => "seal",
+                    record::Question::Epoch => "epoch?",
                 };
                 write!(f, "{word} to entry{to}")
             }
-            Kind::Store(payload, StoreCall::Create(_)) => write!(f, "create {payload}"),
-            Kind::Store(payload, StoreCall::Read) => write!(f, "read {payload}"),
+            Kind::Store(payload, record::StoreCall::Create(_)) => write!(f, "create {payload}"),
+            Kind::Store(payload, record::StoreCall::Read) => write!(f, "read {payload}"),
             Kind::Stored(result) => write!(f, "store says {result:?}"),
             Kind::Told(Some(word)) => write!(f, "word \"{word}\""),
             Kind::Told(None) => f.write_str("no word"),
-            Kind::Ended(Ending::Answered(_)) => f.write_str("answer"),
-            Kind::Ended(Ending::PeerRefused(refusal)) => write!(f, "refusal: {refusal}"),
+            Kind::Ended(dispatch::Ending::Answered(_)) => f.write_str("answer"),
+            Kind::Ended(dispatch::Ending::PeerRefused(refusal)) => write!(f, "refusal: {refusal}"),
             Kind::Ended(other) => write!(f, "ending {other:?}"),
         }?;
         if let Some((process, _)) = self.sender.process() {
--- a/crates/explorer/src/world/perform.rs
+++ b/crates/explorer/src/world/perform.rs
@@ -2,21 +2,17 @@
 
 use std::sync::Arc;
 
-use steer::process::dispatch::{Ending, Place, Report};
-use steer::process::traffic::{Action, Event};
-use steer::request::answer::Answer;
-use steer::request::arrival::{AttemptId, Origin, RequestId};
-use steer::request::outcome::Outcome;
-use steer::request::record::{AskId, StoreCall, StoreResult, Word};
-use steer::version::view::State;
+use steer::process::{dispatch, traffic};
+use steer::request::{answer, arrival, outcome, record};
+use steer::version::view;
 
-use super::{HopKind, Kind, Message, Payload, Request, Said, Sender, World};
-use crate::scene;
+use super::message;
+use crate::{scene, world};
 
 /// The attempt that stands for a call to the store, which needs none.
-const NO_ATTEMPT: AttemptId = AttemptId(0);
+const NO_ATTEMPT: arrival::AttemptId = arrival::AttemptId(0);
 
-impl World {
+impl world::World {
     /// Carries out the oldest decision of a process.
     pub(super) fn perform(&mut self, index: usize) {
         let Some(action) = self.processes[index].outbox.pop_front() else {
@@ -24,57 +20,62 @@
         };
         self.acting = index;
         match action {
-            Action::Send {
+            traffic::Action::Send {
                 id, attempt, place, ..
             } => self.send(index, id, attempt, &place),
-            Action::Forward { id, peer, .. } => {
+            traffic::Action::Forward { id, peer, .. } => {
                 let to = scene::process_at(peer.addr);
-                self.hop(index, id, HopKind::Forward, to);
+                self.hop(index, id, message::HopKind::Forward, to);
             }
-            Action::Ask {
+            traffic::Action::Ask {
                 ask,
                 peer,
                 question,
                 ..
             } => {
                 let to = scene::process_at(peer.addr);
-                let sender = Sender::Ask {
+                let sender = message::Sender::Ask {
                     process: index,
                     incarnation: self.processes[index].incarnation,
                     ask,
                 };
-                self.post(sender, Kind::Ask { to, question });
+                self.post(sender, message::Kind::Ask { to, question });
             }
-            Action::Tell { ask, word } => self.tell(index, ask, word),
-            Action::Store { id, call, .. } => self.call(index, id, call),
-            Action::Reply { id, answer } => self.reply(index, id, answer),
-            Action::Refuse { id, refusal } => {
+            traffic::Action::Tell { ask, word } => self.tell(index, ask, word),
+            traffic::Action::Store { id, call, .. } => self.call(index, id, call),
+            traffic::Action::Reply { id, answer } => self.reply(index, id, answer),
+            traffic::Action::Refuse { id, refusal } => {
                 let Some(request) = self.close(index, id) else {
                     return;
                 };
                 match request.from {
-                    Sender::Caller(copy) => self.say(copy, Said::Refused(refusal.outcome)),
-                    sender => self.post(sender, Kind::Ended(Ending::PeerRefused(refusal))),
+                    message::Sender::Caller(copy) => {
+                        self.say(copy, world::Said::Refused(refusal.outcome));
+                    }
+                    sender => self.post(
+                        sender,
+                        message::Kind::Ended(dispatch::Ending::PeerRefused(refusal)),
+                    ),
                 }
             }
-            Action::Issue(prefix) => self.processes[index].issued = prefix,
+            traffic::Action::Issue(prefix) => self.processes[index].issued = prefix,
             // Targets answer probes at once, and gossip about requests that
             // crash targets reaches all who are awake.
-            Action::Probe { target, .. } => {
-                let report = Some(Report {
+            traffic::Action::Probe { target, .. } => {
+                let report = Some(dispatch::Report {
                     load: 0,
-                    state: State::Live,
+                    state: view::State::Live,
                 });
-                self.feed(index, Event::Probed { target, report });
+                self.feed(index, traffic::Event::Probed { target, report });
             }
             // A target may have started an attempt by the time it hears of its
             // cancellation, so a cancellation never stops a run here.
-            Action::Cancel { .. } => {}
-            Action::Suspect {
+            traffic::Action::Cancel { .. } => {}
+            traffic::Action::Suspect {
                 fingerprint,
                 strikes,
             } => {
-                let event = Event::Suspected {
+                let event = traffic::Event::Suspected {
                     fingerprint,
                     strikes,
                 };
@@ -86,39 +87,53 @@
         }
     }
 
-    fn send(&mut self, index: usize, id: RequestId, attempt: AttemptId, place: &Place) {
+    fn send(
+        &mut self,
+        index: usize,
+        id: arrival::RequestId,
+        attempt: arrival::AttemptId,
+        place: &dispatch::Place,
+    ) {
         match place {
-            Place::Member { peer, .. } => {
+            dispatch::Place::Member { peer, .. } => {
                 let to = scene::process_at(*peer);
-                self.hop(index, id, HopKind::Serve(attempt), to);
+                self.hop(index, id, message::HopKind::Serve(attempt), to);
             }
-            Place::Target { .. } => {
-                let Some((payload, sender)) = self.asker(index, id, HopKind::Serve(attempt)) else {
+            dispatch::Place::Target { .. } => {
+                let Some((payload, sender)) =
+                    self.asker(index, id, message::HopKind::Serve(attempt))
+                else {
                     return;
                 };
-                self.post(sender, Kind::Run(payload));
+                self.post(sender, message::Kind::Run(payload));
             }
         }
     }
 
-    fn hop(&mut self, index: usize, id: RequestId, kind: HopKind, to: usize) {
+    fn hop(&mut self, index: usize, id: arrival::RequestId, kind: message::HopKind, to: usize) {
         let Some((payload, sender)) = self.asker(index, id, kind) else {
             return;
         };
-        self.post(sender, Kind::Hop { to, payload });
+        self.post(sender, message::Kind::Hop { to, payload });
     }
 
-    fn call(&mut self, index: usize, id: RequestId, call: StoreCall) {
-        let Some((payload, sender)) = self.asker(index, id, HopKind::Serve(NO_ATTEMPT)) else {
+    fn call(&mut self, index: usize, id: arrival::RequestId, call: record::StoreCall) {
+        let Some((payload, sender)) = self.asker(index, id, message::HopKind::Serve(NO_ATTEMPT))
+        else {
             return;
         };
-        self.post(sender, Kind::Store(payload, call));
+        self.post(sender, message::Kind::Store(payload, call));
     }
 
-    fn asker(&self, index: usize, id: RequestId, kind: HopKind) -> Option<(Payload, Sender)> {
+    fn asker(
+        &self,
+        index: usize,
+        id: arrival::RequestId,
+        kind: message::HopKind,
+    ) -> Option<(message::Payload, message::Sender)> {
         let process = &self.processes[index];
         let request = process.requests.iter().find(|r| r.id == id)?;
-        let sender = Sender::Hop {
+        let sender = message::Sender::Hop {
             process: index,
             incarnation: process.incarnation,
             id,
@@ -127,49 +142,54 @@
         Some((request.payload, sender))
     }
 
-    fn tell(&mut self, index: usize, ask: AskId, word: Word) {
+    fn tell(&mut self, index: usize, ask: record::AskId, word: record::Word) {
         let asked = &mut self.processes[index].asked;
         let Some(at) = asked.iter().position(|(a, _)| *a == ask) else {
             return;
         };
         let (_, sender) = asked.remove(at);
-        self.post(sender, Kind::Told(Some(word)));
+        self.post(sender, message::Kind::Told(Some(word)));
     }
 
-    fn reply(&mut self, index: usize, id: RequestId, answer: Arc<Answer>) {
+    fn reply(&mut self, index: usize, id: arrival::RequestId, answer: Arc<answer::Answer>) {
         let Some(request) = self.close(index, id) else {
             return;
         };
         match request.from {
-            Sender::Caller(copy) => self.say(copy, Said::Answer(payload_of(&answer))),
-            sender => self.post(sender, Kind::Ended(Ending::Answered(answer))),
+            message::Sender::Caller(copy) => {
+                self.say(copy, world::Said::Answer(payload_of(&answer)));
+            }
+            sender => self.post(
+                sender,
+                message::Kind::Ended(dispatch::Ending::Answered(answer)),
+            ),
         }
     }
 
     /// The request that an answer is for. It stays listed: the decisions may
     /// go on with it, and a second answer to it has to be seen.
-    fn close(&self, index: usize, id: RequestId) -> Option<Request> {
+    fn close(&self, index: usize, id: arrival::RequestId) -> Option<world::Request> {
         let found = self.processes[index].requests.iter().find(|r| r.id == id);
-        found.map(|r| Request { ..*r })
+        found.map(|r| world::Request { ..*r })
     }
 
-    fn say(&mut self, copy: usize, said: Said) {
+    fn say(&mut self, copy: usize, said: world::Said) {
         let sent = &mut self.sent[copy];
         let key = &mut self.keys[sent.plan.key];
-        if said == Said::Refused(Outcome::NotRun) {
+        if said == world::Said::Refused(outcome::Outcome::NotRun) {
             key.not_run += 1;
         }
         let word = match said {
-            Said::Answer(payload) => format!("the answer of {payload}"),
-            Said::Refused(outcome) => format!("\"{outcome}\""),
+            world::Said::Answer(payload) => format!("the answer of {payload}"),
+            world::Said::Refused(outcome) => format!("\"{outcome}\""),
         };
         sent.said.push(said);
         self.note(format!("  caller of copy{copy} gets {word}"));
     }
 
-    pub(super) fn post(&mut self, sender: Sender, kind: Kind) {
+    pub(super) fn post(&mut self, sender: message::Sender, kind: message::Kind) {
         self.serial += 1;
-        let message = Message {
+        let message = message::Message {
             serial: self.serial,
             by: self.acting,
             sender,
@@ -185,53 +205,53 @@
     }
 
     /// Hands over a message that was taken off the network.
-    pub(super) fn hand(&mut self, message: Message) {
-        let Message {
+    pub(super) fn hand(&mut self, message: message::Message) {
+        let message::Message {
             sender,
             kind,
             detached,
             ..
         } = message;
         match kind {
-            Kind::Hop { to, payload } => self.hand_hop(sender, to, payload, detached),
-            Kind::Run(payload) => {
+            message::Kind::Hop { to, payload } => self.hand_hop(sender, to, payload, detached),
+            message::Kind::Run(payload) => {
                 self.keys[payload.key].runs.push(payload.body);
                 self.note(format!("  a target runs {payload}"));
                 if !detached {
-                    let ending = Ending::Answered(answer_of(payload));
-                    self.post(sender, Kind::Ended(ending));
+                    let ending = dispatch::Ending::Answered(answer_of(payload));
+                    self.post(sender, message::Kind::Ended(ending));
                 }
             }
-            Kind::Ask { to, question } => {
+            message::Kind::Ask { to, question } => {
                 let process = &mut self.processes[to];
                 if process.traffic.is_none() {
-                    return self.post(sender, Kind::Told(None));
+                    return self.post(sender, message::Kind::Told(None));
                 }
                 process.next += 1;
-                let ask = AskId(process.next);
+                let ask = record::AskId(process.next);
                 process.asked.push((ask, sender));
-                self.feed(to, Event::Asked { ask, question });
+                self.feed(to, traffic::Event::Asked { ask, question });
             }
-            Kind::Store(payload, call) => {
+            message::Kind::Store(payload, call) => {
                 let result = self.in_store(payload, call);
                 if !detached {
-                    self.post(sender, Kind::Stored(result));
+                    self.post(sender, message::Kind::Stored(result));
                 }
             }
-            Kind::Ended(ending) => self.hand_ending(sender, ending),
-            Kind::Told(word) => {
-                if let Sender::Ask {
+            message::Kind::Ended(ending) => self.hand_ending(sender, ending),
+            message::Kind::Told(word) => {
+                if let message::Sender::Ask {
                     process,
                     incarnation,
                     ask,
                 } = sender
                     && self.processes[process].incarnation == incarnation
                 {
-                    self.feed(process, Event::Told { ask, word });
+                    self.feed(process, traffic::Event::Told { ask, word });
                 }
             }
-            Kind::Stored(result) => {
-                if let Sender::Hop {
+            message::Kind::Stored(result) => {
+                if let message::Sender::Hop {
                     process,
                     incarnation,
                     id,
@@ -239,7 +259,7 @@
                 } = sender
                     && self.processes[process].incarnation == incarnation
                 {
-                    self.feed(process, Event::Stored { id, result });
+                    self.feed(process, traffic::Event::Stored { id, result });
                 }
             }
         }
@@ -247,25 +267,31 @@
 
     /// Whoever listens at the address takes the request, also if it is not the
     /// incarnation that was meant.
-    fn hand_hop(&mut self, sender: Sender, to: usize, payload: Payload, detached: bool) {
+    fn hand_hop(
+        &mut self,
+        sender: message::Sender,
+        to: usize,
+        payload: message::Payload,
+        detached: bool,
+    ) {
         if self.processes[to].traffic.is_none() {
             if !detached {
-                self.post(sender, Kind::Ended(Ending::Unreachable));
+                self.post(sender, message::Kind::Ended(dispatch::Ending::Unreachable));
             }
             return;
         }
         let origin = match sender {
-            Sender::Hop {
-                kind: HopKind::Serve(_),
+            message::Sender::Hop {
+                kind: message::HopKind::Serve(_),
                 ..
-            } => Origin::Peer,
-            _ => Origin::Forward,
+            } => arrival::Origin::Peer,
+            _ => arrival::Origin::Forward,
         };
         self.arrive(to, payload, sender, origin);
     }
 
-    fn hand_ending(&mut self, sender: Sender, ending: Ending) {
-        let Sender::Hop {
+    fn hand_ending(&mut self, sender: message::Sender, ending: dispatch::Ending) {
+        let message::Sender::Hop {
             process,
             incarnation,
             id,
@@ -278,8 +304,8 @@
             return;
         }
         let event = match kind {
-            HopKind::Forward => Event::Forwarded { id, ending },
-            HopKind::Serve(attempt) => Event::Ended {
+            message::HopKind::Forward => traffic::Event::Forwarded { id, ending },
+            message::HopKind::Serve(attempt) => traffic::Event::Ended {
                 id,
                 attempt,
                 ending,
@@ -288,25 +314,29 @@
         self.feed(process, event);
     }
 
-    fn in_store(&mut self, payload: Payload, call: StoreCall) -> StoreResult {
+    fn in_store(
+        &mut self,
+        payload: message::Payload,
+        call: record::StoreCall,
+    ) -> record::StoreResult {
         let Some(text) = self.key_text(payload.key) else {
-            return StoreResult::Away;
+            return record::StoreResult::Away;
         };
         let found = self.store.iter().find(|(key, _)| *key == text);
         match (found, call) {
-            (Some(&(_, attempt)), _) => StoreResult::Found(Some(attempt)),
-            (None, StoreCall::Read) => StoreResult::Absent,
-            (None, StoreCall::Create(attempt)) => {
+            (Some(&(_, attempt)), _) => record::StoreResult::Found(Some(attempt)),
+            (None, record::StoreCall::Read) => record::StoreResult::Absent,
+            (None, record::StoreCall::Create(attempt)) => {
                 self.store.push((text, attempt));
-                StoreResult::Created
+                record::StoreResult::Created
             }
         }
     }
 }
 
 /// A target's answer says which request it is for.
-fn answer_of(payload: Payload) -> Arc<Answer> {
-    Arc::new(Answer {
+fn answer_of(payload: message::Payload) -> Arc<answer::Answer> {
+    Arc::new(answer::Answer {
         status: 200,
         headers: Vec::new(),
         body: format!("{} {}", payload.key, payload.body)
@@ -315,11 +345,11 @@
     })
 }
 
-fn payload_of(answer: &Answer) -> Payload {
+fn payload_of(answer: &answer::Answer) -> message::Payload {
     let text = String::from_utf8_lossy(&answer.body);
     let mut numbers = text.split(' ').map(str::parse::<u32>);
     let mut next = || numbers.next().and_then(Result::ok).unwrap_or(u32::MAX);
-    Payload {
+    message::Payload {
         key: next() as usize,
         body: next(),
     }
--- a/crates/explorer/src/world/step.rs
+++ b/crates/explorer/src/world/step.rs
@@ -3,13 +3,11 @@
 use core::fmt;
 use core::time::Duration;
 
-use steer::process::dispatch::Ending;
-use steer::process::traffic::Event;
-use steer::request::arrival::Origin;
-use steer::request::record::StoreResult;
+use steer::process::{dispatch, traffic};
+use steer::request::{arrival, record};
 
-use super::{Kind, Message, Payload, Plan, Sender, Sent, World};
-use crate::scene;
+use super::message;
+use crate::{scene, world};
 
 /// How a message is lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -115,7 +113,7 @@
     }
 }
 
-impl World {
+impl world::World {
     /// What happens next if nothing fails; `None` if all is done.
     #[must_use]
     pub fn usual(&self) -> Option<Step> {
@@ -199,11 +197,11 @@
                 process.now = process.now + span.length();
                 // A frozen process doesn't see its clock move until it wakes.
                 if !process.frozen {
-                    self.feed(index, Event::Tick);
+                    self.feed(index, traffic::Event::Tick);
                 }
             }
             Step::Refresh(index) => self.refresh(index),
-            Step::Leave(index) => self.feed(index, Event::Leave),
+            Step::Leave(index) => self.feed(index, traffic::Event::Leave),
             Step::Hang(copy) => self.hang(copy),
         }
     }
@@ -256,21 +254,21 @@
             return false;
         };
         let to = match message.kind {
-            Kind::Hop { to, .. } | Kind::Ask { to, .. } => Some(to),
-            Kind::Run(_) | Kind::Store(..) => None,
-            Kind::Ended(_) | Kind::Told(_) | Kind::Stored(_) => {
+            message::Kind::Hop { to, .. } | message::Kind::Ask { to, .. } => Some(to),
+            message::Kind::Run(_) | message::Kind::Store(..) => None,
+            message::Kind::Ended(_) | message::Kind::Told(_) | message::Kind::Stored(_) => {
                 message.sender.process().map(|(process, _)| process)
             }
         };
         to.is_none_or(|i| !self.processes[i].frozen)
     }
 
-    fn take(&mut self, serial: u32) -> Option<Message> {
+    fn take(&mut self, serial: u32) -> Option<message::Message> {
         let at = self.net.iter().position(|m| m.serial == serial)?;
         Some(self.net.remove(at))
     }
 
-    fn mark(&mut self, serial: u32, change: impl Fn(&mut Message)) {
+    fn mark(&mut self, serial: u32, change: impl Fn(&mut message::Message)) {
         if let Some(message) = self.net.iter_mut().find(|m| m.serial == serial) {
             change(message);
         }
@@ -280,20 +278,25 @@
         let Some(plan) = self.plans.pop_front() else {
             return;
         };
-        let Plan { key, body, to } = plan;
+        let world::Plan { key, body, to } = plan;
         if self.processes[to].traffic.is_none() || self.key_text(key).is_none() {
             return self.note("  but can't connect or look up".into());
         }
         let copy = self.sent.len();
-        self.sent.push(Sent {
+        self.sent.push(world::Sent {
             plan,
             at: self.processes[to].incarnation,
             hung: false,
             said: Vec::new(),
         });
-        let payload = Payload { key, body };
+        let payload = message::Payload { key, body };
         self.note(format!("  copy{copy}: {payload} to entry{to}"));
-        self.arrive(to, payload, Sender::Caller(copy), Origin::Caller);
+        self.arrive(
+            to,
+            payload,
+            message::Sender::Caller(copy),
+            arrival::Origin::Caller,
+        );
     }
 
     fn lose(&mut self, serial: u32, loss: Loss) {
@@ -302,23 +305,33 @@
         };
         let sender = message.sender;
         let failure = match (&message.kind, loss) {
-            (Kind::Hop { .. } | Kind::Run(_), Loss::Unsent) => Kind::Ended(Ending::Unreachable),
-            (Kind::Hop { .. } | Kind::Run(_) | Kind::Ended(_), Loss::Slow) => {
-                Kind::Ended(Ending::TimedOut)
+            (message::Kind::Hop { .. } | message::Kind::Run(_), Loss::Unsent) => {
+                message::Kind::Ended(dispatch::Ending::Unreachable)
             }
-            (Kind::Hop { .. } | Kind::Run(_) | Kind::Ended(_), Loss::Cut) => {
-                Kind::Ended(Ending::BadAnswer)
+            (
+                message::Kind::Hop { .. } | message::Kind::Run(_) | message::Kind::Ended(_),
+                Loss::Slow,
+            ) => message::Kind::Ended(dispatch::Ending::TimedOut),
+            (
+                message::Kind::Hop { .. } | message::Kind::Run(_) | message::Kind::Ended(_),
+                Loss::Cut,
+            ) => message::Kind::Ended(dispatch::Ending::BadAnswer),
+            (message::Kind::Hop { .. } | message::Kind::Run(_) | message::Kind::Ended(_), _) => {
+                message::Kind::Ended(dispatch::Ending::Broken)
             }
-            (Kind::Hop { .. } | Kind::Run(_) | Kind::Ended(_), _) => Kind::Ended(Ending::Broken),
-            (Kind::Store(..), Loss::Unsent) => Kind::Stored(StoreResult::Away),
-            (Kind::Store(..) | Kind::Stored(_), _) => Kind::Stored(StoreResult::Lost),
-            (Kind::Ask { .. } | Kind::Told(_), _) => Kind::Told(None),
+            (message::Kind::Store(..), Loss::Unsent) => {
+                message::Kind::Stored(record::StoreResult::Away)
+            }
+            (message::Kind::Store(..) | message::Kind::Stored(_), _) => {
+                message::Kind::Stored(record::StoreResult::Lost)
+            }
+            (message::Kind::Ask { .. } | message::Kind::Told(_), _) => message::Kind::Told(None),
         };
         if !message.detached {
             self.post(sender, failure);
         }
         if matches!(loss, Loss::Late | Loss::Slow) {
-            let late = Message {
+            let late = message::Message {
                 held: true,
                 detached: true,
                 ..message
@@ -331,11 +344,11 @@
         let Some(message) = self.take(serial) else {
             return;
         };
-        let ending = Ending::Refused {
+        let ending = dispatch::Ending::Refused {
             after: None,
             leaving: false,
         };
-        self.post(message.sender, Kind::Ended(ending));
+        self.post(message.sender, message::Kind::Ended(ending));
     }
 
     /// What the dead process had decided but not carried out is lost; whoever
@@ -348,11 +361,11 @@
         process.outbox.clear();
         let asked = core::mem::take(&mut process.asked);
         for (_, sender) in asked {
-            self.post(sender, Kind::Told(None));
+            self.post(sender, message::Kind::Told(None));
         }
         for request in core::mem::take(&mut self.processes[index].requests) {
-            if let Sender::Hop { .. } = request.from {
-                self.post(request.from, Kind::Ended(Ending::Broken));
+            if let message::Sender::Hop { .. } = request.from {
+                self.post(request.from, message::Kind::Ended(dispatch::Ending::Broken));
             }
         }
     }
@@ -360,7 +373,7 @@
     fn restart(&mut self, index: usize) {
         self.processes[index] = self.start(index);
         self.refresh(index);
-        self.feed(index, Event::Tick);
+        self.feed(index, traffic::Event::Tick);
     }
 
     fn hang(&mut self, copy: usize) {
@@ -369,42 +382,46 @@
             return;
         };
         let requests = &self.processes[index].requests;
-        let own = requests.iter().find(|r| r.from == Sender::Caller(copy));
+        let own = requests
+            .iter()
+            .find(|r| r.from == message::Sender::Caller(copy));
         if let Some(id) = own.map(|r| r.id)
             && self.awake(index)
         {
             self.sent[copy].hung = true;
-            self.feed(index, Event::Gone(id));
+            self.feed(index, traffic::Event::Gone(id));
         }
     }
 }
 
-fn faults_of(message: &Message, steps: &mut Vec<Step>) {
+fn faults_of(message: &message::Message, steps: &mut Vec<Step>) {
     let serial = message.serial;
     if !message.held {
         steps.push(Step::Hold(serial));
     }
     match message.kind {
-        Kind::Hop { .. } | Kind::Run(_) | Kind::Store(..) if message.detached => {
+        message::Kind::Hop { .. } | message::Kind::Run(_) | message::Kind::Store(..)
+            if message.detached =>
+        {
             steps.push(Step::Lose(serial, Loss::Gone));
         }
-        Kind::Hop { .. } | Kind::Run(_) | Kind::Store(..) => {
+        message::Kind::Hop { .. } | message::Kind::Run(_) | message::Kind::Store(..) => {
             let losses = [Loss::Unsent, Loss::Gone, Loss::Late, Loss::Slow];
             steps.extend(losses.map(|loss| Step::Lose(serial, loss)));
         }
         // Only questions and words are doubled: a request goes over one
         // connection, once, and nothing below the decisions repeats it.
-        Kind::Ask { .. } | Kind::Told(_) => {
+        message::Kind::Ask { .. } | message::Kind::Told(_) => {
             steps.push(Step::Lose(serial, Loss::Gone));
             steps.push(Step::Double(serial));
         }
-        Kind::Ended(_) => {
+        message::Kind::Ended(_) => {
             let losses = [Loss::Gone, Loss::Slow, Loss::Cut];
             steps.extend(losses.map(|loss| Step::Lose(serial, loss)));
         }
-        Kind::Stored(_) => steps.push(Step::Lose(serial, Loss::Gone)),
+        message::Kind::Stored(_) => steps.push(Step::Lose(serial, Loss::Gone)),
     }
-    if matches!(message.kind, Kind::Run(_)) && !message.detached {
+    if matches!(message.kind, message::Kind::Run(_)) && !message.detached {
         steps.push(Step::Shed(serial));
     }
 }
--- a/crates/explorer/tests/cost_ways.rs
+++ b/crates/explorer/tests/cost_ways.rs
@@ -2,7 +2,7 @@
 
 use core::time::Duration;
 
-use explorer::cost::{self, Cost, WAYS};
+use explorer::cost;
 use rstest::rstest;
 
 const fn millis(count: u64) -> Duration {
@@ -21,8 +21,11 @@
     #[case] calls: u32,
     #[case] latency: u64,
 ) {
-    let way = WAYS.iter().find(|w| w.name == name).expect("a known way");
-    let cost = Cost {
+    let way = cost::WAYS
+        .iter()
+        .find(|w| w.name == name)
+        .expect("a known way");
+    let cost = cost::Cost {
         messages,
         calls,
         latency: millis(latency),
@@ -38,7 +41,10 @@
 #[case("witness in the region", 8)]
 #[case("claim in the store, from its region", 8)]
 fn certain_time_of_resends(#[case] name: &str, #[case] certain: u64) {
-    let way = WAYS.iter().find(|w| w.name == name).expect("a known way");
+    let way = cost::WAYS
+        .iter()
+        .find(|w| w.name == name)
+        .expect("a known way");
     let worth = cost::worth(way);
     assert_eq!(worth.answer + worth.not_run, millis(certain));
     assert!(worth.unknown >= cost::SERVICE);
--- a/crates/explorer/tests/explore_keys.rs
+++ b/crates/explorer/tests/explore_keys.rs
@@ -1,11 +1,8 @@
 //! Bounded exploration of the real decisions, with fixed seeds.
 
-use explorer::exhaust::{self, Case};
-use explorer::report::{self, CHOSEN, ISSUED};
-use explorer::world::{Plan, Source, Step};
-use explorer::{lease, random};
+use explorer::{exhaust, lease, random, report, world};
 use rstest::rstest;
-use steer::process::gate::Safeguards;
+use steer::process::gate;
 
 /// Most steps of a random run before it settles.
 const STEPS: usize = 120;
@@ -27,7 +24,7 @@
 fn random_runs_keep_promises(#[case] first: u64) {
     println!("seeds {first} to {}", first + RUNS - 1);
     for seed in first..first + RUNS {
-        let report = random::run(seed, STEPS, Safeguards::ALL);
+        let report = random::run(seed, STEPS, gate::Safeguards::ALL);
         if let Some(violation) = report.violation {
             panic!("seed {seed}:\n{violation}");
         }
@@ -73,12 +70,15 @@
     );
 }
 
-fn case((sources, plans): (&'static [Source], &'static [Plan]), depth: usize) -> Case<'static> {
-    Case {
+fn case(
+    (sources, plans): (&'static [world::Source], &'static [world::Plan]),
+    depth: usize,
+) -> exhaust::Case<'static> {
+    exhaust::Case {
         processes: 3,
         sources,
         plans,
-        safe: Safeguards::ALL,
+        safe: gate::Safeguards::ALL,
         depth,
         menu: report::any,
     }
@@ -86,9 +86,11 @@
 
 // Two copies of one key; one fault of any kind before each single step.
 #[rstest]
-#[case(ISSUED)]
-#[case(CHOSEN)]
-fn every_single_fault_keeps_promises(#[case] copies: (&'static [Source], &'static [Plan])) {
+#[case(report::ISSUED)]
+#[case(report::CHOSEN)]
+fn every_single_fault_keeps_promises(
+    #[case] copies: (&'static [world::Source], &'static [world::Plan]),
+) {
     let report = exhaust::explore(&case(copies, 1), true);
     println!("{} runs", report.runs);
     assert!(report.runs > 300);
@@ -99,16 +101,19 @@
 // places. Clocks and further entries are left to the longer command
 // (`cargo run --release -p explorer -- --depth 2`).
 #[rstest]
-#[case(ISSUED)]
-#[case(CHOSEN)]
+#[case(report::ISSUED)]
+#[case(report::CHOSEN)]
 fn every_pair_of_crashes_and_losses_keeps_promises(
-    #[case] copies: (&'static [Source], &'static [Plan]),
+    #[case] copies: (&'static [world::Source], &'static [world::Plan]),
 ) {
     let mut case = case(copies, 2);
     case.menu = |step| {
         matches!(
             step,
-            Step::Kill(0..=1) | Step::Freeze(0..=1) | Step::Lose(..) | Step::Hold(_)
+            world::Step::Kill(0..=1)
+                | world::Step::Freeze(0..=1)
+                | world::Step::Lose(..)
+                | world::Step::Hold(_)
         )
     };
     let report = exhaust::explore(&case, true);
@@ -122,9 +127,9 @@
 // exhaustive search finds this in a moment when the owner does not wait.
 #[test]
 fn owner_that_does_not_wait_is_found() {
-    let mut case = case(ISSUED, 2);
+    let mut case = case(report::ISSUED, 2);
     case.safe = report::without("wait-word").expect("the name is listed");
-    case.menu = |step| matches!(step, Step::Kill(_) | Step::Lose(..));
+    case.menu = |step| matches!(step, world::Step::Kill(_) | world::Step::Lose(..));
     let report = exhaust::explore(&case, true);
     println!("{} runs", report.runs);
     let violation = report.first.expect("some run breaks a promise");
--- a/crates/steer/src/process/gate.rs
+++ b/crates/steer/src/process/gate.rs
@@ -27,20 +27,10 @@
 use core::time::Duration;
 use std::sync::Arc;
 
-use crate::clock::Time;
-use crate::process::dispatch::{Ending, Home};
-use crate::request::arrival::{Arrival, Origin, RequestId};
-use crate::request::key::{Issued, Key, Prefix};
-use crate::request::outcome::{Outcome, Reason, Refusal};
-use crate::request::record::{AskId, Question, StoreCall, StoreResult, Word};
-use crate::version::view::{Incarnation, Member, View};
-
-use book::{Book, Name};
-use held::{Held, HeldSet, Stage};
-use issue::Issue;
-use kept::Kept;
-use owner::{Progress, Record};
-use witness::Registry;
+use crate::clock;
+use crate::process::dispatch;
+use crate::request::{arrival, key, outcome, record};
+use crate::version::view;
 
 pub use counts::{Counts, Stages};
 pub use limits::Limits;
@@ -55,18 +45,18 @@
 
 /// The gate's state.
 pub struct Gate {
-    me: Incarnation,
-    home: Home,
+    me: view::Incarnation,
+    home: dispatch::Home,
     limits: Limits,
     safe: Safeguards,
-    view: Arc<View>,
+    view: Arc<view::View>,
     /// Members by incarnation, sorted.
-    peers: Vec<(Incarnation, Member)>,
-    book: Book<Box<Record>>,
-    kept: Kept,
-    registry: Registry,
-    issue: Issue,
-    held: HeldSet,
+    peers: Vec<(view::Incarnation, view::Member)>,
+    book: book::Book<Box<owner::Record>>,
+    kept: kept::Kept,
+    registry: witness::Registry,
+    issue: issue::Issue,
+    held: held::HeldSet,
     asks: u64,
     attempts: u64,
     /// Epoch in which records were last forgotten.
@@ -77,13 +67,18 @@
 impl Gate {
     /// A gate with no records and an empty view.
     #[must_use]
-    pub fn new(home: Home, me: Incarnation, limits: Limits) -> Self {
+    pub fn new(home: dispatch::Home, me: view::Incarnation, limits: Limits) -> Self {
         Self::with_safeguards(home, me, limits, Safeguards::ALL)
     }
 
     /// The same with safeguards taken out. For the explorer and tests only.
     #[must_use]
-    pub fn with_safeguards(home: Home, me: Incarnation, limits: Limits, safe: Safeguards) -> Self {
+    pub fn with_safeguards(
+        home: dispatch::Home,
+        me: view::Incarnation,
+        limits: Limits,
+        safe: Safeguards,
+    ) -> Self {
         Self {
             me,
             home,
@@ -91,11 +86,11 @@
             safe,
             view: Arc::default(),
             peers: Vec::new(),
-            book: Book::new(limits.records),
-            kept: Kept::new(limits.answers),
-            registry: Registry::new(me, &limits, safe),
-            issue: Issue::new(me),
-            held: HeldSet::default(),
+            book: book::Book::new(limits.records),
+            kept: kept::Kept::new(limits.answers),
+            registry: witness::Registry::new(me, &limits, safe),
+            issue: issue::Issue::new(me),
+            held: held::HeldSet::default(),
             asks: 0,
             attempts: 0,
             swept: 0,
@@ -104,7 +99,7 @@
     }
 
     /// Takes one event and appends what is to be done to `out`.
-    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: clock::Time, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Arrive(arrival) => self.arrive(now, arrival, out),
             Event::Settled { id, verdict } => self.settled(id, verdict, out),
@@ -126,7 +121,7 @@
     /// Whether the gate owes the request's caller an answer, or keeps the
     /// request although its caller left.
     #[must_use]
-    pub fn holds(&self, id: RequestId) -> bool {
+    pub fn holds(&self, id: arrival::RequestId) -> bool {
         self.held.get(id).is_some()
     }
 
@@ -157,46 +152,54 @@
 
     /// The prefix for keys issued now; `None` while the process can't serve.
     #[must_use]
-    pub fn key_prefix(&self, now: Time) -> Option<Prefix> {
+    pub fn key_prefix(&self, now: clock::Time) -> Option<key::Prefix> {
         let ready = self.view.version.0 != 0 && !self.leaving;
         ready.then(|| self.issue.prefix(self.limits.epoch_at(now)))
     }
 
-    fn arrive(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Action>) {
+    fn arrive(&mut self, now: clock::Time, arrival: arrival::Arrival, out: &mut Vec<Action>) {
         if self.passes(&arrival) {
             return out.push(Action::Run(arrival));
         }
         let id = arrival.id;
         let Some(text) = &arrival.key else {
-            return refuse(id, Refusal::not_run(Reason::KeyMissing, None), out);
+            return refuse(
+                id,
+                outcome::Refusal::not_run(outcome::Reason::KeyMissing, None),
+                out,
+            );
         };
-        let Ok(key) = Key::try_from(text) else {
-            return refuse(id, Refusal::not_run(Reason::KeyMalformed, None), out);
+        let Ok(key) = key::Key::try_from(text) else {
+            return refuse(
+                id,
+                outcome::Refusal::not_run(outcome::Reason::KeyMalformed, None),
+                out,
+            );
         };
         if self.view.version.0 == 0 {
-            return refuse(id, self.elsewhere(Reason::NotReady), out);
+            return refuse(id, self.elsewhere(outcome::Reason::NotReady), out);
         }
         match key {
-            Key::Issued(key) if key.prefix.owner.incarnation == self.me => {
+            key::Key::Issued(key) if key.prefix.owner.incarnation == self.me => {
                 self.own(now, arrival, &key, out);
             }
-            Key::Issued(key) => self.foreign(now, arrival, key, out),
-            Key::Chosen(key) => self.chosen(now, arrival, key, out),
+            key::Key::Issued(key) => self.foreign(now, arrival, key, out),
+            key::Key::Chosen(key) => self.chosen(now, arrival, key, out),
         }
     }
 
     /// Whether the gate has no say in the request: a repeat is harmless, or the
     /// sending peer holds the right to run it, or there is neither a service
     /// nor a key. A key whose service is unknown here may have run elsewhere.
-    fn passes(&self, arrival: &Arrival) -> bool {
+    fn passes(&self, arrival: &arrival::Arrival) -> bool {
         match self.view.service(&arrival.service) {
-            _ if arrival.origin == Origin::Peer => true,
+            _ if arrival.origin == arrival::Origin::Peer => true,
             Some(service) => self.view.services[service].idempotent,
             None => arrival.key.is_none(),
         }
     }
 
-    fn until(&self, now: Time, arrival: &Arrival) -> Time {
+    fn until(&self, now: clock::Time, arrival: &arrival::Arrival) -> clock::Time {
         let service = self.view.service(&arrival.service);
         let usual = service.map(|s| self.view.services[s].deadline);
         now + arrival.deadline.or(usual).unwrap_or(DEADLINE)
@@ -206,23 +209,23 @@
     /// have run elsewhere and its answer been lost, so a refusal for a reason
     /// of this process alone must not say "not run": its caller would send the
     /// request anew under another key.
-    fn elsewhere(&self, reason: Reason) -> Refusal {
+    fn elsewhere(&self, reason: outcome::Reason) -> outcome::Refusal {
         if self.safe.unknown_away {
-            Refusal::unknown(reason, Some(COME_BACK))
+            outcome::Refusal::unknown(reason, Some(COME_BACK))
         } else {
-            Refusal::not_run(reason, Some(COME_BACK))
+            outcome::Refusal::not_run(reason, Some(COME_BACK))
         }
     }
 
     /// Why no further request of this caller can be held, if none can.
-    fn crowded(&self, caller: &str) -> Option<Reason> {
+    fn crowded(&self, caller: &str) -> Option<outcome::Reason> {
         if self.held.len() >= self.limits.held {
-            return Some(Reason::Overloaded);
+            return Some(outcome::Reason::Overloaded);
         }
-        (self.held.of(caller) >= self.limits.caller).then_some(Reason::CallerLimit)
+        (self.held.of(caller) >= self.limits.caller).then_some(outcome::Reason::CallerLimit)
     }
 
-    fn peer(&self, incarnation: Incarnation) -> Option<Peer> {
+    fn peer(&self, incarnation: view::Incarnation) -> Option<Peer> {
         let at = self
             .peers
             .binary_search_by_key(&incarnation, |p| p.0)
@@ -233,12 +236,12 @@
     fn ask(
         &mut self,
         peer: Peer,
-        question: Question,
+        question: record::Question,
         budget: Duration,
         out: &mut Vec<Action>,
-    ) -> AskId {
+    ) -> record::AskId {
         self.asks += 1;
-        let ask = AskId(self.asks);
+        let ask = record::AskId(self.asks);
         out.push(Action::Ask {
             ask,
             peer,
@@ -248,9 +251,15 @@
         ask
     }
 
-    fn told(&mut self, now: Time, ask: AskId, word: Option<Word>, out: &mut Vec<Action>) {
+    fn told(
+        &mut self,
+        now: clock::Time,
+        ask: record::AskId,
+        word: Option<record::Word>,
+        out: &mut Vec<Action>,
+    ) {
         let epoch = match word {
-            Some(Word::Epoch(epoch)) => Some(epoch),
+            Some(record::Word::Epoch(epoch)) => Some(epoch),
             _ => None,
         };
         if self.issue.told(now, &self.limits, ask, epoch) {
@@ -260,36 +269,36 @@
             return;
         };
         match self.held.get(id).map(|h| &h.stage) {
-            Some(Stage::Claiming { .. }) => self.claimed(now, id, word, out),
+            Some(held::Stage::Claiming { .. }) => self.claimed(now, id, word, out),
             _ => self.sealed(id, word, out),
         }
     }
 
-    fn gone(&mut self, id: RequestId) {
+    fn gone(&mut self, id: arrival::RequestId) {
         let Some(held) = self.held.get(id) else {
             return;
         };
         let name = held.name.clone();
         match held.stage {
             // The run goes on: its answer is there for the caller's resend.
-            Stage::Claiming { .. } | Stage::Storing { .. } | Stage::Running => {
+            held::Stage::Claiming { .. } | held::Stage::Storing { .. } | held::Stage::Running => {
                 if let Some(record) = self.book.get_mut(&name) {
                     record.left = true;
                 }
             }
-            Stage::Waiting => {
+            held::Stage::Waiting => {
                 self.held.remove(id);
                 if let Some(record) = self.book.get_mut(&name) {
                     record.waiters.retain(|&w| w != id);
                 }
             }
-            Stage::Forwarding { .. } | Stage::Sealing { .. } => {
+            held::Stage::Forwarding { .. } | held::Stage::Sealing { .. } => {
                 self.held.remove(id);
             }
         }
     }
 
-    fn set_view(&mut self, view: Arc<View>) {
+    fn set_view(&mut self, view: Arc<view::View>) {
         self.issue.view(&view);
         let members = view.members.iter();
         self.peers = members.map(|(at, data)| (data.incarnation, at)).collect();
@@ -297,7 +306,7 @@
         self.view = view;
     }
 
-    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+    fn tick(&mut self, now: clock::Time, out: &mut Vec<Action>) {
         self.forget(now);
         for id in self.held.overdue(now) {
             self.overdue(now, id, out);
@@ -307,30 +316,34 @@
             .due(now, &self.limits, &self.view, &self.home.domain);
         if let Some(peer) = due {
             let incarnation = peer.incarnation;
-            let ask = self.ask(peer, Question::Epoch, self.limits.ask, out);
+            let ask = self.ask(peer, record::Question::Epoch, self.limits.ask, out);
             self.issue.asked(now, &self.limits, ask, incarnation);
         }
     }
 
-    fn overdue(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    fn overdue(&mut self, now: clock::Time, id: arrival::RequestId, out: &mut Vec<Action>) {
         match self.held.get(id).map(|h| &h.stage) {
-            Some(Stage::Claiming { .. }) => self.give_up(now, id, out),
-            Some(Stage::Storing { .. }) => self.unsettled(id, out),
-            Some(Stage::Waiting) => {
+            Some(held::Stage::Claiming { .. }) => self.give_up(now, id, out),
+            Some(held::Stage::Storing { .. }) => self.unsettled(id, out),
+            Some(held::Stage::Waiting) => {
                 self.gone(id);
-                refuse(id, Refusal::unknown(Reason::KeyBusy, Some(COME_BACK)), out);
+                refuse(
+                    id,
+                    outcome::Refusal::unknown(outcome::Reason::KeyBusy, Some(COME_BACK)),
+                    out,
+                );
             }
-            Some(Stage::Forwarding { .. }) => {
+            Some(held::Stage::Forwarding { .. }) => {
                 self.held.remove(id);
-                refuse(id, self.elsewhere(Reason::Deadline), out);
+                refuse(id, self.elsewhere(outcome::Reason::Deadline), out);
             }
-            Some(Stage::Sealing { .. }) => self.sealed(id, None, out),
-            Some(Stage::Running) | None => {}
+            Some(held::Stage::Sealing { .. }) => self.sealed(id, None, out),
+            Some(held::Stage::Running) | None => {}
         }
     }
 
     /// Drops what is too old to be asked for; once an epoch.
-    fn forget(&mut self, now: Time) {
+    fn forget(&mut self, now: clock::Time) {
         let epoch = self.limits.epoch_at(now);
         if epoch == self.swept {
             return;
@@ -343,7 +356,7 @@
             0
         };
         let oldest = epoch.saturating_sub(keep);
-        let done = |r: &Record| matches!(r.progress, Progress::Done(_));
+        let done = |r: &owner::Record| matches!(r.progress, owner::Progress::Done(_));
         self.book.forget_before(oldest, |r| done(r));
         self.book
             .forget_at(chosen::EPOCH, |r| done(r) && r.born < oldest);
@@ -351,7 +364,7 @@
         self.kept.retain(|name| book.get(name).is_some());
     }
 
-    fn publish(&mut self, now: Time, out: &mut Vec<Action>) {
+    fn publish(&mut self, now: clock::Time, out: &mut Vec<Action>) {
         let prefix = self.key_prefix(now);
         if self.issue.publish(prefix) {
             out.push(Action::Issue(prefix));
@@ -359,11 +372,11 @@
     }
 }
 
-fn refuse(id: RequestId, refusal: Refusal, out: &mut Vec<Action>) {
+fn refuse(id: arrival::RequestId, refusal: outcome::Refusal, out: &mut Vec<Action>) {
     out.push(Action::Refuse { id, refusal });
 }
 
-fn answer(id: RequestId, verdict: &Verdict, out: &mut Vec<Action>) {
+fn answer(id: arrival::RequestId, verdict: &Verdict, out: &mut Vec<Action>) {
     match verdict {
         Verdict::Answered(answer) => out.push(Action::Reply {
             id,
--- a/crates/steer/src/process/gate/chosen.rs
+++ b/crates/steer/src/process/gate/chosen.rs
@@ -6,13 +6,10 @@
 
 use std::sync::Arc;
 
-use super::{
-    Action, COME_BACK, Gate, Held, Name, Reason, Record, Refusal, Stage, StoreCall, StoreResult,
-    Verdict, refuse,
-};
-use crate::clock::Time;
-use crate::request::arrival::{Arrival, Origin, RequestId};
-use crate::request::record::Attempt;
+use super::{book, held, message, owner};
+use crate::clock;
+use crate::process::gate;
+use crate::request::{arrival, outcome, record};
 
 /// Chosen keys show no age; their records stand behind all others.
 pub const EPOCH: u64 = u64::MAX;
@@ -21,82 +18,94 @@
 /// read, write again.
 const CALLS: u32 = 4;
 
-impl Gate {
+impl gate::Gate {
     /// A request whose key its caller chose.
     pub(super) fn chosen(
         &mut self,
-        now: Time,
-        arrival: Arrival,
+        now: clock::Time,
+        arrival: arrival::Arrival,
         key: Arc<str>,
-        out: &mut Vec<Action>,
+        out: &mut Vec<message::Action>,
     ) {
         let id = arrival.id;
-        let name = Name { epoch: EPOCH, key };
+        let name = book::Name { epoch: EPOCH, key };
         if self.book.get(&name).is_some() {
             return self.resend(now, &arrival, name, out);
         }
-        if arrival.origin == Origin::Forward {
-            return refuse(id, self.elsewhere(Reason::Forgotten), out);
+        if arrival.origin == arrival::Origin::Forward {
+            return gate::refuse(id, self.elsewhere(outcome::Reason::Forgotten), out);
         }
         if self.leaving {
-            return refuse(id, self.elsewhere(Reason::Leaving), out);
+            return gate::refuse(id, self.elsewhere(outcome::Reason::Leaving), out);
         }
         if let Some(reason) = self.no_room(&arrival.caller) {
-            return refuse(id, self.elsewhere(reason), out);
+            return gate::refuse(id, self.elsewhere(reason), out);
         }
         self.attempts += 1;
-        let attempt = Attempt {
+        let attempt = record::Attempt {
             incarnation: self.me,
             number: self.attempts,
             fingerprint: arrival.fingerprint,
         };
         let born = self.limits.epoch_at(now);
-        let record = Box::new(Record::new(born, &arrival));
+        let record = Box::new(owner::Record::new(born, &arrival));
         self.book.insert(name.clone(), record);
-        self.held.insert(Held {
+        self.held.insert(held::Held {
             id,
             caller: Arc::clone(&arrival.caller),
             name,
             until: self.until(now, &arrival),
-            stage: Stage::Storing {
+            stage: held::Stage::Storing {
                 attempt,
-                call: StoreCall::Create(attempt),
+                call: record::StoreCall::Create(attempt),
                 tries: 0,
                 arrival,
             },
         });
-        self.call(id, StoreCall::Create(attempt), out);
+        self.call(id, record::StoreCall::Create(attempt), out);
     }
 
     /// A call to the store ended.
     pub(super) fn stored(
         &mut self,
-        now: Time,
-        id: RequestId,
-        result: StoreResult,
-        out: &mut Vec<Action>,
+        now: clock::Time,
+        id: arrival::RequestId,
+        result: record::StoreResult,
+        out: &mut Vec<message::Action>,
     ) {
-        let Some(Stage::Storing { attempt, call, .. }) = self.held.get(id).map(|h| &h.stage) else {
+        let Some(held::Stage::Storing { attempt, call, .. }) = self.held.get(id).map(|h| &h.stage)
+        else {
             return;
         };
         let (attempt, call) = (*attempt, *call);
         match (call, result) {
-            (_, StoreResult::Created) => self.won(now, id, out),
-            (_, StoreResult::Found(Some(other))) if other == attempt => self.won(now, id, out),
-            (_, StoreResult::Found(Some(other))) => self.taken(now, id, other, out),
-            (StoreCall::Read, StoreResult::Absent) => {
-                self.call(id, StoreCall::Create(attempt), out);
+            (_, record::StoreResult::Created) => self.won(now, id, out),
+            (_, record::StoreResult::Found(Some(other))) if other == attempt => {
+                self.won(now, id, out);
+            }
+            (_, record::StoreResult::Found(Some(other))) => self.taken(now, id, other, out),
+            (record::StoreCall::Read, record::StoreResult::Absent) => {
+                self.call(id, record::StoreCall::Create(attempt), out);
             }
             // Whether the write took effect is read back; nothing is decided
             // from silence.
-            (_, StoreResult::Lost | StoreResult::Absent) => self.call(id, StoreCall::Read, out),
-            (_, StoreResult::Away | StoreResult::Found(None)) => self.unsettled(id, out),
+            (_, record::StoreResult::Lost | record::StoreResult::Absent) => {
+                self.call(id, record::StoreCall::Read, out);
+            }
+            (_, record::StoreResult::Away | record::StoreResult::Found(None)) => {
+                self.unsettled(id, out);
+            }
         }
     }
 
     /// Makes the next call, unless the request has made its share of them.
-    fn call(&mut self, id: RequestId, next: StoreCall, out: &mut Vec<Action>) {
-        let Some(Stage::Storing { call, tries, .. }) = self.held.stage_mut(id) else {
+    fn call(
+        &mut self,
+        id: arrival::RequestId,
+        next: record::StoreCall,
+        out: &mut Vec<message::Action>,
+    ) {
+        let Some(held::Stage::Storing { call, tries, .. }) = self.held.stage_mut(id) else {
             return;
         };
         if *tries >= CALLS {
@@ -107,7 +116,7 @@
         let Some(held) = self.held.get(id) else {
             return;
         };
-        out.push(Action::Store {
+        out.push(message::Action::Store {
             id,
             key: Arc::clone(&held.name.key),
             call: next,
@@ -115,26 +124,33 @@
         });
     }
 
-    fn won(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    fn won(&mut self, now: clock::Time, id: arrival::RequestId, out: &mut Vec<message::Action>) {
         let Some(held) = self.held.remove(id) else {
             return;
         };
-        let Stage::Storing { arrival, .. } = held.stage else {
+        let held::Stage::Storing { arrival, .. } = held.stage else {
             return;
         };
         if held.until <= now {
-            let refusal = Refusal::not_run(Reason::Deadline, Some(COME_BACK));
-            return self.finish(&held.name, Verdict::Refused(refusal), out);
+            let refusal =
+                outcome::Refusal::not_run(outcome::Reason::Deadline, Some(gate::COME_BACK));
+            return self.finish(&held.name, message::Verdict::Refused(refusal), out);
         }
         self.run_until(now, arrival, held.name, held.until, out);
     }
 
     /// Another attempt holds the key. Its process may have the answer.
-    fn taken(&mut self, now: Time, id: RequestId, other: Attempt, out: &mut Vec<Action>) {
+    fn taken(
+        &mut self,
+        now: clock::Time,
+        id: arrival::RequestId,
+        other: record::Attempt,
+        out: &mut Vec<message::Action>,
+    ) {
         let Some(held) = self.held.remove(id) else {
             return;
         };
-        let Stage::Storing { arrival, .. } = held.stage else {
+        let held::Stage::Storing { arrival, .. } = held.stage else {
             return;
         };
         let left = self.drop_waiters(&held.name, out);
@@ -142,32 +158,40 @@
             return;
         }
         if other.fingerprint != arrival.fingerprint {
-            return refuse(id, Refusal::unknown(Reason::KeyReused, None), out);
+            return gate::refuse(
+                id,
+                outcome::Refusal::unknown(outcome::Reason::KeyReused, None),
+                out,
+            );
         }
         self.forward(now, arrival, other.incarnation, None, out);
     }
 
     /// The store did not say who holds the key. The key stays open: a later
     /// copy asks the store again.
-    pub(super) fn unsettled(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    pub(super) fn unsettled(&mut self, id: arrival::RequestId, out: &mut Vec<message::Action>) {
         let Some(held) = self.held.remove(id) else {
             return;
         };
         if !self.drop_waiters(&held.name, out) {
-            refuse(id, self.elsewhere(Reason::Store), out);
+            gate::refuse(id, self.elsewhere(outcome::Reason::Store), out);
         }
     }
 
     /// Removes the record of a key that this process does not hold, and sends
     /// the copies that waited away. Returns whether the first copy's caller
     /// left.
-    fn drop_waiters(&mut self, name: &Name, out: &mut Vec<Action>) -> bool {
+    fn drop_waiters(&mut self, name: &book::Name, out: &mut Vec<message::Action>) -> bool {
         let Some(record) = self.book.remove(name) else {
             return false;
         };
         for id in record.waiters {
             self.held.remove(id);
-            refuse(id, Refusal::unknown(Reason::KeyBusy, Some(COME_BACK)), out);
+            gate::refuse(
+                id,
+                outcome::Refusal::unknown(outcome::Reason::KeyBusy, Some(gate::COME_BACK)),
+                out,
+            );
         }
         record.left
     }
--- a/crates/steer/src/process/gate/counts.rs
+++ b/crates/steer/src/process/gate/counts.rs
@@ -2,7 +2,7 @@
 
 use core::fmt;
 
-use crate::version::view::Incarnation;
+use crate::version::view;
 
 /// Requests held, by how far they have come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -33,7 +33,7 @@
     /// Bytes of answers kept for resends.
     pub kept: u64,
     /// The process that new keys name as their witness.
-    pub witness: Option<Incarnation>,
+    pub witness: Option<view::Incarnation>,
     /// Whether new keys are refused.
     pub leaving: bool,
 }
--- a/crates/steer/src/process/gate/held.rs
+++ b/crates/steer/src/process/gate/held.rs
@@ -5,38 +5,34 @@
 
 use std::sync::Arc;
 
-use super::book::Name;
-use super::counts::Stages;
-use crate::clock::Time;
-use crate::request::admission::Counts;
-use crate::request::arrival::{Arrival, RequestId};
-use crate::request::key::Issued;
-use crate::request::record::{AskId, Attempt, StoreCall};
-use crate::version::view::Incarnation;
+use super::{book, counts};
+use crate::clock;
+use crate::request::{admission, arrival, key, record};
+use crate::version::view;
 
 /// How far a held request has come.
 pub enum Stage {
     /// Its witness has been asked for a claim.
     Claiming {
         /// The question.
-        ask: AskId,
+        ask: record::AskId,
         /// Who was asked.
-        witness: Incarnation,
+        witness: view::Incarnation,
         /// When to give up waiting.
-        wait: Time,
+        wait: clock::Time,
         /// What to run on the witness's word.
-        arrival: Arrival,
+        arrival: arrival::Arrival,
     },
     /// The store has been asked for a claim.
     Storing {
         /// What is to hold the key.
-        attempt: Attempt,
+        attempt: record::Attempt,
         /// The call under way.
-        call: StoreCall,
+        call: record::StoreCall,
         /// Calls made.
         tries: u32,
         /// What to run once the key is claimed.
-        arrival: Arrival,
+        arrival: arrival::Arrival,
     },
     /// The dispatcher has it; the gate keeps no time for it.
     Running,
@@ -45,29 +41,29 @@
     /// The key's owner has been sent it.
     Forwarding {
         /// The key, if it may name a witness.
-        key: Option<Issued>,
+        key: Option<key::Issued>,
         /// The request.
-        arrival: Arrival,
+        arrival: arrival::Arrival,
     },
     /// The key's witness has been asked to seal the key.
     Sealing {
         /// The question.
-        ask: AskId,
+        ask: record::AskId,
         /// When to give up waiting.
-        wait: Time,
+        wait: clock::Time,
     },
 }
 
 /// A request in the gate.
 pub struct Held {
     /// The request.
-    pub id: RequestId,
+    pub id: arrival::RequestId,
     /// Who asks.
     pub caller: Arc<str>,
     /// Its key's record.
-    pub name: Name,
+    pub name: book::Name,
     /// When its caller stops waiting.
-    pub until: Time,
+    pub until: clock::Time,
     /// How far it has come.
     pub stage: Stage,
 }
@@ -76,7 +72,7 @@
 #[derive(Default)]
 pub struct HeldSet {
     items: Vec<Held>,
-    callers: Counts,
+    callers: admission::Counts,
 }
 
 impl HeldSet {
@@ -98,19 +94,19 @@
     }
 
     /// The request, if it is held.
-    pub fn get(&self, id: RequestId) -> Option<&Held> {
+    pub fn get(&self, id: arrival::RequestId) -> Option<&Held> {
         let at = self.search(id)?;
         Some(&self.items[at])
     }
 
     /// The stage of a request, to be changed.
-    pub fn stage_mut(&mut self, id: RequestId) -> Option<&mut Stage> {
+    pub fn stage_mut(&mut self, id: arrival::RequestId) -> Option<&mut Stage> {
         let at = self.search(id)?;
         Some(&mut self.items[at].stage)
     }
 
     /// Takes a request out.
-    pub fn remove(&mut self, id: RequestId) -> Option<Held> {
+    pub fn remove(&mut self, id: arrival::RequestId) -> Option<Held> {
         let at = self.search(id)?;
         let held = self.items.remove(at);
         self.callers.remove(&held.caller);
@@ -118,7 +114,7 @@
     }
 
     /// The request that waits for the answer to `ask`.
-    pub fn asking(&self, ask: AskId) -> Option<RequestId> {
+    pub fn asking(&self, ask: record::AskId) -> Option<arrival::RequestId> {
         let waits = |h: &&Held| match h.stage {
             Stage::Claiming { ask: a, .. } | Stage::Sealing { ask: a, .. } => a == ask,
             _ => false,
@@ -127,7 +123,7 @@
     }
 
     /// Requests whose present stage has lasted too long.
-    pub fn overdue(&self, now: Time) -> Vec<RequestId> {
+    pub fn overdue(&self, now: clock::Time) -> Vec<arrival::RequestId> {
         let late = |h: &&Held| match h.stage {
             Stage::Running => false,
             Stage::Claiming { wait, .. } | Stage::Sealing { wait, .. } => wait.min(h.until) <= now,
@@ -137,8 +133,8 @@
     }
 
     /// Number of requests at each stage.
-    pub fn stages(&self) -> Stages {
-        let mut stages = Stages::default();
+    pub fn stages(&self) -> counts::Stages {
+        let mut stages = counts::Stages::default();
         for held in &self.items {
             let count = match held.stage {
                 Stage::Claiming { .. } => &mut stages.claiming,
@@ -153,7 +149,7 @@
         stages
     }
 
-    fn search(&self, id: RequestId) -> Option<usize> {
+    fn search(&self, id: arrival::RequestId) -> Option<usize> {
         self.items.binary_search_by_key(&id, |h| h.id).ok()
     }
 }
--- a/crates/steer/src/process/gate/issue.rs
+++ b/crates/steer/src/process/gate/issue.rs
@@ -5,60 +5,58 @@
 //! they run all the same, and only lose the certain answer after this process's
 //! death. A cut-off failure domain goes on serving that way.
 
-use super::Peer;
-use super::limits::Limits;
-use crate::clock::Time;
-use crate::request::key::{Prefix, Stamp};
-use crate::request::record::AskId;
-use crate::version::view::{Incarnation, MemberData, State, View};
+use super::{limits, message};
+use crate::clock;
+use crate::request::{key, record};
+use crate::version::view;
 
 struct Witness {
-    incarnation: Incarnation,
+    incarnation: view::Incarnation,
     epoch: u64,
 }
 
 struct Probe {
-    ask: AskId,
-    incarnation: Incarnation,
-    until: Time,
+    ask: record::AskId,
+    incarnation: view::Incarnation,
+    until: clock::Time,
 }
 
 /// Chooses the witness and remembers which prefix is published.
 pub struct Issue {
-    me: Incarnation,
+    me: view::Incarnation,
     witness: Option<Witness>,
     probe: Option<Probe>,
-    due: Time,
-    suspects: Vec<(Incarnation, Time)>,
-    published: Option<Prefix>,
+    due: clock::Time,
+    suspects: Vec<(view::Incarnation, clock::Time)>,
+    published: Option<key::Prefix>,
 }
 
 impl Issue {
     /// Nothing chosen, nothing published.
-    pub const fn new(me: Incarnation) -> Self {
+    pub const fn new(me: view::Incarnation) -> Self {
         Self {
             me,
             witness: None,
             probe: None,
-            due: Time::ZERO,
+            due: clock::Time::ZERO,
             suspects: Vec::new(),
             published: None,
         }
     }
 
     /// The witness that new keys name.
-    pub fn witness(&self) -> Option<Incarnation> {
+    pub fn witness(&self) -> Option<view::Incarnation> {
         self.witness.as_ref().map(|w| w.incarnation)
     }
 
     /// The prefix for keys issued at this process's epoch `epoch`.
-    pub fn prefix(&self, epoch: u64) -> Prefix {
-        let stamp = |w: &Witness| Stamp {
+    pub fn prefix(&self, epoch: u64) -> key::Prefix {
+        let stamp = |w: &Witness| key::Stamp {
             incarnation: w.incarnation,
             epoch: w.epoch,
         };
-        Prefix {
-            owner: Stamp {
+        key::Prefix {
+            owner: key::Stamp {
                 incarnation: self.me,
                 epoch,
             },
@@ -67,25 +65,32 @@
     }
 
     /// Remembers what is published; `true` if that is a change.
-    pub fn publish(&mut self, prefix: Option<Prefix>) -> bool {
+    pub fn publish(&mut self, prefix: Option<key::Prefix>) -> bool {
         let changed = self.published != prefix;
         self.published = prefix;
         changed
     }
 
     /// Drops a witness that the view no longer holds as live.
-    pub fn view(&mut self, view: &View) {
+    pub fn view(&mut self, view: &view::View) {
         let Some(witness) = &self.witness else {
             return;
         };
-        let stays = |m: &MemberData| m.incarnation == witness.incarnation && m.state == State::Live;
+        let stays = |m: &view::MemberData| {
+            m.incarnation == witness.incarnation && m.state == view::State::Live
+        };
         if !view.members.values().any(stays) {
             self.drop_witness();
         }
     }
 
     /// Stops naming a process that did not answer, for a while.
-    pub fn suspect(&mut self, now: Time, limits: &Limits, incarnation: Incarnation) {
+    pub fn suspect(
+        &mut self,
+        now: clock::Time,
+        limits: &limits::Limits,
+        incarnation: view::Incarnation,
+    ) {
         self.suspects.retain(|&(who, _)| who != incarnation);
         self.suspects.push((incarnation, now + limits.suspect));
         if self.witness.as_ref().map(|w| w.incarnation) == Some(incarnation) {
@@ -94,7 +99,13 @@
     }
 
     /// Takes a peer's epoch, or its silence. `false` if `ask` is no probe.
-    pub fn told(&mut self, now: Time, limits: &Limits, ask: AskId, epoch: Option<u64>) -> bool {
+    pub fn told(
+        &mut self,
+        now: clock::Time,
+        limits: &limits::Limits,
+        ask: record::AskId,
+        epoch: Option<u64>,
+    ) -> bool {
         let Some(probe) = self.probe.take_if(|p| p.ask == ask) else {
             return false;
         };
@@ -108,7 +119,13 @@
 
     /// The peer to ask for its epoch now, if one is due. The caller follows up
     /// with [`Issue::asked`].
-    pub fn due(&mut self, now: Time, limits: &Limits, view: &View, home: &str) -> Option<Peer> {
+    pub fn due(
+        &mut self,
+        now: clock::Time,
+        limits: &limits::Limits,
+        view: &view::View,
+        home: &str,
+    ) -> Option<message::Peer> {
         self.suspects.retain(|&(_, until)| now < until);
         if let Some(late) = self.probe.take_if(|p| p.until <= now) {
             self.silent(now, limits, late.incarnation);
@@ -121,11 +138,17 @@
         if best.is_none() {
             self.witness = None;
         }
-        best.map(Peer::from)
+        best.map(message::Peer::from)
     }
 
     /// A probe is on its way.
-    pub fn asked(&mut self, now: Time, limits: &Limits, ask: AskId, incarnation: Incarnation) {
+    pub fn asked(
+        &mut self,
+        now: clock::Time,
+        limits: &limits::Limits,
+        ask: record::AskId,
+        incarnation: view::Incarnation,
+    ) {
         self.probe = Some(Probe {
             ask,
             incarnation,
@@ -133,29 +156,34 @@
         });
     }
 
-    fn silent(&mut self, now: Time, limits: &Limits, incarnation: Incarnation) {
+    fn silent(
+        &mut self,
+        now: clock::Time,
+        limits: &limits::Limits,
+        incarnation: view::Incarnation,
+    ) {
         self.suspect(now, limits, incarnation);
         self.due = now;
     }
 
     fn drop_witness(&mut self) {
         self.witness = None;
-        self.due = Time::ZERO;
+        self.due = clock::Time::ZERO;
     }
 
     /// The nearest candidate in another failure domain. Among equals the order
     /// is random for each pair of processes but fixed, so that witnesses are
     /// spread and change only when they have to.
-    fn best<'a>(&self, view: &'a View, home: &str) -> Option<&'a MemberData> {
+    fn best<'a>(&self, view: &'a view::View, home: &str) -> Option<&'a view::MemberData> {
         let home = view.domain(home)?;
-        let region = |m: &MemberData| view.domains[m.domain].region;
-        let fit = |m: &&MemberData| {
+        let region = |m: &view::MemberData| view.domains[m.domain].region;
+        let fit = |m: &&view::MemberData| {
             m.domain != home
-                && m.state == State::Live
+                && m.state == view::State::Live
                 && m.incarnation != self.me
                 && !self.suspects.iter().any(|&(who, _)| who == m.incarnation)
         };
-        let rank = |m: &&MemberData| {
+        let rank = |m: &&view::MemberData| {
             let far = region(m) != view.domains[home].region;
             (far, mix(self.me.0 ^ m.incarnation.0.rotate_left(32)))
         };
--- a/crates/steer/src/process/gate/kept.rs
+++ b/crates/steer/src/process/gate/kept.rs
@@ -4,11 +4,11 @@
 
 use std::collections::VecDeque;
 
-use super::book::Name;
+use super::book;
 
 /// Answers kept for resends.
 pub struct Kept {
-    queue: VecDeque<(Name, u64)>,
+    queue: VecDeque<(book::Name, u64)>,
     bytes: u64,
     max: u64,
 }
@@ -30,7 +30,7 @@
 
     /// Lists an answer. Returns the records that have to give theirs up, which
     /// may be this one.
-    pub fn keep(&mut self, name: Name, bytes: u64) -> Vec<Name> {
+    pub fn keep(&mut self, name: book::Name, bytes: u64) -> Vec<book::Name> {
         self.queue.push_back((name, bytes));
         self.bytes += bytes;
         let mut dropped = Vec::new();
@@ -45,7 +45,7 @@
     }
 
     /// Strikes the answers whose records are gone.
-    pub fn retain(&mut self, stays: impl Fn(&Name) -> bool) {
+    pub fn retain(&mut self, stays: impl Fn(&book::Name) -> bool) {
         self.queue.retain(|(name, _)| stays(name));
         self.bytes = self.queue.iter().map(|(_, bytes)| bytes).sum();
     }
--- a/crates/steer/src/process/gate/limits.rs
+++ b/crates/steer/src/process/gate/limits.rs
@@ -2,7 +2,7 @@
 
 use core::time::Duration;
 
-use crate::clock::Time;
+use crate::clock;
 
 /// Bounds of one process's gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,7 +65,7 @@
 
     /// The epoch that a process counts at `now`.
     #[must_use]
-    pub fn epoch_at(&self, now: Time) -> u64 {
+    pub fn epoch_at(&self, now: clock::Time) -> u64 {
         let span = u64::try_from(self.epoch.as_micros()).unwrap_or(u64::MAX);
         now.as_micros() / span.max(1)
     }
--- a/crates/steer/src/process/gate/message.rs
+++ b/crates/steer/src/process/gate/message.rs
@@ -4,13 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::process::dispatch::Ending;
-use crate::request::answer::Answer;
-use crate::request::arrival::{Arrival, RequestId};
-use crate::request::key::Prefix;
-use crate::request::outcome::Refusal;
-use crate::request::record::{AskId, Question, StoreCall, StoreResult, Word};
-use crate::version::view::{Incarnation, MemberData, View};
+use crate::process::dispatch;
+use crate::request::{answer, arrival, key, outcome, record};
+use crate::version::view;
 
 /// Another process of this system, as a destination.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,13 +14,13 @@
     /// Name of its entry instance.
     pub name: Arc<str>,
     /// Which process.
-    pub incarnation: Incarnation,
+    pub incarnation: view::Incarnation,
     /// Where it listens for peers.
     pub addr: SocketAddr,
 }
 
-impl From<&MemberData> for Peer {
-    fn from(data: &MemberData) -> Self {
+impl From<&view::MemberData> for Peer {
+    fn from(data: &view::MemberData) -> Self {
         Self {
             name: Arc::clone(&data.name),
             incarnation: data.incarnation,
@@ -37,55 +33,55 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// The target's whole answer.
-    Answered(Arc<Answer>),
+    Answered(Arc<answer::Answer>),
     /// A refusal and what is certain.
-    Refused(Refusal),
+    Refused(outcome::Refusal),
 }
 
 /// What happens to the gate.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A request arrived.
-    Arrive(Arrival),
+    Arrive(arrival::Arrival),
     /// The dispatcher is done with a request that the gate had it run.
     Settled {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// What became of it.
         verdict: Verdict,
     },
     /// A request sent to its key's owner came to an end.
     Forwarded {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// How.
-        ending: Ending,
+        ending: dispatch::Ending,
     },
     /// A peer answered a question; `None` if no answer came.
     Told {
         /// The question.
-        ask: AskId,
+        ask: record::AskId,
         /// The answer.
-        word: Option<Word>,
+        word: Option<record::Word>,
     },
     /// A peer asks this process.
     Asked {
         /// The driver's name for the question.
-        ask: AskId,
+        ask: record::AskId,
         /// What it asks.
-        question: Question,
+        question: record::Question,
     },
     /// A call to the store ended.
     Stored {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// How.
-        result: StoreResult,
+        result: record::StoreResult,
     },
     /// The caller left without waiting for its answer.
-    Gone(RequestId),
+    Gone(arrival::RequestId),
     /// A new view is in force.
-    View(Arc<View>),
+    View(Arc<view::View>),
     /// Time passed.
     Tick,
     /// The process is to stop: no new key may run any more.
@@ -96,25 +92,25 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     /// Hand the request to the dispatcher.
-    Run(Arrival),
+    Run(arrival::Arrival),
     /// Give the caller a target's answer.
     Reply {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// The whole answer.
-        answer: Arc<Answer>,
+        answer: Arc<answer::Answer>,
     },
     /// Give the caller a final refusal.
     Refuse {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// What to say.
-        refusal: Refusal,
+        refusal: outcome::Refusal,
     },
     /// Send the whole request to its key's owner.
     Forward {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// The owner.
         peer: Peer,
         /// Time after which to give up.
@@ -123,32 +119,32 @@
     /// Ask a peer.
     Ask {
         /// Name of the question, for the answer.
-        ask: AskId,
+        ask: record::AskId,
         /// The peer.
         peer: Peer,
         /// The question.
-        question: Question,
+        question: record::Question,
         /// Time after which to give up.
         budget: Duration,
     },
     /// Answer a peer's question.
     Tell {
         /// The driver's name for the question.
-        ask: AskId,
+        ask: record::AskId,
         /// The answer.
-        word: Word,
+        word: record::Word,
     },
     /// Call the platform's store about a key that its caller chose.
     Store {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// The key.
         key: Arc<str>,
         /// The call.
-        call: StoreCall,
+        call: record::StoreCall,
         /// Time after which to give up.
         budget: Duration,
     },
     /// Look-up answers carry this key prefix from now on; `None`: none.
-    Issue(Option<Prefix>),
+    Issue(Option<key::Prefix>),
 }
--- a/crates/steer/src/process/gate/owner.rs
+++ b/crates/steer/src/process/gate/owner.rs
@@ -5,40 +5,37 @@
 
 use std::sync::Arc;
 
-use super::{
-    Action, COME_BACK, Gate, Held, Name, Outcome, Question, Reason, Refusal, Stage, Verdict, Word,
-    answer, chosen, refuse,
-};
-use crate::clock::Time;
-use crate::request::arrival::{Arrival, Fingerprint, Origin, RequestId};
-use crate::request::key::{Issued, Stamp};
+use super::{book, chosen, held, message};
+use crate::clock;
+use crate::process::gate;
+use crate::request::{arrival, key, outcome, record};
 
 /// How far a key has come.
 pub enum Progress {
     /// Its request has not been sent, or is being sent.
     Open,
     /// What every further copy is told.
-    Done(Verdict),
+    Done(message::Verdict),
 }
 
 /// What a process knows of a key that it may run.
 pub struct Record {
     /// The request that the key stands for.
-    pub fingerprint: Fingerprint,
+    pub fingerprint: arrival::Fingerprint,
     /// Epoch in which the record was made.
     pub born: u64,
     /// The first copy, which is the one that runs.
-    pub first: RequestId,
+    pub first: arrival::RequestId,
     /// Whether the first copy's caller left, or has its answer already.
     pub left: bool,
     /// Later copies that wait for the outcome.
-    pub waiters: Vec<RequestId>,
+    pub waiters: Vec<arrival::RequestId>,
     /// How far it has come.
     pub progress: Progress,
 }
 
 impl Record {
-    pub(super) fn new(born: u64, arrival: &Arrival) -> Self {
+    pub(super) fn new(born: u64, arrival: &arrival::Arrival) -> Self {
         Self {
             fingerprint: arrival.fingerprint,
             born,
@@ -50,17 +47,17 @@
     }
 }
 
-impl Gate {
+impl gate::Gate {
     /// A request whose key only this process may run.
     pub(super) fn own(
         &mut self,
-        now: Time,
-        mut arrival: Arrival,
-        key: &Issued,
-        out: &mut Vec<Action>,
+        now: clock::Time,
+        mut arrival: arrival::Arrival,
+        key: &key::Issued,
+        out: &mut Vec<message::Action>,
     ) {
         let id = arrival.id;
-        let name = Name {
+        let name = book::Name {
             epoch: key.prefix.owner.epoch,
             key: key.text.clone(),
         };
@@ -68,10 +65,10 @@
             return self.resend(now, &arrival, name, out);
         }
         if let Some(refusal) = self.turned_away(now, name.epoch, &arrival.caller) {
-            return refuse(id, refusal, out);
+            return gate::refuse(id, refusal, out);
         }
         // A forwarded request has met no cap yet: it counts as a caller's here.
-        arrival.origin = Origin::Caller;
+        arrival.origin = arrival::Origin::Caller;
         let born = self.limits.epoch_at(now);
         let record = Box::new(Record::new(born, &arrival));
         self.book.insert(name.clone(), record);
@@ -86,30 +83,36 @@
     /// Records outlive the age up to which keys are accepted. Between the two
     /// ages no record means that the key never ran, and it never will: epochs
     /// only grow. The same holds once this process is leaving.
-    fn turned_away(&self, now: Time, issued: u64, caller: &str) -> Option<Refusal> {
+    fn turned_away(&self, now: clock::Time, issued: u64, caller: &str) -> Option<outcome::Refusal> {
         let Some(age) = self.limits.epoch_at(now).checked_sub(issued) else {
             // Not issued yet, so not by this process. It must not be called
             // "not run", as it would be accepted once its epoch has come.
-            return Some(Refusal::unknown(Reason::KeyMalformed, None));
+            return Some(outcome::Refusal::unknown(
+                outcome::Reason::KeyMalformed,
+                None,
+            ));
         };
         if age > self.limits.keep {
-            return Some(Refusal::unknown(Reason::KeyExpired, None));
+            return Some(outcome::Refusal::unknown(outcome::Reason::KeyExpired, None));
         }
         if age > self.limits.accept {
-            return Some(Refusal::not_run(Reason::KeyExpired, None));
+            return Some(outcome::Refusal::not_run(outcome::Reason::KeyExpired, None));
         }
         if self.leaving {
-            return Some(Refusal::not_run(Reason::Leaving, Some(COME_BACK)));
+            return Some(outcome::Refusal::not_run(
+                outcome::Reason::Leaving,
+                Some(gate::COME_BACK),
+            ));
         }
         // Without room for a record nothing can be promised about the key.
         let reason = self.no_room(caller)?;
-        Some(Refusal::unknown(reason, Some(COME_BACK)))
+        Some(outcome::Refusal::unknown(reason, Some(gate::COME_BACK)))
     }
 
     /// Why a key can't be given a record, if it can't.
-    pub(super) fn no_room(&self, caller: &str) -> Option<Reason> {
+    pub(super) fn no_room(&self, caller: &str) -> Option<outcome::Reason> {
         if self.book.is_full() {
-            return Some(Reason::Overloaded);
+            return Some(outcome::Reason::Overloaded);
         }
         self.crowded(caller)
     }
@@ -117,10 +120,10 @@
     /// A further copy of a request that has a record.
     pub(super) fn resend(
         &mut self,
-        now: Time,
-        arrival: &Arrival,
-        name: Name,
-        out: &mut Vec<Action>,
+        now: clock::Time,
+        arrival: &arrival::Arrival,
+        name: book::Name,
+        out: &mut Vec<message::Action>,
     ) {
         let id = arrival.id;
         let until = self.until(now, arrival);
@@ -129,47 +132,52 @@
             return;
         };
         if record.fingerprint != arrival.fingerprint {
-            return refuse(id, Refusal::unknown(Reason::KeyReused, None), out);
+            return gate::refuse(
+                id,
+                outcome::Refusal::unknown(outcome::Reason::KeyReused, None),
+                out,
+            );
         }
         if let Progress::Done(verdict) = &record.progress {
-            return answer(id, &again(verdict), out);
+            return gate::answer(id, &again(verdict), out);
         }
         if crowd || record.waiters.len() >= self.limits.waiters {
-            let refusal = Refusal::unknown(Reason::KeyBusy, Some(COME_BACK));
-            return refuse(id, refusal, out);
+            let refusal =
+                outcome::Refusal::unknown(outcome::Reason::KeyBusy, Some(gate::COME_BACK));
+            return gate::refuse(id, refusal, out);
         }
         record.waiters.push(id);
-        self.held.insert(Held {
+        self.held.insert(held::Held {
             id,
             caller: Arc::clone(&arrival.caller),
             name,
             until,
-            stage: Stage::Waiting,
+            stage: held::Stage::Waiting,
         });
     }
 
     fn claim(
         &mut self,
-        now: Time,
-        arrival: Arrival,
-        name: Name,
-        witness: Stamp,
-        out: &mut Vec<Action>,
+        now: clock::Time,
+        arrival: arrival::Arrival,
+        name: book::Name,
+        witness: key::Stamp,
+        out: &mut Vec<message::Action>,
     ) {
         let Some(peer) = self.peer(witness.incarnation) else {
-            return self.finish(&name, Verdict::Refused(no_witness()), out);
+            return self.finish(&name, message::Verdict::Refused(no_witness()), out);
         };
-        let question = Question::Claim(name.key.clone());
+        let question = record::Question::Claim(name.key.clone());
         let ask = self.ask(peer, question, self.limits.ask, out);
         if !self.safe.wait_word {
             return self.run(now, arrival, name, out);
         }
-        self.held.insert(Held {
+        self.held.insert(held::Held {
             id: arrival.id,
             caller: Arc::clone(&arrival.caller),
             name,
             until: self.until(now, &arrival),
-            stage: Stage::Claiming {
+            stage: held::Stage::Claiming {
                 ask,
                 witness: witness.incarnation,
                 wait: now + self.limits.ask,
@@ -181,66 +189,77 @@
     /// The witness's word on a claim; `None` if none came.
     pub(super) fn claimed(
         &mut self,
-        now: Time,
-        id: RequestId,
-        word: Option<Word>,
-        out: &mut Vec<Action>,
+        now: clock::Time,
+        id: arrival::RequestId,
+        word: Option<record::Word>,
+        out: &mut Vec<message::Action>,
     ) {
         let reason = match word {
-            Some(Word::Claimed) => return self.granted(now, id, out),
-            Some(Word::Sealed) => Reason::KeySealed,
-            Some(Word::Expired) => Reason::KeyExpired,
+            Some(record::Word::Claimed) => return self.granted(now, id, out),
+            Some(record::Word::Sealed) => outcome::Reason::KeySealed,
+            Some(record::Word::Expired) => outcome::Reason::KeyExpired,
             // A full witness stays full for minutes. New keys have to name
             // another one, or none, or they would all be refused as well.
-            Some(Word::Full | Word::Foreign | Word::Epoch(_)) | None => {
+            Some(record::Word::Full | record::Word::Foreign | record::Word::Epoch(_)) | None => {
                 return self.give_up(now, id, out);
             }
         };
         if let Some(held) = self.held.remove(id) {
-            let refusal = Refusal::not_run(reason, Some(COME_BACK));
-            self.finish(&held.name, Verdict::Refused(refusal), out);
+            let refusal = outcome::Refusal::not_run(reason, Some(gate::COME_BACK));
+            self.finish(&held.name, message::Verdict::Refused(refusal), out);
         }
     }
 
-    fn granted(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    fn granted(
+        &mut self,
+        now: clock::Time,
+        id: arrival::RequestId,
+        out: &mut Vec<message::Action>,
+    ) {
         let Some(held) = self.held.remove(id) else {
             return;
         };
-        let Stage::Claiming { arrival, .. } = held.stage else {
+        let held::Stage::Claiming { arrival, .. } = held.stage else {
             return;
         };
         if held.until <= now && self.safe.stay_given_up {
-            let refusal = Refusal::not_run(Reason::Deadline, Some(COME_BACK));
-            return self.finish(&held.name, Verdict::Refused(refusal), out);
+            let refusal =
+                outcome::Refusal::not_run(outcome::Reason::Deadline, Some(gate::COME_BACK));
+            return self.finish(&held.name, message::Verdict::Refused(refusal), out);
         }
         self.run_until(now, arrival, held.name, held.until, out);
     }
 
     /// Stops waiting for the witness. The record turns to "not run" before the
     /// caller hears of it, so a word that comes later finds nothing to start.
-    pub(super) fn give_up(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    pub(super) fn give_up(
+        &mut self,
+        now: clock::Time,
+        id: arrival::RequestId,
+        out: &mut Vec<message::Action>,
+    ) {
         if !self.safe.stay_given_up {
             return self.give_up_halfway(id, out);
         }
         let Some(held) = self.held.remove(id) else {
             return;
         };
-        let Stage::Claiming { witness, .. } = held.stage else {
+        let held::Stage::Claiming { witness, .. } = held.stage else {
             return;
         };
         // A caller in a hurry says nothing about the witness.
         let refusal = if held.until <= now {
-            Refusal::not_run(Reason::Deadline, Some(COME_BACK))
+            outcome::Refusal::not_run(outcome::Reason::Deadline, Some(gate::COME_BACK))
         } else {
             self.issue.suspect(now, &self.limits, witness);
             no_witness()
         };
-        self.finish(&held.name, Verdict::Refused(refusal), out);
+        self.finish(&held.name, message::Verdict::Refused(refusal), out);
     }
 
     /// [`Safeguards::stay_given_up`](super::Safeguards) off: the caller is
     /// answered, the claim stays open.
-    fn give_up_halfway(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn give_up_halfway(&mut self, id: arrival::RequestId, out: &mut Vec<message::Action>) {
         let Some(held) = self.held.get(id) else {
             return;
         };
@@ -249,36 +268,47 @@
             && !record.left
         {
             record.left = true;
-            refuse(id, no_witness(), out);
+            gate::refuse(id, no_witness(), out);
         }
     }
 
-    pub(super) fn run(&mut self, now: Time, arrival: Arrival, name: Name, out: &mut Vec<Action>) {
+    pub(super) fn run(
+        &mut self,
+        now: clock::Time,
+        arrival: arrival::Arrival,
+        name: book::Name,
+        out: &mut Vec<message::Action>,
+    ) {
         let until = self.until(now, &arrival);
         self.run_until(now, arrival, name, until, out);
     }
 
     pub(super) fn run_until(
         &mut self,
-        now: Time,
-        mut arrival: Arrival,
-        name: Name,
-        until: Time,
-        out: &mut Vec<Action>,
+        now: clock::Time,
+        mut arrival: arrival::Arrival,
+        name: book::Name,
+        until: clock::Time,
+        out: &mut Vec<message::Action>,
     ) {
         arrival.deadline = Some(until.since(now));
-        self.held.insert(Held {
+        self.held.insert(held::Held {
             id: arrival.id,
             caller: Arc::clone(&arrival.caller),
             name,
             until,
-            stage: Stage::Running,
+            stage: held::Stage::Running,
         });
-        out.push(Action::Run(arrival));
+        out.push(message::Action::Run(arrival));
     }
 
     /// The dispatcher is done with a request.
-    pub(super) fn settled(&mut self, id: RequestId, verdict: Verdict, out: &mut Vec<Action>) {
+    pub(super) fn settled(
+        &mut self,
+        id: arrival::RequestId,
+        verdict: message::Verdict,
+        out: &mut Vec<message::Action>,
+    ) {
         let Some(held) = self.held.remove(id) else {
             return;
         };
@@ -286,7 +316,12 @@
     }
 
     /// Ends a key: records the verdict, then tells all who wait for it.
-    pub(super) fn finish(&mut self, name: &Name, verdict: Verdict, out: &mut Vec<Action>) {
+    pub(super) fn finish(
+        &mut self,
+        name: &book::Name,
+        verdict: message::Verdict,
+        out: &mut Vec<message::Action>,
+    ) {
         let open = self.stays_open(name, &verdict);
         let verdict = if open && self.safe.not_run_final {
             doubtful(verdict)
@@ -301,11 +336,11 @@
         record.progress = Progress::Done(verdict.clone());
         for id in first.into_iter().chain(waiters) {
             self.held.remove(id);
-            answer(id, &verdict, out);
+            gate::answer(id, &verdict, out);
         }
         if open {
             self.book.remove(name);
-        } else if let Verdict::Answered(answer) = verdict {
+        } else if let message::Verdict::Answered(answer) = verdict {
             self.keep(name, answer.bytes());
         }
     }
@@ -319,19 +354,19 @@
     /// goes, and its callers are told "unknown", which promises only that it
     /// won't run twice. A chosen key stays claimed in the store and could not
     /// run again, so its record stays.
-    fn stays_open(&self, name: &Name, verdict: &Verdict) -> bool {
-        let Verdict::Refused(refusal) = verdict else {
+    fn stays_open(&self, name: &book::Name, verdict: &message::Verdict) -> bool {
+        let message::Verdict::Refused(refusal) = verdict else {
             return false;
         };
         let crowded = self.book.is_crowded() && name.epoch != chosen::EPOCH;
-        refusal.outcome == Outcome::NotRun && (crowded || !self.safe.not_run_final)
+        refusal.outcome == outcome::Outcome::NotRun && (crowded || !self.safe.not_run_final)
     }
 
-    fn keep(&mut self, name: &Name, bytes: u64) {
+    fn keep(&mut self, name: &book::Name, bytes: u64) {
         for dropped in self.kept.keep(name.clone(), bytes) {
             if let Some(record) = self.book.get_mut(&dropped) {
-                let refusal = Refusal::unknown(Reason::Forgotten, None);
-                record.progress = Progress::Done(Verdict::Refused(refusal));
+                let refusal = outcome::Refusal::unknown(outcome::Reason::Forgotten, None);
+                record.progress = Progress::Done(message::Verdict::Refused(refusal));
             }
         }
     }
@@ -339,26 +374,26 @@
 
 /// What a resend is told after the fact. A key that did not run is sealed; its
 /// first refusal's reason has passed and would only invite another resend.
-fn again(verdict: &Verdict) -> Verdict {
+fn again(verdict: &message::Verdict) -> message::Verdict {
     match verdict {
-        Verdict::Refused(refusal) if refusal.outcome == Outcome::NotRun => {
-            Verdict::Refused(Refusal::not_run(Reason::KeySealed, None))
+        message::Verdict::Refused(refusal) if refusal.outcome == outcome::Outcome::NotRun => {
+            message::Verdict::Refused(outcome::Refusal::not_run(outcome::Reason::KeySealed, None))
         }
         other => other.clone(),
     }
 }
 
 /// The same refusal without its promise.
-fn doubtful(verdict: Verdict) -> Verdict {
+fn doubtful(verdict: message::Verdict) -> message::Verdict {
     match verdict {
-        Verdict::Refused(refusal) => Verdict::Refused(Refusal {
-            outcome: Outcome::Unknown,
+        message::Verdict::Refused(refusal) => message::Verdict::Refused(outcome::Refusal {
+            outcome: outcome::Outcome::Unknown,
             ..refusal
         }),
-        answered @ Verdict::Answered(_) => answered,
+        answered @ message::Verdict::Answered(_) => answered,
     }
 }
 
-const fn no_witness() -> Refusal {
-    Refusal::not_run(Reason::Witness, Some(COME_BACK))
+const fn no_witness() -> outcome::Refusal {
+    outcome::Refusal::not_run(outcome::Reason::Witness, Some(gate::COME_BACK))
 }
--- a/crates/steer/src/process/gate/witness.rs
+++ b/crates/steer/src/process/gate/witness.rs
@@ -6,12 +6,9 @@
 
 use std::sync::Arc;
 
-use super::book::{Book, Name};
-use super::limits::Limits;
-use super::safeguards::Safeguards;
-use crate::request::key::{Issued, Key};
-use crate::request::record::{Question, Word};
-use crate::version::view::Incarnation;
+use super::{book, limits, safeguards};
+use crate::request::{key, record};
+use crate::version::view;
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Mark {
@@ -19,7 +16,7 @@
     Sealed,
 }
 
-impl From<Mark> for Word {
+impl From<Mark> for record::Word {
     fn from(mark: Mark) -> Self {
         match mark {
             Mark::Claimed => Self::Claimed,
@@ -30,22 +27,26 @@
 
 /// What this process has vouched for.
 pub struct Registry {
-    me: Incarnation,
+    me: view::Incarnation,
     accept: u64,
     keep: u64,
-    safe: Safeguards,
-    marks: Book<Mark>,
+    safe: safeguards::Safeguards,
+    marks: book::Book<Mark>,
 }
 
 impl Registry {
     /// A registry without records.
-    pub const fn new(me: Incarnation, limits: &Limits, safe: Safeguards) -> Self {
+    pub const fn new(
+        me: view::Incarnation,
+        limits: &limits::Limits,
+        safe: safeguards::Safeguards,
+    ) -> Self {
         Self {
             me,
             accept: limits.accept,
             keep: limits.keep,
             safe,
-            marks: Book::new(limits.records),
+            marks: book::Book::new(limits.records),
         }
     }
 
@@ -55,11 +56,11 @@
     }
 
     /// Answers a question at this process's epoch `epoch`.
-    pub fn answer(&mut self, epoch: u64, question: &Question) -> Word {
+    pub fn answer(&mut self, epoch: u64, question: &record::Question) -> record::Word {
         match question {
-            Question::Epoch => Word::Epoch(epoch),
-            Question::Claim(text) => self.about(epoch, text, Self::claim),
-            Question::Seal(text) => self.about(epoch, text, Self::seal),
+            record::Question::Epoch => record::Word::Epoch(epoch),
+            record::Question::Claim(text) => self.about(epoch, text, Self::claim),
+            record::Question::Seal(text) => self.about(epoch, text, Self::seal),
         }
     }
 
@@ -74,21 +75,21 @@
         &mut self,
         epoch: u64,
         text: &Arc<str>,
-        decide: fn(&mut Self, u64, Name) -> Word,
-    ) -> Word {
-        let Ok(Key::Issued(Issued { prefix, .. })) = Key::try_from(text) else {
-            return Word::Foreign;
+        decide: fn(&mut Self, u64, book::Name) -> record::Word,
+    ) -> record::Word {
+        let Ok(key::Key::Issued(key::Issued { prefix, .. })) = key::Key::try_from(text) else {
+            return record::Word::Foreign;
         };
         let Some(stamp) = prefix.witness.filter(|s| s.incarnation == self.me) else {
-            return Word::Foreign;
+            return record::Word::Foreign;
         };
         // An epoch that has not come yet was not told by this process. To
         // refuse it now and take it once it has come would be to say "not run"
         // and run it later.
         let Some(age) = epoch.checked_sub(stamp.epoch) else {
-            return Word::Expired;
+            return record::Word::Expired;
         };
-        let name = Name {
+        let name = book::Name {
             epoch: stamp.epoch,
             key: Arc::clone(text),
         };
@@ -102,9 +103,9 @@
     /// could be forgotten while the owner's claim is still on its way; the
     /// claim would be granted, and a request that its caller was told had not
     /// run would run.
-    fn claim(&mut self, age: u64, name: Name) -> Word {
+    fn claim(&mut self, age: u64, name: book::Name) -> record::Word {
         if self.safe.claim_window && age > self.accept {
-            return Word::Expired;
+            return record::Word::Expired;
         }
         self.mark(name, Mark::Claimed)
     }
@@ -112,19 +113,19 @@
     /// Beyond the records' age a claim may have been forgotten, so there is no
     /// word to give. Between the claims' age and the records' age no record
     /// means that there never was nor will be a claim: nothing need be kept.
-    fn seal(&mut self, age: u64, name: Name) -> Word {
+    fn seal(&mut self, age: u64, name: book::Name) -> record::Word {
         if self.safe.seal_window && age > self.keep {
-            return Word::Expired;
+            return record::Word::Expired;
         }
         if self.safe.claim_window && age > self.accept {
-            return Word::Sealed;
+            return record::Word::Sealed;
         }
         self.mark(name, Mark::Sealed)
     }
 
-    fn mark(&mut self, name: Name, mark: Mark) -> Word {
+    fn mark(&mut self, name: book::Name, mark: Mark) -> record::Word {
         if self.marks.is_full() {
-            return Word::Full;
+            return record::Word::Full;
         }
         self.marks.insert(name, mark);
         mark.into()
--- a/crates/steer/src/process/traffic.rs
+++ b/crates/steer/src/process/traffic.rs
@@ -8,15 +8,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::clock::Time;
-use crate::process::dispatch::{self, Dispatch, Ending, Home, Place, Report};
-use crate::process::gate::{self, Gate, Limits, Peer, Safeguards, Verdict};
-use crate::request::answer::Answer;
-use crate::request::arrival::{Arrival, AttemptId, Fingerprint, RequestId};
-use crate::request::key::Prefix;
-use crate::request::outcome::Refusal;
-use crate::request::record::{AskId, Question, StoreCall, StoreResult, Word};
-use crate::version::view::{Incarnation, View};
+use crate::clock;
+use crate::process::{dispatch, gate};
+use crate::request::{answer, arrival, key, outcome, record};
+use crate::version::view;
 
 pub use dispatch::TICK;
 
@@ -24,69 +19,69 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A request arrived, from a caller or a peer.
-    Arrive(Arrival),
+    Arrive(arrival::Arrival),
     /// An [`Action::Send`] ended.
     Ended {
         /// The request it was for.
-        id: RequestId,
+        id: arrival::RequestId,
         /// The attempt.
-        attempt: AttemptId,
+        attempt: arrival::AttemptId,
         /// How it ended.
-        ending: Ending,
+        ending: dispatch::Ending,
     },
     /// An [`Action::Forward`] ended.
     Forwarded {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// How it ended.
-        ending: Ending,
+        ending: dispatch::Ending,
     },
     /// An [`Action::Ask`] ended; `None` if no answer came.
     Told {
         /// The question.
-        ask: AskId,
+        ask: record::AskId,
         /// The peer's word.
-        word: Option<Word>,
+        word: Option<record::Word>,
     },
     /// A peer asks this process; [`Action::Tell`] answers.
     Asked {
         /// The driver's name for the question, never reused.
-        ask: AskId,
+        ask: record::AskId,
         /// What it asks.
-        question: Question,
+        question: record::Question,
     },
     /// An [`Action::Store`] ended.
     Stored {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// How it ended.
-        result: StoreResult,
+        result: record::StoreResult,
     },
     /// A target reported its load.
     Report {
         /// Name of the target.
         target: Arc<str>,
         /// What it says.
-        report: Report,
+        report: dispatch::Report,
     },
     /// An [`Action::Probe`] ended.
     Probed {
         /// Name of the target.
         target: Arc<str>,
         /// What it said; `None` if it couldn't be reached.
-        report: Option<Report>,
+        report: Option<dispatch::Report>,
     },
     /// A peer says how many targets broke under a request.
     Suspected {
         /// The request's fingerprint.
-        fingerprint: Fingerprint,
+        fingerprint: arrival::Fingerprint,
         /// Targets that broke; zero clears it.
         strikes: u8,
     },
     /// The caller left without waiting for its answer.
-    Gone(RequestId),
+    Gone(arrival::RequestId),
     /// A new view is in force.
-    View(Arc<View>),
+    View(Arc<view::View>),
     /// Time passed; due at least every [`TICK`].
     Tick,
     /// The process is to stop: it runs no new keys, and finishes what it has.
@@ -101,11 +96,11 @@
     /// Sent over one connection, once: no layer below may repeat it.
     Send {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// Name of this try.
-        attempt: AttemptId,
+        attempt: arrival::AttemptId,
         /// Where to.
-        place: Place,
+        place: dispatch::Place,
         /// Time after which the driver gives the attempt up.
         budget: Duration,
     },
@@ -113,61 +108,61 @@
     /// must not be used again.
     Cancel {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// The try to stop.
-        attempt: AttemptId,
+        attempt: arrival::AttemptId,
     },
     /// Give the caller a target's answer.
     Reply {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// The whole answer.
-        answer: Arc<Answer>,
+        answer: Arc<answer::Answer>,
     },
     /// Give the caller a final refusal.
     Refuse {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// What to say.
-        refusal: Refusal,
+        refusal: outcome::Refusal,
     },
     /// Send the whole request to its key's owner, which takes it as
     /// [`Origin::Forward`](crate::request::arrival::Origin::Forward); report
     /// back by [`Event::Forwarded`].
     Forward {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// The owner.
-        peer: Peer,
+        peer: gate::Peer,
         /// Time after which the driver gives up.
         budget: Duration,
     },
     /// Ask a peer; report back by [`Event::Told`].
     Ask {
         /// Name of the question.
-        ask: AskId,
+        ask: record::AskId,
         /// The peer.
-        peer: Peer,
+        peer: gate::Peer,
         /// The question.
-        question: Question,
+        question: record::Question,
         /// Time after which the driver gives up.
         budget: Duration,
     },
     /// Answer a peer's question.
     Tell {
         /// The driver's name for the question.
-        ask: AskId,
+        ask: record::AskId,
         /// The answer.
-        word: Word,
+        word: record::Word,
     },
     /// Call the platform's store; report back by [`Event::Stored`].
     Store {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// The key.
         key: Arc<str>,
         /// The call.
-        call: StoreCall,
+        call: record::StoreCall,
         /// Time after which the driver gives up.
         budget: Duration,
     },
@@ -181,18 +176,18 @@
     /// Tell all peers how many targets broke under a request.
     Suspect {
         /// The request's fingerprint.
-        fingerprint: Fingerprint,
+        fingerprint: arrival::Fingerprint,
         /// Targets that broke; zero clears it.
         strikes: u8,
     },
     /// Look-up answers carry this key prefix from now on; `None`: none.
-    Issue(Option<Prefix>),
+    Issue(Option<key::Prefix>),
 }
 
 /// The gate and the dispatcher of one process.
 pub struct Traffic {
-    gate: Gate,
-    dispatch: Dispatch,
+    gate: gate::Gate,
+    dispatch: dispatch::Dispatch,
     /// Scratch space, empty between events.
     asked: Vec<gate::Action>,
     sent: Vec<dispatch::Action>,
@@ -201,29 +196,34 @@
 impl Traffic {
     /// An engine with nothing in flight and an empty view.
     #[must_use]
-    pub fn new(home: Home, me: Incarnation, limits: Limits, rng: fastrand::Rng) -> Self {
-        Self::with_safeguards(home, me, limits, Safeguards::ALL, rng)
+    pub fn new(
+        home: dispatch::Home,
+        me: view::Incarnation,
+        limits: gate::Limits,
+        rng: fastrand::Rng,
+    ) -> Self {
+        Self::with_safeguards(home, me, limits, gate::Safeguards::ALL, rng)
     }
 
     /// The same with safeguards taken out. For the explorer and tests only.
     #[must_use]
     pub fn with_safeguards(
-        home: Home,
-        me: Incarnation,
-        limits: Limits,
-        safe: Safeguards,
+        home: dispatch::Home,
+        me: view::Incarnation,
+        limits: gate::Limits,
+        safe: gate::Safeguards,
         rng: fastrand::Rng,
     ) -> Self {
         Self {
-            gate: Gate::with_safeguards(home.clone(), me, limits, safe),
-            dispatch: Dispatch::new(home, rng),
+            gate: gate::Gate::with_safeguards(home.clone(), me, limits, safe),
+            dispatch: dispatch::Dispatch::new(home, rng),
             asked: Vec::new(),
             sent: Vec::new(),
         }
     }
 
     /// Takes one event and appends what is to be done to `out`.
-    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: clock::Time, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Arrive(arrival) => self.gate(now, gate::Event::Arrive(arrival)),
             Event::Forwarded { id, ending } => {
@@ -280,7 +280,7 @@
     /// The prefix for keys issued now; `None` while the process can't serve.
     /// A change is told by [`Action::Issue`].
     #[must_use]
-    pub fn key_prefix(&self, now: Time) -> Option<Prefix> {
+    pub fn key_prefix(&self, now: clock::Time) -> Option<key::Prefix> {
         self.gate.key_prefix(now)
     }
 
@@ -293,26 +293,26 @@
 
     /// The gate, for counts and dumps.
     #[must_use]
-    pub const fn gate_state(&self) -> &Gate {
+    pub const fn gate_state(&self) -> &gate::Gate {
         &self.gate
     }
 
     /// The dispatcher, for counts and dumps.
     #[must_use]
-    pub const fn dispatch_state(&self) -> &Dispatch {
+    pub const fn dispatch_state(&self) -> &dispatch::Dispatch {
         &self.dispatch
     }
 
-    fn gate(&mut self, now: Time, event: gate::Event) {
+    fn gate(&mut self, now: clock::Time, event: gate::Event) {
         self.gate.handle(now, event, &mut self.asked);
     }
 
-    fn dispatch(&mut self, now: Time, event: dispatch::Event) {
+    fn dispatch(&mut self, now: clock::Time, event: dispatch::Event) {
         self.dispatch.handle(now, event, &mut self.sent);
     }
 
     /// Passes actions between the two parts until only the driver's are left.
-    fn settle(&mut self, now: Time, out: &mut Vec<Action>) {
+    fn settle(&mut self, now: clock::Time, out: &mut Vec<Action>) {
         while !self.asked.is_empty() || !self.sent.is_empty() {
             for action in core::mem::take(&mut self.asked) {
                 match action {
@@ -330,14 +330,19 @@
 
     /// The dispatcher's answer to a request that the gate holds is the gate's
     /// to record before any caller hears it.
-    fn after_dispatch(&mut self, now: Time, action: dispatch::Action, out: &mut Vec<Action>) {
+    fn after_dispatch(
+        &mut self,
+        now: clock::Time,
+        action: dispatch::Action,
+        out: &mut Vec<Action>,
+    ) {
         match action {
             dispatch::Action::Reply { id, answer } if self.gate.holds(id) => {
-                let verdict = Verdict::Answered(answer);
+                let verdict = gate::Verdict::Answered(answer);
                 self.gate(now, gate::Event::Settled { id, verdict });
             }
             dispatch::Action::Refuse { id, refusal } if self.gate.holds(id) => {
-                let verdict = Verdict::Refused(refusal);
+                let verdict = gate::Verdict::Refused(refusal);
                 self.gate(now, gate::Event::Settled { id, verdict });
             }
             other => out.push(other.into()),
--- a/crates/steer/src/request/key.rs
+++ b/crates/steer/src/request/key.rs
@@ -14,7 +14,7 @@
 
 use thiserror::Error;
 
-use crate::version::view::Incarnation;
+use crate::version::view;
 
 /// What issued keys start with: syntax version 1.
 const SCHEME: &str = "a1.";
@@ -36,7 +36,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Stamp {
     /// The process.
-    pub incarnation: Incarnation,
+    pub incarnation: view::Incarnation,
     /// Its count of epochs when the key was issued.
     pub epoch: u64,
 }
@@ -145,7 +145,7 @@
 fn stamp(incarnation: &str, epoch: &str) -> Result<Stamp, KeyError> {
     let number = u64::from_str_radix(incarnation, 16).map_err(|_| KeyError::Incarnation)?;
     let stamp = Stamp {
-        incarnation: Incarnation(number),
+        incarnation: view::Incarnation(number),
         epoch: epoch.parse().map_err(|_| KeyError::Epoch)?,
     };
     if stamp.incarnation.to_string() != incarnation {
--- a/crates/steer/src/request/record.rs
+++ b/crates/steer/src/request/record.rs
@@ -6,8 +6,8 @@
 use core::fmt;
 use std::sync::Arc;
 
-use super::arrival::Fingerprint;
-use crate::version::view::Incarnation;
+use super::arrival;
+use crate::version::view;
 
 /// Names one question to a peer within the process that asks, and one question
 /// received within the process that answers; never reused.
@@ -60,16 +60,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Attempt {
     /// Who claims.
-    pub incarnation: Incarnation,
+    pub incarnation: view::Incarnation,
     /// Which of its tries.
     pub number: u64,
     /// The request that the key stands for.
-    pub fingerprint: Fingerprint,
+    pub fingerprint: arrival::Fingerprint,
 }
 
 impl fmt::Display for Attempt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Fingerprint(print) = self.fingerprint;
+        let arrival::Fingerprint(print) = self.fingerprint;
         write!(f, "{}.{}.{print:032x}", self.incarnation, self.number)
     }
 }
@@ -81,9 +81,13 @@
         let mut parts = text.split('.');
         let mut next = || parts.next().ok_or(AttemptError);
         let attempt = Self {
-            incarnation: Incarnation(u64::from_str_radix(next()?, 16).map_err(|_| AttemptError)?),
+            incarnation: view::Incarnation(
+                u64::from_str_radix(next()?, 16).map_err(|_| AttemptError)?,
+            ),
             number: next()?.parse().map_err(|_| AttemptError)?,
-            fingerprint: Fingerprint(u128::from_str_radix(next()?, 16).map_err(|_| AttemptError)?),
+            fingerprint: arrival::Fingerprint(
+                u128::from_str_radix(next()?, 16).map_err(|_| AttemptError)?,
+            ),
         };
         match parts.next() {
             None => Ok(attempt),
--- a/crates/steer/tests/gate_scenarios/bench.rs
+++ b/crates/steer/tests/gate_scenarios/bench.rs
@@ -4,31 +4,25 @@
 use core::time::Duration;
 use std::sync::Arc;
 
-use steer::clock::Time;
-use steer::process::dispatch::{Home, Place};
-use steer::process::gate::Limits;
-use steer::process::traffic::{Action, Event, Traffic};
-use steer::request::arrival::{Arrival, AttemptId, Fingerprint, Origin, RequestId};
-use steer::request::key::{Prefix, Stamp};
-use steer::request::outcome::Refusal;
-use steer::request::record::{AskId, Question, StoreCall};
-
-use super::line::Line;
-use super::scene;
+use steer::clock;
+use steer::process::{dispatch, gate, traffic};
+use steer::request::{arrival, key, outcome, record};
+
+use super::{line, scene};
 
 struct Bench {
-    now: Time,
-    traffic: Traffic,
+    now: clock::Time,
+    traffic: traffic::Traffic,
     keys: Vec<(String, Arc<str>)>,
 }
 
 /// Runs a scenario from a fresh start.
 pub fn run(input: &str) -> String {
-    let mut bench = Bench::new(Limits::default());
+    let mut bench = Bench::new(gate::Limits::default());
     let mut text = String::new();
     for line in input.lines() {
         writeln!(text, "{line}").expect("a string takes all");
-        for said in bench.take(&Line::parse(line)) {
+        for said in bench.take(&line::Line::parse(line)) {
             writeln!(text, "    {said}").expect("a string takes all");
         }
     }
@@ -36,69 +30,76 @@
 }
 
 impl Bench {
-    fn new(limits: Limits) -> Self {
-        let home = Home {
+    fn new(limits: gate::Limits) -> Self {
+        let home = dispatch::Home {
             name: "entry0".into(),
             domain: "domain0".into(),
         };
         let rng = fastrand::Rng::with_seed(1);
         Self {
-            now: Time::ZERO,
-            traffic: Traffic::new(home, scene::INCARNATIONS[0], limits, rng),
+            now: clock::Time::ZERO,
+            traffic: traffic::Traffic::new(home, scene::INCARNATIONS[0], limits, rng),
             keys: Vec::new(),
         }
     }
 
-    fn feed(&mut self, event: Event) -> Vec<String> {
+    fn feed(&mut self, event: traffic::Event) -> Vec<String> {
         let mut out = Vec::new();
         self.traffic.handle(self.now, event, &mut out);
         // Probes of targets and gossip about them are not what is tested here.
-        out.retain(|a| !matches!(a, Action::Probe { .. } | Action::Suspect { .. }));
+        out.retain(|a| {
+            !matches!(
+                a,
+                traffic::Action::Probe { .. } | traffic::Action::Suspect { .. }
+            )
+        });
         out.iter().map(|action| self.show(action)).collect()
     }
 
-    fn take(&mut self, line: &Line<'_>) -> Vec<String> {
-        let id = || RequestId(line.number("id").expect("the line names a request"));
-        let ask = || AskId(line.number("ask").expect("the line names a question"));
+    fn take(&mut self, line: &line::Line<'_>) -> Vec<String> {
+        let id = || arrival::RequestId(line.number("id").expect("the line names a request"));
+        let ask = || record::AskId(line.number("ask").expect("the line names a question"));
         match line.word {
             "start" => {
                 *self = Self::new(limits(line));
-                self.feed(Event::View(view(line)))
+                self.feed(traffic::Event::View(view(line)))
             }
-            "view" => self.feed(Event::View(view(line))),
+            "view" => self.feed(traffic::Event::View(view(line))),
             "key" => vec![self.key(line)],
             "arrive" => {
                 let arrival = self.arrival(line, id());
-                self.feed(Event::Arrive(arrival))
+                self.feed(traffic::Event::Arrive(arrival))
             }
-            "ended" => self.feed(Event::Ended {
+            "ended" => self.feed(traffic::Event::Ended {
                 id: id(),
-                attempt: AttemptId(line.number("attempt").expect("the line names an attempt")),
+                attempt: arrival::AttemptId(
+                    line.number("attempt").expect("the line names an attempt"),
+                ),
                 ending: line.ending(),
             }),
-            "forwarded" => self.feed(Event::Forwarded {
+            "forwarded" => self.feed(traffic::Event::Forwarded {
                 id: id(),
                 ending: line.ending(),
             }),
-            "told" => self.feed(Event::Told {
+            "told" => self.feed(traffic::Event::Told {
                 ask: ask(),
                 word: line.told(),
             }),
-            "asked" => self.feed(Event::Asked {
+            "asked" => self.feed(traffic::Event::Asked {
                 ask: ask(),
                 question: self.question(line),
             }),
-            "stored" => self.feed(Event::Stored {
+            "stored" => self.feed(traffic::Event::Stored {
                 id: id(),
                 result: line.stored(),
             }),
-            "gone" => self.feed(Event::Gone(id())),
-            "leave" => self.feed(Event::Leave),
+            "gone" => self.feed(traffic::Event::Gone(id())),
+            "leave" => self.feed(traffic::Event::Leave),
             "clock" | "sleep" => {
                 let ms = line.number("ms").expect("the line gives a span");
                 self.now = self.now + Duration::from_millis(ms);
                 match line.word {
-                    "clock" => self.feed(Event::Tick),
+                    "clock" => self.feed(traffic::Event::Tick),
                     _ => Vec::new(),
                 }
             }
@@ -113,12 +114,12 @@
 
     /// `key name=k` looks one up, `owner=` puts one together by hand, `text=`
     /// gives it as it stands.
-    fn key(&mut self, line: &Line<'_>) -> String {
+    fn key(&mut self, line: &line::Line<'_>) -> String {
         let name = line.get("name").expect("the key has a name");
         let text = match (line.get("text"), line.get("owner")) {
             (Some(text), _) => text.to_owned(),
             (None, Some(owner)) => {
-                let prefix = Prefix {
+                let prefix = key::Prefix {
                     owner: stamp(owner, line.number("epoch")),
                     witness: line.get("witness").map(|w| stamp(w, line.number("told"))),
                 };
@@ -144,51 +145,51 @@
         &found.expect("the key was made").0
     }
 
-    fn arrival(&self, line: &Line<'_>, id: RequestId) -> Arrival {
-        Arrival {
+    fn arrival(&self, line: &line::Line<'_>, id: arrival::RequestId) -> arrival::Arrival {
+        arrival::Arrival {
             id,
             service: line.get("service").unwrap_or("lodgement").into(),
             caller: line.get("caller").unwrap_or("caller").into(),
             key: line.get("key").map(|name| self.text(name)),
-            fingerprint: Fingerprint(u128::from(line.number("body").unwrap_or(0))),
+            fingerprint: arrival::Fingerprint(u128::from(line.number("body").unwrap_or(0))),
             deadline: line.number("ms").map(Duration::from_millis),
             bytes: 100,
             origin: match line.get("from") {
-                Some("forward") => Origin::Forward,
-                Some("peer") => Origin::Peer,
-                _ => Origin::Caller,
+                Some("forward") => arrival::Origin::Forward,
+                Some("peer") => arrival::Origin::Peer,
+                _ => arrival::Origin::Caller,
             },
         }
     }
 
-    fn question(&self, line: &Line<'_>) -> Question {
+    fn question(&self, line: &line::Line<'_>) -> record::Question {
         match (line.get("claim"), line.get("seal")) {
-            (Some(name), _) => Question::Claim(self.text(name)),
-            (_, Some(name)) => Question::Seal(self.text(name)),
-            _ => Question::Epoch,
+            (Some(name), _) => record::Question::Claim(self.text(name)),
+            (_, Some(name)) => record::Question::Seal(self.text(name)),
+            _ => record::Question::Epoch,
         }
     }
 
-    fn show(&self, action: &Action) -> String {
+    fn show(&self, action: &traffic::Action) -> String {
         match action {
-            Action::Send {
+            traffic::Action::Send {
                 id, attempt, place, ..
             } => {
                 let kind = match place {
-                    Place::Target { .. } => "target",
-                    Place::Member { .. } => "peer",
+                    dispatch::Place::Target { .. } => "target",
+                    dispatch::Place::Member { .. } => "peer",
                 };
                 format!("send {id} as {attempt} to {kind} {}", place.name())
             }
-            Action::Cancel { id, attempt } => format!("cancel {id} {attempt}"),
-            Action::Reply { id, answer } => {
+            traffic::Action::Cancel { id, attempt } => format!("cancel {id} {attempt}"),
+            traffic::Action::Reply { id, answer } => {
                 let body = String::from_utf8_lossy(&answer.body);
                 format!("reply {id}: {} {body}", answer.status)
             }
-            Action::Refuse { id, refusal } => {
+            traffic::Action::Refuse { id, refusal } => {
                 // How long is the dispatcher's choice, and jittered.
                 let after = refusal.after.map_or("", |_| ", come back");
-                let Refusal {
+                let outcome::Refusal {
                     reason, outcome, ..
                 } = refusal;
                 format!(
@@ -196,53 +197,55 @@
                     reason.status()
                 )
             }
-            Action::Forward { id, peer, .. } => format!("forward {id} to {}", peer.name),
-            Action::Ask {
+            traffic::Action::Forward { id, peer, .. } => format!("forward {id} to {}", peer.name),
+            traffic::Action::Ask {
                 ask,
                 peer,
                 question,
                 ..
             } => {
                 let what = match question {
-                    Question::Claim(key) => format!("claim {}", self.name(key)),
-                    Question::Seal(key) => format!("seal {}", self.name(key)),
-                    Question::Epoch => "which epoch?".into(),
+                    record::Question::Claim(key) => format!("claim {}", self.name(key)),
+                    record::Question::Seal(key) => format!("seal {}", self.name(key)),
+                    record::Question::Epoch => "which epoch?".into(),
                 };
                 format!("ask{} to {}: {what}", ask.0, peer.name)
             }
-            Action::Tell { ask, word } => format!("tell ask{}: {word}", ask.0),
-            Action::Store { id, key, call, .. } => {
+            traffic::Action::Tell { ask, word } => format!("tell ask{}: {word}", ask.0),
+            traffic::Action::Store { id, key, call, .. } => {
                 let what = match call {
-                    StoreCall::Create(attempt) => format!("create {attempt}"),
-                    StoreCall::Read => "read".into(),
+                    record::StoreCall::Create(attempt) => format!("create {attempt}"),
+                    record::StoreCall::Read => "read".into(),
                 };
                 format!("store {id} {}: {what}", self.name(key))
             }
-            Action::Probe { .. } | Action::Suspect { .. } => unreachable!("not shown"),
-            Action::Issue(Some(prefix)) => format!("issue {prefix}"),
-            Action::Issue(None) => "issue nothing".into(),
+            traffic::Action::Probe { .. } | traffic::Action::Suspect { .. } => {
+                unreachable!("not shown")
+            }
+            traffic::Action::Issue(Some(prefix)) => format!("issue {prefix}"),
+            traffic::Action::Issue(None) => "issue nothing".into(),
         }
     }
 }
 
-fn stamp(process: &str, epoch: Option<u64>) -> Stamp {
+fn stamp(process: &str, epoch: Option<u64>) -> key::Stamp {
     let index: usize = process.parse().expect("a process's number");
-    Stamp {
+    key::Stamp {
         incarnation: scene::INCARNATIONS[index],
         epoch: epoch.unwrap_or(0),
     }
 }
 
-fn view(line: &Line<'_>) -> Arc<steer::version::view::View> {
+fn view(line: &line::Line<'_>) -> Arc<steer::version::view::View> {
     let listed = line.get("alive").expect("the line says who lives");
     let index = |text: &str| text.parse().expect("a process's number");
     let alive: Vec<usize> = listed.split(',').map(index).collect();
     scene::view(&alive, line.get("targets") != Some("none"))
 }
 
-fn limits(line: &Line<'_>) -> Limits {
-    let usual = Limits::default();
-    Limits {
+fn limits(line: &line::Line<'_>) -> gate::Limits {
+    let usual = gate::Limits::default();
+    gate::Limits {
         records: line.count("records", usual.records),
         held: line.count("held", usual.held),
         caller: line.count("caller", usual.caller),
--- a/crates/steer/tests/gate_scenarios/line.rs
+++ b/crates/steer/tests/gate_scenarios/line.rs
@@ -2,10 +2,8 @@
 
 use std::sync::Arc;
 
-use steer::process::dispatch::Ending;
-use steer::request::answer::Answer;
-use steer::request::outcome::{Reason, Refusal};
-use steer::request::record::{Attempt, StoreResult, Word};
+use steer::process::dispatch;
+use steer::request::{answer, outcome, record};
 
 pub struct Line<'a> {
     pub word: &'a str,
@@ -38,53 +36,64 @@
         self.number(name).map_or(usual, small)
     }
 
-    pub fn ending(&self) -> Ending {
+    pub fn ending(&self) -> dispatch::Ending {
         match self.get("how").expect("the line says how it ended") {
-            "answered" => Ending::Answered(Arc::new(Answer {
+            "answered" => dispatch::Ending::Answered(Arc::new(answer::Answer {
                 status: 200,
                 headers: Vec::new(),
                 body: b"done".as_slice().into(),
             })),
-            "shed" => Ending::Refused {
+            "shed" => dispatch::Ending::Refused {
                 after: None,
                 leaving: false,
             },
-            "leaving" => Ending::Refused {
+            "leaving" => dispatch::Ending::Refused {
                 after: None,
                 leaving: true,
             },
-            "unreachable" => Ending::Unreachable,
-            "broken" => Ending::Broken,
-            "cut-short" => Ending::BadAnswer,
-            "timed-out" => Ending::TimedOut,
-            "peer-not-run" => Ending::PeerRefused(Refusal::not_run(Reason::Overloaded, None)),
-            "peer-unknown" => Ending::PeerRefused(Refusal::unknown(Reason::Lost, None)),
-            "not-owner" => Ending::PeerRefused(Refusal::unknown(Reason::OwnerGone, None)),
+            "unreachable" => dispatch::Ending::Unreachable,
+            "broken" => dispatch::Ending::Broken,
+            "cut-short" => dispatch::Ending::BadAnswer,
+            "timed-out" => dispatch::Ending::TimedOut,
+            "peer-not-run" => dispatch::Ending::PeerRefused(outcome::Refusal::not_run(
+                outcome::Reason::Overloaded,
+                None,
+            )),
+            "peer-unknown" => dispatch::Ending::PeerRefused(outcome::Refusal::unknown(
+                outcome::Reason::Lost,
+                None,
+            )),
+            "not-owner" => dispatch::Ending::PeerRefused(outcome::Refusal::unknown(
+                outcome::Reason::OwnerGone,
+                None,
+            )),
             other => panic!("no ending is called {other}"),
         }
     }
 
-    pub fn told(&self) -> Option<Word> {
+    pub fn told(&self) -> Option<record::Word> {
         match self.get("word").expect("the line gives a word") {
-            "claimed" => Some(Word::Claimed),
-            "sealed" => Some(Word::Sealed),
-            "expired" => Some(Word::Expired),
-            "full" => Some(Word::Full),
-            "foreign" => Some(Word::Foreign),
-            "epoch" => Some(Word::Epoch(self.number("epoch").unwrap_or(0))),
+            "claimed" => Some(record::Word::Claimed),
+            "sealed" => Some(record::Word::Sealed),
+            "expired" => Some(record::Word::Expired),
+            "full" => Some(record::Word::Full),
+            "foreign" => Some(record::Word::Foreign),
+            "epoch" => Some(record::Word::Epoch(self.number("epoch").unwrap_or(0))),
             "none" => None,
             other => panic!("no word is called {other}"),
         }
     }
 
-    pub fn stored(&self) -> StoreResult {
+    pub fn stored(&self) -> record::StoreResult {
         match self.get("how").expect("the line says how the call ended") {
-            "created" => StoreResult::Created,
-            "absent" => StoreResult::Absent,
-            "away" => StoreResult::Away,
-            "lost" => StoreResult::Lost,
-            "unreadable" => StoreResult::Found(None),
-            attempt => StoreResult::Found(Some(Attempt::try_from(attempt).expect("an attempt"))),
+            "created" => record::StoreResult::Created,
+            "absent" => record::StoreResult::Absent,
+            "away" => record::StoreResult::Away,
+            "lost" => record::StoreResult::Lost,
+            "unreadable" => record::StoreResult::Found(None),
+            attempt => record::StoreResult::Found(Some(
+                record::Attempt::try_from(attempt).expect("an attempt"),
+            )),
         }
     }
 }
--- a/crates/steer/tests/gate_scenarios/scene.rs
+++ b/crates/steer/tests/gate_scenarios/scene.rs
@@ -6,42 +6,43 @@
 use core::time::Duration;
 use std::sync::Arc;
 
-use steer::version::view::{
-    ClassData, DomainData, Incarnation, MemberData, RegionData, ServiceData, SiteData, State,
-    TargetData, Version, View,
-};
+use steer::version::view;
 
-pub const INCARNATIONS: [Incarnation; 3] =
-    [Incarnation(0xa0), Incarnation(0xb0), Incarnation(0xc0)];
+pub const INCARNATIONS: [view::Incarnation; 3] = [
+    view::Incarnation(0xa0),
+    view::Incarnation(0xb0),
+    view::Incarnation(0xc0),
+];
 
 /// The view in which the numbered entries are alive and, if `targets`, the
 /// targets listed.
-pub fn view(alive: &[usize], targets: bool) -> Arc<View> {
-    let mut view = View {
-        version: Version(1),
-        ..View::default()
+pub fn view(alive: &[usize], targets: bool) -> Arc<view::View> {
+    let mut view = view::View {
+        version: view::Version(1),
+        ..view::View::default()
     };
-    let regions = ["region0", "region1"].map(|n| view.regions.push(RegionData { name: n.into() }));
-    let class = view.classes.push(ClassData {
+    let regions =
+        ["region0", "region1"].map(|n| view.regions.push(view::RegionData { name: n.into() }));
+    let class = view.classes.push(view::ClassData {
         name: "work".into(),
         queue: 100,
     });
     let mut sites = Vec::new();
     let mut domains = Vec::new();
     for i in 0..3 {
-        let domain = view.domains.push(DomainData {
+        let domain = view.domains.push(view::DomainData {
             name: format!("domain{i}").into(),
             region: regions[i / 2],
         });
         domains.push(domain);
-        sites.push(view.sites.push(SiteData {
+        sites.push(view.sites.push(view::SiteData {
             name: format!("site{i}").into(),
             domain,
-            state: State::Live,
+            state: view::State::Live,
         }));
     }
     for (name, idempotent) in [("lodgement", false), ("sheetview", true)] {
-        let service = view.services.push(ServiceData {
+        let service = view.services.push(view::ServiceData {
             name: name.into(),
             class,
             idempotent,
@@ -50,24 +51,24 @@
         });
         let listed = if targets { sites.as_slice() } else { &[] };
         for (i, &site) in listed.iter().enumerate() {
-            view.targets.push(TargetData {
+            view.targets.push(view::TargetData {
                 name: format!("{name}{i}").into(),
                 addr: ([127, 0, 0, 1], 8000).into(),
                 site,
                 service,
                 slots: 3,
-                state: State::Live,
+                state: view::State::Live,
             });
         }
     }
     for &i in alive {
-        view.members.push(MemberData {
+        view.members.push(view::MemberData {
             name: format!("entry{i}").into(),
             incarnation: INCARNATIONS[i],
             domain: domains[i],
             addr: ([127, 0, 0, 1], 7000).into(),
             peer: ([127, 0, 0, 1], 7000).into(),
-            state: State::Live,
+            state: view::State::Live,
         });
     }
     Arc::new(view)
