--- a/crates/explorer/src/world.rs
+++ b/crates/explorer/src/world.rs
@@ -238,6 +238,8 @@
             deadline: Some(scene::DEADLINE),
             bytes: 100,
             origin,
+            home: None,
+            via: None,
         };
         self.feed(index, traffic::Event::Arrive(arrival));
     }
--- a/crates/steer/tests/gate_scenarios/bench.rs
+++ b/crates/steer/tests/gate_scenarios/bench.rs
@@ -154,6 +154,8 @@
             fingerprint: arrival::Fingerprint(u128::from(line.number("body").unwrap_or(0))),
             deadline: line.number("ms").map(Duration::from_millis),
             bytes: 100,
+            home: None,
+            via: None,
             origin: match line.get("from") {
                 Some("forward") => arrival::Origin::Forward,
                 Some("peer") => arrival::Origin::Peer,
