Count what the gate does

Change: Gate::tally(): runs, replays, waits, claims, forwards, seals, words, store calls, answers dropped, keys left open. Shown: cargo test -p steer -p explorer: all passed.

--- a/crates/steer/src/process/gate.rs
+++ b/crates/steer/src/process/gate.rs
@@ -32,7 +32,7 @@
 use crate::request::{arrival, key, outcome, record};
 use crate::version::view;
 
-pub use counts::{Counts, Stages};
+pub use counts::{Counts, Stages, Tally};
 pub use limits::Limits;
 pub use message::{Action, Event, Peer, Verdict};
 pub use safeguards::Safeguards;
@@ -62,6 +62,7 @@
     /// Epoch in which records were last forgotten.
     swept: u64,
     leaving: bool,
+    tally: Tally,
 }
 
 impl Gate {
@@ -95,6 +96,7 @@
             attempts: 0,
             swept: 0,
             leaving: false,
+            tally: Tally::default(),
         }
     }
 
@@ -106,6 +108,7 @@
             Event::Forwarded { id, ending } => self.forwarded(now, id, ending, out),
             Event::Told { ask, word } => self.told(now, ask, word, out),
             Event::Asked { ask, question } => {
+                self.tally.words += 1;
                 let word = self.registry.answer(self.limits.epoch_at(now), &question);
                 out.push(Action::Tell { ask, word });
             }
@@ -137,6 +140,12 @@
         (self.book.len(), self.registry.len())
     }
 
+    /// What the gate has done, for counters.
+    #[must_use]
+    pub const fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
     /// What the gate holds, for dumps and counters.
     #[must_use]
     pub fn counts(&self) -> Counts {
--- a/crates/steer/src/process/gate/chosen.rs
+++ b/crates/steer/src/process/gate/chosen.rs
@@ -116,6 +116,7 @@
         let Some(held) = self.held.get(id) else {
             return;
         };
+        self.tally.calls += 1;
         out.push(message::Action::Store {
             id,
             key: Arc::clone(&held.name.key),
--- a/crates/steer/src/process/gate/counts.rs
+++ b/crates/steer/src/process/gate/counts.rs
@@ -21,6 +21,57 @@
     pub sealing: usize,
 }
 
+/// What a gate has done since its process started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Requests handed to the dispatcher, each under a key of its own.
+    pub runs: u64,
+    /// Copies answered from a record.
+    pub replays: u64,
+    /// Copies that waited for an earlier one.
+    pub waits: u64,
+    /// Claims asked of witnesses.
+    pub claims: u64,
+    /// Claims given up, for the witness's silence or the caller's deadline.
+    pub unclaimed: u64,
+    /// Requests sent to their key's owner.
+    pub forwards: u64,
+    /// Seals asked of witnesses.
+    pub seals: u64,
+    /// Questions answered as a witness, those for the epoch included.
+    pub words: u64,
+    /// Calls to the platform's store.
+    pub calls: u64,
+    /// Answers that had to go before their records did.
+    pub dropped: u64,
+    /// Keys left open for want of room, although their requests did not run.
+    pub open: u64,
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            runs,
+            replays,
+            waits,
+            claims,
+            unclaimed,
+            forwards,
+            seals,
+            words,
+            calls,
+            dropped,
+            open,
+        } = self;
+        write!(
+            f,
+            "runs {runs}, replays {replays}, waits {waits}, claims {claims}, \
+             unclaimed {unclaimed}, forwards {forwards}, seals {seals}, words {words}, \
+             store calls {calls}, answers dropped {dropped}, keys left open {open}"
+        )
+    }
+}
+
 /// What a gate holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Counts {
--- a/crates/steer/src/process/gate/entry.rs
+++ b/crates/steer/src/process/gate/entry.rs
@@ -55,6 +55,7 @@
             };
             return self.owner_gone(now, lost, key.as_ref(), out);
         };
+        self.tally.forwards += 1;
         out.push(message::Action::Forward {
             id,
             peer,
@@ -136,6 +137,7 @@
         let Some(peer) = self.peer(witness) else {
             return gate::refuse(id, self.elsewhere(outcome::Reason::OwnerGone), out);
         };
+        self.tally.seals += 1;
         let ask = self.ask(peer, question, self.limits.ask, out);
         self.held.insert(held::Held {
             id,
--- a/crates/steer/src/process/gate/owner.rs
+++ b/crates/steer/src/process/gate/owner.rs
@@ -139,6 +139,7 @@
             );
         }
         if let Progress::Done(verdict) = &record.progress {
+            self.tally.replays += 1;
             return gate::answer(id, &again(verdict), out);
         }
         if crowd || record.waiters.len() >= self.limits.waiters {
@@ -146,6 +147,7 @@
                 outcome::Refusal::unknown(outcome::Reason::KeyBusy, Some(gate::COME_BACK));
             return gate::refuse(id, refusal, out);
         }
+        self.tally.waits += 1;
         record.waiters.push(id);
         self.held.insert(held::Held {
             id,
@@ -168,6 +170,7 @@
             return self.finish(&name, message::Verdict::Refused(no_witness()), out);
         };
         let question = record::Question::Claim(name.key.clone());
+        self.tally.claims += 1;
         let ask = self.ask(peer, question, self.limits.ask, out);
         if !self.safe.wait_word {
             return self.run(now, arrival, name, out);
@@ -247,6 +250,7 @@
         let held::Stage::Claiming { witness, .. } = held.stage else {
             return;
         };
+        self.tally.unclaimed += 1;
         // A caller in a hurry says nothing about the witness.
         let refusal = if held.until <= now {
             outcome::Refusal::not_run(outcome::Reason::Deadline, Some(gate::COME_BACK))
@@ -291,6 +295,7 @@
         until: clock::Time,
         out: &mut Vec<message::Action>,
     ) {
+        self.tally.runs += 1;
         arrival.deadline = Some(until.since(now));
         self.held.insert(held::Held {
             id: arrival.id,
@@ -338,6 +343,7 @@
             self.held.remove(id);
             gate::answer(id, &verdict, out);
         }
+        self.tally.open += u64::from(open);
         if open {
             self.book.remove(name);
         } else if let message::Verdict::Answered(answer) = verdict {
@@ -364,6 +370,7 @@
 
     fn keep(&mut self, name: &book::Name, bytes: u64) {
         for dropped in self.kept.keep(name.clone(), bytes) {
+            self.tally.dropped += 1;
             if let Some(record) = self.book.get_mut(&dropped) {
                 let refusal = outcome::Refusal::unknown(outcome::Reason::Forgotten, None);
                 record.progress = Progress::Done(message::Verdict::Refused(refusal));
--- a/crates/steer/tests/gate_scenarios/bench.rs
+++ b/crates/steer/tests/gate_scenarios/bench.rs
@@ -106,7 +106,10 @@
             "state" => {
                 let counts = self.traffic.gate_state().counts();
                 let drained = self.traffic.drained();
-                vec![format!("{counts}; drained: {drained}")]
+                vec![
+                    format!("{counts}; drained: {drained}"),
+                    self.traffic.gate_state().tally().to_string(),
+                ]
             }
             other => panic!("no event is called {other}"),
         }
