Tell other domains only when home rows changed; take bodies from any holder

Cause: the scenario of a store that goes away between head and bodies, run with the store 35 ms away, left a domain with a head whose bodies only other domains had: its processes asked only who had told them of the head. Bodies are now asked of the last peer heard to have the version in force.

In a trial start of 400 processes every change of any row made every process tell all domains. It now does so only when the digest of its home rows changed.

--- /dev/null
+++ b/crates/steer/examples/fleet.rs
@@ -0,0 +1,273 @@
+//! Measures fleets of control states in virtual time.
+//!
+//! `cargo run --release -p steer --example fleet -- 7 20 40` prints a row for
+//! each size. Sizes of the configuration and of the domains follow the target's
+//! proportions. Bytes are those of the payloads as they cross the wire; real
+//! time is that of control, encoding and decoding.
+
+#[path = "../tests/control_scenarios/fleet.rs"]
+#[expect(dead_code, reason = "scenarios use more of it")]
+mod fleet;
+
+use core::time::Duration;
+use std::sync::Arc;
+use std::time::Instant;
+
+use fleet::{Fleet, Layout};
+use steer::clock::Time;
+use steer::process::config::{Change, File, Head, RECENT};
+use steer::process::control::Safeguards;
+use steer::version::view::Version;
+
+const TARGET: usize = 1500;
+const TARGET_DOMAINS: usize = 69;
+/// Base, 230 overlays, and client blocks in 80 parts.
+const TARGET_FILES: usize = 311;
+const CHANGES_A_DAY: f64 = 1300.0;
+const REPLACED_A_DAY: f64 = 470.0;
+const DAY: f64 = 86_400.0;
+/// Bytes of the body that a change replaces.
+const CHANGED: usize = 8192;
+const QUIET: Duration = Duration::from_secs(30);
+const CHANGES: usize = 10;
+const DEATHS: usize = 8;
+/// Bytes that a message costs beyond its payload: the call's frame and that of
+/// its empty answer, and two TCP segments of 52 bytes of headers.
+const OVERHEAD: f64 = 150.0;
+
+/// Totals over all processes at one moment.
+#[derive(Clone, Copy)]
+struct Totals {
+    now: Time,
+    bytes: u64,
+    messages: u64,
+    spent: Duration,
+}
+
+/// Rates per process and second between two moments.
+#[derive(Clone, Copy)]
+struct Rates {
+    bytes: f64,
+    messages: f64,
+    cpu: f64,
+}
+
+fn main() {
+    let sizes = std::env::args().skip(1);
+    let sizes: Vec<usize> = sizes.map(|a| a.parse().expect("a number")).collect();
+    println!(
+        "nodes domains | quiet: B/s msg/s wireB/s cpu% | change: B cpu-ms  p50/p99/max s | \
+         death: p50/p99/max s  kB cpu-ms | steady: wireB/s cpu% | store calls/s quiet, max | kB/node"
+    );
+    for nodes in sizes {
+        measure(nodes);
+    }
+}
+
+fn measure(nodes: usize) {
+    let start = Instant::now();
+    let domains = (nodes * TARGET_DOMAINS).div_ceil(TARGET).max(6);
+    let before = resident();
+    let mut fleet = Fleet::new(Layout {
+        domains,
+        nodes,
+        per_region: 3,
+        loss: 0.0,
+        seed: 7,
+        guards: Safeguards::default(),
+        lag: Duration::from_secs(15),
+    });
+    fleet.timed = true;
+    let mut files = Vec::new();
+    for at in 0..(TARGET_FILES * nodes).div_ceil(TARGET).max(4) {
+        let body = fleet::body(&format!("{at:0>200}"));
+        files.push(File {
+            name: format!("overlay-of-site-{at:03}").into(),
+            hash: body.hash,
+        });
+        fleet.put_body(body);
+    }
+    write(&mut fleet, 1, files.clone());
+    fleet.run(Duration::from_secs(40));
+    eprintln!("started {:.1?}", start.elapsed());
+    let missing = fleet
+        .nodes
+        .iter()
+        .filter(|n| n.control.version() != Version(1))
+        .count();
+    assert_eq!(missing, 0, "processes without the first version");
+    let memory = resident().saturating_sub(before) / nodes;
+
+    let quiet_from = totals(&fleet);
+    fleet.run(QUIET);
+    let quiet = rates(nodes, quiet_from, totals(&fleet));
+    let calls = calls(&fleet, quiet_from.now);
+    let mean: f64 = calls.iter().map(|&c| f64::from(c)).sum::<f64>() / QUIET.as_secs_f64();
+
+    eprintln!("quiet {:.1?}", start.elapsed());
+    let change_from = totals(&fleet);
+    let mut delays = Vec::new();
+    for change in 0..CHANGES {
+        delays.extend(change_once(&mut fleet, change, &mut files));
+    }
+    let change_to = totals(&fleet);
+    let change = extra(nodes, quiet, change_from, change_to, CHANGES);
+    let peak = self::calls(&fleet, change_from.now);
+    let peak = peak.iter().max().copied().unwrap_or(0);
+
+    eprintln!("changes {:.1?}", start.elapsed());
+    let death_from = totals(&fleet);
+    let mut drops = Vec::new();
+    for death in 0..DEATHS {
+        drops.extend(die_once(&mut fleet, death * 7 % nodes));
+    }
+    let death = extra(nodes, quiet, death_from, totals(&fleet), DEATHS);
+
+    let replaced = REPLACED_A_DAY * as_f64(nodes) / as_f64(TARGET) / DAY;
+    let wire = |r: Rates| r.bytes + r.messages * OVERHEAD;
+    let steady = wire(quiet) + wire(change) * CHANGES_A_DAY / DAY + wire(death) * replaced;
+    let cpu = quiet.cpu + change.cpu * CHANGES_A_DAY / DAY + death.cpu * replaced;
+    println!(
+        "{nodes:5} {domains:3} | {:6.0} {:5.1} {:6.0} {:6.3} | {:7.0} {:6.2} {} | {} {:6.1} {:6.2} | \
+         {steady:6.0} {:6.3} | {mean:5.1} {peak:4} | {:5} | run {:.0?}",
+        quiet.bytes,
+        quiet.messages,
+        wire(quiet),
+        quiet.cpu * 100.0,
+        change.bytes,
+        change.cpu * 1000.0,
+        quantiles(&mut delays),
+        quantiles(&mut drops),
+        death.bytes / 1000.0,
+        death.cpu * 1000.0,
+        cpu * 100.0,
+        memory / 1000,
+        start.elapsed(),
+    );
+}
+
+/// One change: the time until it is in force, at each process.
+fn change_once(fleet: &mut Fleet, change: usize, files: &mut [File]) -> Vec<Duration> {
+    let version = u64::try_from(change + 2).expect("small");
+    let body = fleet::body(&format!("{change:0>CHANGED$}"));
+    let at = change % files.len();
+    files[at].hash = body.hash;
+    fleet.put_body(body);
+    write(fleet, version, files.to_vec());
+    let from = fleet.now;
+    fleet.run(Duration::from_secs(8));
+    let live = fleet.nodes.iter().filter(|n| n.alive);
+    live.map(|node| {
+        let mut force = node.force.iter();
+        let found = force.find(|(_, v)| v.0 >= version);
+        found.map_or(Duration::MAX, |(at, _)| at.since(from))
+    })
+    .collect()
+}
+
+/// One death: the time until the process is in no look-up, at each process. It
+/// is replaced 15 s later.
+fn die_once(fleet: &mut Fleet, slot: usize) -> Vec<Duration> {
+    let dead = fleet.slots[slot];
+    let incarnation = fleet.nodes[dead].control.record().stamp.incarnation;
+    let name = fleet.name(slot);
+    let from = fleet.now;
+    fleet.kill(dead);
+    let mut waiting: Vec<usize> = (0..fleet.nodes.len())
+        .filter(|&at| fleet.nodes[at].alive)
+        .collect();
+    let mut delays = Vec::new();
+    for _ in 0..150 {
+        fleet.run(Duration::from_millis(100));
+        waiting.retain(|&at| {
+            let shown = fleet.nodes[at].shown.as_ref().expect("published");
+            let members = &shown.members;
+            let found = members.binary_search_by(|s| (*s.record.identity.name).cmp(&name));
+            let names = found.is_ok_and(|i| members[i].record.stamp.incarnation == incarnation);
+            if !names {
+                delays.push(fleet.now.since(from));
+            }
+            names
+        });
+    }
+    delays.extend(waiting.iter().map(|_| Duration::MAX));
+    fleet.start(slot, None);
+    fleet.run(Duration::from_secs(5));
+    delays
+}
+
+fn write(fleet: &mut Fleet, version: u64, files: Vec<File>) {
+    let recent = (1..=version).rev().take(RECENT).map(|v| Change {
+        version: Version(v),
+        id: format!("change-{v:08}").into(),
+    });
+    let head = Head {
+        version: Version(version),
+        recent: recent.collect(),
+        files,
+    };
+    fleet.write(&Arc::new(head), None).expect("no condition");
+}
+
+fn totals(fleet: &Fleet) -> Totals {
+    let nodes = fleet.nodes.iter();
+    let (mut bytes, mut messages) = (0, 0);
+    for node in nodes {
+        bytes += node.bytes[0] + node.bytes[1];
+        messages += node.messages[0] + node.messages[1];
+    }
+    Totals {
+        now: fleet.now,
+        bytes,
+        messages,
+        spent: fleet.spent,
+    }
+}
+
+fn rates(nodes: usize, from: Totals, to: Totals) -> Rates {
+    let span = to.now.since(from.now).as_secs_f64() * as_f64(nodes);
+    Rates {
+        bytes: difference(from.bytes, to.bytes) / span,
+        messages: difference(from.messages, to.messages) / span,
+        cpu: to.spent.saturating_sub(from.spent).as_secs_f64() / span,
+    }
+}
+
+/// What each of `count` events cost a process beyond the quiet rate.
+fn extra(nodes: usize, quiet: Rates, from: Totals, to: Totals, count: usize) -> Rates {
+    let all = rates(nodes, from, to);
+    let span = to.now.since(from.now).as_secs_f64() / as_f64(count);
+    Rates {
+        bytes: (all.bytes - quiet.bytes) * span,
+        messages: (all.messages - quiet.messages) * span,
+        cpu: (all.cpu - quiet.cpu) * span,
+    }
+}
+
+fn calls(fleet: &Fleet, from: Time) -> &[u32] {
+    let from = usize::try_from(from.as_micros() / 1_000_000).expect("small");
+    fleet.store.calls.get(from..).unwrap_or_default()
+}
+
+fn quantiles(delays: &mut [Duration]) -> String {
+    delays.sort_unstable();
+    let at = |part: usize| delays[(delays.len() - 1) * part / 100].as_secs_f64();
+    format!("{:.2}/{:.2}/{:.2}", at(50), at(99), at(100))
+}
+
+/// How much a total has grown; below 2^53, so that nothing is lost.
+#[expect(clippy::cast_precision_loss, reason = "totals are far below 2^53")]
+fn difference(from: u64, to: u64) -> f64 {
+    (to - from) as f64
+}
+
+fn as_f64(number: usize) -> f64 {
+    f64::from(u32::try_from(number).expect("small"))
+}
+
+/// Resident memory of this process in bytes.
+fn resident() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|p| p.parse().ok());
+    pages.unwrap_or(0_usize) * 4096
+}
--- a/crates/steer/src/process/control/across.rs
+++ b/crates/steer/src/process/control/across.rs
@@ -201,13 +201,19 @@
         far.heard = far.heard.max(Some(heard));
     }
 
-    /// Finds this process's part anew once the table changed.
+    /// Finds this process's part anew, and tells other domains, once the rows
+    /// of the home domain changed.
     pub(super) fn relink(&mut self, now: Time, out: &mut Vec<Action>) {
         if !self.moved {
             return;
         }
         self.moved = false;
         self.meet_domains();
+        let digest = self.table.digest(&self.me.identity.domain);
+        let unranked = |far: &Far| far.rank.is_none();
+        if digest == self.told && !self.fars.iter().any(unranked) {
+            return;
+        }
         let own = Arc::clone(&self.me.identity.name);
         let peers = &self.peers;
         for far in &mut self.fars {
@@ -215,7 +221,9 @@
             let mine = weight(&own);
             far.rank = Some(peers.iter().filter(|p| weight(&p.name) < mine).count());
         }
-        self.tell_across(now, out);
+        if core::mem::replace(&mut self.told, digest) != digest {
+            self.tell_across(now, out);
+        }
     }
 
     /// Domains that rows or hints name.
--- a/crates/steer/src/process/control/adopt.rs
+++ b/crates/steer/src/process/control/adopt.rs
@@ -55,6 +55,9 @@
         out: &mut Vec<Action>,
     ) {
         self.heard = self.heard.max(version);
+        if version > self.keeper.version() && version >= self.keeper.known() {
+            self.holder = Some(from.identity.peer);
+        }
         let pulling = self.pull.is_some_and(|pull| now < pull.until);
         if !self.guards.pull || pulling || !self.keeper.wants(version) {
             return;
@@ -180,16 +183,15 @@
         false
     }
 
-    /// A peer that can be asked for bodies: the one that told of the version,
-    /// or any of the domain that has a version above ours in force.
-    fn body_peer(&mut self) -> Option<SocketAddr> {
-        if let Some(Source::Peer(addr)) = self.keeper.source() {
-            return Some(addr);
-        }
-        let own = self.keeper.version();
-        let ahead = self.peers.iter().filter(|p| p.vitals.version > own);
-        let ahead: Vec<_> = ahead.map(|p| p.addr).collect();
-        self.rng.choice(ahead)
+    /// A peer that can be asked for bodies: the last of any domain that was
+    /// heard to have the version in force, or the one that told of it. If the
+    /// store went away between head and bodies, only the former has them.
+    fn body_peer(&self) -> Option<SocketAddr> {
+        let told = match self.keeper.source() {
+            Some(Source::Peer(addr)) => Some(addr),
+            Some(Source::Store) | None => None,
+        };
+        self.holder.or(told)
     }
 
     pub(super) fn installed(
@@ -204,6 +206,7 @@
             return;
         }
         self.counters.installed += 1;
+        self.holder = None;
         self.dirty = true;
         self.slot.configure(now, slots);
         out.push(Action::Notice(Notice::InForce(version)));
--- a/crates/steer/tests/control_scenarios/fleet.rs
+++ b/crates/steer/tests/control_scenarios/fleet.rs
@@ -183,7 +183,10 @@
 
 /// Time after which the driver gives a call up.
 const BOUND: Duration = Duration::from_secs(1);
-const TO_STORE: Duration = Duration::from_millis(2);
+/// Domain that is nearest to the store.
+const STORE_DOMAIN: usize = 0;
+/// Time that the store takes.
+const STORE_WORK: Duration = Duration::from_millis(2);
 
 impl Fleet {
     /// A fleet whose processes all start within a second.
@@ -414,7 +417,8 @@
     fn answer(&mut self, to: usize, id: CallId, reply: Reply) {
         let joined = self.joined(Place::Domain(self.nodes[to].domain), Place::Store);
         let (after, reply) = if joined {
-            (TO_STORE, reply)
+            let near = self.latency(self.nodes[to].domain, STORE_DOMAIN);
+            (near + STORE_WORK, reply)
         } else {
             (BOUND, Reply::Away)
         };
@@ -546,7 +550,8 @@
     fn call(&mut self, from: usize, id: CallId, call: Call) {
         let place = Place::Domain(self.nodes[from].domain);
         if self.joined(place, Place::Store) {
-            self.push(TO_STORE, Due::Ask { from, id, call });
+            let after = self.latency(self.nodes[from].domain, STORE_DOMAIN);
+            self.push(after, Due::Ask { from, id, call });
         } else {
             self.answer(from, id, Reply::Away);
         }
