Split rows, members and hints from heartbeats; sort members once per change

Change: the sorted list is kept until the table changes, hints are kept sorted by domain and met once per list.

--- a/crates/steer/src/process/control.rs
+++ b/crates/steer/src/process/control.rs
@@ -14,9 +14,12 @@
 mod across;
 mod adopt;
 pub mod apply;
+mod hints;
+mod members;
 pub mod message;
 mod near;
 mod peer;
+mod rows;
 mod standing;
 pub mod store;
 mod types;
@@ -31,7 +34,7 @@
 use crate::process::config::Head;
 use crate::process::config::keeper;
 use crate::process::member::table;
-use crate::process::member::{Hint, Life, Record, Stamp, Vitals};
+use crate::process::member::{Life, Record, Stamp, Vitals};
 use crate::process::slot;
 use crate::version::view::Version;
 
@@ -89,8 +92,8 @@
     table: table::Table,
     peers: Vec<peer::Peer>,
     fars: Vec<peer::Far>,
-    seeds: Vec<Hint>,
-    listed: Vec<Hint>,
+    hints: hints::Hints,
+    sorted: Option<Vec<members::Line>>,
     keeper: keeper::Keeper,
     heard: Version,
     pull: Option<adopt::Pull>,
@@ -144,8 +147,8 @@
             table: table::Table::default(),
             peers: Vec::new(),
             fars: Vec::new(),
-            seeds,
-            listed: Vec::new(),
+            hints: hints::Hints::new(seeds),
+            sorted: None,
             keeper: keeper::Keeper::new(guards.monotonic),
             heard: Version(0),
             pull: None,
@@ -174,7 +177,7 @@
             Event::Tick => self.tick(now, out),
             Event::Received(message) => self.receive(now, &message, out),
             Event::Stored { id, reply } => self.stored(now, id, reply, out),
-            Event::Hints(hints) => self.listed = hints,
+            Event::Hints(hints) => self.hints.replace(hints),
             Event::Load(load) => self.load = load,
             Event::Installed { version, slots } => self.installed(now, version, slots, out),
             Event::Rejected(version) => self.rejected(version, out),
@@ -296,8 +299,13 @@
         let mut me = Record::clone(&self.me);
         me.serial += 1;
         me.life = life;
+        self.set_me(me);
+    }
+
+    fn set_me(&mut self, me: Record) {
         self.me = Arc::new(me);
         self.dirty = true;
+        self.sorted = None;
     }
 
     fn publish_due(&mut self, now: Time, out: &mut Vec<Action>) {
--- a/crates/steer/src/process/control/across.rs
+++ b/crates/steer/src/process/control/across.rs
@@ -87,7 +87,7 @@
         contacts.sort_unstable();
         let mut contacts: Vec<_> = contacts.into_iter().map(|(_, peer)| peer).collect();
         if quiet {
-            let hints = self.hints().filter(|h| h.domain == far.name);
+            let hints = self.hints.of(&far.name).iter();
             contacts.extend(hints.map(|h| h.peer));
         }
         contacts
@@ -228,20 +228,15 @@
 
     /// Domains that rows or hints name.
     fn meet_domains(&mut self) {
-        let rows = self.table.digests().iter().map(|d| &d.domain);
-        let hints = self.hints().map(|h| &h.domain);
-        let unknown = |name: &&Arc<str>| {
-            **name != self.me.identity.domain
-                && self.fars.binary_search_by(|f| f.name.cmp(*name)).is_err()
-        };
-        let new: Vec<_> = rows.chain(hints).filter(unknown).map(Arc::clone).collect();
-        if new.is_empty() {
-            return;
-        }
-        for name in new {
-            self.far(&name);
+        let mut names = self.hints.new_domains();
+        let digests = self.table.digests().iter().map(|d| &d.domain);
+        let unmet = |name: &&Arc<str>| self.fars.binary_search_by(|f| f.name.cmp(*name)).is_err();
+        names.extend(digests.filter(unmet).map(Arc::clone));
+        for name in names {
+            if name != self.me.identity.domain {
+                self.far(&name);
+            }
         }
-        self.moved = true;
     }
 
     fn far(&mut self, name: &Arc<str>) -> &mut Far {
@@ -250,6 +245,7 @@
             Err(at) => {
                 self.fars.insert(at, Far::new(name));
                 self.moved = true;
+                self.sorted = None;
                 at
             }
         };
@@ -275,9 +271,8 @@
     }
 
     /// A domain's summary as the vitals of its processes; `None` if silent.
-    pub(super) fn far_vitals(&self, now: Time, domain: &str) -> Option<Vitals> {
-        let at = self.fars.binary_search_by(|f| (*f.name).cmp(domain)).ok()?;
-        let far = &self.fars[at];
+    pub(super) fn far_vitals(&self, now: Time, at: usize) -> Option<Vitals> {
+        let far = self.fars.get(at)?;
         let heard = far.heard?;
         (now.since(heard) <= SILENT).then_some(Vitals {
             version: far.summary.oldest,
--- a/crates/steer/src/process/control/adopt.rs
+++ b/crates/steer/src/process/control/adopt.rs
@@ -280,7 +280,7 @@
             Reply::Body(hash, Some(bytes)) if answered.call == Call::Body(hash) => {
                 self.keeper.put(Body { hash, bytes });
             }
-            Reply::Listed(hints) => self.listed = hints,
+            Reply::Listed(hints) => self.hints.replace(hints),
             Reply::Away | Reply::Malformed => self.counters.failed += 1,
             Reply::Watched(None) | Reply::Body(..) => {}
         }
--- /dev/null
+++ b/crates/steer/src/process/control/members.rs
@@ -0,0 +1,80 @@
+//! The published list of processes that look-ups may name.
+//!
+//! Invariant: it holds the live ones of the home domain, those of other domains
+//! that are heard, and this process; one for each name, sorted by name.
+
+use std::sync::Arc;
+
+use super::{Control, Standing};
+use crate::clock::Time;
+use crate::process::member::{Record, Seen, Vitals};
+
+/// A live record in the order of names, kept until the table changes.
+#[derive(Clone, Debug)]
+pub(super) struct Line {
+    record: Arc<Record>,
+    place: Place,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    Own,
+    Near,
+    Far(usize),
+}
+
+impl Control {
+    pub(super) fn members(&mut self, now: Time) -> Vec<Seen> {
+        let lines = self.sorted.take().unwrap_or_else(|| self.lines());
+        let seen = lines.iter().filter_map(|line| {
+            let vitals = match line.place {
+                Place::Own => (self.standing != Standing::Superseded).then(|| self.vitals()),
+                Place::Near => self.near_vitals(&line.record.identity.name),
+                Place::Far(at) => self.far_vitals(now, at),
+            };
+            let record = Arc::clone(&line.record);
+            vitals.map(|vitals| Seen { record, vitals })
+        });
+        let seen = seen.collect();
+        self.sorted = Some(lines);
+        seen
+    }
+
+    fn lines(&self) -> Vec<Line> {
+        let rows = self.table.rows().iter().map(|row| &row.record);
+        let others = rows.filter(|r| r.life.is_alive() && !self.is_own(r));
+        let own = self.me.life.is_alive().then_some(&self.me);
+        let mut lines: Vec<Line> = others
+            .chain(own)
+            .filter_map(|record| {
+                let place = self.place(record)?;
+                let record = Arc::clone(record);
+                Some(Line { record, place })
+            })
+            .collect();
+        lines.sort_by(|a, b| {
+            let (a, b) = (&a.record, &b.record);
+            let names = a.identity.name.cmp(&b.identity.name);
+            names.then_with(|| b.stamp.cmp(&a.stamp))
+        });
+        lines.dedup_by(|b, a| a.record.identity.name == b.record.identity.name);
+        lines
+    }
+
+    fn place(&self, record: &Record) -> Option<Place> {
+        if self.is_own(record) {
+            return Some(Place::Own);
+        }
+        let domain = &record.identity.domain;
+        if *domain == self.me.identity.domain {
+            return Some(Place::Near);
+        }
+        let found = self.fars.binary_search_by(|f| f.name.cmp(domain));
+        found.ok().map(Place::Far)
+    }
+
+    fn near_vitals(&self, name: &Arc<str>) -> Option<Vitals> {
+        let at = self.peers.binary_search_by(|p| p.name.cmp(name)).ok()?;
+        Some(self.peers[at].vitals)
+    }
+}
--- a/crates/steer/src/process/control/near.rs
+++ b/crates/steer/src/process/control/near.rs
@@ -8,24 +8,11 @@
 use super::{Action, Control, DROP, Notice, SILENT, SUSPECT, Standing};
 use crate::clock::Time;
 use crate::process::member::table::Merge;
-use crate::process::member::{Hint, Life, Record, Seen, Vitals};
+use crate::process::member::{Life, Record, Stamp, Vitals};
 
 /// Processes asked about a silent one.
 const WITNESSES: usize = 2;
 
-/// Time between two comparisons of digests.
-const SYNC: Duration = Duration::from_secs(1);
-
-/// The same for a process that is still learning who is there.
-const SYNC_JOINING: Duration = Duration::from_millis(250);
-
-/// Heartbeats with a differing digest before a comparison: a push is under way
-/// more often than it is lost.
-const DIFFERS: u8 = 3;
-
-/// Rows in one message, about 50 KB.
-const ROWS: usize = 600;
-
 impl Control {
     /// Takes a message of any kind.
     pub(super) fn receive(&mut self, now: Time, message: &Message, out: &mut Vec<Action>) {
@@ -113,6 +100,7 @@
     pub(super) fn changed(&mut self, now: Time) {
         self.dirty = true;
         self.moved = true;
+        self.sorted = None;
         let rows = self.table.domain(&self.me.identity.domain);
         let alive = rows.iter().filter(|row| row.record.life.is_alive());
         let mut peers = Vec::new();
@@ -176,23 +164,6 @@
         }
     }
 
-    fn sync_due(&mut self, now: Time, from: &Arc<Record>, differs: u8, out: &mut Vec<Action>) {
-        let enough = differs >= DIFFERS || (self.joining && differs > 0);
-        if !enough || now < self.sync {
-            return;
-        }
-        self.sync = now + if self.joining { SYNC_JOINING } else { SYNC };
-        self.counters.syncs += 1;
-        let digests = self.digests();
-        self.send(from.identity.peer, Content::Sync(digests), out);
-    }
-
-    /// Digests as this process tells them: its own row is in its table, so
-    /// that it counts as in the tables of others.
-    fn digests(&self) -> Vec<crate::process::member::table::Digest> {
-        self.table.digests().to_vec()
-    }
-
     /// One heartbeat to every process of the domain.
     pub(super) fn beat_all(&mut self, now: Time, reply: bool, out: &mut Vec<Action>) {
         self.own_row(now);
@@ -255,15 +226,6 @@
         }
     }
 
-    /// Keeps this process's own record in its table, so that digests compare.
-    fn own_row(&mut self, now: Time) {
-        let me = Arc::clone(&self.me);
-        if self.table.merge(now, &me, true) != Merge::Old {
-            self.moved = true;
-            self.dirty = true;
-        }
-    }
-
     /// Drops processes that nobody hears.
     pub(super) fn check_peers(&mut self, now: Time, out: &mut Vec<Action>) {
         let mut dead = Vec::new();
@@ -324,13 +286,7 @@
         self.send(message.reply_addr(), content, out);
     }
 
-    fn told(
-        &mut self,
-        now: Time,
-        name: &Arc<str>,
-        stamp: crate::process::member::Stamp,
-        age: Duration,
-    ) {
+    fn told(&mut self, now: Time, name: &Arc<str>, stamp: Stamp, age: Duration) {
         let found = self.peers.binary_search_by(|p| p.name.cmp(name));
         let Ok(at) = found else { return };
         let peer = &mut self.peers[at];
@@ -341,85 +297,6 @@
         }
     }
 
-    /// Domains whose digest here differs from the sender's, in an order of its
-    /// own, so that a list cut short doesn't always lack the same ones.
-    fn differing(&mut self, digests: &[crate::process::member::table::Digest]) -> Vec<Arc<str>> {
-        let theirs = |domain: &str| {
-            digests
-                .binary_search_by(|d| (*d.domain).cmp(domain))
-                .map_or(0, |at| digests[at].value)
-        };
-        let ours = self.table.digests().iter();
-        let differ = ours.filter(|d| d.value != theirs(&d.domain));
-        let mut domains: Vec<_> = differ.map(|d| Arc::clone(&d.domain)).collect();
-        self.rng.shuffle(&mut domains);
-        domains
-    }
-
-    fn send_rows(&mut self, message: &Message, domains: &[Arc<str>], out: &mut Vec<Action>) {
-        let mut rows = Vec::new();
-        for domain in domains {
-            let more = self.table.domain(domain).iter();
-            rows.extend(more.map(|row| Arc::clone(&row.record)));
-            if rows.len() >= ROWS {
-                break;
-            }
-        }
-        if !rows.is_empty() {
-            self.send(message.reply_addr(), Content::Rows(rows), out);
-        }
-    }
-
-    /// Takes others' rows. What came from another domain is passed on at home.
-    fn learn(&mut self, now: Time, rows: &[Arc<Record>], near: bool, out: &mut Vec<Action>) {
-        let mut fresh = Vec::new();
-        for record in rows {
-            if self.is_own(record) {
-                self.own_name(now, record, out);
-                continue;
-            }
-            if self.contradicts(now, record) {
-                continue;
-            }
-            if self.table.merge(now, record, self.guards.stamps) != Merge::Old {
-                fresh.push(Arc::clone(record));
-            }
-        }
-        if fresh.is_empty() {
-            return;
-        }
-        self.changed(now);
-        if !near {
-            fresh.retain(|r| r.identity.domain != self.me.identity.domain);
-            self.push(&fresh, out);
-        }
-    }
-
-    /// Whether a tombstone is of a process that this one hears well.
-    fn contradicts(&self, now: Time, record: &Record) -> bool {
-        if record.life != Life::Dead || record.identity.domain != self.me.identity.domain {
-            return false;
-        }
-        let name = &record.identity.name;
-        let found = self.peers.binary_search_by(|p| p.name.cmp(name));
-        found.is_ok_and(|at| {
-            let peer = &self.peers[at];
-            let heard = peer.direct.is_some_and(|t| now.since(t) <= DROP);
-            peer.stamp == record.stamp && heard
-        })
-    }
-
-    /// Tells the home domain of records that came from another one.
-    fn push(&mut self, records: &[Arc<Record>], out: &mut Vec<Action>) {
-        if records.is_empty() {
-            return;
-        }
-        for at in 0..self.peers.len() {
-            let to = self.peers[at].addr;
-            self.send(to, Content::Rows(records.to_vec()), out);
-        }
-    }
-
     /// Tries one address of this domain at which nobody is known to live: a
     /// newcomer's way in, and the way back after everybody dropped everybody.
     pub(super) fn try_hint(&mut self, now: Time, out: &mut Vec<Action>) {
@@ -427,8 +304,7 @@
         let rows = self.table.domain(&own.domain).iter();
         let dead = rows.filter(|row| !row.record.life.is_alive());
         let dead = dead.map(|row| row.record.identity.peer);
-        let hints = self.hints().filter(|h| h.domain == own.domain);
-        let hints = hints.map(|h| h.peer);
+        let hints = self.hints.of(&own.domain).iter().map(|h| h.peer);
         let fits = |to: &std::net::SocketAddr| {
             *to != own.peer && !self.peers.iter().any(|p| p.addr == *to)
         };
@@ -439,52 +315,4 @@
         let beat = self.beat(now, true);
         self.send(to, Content::Beat(beat), out);
     }
-
-    pub(super) fn hints(&self) -> impl Iterator<Item = &Hint> {
-        self.seeds.iter().chain(&self.listed)
-    }
-
-    /// Processes that look-ups may name: those of this domain that are alive,
-    /// and those of other domains that are heard.
-    pub(super) fn members(&self, now: Time) -> Vec<Seen> {
-        let mut members = Vec::with_capacity(self.table.rows().len());
-        let mut last: Option<(&Arc<str>, Option<Vitals>)> = None;
-        for row in self.table.rows() {
-            let record = &row.record;
-            if !record.life.is_alive() || self.is_own(record) {
-                continue;
-            }
-            let domain = &record.identity.domain;
-            let vitals = if *domain == self.me.identity.domain {
-                self.near_vitals(&record.identity.name)
-            } else {
-                if last.is_none_or(|(name, _)| name != domain) {
-                    last = Some((domain, self.far_vitals(now, domain)));
-                }
-                last.and_then(|(_, vitals)| vitals)
-            };
-            if let Some(vitals) = vitals {
-                let record = Arc::clone(record);
-                members.push(Seen { record, vitals });
-            }
-        }
-        if self.me.life.is_alive() && self.standing != Standing::Superseded {
-            members.push(Seen {
-                record: Arc::clone(&self.me),
-                vitals: self.vitals(),
-            });
-        }
-        members.sort_by(|a, b| {
-            let (a, b) = (&a.record, &b.record);
-            let names = a.identity.name.cmp(&b.identity.name);
-            names.then_with(|| b.stamp.cmp(&a.stamp))
-        });
-        members.dedup_by(|b, a| a.record.identity.name == b.record.identity.name);
-        members
-    }
-
-    fn near_vitals(&self, name: &Arc<str>) -> Option<Vitals> {
-        let at = self.peers.binary_search_by(|p| p.name.cmp(name)).ok()?;
-        Some(self.peers[at].vitals)
-    }
 }
--- a/crates/steer/src/process/control/standing.rs
+++ b/crates/steer/src/process/control/standing.rs
@@ -118,9 +118,8 @@
         }
         let mut me = Record::clone(&self.me);
         me.serial = held.saturating_add(1);
-        self.me = Arc::new(me);
+        self.set_me(me);
         self.counters.refuted += 1;
-        self.dirty = true;
         if self.guards.doubt {
             self.enter_doubt(now, out);
         } else {
@@ -141,7 +140,7 @@
         }
         let mut me = Record::clone(&self.me);
         me.stamp.generation = stamp.generation.saturating_add(1);
-        self.me = Arc::new(me);
+        self.set_me(me);
         self.slot.preceded(stamp);
         out.push(Action::Notice(Notice::Raised(self.me.stamp)));
         self.beat_all(now, true, out);
