--- /dev/null
+++ b/crates/auburnrouter/src/cmd.rs
@@ -0,0 +1,31 @@
+//! The subcommands, a file each.
+
+mod apply;
+mod check;
+pub mod client;
+mod diff;
+mod drain;
+mod dump;
+mod entry;
+mod files;
+mod given;
+mod lookup;
+mod report;
+mod show;
+mod status;
+
+use crate::cli::Command;
+
+/// All subcommands, in the order the overview lists them.
+pub const ALL: &[Command] = &[
+    entry::COMMAND,
+    check::COMMAND,
+    diff::COMMAND,
+    apply::COMMAND,
+    show::COMMAND,
+    drain::COMMAND,
+    drain::REVERSE,
+    status::COMMAND,
+    lookup::COMMAND,
+    dump::COMMAND,
+];
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/control/apply.rs
@@ -0,0 +1,285 @@
+//! An operator's change: verified, judged, then decided by one write.
+//!
+//! Invariant: nothing is written before the whole configuration has passed the
+//! verifier and moves no more traffic than its caps allow. The answer never
+//! says more than is certain.
+
+use std::sync::Arc;
+
+use intent::moves::{self, judge};
+use intent::{bundle, diff, document};
+use serde::{Deserialize, Serialize};
+use steer::process::config;
+use steer::process::control::apply::{Apply, Base, Expect, Outcome, Step, Verdict};
+use steer::process::control::store::Stored;
+use steer::version::view;
+use store::error;
+use wire::kv;
+
+use super::force::{self, InForce};
+use super::{keys, shelf};
+
+/// A file of a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct File {
+    /// Its name: `base`, `overlays/SITE` or `blocks/…`.
+    pub name: String,
+    /// Its text.
+    pub text: String,
+}
+
+/// An operator's change: all files of the new version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Name chosen for the change, never reused.
+    pub id: String,
+    /// Version that the operator started from.
+    pub over: u64,
+    /// All files.
+    pub files: Vec<File>,
+    /// Caps stated with the change, `SERVICE:FROM:TO=CAP`.
+    #[serde(default)]
+    pub caps: Vec<String>,
+    /// Whether only to say what would move.
+    #[serde(default)]
+    pub dry_run: bool,
+}
+
+/// What became of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Result {
+    /// It is accepted.
+    Accepted,
+    /// It would be accepted.
+    WouldBe,
+    /// It has faults or moves too much.
+    Refused,
+    /// Another change came first.
+    Conflict,
+    /// It was not accepted.
+    NotAccepted,
+    /// Nobody can tell yet.
+    Unknown,
+}
+
+/// The answer to a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// What became of it.
+    pub result: Result,
+    /// Version that it made, or that is in force instead.
+    pub version: u64,
+    /// Lines for people: faults, moves, what to do.
+    pub lines: Vec<String>,
+}
+
+impl Answer {
+    fn new(result: Result, version: view::Version, lines: Vec<String>) -> Self {
+        Self {
+            result,
+            version: version.0,
+            lines,
+        }
+    }
+}
+
+/// Makes a change.
+pub async fn change(
+    store: &dyn store::Store,
+    force: Option<Arc<InForce>>,
+    change: Change,
+) -> Answer {
+    let old = force.as_deref();
+    let version = old.map_or(view::Version(0), |f| f.version);
+    match weigh(old, &change) {
+        Err(refused) => Answer::new(Result::Refused, version, refused),
+        Ok(next) if change.dry_run => Answer::new(Result::WouldBe, version, next.told),
+        Ok(next) => write(store, version, &change, next).await,
+    }
+}
+
+/// A change that may be made, with what it changes and moves.
+struct Next {
+    documents: Vec<document::Document>,
+    told: Vec<String>,
+}
+
+/// Verifies a change and judges what it moves; an error is the lines to show.
+fn weigh(old: Option<&InForce>, change: &Change) -> std::result::Result<Next, Vec<String>> {
+    let shown = |error: force::Error| lines(&error.to_string());
+    let files = change.files.iter().map(bundle::File::from).collect();
+    let bundle = force::bundle(files).map_err(shown)?;
+    let next = force::Whole::new(&bundle).map_err(shown)?;
+    let mut told = Vec::new();
+    if let Some(old) = old {
+        let old = old.whole().map_err(shown)?;
+        let diff = diff::diff(&old.checked, &next.checked);
+        told = lines(&diff.to_string());
+        judge(&old.checked, &next.checked, &change.caps)?;
+    }
+    Ok(Next {
+        documents: next.documents,
+        told,
+    })
+}
+
+impl From<&File> for bundle::File {
+    fn from(file: &File) -> Self {
+        Self {
+            name: file.name.as_str().into(),
+            text: file.text.as_str().into(),
+        }
+    }
+}
+
+impl InForce {
+    /// The files as operators see them.
+    pub fn listing(&self) -> Vec<File> {
+        let pairs = self.files.iter().zip(&self.bodies);
+        let file = |(file, body): (&config::File, &config::Body)| File {
+            name: file.name.as_ref().to_owned(),
+            text: String::from_utf8_lossy(&body.bytes).into_owned(),
+        };
+        pairs.map(file).collect()
+    }
+}
+
+fn lines(text: &str) -> Vec<String> {
+    text.lines().map(str::to_owned).collect()
+}
+
+fn judge(
+    old: &bundle::Checked,
+    new: &bundle::Checked,
+    caps: &[String],
+) -> std::result::Result<(), Vec<String>> {
+    let mut stated = Vec::with_capacity(caps.len());
+    for cap in caps {
+        let cap = cap.parse::<judge::Stated>();
+        stated.push(cap.map_err(|e| vec![e.to_string()])?);
+    }
+    let moves = moves::moves(old, new);
+    let percent = new.base.move_percent;
+    let refusals = judge::refusals(&moves, percent, &[], &stated);
+    if refusals.is_empty() {
+        return Ok(());
+    }
+    Err(refusals.iter().map(ToString::to_string).collect())
+}
+
+async fn write(
+    store: &dyn store::Store,
+    force: view::Version,
+    change: &Change,
+    next: Next,
+) -> Answer {
+    let stored = match read(store).await {
+        Ok(stored) => stored,
+        Err(lost) => return Answer::new(Result::NotAccepted, force, vec![lost.to_string()]),
+    };
+    let present = stored.as_ref().map_or(view::Version(0), |s| s.head.version);
+    if present.0 != change.over {
+        let verdict = Verdict::Conflict(present);
+        return Answer::new(Result::Conflict, present, vec![verdict.to_string()]);
+    }
+    if present > force {
+        // What the change moves was judged against an older version.
+        let line = format!("not accepted: {present} isn't in force here yet; apply again at once");
+        return Answer::new(Result::NotAccepted, force, vec![line]);
+    }
+    let head = stored.as_ref().map(|s| &*s.head);
+    let (files, bodies) = contents(&next.documents, head);
+    let base = Base { stored, force };
+    let mut apply = Apply::new(change.id.as_str().into(), base, files, bodies);
+    let mut step = apply.start();
+    loop {
+        let outcome = match step {
+            Step::Done(verdict) => return judged(&verdict, force, next.told),
+            Step::PutBody(body) => put_body(store, &body).await,
+            Step::PutHead { head, expect } => put_head(store, &head, expect).await,
+            Step::ReadHead => read(store).await.map_or(Outcome::Lost, Outcome::Read),
+        };
+        step = apply.next(outcome);
+    }
+}
+
+/// All files by hash, and the bodies that the store doesn't have yet.
+fn contents(
+    documents: &[document::Document],
+    head: Option<&config::Head>,
+) -> (Vec<config::File>, Vec<config::Body>) {
+    let file = |document: &document::Document| config::File {
+        name: Arc::clone(&document.name),
+        hash: document.hash,
+    };
+    let body = |document: &document::Document| config::Body {
+        hash: document.hash,
+        bytes: Arc::from(document.text.as_bytes()),
+    };
+    let bodies = document::unsent(documents, head).map(body).collect();
+    (documents.iter().map(file).collect(), bodies)
+}
+
+fn judged(verdict: &Verdict, force: view::Version, mut told: Vec<String>) -> Answer {
+    let (result, version) = match verdict {
+        Verdict::InForce(version) => (Result::Accepted, *version),
+        Verdict::NotAccepted | Verdict::StoreBehind { .. } => (Result::NotAccepted, force),
+        Verdict::Conflict(version) => (Result::Conflict, *version),
+        Verdict::Unknown { version, .. } => (Result::Unknown, *version),
+    };
+    told.push(verdict.to_string());
+    Answer::new(result, version, told)
+}
+
+async fn read(store: &dyn store::Store) -> std::result::Result<Option<Stored>, error::Error> {
+    match store.get(keys::HEAD).await? {
+        None => Ok(None),
+        Some(entry) => match shelf::parse(&entry) {
+            Some(stored) => Ok(Some(stored)),
+            None => Err(error::Error::BadAnswer { status: 200 }),
+        },
+    }
+}
+
+/// Whether the change of this id was accepted; `None` if nobody can tell.
+pub async fn accepted(store: &dyn store::Store, id: &str) -> Option<bool> {
+    match read(store).await {
+        Ok(Some(stored)) => stored.head.accepted(view::Version(0), id),
+        Ok(None) => Some(false),
+        Err(_) => None,
+    }
+}
+
+async fn put_body(store: &dyn store::Store, body: &config::Body) -> Outcome {
+    let put = kv::Put {
+        value: String::from_utf8_lossy(&body.bytes).into_owned(),
+        expect: kv::Expect::Any,
+        lease: None,
+    };
+    match store.put(&keys::body(body.hash), put).await {
+        Ok(_) => Outcome::Written,
+        Err(_) => Outcome::Lost,
+    }
+}
+
+async fn put_head(store: &dyn store::Store, head: &config::Head, expect: Expect) -> Outcome {
+    let value = document::wire::to_json(head);
+    let expect = match expect {
+        Expect::Any => kv::Expect::Any,
+        Expect::Absent => kv::Expect::Absent,
+        Expect::Revision(revision) => kv::Expect::Revision(revision),
+    };
+    let put = kv::Put {
+        value,
+        expect,
+        lease: None,
+    };
+    match store.put(keys::HEAD, put).await {
+        Ok(_) => Outcome::Written,
+        Err(error::Error::Conflict { current }) => {
+            Outcome::Conflict(current.as_ref().and_then(shelf::parse))
+        }
+        Err(_) => Outcome::Lost,
+    }
+}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/control/force.rs
@@ -0,0 +1,126 @@
+//! The configuration in force, as files and as what they mean here.
+//!
+//! Invariant: an [`InForce`] has passed the verifier, as far as it concerns
+//! this failure domain; whoever accepted it has verified it whole.
+
+use std::sync::Arc;
+
+use intent::document::{self, install};
+use intent::{bundle, plan};
+use jsonc::fault::Fault;
+use steer::process::config;
+use steer::version::view;
+use thiserror::Error;
+
+/// A version that passed the verifier.
+#[derive(Debug)]
+pub struct InForce {
+    /// Its number.
+    pub version: view::Version,
+    /// Its files, sorted by name.
+    pub files: Vec<config::File>,
+    /// Their bodies, in the same order.
+    pub bodies: Vec<config::Body>,
+    /// What they mean in this failure domain.
+    pub plan: plan::Plan,
+}
+
+/// Why files are no configuration.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// There is no base file.
+    #[error("there is no base file; add one named {}", document::BASE)]
+    NoBase,
+    /// The verifier found faults.
+    #[error("{}", list(.0))]
+    Faults(Vec<Fault>),
+    /// A file can't be a document of the store.
+    #[error(transparent)]
+    Document(#[from] document::Error),
+}
+
+/// A whole configuration that was verified for every site.
+#[derive(Debug)]
+pub struct Whole {
+    /// Its documents, sorted by name.
+    pub documents: Vec<document::Document>,
+    /// What they mean.
+    pub checked: bundle::Checked,
+}
+
+impl InForce {
+    /// Verifies a head with its bodies, which come in the order of its files.
+    ///
+    /// # Errors
+    /// If a body is damaged or the files have faults.
+    pub fn open(
+        head: &config::Head,
+        bodies: &[config::Body],
+        domain: &str,
+    ) -> Result<Self, install::Refusal> {
+        let get = |hash: config::Hash| {
+            let found = bodies.iter().find(|b| b.hash == hash);
+            found.map(|b| Arc::clone(&b.bytes))
+        };
+        Ok(Self {
+            version: head.version,
+            plan: install::plan(&head.files, domain, get)?,
+            files: head.files.clone(),
+            bodies: bodies.to_vec(),
+        })
+    }
+
+    /// The whole configuration, verified for every site; not kept, since a
+    /// process has no room for it beside the table in use.
+    ///
+    /// # Errors
+    /// If a body is damaged or the files have faults.
+    pub fn whole(&self) -> Result<Whole, Error> {
+        let get = |hash: config::Hash| {
+            let found = self.bodies.iter().find(|b| b.hash == hash);
+            found.map(|b| Arc::clone(&b.bytes))
+        };
+        Whole::new(&document::bundle(&self.files, get)?)
+    }
+}
+
+impl Whole {
+    /// Verifies a configuration for every site.
+    ///
+    /// # Errors
+    /// Every fault that the verifier finds.
+    pub fn new(bundle: &bundle::Bundle) -> Result<Self, Error> {
+        let checked = bundle.check().map_err(Error::Faults)?;
+        let documents = document::documents(bundle)?;
+        Ok(Self { documents, checked })
+    }
+}
+
+/// Sorts files by what their names say: base, overlays, client blocks.
+///
+/// # Errors
+/// If there is no base file.
+pub fn bundle(files: Vec<bundle::File>) -> Result<bundle::Bundle, Error> {
+    let mut base = None;
+    let mut overlays = Vec::new();
+    let mut blocks = Vec::new();
+    for file in files {
+        if &*file.name == document::BASE {
+            base = Some(file);
+        } else if file.name.starts_with(document::OVERLAY) {
+            overlays.push(file);
+        } else {
+            blocks.push(file);
+        }
+    }
+    Ok(bundle::Bundle {
+        base: base.ok_or(Error::NoBase)?,
+        overlays,
+        blocks,
+    })
+}
+
+fn list(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/control/world.rs
@@ -0,0 +1,150 @@
+//! The view in force: an accepted configuration, the platform's list, members.
+//!
+//! Invariant: a view is built from the newest of each, and published whole to
+//! the traffic threads and the engine.
+
+use std::sync::Arc;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use intent::instance;
+use steer::process::{control, member};
+use steer::version::view;
+
+use super::force::InForce;
+use crate::daemon::engine::Engine;
+use crate::daemon::snapshot::Snapshot;
+
+/// Where the view is published.
+pub struct Outlets {
+    /// For requests.
+    pub engine: Arc<Engine>,
+    /// For look-ups.
+    pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// For operators' calls.
+    pub force: Arc<ArcSwapOption<InForce>>,
+}
+
+/// The parts of the view.
+pub struct World {
+    outlets: Outlets,
+    force: Option<Arc<InForce>>,
+    instances: Vec<instance::Instance>,
+    members: Vec<instance::Member>,
+    serving: bool,
+}
+
+impl World {
+    /// Nothing known yet.
+    pub const fn new(outlets: Outlets) -> Self {
+        Self {
+            outlets,
+            force: None,
+            instances: Vec::new(),
+            members: Vec::new(),
+            serving: false,
+        }
+    }
+
+    /// Puts a configuration in force. Gives the number of entry instances that
+    /// share its caps, if `name` is among them.
+    pub fn install(&mut self, force: InForce, name: &str) -> Option<u32> {
+        let force = Arc::new(force);
+        self.outlets.force.store(Some(Arc::clone(&force)));
+        self.force = Some(Arc::clone(&force));
+        self.publish();
+        slots(&force.plan, name)
+    }
+
+    /// Takes a new list of instances.
+    pub fn list(&mut self, instances: Vec<instance::Instance>) {
+        if self.instances != instances {
+            self.instances = instances;
+            self.publish();
+        }
+    }
+
+    /// Takes what control says of this process and its peers.
+    pub fn members(&mut self, me: &member::Record, told: &control::Snapshot) {
+        let serving = told.ready && me.life == member::Life::Live && sure(told.standing);
+        let mut members: Vec<instance::Member> = told.members.iter().filter_map(seen).collect();
+        if !members
+            .iter()
+            .any(|m| m.incarnation == me.stamp.incarnation)
+        {
+            members.extend(peer(me));
+        }
+        if self.members != members || self.serving != serving {
+            self.members = members;
+            self.serving = serving;
+            self.publish();
+        }
+    }
+
+    fn publish(&self) {
+        let Some(force) = &self.force else { return };
+        let view = force
+            .plan
+            .view(force.version, &self.instances, &self.members);
+        let view = Arc::new(view);
+        self.outlets.engine.install(Arc::clone(&view));
+        let snapshot = Snapshot::new(view, self.serving);
+        self.outlets.snapshot.store(Arc::new(snapshot));
+    }
+}
+
+/// Whether look-ups may be answered: not after a freeze that nobody has
+/// confirmed the end of, and not under a name that a newer process has.
+const fn sure(standing: control::Standing) -> bool {
+    matches!(
+        standing,
+        control::Standing::Current | control::Standing::Isolated
+    )
+}
+
+/// Entry instances among whose regions' instances a cap is divided.
+fn slots(plan: &intent::plan::Plan, name: &str) -> Option<u32> {
+    let at = plan.entries.values().find(|e| &*e.name == name)?;
+    let region = plan.domains[at.domain].region;
+    let near = |e: &&view::EntryData| plan.domains[e.domain].region == region;
+    let count = plan.entries.values().filter(near).count();
+    u32::try_from(count).ok()
+}
+
+fn seen(seen: &member::Seen) -> Option<instance::Member> {
+    peer(&seen.record)
+}
+
+fn peer(record: &member::Record) -> Option<instance::Member> {
+    Some(instance::Member {
+        name: Arc::clone(&record.identity.name),
+        incarnation: record.stamp.incarnation,
+        domain: Arc::clone(&record.identity.domain),
+        addr: record.identity.addr,
+        peer: record.identity.peer,
+        state: record.life.state()?,
+    })
+}
+
+/// A line of the platform's list, in the terms of decisions.
+pub fn listed(instance: wire::instance::Instance) -> instance::Instance {
+    let role = match instance.role {
+        wire::instance::Role::Target {
+            addr,
+            service,
+            site,
+            slots,
+        } => instance::Role::Target {
+            addr,
+            service: service.into(),
+            site: site.into(),
+            slots,
+        },
+        wire::instance::Role::Entry { peer } => instance::Role::Entry { peer },
+    };
+    instance::Instance {
+        name: instance.name.into(),
+        domain: instance.domain.into(),
+        state: instance.state.into(),
+        role,
+    }
+}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/engine.rs
@@ -0,0 +1,390 @@
+//! Drives the traffic decisions: carries events in and actions out.
+//!
+//! Invariant: each request's mailbox gets exactly one settled answer, unless
+//! its holder is gone; a cancelled attempt's task is dropped, and with it its
+//! connection.
+
+mod claim;
+mod errand;
+mod inner;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::{Duration, Instant};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use steer::clock::Time;
+use steer::process::{dispatch, share, traffic};
+use steer::request::{arrival, outcome, record};
+use steer::version::view;
+use wire::peer;
+
+use self::errand::{Errand, Kind};
+use self::inner::Inner;
+use super::inbound::Inbound;
+use super::outbound::Outbound;
+use super::peers::Peers;
+use super::workers::Executor;
+
+/// Time for a target to answer a probe.
+const PROBE_TIME: Duration = Duration::from_millis(250);
+
+/// Time for a peer to lend a part of a cap.
+const LOAN_TIME: Duration = Duration::from_millis(500);
+
+/// Time for a peer to take the word on a request that breaks targets.
+const SUSPECT_TIME: Duration = Duration::from_millis(500);
+
+/// What the drivers give the decisions about a request.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// Time the caller allows, if it said.
+    pub deadline: Option<Duration>,
+    /// Where the request came from.
+    pub origin: arrival::Origin,
+    /// Name of the region of the peer that passed it on.
+    pub via: Option<Arc<str>>,
+}
+
+/// What errands are run with.
+pub struct Means {
+    /// Where errands run.
+    pub executor: Executor,
+    /// Connections to targets.
+    pub outbound: Outbound,
+    /// Connections to peers.
+    pub peers: Arc<Peers>,
+    /// The platform's store.
+    pub store: Arc<dyn store::Store>,
+}
+
+/// The engine of one process.
+pub struct Engine {
+    start: Instant,
+    incarnation: view::Incarnation,
+    means: Means,
+    this: Weak<Self>,
+    prefix: ArcSwapOption<String>,
+    others: ArcSwap<Vec<SocketAddr>>,
+    home: dispatch::Home,
+    region: ArcSwapOption<Arc<str>>,
+    inner: Mutex<Inner>,
+}
+
+/// Tells the decisions that whoever waited for a request has left, unless its
+/// answer came first.
+struct Waiting {
+    engine: Arc<Engine>,
+    id: arrival::RequestId,
+    settled: bool,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.engine.gone(self.id);
+        }
+    }
+}
+
+impl Engine {
+    /// An engine with nothing in flight.
+    #[must_use]
+    pub fn new(
+        decide: traffic::Traffic,
+        home: dispatch::Home,
+        incarnation: view::Incarnation,
+        means: Means,
+    ) -> Arc<Self> {
+        Arc::new_cyclic(|this| Self {
+            start: Instant::now(),
+            incarnation,
+            means,
+            this: Weak::clone(this),
+            prefix: ArcSwapOption::empty(),
+            others: ArcSwap::default(),
+            home,
+            region: ArcSwapOption::empty(),
+            inner: Mutex::new(Inner::new(decide)),
+        })
+    }
+
+    /// Serves one request to its settled answer. Dropping the future tells the
+    /// decisions that nobody waits any more.
+    pub async fn serve(self: &Arc<Self>, request: Inbound, terms: Terms) -> peer::Settled {
+        let (mailbox, settled) = async_channel::bounded(1);
+        let id = self.arrive(request, terms, mailbox);
+        let mut waiting = Waiting {
+            engine: Arc::clone(self),
+            id,
+            settled: false,
+        };
+        let answer = settled.recv().await;
+        waiting.settled = true;
+        answer.unwrap_or_else(|_| {
+            let reason = outcome::Reason::Leaving;
+            Err(outcome::Refusal::unknown(reason, None))
+        })
+    }
+
+    /// Answers a peer's question to this process as a witness; `None` if the
+    /// process ends first.
+    pub async fn witness(&self, question: record::Question) -> Option<record::Word> {
+        let (mailbox, told) = async_channel::bounded(1);
+        self.asked(question, mailbox);
+        told.recv().await.ok()
+    }
+
+    /// Says whether this process holds its part of every cap.
+    pub fn hold(&self, held: bool) {
+        self.handle(&mut self.lock(), traffic::Event::Hold(held));
+    }
+
+    /// Lends a peer a part of a cap; zero is "nothing".
+    pub async fn lend(&self, route: share::Route, amount: u64) -> u64 {
+        let (mailbox, told) = async_channel::bounded(1);
+        self.wanted(route, amount, mailbox);
+        told.recv().await.unwrap_or(0)
+    }
+
+    /// Takes a peer's word on a request that breaks targets.
+    pub fn suspected(&self, fingerprint: arrival::Fingerprint, strikes: u8) {
+        let event = traffic::Event::Suspected {
+            fingerprint,
+            strikes,
+        };
+        self.handle(&mut self.lock(), event);
+    }
+
+    /// Puts a new view in force.
+    pub fn install(&self, view: Arc<view::View>) {
+        let others = view.members.values();
+        let others = others.filter(|m| m.incarnation != self.incarnation);
+        let others = others.map(|m| m.peer).collect();
+        self.others.store(Arc::new(others));
+        let region = view.domain(&self.home.domain).map(|domain| {
+            let region = view.domains[domain].region;
+            Arc::new(Arc::clone(&view.regions[region].name))
+        });
+        self.region.store(region);
+        self.handle(&mut self.lock(), traffic::Event::View(view));
+    }
+
+    /// Lets time pass for the decisions.
+    pub fn tick(&self) {
+        self.handle(&mut self.lock(), traffic::Event::Tick);
+    }
+
+    /// Runs no new keys from now on.
+    pub fn leave(&self) {
+        self.handle(&mut self.lock(), traffic::Event::Leave);
+    }
+
+    /// Whether nothing is in flight, also for callers that have left.
+    #[must_use]
+    pub fn drained(&self) -> bool {
+        let inner = self.lock();
+        inner.decide.drained() && inner.waiting() == 0
+    }
+
+    /// Requests that have no settled answer yet.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.lock().waiting()
+    }
+
+    /// What a key issued now starts with; `None` while none can be issued.
+    #[must_use]
+    pub fn prefix(&self) -> Option<Arc<String>> {
+        self.prefix.load_full()
+    }
+
+    /// Time since the process's start, as decisions see it.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        let micros = self.start.elapsed().as_micros();
+        Time::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    fn arrive(
+        &self,
+        request: Inbound,
+        terms: Terms,
+        mailbox: async_channel::Sender<peer::Settled>,
+    ) -> arrival::RequestId {
+        let fingerprint = request.fingerprint();
+        let mut inner = self.lock();
+        let id = inner.next_request();
+        let arrival = arrival::Arrival {
+            id,
+            service: Arc::clone(&request.service),
+            caller: Arc::clone(&request.caller),
+            key: request.key.clone(),
+            fingerprint,
+            deadline: terms.deadline,
+            bytes: request.bytes(),
+            origin: terms.origin,
+            home: request.home.clone(),
+            via: terms.via,
+        };
+        inner.admit(id, request, mailbox);
+        self.handle(&mut inner, traffic::Event::Arrive(arrival));
+        id
+    }
+
+    fn wanted(&self, route: share::Route, amount: u64, mailbox: async_channel::Sender<u64>) {
+        let mut inner = self.lock();
+        let ask = inner.expect_loan(mailbox);
+        self.handle(&mut inner, traffic::Event::Wanted { ask, route, amount });
+    }
+
+    fn asked(&self, question: record::Question, mailbox: async_channel::Sender<record::Word>) {
+        let mut inner = self.lock();
+        let ask = inner.expect(mailbox);
+        self.handle(&mut inner, traffic::Event::Asked { ask, question });
+    }
+
+    fn gone(&self, id: arrival::RequestId) {
+        let mut inner = self.lock();
+        if inner.abandon(id) {
+            self.handle(&mut inner, traffic::Event::Gone(id));
+        }
+    }
+
+    fn handle(&self, inner: &mut Inner, event: traffic::Event) {
+        let mut actions = Vec::new();
+        inner.decide.handle(self.now(), event, &mut actions);
+        for action in actions {
+            self.act(inner, action);
+        }
+    }
+
+    fn act(&self, inner: &mut Inner, action: traffic::Action) {
+        match action {
+            traffic::Action::Send {
+                id,
+                attempt,
+                place,
+                budget,
+            } => self.send(inner, id, attempt, place, budget),
+            traffic::Action::Cancel { attempt, .. } => self.cancel(inner, attempt),
+            traffic::Action::Reply { id, answer } => inner.settle(id, Ok(answer)),
+            traffic::Action::Refuse { id, refusal } => inner.settle(id, Err(refusal)),
+            traffic::Action::Forward { id, peer, budget } => {
+                let Some(request) = inner.request(id) else {
+                    return;
+                };
+                let addr = peer.addr;
+                self.go(Kind::Forward { id, addr, request }, budget);
+            }
+            traffic::Action::Ask {
+                ask,
+                peer,
+                question,
+                budget,
+            } => {
+                let addr = peer.addr;
+                self.go(
+                    Kind::Ask {
+                        ask,
+                        addr,
+                        question,
+                    },
+                    budget,
+                );
+            }
+            traffic::Action::Tell { ask, word } => inner.tell(ask, word),
+            traffic::Action::Store {
+                id,
+                key,
+                call,
+                budget,
+            } => self.go(Kind::Store { id, key, call }, budget),
+            traffic::Action::Probe { target, addr } => {
+                self.go(Kind::Probe { target, addr }, PROBE_TIME);
+            }
+            traffic::Action::Borrow {
+                peer,
+                route,
+                amount,
+                asked,
+            } => {
+                let kind = Kind::Borrow {
+                    addr: peer,
+                    route,
+                    amount,
+                    asked,
+                };
+                self.go(kind, LOAN_TIME);
+            }
+            traffic::Action::Lend { ask, amount } => inner.lend(ask, amount),
+            traffic::Action::Suspect {
+                fingerprint,
+                strikes,
+            } => self.go(
+                Kind::Suspect {
+                    fingerprint,
+                    strikes,
+                },
+                SUSPECT_TIME,
+            ),
+            traffic::Action::Issue(prefix) => {
+                self.prefix.store(prefix.map(|p| Arc::new(p.to_string())));
+            }
+        }
+    }
+
+    /// Starts an errand that nothing cancels.
+    fn go(&self, kind: Kind, budget: Duration) {
+        if let Some(engine) = self.this.upgrade() {
+            let errand = Errand {
+                engine,
+                kind,
+                budget,
+            };
+            self.means.executor.spawn(errand.run()).detach();
+        }
+    }
+
+    fn send(
+        &self,
+        inner: &mut Inner,
+        id: arrival::RequestId,
+        attempt: arrival::AttemptId,
+        place: dispatch::Place,
+        budget: Duration,
+    ) {
+        let (Some(request), Some(engine)) = (inner.request(id), self.this.upgrade()) else {
+            return;
+        };
+        let name: Arc<str> = format!("{}-{}", self.incarnation, attempt.0).into();
+        let errand = Errand {
+            engine,
+            kind: Kind::Attempt {
+                id,
+                attempt,
+                name: Arc::clone(&name),
+                place: place.clone(),
+                request,
+            },
+            budget,
+        };
+        let task = self.means.executor.spawn(errand.run());
+        inner.fly(attempt, name, place, task);
+    }
+
+    fn cancel(&self, inner: &mut Inner, attempt: arrival::AttemptId) {
+        let Some(flight) = inner.land(attempt) else {
+            return;
+        };
+        let dispatch::Place::Target { addr, .. } = flight.place else {
+            return;
+        };
+        let name = Arc::clone(&flight.name);
+        self.go(Kind::Cancel { addr, name }, Duration::ZERO);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/auburnrouter/src/daemon/operators.rs
@@ -0,0 +1,151 @@
+//! What operators may ask, on a listener of their own.
+//!
+//! | call | answer |
+//! |---|---|
+//! | `GET /metrics` | the metrics, as text |
+//! | `GET /dump` | the state of the process, as JSON |
+//! | `GET /config` | the files in force, as JSON |
+//! | `GET /status` | the version in force at every instance reached, as JSON |
+//! | `GET /changes/{id}` | whether that change was accepted, as JSON |
+//! | `POST /apply` | makes a change; says what became of it |
+//!
+//! Every call wants `Authorization: Bearer SECRET`. The listener runs on the
+//! control thread, so that it answers while traffic threads are overloaded.
+//!
+//! Invariant: nothing is answered, not even whether a path exists, before the
+//! secret has been compared, in constant time.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+use settings::secret::Secret;
+use subtle::ConstantTimeEq;
+use trillium_http::{KnownHeaderName, Method, Status};
+
+use super::accept::{Conn, Limits};
+use super::control;
+use super::engine::Engine;
+use super::guarded::Bounds;
+use super::metrics::Metrics;
+use super::reply;
+
+/// Longest body that operators may send: a whole configuration.
+const BODY_MAX: u32 = 256 << 20;
+
+/// What the operators' listener needs.
+pub struct Operators {
+    /// What callers of this listener must know.
+    pub secret: Secret,
+    /// The control thread.
+    pub control: control::Handle,
+    /// The traffic engine.
+    pub engine: Arc<Engine>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+}
+
+/// Where changes are asked for by their ids.
+const CHANGES: &str = "/changes/";
+
+/// What became of a change; `None` if nobody can tell any more.
+#[derive(Debug, Serialize)]
+struct Fate {
+    accepted: Option<bool>,
+}
+
+/// The files in force.
+#[derive(Debug, Serialize)]
+struct Config {
+    version: u64,
+    files: Vec<control::File>,
+}
+
+/// Bounds on the operators' listener.
+#[must_use]
+pub const fn limits(bounds: Bounds) -> Limits {
+    Limits {
+        bounds: Bounds {
+            ahead: BODY_MAX as usize,
+            ..bounds
+        },
+        head: 16 << 10,
+        body: BODY_MAX as u64,
+        connections: 64,
+    }
+}
+
+impl Operators {
+    /// Answers one call.
+    pub async fn handle(self: Arc<Self>, mut conn: Conn) -> Conn {
+        if !self.knows_secret(&conn) {
+            conn.set_status(401);
+            return conn;
+        }
+        let path = conn.path().to_owned();
+        match (conn.method(), path.as_str()) {
+            (Method::Get, "/metrics") => self.metrics(conn),
+            (Method::Get, "/dump") => self.dump(conn).await,
+            (Method::Get, "/config") => self.config(conn),
+            (Method::Get, "/status") => reply::json(conn, Status::Ok, &self.control.status().await),
+            (Method::Get, path) if path.starts_with(CHANGES) => {
+                let accepted = self.control.accepted(&path[CHANGES.len()..]).await;
+                reply::json(conn, Status::Ok, &Fate { accepted })
+            }
+            (Method::Post, "/apply") => self.apply(conn).await,
+            _ => {
+                conn.set_status(404);
+                conn
+            }
+        }
+    }
+
+    fn knows_secret(&self, conn: &Conn) -> bool {
+        let given = conn
+            .request_headers()
+            .get_str(KnownHeaderName::Authorization);
+        let given = given.and_then(|v| v.strip_prefix("Bearer "));
+        given.is_some_and(|g| g.as_bytes().ct_eq(self.secret.bytes()).into())
+    }
+
+    fn metrics(&self, mut conn: Conn) -> Conn {
+        self.metrics
+            .in_flight
+            .set(i64::try_from(self.engine.in_flight()).unwrap_or(i64::MAX));
+        match self.metrics.text() {
+            Ok(text) => {
+                conn.set_status(200);
+                conn.set_response_body(text);
+            }
+            Err(_) => conn.set_status(500),
+        }
+        conn
+    }
+
+    async fn dump(&self, mut conn: Conn) -> Conn {
+        let Some(state) = self.control.dump().await else {
+            conn.set_status(Status::ServiceUnavailable);
+            return conn;
+        };
+        reply::json(conn, Status::Ok, &state)
+    }
+
+    fn config(&self, conn: Conn) -> Conn {
+        let force = self.control.force();
+        let config = Config {
+            version: force.as_ref().map_or(0, |f| f.version.0),
+            files: force.map(|f| f.listing()).unwrap_or_default(),
+        };
+        reply::json(conn, Status::Ok, &config)
+    }
+
+    async fn apply(&self, mut conn: Conn) -> Conn {
+        let body = conn.request_body().await.read_bytes().await;
+        let change = body.ok().and_then(|b| serde_json::from_slice(&b).ok());
+        let Some(change) = change else {
+            conn.set_status(Status::BadRequest);
+            return conn;
+        };
+        let answer = self.control.change(change).await;
+        reply::json(conn, Status::Ok, &answer)
+    }
+}
--- a/crates/steer/src/process.rs
+++ b/crates/steer/src/process.rs
@@ -3,5 +3,10 @@
 pub mod config;
 pub mod control;
 pub mod dispatch;
+pub mod gate;
 pub mod member;
+pub mod outbox;
+pub mod share;
 pub mod slot;
+pub mod target;
+pub mod traffic;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,4 +8,7 @@
 pub mod headers;
 pub mod instance;
 pub mod kv;
+pub mod peer;
+pub mod share;
 pub mod target;
+pub mod witness;
