--- a/crates/steer/src/process/dispatch/place.rs
+++ b/crates/steer/src/process/dispatch/place.rs
@@ -13,9 +13,8 @@
 use crate::process::dispatch::tuning::Safeguard;
 use crate::process::dispatch::{Dispatch, Origin};
 use crate::process::target::{Fit, Track, choose, latency};
-use crate::request::arrival::Arrival;
 use crate::request::{poison, retry};
-use crate::version::view::{Member, Region};
+use crate::version::view::Region;
 
 /// Time that passing a request to a peer of the same region costs.
 pub const NEAR: Duration = Duration::from_millis(2);
@@ -252,23 +251,6 @@
         choose::Policy::Least.choose(places, &mut self.rng)
     }
 
-    /// Whether the caps let a request go to a peer; if not, when they may. The
-    /// caps of operators and links are asked for here, once per request and
-    /// peer, and what is allowed counts as used.
-    #[expect(
-        clippy::unused_self,
-        clippy::unnecessary_wraps,
-        reason = "the caps between sites hook in here"
-    )]
-    const fn may_shift(
-        &mut self,
-        _now: Time,
-        _arrival: &Arrival,
-        _to: Member,
-    ) -> Result<(), Duration> {
-        Ok(())
-    }
-
     /// An ejected target, for a request that has no other place. When all are
     /// ejected the evidence may be at fault, and trying costs nothing; one
     /// request at a time keeps a target that is really ill from more.
