Put caps, links and loans into the model

Cause: with caps asked for in the dispatcher, a model without them measured no other region. Change: views carry links and shifts as in deploy/, callers their region, instances lend; meters count what crosses, apart from the decisions.

--- a/crates/measure/src/model.rs
+++ b/crates/measure/src/model.rs
@@ -8,6 +8,7 @@
 pub mod deployment;
 mod driver;
 mod fleet;
+pub mod meter;
 mod targets;
 
 use core::cmp::Reverse;
@@ -26,6 +27,8 @@
 
 use crate::robin::Engine;
 use deployment::{Deployment, Layout};
+use meter::Meter;
+use steer::process::share::Route;
 
 /// One way between an entry instance and a target of its failure domain.
 const LOCAL: Duration = Duration::from_micros(250);
@@ -137,6 +140,11 @@
     pub shed: u64,
     /// For a leaving target: when it left, last new work sent, last work done.
     pub drain: [Option<Time>; 3],
+    /// Requests of each service from callers of one region that were served in
+    /// another.
+    pub shifts: Vec<Meter>,
+    /// Bytes between regions.
+    pub links: Vec<Meter>,
 }
 
 #[derive(Clone)]
@@ -177,6 +185,10 @@
 
 #[derive(Clone, Copy)]
 struct Request {
+    /// Region of its caller.
+    home: usize,
+    /// Whether it has been sent to a target.
+    sent: bool,
     service: usize,
     asked: Time,
     caller: Duration,
@@ -195,16 +207,28 @@
     Stop(usize, Work),
     Probed(usize, usize),
     Told(usize, Fingerprint, u8),
+    Wanted(usize, Loan),
+    Lent(usize, Loan, u64),
     Tick(usize),
     View(Arc<View>),
     Fault(Fault),
 }
 
+/// A wish for a part of a cap.
+#[derive(Clone)]
+struct Loan {
+    from: usize,
+    route: Route,
+    amount: u64,
+    asked: Time,
+}
+
 type Queued = Reverse<(Time, u64)>;
 
 /// The model.
 pub struct Model {
     setup: Setup,
+    regions: usize,
     now: Time,
     rng: fastrand::Rng,
     /// Times and numbers; the happenings are in `slots`, by number.
@@ -257,6 +281,12 @@
             failed: 0,
         };
         let faults = setup.faults.clone();
+        let pairs = setup.layout.regions() * setup.layout.regions();
+        let specs = setup.deployment.services.iter();
+        let shifts = specs
+            .flat_map(|spec| vec![Meter::new(spec.cap); pairs])
+            .collect();
+        let links = vec![Meter::new(setup.deployment.link * 125_000); pairs];
         let mut model = Self {
             now: Time::ZERO,
             rng,
@@ -271,14 +301,17 @@
                 attempts: 0,
                 shed: 0,
                 drain: [None; 3],
+                shifts,
+                links,
             },
             answer: Arc::new(Answer {
                 status: 200,
                 headers: Vec::new(),
-                body: Arc::from([]),
+                body: Arc::from([0; 8192]),
             }),
             version: 0,
             serial: 0,
+            regions: setup.layout.regions(),
             setup,
         };
         let view = model.view();
@@ -298,8 +331,8 @@
         model
     }
 
-    fn regions(&self) -> usize {
-        self.setup.layout.domains.iter().max().map_or(0, |r| r + 1)
+    const fn regions(&self) -> usize {
+        self.regions
     }
 
     fn after(&mut self, span: Duration, happening: Happening) {
@@ -326,7 +359,18 @@
                 };
                 self.tell(entry, event);
             }
+            Happening::Wanted(entry, loan) => self.wanted(entry, &loan),
+            Happening::Lent(entry, loan, amount) => {
+                let Loan { route, asked, .. } = loan;
+                let event = Event::Borrowed {
+                    route,
+                    amount,
+                    asked,
+                };
+                self.tell(entry, event);
+            }
             Happening::Tick(entry) => {
+                self.tell(entry, Event::Hold(true));
                 self.tell(entry, Event::Tick);
                 self.after(dispatch::TICK, Happening::Tick(entry));
             }
--- a/crates/measure/src/model/asking.rs
+++ b/crates/measure/src/model/asking.rs
@@ -9,6 +9,7 @@
 use steer::request::arrival::{Arrival, Fingerprint, Origin, RequestId};
 use steer::request::outcome::{Outcome, Refusal};
 
+use super::fleet::region_name;
 use super::{CALLER, FAR, Happening, Model, Request, WARM_UP, Work};
 
 impl Model {
@@ -25,6 +26,8 @@
         let (entry, caller) = self.look_up(region);
         let id = RequestId(self.requests.len() as u64);
         self.requests.push(Request {
+            home: region,
+            sent: false,
             service,
             asked: self.now,
             caller,
@@ -70,7 +73,7 @@
             deadline: Some(Duration::from_secs(spec.deadline)),
             bytes: 500,
             origin: Origin::Caller,
-            home: None,
+            home: Some(region_name(request.home)),
             via: None,
         };
         self.tell(request.entry, Event::Arrive(arrival));
@@ -85,6 +88,9 @@
         let request = self.requests[at];
         self.requests[at].done = true;
         if let Some((entry, id, attempt)) = request.hop {
+            if let Ok(answer) = &end {
+                self.crossed(request.entry, entry, answer.bytes());
+            }
             let ending = match end {
                 Ok(answer) => Ending::Answered(answer),
                 Err(refusal) => Ending::PeerRefused(refusal),
--- a/crates/measure/src/model/deployment.rs
+++ b/crates/measure/src/model/deployment.rs
@@ -15,6 +15,10 @@
     pub mean: f64,
     /// Deadline in seconds.
     pub deadline: u64,
+    /// Requests a second that may be shifted between each pair of regions.
+    pub cap: u64,
+    /// Seconds over which a shift grows.
+    pub ramp: u64,
 }
 
 /// A deployment's sizes, as in `deploy/`; service times are assumed.
@@ -26,6 +30,8 @@
     pub services: [ServiceSpec; 4],
     /// Longest expected wait: short for latency, long for headroom.
     pub wait: Duration,
+    /// Megabits a second between each pair of regions, in each direction.
+    pub link: u64,
 }
 
 const fn spec(
@@ -34,6 +40,7 @@
     idempotent: bool,
     mean: f64,
     deadline: u64,
+    (cap, ramp): (u64, u64),
 ) -> ServiceSpec {
     ServiceSpec {
         name,
@@ -41,6 +48,8 @@
         idempotent,
         mean,
         deadline,
+        cap,
+        ramp,
     }
 }
 
@@ -48,24 +57,26 @@
 pub static BLUESTONE: Deployment = Deployment {
     name: "bluestone",
     services: [
-        spec("archive", 2, true, 0.060, 10),
-        spec("billing", 1, false, 0.040, 10),
-        spec("lodgement", 0, false, 0.040, 5),
-        spec("sheetview", 0, true, 0.020, 2),
+        spec("archive", 2, true, 0.060, 10, (20, 120)),
+        spec("billing", 1, false, 0.040, 10, (20, 60)),
+        spec("lodgement", 0, false, 0.040, 5, (60, 30)),
+        spec("sheetview", 0, true, 0.020, 2, (200, 30)),
     ],
     wait: Duration::from_millis(100),
+    link: 280,
 };
 
 /// Weighted to headroom.
 pub static TESFAYE: Deployment = Deployment {
     name: "tesfaye",
     services: [
-        spec("archive", 2, true, 0.060, 10),
-        spec("payout", 1, false, 0.040, 10),
-        spec("reserve", 0, false, 0.040, 5),
-        spec("stock", 0, true, 0.020, 2),
+        spec("archive", 2, true, 0.060, 10, (40, 120)),
+        spec("payout", 1, false, 0.040, 10, (60, 60)),
+        spec("reserve", 0, false, 0.040, 5, (120, 30)),
+        spec("stock", 0, true, 0.020, 2, (400, 30)),
     ],
     wait: Duration::from_millis(500),
+    link: 4000,
 };
 
 /// All deployments.
@@ -83,6 +94,12 @@
 }
 
 impl Layout {
+    /// Number of regions.
+    #[must_use]
+    pub fn regions(&self) -> usize {
+        self.domains.iter().max().map_or(0, |r| r + 1)
+    }
+
     /// Six domains in three regions, seven entry instances, 12 targets a service.
     #[must_use]
     pub fn today() -> Self {
--- a/crates/measure/src/model/driver.rs
+++ b/crates/measure/src/model/driver.rs
@@ -6,8 +6,10 @@
 use steer::connection::pool::{Connection, Taken};
 use steer::process::dispatch::{Action, Ending, Event, Place, Report};
 use steer::request::arrival::{Arrival, AttemptId, Fingerprint, Origin, RequestId};
+use steer::request::record::AskId;
 
-use super::{FAR, Happening, LOCAL, Model, NEAR, OPEN, Request, Way, Work};
+use super::fleet::region_name;
+use super::{FAR, Happening, LOCAL, Loan, Model, NEAR, OPEN, Request, Way, Work};
 
 impl Model {
     pub(super) fn tell(&mut self, entry: usize, event: Event) {
@@ -38,7 +40,23 @@
                 let target = self.target(&target);
                 self.after(LOCAL * 2, Happening::Probed(entry, target));
             }
-            Action::Borrow { .. } | Action::Lend { .. } => {}
+            Action::Borrow {
+                peer,
+                route,
+                amount,
+                asked,
+            } => {
+                let loan = Loan {
+                    from: entry,
+                    route,
+                    amount,
+                    asked,
+                };
+                let peer = usize::from(peer.port());
+                self.after(self.way(entry, peer), Happening::Wanted(peer, loan));
+            }
+            // Answered where it is asked.
+            Action::Lend { .. } => {}
             Action::Suspect {
                 fingerprint,
                 strikes,
@@ -83,6 +101,7 @@
                     Taken::Open(_) => Duration::ZERO,
                     Taken::Permit | Taken::Full => OPEN,
                 };
+                self.served(entry, id);
                 if self.targets[target].sign.is_some() {
                     self.outcomes.drain[1] = Some(self.now);
                 }
@@ -99,6 +118,55 @@
         out.insert(at, (attempt, id, way));
     }
 
+    /// A peer asks for a part of a cap.
+    pub(super) fn wanted(&mut self, entry: usize, loan: &Loan) {
+        if self.entries[entry].dead {
+            return;
+        }
+        let event = Event::Wanted {
+            ask: AskId(0),
+            route: loan.route.clone(),
+            amount: loan.amount,
+        };
+        let mut actions = Vec::new();
+        self.entries[entry]
+            .engine
+            .handle(self.now, event, &mut actions);
+        for action in actions {
+            if let Action::Lend { amount, .. } = action {
+                let way = self.way(entry, loan.from);
+                self.after(way, Happening::Lent(loan.from, loan.clone(), amount));
+            }
+        }
+    }
+
+    pub(super) fn region_of(&self, entry: usize) -> usize {
+        self.setup.layout.domains[self.entries[entry].domain]
+    }
+
+    /// Counts a message between two regions.
+    pub(super) fn crossed(&mut self, from: usize, to: usize, bytes: u64) {
+        let (from, to) = (self.region_of(from), self.region_of(to));
+        if from != to {
+            let route = from * self.regions() + to;
+            self.outcomes.links[route].add(self.now, bytes);
+        }
+    }
+
+    /// Counts a request once, when it is first sent to a target of another
+    /// region than its caller's.
+    fn served(&mut self, entry: usize, id: RequestId) {
+        let at = usize::try_from(id.0).unwrap_or(usize::MAX);
+        let request = self.requests[at];
+        let here = self.region_of(entry);
+        if !request.sent && request.home != here {
+            let regions = self.regions();
+            let route = (request.service * regions + request.home) * regions + here;
+            self.outcomes.shifts[route].add(self.now, 1);
+        }
+        self.requests[at].sent = true;
+    }
+
     /// Passes a request to a peer, under a number of its own there.
     pub(super) fn hop(&mut self, work: &Work, name: &str, budget: Duration) {
         let peer = self.entries.iter().position(|e| &*e.name == name);
@@ -111,8 +179,11 @@
             );
         }
         let id = RequestId(self.requests.len() as u64);
-        let service = self.request(work.id).service;
+        let Request { service, home, .. } = self.request(work.id);
+        self.crossed(work.entry, peer, 500);
         self.requests.push(Request {
+            home,
+            sent: false,
             service,
             asked: self.now,
             caller: way,
@@ -130,8 +201,8 @@
             deadline: Some(budget.saturating_sub(way * 2)),
             bytes: 500,
             origin: Origin::Peer,
-            home: None,
-            via: None,
+            home: Some(region_name(home)),
+            via: Some(region_name(self.region_of(work.entry))),
         };
         // The peer decides on arrival; the model lets the way there pass with
         // the way back, which no decision can tell apart.
--- a/crates/measure/src/model/fleet.rs
+++ b/crates/measure/src/model/fleet.rs
@@ -10,8 +10,8 @@
 use steer::connection::pool::Pool;
 use steer::process::dispatch::{self, Dispatch, Ending};
 use steer::version::view::{
-    Class, ClassData, Domain, DomainData, Incarnation, MemberData, Region, RegionData, Service,
-    ServiceData, Site, SiteData, State, TargetData, Version, View,
+    Class, ClassData, Domain, DomainData, EntryData, Incarnation, Link, MemberData, Region,
+    RegionData, Service, ServiceData, Shift, Site, SiteData, State, TargetData, Version, View,
 };
 
 use super::{
@@ -85,7 +85,7 @@
             ..View::default()
         };
         for region in 0..self.regions() {
-            let name = Arc::from(format!("region-{region}"));
+            let name = region_name(region);
             view.regions.push(RegionData { name });
         }
         for (domain, region) in layout.domains.iter().enumerate() {
@@ -112,6 +112,7 @@
                 sites: (0..layout.domains.len()).map(Site::new).collect(),
             });
         }
+        self.allow(&mut view);
         for target in self.targets.iter().filter(|t| self.listed(t)) {
             let said = matches!(target.sign, Some(Sign::List | Sign::Operator));
             view.targets.push(TargetData {
@@ -123,19 +124,51 @@
                 state: if said { State::Leaving } else { State::Live },
             });
         }
+        for entry in &self.entries {
+            view.entries.push(EntryData {
+                name: Arc::clone(&entry.name),
+                domain: Domain::new(entry.domain),
+                state: State::Live,
+            });
+        }
         for (at, entry) in self.entries.iter().enumerate().filter(|(_, e)| !e.dead) {
+            let port = u16::try_from(at).unwrap_or(u16::MAX);
             view.members.push(MemberData {
                 name: Arc::clone(&entry.name),
                 incarnation: Incarnation(at as u64 + 1),
                 domain: Domain::new(entry.domain),
                 addr: addr(),
-                peer: addr(),
+                peer: SocketAddr::from(([127, 0, 0, 1], port)),
                 state: State::Live,
             });
         }
         Arc::new(view)
     }
 
+    /// Writes what operators allow between regions.
+    fn allow(&self, view: &mut View) {
+        let pairs = (0..self.regions()).flat_map(|a| (0..self.regions()).map(move |b| (a, b)));
+        let pairs: Vec<_> = pairs.filter(|(a, b)| a != b).collect();
+        for &(from, to) in &pairs {
+            view.links.push(Link {
+                from: Region::new(from),
+                to: Region::new(to),
+                bits: self.setup.deployment.link * 1_000_000,
+            });
+        }
+        for (service, spec) in self.setup.deployment.services.iter().enumerate() {
+            for &(from, to) in &pairs {
+                view.shifts.push(Shift {
+                    service: Service::new(service),
+                    from: Region::new(from),
+                    to: Region::new(to),
+                    cap: spec.cap,
+                    ramp: Duration::from_secs(spec.ramp),
+                });
+            }
+        }
+    }
+
     /// Whether the list has a target: those of a lost domain drop out.
     pub(super) fn listed(&self, target: &Target) -> bool {
         let here = |e: &&Entry| e.domain == target.domain;
@@ -199,6 +232,11 @@
     layout.entries.iter().enumerate().map(make).collect()
 }
 
+/// Name of a region.
+pub(super) fn region_name(region: usize) -> Arc<str> {
+    Arc::from(format!("region-{region}"))
+}
+
 fn domain_name(domain: usize) -> Arc<str> {
     Arc::from(format!("domain-{domain}"))
 }
--- a/crates/measure/src/scenarios.rs
+++ b/crates/measure/src/scenarios.rs
@@ -8,6 +8,7 @@
 use steer::process::target::choose::Policy;
 
 use crate::model::deployment::{self, Deployment, Layout};
+use crate::model::meter::Meter;
 use crate::model::{self, Fault, Figures, Kind, Outcomes, Setup, Sign};
 
 /// Targets that faults strike: the first of the first service that callers
@@ -85,6 +86,7 @@
                 faults: faults.clone(),
             });
             rows(&mut out, deployment, &format!("{name} {engine}"), &outcomes);
+            crossings(&mut out, &outcomes);
         }
     }
     if "drain".contains(only) {
@@ -230,6 +232,21 @@
     }
 }
 
+/// What crossed between regions, and by how much it passed the caps.
+fn crossings(out: &mut String, outcomes: &Outcomes) {
+    let most = |meters: &[Meter]| meters.iter().map(Meter::most).max().unwrap_or(0);
+    let over = |meters: &[Meter]| meters.iter().map(Meter::over).max().unwrap_or(0);
+    let (shifts, links) = (&outcomes.shifts, &outcomes.links);
+    let text = format!(
+        "  shifted at most {}/s, over a cap by {}; link at most {} kB/s, over by {}",
+        most(shifts),
+        over(shifts),
+        most(links) / 1000,
+        over(links),
+    );
+    line(out, &text);
+}
+
 fn one(out: &mut String, label: &str, outcomes: &Outcomes, service: usize) {
     let figures = &outcomes.services[service];
     let text = format!(
