Halve the price of a repeat after a refusal; send nothing that is too late

Cause: with 22 instances on 12 targets the retry budget refused what the next target would have taken; a request with 20 ms left took a slot for 100.

--- a/crates/steer/src/process/dispatch.rs
+++ b/crates/steer/src/process/dispatch.rs
@@ -208,6 +208,11 @@
     fn place(&mut self, now: Time, group: usize, job: Job, out: &mut Vec<Action>) {
         let left = job.until.since(now);
         let on = self.tuning.safeguards;
+        if self.too_late(group, left) {
+            let wait = self.groups[group].outlook().wait();
+            let reason = job.failed.unwrap_or(Reason::Deadline);
+            return self.give_up(&job, reason, wait, out);
+        }
         let first = self.groups[group].queue.is_empty() || !job.tried.is_empty();
         let room = self.room(group);
         let suspect = self.suspect(&job);
@@ -263,6 +268,17 @@
         self.give_up(&job, reason, wait, out);
     }
 
+    /// Whether even an idle target would hardly answer in time. What starts
+    /// nevertheless takes a slot and is thrown away. While nothing runs one may
+    /// try: the time known may be of a brownout that is over, and without
+    /// answers it would never be known better.
+    fn too_late(&self, group: usize, left: core::time::Duration) -> bool {
+        let least = core::time::Duration::from_micros(self.groups[group].best / 2);
+        let on = self.tuning.safeguards.has(Safeguard::Admission);
+        let busy = self.groups[group].flight > 0;
+        left.is_zero() || (on && busy && left < least)
+    }
+
     fn send(
         &mut self,
         now: Time,
--- a/crates/steer/src/process/dispatch/queue.rs
+++ b/crates/steer/src/process/dispatch/queue.rs
@@ -116,8 +116,9 @@
         let turn = self.stats.pumped % TURN == TURN - 1;
         if turn && on.has(Safeguard::Guarantee) {
             let heads = (0..self.groups.len()).filter(|&g| !self.groups[g].queue.is_empty());
-            let oldest = heads.min_by_key(|&g| self.groups[g].queue[0].came);
-            if oldest.is_some_and(|g| self.serve(now, g, out)) {
+            let mut heads: Vec<usize> = heads.collect();
+            heads.sort_by_key(|&g| self.groups[g].queue[0].came);
+            if heads.into_iter().any(|g| self.serve(now, g, out)) {
                 return true;
             }
         }
--- a/crates/steer/src/process/dispatch/settle.rs
+++ b/crates/steer/src/process/dispatch/settle.rs
@@ -68,7 +68,8 @@
         if !safe || now >= job.until {
             return self.give_up(&job, retry::reason(&ending), wait, out);
         }
-        if !self.budget.spend() && self.tuning.safeguards.has(Safeguard::Budget) {
+        if !self.budget.spend(retry::cost(&ending)) && self.tuning.safeguards.has(Safeguard::Budget)
+        {
             self.stats.unbudgeted += 1;
             return self.give_up(&job, retry::reason(&ending), wait, out);
         }
--- a/crates/steer/src/request/retry.rs
+++ b/crates/steer/src/request/retry.rs
@@ -52,6 +52,18 @@
     }
 }
 
+/// What the repeat after this ending costs, in thousandths. A refusal cost the
+/// target next to nothing and is how instances that share targets learn of each
+/// other; at full cost the budget refuses what the next target would take. For
+/// nothing, overload lets refused requests wander from target to target.
+#[must_use]
+pub const fn cost(ending: &Ending) -> u64 {
+    match ending {
+        Ending::Refused { .. } => 500,
+        _ => 1000,
+    }
+}
+
 /// Repeats that the instance may still send.
 ///
 /// Without a budget a brownout multiplies itself: each request that fails
@@ -79,12 +91,12 @@
         self.left >= 1000
     }
 
-    /// Takes one repeat, if there is one.
-    pub const fn spend(&mut self) -> bool {
-        let any = self.any();
-        if any {
-            self.left -= 1000;
+    /// Takes a repeat's cost, if there is so much.
+    pub const fn spend(&mut self, cost: u64) -> bool {
+        let enough = self.left >= cost;
+        if enough {
+            self.left -= cost;
         }
-        any
+        enough
     }
 }
