Weigh changes beside the control thread; dump the traffic decisions

Cause: a whole check takes half a second at target size, in which no heartbeat would leave; a reader of a pipe that closed brought commands down; show --to left files of an earlier version behind. Change: a thread a check, joined; output that survives a closed pipe; the folder is cleared first; the dump shows targets, records and caps.

--- a/crates/auburnrouter/src/cmd/apply.rs
+++ b/crates/auburnrouter/src/cmd/apply.rs
@@ -30,7 +30,7 @@
 const HELP: &str = "\
 Usage: auburnrouter apply DIR --settings FILE [OPTIONS]
 
-Puts the configuration in DIR in force: base.jsonc, overlays/SITE.jsonc and
+Puts the configuration in DIR in force: base.jsonc, overlay/SITE.jsonc and
 blocks/*.txt. DIR may also be a base file alone. The change is verified and
 judged first; a change that moves more traffic than its caps allow is refused,
 unless the new cap is stated with it. It is then decided by one write: of two
@@ -145,10 +145,13 @@
 /// Prints what became of a change, and gives the exit code.
 pub fn report(made: &Made, json: bool) -> Exit {
     if json {
-        println!("{}", serde_json::to_string(made).unwrap_or_default());
+        cli::print(&format!(
+            "{}\n",
+            serde_json::to_string(made).unwrap_or_default()
+        ));
     } else {
         for line in &made.lines {
-            println!("{line}");
+            cli::print(&format!("{line}\n"));
         }
     }
     match made.result {
--- a/crates/auburnrouter/src/cmd/dump.rs
+++ b/crates/auburnrouter/src/cmd/dump.rs
@@ -37,7 +37,7 @@
     let answer = options.operators().and_then(|o| o.get("/dump"));
     Ok(match answer {
         Ok(answer) => {
-            println!("{}", pretty(&answer.body));
+            cli::print(&format!("{}\n", pretty(&answer.body)));
             Exit::Done
         }
         Err(error) => {
--- a/crates/auburnrouter/src/cmd/files.rs
+++ b/crates/auburnrouter/src/cmd/files.rs
@@ -1,4 +1,4 @@
-//! A configuration as files in a folder: `base.jsonc`, `overlays/SITE.jsonc` and
+//! A configuration as files in a folder: `base.jsonc`, `overlay/SITE.jsonc` and
 //! client blocks in `blocks/NAME.txt`.
 
 use std::ffi::OsStr;
@@ -38,7 +38,7 @@
 const VERSION: &str = ".version";
 
 /// Folders, and the ending of the files in them.
-const KINDS: [(&str, &str); 2] = [("overlays", "jsonc"), ("blocks", "txt")];
+const KINDS: [(&str, &str); 2] = [("overlay", "jsonc"), ("blocks", "txt")];
 
 /// Reads a folder's files; the base file alone may be named instead.
 ///
@@ -70,6 +70,7 @@
 /// # Errors
 /// If one can't be written.
 pub fn write(path: &Path, config: &Config) -> Result<(), Error> {
+    clear(path)?;
     for file in &config.files {
         let target = place(path, &file.name)?;
         if let Some(folder) = target.parent() {
@@ -81,6 +82,21 @@
     fs::write(&target, format!("{}\n", config.version)).map_err(|e| unwritten(&target, e))
 }
 
+/// Removes overlays and blocks of an earlier version: what is no longer in
+/// force would come back with the next `apply`.
+fn clear(path: &Path) -> Result<(), Error> {
+    for (kind, ending) in KINDS {
+        let folder = path.join(kind);
+        if !folder.is_dir() {
+            continue;
+        }
+        for old in paths(&folder, ending)? {
+            fs::remove_file(&old).map_err(|e| unwritten(&old, e))?;
+        }
+    }
+    Ok(())
+}
+
 fn place(path: &Path, name: &str) -> Result<PathBuf, Error> {
     if name == "base" {
         return Ok(path.join("base.jsonc"));
@@ -97,6 +113,12 @@
 }
 
 fn list(folder: &Path, ending: &str, name: impl Fn(&Path) -> String) -> Result<Vec<File>, Error> {
+    let paths = paths(folder, ending)?;
+    paths.iter().map(|path| file(name(path), path)).collect()
+}
+
+/// Files of a folder with this ending, sorted.
+fn paths(folder: &Path, ending: &str) -> Result<Vec<PathBuf>, Error> {
     let entries = fs::read_dir(folder).map_err(|e| unread(folder, e))?;
     let mut paths = Vec::new();
     for entry in entries {
@@ -106,7 +128,7 @@
         }
     }
     paths.sort();
-    paths.iter().map(|path| file(name(path), path)).collect()
+    Ok(paths)
 }
 
 fn part(name: Option<&OsStr>) -> String {
--- a/crates/auburnrouter/src/cmd/lookup.rs
+++ b/crates/auburnrouter/src/cmd/lookup.rs
@@ -62,7 +62,7 @@
 fn ask(url: &str) -> Exit {
     match client::call(client::client().get(url)) {
         Ok(answer) => {
-            println!("{}", answer.body);
+            cli::print(&format!("{}\n", answer.body));
             if answer.status == 200 {
                 Exit::Done
             } else {
--- a/crates/auburnrouter/src/cmd/show.rs
+++ b/crates/auburnrouter/src/cmd/show.rs
@@ -64,7 +64,11 @@
 fn write(to: &std::path::Path, config: &files::Config) -> Exit {
     match files::write(to, config) {
         Ok(()) => {
-            println!("version {} written to {}", config.version, to.display());
+            cli::print(&format!(
+                "version {} written to {}\n",
+                config.version,
+                to.display()
+            ));
             Exit::Done
         }
         Err(error) => {
@@ -76,11 +80,18 @@
 
 fn print(config: &files::Config, json: bool) {
     if json {
-        println!("{}", serde_json::to_string(config).unwrap_or_default());
+        cli::print(&format!(
+            "{}\n",
+            serde_json::to_string(config).unwrap_or_default()
+        ));
         return;
     }
-    println!("// version {}", config.version);
+    cli::print(&format!("// version {}\n", config.version));
     for file in &config.files {
-        println!("// file {}\n{}", file.name, file.text.trim_end());
+        cli::print(&format!(
+            "// file {}\n{}\n",
+            file.name,
+            file.text.trim_end()
+        ));
     }
 }
--- a/crates/auburnrouter/src/cmd/status.rs
+++ b/crates/auburnrouter/src/cmd/status.rs
@@ -80,14 +80,17 @@
         Some(false) => ("not accepted", Exit::Refused),
         None => ("unknown: too many changes have followed", Exit::Unknown),
     };
-    println!("change {id}: {word}");
+    cli::print(&format!("change {id}: {word}\n"));
     Ok(exit)
 }
 
 fn everywhere(operators: &client::Operators, json: bool) -> Result<Exit, client::Error> {
     let status: Status = operators.read("/status")?;
     if json {
-        println!("{}", serde_json::to_string(&status).unwrap_or_default());
+        cli::print(&format!(
+            "{}\n",
+            serde_json::to_string(&status).unwrap_or_default()
+        ));
     } else {
         print(&status);
     }
@@ -99,12 +102,18 @@
 }
 
 fn print(status: &Status) {
-    println!("version {} in force at {}", status.version, status.name);
+    cli::print(&format!(
+        "version {} in force at {}\n",
+        status.version, status.name
+    ));
     for entry in &status.entries {
         let version = match entry.version {
             Some(version) => format!("version {version}"),
             None => "not reached".to_owned(),
         };
-        println!("  {:<16} {:<16} {version}", entry.name, entry.domain);
+        cli::print(&format!(
+            "  {:<16} {:<16} {version}\n",
+            entry.name, entry.domain
+        ));
     }
 }
--- a/crates/auburnrouter/src/daemon/control/apply.rs
+++ b/crates/auburnrouter/src/daemon/control/apply.rs
@@ -5,6 +5,7 @@
 //! says more than is certain.
 
 use std::sync::Arc;
+use std::thread;
 
 use intent::moves::{self, judge};
 use intent::{bundle, diff, document};
@@ -22,7 +23,7 @@
 /// A file of a change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct File {
-    /// Its name: `base`, `overlays/SITE` or `blocks/…`.
+    /// Its name: `base`, `overlay/SITE` or `blocks/…`.
     pub name: String,
     /// Its text.
     pub text: String,
@@ -90,15 +91,37 @@
     force: Option<Arc<InForce>>,
     change: Change,
 ) -> Answer {
-    let old = force.as_deref();
-    let version = old.map_or(view::Version(0), |f| f.version);
-    match weigh(old, &change) {
+    let version = force.as_deref().map_or(view::Version(0), |f| f.version);
+    let change = Arc::new(change);
+    match weigh_beside(force, Arc::clone(&change)).await {
         Err(refused) => Answer::new(Result::Refused, version, refused),
         Ok(next) if change.dry_run => Answer::new(Result::WouldBe, version, next.told),
         Ok(next) => write(store, version, &change, next).await,
     }
 }
 
+/// Weighs a change on a thread of its own: at full size it takes half a second,
+/// in which the control thread would send no heartbeat.
+async fn weigh_beside(
+    force: Option<Arc<InForce>>,
+    change: Arc<Change>,
+) -> std::result::Result<Next, Vec<String>> {
+    let (done, weighed) = async_channel::bounded(1);
+    let work = move || {
+        // It fails only if nobody waits for the answer any more.
+        let _ = done.send_blocking(weigh(force.as_deref(), &change));
+    };
+    let thread = thread::Builder::new().name("weigh".to_owned()).spawn(work);
+    let Ok(thread) = thread else {
+        let line = "no thread for the check could be started; apply again later";
+        return Err(vec![line.to_owned()]);
+    };
+    let next = weighed.recv().await;
+    // A thread that panicked left no answer, and has printed why.
+    let _ = thread.join();
+    next.unwrap_or_else(|_| Err(vec!["the check failed; report this".to_owned()]))
+}
+
 /// A change that may be made, with what it changes and moves.
 struct Next {
     documents: Vec<document::Document>,
--- a/crates/auburnrouter/src/daemon/control/dump.rs
+++ b/crates/auburnrouter/src/daemon/control/dump.rs
@@ -22,6 +22,7 @@
     entries: Vec<Row>,
     targets: Vec<Target>,
     control: String,
+    traffic: Vec<String>,
 }
 
 /// What is known of an entry instance.
@@ -72,6 +73,7 @@
             entries: rows.collect(),
             targets: targets.collect(),
             control: format!("{:?}", control.counters()),
+            traffic: parts.engine.dump(),
         }
     }
 }
--- a/crates/auburnrouter/src/daemon/engine.rs
+++ b/crates/auburnrouter/src/daemon/engine.rs
@@ -187,6 +187,21 @@
         inner.decide.drained() && inner.waiting() == 0
     }
 
+    /// The state of the traffic decisions, as lines for people.
+    #[must_use]
+    pub fn dump(&self) -> Vec<String> {
+        let now = self.now();
+        let mut inner = self.lock();
+        let gate = inner.decide.gate_state().counts();
+        let dispatch = inner.decide.dispatch_state().dump(now).to_string();
+        let mut lines: Vec<String> = dispatch.lines().map(str::to_owned).collect();
+        lines.push(format!("{gate:?}"));
+        for (route, limit, used) in inner.decide.share_rows(now) {
+            lines.push(format!("{route}: {used} of {limit} used this second"));
+        }
+        lines
+    }
+
     /// Requests that have no settled answer yet.
     #[must_use]
     pub fn in_flight(&self) -> usize {
--- a/crates/steer/src/process/traffic.rs
+++ b/crates/steer/src/process/traffic.rs
@@ -390,6 +390,11 @@
         &self.gate
     }
 
+    /// Caps with this process's limit and use, for dumps.
+    pub fn share_rows(&mut self, now: clock::Time) -> Vec<(share::Route, u64, u64)> {
+        self.dispatch.shares().rows(now)
+    }
+
     /// The dispatcher, for counts and dumps.
     #[must_use]
     pub const fn dispatch_state(&self) -> &dispatch::Dispatch {
