--- a/crates/explorer/src/world/perform.rs
+++ b/crates/explorer/src/world/perform.rs
@@ -69,8 +69,11 @@
                 self.feed(index, traffic::Event::Probed { target, report });
             }
             // A target may have started an attempt by the time it hears of its
-            // cancellation, so a cancellation never stops a run here.
-            traffic::Action::Cancel { .. } => {}
+            // cancellation, so a cancellation never stops a run here. Loans
+            // bear on how much is shifted, not on how often a key runs.
+            traffic::Action::Cancel { .. }
+            | traffic::Action::Borrow { .. }
+            | traffic::Action::Lend { .. } => {}
             traffic::Action::Suspect {
                 fingerprint,
                 strikes,
--- a/crates/steer/src/process/control/across.rs
+++ b/crates/steer/src/process/control/across.rs
@@ -87,7 +87,7 @@
         contacts.sort_unstable();
         let mut contacts: Vec<_> = contacts.into_iter().map(|(_, peer)| peer).collect();
         if quiet {
-            let hints = self.hints().filter(|h| h.domain == far.name);
+            let hints = self.hints.of(&far.name).iter();
             contacts.extend(hints.map(|h| h.peer));
         }
         contacts
@@ -201,13 +201,19 @@
         far.heard = far.heard.max(Some(heard));
     }
 
-    /// Finds this process's part anew once the table changed.
+    /// Finds this process's part anew, and tells other domains, once the rows
+    /// of the home domain changed.
     pub(super) fn relink(&mut self, now: Time, out: &mut Vec<Action>) {
         if !self.moved {
             return;
         }
         self.moved = false;
         self.meet_domains();
+        let digest = self.table.digest(&self.me.identity.domain);
+        let unranked = |far: &Far| far.rank.is_none();
+        if digest == self.told && !self.fars.iter().any(unranked) {
+            return;
+        }
         let own = Arc::clone(&self.me.identity.name);
         let peers = &self.peers;
         for far in &mut self.fars {
@@ -215,25 +221,22 @@
             let mine = weight(&own);
             far.rank = Some(peers.iter().filter(|p| weight(&p.name) < mine).count());
         }
-        self.tell_across(now, out);
+        if core::mem::replace(&mut self.told, digest) != digest {
+            self.tell_across(now, out);
+        }
     }
 
     /// Domains that rows or hints name.
     fn meet_domains(&mut self) {
-        let rows = self.table.digests().iter().map(|d| &d.domain);
-        let hints = self.hints().map(|h| &h.domain);
-        let unknown = |name: &&Arc<str>| {
-            **name != self.me.identity.domain
-                && self.fars.binary_search_by(|f| f.name.cmp(*name)).is_err()
-        };
-        let new: Vec<_> = rows.chain(hints).filter(unknown).map(Arc::clone).collect();
-        if new.is_empty() {
-            return;
-        }
-        for name in new {
-            self.far(&name);
+        let mut names = self.hints.new_domains();
+        let digests = self.table.digests().iter().map(|d| &d.domain);
+        let unmet = |name: &&Arc<str>| self.fars.binary_search_by(|f| f.name.cmp(*name)).is_err();
+        names.extend(digests.filter(unmet).map(Arc::clone));
+        for name in names {
+            if name != self.me.identity.domain {
+                self.far(&name);
+            }
         }
-        self.moved = true;
     }
 
     fn far(&mut self, name: &Arc<str>) -> &mut Far {
@@ -242,6 +245,7 @@
             Err(at) => {
                 self.fars.insert(at, Far::new(name));
                 self.moved = true;
+                self.sorted = None;
                 at
             }
         };
@@ -267,9 +271,8 @@
     }
 
     /// A domain's summary as the vitals of its processes; `None` if silent.
-    pub(super) fn far_vitals(&self, now: Time, domain: &str) -> Option<Vitals> {
-        let at = self.fars.binary_search_by(|f| (*f.name).cmp(domain)).ok()?;
-        let far = &self.fars[at];
+    pub(super) fn far_vitals(&self, now: Time, at: usize) -> Option<Vitals> {
+        let far = self.fars.get(at)?;
         let heard = far.heard?;
         (now.since(heard) <= SILENT).then_some(Vitals {
             version: far.summary.oldest,
--- a/crates/steer/src/process/traffic.rs
+++ b/crates/steer/src/process/traffic.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use crate::clock;
-use crate::process::{dispatch, gate};
+use crate::process::{dispatch, gate, outbox, share};
 use crate::request::{answer, arrival, key, outcome, record};
 use crate::version::view;
 
@@ -78,6 +78,27 @@
         /// Targets that broke; zero clears it.
         strikes: u8,
     },
+    /// Control says whether this process holds its part of every cap. Due every
+    /// two seconds; an old word doesn't count.
+    Hold(bool),
+    /// A peer lent a part of a cap, as [`Action::Borrow`] asked.
+    Borrowed {
+        /// The cap.
+        route: share::Route,
+        /// How much of it.
+        amount: u64,
+        /// When it was asked for.
+        asked: clock::Time,
+    },
+    /// A peer asks for a part of a cap; [`Action::Lend`] answers.
+    Wanted {
+        /// The driver's name for the question.
+        ask: record::AskId,
+        /// The cap.
+        route: share::Route,
+        /// How much of it.
+        amount: u64,
+    },
     /// The caller left without waiting for its answer.
     Gone(arrival::RequestId),
     /// A new view is in force.
@@ -173,6 +194,25 @@
         /// Where it listens.
         addr: SocketAddr,
     },
+    /// Ask a peer for a part of a cap; report back by [`Event::Borrowed`] if it
+    /// lends any.
+    Borrow {
+        /// The peer's address.
+        peer: SocketAddr,
+        /// The cap.
+        route: share::Route,
+        /// How much of it.
+        amount: u64,
+        /// To be given back with the answer.
+        asked: clock::Time,
+    },
+    /// Answer a peer that asked for a part of a cap; zero is "nothing".
+    Lend {
+        /// The driver's name for the question.
+        ask: record::AskId,
+        /// How much it gets.
+        amount: u64,
+    },
     /// Tell all peers how many targets broke under a request.
     Suspect {
         /// The request's fingerprint.
@@ -188,6 +228,7 @@
 pub struct Traffic {
     gate: gate::Gate,
     dispatch: dispatch::Dispatch,
+    outbox: outbox::Outbox,
     /// Scratch space, empty between events.
     asked: Vec<gate::Action>,
     sent: Vec<dispatch::Action>,
@@ -217,6 +258,7 @@
         Self {
             gate: gate::Gate::with_safeguards(home.clone(), me, limits, safe),
             dispatch: dispatch::Dispatch::new(home, rng),
+            outbox: outbox::Outbox::default(),
             asked: Vec::new(),
             sent: Vec::new(),
         }
@@ -225,7 +267,7 @@
     /// Takes one event and appends what is to be done to `out`.
     pub fn handle(&mut self, now: clock::Time, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Arrive(arrival) => self.gate(now, gate::Event::Arrive(arrival)),
+            Event::Arrive(arrival) => self.arrive(now, arrival, out),
             Event::Forwarded { id, ending } => {
                 self.gate(now, gate::Event::Forwarded { id, ending });
             }
@@ -235,8 +277,14 @@
             }
             Event::Stored { id, result } => self.gate(now, gate::Event::Stored { id, result }),
             Event::Leave => self.gate(now, gate::Event::Leave),
-            Event::Gone(id) if self.gate.holds(id) => self.gate(now, gate::Event::Gone(id)),
-            Event::Gone(id) => self.dispatch(now, dispatch::Event::Gone(id)),
+            Event::Gone(id) => {
+                self.outbox.forget(id);
+                if self.gate.holds(id) {
+                    self.gate(now, gate::Event::Gone(id));
+                } else {
+                    self.dispatch(now, dispatch::Event::Gone(id));
+                }
+            }
             Event::Ended {
                 id,
                 attempt,
@@ -265,6 +313,22 @@
                 };
                 self.dispatch(now, event);
             }
+            Event::Hold(held) => self.dispatch(now, dispatch::Event::Hold(held)),
+            Event::Borrowed {
+                route,
+                amount,
+                asked,
+            } => {
+                let event = dispatch::Event::Borrowed {
+                    route,
+                    amount,
+                    asked,
+                };
+                self.dispatch(now, event);
+            }
+            Event::Wanted { ask, route, amount } => {
+                self.dispatch(now, dispatch::Event::Wanted { ask, route, amount });
+            }
             Event::View(view) => {
                 self.dispatch(now, dispatch::Event::View(Arc::clone(&view)));
                 self.gate(now, gate::Event::View(view));
@@ -277,6 +341,34 @@
         self.settle(now, out);
     }
 
+    /// A request that came over a link is refused at once if its answer may
+    /// find no room on the way back. Another copy of a request that must not
+    /// repeat may have run, so its refusal isn't "not run".
+    fn arrive(&mut self, now: clock::Time, arrival: arrival::Arrival, out: &mut Vec<Action>) {
+        let id = arrival.id;
+        if let Some(link) = self.link_back(&arrival)
+            && !self.outbox.admit(now, id, link, self.dispatch.shares())
+        {
+            let after = Some(share::window::SPAN);
+            let refusal = if arrival.origin == arrival::Origin::Peer {
+                outcome::Refusal::not_run(outcome::Reason::Cap, after)
+            } else {
+                outcome::Refusal::unknown(outcome::Reason::Cap, after)
+            };
+            return out.push(Action::Refuse { id, refusal });
+        }
+        self.gate(now, gate::Event::Arrive(arrival));
+    }
+
+    fn link_back(&self, arrival: &arrival::Arrival) -> Option<share::Route> {
+        let via = arrival.via.as_ref()?;
+        let here = self.dispatch.region()?;
+        (via != here).then(|| share::Route::Link {
+            from: Arc::clone(here),
+            to: Arc::clone(via),
+        })
+    }
+
     /// The prefix for keys issued now; `None` while the process can't serve.
     /// A change is told by [`Action::Issue`].
     #[must_use]
@@ -284,11 +376,12 @@
         self.gate.key_prefix(now)
     }
 
-    /// Whether nothing is in flight: after [`Event::Leave`], the process may
+    /// Whether nothing is in flight or waits: after [`Event::Leave`], the process may
     /// end without cutting a request.
     #[must_use]
     pub fn drained(&self) -> bool {
-        self.gate.in_flight() == 0 && self.dispatch.in_flight() == 0
+        let busy = self.gate.in_flight() + self.dispatch.in_flight() + self.dispatch.waiting();
+        busy + self.outbox.waiting() == 0
     }
 
     /// The gate, for counts and dumps.
@@ -311,8 +404,34 @@
         self.dispatch.handle(now, event, &mut self.sent);
     }
 
-    /// Passes actions between the two parts until only the driver's are left.
+    /// Passes actions between the parts until only the driver's are left.
     fn settle(&mut self, now: clock::Time, out: &mut Vec<Action>) {
+        let first = out.len();
+        self.exchange(now, out);
+        self.hold_back(now, first, out);
+    }
+
+    /// Takes out answers that go over a link, and puts in those with room.
+    fn hold_back(&mut self, now: clock::Time, first: usize, out: &mut Vec<Action>) {
+        for action in out.split_off(first) {
+            match action {
+                Action::Reply { id, answer } if self.outbox.holds(id) => {
+                    self.outbox.put(id, outbox::Last::Reply(answer));
+                }
+                Action::Refuse { id, refusal } if self.outbox.holds(id) => {
+                    self.outbox.put(id, outbox::Last::Refuse(refusal));
+                }
+                other => out.push(other),
+            }
+        }
+        let free = self.outbox.release(now, self.dispatch.shares());
+        out.extend(free.into_iter().map(|(id, last)| match last {
+            outbox::Last::Reply(answer) => Action::Reply { id, answer },
+            outbox::Last::Refuse(refusal) => Action::Refuse { id, refusal },
+        }));
+    }
+
+    fn exchange(&mut self, now: clock::Time, out: &mut Vec<Action>) {
         while !self.asked.is_empty() || !self.sent.is_empty() {
             for action in core::mem::take(&mut self.asked) {
                 match action {
@@ -368,6 +487,18 @@
             dispatch::Action::Reply { id, answer } => Self::Reply { id, answer },
             dispatch::Action::Refuse { id, refusal } => Self::Refuse { id, refusal },
             dispatch::Action::Probe { target, addr } => Self::Probe { target, addr },
+            dispatch::Action::Borrow {
+                peer,
+                route,
+                amount,
+                asked,
+            } => Self::Borrow {
+                peer,
+                route,
+                amount,
+                asked,
+            },
+            dispatch::Action::Lend { ask, amount } => Self::Lend { ask, amount },
             dispatch::Action::Suspect {
                 fingerprint,
                 strikes,
--- a/crates/steer/tests/gate_scenarios/scene.rs
+++ b/crates/steer/tests/gate_scenarios/scene.rs
@@ -61,6 +61,14 @@
             });
         }
     }
+    for (i, &domain) in domains.iter().enumerate() {
+        view.entries.push(view::EntryData {
+            name: format!("entry{i}").into(),
+            domain,
+            state: view::State::Live,
+        });
+    }
+    allow_shifts(&mut view, regions);
     for &i in alive {
         view.members.push(view::MemberData {
             name: format!("entry{i}").into(),
@@ -73,3 +81,23 @@
     }
     Arc::new(view)
 }
+
+/// Caps wide enough never to bear on what is tested here.
+fn allow_shifts(view: &mut view::View, [a, b]: [view::Region; 2]) {
+    for (from, to) in [(a, b), (b, a)] {
+        view.links.push(view::Link {
+            from,
+            to,
+            bits: 1 << 40,
+        });
+        view.shifts
+            .extend(view.services.keys().map(|service| view::Shift {
+                service,
+                from,
+                to,
+                cap: 1 << 20,
+                ramp: Duration::ZERO,
+            }));
+    }
+    view.shifts.sort_by_key(|s| (s.service, s.from, s.to));
+}
