Let other domains introduce the processes of a restarted domain

Cause: in a trial that restarts a whole domain at once, with the platform's list 15 s behind, its processes spoke to the other domains within a second but did not find each other for more than 30 s: nobody else told them.

Change: a process whose digest of another domain's rows differs from the sender's not only asks for them but also tells what it knows.

Also: fleet measures an outage of the store and the restart of a domain.

--- a/crates/steer/examples/fleet.rs
+++ b/crates/steer/examples/fleet.rs
@@ -1,7 +1,8 @@
 //! Measures fleets of control states in virtual time.
 //!
 //! `cargo run --release -p steer --example fleet -- 7 20 40` prints a row for
-//! each size. Sizes of the configuration and of the domains follow the target's
+//! each size in ordinary operation; with `events` before the sizes, what an
+//! outage of the store and the restart of a whole failure domain cost. Sizes of the configuration and of the domains follow the target's
 //! proportions. Bytes are those of the payloads as they cross the wire; real
 //! time is that of control, encoding and decoding.
 
@@ -16,7 +17,7 @@
 use fleet::{Fleet, Layout};
 use steer::clock::Time;
 use steer::process::config::{Change, File, Head, RECENT};
-use steer::process::control::Safeguards;
+use steer::process::control::{Safeguards, Snapshot};
 use steer::version::view::Version;
 
 const TARGET: usize = 1500;
@@ -53,21 +54,31 @@
 }
 
 fn main() {
-    let sizes = std::env::args().skip(1);
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let events = args.first().is_some_and(|a| a == "events");
+    let sizes = args.iter().skip(usize::from(events));
     let sizes: Vec<usize> = sizes.map(|a| a.parse().expect("a number")).collect();
-    println!(
-        "nodes domains | quiet: B/s msg/s wireB/s cpu% | change: B cpu-ms  p50/p99/max s | \
-         death: p50/p99/max s  kB cpu-ms | steady: wireB/s cpu% | store calls/s quiet, max | kB/node"
-    );
+    println!("{}", if events { EVENTS } else { ORDINARY });
     for nodes in sizes {
-        measure(nodes);
+        if events {
+            measure_events(nodes);
+        } else {
+            measure(nodes);
+        }
     }
 }
 
-fn measure(nodes: usize) {
-    let start = Instant::now();
+const ORDINARY: &str = "nodes domains | quiet: B/s msg/s wireB/s cpu% | \
+    change: B cpu-ms  p50/p99/max s | death: p50/p99/max s  kB cpu-ms | \
+    steady: wireB/s cpu% | store calls/s quiet, max | kB/node";
+
+const EVENTS: &str = "nodes domains | store away 120 s: calls/s mean, max; in the 60 s after: \
+    mean, max | a domain restarted at once: s until the last is ready, \
+    s until all are in all look-ups, wireB/s of the other processes";
+
+/// A fleet with a first version in force, and its files.
+fn settled(nodes: usize) -> (Fleet, Vec<File>) {
     let domains = (nodes * TARGET_DOMAINS).div_ceil(TARGET).max(6);
-    let before = resident();
     let mut fleet = Fleet::new(Layout {
         domains,
         nodes,
@@ -89,13 +100,87 @@
     }
     write(&mut fleet, 1, files.clone());
     fleet.run(Duration::from_secs(40));
-    eprintln!("started {:.1?}", start.elapsed());
-    let missing = fleet
-        .nodes
-        .iter()
-        .filter(|n| n.control.version() != Version(1))
-        .count();
-    assert_eq!(missing, 0, "processes without the first version");
+    let mut versions = fleet.nodes.iter().map(|n| n.control.version());
+    assert!(versions.all(|v| v == Version(1)), "the first version lacks");
+    (fleet, files)
+}
+
+fn measure_events(nodes: usize) {
+    let (mut fleet, _) = settled(nodes);
+    let domains = (nodes * TARGET_DOMAINS).div_ceil(TARGET).max(6);
+    fleet.store_away(true);
+    let away = fleet.now;
+    fleet.run(Duration::from_mins(2));
+    let during = load(calls(&fleet, away));
+    fleet.store_away(false);
+    let back = fleet.now;
+    fleet.run(Duration::from_mins(1));
+    let after = load(calls(&fleet, back));
+    let (ready, seen, bytes) = restart(&mut fleet, domains);
+    println!(
+        "{nodes:5} {domains:3} | {:6.1} {:4} {:6.1} {:4} | {ready:4.1} {seen:4.1} {bytes:6.0}",
+        during.0, during.1, after.0, after.1
+    );
+}
+
+/// Kills all processes of domain 1 and starts them anew at once.
+fn restart(fleet: &mut Fleet, domains: usize) -> (f64, f64, f64) {
+    let slots: Vec<usize> = (1..fleet.slots.len()).step_by(domains).collect();
+    for &slot in &slots {
+        fleet.kill(fleet.slots[slot]);
+    }
+    for &slot in &slots {
+        fleet.start(slot, None);
+    }
+    let nodes = fleet.slots.len();
+    let from = totals(fleet);
+    let (mut ready, mut seen) = (f64::NAN, f64::NAN);
+    for tenth in 1..=300 {
+        fleet.run(Duration::from_millis(100));
+        let at = f64::from(tenth) / 10.0;
+        let started = |&slot: &usize| fleet.nodes[fleet.slots[slot]].control.is_ready();
+        if ready.is_nan() && slots.iter().all(started) {
+            ready = at;
+        }
+        let known = fleet.slots.iter().all(|&at| {
+            let shown = fleet.nodes[at].shown.as_ref();
+            shown.is_some_and(|s| s.members.len() == nodes && names_new(fleet, s, &slots))
+        });
+        if seen.is_nan() && known {
+            seen = at;
+        }
+        if !ready.is_nan() && !seen.is_nan() {
+            break;
+        }
+    }
+    let rates = rates(nodes, from, totals(fleet));
+    (ready, seen, rates.bytes + rates.messages * OVERHEAD)
+}
+
+fn names_new(fleet: &Fleet, shown: &Snapshot, slots: &[usize]) -> bool {
+    slots.iter().all(|&slot| {
+        let node = &fleet.nodes[fleet.slots[slot]];
+        let members = &shown.members;
+        let name = fleet.name(slot);
+        let found = members.binary_search_by(|s| (*s.record.identity.name).cmp(&name));
+        found.is_ok_and(|at| {
+            let incarnation = members[at].record.stamp.incarnation;
+            incarnation == node.control.record().stamp.incarnation
+        })
+    })
+}
+
+fn load(calls: &[u32]) -> (f64, u32) {
+    let sum: u32 = calls.iter().sum();
+    let max = calls.iter().max().copied().unwrap_or(0);
+    (f64::from(sum) / as_f64(calls.len().max(1)), max)
+}
+
+fn measure(nodes: usize) {
+    let start = Instant::now();
+    let domains = (nodes * TARGET_DOMAINS).div_ceil(TARGET).max(6);
+    let before = resident();
+    let (mut fleet, mut files) = settled(nodes);
     let memory = resident().saturating_sub(before) / nodes;
 
     let quiet_from = totals(&fleet);
@@ -104,7 +189,6 @@
     let calls = calls(&fleet, quiet_from.now);
     let mean: f64 = calls.iter().map(|&c| f64::from(c)).sum::<f64>() / QUIET.as_secs_f64();
 
-    eprintln!("quiet {:.1?}", start.elapsed());
     let change_from = totals(&fleet);
     let mut delays = Vec::new();
     for change in 0..CHANGES {
@@ -115,7 +199,6 @@
     let peak = self::calls(&fleet, change_from.now);
     let peak = peak.iter().max().copied().unwrap_or(0);
 
-    eprintln!("changes {:.1?}", start.elapsed());
     let death_from = totals(&fleet);
     let mut drops = Vec::new();
     for death in 0..DEATHS {
--- a/crates/steer/src/process/control/across.rs
+++ b/crates/steer/src/process/control/across.rs
@@ -142,8 +142,7 @@
         let asked = far.wanted.is_some_and(|t| now.since(t) < WANT);
         if differs && !asked {
             far.wanted = Some(now);
-            let domains = vec![Arc::clone(domain)];
-            self.send(to, Content::Want(domains), out);
+            self.compare_rows(to, domain, out);
         }
         let contact = Contact {
             addr: to,
@@ -171,6 +170,19 @@
         self.send(contact.addr, Content::Across(answer), out);
     }
 
+    /// Asks a process of another domain for its domain's rows, and tells it
+    /// those known here: when a whole domain restarts at once, and the list
+    /// lags, its processes find each other through the other domains.
+    fn compare_rows(&mut self, to: SocketAddr, domain: &Arc<str>, out: &mut Vec<Action>) {
+        let domains = vec![Arc::clone(domain)];
+        self.send(to, Content::Want(domains), out);
+        let rows = self.table.domain(domain).iter();
+        let rows: Vec<_> = rows.map(|row| Arc::clone(&row.record)).collect();
+        if self.guards.introduce && !rows.is_empty() {
+            self.send(to, Content::Rows(rows), out);
+        }
+    }
+
     /// Tells all other domains that this one changed, without waiting for the
     /// next round: those that this process calls, and those that call it.
     pub(super) fn tell_across(&mut self, now: Time, out: &mut Vec<Action>) {
--- a/crates/steer/src/process/control/types.rs
+++ b/crates/steer/src/process/control/types.rs
@@ -46,6 +46,8 @@
     pub pull: bool,
     /// Others are asked before a silent process is dropped.
     pub confirm: bool,
+    /// Other domains introduce the processes of a domain to each other.
+    pub introduce: bool,
     /// Safeguards of static shares.
     pub slot: slot::Guards,
 }
@@ -59,6 +61,7 @@
             reread: true,
             pull: true,
             confirm: true,
+            introduce: true,
             slot: slot::Guards::default(),
         }
     }
--- a/crates/steer/tests/control_scenarios/script.rs
+++ b/crates/steer/tests/control_scenarios/script.rs
@@ -21,6 +21,7 @@
         "reread" => &mut guards.reread,
         "pull" => &mut guards.pull,
         "confirm" => &mut guards.confirm,
+        "introduce" => &mut guards.introduce,
         "quarantine" => &mut guards.slot.quarantine,
         "hold" => &mut guards.slot.confirm,
         "transition" => &mut guards.slot.transition,
