Ask three others about a silent process

Cause: with one message in ten lost, 21 processes dropped each other 5 times by mistake in ten minutes of virtual time when two were asked (112 times when none was). Each was refuted, but callers may have missed an instance for a second.

Change: three are asked; the scenario lossy has the count.

--- a/crates/steer/src/process/control/near.rs
+++ b/crates/steer/src/process/control/near.rs
@@ -11,7 +11,7 @@
 use crate::process::member::{Life, Record, Stamp, Vitals};
 
 /// Processes asked about a silent one.
-const WITNESSES: usize = 2;
+const WITNESSES: usize = 3;
 
 impl Control {
     /// Takes a message of any kind.
--- a/crates/steer/tests/control_scenarios/script.rs
+++ b/crates/steer/tests/control_scenarios/script.rs
@@ -93,6 +93,11 @@
             "shares" => self.shares(),
             "files" => self.files(&text(case, "of")),
             "stamps" => self.stamps(&text(case, "of"), &text(case, "about")),
+            "dropped" => {
+                let nodes = self.fleet().nodes.iter();
+                let dropped: u64 = nodes.map(|n| n.control.counters().dropped).sum();
+                format!("{dropped}\n")
+            }
             "notices" => self.notices(&text(case, "of")),
             other => panic!("no directive {other}"),
         }
