--- /dev/null
+++ b/crates/auburnrouter/tests/edge.rs
@@ -0,0 +1,141 @@
+//! What whoever connects gets at the edge of an entry instance, whatever it
+//! sends: a typed refusal that says whether the request ran, or an answer.
+
+#[path = "edge/bench.rs"]
+mod bench;
+
+use std::io::Write;
+
+use bench::{Bench, SECRET};
+use rstest::rstest;
+
+const HALF: &str = "POST /s/stock/x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nfour";
+
+/// The caller sends nonsense or too much and gets a final answer at once.
+///
+/// The entry instance never passes such a request on. A request whose head it
+/// could not read may repeat a key, so the answer is "unknown" there.
+#[rstest]
+#[case::request_line("NONSENSE\r\n\r\n", "400", "unknown")]
+#[case::method("FETCH /s/stock/x HTTP/1.1\r\nHost: a\r\n\r\n", "400", "unknown")]
+#[case::both_lengths(
+    "POST /s/stock/x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "400",
+    "unknown"
+)]
+#[case::deadline(
+    "GET /s/stock/x HTTP/1.1\r\nHost: a\r\nDeadline-Ms: soon\r\n\r\n",
+    "400",
+    "not-run"
+)]
+#[case::keyed_deadline(
+    "GET /s/stock/x HTTP/1.1\r\nHost: a\r\nDeadline-Ms: soon\r\nIdempotency-Key: k\r\n\r\n",
+    "400",
+    "unknown"
+)]
+#[case::path("GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n", "400", "not-run")]
+#[case::service("GET /s/nothing/x HTTP/1.1\r\nHost: a\r\n\r\n", "404", "not-run")]
+#[case::lookup_service("GET /lookup?service=nothing HTTP/1.1\r\nHost: a\r\n\r\n", "404", "not-run")]
+#[case::lookup_client("GET /lookup?client=here HTTP/1.1\r\nHost: a\r\n\r\n", "400", "not-run")]
+#[case::metrics("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n", "400", "not-run")]
+#[case::dump("GET /dump HTTP/1.1\r\nHost: a\r\n\r\n", "400", "not-run")]
+#[case::key_missing("POST /s/pay/x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", "400", "not-run")]
+fn refuse_malformed(#[case] text: &str, #[case] status: &str, #[case] outcome: &str) {
+    let bench = Bench::start("");
+    let answer = bench.say(text);
+    assert_eq!(answer.status, status, "{answer:?}");
+    assert_eq!(answer.header("outcome"), Some(outcome), "{answer:?}");
+    assert!(answer.header("reason").is_some(), "{answer:?}");
+    bench.stop();
+}
+
+#[test]
+fn refuse_long_head() {
+    let bench = Bench::start(r#""head_bytes": 1024"#);
+    let filler = "x".repeat(4096);
+    let answer = bench.say(&format!("GET /s/stock/x HTTP/1.1\r\nFiller: {filler}\r\n\r\n"));
+    assert_eq!(answer.status, "431", "{answer:?}");
+    assert_eq!(answer.header("outcome"), Some("unknown"));
+    bench.stop();
+}
+
+#[test]
+fn refuse_long_body() {
+    let bench = Bench::start(r#""body_bytes": 1024"#);
+    let body = "x".repeat(4096);
+    let answer = bench.say(&format!(
+        "POST /s/stock/x HTTP/1.1\r\nHost: a\r\nContent-Length: 4096\r\n\r\n{body}"
+    ));
+    assert_eq!(answer.status, "413", "{answer:?}");
+    assert_eq!(answer.header("outcome"), Some("not-run"));
+    bench.stop();
+}
+
+/// The caller sends half a request and stalls; it gets a 408 and is closed.
+///
+/// Its request never reached a target. Without the time limit the connection
+/// would be held until the caller's system gives up, and a few thousand of them
+/// would shut all other callers out.
+#[test]
+fn refuse_half_sent() {
+    let bench = Bench::start(r#""request_ms": 300"#);
+    let answer = bench.say(HALF);
+    assert_eq!(answer.status, "408", "{answer:?}");
+    assert_eq!(answer.header("outcome"), Some("unknown"));
+    assert_eq!(bench.executed(), 0);
+    bench.stop();
+}
+
+/// More callers connect than the instance takes; the one too many is told so.
+#[test]
+fn refuse_connection_too_many() {
+    let bench = Bench::start(r#""connections": 2"#);
+    let mut open = [bench.connect(), bench.connect()];
+    for stream in &mut open {
+        stream.write_all(HALF.as_bytes()).expect("the connection is open");
+    }
+    let answer = bench.say_until(HALF, |answer| answer.status == "503");
+    assert_eq!(answer.header("outcome"), Some("unknown"), "{answer:?}");
+    assert!(answer.header("retry-after").is_some());
+    drop(open);
+    bench.stop();
+}
+
+#[test]
+fn answer_not_ready() {
+    let bench = Bench::start_empty();
+    let lookup = bench.say("GET /lookup?service=stock HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(lookup.status, "503", "{lookup:?}");
+    assert_eq!(lookup.header("reason"), Some("not-ready"));
+    let request = bench.say("GET /s/stock/x HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(request.header("reason"), Some("not-ready"));
+    assert_eq!(request.header("outcome"), Some("not-run"));
+    bench.stop();
+}
+
+#[rstest]
+#[case::none(None, "401")]
+#[case::wrong(Some("not-the-secret-0123456789"), "401")]
+#[case::shorter(Some("s"), "401")]
+#[case::right(Some(SECRET), "200")]
+fn operators_secret(#[case] secret: Option<&str>, #[case] status: &str) {
+    let bench = Bench::start_empty();
+    let line = secret.map(|s| format!("Authorization: Bearer {s}\r\n"));
+    let line = line.unwrap_or_default();
+    let text = format!("GET /dump HTTP/1.1\r\nHost: a\r\n{line}\r\n");
+    let answer = bench.say_to(bench.operators(), &text);
+    assert_eq!(answer.status, status, "{answer:?}");
+    assert!(!answer.body.contains(SECRET));
+    bench.stop();
+}
+
+/// Somebody connects to the peers' listener and doesn't know the secret; it is
+/// closed without a call taken, and the instance goes on.
+#[test]
+fn refuse_peer_without_secret() {
+    let bench = Bench::start("");
+    assert!(bench.is_closed_after(bench.peers(), &[7; 65]));
+    let answer = bench.say("GET /s/stock/x HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(answer.status, "200", "{answer:?}");
+    bench.stop();
+}
--- /dev/null
+++ b/crates/auburnrouter/tests/edge/bench.rs
@@ -0,0 +1,216 @@
+//! One entry instance with a store and a target, and raw connections to it.
+
+use std::ffi::OsString;
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::unix::fs::PermissionsExt;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use auburnrouter::daemon;
+use standin::{store, target};
+use wire::instance;
+
+pub const SECRET: &str = "edge-secret-0123456789";
+
+/// Longest that anything is waited for.
+const BOUND: Duration = Duration::from_secs(20);
+
+const BASE: &str = r#"{
+  "regions": { "r": { "domains": { "d": { "entries": ["a"], "sites": ["s"] } } } },
+  "classes": [ { "name": "urgent", "queue_percent": 100 } ],
+  "services": {
+    "stock": { "class": "urgent", "idempotent": true, "deadline_ms": 2000, "sites": ["s"] },
+    "pay": { "class": "urgent", "idempotent": false, "deadline_ms": 2000, "sites": ["s"] }
+  }
+}"#;
+
+pub struct Bench {
+    folder: PathBuf,
+    store: store::Store,
+    target: target::Target,
+    entry: daemon::Running,
+}
+
+#[derive(Debug)]
+pub struct Answer {
+    pub status: String,
+    pub body: String,
+    headers: Vec<(String, String)>,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(n, _)| n == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    fn parse(text: &str) -> Self {
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((text, ""));
+        let mut lines = head.lines();
+        let status = lines.next().and_then(|l| l.split(' ').nth(1));
+        let headers = lines.filter_map(|l| l.split_once(": "));
+        Self {
+            status: status.unwrap_or_default().to_owned(),
+            headers: headers
+                .map(|(n, v)| (n.to_ascii_lowercase(), v.to_owned()))
+                .collect(),
+            body: body.to_owned(),
+        }
+    }
+}
+
+impl Bench {
+    /// With a configuration in force; `limits` go into the settings.
+    pub fn start(limits: &str) -> Self {
+        let bench = Self::with_limits(limits);
+        let base = bench.folder.join("base.jsonc");
+        fs::write(&base, BASE).expect("the folder is writable");
+        let args: [OsString; 6] = [
+            "apply".into(),
+            base.into(),
+            "--operators".into(),
+            bench.operators().to_string().into(),
+            "--secret-file".into(),
+            bench.folder.join("secret").into(),
+        ];
+        assert_eq!(auburnrouter::run(args), ExitCode::SUCCESS);
+        let until = Instant::now() + BOUND;
+        let ready = || bench.say("GET /s/stock/ready HTTP/1.1\r\nHost: a\r\n\r\n").status == "200";
+        while !ready() {
+            assert!(Instant::now() < until, "the entry instance isn't ready in time");
+        }
+        bench
+    }
+
+    /// Without a configuration.
+    pub fn start_empty() -> Self {
+        Self::with_limits("")
+    }
+
+    fn with_limits(limits: &str) -> Self {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("auburnrouter-edge-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder).expect("the temporary place is writable");
+        let secret = folder.join("secret");
+        fs::write(&secret, SECRET).expect("the folder is writable");
+        fs::set_permissions(&secret, fs::Permissions::from_mode(0o600)).expect("it is ours");
+        let store = store::Store::start(store::Config {
+            listen: ([127, 0, 0, 1], 0).into(),
+            lag: Duration::ZERO,
+        });
+        let store = store.expect("a port is free");
+        let config = target::Config::new("t", "stock", "s", "d");
+        let target = target::Target::start(config).expect("a port is free");
+        let instances = vec![target.instance()];
+        store.list(instance::Instances { instances });
+        let any = "127.0.0.1:0";
+        let settings = format!(
+            r#"{{ "name": "a", "domain": "d",
+                 "listen": {{ "callers": "{any}", "peers": "{any}", "operators": "{any}" }},
+                 "seeds": [], "store": ["{}"], "secret_file": "{}", "limits": {{ {limits} }} }}"#,
+            store.addr(),
+            secret.display()
+        );
+        let settings = settings::Settings::parse("edge", &settings).expect("settings are valid");
+        let bound = daemon::Bound::new(settings, None).expect("ports are free");
+        let entry = bound.start().expect("threads start");
+        Self {
+            folder,
+            store,
+            target,
+            entry,
+        }
+    }
+
+    pub fn operators(&self) -> SocketAddr {
+        self.entry.addresses().operators
+    }
+
+    pub fn peers(&self) -> SocketAddr {
+        self.entry.addresses().peers
+    }
+
+    /// Requests the target ran, but for those that waited for readiness.
+    pub fn executed(&self) -> usize {
+        let runs = self.target.executed().runs;
+        runs.iter().filter(|run| run.path != "/ready").count()
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        connect(self.entry.addresses().callers)
+    }
+
+    /// Sends text to the callers' listener and gives the answer.
+    pub fn say(&self, text: &str) -> Answer {
+        self.say_to(self.entry.addresses().callers, text)
+    }
+
+    pub fn say_to(&self, addr: SocketAddr, text: &str) -> Answer {
+        let mut stream = connect(addr);
+        stream.write_all(text.as_bytes()).expect("the connection is open");
+        Answer::parse(&read_answer(&mut stream))
+    }
+
+    /// Sends text again until the answer is as wanted.
+    pub fn say_until(&self, text: &str, wanted: impl Fn(&Answer) -> bool) -> Answer {
+        let until = Instant::now() + BOUND;
+        loop {
+            let answer = self.say(text);
+            if wanted(&answer) {
+                return answer;
+            }
+            assert!(Instant::now() < until, "never as wanted: {answer:?}");
+        }
+    }
+
+    /// Whether the other end closes the connection once it got these bytes.
+    pub fn is_closed_after(&self, addr: SocketAddr, bytes: &[u8]) -> bool {
+        let mut stream = connect(addr);
+        stream.write_all(bytes).expect("the connection is open");
+        let mut rest = Vec::new();
+        // A reset says the same as an end.
+        stream.read_to_end(&mut rest).map_or(true, |len| len < 64)
+    }
+
+    pub fn stop(self) {
+        self.entry.stop();
+        smol::block_on(async {
+            self.target.stop().await;
+            self.store.stop().await;
+        });
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn connect(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).expect("it listens");
+    stream.set_read_timeout(Some(BOUND)).expect("the time isn't zero");
+    stream
+}
+
+/// Reads the head, and as much of the body as the head announces.
+fn read_answer(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 4096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let head = head.to_ascii_lowercase();
+            let length = head.lines().find_map(|l| l.strip_prefix("content-length: "));
+            let length: usize = length.and_then(|l| l.parse().ok()).unwrap_or(0);
+            if body.len() >= length {
+                return text;
+            }
+        }
+        match stream.read(&mut chunk) {
+            Ok(0) | Err(_) => return text,
+            Ok(len) => bytes.extend_from_slice(&chunk[..len]),
+        }
+    }
+}
