Keep a head that comes while the one before is installed

Cause: a watch tells of a head once. One that came while the driver verified the version before was dropped, and found again only by a peer or by the re-read, up to a minute and a half later. Found by reading; today's driver answers at once, so that callers never saw it.

The conversions of the wire types have a file of their own.

--- a/crates/steer/src/process/config/keeper.rs
+++ b/crates/steer/src/process/config/keeper.rs
@@ -45,6 +45,8 @@
 pub struct Keeper {
     held: Option<Arc<Head>>,
     next: Option<Next>,
+    /// A head that came while the driver installed the one before.
+    later: Option<(Arc<Head>, Source)>,
     bodies: Vec<Body>,
     barred: Version,
     unordered: bool,
@@ -122,8 +124,8 @@
             return Verdict::Barred;
         }
         if self.next.as_ref().is_some_and(|n| n.installing) {
-            // The driver's verdict is due at once; the head is heard of again.
-            return Verdict::Same;
+            self.later = Some((Arc::clone(head), source));
+            return Verdict::Newer;
         }
         self.next = Some(Next {
             head: Arc::clone(head),
@@ -178,6 +180,7 @@
         };
         self.held = Some(next.head);
         self.sweep();
+        self.take_later();
         true
     }
 
@@ -188,6 +191,7 @@
         };
         self.barred = next.head.version;
         self.sweep();
+        self.take_later();
         true
     }
 
@@ -196,6 +200,13 @@
             .take_if(|n| n.installing && n.head.version == version)
     }
 
+    /// The watch that told of it won't tell again, so it must not be lost.
+    fn take_later(&mut self) {
+        if let Some((head, source)) = self.later.take() {
+            self.offer(&head, source);
+        }
+    }
+
     /// Drops bodies that the version in force doesn't use.
     fn sweep(&mut self) {
         let files = self.held.as_ref().map_or(&[][..], |head| &head.files);
--- /dev/null
+++ b/crates/wire/src/beat/convert.rs
@@ -0,0 +1,397 @@
+//! Conversions between heartbeats and their inner twins.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use steer::clock::Time;
+use steer::process::config::{self, RECENT};
+use steer::process::control::message;
+use steer::process::member::{self, table};
+use steer::version::view;
+
+use super::{
+    Across, Beat, Body, Change, Content, Digest, File, Head, Heard, Life, Malformed, Message,
+    NAME_MAX, Record, Stamp, Summary, Vitals,
+};
+
+fn name(name: String) -> Result<Arc<str>, Malformed> {
+    if name.is_empty() || name.len() > NAME_MAX {
+        return Err(Malformed::Name(name.len()));
+    }
+    Ok(name.into())
+}
+
+fn millis(age: Duration) -> u32 {
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
+
+impl From<member::Stamp> for Stamp {
+    fn from(stamp: member::Stamp) -> Self {
+        Self {
+            generation: stamp.generation,
+            incarnation: stamp.incarnation.0.to_le_bytes(),
+        }
+    }
+}
+
+impl From<Stamp> for member::Stamp {
+    fn from(stamp: Stamp) -> Self {
+        Self {
+            generation: stamp.generation,
+            incarnation: view::Incarnation(u64::from_le_bytes(stamp.incarnation)),
+        }
+    }
+}
+
+impl From<member::Life> for Life {
+    fn from(life: member::Life) -> Self {
+        match life {
+            member::Life::Live => Self::Live,
+            member::Life::Leaving => Self::Leaving,
+            member::Life::Released => Self::Released,
+            member::Life::Dead => Self::Dead,
+        }
+    }
+}
+
+impl From<Life> for member::Life {
+    fn from(life: Life) -> Self {
+        match life {
+            Life::Live => Self::Live,
+            Life::Leaving => Self::Leaving,
+            Life::Released => Self::Released,
+            Life::Dead => Self::Dead,
+        }
+    }
+}
+
+impl From<&member::Record> for Record {
+    fn from(record: &member::Record) -> Self {
+        let identity = &record.identity;
+        Self {
+            name: identity.name.to_string(),
+            domain: identity.domain.to_string(),
+            addr: identity.addr,
+            peer: identity.peer,
+            stamp: record.stamp.into(),
+            serial: record.serial,
+            life: record.life.into(),
+        }
+    }
+}
+
+impl TryFrom<Record> for member::Record {
+    type Error = Malformed;
+
+    fn try_from(record: Record) -> Result<Self, Malformed> {
+        let identity = member::Identity {
+            name: name(record.name)?,
+            domain: name(record.domain)?,
+            addr: record.addr,
+            peer: record.peer,
+        };
+        Ok(Self {
+            identity,
+            stamp: record.stamp.into(),
+            serial: record.serial,
+            life: record.life.into(),
+        })
+    }
+}
+
+impl From<member::Vitals> for Vitals {
+    fn from(vitals: member::Vitals) -> Self {
+        Self {
+            version: vitals.version.0,
+            load: vitals.load,
+            store: vitals.store,
+        }
+    }
+}
+
+impl From<Vitals> for member::Vitals {
+    fn from(vitals: Vitals) -> Self {
+        Self {
+            version: view::Version(vitals.version),
+            load: vitals.load,
+            store: vitals.store,
+        }
+    }
+}
+
+impl From<member::Summary> for Summary {
+    fn from(summary: member::Summary) -> Self {
+        Self {
+            count: summary.count,
+            oldest: summary.oldest.0,
+            newest: summary.newest.0,
+            load: summary.load,
+        }
+    }
+}
+
+impl From<Summary> for member::Summary {
+    fn from(summary: Summary) -> Self {
+        Self {
+            count: summary.count,
+            oldest: view::Version(summary.oldest),
+            newest: view::Version(summary.newest),
+            load: summary.load,
+        }
+    }
+}
+
+impl From<&message::Heard> for Heard {
+    fn from(heard: &message::Heard) -> Self {
+        Self {
+            domain: heard.domain.to_string(),
+            age_ms: millis(heard.age),
+        }
+    }
+}
+
+impl TryFrom<Heard> for message::Heard {
+    type Error = Malformed;
+
+    fn try_from(heard: Heard) -> Result<Self, Malformed> {
+        Ok(Self {
+            domain: name(heard.domain)?,
+            age: Duration::from_millis(heard.age_ms.into()),
+        })
+    }
+}
+
+impl From<&message::Beat> for Beat {
+    fn from(beat: &message::Beat) -> Self {
+        Self {
+            vitals: beat.vitals.into(),
+            reply: beat.reply,
+            probe: beat.probe.as_micros(),
+            echo: beat.echo.map(Time::as_micros),
+            held: beat.held,
+            total: beat.total.to_le_bytes(),
+            heard: beat.heard.iter().map(Heard::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<Beat> for message::Beat {
+    type Error = Malformed;
+
+    fn try_from(beat: Beat) -> Result<Self, Malformed> {
+        let heard = beat.heard.into_iter().map(TryFrom::try_from);
+        Ok(Self {
+            vitals: beat.vitals.into(),
+            reply: beat.reply,
+            probe: Time::from_micros(beat.probe),
+            echo: beat.echo.map(Time::from_micros),
+            held: beat.held,
+            total: u64::from_le_bytes(beat.total),
+            heard: heard.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl From<message::Across> for Across {
+    fn from(across: message::Across) -> Self {
+        Self {
+            summary: across.summary.into(),
+            digest: across.digest.to_le_bytes(),
+            reply: across.reply,
+            probe: across.probe.as_micros(),
+            echo: across.echo.map(Time::as_micros),
+            held: across.held,
+        }
+    }
+}
+
+impl From<Across> for message::Across {
+    fn from(across: Across) -> Self {
+        Self {
+            summary: across.summary.into(),
+            digest: u64::from_le_bytes(across.digest),
+            reply: across.reply,
+            probe: Time::from_micros(across.probe),
+            echo: across.echo.map(Time::from_micros),
+            held: across.held,
+        }
+    }
+}
+
+impl From<&table::Digest> for Digest {
+    fn from(digest: &table::Digest) -> Self {
+        Self {
+            domain: digest.domain.to_string(),
+            value: digest.value.to_le_bytes(),
+        }
+    }
+}
+
+impl TryFrom<Digest> for table::Digest {
+    type Error = Malformed;
+
+    fn try_from(digest: Digest) -> Result<Self, Malformed> {
+        Ok(Self {
+            domain: name(digest.domain)?,
+            value: u64::from_le_bytes(digest.value),
+        })
+    }
+}
+
+impl From<&config::Head> for Head {
+    fn from(head: &config::Head) -> Self {
+        let change = |c: &config::Change| Change {
+            version: c.version.0,
+            id: c.id.to_string(),
+        };
+        let file = |f: &config::File| File {
+            name: f.name.to_string(),
+            hash: f.hash.0,
+        };
+        Self {
+            version: head.version.0,
+            recent: head.recent.iter().map(change).collect(),
+            files: head.files.iter().map(file).collect(),
+        }
+    }
+}
+
+impl TryFrom<Head> for config::Head {
+    type Error = Malformed;
+
+    fn try_from(head: Head) -> Result<Self, Malformed> {
+        let version = head.version;
+        if version == 0 || head.recent.is_empty() || head.recent.len() > RECENT {
+            return Err(Malformed::Head(version));
+        }
+        if !head.files.is_sorted_by(|a, b| a.name < b.name) {
+            return Err(Malformed::Order(version));
+        }
+        let change = |c: Change| {
+            Ok(config::Change {
+                version: view::Version(c.version),
+                id: name(c.id)?,
+            })
+        };
+        let file = |f: File| {
+            Ok(config::File {
+                name: name(f.name)?,
+                hash: config::Hash(f.hash),
+            })
+        };
+        Ok(Self {
+            version: view::Version(version),
+            recent: head
+                .recent
+                .into_iter()
+                .map(change)
+                .collect::<Result<_, _>>()?,
+            files: head.files.into_iter().map(file).collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl From<&config::Body> for Body {
+    fn from(body: &config::Body) -> Self {
+        Self {
+            hash: body.hash.0,
+            bytes: body.bytes.to_vec(),
+        }
+    }
+}
+
+impl From<Body> for config::Body {
+    fn from(body: Body) -> Self {
+        Self {
+            hash: config::Hash(body.hash),
+            bytes: body.bytes.into(),
+        }
+    }
+}
+
+impl From<&message::Content> for Content {
+    fn from(content: &message::Content) -> Self {
+        use message::Content as Inner;
+        match content {
+            Inner::Beat(beat) => Self::Beat(beat.into()),
+            Inner::Across(across) => Self::Across((*across).into()),
+            Inner::Sync(digests) => Self::Sync(digests.iter().map(Digest::from).collect()),
+            Inner::Want(domains) => Self::Want(domains.iter().map(ToString::to_string).collect()),
+            Inner::Rows(rows) => Self::Rows(rows.iter().map(|r| Record::from(&**r)).collect()),
+            Inner::Superseded(stamp) => Self::Superseded((*stamp).into()),
+            Inner::Succeeded(stamp) => Self::Succeeded((*stamp).into()),
+            Inner::Ask(name) => Self::Ask(name.to_string()),
+            Inner::Told { name, stamp, age } => Self::Told {
+                name: name.to_string(),
+                stamp: (*stamp).into(),
+                age_ms: millis(*age),
+            },
+            Inner::Pull(version) => Self::Pull(version.0),
+            Inner::Offer(head) => Self::Offer((&**head).into()),
+            Inner::Fetch(hashes) => Self::Fetch(hashes.iter().map(|h| h.0).collect()),
+            Inner::Bodies(bodies) => Self::Bodies(bodies.iter().map(Body::from).collect()),
+        }
+    }
+}
+
+impl TryFrom<Content> for message::Content {
+    type Error = Malformed;
+
+    fn try_from(content: Content) -> Result<Self, Malformed> {
+        Ok(match content {
+            Content::Beat(beat) => Self::Beat(beat.try_into()?),
+            Content::Across(across) => Self::Across(across.into()),
+            Content::Sync(digests) => Self::Sync(each(digests)?),
+            Content::Want(domains) => {
+                Self::Want(domains.into_iter().map(name).collect::<Result<_, _>>()?)
+            }
+            Content::Rows(rows) => {
+                let rows: Vec<member::Record> = each(rows)?;
+                Self::Rows(rows.into_iter().map(Arc::new).collect())
+            }
+            Content::Superseded(stamp) => Self::Superseded(stamp.into()),
+            Content::Succeeded(stamp) => Self::Succeeded(stamp.into()),
+            Content::Ask(asked) => Self::Ask(name(asked)?),
+            Content::Told {
+                name: told,
+                stamp,
+                age_ms,
+            } => Self::Told {
+                name: name(told)?,
+                stamp: stamp.into(),
+                age: Duration::from_millis(age_ms.into()),
+            },
+            Content::Pull(version) => Self::Pull(view::Version(version)),
+            Content::Offer(head) => Self::Offer(Arc::new(head.try_into()?)),
+            Content::Fetch(hashes) => Self::Fetch(hashes.into_iter().map(config::Hash).collect()),
+            Content::Bodies(bodies) => {
+                Self::Bodies(bodies.into_iter().map(config::Body::from).collect())
+            }
+        })
+    }
+}
+
+/// Converts a list, or gives the first error.
+fn each<W, T: TryFrom<W, Error = Malformed>>(list: Vec<W>) -> Result<Vec<T>, Malformed> {
+    list.into_iter().map(T::try_from).collect()
+}
+
+impl From<&message::Message> for Message {
+    fn from(message: &message::Message) -> Self {
+        Self {
+            from: Record::from(&*message.from),
+            content: Content::from(&message.content),
+        }
+    }
+}
+
+impl TryFrom<Message> for message::Message {
+    type Error = Malformed;
+
+    fn try_from(message: Message) -> Result<Self, Malformed> {
+        Ok(Self {
+            from: Arc::new(message.from.try_into()?),
+            content: message.content.try_into()?,
+        })
+    }
+}
