Scenario: a process paused with its clock, as a hypervisor does

It can't notice by its own clock. Its peers tell it that they hold it for dead; with doubt off it never knows. Passes with the safeguard, differs without.

--- a/crates/steer/tests/control_scenarios/script.rs
+++ b/crates/steer/tests/control_scenarios/script.rs
@@ -246,6 +246,7 @@
             "leave" => fleet.feed(at, Event::Leave),
             "freeze" => fleet.freeze(at),
             "thaw" => fleet.thaw(at),
+            "resume" => fleet.resume(at),
             // The predecessor of that name, if it was replaced.
             "thaw-old" => {
                 let old = (0..at).rev().find(|&i| fleet.nodes[i].slot == slot);
