--- a/crates/steer/src/process/traffic.rs
+++ b/crates/steer/src/process/traffic.rs
@@ -8,17 +8,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::clock::Time;
-use crate::process::dispatch::{self, Dispatch, Ending, Home, Place, Report};
-use crate::process::gate::{self, Gate, Limits, Peer, Safeguards, Verdict};
-use crate::process::outbox::{Last, Outbox};
-use crate::process::share::{self, Route};
-use crate::request::answer::Answer;
-use crate::request::arrival::{Arrival, AttemptId, Fingerprint, Origin, RequestId};
-use crate::request::key::Prefix;
-use crate::request::outcome::{Reason, Refusal};
-use crate::request::record::{AskId, Question, StoreCall, StoreResult, Word};
-use crate::version::view::{Incarnation, View};
+use crate::clock;
+use crate::process::{dispatch, gate, outbox, share};
+use crate::request::{answer, arrival, key, outcome, record};
+use crate::version::view;
 
 pub use dispatch::TICK;
 
@@ -26,62 +19,62 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A request arrived, from a caller or a peer.
-    Arrive(Arrival),
+    Arrive(arrival::Arrival),
     /// An [`Action::Send`] ended.
     Ended {
         /// The request it was for.
-        id: RequestId,
+        id: arrival::RequestId,
         /// The attempt.
-        attempt: AttemptId,
+        attempt: arrival::AttemptId,
         /// How it ended.
-        ending: Ending,
+        ending: dispatch::Ending,
     },
     /// An [`Action::Forward`] ended.
     Forwarded {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// How it ended.
-        ending: Ending,
+        ending: dispatch::Ending,
     },
     /// An [`Action::Ask`] ended; `None` if no answer came.
     Told {
         /// The question.
-        ask: AskId,
+        ask: record::AskId,
         /// The peer's word.
-        word: Option<Word>,
+        word: Option<record::Word>,
     },
     /// A peer asks this process; [`Action::Tell`] answers.
     Asked {
         /// The driver's name for the question, never reused.
-        ask: AskId,
+        ask: record::AskId,
         /// What it asks.
-        question: Question,
+        question: record::Question,
     },
     /// An [`Action::Store`] ended.
     Stored {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// How it ended.
-        result: StoreResult,
+        result: record::StoreResult,
     },
     /// A target reported its load.
     Report {
         /// Name of the target.
         target: Arc<str>,
         /// What it says.
-        report: Report,
+        report: dispatch::Report,
     },
     /// An [`Action::Probe`] ended.
     Probed {
         /// Name of the target.
         target: Arc<str>,
         /// What it said; `None` if it couldn't be reached.
-        report: Option<Report>,
+        report: Option<dispatch::Report>,
     },
     /// A peer says how many targets broke under a request.
     Suspected {
         /// The request's fingerprint.
-        fingerprint: Fingerprint,
+        fingerprint: arrival::Fingerprint,
         /// Targets that broke; zero clears it.
         strikes: u8,
     },
@@ -91,25 +84,25 @@
     /// A peer lent a part of a cap, as [`Action::Borrow`] asked.
     Borrowed {
         /// The cap.
-        route: Route,
+        route: share::Route,
         /// How much of it.
         amount: u64,
         /// When it was asked for.
-        asked: Time,
+        asked: clock::Time,
     },
     /// A peer asks for a part of a cap; [`Action::Lend`] answers.
     Wanted {
         /// The driver's name for the question.
-        ask: AskId,
+        ask: record::AskId,
         /// The cap.
-        route: Route,
+        route: share::Route,
         /// How much of it.
         amount: u64,
     },
     /// The caller left without waiting for its answer.
-    Gone(RequestId),
+    Gone(arrival::RequestId),
     /// A new view is in force.
-    View(Arc<View>),
+    View(Arc<view::View>),
     /// Time passed; due at least every [`TICK`].
     Tick,
     /// The process is to stop: it runs no new keys, and finishes what it has.
@@ -124,11 +117,11 @@
     /// Sent over one connection, once: no layer below may repeat it.
     Send {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// Name of this try.
-        attempt: AttemptId,
+        attempt: arrival::AttemptId,
         /// Where to.
-        place: Place,
+        place: dispatch::Place,
         /// Time after which the driver gives the attempt up.
         budget: Duration,
     },
@@ -136,61 +129,61 @@
     /// must not be used again.
     Cancel {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// The try to stop.
-        attempt: AttemptId,
+        attempt: arrival::AttemptId,
     },
     /// Give the caller a target's answer.
     Reply {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// The whole answer.
-        answer: Arc<Answer>,
+        answer: Arc<answer::Answer>,
     },
     /// Give the caller a final refusal.
     Refuse {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// What to say.
-        refusal: Refusal,
+        refusal: outcome::Refusal,
     },
     /// Send the whole request to its key's owner, which takes it as
     /// [`Origin::Forward`](crate::request::arrival::Origin::Forward); report
     /// back by [`Event::Forwarded`].
     Forward {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// The owner.
-        peer: Peer,
+        peer: gate::Peer,
         /// Time after which the driver gives up.
         budget: Duration,
     },
     /// Ask a peer; report back by [`Event::Told`].
     Ask {
         /// Name of the question.
-        ask: AskId,
+        ask: record::AskId,
         /// The peer.
-        peer: Peer,
+        peer: gate::Peer,
         /// The question.
-        question: Question,
+        question: record::Question,
         /// Time after which the driver gives up.
         budget: Duration,
     },
     /// Answer a peer's question.
     Tell {
         /// The driver's name for the question.
-        ask: AskId,
+        ask: record::AskId,
         /// The answer.
-        word: Word,
+        word: record::Word,
     },
     /// Call the platform's store; report back by [`Event::Stored`].
     Store {
         /// The request.
-        id: RequestId,
+        id: arrival::RequestId,
         /// The key.
         key: Arc<str>,
         /// The call.
-        call: StoreCall,
+        call: record::StoreCall,
         /// Time after which the driver gives up.
         budget: Duration,
     },
@@ -207,35 +200,35 @@
         /// The peer's address.
         peer: SocketAddr,
         /// The cap.
-        route: Route,
+        route: share::Route,
         /// How much of it.
         amount: u64,
         /// To be given back with the answer.
-        asked: Time,
+        asked: clock::Time,
     },
     /// Answer a peer that asked for a part of a cap; zero is "nothing".
     Lend {
         /// The driver's name for the question.
-        ask: AskId,
+        ask: record::AskId,
         /// How much it gets.
         amount: u64,
     },
     /// Tell all peers how many targets broke under a request.
     Suspect {
         /// The request's fingerprint.
-        fingerprint: Fingerprint,
+        fingerprint: arrival::Fingerprint,
         /// Targets that broke; zero clears it.
         strikes: u8,
     },
     /// Look-up answers carry this key prefix from now on; `None`: none.
-    Issue(Option<Prefix>),
+    Issue(Option<key::Prefix>),
 }
 
 /// The gate and the dispatcher of one process.
 pub struct Traffic {
-    gate: Gate,
-    dispatch: Dispatch,
-    outbox: Outbox,
+    gate: gate::Gate,
+    dispatch: dispatch::Dispatch,
+    outbox: outbox::Outbox,
     /// Scratch space, empty between events.
     asked: Vec<gate::Action>,
     sent: Vec<dispatch::Action>,
@@ -244,30 +237,35 @@
 impl Traffic {
     /// An engine with nothing in flight and an empty view.
     #[must_use]
-    pub fn new(home: Home, me: Incarnation, limits: Limits, rng: fastrand::Rng) -> Self {
-        Self::with_safeguards(home, me, limits, Safeguards::ALL, rng)
+    pub fn new(
+        home: dispatch::Home,
+        me: view::Incarnation,
+        limits: gate::Limits,
+        rng: fastrand::Rng,
+    ) -> Self {
+        Self::with_safeguards(home, me, limits, gate::Safeguards::ALL, rng)
     }
 
     /// The same with safeguards taken out. For the explorer and tests only.
     #[must_use]
     pub fn with_safeguards(
-        home: Home,
-        me: Incarnation,
-        limits: Limits,
-        safe: Safeguards,
+        home: dispatch::Home,
+        me: view::Incarnation,
+        limits: gate::Limits,
+        safe: gate::Safeguards,
         rng: fastrand::Rng,
     ) -> Self {
         Self {
-            gate: Gate::with_safeguards(home.clone(), me, limits, safe),
-            dispatch: Dispatch::new(home, rng),
-            outbox: Outbox::default(),
+            gate: gate::Gate::with_safeguards(home.clone(), me, limits, safe),
+            dispatch: dispatch::Dispatch::new(home, rng),
+            outbox: outbox::Outbox::default(),
             asked: Vec::new(),
             sent: Vec::new(),
         }
     }
 
     /// Takes one event and appends what is to be done to `out`.
-    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: clock::Time, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Arrive(arrival) => self.arrive(now, arrival, out),
             Event::Forwarded { id, ending } => {
@@ -346,26 +344,26 @@
     /// A request that came over a link is refused at once if its answer may
     /// find no room on the way back. Another copy of a request that must not
     /// repeat may have run, so its refusal isn't "not run".
-    fn arrive(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Action>) {
+    fn arrive(&mut self, now: clock::Time, arrival: arrival::Arrival, out: &mut Vec<Action>) {
         let id = arrival.id;
         if let Some(link) = self.link_back(&arrival)
             && !self.outbox.admit(now, id, link, self.dispatch.shares())
         {
             let after = Some(share::window::SPAN);
-            let refusal = if arrival.origin == Origin::Peer {
-                Refusal::not_run(Reason::Cap, after)
+            let refusal = if arrival.origin == arrival::Origin::Peer {
+                outcome::Refusal::not_run(outcome::Reason::Cap, after)
             } else {
-                Refusal::unknown(Reason::Cap, after)
+                outcome::Refusal::unknown(outcome::Reason::Cap, after)
             };
             return out.push(Action::Refuse { id, refusal });
         }
         self.gate(now, gate::Event::Arrive(arrival));
     }
 
-    fn link_back(&self, arrival: &Arrival) -> Option<Route> {
+    fn link_back(&self, arrival: &arrival::Arrival) -> Option<share::Route> {
         let via = arrival.via.as_ref()?;
         let here = self.dispatch.region()?;
-        (via != here).then(|| Route::Link {
+        (via != here).then(|| share::Route::Link {
             from: Arc::clone(here),
             to: Arc::clone(via),
         })
@@ -374,7 +372,7 @@
     /// The prefix for keys issued now; `None` while the process can't serve.
     /// A change is told by [`Action::Issue`].
     #[must_use]
-    pub fn key_prefix(&self, now: Time) -> Option<Prefix> {
+    pub fn key_prefix(&self, now: clock::Time) -> Option<key::Prefix> {
         self.gate.key_prefix(now)
     }
 
@@ -388,52 +386,57 @@
 
     /// The gate, for counts and dumps.
     #[must_use]
-    pub const fn gate_state(&self) -> &Gate {
+    pub const fn gate_state(&self) -> &gate::Gate {
         &self.gate
     }
 
+    /// Caps with this process's limit and use, for dumps.
+    pub fn share_rows(&mut self, now: clock::Time) -> Vec<(share::Route, u64, u64)> {
+        self.dispatch.shares().rows(now)
+    }
+
     /// The dispatcher, for counts and dumps.
     #[must_use]
-    pub const fn dispatch_state(&self) -> &Dispatch {
+    pub const fn dispatch_state(&self) -> &dispatch::Dispatch {
         &self.dispatch
     }
 
-    fn gate(&mut self, now: Time, event: gate::Event) {
+    fn gate(&mut self, now: clock::Time, event: gate::Event) {
         self.gate.handle(now, event, &mut self.asked);
     }
 
-    fn dispatch(&mut self, now: Time, event: dispatch::Event) {
+    fn dispatch(&mut self, now: clock::Time, event: dispatch::Event) {
         self.dispatch.handle(now, event, &mut self.sent);
     }
 
     /// Passes actions between the parts until only the driver's are left.
-    fn settle(&mut self, now: Time, out: &mut Vec<Action>) {
+    fn settle(&mut self, now: clock::Time, out: &mut Vec<Action>) {
         let first = out.len();
         self.exchange(now, out);
         self.hold_back(now, first, out);
     }
 
     /// Takes out answers that go over a link, and puts in those with room.
-    fn hold_back(&mut self, now: Time, first: usize, out: &mut Vec<Action>) {
+    fn hold_back(&mut self, now: clock::Time, first: usize, out: &mut Vec<Action>) {
         for action in out.split_off(first) {
             match action {
                 Action::Reply { id, answer } if self.outbox.holds(id) => {
-                    self.outbox.put(id, Last::Reply(answer));
+                    self.outbox.put(id, outbox::Last::Reply(answer));
                 }
                 Action::Refuse { id, refusal } if self.outbox.holds(id) => {
-                    self.outbox.put(id, Last::Refuse(refusal));
+                    self.outbox.put(id, outbox::Last::Refuse(refusal));
                 }
                 other => out.push(other),
             }
         }
         let free = self.outbox.release(now, self.dispatch.shares());
         out.extend(free.into_iter().map(|(id, last)| match last {
-            Last::Reply(answer) => Action::Reply { id, answer },
-            Last::Refuse(refusal) => Action::Refuse { id, refusal },
+            outbox::Last::Reply(answer) => Action::Reply { id, answer },
+            outbox::Last::Refuse(refusal) => Action::Refuse { id, refusal },
         }));
     }
 
-    fn exchange(&mut self, now: Time, out: &mut Vec<Action>) {
+    fn exchange(&mut self, now: clock::Time, out: &mut Vec<Action>) {
         while !self.asked.is_empty() || !self.sent.is_empty() {
             for action in core::mem::take(&mut self.asked) {
                 match action {
@@ -451,14 +454,19 @@
 
     /// The dispatcher's answer to a request that the gate holds is the gate's
     /// to record before any caller hears it.
-    fn after_dispatch(&mut self, now: Time, action: dispatch::Action, out: &mut Vec<Action>) {
+    fn after_dispatch(
+        &mut self,
+        now: clock::Time,
+        action: dispatch::Action,
+        out: &mut Vec<Action>,
+    ) {
         match action {
             dispatch::Action::Reply { id, answer } if self.gate.holds(id) => {
-                let verdict = Verdict::Answered(answer);
+                let verdict = gate::Verdict::Answered(answer);
                 self.gate(now, gate::Event::Settled { id, verdict });
             }
             dispatch::Action::Refuse { id, refusal } if self.gate.holds(id) => {
-                let verdict = Verdict::Refused(refusal);
+                let verdict = gate::Verdict::Refused(refusal);
                 self.gate(now, gate::Event::Settled { id, verdict });
             }
             other => out.push(other.into()),
