Pool connections by steer's rules; settings bound the dispatcher; 413

Cause: the driver had a pool of its own beside the decided one, without bound or warming; limits in the settings never reached the dispatcher; a body too long was told as malformed.

--- a/crates/auburnrouter/src/daemon.rs
+++ b/crates/auburnrouter/src/daemon.rs
@@ -37,6 +37,7 @@
 use serde::Serialize;
 use settings::{Settings, limits, secret};
 use smol::net;
+use steer::process::dispatch::tuning;
 use steer::process::{dispatch, gate, traffic};
 use steer::version::view;
 use thiserror::Error;
@@ -192,7 +193,9 @@
             domain: Arc::clone(&settings.domain),
         };
         let limits = gate::Limits::default();
-        let decide = traffic::Traffic::new(home.clone(), incarnation, limits, fastrand::Rng::new());
+        let tuning = tuning(&settings.limits);
+        let rng = fastrand::Rng::new();
+        let decide = traffic::Traffic::tuned(home.clone(), incarnation, limits, tuning, rng);
         let executor = Arc::clone(traffic.executor());
         let idle = settings.limits.target_connections();
         let means = engine::Means {
@@ -286,6 +289,23 @@
     }
 }
 
+/// The dispatcher bounds a caller by its share of the instance.
+fn tuning(limits: &limits::Limits) -> tuning::Tuning {
+    let all = limits.in_flight() + limits.queue();
+    let caller = limits.caller_in_flight() * 100 / all.max(1);
+    let bounds = tuning::Limits {
+        in_flight: limits.in_flight(),
+        queue: limits.queue(),
+        caller: caller.clamp(1, 100),
+        wait: limits.wait(),
+        ..tuning::Limits::default()
+    };
+    tuning::Tuning {
+        limits: bounds,
+        ..tuning::Tuning::default()
+    }
+}
+
 fn bounds(limits: &limits::Limits) -> guarded::Bounds {
     guarded::Bounds {
         whole: limits.request_time(),
--- a/crates/auburnrouter/src/daemon/callers.rs
+++ b/crates/auburnrouter/src/daemon/callers.rs
@@ -139,12 +139,21 @@
 
     async fn request(&self, mut conn: Conn, peer: &Peer, rest: &str) -> Conn {
         let Some(terms) = self.terms(&conn) else {
-            let refusal = unread(&conn);
+            let refusal = unread(&conn, outcome::Reason::BadRequest);
             return self.refuse(conn, refusal);
         };
-        let Ok(body) = conn.request_body().await.read_bytes().await else {
-            let refusal = unread(&conn);
-            return self.refuse(conn, refusal);
+        let body = match conn.request_body().await.read_bytes().await {
+            Ok(body) => body,
+            Err(error) => {
+                let long = matches!(error, trillium_http::Error::ReceivedBodyTooLong(_));
+                let reason = if long {
+                    outcome::Reason::TooLarge
+                } else {
+                    outcome::Reason::BadRequest
+                };
+                let refusal = unread(&conn, reason);
+                return self.refuse(conn, refusal);
+            }
         };
         peer.serving.begin();
         let request = Inbound {
@@ -187,8 +196,7 @@
 
 /// Refuses what no decision has seen. With a key it is "unknown": another copy
 /// may have run under the key, and "not run" would have it billed anew.
-fn unread(conn: &Conn) -> outcome::Refusal {
-    let reason = outcome::Reason::BadRequest;
+fn unread(conn: &Conn, reason: outcome::Reason) -> outcome::Refusal {
     match header(conn, headers::IDEMPOTENCY_KEY) {
         Some(_) => outcome::Refusal::unknown(reason, None),
         None => outcome::Refusal::not_run(reason, None),
--- a/crates/auburnrouter/src/daemon/engine.rs
+++ b/crates/auburnrouter/src/daemon/engine.rs
@@ -162,7 +162,12 @@
         let others = others.filter(|m| m.incarnation != self.incarnation);
         let others = others.map(|m| m.peer).collect();
         self.others.store(Arc::new(others));
-        let region = view.domain(&self.home.domain).map(|domain| {
+        let home = view.domain(&self.home.domain);
+        let near = |key: &view::Target| Some(view.target_domain(*key)) == home;
+        let targets = view.targets.keys().filter(near);
+        let targets = targets.map(|key| view.targets[key].addr).collect();
+        self.means.outbound.renew(targets);
+        let region = home.map(|domain| {
             let region = view.domains[domain].region;
             Arc::new(Arc::clone(&view.regions[region].name))
         });
@@ -170,8 +175,9 @@
         self.handle(&mut self.lock(), traffic::Event::View(view));
     }
 
-    /// Lets time pass for the decisions.
+    /// Lets time pass for the decisions and the connections.
     pub fn tick(&self) {
+        self.means.outbound.upkeep();
         self.handle(&mut self.lock(), traffic::Event::Tick);
     }
 
--- a/crates/auburnrouter/src/daemon/outbound.rs
+++ b/crates/auburnrouter/src/daemon/outbound.rs
@@ -12,11 +12,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_lite::future;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
+use steer::clock::Time;
 use steer::process::dispatch;
 use steer::request::answer;
 use steer::version::view;
@@ -36,7 +37,8 @@
 
 /// Connections to targets, and what is sent on them.
 pub struct Outbound {
-    pool: pool::Pool,
+    start: Instant,
+    pools: Arc<pool::Pools>,
 }
 
 /// An attempt as it crosses the wire.
@@ -69,14 +71,32 @@
 }
 
 impl Outbound {
-    /// No connections yet; at most `idle` are kept for each target.
+    /// No connections yet; at most `bound` are opened to each target.
     #[must_use]
-    pub fn new(executor: Executor, idle: usize) -> Self {
+    pub fn new(executor: Executor, bound: usize) -> Self {
         Self {
-            pool: pool::Pool::new(executor, idle),
+            start: Instant::now(),
+            pools: pool::Pools::new(executor, bound),
         }
     }
 
+    /// Keeps connections to these targets only.
+    pub fn renew(&self, mut addrs: Vec<SocketAddr>) {
+        addrs.sort_unstable();
+        addrs.dedup();
+        self.pools.renew(&addrs);
+    }
+
+    /// Opens connections ahead of need and closes those idle too long.
+    pub fn upkeep(&self) {
+        self.pools.upkeep(self.now());
+    }
+
+    fn now(&self) -> Time {
+        let micros = self.start.elapsed().as_micros();
+        Time::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
     /// Sends an attempt and waits for its end or for its budget to run out.
     pub async fn send(&self, attempt: Attempt<'_>) -> Ended {
         let late = async {
@@ -94,8 +114,11 @@
         let Ok(request) = request else { return };
         let told = async {
             // Best effort: the broken connection says the same.
-            if let Ok(exchange) = self.pool.send(addr, request).await {
-                let _ = exchange.response.into_body().collect().await;
+            if let Ok(exchange) = self.pools.send(addr, request).await {
+                let (response, rest) = exchange.split();
+                if response.into_body().collect().await.is_ok() {
+                    rest.put_back(self.now());
+                }
             }
         };
         let late = async {
@@ -111,9 +134,10 @@
             .body(Full::default())
             .ok()?;
         let asked = async {
-            let exchange = self.pool.send(addr, request).await.ok()?;
-            let body = collect(exchange.response.into_body()).await?;
-            self.pool.put_back(addr, exchange.connection);
+            let exchange = self.pools.send(addr, request).await.ok()?;
+            let (response, rest) = exchange.split();
+            let body = collect(response.into_body()).await?;
+            rest.put_back(self.now());
             let health: target::Health = serde_json::from_slice(&body).ok()?;
             Some(dispatch::Report {
                 load: health.load,
@@ -131,23 +155,25 @@
         let Some(request) = build(attempt) else {
             return dispatch::Ending::Unreachable.into();
         };
-        match self.pool.send(attempt.addr, request).await {
-            Ok(exchange) => self.receive(attempt.addr, exchange).await,
+        match self.pools.send(attempt.addr, request).await {
+            Ok(exchange) => self.receive(exchange).await,
+            Err(pool::Error::Full) => busy(),
             Err(pool::Error::Unsent) => dispatch::Ending::Unreachable.into(),
             Err(pool::Error::Broken) => dispatch::Ending::Broken.into(),
             Err(pool::Error::Garbled) => dispatch::Ending::BadAnswer.into(),
         }
     }
 
-    async fn receive(&self, addr: SocketAddr, exchange: pool::Exchange) -> Ended {
-        let (head, body) = exchange.response.into_parts();
+    async fn receive(&self, exchange: pool::Exchange) -> Ended {
+        let (response, rest) = exchange.split();
+        let (head, body) = response.into_parts();
         let report = report(&head.headers);
         let Some(body) = collect(body).await else {
             // The connection is dropped with its half-read answer.
             let ending = dispatch::Ending::BadAnswer;
             return Ended { ending, report };
         };
-        self.pool.put_back(addr, exchange.connection);
+        rest.put_back(self.now());
         let ending = match refusal(&head) {
             Some(ending) => ending,
             None => dispatch::Ending::Answered(Arc::new(answer(&head, &body))),
@@ -156,6 +182,15 @@
     }
 }
 
+/// As good as a refusal by the target: it has more than it can take from here.
+fn busy() -> Ended {
+    dispatch::Ending::Refused {
+        after: None,
+        leaving: false,
+    }
+    .into()
+}
+
 fn build(attempt: &Attempt<'_>) -> Option<Request> {
     let request = attempt.request;
     let mut builder = hyper::Request::builder()
--- a/crates/auburnrouter/tests/edge.rs
+++ b/crates/auburnrouter/tests/edge.rs
@@ -35,11 +35,23 @@
 )]
 #[case::path("GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n", "400", "not-run")]
 #[case::service("GET /s/nothing/x HTTP/1.1\r\nHost: a\r\n\r\n", "404", "not-run")]
-#[case::lookup_service("GET /lookup?service=nothing HTTP/1.1\r\nHost: a\r\n\r\n", "404", "not-run")]
-#[case::lookup_client("GET /lookup?client=here HTTP/1.1\r\nHost: a\r\n\r\n", "400", "not-run")]
+#[case::lookup_service(
+    "GET /lookup?service=nothing HTTP/1.1\r\nHost: a\r\n\r\n",
+    "404",
+    "not-run"
+)]
+#[case::lookup_client(
+    "GET /lookup?client=here HTTP/1.1\r\nHost: a\r\n\r\n",
+    "400",
+    "not-run"
+)]
 #[case::metrics("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n", "400", "not-run")]
 #[case::dump("GET /dump HTTP/1.1\r\nHost: a\r\n\r\n", "400", "not-run")]
-#[case::key_missing("POST /s/pay/x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", "400", "not-run")]
+#[case::key_missing(
+    "POST /s/pay/x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n",
+    "400",
+    "not-run"
+)]
 fn refuse_malformed(#[case] text: &str, #[case] status: &str, #[case] outcome: &str) {
     let bench = Bench::start("");
     let answer = bench.say(text);
@@ -53,7 +65,9 @@
 fn refuse_long_head() {
     let bench = Bench::start(r#""head_bytes": 1024"#);
     let filler = "x".repeat(4096);
-    let answer = bench.say(&format!("GET /s/stock/x HTTP/1.1\r\nFiller: {filler}\r\n\r\n"));
+    let answer = bench.say(&format!(
+        "GET /s/stock/x HTTP/1.1\r\nFiller: {filler}\r\n\r\n"
+    ));
     assert_eq!(answer.status, "431", "{answer:?}");
     assert_eq!(answer.header("outcome"), Some("unknown"));
     bench.stop();
@@ -92,7 +106,9 @@
     let bench = Bench::start(r#""connections": 2"#);
     let mut open = [bench.connect(), bench.connect()];
     for stream in &mut open {
-        stream.write_all(HALF.as_bytes()).expect("the connection is open");
+        stream
+            .write_all(HALF.as_bytes())
+            .expect("the connection is open");
     }
     let answer = bench.say_until(HALF, |answer| answer.status == "503");
     assert_eq!(answer.header("outcome"), Some("unknown"), "{answer:?}");
@@ -123,7 +139,7 @@
     let line = secret.map(|s| format!("Authorization: Bearer {s}\r\n"));
     let line = line.unwrap_or_default();
     let text = format!("GET /dump HTTP/1.1\r\nHost: a\r\n{line}\r\n");
-    let answer = bench.say_to(bench.operators(), &text);
+    let answer = bench::say_to(bench.operators(), &text);
     assert_eq!(answer.status, status, "{answer:?}");
     assert!(!answer.body.contains(SECRET));
     bench.stop();
@@ -134,7 +150,7 @@
 #[test]
 fn refuse_peer_without_secret() {
     let bench = Bench::start("");
-    assert!(bench.is_closed_after(bench.peers(), &[7; 65]));
+    assert!(bench::is_closed_after(bench.peers(), &[7; 65]));
     let answer = bench.say("GET /s/stock/x HTTP/1.1\r\nHost: a\r\n\r\n");
     assert_eq!(answer.status, "200", "{answer:?}");
     bench.stop();
--- a/crates/auburnrouter/tests/edge/bench.rs
+++ b/crates/auburnrouter/tests/edge/bench.rs
@@ -79,9 +79,17 @@
         ];
         assert_eq!(auburnrouter::run(args), ExitCode::SUCCESS);
         let until = Instant::now() + BOUND;
-        let ready = || bench.say("GET /s/stock/ready HTTP/1.1\r\nHost: a\r\n\r\n").status == "200";
+        let ready = || {
+            bench
+                .say("GET /s/stock/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                .status
+                == "200"
+        };
         while !ready() {
-            assert!(Instant::now() < until, "the entry instance isn't ready in time");
+            assert!(
+                Instant::now() < until,
+                "the entry instance isn't ready in time"
+            );
         }
         bench
     }
@@ -148,13 +156,7 @@
 
     /// Sends text to the callers' listener and gives the answer.
     pub fn say(&self, text: &str) -> Answer {
-        self.say_to(self.entry.addresses().callers, text)
-    }
-
-    pub fn say_to(&self, addr: SocketAddr, text: &str) -> Answer {
-        let mut stream = connect(addr);
-        stream.write_all(text.as_bytes()).expect("the connection is open");
-        Answer::parse(&read_answer(&mut stream))
+        say_to(self.entry.addresses().callers, text)
     }
 
     /// Sends text again until the answer is as wanted.
@@ -169,15 +171,6 @@
         }
     }
 
-    /// Whether the other end closes the connection once it got these bytes.
-    pub fn is_closed_after(&self, addr: SocketAddr, bytes: &[u8]) -> bool {
-        let mut stream = connect(addr);
-        stream.write_all(bytes).expect("the connection is open");
-        let mut rest = Vec::new();
-        // A reset says the same as an end.
-        stream.read_to_end(&mut rest).map_or(true, |len| len < 64)
-    }
-
     pub fn stop(self) {
         self.entry.stop();
         smol::block_on(async {
@@ -188,9 +181,28 @@
     }
 }
 
+pub fn say_to(addr: SocketAddr, text: &str) -> Answer {
+    let mut stream = connect(addr);
+    stream
+        .write_all(text.as_bytes())
+        .expect("the connection is open");
+    Answer::parse(&read_answer(&mut stream))
+}
+
+/// Whether the other end closes the connection once it got these bytes.
+pub fn is_closed_after(addr: SocketAddr, bytes: &[u8]) -> bool {
+    let mut stream = connect(addr);
+    stream.write_all(bytes).expect("the connection is open");
+    let mut rest = Vec::new();
+    // A reset says the same as an end.
+    stream.read_to_end(&mut rest).map_or(true, |len| len < 64)
+}
+
 fn connect(addr: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(addr).expect("it listens");
-    stream.set_read_timeout(Some(BOUND)).expect("the time isn't zero");
+    stream
+        .set_read_timeout(Some(BOUND))
+        .expect("the time isn't zero");
     stream
 }
 
@@ -202,7 +214,9 @@
         let text = String::from_utf8_lossy(&bytes).into_owned();
         if let Some((head, body)) = text.split_once("\r\n\r\n") {
             let head = head.to_ascii_lowercase();
-            let length = head.lines().find_map(|l| l.strip_prefix("content-length: "));
+            let length = head
+                .lines()
+                .find_map(|l| l.strip_prefix("content-length: "));
             let length: usize = length.and_then(|l| l.parse().ok()).unwrap_or(0);
             if body.len() >= length {
                 return text;
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -23,7 +23,7 @@
 }
 
 /// Every bound, in the order they print.
-pub const BOUNDS: [Bound; 10] = [
+pub const BOUNDS: [Bound; 11] = [
     bound("head_bytes", 16_384, 1_024, 1 << 20),
     bound("body_bytes", 1 << 20, 0, 1 << 26),
     bound("connections", 4_096, 1, 65_536),
@@ -34,6 +34,7 @@
     bound("idle_ms", 60_000, 100, 3_600_000),
     bound("threads", 4, 1, 256),
     bound("target_connections", 64, 1, 4_096),
+    bound("wait_ms", 250, 0, 60_000),
 ];
 
 /// The bounds in force.
@@ -111,6 +112,13 @@
         self.size(9)
     }
 
+    /// Longest expected time in the queue: short where latency counts most,
+    /// longer where refusals do.
+    #[must_use]
+    pub fn wait(&self) -> Duration {
+        Duration::from_millis(self.values[10])
+    }
+
     /// Sets the bound at `index` of [`BOUNDS`].
     pub(crate) fn set(&mut self, index: usize, value: u64) {
         self.values[index] = value;
--- a/crates/steer/src/process/traffic.rs
+++ b/crates/steer/src/process/traffic.rs
@@ -246,6 +246,21 @@
         Self::with_safeguards(home, me, limits, gate::Safeguards::ALL, rng)
     }
 
+    /// The same with the dispatcher's limits of choice.
+    #[must_use]
+    pub fn tuned(
+        home: dispatch::Home,
+        me: view::Incarnation,
+        limits: gate::Limits,
+        tuning: dispatch::tuning::Tuning,
+        rng: fastrand::Rng,
+    ) -> Self {
+        Self {
+            dispatch: dispatch::Dispatch::tuned(home.clone(), tuning, rng.clone()),
+            ..Self::new(home, me, limits, rng)
+        }
+    }
+
     /// The same with safeguards taken out. For the explorer and tests only.
     #[must_use]
     pub fn with_safeguards(
--- a/crates/steer/src/request/outcome.rs
+++ b/crates/steer/src/request/outcome.rs
@@ -38,8 +38,10 @@
 /// Why a caller gets no target's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reason {
-    /// The request itself is wrong: syntax, size, headers.
+    /// The request itself is wrong: syntax, headers.
     BadRequest,
+    /// The request's body is longer than allowed.
+    TooLarge,
     /// No such service in the configuration in force.
     UnknownService,
     /// A service that must not repeat wants an idempotency key.
@@ -86,8 +88,9 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::BadRequest,
+        Self::TooLarge,
         Self::UnknownService,
         Self::KeyMissing,
         Self::KeyMalformed,
@@ -116,6 +119,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::BadRequest => "bad-request",
+            Self::TooLarge => "too-large",
             Self::UnknownService => "unknown-service",
             Self::KeyMissing => "key-missing",
             Self::KeyMalformed => "key-malformed",
@@ -146,6 +150,7 @@
         match self {
             Self::BadRequest | Self::KeyMissing | Self::KeyMalformed => 400,
             Self::UnknownService => 404,
+            Self::TooLarge => 413,
             Self::KeyBusy | Self::KeySealed => 409,
             Self::KeyExpired | Self::Forgotten => 410,
             Self::KeyReused => 422,
@@ -168,6 +173,7 @@
     #[must_use]
     pub const fn remedy(self) -> &'static str {
         match self {
+            Self::TooLarge => "send less at a time, or have `body_bytes` raised",
             Self::BadRequest => "correct the request before sending it again",
             Self::UnknownService => "name a service that the configuration has",
             Self::KeyMissing => "send an Idempotency-Key made from a look-up's answer",
