Don't count a try for a body while four are being read

Cause: of eight bodies wanted from the store four were asked for and the others marked as asked of a peer that nobody knew, so they waited a second for nothing.

--- a/crates/steer/src/process/control/adopt.rs
+++ b/crates/steer/src/process/control/adopt.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use super::message::{Content, Message};
-use super::store::{Call, CallId, Need, Reply, Stored, Turn};
+use super::store::{Asked, Call, CallId, Need, Reply, Stored, Turn};
 use super::{Action, Control, Notice, ROTATION, Standing, WATCHERS};
 use crate::clock::Time;
 use crate::process::config::keeper::{Source, Verdict};
@@ -164,23 +164,24 @@
             });
             self.fetches.len() - 1
         });
-        let fetch = &mut self.fetches[at];
-        if now < fetch.until {
+        let Fetch { tries, until, .. } = self.fetches[at];
+        if now < until {
             return false;
         }
         let told = u32::from(matches!(self.keeper.source(), Some(Source::Store)));
-        let peer = (fetch.tries + told).is_multiple_of(2) && self.guards.pull;
+        let mut peer = (tries + told).is_multiple_of(2) && self.guards.pull;
+        if !peer {
+            let mut calls = Vec::new();
+            match self.store.body(now, hash, &mut calls) {
+                Asked::Now => push_calls(calls, out),
+                Asked::Busy => return false,
+                Asked::Away => peer = self.guards.pull,
+            }
+        }
+        let fetch = &mut self.fetches[at];
         fetch.tries += 1;
         fetch.until = now + ANSWER;
-        if peer {
-            return true;
-        }
-        let mut calls = Vec::new();
-        if !self.store.body(now, hash, &mut calls) {
-            return self.guards.pull;
-        }
-        push_calls(calls, out);
-        false
+        peer
     }
 
     /// A peer that can be asked for bodies: the last of any domain that was
--- a/crates/steer/src/process/control/store.rs
+++ b/crates/steer/src/process/control/store.rs
@@ -103,6 +103,17 @@
     Back,
 }
 
+/// Whether a body was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// It was.
+    Now,
+    /// Not yet: enough bodies are being read.
+    Busy,
+    /// No: the store is away.
+    Away,
+}
+
 /// An answer with the call it is for.
 #[derive(Clone, Debug)]
 pub struct Answered {
@@ -195,18 +206,20 @@
         }
     }
 
-    /// Reads a body, unless the store is away or busy enough with bodies.
-    pub fn body(&mut self, now: Time, hash: Hash, out: &mut Vec<(CallId, Call)>) -> bool {
-        let busy = self
+    /// Reads a body, if that can be done now.
+    pub fn body(&mut self, now: Time, hash: Hash, out: &mut Vec<(CallId, Call)>) -> Asked {
+        if self.away {
+            return Asked::Away;
+        }
+        let bodies = self
             .waiting
             .iter()
-            .filter(|w| matches!(w.call, Call::Body(_)))
-            .count();
-        if self.away || busy >= BODIES || self.waits(|c| *c == Call::Body(hash)) {
-            return false;
+            .filter(|w| matches!(w.call, Call::Body(_)));
+        if bodies.count() >= BODIES || self.waits(|c| *c == Call::Body(hash)) {
+            return Asked::Busy;
         }
         self.call(now, Call::Body(hash), out);
-        true
+        Asked::Now
     }
 
     /// Matches an answer to its call; `None` if the call was given up.
