--- a/crates/steer/tests/control_scenarios/fleet.rs
+++ b/crates/steer/tests/control_scenarios/fleet.rs
@@ -5,6 +5,8 @@
 //! Messages cross as the bytes that the wire types give, so that they are
 //! counted and no two processes share memory.
 
+mod store;
+
 use core::cmp::Reverse;
 use core::time::Duration;
 use std::collections::BinaryHeap;
@@ -14,7 +16,7 @@
 use steer::clock::Time;
 use steer::process::config::{Body, Hash, Head};
 use steer::process::control::message::Message;
-use steer::process::control::store::{Call, CallId, Reply, Stored};
+use steer::process::control::store::{Call, CallId, Reply};
 use steer::process::control::{
     Action, Control, Event, Notice, Safeguards, Settings, Snapshot, TICK,
 };
@@ -22,6 +24,8 @@
 use steer::process::member::{Hint, Identity};
 use steer::version::view::{Incarnation, Version};
 
+pub use store::Store;
+
 /// How a fleet is laid out, and what its links do.
 #[derive(Clone, Debug)]
 pub struct Layout {
@@ -122,34 +126,6 @@
     }
 }
 
-struct Watch {
-    from: usize,
-    id: CallId,
-    after: u64,
-}
-
-struct Listed {
-    hint: Hint,
-    from: Time,
-    until: Time,
-}
-
-/// The platform's store.
-#[derive(Default)]
-pub struct Store {
-    /// The head document.
-    pub stored: Option<Stored>,
-    /// Heads that were there, newest last.
-    pub past: Vec<Stored>,
-    bodies: Vec<Body>,
-    watches: Vec<Watch>,
-    /// Whether it answers nobody; the platform's list goes on.
-    pub away: bool,
-    /// Calls that reached it, by second of virtual time.
-    pub calls: Vec<u32>,
-    list: Vec<Listed>,
-}
-
 /// A place in the network.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
@@ -185,10 +161,6 @@
 
 /// Time after which the driver gives a call up.
 const BOUND: Duration = Duration::from_secs(1);
-/// Domain that is nearest to the store.
-const STORE_DOMAIN: usize = 0;
-/// Time that the store takes.
-const STORE_WORK: Duration = Duration::from_millis(2);
 
 impl Fleet {
     /// A fleet whose processes all start within a second.
@@ -248,7 +220,7 @@
         } else {
             self.layout.lag
         };
-        self.store.list.push(Listed {
+        self.store.list.push(store::Listed {
             hint: Hint {
                 name: Arc::clone(&identity.name),
                 domain: Arc::clone(&identity.domain),
@@ -355,88 +327,6 @@
         !self.cuts.contains(&(a, b)) && !self.cuts.contains(&(b, a))
     }
 
-    /// Writes a head if the store is at the revision expected; 0 is none, and
-    /// `None` anything. Answers the head that is there if it isn't.
-    pub fn write(&mut self, head: &Arc<Head>, expect: Option<u64>) -> Result<(), Option<Stored>> {
-        let revision = self.store.stored.as_ref().map_or(0, |s| s.revision);
-        if expect.is_some_and(|expect| expect != revision) {
-            return Err(self.store.stored.clone());
-        }
-        let stored = Stored {
-            head: Arc::clone(head),
-            revision: revision + 1,
-        };
-        self.store.past.push(stored.clone());
-        self.store.stored = Some(stored);
-        self.wake_watches();
-        Ok(())
-    }
-
-    /// Text of a body in the store.
-    pub fn content(&self, hash: Hash) -> String {
-        let bodies = &self.store.bodies;
-        let at = bodies.binary_search_by_key(&hash, |b| b.hash);
-        let bytes = at.map(|at| bodies[at].bytes.to_vec());
-        String::from_utf8(bytes.unwrap_or_default()).expect("text")
-    }
-
-    /// Lets a write reach the store later.
-    pub fn linger(&mut self, head: &Arc<Head>, expect: u64, span: Duration) {
-        let head = Arc::clone(head);
-        self.push(span, Due::Write { head, expect });
-    }
-
-    /// Writes a body under its hash.
-    pub fn put_body(&mut self, body: Body) {
-        let bodies = &mut self.store.bodies;
-        if let Err(at) = bodies.binary_search_by_key(&body.hash, |b| b.hash) {
-            bodies.insert(at, body);
-        }
-    }
-
-    /// The store stops or starts to answer; its waiting watches are lost.
-    pub fn store_away(&mut self, away: bool) {
-        self.store.away = away;
-        let watches = core::mem::take(&mut self.store.watches);
-        for watch in watches {
-            self.answer(watch.from, watch.id, Reply::Away);
-        }
-    }
-
-    /// Sends every waiting watch an event of this head, whatever it is.
-    pub fn stale_event(&mut self, stored: &Stored) {
-        let watches = core::mem::take(&mut self.store.watches);
-        for watch in watches {
-            let reply = Reply::Watched(Some(stored.clone()));
-            self.answer(watch.from, watch.id, reply);
-        }
-    }
-
-    fn wake_watches(&mut self) {
-        let Some(stored) = self.store.stored.clone() else {
-            return;
-        };
-        let watches = core::mem::take(&mut self.store.watches);
-        let (ready, rest): (Vec<_>, Vec<_>) =
-            watches.into_iter().partition(|w| stored.revision > w.after);
-        self.store.watches = rest;
-        for watch in ready {
-            let reply = Reply::Watched(Some(stored.clone()));
-            self.answer(watch.from, watch.id, reply);
-        }
-    }
-
-    fn answer(&mut self, to: usize, id: CallId, reply: Reply) {
-        let joined = self.joined(Place::Domain(self.nodes[to].domain), Place::Store);
-        let (after, reply) = if joined {
-            let near = self.latency(self.nodes[to].domain, STORE_DOMAIN);
-            (near + STORE_WORK, reply)
-        } else {
-            (BOUND, Reply::Away)
-        };
-        self.push(after, Due::Answer { to, id, reply });
-    }
-
     fn push(&mut self, after: Duration, due: Due) {
         self.order += 1;
         self.queue.push(Reverse(Entry {
@@ -559,65 +449,6 @@
         Duration::from_micros(micros + jitter)
     }
 
-    fn call(&mut self, from: usize, id: CallId, call: Call) {
-        let place = Place::Domain(self.nodes[from].domain);
-        if self.joined(place, Place::Store) {
-            let after = self.latency(self.nodes[from].domain, STORE_DOMAIN);
-            self.push(after, Due::Ask { from, id, call });
-        } else {
-            self.answer(from, id, Reply::Away);
-        }
-    }
-
-    fn asked(&mut self, from: usize, id: CallId, call: &Call) {
-        let second = usize::try_from(self.now.as_micros() / 1_000_000).expect("small");
-        if self.store.calls.len() <= second {
-            self.store.calls.resize(second + 1, 0);
-        }
-        self.store.calls[second] += 1;
-        if self.store.away && *call != Call::List {
-            let reply = Reply::Away;
-            return self.push(
-                BOUND,
-                Due::Answer {
-                    to: from,
-                    id,
-                    reply,
-                },
-            );
-        }
-        let reply = match *call {
-            Call::Head => Reply::Head(self.store.stored.clone()),
-            Call::Body(hash) => {
-                let bodies = &self.store.bodies;
-                let found = bodies.binary_search_by_key(&hash, |b| b.hash).ok();
-                Reply::Body(hash, found.map(|at| Arc::clone(&bodies[at].bytes)))
-            }
-            Call::List => {
-                let now = self.now;
-                let seen = |l: &&Listed| l.from <= now && now < l.until;
-                let list = self.store.list.iter().filter(seen);
-                Reply::Listed(list.map(|l| l.hint.clone()).collect())
-            }
-            Call::Watch { after, wait } => return self.watch(from, id, after, wait),
-        };
-        self.answer(from, id, reply);
-    }
-
-    fn watch(&mut self, from: usize, id: CallId, after: u64, wait: Duration) {
-        self.store.watches.push(Watch { from, id, after });
-        self.push(wait, Due::Expire { from, id });
-        self.wake_watches();
-    }
-
-    fn expire(&mut self, from: usize, id: CallId) {
-        let before = self.store.watches.len();
-        self.store.watches.retain(|w| (w.from, w.id) != (from, id));
-        if self.store.watches.len() < before {
-            self.answer(from, id, Reply::Watched(None));
-        }
-    }
-
     /// Plays the verifier: a file of content `bad` makes a version be turned
     /// down, and a file named `slots` says how many slots there are.
     fn install(&mut self, at: usize, head: &Arc<Head>, bodies: &[Body]) {
--- /dev/null
+++ b/crates/steer/tests/control_scenarios/store.rs
@@ -0,0 +1,187 @@
+//! The fake of the platform's store, and what its faults do.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use steer::clock::Time;
+use steer::process::config::{Body, Hash, Head};
+use steer::process::control::store::{Call, CallId, Reply, Stored};
+use steer::process::member::Hint;
+
+use super::{BOUND, Due, Fleet, Place};
+
+/// Domain that is nearest to the store.
+const STORE_DOMAIN: usize = 0;
+/// Time that the store takes.
+const STORE_WORK: Duration = Duration::from_millis(2);
+
+pub(super) struct Watch {
+    pub(super) from: usize,
+    pub(super) id: CallId,
+    pub(super) after: u64,
+}
+
+pub(super) struct Listed {
+    pub(super) hint: Hint,
+    pub(super) from: Time,
+    pub(super) until: Time,
+}
+
+/// The platform's store.
+#[derive(Default)]
+pub struct Store {
+    /// The head document.
+    pub stored: Option<Stored>,
+    /// Heads that were there, newest last.
+    pub past: Vec<Stored>,
+    pub(super) bodies: Vec<Body>,
+    pub(super) watches: Vec<Watch>,
+    /// Whether it answers nobody; the platform's list goes on.
+    pub away: bool,
+    /// Calls that reached it, by second of virtual time.
+    pub calls: Vec<u32>,
+    pub(super) list: Vec<Listed>,
+}
+
+impl Fleet {
+    /// Writes a head if the store is at the revision expected; 0 is none, and
+    /// `None` anything. Answers the head that is there if it isn't.
+    pub fn write(&mut self, head: &Arc<Head>, expect: Option<u64>) -> Result<(), Option<Stored>> {
+        let revision = self.store.stored.as_ref().map_or(0, |s| s.revision);
+        if expect.is_some_and(|expect| expect != revision) {
+            return Err(self.store.stored.clone());
+        }
+        let stored = Stored {
+            head: Arc::clone(head),
+            revision: revision + 1,
+        };
+        self.store.past.push(stored.clone());
+        self.store.stored = Some(stored);
+        self.wake_watches();
+        Ok(())
+    }
+
+    /// Text of a body in the store.
+    pub fn content(&self, hash: Hash) -> String {
+        let bodies = &self.store.bodies;
+        let at = bodies.binary_search_by_key(&hash, |b| b.hash);
+        let bytes = at.map(|at| bodies[at].bytes.to_vec());
+        String::from_utf8(bytes.unwrap_or_default()).expect("text")
+    }
+
+    /// Lets a write reach the store later.
+    pub fn linger(&mut self, head: &Arc<Head>, expect: u64, span: Duration) {
+        let head = Arc::clone(head);
+        self.push(span, Due::Write { head, expect });
+    }
+
+    /// Writes a body under its hash.
+    pub fn put_body(&mut self, body: Body) {
+        let bodies = &mut self.store.bodies;
+        if let Err(at) = bodies.binary_search_by_key(&body.hash, |b| b.hash) {
+            bodies.insert(at, body);
+        }
+    }
+
+    /// The store stops or starts to answer; its waiting watches are lost.
+    pub fn store_away(&mut self, away: bool) {
+        self.store.away = away;
+        let watches = core::mem::take(&mut self.store.watches);
+        for watch in watches {
+            self.answer(watch.from, watch.id, Reply::Away);
+        }
+    }
+
+    /// Sends every waiting watch an event of this head, whatever it is.
+    pub fn stale_event(&mut self, stored: &Stored) {
+        let watches = core::mem::take(&mut self.store.watches);
+        for watch in watches {
+            let reply = Reply::Watched(Some(stored.clone()));
+            self.answer(watch.from, watch.id, reply);
+        }
+    }
+
+    fn wake_watches(&mut self) {
+        let Some(stored) = self.store.stored.clone() else {
+            return;
+        };
+        let watches = core::mem::take(&mut self.store.watches);
+        let (ready, rest): (Vec<_>, Vec<_>) =
+            watches.into_iter().partition(|w| stored.revision > w.after);
+        self.store.watches = rest;
+        for watch in ready {
+            let reply = Reply::Watched(Some(stored.clone()));
+            self.answer(watch.from, watch.id, reply);
+        }
+    }
+
+    fn answer(&mut self, to: usize, id: CallId, reply: Reply) {
+        let joined = self.joined(Place::Domain(self.nodes[to].domain), Place::Store);
+        let (after, reply) = if joined {
+            let near = self.latency(self.nodes[to].domain, STORE_DOMAIN);
+            (near + STORE_WORK, reply)
+        } else {
+            (BOUND, Reply::Away)
+        };
+        self.push(after, Due::Answer { to, id, reply });
+    }
+
+    pub(super) fn call(&mut self, from: usize, id: CallId, call: Call) {
+        let place = Place::Domain(self.nodes[from].domain);
+        if self.joined(place, Place::Store) {
+            let after = self.latency(self.nodes[from].domain, STORE_DOMAIN);
+            self.push(after, Due::Ask { from, id, call });
+        } else {
+            self.answer(from, id, Reply::Away);
+        }
+    }
+
+    pub(super) fn asked(&mut self, from: usize, id: CallId, call: &Call) {
+        let second = usize::try_from(self.now.as_micros() / 1_000_000).expect("small");
+        if self.store.calls.len() <= second {
+            self.store.calls.resize(second + 1, 0);
+        }
+        self.store.calls[second] += 1;
+        if self.store.away && *call != Call::List {
+            let reply = Reply::Away;
+            return self.push(
+                BOUND,
+                Due::Answer {
+                    to: from,
+                    id,
+                    reply,
+                },
+            );
+        }
+        let reply = match *call {
+            Call::Head => Reply::Head(self.store.stored.clone()),
+            Call::Body(hash) => {
+                let bodies = &self.store.bodies;
+                let found = bodies.binary_search_by_key(&hash, |b| b.hash).ok();
+                Reply::Body(hash, found.map(|at| Arc::clone(&bodies[at].bytes)))
+            }
+            Call::List => {
+                let now = self.now;
+                let seen = |l: &&Listed| l.from <= now && now < l.until;
+                let list = self.store.list.iter().filter(seen);
+                Reply::Listed(list.map(|l| l.hint.clone()).collect())
+            }
+            Call::Watch { after, wait } => return self.watch(from, id, after, wait),
+        };
+        self.answer(from, id, reply);
+    }
+
+    fn watch(&mut self, from: usize, id: CallId, after: u64, wait: Duration) {
+        self.store.watches.push(Watch { from, id, after });
+        self.push(wait, Due::Expire { from, id });
+        self.wake_watches();
+    }
+
+    pub(super) fn expire(&mut self, from: usize, id: CallId) {
+        let before = self.store.watches.len();
+        self.store.watches.retain(|w| (w.from, w.id) != (from, id));
+        if self.store.watches.len() < before {
+            self.answer(from, id, Reply::Watched(None));
+        }
+    }
+}
