--- a/crates/steer/examples/fleet.rs
+++ b/crates/steer/examples/fleet.rs
@@ -2,7 +2,8 @@
 //!
 //! `cargo run --release -p steer --example fleet -- 7 20 40` prints a row for
 //! each size in ordinary operation; with `events` before the sizes, what an
-//! outage of the store and the restart of a whole failure domain cost. Sizes of the configuration and of the domains follow the target's
+//! outage of the store, the restart of a whole failure domain and a region that
+//! is cut off cost. Sizes of the configuration and of the domains follow the target's
 //! proportions. Bytes are those of the payloads as they cross the wire; real
 //! time is that of control, encoding and decoding.
 
@@ -14,7 +15,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use fleet::{Fleet, Layout};
+use fleet::{Fleet, Layout, Place};
 use steer::clock::Time;
 use steer::process::config::{Change, File, Head, RECENT};
 use steer::process::control::{Safeguards, Snapshot};
@@ -22,6 +23,8 @@
 
 const TARGET: usize = 1500;
 const TARGET_DOMAINS: usize = 69;
+/// Failure domains in a region.
+const PER_REGION: usize = 3;
 /// Base, 230 overlays, and client blocks in 80 parts.
 const TARGET_FILES: usize = 311;
 const CHANGES_A_DAY: f64 = 1300.0;
@@ -74,7 +77,9 @@
 
 const EVENTS: &str = "nodes domains | store away 120 s: calls/s mean, max; in the 60 s after: \
     mean, max | a domain restarted at once: s until the last is ready, \
-    s until all are in all look-ups, wireB/s of the other processes";
+    s until all are in all look-ups, wireB/s of the other processes | \
+    a region cut off for 60 s with a change elsewhere: wireB/s, after it \
+    s until all are in all look-ups, s until the change is in force";
 
 /// A fleet with a first version in force, and its files.
 fn settled(nodes: usize) -> (Fleet, Vec<File>) {
@@ -82,7 +87,7 @@
     let mut fleet = Fleet::new(Layout {
         domains,
         nodes,
-        per_region: 3,
+        per_region: PER_REGION,
         loss: 0.0,
         seed: 7,
         guards: Safeguards::default(),
@@ -106,7 +111,7 @@
 }
 
 fn measure_events(nodes: usize) {
-    let (mut fleet, _) = settled(nodes);
+    let (mut fleet, files) = settled(nodes);
     let domains = (nodes * TARGET_DOMAINS).div_ceil(TARGET).max(6);
     fleet.store_away(true);
     let away = fleet.now;
@@ -117,8 +122,11 @@
     fleet.run(Duration::from_mins(1));
     let after = load(calls(&fleet, back));
     let (ready, seen, bytes) = restart(&mut fleet, domains);
+    fleet.run(Duration::from_secs(20));
+    let (cut, back, force) = isolate(&mut fleet, domains, files);
     println!(
-        "{nodes:5} {domains:3} | {:6.1} {:4} {:6.1} {:4} | {ready:4.1} {seen:4.1} {bytes:6.0}",
+        "{nodes:5} {domains:3} | {:6.1} {:4} {:6.1} {:4} | {ready:4.1} {seen:4.1} {bytes:6.0} | \
+         {cut:6.0} {back:4.1} {force:4.1}",
         during.0, during.1, after.0, after.1
     );
 }
@@ -157,6 +165,37 @@
     (ready, seen, rates.bytes + rates.messages * OVERHEAD)
 }
 
+/// Cuts off the second region, changes the configuration elsewhere, and heals.
+fn isolate(fleet: &mut Fleet, domains: usize, files: Vec<File>) -> (f64, f64, f64) {
+    for inside in PER_REGION..PER_REGION * 2 {
+        let outside = (0..domains).filter(|d| d / PER_REGION != 1);
+        let places = outside.map(Place::Domain).chain([Place::Store]);
+        let cuts = places.map(|place| (Place::Domain(inside), place));
+        fleet.cuts.extend(cuts);
+    }
+    let from = totals(fleet);
+    fleet.run(Duration::from_secs(30));
+    write(fleet, 2, files);
+    fleet.run(Duration::from_secs(30));
+    let nodes = fleet.slots.len();
+    let rates = rates(nodes, from, totals(fleet));
+    fleet.cuts.clear();
+    let (mut back, mut force) = (f64::NAN, f64::NAN);
+    for tenth in 1..=300 {
+        fleet.run(Duration::from_millis(100));
+        let at = f64::from(tenth) / 10.0;
+        let live = || fleet.slots.iter().map(|&at| &fleet.nodes[at]);
+        let whole = |shown: &Snapshot| shown.members.len() == nodes;
+        if back.is_nan() && live().all(|n| n.shown.as_ref().is_some_and(whole)) {
+            back = at;
+        }
+        if force.is_nan() && live().all(|n| n.control.version() == Version(2)) {
+            force = at;
+        }
+    }
+    (rates.bytes + rates.messages * OVERHEAD, back, force)
+}
+
 fn names_new(fleet: &Fleet, shown: &Snapshot, slots: &[usize]) -> bool {
     slots.iter().all(|&slot| {
         let node = &fleet.nodes[fleet.slots[slot]];
