Call the store through the pool that targets are called through

Change: the pool of connections, which knew all this already for targets, moves to crate pool; the store's client and the daemon's outbound side share it. Opening a connection is bounded: where packets vanish, as in a cut between failure domains, an attempt used to end by its own budget and to count as perhaps run; now it is known never to have left.

Ruled out: a second pool in the store's crate (the same logic twice); guarding the old client with a wrapper (the panic is inside it).

--- a/crates/auburnrouter/src/daemon.rs
+++ b/crates/auburnrouter/src/daemon.rs
@@ -184,16 +184,16 @@
         let metrics = Arc::new(metrics::Metrics::new()?);
         let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
         let incarnation = view::Incarnation(fastrand::u64(1..));
+        let executor = Arc::clone(traffic.executor());
         let store = store::http::Config::new(settings.store.clone());
-        let store: Arc<dyn store::Store> =
-            Arc::new(store::http::Client::new(store, fastrand::Rng::new()));
+        let store = store::http::Client::new(store, Arc::clone(&executor), fastrand::Rng::new());
+        let store: Arc<dyn store::Store> = Arc::new(store);
         let home = dispatch::Home {
             name: Arc::clone(&settings.name),
             domain: Arc::clone(&settings.domain),
         };
         let limits = gate::Limits::default();
         let decide = traffic::Traffic::new(home.clone(), incarnation, limits, fastrand::Rng::new());
-        let executor = Arc::clone(traffic.executor());
         let idle = settings.limits.target_connections();
         let means = engine::Means {
             executor: Arc::clone(&executor),
--- a/crates/auburnrouter/src/daemon/outbound.rs
+++ b/crates/auburnrouter/src/daemon/outbound.rs
@@ -1,15 +1,8 @@
 //! Carries one attempt to a target and says how it ended.
 //!
-//! The HTTP client of the house's library isn't used here: it can't tell a
-//! request that never left from one that may have, asks for `100-continue`
-//! before each body, and panics on a status it doesn't know. `hyper`, its
-//! nearest kin, tells.
-//!
 //! Invariant: [`dispatch::Ending::Unreachable`] is only said when no byte of
 //! the request left this process.
 
-mod pool;
-
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,12 +18,13 @@
 use super::inbound::{self, Inbound};
 use super::workers::Executor;
 
-/// A request as `hyper` sends it.
-type Request = hyper::Request<Full<Bytes>>;
-
 /// Longest answer taken from a target, in bytes.
 const ANSWER_MAX: usize = 16 << 20;
 
+/// Time to open a connection to a target, which is in this failure domain.
+/// Past it the request certainly did not leave, and may go elsewhere.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+
 /// Time allowed to tell a target that an attempt is cancelled.
 const CANCEL_TIME: Duration = Duration::from_millis(500);
 
@@ -72,8 +66,12 @@
     /// No connections yet; at most `idle` are kept for each target.
     #[must_use]
     pub fn new(executor: Executor, idle: usize) -> Self {
+        let limits = pool::Limits {
+            idle,
+            connect: CONNECT_TIME,
+        };
         Self {
-            pool: pool::Pool::new(executor, idle),
+            pool: pool::Pool::new(executor, limits),
         }
     }
 
@@ -156,7 +154,7 @@
     }
 }
 
-fn build(attempt: &Attempt<'_>) -> Option<Request> {
+fn build(attempt: &Attempt<'_>) -> Option<pool::Request> {
     let request = attempt.request;
     let mut builder = hyper::Request::builder()
         .method(&*request.method)
--- a/crates/auburnrouter/src/daemon/outbound/pool.rs
+++ b/crates/pool/src/lib.rs
@@ -1,26 +1,37 @@
-//! Connections to targets, kept for reuse.
+//! HTTP connections kept for reuse.
 //!
-//! Invariant: only a connection whose last answer was read to its end goes back
-//! to the pool. A cancelled, late or broken exchange drops its connection, so
-//! that a late answer can't be read as the answer to the next request.
+//! The HTTP client of the house's library can't tell a request that never left
+//! from one that may have, asks for `100-continue` before each body, reads a
+//! body that ends with its connection as empty, and panics on a status that it
+//! doesn't know. `hyper`, its nearest kin, does none of that.
+//!
+//! Invariants: [`Error::Unsent`] is only said when no byte of the request left
+//! this process; only a connection whose last answer was read to its end goes back to the
+//! pool. A cancelled, late or broken exchange drops its connection, so that a
+//! late answer can't be read as the answer to the next request.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
+use futures_lite::future;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1;
 use smol::net;
 use thiserror::Error;
 
-use super::Request;
-use crate::daemon::workers::Executor;
+/// A request as it is sent: in one piece.
+pub type Request = hyper::Request<Full<Bytes>>;
+
+/// Where the connections are driven.
+pub type Executor = Arc<smol::Executor<'static>>;
 
 /// Why there is no answer's head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Error {
     /// No byte of the request left.
-    #[error("no connection could be opened; check that the target listens")]
+    #[error("no connection could be opened; check that the other end listens")]
     Unsent,
     /// The connection broke after some byte may have left.
     #[error("the connection broke; the request may have run")]
@@ -45,31 +56,45 @@
     pub connection: Connection,
 }
 
-/// Idle connections of one target.
+/// Idle connections to one address.
 struct Idle {
     addr: SocketAddr,
     connections: Vec<Connection>,
 }
 
+/// Bounds of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Idle connections kept for each address.
+    pub idle: usize,
+    /// Time to open a connection. Where packets are dropped it is what tells
+    /// "not sent" apart from "sent, and no answer in time".
+    pub connect: Duration,
+}
+
 /// Idle connections, sorted by address.
 pub struct Pool {
     executor: Executor,
-    limit: usize,
+    limits: Limits,
     idle: Mutex<Vec<Idle>>,
 }
 
 impl Pool {
-    /// An empty pool that keeps at most `limit` connections for each target.
-    pub const fn new(executor: Executor, limit: usize) -> Self {
+    /// An empty pool.
+    #[must_use]
+    pub const fn new(executor: Executor, limits: Limits) -> Self {
         Self {
             executor,
-            limit,
+            limits,
             idle: Mutex::new(Vec::new()),
         }
     }
 
     /// Sends a request on an idle connection, or else on a new one. A kept
     /// connection that turns out closed before anything left is passed over.
+    ///
+    /// # Errors
+    /// No head of an answer came; says whether the request may have left.
     pub async fn send(&self, addr: SocketAddr, request: Request) -> Result<Exchange, Error> {
         let mut request = request;
         while let Some(connection) = self.take(addr) {
@@ -96,7 +121,7 @@
                 at
             }
         };
-        if idle[at].connections.len() < self.limit {
+        if idle[at].connections.len() < self.limits.idle {
             idle[at].connections.push(connection);
         }
     }
@@ -115,8 +140,12 @@
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<Connection, Error> {
-        let stream = net::TcpStream::connect(addr).await;
-        let stream = stream.map_err(|_| Error::Unsent)?;
+        let opened = async { net::TcpStream::connect(addr).await.ok() };
+        let late = async {
+            smol::Timer::after(self.limits.connect).await;
+            None
+        };
+        let stream = future::or(opened, late).await.ok_or(Error::Unsent)?;
         // Not fatal: requests are only a little later without it.
         let _ = stream.set_nodelay(true);
         let io = smol_hyper::rt::FuturesIo::new(stream);
--- /dev/null
+++ b/crates/pool/tests/pool.rs
@@ -0,0 +1,159 @@
+//! The pool reuses connections, and tells what never left from what may have.
+
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use futures_lite::future;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use http_body_util::BodyExt;
+use pool::{Error, Executor, Limits, Pool, Request};
+use rstest::rstest;
+
+/// Longest that any test here waits.
+const BOUND: Duration = Duration::from_secs(10);
+
+const LIMITS: Limits = Limits {
+    idle: 4,
+    connect: Duration::from_millis(200),
+};
+
+/// Runs a test on an executor that also drives the pool's connections.
+fn run(test: impl AsyncFnOnce(&Executor)) {
+    let executor = Executor::default();
+    let late = async {
+        smol::Timer::after(BOUND).await;
+        panic!("the test took longer than {BOUND:?}");
+    };
+    smol::block_on(executor.run(future::or(test(&executor), late)));
+}
+
+fn request(path: &str) -> Request {
+    let request = hyper::Request::get(path).header("host", "test");
+    request.body(http_body_util::Full::default()).unwrap()
+}
+
+fn listen() -> (std::net::TcpListener, SocketAddr) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    (listener, addr)
+}
+
+/// Gives each connection `answer` for each read; counts the connections.
+fn serve(answer: &'static [u8], hang_up: bool) -> (SocketAddr, Arc<AtomicUsize>) {
+    let (listener, addr) = listen();
+    listener.set_nonblocking(true).unwrap();
+    let listener = smol::net::TcpListener::try_from(listener).unwrap();
+    let count = Arc::new(AtomicUsize::new(0));
+    let opened = Arc::clone(&count);
+    smol::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            opened.fetch_add(1, Ordering::Relaxed);
+            smol::spawn(answers(stream, answer, hang_up)).detach();
+        }
+    })
+    .detach();
+    (addr, count)
+}
+
+async fn answers(mut stream: smol::net::TcpStream, answer: &[u8], hang_up: bool) {
+    let mut head = [0; 1024];
+    while matches!(stream.read(&mut head).await, Ok(1..)) {
+        if stream.write_all(answer).await.is_err() || hang_up {
+            return;
+        }
+    }
+}
+
+/// Sends a request and reads its answer to the end.
+async fn whole(pool: &Pool, addr: SocketAddr, path: &str) -> Result<String, Error> {
+    let exchange = pool.send(addr, request(path)).await?;
+    let body = exchange.response.into_body().collect().await;
+    let body = body.map_err(|_| Error::Broken)?.to_bytes();
+    pool.put_back(addr, exchange.connection);
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
+
+#[test]
+fn send_reuses_connection() {
+    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+    run(async |executor| {
+        let (addr, opened) = serve(answer, false);
+        let pool = Pool::new(Arc::clone(executor), LIMITS);
+        for _ in 0..3 {
+            assert_eq!(whole(&pool, addr, "/").await.as_deref(), Ok("hi"));
+        }
+        assert_eq!(opened.load(Ordering::Relaxed), 1);
+    });
+}
+
+#[rstest]
+#[case::silent(b"", Error::Broken)]
+#[case::half_head(b"HTTP/1.1 200 O", Error::Broken)]
+#[case::no_http(b"\x00what?\r\n\r\n", Error::Garbled)]
+fn send_breaks(#[case] answer: &'static [u8], #[case] error: Error) {
+    // The request was read, so it may have run; that must not read as unsent.
+    run(async |executor| {
+        let (addr, _) = serve(answer, true);
+        let pool = Pool::new(Arc::clone(executor), LIMITS);
+        assert_eq!(whole(&pool, addr, "/").await, Err(error));
+    });
+}
+
+#[test]
+fn send_refused() {
+    run(async |executor| {
+        let (listener, addr) = listen();
+        drop(listener);
+        let pool = Pool::new(Arc::clone(executor), LIMITS);
+        assert_eq!(whole(&pool, addr, "/").await, Err(Error::Unsent));
+    });
+}
+
+#[test]
+fn send_connects_in_bounded_time() {
+    // The other end is cut off: packets to it vanish, as they do here for a
+    // listener whose backlog is full. Opening a connection would last minutes,
+    // and an attempt that ends by its own budget counts as perhaps run. Given
+    // up early it is known never to have left.
+    run(async |executor| {
+        let (listener, addr) = listen();
+        rustix::net::listen(&listener, 0).unwrap();
+        let fill = |_| TcpStream::connect_timeout(&addr, Duration::from_millis(100)).ok();
+        let _filled: Vec<TcpStream> = (0..4).filter_map(fill).collect();
+        let pool = Pool::new(Arc::clone(executor), LIMITS);
+        assert_eq!(whole(&pool, addr, "/").await, Err(Error::Unsent));
+    });
+}
+
+#[test]
+fn dropped_exchange_is_not_reused() {
+    // A caller gives up on an answer that is on its way. The next request must
+    // not be given that answer, so it goes on a connection of its own.
+    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+    run(async |executor| {
+        let (addr, opened) = serve(answer, false);
+        let pool = Pool::new(Arc::clone(executor), LIMITS);
+        drop(pool.send(addr, request("/given-up")).await.unwrap());
+        assert_eq!(whole(&pool, addr, "/").await.as_deref(), Ok("hi"));
+        assert_eq!(opened.load(Ordering::Relaxed), 2);
+    });
+}
+
+#[test]
+fn doubled_answer_is_not_reused() {
+    // The other end answers twice. What is left over on the connection would be
+    // read as the answer to the next request.
+    let twice = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi\
+                  HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold";
+    run(async |executor| {
+        let (addr, _) = serve(twice, false);
+        let pool = Pool::new(Arc::clone(executor), LIMITS);
+        for _ in 0..5 {
+            let answer = whole(&pool, addr, "/").await;
+            assert_ne!(answer.as_deref(), Ok("old"));
+        }
+    });
+}
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -6,17 +6,19 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Method;
+use hyper::body::Bytes;
+use hyper::header;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::lock::Semaphore;
-use trillium_client::{Conn, KnownHeaderName, Method};
 use wire::{instance, kv};
 
 use crate::backoff::Bounds;
 use crate::counters::Counters;
-use crate::dial::{self, Dialer};
 use crate::error::{Effect, Error};
 use crate::{Pending, Store};
 
@@ -57,7 +59,7 @@
 /// A client of the store.
 pub struct Client {
     config: Config,
-    http: trillium_client::Client,
+    pool: pool::Pool,
     rests: rest::Rests,
     calls: Semaphore,
     watches: Semaphore,
@@ -65,7 +67,7 @@
 }
 
 /// Largest answer read, in bytes: a listing holds many values.
-const ANSWER_MAX: u64 = 64 << 20;
+const ANSWER_MAX: usize = 64 << 20;
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Kind {
@@ -78,23 +80,25 @@
     kind: Kind,
     method: Method,
     path: &'a str,
-    body: Option<Vec<u8>>,
+    body: Bytes,
 }
 
 struct Reply {
     status: u16,
-    body: Vec<u8>,
+    body: Bytes,
 }
 
 impl Client {
-    /// A client that has not connected yet.
+    /// A client that has not connected yet. Its connections are driven on
+    /// `executor`, which somebody has to run.
     #[must_use]
-    pub fn new(config: Config, rng: fastrand::Rng) -> Self {
-        let dialer = Dialer {
-            timeout: config.connect,
+    pub fn new(config: Config, executor: pool::Executor, rng: fastrand::Rng) -> Self {
+        let limits = pool::Limits {
+            idle: config.calls,
+            connect: config.connect,
         };
         Self {
-            http: trillium_client::Client::new(dialer).with_default_pool(),
+            pool: pool::Pool::new(executor, limits),
             rests: rest::Rests::new(&config.addrs, config.rest, rng),
             calls: Semaphore::new(config.calls),
             watches: Semaphore::new(config.watches),
@@ -158,17 +162,13 @@
     }
 
     async fn exchange(&self, call: &Call<'_>, addr: SocketAddr) -> Result<Reply, Error> {
-        let url = format!("http://{addr}{}", call.path);
-        let mut conn = self.http.build_conn(call.method, url);
-        if let Some(body) = &call.body {
-            conn = conn
-                .with_request_header(KnownHeaderName::ContentType, "application/json")
-                .with_body(body.clone());
-        }
-        let mut conn = conn.await.map_err(|error| broken(&error))?;
-        let status = status(&conn)?;
-        let body = conn.response_body().with_max_len(ANSWER_MAX);
-        let body = body.read_bytes().await.map_err(|_| Error::Lost)?;
+        let request = call.request(addr)?;
+        let exchange = self.pool.send(addr, request).await.map_err(broken)?;
+        let status = exchange.response.status().as_u16();
+        let body = Limited::new(exchange.response.into_body(), ANSWER_MAX);
+        // A half-read answer drops its connection with it.
+        let body = body.collect().await.map_err(|_| Error::Lost)?.to_bytes();
+        self.pool.put_back(addr, exchange.connection);
         if status >= 500 {
             return Err(Error::BadAnswer { status });
         }
@@ -184,12 +184,7 @@
         }
     }
 
-    async fn write(
-        &self,
-        method: Method,
-        path: &str,
-        body: Option<Vec<u8>>,
-    ) -> Result<Reply, Error> {
+    async fn write(&self, method: Method, path: &str, body: Bytes) -> Result<Reply, Error> {
         let reply = self
             .call(Call {
                 kind: Kind::Write,
@@ -222,9 +217,7 @@
             if bytes > kv::VALUE_MAX {
                 return Err(Error::TooLarge { bytes });
             }
-            let reply = self
-                .write(Method::Put, &path(key)?, Some(json(&put)))
-                .await?;
+            let reply = self.write(Method::PUT, &path(key)?, json(&put)).await?;
             reply.parse()
         })
     }
@@ -235,7 +228,9 @@
                 Some(revision) => format!("{}?revision={revision}", path(key)?),
                 None => path(key)?,
             };
-            self.write(Method::Delete, &path, None).await?.parse()
+            self.write(Method::DELETE, &path, Bytes::new())
+                .await?
+                .parse()
         })
     }
 
@@ -270,16 +265,14 @@
         Box::pin(async move {
             let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
             let body = json(&kv::Grant { ttl_ms });
-            self.write(Method::Post, "/leases", Some(body))
-                .await?
-                .parse()
+            self.write(Method::POST, "/leases", body).await?.parse()
         })
     }
 
     fn renew(&self, id: u64) -> Pending<'_, kv::Lease> {
         Box::pin(async move {
             let path = format!("/leases/{id}/renew");
-            self.write(Method::Post, &path, None).await?.parse()
+            self.write(Method::POST, &path, Bytes::new()).await?.parse()
         })
     }
 
@@ -295,11 +288,24 @@
     const fn get(kind: Kind, path: &'a str) -> Self {
         Self {
             kind,
-            method: Method::Get,
+            method: Method::GET,
             path,
-            body: None,
+            body: Bytes::new(),
         }
     }
+
+    fn request(&self, addr: SocketAddr) -> Result<pool::Request, Error> {
+        let request = hyper::Request::builder()
+            .method(&self.method)
+            .uri(self.path)
+            .header(header::HOST, addr.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(self.body.clone()));
+        // Keys are checked before, so the path always fits a request.
+        request.map_err(|_| Error::BadKey {
+            key: self.path.to_owned(),
+        })
+    }
 }
 
 impl Reply {
@@ -309,20 +315,16 @@
     }
 }
 
-fn broken(error: &trillium_client::Error) -> Error {
-    if dial::never_sent(error) {
-        Error::Unreachable
-    } else {
-        Error::Lost
+const fn broken(error: pool::Error) -> Error {
+    match error {
+        pool::Error::Unsent => Error::Unreachable,
+        pool::Error::Broken | pool::Error::Garbled => Error::Lost,
     }
 }
 
-fn status(conn: &Conn) -> Result<u16, Error> {
-    conn.status().map(|status| status as u16).ok_or(Error::Lost)
-}
-
-fn json(value: &impl Serialize) -> Vec<u8> {
-    serde_json::to_vec(value).expect("plain data serialises")
+fn json(value: &impl Serialize) -> Bytes {
+    let bytes = serde_json::to_vec(value);
+    bytes.expect("plain data serialises").into()
 }
 
 fn path(key: &str) -> Result<String, Error> {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,7 +12,6 @@
 
 pub mod backoff;
 pub mod counters;
-pub mod dial;
 pub mod error;
 pub mod http;
 
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -1,6 +1,7 @@
 //! The client tells what may have happened, and bounds what it asks for.
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
@@ -33,8 +34,14 @@
     }
 }
 
-fn client(config: Config) -> Client {
-    Client::new(config, fastrand::Rng::with_seed(SEED))
+/// Runs a test on an executor that also drives the client's connections.
+fn run(test: impl AsyncFnOnce(&pool::Executor)) {
+    let executor = pool::Executor::default();
+    smol::block_on(executor.run(test(&executor)));
+}
+
+fn client(executor: &pool::Executor, config: Config) -> Client {
+    Client::new(config, Arc::clone(executor), fastrand::Rng::with_seed(SEED))
 }
 
 /// An address that nothing listens on.
@@ -53,9 +60,9 @@
 
 #[test]
 fn calls_round_trip() {
-    smol::block_on(async {
+    run(async |executor| {
         let store = start();
-        let client = client(config(&[store.addr()]));
+        let client = client(executor, config(&[store.addr()]));
         assert_eq!(client.get("a/b").await.unwrap(), None);
         let written = client.put("a/b", put("1", kv::Expect::Absent)).await;
         let revision = written.unwrap().revision;
@@ -79,9 +86,9 @@
 
 #[test]
 fn watch_wakes_on_write() {
-    smol::block_on(async {
+    run(async |executor| {
         let store = start();
-        let client = client(config(&[store.addr()]));
+        let client = client(executor, config(&[store.addr()]));
         let wait = Duration::from_secs(20);
         let watch = client.watch("a", 0, wait);
         let write = async {
@@ -100,10 +107,10 @@
 fn watch_misses_events() {
     // The write happens while the watch waits, but the store tells nothing. The
     // watch comes back empty after its time; the next one sees the write.
-    smol::block_on(async {
+    run(async |executor| {
         let store = start();
         store.fault(Fault::MissedEvents);
-        let client = client(config(&[store.addr()]));
+        let client = client(executor, config(&[store.addr()]));
         let wait = Duration::from_millis(300);
         let watch = client.watch("a", 0, wait);
         let write = async {
@@ -127,10 +134,10 @@
 fn failed_write_is_in_doubt(#[case] fault: Fault, #[case] kind: Kind, #[case] made: bool) {
     // The call was sent and no answer tells whether it was made. In some cases
     // it was, in others not: the client must call all of them unknown.
-    smol::block_on(async {
+    run(async |executor| {
         let store = start();
         store.fault(fault);
-        let client = client(config(&[store.addr()]));
+        let client = client(executor, config(&[store.addr()]));
         let error = client
             .put("a", put("1", kv::Expect::Any))
             .await
@@ -159,8 +166,8 @@
 
 #[test]
 fn unreachable_write_was_not_made() {
-    smol::block_on(async {
-        let client = client(config(&[nowhere()]));
+    run(async |executor| {
+        let client = client(executor, config(&[nowhere()]));
         let error = client
             .put("a", put("1", kv::Expect::Any))
             .await
@@ -172,9 +179,9 @@
 
 #[test]
 fn next_address_is_asked() {
-    smol::block_on(async {
+    run(async |executor| {
         let store = start();
-        let client = client(config(&[nowhere(), store.addr()]));
+        let client = client(executor, config(&[nowhere(), store.addr()]));
         client.put("a", put("1", kv::Expect::Any)).await.unwrap();
         assert_eq!(client.counters().calls(), 2);
         // The address that answered is kept.
@@ -183,11 +190,37 @@
     });
 }
 
+#[test]
+fn write_in_doubt_is_not_repeated() {
+    // The first store made the write and its answer is lost. Sent again to the
+    // other address, an unconditional write would be made twice.
+    run(async |executor| {
+        let (first, second) = (start(), start());
+        let prefix = String::new();
+        first.fault(Fault::LostAnswer { prefix });
+        let client = client(executor, config(&[first.addr(), second.addr()]));
+        let error = client.put("a", put("1", kv::Expect::Any)).await;
+        assert_eq!(error, Err(Error::Lost));
+        assert_eq!((first.stats().writes, second.stats().writes), (1, 0));
+    });
+}
+
+#[test]
+fn read_goes_to_next_address() {
+    run(async |executor| {
+        let (first, second) = (start(), start());
+        first.fault(Fault::Outage);
+        let client = client(executor, config(&[first.addr(), second.addr()]));
+        assert_eq!(client.get("a").await, Ok(None));
+        assert_eq!((first.stats().reads, second.stats().reads), (1, 1));
+    });
+}
+
 #[test]
 fn failed_address_rests() {
     // A caller that asks again at once does not reach the store, which may be
     // down because of such callers; it learns when to ask.
-    smol::block_on(async {
+    run(async |executor| {
         let store = start();
         store.fault(Fault::Outage);
         let span = Duration::from_secs(50);
@@ -195,10 +228,13 @@
             first: span,
             most: span,
         };
-        let client = client(Config {
-            rest,
-            ..config(&[store.addr()])
-        });
+        let client = client(
+            executor,
+            Config {
+                rest,
+                ..config(&[store.addr()])
+            },
+        );
         client.get("a").await.unwrap_err();
         let error = client.get("a").await.unwrap_err();
         let Error::Resting { after } = error else {
@@ -209,15 +245,55 @@
     });
 }
 
+#[test]
+fn burst_counts_as_one_failure() {
+    // Many calls fail at the same hiccup of the store. Counted one by one they
+    // would rest it for the longest pause, and the next calls with it.
+    run(async |executor| {
+        let store = start();
+        store.fault(Fault::Outage);
+        let first = Duration::from_secs(5);
+        let rest = Bounds {
+            first,
+            most: Duration::from_secs(500),
+        };
+        let client = client(
+            executor,
+            Config {
+                rest,
+                ..config(&[store.addr()])
+            },
+        );
+        let keys: Vec<String> = (0..20).map(|n| format!("k{n}")).collect();
+        let calls = keys.iter().map(|key| client.get(key));
+        let mut calls: Vec<_> = calls.collect();
+        for call in &mut calls {
+            // All are under way before the first of them ends.
+            let _ = futures_lite::future::poll_once(call).await;
+        }
+        for call in calls {
+            let _ = call.await;
+        }
+        let error = client.get("a").await.unwrap_err();
+        let Error::Resting { after } = error else {
+            panic!("{error:?}");
+        };
+        assert!(after <= first, "{after:?}");
+    });
+}
+
 #[test]
 fn calls_under_way_are_bounded() {
-    smol::block_on(async {
+    run(async |executor| {
         let store = start();
         store.fault(Fault::Hang);
-        let client = client(Config {
-            calls: 1,
-            ..config(&[store.addr()])
-        });
+        let client = client(
+            executor,
+            Config {
+                calls: 1,
+                ..config(&[store.addr()])
+            },
+        );
         let both = futures_lite::future::zip(client.get("a"), client.get("b")).await;
         assert_eq!(both.0, Err(Error::TimedOut));
         assert_eq!(both.1, Err(Error::Busy));
@@ -230,8 +306,8 @@
 #[case::query("a?b")]
 #[case::parent("a/../b")]
 fn key_is_checked(#[case] key: &str) {
-    smol::block_on(async {
-        let client = client(config(&[nowhere()]));
+    run(async |executor| {
+        let client = client(executor, config(&[nowhere()]));
         let error = client.get(key).await.unwrap_err();
         assert_eq!(error.kind(), Kind::BadKey);
     });
