--- a/crates/auburnrouter/src/daemon/engine.rs
+++ b/crates/auburnrouter/src/daemon/engine.rs
@@ -14,7 +14,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use steer::clock::Time;
-use steer::process::{dispatch, traffic};
+use steer::process::{dispatch, share, traffic};
 use steer::request::{arrival, outcome, record};
 use steer::version::view;
 use wire::peer;
@@ -29,6 +29,9 @@
 /// Time for a target to answer a probe.
 const PROBE_TIME: Duration = Duration::from_millis(250);
 
+/// Time for a peer to lend a part of a cap.
+const LOAN_TIME: Duration = Duration::from_millis(500);
+
 /// Time for a peer to take the word on a request that breaks targets.
 const SUSPECT_TIME: Duration = Duration::from_millis(500);
 
@@ -132,6 +135,18 @@
         told.recv().await.ok()
     }
 
+    /// Says whether this process holds its part of every cap.
+    pub fn hold(&self, held: bool) {
+        self.handle(&mut self.lock(), traffic::Event::Hold(held));
+    }
+
+    /// Lends a peer a part of a cap; zero is "nothing".
+    pub async fn lend(&self, route: share::Route, amount: u64) -> u64 {
+        let (mailbox, told) = async_channel::bounded(1);
+        self.wanted(route, amount, mailbox);
+        told.recv().await.unwrap_or(0)
+    }
+
     /// Takes a peer's word on a request that breaks targets.
     pub fn suspected(&self, fingerprint: arrival::Fingerprint, strikes: u8) {
         let event = traffic::Event::Suspected {
@@ -172,6 +187,21 @@
         inner.decide.drained() && inner.waiting() == 0
     }
 
+    /// The state of the traffic decisions, as lines for people.
+    #[must_use]
+    pub fn dump(&self) -> Vec<String> {
+        let now = self.now();
+        let mut inner = self.lock();
+        let gate = inner.decide.gate_state().counts();
+        let dispatch = inner.decide.dispatch_state().dump(now).to_string();
+        let mut lines: Vec<String> = dispatch.lines().map(str::to_owned).collect();
+        lines.push(format!("{gate:?}"));
+        for (route, limit, used) in inner.decide.share_rows(now) {
+            lines.push(format!("{route}: {used} of {limit} used this second"));
+        }
+        lines
+    }
+
     /// Requests that have no settled answer yet.
     #[must_use]
     pub fn in_flight(&self) -> usize {
@@ -217,6 +247,12 @@
         id
     }
 
+    fn wanted(&self, route: share::Route, amount: u64, mailbox: async_channel::Sender<u64>) {
+        let mut inner = self.lock();
+        let ask = inner.expect_loan(mailbox);
+        self.handle(&mut inner, traffic::Event::Wanted { ask, route, amount });
+    }
+
     fn asked(&self, question: record::Question, mailbox: async_channel::Sender<record::Word>) {
         let mut inner = self.lock();
         let ask = inner.expect(mailbox);
@@ -282,6 +318,21 @@
             traffic::Action::Probe { target, addr } => {
                 self.go(Kind::Probe { target, addr }, PROBE_TIME);
             }
+            traffic::Action::Borrow {
+                peer,
+                route,
+                amount,
+                asked,
+            } => {
+                let kind = Kind::Borrow {
+                    addr: peer,
+                    route,
+                    amount,
+                    asked,
+                };
+                self.go(kind, LOAN_TIME);
+            }
+            traffic::Action::Lend { ask, amount } => inner.lend(ask, amount),
             traffic::Action::Suspect {
                 fingerprint,
                 strikes,
--- /dev/null
+++ b/crates/steer/examples/fleet.rs
@@ -0,0 +1,356 @@
+//! Measures fleets of control states in virtual time.
+//!
+//! `cargo run --release -p steer --example fleet -- 7 20 40` prints a row for
+//! each size in ordinary operation; with `events` before the sizes, what an
+//! outage of the store and the restart of a whole failure domain cost. Sizes of the configuration and of the domains follow the target's
+//! proportions. Bytes are those of the payloads as they cross the wire; real
+//! time is that of control, encoding and decoding.
+
+#[path = "../tests/control_scenarios/fleet.rs"]
+#[expect(dead_code, reason = "scenarios use more of it")]
+mod fleet;
+
+use core::time::Duration;
+use std::sync::Arc;
+use std::time::Instant;
+
+use fleet::{Fleet, Layout};
+use steer::clock::Time;
+use steer::process::config::{Change, File, Head, RECENT};
+use steer::process::control::{Safeguards, Snapshot};
+use steer::version::view::Version;
+
+const TARGET: usize = 1500;
+const TARGET_DOMAINS: usize = 69;
+/// Base, 230 overlays, and client blocks in 80 parts.
+const TARGET_FILES: usize = 311;
+const CHANGES_A_DAY: f64 = 1300.0;
+const REPLACED_A_DAY: f64 = 470.0;
+const DAY: f64 = 86_400.0;
+/// Bytes of the body that a change replaces.
+const CHANGED: usize = 8192;
+const QUIET: Duration = Duration::from_secs(30);
+const CHANGES: usize = 10;
+const DEATHS: usize = 8;
+/// Bytes that a message costs beyond its payload: the call's frame and that of
+/// its empty answer, and two TCP segments of 52 bytes of headers.
+const OVERHEAD: f64 = 150.0;
+
+/// Totals over all processes at one moment.
+#[derive(Clone, Copy)]
+struct Totals {
+    now: Time,
+    bytes: u64,
+    messages: u64,
+    spent: Duration,
+}
+
+/// Rates per process and second between two moments.
+#[derive(Clone, Copy)]
+struct Rates {
+    bytes: f64,
+    messages: f64,
+    cpu: f64,
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let events = args.first().is_some_and(|a| a == "events");
+    let sizes = args.iter().skip(usize::from(events));
+    let sizes: Vec<usize> = sizes.map(|a| a.parse().expect("a number")).collect();
+    println!("{}", if events { EVENTS } else { ORDINARY });
+    for nodes in sizes {
+        if events {
+            measure_events(nodes);
+        } else {
+            measure(nodes);
+        }
+    }
+}
+
+const ORDINARY: &str = "nodes domains | quiet: B/s msg/s wireB/s cpu% | \
+    change: B cpu-ms  p50/p99/max s | death: p50/p99/max s  kB cpu-ms | \
+    steady: wireB/s cpu% | store calls/s quiet, max | kB/node";
+
+const EVENTS: &str = "nodes domains | store away 120 s: calls/s mean, max; in the 60 s after: \
+    mean, max | a domain restarted at once: s until the last is ready, \
+    s until all are in all look-ups, wireB/s of the other processes";
+
+/// A fleet with a first version in force, and its files.
+fn settled(nodes: usize) -> (Fleet, Vec<File>) {
+    let domains = (nodes * TARGET_DOMAINS).div_ceil(TARGET).max(6);
+    let mut fleet = Fleet::new(Layout {
+        domains,
+        nodes,
+        per_region: 3,
+        loss: 0.0,
+        seed: 7,
+        guards: Safeguards::default(),
+        lag: Duration::from_secs(15),
+    });
+    fleet.timed = true;
+    let mut files = Vec::new();
+    for at in 0..(TARGET_FILES * nodes).div_ceil(TARGET).max(4) {
+        let body = fleet::body(&format!("{at:0>200}"));
+        files.push(File {
+            name: format!("overlay-of-site-{at:03}").into(),
+            hash: body.hash,
+        });
+        fleet.put_body(body);
+    }
+    write(&mut fleet, 1, files.clone());
+    fleet.run(Duration::from_secs(40));
+    let mut versions = fleet.nodes.iter().map(|n| n.control.version());
+    assert!(versions.all(|v| v == Version(1)), "the first version lacks");
+    (fleet, files)
+}
+
+fn measure_events(nodes: usize) {
+    let (mut fleet, _) = settled(nodes);
+    let domains = (nodes * TARGET_DOMAINS).div_ceil(TARGET).max(6);
+    fleet.store_away(true);
+    let away = fleet.now;
+    fleet.run(Duration::from_mins(2));
+    let during = load(calls(&fleet, away));
+    fleet.store_away(false);
+    let back = fleet.now;
+    fleet.run(Duration::from_mins(1));
+    let after = load(calls(&fleet, back));
+    let (ready, seen, bytes) = restart(&mut fleet, domains);
+    println!(
+        "{nodes:5} {domains:3} | {:6.1} {:4} {:6.1} {:4} | {ready:4.1} {seen:4.1} {bytes:6.0}",
+        during.0, during.1, after.0, after.1
+    );
+}
+
+/// Kills all processes of domain 1 and starts them anew at once.
+fn restart(fleet: &mut Fleet, domains: usize) -> (f64, f64, f64) {
+    let slots: Vec<usize> = (1..fleet.slots.len()).step_by(domains).collect();
+    for &slot in &slots {
+        fleet.kill(fleet.slots[slot]);
+    }
+    for &slot in &slots {
+        fleet.start(slot, None);
+    }
+    let nodes = fleet.slots.len();
+    let from = totals(fleet);
+    let (mut ready, mut seen) = (f64::NAN, f64::NAN);
+    for tenth in 1..=300 {
+        fleet.run(Duration::from_millis(100));
+        let at = f64::from(tenth) / 10.0;
+        let started = |&slot: &usize| fleet.nodes[fleet.slots[slot]].control.is_ready();
+        if ready.is_nan() && slots.iter().all(started) {
+            ready = at;
+        }
+        let known = fleet.slots.iter().all(|&at| {
+            let shown = fleet.nodes[at].shown.as_ref();
+            shown.is_some_and(|s| s.members.len() == nodes && names_new(fleet, s, &slots))
+        });
+        if seen.is_nan() && known {
+            seen = at;
+        }
+        if !ready.is_nan() && !seen.is_nan() {
+            break;
+        }
+    }
+    let rates = rates(nodes, from, totals(fleet));
+    (ready, seen, rates.bytes + rates.messages * OVERHEAD)
+}
+
+fn names_new(fleet: &Fleet, shown: &Snapshot, slots: &[usize]) -> bool {
+    slots.iter().all(|&slot| {
+        let node = &fleet.nodes[fleet.slots[slot]];
+        let members = &shown.members;
+        let name = fleet.name(slot);
+        let found = members.binary_search_by(|s| (*s.record.identity.name).cmp(&name));
+        found.is_ok_and(|at| {
+            let incarnation = members[at].record.stamp.incarnation;
+            incarnation == node.control.record().stamp.incarnation
+        })
+    })
+}
+
+fn load(calls: &[u32]) -> (f64, u32) {
+    let sum: u32 = calls.iter().sum();
+    let max = calls.iter().max().copied().unwrap_or(0);
+    (f64::from(sum) / as_f64(calls.len().max(1)), max)
+}
+
+fn measure(nodes: usize) {
+    let start = Instant::now();
+    let domains = (nodes * TARGET_DOMAINS).div_ceil(TARGET).max(6);
+    let before = resident();
+    let (mut fleet, mut files) = settled(nodes);
+    let memory = resident().saturating_sub(before) / nodes;
+
+    let quiet_from = totals(&fleet);
+    fleet.run(QUIET);
+    let quiet = rates(nodes, quiet_from, totals(&fleet));
+    let calls = calls(&fleet, quiet_from.now);
+    let mean: f64 = calls.iter().map(|&c| f64::from(c)).sum::<f64>() / QUIET.as_secs_f64();
+
+    let change_from = totals(&fleet);
+    let mut delays = Vec::new();
+    for change in 0..CHANGES {
+        delays.extend(change_once(&mut fleet, change, &mut files));
+    }
+    let change_to = totals(&fleet);
+    let change = extra(nodes, quiet, change_from, change_to, CHANGES);
+    let peak = self::calls(&fleet, change_from.now);
+    let peak = peak.iter().max().copied().unwrap_or(0);
+
+    let death_from = totals(&fleet);
+    let mut drops = Vec::new();
+    for death in 0..DEATHS {
+        drops.extend(die_once(&mut fleet, death * 7 % nodes));
+    }
+    let death = extra(nodes, quiet, death_from, totals(&fleet), DEATHS);
+
+    let replaced = REPLACED_A_DAY * as_f64(nodes) / as_f64(TARGET) / DAY;
+    let wire = |r: Rates| r.bytes + r.messages * OVERHEAD;
+    let steady = wire(quiet) + wire(change) * CHANGES_A_DAY / DAY + wire(death) * replaced;
+    let cpu = quiet.cpu + change.cpu * CHANGES_A_DAY / DAY + death.cpu * replaced;
+    println!(
+        "{nodes:5} {domains:3} | {:6.0} {:5.1} {:6.0} {:6.3} | {:7.0} {:6.2} {} | {} {:6.1} {:6.2} | \
+         {steady:6.0} {:6.3} | {mean:5.1} {peak:4} | {:5} | run {:.0?}",
+        quiet.bytes,
+        quiet.messages,
+        wire(quiet),
+        quiet.cpu * 100.0,
+        change.bytes,
+        change.cpu * 1000.0,
+        quantiles(&mut delays),
+        quantiles(&mut drops),
+        death.bytes / 1000.0,
+        death.cpu * 1000.0,
+        cpu * 100.0,
+        memory / 1000,
+        start.elapsed(),
+    );
+}
+
+/// One change: the time until it is in force, at each process.
+fn change_once(fleet: &mut Fleet, change: usize, files: &mut [File]) -> Vec<Duration> {
+    let version = u64::try_from(change + 2).expect("small");
+    let body = fleet::body(&format!("{change:0>CHANGED$}"));
+    let at = change % files.len();
+    files[at].hash = body.hash;
+    fleet.put_body(body);
+    write(fleet, version, files.to_vec());
+    let from = fleet.now;
+    fleet.run(Duration::from_secs(8));
+    let live = fleet.nodes.iter().filter(|n| n.alive);
+    live.map(|node| {
+        let mut force = node.force.iter();
+        let found = force.find(|(_, v)| v.0 >= version);
+        found.map_or(Duration::MAX, |(at, _)| at.since(from))
+    })
+    .collect()
+}
+
+/// One death: the time until the process is in no look-up, at each process. It
+/// is replaced 15 s later.
+fn die_once(fleet: &mut Fleet, slot: usize) -> Vec<Duration> {
+    let dead = fleet.slots[slot];
+    let incarnation = fleet.nodes[dead].control.record().stamp.incarnation;
+    let name = fleet.name(slot);
+    let from = fleet.now;
+    fleet.kill(dead);
+    let mut waiting: Vec<usize> = (0..fleet.nodes.len())
+        .filter(|&at| fleet.nodes[at].alive)
+        .collect();
+    let mut delays = Vec::new();
+    for _ in 0..150 {
+        fleet.run(Duration::from_millis(100));
+        waiting.retain(|&at| {
+            let shown = fleet.nodes[at].shown.as_ref().expect("published");
+            let members = &shown.members;
+            let found = members.binary_search_by(|s| (*s.record.identity.name).cmp(&name));
+            let names = found.is_ok_and(|i| members[i].record.stamp.incarnation == incarnation);
+            if !names {
+                delays.push(fleet.now.since(from));
+            }
+            names
+        });
+    }
+    delays.extend(waiting.iter().map(|_| Duration::MAX));
+    fleet.start(slot, None);
+    fleet.run(Duration::from_secs(5));
+    delays
+}
+
+fn write(fleet: &mut Fleet, version: u64, files: Vec<File>) {
+    let recent = (1..=version).rev().take(RECENT).map(|v| Change {
+        version: Version(v),
+        id: format!("change-{v:08}").into(),
+    });
+    let head = Head {
+        version: Version(version),
+        recent: recent.collect(),
+        files,
+    };
+    fleet.write(&Arc::new(head), None).expect("no condition");
+}
+
+fn totals(fleet: &Fleet) -> Totals {
+    let nodes = fleet.nodes.iter();
+    let (mut bytes, mut messages) = (0, 0);
+    for node in nodes {
+        bytes += node.bytes[0] + node.bytes[1];
+        messages += node.messages[0] + node.messages[1];
+    }
+    Totals {
+        now: fleet.now,
+        bytes,
+        messages,
+        spent: fleet.spent,
+    }
+}
+
+fn rates(nodes: usize, from: Totals, to: Totals) -> Rates {
+    let span = to.now.since(from.now).as_secs_f64() * as_f64(nodes);
+    Rates {
+        bytes: difference(from.bytes, to.bytes) / span,
+        messages: difference(from.messages, to.messages) / span,
+        cpu: to.spent.saturating_sub(from.spent).as_secs_f64() / span,
+    }
+}
+
+/// What each of `count` events cost a process beyond the quiet rate.
+fn extra(nodes: usize, quiet: Rates, from: Totals, to: Totals, count: usize) -> Rates {
+    let all = rates(nodes, from, to);
+    let span = to.now.since(from.now).as_secs_f64() / as_f64(count);
+    Rates {
+        bytes: (all.bytes - quiet.bytes) * span,
+        messages: (all.messages - quiet.messages) * span,
+        cpu: (all.cpu - quiet.cpu) * span,
+    }
+}
+
+fn calls(fleet: &Fleet, from: Time) -> &[u32] {
+    let from = usize::try_from(from.as_micros() / 1_000_000).expect("small");
+    fleet.store.calls.get(from..).unwrap_or_default()
+}
+
+fn quantiles(delays: &mut [Duration]) -> String {
+    delays.sort_unstable();
+    let at = |part: usize| delays[(delays.len() - 1) * part / 100].as_secs_f64();
+    format!("{:.2}/{:.2}/{:.2}", at(50), at(99), at(100))
+}
+
+/// How much a total has grown; below 2^53, so that nothing is lost.
+#[expect(clippy::cast_precision_loss, reason = "totals are far below 2^53")]
+fn difference(from: u64, to: u64) -> f64 {
+    (to - from) as f64
+}
+
+fn as_f64(number: usize) -> f64 {
+    f64::from(u32::try_from(number).expect("small"))
+}
+
+/// Resident memory of this process in bytes.
+fn resident() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|p| p.parse().ok());
+    pages.unwrap_or(0_usize) * 4096
+}
--- a/crates/steer/src/process/dispatch.rs
+++ b/crates/steer/src/process/dispatch.rs
@@ -5,6 +5,8 @@
 //! not idempotent is never sent again once it may have run; and a refusal that
 //! says "not run" is given only while no attempt may have run.
 
+mod caps;
+pub mod dump;
 mod group;
 mod job;
 mod message;
@@ -21,7 +23,7 @@
 pub use message::{Action, Ending, Event, Home, Place, Report, TICK};
 
 use crate::clock::Time;
-use crate::process::target;
+use crate::process::{share, target};
 use crate::request::admission;
 use crate::request::arrival::{Arrival, AttemptId, Origin, RequestId};
 use crate::request::outcome::{Reason, Refusal};
@@ -47,6 +49,9 @@
     callers: admission::Counts,
     budget: retry::Budget,
     suspects: poison::Suspects,
+    shares: share::Shares,
+    /// Loans to ask for; empty between events.
+    wishes: Vec<Action>,
     attempts: u64,
     probed: Time,
     stats: stats::Stats,
@@ -75,6 +80,8 @@
             callers: admission::Counts::default(),
             budget: retry::Budget::default(),
             suspects: poison::Suspects::default(),
+            shares: share::Shares::default(),
+            wishes: Vec::new(),
             attempts: 0,
             probed: Time::ZERO,
             stats: stats::Stats::default(),
@@ -91,6 +98,16 @@
                 attempt,
                 ending,
             } => self.ended(now, id, attempt, ending, out),
+            Event::Hold(held) => self.shares.hold(now, held),
+            Event::Borrowed {
+                route,
+                amount,
+                asked,
+            } => self.shares.borrow(asked, &route, amount),
+            Event::Wanted { ask, route, amount } => {
+                let amount = self.shares.lend(now, &route, amount);
+                out.push(Action::Lend { ask, amount });
+            }
             Event::Gone(id) => self.gone(now, id, out),
             Event::View(view) => self.renew(now, view, out),
             Event::Report { target, report } => self.report(now, &target, report),
@@ -101,6 +118,7 @@
             } => self.suspected(now, fingerprint, strikes, out),
             Event::Tick => self.tick(now, out),
         }
+        out.append(&mut self.wishes);
     }
 
     /// Number of requests in flight.
@@ -121,6 +139,15 @@
         &self.stats
     }
 
+    /// The state as text, at a point in time.
+    #[must_use]
+    pub const fn dump(&self, now: Time) -> dump::Dump<'_> {
+        dump::Dump {
+            dispatch: self,
+            now,
+        }
+    }
+
     fn arrive(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Action>) {
         let group = match self.admit(&arrival) {
             Ok(group) => group,
@@ -129,6 +156,11 @@
                 return self.refuse(id, refusal, out);
             }
         };
+        if let Err(wait) = self.may_serve(now, &arrival) {
+            let after = Some(admission::jitter(wait, &mut self.rng));
+            let refusal = Refusal::not_run(Reason::Cap, after);
+            return self.refuse(arrival.id, refusal, out);
+        }
         let allowed = arrival.deadline.unwrap_or(self.groups[group].deadline);
         self.callers.add(&arrival.caller);
         self.budget.earn();
@@ -195,10 +227,18 @@
         let hope = !on.has(Safeguard::Admission) || (short && outlook.hopeful(left));
         let stay = hope && self.has_open(now, group, &job) && self.fits(group);
         let patience = if stay { outlook.wait() } else { left };
-        let (remote, capped) = self.remote(now, group, &job, patience, left);
-        if let Some(pick) = remote.filter(|_| room) {
-            return self.send(now, group, job, pick, out);
-        }
+        // What a cap allows counts as used, so it is asked only where the
+        // request would then go.
+        let remote = if room {
+            self.remote(now, group, &job, patience, left)
+        } else {
+            Ok(None)
+        };
+        let capped = match remote {
+            Ok(Some(pick)) => return self.send(now, group, job, pick, out),
+            Ok(None) => None,
+            Err(after) => Some(after),
+        };
         if stay && self.make_room(group, out) {
             return self.wait(now, group, job);
         }
@@ -209,16 +249,16 @@
             return self.send(now, group, job, pick, out);
         }
         let reason = match job.failed {
-            _ if capped => Reason::Cap,
+            _ if capped.is_some() => Reason::Cap,
             Some(failed) => failed,
             None if outlook.limit == 0 => Reason::NoTarget,
             None if hope => Reason::Overloaded,
             None => Reason::Deadline,
         };
-        let wait = if outlook.limit == 0 {
-            admission::COME_BACK.0 * 10
-        } else {
-            outlook.wait()
+        let wait = match capped {
+            Some(after) => after,
+            None if outlook.limit == 0 => admission::COME_BACK.0 * 10,
+            None => outlook.wait(),
         };
         self.give_up(&job, reason, wait, out);
     }
--- a/crates/steer/src/process/dispatch/renew.rs
+++ b/crates/steer/src/process/dispatch/renew.rs
@@ -28,6 +28,7 @@
         let home = view.domain(&self.home.domain);
         self.region = home.map(|h| view.domains[h].region);
         self.view = view;
+        self.shares.configure(now, &self.view, &self.home.name);
         self.renew_tracks(now, home, first);
         let mut old = mem::take(&mut self.groups);
         for service in self.view.services.keys() {
@@ -203,12 +204,14 @@
         });
         there
             .filter_map(|(member, data)| {
+                let region = view.domains[data.domain].region;
                 Some(Remote {
                     track: self.tracks.find(&data.name, name).ok()?,
                     incarnation: data.incarnation,
                     peer: data.peer,
                     member,
-                    near: Some(view.domains[data.domain].region) == self.region,
+                    region,
+                    near: Some(region) == self.region,
                 })
             })
             .collect()
--- a/crates/steer/tests/control_scenarios/script.rs
+++ b/crates/steer/tests/control_scenarios/script.rs
@@ -21,6 +21,7 @@
         "reread" => &mut guards.reread,
         "pull" => &mut guards.pull,
         "confirm" => &mut guards.confirm,
+        "introduce" => &mut guards.introduce,
         "quarantine" => &mut guards.slot.quarantine,
         "hold" => &mut guards.slot.confirm,
         "transition" => &mut guards.slot.transition,
@@ -92,6 +93,11 @@
             "shares" => self.shares(),
             "files" => self.files(&text(case, "of")),
             "stamps" => self.stamps(&text(case, "of"), &text(case, "about")),
+            "dropped" => {
+                let nodes = self.fleet().nodes.iter();
+                let dropped: u64 = nodes.map(|n| n.control.counters().dropped).sum();
+                format!("{dropped}\n")
+            }
             "notices" => self.notices(&text(case, "of")),
             other => panic!("no directive {other}"),
         }
