--- a/crates/auburnrouter/src/daemon/outbound.rs
+++ b/crates/auburnrouter/src/daemon/outbound.rs
@@ -1,23 +1,15 @@
 //! Carries one attempt to a target and says how it ended.
 //!
-//! The HTTP client of the house's library isn't used here: it can't tell a
-//! request that never left from one that may have, asks for `100-continue`
-//! before each body, and panics on a status it doesn't know. `hyper`, its
-//! nearest kin, tells.
-//!
 //! Invariant: [`dispatch::Ending::Unreachable`] is only said when no byte of
 //! the request left this process.
 
-mod pool;
-
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::future;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
-use steer::clock::Time;
 use steer::process::dispatch;
 use steer::request::answer;
 use steer::version::view;
@@ -26,19 +18,22 @@
 use super::inbound::{self, Inbound};
 use super::workers::Executor;
 
-/// A request as `hyper` sends it.
-type Request = hyper::Request<Full<Bytes>>;
-
 /// Longest answer taken from a target, in bytes.
 const ANSWER_MAX: usize = 16 << 20;
 
+/// Time to open a connection to a target, which is in this failure domain.
+/// Past it the request certainly did not leave, and may go elsewhere.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+
+/// Connections kept open to each target ahead of need.
+const WARM: usize = 2;
+
 /// Time allowed to tell a target that an attempt is cancelled.
 const CANCEL_TIME: Duration = Duration::from_millis(500);
 
 /// Connections to targets, and what is sent on them.
 pub struct Outbound {
-    start: Instant,
-    pools: Arc<pool::Pools>,
+    pool: Arc<pool::Pool>,
 }
 
 /// An attempt as it crosses the wire.
@@ -74,9 +69,13 @@
     /// No connections yet; at most `bound` are opened to each target.
     #[must_use]
     pub fn new(executor: Executor, bound: usize) -> Self {
+        let limits = pool::Limits {
+            bound,
+            warm: WARM,
+            connect: CONNECT_TIME,
+        };
         Self {
-            start: Instant::now(),
-            pools: pool::Pools::new(executor, bound),
+            pool: pool::Pool::new(executor, limits),
         }
     }
 
@@ -84,17 +83,12 @@
     pub fn renew(&self, mut addrs: Vec<SocketAddr>) {
         addrs.sort_unstable();
         addrs.dedup();
-        self.pools.renew(&addrs);
+        self.pool.renew(&addrs);
     }
 
     /// Opens connections ahead of need and closes those idle too long.
     pub fn upkeep(&self) {
-        self.pools.upkeep(self.now());
-    }
-
-    fn now(&self) -> Time {
-        let micros = self.start.elapsed().as_micros();
-        Time::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+        self.pool.upkeep();
     }
 
     /// Sends an attempt and waits for its end or for its budget to run out.
@@ -114,10 +108,10 @@
         let Ok(request) = request else { return };
         let told = async {
             // Best effort: the broken connection says the same.
-            if let Ok(exchange) = self.pools.send(addr, request).await {
+            if let Ok(exchange) = self.pool.send(addr, request).await {
                 let (response, rest) = exchange.split();
                 if response.into_body().collect().await.is_ok() {
-                    rest.put_back(self.now());
+                    rest.put_back();
                 }
             }
         };
@@ -134,10 +128,10 @@
             .body(Full::default())
             .ok()?;
         let asked = async {
-            let exchange = self.pools.send(addr, request).await.ok()?;
+            let exchange = self.pool.send(addr, request).await.ok()?;
             let (response, rest) = exchange.split();
             let body = collect(response.into_body()).await?;
-            rest.put_back(self.now());
+            rest.put_back();
             let health: target::Health = serde_json::from_slice(&body).ok()?;
             Some(dispatch::Report {
                 load: health.load,
@@ -155,7 +149,7 @@
         let Some(request) = build(attempt) else {
             return dispatch::Ending::Unreachable.into();
         };
-        match self.pools.send(attempt.addr, request).await {
+        match self.pool.send(attempt.addr, request).await {
             Ok(exchange) => self.receive(exchange).await,
             Err(pool::Error::Full) => busy(),
             Err(pool::Error::Unsent) => dispatch::Ending::Unreachable.into(),
@@ -173,7 +167,7 @@
             let ending = dispatch::Ending::BadAnswer;
             return Ended { ending, report };
         };
-        rest.put_back(self.now());
+        rest.put_back();
         let ending = match refusal(&head) {
             Some(ending) => ending,
             None => dispatch::Ending::Answered(Arc::new(answer(&head, &body))),
@@ -191,7 +185,7 @@
     .into()
 }
 
-fn build(attempt: &Attempt<'_>) -> Option<Request> {
+fn build(attempt: &Attempt<'_>) -> Option<pool::Request> {
     let request = attempt.request;
     let mut builder = hyper::Request::builder()
         .method(&*request.method)
--- a/crates/auburnrouter/src/daemon/outbound/pool.rs
+++ b/crates/pool/src/lib.rs
@@ -1,15 +1,22 @@
-//! Connections to targets: opened, kept for reuse, closed.
+//! HTTP connections kept for reuse: opened, used, closed.
 //!
-//! How many are open, and which may be used again, is decided by
+//! The HTTP client of the house's library can't tell a request that never left
+//! from one that may have, asks for `100-continue` before each body, reads a
+//! body that ends with its connection as empty, and panics on a status that it
+//! doesn't know. `hyper`, its nearest kin, does none of that. How many
+//! connections are open, and which may be used again, is decided by
 //! [`steer::connection::pool`].
 //!
-//! Invariant: only a connection whose last answer was read to its end goes back
-//! to the pool. A cancelled, late or broken exchange drops its connection, so
-//! that a late answer can't be read as the answer to the next request.
+//! Invariants: [`Error::Unsent`] is only said when no byte of the request left
+//! this process; only a connection whose last answer was read to its end goes
+//! back to the pool. A cancelled, late or broken exchange drops its connection,
+//! so that a late answer can't be read as the answer to the next request.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
+use futures_lite::future;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1;
@@ -18,20 +25,32 @@
 use steer::connection::pool;
 use thiserror::Error;
 
-use super::Request;
-use crate::daemon::workers::Executor;
+/// A request as it is sent: in one piece.
+pub type Request = hyper::Request<Full<Bytes>>;
 
-/// Connections kept open to each target ahead of need.
-const WARM: usize = 2;
+/// Where the connections are driven.
+pub type Executor = Arc<smol::Executor<'static>>;
+
+/// Bounds of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Connections open to each address at a time.
+    pub bound: usize,
+    /// Connections kept open to each address ahead of need.
+    pub warm: usize,
+    /// Time to open a connection. Where packets are dropped it is what tells
+    /// "not sent" apart from "sent, and no answer in time".
+    pub connect: Duration,
+}
 
 /// Why there is no answer's head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Error {
     /// No byte of the request left.
-    #[error("no connection could be opened; check that the target listens")]
+    #[error("no connection could be opened; check that the other end listens")]
     Unsent,
     /// As many connections are open as may be.
-    #[error("all connections to the target are in use; raise `target_connections`")]
+    #[error("as many connections as allowed are in use; allow more, or ask later")]
     Full,
     /// The connection broke after some byte may have left.
     #[error("the connection broke; the request may have run")]
@@ -52,7 +71,7 @@
 
 /// Counts a connection as open until it is given back or dropped.
 struct Seat {
-    pools: Arc<Pools>,
+    pool: Arc<Pool>,
     addr: SocketAddr,
     kept: bool,
 }
@@ -60,7 +79,7 @@
 impl Drop for Seat {
     fn drop(&mut self) {
         if !self.kept {
-            self.pools.closed(self.addr);
+            self.pool.closed(self.addr);
         }
     }
 }
@@ -81,6 +100,7 @@
 
 impl Exchange {
     /// The answer, apart from the connection it comes on.
+    #[must_use]
     pub fn split(self) -> (hyper::Response<Incoming>, Rest) {
         let Self {
             response,
@@ -93,40 +113,47 @@
 
 impl Rest {
     /// The answer was read to its end: the connection may be used again.
-    pub fn put_back(self, now: Time) {
+    pub fn put_back(self) {
         let Self { busy, mut seat } = self;
         let idle = busy.whole();
         seat.kept = true;
-        let pools = Arc::clone(&seat.pools);
-        pools.with(seat.addr, |pool| pool.give(now, idle));
+        let pool = Arc::clone(&seat.pool);
+        let now = pool.now();
+        pool.with(seat.addr, |kept| kept.give(now, idle));
     }
 }
 
-/// The connections of one target.
-struct Target {
+/// The connections to one address.
+struct Kept {
     addr: SocketAddr,
     pool: pool::Pool<Link>,
 }
 
-/// Pools of all targets, sorted by address.
-pub struct Pools {
+/// Connections to all addresses, sorted by address.
+pub struct Pool {
+    start: Instant,
     executor: Executor,
-    bound: usize,
-    targets: Mutex<Vec<Target>>,
+    limits: Limits,
+    kept: Mutex<Vec<Kept>>,
 }
 
-impl Pools {
-    /// No connections yet; at most `bound` to each target.
-    pub fn new(executor: Executor, bound: usize) -> Arc<Self> {
+impl Pool {
+    /// No connections yet.
+    #[must_use]
+    pub fn new(executor: Executor, limits: Limits) -> Arc<Self> {
         Arc::new(Self {
+            start: Instant::now(),
             executor,
-            bound,
-            targets: Mutex::new(Vec::new()),
+            limits,
+            kept: Mutex::new(Vec::new()),
         })
     }
 
     /// Sends a request on an idle connection, or else on a new one. A kept
     /// connection that turns out closed before anything left is passed over.
+    ///
+    /// # Errors
+    /// No head of an answer came; says whether the request may have left.
     pub async fn send(
         self: &Arc<Self>,
         addr: SocketAddr,
@@ -141,7 +168,7 @@
                 pool::Taken::Permit => (None, true),
             };
             let seat = Seat {
-                pools: Arc::clone(self),
+                pool: Arc::clone(self),
                 addr,
                 kept: false,
             };
@@ -157,37 +184,38 @@
         }
     }
 
-    /// Keeps pools for these targets, sorted, and drops the idle connections of
+    /// Keeps to these addresses, sorted, and drops the idle connections of
     /// all others.
     pub fn renew(&self, addrs: &[SocketAddr]) {
-        let mut targets = self.lock();
-        targets.retain(|t| t.pool.open() > 0 && addrs.binary_search(&t.addr).is_ok());
-        drop(targets);
+        let mut kept = self.lock();
+        kept.retain(|t| t.pool.open() > 0 && addrs.binary_search(&t.addr).is_ok());
+        drop(kept);
         for &addr in addrs {
             self.with(addr, |_| ());
         }
     }
 
     /// Opens connections ahead of need and closes those idle too long.
-    pub fn upkeep(self: &Arc<Self>, now: Time) {
+    pub fn upkeep(self: &Arc<Self>) {
+        let now = self.now();
         let mut wanted = Vec::new();
         let mut stale = Vec::new();
-        for target in self.lock().iter_mut() {
-            stale.extend(target.pool.expire(now));
-            if target.pool.wants() {
-                wanted.push(target.addr);
+        for kept in self.lock().iter_mut() {
+            stale.extend(kept.pool.expire(now));
+            if kept.pool.wants() {
+                wanted.push(kept.addr);
             }
         }
         drop(stale);
         for addr in wanted {
-            let pools = Arc::clone(self);
+            let all = Arc::clone(self);
             let warm = async move {
-                match pools.connect(addr).await {
+                match all.connect(addr).await {
                     Ok(link) => {
                         let idle = pool::Connection::warm(link);
-                        pools.with(addr, |pool| pool.give(now, idle));
+                        all.with(addr, |kept| kept.give(now, idle));
                     }
-                    Err(_) => pools.closed(addr),
+                    Err(_) => all.closed(addr),
                 }
             };
             self.executor.spawn(warm).detach();
@@ -195,8 +223,12 @@
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<Link, Error> {
-        let stream = net::TcpStream::connect(addr).await;
-        let stream = stream.map_err(|_| Error::Unsent)?;
+        let opened = async { net::TcpStream::connect(addr).await.ok() };
+        let late = async {
+            smol::Timer::after(self.limits.connect).await;
+            None
+        };
+        let stream = future::or(opened, late).await.ok_or(Error::Unsent)?;
         // Not fatal: requests are only a little later without it.
         let _ = stream.set_nodelay(true);
         let io = smol_hyper::rt::FuturesIo::new(stream);
@@ -211,29 +243,34 @@
         })
     }
 
-    /// A connection was closed. Its target may be gone from the list.
+    /// A connection was closed. Its address may be gone from the list.
     fn closed(&self, addr: SocketAddr) {
-        let mut targets = self.lock();
-        if let Ok(at) = targets.binary_search_by_key(&addr, |t| t.addr) {
-            targets[at].pool.closed();
+        let mut kept = self.lock();
+        if let Ok(at) = kept.binary_search_by_key(&addr, |t| t.addr) {
+            kept[at].pool.closed();
         }
     }
 
     fn with<T>(&self, addr: SocketAddr, work: impl FnOnce(&mut pool::Pool<Link>) -> T) -> T {
-        let mut targets = self.lock();
-        let at = match targets.binary_search_by_key(&addr, |t| t.addr) {
+        let mut kept = self.lock();
+        let at = match kept.binary_search_by_key(&addr, |t| t.addr) {
             Ok(at) => at,
             Err(at) => {
-                let pool = pool::Pool::new(self.bound, WARM);
-                targets.insert(at, Target { addr, pool });
+                let pool = pool::Pool::new(self.limits.bound, self.limits.warm);
+                kept.insert(at, Kept { addr, pool });
                 at
             }
         };
-        work(&mut targets[at].pool)
+        work(&mut kept[at].pool)
+    }
+
+    fn now(&self) -> Time {
+        let micros = self.start.elapsed().as_micros();
+        Time::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<Target>> {
-        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Vec<Kept>> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
