--- a/crates/auburnrouter/src/daemon/outbound.rs
+++ b/crates/auburnrouter/src/daemon/outbound.rs
@@ -1,15 +1,8 @@
 //! Carries one attempt to a target and says how it ended.
 //!
-//! The HTTP client of the house's library isn't used here: it can't tell a
-//! request that never left from one that may have, asks for `100-continue`
-//! before each body, and panics on a status it doesn't know. `hyper`, its
-//! nearest kin, tells.
-//!
 //! Invariant: [`dispatch::Ending::Unreachable`] is only said when no byte of
 //! the request left this process.
 
-mod pool;
-
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,18 +18,22 @@
 use super::inbound::{self, Inbound};
 use super::workers::Executor;
 
-/// A request as `hyper` sends it.
-type Request = hyper::Request<Full<Bytes>>;
-
 /// Longest answer taken from a target, in bytes.
 const ANSWER_MAX: usize = 16 << 20;
 
+/// Time to open a connection to a target, which is in this failure domain.
+/// Past it the request certainly did not leave, and may go elsewhere.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+
+/// Connections kept open to each target ahead of need.
+const WARM: usize = 2;
+
 /// Time allowed to tell a target that an attempt is cancelled.
 const CANCEL_TIME: Duration = Duration::from_millis(500);
 
 /// Connections to targets, and what is sent on them.
 pub struct Outbound {
-    pool: pool::Pool,
+    pool: Arc<pool::Pool>,
 }
 
 /// An attempt as it crosses the wire.
@@ -69,14 +66,31 @@
 }
 
 impl Outbound {
-    /// No connections yet; at most `idle` are kept for each target.
+    /// No connections yet; at most `bound` are opened to each target.
     #[must_use]
-    pub fn new(executor: Executor, idle: usize) -> Self {
+    pub fn new(executor: Executor, bound: usize) -> Self {
+        let limits = pool::Limits {
+            bound,
+            warm: WARM,
+            connect: CONNECT_TIME,
+        };
         Self {
-            pool: pool::Pool::new(executor, idle),
+            pool: pool::Pool::new(executor, limits),
         }
     }
 
+    /// Keeps connections to these targets only.
+    pub fn renew(&self, mut addrs: Vec<SocketAddr>) {
+        addrs.sort_unstable();
+        addrs.dedup();
+        self.pool.renew(&addrs);
+    }
+
+    /// Opens connections ahead of need and closes those idle too long.
+    pub fn upkeep(&self) {
+        self.pool.upkeep();
+    }
+
     /// Sends an attempt and waits for its end or for its budget to run out.
     pub async fn send(&self, attempt: Attempt<'_>) -> Ended {
         let late = async {
@@ -95,7 +109,10 @@
         let told = async {
             // Best effort: the broken connection says the same.
             if let Ok(exchange) = self.pool.send(addr, request).await {
-                let _ = exchange.response.into_body().collect().await;
+                let (response, rest) = exchange.split();
+                if response.into_body().collect().await.is_ok() {
+                    rest.put_back();
+                }
             }
         };
         let late = async {
@@ -112,8 +129,9 @@
             .ok()?;
         let asked = async {
             let exchange = self.pool.send(addr, request).await.ok()?;
-            let body = collect(exchange.response.into_body()).await?;
-            self.pool.put_back(addr, exchange.connection);
+            let (response, rest) = exchange.split();
+            let body = collect(response.into_body()).await?;
+            rest.put_back();
             let health: target::Health = serde_json::from_slice(&body).ok()?;
             Some(dispatch::Report {
                 load: health.load,
@@ -132,22 +150,24 @@
             return dispatch::Ending::Unreachable.into();
         };
         match self.pool.send(attempt.addr, request).await {
-            Ok(exchange) => self.receive(attempt.addr, exchange).await,
+            Ok(exchange) => self.receive(exchange).await,
+            Err(pool::Error::Full) => busy(),
             Err(pool::Error::Unsent) => dispatch::Ending::Unreachable.into(),
             Err(pool::Error::Broken) => dispatch::Ending::Broken.into(),
             Err(pool::Error::Garbled) => dispatch::Ending::BadAnswer.into(),
         }
     }
 
-    async fn receive(&self, addr: SocketAddr, exchange: pool::Exchange) -> Ended {
-        let (head, body) = exchange.response.into_parts();
+    async fn receive(&self, exchange: pool::Exchange) -> Ended {
+        let (response, rest) = exchange.split();
+        let (head, body) = response.into_parts();
         let report = report(&head.headers);
         let Some(body) = collect(body).await else {
             // The connection is dropped with its half-read answer.
             let ending = dispatch::Ending::BadAnswer;
             return Ended { ending, report };
         };
-        self.pool.put_back(addr, exchange.connection);
+        rest.put_back();
         let ending = match refusal(&head) {
             Some(ending) => ending,
             None => dispatch::Ending::Answered(Arc::new(answer(&head, &body))),
@@ -156,7 +176,16 @@
     }
 }
 
-fn build(attempt: &Attempt<'_>) -> Option<Request> {
+/// As good as a refusal by the target: it has more than it can take from here.
+fn busy() -> Ended {
+    dispatch::Ending::Refused {
+        after: None,
+        leaving: false,
+    }
+    .into()
+}
+
+fn build(attempt: &Attempt<'_>) -> Option<pool::Request> {
     let request = attempt.request;
     let mut builder = hyper::Request::builder()
         .method(&*request.method)
