Keep targets and entry instances of one name apart

Cause: names are unique among targets and among entry instances, not between them; one that couldn't be reached made the other look ill, and counted as tried. Change: what is known is kept by kind and name; a report goes to the target that the view has.

--- a/crates/steer/src/process/dispatch.rs
+++ b/crates/steer/src/process/dispatch.rs
@@ -297,7 +297,8 @@
         let entry = &mut self.groups[group];
         entry.running += 1;
         entry.flight += u32::from(pick.is_local());
-        job.tried.push(Arc::clone(pick.place.name()));
+        job.tried
+            .push((pick.place.kind(), Arc::clone(pick.place.name())));
         self.stats.sent(&pick.place, job.tried.len());
         out.push(Action::Send {
             id: job.arrival.id,
--- a/crates/steer/src/process/dispatch/job.rs
+++ b/crates/steer/src/process/dispatch/job.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Time;
 use crate::process::dispatch::message::Place;
+use crate::process::target::{Kind, Track};
 use crate::request::arrival::{Arrival, AttemptId, RequestId};
 use crate::request::outcome::{Reason, Refusal};
 use core::time::Duration;
@@ -18,7 +19,7 @@
     /// When it arrived.
     pub came: Time,
     /// Places that it was sent to.
-    pub tried: Vec<Arc<str>>,
+    pub tried: Vec<(Kind, Arc<str>)>,
     /// Whether an earlier attempt may have run. From then on no refusal says
     /// that the request wasn't run.
     pub maybe: bool,
@@ -27,6 +28,13 @@
 }
 
 impl Job {
+    /// Whether it was sent to a place before.
+    #[must_use]
+    pub fn was_at(&self, track: &Track) -> bool {
+        let same = |t: &(Kind, Arc<str>)| t.0 == track.kind && t.1 == track.name;
+        self.tried.iter().any(same)
+    }
+
     /// What to tell the caller if it is given up now.
     #[must_use]
     pub fn refusal(&self, reason: Reason, after: Option<Duration>) -> Refusal {
--- a/crates/steer/src/process/dispatch/message.rs
+++ b/crates/steer/src/process/dispatch/message.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Time;
 use crate::process::share::Route;
+use crate::process::target::Kind;
 use crate::request::answer::Answer;
 use crate::request::arrival::{Arrival, AttemptId, Fingerprint, RequestId};
 use crate::request::outcome::Refusal;
@@ -34,6 +35,15 @@
 }
 
 impl Place {
+    /// What it is.
+    #[must_use]
+    pub const fn kind(&self) -> Kind {
+        match self {
+            Self::Target { .. } => Kind::Target,
+            Self::Member { .. } => Kind::Peer,
+        }
+    }
+
     /// Name of the target or entry instance.
     #[must_use]
     pub const fn name(&self) -> &Arc<str> {
--- a/crates/steer/src/process/dispatch/place.rs
+++ b/crates/steer/src/process/dispatch/place.rs
@@ -68,7 +68,7 @@
             return None;
         }
         let other = on.has(Safeguard::OtherPlace);
-        let open = |track: &Track| !(other && job.tried.contains(&track.name));
+        let open = |track: &Track| !(other && job.was_at(track));
         if entry.ejected > 0
             && let Some(pick) = self.trial(now, entry, &open)
         {
@@ -131,7 +131,7 @@
         let mut locals = self.groups[group].locals.iter().map(|l| &tracks[l.track]);
         locals.any(|track| {
             let used = matches!(track.fit(now, on), Fit::Free | Fit::Busy);
-            used && !(other && job.tried.contains(&track.name))
+            used && !(other && job.was_at(track))
         })
     }
 
@@ -147,7 +147,7 @@
         let entry = &self.groups[group];
         let tracks = self.tracks.slice_mut();
         let usable = |track: &Track| {
-            !job.tried.contains(&track.name)
+            !job.was_at(track)
                 && (track.held || matches!(track.fit(now, on), Fit::Free | Fit::Busy))
         };
         let ready = |track: &Track| track.flight == 0 && usable(track);
@@ -245,7 +245,7 @@
             .map(|i| tier.start + (start + i) % count)
             .filter(|&at| !closed.contains(&entry.remotes[at].region))
             .map(|at| (at, &tracks[entry.remotes[at].track]))
-            .filter(|(_, track)| !job.tried.contains(&track.name))
+            .filter(|(_, track)| !job.was_at(track))
             .filter(|(_, track)| matches!(track.fit(now, on), Fit::Free | Fit::Trial))
             .map(|(at, track)| (at, u64::from(track.flight)));
         choose::Policy::Least.choose(places, &mut self.rng)
@@ -261,7 +261,7 @@
         let at = entry.locals.iter().position(|local| {
             let track = &tracks[local.track];
             let ejected = matches!(track.fit(now, on), Fit::Ejected | Fit::Trial);
-            ejected && track.flight == 0 && !job.tried.contains(&track.name)
+            ejected && track.flight == 0 && !job.was_at(track)
         })?;
         Some(target(entry, tracks, at, false))
     }
--- a/crates/steer/src/process/dispatch/renew.rs
+++ b/crates/steer/src/process/dispatch/renew.rs
@@ -14,7 +14,7 @@
 use crate::process::dispatch::group::{Group, Local, Remote};
 use crate::process::dispatch::message::Action;
 use crate::process::target::window::{self, Window};
-use crate::process::target::{Track, latency};
+use crate::process::target::{Kind, Track, latency};
 use crate::request::outcome::Reason;
 use crate::version::view::{Domain, MemberData, Service, State, TargetData, View};
 
@@ -91,7 +91,7 @@
         let drained = view.sites[data.site].state == State::Leaving
             || service.sites.binary_search(&data.site).is_err();
         let state = if drained { State::Leaving } else { data.state };
-        if let Ok(at) = self.tracks.find(&data.name, &service.name) {
+        if let Ok(at) = self.tracks.find(Kind::Target, &data.name, &service.name) {
             let track = &mut self.tracks.slice_mut()[at];
             track.present = true;
             track.slots = data.slots;
@@ -101,7 +101,7 @@
         }
         let (name, service) = (Arc::clone(&data.name), Arc::clone(&service.name));
         let window = Window::new(data.slots, data.slots, window::TARGET);
-        let mut track = Track::new(name, service, data.slots, window, now);
+        let mut track = Track::new(Kind::Target, name, service, data.slots, window, now);
         track.state = state;
         // A process that has just started knows none of the targets, which are
         // no colder for that.
@@ -122,12 +122,12 @@
         let make = || {
             let (name, service) = (Arc::clone(&data.name), Arc::clone(service));
             let window = Window::new(PEER.0, PEER.1, window::PEER);
-            let mut track = Track::new(name, service, PEER.1, window, now);
+            let mut track = Track::new(Kind::Peer, name, service, PEER.1, window, now);
             track.incarnation = data.incarnation;
             track.state = data.state;
             track
         };
-        let Ok(at) = self.tracks.find(&data.name, service) else {
+        let Ok(at) = self.tracks.find(Kind::Peer, &data.name, service) else {
             return Some(make());
         };
         let track = &mut self.tracks.slice_mut()[at];
@@ -186,7 +186,7 @@
             data.service == service && Some(view.target_domain(*key)) == home
         });
         here.filter_map(|(_, data)| {
-            let track = self.tracks.find(&data.name, name).ok()?;
+            let track = self.tracks.find(Kind::Target, &data.name, name).ok()?;
             Some(Local {
                 track,
                 addr: data.addr,
@@ -206,7 +206,7 @@
             .filter_map(|(member, data)| {
                 let region = view.domains[data.domain].region;
                 Some(Remote {
-                    track: self.tracks.find(&data.name, name).ok()?,
+                    track: self.tracks.find(Kind::Peer, &data.name, name).ok()?,
                     incarnation: data.incarnation,
                     peer: data.peer,
                     member,
--- a/crates/steer/src/process/dispatch/settle.rs
+++ b/crates/steer/src/process/dispatch/settle.rs
@@ -98,7 +98,10 @@
     /// Takes an attempt off the counts.
     fn release(&mut self, running: &Running) {
         let service = &running.job.arrival.service;
-        if let Ok(at) = self.tracks.find(running.place.name(), service) {
+        if let Ok(at) = self
+            .tracks
+            .find(running.place.kind(), running.place.name(), service)
+        {
             let track = &mut self.tracks.slice_mut()[at];
             track.flight = track.flight.saturating_sub(1);
             track.held &= !running.alone;
@@ -116,7 +119,7 @@
         let service = &running.job.arrival.service;
         let name = running.place.name();
         let begun = running.begun;
-        let Ok(at) = self.tracks.find(name, service) else {
+        let Ok(at) = self.tracks.find(running.place.kind(), name, service) else {
             return;
         };
         let track = &mut self.tracks.slice_mut()[at];
@@ -251,9 +254,10 @@
     }
 
     pub(super) fn report(&mut self, now: Time, name: &Arc<str>, report: Report) {
-        let Some(track) = self.tracks.target(name) else {
+        let Some(at) = self.tracks.target(name) else {
             return;
         };
+        let track = &mut self.tracks.slice_mut()[at];
         track.evidence = now;
         track.foreign.note(now, report.load, track.flight);
         if report.state == State::Leaving {
@@ -262,21 +266,15 @@
     }
 
     pub(super) fn probed(&mut self, now: Time, name: &Arc<str>, report: Option<Report>) {
+        let Some(at) = self.tracks.target(name) else {
+            return;
+        };
+        let track = &mut self.tracks.slice_mut()[at];
+        track.evidence = now;
         if let Some(report) = report {
+            track.health.vouch();
             self.report(now, name, report);
-            if let Some(track) = self.tracks.target(name) {
-                track.health.vouch();
-            }
-            return;
-        }
-        let at = self.tracks.as_slice().partition_point(|t| t.name < *name);
-        if self
-            .tracks
-            .as_slice()
-            .get(at)
-            .is_some_and(|t| t.name == *name)
-        {
-            self.tracks.slice_mut()[at].evidence = now;
+        } else {
             self.fault(now, at, now, Fault::Hard);
         }
     }
--- a/crates/steer/src/process/target.rs
+++ b/crates/steer/src/process/target.rs
@@ -41,9 +41,21 @@
     Out,
 }
 
+/// What a place is. Targets and entry instances are named apart, so one of each
+/// may have the same name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// A target.
+    Target,
+    /// An entry instance of another failure domain.
+    Peer,
+}
+
 /// One place for one service.
 #[derive(Clone, Debug)]
 pub struct Track {
+    /// What it is.
+    pub kind: Kind,
     /// Name of the target or entry instance.
     pub name: Arc<str>,
     /// Name of the service.
@@ -79,6 +91,7 @@
     /// A place without history.
     #[must_use]
     pub fn new(
+        kind: Kind,
         name: Arc<str>,
         service: Arc<str>,
         slots: u32,
@@ -86,6 +99,7 @@
         now: Time,
     ) -> Self {
         Self {
+            kind,
             name,
             service,
             incarnation: Incarnation::default(),
@@ -195,7 +209,7 @@
     }
 }
 
-/// All tracks, sorted by name and service.
+/// All tracks, sorted by kind, name and service.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     tracks: Vec<Track>,
@@ -206,22 +220,30 @@
     ///
     /// # Errors
     /// The place to insert at, if there is no such track.
-    pub fn find(&self, name: &str, service: &str) -> Result<usize, usize> {
+    pub fn find(&self, kind: Kind, name: &str, service: &str) -> Result<usize, usize> {
         self.tracks
-            .binary_search_by(|t| (&*t.name, &*t.service).cmp(&(name, service)))
+            .binary_search_by(|t| (t.kind, &*t.name, &*t.service).cmp(&(kind, name, service)))
     }
 
-    /// The track of a target, by its name alone.
-    pub fn target(&mut self, name: &str) -> Option<&mut Track> {
-        let at = self.tracks.partition_point(|t| &*t.name < name);
-        self.tracks.get_mut(at).filter(|t| &*t.name == name)
+    /// Where the track of a target is, by its name alone. A target that was
+    /// given to another service while it had work has two; the present counts.
+    #[must_use]
+    pub fn target(&self, name: &str) -> Option<usize> {
+        let first = self
+            .tracks
+            .partition_point(|t| (t.kind, &*t.name) < (Kind::Target, name));
+        let same = self.tracks[first..]
+            .iter()
+            .take_while(|t| t.kind == Kind::Target && &*t.name == name);
+        let mut same = (first..).zip(same);
+        same.find(|(_, track)| track.present).map(|(at, _)| at)
     }
 
     /// Adds tracks that are not yet in the table.
     pub fn merge(&mut self, fresh: Vec<Track>) {
         self.tracks.extend(fresh);
         self.tracks
-            .sort_by(|a, b| (&a.name, &a.service).cmp(&(&b.name, &b.service)));
+            .sort_by(|a, b| (a.kind, &a.name, &a.service).cmp(&(b.kind, &b.name, &b.service)));
     }
 
     /// Forgets the tracks that `keep` refuses.
