Let instances that share targets prefer different ones

Cause: with 22 instances on 12 targets each knew little of any, and targets shed a fifth of all attempts. Change: an instance prefers its part of the targets, two at least, by its place among the domain's instances, and takes others when its own have no room. The deployments of today have two targets a domain; nothing changes for them.

--- a/crates/steer/src/process/dispatch/group.rs
+++ b/crates/steer/src/process/dispatch/group.rs
@@ -56,6 +56,8 @@
     pub deadline: Duration,
     /// Targets of this failure domain.
     pub locals: Vec<Local>,
+    /// Targets, from the first, that this instance prefers.
+    pub subset: usize,
     /// Peers, the near ones in front.
     pub remotes: Vec<Remote>,
     /// Number of near peers.
--- a/crates/steer/src/process/dispatch/place.rs
+++ b/crates/steer/src/process/dispatch/place.rs
@@ -89,7 +89,8 @@
             Fit::Out => false,
         };
         let count = entry.locals.len();
-        let start = if count > WINDOW {
+        let first = entry.subset.min(WINDOW);
+        let start = if entry.subset > WINDOW {
             self.rng.usize(..count)
         } else {
             0
@@ -102,9 +103,9 @@
                 .map(|(at, track)| (at, track.score(now, entry.best, on)))
         };
         let policy = self.tuning.policy;
-        let found = policy.choose(places(0..count.min(WINDOW)), &mut self.rng);
+        let found = policy.choose(places(0..first), &mut self.rng);
         let found = found.or_else(|| {
-            let rest = count.min(WINDOW)..count;
+            let rest = first..count;
             policy.choose(places(rest), &mut self.rng)
         });
         Some(target(entry, tracks, found?, false))
--- a/crates/steer/src/process/dispatch/renew.rs
+++ b/crates/steer/src/process/dispatch/renew.rs
@@ -13,6 +13,7 @@
 use crate::process::dispatch::Dispatch;
 use crate::process::dispatch::group::{Group, Local, Remote};
 use crate::process::dispatch::message::Action;
+use crate::process::dispatch::tuning::Safeguard;
 use crate::process::target::window::{self, Window};
 use crate::process::target::{Kind, Track, latency};
 use crate::request::outcome::Reason;
@@ -22,6 +23,10 @@
 /// moves thus ramp, and a peer says by its refusals when it has enough.
 const PEER: (u32, u32) = (2, 64);
 
+/// Targets that an instance prefers at least: with one alone its failure or a
+/// burst would always lead elsewhere.
+const SUBSET: usize = 2;
+
 impl Dispatch {
     pub(super) fn renew(&mut self, now: Time, view: Arc<View>, out: &mut Vec<Action>) {
         let first = self.view.version.0 == 0;
@@ -158,13 +163,16 @@
         let here = |r: &&super::Running| r.job.arrival.service == data.name;
         let on_target = |r: &&super::Running| matches!(r.place, super::Place::Target { .. });
         let running: Vec<_> = self.flight.iter().filter(here).collect();
+        let mut locals = self.locals(service, home);
+        let subset = self.subset(home, &mut locals);
         Group {
             name: Arc::clone(&data.name),
             class: data.class.index(),
             share: usize::from(class.queue),
             idempotent: data.idempotent,
             deadline: data.deadline,
-            locals: self.locals(service, home),
+            subset,
+            locals,
             remotes,
             near,
             queue,
@@ -179,6 +187,27 @@
         }
     }
 
+    /// Turns the targets so that this instance's part is in front; returns how
+    /// many that are.
+    ///
+    /// With each instance using every target, each knows little of any: its
+    /// requests there are few, its reports old. Each instance of the domain
+    /// therefore prefers a part, by its place among them, and takes another
+    /// target when its own have no room.
+    fn subset(&self, home: Option<Domain>, locals: &mut [Local]) -> usize {
+        let count = locals.len();
+        if count == 0 || !self.tuning.safeguards.has(Safeguard::Subset) {
+            return count;
+        }
+        let here = |m: &&MemberData| Some(m.domain) == home && m.state == State::Live;
+        let members = self.view.members.values().filter(here);
+        let names: Vec<&Arc<str>> = members.map(|m| &m.name).collect();
+        let place = names.binary_search(&&self.home.name).unwrap_or(0);
+        let subset = count.div_ceil(names.len().max(1)).max(SUBSET).min(count);
+        locals.rotate_left(place * subset % count);
+        subset
+    }
+
     fn locals(&self, service: Service, home: Option<Domain>) -> Vec<Local> {
         let view = &self.view;
         let name = &view.services[service].name;
--- a/crates/steer/src/process/dispatch/tuning.rs
+++ b/crates/steer/src/process/dispatch/tuning.rs
@@ -14,6 +14,8 @@
 pub enum Safeguard {
     /// The own in-flight count outranks reports and bounds each target.
     OwnCount,
+    /// Instances that share targets prefer different ones.
+    Subset,
     /// Reports are bounded in size and age, and lose trust.
     ReportBound,
     /// Failing places are ejected.
@@ -55,8 +57,9 @@
 }
 
 impl Safeguard {
-    const NAMES: [(Self, &'static str); 20] = [
+    const NAMES: [(Self, &'static str); 21] = [
         (Self::OwnCount, "own-count"),
+        (Self::Subset, "subset"),
         (Self::ReportBound, "report-bound"),
         (Self::Ejection, "ejection"),
         (Self::LastTarget, "last-target"),
--- a/crates/steer/tests/dispatch_scenarios/world.rs
+++ b/crates/steer/tests/dispatch_scenarios/world.rs
@@ -23,8 +23,8 @@
 const CLASSES: [(&str, u8); 3] = [("first", 100), ("second", 50), ("last", 25)];
 const DOMAINS: [(&str, usize); 3] = [("a1", 0), ("a2", 0), ("b1", 1)];
 
-/// A view with the places of `words`: `look-1`, `look-2:leaving`, `e2:near`,
-/// `e3:far`, and `slots=N` for the targets after it.
+/// A view with the places of `words`: `look-1`, `look-2:leaving`, `e4:home`,
+/// `e2:near`, `e3:far`, and `slots=N` for the targets after it.
 pub fn view(version: u64, words: &[&str]) -> View {
     let mut view = View {
         version: Version(version),
@@ -50,6 +50,9 @@
         }
         let (name, kind) = word.split_once(':').unwrap_or((word, "live"));
         match kind {
+            "home" => {
+                view.members.push(member(name, 0));
+            }
             "near" => {
                 view.members.push(member(name, 1));
             }
