Read only the own domain's targets from the platform's list

Cause: each instance read the whole list; at 230 sites it is over a megabyte, more than a node's 30 KB/s allow at any useful rate. Change: the list is asked for by part: a domain's targets, or all entry instances. Conclusion: what an instance reads no longer grows with other domains.

--- a/crates/auburnrouter/src/daemon/control/driver.rs
+++ b/crates/auburnrouter/src/daemon/control/driver.rs
@@ -18,8 +18,9 @@
 use super::{Parts, dump, shelf, world};
 use crate::daemon::workers::Executor;
 
-/// Time between two reads of the platform's list of targets, for each hundred
-/// instances of the fleet: the store's reads a second stay about the same.
+/// Time between two reads of the platform's list of this domain's targets, for
+/// each hundred instances of the fleet: the store's reads a second stay about
+/// the same.
 const LIST: Duration = Duration::from_secs(1);
 
 /// Time between two tries to learn who answers at a seed's address.
@@ -222,15 +223,16 @@
         self.world.members(self.control.record(), snapshot);
     }
 
-    /// Reads the list of targets again and again, the less often the larger the
+    /// Reads this domain's targets again and again, the less often the larger the
     /// fleet is, and at random times so that instances don't do it together.
     fn list_often(&self) -> impl Future<Output = ()> + use<> {
         let parts = Arc::clone(&self.parts);
         let inputs = self.inputs.clone();
         async move {
+            let targets = wire::instance::Part::Targets(parts.settings.domain.to_string());
             loop {
                 parts.metrics.store_calls.inc();
-                let list = parts.store.instances().await.ok();
+                let list = parts.store.instances(&targets).await.ok();
                 if list.is_none() {
                     parts.metrics.store_failures.inc();
                 }
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -174,7 +174,13 @@
         Box::pin(async move { self.write(|state| state.table.renew(now, id)) })
     }
 
-    fn instances(&self) -> Pending<'_, instance::Instances> {
-        Box::pin(async move { self.read(|state| state.instances.clone()) })
+    fn instances<'a>(&'a self, part: &'a instance::Part) -> Pending<'a, instance::Instances> {
+        Box::pin(async move {
+            self.read(|state| {
+                let mut list = state.instances.clone();
+                list.instances.retain(|i| part.has(i));
+                list
+            })
+        })
     }
 }
--- a/crates/standin/src/store/calls.rs
+++ b/crates/standin/src/store/calls.rs
@@ -31,7 +31,7 @@
     Delete(String),
     Grant,
     Renew(u64),
-    Instances,
+    Instances(instance::Part),
 }
 
 impl Call {
@@ -49,7 +49,7 @@
         }
         match (conn.method(), path) {
             (Method::Get, "/kv") => Some(Self::List),
-            (Method::Get, "/instances") => Some(Self::Instances),
+            (Method::Get, "/instances") => Some(Self::Instances(part(conn)?)),
             (Method::Post, "/leases") => Some(Self::Grant),
             (Method::Post, _) => {
                 let id = path.strip_prefix("/leases/")?.strip_suffix("/renew")?;
@@ -67,17 +67,27 @@
     }
 
     const fn is_list(&self) -> bool {
-        matches!(self, Self::Instances)
+        matches!(self, Self::Instances(_))
     }
 
     fn key(&self) -> &str {
         match self {
             Self::Get(key) | Self::Watch(key) | Self::Put(key) | Self::Delete(key) => key,
-            Self::List | Self::Grant | Self::Renew(_) | Self::Instances => "",
+            Self::List | Self::Grant | Self::Renew(_) | Self::Instances(_) => "",
         }
     }
 }
 
+/// The part of the list that a call asks for.
+fn part(conn: &Conn) -> Option<instance::Part> {
+    match (http::query(conn, "kind"), http::query(conn, "domain")) {
+        (None, None) => Some(instance::Part::Whole),
+        (Some("entry"), None) => Some(instance::Part::Entries),
+        (Some("target"), Some(domain)) => Some(instance::Part::Targets(domain.to_owned())),
+        _ => None,
+    }
+}
+
 async fn route(shared: &Shared, mut conn: Conn) -> Conn {
     match (conn.method(), conn.path()) {
         (Method::Get, "/stats") => {
@@ -134,7 +144,7 @@
     let stats = &mut shared.lock().stats;
     stats.calls += 1;
     match call {
-        Call::Get(_) | Call::List | Call::Instances => stats.reads += 1,
+        Call::Get(_) | Call::List | Call::Instances(_) => stats.reads += 1,
         Call::Watch(_) => stats.watches += 1,
         Call::Put(_) | Call::Delete(_) => stats.writes += 1,
         Call::Grant | Call::Renew(_) => stats.leases += 1,
@@ -183,8 +193,9 @@
             let result = shared.lock().table.renew(now, id);
             written(conn, result)
         }
-        Call::Instances => {
-            let list = shared.listed(now);
+        Call::Instances(part) => {
+            let mut list = shared.listed(now);
+            list.instances.retain(|instance| part.has(instance));
             http::json(conn, Status::Ok, &list)
         }
     }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -280,9 +280,9 @@
         })
     }
 
-    fn instances(&self) -> Pending<'_, instance::Instances> {
+    fn instances<'a>(&'a self, part: &'a instance::Part) -> Pending<'a, instance::Instances> {
         Box::pin(async move {
-            let list = self.read("/instances").await?;
+            let list = self.read(&part.path()).await?;
             list.ok_or(Error::BadAnswer { status: 404 })
         })
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -48,6 +48,6 @@
     /// Lets a lease live its whole time again.
     fn renew(&self, id: u64) -> Pending<'_, kv::Lease>;
 
-    /// The platform's list of instances. It lags.
-    fn instances(&self) -> Pending<'_, instance::Instances>;
+    /// A part of the platform's list of instances. It lags.
+    fn instances<'a>(&'a self, part: &'a instance::Part) -> Pending<'a, instance::Instances>;
 }
--- a/crates/wire/src/instance.rs
+++ b/crates/wire/src/instance.rs
@@ -1,4 +1,10 @@
-//! The platform's list of instances: `GET /instances`. It lags.
+//! The platform's list of instances. It lags.
+//!
+//! | call | answer |
+//! |---|---|
+//! | `GET /instances` | the whole list |
+//! | `GET /instances?kind=entry` | entry instances only |
+//! | `GET /instances?kind=target&domain=D` | targets of one failure domain |
 
 use std::net::SocketAddr;
 
@@ -57,6 +63,42 @@
     pub instances: Vec<Instance>,
 }
 
+/// A part of the list. An entry instance reads its own domain's targets often,
+/// and the whole list never: that would grow with the fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// All of it.
+    Whole,
+    /// All entry instances.
+    Entries,
+    /// The targets of this failure domain.
+    Targets(String),
+}
+
+impl Part {
+    /// The path and query that ask for it. Names hold no characters that a
+    /// query can't.
+    #[must_use]
+    pub fn path(&self) -> String {
+        match self {
+            Self::Whole => "/instances".to_owned(),
+            Self::Entries => "/instances?kind=entry".to_owned(),
+            Self::Targets(domain) => format!("/instances?kind=target&domain={domain}"),
+        }
+    }
+
+    /// Whether a line is in it.
+    #[must_use]
+    pub fn has(&self, instance: &Instance) -> bool {
+        let target = matches!(instance.role, Role::Target { .. });
+        match self {
+            Self::Whole => true,
+            Self::Entries => !target,
+            Self::Targets(domain) => target && instance.domain == *domain,
+        }
+    }
+}
+
 impl From<State> for steer::version::view::State {
     fn from(state: State) -> Self {
         match state {
