Divide caps by layouts, wait after a start or lapse, pay large answers ahead

Parts are now divided by a layout (instances by region) that is kept apart from the caps: a changed cap counts at once, a changed layout only after those who may know the old one have stopped or heard.

--- a/crates/steer/src/process/dispatch/caps.rs
+++ b/crates/steer/src/process/dispatch/caps.rs
@@ -29,6 +29,11 @@
         &mut self.shares
     }
 
+    /// An answer lacks room on a link: asks for loans.
+    pub fn lack(&mut self, now: Time, link: &Route, bytes: u64) {
+        self.wish(now, link, bytes);
+    }
+
     /// Name of this process's region, once known.
     #[must_use]
     pub fn region(&self) -> Option<&Arc<str>> {
@@ -94,13 +99,38 @@
         self.take(now, &[(&shift, 1), (&link, bytes)])
     }
 
+    /// Whether a request of so many bytes may be passed to its key's owner. Its
+    /// shift is the owner's to ask for.
+    ///
+    /// # Errors
+    /// The time after which it may be.
+    pub fn may_cross(&mut self, now: Time, owner: &str, bytes: u64) -> Result<(), Duration> {
+        let member = self.view.member(owner);
+        let (Some(here), Some(member)) = (self.region, member) else {
+            return Ok(());
+        };
+        let there = self.view.domains[self.view.members[member].domain].region;
+        if here == there || !self.tuning.safeguards.has(Safeguard::Caps) {
+            return Ok(());
+        }
+        let link = Route::Link {
+            from: Arc::clone(&self.view.regions[here].name),
+            to: Arc::clone(&self.view.regions[there].name),
+        };
+        if !self.shares.has(&link) {
+            // The configuration sets no limit on it.
+            return Ok(());
+        }
+        self.take(now, &[(&link, bytes + OVERHEAD)])
+    }
+
     /// Takes of all routes or of none, and asks for loans where room lacks.
     fn take(&mut self, now: Time, uses: &[(&Route, u64)]) -> Result<(), Duration> {
         let taken = self.shares.take(now, uses);
         if taken.is_err() {
             for &(route, amount) in uses {
                 if self.shares.room(now, route) < amount {
-                    self.wish(now, route);
+                    self.wish(now, route, amount);
                 }
             }
         }
@@ -108,10 +138,11 @@
     }
 
     /// Asks a few of the instances that have a part of the same cap.
-    fn wish(&mut self, now: Time, route: &Route) {
-        let Some(amount) = self.shares.want(now, route) else {
+    fn wish(&mut self, now: Time, route: &Route, amount: u64) {
+        let wish = self.shares.want(now, route, amount, LENDERS);
+        if wish.asked.is_empty() {
             return;
-        };
+        }
         let regions = match route {
             Route::Shift { from, to, .. } => [from, to],
             Route::Link { from, .. } => [from, from],
@@ -124,12 +155,13 @@
             other && regions.contains(&region)
         };
         let lenders: Vec<Member> = view.members.keys().filter(fits).collect();
-        for lender in self.rng.choose_multiple(lenders, LENDERS) {
+        let lenders = self.rng.choose_multiple(lenders, LENDERS);
+        for (lender, asked) in lenders.into_iter().zip(wish.asked) {
             self.wishes.push(Action::Borrow {
                 peer: view.members[lender].peer,
                 route: route.clone(),
-                amount,
-                asked: now,
+                amount: wish.amount,
+                asked,
             });
         }
     }
--- a/crates/steer/src/process/outbox.rs
+++ b/crates/steer/src/process/outbox.rs
@@ -7,7 +7,9 @@
 //! through.
 //!
 //! Invariant: an answer leaves when this process's part of the link has room
-//! for it, in the order the answers came, or not at all.
+//! for it, in the order the answers came, or not at all. One larger than the
+//! part of a whole second is paid for in advance, second by second, so that
+//! what is taken in any second stays within the limit.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -59,6 +61,14 @@
     id: RequestId,
     link: Route,
     last: Last,
+    /// Bytes taken of the link in advance.
+    paid: u64,
+}
+
+impl Held {
+    fn due(&self) -> u64 {
+        self.last.bytes().saturating_sub(self.paid)
+    }
 }
 
 /// Requests that came over links, and answers that wait.
@@ -69,6 +79,8 @@
     held: VecDeque<Held>,
     /// Typical size of an answer.
     typical: u64,
+    /// A link that was full, and what its next answer needs.
+    lacking: Option<(Route, u64)>,
 }
 
 impl Default for Outbox {
@@ -77,6 +89,7 @@
             open: Vec::new(),
             held: VecDeque::new(),
             typical: TYPICAL,
+            lacking: None,
         }
     }
 }
@@ -85,11 +98,14 @@
     /// Takes note of a request that came over a link, whose answer goes back
     /// over `link`; false if its answer may find no room.
     pub fn admit(&mut self, now: Time, id: RequestId, link: Route, shares: &mut Shares) -> bool {
-        let limit = shares.limit(now, &link) / PROMISED;
+        let limit = shares.limit(now, &link);
         let open = self.open.iter().filter(|o| o.link == link).count() as u64;
         let held = self.held.iter().filter(|h| h.link == link);
         let waiting: u64 = held.map(|h| h.last.bytes()).sum();
-        if (open + 1) * self.typical + waiting > limit {
+        // One at a time is let in however large answers are: with none, no
+        // smaller one would ever be seen.
+        let idle = open == 0 && waiting == 0 && limit > 0;
+        if !idle && (open + 1) * self.typical + waiting > limit / PROMISED {
             return false;
         }
         let at = self.open.partition_point(|o| o.id < id);
@@ -109,6 +125,12 @@
         self.held.len()
     }
 
+    /// A link over which an answer waits, and the bytes that it needs.
+    #[must_use]
+    pub const fn lacking(&self) -> Option<&(Route, u64)> {
+        self.lacking.as_ref()
+    }
+
     /// The requester has left.
     pub fn forget(&mut self, id: RequestId) {
         if let Ok(at) = self.open.binary_search_by_key(&id, |o| o.id) {
@@ -127,23 +149,32 @@
             let bytes = answer.bytes() + OVERHEAD;
             self.typical = (self.typical * 7 + bytes).div_ceil(8);
         }
-        self.held.push_back(Held { id, link, last });
+        let paid = 0;
+        self.held.push_back(Held {
+            id,
+            link,
+            last,
+            paid,
+        });
     }
 
     /// The answers that have room now, in order. One link that is full doesn't
     /// hold up the answers over another.
     pub fn release(&mut self, now: Time, shares: &mut Shares) -> Vec<(RequestId, Last)> {
+        self.lacking = None;
         let mut free = Vec::new();
         let mut full: Vec<Route> = Vec::new();
         let mut kept = VecDeque::with_capacity(self.held.len());
-        for held in core::mem::take(&mut self.held) {
+        for mut held in core::mem::take(&mut self.held) {
             let blocked = full.contains(&held.link);
-            if !blocked && fits(now, &held, shares) {
+            if !blocked && fits(now, &mut held, shares) {
                 free.push((held.id, held.last));
                 continue;
             }
             if !blocked {
                 full.push(held.link.clone());
+                self.lacking
+                    .get_or_insert_with(|| (held.link.clone(), held.due()));
             }
             kept.push_back(held);
         }
@@ -152,10 +183,15 @@
     }
 }
 
-/// An answer larger than the part of a whole second never fits; it leaves in a
-/// second of its own, so that it isn't held for ever.
-fn fits(now: Time, held: &Held, shares: &mut Shares) -> bool {
-    let limit = shares.limit(now, &held.link);
-    let bytes = held.last.bytes().min(limit.max(1));
-    shares.take(now, &[(&held.link, bytes)]).is_ok()
+/// Whether an answer may leave. One larger than the part of a whole second is
+/// paid for as room comes free, and nothing else leaves over the link
+/// meanwhile: sent for the price of one second, it would crowd out other
+/// instances' answers.
+fn fits(now: Time, held: &mut Held, shares: &mut Shares) -> bool {
+    let due = held.due();
+    if held.paid == 0 && due <= shares.limit(now, &held.link) {
+        return shares.take(now, &[(&held.link, due)]).is_ok();
+    }
+    held.paid += shares.take_some(now, &held.link, due);
+    held.due() == 0
 }
--- a/crates/steer/src/process/share.rs
+++ b/crates/steer/src/process/share.rs
@@ -5,35 +5,57 @@
 //! anybody counting. An instance that needs more asks another for a loan
 //! ([`loan`]).
 //!
-//! Invariant: the parts in use of one route never add up to more than its cap:
+//! Invariant: the parts in use of one route never add up to more than the
+//! largest cap of it that is in force anywhere:
 //! - a process uses its part only while [`slot`](super::slot) says that it
 //!   holds its name's slot, and heard so lately;
-//! - for [`TRANSITION`] after a change it uses the smaller of the old and the
-//!   new part;
+//! - it divides by the smallest part of all layouts of the last [`SETTLE`];
+//! - it uses no part within [`SETTLE`] of its start or of a lapse, since it
+//!   may know of too few layouts, and its predecessor may have lent;
 //! - what it lends it doesn't use itself.
 
 pub mod loan;
+mod ramp;
 mod route;
 pub mod window;
 
 use core::time::Duration;
+use std::sync::Arc;
 
 pub use route::Route;
 
 use crate::clock::Time;
-use crate::process::slot::TRANSITION;
-use crate::version::view::{Entry, Region, View};
+use crate::process::slot::HOLD;
+use crate::version::view::View;
 
-use loan::Loans;
+use loan::{Asked, Loans};
+use ramp::Ramp;
+use route::{Cap, Layout};
 use window::Window;
 
 /// Time for which a word of control that the slot is held counts. Control says
 /// it every two seconds; one that hangs must not leave the part in use.
 pub const FRESH: Duration = Duration::from_secs(3);
 
-/// Part of its share that a route may use when a shift begins, in percent: the
-/// caches at the other end are cold.
-const RAMP_FLOOR: u64 = 10;
+/// Time within which a version is in force at all instances within reach.
+pub const IN_FORCE: Duration = Duration::from_secs(7);
+
+/// Longest lapse of the hold after which the part counts again at once.
+pub const LAPSE: Duration = Duration::from_secs(5);
+
+/// Age that the newest version of an instance that uses its part may have: it
+/// got it within [`IN_FORCE`] before its last confirmation, lapsed, and gets
+/// the next within [`IN_FORCE`].
+pub const STALE: Duration = Duration::from_secs(24);
+
+const _: () = assert!(
+    STALE.as_secs() == 2 * IN_FORCE.as_secs() + HOLD.as_secs() + LAPSE.as_secs(),
+    "STALE is the sum of what makes a version stale"
+);
+
+/// Time for which a layout counts after the next one came: an instance that
+/// missed it may be [`STALE`], and one that divides by it as well.
+pub const SETTLE: Duration = Duration::from_secs(2 * STALE.as_secs());
 
 /// Time between two tries to borrow for the same route.
 const ASK_PAUSE: Duration = Duration::from_millis(250);
@@ -52,10 +74,16 @@
     pub part: bool,
     /// The slot has to be held, and that has to be fresh.
     pub held: bool,
-    /// The smaller part counts for a while after a change.
+    /// The smallest part counts for a while after a change of the layout.
     pub transition: bool,
-    /// What is lent isn't used, and the borrower's term is the shorter one.
+    /// The part waits after a start or a lapse.
+    pub settle: bool,
+    /// What is lent isn't used.
     pub terms: bool,
+    /// Each question for a loan takes one answer.
+    pub once: bool,
+    /// A cap that goes and comes back remembers what was used and lent.
+    pub memory: bool,
     /// A shift grows slowly.
     pub ramp: bool,
 }
@@ -66,7 +94,10 @@
             part: true,
             held: true,
             transition: true,
+            settle: true,
             terms: true,
+            once: true,
+            memory: true,
             ramp: true,
         }
     }
@@ -76,19 +107,34 @@
 #[derive(Clone, Debug)]
 struct Cell {
     route: Route,
-    /// Per second, this process's part.
+    /// Per second, the whole cap; zero if it is gone.
+    whole: u64,
+    /// Per second, the smallest part by the layouts that count.
     part: u64,
-    /// The part before the last change, and until when it counts as well.
-    before: u64,
-    until: Time,
-    ramp: Duration,
-    /// When the present shift began, and when it was used last.
-    begun: Time,
-    last: Option<Time>,
+    span: Duration,
+    /// When the cap went.
+    gone: Option<Time>,
+    ramp: Ramp,
     window: Window,
     lent: Loans,
     borrowed: Loans,
-    asked: Option<Time>,
+    asked: Asked,
+}
+
+/// A layout, and until when it counts; `None` is the one in force.
+#[derive(Clone, Debug)]
+struct Era {
+    layout: Layout,
+    until: Option<Time>,
+}
+
+/// Whether control says that the slot is held.
+#[derive(Clone, Copy, Debug, Default)]
+struct Hold {
+    /// What it said last.
+    on: bool,
+    /// When it last said that it is.
+    last: Option<Time>,
 }
 
 /// All caps, as this process may use them.
@@ -97,8 +143,13 @@
     guards: Guards,
     /// Sorted by route.
     cells: Vec<Cell>,
-    /// When control last said that the slot is held.
-    held: Option<Time>,
+    /// Layouts that count, the newest last.
+    eras: Vec<Era>,
+    /// The view that the caps are from.
+    view: Option<Arc<View>>,
+    hold: Hold,
+    /// When the part counts; never before the first word of control.
+    settled: Option<Time>,
 }
 
 impl Default for Shares {
@@ -114,33 +165,39 @@
         Self {
             guards,
             cells: Vec::new(),
-            held: None,
+            eras: Vec::new(),
+            view: None,
+            hold: Hold {
+                on: false,
+                last: None,
+            },
+            settled: None,
         }
     }
 
-    /// Takes over the caps of a view for the entry instance `name`.
-    pub fn configure(&mut self, now: Time, view: &View, name: &str) {
-        let mut caps = route::caps(view, name);
-        if !self.guards.part {
-            for cap in &mut caps {
-                cap.part = cap.whole;
-            }
-        }
-        let mut cells = core::mem::take(&mut self.cells);
-        for cap in &caps {
-            match cells.binary_search_by(|c| c.route.cmp(&cap.route)) {
-                Ok(at) => cells[at].change(now, cap),
-                Err(at) => cells.insert(at, Cell::new(now, cap)),
-            }
+    /// Takes over the caps of a view for the entry instance `name`. A view in
+    /// which nothing of them has changed costs a comparison.
+    pub fn configure(&mut self, now: Time, view: &Arc<View>, name: &str) {
+        self.expire(now);
+        let old = self.view.replace(Arc::clone(view));
+        if old.is_some_and(|old| same_caps(&old, view)) {
+            return;
         }
-        // A cap that is gone allows nothing at once.
-        cells.retain(|c| caps.iter().any(|cap| cap.route == c.route));
-        self.cells = cells;
+        self.lay_out(now, Layout::new(view, name));
+        self.merge(now, route::caps(view));
+        self.divide();
     }
 
     /// Control says whether this process holds its slot.
     pub fn hold(&mut self, now: Time, held: bool) {
-        self.held = held.then_some(now);
+        if held {
+            let lapsed = |last: Time| now.since(last) > LAPSE;
+            if self.hold.last.is_none_or(lapsed) {
+                self.settled = Some(now + SETTLE);
+            }
+            self.hold.last = Some(now);
+        }
+        self.hold.on = held;
     }
 
     /// Whether `amount` may be used of each route; if so it is taken of all.
@@ -166,6 +223,15 @@
         Ok(())
     }
 
+    /// Takes what there is room for of a route, up to `most`; returns it.
+    pub fn take_some(&mut self, now: Time, route: &Route, most: u64) -> u64 {
+        let amount = self.room(now, route).min(most);
+        if amount > 0 {
+            self.add(now, route, amount);
+        }
+        amount
+    }
+
     /// What may still be used of a route within this second.
     pub fn room(&mut self, now: Time, route: &Route) -> u64 {
         let limit = self.limit(now, route);
@@ -177,35 +243,44 @@
 
     /// What may be used of a route in one second.
     pub fn limit(&mut self, now: Time, route: &Route) -> u64 {
+        self.expire(now);
         let held = self.is_held(now);
+        let settled = self.is_settled(now);
         let guards = self.guards;
         match self.cell(route) {
-            Some(cell) if held => cell.limit(now, guards),
+            Some(cell) if held => cell.limit(now, settled, guards),
             _ => 0,
         }
     }
 
-    /// How much to ask others for, if a loan is wanted now. Asked at most once
-    /// in a while for each route.
-    pub fn want(&mut self, now: Time, route: &Route) -> Option<u64> {
+    /// Asks up to `lenders` others for a loan of at least `amount`: when each
+    /// is asked, and for how much. Nothing if none is wanted now: others are
+    /// asked at most once in a while for each route.
+    pub fn want(&mut self, now: Time, route: &Route, amount: u64, lenders: usize) -> Wish {
         let held = self.is_held(now);
-        let cell = self.cell(route).filter(|_| held)?;
-        if cell.asked.is_some_and(|asked| now.since(asked) < ASK_PAUSE) {
-            return None;
+        let Some(cell) = self.cell(route).filter(|c| held && c.gone.is_none()) else {
+            return Wish::default();
+        };
+        let last = cell.asked.last();
+        if last.is_some_and(|asked| now.since(asked) < ASK_PAUSE) {
+            return Wish::default();
+        }
+        Wish {
+            amount: cell.part.max(amount),
+            asked: cell.asked.open(now, lenders),
         }
-        cell.asked = Some(now);
-        Some(cell.present(now).max(1))
     }
 
     /// Another instance asks for a loan; what it gets.
     pub fn lend(&mut self, now: Time, route: &Route, wanted: u64) -> u64 {
-        let held = self.is_held(now);
+        self.expire(now);
+        let free = self.is_held(now) && self.is_settled(now);
         let terms = self.guards.terms;
-        let Some(cell) = self.cell(route).filter(|_| held) else {
+        let Some(cell) = self.cell(route).filter(|_| free) else {
             return 0;
         };
         // Only its own part: what is borrowed has to go back in time.
-        let own = cell.present(now).saturating_sub(cell.lent.sum(now));
+        let own = cell.part.saturating_sub(cell.lent.sum(now));
         let free = own.saturating_sub(cell.window.used(now));
         let amount = wanted.min(free.div_ceil(LEND_PART));
         if amount > 0 {
@@ -215,27 +290,50 @@
         amount
     }
 
-    /// A loan came, asked for at `asked`.
+    /// A loan came, asked for at `asked`. One that answers no open question
+    /// is a copy, and doesn't count.
     pub fn borrow(&mut self, asked: Time, route: &Route, amount: u64) {
-        if let Some(cell) = self.cell(route) {
+        let once = self.guards.once;
+        let Some(cell) = self.cell(route).filter(|c| c.gone.is_none()) else {
+            return;
+        };
+        if cell.asked.close(asked) || !once {
             cell.borrowed.add(amount, asked + loan::TERM);
         }
     }
 
+    /// Whether the configuration has a cap on a route.
+    #[must_use]
+    pub fn has(&self, route: &Route) -> bool {
+        let found = self.cells.binary_search_by(|c| c.route.cmp(route));
+        found.is_ok_and(|at| self.cells[at].gone.is_none())
+    }
+
     /// All routes with their limits and use, for dumps.
     pub fn rows(&mut self, now: Time) -> Vec<(Route, u64, u64)> {
+        self.expire(now);
         let held = self.is_held(now);
+        let settled = self.is_settled(now);
         let guards = self.guards;
         let row = |cell: &mut Cell| {
-            let limit = if held { cell.limit(now, guards) } else { 0 };
+            let limit = if held {
+                cell.limit(now, settled, guards)
+            } else {
+                0
+            };
             (cell.route.clone(), limit, cell.window.used(now))
         };
-        self.cells.iter_mut().map(row).collect()
+        let cells = self.cells.iter_mut().filter(|c| c.gone.is_none());
+        cells.map(row).collect()
     }
 
     fn is_held(&self, now: Time) -> bool {
-        let fresh = |held: Time| now.since(held) <= FRESH;
-        !self.guards.held || self.held.is_some_and(fresh)
+        let fresh = |last: Time| now.since(last) <= FRESH;
+        !self.guards.held || (self.hold.on && self.hold.last.is_some_and(fresh))
+    }
+
+    fn is_settled(&self, now: Time) -> bool {
+        !self.guards.settle || self.settled.is_some_and(|settled| now >= settled)
     }
 
     fn cell(&mut self, route: &Route) -> Option<&mut Cell> {
@@ -253,94 +351,133 @@
 
     fn add(&mut self, now: Time, route: &Route, amount: u64) {
         if let Some(cell) = self.cell(route) {
-            cell.use_up(now, amount);
+            cell.window.add(now, amount);
+        }
+    }
+
+    /// A new layout counts at once where its parts are smaller; the one before
+    /// goes on counting where its are. An instance that knows one layout and
+    /// its neighbour that knows another would together pass the cap.
+    fn lay_out(&mut self, now: Time, layout: Layout) {
+        if !self.guards.transition {
+            self.eras.clear();
+        }
+        match self.eras.last_mut() {
+            Some(last) if last.layout == layout => return,
+            Some(last) => last.until = Some(now + SETTLE),
+            // No layout was known before: what others divide by isn't either.
+            None => self.settled = self.settled.map(|s| s.max(now + SETTLE)),
+        }
+        let until = None;
+        self.eras.push(Era { layout, until });
+    }
+
+    /// Drops the layouts that no longer count.
+    fn expire(&mut self, now: Time) {
+        let before = self.eras.len();
+        self.eras.retain(|era| era.until.is_none_or(|u| now < u));
+        if self.eras.len() != before {
+            self.divide();
+        }
+    }
+
+    fn divide(&mut self) {
+        for cell in &mut self.cells {
+            let parts = self.eras.iter();
+            let parts = parts.map(|era| era.layout.part(&cell.route, cell.whole));
+            cell.part = if self.guards.part {
+                parts.min().unwrap_or(0)
+            } else {
+                cell.whole
+            };
+        }
+    }
+
+    /// Both lists are sorted by route. A cap that is gone allows nothing at
+    /// once, but its use and loans are remembered in case it comes back.
+    fn merge(&mut self, now: Time, caps: Vec<Cap>) {
+        let old = core::mem::take(&mut self.cells);
+        let mut old = old.into_iter().peekable();
+        let memory = self.guards.memory;
+        let mut cells = Vec::with_capacity(caps.len());
+        for cap in caps {
+            while let Some(cell) = old.next_if(|c| c.route < cap.route) {
+                cells.extend(cell.retire(now).filter(|_| memory));
+            }
+            cells.push(match old.next_if(|c| c.route == cap.route) {
+                Some(cell) => cell.renew(&cap),
+                None => Cell::new(now, &cap),
+            });
         }
+        cells.extend(old.filter_map(|c| c.retire(now).filter(|_| memory)));
+        self.cells = cells;
     }
 }
 
+/// A loan that is wanted.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Wish {
+    /// How much each lender is asked for.
+    pub amount: u64,
+    /// When each is asked; its answer brings the time back.
+    pub asked: Vec<Time>,
+}
+
 impl Cell {
-    /// In the first version that a process sees, its slot's quarantine covers
-    /// what others still use. A cap that appears later is new to all, and
-    /// whoever hasn't heard of it uses nothing of it.
-    fn new(now: Time, cap: &route::Cap) -> Self {
+    fn new(now: Time, cap: &Cap) -> Self {
         Self {
             route: cap.route.clone(),
-            part: cap.part,
-            before: cap.part,
-            until: now,
-            ramp: cap.ramp,
-            begun: now,
-            last: None,
+            whole: cap.whole,
+            part: 0,
+            span: cap.ramp,
+            gone: None,
+            ramp: Ramp::new(now),
             window: Window::default(),
             lent: Loans::default(),
             borrowed: Loans::default(),
-            asked: None,
+            asked: Asked::default(),
         }
     }
 
-    fn change(&mut self, now: Time, cap: &route::Cap) {
-        self.ramp = cap.ramp;
-        if cap.part == self.part {
-            return;
-        }
-        self.before = self.present(now);
-        self.part = cap.part;
-        self.until = now + TRANSITION;
+    fn renew(mut self, cap: &Cap) -> Self {
+        self.whole = cap.whole;
+        self.span = cap.ramp;
+        self.gone = None;
+        self
     }
 
-    /// The part that counts now.
-    fn present(&self, now: Time) -> u64 {
-        if now < self.until {
-            self.part.min(self.before)
-        } else {
-            self.part
-        }
+    /// The cell of a cap that is gone, while it still matters.
+    fn retire(mut self, now: Time) -> Option<Self> {
+        let gone = *self.gone.get_or_insert(now);
+        self.whole = 0;
+        self.borrowed.clear();
+        (now.since(gone) < SETTLE).then_some(self)
     }
 
-    fn limit(&mut self, now: Time, guards: Guards) -> u64 {
-        let part = if guards.transition {
-            self.present(now)
-        } else {
-            self.part
-        };
+    fn limit(&mut self, now: Time, settled: bool, guards: Guards) -> u64 {
+        let part = if settled { self.part } else { 0 };
         let lent = if guards.terms { self.lent.sum(now) } else { 0 };
-        let all = part.saturating_sub(lent) + self.borrowed.sum(now);
+        let own = part.saturating_sub(lent);
+        let all = own.saturating_add(self.borrowed.sum(now));
         if guards.ramp {
-            self.ramped(now, all)
+            let used = self.window.used(now);
+            self.ramp.limit(now, self.span, all, used)
         } else {
             all
         }
     }
+}
 
-    /// A shift that begins, or begins again after a pause, grows from a little
-    /// to all over the ramp.
-    fn ramped(&self, now: Time, all: u64) -> u64 {
-        if self.ramp.is_zero() || all == 0 {
-            return all;
-        }
-        let begun = match self.last {
-            Some(last) if now.since(last) <= self.ramp => self.begun,
-            _ => now,
-        };
-        let done = now.since(begun).as_millis();
-        let percent = done * 100 / self.ramp.as_millis().max(1);
-        let percent = u64::try_from(percent).unwrap_or(100);
-        let percent = percent.clamp(RAMP_FLOOR, 100);
-        (all * percent / 100).max(1)
-    }
-
-    fn use_up(&mut self, now: Time, amount: u64) {
-        let paused = self.last.is_none_or(|last| now.since(last) > self.ramp);
-        if paused {
-            self.begun = now;
-        }
-        self.last = Some(now);
-        self.window.add(now, amount);
-    }
+/// Whether two views have the same caps, divided in the same way.
+fn same_caps(a: &View, b: &View) -> bool {
+    a.links == b.links
+        && a.shifts == b.shifts
+        && a.entries == b.entries
+        && a.domains == b.domains
+        && a.regions == b.regions
+        && names(a).eq(names(b))
 }
 
-/// Entry instances that may use a shift or a link: those of its regions.
-fn eligible(view: &View, entry: Entry, regions: &[Region]) -> bool {
-    let region = view.domains[view.entries[entry].domain].region;
-    regions.contains(&region)
+fn names(view: &View) -> impl Iterator<Item = &Arc<str>> {
+    view.services.values().map(|service| &service.name)
 }
--- a/crates/steer/src/process/share/loan.rs
+++ b/crates/steer/src/process/share/loan.rs
@@ -4,7 +4,7 @@
 //! borrower counts the term from before it asked, the lender from after it was
 //! asked and a good deal longer. No clocks are compared; a message that is lost
 //! or late loses share, and one that comes twice lends twice but is borrowed
-//! once.
+//! once, since each question takes one answer.
 
 use core::time::Duration;
 
@@ -37,6 +37,46 @@
     /// Sum of the loans that run at `now`.
     pub fn sum(&mut self, now: Time) -> u64 {
         self.0.retain(|loan| loan.until > now);
-        self.0.iter().map(|loan| loan.amount).sum()
+        let amounts = self.0.iter().map(|loan| loan.amount);
+        amounts.fold(0, u64::saturating_add)
+    }
+
+    /// Ends all of them.
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+}
+
+/// Questions for a loan that have no answer yet, by when they were asked.
+#[derive(Clone, Debug, Default)]
+pub struct Asked {
+    open: Vec<Time>,
+    last: Option<Time>,
+}
+
+impl Asked {
+    /// When a question was asked last.
+    #[must_use]
+    pub const fn last(&self) -> Option<Time> {
+        self.last
+    }
+
+    /// Opens a number of questions at `now`. Each has a time of its own, which
+    /// its answer brings back; times a little too early end a loan too early.
+    pub fn open(&mut self, now: Time, count: usize) -> Vec<Time> {
+        self.last = Some(now);
+        self.open.retain(|&asked| now.since(asked) < TERM);
+        let fresh: Vec<Time> = (0..count as u64)
+            .map(|nth| now - Duration::from_micros(nth))
+            .filter(|asked| !self.open.contains(asked))
+            .collect();
+        self.open.extend(&fresh);
+        fresh
+    }
+
+    /// Whether an answer is the first to its question.
+    pub fn close(&mut self, asked: Time) -> bool {
+        let found = self.open.iter().position(|&open| open == asked);
+        found.map(|at| self.open.swap_remove(at)).is_some()
     }
 }
--- a/crates/steer/src/process/share/route.rs
+++ b/crates/steer/src/process/share/route.rs
@@ -1,7 +1,9 @@
 //! What is capped, and how each cap is divided.
 //!
-//! Invariant: the parts of one cap add up to it exactly: the instance at place
-//! `i` of `n`, in order of names, gets what lies between `i/n` and `(i+1)/n`.
+//! Invariants:
+//! - the parts of one cap add up to it exactly;
+//! - a part never shrinks when the cap grows, so that instances which know
+//!   different caps, but divide them alike, stay within the larger one.
 
 use core::fmt;
 use core::time::Duration;
@@ -9,7 +11,6 @@
 
 use entity::EntityRef;
 
-use super::eligible;
 use crate::version::view::{Region, View};
 
 /// Part of a link that is kept for control messages, in percent.
@@ -53,14 +54,12 @@
     pub route: Route,
     /// The whole cap, per second.
     pub whole: u64,
-    /// The instance's part, per second.
-    pub part: u64,
     /// Time over which use grows.
     pub ramp: Duration,
 }
 
-/// All caps of a view, for the entry instance `name`.
-pub fn caps(view: &View, name: &str) -> Vec<Cap> {
+/// All caps of a view, sorted by route.
+pub fn caps(view: &View) -> Vec<Cap> {
     let mut caps = Vec::with_capacity(view.shifts.len() + view.links.len());
     let region = |region: Region| Arc::clone(&view.regions[region].name);
     for shift in &view.shifts {
@@ -71,46 +70,111 @@
                 to: region(shift.to),
             },
             whole: shift.cap,
-            // Either the callers' own instances pass a request on, or those of
-            // the other region are asked directly.
-            part: part(view, name, &[shift.from, shift.to], shift.cap),
             ramp: shift.ramp,
         });
     }
     for link in &view.links {
-        let whole = link.bits / 8 * (100 - RESERVE) / 100;
         caps.push(Cap {
             route: Route::Link {
                 from: region(link.from),
                 to: region(link.to),
             },
-            whole,
-            part: part(view, name, &[link.from], whole),
+            whole: ratio(link.bits / 8, 100 - RESERVE, 100),
             ramp: Duration::ZERO,
         });
     }
+    caps.sort_by(|a, b| a.route.cmp(&b.route));
+    caps.dedup_by(|b, a| a.route == b.route);
     caps
 }
 
-fn part(view: &View, name: &str, regions: &[Region], whole: u64) -> u64 {
-    let Some(me) = view.entry(name) else {
-        return 0;
-    };
-    if !eligible(view, me, regions) {
-        return 0;
+/// Entry instances of one region.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Crew {
+    region: Arc<str>,
+    count: u64,
+}
+
+/// This instance among those of its region.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Seat {
+    region: Arc<str>,
+    place: u64,
+}
+
+/// Where the entry instances are: all that the division of a cap depends on
+/// besides the cap.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Layout {
+    /// Sorted by region.
+    crews: Vec<Crew>,
+    me: Option<Seat>,
+}
+
+impl Layout {
+    /// The layout of a view, for the entry instance `name`.
+    pub fn new(view: &View, name: &str) -> Self {
+        let mut counts = vec![0; view.regions.len()];
+        let mut me = None;
+        for entry in view.entries.values() {
+            let region = view.domains[entry.domain].region;
+            let count: &mut u64 = &mut counts[region.index()];
+            if *entry.name == *name {
+                me = Some(Seat {
+                    region: Arc::clone(&view.regions[region].name),
+                    place: *count,
+                });
+            }
+            *count += 1;
+        }
+        let regions = view.regions.values().zip(counts);
+        let crews = regions.map(|(data, count)| Crew {
+            region: Arc::clone(&data.name),
+            count,
+        });
+        Self {
+            crews: crews.collect(),
+            me,
+        }
     }
-    let all = view.entries.keys().filter(|&e| eligible(view, e, regions));
-    let mut count = 0;
-    let mut place = 0;
-    for entry in all {
-        count += 1;
-        place += u64::from(entry.index() < me.index());
+
+    /// This instance's part of a cap. The instances of the sending region
+    /// divide a link. Those of both regions divide a shift, since either the
+    /// callers' own instances pass a request on, or those of the other region
+    /// are asked directly.
+    pub fn part(&self, route: &Route, whole: u64) -> u64 {
+        let (one, two) = match route {
+            Route::Shift { from, to, .. } => (from, to),
+            Route::Link { from, .. } => (from, from),
+        };
+        let Some(me) = &self.me else { return 0 };
+        if me.region != *one && me.region != *two {
+            return 0;
+        }
+        let (first, second) = if one <= two { (one, two) } else { (two, one) };
+        let before = if me.region == *first {
+            0
+        } else {
+            self.count(first)
+        };
+        let others = if first == second {
+            0
+        } else {
+            self.count(second)
+        };
+        let count = (self.count(first) + others).max(1);
+        let place = before + me.place;
+        whole / count + u64::from(place < whole % count)
+    }
+
+    fn count(&self, region: &str) -> u64 {
+        let found = self.crews.binary_search_by(|c| (*c.region).cmp(region));
+        found.map_or(0, |at| self.crews[at].count)
     }
-    share(whole, place + 1, count) - share(whole, place, count)
 }
 
 /// `whole * part / parts`, rounded down.
-fn share(whole: u64, part: u64, parts: u64) -> u64 {
+pub(super) fn ratio(whole: u64, part: u64, parts: u64) -> u64 {
     let share = u128::from(whole) * u128::from(part) / u128::from(parts.max(1));
     u64::try_from(share).unwrap_or(u64::MAX)
 }
--- a/crates/steer/src/process/share/window.rs
+++ b/crates/steer/src/process/share/window.rs
@@ -30,7 +30,8 @@
     /// What was used within the last second, and at most a slice more.
     pub fn used(&mut self, now: Time) -> u64 {
         self.turn(now);
-        self.slices.iter().sum()
+        let slices = self.slices.iter();
+        slices.fold(0, |sum: u64, slice| sum.saturating_add(*slice))
     }
 
     /// Counts use.
@@ -46,7 +47,8 @@
         let mut ages = 0;
         while used > limit && ages < SLICES {
             // The oldest slice is the one after the newest in the ring.
-            used -= self.slices[index(self.newest + 1 + ages as u64)];
+            let oldest = self.slices[index(self.newest + 1 + ages as u64)];
+            used = used.saturating_sub(oldest);
             ages += 1;
         }
         let into = now.as_micros() % SLICE;
--- a/crates/steer/src/process/traffic.rs
+++ b/crates/steer/src/process/traffic.rs
@@ -229,6 +229,8 @@
     gate: gate::Gate,
     dispatch: dispatch::Dispatch,
     outbox: outbox::Outbox,
+    /// The request that arrived last, and its size.
+    arriving: Option<(arrival::RequestId, u64)>,
     /// Scratch space, empty between events.
     asked: Vec<gate::Action>,
     sent: Vec<dispatch::Action>,
@@ -259,11 +261,19 @@
             gate: gate::Gate::with_safeguards(home.clone(), me, limits, safe),
             dispatch: dispatch::Dispatch::new(home, rng),
             outbox: outbox::Outbox::default(),
+            arriving: None,
             asked: Vec::new(),
             sent: Vec::new(),
         }
     }
 
+    /// The same with other safeguards of caps. For models and tests only.
+    #[must_use]
+    pub fn with_shares(mut self, guards: share::Guards) -> Self {
+        *self.dispatch.shares() = share::Shares::new(guards);
+        self
+    }
+
     /// Takes one event and appends what is to be done to `out`.
     pub fn handle(&mut self, now: clock::Time, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -357,6 +367,7 @@
             };
             return out.push(Action::Refuse { id, refusal });
         }
+        self.arriving = Some((id, arrival.bytes));
         self.gate(now, gate::Event::Arrive(arrival));
     }
 
@@ -425,6 +436,9 @@
             }
         }
         let free = self.outbox.release(now, self.dispatch.shares());
+        if let Some((link, bytes)) = self.outbox.lacking() {
+            self.dispatch.lack(now, link, *bytes);
+        }
         out.extend(free.into_iter().map(|(id, last)| match last {
             outbox::Last::Reply(answer) => Action::Reply { id, answer },
             outbox::Last::Refuse(refusal) => Action::Refuse { id, refusal },
@@ -438,6 +452,9 @@
                     gate::Action::Run(arrival) => {
                         self.dispatch(now, dispatch::Event::Arrive(arrival));
                     }
+                    gate::Action::Forward { id, peer, budget } => {
+                        self.forward(now, id, peer, budget, out);
+                    }
                     other => out.extend(outward(other)),
                 }
             }
@@ -447,6 +464,27 @@
         }
     }
 
+    /// A request goes to its key's owner if the link has room for it. Another
+    /// copy of it may have run there, so a refusal isn't "not run".
+    fn forward(
+        &mut self,
+        now: clock::Time,
+        id: arrival::RequestId,
+        peer: gate::Peer,
+        budget: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let bytes = self.arriving.filter(|a| a.0 == id).map_or(0, |a| a.1);
+        match self.dispatch.may_cross(now, &peer.name, bytes) {
+            Ok(()) => out.push(Action::Forward { id, peer, budget }),
+            Err(after) => {
+                let refusal = outcome::Refusal::unknown(outcome::Reason::Cap, Some(after));
+                let ending = dispatch::Ending::PeerRefused(refusal);
+                self.gate(now, gate::Event::Forwarded { id, ending });
+            }
+        }
+    }
+
     /// The dispatcher's answer to a request that the gate holds is the gate's
     /// to record before any caller hears it.
     fn after_dispatch(
--- a/crates/steer/tests/gate_scenarios/bench.rs
+++ b/crates/steer/tests/gate_scenarios/bench.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use steer::clock;
-use steer::process::{dispatch, gate, traffic};
+use steer::process::{dispatch, gate, share, traffic};
 use steer::request::{arrival, key, outcome, record};
 
 use super::{line, scene};
@@ -38,7 +38,13 @@
         let rng = fastrand::Rng::with_seed(1);
         Self {
             now: clock::Time::ZERO,
-            traffic: traffic::Traffic::new(home, scene::INCARNATIONS[0], limits, rng),
+            // The process has run for long enough to use its part of caps.
+            traffic: traffic::Traffic::new(home, scene::INCARNATIONS[0], limits, rng).with_shares(
+                share::Guards {
+                    settle: false,
+                    ..share::Guards::default()
+                },
+            ),
             keys: Vec::new(),
         }
     }
