Wait for a predecessor's loans also after it gave up its share

A process that had lent a part of its share and stopped gracefully let its successor use the whole share at once, while the borrower still used the loan: more than the cap.

Change: the successor of a process that gave up its share waits 10 s (TRANSFER_MAX, above the 7.2 s of a loan) from when it hears of it. The scenario slot-released differs without that, and without the quarantine.

--- a/crates/steer/src/process/control/standing.rs
+++ b/crates/steer/src/process/control/standing.rs
@@ -99,7 +99,7 @@
         if record.stamp < self.me.stamp {
             self.slot.preceded(record.stamp);
             if record.life == Life::Released {
-                self.slot.released(record.stamp);
+                self.slot.released(now, record.stamp);
             }
             return;
         }
--- a/crates/steer/src/process/slot.rs
+++ b/crates/steer/src/process/slot.rs
@@ -13,7 +13,8 @@
 //!   could confirm the old one and the last confirmation runs out. It needn't
 //!   wait if its predecessor said that it gave up the share.
 //! - Shares that the predecessor passed on are still in use. So no transfer may
-//!   last longer than [`TRANSFER_MAX`], which is below the quarantine.
+//!   last longer than [`TRANSFER_MAX`], which is below the quarantine, and which
+//!   a newcomer waits out also after its predecessor gave up the share.
 //! - Two versions are in force at different places. So after a change a process
 //!   uses the smallest share of all versions of the last [`TRANSITION`], and a
 //!   slot new to the configuration starts from nothing for that time.
@@ -79,9 +80,16 @@
 
 /// Switches of the safeguards, all on in a live process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each switch is turned off alone"
+)]
 pub struct Guards {
     /// Newcomers wait.
     pub quarantine: bool,
+    /// The successor of a process that gave up its share waits for what that one
+    /// had passed on.
+    pub transfer: bool,
     /// Holders have to be confirmed.
     pub confirm: bool,
     /// The smallest share counts while versions change.
@@ -92,6 +100,7 @@
     fn default() -> Self {
         Self {
             quarantine: true,
+            transfer: true,
             confirm: true,
             transition: true,
         }
@@ -102,7 +111,8 @@
 #[derive(Clone, Debug)]
 pub struct Slot {
     start: Time,
-    free: bool,
+    /// When the release by the predecessor was heard of.
+    free: Option<Time>,
     predecessor: Option<Stamp>,
     confirmed: Option<Time>,
     behind: Option<Time>,
@@ -117,7 +127,7 @@
     pub const fn new(now: Time, guards: Guards) -> Self {
         Self {
             start: now,
-            free: false,
+            free: None,
             predecessor: None,
             confirmed: None,
             behind: None,
@@ -135,15 +145,18 @@
     pub fn preceded(&mut self, stamp: Stamp) {
         if self.predecessor < Some(stamp) {
             self.predecessor = Some(stamp);
-            self.free = false;
+            self.free = None;
         }
     }
 
     /// The predecessor of this stamp gave up its share for good.
-    pub fn released(&mut self, stamp: Stamp) {
+    pub fn released(&mut self, now: Time, stamp: Stamp) {
+        if self.predecessor < Some(stamp) {
+            self.free = None;
+        }
         if self.predecessor <= Some(stamp) {
             self.predecessor = Some(stamp);
-            self.free = true;
+            self.free.get_or_insert(now);
         }
     }
 
@@ -180,7 +193,10 @@
     #[must_use]
     pub fn is_held(&self, now: Time) -> bool {
         let waited = now.since(self.start) >= QUARANTINE;
-        waited || self.free || !self.guards.quarantine
+        let free = self
+            .free
+            .is_some_and(|heard| now.since(heard) >= TRANSFER_MAX || !self.guards.transfer);
+        waited || free || !self.guards.quarantine
     }
 
     /// The share at `now`. `sure` is off while the process is in doubt whether
--- a/crates/steer/tests/control_scenarios/script.rs
+++ b/crates/steer/tests/control_scenarios/script.rs
@@ -23,6 +23,7 @@
         "confirm" => &mut guards.confirm,
         "introduce" => &mut guards.introduce,
         "quarantine" => &mut guards.slot.quarantine,
+        "transfer" => &mut guards.slot.transfer,
         "hold" => &mut guards.slot.confirm,
         "transition" => &mut guards.slot.transition,
         "compare" => &mut apply.compare,
