--- a/crates/auburnrouter/src/cmd/entry.rs
+++ b/crates/auburnrouter/src/cmd/entry.rs
@@ -4,7 +4,7 @@
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-use futures_lite::StreamExt;
+use futures_lite::{StreamExt, future};
 use serde::Serialize;
 
 use crate::cli::{self, Command, Error, Exit};
@@ -36,8 +36,8 @@
 Logs go to standard error, or to the file that the settings name.
 
 SIGTERM and SIGINT shut it down gracefully: it leaves the look-ups' answers,
-tells its peers, finishes every request in flight, and exits 0. A second
-signal ends it at once.
+tells its peers, finishes every request in flight, and exits 0. So it does when
+a newer process has taken its name over. A second signal ends it at once.
 ";
 
 #[derive(Serialize)]
@@ -113,7 +113,10 @@
         }
     };
     announce(running.addresses());
-    smol::block_on(signals.next());
+    let signalled = async {
+        signals.next().await;
+    };
+    smol::block_on(future::or(signalled, running.replaced()));
     let second = std::thread::spawn(move || {
         smol::block_on(signals.next());
         std::process::exit(1);
--- a/crates/auburnrouter/src/daemon.rs
+++ b/crates/auburnrouter/src/daemon.rs
@@ -327,6 +327,12 @@
         self.snapshot.load().ready
     }
 
+    /// Waits until a newer process has taken the name over: then this one is to
+    /// finish what it has and stop.
+    pub async fn replaced(&self) {
+        self.control.replaced().await;
+    }
+
     /// Shuts down gracefully: leaves the look-ups' answers, tells the peers,
     /// serves on for as long as callers may hold an old answer, finishes what
     /// is in flight, and joins every thread.
--- a/crates/auburnrouter/src/daemon/control.rs
+++ b/crates/auburnrouter/src/daemon/control.rs
@@ -72,6 +72,8 @@
     force: Arc<ArcSwapOption<InForce>>,
     changing: Arc<smol::lock::Mutex<()>>,
     executor: Executor,
+    /// Closed once a newer process has taken the name over.
+    replaced: async_channel::Receiver<()>,
 }
 
 impl Handle {
@@ -79,12 +81,14 @@
     pub fn start(parts: Parts, executor: &Executor) -> Self {
         let parts = Arc::new(parts);
         let (inputs, inbox) = async_channel::unbounded();
+        let (holding, replaced) = async_channel::bounded(1);
         let force = Arc::new(ArcSwapOption::empty());
         let driver = driver::Driver::new(
             Arc::clone(&parts),
             Arc::clone(&force),
             inputs.clone(),
             Arc::clone(executor),
+            holding,
         );
         executor.spawn(driver.run(inbox)).detach();
         Self {
@@ -93,6 +97,7 @@
             force,
             changing: Arc::default(),
             executor: Arc::clone(executor),
+            replaced,
         }
     }
 
@@ -115,6 +120,12 @@
         self.input(driver::Input::Message(message));
     }
 
+    /// Waits until a newer process has taken the name over.
+    pub async fn replaced(&self) {
+        // Nothing is ever sent: the end of the channel is the word.
+        let _ = self.replaced.recv().await;
+    }
+
     /// What this process is.
     #[must_use]
     pub fn identity(&self) -> member::Identity {
--- a/crates/auburnrouter/src/daemon/control/driver.rs
+++ b/crates/auburnrouter/src/daemon/control/driver.rs
@@ -53,6 +53,8 @@
     executor: Executor,
     seeds: Vec<member::Hint>,
     hints: Vec<member::Hint>,
+    /// Closed once a newer process has taken the name over.
+    holding: async_channel::Sender<()>,
 }
 
 impl Driver {
@@ -62,6 +64,7 @@
         force: Arc<ArcSwapOption<InForce>>,
         inputs: async_channel::Sender<Input>,
         executor: Executor,
+        holding: async_channel::Sender<()>,
     ) -> Self {
         let outlets = world::Outlets {
             engine: Arc::clone(&parts.engine),
@@ -83,6 +86,7 @@
             executor,
             seeds: Vec::new(),
             hints: Vec::new(),
+            holding,
         }
     }
 
@@ -145,7 +149,12 @@
             control::Action::Store { id, call } => self.call(id, call),
             control::Action::Install { head, bodies } => self.install(&head, &bodies),
             control::Action::Publish(snapshot) => self.publish(&snapshot),
-            control::Action::Notice(notice) => dump::note(&notice),
+            control::Action::Notice(notice) => {
+                dump::note(&notice);
+                if notice == control::Notice::Standing(control::Standing::Superseded) {
+                    self.holding.close();
+                }
+            }
         }
     }
 
