--- a/crates/auburnrouter/src/daemon.rs
+++ b/crates/auburnrouter/src/daemon.rs
@@ -37,6 +37,7 @@
 use serde::Serialize;
 use settings::{Settings, limits, secret};
 use smol::net;
+use steer::process::dispatch::tuning;
 use steer::process::{dispatch, gate, traffic};
 use steer::version::view;
 use thiserror::Error;
@@ -184,16 +185,18 @@
         let metrics = Arc::new(metrics::Metrics::new()?);
         let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
         let incarnation = view::Incarnation(fastrand::u64(1..));
+        let executor = Arc::clone(traffic.executor());
         let store = store::http::Config::new(settings.store.clone());
-        let store: Arc<dyn store::Store> =
-            Arc::new(store::http::Client::new(store, fastrand::Rng::new()));
+        let store = store::http::Client::new(store, Arc::clone(&executor), fastrand::Rng::new());
+        let store: Arc<dyn store::Store> = Arc::new(store);
         let home = dispatch::Home {
             name: Arc::clone(&settings.name),
             domain: Arc::clone(&settings.domain),
         };
         let limits = gate::Limits::default();
-        let decide = traffic::Traffic::new(home.clone(), incarnation, limits, fastrand::Rng::new());
-        let executor = Arc::clone(traffic.executor());
+        let tuning = tuning(&settings.limits);
+        let rng = fastrand::Rng::new();
+        let decide = traffic::Traffic::tuned(home.clone(), incarnation, limits, tuning, rng);
         let idle = settings.limits.target_connections();
         let means = engine::Means {
             executor: Arc::clone(&executor),
@@ -286,6 +289,23 @@
     }
 }
 
+/// The dispatcher bounds a caller by its share of the instance.
+fn tuning(limits: &limits::Limits) -> tuning::Tuning {
+    let all = limits.in_flight() + limits.queue();
+    let caller = limits.caller_in_flight() * 100 / all.max(1);
+    let bounds = tuning::Limits {
+        in_flight: limits.in_flight(),
+        queue: limits.queue(),
+        caller: caller.clamp(1, 100),
+        wait: limits.wait(),
+        ..tuning::Limits::default()
+    };
+    tuning::Tuning {
+        limits: bounds,
+        ..tuning::Tuning::default()
+    }
+}
+
 fn bounds(limits: &limits::Limits) -> guarded::Bounds {
     guarded::Bounds {
         whole: limits.request_time(),
--- a/crates/steer/tests/control_scenarios/script.rs
+++ b/crates/steer/tests/control_scenarios/script.rs
@@ -23,6 +23,7 @@
         "confirm" => &mut guards.confirm,
         "introduce" => &mut guards.introduce,
         "quarantine" => &mut guards.slot.quarantine,
+        "transfer" => &mut guards.slot.transfer,
         "hold" => &mut guards.slot.confirm,
         "transition" => &mut guards.slot.transition,
         "compare" => &mut apply.compare,
@@ -246,6 +247,7 @@
             "leave" => fleet.feed(at, Event::Leave),
             "freeze" => fleet.freeze(at),
             "thaw" => fleet.thaw(at),
+            "resume" => fleet.resume(at),
             // The predecessor of that name, if it was replaced.
             "thaw-old" => {
                 let old = (0..at).rev().find(|&i| fleet.nodes[i].slot == slot);
