Hold each answer against the attempt it names

The second answer came when its connection was in use again, and HTTP tells answers apart by their order alone. The pool's own test did not see it, as both answers came before the connection was used again.

Ruled out: waiting before a connection is used again (any wait can be too short); a connection for each request always (1 ms each, for every target).

Change: a target's answer repeats Attempt-Id. An answer that names another attempt is a broken one, so a request that must not repeat ends as unknown. One that names none counts only as the first on its connection, and the connection is not used again. The stand-in repeats the header, also in the second of two answers.

A burst is held against what the targets ran.

Found and left, in the dispatcher: a request that may repeat, sent to a target that hangs before its service has any history of latency, waits for its whole deadline (20 s, trial) though another target is free: attempt_budget gives all the time that is left where latency.high() is None. Refusals at once say `deadline` though the callers' deadline is 20 s (8 callers, 3 slots of 50 ms).

--- a/crates/auburnrouter/src/daemon/outbound.rs
+++ b/crates/auburnrouter/src/daemon/outbound.rs
@@ -150,30 +150,44 @@
             return dispatch::Ending::Unreachable.into();
         };
         match self.pool.send(attempt.addr, request).await {
-            Ok(exchange) => self.receive(exchange).await,
+            Ok(exchange) => receive(attempt.name, exchange).await,
             Err(pool::Error::Full) => busy(),
             Err(pool::Error::Unsent) => dispatch::Ending::Unreachable.into(),
             Err(pool::Error::Broken) => dispatch::Ending::Broken.into(),
             Err(pool::Error::Garbled) => dispatch::Ending::BadAnswer.into(),
         }
     }
+}
 
-    async fn receive(&self, exchange: pool::Exchange) -> Ended {
-        let (response, rest) = exchange.split();
-        let (head, body) = response.into_parts();
-        let report = report(&head.headers);
-        let Some(body) = collect(body).await else {
-            // The connection is dropped with its half-read answer.
-            let ending = dispatch::Ending::BadAnswer;
-            return Ended { ending, report };
-        };
+/// Reads an answer, and makes sure that it is this attempt's.
+///
+/// Failure: a target answers a request twice, or after it was given up, and the
+/// second answer comes when the connection is in use again. Symptom: a caller
+/// gets the answer to somebody else's request, or is told "not run" on the word
+/// of another's refusal. It suffices that an answer names its attempt, or is
+/// the first on its connection; a connection whose answer doesn't is dropped.
+async fn receive(name: &str, exchange: pool::Exchange) -> Ended {
+    let (response, rest) = exchange.split();
+    let (head, body) = response.into_parts();
+    let named = head.headers.get(headers::ATTEMPT);
+    let own = named.is_some_and(|named| named == name);
+    if !own && (named.is_some() || !rest.is_first()) {
+        return dispatch::Ending::BadAnswer.into();
+    }
+    let report = report(&head.headers);
+    let Some(body) = collect(body).await else {
+        // The connection is dropped with its half-read answer.
+        let ending = dispatch::Ending::BadAnswer;
+        return Ended { ending, report };
+    };
+    if own {
         rest.put_back();
-        let ending = match refusal(&head) {
-            Some(ending) => ending,
-            None => dispatch::Ending::Answered(Arc::new(answer(&head, &body))),
-        };
-        Ended { ending, report }
     }
+    let ending = match refusal(&head) {
+        Some(ending) => ending,
+        None => dispatch::Ending::Answered(Arc::new(answer(&head, &body))),
+    };
+    Ended { ending, report }
 }
 
 /// As good as a refusal by the target: it has more than it can take from here.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -63,6 +63,8 @@
 /// An open connection. Dropping it closes the socket, whatever is in flight.
 struct Link {
     sender: http1::SendRequest<Full<Bytes>>,
+    /// Whether a request was sent on it.
+    used: bool,
     /// Moves the bytes; ends with the connection.
     _driver: smol::Task<()>,
 }
@@ -88,12 +90,14 @@
 pub struct Exchange {
     /// The head, and the body still to be read.
     pub response: hyper::Response<Incoming>,
+    first: bool,
     busy: Busy,
     seat: Seat,
 }
 
 /// What is left of an exchange while its body is read.
 pub struct Rest {
+    first: bool,
     busy: Busy,
     seat: Seat,
 }
@@ -104,17 +108,26 @@
     pub fn split(self) -> (hyper::Response<Incoming>, Rest) {
         let Self {
             response,
+            first,
             busy,
             seat,
         } = self;
-        (response, Rest { busy, seat })
+        let rest = Rest { first, busy, seat };
+        (response, rest)
     }
 }
 
 impl Rest {
+    /// Whether the exchange was the first on its connection, so that nothing
+    /// left over from an earlier one can have been taken for its answer.
+    #[must_use]
+    pub const fn is_first(&self) -> bool {
+        self.first
+    }
+
     /// The answer was read to its end: the connection may be used again.
     pub fn put_back(self) {
-        let Self { busy, mut seat } = self;
+        let Self { busy, mut seat, .. } = self;
         let idle = busy.whole();
         seat.kept = true;
         let pool = Arc::clone(&seat.pool);
@@ -239,6 +252,7 @@
         });
         Ok(Link {
             sender,
+            used: false,
             _driver: driver,
         })
     }
@@ -280,13 +294,16 @@
     seat: Seat,
     request: Request,
 ) -> Result<Exchange, (Error, Option<Request>)> {
-    let sender = &mut busy.get().sender;
-    if sender.ready().await.is_err() {
+    let link = busy.get();
+    if link.sender.ready().await.is_err() {
         return Err((Error::Unsent, Some(request)));
     }
-    match sender.try_send_request(request).await {
+    let first = !link.used;
+    link.used = true;
+    match link.sender.try_send_request(request).await {
         Ok(response) => Ok(Exchange {
             response,
+            first,
             busy,
             seat,
         }),
--- a/crates/scenarios/src/script.rs
+++ b/crates/scenarios/src/script.rs
@@ -12,7 +12,8 @@
 //! | `lookup at= [service=] [client=]` | prints the entry instances to use |
 //! | `key at= name=` | asks for an idempotency key, later known by its name; prints whether it has a witness |
 //! | `request at= service= [method=] [key=] [caller=] [deadline=MS] [bytes=N] [body=] [named] [later=ID] [times=N] [within=MS]` | prints the answer, or how many of N were alike, and `late` if it took longer; `later` leaves it to `answer` |
-//! | `answer id=` | waits for the answer of an earlier request |
+//! | `burst at=(…) service= count= [resend=N] [keyed] [deadline=MS] [later=ID]` | sends many different requests; prints what their callers know, held against what the targets ran |
+//! | `answer id=` | waits for the answer of an earlier request or burst |
 //! | `dump at= show=(…)` | prints parts of an entry instance's state: `version`, `standing`, `targets`, `entries` |
 //! | `fault name=` | switches the fault in its input on |
 //! | `executed [name=] [key=]` | prints how many runs began |
@@ -43,6 +44,7 @@
 use crate::settings;
 use crate::world::{TargetFacts, World};
 
+mod burst;
 mod print;
 
 /// Pause between two tries of an `await`.
@@ -56,19 +58,26 @@
     prefix: String,
 }
 
-struct Later {
-    id: String,
-    named: bool,
-    thread: JoinHandle<Result<Answer, Error>>,
+/// What an `answer` waits for.
+enum Later {
+    Request {
+        named: bool,
+        thread: JoinHandle<Result<Answer, Error>>,
+    },
+    Burst {
+        keyed: bool,
+        thread: JoinHandle<Result<Vec<burst::Sent>, Error>>,
+    },
 }
 
 /// Runs the directives of one scenario.
 pub struct Script {
     folder: PathBuf,
     world: World,
-    later: Vec<Later>,
+    later: Vec<(String, Later)>,
     files: Vec<(String, String)>,
     keys: Vec<(String, String)>,
+    bursts: usize,
 }
 
 impl Script {
@@ -84,6 +93,7 @@
             later: Vec::new(),
             files: Vec::new(),
             keys: Vec::new(),
+            bursts: 0,
         })
     }
 
@@ -117,6 +127,7 @@
             "alive" => Ok(self.world.alive()?.to_string()),
             "lookup" => self.lookup(case),
             "request" => self.request(case),
+            "burst" => self.burst(case),
             "answer" => self.answer(case),
             "dump" => self.dump(case),
             "fault" => self.fault(case),
@@ -223,8 +234,7 @@
         }
         let mut said = Vec::new();
         for thread in threads {
-            let gone = |_| Err(Error::Http("an operator's thread panicked".to_owned()));
-            let ended = thread.join().unwrap_or_else(gone)?;
+            let ended = thread.join().unwrap_or_else(|_| Err(panicked()))?;
             said.push(print::last(&ended));
         }
         said.sort();
@@ -295,7 +305,7 @@
             return Ok(if late { text + ", late" } else { text });
         };
         let thread = std::thread::spawn(move || call.make());
-        self.later.push(Later { id, named, thread });
+        self.later.push((id, Later::Request { named, thread }));
         Ok(String::new())
     }
 
@@ -323,13 +333,50 @@
         Ok(call)
     }
 
+    fn burst(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let names: Vec<String> = case.take_args("at")?;
+        let at: Result<_, Error> = names.iter().map(|name| self.world.addr(name)).collect();
+        self.bursts += 1;
+        let burst = burst::Burst {
+            number: self.bursts,
+            at: at?,
+            service: case.take_arg("service")?,
+            count: case.take_arg("count")?,
+            resend: case.try_take_arg("resend")?.unwrap_or(0),
+            keyed: case.take_flag("keyed")?,
+            deadline: case.try_take_arg("deadline")?,
+        };
+        let keyed = burst.keyed;
+        let thread = std::thread::spawn(move || burst.send());
+        let later = Later::Burst { keyed, thread };
+        match case.try_take_arg::<String>("later")? {
+            Some(id) => {
+                self.later.push((id, later));
+                Ok(String::new())
+            }
+            None => self.finish(later),
+        }
+    }
+
     fn answer(&mut self, case: &mut TestCase) -> Result<String, Error> {
         let id: String = case.take_arg("id")?;
-        let at = self.later.iter().position(|later| later.id == id);
-        let later = self.later.remove(at.ok_or(Error::Unknown(id))?);
-        let gone = |_| Err(Error::Http("the caller's thread panicked".to_owned()));
-        let result = later.thread.join().unwrap_or_else(gone);
-        Ok(print::answer(&self.world, later.named, result))
+        let at = self.later.iter().position(|(known, _)| *known == id);
+        let (_, later) = self.later.remove(at.ok_or(Error::Unknown(id))?);
+        self.finish(later)
+    }
+
+    fn finish(&mut self, later: Later) -> Result<String, Error> {
+        match later {
+            Later::Request { named, thread } => {
+                let result = thread.join().unwrap_or_else(|_| Err(panicked()));
+                Ok(print::answer(&self.world, named, result))
+            }
+            Later::Burst { keyed, thread } => {
+                let sent = thread.join().unwrap_or_else(|_| Err(panicked()))?;
+                let executed = self.world.executed(None, None)?;
+                Ok(burst::check(&sent, &executed, keyed))
+            }
+        }
     }
 
     fn dump(&mut self, case: &mut TestCase) -> Result<String, Error> {
@@ -405,6 +452,10 @@
     }
 }
 
+fn panicked() -> Error {
+    Error::Http("a caller's thread panicked".to_owned())
+}
+
 /// The directive that an `await` repeats: its argument without a value.
 fn awaited(case: &mut TestCase) -> Result<String, Error> {
     for directive in ["lookup", "key", "request", "executed", "command", "dump"] {
--- a/crates/standin/src/target/calls.rs
+++ b/crates/standin/src/target/calls.rs
@@ -71,7 +71,7 @@
         Ending::Lost
     };
     let ending = work::run(shared, &request).or(crashed).await;
-    let conn = tell(shared, conn);
+    let conn = tell(shared, conn, &request);
     let faults = lock(&shared.faults).clone();
     let echo = match ending {
         Ending::Crashed => return crash(shared, conn),
@@ -109,12 +109,16 @@
 }
 
 /// Adds what the target says of itself.
-fn tell(shared: &Shared, conn: Conn) -> Conn {
+fn tell(shared: &Shared, mut conn: Conn, request: &Request) -> Conn {
     let (load, state) = shared.claim();
     let state = match state {
         State::Live => "live",
         State::Leaving => "leaving",
     };
+    if let Some(attempt) = &request.attempt {
+        let lines = conn.response_headers_mut();
+        lines.insert(headers::ATTEMPT, attempt.clone());
+    }
     conn.with_response_header(headers::TARGET_LOAD, load.to_string())
         .with_response_header(headers::TARGET_STATE, state)
 }
@@ -159,12 +163,12 @@
     }
     let body = serde_json::to_vec(echo).expect("plain data serialises");
     if faults.has(&Fault::HalfAnswer) {
-        http::raw(&mut conn, &head(body.len())).await;
+        http::raw(&mut conn, &head(echo, body.len())).await;
         http::raw(&mut conn, &body[..body.len() / 2]).await;
         return http::cut(conn);
     }
     if faults.has(&Fault::Twice) {
-        http::raw(&mut conn, &head(body.len())).await;
+        http::raw(&mut conn, &head(echo, body.len())).await;
         http::raw(&mut conn, &body).await;
     }
     http::keep_alive(conn)
@@ -172,9 +176,13 @@
         .ok(body)
 }
 
-fn head(bytes: usize) -> Vec<u8> {
+fn head(echo: &Echo, bytes: usize) -> Vec<u8> {
+    let attempt = echo.attempt.as_ref();
+    let attempt = attempt.map_or(String::new(), |name| {
+        format!("{}: {name}\r\n", headers::ATTEMPT)
+    });
     format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n{attempt}\
          Connection: keep-alive\r\nContent-Length: {bytes}\r\n\r\n"
     )
     .into_bytes()
--- a/crates/wire/src/target.rs
+++ b/crates/wire/src/target.rs
@@ -3,6 +3,7 @@
 //! | call | answer |
 //! |---|---|
 //! | any method on any path, headers `Attempt-Id`, `Deadline-Ms` | the service's answer with `Target-Load`, `Target-State`; 503 with `Target-Refused` if not run |
+//! | ″ | each answer repeats `Attempt-Id`; one that doesn't costs its connection, which can't be used again |
 //! | `DELETE /attempts/{id}` | 204; the attempt is stopped if it still can be |
 //! | `GET /health` | 200 [`Health`]; it lags or misleads, and costs time |
 
