--- a/crates/steer/src/process/config/keeper.rs
+++ b/crates/steer/src/process/config/keeper.rs
@@ -33,6 +33,22 @@
     Barred,
 }
 
+/// A head with all its bodies.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Complete {
+    /// The head.
+    pub head: Arc<Head>,
+    /// The bodies, in the order of the head's files.
+    pub bodies: Vec<Body>,
+}
+
+/// A head that somebody told of.
+#[derive(Debug)]
+struct Told {
+    head: Arc<Head>,
+    source: Source,
+}
+
 #[derive(Debug)]
 struct Next {
     head: Arc<Head>,
@@ -46,7 +62,7 @@
     held: Option<Arc<Head>>,
     next: Option<Next>,
     /// A head that came while the driver installed the one before.
-    later: Option<(Arc<Head>, Source)>,
+    later: Option<Told>,
     bodies: Vec<Body>,
     barred: Version,
     unordered: bool,
@@ -124,7 +140,8 @@
             return Verdict::Barred;
         }
         if self.next.as_ref().is_some_and(|n| n.installing) {
-            self.later = Some((Arc::clone(head), source));
+            let head = Arc::clone(head);
+            self.later = Some(Told { head, source });
             return Verdict::Newer;
         }
         self.next = Some(Next {
@@ -161,7 +178,7 @@
     /// The next head with its bodies in the order of its files, once all are
     /// here. It is handed out once; [`Self::installed`] or [`Self::rejected`]
     /// is due.
-    pub fn complete(&mut self) -> Option<(Arc<Head>, Vec<Body>)> {
+    pub fn complete(&mut self) -> Option<Complete> {
         if !self.lacking().is_empty() {
             return None;
         }
@@ -170,7 +187,7 @@
         let head = Arc::clone(&next.head);
         let bodies = head.files.iter().filter_map(|f| self.body(f.hash).cloned());
         let bodies = bodies.collect();
-        Some((head, bodies))
+        Some(Complete { head, bodies })
     }
 
     /// The driver has put this version in force. False if it was not asked to.
@@ -202,7 +219,7 @@
 
     /// The watch that told of it won't tell again, so it must not be lost.
     fn take_later(&mut self) {
-        if let Some((head, source)) = self.later.take() {
+        if let Some(Told { head, source }) = self.later.take() {
             self.offer(&head, source);
         }
     }
--- a/crates/steer/src/process/control/adopt.rs
+++ b/crates/steer/src/process/control/adopt.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 
 use super::message::{Content, Message};
-use super::store::{Asked, Call, CallId, Need, Reply, Stored, Turn};
+use super::store::{Asked, Call, CallId, Need, Reply, Request, Stored, Turn};
 use super::{Action, Control, Notice, ROTATION, Standing, WATCHERS};
 use crate::clock::Time;
-use crate::process::config::keeper::{Source, Verdict};
+use crate::process::config::keeper::{self, Source, Verdict};
 use crate::process::config::{Body, Hash, Head};
 use crate::process::member::{Record, hash};
 use crate::version::view::Version;
@@ -133,7 +133,7 @@
         let newer = self.heard > self.keeper.version() && self.keeper.is_wanted(self.heard);
         self.slot.set_behind(now, newer);
         self.end_doubt(now, out);
-        if let Some((head, bodies)) = self.keeper.complete() {
+        if let Some(keeper::Complete { head, bodies }) = self.keeper.complete() {
             self.fetches.clear();
             return out.push(Action::Install { head, bodies });
         }
@@ -319,9 +319,9 @@
     }
 }
 
-fn push_calls(calls: Vec<(CallId, Call)>, out: &mut Vec<Action>) {
+fn push_calls(calls: Vec<Request>, out: &mut Vec<Action>) {
     let actions = calls
         .into_iter()
-        .map(|(id, call)| Action::Store { id, call });
+        .map(|Request { id, call }| Action::Store { id, call });
     out.extend(actions);
 }
--- a/crates/steer/src/process/control/store.rs
+++ b/crates/steer/src/process/control/store.rs
@@ -61,6 +61,15 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallId(pub u64);
 
+/// A call to be made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Names it.
+    pub id: CallId,
+    /// The call.
+    pub call: Call,
+}
+
 /// A call that waits for its answer.
 #[derive(Clone, Debug)]
 struct Waiting {
@@ -183,13 +192,7 @@
     }
 
     /// Makes the calls that are due.
-    pub fn step(
-        &mut self,
-        now: Time,
-        need: Need,
-        rng: &mut fastrand::Rng,
-        out: &mut Vec<(CallId, Call)>,
-    ) {
+    pub fn step(&mut self, now: Time, need: Need, rng: &mut fastrand::Rng, out: &mut Vec<Request>) {
         if !need.watcher {
             self.fresh = false;
         }
@@ -207,7 +210,7 @@
     }
 
     /// Reads a body, if that can be done now.
-    pub fn body(&mut self, now: Time, hash: Hash, out: &mut Vec<(CallId, Call)>) -> Asked {
+    pub fn body(&mut self, now: Time, hash: Hash, out: &mut Vec<Request>) -> Asked {
         if self.away {
             return Asked::Away;
         }
@@ -290,7 +293,7 @@
         now: Time,
         need: Need,
         rng: &mut fastrand::Rng,
-        out: &mut Vec<(CallId, Call)>,
+        out: &mut Vec<Request>,
     ) {
         if now < self.list || self.waits(|c| *c == Call::List) {
             return;
@@ -304,13 +307,13 @@
         self.call(now, Call::List, out);
     }
 
-    fn probe(&mut self, now: Time, rng: &mut fastrand::Rng, out: &mut Vec<(CallId, Call)>) {
+    fn probe(&mut self, now: Time, rng: &mut fastrand::Rng, out: &mut Vec<Request>) {
         if now >= self.retry {
             self.read_head(now, rng, out);
         }
     }
 
-    fn read_head(&mut self, now: Time, rng: &mut fastrand::Rng, out: &mut Vec<(CallId, Call)>) {
+    fn read_head(&mut self, now: Time, rng: &mut fastrand::Rng, out: &mut Vec<Request>) {
         if self.waits(|c| *c == Call::Head) {
             return;
         }
@@ -322,7 +325,7 @@
         self.call(now, Call::Head, out);
     }
 
-    fn call(&mut self, now: Time, call: Call, out: &mut Vec<(CallId, Call)>) {
+    fn call(&mut self, now: Time, call: Call, out: &mut Vec<Request>) {
         self.calls += 1;
         let id = CallId(self.calls);
         self.waiting.push(Waiting {
@@ -330,7 +333,7 @@
             call: call.clone(),
             since: now,
         });
-        out.push((id, call));
+        out.push(Request { id, call });
     }
 
     fn waits(&self, fits: impl Fn(&Call) -> bool) -> bool {
--- a/crates/steer/tests/control_keeper.rs
+++ b/crates/steer/tests/control_keeper.rs
@@ -41,11 +41,9 @@
     assert!(keeper.put(body(1)));
     assert!(keeper.complete().is_none(), "body 2 is not here");
     assert!(keeper.put(body(2)));
-    let (complete, bodies) = keeper.complete().expect("all is here");
-    assert_eq!(
-        (complete.version, bodies),
-        (Version(5), vec![body(1), body(2)])
-    );
+    let complete = keeper.complete().expect("all is here");
+    assert_eq!(complete.head.version, Version(5));
+    assert_eq!(complete.bodies, [body(1), body(2)]);
     assert!(keeper.installed(Version(5)));
     keeper
 }
@@ -109,8 +107,8 @@
     } else {
         assert!(keeper.rejected(Version(6)));
     }
-    let (next, _) = keeper.complete().expect("version 7 follows");
-    assert_eq!(next.version, Version(7));
+    let next = keeper.complete().expect("version 7 follows");
+    assert_eq!(next.head.version, Version(7));
 }
 
 #[test]
--- a/crates/steer/tests/control_store.rs
+++ b/crates/steer/tests/control_store.rs
@@ -3,7 +3,7 @@
 use core::time::Duration;
 
 use steer::clock::Time;
-use steer::process::control::store::{Answered, Call, CallId, Need, Policy, Reply, Turn};
+use steer::process::control::store::{Answered, Call, Need, Policy, Reply, Request, Turn};
 
 const STEP: Duration = Duration::from_millis(100);
 const WATCHING: Need = Need {
@@ -16,7 +16,7 @@
     policy: Policy,
     rng: fastrand::Rng,
     now: Time,
-    open: Vec<(CallId, Call)>,
+    open: Vec<Request>,
     turns: Vec<Turn>,
 }
 
@@ -36,7 +36,7 @@
     /// One step; returns how many calls of the head were made.
     fn step(&mut self, away: bool) -> usize {
         self.now = self.now + STEP;
-        for (id, call) in core::mem::take(&mut self.open) {
+        for Request { id, call } in core::mem::take(&mut self.open) {
             let reply = match call {
                 _ if away => Reply::Away,
                 Call::Head => Reply::Head(None),
@@ -54,7 +54,7 @@
         self.policy
             .step(self.now, WATCHING, &mut self.rng, &mut calls);
         self.open = calls;
-        let head = |(_, call): &&(CallId, Call)| *call != Call::List;
+        let head = |request: &&Request| request.call != Call::List;
         self.open.iter().filter(head).count()
     }
 }
@@ -116,8 +116,8 @@
         policy.expire(now, &mut rng);
         policy.step(now, WATCHING, &mut rng, &mut calls);
     }
-    let heads = calls.iter().filter(|(_, call)| *call == Call::Head);
+    let heads = calls.iter().filter(|r| r.call == Call::Head);
     assert!((10..80).contains(&heads.count()), "{} calls", calls.len());
-    let late = policy.answered(now, calls[0].0, &Reply::Away, &mut rng);
+    let late = policy.answered(now, calls[0].id, &Reply::Away, &mut rng);
     assert!(late.is_none(), "the first call was given up");
 }
