--- a/crates/intent/examples/fleet.rs
+++ b/crates/intent/examples/files.rs
@@ -1,7 +1,7 @@
 //! Prints what the files of a large fleet cost: 1,500 entry instances, 22
 //! regions, 69 failure domains, 230 sites, an overlay a domain, 8 services.
 //!
-//! Run: `cargo run --release -p intent --example fleet`
+//! Run: `cargo run --release -p intent --example files`
 
 use std::fmt::Write;
 use std::fs;
