Give the serving region three quarters of a shift

A shift was divided evenly among the instances of both regions. The callers' instances now have a quarter, and borrow from the others, whom they have to reach anyway. Ruled out: nothing for the callers' instances, since the first requests of an overload would wait for a loan.

--- a/crates/steer/src/process/share/route.rs
+++ b/crates/steer/src/process/share/route.rs
@@ -16,6 +16,9 @@
 /// Part of a link that is kept for control messages, in percent.
 const RESERVE: u64 = 5;
 
+/// Part of a shift's cap that the callers' own region has: one in this many.
+const SENDERS: u64 = 4;
+
 /// What a cap is on. Named, so that it outlives a version.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Route {
@@ -141,30 +144,31 @@
     /// This instance's part of a cap. The instances of the sending region
     /// divide a link. Those of both regions divide a shift, since either the
     /// callers' own instances pass a request on, or those of the other region
-    /// are asked directly.
+    /// are asked directly. Most of it is the latter's: the former are lost with
+    /// their region just when the shift is needed most, and while they live
+    /// they reach the others, who lend.
     pub fn part(&self, route: &Route, whole: u64) -> u64 {
-        let (one, two) = match route {
-            Route::Shift { from, to, .. } => (from, to),
-            Route::Link { from, .. } => (from, from),
-        };
         let Some(me) = &self.me else { return 0 };
-        if me.region != *one && me.region != *two {
-            return 0;
+        match route {
+            Route::Link { from, .. } if me.region == *from => self.split(me, whole),
+            Route::Shift { from, to, .. } if me.region == *from => {
+                let senders = whole / SENDERS;
+                let alone = from == to || self.count(to) == 0;
+                self.split(me, if alone { whole } else { senders })
+            }
+            Route::Shift { from, to, .. } if me.region == *to => {
+                let senders = whole / SENDERS;
+                let alone = self.count(from) == 0;
+                self.split(me, if alone { whole } else { whole - senders })
+            }
+            Route::Link { .. } | Route::Shift { .. } => 0,
         }
-        let (first, second) = if one <= two { (one, two) } else { (two, one) };
-        let before = if me.region == *first {
-            0
-        } else {
-            self.count(first)
-        };
-        let others = if first == second {
-            0
-        } else {
-            self.count(second)
-        };
-        let count = (self.count(first) + others).max(1);
-        let place = before + me.place;
-        whole / count + u64::from(place < whole % count)
+    }
+
+    /// What one instance gets of what its region has.
+    fn split(&self, me: &Seat, whole: u64) -> u64 {
+        let count = self.count(&me.region).max(1);
+        whole / count + u64::from(me.place < whole % count)
     }
 
     fn count(&self, region: &str) -> u64 {
