--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -2,10 +2,12 @@
 //!
 //! `load path` sends requests to a target directly and through an entry
 //! instance; `load lookup` asks for look-ups over HTTP and of the decision
-//! alone. Invariant: traffic stays on loopback, bounded in count and time.
+//! alone; `load memory` measures entry instances with the target's
+//! configuration. Invariant: traffic stays on loopback, bounded in count and time.
 
 mod decision;
 mod drive;
+mod memory;
 mod setup;
 
 use std::env;
@@ -15,10 +17,13 @@
 use lexopt::prelude::*;
 
 const HELP: &str = "\
-Usage: load path|lookup [--seconds N] [--connections N]... [--threads N]
+Usage: load path|lookup|memory [--seconds N] [--connections N]... [--threads N]
 
   path    requests to a target directly, and through an entry instance
   lookup  look-ups over HTTP, and of the decision alone
+  memory  memory and processor time of entry instances as processes, with the
+          target's configuration and up to 830,000 client blocks; wants the
+          program built: cargo build --release -p auburnrouter
 
   --seconds N      time of each run, 1 to 30 (default 3)
   --connections N  connections of a run; may be repeated (default 1, 16, 64)
@@ -85,6 +90,9 @@
 }
 
 fn run(wish: &Wish) -> Result<(), setup::Error> {
+    if wish.what == "memory" {
+        return memory::print();
+    }
     let path = setup::Path::start(wish.threads)?;
     println!(
         "one process; {} s a run; entry instance with {} traffic threads",
