--- a/crates/measure/src/shift.rs
+++ b/crates/measure/src/shift.rs
@@ -70,8 +70,8 @@
     for (name, lost) in losses {
         for load in [0.6, 0.9, 1.2, 2.0] {
             for loans in [true, false] {
-                let word = if loans { "loans" } else { "no-loans" };
-                let label = format!("{name}-{load} {word}");
+                let how = if loans { "loans" } else { "no-loans" };
+                let label = format!("{name}-{load} {how}");
                 if label.contains(only) {
                     let world = world::run(Setup {
                         view: Arc::clone(&view),
