Random histories of a fleet: no version goes back, no cap is passed, all converge

Without the quarantine some pass a cap, without the order of versions some go back; with all safeguards none.

--- /dev/null
+++ b/crates/steer/tests/control_random.rs
@@ -0,0 +1,203 @@
+//! Random histories of a fleet: deaths, replacements, pauses, doubled processes,
+//! cut domains, outages of the store and changes, in any order and together.
+//!
+//! At every moment no process goes back and the shares in use are at most the cap.
+//! Once all is healed everybody has the last accepted version and knows everybody.
+
+#[path = "control_scenarios/fleet.rs"]
+#[expect(dead_code, reason = "scenarios use more of it")]
+mod fleet;
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use fleet::{Fleet, Layout, Place};
+use rstest::rstest;
+use steer::process::config::{Change, File, Head};
+use steer::process::control::{Safeguards, Standing};
+use steer::process::slot;
+use steer::version::view::Version;
+
+const DOMAINS: usize = 4;
+const NODES: usize = 10;
+const STEPS: usize = 40;
+const MOMENT: Duration = Duration::from_millis(100);
+
+struct History {
+    fleet: Fleet,
+    rng: fastrand::Rng,
+    accepted: u64,
+    /// The largest sum of shares seen, in parts of the cap.
+    most: f64,
+}
+
+impl History {
+    fn new(seed: u64, guards: Safeguards) -> Self {
+        let mut history = Self {
+            fleet: Fleet::new(Layout {
+                domains: DOMAINS,
+                nodes: NODES,
+                per_region: 2,
+                loss: 0.01,
+                seed,
+                guards,
+                lag: Duration::from_secs(5),
+            }),
+            rng: fastrand::Rng::with_seed(seed),
+            accepted: 0,
+            most: 0.0,
+        };
+        history.change();
+        history.pass(30_000);
+        history
+    }
+
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 100 {
+            self.fleet.run(MOMENT);
+            let nodes = self.fleet.nodes.iter().filter(|n| n.alive && !n.frozen);
+            let shares = nodes.filter_map(|n| n.shown.as_ref()?.share.parts);
+            let sum: f64 = shares.map(|parts| 1.0 / f64::from(parts)).sum();
+            self.most = self.most.max(sum);
+        }
+    }
+
+    /// A change is accepted, if the store answers.
+    fn change(&mut self) {
+        if self.fleet.store.away {
+            return;
+        }
+        self.accepted += 1;
+        let body = fleet::body(&format!("text {}", self.accepted));
+        let file = File {
+            name: "base".into(),
+            hash: body.hash,
+        };
+        self.fleet.put_body(body);
+        let version = Version(self.accepted);
+        let head = Head {
+            version,
+            recent: vec![Change {
+                version,
+                id: format!("change-{}", self.accepted).into(),
+            }],
+            files: vec![file],
+        };
+        let written = self.fleet.write(&Arc::new(head), None);
+        written.expect("no condition");
+    }
+
+    fn happen(&mut self) {
+        let slot = self.rng.usize(..NODES);
+        let at = self.fleet.slots[slot];
+        let frozen = self.fleet.nodes[at].frozen;
+        match self.rng.u32(..10) {
+            0 => self.fleet.kill(at),
+            1 if !frozen => self.fleet.stop(at),
+            2 => drop(self.fleet.start(slot, None)),
+            3 => drop(self.fleet.start(slot, Some(self.rng.u64(..10)))),
+            4 if !frozen => self.fleet.freeze(at),
+            5 => self.thaw_all(),
+            6 => self.cut(),
+            7 => self.fleet.cuts.clear(),
+            8 => {
+                let away = !self.fleet.store.away;
+                self.fleet.store_away(away);
+            }
+            _ => self.change(),
+        }
+        let millis = [300, 1000, 3000, 12_000][self.rng.usize(..4)];
+        self.pass(millis);
+    }
+
+    fn cut(&mut self) {
+        let domain = self.rng.usize(..DOMAINS);
+        let others = (0..DOMAINS).filter(|&d| d != domain).map(Place::Domain);
+        let cuts = others.chain([Place::Store]);
+        self.fleet
+            .cuts
+            .extend(cuts.map(|place| (Place::Domain(domain), place)));
+    }
+
+    fn thaw_all(&mut self) {
+        for at in 0..self.fleet.nodes.len() {
+            if self.fleet.nodes[at].frozen {
+                self.fleet.thaw(at);
+            }
+        }
+    }
+
+    /// All faults end; every name without a live process gets one.
+    fn heal(&mut self) {
+        self.fleet.cuts.clear();
+        self.thaw_all();
+        self.fleet.store_away(false);
+        self.pass(60_000);
+        for slot in 0..NODES {
+            let node = &self.fleet.nodes[self.fleet.slots[slot]];
+            let gone = node.control.standing() == Standing::Superseded;
+            if !node.alive || gone {
+                self.fleet.start(slot, None);
+            }
+        }
+        self.pass(60_000);
+    }
+
+    fn went_back(&self) -> bool {
+        let back = |n: &fleet::Node| n.force.windows(2).any(|w| w[1].1 < w[0].1);
+        self.fleet.nodes.iter().any(back)
+    }
+}
+
+#[rstest]
+fn history_holds(#[values(0, 1, 2, 3, 4, 5, 6, 7)] block: u64) {
+    for seed in block * 4..block * 4 + 4 {
+        println!("seed {seed}");
+        let mut history = History::new(seed, Safeguards::default());
+        for _ in 0..STEPS {
+            history.happen();
+            assert!(!history.went_back(), "seed {seed}: a version went back");
+            assert!(history.most < 1.001, "seed {seed}: {} caps", history.most);
+        }
+        history.heal();
+        assert!(history.most < 1.001, "seed {seed}: {} caps", history.most);
+        for &at in &history.fleet.slots {
+            let node = &history.fleet.nodes[at];
+            let name = history.fleet.name(node.slot);
+            let version = node.control.version();
+            assert_eq!(version.0, history.accepted, "seed {seed}: {name}");
+            let members = node.shown.as_ref().map_or(0, |s| s.members.len());
+            assert_eq!(members, NODES, "seed {seed}: members of {name}");
+            let standing = node.control.standing();
+            assert_eq!(standing, Standing::Current, "seed {seed}: {name}");
+        }
+    }
+}
+
+/// The histories are harsh enough: without the quarantine, some use more than a
+/// cap; without the order of versions, some go back.
+#[test]
+fn history_needs_safeguards() {
+    let hasty = Safeguards {
+        slot: slot::Guards {
+            quarantine: false,
+            ..slot::Guards::default()
+        },
+        ..Safeguards::default()
+    };
+    let lax = Safeguards {
+        monotonic: false,
+        ..Safeguards::default()
+    };
+    let broken = |guards, fault: fn(&History) -> bool| {
+        (0..32).any(|seed| {
+            let mut history = History::new(seed, guards);
+            (0..STEPS).any(|_| {
+                history.happen();
+                fault(&history)
+            })
+        })
+    };
+    assert!(broken(hasty, |h| h.most > 1.001), "no cap was passed");
+    assert!(broken(lax, History::went_back), "no version went back");
+}
