--- a/crates/measure/src/shift.rs
+++ b/crates/measure/src/shift.rs
@@ -45,6 +45,14 @@
     },
 ];
 
+/// Ways to hold caps: whether instances lend, and whether each uses its part
+/// alone and not the whole cap.
+const WAYS: [(&str, bool, bool); 3] = [
+    ("loans", true, true),
+    ("no-loans", false, true),
+    ("unguarded", false, false),
+];
+
 /// What is lost in a case.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Lost {
@@ -69,8 +77,7 @@
     ];
     for (name, lost) in losses {
         for load in [0.6, 0.9, 1.2, 2.0] {
-            for loans in [true, false] {
-                let word = if loans { "loans" } else { "no-loans" };
+            for (word, loans, part) in WAYS {
                 let label = format!("{name}-{load} {word}");
                 if label.contains(only) {
                     let world = world::run(Setup {
@@ -81,7 +88,10 @@
                         lost: (domains(&view, lost), STRIKE),
                         span: (WARM_UP, WARM_UP + Duration::from_secs(seconds)),
                         loans,
-                        guards: Guards::default(),
+                        guards: Guards {
+                            part,
+                            ..Guards::default()
+                        },
                     });
                     report(&mut out, &label, &view, &world);
                 }
@@ -121,29 +131,37 @@
         ),
     );
     for (service, figures) in view.services.values().zip(&world.figures) {
-        line(out, &row(&service.name, figures));
+        let of =
+            |t: &&Tally| matches!(&t.route, Route::Shift { service: s, .. } if *s == service.name);
+        let busiest = busiest(world.tallies.iter().filter(of));
+        let shift = busiest.map_or(String::new(), |t| {
+            format!(" | most {} of {} {}", t.most, t.limit, full(t))
+        });
+        line(out, &format!("{}{shift}", row(&service.name, figures)));
     }
-    let busiest = |link: bool| {
-        let of = |t: &&Tally| matches!(t.route, Route::Link { .. }) == link && t.most > 0;
-        let all = world.tallies.iter().filter(of);
-        all.max_by_key(|t| t.most * 1000 / t.limit.max(1))
-    };
-    for tally in [busiest(false), busiest(true)].into_iter().flatten() {
-        let full = match (tally.begun, tally.full) {
-            (Some(begun), Some(full)) => format!("{} ms", full.since(begun).as_millis()),
-            _ => "never".to_owned(),
-        };
-        line(
-            out,
-            &format!(
-                "  busiest {}: most {} of {} in a second, nine tenths after {full}, {} in all",
-                tally.route, tally.most, tally.limit, tally.whole
-            ),
-        );
+    let links = |t: &&Tally| matches!(t.route, Route::Link { .. });
+    if let Some(tally) = busiest(world.tallies.iter().filter(links)) {
+        let (route, most, limit) = (&tally.route, tally.most, tally.limit);
+        line(out, &format!("  {route}: most {most} of {limit} B"));
     }
     line(out, "");
 }
 
+/// The route that came nearest to its limit.
+fn busiest<'a>(tallies: impl Iterator<Item = &'a Tally>) -> Option<&'a Tally> {
+    tallies.max_by_key(|t| t.most * 1000 / t.limit.max(1))
+}
+
+/// How long use took from its begin to nine tenths of the limit.
+fn full(tally: &Tally) -> String {
+    match (tally.begun, tally.full) {
+        (Some(begun), Some(full)) => {
+            format!("(nine tenths after {} s)", full.since(begun).as_secs())
+        }
+        _ => String::new(),
+    }
+}
+
 fn row(name: &str, figures: &Figures) -> String {
     let quantile = |at| {
         let tenths = figures.latency.value_at_quantile(at) / 100;
--- a/crates/measure/src/shift/world.rs
+++ b/crates/measure/src/shift/world.rs
@@ -15,7 +15,7 @@
 use steer::request::answer::Answer;
 use steer::request::arrival::{Arrival, AttemptId, Fingerprint, Origin, RequestId};
 use steer::request::outcome::{Outcome, Reason, Refusal};
-use steer::request::record::AskId;
+use steer::request::record::{AskId, Question, Word};
 use steer::version::view::{Incarnation, Region, View};
 
 use super::tally::Tallies;
@@ -101,6 +101,8 @@
     /// The instance and attempt that passed it on.
     hop: Option<(usize, RequestId, AttemptId)>,
     done: bool,
+    /// Whether a target got it.
+    sent: bool,
 }
 
 enum Happening {
@@ -111,6 +113,8 @@
     Gone(usize, RequestId),
     Wanted(usize, usize, Route, u64, Time),
     Borrowed(usize, Route, u64, Time),
+    Asked(usize, usize, AskId, Question),
+    Told(usize, AskId, Word),
     Tick(usize),
     Lose,
     View(Arc<View>),
@@ -130,6 +134,8 @@
     answers: Vec<Arc<Answer>>,
     /// Who asked for a loan.
     asks: Vec<(usize, Route, Time)>,
+    /// Who asked a witness, and what it calls the question.
+    questions: Vec<(usize, AskId)>,
     /// By service.
     pub figures: Vec<Figures>,
     /// What went over each route since measuring began.
@@ -195,6 +201,7 @@
             jobs: Vec::new(),
             answers: setup.kinds.iter().map(answer).collect(),
             asks: Vec::new(),
+            questions: Vec::new(),
             figures: setup.kinds.iter().map(|_| figures()).collect(),
             tallies: Tallies::new(&view),
             waiting: 0,
@@ -250,6 +257,15 @@
                 };
                 self.tell(node, event);
             }
+            Happening::Asked(node, from, ask, question) => {
+                let own = AskId(self.questions.len() as u64);
+                self.questions.push((from, ask));
+                self.tell(node, Event::Asked { ask: own, question });
+            }
+            Happening::Told(node, ask, word) => {
+                let word = Some(word);
+                self.tell(node, Event::Told { ask, word });
+            }
             Happening::Tick(node) => self.tick(node),
             Happening::Lose => self.lose(),
             Happening::View(view) => {
@@ -326,6 +342,7 @@
             },
             hop: None,
             done: false,
+            sent: false,
         });
         self.after(way, Happening::Reach(node, id, None));
     }
@@ -360,11 +377,18 @@
             Some((from, ..)) => (Origin::Peer, Some(name(self.nodes[from].region))),
             None => (Origin::Caller, None),
         };
+        // A key as a look-up at this instance would have given it.
+        let key = if service.idempotent || job.hop.is_some() {
+            None
+        } else {
+            let prefix = self.nodes[node].traffic.key_prefix(self.now);
+            prefix.map(|p| format!("{p}nonce-of-sixteen-{}", id.0).into())
+        };
         let arrival = Arrival {
             id,
             service: Arc::clone(&service.name),
             caller: format!("caller-{}", id.0 % 997).into(),
-            key: None,
+            key,
             fingerprint: Fingerprint(u128::from(id.0)),
             deadline: left.or(Some(service.deadline)),
             bytes: REQUEST,
@@ -373,11 +397,6 @@
             via,
         };
         self.tell(node, Event::Arrive(arrival));
-        let here = self.nodes[node].region;
-        let admitted = !self.job(id).done;
-        if admitted && job.hop.is_none() && here != job.home {
-            self.count_shift(job.service, job.home, here);
-        }
     }
 
     fn count_shift(&mut self, service: usize, from: Region, to: Region) {
@@ -390,6 +409,17 @@
         self.tallies.add(self.now, &route, 1);
     }
 
+    /// A caller of another region, who asked here, is served here.
+    fn count_served(&mut self, node: usize, id: RequestId) {
+        let at = usize::try_from(id.0).unwrap_or(usize::MAX);
+        let first = !core::mem::replace(&mut self.jobs[at].sent, true);
+        let job = &self.jobs[at];
+        let (service, home, here) = (job.service, job.home, self.nodes[node].region);
+        if first && job.hop.is_none() && here != home {
+            self.count_shift(service, home, here);
+        }
+    }
+
     fn count_link(&mut self, from: Region, to: Region, bytes: u64) {
         if from == to {
             return;
@@ -449,6 +479,22 @@
                 let way = self.way(node, from);
                 self.after(way, Happening::Borrowed(from, route, amount, asked));
             }
+            Action::Ask {
+                ask,
+                peer,
+                question,
+                ..
+            } => {
+                let to = usize::from(peer.addr.port());
+                let way = self.way(node, to);
+                self.after(way, Happening::Asked(to, node, ask, question));
+            }
+            Action::Tell { ask, word } => {
+                let at = usize::try_from(ask.0).unwrap_or(usize::MAX);
+                let (to, ask) = self.questions[at];
+                let way = self.way(node, to);
+                self.after(way, Happening::Told(to, ask, word));
+            }
             _ => {}
         }
     }
@@ -465,6 +511,7 @@
         let target = self.setup.view.target(name).expect("a target of the view");
         let at = entity::EntityRef::index(target);
         let service = self.job(id).service;
+        self.count_served(node, id);
         if self.running[at] >= self.setup.view.targets[target].slots {
             let after = Some(Duration::from_millis(10));
             let leaving = false;
@@ -513,6 +560,7 @@
             way,
             hop: Some((node, id, attempt)),
             done: false,
+            sent: false,
             ..job
         });
         let left = budget.saturating_sub(way * 2);
