--- a/crates/steer/src/process/config/keeper.rs
+++ b/crates/steer/src/process/config/keeper.rs
@@ -33,6 +33,22 @@
     Barred,
 }
 
+/// A head with all its bodies.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Complete {
+    /// The head.
+    pub head: Arc<Head>,
+    /// The bodies, in the order of the head's files.
+    pub bodies: Vec<Body>,
+}
+
+/// A head that somebody told of.
+#[derive(Debug)]
+struct Told {
+    head: Arc<Head>,
+    source: Source,
+}
+
 #[derive(Debug)]
 struct Next {
     head: Arc<Head>,
@@ -45,6 +61,8 @@
 pub struct Keeper {
     held: Option<Arc<Head>>,
     next: Option<Next>,
+    /// A head that came while the driver installed the one before.
+    later: Option<Told>,
     bodies: Vec<Body>,
     barred: Version,
     unordered: bool,
@@ -122,8 +140,9 @@
             return Verdict::Barred;
         }
         if self.next.as_ref().is_some_and(|n| n.installing) {
-            // The driver's verdict is due at once; the head is heard of again.
-            return Verdict::Same;
+            let head = Arc::clone(head);
+            self.later = Some(Told { head, source });
+            return Verdict::Newer;
         }
         self.next = Some(Next {
             head: Arc::clone(head),
@@ -159,7 +178,7 @@
     /// The next head with its bodies in the order of its files, once all are
     /// here. It is handed out once; [`Self::installed`] or [`Self::rejected`]
     /// is due.
-    pub fn complete(&mut self) -> Option<(Arc<Head>, Vec<Body>)> {
+    pub fn complete(&mut self) -> Option<Complete> {
         if !self.lacking().is_empty() {
             return None;
         }
@@ -168,7 +187,7 @@
         let head = Arc::clone(&next.head);
         let bodies = head.files.iter().filter_map(|f| self.body(f.hash).cloned());
         let bodies = bodies.collect();
-        Some((head, bodies))
+        Some(Complete { head, bodies })
     }
 
     /// The driver has put this version in force. False if it was not asked to.
@@ -178,6 +197,7 @@
         };
         self.held = Some(next.head);
         self.sweep();
+        self.take_later();
         true
     }
 
@@ -188,6 +208,7 @@
         };
         self.barred = next.head.version;
         self.sweep();
+        self.take_later();
         true
     }
 
@@ -196,6 +217,13 @@
             .take_if(|n| n.installing && n.head.version == version)
     }
 
+    /// The watch that told of it won't tell again, so it must not be lost.
+    fn take_later(&mut self) {
+        if let Some(Told { head, source }) = self.later.take() {
+            self.offer(&head, source);
+        }
+    }
+
     /// Drops bodies that the version in force doesn't use.
     fn sweep(&mut self) {
         let files = self.held.as_ref().map_or(&[][..], |head| &head.files);
--- a/crates/steer/src/process/control/store.rs
+++ b/crates/steer/src/process/control/store.rs
@@ -61,6 +61,15 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallId(pub u64);
 
+/// A call to be made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Names it.
+    pub id: CallId,
+    /// The call.
+    pub call: Call,
+}
+
 /// A call that waits for its answer.
 #[derive(Clone, Debug)]
 struct Waiting {
@@ -103,6 +112,17 @@
     Back,
 }
 
+/// Whether a body was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// It was.
+    Now,
+    /// Not yet: enough bodies are being read.
+    Busy,
+    /// No: the store is away.
+    Away,
+}
+
 /// An answer with the call it is for.
 #[derive(Clone, Debug)]
 pub struct Answered {
@@ -172,13 +192,7 @@
     }
 
     /// Makes the calls that are due.
-    pub fn step(
-        &mut self,
-        now: Time,
-        need: Need,
-        rng: &mut fastrand::Rng,
-        out: &mut Vec<(CallId, Call)>,
-    ) {
+    pub fn step(&mut self, now: Time, need: Need, rng: &mut fastrand::Rng, out: &mut Vec<Request>) {
         if !need.watcher {
             self.fresh = false;
         }
@@ -195,18 +209,20 @@
         }
     }
 
-    /// Reads a body, unless the store is away or busy enough with bodies.
-    pub fn body(&mut self, now: Time, hash: Hash, out: &mut Vec<(CallId, Call)>) -> bool {
-        let busy = self
+    /// Reads a body, if that can be done now.
+    pub fn body(&mut self, now: Time, hash: Hash, out: &mut Vec<Request>) -> Asked {
+        if self.away {
+            return Asked::Away;
+        }
+        let bodies = self
             .waiting
             .iter()
-            .filter(|w| matches!(w.call, Call::Body(_)))
-            .count();
-        if self.away || busy >= BODIES || self.waits(|c| *c == Call::Body(hash)) {
-            return false;
+            .filter(|w| matches!(w.call, Call::Body(_)));
+        if bodies.count() >= BODIES || self.waits(|c| *c == Call::Body(hash)) {
+            return Asked::Busy;
         }
         self.call(now, Call::Body(hash), out);
-        true
+        Asked::Now
     }
 
     /// Matches an answer to its call; `None` if the call was given up.
@@ -277,7 +293,7 @@
         now: Time,
         need: Need,
         rng: &mut fastrand::Rng,
-        out: &mut Vec<(CallId, Call)>,
+        out: &mut Vec<Request>,
     ) {
         if now < self.list || self.waits(|c| *c == Call::List) {
             return;
@@ -291,13 +307,13 @@
         self.call(now, Call::List, out);
     }
 
-    fn probe(&mut self, now: Time, rng: &mut fastrand::Rng, out: &mut Vec<(CallId, Call)>) {
+    fn probe(&mut self, now: Time, rng: &mut fastrand::Rng, out: &mut Vec<Request>) {
         if now >= self.retry {
             self.read_head(now, rng, out);
         }
     }
 
-    fn read_head(&mut self, now: Time, rng: &mut fastrand::Rng, out: &mut Vec<(CallId, Call)>) {
+    fn read_head(&mut self, now: Time, rng: &mut fastrand::Rng, out: &mut Vec<Request>) {
         if self.waits(|c| *c == Call::Head) {
             return;
         }
@@ -309,7 +325,7 @@
         self.call(now, Call::Head, out);
     }
 
-    fn call(&mut self, now: Time, call: Call, out: &mut Vec<(CallId, Call)>) {
+    fn call(&mut self, now: Time, call: Call, out: &mut Vec<Request>) {
         self.calls += 1;
         let id = CallId(self.calls);
         self.waiting.push(Waiting {
@@ -317,7 +333,7 @@
             call: call.clone(),
             since: now,
         });
-        out.push((id, call));
+        out.push(Request { id, call });
     }
 
     fn waits(&self, fits: impl Fn(&Call) -> bool) -> bool {
--- a/crates/steer/tests/control_scenarios/script.rs
+++ b/crates/steer/tests/control_scenarios/script.rs
@@ -21,7 +21,9 @@
         "reread" => &mut guards.reread,
         "pull" => &mut guards.pull,
         "confirm" => &mut guards.confirm,
+        "introduce" => &mut guards.introduce,
         "quarantine" => &mut guards.slot.quarantine,
+        "transfer" => &mut guards.slot.transfer,
         "hold" => &mut guards.slot.confirm,
         "transition" => &mut guards.slot.transition,
         "compare" => &mut apply.compare,
@@ -92,6 +94,11 @@
             "shares" => self.shares(),
             "files" => self.files(&text(case, "of")),
             "stamps" => self.stamps(&text(case, "of"), &text(case, "about")),
+            "dropped" => {
+                let nodes = self.fleet().nodes.iter();
+                let dropped: u64 = nodes.map(|n| n.control.counters().dropped).sum();
+                format!("{dropped}\n")
+            }
             "notices" => self.notices(&text(case, "of")),
             other => panic!("no directive {other}"),
         }
@@ -240,6 +247,7 @@
             "leave" => fleet.feed(at, Event::Leave),
             "freeze" => fleet.freeze(at),
             "thaw" => fleet.thaw(at),
+            "resume" => fleet.resume(at),
             // The predecessor of that name, if it was replaced.
             "thaw-old" => {
                 let old = (0..at).rev().find(|&i| fleet.nodes[i].slot == slot);
