Show a losing operator what differs from the version in force

Cause: a conflict named the version only. Change: the answer lists what the change would alter there, which shows what the other operator did.

--- a/crates/auburnrouter/src/daemon/control/apply.rs
+++ b/crates/auburnrouter/src/daemon/control/apply.rs
@@ -203,8 +203,8 @@
     };
     let present = stored.as_ref().map_or(view::Version(0), |s| s.head.version);
     if present.0 != change.over {
-        let verdict = Verdict::Conflict(present);
-        return Answer::new(Result::Conflict, present, vec![verdict.to_string()]);
+        // What the operator didn't know of shows as differences from it.
+        return judged(&Verdict::Conflict(present), force, next.told);
     }
     if present > force {
         // What the change moves was judged against an older version.
