Try an ejected target again for a peer's work too

Cause: return_for_peers: the only target of a service dies and is replaced, and all callers use the other domain's entry instance. The dump of the instance says `due for a trial`.

Ruled out: the list of instances and the peers' view (both dumps name the new address); the caps.

Change: a peer's request fits if nothing runs, whatever the limit.

--- a/crates/steer/src/process/dispatch/place.rs
+++ b/crates/steer/src/process/dispatch/place.rs
@@ -292,13 +292,18 @@
 
 /// Whether the service has room for work from peers: the first class may fill
 /// the targets, the others leave a quarter to this instance's own callers.
+///
+/// Failure: all targets of the service were ejected, and only peers ask for it.
+/// Symptom: with a limit of nothing no work of theirs is taken, so no target is
+/// ever tried again and the service stays refused. One request at a time is
+/// enough: it is the trial.
 fn spare(entry: &Group) -> bool {
     let most = if entry.class == 0 {
         entry.limit
     } else {
         entry.limit - entry.limit / 4
     };
-    entry.queue.is_empty() && entry.flight < most
+    entry.queue.is_empty() && entry.flight < most.max(1)
 }
 
 fn target(entry: &Group, tracks: &[Track], at: usize, alone: bool) -> Pick {
