--- a/crates/measure/src/shift/world.rs
+++ b/crates/measure/src/shift/world.rs
@@ -114,7 +114,7 @@
     Wanted(usize, usize, Route, u64, Time),
     Borrowed(usize, Route, u64, Time),
     Asked(usize, usize, AskId, Question),
-    Told(usize, AskId, Word),
+    Told(usize, AskId, Option<Word>),
     Tick(usize),
     Lose,
     View(Arc<View>),
@@ -257,13 +257,16 @@
                 };
                 self.tell(node, event);
             }
+            Happening::Asked(node, from, ask, _) if self.nodes[node].dead => {
+                let way = self.way(node, from);
+                self.after(way, Happening::Told(from, ask, None));
+            }
             Happening::Asked(node, from, ask, question) => {
                 let own = AskId(self.questions.len() as u64);
                 self.questions.push((from, ask));
                 self.tell(node, Event::Asked { ask: own, question });
             }
             Happening::Told(node, ask, word) => {
-                let word = Some(word);
                 self.tell(node, Event::Told { ask, word });
             }
             Happening::Tick(node) => self.tick(node),
@@ -493,7 +496,7 @@
                 let at = usize::try_from(ask.0).unwrap_or(usize::MAX);
                 let (to, ask) = self.questions[at];
                 let way = self.way(node, to);
-                self.after(way, Happening::Told(to, ask, word));
+                self.after(way, Happening::Told(to, ask, Some(word)));
             }
             _ => {}
         }
