Measure the base file over sites and services

Cause: its slope was not measured. Change: load fleet; the shapes of fleets have a file of their own.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod memory;
 mod setup;
+mod shape;
 
 use std::env;
 use std::process;
@@ -26,6 +27,7 @@
   memory  memory and processor time of entry instances as processes, with the
           target's configuration and up to 830,000 client blocks; wants the
           program built: cargo build --release -p auburnrouter
+  fleet   bytes and time of the configuration, by sites and by services
   fleet   time until a change is in force, peers' bytes and store calls, with 7,
           20, 40 and 80 entry instances
 
--- a/crates/load/src/memory.rs
+++ b/crates/load/src/memory.rs
@@ -14,21 +14,17 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use serde_json::{Map, Value, json};
+use serde_json::{Value, json};
 use standin::store;
-use wire::instance::{Instance, Instances, Role, State};
+use wire::instance::Instances;
 
 use crate::setup::Error;
+use crate::shape::Shape;
 
 const SIZES: [u32; 5] = [0, 1_000, 10_000, 100_000, 830_000];
-const REGIONS: usize = 22;
-const DOMAINS: usize = 69;
-const SITES: usize = 230;
-const ENTRIES: usize = 1_500;
-const SERVICES: usize = 8;
 
-/// Twelve a site.
-const TARGETS: usize = 12 * SITES;
+/// The shape of the fleet that the configuration names.
+const SHAPE: Shape = Shape::TARGET;
 
 /// Time over which idle processes are watched.
 const IDLE: Duration = Duration::from_secs(10);
@@ -62,7 +58,7 @@
 
 /// Prints a row for each number of client blocks.
 pub fn print() -> Result<(), Error> {
-    println!("{ENTRIES} entry instances named, {SITES} sites, {TARGETS} targets listed");
+    println!("{SHAPE}");
     println!(
         "blocks | taker: RSS, peak MB | follower: RSS, peak MB | first apply s, in force s | \
          one block: apply s, in force s, cpu ms taker, follower | idle: cpu % follower"
@@ -82,12 +78,12 @@
         let secret = folder.join("secret");
         fs::write(&secret, format!("{:032x}", fastrand::u128(..)))?;
         fs::set_permissions(&secret, fs::Permissions::from_mode(0o600))?;
-        fs::write(folder.join("config/base.jsonc"), base().to_string())?;
+        fs::write(folder.join("config/base.jsonc"), SHAPE.base().to_string())?;
         let store = store::Store::start(store::Config {
             listen: ([127, 0, 0, 1], 0).into(),
             lag: Duration::ZERO,
         })?;
-        let instances = (0..TARGETS).map(target).collect();
+        let instances = SHAPE.targets();
         store.list(Instances { instances });
         let program = std::env::current_exe()?.with_file_name("auburnrouter");
         let mut bench = Self {
@@ -170,7 +166,7 @@
             )?;
         }
         let deadline = 2000 + moved;
-        let mut base = base();
+        let mut base = SHAPE.base();
         base["services"]["x0"]["deadline_ms"] = json!(deadline);
         fs::write(self.folder.join("config/base.jsonc"), base.to_string())?;
         let begin = Instant::now();
@@ -243,58 +239,10 @@
     kilobytes / 1024.0
 }
 
-fn base() -> Value {
-    let names = |prefix: &str, from: usize, of: usize, step: usize| -> Vec<String> {
-        let numbers = (from..of).step_by(step);
-        numbers.map(|i| format!("{prefix}{i}")).collect()
-    };
-    let mut regions = Map::new();
-    for r in 0..REGIONS {
-        let mut domains = Map::new();
-        for d in (r..DOMAINS).step_by(REGIONS) {
-            let entries = names("e", d, ENTRIES, DOMAINS);
-            let sites = names("s", d, SITES, DOMAINS);
-            domains.insert(
-                format!("d{d}"),
-                json!({ "entries": entries, "sites": sites }),
-            );
-        }
-        regions.insert(format!("r{r}"), json!({ "domains": domains }));
-    }
-    let sites = names("s", 0, SITES, 1);
-    let mut services = Map::new();
-    let mut shifts = Vec::new();
-    for s in 0..SERVICES {
-        let service = json!({ "class": "c", "idempotent": true, "sites": sites });
-        services.insert(format!("x{s}"), service);
-        for (from, to) in pairs() {
-            let (from, to) = (format!("r{from}"), format!("r{to}"));
-            shifts.push(
-                json!({ "service": format!("x{s}"), "from": from, "to": to, "cap_per_s": 200 }),
-            );
-        }
-    }
-    let links = pairs().map(
-        |(from, to)| json!({ "from": format!("r{from}"), "to": format!("r{to}"), "mbit": 280 }),
-    );
-    json!({
-        "regions": regions,
-        "classes": [{ "name": "c", "queue_percent": 100 }],
-        "services": services,
-        "links": links.collect::<Vec<_>>(),
-        "shifts": shifts,
-    })
-}
-
-fn pairs() -> impl Iterator<Item = (usize, usize)> {
-    let all = (0..REGIONS).flat_map(|from| (0..REGIONS).map(move |to| (from, to)));
-    all.filter(|(from, to)| from != to)
-}
-
 /// Blocks of 4,096 addresses; the first one's region is moved on.
 fn lines(blocks: u32, moved: u32) -> String {
     let mut text = String::new();
-    let regions = u32::try_from(REGIONS).unwrap_or(u32::MAX);
+    let regions = u32::try_from(SHAPE.regions).unwrap_or(u32::MAX);
     for i in 0..blocks {
         let addr = std::net::Ipv4Addr::from(i << 12);
         let region = if i == 0 { moved } else { i % regions };
@@ -302,18 +250,3 @@
     }
     text
 }
-
-fn target(number: usize) -> Instance {
-    let site = number % SITES;
-    Instance {
-        name: format!("target-{number:04}"),
-        domain: format!("d{}", site % DOMAINS),
-        state: State::Live,
-        role: Role::Target {
-            addr: ([127, 0, 0, 1], 9000).into(),
-            service: format!("x{}", number / SITES % SERVICES),
-            site: format!("s{site}"),
-            slots: 3,
-        },
-    }
-}
