--- a/crates/scenarios/tests/pages.rs
+++ b/crates/scenarios/tests/pages.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use settings::limits;
 use steer::request::outcome;
 
 /// Longest time for all examples of a page.
@@ -225,6 +226,20 @@
     }
 }
 
+#[test]
+fn operators_know_every_limit() {
+    let page = page("OPERATORS.md");
+    for bound in limits::BOUNDS {
+        let (least, most) = (bound.range.start(), bound.range.end());
+        let start = format!(
+            "| `{}` | {} | {least} to {most} |",
+            bound.name, bound.default
+        );
+        let told = page.lines().any(|line| line.starts_with(&start));
+        assert!(told, "OPERATORS.md lacks {start}");
+    }
+}
+
 #[rstest]
 #[case::same("a b", "a b", true)]
 #[case::other("a b", "a c", false)]
