--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -242,6 +242,23 @@
     });
 }
 
+#[test]
+fn cold_target_takes_longer() {
+    // A cold target would need longer than the deadline and gives up; the same
+    // request runs in time once it is warm.
+    smol::block_on(async {
+        let cold = Config {
+            cold: Duration::from_millis(300),
+            cold_work: BOUND,
+            ..config()
+        };
+        let target = Target::start(cold).unwrap();
+        let request = || post(&target, "").with_request_header(headers::DEADLINE_MS, "50");
+        assert_eq!(whole(request()).await.unwrap().0, 504);
+        bounded(async { while whole(request()).await.unwrap().0 != 200 {} }).await;
+    });
+}
+
 #[test]
 fn crash_drops_all_and_comes_back() {
     // A marked request takes the target down: the other request in flight is
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -330,6 +330,30 @@
     assert!(backoff.failed(&mut rng) <= bounds.first);
 }
 
+#[test]
+fn instances_lag() {
+    run(async |executor| {
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let lag = Duration::from_millis(200);
+        let store = fake::Store::start(fake::Config { listen, lag }).unwrap();
+        let client = client(executor, config(&[store.addr()]));
+        let entry = instance::Instance {
+            name: "a".to_owned(),
+            domain: "d1".to_owned(),
+            state: instance::State::Live,
+            role: instance::Role::Entry { peer: listen },
+        };
+        let instances = vec![entry];
+        let list = instance::Instances { instances };
+        store.list(list.clone());
+        let began = Instant::now();
+        while client.instances(&instance::Part::Whole).await != Ok(list.clone()) {
+            smol::Timer::after(Duration::from_millis(1)).await;
+        }
+        assert!(began.elapsed() >= lag / 2, "{:?}", began.elapsed());
+    });
+}
+
 #[test]
 fn memory_keeps_same_rules() {
     smol::block_on(async {
