Leave a hung target in time before anything is known of a service; name overload

A wait beyond the instance's own limit was told as the request's deadline. A change applied again under its id after a lost answer was told as a conflict, though it was in force. Ruled out: halving every attempt, which never answers a service slower than half its deadline; so does halving without end, hence the count. Change: the first attempt gets half while no answer is known, until as many have timed out as there are targets; the refusal's reason follows the deadline alone; apply finds its own id first.

--- a/crates/auburnrouter/src/daemon/control/apply.rs
+++ b/crates/auburnrouter/src/daemon/control/apply.rs
@@ -202,6 +202,13 @@
         Err(lost) => return Answer::new(Result::NotAccepted, force, vec![lost.to_string()]),
     };
     let present = stored.as_ref().map_or(view::Version(0), |s| s.head.version);
+    if let Some(made) = stored
+        .as_ref()
+        .and_then(|s| made_before(&s.head, &change.id))
+    {
+        // The operator asks again after a lost answer.
+        return judged(&Verdict::InForce(made), force, next.told);
+    }
     if present.0 != change.over {
         // What the operator didn't know of shows as differences from it.
         return judged(&Verdict::Conflict(present), force, next.told);
@@ -227,6 +234,12 @@
     }
 }
 
+/// The version that a change of this id has made already.
+fn made_before(head: &config::Head, id: &str) -> Option<view::Version> {
+    let made = head.recent.iter().find(|change| &*change.id == id);
+    made.map(|change| change.version)
+}
+
 /// All files by hash, and the bodies that the store doesn't have yet.
 fn contents(
     documents: &[document::Document],
--- a/crates/steer/src/process/dispatch.rs
+++ b/crates/steer/src/process/dispatch.rs
@@ -257,7 +257,9 @@
             _ if capped.is_some() => Reason::Cap,
             Some(failed) => failed,
             None if outlook.limit == 0 => Reason::NoTarget,
-            None if hope => Reason::Overloaded,
+            // Short of time only if its own deadline is the reason: a wait that
+            // the instance's limits rule out is the instance's overload.
+            None if outlook.hopeful(left) => Reason::Overloaded,
             None => Reason::Deadline,
         };
         let wait = match capped {
@@ -288,7 +290,7 @@
         out: &mut Vec<Action>,
     ) {
         let left = job.until.since(now);
-        let budget = self.attempt_budget(group, &pick, left);
+        let budget = self.attempt_budget(group, &pick, &job, left);
         self.attempts += 1;
         let attempt = AttemptId(self.attempts);
         let track = &mut self.tracks.slice_mut()[pick.track];
--- a/crates/steer/src/process/dispatch/group.rs
+++ b/crates/steer/src/process/dispatch/group.rs
@@ -68,6 +68,8 @@
     pub since: Time,
     /// Measured time per request on the local targets.
     pub latency: latency::Latency,
+    /// Attempts that timed out before any answer told how long one takes.
+    pub blind: usize,
     /// Lowest mean time of a local target, in microseconds; zero if unknown.
     pub best: u64,
     /// Requests that the local targets may run at a time.
--- a/crates/steer/src/process/dispatch/place.rs
+++ b/crates/steer/src/process/dispatch/place.rs
@@ -269,7 +269,19 @@
 
     /// Time given to an attempt. An idempotent request that could be tried
     /// elsewhere doesn't spend all its time on a target that hangs.
-    pub(super) fn attempt_budget(&self, group: usize, pick: &Pick, left: Duration) -> Duration {
+    ///
+    /// Before any answer has told how long one takes, the first attempt gets
+    /// half of the time, so that a target that hangs leaves the other half for
+    /// another. A service that is as slow as that would then never be answered:
+    /// once as many such attempts have timed out as there are targets, the
+    /// service is taken to be slow, and attempts get all the time.
+    pub(super) fn attempt_budget(
+        &self,
+        group: usize,
+        pick: &Pick,
+        job: &Job,
+        left: Duration,
+    ) -> Duration {
         let on = self.tuning.safeguards;
         let entry = &self.groups[group];
         let others = entry.locals.len() + entry.remotes.len() > 1;
@@ -280,6 +292,7 @@
             && self.budget.any();
         match entry.latency.high().filter(|_| bound) {
             Some(high) => left.min((high * 2).max(retry::ATTEMPT_MIN)),
+            None if bound && is_first_of_unknown(entry, job) => left / 2,
             None => left,
         }
     }
@@ -291,6 +304,11 @@
     }
 }
 
+fn is_first_of_unknown(entry: &Group, job: &Job) -> bool {
+    let known = entry.latency.high().is_some();
+    !known && job.tried.is_empty() && entry.blind < entry.locals.len()
+}
+
 /// Whether the service has room for work from peers: the first class may fill
 /// the targets, the others leave a quarter to this instance's own callers.
 ///
--- a/crates/steer/src/process/dispatch/renew.rs
+++ b/crates/steer/src/process/dispatch/renew.rs
@@ -153,6 +153,7 @@
         let class = &view.classes[data.class];
         let kept = old.iter().position(|g| g.name == data.name);
         let kept = kept.map(|at| old.swap_remove(at));
+        let blind = kept.as_ref().map_or(0, |k| k.blind);
         let mut remotes = self.remotes(service, home);
         remotes.sort_by_key(|r| !r.near);
         let near = remotes.partition_point(|r| r.near);
@@ -178,6 +179,7 @@
             queue,
             since,
             latency,
+            blind,
             best,
             limit: 0,
             ejected: 0,
--- a/crates/steer/src/process/dispatch/settle.rs
+++ b/crates/steer/src/process/dispatch/settle.rs
@@ -142,7 +142,11 @@
                 }
             }
             Ending::Unreachable => self.fault(now, at, begun, Fault::Hard),
-            Ending::BadAnswer | Ending::TimedOut => self.fault(now, at, begun, Fault::Soft),
+            Ending::BadAnswer => self.fault(now, at, begun, Fault::Soft),
+            Ending::TimedOut => {
+                self.note_blind(running);
+                self.fault(now, at, begun, Fault::Soft);
+            }
             Ending::Broken => {
                 self.fault(now, at, begun, Fault::Hard);
                 self.broke(now, running, out);
@@ -150,6 +154,14 @@
         }
     }
 
+    /// An attempt timed out; nothing may be known yet of how long one takes.
+    fn note_blind(&mut self, running: &Running) {
+        if let Some(group) = self.group(&running.job.arrival.service) {
+            let entry = &mut self.groups[group];
+            entry.blind += usize::from(entry.latency.high().is_none());
+        }
+    }
+
     fn answered(
         &mut self,
         now: Time,
