Revert "Confirm slots from outside of the domain"

It took the parts away from every domain that is cut off, and with them what the shares' tests rest on: 22 of 32 tests of share_fleet failed in a run of the whole workspace. 19 of these sample one second that the change moved; three (cap_lowered_unheard, healed_with_old_layout off, layout_changes_in_long_cut off) rest on a cut-off domain that goes on with its parts, which the shares hold in reserve elsewhere. So the hazard has its safeguard there, and a domain that is cut off should go on serving what it can.

After the revert steer's and wire's tests pass.

--- a/crates/steer/src/process/control/across.rs
+++ b/crates/steer/src/process/control/across.rs
@@ -158,7 +158,6 @@
         }
         if let Some(echo) = across.echo {
             self.confirmed(now, echo, across.summary.newest, out);
-            self.confirmed_outside(now, echo, across.summary.newest);
         }
         self.version_heard(now, across.summary.newest, from, out);
     }
--- a/crates/steer/src/process/control/adopt.rs
+++ b/crates/steer/src/process/control/adopt.rs
@@ -274,7 +274,6 @@
                 let told = stored.as_ref().map_or(Version(0), |s| s.head.version);
                 self.head_read(stored, out);
                 self.confirmed(now, answered.since, told, out);
-                self.confirmed_outside(now, answered.since, told);
             }
             Reply::Watched(Some(stored)) => {
                 self.offered(&stored.head, Source::Store, out);
--- a/crates/steer/src/process/control/message.rs
+++ b/crates/steer/src/process/control/message.rs
@@ -56,8 +56,6 @@
     pub held: Option<u32>,
     /// Digest of the sender's table over all domains.
     pub total: u64,
-    /// Time since the sender was last confirmed from outside of the domain.
-    pub outside: Option<Duration>,
     /// Domains that the sender hears itself.
     pub heard: Vec<Heard>,
 }
--- a/crates/steer/src/process/control/near.rs
+++ b/crates/steer/src/process/control/near.rs
@@ -157,7 +157,6 @@
         }
         if let Some(echo) = beat.echo {
             self.confirmed(now, echo, beat.vitals.version, out);
-            self.confirmed_near(now, echo, beat.outside, beat.vitals.version);
         }
         self.version_heard(now, beat.vitals.version, from, out);
         if beat.reply {
@@ -223,7 +222,6 @@
             echo: None,
             held: None,
             total: self.table.total(),
-            outside: self.slot.confirmed_age(now),
             heard: self.fars.iter().filter_map(direct).collect(),
         }
     }
--- a/crates/steer/src/process/control/standing.rs
+++ b/crates/steer/src/process/control/standing.rs
@@ -1,6 +1,5 @@
 //! Whether this process may act on what it knows.
 
-use core::time::Duration;
 use std::sync::Arc;
 
 use super::{Action, Control, GAP, ISOLATED, Notice, RAISE, SETTLE, Standing};
@@ -62,6 +61,7 @@
         if asked < self.doubt.from || asked > now {
             return;
         }
+        self.slot.confirm(asked);
         let first = *self.answered.get_or_insert(now);
         if now.since(first) >= SETTLE {
             self.joining = false;
@@ -73,33 +73,6 @@
         self.end_doubt(now, out);
     }
 
-    /// Somebody outside of the domain answered; see [`slot`](crate::process::slot).
-    pub(super) fn confirmed_outside(&mut self, now: Time, asked: Time, told: Version) {
-        if asked >= self.doubt.from && asked <= now {
-            let current = !self.keeper.is_wanted(told);
-            self.slot.confirm(now, asked, current);
-        }
-    }
-
-    /// A peer of the domain answered, and was itself confirmed `age` before it
-    /// did, which was after `asked`.
-    pub(super) fn confirmed_near(
-        &mut self,
-        now: Time,
-        asked: Time,
-        age: Option<Duration>,
-        told: Version,
-    ) {
-        let age = if self.guards.slot.outside {
-            age
-        } else {
-            Some(Duration::ZERO)
-        };
-        if let Some(age) = age {
-            self.confirmed_outside(now, asked - age, told);
-        }
-    }
-
     /// Doubt ends once a version no older than the one told of is in force.
     pub(super) fn end_doubt(&mut self, now: Time, out: &mut Vec<Action>) {
         let unsure = matches!(self.standing, Standing::Doubt | Standing::Isolated);
--- a/crates/steer/src/process/slot.rs
+++ b/crates/steer/src/process/slot.rs
@@ -6,8 +6,8 @@
 //!
 //! What breaks that, and what keeps it:
 //! - A replacement starts while its frozen or dying predecessor still uses the
-//!   share. So the holder has to be confirmed: it uses its share only if a process of
-//!   another domain, whether asked by itself or by a peer, or the store answered a question that it sent less than [`HOLD`] ago, and a
+//!   share. So the holder has to be confirmed: it uses its share only if a peer
+//!   or the store answered a question that it sent less than [`HOLD`] ago, and a
 //!   peer that knows a newer process of the name doesn't answer but says so. A
 //!   newcomer waits [`QUARANTINE`] from its first confirmation, in which its word
 //!   reaches every peer that could confirm the old one and the last confirmation
@@ -17,8 +17,6 @@
 //! - Shares that the predecessor passed on are still in use. So no transfer may
 //!   last longer than [`TRANSFER_MAX`], which is below the quarantine, and which
 //!   a newcomer waits out also after its predecessor gave up the share.
-//! - A domain that is cut off doesn't hear of a new version. So its own processes
-//!   can't confirm each other, and its shares end within [`HOLD`].
 //! - Two versions are in force at different places. So after a change a process
 //!   uses the smallest share of all versions of the last [`TRANSITION`], and a
 //!   slot new to the configuration starts from nothing for that time.
@@ -96,8 +94,6 @@
     pub transfer: bool,
     /// Holders have to be confirmed.
     pub confirm: bool,
-    /// Peers of the home domain alone don't confirm.
-    pub outside: bool,
     /// The smallest share counts while versions change.
     pub transition: bool,
 }
@@ -108,7 +104,6 @@
             quarantine: true,
             transfer: true,
             confirm: true,
-            outside: true,
             transition: true,
         }
     }
@@ -168,27 +163,13 @@
         }
     }
 
-    /// Somebody outside of the home domain, or the store, answered a question of
-    /// `asked`, and knows of no newer process of this name. `current` is whether
-    /// the answer told of no newer version either: a confirmation that has run
-    /// out is renewed by such an answer only, since the others may have left the
-    /// transition from this version long ago.
-    pub fn confirm(&mut self, now: Time, asked: Time, current: bool) {
-        let lapsed = self.confirmed.is_none_or(|t| now.since(t) >= HOLD);
-        if lapsed && !current {
-            return;
-        }
+    /// Somebody answered a question that was sent at `asked`, and knows of no
+    /// newer process of this name.
+    pub fn confirm(&mut self, asked: Time) {
         self.confirmed = self.confirmed.max(Some(asked));
         self.start.get_or_insert(asked);
     }
 
-    /// Time since the question of the last confirmation, which peers of the home
-    /// domain may add to their own.
-    #[must_use]
-    pub fn confirmed_age(&self, now: Time) -> Option<Duration> {
-        self.confirmed.map(|t| now.since(t))
-    }
-
     /// Whether a version above the one in force was heard of.
     pub fn set_behind(&mut self, now: Time, behind: bool) {
         if !behind {
--- a/crates/steer/tests/control_random.rs
+++ b/crates/steer/tests/control_random.rs
@@ -68,19 +68,12 @@
             return;
         }
         self.accepted += 1;
-        let slots = self.rng.usize(NODES / 2..=NODES);
-        let mut files = Vec::new();
-        for (name, text) in [
-            ("base", format!("text {}", self.accepted)),
-            ("slots", slots.to_string()),
-        ] {
-            let body = fleet::body(&text);
-            files.push(File {
-                name: name.into(),
-                hash: body.hash,
-            });
-            self.fleet.put_body(body);
-        }
+        let body = fleet::body(&format!("text {}", self.accepted));
+        let file = File {
+            name: "base".into(),
+            hash: body.hash,
+        };
+        self.fleet.put_body(body);
         let version = Version(self.accepted);
         let head = Head {
             version,
@@ -88,7 +81,7 @@
                 version,
                 id: format!("change-{}", self.accepted).into(),
             }],
-            files,
+            files: vec![file],
         };
         let written = self.fleet.write(&Arc::new(head), None);
         written.expect("no condition");
@@ -200,9 +193,7 @@
 }
 
 /// The histories are harsh enough: without the quarantine, some use more than a
-/// cap; without the order of versions, some go back; and if the processes of a
-/// domain that is cut off confirm each other, they use parts of an old cap while
-/// the others use the whole of the new one.
+/// cap; without the order of versions, some go back.
 #[test]
 fn history_needs_safeguards() {
     let hasty = Safeguards {
@@ -216,16 +207,8 @@
         monotonic: false,
         ..Safeguards::default()
     };
-    let inward = Safeguards {
-        slot: slot::Guards {
-            outside: false,
-            ..slot::Guards::default()
-        },
-        ..Safeguards::default()
-    };
-    let found = [21230, 20439, 20843, 21476, 20302, 20703, 20197];
     let broken = |guards, fault: fn(&History) -> bool| {
-        (0..32).chain(found).any(|seed| {
+        (0..32).any(|seed| {
             let mut history = History::new(seed, guards);
             (0..STEPS).any(|_| {
                 history.happen();
@@ -235,5 +218,4 @@
     };
     assert!(broken(hasty, |h| h.most > 1.001), "no cap was passed");
     assert!(broken(lax, History::went_back), "no version went back");
-    assert!(broken(inward, |h| h.most > 1.001), "no cap was passed");
 }
--- a/crates/steer/tests/control_scenarios/script.rs
+++ b/crates/steer/tests/control_scenarios/script.rs
@@ -25,7 +25,6 @@
         "quarantine" => &mut guards.slot.quarantine,
         "transfer" => &mut guards.slot.transfer,
         "hold" => &mut guards.slot.confirm,
-        "outside" => &mut guards.slot.outside,
         "transition" => &mut guards.slot.transition,
         "compare" => &mut apply.compare,
         "readback" => &mut apply.readback,
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -120,8 +120,6 @@
     pub held: Option<u32>,
     /// Digest of the sender's table.
     pub total: [u8; 8],
-    /// Milliseconds since the sender was last confirmed from outside.
-    pub outside_ms: Option<u32>,
     /// Domains that the sender hears.
     pub heard: Vec<Heard>,
 }
--- a/crates/wire/src/beat/convert.rs
+++ b/crates/wire/src/beat/convert.rs
@@ -21,11 +21,6 @@
     Ok(name.into())
 }
 
-/// Rounded up, where a younger age would claim too much.
-fn millis_up(age: Duration) -> u32 {
-    millis(age).saturating_add(1)
-}
-
 fn millis(age: Duration) -> u32 {
     u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
 }
@@ -175,7 +170,6 @@
             echo: beat.echo.map(Time::as_micros),
             held: beat.held,
             total: beat.total.to_le_bytes(),
-            outside_ms: beat.outside.map(millis_up),
             heard: beat.heard.iter().map(Heard::from).collect(),
         }
     }
@@ -193,7 +187,6 @@
             echo: beat.echo.map(Time::from_micros),
             held: beat.held,
             total: u64::from_le_bytes(beat.total),
-            outside: beat.outside_ms.map(|ms| Duration::from_millis(ms.into())),
             heard: heard.collect::<Result<_, _>>()?,
         })
     }
--- a/crates/wire/tests/beat.rs
+++ b/crates/wire/tests/beat.rs
@@ -60,7 +60,6 @@
         echo: Some(Time::from_micros(86_400_000_000)),
         held: Some(4),
         total: u64::MAX,
-        outside: None,
         heard: vec![
             Heard {
                 domain: "fnq-2".into(),
