--- a/crates/steer/src/process/control/standing.rs
+++ b/crates/steer/src/process/control/standing.rs
@@ -1,8 +1,9 @@
 //! Whether this process may act on what it knows.
 
+use core::time::Duration;
 use std::sync::Arc;
 
-use super::{Action, Control, GAP, ISOLATED, Notice, SETTLE, Standing};
+use super::{Action, Control, GAP, ISOLATED, Notice, RAISE, SETTLE, Standing};
 use crate::clock::Time;
 use crate::process::member::{Life, Record, Stamp};
 use crate::version::view::Version;
@@ -61,7 +62,6 @@
         if asked < self.doubt.from || asked > now {
             return;
         }
-        self.slot.confirm(asked);
         let first = *self.answered.get_or_insert(now);
         if now.since(first) >= SETTLE {
             self.joining = false;
@@ -73,6 +73,33 @@
         self.end_doubt(now, out);
     }
 
+    /// Somebody outside of the domain answered; see [`slot`](crate::process::slot).
+    pub(super) fn confirmed_outside(&mut self, now: Time, asked: Time, told: Version) {
+        if asked >= self.doubt.from && asked <= now {
+            let current = !self.keeper.is_wanted(told);
+            self.slot.confirm(now, asked, current);
+        }
+    }
+
+    /// A peer of the domain answered, and was itself confirmed `age` before it
+    /// did, which was after `asked`.
+    pub(super) fn confirmed_near(
+        &mut self,
+        now: Time,
+        asked: Time,
+        age: Option<Duration>,
+        told: Version,
+    ) {
+        let age = if self.guards.slot.outside {
+            age
+        } else {
+            Some(Duration::ZERO)
+        };
+        if let Some(age) = age {
+            self.confirmed_outside(now, asked - age, told);
+        }
+    }
+
     /// Doubt ends once a version no older than the one told of is in force.
     pub(super) fn end_doubt(&mut self, now: Time, out: &mut Vec<Action>) {
         let unsure = matches!(self.standing, Standing::Doubt | Standing::Isolated);
@@ -129,7 +156,8 @@
 
     /// A process with a higher stamp has this process's name. A starting
     /// process raises its generation instead: its clock is behind that of its
-    /// predecessor's host. One that was ever in doubt doesn't, since then it is
+    /// predecessor's host. It does so once a second, lest two that start together
+    /// drive each other up as fast as messages go. One that was ever in doubt doesn't, since then it is
     /// the other that is newer.
     pub(super) fn superseded(&mut self, now: Time, stamp: Stamp, out: &mut Vec<Action>) {
         if stamp <= self.me.stamp || self.standing == Standing::Superseded {
@@ -138,6 +166,11 @@
         if !self.joining {
             return self.stand(now, Standing::Superseded, out);
         }
+        if self.raised.is_some_and(|t| now.since(t) < RAISE) {
+            return;
+        }
+        self.raised = Some(now);
+        self.slot.restart();
         let mut me = Record::clone(&self.me);
         me.stamp.generation = stamp.generation.saturating_add(1);
         self.set_me(me);
