--- a/crates/steer/src/process/slot.rs
+++ b/crates/steer/src/process/slot.rs
@@ -6,15 +6,19 @@
 //!
 //! What breaks that, and what keeps it:
 //! - A replacement starts while its frozen or dying predecessor still uses the
-//!   share. So the holder has to be confirmed: it uses its share only if a peer
-//!   or the store answered a question that it sent less than [`HOLD`] ago, and a
+//!   share. So the holder has to be confirmed: it uses its share only if a process of
+//!   another domain, whether asked by itself or by a peer, or the store answered a question that it sent less than [`HOLD`] ago, and a
 //!   peer that knows a newer process of the name doesn't answer but says so. A
-//!   newcomer waits [`QUARANTINE`], in which its word reaches every peer that
-//!   could confirm the old one and the last confirmation runs out. It needn't
+//!   newcomer waits [`QUARANTINE`] from its first confirmation, in which its word
+//!   reaches every peer that could confirm the old one and the last confirmation
+//!   of that one runs out. (From its start would not do: in a domain that is cut
+//!   off nobody hears it.) It needn't
 //!   wait if its predecessor said that it gave up the share.
 //! - Shares that the predecessor passed on are still in use. So no transfer may
 //!   last longer than [`TRANSFER_MAX`], which is below the quarantine, and which
 //!   a newcomer waits out also after its predecessor gave up the share.
+//! - A domain that is cut off doesn't hear of a new version. So its own processes
+//!   can't confirm each other, and its shares end within [`HOLD`].
 //! - Two versions are in force at different places. So after a change a process
 //!   uses the smallest share of all versions of the last [`TRANSITION`], and a
 //!   slot new to the configuration starts from nothing for that time.
@@ -92,6 +96,8 @@
     pub transfer: bool,
     /// Holders have to be confirmed.
     pub confirm: bool,
+    /// Peers of the home domain alone don't confirm.
+    pub outside: bool,
     /// The smallest share counts while versions change.
     pub transition: bool,
 }
@@ -102,6 +108,7 @@
             quarantine: true,
             transfer: true,
             confirm: true,
+            outside: true,
             transition: true,
         }
     }
@@ -110,7 +117,8 @@
 /// One process's claim to its name's slot.
 #[derive(Clone, Debug)]
 pub struct Slot {
-    start: Time,
+    /// First confirmation under the present stamp.
+    start: Option<Time>,
     /// When the release by the predecessor was heard of.
     free: Option<Time>,
     predecessor: Option<Stamp>,
@@ -126,7 +134,7 @@
     #[must_use]
     pub const fn new(now: Time, guards: Guards) -> Self {
         Self {
-            start: now,
+            start: None,
             free: None,
             predecessor: None,
             confirmed: None,
@@ -160,10 +168,25 @@
         }
     }
 
-    /// Somebody answered a question that was sent at `asked`, and knows of no
-    /// newer process of this name.
-    pub fn confirm(&mut self, asked: Time) {
+    /// Somebody outside of the home domain, or the store, answered a question of
+    /// `asked`, and knows of no newer process of this name. `current` is whether
+    /// the answer told of no newer version either: a confirmation that has run
+    /// out is renewed by such an answer only, since the others may have left the
+    /// transition from this version long ago.
+    pub fn confirm(&mut self, now: Time, asked: Time, current: bool) {
+        let lapsed = self.confirmed.is_none_or(|t| now.since(t) >= HOLD);
+        if lapsed && !current {
+            return;
+        }
         self.confirmed = self.confirmed.max(Some(asked));
+        self.start.get_or_insert(asked);
+    }
+
+    /// Time since the question of the last confirmation, which peers of the home
+    /// domain may add to their own.
+    #[must_use]
+    pub fn confirmed_age(&self, now: Time) -> Option<Duration> {
+        self.confirmed.map(|t| now.since(t))
     }
 
     /// Whether a version above the one in force was heard of.
@@ -189,10 +212,16 @@
         self.grants.push(Grant { parts, until: None });
     }
 
+    /// The process raised its stamp: its word begins to spread anew.
+    pub const fn restart(&mut self) {
+        self.start = None;
+    }
+
     /// Whether this process holds the slot, so that a graceful stop gives it up.
     #[must_use]
     pub fn is_held(&self, now: Time) -> bool {
-        let waited = now.since(self.start) >= QUARANTINE;
+        let since = |start: Time| now.since(start) >= QUARANTINE;
+        let waited = self.start.is_some_and(since);
         let free = self
             .free
             .is_some_and(|heard| now.since(heard) >= TRANSFER_MAX || !self.guards.transfer);
