Treat a picture older than a noticed freeze as doubt

Cause: after a freeze of the whole process a traffic thread may wake before the control thread and answer look-ups from the old picture. Change: the control loop notes when it last ran; a look-up finds it older than the gap that counts as a freeze and answers not-ready. Not tested: which thread wakes first can't be scripted with real processes.

--- a/crates/auburnrouter/src/daemon.rs
+++ b/crates/auburnrouter/src/daemon.rs
@@ -185,6 +185,7 @@
         let settings = &self.settings;
         let metrics = Arc::new(metrics::Metrics::new()?);
         let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
+        let pulse = Arc::new(snapshot::Pulse::default());
         let incarnation = view::Incarnation(fastrand::u64(1..));
         let executor = Arc::clone(traffic.executor());
         let store = store::http::Config::new(settings.store.clone());
@@ -213,6 +214,7 @@
             engine: Arc::clone(&engine),
             peers: self.peering(Arc::clone(steering.executor()), peers::Lane::Control),
             snapshot: Arc::clone(&snapshot),
+            pulse: Arc::clone(&pulse),
             metrics: Arc::clone(&metrics),
             store,
         };
@@ -220,6 +222,7 @@
             engine,
             control: control::Handle::start(parts, steering.executor()),
             snapshot,
+            pulse,
             metrics,
         })
     }
@@ -234,6 +237,7 @@
     engine: Arc<engine::Engine>,
     control: control::Handle,
     snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
+    pulse: Arc<snapshot::Pulse>,
     metrics: Arc<metrics::Metrics>,
 }
 
@@ -248,6 +252,7 @@
     ) -> Arc<AtomicUsize> {
         let callers = Arc::new(callers::Callers {
             snapshot: Arc::clone(&self.snapshot),
+            pulse: Arc::clone(&self.pulse),
             engine: Arc::clone(&self.engine),
             metrics: Arc::clone(&self.metrics),
             longest: limits.request_time(),
--- a/crates/auburnrouter/src/daemon/callers.rs
+++ b/crates/auburnrouter/src/daemon/callers.rs
@@ -25,7 +25,7 @@
 use super::inbound::{self, Inbound};
 use super::metrics::Metrics;
 use super::reply;
-use super::snapshot::Snapshot;
+use super::snapshot::{Pulse, Snapshot};
 
 /// How long a caller may use a look-up's answer.
 const LIFETIME: Duration = Duration::from_secs(2);
@@ -43,6 +43,8 @@
 pub struct Callers {
     /// What the control thread published last.
     pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// When the control loop last ran.
+    pub pulse: Arc<Pulse>,
     /// Where requests go.
     pub engine: Arc<Engine>,
     /// Counters.
@@ -91,7 +93,7 @@
     fn lookup(&self, conn: Conn, peer: &Peer) -> Conn {
         self.metrics.lookups.inc();
         let snapshot = self.snapshot.load();
-        if !snapshot.ready {
+        if !snapshot.ready || !self.pulse.is_fresh(self.engine.now()) {
             let reason = outcome::Reason::NotReady;
             return self.refuse(conn, outcome::Refusal::not_run(reason, Some(NOT_READY)));
         }
--- a/crates/auburnrouter/src/daemon/control.rs
+++ b/crates/auburnrouter/src/daemon/control.rs
@@ -28,7 +28,7 @@
 use super::engine::Engine;
 use super::metrics::Metrics;
 use super::peers::Peers;
-use super::snapshot::Snapshot;
+use super::snapshot::{Pulse, Snapshot};
 use super::workers::Executor;
 
 /// What the control thread works with.
@@ -45,6 +45,8 @@
     pub peers: Arc<Peers>,
     /// Where snapshots are published.
     pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// When the control loop last ran.
+    pub pulse: Arc<Pulse>,
     /// Gauges of the control state.
     pub metrics: Arc<Metrics>,
     /// The platform's store.
--- a/crates/auburnrouter/src/daemon/control/driver.rs
+++ b/crates/auburnrouter/src/daemon/control/driver.rs
@@ -136,11 +136,13 @@
 
     fn handle(&mut self, event: control::Event) {
         let mut actions = Vec::new();
-        self.control
-            .handle(self.parts.engine.now(), event, &mut actions);
+        let now = self.parts.engine.now();
+        self.control.handle(now, event, &mut actions);
         for action in actions {
             self.act(action);
         }
+        // After the actions: what a freeze changes is published by now.
+        self.parts.pulse.beat(now);
     }
 
     fn act(&mut self, action: control::Action) {
--- a/crates/auburnrouter/src/daemon/snapshot.rs
+++ b/crates/auburnrouter/src/daemon/snapshot.rs
@@ -3,7 +3,10 @@
 //! Invariant: a snapshot never changes; a new one replaces it whole.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
+use steer::clock::Time;
+use steer::process::control;
 use steer::version::{lookup, view};
 
 /// One consistent picture for traffic threads.
@@ -31,3 +34,23 @@
         }
     }
 }
+
+/// When the control loop last ran. After a freeze of the whole process traffic
+/// threads may wake first: until the loop has run, which notices the freeze,
+/// they would answer look-ups from a picture as old as the freeze is long.
+#[derive(Debug, Default)]
+pub struct Pulse(AtomicU64);
+
+impl Pulse {
+    /// The control loop runs.
+    pub fn beat(&self, now: Time) {
+        self.0.store(now.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Whether the loop ran lately enough to have noticed any freeze.
+    #[must_use]
+    pub fn is_fresh(&self, now: Time) -> bool {
+        let last = Time::from_micros(self.0.load(Ordering::Relaxed));
+        now.since(last) < control::GAP
+    }
+}
