Add a seeded storm over real processes

Cause: scenarios tell one story each; what goes wrong together, in an order that nobody wrote down, was tried in the models alone.

Change: `scenarios::storm` starts a store, four entry instances in three failure domains of two regions (shifts, links) and twelve targets of a service that may repeat and one that must not. A schedule drawn from the seed kills, freezes, stops and replaces processes, breaks targets' answers and the store, sends poison and has two operators change the configuration at once. Checked: each key ran once at most; no "not run" of a request that ran; everybody got the answer to their own request, from an attempt that ran; a planned stop exits 0, cuts no request that came while it served on and logs cut=0; no incarnation's version falls; no two changes share a version, none said not to be made is stored; no panic; poison in the calm takes two targets at most; after the mending all are current at the newest version, know each other and their targets, have nothing in flight, and serve both services. The harness prints schedule and story.

The truth is a ledger outside the targets: a stand-in started with `--ledger` adds each run to a file before its first effect, which a kill can't undo. Ruled out: reading a target's own ledger before its kill; a run that begins between the two would go unseen, and a crash leaves no time to read.

--- a/crates/scenarios/src/http.rs
+++ b/crates/scenarios/src/http.rs
@@ -1,6 +1,7 @@
 //! Calls as callers, operators and the platform make them, in bounded time.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use smol::Timer;
 use smol::future::FutureExt;
@@ -63,8 +64,16 @@
     /// # Errors
     /// No whole answer came within [`BOUND`].
     pub fn make(&self) -> Result<Answer, Error> {
+        self.make_within(BOUND)
+    }
+
+    /// As [`Call::make`], with a bound of its own.
+    ///
+    /// # Errors
+    /// No whole answer came within `bound`.
+    pub fn make_within(&self, bound: Duration) -> Result<Answer, Error> {
         let late = async {
-            Timer::after(BOUND).await;
+            Timer::after(bound).await;
             Err(Error::Late(format!("{} {}", self.method, self.path)))
         };
         smol::block_on(self.exchange().or(late))
--- a/crates/scenarios/src/lib.rs
+++ b/crates/scenarios/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod process;
 pub mod script;
 pub mod settings;
+pub mod storm;
 pub mod world;
 
 use std::time::Duration;
--- a/crates/scenarios/src/process.rs
+++ b/crates/scenarios/src/process.rs
@@ -31,6 +31,19 @@
     /// # Errors
     /// It can't be started, or prints no line within [`BOUND`].
     pub fn start(actor: &Path, name: &str, args: &[String]) -> Result<(Self, String), Error> {
+        Self::start_noted(actor, name, args, Stdio::inherit())
+    }
+
+    /// As [`Process::start`], with a place for its error output.
+    ///
+    /// # Errors
+    /// It can't be started, or prints no line within [`BOUND`].
+    pub fn start_noted(
+        actor: &Path,
+        name: &str,
+        args: &[String],
+        errors: Stdio,
+    ) -> Result<(Self, String), Error> {
         let mut child = Command::new(actor)
             .args(args)
             // A handful of threads each: a scenario runs many processes.
@@ -38,6 +51,7 @@
             .env("ASYNC_GLOBAL_EXECUTOR_THREADS", "2")
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
+            .stderr(errors)
             .spawn()?;
         let out = child.stdout.take();
         let process = Self { child };
--- a/crates/scenarios/src/world.rs
+++ b/crates/scenarios/src/world.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
-use std::process::ExitStatus;
+use std::process::{ExitStatus, Stdio};
 
 use rustix::process::Signal;
 use serde_json::json;
@@ -60,6 +60,7 @@
     actors: Vec<Actor>,
     listed: Vec<Instance>,
     version: u64,
+    errors: Option<PathBuf>,
 }
 
 /// Name of the store's process.
@@ -85,9 +86,33 @@
             actors: Vec::new(),
             listed: Vec::new(),
             version: 0,
+            errors: None,
         })
     }
 
+    /// Has processes started from now on write their errors to this file.
+    pub fn note_errors(&mut self, file: &Path) {
+        self.errors = Some(file.to_owned());
+    }
+
+    /// Where the next process writes its errors.
+    fn errors(&self) -> Result<Stdio, Error> {
+        let Some(file) = &self.errors else {
+            return Ok(Stdio::inherit());
+        };
+        let file = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(file)?;
+        Ok(file.into())
+    }
+
+    /// The file of this name, written or not.
+    #[must_use]
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.dir.join(name)
+    }
+
     /// File with the secret.
     #[must_use]
     pub fn secret(&self) -> PathBuf {
@@ -172,7 +197,7 @@
         let file = file.display().to_string();
         let args = ["auburnrouter", "entry", "--settings", &file];
         let args = args.map(str::to_owned);
-        let (process, said) = Process::start(&self.program, name, &args)?;
+        let (process, said) = Process::start_noted(&self.program, name, &args, self.errors()?)?;
         let Ok(Line { ready }) = serde_json::from_str(&said) else {
             let name = name.to_owned();
             return Err(Error::NotReady { name, said });
@@ -304,6 +329,16 @@
         })
     }
 
+    /// Whether a process runs.
+    ///
+    /// # Errors
+    /// There is no such process, or the operating system can't tell.
+    pub fn runs(&mut self, name: &str) -> Result<bool, Error> {
+        let unknown = || Error::Unknown(name.to_owned());
+        let actor = self.actors.iter_mut().find(|actor| actor.name == name);
+        Ok(actor.ok_or_else(unknown)?.process.runs()?)
+    }
+
     /// Number of targets that run.
     ///
     /// # Errors
@@ -343,7 +378,7 @@
     }
 
     fn start_standin(&self, name: &str, args: &[String]) -> Result<(SocketAddr, Process), Error> {
-        let (process, said) = Process::start(&self.program, name, args)?;
+        let (process, said) = Process::start_noted(&self.program, name, args, self.errors()?)?;
         let addr = said.strip_prefix("ready ").and_then(|a| a.parse().ok());
         match addr {
             Some(addr) => Ok((addr, process)),
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -153,6 +153,7 @@
         "probe-ms" => config.probe = millis(value)?,
         "cold-ms" => config.cold = millis(value)?,
         "cold-work-ms" => config.cold_work = millis(value)?,
+        "ledger" => config.ledger = Some(value.into()),
         "crash-on" => config.crash = Some(value.clone().string()?),
         _ => return Err(unknown(name)),
     }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -7,6 +7,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -50,6 +51,9 @@
     pub cold: Duration,
     /// Time a request takes longer while cold.
     pub cold_work: Duration,
+    /// File to which each run is added before its first effect, a line of
+    /// JSON each; it outlives the process.
+    pub ledger: Option<PathBuf>,
     /// A request whose body contains this crashes the target.
     pub crash: Option<String>,
     /// Time it is away after a crash, if embedded; a process just ends.
@@ -75,6 +79,7 @@
             probe: Duration::ZERO,
             cold: Duration::ZERO,
             cold_work: Duration::ZERO,
+            ledger: None,
             crash: None,
             away: Duration::from_secs(1),
             process: false,
--- a/crates/standin/src/target/ledger.rs
+++ b/crates/standin/src/target/ledger.rs
@@ -2,6 +2,10 @@
 //!
 //! Invariant: a run is entered before its first effect and never removed.
 
+use std::fs::OpenOptions;
+use std::io::{self, Write};
+use std::path::Path;
+
 use serde::{Deserialize, Serialize};
 
 /// How far a run came.
@@ -59,3 +63,11 @@
         }
     }
 }
+
+/// Adds a run to a file by one write, which a kill of the process can't undo.
+pub(super) fn append(file: &Path, run: &Run) -> io::Result<()> {
+    let mut line = serde_json::to_string(run)?;
+    line.push('\n');
+    let mut file = OpenOptions::new().create(true).append(true).open(file)?;
+    file.write_all(line.as_bytes())
+}
--- a/crates/standin/src/target/work.rs
+++ b/crates/standin/src/target/work.rs
@@ -12,7 +12,7 @@
 use smol::lock::SemaphoreGuard;
 
 use super::fault::{Fault, Faults};
-use super::ledger::{Run, Stage};
+use super::ledger::{self, Run, Stage};
 use super::{Attempt, Shared, lock};
 
 /// A request as the target sees it.
@@ -71,7 +71,14 @@
     };
     let _counted = Counted::new(&shared.running);
     shared.note();
-    let at = lock(&shared.executed).begin(entry(request));
+    let entry = entry(request);
+    if let Some(file) = &shared.config.ledger {
+        // A run that can't be entered must not begin: nobody would count it.
+        let Ok(()) = ledger::append(file, &entry) else {
+            return Ending::Refused("ledger");
+        };
+    }
+    let at = lock(&shared.executed).begin(entry);
     if is_marked(shared, request) {
         return Ending::Crashed;
     }
