Let a short storm lose an entry instance in each way

Change: kill, freeze and planned stop come once each, in an order drawn anew, before any comes again.

--- a/crates/scenarios/src/storm/schedule.rs
+++ b/crates/scenarios/src/storm/schedule.rs
@@ -62,10 +62,19 @@
 /// Time before the end in which nothing new goes wrong.
 const TAIL_MS: u64 = 2500;
 
+/// How an entry instance goes.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    Kill,
+    Freeze,
+    Term,
+}
+
 struct Draw {
     rng: Rng,
     end: u64,
     busy: Vec<(&'static str, u64)>,
+    bag: Vec<Way>,
     events: Vec<Timed>,
 }
 
@@ -76,6 +85,7 @@
         rng: Rng::with_seed(seed),
         end: end.saturating_sub(TAIL_MS),
         busy: Vec::new(),
+        bag: Vec::new(),
         events: vec![(700, Event::Poison(0))],
     };
     let mut at = CALM_MS;
@@ -124,23 +134,32 @@
         until
     }
 
+    /// Each way once, in an order drawn anew each time: a short storm has all.
+    fn way(&mut self) -> Way {
+        if self.bag.is_empty() {
+            self.bag.extend([Way::Kill, Way::Freeze, Way::Term]);
+            self.rng.shuffle(&mut self.bag);
+        }
+        self.bag.pop().unwrap_or(Way::Kill)
+    }
+
     fn entry(&mut self, at: u64) {
         let names = ENTRIES.map(|(name, _)| name);
         let Some(name) = self.pick(at, &names, 2) else {
             return;
         };
-        match self.rng.u8(..3) {
-            0 => {
+        match self.way() {
+            Way::Kill => {
                 let until = self.out(at, name, 300, 2000);
                 self.events.push((at, Event::Kill(name)));
                 self.events.push((until, Event::Start(name)));
             }
-            1 => {
+            Way::Freeze => {
                 let until = self.out(at, name, 2500, 6000);
                 self.events.push((at, Event::Freeze(name)));
                 self.events.push((until, Event::Thaw(name)));
             }
-            _ => {
+            Way::Term => {
                 let until = self.out(at, name, 2500, 3500);
                 let listed = self.rng.bool();
                 self.events.push((at, Event::Term(name, listed)));
