--- a/crates/steer/src/process/control/near.rs
+++ b/crates/steer/src/process/control/near.rs
@@ -157,6 +157,7 @@
         }
         if let Some(echo) = beat.echo {
             self.confirmed(now, echo, beat.vitals.version, out);
+            self.confirmed_near(now, echo, beat.outside, beat.vitals.version);
         }
         self.version_heard(now, beat.vitals.version, from, out);
         if beat.reply {
@@ -193,7 +194,7 @@
         self.send(to, Content::Beat(beat), out);
     }
 
-    fn send_held(&mut self, now: Time, to: &Record, serial: u32, out: &mut Vec<Action>) {
+    pub(super) fn send_held(&mut self, now: Time, to: &Record, serial: u32, out: &mut Vec<Action>) {
         let held = Some(serial);
         let content = if to.identity.domain == self.me.identity.domain {
             Content::Beat(Beat {
@@ -222,6 +223,7 @@
             echo: None,
             held: None,
             total: self.table.total(),
+            outside: self.slot.confirmed_age(now),
             heard: self.fars.iter().filter_map(direct).collect(),
         }
     }
