--- a/crates/scenarios/src/storm.rs
+++ b/crates/scenarios/src/storm.rs
@@ -417,9 +417,12 @@
         Verdict::Late => "late".to_owned(),
     };
     let tries = board.tries();
-    let words = tries
-        .iter()
-        .map(|t| format!("{} {}", t.service, word(&t.verdict)));
+    let poison = Verdict::Unknown("poison".to_owned());
+    let words = tries.iter().map(|t| {
+        let innocent = t.verdict == poison && !t.body.contains(setup::POISON);
+        let note = if innocent { " (innocent)" } else { "" };
+        format!("{} {}{note}", t.service, word(&t.verdict))
+    });
     let mut words: Vec<String> = words.collect();
     words.sort();
     let alike = words.chunk_by(|a, b| a == b);
