--- a/crates/steer/tests/share_parts.rs
+++ b/crates/steer/tests/share_parts.rs
@@ -244,6 +244,26 @@
     assert_eq!(shares.limit(after(3001), &route), limit);
 }
 
+/// A process was cut off, lost its hold, and is healed. It may still have a
+/// version that the others left long ago, so its part waits; used at once it
+/// would be the one by the old layout.
+#[rstest::rstest]
+#[case::on(true, 0)]
+#[case::off(false, 50)]
+fn lapse_waits(#[case] settle: bool, #[case] limit: u64) {
+    let (plan, route) = pair(100);
+    let guards = Guards {
+        settle,
+        ..Guards::default()
+    };
+    let mut shares = shares(&plan, "e000", guards);
+    shares.hold(after(1000), false);
+    shares.hold(after(6000), true);
+    assert_eq!(shares.limit(after(6000), &route), limit);
+    hold(&mut shares, after(6000), after(6000) + SETTLE);
+    assert_eq!(shares.limit(after(6000) + SETTLE, &route), 50);
+}
+
 /// A shift has carried a request now and then for long. Its caches are as cold
 /// as ever, so the flood that follows starts at a tenth.
 #[test]
