--- a/crates/auburnrouter/src/daemon/control/apply.rs
+++ b/crates/auburnrouter/src/daemon/control/apply.rs
@@ -199,7 +199,11 @@
 ) -> Answer {
     let stored = match read(store).await {
         Ok(stored) => stored,
-        Err(lost) => return Answer::new(Result::NotAccepted, force, vec![lost.to_string()]),
+        Err(error) => {
+            let line =
+                format!("not accepted, nothing was written: reading the head failed: {error}");
+            return Answer::new(Result::NotAccepted, force, vec![line]);
+        }
     };
     let present = stored.as_ref().map_or(view::Version(0), |s| s.head.version);
     if let Some(made) = stored
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -50,10 +50,10 @@
     #[error("no connection to the store; check its addresses in the settings and the network")]
     Unreachable,
     /// The call was sent and no whole answer came in time.
-    #[error("no answer from the store in time; read the key to learn whether a write was made")]
+    #[error("no answer from the store in time; if it was a write, read the key to learn its fate")]
     TimedOut,
     /// The call was sent and the connection broke.
-    #[error("the store's answer was lost; read the key to learn whether a write was made")]
+    #[error("the store's answer was lost; if it was a write, read the key to learn its fate")]
     Lost,
     /// The store answered something that its protocol does not have.
     #[error("the store answered {status}; look at the store, and read the key again")]
