--- a/crates/load/src/changes.rs
+++ b/crates/load/src/changes.rs
@@ -35,6 +35,9 @@
 /// Longest wait for a version to be in force everywhere.
 const BOUND: Duration = Duration::from_mins(1);
 
+/// Clock ticks a second, as Linux counts processor time.
+const TICKS: f64 = 100.0;
+
 /// Longest time told apart, in microseconds.
 const LONGEST: u64 = 60_000_000;
 
@@ -51,6 +54,8 @@
     bytes: u64,
     messages: u64,
     calls: u64,
+    /// Processor time of the whole process, in seconds.
+    cpu: f64,
 }
 
 /// Prints a line for each size.
@@ -60,7 +65,7 @@
         IDLE.as_secs()
     );
     println!(
-        "instances  in force p50 ms  p99 ms  max ms  peer B/s each  messages/s each  store calls/s in all"
+        "instances  in force p50 ms  p99 ms  max ms  peer B/s each  messages/s each  store calls/s in all  % of a core each, idle"
     );
     for size in SIZES {
         let fleet = Fleet::start(size)?;
@@ -132,13 +137,14 @@
         let each = |a: u64, b: u64| as_f64(b - a) / seconds / as_f64(size as u64);
         let millis = |micros: u64| as_f64(micros) / 1000.0;
         Ok(format!(
-            "{size:>9} {:>16.1} {:>7.1} {:>7.1} {:>14.0} {:>16.1} {:>21.1}",
+            "{size:>9} {:>16.1} {:>7.1} {:>7.1} {:>14.0} {:>16.1} {:>21.1} {:>26.3}",
             millis(times.value_at_quantile(0.5)),
             millis(times.value_at_quantile(0.99)),
             millis(times.max()),
             each(before.bytes, idle.bytes),
             each(before.messages, idle.messages),
             as_f64(idle.calls - before.calls) / seconds,
+            (idle.cpu - before.cpu) * 100.0 / seconds / as_f64(size as u64),
         ))
     }
 
@@ -187,6 +193,7 @@
             bytes,
             messages,
             calls: self.store.stats().calls,
+            cpu: processor_seconds(),
         }
     }
 
@@ -226,6 +233,17 @@
     }
 }
 
+/// User and system time of this process; zero where the system doesn't tell.
+fn processor_seconds() -> f64 {
+    /// Place of the user time behind the process's name; system time follows.
+    const USER: usize = 11;
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let rest = stat.rsplit_once(") ").map_or("", |(_, rest)| rest);
+    let times = rest.split(' ').skip(USER).take(2);
+    let ticks: u64 = times.filter_map(|t| t.parse::<u64>().ok()).sum();
+    as_f64(ticks) / TICKS
+}
+
 fn entry_name(i: usize) -> String {
     format!("e{i:03}")
 }
