Cut the shares into files of one job; search maps by name in one place

Change: a cap's cell and a layout's era stand apart; the map itself finds names. Seen: the tests of steer and intent pass. Conclusion: nothing but the place of the code changed.

--- a/crates/entity/src/primary.rs
+++ b/crates/entity/src/primary.rs
@@ -59,6 +59,13 @@
         &self.values
     }
 
+    /// The entity of this name, in a map built in order of its names.
+    #[must_use]
+    pub fn find_name<'a>(&'a self, name: &str, key: impl Fn(&'a V) -> &'a str) -> Option<K> {
+        let found = self.values.binary_search_by(|value| key(value).cmp(name));
+        found.ok().map(K::new)
+    }
+
     /// All references, in order.
     #[must_use]
     pub fn keys(&self) -> impl ExactSizeIterator<Item = K> + use<K, V> {
--- a/crates/intent/src/plan/build.rs
+++ b/crates/intent/src/plan/build.rs
@@ -3,7 +3,7 @@
 use core::time::Duration;
 use std::sync::Arc;
 
-use entity::{EntityRef, PrimaryMap};
+use entity::EntityRef;
 use steer::version::blocks::{Block, BlockTable};
 use steer::version::view::{
     Class, ClassData, Domain, DomainData, EntryData, Link, RegionData, Service, ServiceData, Shift,
@@ -195,25 +195,25 @@
     /// Region of this name.
     #[must_use]
     pub fn region(&self, name: &str) -> Option<steer::version::view::Region> {
-        search(&self.regions, name, |data| &data.name)
+        self.regions.find_name(name, |data| &data.name)
     }
 
     /// Failure domain of this name.
     #[must_use]
     pub fn domain(&self, name: &str) -> Option<Domain> {
-        search(&self.domains, name, |data| &data.name)
+        self.domains.find_name(name, |data| &data.name)
     }
 
     /// Site of this name.
     #[must_use]
     pub fn site(&self, name: &str) -> Option<Site> {
-        search(&self.sites, name, |data| &data.name)
+        self.sites.find_name(name, |data| &data.name)
     }
 
     /// Service of this name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<Service> {
-        search(&self.services, name, |data| &data.name)
+        self.services.find_name(name, |data| &data.name)
     }
 
     /// Region that a site lies in.
@@ -222,14 +222,3 @@
         self.domains[self.sites[site].domain].region
     }
 }
-
-fn search<K: EntityRef, V>(
-    map: &PrimaryMap<K, V>,
-    name: &str,
-    key: impl Fn(&V) -> &Arc<str>,
-) -> Option<K> {
-    let found = map
-        .as_slice()
-        .binary_search_by(|data| (**key(data)).cmp(name));
-    found.ok().map(K::new)
-}
--- a/crates/steer/src/process/share.rs
+++ b/crates/steer/src/process/share.rs
@@ -15,6 +15,8 @@
 //!   may know of too few layouts, and its predecessor may have lent;
 //! - what it lends it doesn't use itself.
 
+mod cell;
+mod era;
 pub mod loan;
 mod ramp;
 mod route;
@@ -29,10 +31,9 @@
 use crate::process::slot::HOLD;
 use crate::version::view::View;
 
-use loan::{Asked, Loans};
-use ramp::Ramp;
-use route::{Cap, Layout};
-use window::Window;
+use cell::Cell;
+use era::Era;
+use route::Cap;
 
 /// Time for which a word of control that the slot is held counts. Control says
 /// it every two seconds; one that hangs must not leave the part in use.
@@ -113,67 +114,6 @@
     }
 }
 
-/// A cap and this process's part of it.
-#[derive(Clone, Debug)]
-struct Cell {
-    route: Route,
-    /// Per second, the whole cap; zero if it is gone.
-    whole: u64,
-    /// Per second, the smallest part by the layouts that count.
-    part: u64,
-    span: Duration,
-    /// When the cap went.
-    gone: Option<Time>,
-    ramp: Ramp,
-    window: Window,
-    lent: Loans,
-    borrowed: Loans,
-    asked: Asked,
-}
-
-/// A layout, and until when it counts at least; `None` is the one in force.
-#[derive(Clone, Debug)]
-struct Era {
-    layout: Layout,
-    until: Option<Time>,
-    /// Instances not heard of since then.
-    unheard: Vec<Arc<str>>,
-    /// Whether a first look was taken at who is heard of.
-    looked: bool,
-}
-
-impl Era {
-    fn new(view: &View, name: &str) -> Self {
-        Self {
-            layout: Layout::new(view, name),
-            until: None,
-            unheard: view.entries.values().map(|e| Arc::clone(&e.name)).collect(),
-            looked: false,
-        }
-    }
-
-    /// Looks who is heard of, if the layout has counted for long enough. One
-    /// that is heard of by then has the next layout, or has stopped.
-    fn look(&mut self, now: Time, view: &View) {
-        if self.until.is_some_and(|until| now >= until) {
-            self.looked = true;
-            self.unheard.retain(|name| view.member(name).is_none());
-        }
-    }
-
-    /// Whether it still counts.
-    fn counts(&mut self, now: Time, view: &View, reserve: bool) -> bool {
-        let Some(until) = self.until.filter(|until| now >= *until) else {
-            return true;
-        };
-        if !self.looked {
-            self.look(now, view);
-        }
-        let late = now.since(until) + SETTLE >= RESERVE;
-        reserve && !late && !self.unheard.is_empty()
-    }
-}
-
 /// Whether control says that the slot is held.
 #[derive(Clone, Copy, Debug, Default)]
 struct Hold {
@@ -478,51 +418,6 @@
     pub asked: Vec<Time>,
 }
 
-impl Cell {
-    fn new(now: Time, cap: &Cap) -> Self {
-        Self {
-            route: cap.route.clone(),
-            whole: cap.whole,
-            part: 0,
-            span: cap.ramp,
-            gone: None,
-            ramp: Ramp::new(now),
-            window: Window::default(),
-            lent: Loans::default(),
-            borrowed: Loans::default(),
-            asked: Asked::default(),
-        }
-    }
-
-    fn renew(mut self, cap: &Cap) -> Self {
-        self.whole = cap.whole;
-        self.span = cap.ramp;
-        self.gone = None;
-        self
-    }
-
-    /// The cell of a cap that is gone, while it still matters.
-    fn retire(mut self, now: Time) -> Option<Self> {
-        let gone = *self.gone.get_or_insert(now);
-        self.whole = 0;
-        self.borrowed.clear();
-        (now.since(gone) < SETTLE).then_some(self)
-    }
-
-    fn limit(&mut self, now: Time, settled: bool, guards: Guards) -> u64 {
-        let part = if settled { self.part } else { 0 };
-        let lent = if guards.terms { self.lent.sum(now) } else { 0 };
-        let own = part.saturating_sub(lent);
-        let all = own.saturating_add(self.borrowed.sum(now));
-        if guards.ramp {
-            let used = self.window.used(now);
-            self.ramp.limit(now, self.span, all, used)
-        } else {
-            all
-        }
-    }
-}
-
 /// Whether two views have the same caps, divided in the same way.
 fn same_caps(a: &View, b: &View) -> bool {
     a.links == b.links
--- a/crates/steer/src/version/view.rs
+++ b/crates/steer/src/version/view.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use entity::{EntityRef, PrimaryMap, entity_ref};
+use entity::{PrimaryMap, entity_ref};
 use serde::{Deserialize, Serialize};
 
 use super::blocks::BlockTable;
@@ -237,43 +237,43 @@
     /// Region of this name.
     #[must_use]
     pub fn region(&self, name: &str) -> Option<Region> {
-        search(&self.regions, name, |data| &data.name)
+        self.regions.find_name(name, |data| &data.name)
     }
 
     /// Failure domain of this name.
     #[must_use]
     pub fn domain(&self, name: &str) -> Option<Domain> {
-        search(&self.domains, name, |data| &data.name)
+        self.domains.find_name(name, |data| &data.name)
     }
 
     /// Site of this name.
     #[must_use]
     pub fn site(&self, name: &str) -> Option<Site> {
-        search(&self.sites, name, |data| &data.name)
+        self.sites.find_name(name, |data| &data.name)
     }
 
     /// Service of this name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<Service> {
-        search(&self.services, name, |data| &data.name)
+        self.services.find_name(name, |data| &data.name)
     }
 
     /// Target of this name.
     #[must_use]
     pub fn target(&self, name: &str) -> Option<Target> {
-        search(&self.targets, name, |data| &data.name)
+        self.targets.find_name(name, |data| &data.name)
     }
 
     /// Configured entry instance of this name.
     #[must_use]
     pub fn entry(&self, name: &str) -> Option<Entry> {
-        search(&self.entries, name, |data| &data.name)
+        self.entries.find_name(name, |data| &data.name)
     }
 
     /// Process believed alive under this name.
     #[must_use]
     pub fn member(&self, name: &str) -> Option<Member> {
-        search(&self.members, name, |data| &data.name)
+        self.members.find_name(name, |data| &data.name)
     }
 
     /// Failure domain that a target runs in.
@@ -282,15 +282,3 @@
         self.sites[self.targets[target].site].domain
     }
 }
-
-/// Binary search by name; the maps are built in order of their names.
-fn search<K: EntityRef, V>(
-    map: &PrimaryMap<K, V>,
-    name: &str,
-    key: impl Fn(&V) -> &Arc<str>,
-) -> Option<K> {
-    let found = map
-        .as_slice()
-        .binary_search_by(|data| (**key(data)).cmp(name));
-    found.ok().map(K::new)
-}
