--- a/crates/steer/src/process/dispatch/renew.rs
+++ b/crates/steer/src/process/dispatch/renew.rs
@@ -32,7 +32,11 @@
         let first = self.view.version.0 == 0;
         let home = view.domain(&self.home.domain);
         self.region = home.map(|h| view.domains[h].region);
+        let newcomers = has_newcomers(&self.view, &view);
         self.view = view;
+        if newcomers {
+            self.tell_culprits(out);
+        }
         self.shares.configure(now, &self.view, &self.home.name);
         self.renew_tracks(now, home, first);
         let mut old = mem::take(&mut self.groups);
@@ -52,6 +56,13 @@
         self.pump(now, out);
     }
 
+    /// Tells the peers again which requests are refused for good. An instance
+    /// that wasn't there when they were found would let each take two more
+    /// targets.
+    fn tell_culprits(&self, out: &mut Vec<Action>) {
+        out.extend(self.suspects.culprits().map(super::settle::tell));
+    }
+
     /// Renews what the groups derive from the tracks.
     pub(super) fn refresh(&mut self, now: Time) {
         let on = self.tuning.safeguards;
@@ -258,3 +269,12 @@
     domains.dedup();
     domains
 }
+
+/// Whether a process is a member now that wasn't before.
+fn has_newcomers(before: &View, now: &View) -> bool {
+    let known = |data: &MemberData| {
+        let member = before.member(&data.name);
+        member.is_some_and(|m| before.members[m].incarnation == data.incarnation)
+    };
+    !now.members.values().all(known)
+}
--- a/crates/steer/src/process/dispatch/settle.rs
+++ b/crates/steer/src/process/dispatch/settle.rs
@@ -297,7 +297,7 @@
     }
 }
 
-const fn tell(change: Change) -> Action {
+pub(super) const fn tell(change: Change) -> Action {
     Action::Suspect {
         fingerprint: change.print,
         strikes: change.strikes,
--- a/crates/steer/src/request/poison.rs
+++ b/crates/steer/src/request/poison.rs
@@ -117,8 +117,22 @@
             return;
         }
         let at = self.ensure(now, print);
-        self.entries[at].told = self.entries[at].told.max(strikes);
-        self.entries[at].at = now;
+        let entry = &mut self.entries[at];
+        // The same word again doesn't make it younger: peers repeat it to each
+        // newcomer, and would keep it alive among themselves for ever.
+        if strikes > entry.told {
+            entry.told = strikes;
+            entry.at = now;
+        }
+    }
+
+    /// Requests that are refused for good.
+    pub fn culprits(&self) -> impl Iterator<Item = Change> {
+        let refused = self.entries.iter().filter(|e| e.strikes() >= STRIKES);
+        refused.map(|entry| Change {
+            print: entry.print,
+            strikes: entry.strikes(),
+        })
     }
 
     /// The request succeeded: it doesn't crash targets.
