Give no key while the process may not act on what it knows

Cause: read as a newcomer would: after a freeze look-ups were refused, but a key was still given out; if the process had been replaced, every request under it would be told "unknown". The look-up handler had also grown to forty lines. Change: look-ups and keys ask the same question first; the handler is cut up. Not tested: a process in doubt at the moment of the question; freeze_entry covers the look-up.

--- a/crates/auburnrouter/src/daemon/callers.rs
+++ b/crates/auburnrouter/src/daemon/callers.rs
@@ -93,50 +93,67 @@
     fn lookup(&self, conn: Conn, peer: &Peer) -> Conn {
         self.metrics.lookups.inc();
         let snapshot = self.snapshot.load();
-        if !snapshot.ready || !self.pulse.is_fresh(self.engine.now()) {
-            let reason = outcome::Reason::NotReady;
-            return self.refuse(conn, outcome::Refusal::not_run(reason, Some(NOT_READY)));
+        match self.find(&snapshot, &conn, peer) {
+            Ok(found) => reply::json(conn, Status::Ok, &found),
+            Err(refusal) => self.refuse(conn, refusal),
         }
+    }
+
+    fn find<'a>(
+        &self,
+        snapshot: &'a Snapshot,
+        conn: &Conn,
+        peer: &Peer,
+    ) -> Result<Found<'a>, outcome::Refusal> {
+        self.check_ready(snapshot)?;
+        let view = &*snapshot.view;
         let query = Query::parse(conn.querystring());
-        if query
-            .service
-            .is_some_and(|name| snapshot.view.service(name).is_none())
-        {
+        if query.service.is_some_and(|s| view.service(s).is_none()) {
             let reason = outcome::Reason::UnknownService;
-            return self.refuse(conn, outcome::Refusal::not_run(reason, None));
+            return Err(outcome::Refusal::not_run(reason, None));
         }
         let Some(addr) = query.client.map_or(Some(peer.ip), |c| c.parse().ok()) else {
             let reason = outcome::Reason::BadRequest;
-            return self.refuse(conn, outcome::Refusal::not_run(reason, None));
+            return Err(outcome::Refusal::not_run(reason, None));
         };
-        let region = region(&snapshot.view, addr);
-        let caller = header(&conn, headers::CALLER).map_or_else(
+        let caller = header(conn, headers::CALLER).map_or_else(
             || lookup::hash_bytes(addr.to_string().as_bytes()),
             |name| lookup::hash_bytes(name.as_bytes()),
         );
-        let choices = snapshot.lookup.choose(region, caller);
-        let found = Found {
-            version: snapshot.view.version.0,
+        let choices = snapshot.lookup.choose(region(view, addr), caller);
+        let choices = choices.iter().flatten();
+        Ok(Found {
+            version: view.version.0,
             lifetime_ms: millis(LIFETIME),
-            choices: choices
-                .iter()
-                .flatten()
-                .map(|&m| choice(&snapshot.view, m))
-                .collect(),
-        };
-        reply::json(conn, Status::Ok, &found)
+            choices: choices.map(|&member| choice(view, member)).collect(),
+        })
     }
 
     fn key(&self, conn: Conn) -> Conn {
-        let Some(prefix) = self.engine.prefix() else {
-            let reason = outcome::Reason::NotReady;
-            return self.refuse(conn, outcome::Refusal::not_run(reason, Some(NOT_READY)));
-        };
-        let issued = Issued {
-            prefix: &prefix,
-            lifetime_ms: millis(KEY_LIFETIME),
-        };
-        reply::json(conn, Status::Ok, &issued)
+        let ready = self.check_ready(&self.snapshot.load());
+        let prefix = self.engine.prefix().ok_or_else(not_ready);
+        match ready.and(prefix) {
+            Ok(prefix) => {
+                let issued = Issued {
+                    prefix: &prefix,
+                    lifetime_ms: millis(KEY_LIFETIME),
+                };
+                reply::json(conn, Status::Ok, &issued)
+            }
+            Err(refusal) => self.refuse(conn, refusal),
+        }
+    }
+
+    /// Whether this process may act on what it knows. After a freeze it may be
+    /// long replaced: whom it names may be gone, and a key of it would get
+    /// "unknown" wherever it is sent.
+    fn check_ready(&self, snapshot: &Snapshot) -> Result<(), outcome::Refusal> {
+        let fresh = self.pulse.is_fresh(self.engine.now());
+        if snapshot.ready && fresh {
+            Ok(())
+        } else {
+            Err(not_ready())
+        }
     }
 
     async fn request(&self, mut conn: Conn, peer: &Peer, rest: &str) -> Conn {
@@ -196,6 +213,10 @@
     }
 }
 
+const fn not_ready() -> outcome::Refusal {
+    outcome::Refusal::not_run(outcome::Reason::NotReady, Some(NOT_READY))
+}
+
 /// Refuses what no decision has seen. With a key it is "unknown": another copy
 /// may have run under the key, and "not run" would have it billed anew.
 fn unread(conn: &Conn, reason: outcome::Reason) -> outcome::Refusal {
