--- a/crates/steer/tests/share_fleet.rs
+++ b/crates/steer/tests/share_fleet.rs
@@ -44,6 +44,18 @@
     (all(bench) - before) / u64::from(seconds)
 }
 
+/// The slot's own wait for a predecessor's loans covers what the shares' does;
+/// each is off with the other.
+fn with_transfer(on: bool) -> Safeguards {
+    Safeguards {
+        slot: slot::Guards {
+            transfer: on,
+            ..slot::Guards::default()
+        },
+        ..Safeguards::default()
+    }
+}
+
 /// Whether a sum passed the cap, as it should with the safeguard off alone.
 fn verdict(bench: &Bench, on: bool) {
     let (over, at) = bench.over;
@@ -55,8 +67,7 @@
 #[test]
 fn replaced_predecessor_alive() {
     let mut bench = settled(3, 6, share::Guards::default(), Safeguards::default());
-    let slot = bench.fleet.slot("d0-0");
-    bench.fleet.start(slot, None);
+    bench.replace("d0-0");
     bench.run(slot::QUARANTINE + SETTLE + SECOND * 10);
     verdict(&bench, true);
     assert!(bench.took(bench.at("d0-0")) > 0);
@@ -76,8 +87,7 @@
     let mut bench = settled(3, 6, guards, Safeguards::default());
     let old = bench.at("d0-0");
     bench.hang(old);
-    let slot = bench.fleet.slot("d0-0");
-    bench.fleet.start(slot, None);
+    bench.replace("d0-0");
     bench.run(slot::QUARANTINE + SETTLE + SECOND * 10);
     verdict(&bench, on);
     assert!(bench.took(bench.at("d0-0")) > 0);
@@ -106,8 +116,7 @@
     let mut bench = settled(3, 6, guards, control);
     let old = bench.at("d0-0");
     bench.fleet.freeze(old);
-    let slot = bench.fleet.slot("d0-0");
-    bench.fleet.start(slot, None);
+    bench.replace("d0-0");
     bench.run(slot::QUARANTINE + SETTLE + SECOND * 10);
     assert!(bench.took(bench.at("d0-0")) > 0);
     bench.fleet.thaw(old);
@@ -126,22 +135,14 @@
         settle: on,
         ..share::Guards::default()
     };
-    // The slot's own wait covers the same; each is off with the other.
-    let control = Safeguards {
-        slot: slot::Guards {
-            transfer: on,
-            ..slot::Guards::default()
-        },
-        ..Safeguards::default()
-    };
+    let control = with_transfer(on);
     let mut bench = settled(3, 6, guards, control);
     let giver = bench.at("d0-0");
     bench.busy(giver, false);
     bench.run(loan::TERM + SECOND * 3);
     assert!(bench.lent() > 0);
     bench.fleet.stop(giver);
-    let slot = bench.fleet.slot("d0-0");
-    bench.fleet.start(slot, None);
+    bench.replace("d0-0");
     bench.run(SETTLE + SECOND * 30);
     verdict(&bench, on);
     assert!(bench.took(bench.at("d0-0")) > 0);
@@ -242,22 +243,14 @@
         settle: on,
         ..share::Guards::default()
     };
-    // The slot's own wait covers the same; each is off with the other.
-    let control = Safeguards {
-        slot: slot::Guards {
-            transfer: on,
-            ..slot::Guards::default()
-        },
-        ..Safeguards::default()
-    };
+    let control = with_transfer(on);
     let mut bench = settled(4, 8, guards, control);
     cut_off_d3(&mut bench);
     bench.commit(7, CAP);
     for name in ["d2-0", "d2-1"] {
         let at = bench.at(name);
         bench.fleet.stop(at);
-        let slot = bench.fleet.slot(name);
-        bench.fleet.start(slot, None);
+        bench.replace(name);
     }
     bench.run(SECOND * 5);
     bench.fleet.cuts.clear();
--- a/crates/steer/tests/share_model/bench.rs
+++ b/crates/steer/tests/share_model/bench.rs
@@ -111,6 +111,12 @@
 }
 
 impl Bench {
+    /// Starts a process under a name, whatever became of the one before it.
+    pub fn replace(&mut self, name: &str) {
+        let slot = self.fleet.slot(name);
+        self.fleet.start(slot, None);
+    }
+
     /// A fleet of `nodes` instances in `domains` failure domains of two
     /// regions, with nothing in force.
     pub fn new(
