Pace what runs in other regions as a state of its own; queue rather than reject

Change: a share a service that moves by 3 % a second towards what requests wish, followed request by request, low objects first; starts at half of what the region lacks in slots. A request is rejected only if it can't be answered in time by half more than the estimate.

--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -67,6 +67,9 @@
     /// Connections to targets.
     targets: Arc<pool::Pool>,
     phase: Mutex<Phase>,
+    /// Closed when the process begins to close connections.
+    closing: async_channel::Receiver<()>,
+    close: async_channel::Sender<()>,
 }
 
 /// Decisions and who waits for them.
@@ -93,6 +96,18 @@
         Time::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
+    /// Begins to close connections; nothing more is accepted.
+    fn close(&self) {
+        *lock(&self.phase) = Phase::Closing;
+        self.close.close();
+    }
+
+    /// Ends when the process begins to close connections.
+    async fn closed(&self) {
+        // Nothing is ever sent; an error says that it was closed.
+        let _ = self.closing.recv().await;
+    }
+
     fn phase(&self) -> Phase {
         *lock(&self.phase)
     }
@@ -175,6 +190,7 @@
     let listeners = Listeners::bind(&settings)?;
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let (waiting, waits) = async_channel::bounded(1);
+    let (close, closing) = async_channel::bounded(1);
     let traffic: Executor = Arc::new(smol::Executor::new());
     let control: Executor = Arc::new(smol::Executor::new());
     let limits = pool::Limits {
@@ -197,6 +213,8 @@
         waiting,
         targets: pool::Pool::new(Arc::clone(&traffic), limits),
         phase: Mutex::new(Phase::Serving),
+        closing,
+        close,
         settings,
     });
     events::started(&shared);
--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -83,6 +83,8 @@
     shared: Arc<Shared>,
     whole: Whole,
     route: Arc<Route>,
+    /// Hash of the object it concerns; 0 if it names none.
+    object: u64,
     arrived: Time,
 }
 
@@ -125,8 +127,9 @@
     headers::strip(&mut fields);
     let patience = caller.patience.unwrap_or(PATIENCE);
     let object = caller.object.as_ref().filter(|_| route.affinity);
+    let object = object.map(|o| object_of(&route, o.as_bytes()));
     let ask = Ask {
-        object: object.map(|o| object_of(&route, o.as_bytes())),
+        object,
         deadline: arrived + patience,
         route: Arc::clone(&route),
     };
@@ -141,6 +144,7 @@
             idempotent: route.idempotent,
         },
         route,
+        object: object.unwrap_or_default(),
         arrived,
     };
     errand.run(ask).await
@@ -248,6 +252,8 @@
                 ending: name(ending),
                 status,
                 load: present.unwrap_or_default(),
+                go,
+                object: self.object,
             },
         );
         let usable = matches!(ending, Ending::Answered | Ending::Failed);
--- a/crates/auburnrouter/src/direct/door.rs
+++ b/crates/auburnrouter/src/direct/door.rs
@@ -75,7 +75,8 @@
 const TOO_SLOW: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// Accepts until the process ends.
+/// Accepts until the process closes its connections. A request that came later
+/// than that could outlast the grace time and be cut.
 pub async fn accept<H, F>(
     shared: Arc<Shared>,
     socket: net::TcpListener,
@@ -88,9 +89,18 @@
     F: Future<Output = Response> + Send + 'static,
 {
     loop {
-        let Ok((stream, _)) = socket.accept().await else {
-            smol::Timer::after(ACCEPT_PAUSE).await;
-            continue;
+        let accepted = async { Some(socket.accept().await) };
+        let closing = async {
+            shared.closed().await;
+            None
+        };
+        let stream = match future::or(closing, accepted).await {
+            None => return,
+            Some(Ok((stream, _))) => stream,
+            Some(Err(_)) => {
+                smol::Timer::after(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let entered = count.enter();
         let limits = limits(&shared);
@@ -138,9 +148,7 @@
     let connection = builder.serve_connection(FuturesIo::new(guarded), service);
     let mut connection = std::pin::pin!(connection);
     let closing = async {
-        while shared.phase() < Phase::Closing {
-            smol::Timer::after(CLOSE_LOOK).await;
-        }
+        shared.closed().await;
         None
     };
     let served = async { Some(connection.as_mut().await) };
@@ -151,9 +159,6 @@
     }
 }
 
-/// Time between looks of a connection at whether the process is closing.
-const CLOSE_LOOK: Duration = Duration::from_millis(500);
-
 /// Part of the grace time for which a leaving process keeps idle connections
 /// open: callers that still know its address come until they have asked anew.
 const LINGER: f64 = 0.45;
@@ -170,7 +175,7 @@
     let mut quiet = start;
     while start.elapsed() < grace.mul_f64(END) {
         if start.elapsed() > grace.mul_f64(LINGER) {
-            *super::lock(&shared.phase) = Phase::Closing;
+            shared.close();
         }
         if count.get() > 0 || shared.phase() < Phase::Closing {
             quiet = Instant::now();
--- a/crates/auburnrouter/src/direct/events.rs
+++ b/crates/auburnrouter/src/direct/events.rs
@@ -192,7 +192,12 @@
     took_ms: u64,
     ending: &'a str,
     status: u16,
+    /// Requests believed there when it was sent, and by the target's own word.
+    believed: f64,
     load: u32,
+    warm: bool,
+    expected_ms: f64,
+    object: u64,
 }
 
 /// What is known of an attempt when it ends.
@@ -215,6 +220,10 @@
     pub status: u16,
     /// Requests at the target by its own word.
     pub load: u32,
+    /// What decided it.
+    pub go: &'a steer::process::direct::Go,
+    /// The object's hash; 0 if it names none.
+    pub object: u64,
 }
 
 /// An attempt has ended.
@@ -228,7 +237,11 @@
         took_ms: a.took,
         ending: a.ending,
         status: a.status,
+        believed: a.go.load,
         load: a.load,
+        warm: a.go.warm,
+        expected_ms: a.go.work * 1000.0,
+        object: a.object,
     };
     write(shared, "attempt", fields);
 }
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -92,6 +92,12 @@
     pub connections: usize,
     /// Which of the request's attempts this is, from 1.
     pub attempt: usize,
+    /// Seconds of work expected.
+    pub work: f64,
+    /// Whether the target is known to have handled the object lately.
+    pub warm: bool,
+    /// Requests believed to be at the target.
+    pub load: f64,
 }
 
 /// What is to be done now.
@@ -170,6 +176,8 @@
     tried: Vec<Arc<str>>,
     /// Whether an attempt may have run it.
     may_have_run: bool,
+    /// Whether it is to run in another region, once that is decided.
+    elsewhere: Option<bool>,
     state: State,
 }
 
@@ -190,7 +198,7 @@
     learnt: Learnt,
     splits: Splits,
     budgets: Vec<(Arc<str>, Budget)>,
-    pace: Pace,
+    paces: Vec<(Arc<str>, Pace)>,
     instances: usize,
     jobs: Vec<Job>,
     next: u64,
@@ -200,6 +208,10 @@
 /// rejected. Later rejections leave the caller too little time to come back.
 const HOLD: f64 = 0.125;
 
+/// How much longer than estimated a wait may get: a request is only taken in
+/// if it would be answered in time even so.
+const DOUBT: f64 = 1.5;
+
 /// Shortest and longest time after which a rejected caller is told to return.
 const AFTER_LEAST: Duration = Duration::from_millis(150);
 const AFTER_MOST: Duration = Duration::from_secs(2);
@@ -219,7 +231,7 @@
             learnt: Learnt::default(),
             splits: Splits::default(),
             budgets: Vec::new(),
-            pace: Pace::new(bounds.shift),
+            paces: Vec::new(),
             instances: 1,
             jobs: Vec::new(),
             next: 1,
@@ -279,7 +291,6 @@
         let service = self.splits.next(&ask.route, offset).ok_or(Why::NoTarget)?;
         let rule = self.bounds.repeats;
         self.budget(&service).request(now, &rule);
-        self.pace.request();
         let ticket = Ticket(self.next);
         self.next += 1;
         let limit = ask.deadline.min(now + ask.route.timeout);
@@ -291,6 +302,7 @@
             limit,
             tried: Vec::new(),
             may_have_run: false,
+            elsewhere: None,
             state: State::Waiting,
         });
         Ok(ticket)
@@ -417,23 +429,22 @@
 
     fn decide(&mut self, now: Time, ticket: Ticket) -> Option<Order> {
         let at = self.find(ticket).ok()?;
-        let best = self.place(now, &self.jobs[at]);
-        let Some(best) = best else {
+        if self.jobs[at].elsewhere.is_none() {
+            self.choose_side(now, at);
+        }
+        let Some(best) = self.place(now, &self.jobs[at]) else {
             return self.without_place(now, at);
         };
         let job = &self.jobs[at];
-        let finish = now + Duration::from_secs_f64(best.cost);
         if best.wait <= 0.0 {
             return Some(Order::Go(self.send(now, at, &best)));
         }
         let held = now.since(job.arrived).as_secs_f64();
         let goal = job.ask.route.goal.as_secs_f64();
+        let finish = now + Duration::from_secs_f64(best.cost);
         let hopeless = finish + SPARE > job.limit;
-        // With a queue ahead of it, a request that would miss its objective
-        // only delays those that could still meet theirs.
-        let late = held + best.cost > goal && held + best.cost - best.wait <= goal;
-        let heavy = best.wait > goal * 0.5;
-        if hopeless || ((late || heavy) && held <= goal * HOLD) {
+        let far_off = now + Duration::from_secs_f64(best.cost * DOUBT) > job.limit;
+        if hopeless || (far_off && held <= goal * HOLD) {
             let job = self.jobs.remove(at);
             let after = self.after(&job, best.wait);
             return Some(Order::Reject {
@@ -477,13 +488,11 @@
             .as_ref()
             .and_then(|r| r.service(&service).map(|s| s.connections));
         let target = &mut self.roster.all_mut()[best.index];
-        let queued = target.load(now, FADE) >= f64::from(target.entry.slots);
+        let load = target.load(now, FADE);
+        let queued = load >= f64::from(target.entry.slots);
         target.sent(now);
         let id = Arc::clone(&target.entry.id);
         let addr = target.entry.addr;
-        if best.paced {
-            self.pace.spend();
-        }
         let job = &mut self.jobs[at];
         job.tried.push(Arc::clone(&id));
         job.state = State::At {
@@ -500,6 +509,9 @@
             service,
             connections: most.map_or(1, |m| (m / instances).max(1)),
             attempt: job.tried.len(),
+            work: best.work,
+            warm: best.warm,
+            load,
         }
     }
 
@@ -518,6 +530,26 @@
         }
     }
 
+    /// Decides in which region a request is to run.
+    fn choose_side(&mut self, now: Time, at: usize) {
+        let (wish, lean) = self.wish(now, &self.jobs[at]);
+        let service = Arc::clone(&self.jobs[at].service);
+        let side = wish.is_some_and(|wish| {
+            let share = self.lacking(&service);
+            let bound = self.bounds.shift;
+            let paces = &mut self.paces;
+            let at = match paces.binary_search_by(|p| p.0.cmp(&service)) {
+                Ok(at) => at,
+                Err(at) => {
+                    paces.insert(at, (service, Pace::new(bound, share)));
+                    at
+                }
+            };
+            paces[at].1.next(now, wish, lean)
+        });
+        self.jobs[at].elsewhere = Some(side);
+    }
+
     fn budget(&mut self, service: &Arc<str>) -> &mut Budget {
         let at = match self.budgets.binary_search_by(|b| b.0.cmp(service)) {
             Ok(at) => at,
--- a/crates/steer/src/process/direct/pace.rs
+++ b/crates/steer/src/process/direct/pace.rs
@@ -1,52 +1,88 @@
-//! How much of a region's traffic may run in other regions.
+//! Which share of a service's requests runs in other regions.
 //!
 //! The operator bounds how far the share of a region's requests that run
 //! elsewhere may change from one short window to the next. Random overflow
 //! breaks that bound at low rates by chance alone, and a spill that follows the
-//! load breaks it on purpose. A share that stays under a part of the bound in
-//! each window can't change by more than the bound, whatever the load does;
-//! leave is earned request by request, so it is spread evenly.
+//! load breaks it on purpose, both when it begins and when it ends. So the
+//! share is a state of its own: it moves slowly towards what requests would
+//! want, and requests follow it one by one, wanted or not.
 //!
-//! Invariant: over any run of requests, those sent elsewhere stay under
-//! `share` of them plus [`SAVED`].
+//! Invariant: the share moves by at most [`Pace::rate`] a second, and the
+//! requests sent elsewhere stay within [`BAND`] and one of it.
 
-/// Part of the operator's bound that is used: windows are counted by the
-/// targets' clocks, and each instance sees only a part of the traffic.
-const PART: f64 = 0.6;
+use core::time::Duration;
 
-/// Requests elsewhere that may be saved up.
-const SAVED: f64 = 1.0;
+use crate::clock::Time;
 
-/// Leave to send requests to another region.
+/// Part of the operator's bound by which the share may move within a window.
+/// The rest is for what counting by whole requests adds, at each instance and
+/// for each service.
+const PART: f64 = 0.4;
+
+/// Window of the operator's bound.
+const WINDOW: Duration = Duration::from_secs(2);
+
+/// Time over which wishes are averaged.
+const WISH: Duration = Duration::from_millis(1500);
+
+/// How far requests may run ahead of the share or lag behind it, so that the
+/// same objects go elsewhere time and again: they are warm there.
+const BAND: f64 = 0.35;
+
+/// Wishes below this come from single requests and move nothing.
+const NOISE: f64 = 0.03;
+
+/// The share of one service's requests that runs in other regions.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
+    rate: f64,
     share: f64,
-    saved: f64,
+    wish: f64,
+    credit: f64,
+    at: Option<Time>,
 }
 
 impl Pace {
-    /// Keeps to a part of `bound`, the largest change of the share.
+    /// Starts at `share`; `bound` is the largest change of it in a window.
     #[must_use]
-    pub fn new(bound: f64) -> Self {
+    pub fn new(bound: f64, share: f64) -> Self {
         Self {
-            share: bound * PART,
-            saved: 0.0,
+            rate: bound * PART / WINDOW.as_secs_f64(),
+            share,
+            wish: share,
+            credit: 0.5,
+            at: None,
         }
     }
 
-    /// Notes a request that may run in its own region.
-    pub fn request(&mut self) {
-        self.saved = (self.saved + self.share).min(SAVED);
+    /// The share now.
+    #[must_use]
+    pub const fn share(&self) -> f64 {
+        self.share
     }
 
-    /// Whether a request may be sent elsewhere now.
-    #[must_use]
-    pub fn is_open(&self) -> bool {
-        self.saved >= 1.0
+    /// Whether the next request runs elsewhere. `wish`: it would be better off.
+    /// `lean`, from 0 to 1, is the same for all requests of an object: low ones
+    /// go first.
+    pub fn next(&mut self, now: Time, wish: bool, lean: f64) -> bool {
+        self.follow(now, wish);
+        self.credit += self.share;
+        let ahead = self.credit >= 1.0 + BAND;
+        let open = self.credit >= 1.0 - BAND && self.share > 0.0;
+        let elsewhere = ahead || (open && lean <= self.share);
+        if elsewhere {
+            self.credit -= 1.0;
+        }
+        elsewhere
     }
 
-    /// Notes one that was sent elsewhere.
-    pub fn spend(&mut self) {
-        self.saved = (self.saved - 1.0).max(0.0);
+    fn follow(&mut self, now: Time, wish: bool) {
+        let passed = self.at.map_or(0.0, |at| now.since(at).as_secs_f64());
+        self.at = Some(now);
+        let weight = (passed / WISH.as_secs_f64()).min(0.2);
+        self.wish += (f64::from(u8::from(wish)) - self.wish) * weight;
+        let aim = if self.wish < NOISE { 0.0 } else { self.wish };
+        let most = self.rate * passed;
+        self.share += (aim - self.share).clamp(-most, most);
     }
 }
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 use super::roster::Target;
-use super::{Direct, FADE, Job, hash};
+use super::{Direct, FADE, Job, hash, unit};
 use crate::clock::Time;
 
 /// A target for a request.
@@ -28,8 +28,6 @@
     pub work: f64,
     /// Whether the object is warm there.
     pub warm: bool,
-    /// Whether it counts as a shift to another region.
-    pub paced: bool,
 }
 
 /// Seconds that a request to another region takes longer, until measured. What
@@ -40,6 +38,10 @@
 /// costs no bytes between regions.
 const FAR_GAIN: f64 = 1.5;
 
+/// Part of what a region lacks by its share of the slots that is sent elsewhere
+/// from the start.
+const LACK: f64 = 0.5;
+
 /// How much slower a cold target is.
 const COLD: f64 = 2.0;
 
@@ -49,27 +51,58 @@
 impl Direct {
     /// The best target for a request now, if any can be used.
     pub(super) fn place(&self, now: Time, job: &Job) -> Option<Place> {
-        let near = self.best(now, job, true);
-        if let Some(near) = near {
-            let goal = job.ask.route.goal.as_secs_f64();
-            let held = now.since(job.arrived).as_secs_f64();
-            let good = near.wait <= 0.0 || held + near.cost <= goal;
-            if good || !self.pace.is_open() {
-                return Some(near);
-            }
-            let far = self.best(now, job, false);
-            return match far {
-                Some(far) if far.wait <= 0.0 && far.cost * FAR_GAIN < near.cost => {
-                    Some(Place { paced: true, ..far })
-                }
-                _ => Some(near),
-            };
+        let near = job.elsewhere != Some(true);
+        if let Some(place) = self.best(now, job, near) {
+            return Some(place);
         }
-        if self.has_home(job) {
+        if near && self.has_home(job) {
             // Home has targets, which can't be used for a moment only.
             return None;
         }
-        self.best(now, job, false)
+        self.best(now, job, !near)
+    }
+
+    /// Whether a request would be better off in another region, and how its
+    /// object leans. `None` if it has no choice.
+    pub(super) fn wish(&self, now: Time, job: &Job) -> (Option<bool>, f64) {
+        let lean = match job.ask.object {
+            Some(object) => unit(hash(&object.to_le_bytes())),
+            None => 0.5,
+        };
+        let near = self.best(now, job, true);
+        let far = self.best(now, job, false);
+        let (Some(near), Some(far)) = (near, far) else {
+            return (None, lean);
+        };
+        let goal = job.ask.route.goal.as_secs_f64();
+        let late = near.cost > goal;
+        let gain = far.cost <= goal || far.cost * FAR_GAIN < near.cost;
+        (Some(late && near.wait > 0.0 && gain), lean)
+    }
+
+    /// The share of a service's requests that this region lacks room for, if
+    /// all regions had the same traffic. Where the pace starts.
+    pub(super) fn lacking(&self, service: &str) -> f64 {
+        let mut slots: Vec<(&str, f64)> = Vec::new();
+        for target in self.roster.all() {
+            if *target.entry.service != *service || !target.is_open() {
+                continue;
+            }
+            let own = f64::from(target.entry.slots);
+            match slots.iter_mut().find(|s| s.0 == &*target.region) {
+                Some(found) => found.1 += own,
+                None => slots.push((&target.region, own)),
+            }
+        }
+        let total: f64 = slots.iter().map(|s| s.1).sum();
+        let here = slots.iter().find(|s| s.0 == &*self.home.region);
+        let here = here.map_or(0.0, |s| s.1);
+        #[allow(clippy::cast_precision_loss, reason = "regions are few")]
+        let fair = total / slots.len().max(1) as f64;
+        if fair <= 0.0 {
+            return 0.0;
+        }
+        (1.0 - here / fair).clamp(0.0, 1.0) * LACK
     }
 
     /// Whether the own region has a target that may be used soon.
@@ -124,7 +157,6 @@
                     wait,
                     work: base,
                     warm,
-                    paced: false,
                 });
             }
         }
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -133,9 +133,10 @@
         f64::from(self.flying + self.reserved) + others
     }
 
-    /// Notes the target's own report: requests running and waiting there.
+    /// Notes the target's own report: requests running and waiting there, with
+    /// the one that it answers and that has ended here.
     pub fn tell(&mut self, now: Time, present: u32) {
-        self.others = f64::from(present.saturating_sub(self.flying));
+        self.others = f64::from(present.saturating_sub(self.flying + 1));
         self.told = now;
     }
 
