Heartbeats among instances; a blind one learns from a peer; rows survive revoked leases

Cause: an instance turned away by the store kept an old configuration, old targets and dead peers; counts of requests at targets were each instance's own.

--- a/crates/auburnrouter/src/daemon.rs
+++ b/crates/auburnrouter/src/daemon.rs
@@ -17,7 +17,7 @@
 mod metrics;
 mod operators;
 mod outbound;
-mod peers;
+pub(crate) mod peers;
 mod reply;
 mod snapshot;
 mod workers;
--- a/crates/auburnrouter/src/daemon/peers.rs
+++ b/crates/auburnrouter/src/daemon/peers.rs
@@ -55,15 +55,16 @@
     Control,
 }
 
-type Frames = tarpc::tokio_util::codec::Framed<Compat<net::TcpStream>, LengthDelimitedCodec>;
+pub(crate) type Frames =
+    tarpc::tokio_util::codec::Framed<Compat<net::TcpStream>, LengthDelimitedCodec>;
 
-fn frames(stream: net::TcpStream) -> Frames {
+pub(crate) fn frames(stream: net::TcpStream) -> Frames {
     LengthDelimitedCodec::builder()
         .max_frame_length(MESSAGE_MAX)
         .new_framed(Compat::new(stream))
 }
 
-fn context(budget: Duration) -> context::Context {
+pub(crate) fn context(budget: Duration) -> context::Context {
     let mut context = context::current();
     context.deadline = Instant::now() + budget;
     context
--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -11,10 +11,12 @@
 mod door;
 mod events;
 mod member;
+mod near;
 mod source;
 
 use std::io;
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -25,6 +27,7 @@
 use smol::net;
 use steer::clock::Time;
 use steer::process::direct::budget::Rule;
+use steer::process::direct::members::Row;
 use steer::process::direct::{Ask, Bounds, Direct, Home, Order, TICK, Ticket, Why};
 use thiserror::Error;
 
@@ -61,7 +64,10 @@
     settings: Settings,
     start: Instant,
     steering: Mutex<Steering>,
-    members: Mutex<member::Members>,
+    /// What the store holds, for instances that can't read it.
+    items: Mutex<source::Items>,
+    /// Whether the store has taken this instance's row away.
+    unlisted: AtomicBool,
     /// Told when something begins to wait.
     waiting: async_channel::Sender<()>,
     /// Connections to targets.
@@ -130,6 +136,27 @@
         found
     }
 
+    /// Tells the steering state something that settles no request.
+    fn note(&self, note: impl FnOnce(Time, &mut Direct)) {
+        let mut steering = lock(&self.steering);
+        note(self.now(), &mut steering.direct);
+    }
+
+    /// Where this instance is reached.
+    fn row(&self) -> Row {
+        row(&self.settings)
+    }
+
+    /// The store's word on this instance's own row.
+    fn own_row(&self, listed: bool) {
+        self.unlisted.store(!listed, Ordering::Relaxed);
+    }
+
+    /// Whether the store has taken the row away since it was last asked.
+    fn take_unlisted(&self) -> bool {
+        self.unlisted.swap(false, Ordering::Relaxed)
+    }
+
     /// Reads the steering state.
     fn read<T>(&self, read: impl FnOnce(Time, &Direct) -> T) -> T {
         let steering = lock(&self.steering);
@@ -201,6 +228,8 @@
     let home = Home {
         name: Arc::clone(&settings.name),
         region: Arc::clone(&settings.region),
+        life: fastrand::u64(1..),
+        row: row(&settings),
     };
     let direct = Direct::new(home, bounds(&settings), settings.domains.clone());
     let shared = Arc::new(Shared {
@@ -209,7 +238,8 @@
             direct,
             waiters: Vec::new(),
         }),
-        members: Mutex::new(member::Members::default()),
+        items: Mutex::new(source::Items::new()),
+        unlisted: AtomicBool::new(false),
         waiting,
         targets: pool::Pool::new(Arc::clone(&traffic), limits),
         phase: Mutex::new(Phase::Serving),
@@ -252,6 +282,21 @@
         Arc::clone(&store),
     ));
     control.spawn(Arc::clone(&membership).keep()).detach();
+    control
+        .spawn(near::hear(Arc::clone(&shared), listeners.beats.clone()))
+        .detach();
+    control
+        .spawn(near::beat(Arc::clone(&shared), listeners.beats.clone()))
+        .detach();
+    control
+        .spawn(near::serve(
+            Arc::clone(&shared),
+            listeners.peers,
+            Arc::clone(&control),
+        ))
+        .detach();
+    control.spawn(near::catch_up(Arc::clone(&shared))).detach();
+    control.spawn(near::first(Arc::clone(&shared))).detach();
     let (stop, stopped) = async_channel::bounded::<()>(1);
     let runner = Arc::clone(&traffic);
     let thread = thread::Builder::new()
@@ -265,6 +310,7 @@
         until_stopped(&mut signals, &shared, &file).await;
         *lock(&shared.phase) = Phase::Leaving;
         events::stopping(&shared);
+        near::farewell(&shared, &listeners.beats).await;
         membership.leave().await;
         door::drained(&count, &shared, grace).await;
     }));
@@ -277,6 +323,16 @@
     Ok(())
 }
 
+fn row(settings: &Settings) -> Row {
+    Row {
+        region: Arc::clone(&settings.region),
+        domain: Arc::clone(&settings.domain),
+        callers: settings.listen.callers,
+        peers: settings.listen.peers,
+        beats: settings.listen.beats,
+    }
+}
+
 fn bounds(settings: &Settings) -> Bounds {
     let bounds = &settings.bounds;
     Bounds {
@@ -309,13 +365,16 @@
 }
 
 /// Time between looks at idle connections.
-const UPKEEP: Duration = Duration::from_secs(2);
+const UPKEEP: Duration = Duration::from_millis(200);
 
 async fn upkeep(shared: Arc<Shared>) {
     loop {
         smol::Timer::after(UPKEEP).await;
         shared.targets.upkeep();
-        shared.decide(|_, direct| direct.roster.sweep());
+        let dropped = shared.decide(|now, direct| direct.sweep(now));
+        for id in dropped {
+            events::target_gone(&shared, &id);
+        }
     }
 }
 
@@ -323,6 +382,8 @@
     callers: net::TcpListener,
     ready: net::TcpListener,
     directory: net::TcpListener,
+    peers: net::TcpListener,
+    beats: net::UdpSocket,
 }
 
 impl Listeners {
@@ -334,6 +395,12 @@
             callers: bind(settings.listen.callers)?,
             ready: bind(settings.listen.ready)?,
             directory: bind(settings.listen.directory)?,
+            peers: bind(settings.listen.peers)?,
+            beats: {
+                let addr = settings.listen.beats;
+                future::block_on(net::UdpSocket::bind(addr))
+                    .map_err(|e| Failure::Listen(addr, e))?
+            },
         })
     }
 }
--- a/crates/auburnrouter/src/direct/desk.rs
+++ b/crates/auburnrouter/src/direct/desk.rs
@@ -10,9 +10,10 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use platform::directory::{self, Call, Where};
 use smol::net;
+use steer::process::direct::members::Row;
 
 use super::door::{self, Limits, Request, Response};
-use super::{Executor, Shared, lock};
+use super::{Executor, Shared};
 use crate::daemon::guarded::Serving;
 
 /// Longest time for which an answer may be kept: it names instances that may
@@ -59,10 +60,15 @@
 
 /// Instances of the caller's region; of all regions where it has none.
 fn addresses(shared: &Shared, from: &Where) -> Vec<SocketAddr> {
-    let members = lock(&shared.members);
-    let near = members.callers(Some(&from.region));
+    let own = shared.is_ready().then(|| shared.row());
+    let rows: Vec<Row> = shared.read(|now, direct| {
+        let others = direct.others(now).map(|(_, row)| row.clone());
+        own.into_iter().chain(others).collect()
+    });
+    let near = rows.iter().filter(|r| *r.region == *from.region);
+    let near: Vec<SocketAddr> = near.map(|r| r.callers).collect();
     if near.is_empty() {
-        return members.callers(None);
+        return rows.iter().map(|r| r.callers).collect();
     }
     near
 }
--- a/crates/auburnrouter/src/direct/events.rs
+++ b/crates/auburnrouter/src/direct/events.rs
@@ -157,13 +157,31 @@
 }
 
 #[derive(Serialize)]
-struct Members<'a> {
-    names: &'a [&'a str],
+struct Member<'a> {
+    name: &'a str,
+    listed: bool,
+}
+
+/// Another instance's row has come or gone.
+pub fn member(shared: &Shared, name: &str, listed: bool) {
+    write(shared, "member", Member { name, listed });
 }
 
-/// The instances believed to be there have changed.
-pub fn members(shared: &Shared, names: &[&str]) {
-    write(shared, "members", Members { names });
+#[derive(Serialize)]
+struct Asked<'a> {
+    peer: std::net::SocketAddr,
+    known: u64,
+    outcome: &'a str,
+}
+
+/// Another instance was asked for what this one has missed.
+pub fn asked(shared: &Shared, peer: std::net::SocketAddr, known: u64, outcome: &str) {
+    let fields = Asked {
+        peer,
+        known,
+        outcome,
+    };
+    write(shared, "asked-peer", fields);
 }
 
 #[derive(Serialize)]
--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -1,14 +1,16 @@
 //! Follows the platform's store: the operator's document, evacuations, targets
 //! and instances.
 //!
-//! Invariant: after each answer the process knows at least what the store held
-//! at the revision it goes on from.
+//! Invariants: after each answer the process knows at least what the store held
+//! at the revision it goes on from, and nothing it knows is older than what it
+//! has already applied.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use platform::store::{Error, Item, Store};
 use platform::{document, entry};
+use wire::near;
 
 use super::{Shared, events, lock, member};
 
@@ -23,6 +25,10 @@
 /// Everything is watched by one call: it costs the same as one prefix.
 const ALL: &str = "";
 
+/// Items as they lie in the store, sorted by key, for instances that can't
+/// read it.
+pub type Items = Vec<(Arc<str>, Vec<u8>)>;
+
 /// Follows the store for as long as the process runs.
 pub async fn follow(shared: Arc<Shared>, store: Arc<Store>) {
     let mut revision = None;
@@ -56,55 +62,111 @@
 
 async fn list(shared: &Shared, store: &Store) -> Result<u64, Error> {
     let listing = store.list(ALL).await?;
-    let keys: Vec<&str> = listing.items.iter().map(|i| &*i.key).collect();
-    let names = |prefix: &str| -> Vec<&str> {
-        keys.iter().filter_map(|k| k.strip_prefix(prefix)).collect()
+    let revision = listing.revision;
+    shared.note(|now, direct| direct.in_touch(now, revision));
+    let held = |item: Item| item.value.map(|value| (Arc::from(item.key), value));
+    replace(shared, listing.items.into_iter().filter_map(held).collect());
+    Ok(revision)
+}
+
+async fn watch(shared: &Shared, store: &Store, revision: u64) -> Result<u64, Error> {
+    let changes = store.watch(ALL, revision, WAIT).await?;
+    let known = shared.read(|_, d| d.revision());
+    let reached = changes.revision.max(revision);
+    shared.note(|now, direct| direct.in_touch(now, reached));
+    for item in &changes.events {
+        // Another instance may have told of it already, and of what came later.
+        if item.revision > known {
+            change(shared, item);
+        }
+    }
+    Ok(reached)
+}
+
+/// What this instance knows, for another.
+pub fn picture(shared: &Shared) -> near::Picture {
+    let revision = shared.read(|_, d| d.revision());
+    let items = lock(&shared.items);
+    let item = |(key, value): &(Arc<str>, Vec<u8>)| near::Item {
+        key: key.as_ref().to_owned(),
+        value: value.clone(),
     };
-    let targets = names(entry::PREFIX);
+    near::Picture {
+        revision,
+        items: items.iter().map(item).collect(),
+    }
+}
+
+/// Takes what another instance knows, if it is more.
+pub fn take(shared: &Shared, picture: near::Picture) {
+    if picture.revision <= shared.read(|_, d| d.revision()) {
+        return;
+    }
+    shared.note(|_, direct| direct.told(picture.revision));
+    let items = picture.items.into_iter();
+    replace(shared, items.map(|i| (Arc::from(i.key), i.value)).collect());
+}
+
+/// Makes `items` all that is known.
+fn replace(shared: &Shared, mut items: Items) {
+    items.sort();
+    let under = |prefix: &str| -> Vec<Arc<str>> {
+        let keys = items.iter().filter_map(|i| i.0.strip_prefix(prefix));
+        keys.map(Arc::from).collect()
+    };
+    let targets = under(entry::PREFIX);
     let gone: Vec<Arc<str>> = shared.read(|_, direct| {
         let mut listed = direct.roster.listed();
-        listed.retain(|id| !targets.contains(&&**id));
+        listed.retain(|id| targets.binary_search(id).is_err());
         listed
     });
     for id in gone {
         remove_target(shared, &id);
     }
-    lock(&shared.members).retain(&names(member::PREFIX));
-    let evacuated = names(document::EVACUATE);
-    set_evacuated(shared, evacuated.into_iter().map(Into::into).collect());
-    for item in &listing.items {
-        apply(shared, item);
+    let members = under(member::PREFIX);
+    let names: Vec<&str> = members.iter().map(|n| &**n).collect();
+    shared.note(|now, direct| direct.members_only(now, &names));
+    set_evacuated(shared, under(document::EVACUATE));
+    for (key, value) in &items {
+        apply(shared, key, Some(value));
     }
-    Ok(listing.revision)
+    *lock(&shared.items) = items;
 }
 
-async fn watch(shared: &Shared, store: &Store, revision: u64) -> Result<u64, Error> {
-    let changes = store.watch(ALL, revision, WAIT).await?;
-    for item in &changes.events {
-        apply(shared, item);
+fn change(shared: &Shared, item: &Item) {
+    let mut items = lock(&shared.items);
+    let found = items.binary_search_by(|i| (*i.0).cmp(&*item.key));
+    match (found, &item.value) {
+        (Ok(at), Some(value)) => items[at].1.clone_from(value),
+        (Ok(at), None) => {
+            items.remove(at);
+        }
+        (Err(at), Some(value)) => items.insert(at, (Arc::from(&*item.key), value.clone())),
+        (Err(_), None) => {}
     }
-    Ok(changes.revision.max(revision))
+    drop(items);
+    apply(shared, &item.key, item.value.as_deref());
 }
 
-fn apply(shared: &Shared, item: &Item) {
-    if item.key == document::KEY {
-        if let Some(value) = &item.value {
+fn apply(shared: &Shared, key: &str, value: Option<&[u8]>) {
+    if key == document::KEY {
+        if let Some(value) = value {
             install(shared, value);
         }
-    } else if let Some(domain) = item.key.strip_prefix(document::EVACUATE) {
+    } else if let Some(domain) = key.strip_prefix(document::EVACUATE) {
         let mut domains = shared.read(|_, d| d.roster.evacuated().to_vec());
         domains.retain(|d| **d != *domain);
-        if item.value.is_some() {
+        if value.is_some() {
             domains.push(domain.into());
         }
         set_evacuated(shared, domains);
-    } else if let Some(id) = item.key.strip_prefix(entry::PREFIX) {
-        match &item.value {
+    } else if let Some(id) = key.strip_prefix(entry::PREFIX) {
+        match value {
             Some(value) => put_target(shared, id, value),
             None => remove_target(shared, id),
         }
-    } else if let Some(name) = item.key.strip_prefix(member::PREFIX) {
-        put_member(shared, name, item.value.as_deref());
+    } else if let Some(name) = key.strip_prefix(member::PREFIX) {
+        put_member(shared, name, value);
     }
 }
 
@@ -145,27 +207,24 @@
 }
 
 fn remove_target(shared: &Shared, id: &str) {
-    if shared.decide(|_, direct| direct.roster.remove(id)) {
+    if shared.decide(|now, direct| direct.unlist(now, id)) {
         events::target_gone(shared, id);
     }
 }
 
 fn put_member(shared: &Shared, name: &str, value: Option<&[u8]>) {
-    let mut members = lock(&shared.members);
-    let changed = match value.map(serde_json::from_slice::<member::Row>) {
-        Some(Ok(row)) => members.put(name, row),
+    let row = match value.map(serde_json::from_slice::<near::Row>) {
+        Some(Ok(row)) => Some(row.into()),
         Some(Err(error)) => {
             events::refused(shared, name, &error.to_string());
-            false
+            None
         }
-        None => members.remove(name),
+        None => None,
     };
-    if !changed {
-        return;
+    if *name == *shared.settings.name {
+        shared.own_row(row.is_some());
     }
-    let names = members.names();
-    let count = names.len();
-    events::members(shared, &names);
-    drop(members);
-    shared.decide(|_, direct| direct.set_instances(count));
+    let listed = row.is_some();
+    shared.note(|now, direct| direct.member(now, name, row));
+    events::member(shared, name, listed);
 }
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -22,8 +22,10 @@
     pub ready: SocketAddr,
     /// For callers that ask where to connect.
     pub directory: SocketAddr,
-    /// For other instances.
+    /// For calls of other instances.
     pub peers: SocketAddr,
+    /// For their heartbeats.
+    pub beats: SocketAddr,
     /// For metrics and dumps.
     pub operators: SocketAddr,
 }
@@ -101,7 +103,14 @@
     "shift",
 ];
 
-const LISTEN: [&str; 5] = ["callers", "ready", "directory", "peers", "operators"];
+const LISTEN: [&str; 6] = [
+    "callers",
+    "ready",
+    "directory",
+    "peers",
+    "beats",
+    "operators",
+];
 
 /// Seconds that a bound may have: from a hundredth to an hour.
 const SECONDS: RangeInclusive<f64> = 0.01..=3600.0;
@@ -200,13 +209,14 @@
 fn listen(fields: &Fields<'_>, faults: &mut Vec<Fault>) -> Option<Listen> {
     let node = fields.need("listen", faults)?;
     let fields = Fields::open(node, &LISTEN, faults);
-    let [callers, ready, directory, peers, operators] =
+    let [callers, ready, directory, peers, beats, operators] =
         LISTEN.map(|name| addr(&fields, name, faults));
     Some(Listen {
         callers: callers?,
         ready: ready?,
         directory: directory?,
         peers: peers?,
+        beats: beats?,
         operators: operators?,
     })
 }
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -11,6 +11,7 @@
 
 pub mod budget;
 pub mod learn;
+pub mod members;
 pub mod pace;
 pub mod place;
 pub mod roster;
@@ -25,6 +26,7 @@
 
 use budget::{Budget, Rule};
 use learn::Learnt;
+use members::{Beat, Members, Row};
 use pace::Pace;
 use roster::Roster;
 use split::Splits;
@@ -42,13 +44,17 @@
     pub shift: f64,
 }
 
-/// Where this instance is.
+/// Who this instance is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Home {
     /// Its name.
     pub name: Arc<str>,
     /// Its region.
     pub region: Arc<str>,
+    /// Tells this process from earlier ones of its name.
+    pub life: u64,
+    /// Where it is reached.
+    pub row: Row,
 }
 
 /// Names a request for as long as it is here.
@@ -187,6 +193,28 @@
     }
 }
 
+/// How this instance stands to the platform's store.
+#[derive(Clone, Copy, Debug, Default)]
+struct Touch {
+    /// Revision up to which everything is known.
+    revision: u64,
+    /// Last answer.
+    seen: Option<Time>,
+    /// When it answered again after a time out of touch.
+    back: Option<Time>,
+}
+
+/// Time without an answer of the store after which it counts as out of touch.
+/// A watch that waits without changes answers more often than that.
+const TOUCH: Duration = Duration::from_secs(4);
+
+/// Time without an answer after which entries may have lapsed meanwhile.
+const LAPSE: Duration = Duration::from_millis(2600);
+
+/// Time in which entries that lapsed while the store was away come back, by the
+/// platform's word "about two seconds"; still missing then, they are gone.
+const RETURN: Duration = Duration::from_millis(2200);
+
 /// Steering of one instance.
 #[derive(Debug)]
 pub struct Direct {
@@ -199,6 +227,9 @@
     splits: Splits,
     budgets: Vec<(Arc<str>, Budget)>,
     paces: Vec<(Arc<str>, Pace)>,
+    members: Members,
+    store: Touch,
+    beats: u64,
     instances: usize,
     jobs: Vec<Job>,
     next: u64,
@@ -232,6 +263,9 @@
             splits: Splits::default(),
             budgets: Vec::new(),
             paces: Vec::new(),
+            members: Members::default(),
+            store: Touch::default(),
+            beats: 0,
             instances: 1,
             jobs: Vec::new(),
             next: 1,
@@ -264,9 +298,107 @@
         self.roster.evacuate(now, domains, warmup);
     }
 
-    /// Sets how many instances share what is bounded as a sum.
-    pub fn set_instances(&mut self, count: usize) {
-        self.instances = count.max(1);
+    /// The store has answered and everything up to `revision` is known.
+    pub fn in_touch(&mut self, now: Time, revision: u64) {
+        let away = self.store.seen.is_some_and(|at| now.since(at) > LAPSE);
+        if away {
+            self.store.back = Some(now);
+        }
+        self.store.seen = Some(now);
+        self.store.revision = self.store.revision.max(revision);
+    }
+
+    /// Another instance has told everything up to `revision`.
+    pub fn told(&mut self, revision: u64) {
+        self.store.revision = self.store.revision.max(revision);
+    }
+
+    /// Revision up to which everything is known.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.store.revision
+    }
+
+    /// Whether the store has answered lately.
+    #[must_use]
+    pub fn is_in_touch(&self, now: Time) -> bool {
+        self.store.seen.is_some_and(|at| now.since(at) < TOUCH)
+    }
+
+    /// A target is no longer listed. Says whether it is dropped at once.
+    pub fn unlist(&mut self, now: Time, id: &str) -> bool {
+        match self.store.back {
+            Some(back) if now.since(back) < RETURN => {
+                self.roster.miss(id, back + RETURN);
+                false
+            }
+            _ => self.roster.remove(id),
+        }
+    }
+
+    /// Another instance is listed in the store, or no longer.
+    pub fn member(&mut self, now: Time, name: &str, row: Option<Row>) {
+        if *name == *self.home.name {
+            return;
+        }
+        match row {
+            Some(row) => self.members.list(name, row),
+            None => self.members.unlist(name),
+        }
+        self.recount(now);
+    }
+
+    /// Only these other instances are listed in the store.
+    pub fn members_only(&mut self, now: Time, names: &[&str]) {
+        self.members.list_only(names);
+        self.recount(now);
+    }
+
+    /// Takes another instance's heartbeat.
+    pub fn hear(&mut self, now: Time, beat: Beat) {
+        self.members.hear(now, beat);
+        self.roster.hear(now, &self.members);
+        self.recount(now);
+    }
+
+    /// This instance's heartbeat; with its row for those who may not know it.
+    pub fn beat(&mut self, leaving: bool, row: bool) -> Beat {
+        self.beats += 1;
+        Beat {
+            name: Arc::clone(&self.home.name),
+            life: self.home.life,
+            seq: self.beats,
+            leaving,
+            revision: self.store.revision,
+            version: self.routes.as_ref().map_or(0, |r| r.version),
+            row: row.then(|| self.home.row.clone()),
+            flying: self.roster.flying(),
+        }
+    }
+
+    /// Other instances that are there, with where they are reached.
+    pub fn others(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Row)> {
+        self.members.present(now, self.is_in_touch(now))
+    }
+
+    /// Where to ask for what this instance has missed, if another knows more.
+    #[must_use]
+    pub fn ahead(&self, now: Time) -> Option<SocketAddr> {
+        let version = self.routes.as_ref().map_or(0, |r| r.version);
+        self.members.ahead(now, self.store.revision, version)
+    }
+
+    /// Forgets what is gone. Names targets that were missing and are dropped.
+    pub fn sweep(&mut self, now: Time) -> Vec<Arc<str>> {
+        self.members.sweep(now);
+        self.roster.hear(now, &self.members);
+        self.recount(now);
+        self.roster.sweep(now)
+    }
+
+    /// Counts the instances that share what is bounded as a sum.
+    fn recount(&mut self, now: Time) {
+        self.instances = 1 + self.members.present(now, true).count();
     }
 
     /// Requests that are here.
@@ -396,7 +528,7 @@
             return Next::Settled;
         }
         Next::Reject {
-            after: self.after(&job, 0.0),
+            after: Self::after(&job, 0.0),
         }
     }
 
@@ -436,7 +568,7 @@
             return self.without_place(now, at);
         };
         let job = &self.jobs[at];
-        if best.wait <= 0.0 {
+        if best.open {
             return Some(Order::Go(self.send(now, at, &best)));
         }
         let held = now.since(job.arrived).as_secs_f64();
@@ -446,7 +578,7 @@
         let far_off = now + Duration::from_secs_f64(best.cost * DOUBT) > job.limit;
         if hopeless || (far_off && held <= goal * HOLD) {
             let job = self.jobs.remove(at);
-            let after = self.after(&job, best.wait);
+            let after = Self::after(&job, best.wait);
             return Some(Order::Reject {
                 ticket,
                 why: Why::Overload,
@@ -472,7 +604,7 @@
         } else {
             Why::NoTarget
         };
-        let after = self.after(&job, 0.0);
+        let after = Self::after(&job, 0.0);
         Some(Order::Reject {
             ticket: job.ticket,
             why,
@@ -517,7 +649,7 @@
 
     /// When a rejected caller may come back: once the queue ahead of it is
     /// done. The spread keeps callers rejected together from returning so.
-    fn after(&self, job: &Job, wait: f64) -> Duration {
+    fn after(job: &Job, wait: f64) -> Duration {
         let spread = unit(job.ticket.0.wrapping_mul(0x9E37_79B9_7F4A_7C15));
         let goal = job.ask.route.goal.as_secs_f64();
         let seconds = wait.max(goal * 0.2) * (0.75 + spread * 0.75);
--- /dev/null
+++ b/crates/steer/src/process/direct/members.rs
@@ -0,0 +1,209 @@
+//! Which other instances there are, and what they say they have at work.
+//!
+//! Two sources name an instance: its row in the platform's store, which ends
+//! with its lease, and its own heartbeats. Either alone misleads: rows vanish
+//! when the store lapses or revokes leases, and stay when the store is away and
+//! nothing can end them; heartbeats are lost where two instances are cut off
+//! from each other though callers reach both.
+//!
+//! Invariant: an instance that was ended counts as there for at most
+//! [`SILENT`] after its row is gone or the store is out of touch.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::sync::Arc;
+
+use crate::clock::Time;
+
+/// Time without a heartbeat after which one no longer counts as there, unless
+/// the store, in touch, says so. Several heartbeats may be lost before.
+pub const SILENT: Duration = Duration::from_secs(3);
+
+/// Time for which what an instance has at work is believed.
+const FRESH: Duration = Duration::from_millis(1200);
+
+/// Where an instance is reached, and where it stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Its region.
+    pub region: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where peers call.
+    pub peers: SocketAddr,
+    /// Where heartbeats go.
+    pub beats: SocketAddr,
+}
+
+/// A heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Beat {
+    /// Who sends it.
+    pub name: Arc<str>,
+    /// Tells its incarnations apart.
+    pub life: u64,
+    /// Counts its heartbeats.
+    pub seq: u64,
+    /// Whether it has been told to stop.
+    pub leaving: bool,
+    /// Revision of the store up to which it knows everything.
+    pub revision: u64,
+    /// Version of the configuration that it has in force.
+    pub version: u64,
+    /// Where it is, now and then.
+    pub row: Option<Row>,
+    /// Requests that it has at targets: the target's mark, and how many.
+    pub flying: Vec<(u32, u8)>,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    name: Arc<str>,
+    row: Option<Row>,
+    listed: bool,
+    heard: Option<Time>,
+    life: u64,
+    seq: u64,
+    leaving: bool,
+    revision: u64,
+    version: u64,
+    flying: Vec<(u32, u8)>,
+}
+
+/// The other instances, sorted by name.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    members: Vec<Member>,
+}
+
+impl Members {
+    /// A row in the store.
+    pub fn list(&mut self, name: &str, row: Row) {
+        let member = self.ensure(name);
+        member.row = Some(row);
+        member.listed = true;
+        member.leaving = false;
+    }
+
+    /// A row is gone from the store. It counts on for a moment: its instance
+    /// may be there all the same, which its heartbeats tell.
+    pub fn unlist(&mut self, name: &str) {
+        if let Ok(at) = self.find(name) {
+            self.members[at].listed = false;
+        }
+    }
+
+    /// Keeps only these as listed.
+    pub fn list_only(&mut self, names: &[&str]) {
+        for member in &mut self.members {
+            member.listed &= names.contains(&&*member.name);
+        }
+    }
+
+    /// Takes a heartbeat; an older one of the same life is passed over.
+    pub fn hear(&mut self, now: Time, beat: Beat) {
+        let member = self.ensure(&beat.name);
+        if member.life == beat.life && beat.seq <= member.seq && member.heard.is_some() {
+            return;
+        }
+        if beat.row.is_some() {
+            member.row = beat.row;
+        }
+        member.heard = Some(now);
+        member.life = beat.life;
+        member.seq = beat.seq;
+        member.leaving = beat.leaving;
+        member.revision = beat.revision;
+        member.version = beat.version;
+        member.flying = beat.flying;
+    }
+
+    /// Names and rows of those that are there; `store`: whether the store is in
+    /// touch, so that its rows are true.
+    pub fn present(&self, now: Time, store: bool) -> impl Iterator<Item = (&Arc<str>, &Row)> {
+        let there = move |m: &&Member| is_there(m, now, store);
+        let members = self.members.iter().filter(there);
+        members.filter_map(|m| m.row.as_ref().map(|row| (&m.name, row)))
+    }
+
+    /// Forgets those that are gone.
+    pub fn sweep(&mut self, now: Time) {
+        let quiet = |m: &Member| m.heard.is_none_or(|at| now.since(at) > SILENT * 4);
+        self.members.retain(|m| m.listed || !quiet(m));
+    }
+
+    /// Requests that others have at the target of this mark.
+    #[must_use]
+    pub fn flying(&self, now: Time, mark: u32) -> u32 {
+        let fresh = |m: &&Member| m.heard.is_some_and(|at| now.since(at) < FRESH);
+        let count = |m: &Member| {
+            let found = m.flying.binary_search_by_key(&mark, |f| f.0);
+            found.map_or(0, |at| u32::from(m.flying[at].1))
+        };
+        self.members.iter().filter(fresh).map(count).sum()
+    }
+
+    /// Where to ask for what the store says: of those heard lately, one that
+    /// knows a later revision or version than `known`.
+    #[must_use]
+    pub fn ahead(&self, now: Time, revision: u64, version: u64) -> Option<SocketAddr> {
+        let fresh = |m: &&Member| m.heard.is_some_and(|at| now.since(at) < SILENT);
+        let ahead = |m: &&Member| m.version > version || m.revision > revision;
+        let members = self.members.iter().filter(fresh).filter(ahead);
+        let best = members.max_by_key(|m| (m.version, m.revision))?;
+        best.row.as_ref().map(|row| row.peers)
+    }
+
+    fn ensure(&mut self, name: &str) -> &mut Member {
+        let at = match self.find(name) {
+            Ok(at) => at,
+            Err(at) => {
+                self.members.insert(at, Member::new(name));
+                at
+            }
+        };
+        &mut self.members[at]
+    }
+
+    fn find(&self, name: &str) -> Result<usize, usize> {
+        self.members.binary_search_by(|m| (*m.name).cmp(name))
+    }
+}
+
+impl Member {
+    fn new(name: &str) -> Self {
+        Self {
+            name: name.into(),
+            row: None,
+            listed: false,
+            heard: None,
+            life: 0,
+            seq: 0,
+            leaving: false,
+            revision: 0,
+            version: 0,
+            flying: Vec::new(),
+        }
+    }
+}
+
+fn is_there(member: &Member, now: Time, store: bool) -> bool {
+    if member.leaving {
+        return false;
+    }
+    let heard = member.heard.is_some_and(|at| now.since(at) < SILENT);
+    heard || (member.listed && store)
+}
+
+/// The mark by which heartbeats name a target: a few bytes of its name's hash.
+/// Two targets with one mark only make each look busier.
+#[must_use]
+#[allow(
+    clippy::cast_possible_truncation,
+    reason = "a mark is a part of the hash"
+)]
+pub fn mark(id: &str) -> u32 {
+    (super::hash(id.as_bytes()) >> 32) as u32
+}
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -24,6 +24,8 @@
     pub cost: f64,
     /// Seconds of that until a slot is free; 0 if one is.
     pub wait: f64,
+    /// Whether it may be sent there now.
+    pub open: bool,
     /// Seconds of work.
     pub work: f64,
     /// Whether the object is warm there.
@@ -45,6 +47,10 @@
 /// How much slower a cold target is.
 const COLD: f64 = 2.0;
 
+/// Requests that may wait at a target beyond its slots. Without one a slot lies
+/// idle from each answer until the next request has come all the way.
+const EXTRA: f64 = 1.0;
+
 /// Smallest slowness that estimates use.
 const SLOW_LEAST: f64 = 0.5;
 
@@ -155,6 +161,7 @@
                     index,
                     cost,
                     wait,
+                    open: load < slots + EXTRA,
                     work: base,
                     warm,
                 });
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use super::members::{self, Members};
 use crate::clock::Time;
 
 /// What service discovery says of one target.
@@ -36,7 +37,7 @@
 
 /// How long an object counts as warm at a target since its last request. A
 /// target forgets objects by their number, which isn't known here.
-const WARM_SPAN: Duration = Duration::from_secs(60);
+const WARM_SPAN: Duration = Duration::from_mins(1);
 
 /// Objects remembered for each target.
 const WARM_MOST: usize = 256;
@@ -69,6 +70,11 @@
     /// Requests of others that were there at the last report.
     others: f64,
     told: Time,
+    /// Requests that other instances say they have there.
+    near: u32,
+    mark: u32,
+    /// When it is dropped unless it is listed again.
+    missing: Option<Time>,
     /// Time that it needs, over that of others of its service.
     pub slowness: f64,
     /// Share of late requests that it failed.
@@ -84,6 +90,7 @@
     fn new(now: Time, entry: Entry, region: Arc<str>) -> Self {
         let cold_until = now + entry.cold;
         Self {
+            mark: members::mark(&entry.id),
             entry,
             region,
             gone: false,
@@ -91,6 +98,8 @@
             reserved: 0,
             others: 0.0,
             told: now,
+            near: 0,
+            missing: None,
             slowness: 1.0,
             illness: 0.0,
             failures: 0,
@@ -129,7 +138,7 @@
     #[must_use]
     pub fn load(&self, now: Time, fade: Duration) -> f64 {
         let age = now.since(self.told).as_secs_f64() / fade.as_secs_f64().max(0.001);
-        let others = self.others * (-age).exp();
+        let others = (self.others * (-age).exp()).max(f64::from(self.near));
         f64::from(self.flying + self.reserved) + others
     }
 
@@ -258,6 +267,7 @@
                 // comes late must not bring it back.
                 let draining = target.entry.draining || entry.draining;
                 target.gone = false;
+                target.missing = None;
                 target.cold_until = target.cold_until.max(now + entry.cold);
                 target.entry = Entry { draining, ..entry };
                 changed
@@ -278,6 +288,31 @@
         changed
     }
 
+    /// A target is no longer listed, but the store was away: its entry may
+    /// have lapsed and be back in a moment. It is dropped at `until`.
+    pub fn miss(&mut self, id: &str, until: Time) {
+        if let Some(target) = self.get_mut(id) {
+            target.missing.get_or_insert(until);
+        }
+    }
+
+    /// Renews what other instances say they have at each target.
+    pub fn hear(&mut self, now: Time, members: &Members) {
+        for target in &mut self.targets {
+            target.near = members.flying(now, target.mark);
+        }
+    }
+
+    /// What this instance has at targets, by mark, sorted.
+    #[must_use]
+    pub fn flying(&self) -> Vec<(u32, u8)> {
+        let busy = self.targets.iter().filter(|t| t.flying > 0);
+        let count = |t: &Target| u8::try_from(t.flying).unwrap_or(u8::MAX);
+        let mut flying: Vec<(u32, u8)> = busy.map(|t| (t.mark, count(t))).collect();
+        flying.sort_unstable();
+        flying
+    }
+
     /// Names of all listed targets, in order.
     #[must_use]
     pub fn listed(&self) -> Vec<Arc<str>> {
@@ -334,8 +369,21 @@
         &self.evacuated
     }
 
-    /// Drops targets that are gone and have nothing at work.
-    pub fn sweep(&mut self) {
+    /// Drops targets that are gone and have nothing at work. Names those that
+    /// were missing and haven't come back.
+    pub fn sweep(&mut self, now: Time) -> Vec<Arc<str>> {
+        let mut dropped = Vec::new();
+        for target in &mut self.targets {
+            if target.missing.is_some_and(|until| now >= until) && !target.gone {
+                target.gone = true;
+                dropped.push(Arc::clone(&target.entry.id));
+            }
+        }
+        self.drop_gone();
+        dropped
+    }
+
+    fn drop_gone(&mut self) {
         self.targets.retain(|t| !t.gone || t.flying > 0);
     }
 
--- a/crates/steer/src/process/direct/split.rs
+++ b/crates/steer/src/process/direct/split.rs
@@ -13,7 +13,7 @@
 struct Credits {
     route: Arc<str>,
     services: Vec<Arc<str>>,
-    credits: Vec<f64>,
+    earned: Vec<f64>,
 }
 
 /// Credits by route, sorted by its name.
@@ -31,7 +31,7 @@
             return route.parts.first().map(|p| Arc::clone(&p.service));
         }
         let at = self.ensure(route, offset);
-        let credits = &mut self.routes[at].credits;
+        let credits = &mut self.routes[at].earned;
         let total: f64 = route.parts.iter().map(|p| p.weight).sum();
         if total <= 0.0 {
             return None;
@@ -58,7 +58,7 @@
         let fresh = || Credits {
             route: Arc::clone(&route.name),
             services: route.parts.iter().map(|p| Arc::clone(&p.service)).collect(),
-            credits: start(route, offset),
+            earned: start(route, offset),
         };
         match self.routes.binary_search_by(|c| c.route.cmp(&route.name)) {
             Ok(at) => {
--- a/crates/steer/src/version/routes.rs
+++ b/crates/steer/src/version/routes.rs
@@ -99,7 +99,7 @@
 pub struct Routes {
     /// Its version; versions only rise.
     pub version: u64,
-    routes: Vec<Arc<Route>>,
+    table: Vec<Arc<Route>>,
     services: Vec<Service>,
     /// Bounds on callers.
     pub limits: Limits,
@@ -127,10 +127,10 @@
                 second: Arc::clone(&pair[1].name),
             });
         }
-        let routes = routes.into_iter().map(Arc::new).collect();
+        let table = routes.into_iter().map(Arc::new).collect();
         Ok(Self {
             version,
-            routes,
+            table,
             services,
             limits,
         })
@@ -145,10 +145,10 @@
             let prefix = &rest[..=slash];
             let key = (host, prefix);
             let found = self
-                .routes
+                .table
                 .binary_search_by(|r| (&*r.host, &*r.prefix).cmp(&key));
             if let Ok(at) = found {
-                return Some(&self.routes[at]);
+                return Some(&self.table[at]);
             }
             rest = &rest[..slash];
         }
@@ -171,6 +171,6 @@
     /// All routes, sorted by host and prefix.
     #[must_use]
     pub fn routes(&self) -> &[Arc<Route>] {
-        &self.routes
+        &self.table
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod headers;
 pub mod instance;
 pub mod kv;
+pub mod near;
 pub mod peer;
 pub mod share;
 pub mod target;
--- /dev/null
+++ b/crates/wire/src/near.rs
@@ -0,0 +1,142 @@
+//! What instances that steer straight to targets say to each other: heartbeats
+//! as datagrams, and by call what one knows of the platform's store, for
+//! another that can't read it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use steer::process::direct::members;
+use thiserror::Error;
+
+/// Bytes of a datagram that crosses any network unbroken.
+pub const DATAGRAM: usize = 1200;
+
+/// Targets named in one heartbeat: what fits a datagram beside the rest.
+pub const FLYING_MOST: usize = 150;
+
+/// A heartbeat that can't be read.
+#[derive(Debug, Error)]
+#[error("the heartbeat can't be read: {0}; its sender may be of another release")]
+pub struct Error(#[from] bincode::Error);
+
+/// Where an instance is reached, and where it stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Its region.
+    pub region: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where peers call.
+    pub peers: SocketAddr,
+    /// Where heartbeats go.
+    pub beats: SocketAddr,
+}
+
+/// A heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    name: String,
+    life: u64,
+    seq: u64,
+    leaving: bool,
+    revision: u64,
+    version: u64,
+    row: Option<Row>,
+    flying: Vec<(u32, u8)>,
+}
+
+/// One item of the platform's store, as its reader got it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    #[serde(with = "serde_bytes")]
+    pub value: Vec<u8>,
+}
+
+/// What an instance knows of the platform's store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Picture {
+    /// Revision up to which it knows everything; 0 if it knows nothing.
+    pub revision: u64,
+    /// All items.
+    pub items: Vec<Item>,
+}
+
+impl Beat {
+    /// As bytes for a datagram.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        bincode::serialize(self).unwrap_or_default()
+    }
+
+    /// From a datagram.
+    ///
+    /// # Errors
+    /// If it isn't a heartbeat.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        Ok(bincode::deserialize(bytes)?)
+    }
+}
+
+impl From<members::Row> for Row {
+    fn from(row: members::Row) -> Self {
+        Self {
+            region: row.region.as_ref().to_owned(),
+            domain: row.domain.as_ref().to_owned(),
+            callers: row.callers,
+            peers: row.peers,
+            beats: row.beats,
+        }
+    }
+}
+
+impl From<Row> for members::Row {
+    fn from(row: Row) -> Self {
+        Self {
+            region: Arc::from(row.region),
+            domain: Arc::from(row.domain),
+            callers: row.callers,
+            peers: row.peers,
+            beats: row.beats,
+        }
+    }
+}
+
+impl From<members::Beat> for Beat {
+    fn from(beat: members::Beat) -> Self {
+        let mut flying = beat.flying;
+        flying.truncate(FLYING_MOST);
+        Self {
+            name: beat.name.as_ref().to_owned(),
+            life: beat.life,
+            seq: beat.seq,
+            leaving: beat.leaving,
+            revision: beat.revision,
+            version: beat.version,
+            row: beat.row.map(Into::into),
+            flying,
+        }
+    }
+}
+
+impl From<Beat> for members::Beat {
+    fn from(beat: Beat) -> Self {
+        let mut flying = beat.flying;
+        flying.sort_unstable();
+        Self {
+            name: Arc::from(beat.name),
+            life: beat.life,
+            seq: beat.seq,
+            leaving: beat.leaving,
+            revision: beat.revision,
+            version: beat.version,
+            row: beat.row.map(Into::into),
+            flying,
+        }
+    }
+}
