--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -57,7 +57,7 @@
 /// request itself. An object sent to an idle target that doesn't hold it takes
 /// a slot several times as long, which fills the targets further, which sends
 /// more objects astray: at Tesfaye's archive half of all requests.
-const SOCIAL: f64 = 2.0;
+const SOCIAL: f64 = 5.0;
 
 /// Smallest slowness that estimates use.
 const SLOW_LEAST: f64 = 0.5;
