--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -53,8 +53,7 @@
 /// idle from each answer until the next request has come all the way.
 const EXTRA: f64 = 1.0;
 
-/// What work in vain counts where all slots are taken, over what it costs the
-/// request itself. An object sent to an idle target that doesn't hold it takes
+/// What work in vain counts over what it costs the request itself. An object sent to an idle target that doesn't hold it takes
 /// a slot several times as long, which fills the targets further, which sends
 /// more objects astray: at Tesfaye's archive half of all requests.
 const SOCIAL: f64 = 5.0;
@@ -136,7 +135,6 @@
         let goal = route.goal.as_secs_f64();
         let work = self.learnt.work(&job.service, &route.name, goal);
         let first = job.ask.object.and_then(|o| self.first(job, o, near));
-        let pressure = self.pressure(now, job, near) * SOCIAL;
         let mut best: Option<Place> = None;
         for (index, target) in self.roster.all().iter().enumerate() {
             if !self.is_usable(now, job, target, near) {
@@ -165,7 +163,7 @@
             // An ill target fails that share of its requests, each of which
             // has to begin anew elsewhere. Load breaks ties.
             let cost = wait + seconds + far + target.illness * goal + load * 0.002;
-            let rank = cost + (base - work.warm) * pressure;
+            let rank = cost + (base - work.warm) * SOCIAL;
             if best.is_none_or(|b| rank < b.rank) {
                 best = Some(Place {
                     rank,
@@ -181,25 +179,6 @@
         best
     }
 
-    /// How full the targets of a service are, from 0 to 1.
-    fn pressure(&self, now: Time, job: &Job, near: bool) -> f64 {
-        let (mut load, mut slots) = (0.0, 0.0);
-        for target in self.roster.all() {
-            if target.entry.service == job.service
-                && (target.region == self.home.region) == near
-                && target.is_open()
-            {
-                load += target.load(now, FADE);
-                slots += f64::from(target.entry.slots);
-            }
-        }
-        if slots > 0.0 {
-            f64::min(load / slots, 1.0)
-        } else {
-            0.0
-        }
-    }
-
     fn is_usable(&self, now: Time, job: &Job, target: &Target, near: bool) -> bool {
         target.entry.service == job.service
             && (target.region == self.home.region) == near
