Metrics, a dump on request, and logs that hold nothing up

Cause: on-call engineers have only logs and metrics; lines were written by the traffic thread, which a full pipe would have stopped.

--- a/crates/auburnrouter/src/cmd/direct.rs
+++ b/crates/auburnrouter/src/cmd/direct.rs
@@ -77,11 +77,16 @@
             return Exit::Refused;
         }
     };
-    if let Err(error) = logs::start_events() {
-        eprintln!("auburnrouter: {error}");
-        return Exit::Refused;
-    }
-    match direct::run(settings, file) {
+    let writer = match logs::start_events() {
+        Ok(writer) => writer,
+        Err(error) => {
+            eprintln!("auburnrouter: {error}");
+            return Exit::Refused;
+        }
+    };
+    let ran = direct::run(settings, file);
+    writer.finish();
+    match ran {
         Ok(()) => Exit::Done,
         Err(error) => {
             eprintln!("auburnrouter: {error}");
--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -9,8 +9,10 @@
 mod callers;
 mod desk;
 mod door;
+mod dump;
 mod events;
 mod member;
+mod metrics;
 mod near;
 mod source;
 
@@ -40,6 +42,9 @@
     /// The system refuses a thread or signals.
     #[error("the system refuses what the process needs: {0}")]
     System(#[from] io::Error),
+    /// The metrics clash.
+    #[error(transparent)]
+    Metrics(#[from] metrics::Error),
 }
 
 /// Where tasks are spawned.
@@ -76,6 +81,12 @@
     /// Closed when the process begins to close connections.
     closing: async_channel::Receiver<()>,
     close: async_channel::Sender<()>,
+    /// The platform's store.
+    store: platform::store::Store,
+    /// Callers' open connections.
+    count: door::Count,
+    metrics: metrics::Metrics,
+    quota: events::Quota,
 }
 
 /// Decisions and who waits for them.
@@ -97,6 +108,47 @@
 }
 
 impl Shared {
+    fn new(
+        settings: Settings,
+        waiting: async_channel::Sender<()>,
+        traffic: &Executor,
+        control: &Executor,
+    ) -> Result<Self, Failure> {
+        let limits = pool::Limits {
+            bound: CONNECTIONS,
+            warm: 0,
+            connect: CONNECT,
+        };
+        let home = Home {
+            name: Arc::clone(&settings.name),
+            region: Arc::clone(&settings.region),
+            life: fastrand::u64(1..),
+            row: row(&settings),
+        };
+        let direct = Direct::new(home, bounds(&settings), settings.domains.clone());
+        let store = pool::Pool::new(Arc::clone(control), limits);
+        let (close, closing) = async_channel::bounded(1);
+        Ok(Self {
+            start: Instant::now(),
+            steering: Mutex::new(Steering {
+                direct,
+                waiters: Vec::new(),
+            }),
+            items: Mutex::new(source::Items::new()),
+            unlisted: AtomicBool::new(false),
+            waiting,
+            targets: pool::Pool::new(Arc::clone(traffic), limits),
+            phase: Mutex::new(Phase::Serving),
+            closing,
+            close,
+            store: platform::store::Store::new(store, settings.store),
+            count: door::Count::default(),
+            metrics: metrics::Metrics::new()?,
+            quota: events::Quota::default(),
+            settings,
+        })
+    }
+
     fn now(&self) -> Time {
         let micros = self.start.elapsed().as_micros();
         Time::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
@@ -216,87 +268,14 @@
 pub fn run(settings: Settings, file: &Path) -> Result<(), Failure> {
     let listeners = Listeners::bind(&settings)?;
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
-    let (waiting, waits) = async_channel::bounded(1);
-    let (close, closing) = async_channel::bounded(1);
     let traffic: Executor = Arc::new(smol::Executor::new());
     let control: Executor = Arc::new(smol::Executor::new());
-    let limits = pool::Limits {
-        bound: CONNECTIONS,
-        warm: 0,
-        connect: CONNECT,
-    };
-    let home = Home {
-        name: Arc::clone(&settings.name),
-        region: Arc::clone(&settings.region),
-        life: fastrand::u64(1..),
-        row: row(&settings),
-    };
-    let direct = Direct::new(home, bounds(&settings), settings.domains.clone());
-    let shared = Arc::new(Shared {
-        start: Instant::now(),
-        steering: Mutex::new(Steering {
-            direct,
-            waiters: Vec::new(),
-        }),
-        items: Mutex::new(source::Items::new()),
-        unlisted: AtomicBool::new(false),
-        waiting,
-        targets: pool::Pool::new(Arc::clone(&traffic), limits),
-        phase: Mutex::new(Phase::Serving),
-        closing,
-        close,
-        settings,
-    });
+    let (waiting, waits) = async_channel::bounded(1);
+    let shared = Arc::new(Shared::new(settings, waiting, &traffic, &control)?);
     events::started(&shared);
-    let store_pool = pool::Pool::new(Arc::clone(&control), limits);
-    let store = Arc::new(platform::store::Store::new(
-        store_pool,
-        shared.settings.store,
-    ));
-    let count = door::Count::default();
-    let grace = shared.settings.bounds.grace;
-    traffic.spawn(tick(Arc::clone(&shared), waits)).detach();
-    traffic.spawn(upkeep(Arc::clone(&shared))).detach();
-    traffic
-        .spawn(callers::serve(
-            Arc::clone(&shared),
-            listeners.callers,
-            Arc::clone(&traffic),
-            count.clone(),
-        ))
-        .detach();
-    for socket in [listeners.ready, listeners.directory] {
-        control
-            .spawn(desk::serve(
-                Arc::clone(&shared),
-                socket,
-                Arc::clone(&control),
-            ))
-            .detach();
-    }
-    control
-        .spawn(source::follow(Arc::clone(&shared), Arc::clone(&store)))
-        .detach();
-    let membership = Arc::new(member::Membership::new(
-        Arc::clone(&shared),
-        Arc::clone(&store),
-    ));
-    control.spawn(Arc::clone(&membership).keep()).detach();
-    control
-        .spawn(near::hear(Arc::clone(&shared), listeners.beats.clone()))
-        .detach();
-    control
-        .spawn(near::beat(Arc::clone(&shared), listeners.beats.clone()))
-        .detach();
-    control
-        .spawn(near::serve(
-            Arc::clone(&shared),
-            listeners.peers,
-            Arc::clone(&control),
-        ))
-        .detach();
-    control.spawn(near::catch_up(Arc::clone(&shared))).detach();
-    control.spawn(near::first(Arc::clone(&shared))).detach();
+    let membership = Arc::new(member::Membership::new(Arc::clone(&shared)));
+    spawn_traffic(&shared, &traffic, waits, listeners.callers.clone());
+    spawn_control(&shared, &control, &listeners, &membership);
     let (stop, stopped) = async_channel::bounded::<()>(1);
     let runner = Arc::clone(&traffic);
     let thread = thread::Builder::new()
@@ -312,17 +291,67 @@
         events::stopping(&shared);
         near::farewell(&shared, &listeners.beats).await;
         membership.leave().await;
-        door::drained(&count, &shared, grace).await;
+        door::drained(&shared).await;
     }));
     drop(stop);
     let joined = thread.join();
-    events::stopped(&shared, store.calls());
+    events::stopped(&shared);
     if joined.is_err() {
         log::error!("{{\"event\":\"thread-panicked\",\"thread\":\"traffic\"}}");
     }
     Ok(())
 }
 
+/// What runs beside control and must not wait for it.
+fn spawn_traffic(
+    shared: &Arc<Shared>,
+    traffic: &Executor,
+    waits: async_channel::Receiver<()>,
+    socket: net::TcpListener,
+) {
+    traffic.spawn(tick(Arc::clone(shared), waits)).detach();
+    traffic.spawn(upkeep(Arc::clone(shared))).detach();
+    traffic
+        .spawn(callers::serve(
+            Arc::clone(shared),
+            socket,
+            Arc::clone(traffic),
+        ))
+        .detach();
+}
+
+/// The store, the other instances, and whoever asks about this one.
+fn spawn_control(
+    shared: &Arc<Shared>,
+    control: &Executor,
+    listeners: &Listeners,
+    membership: &Arc<member::Membership>,
+) {
+    let sockets = [&listeners.ready, &listeners.directory, &listeners.operators];
+    for socket in sockets {
+        let serve = desk::serve(Arc::clone(shared), socket.clone(), Arc::clone(control));
+        control.spawn(serve).detach();
+    }
+    let beats = &listeners.beats;
+    control.spawn(source::follow(Arc::clone(shared))).detach();
+    control.spawn(Arc::clone(membership).keep()).detach();
+    control
+        .spawn(near::hear(Arc::clone(shared), beats.clone()))
+        .detach();
+    control
+        .spawn(near::beat(Arc::clone(shared), beats.clone()))
+        .detach();
+    control
+        .spawn(near::serve(
+            Arc::clone(shared),
+            listeners.peers.clone(),
+            Arc::clone(control),
+        ))
+        .detach();
+    control.spawn(near::catch_up(Arc::clone(shared))).detach();
+    control.spawn(near::first(Arc::clone(shared))).detach();
+}
+
 fn row(settings: &Settings) -> Row {
     Row {
         region: Arc::clone(&settings.region),
@@ -383,6 +412,7 @@
     ready: net::TcpListener,
     directory: net::TcpListener,
     peers: net::TcpListener,
+    operators: net::TcpListener,
     beats: net::UdpSocket,
 }
 
@@ -396,6 +426,7 @@
             ready: bind(settings.listen.ready)?,
             directory: bind(settings.listen.directory)?,
             peers: bind(settings.listen.peers)?,
+            operators: bind(settings.listen.operators)?,
             beats: {
                 let addr = settings.listen.beats;
                 future::block_on(net::UdpSocket::bind(addr))
--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -38,12 +38,8 @@
 const PATIENCE: Duration = Duration::from_hours(1);
 
 /// Answers callers on one listener.
-pub async fn serve(
-    shared: Arc<Shared>,
-    socket: net::TcpListener,
-    executor: Executor,
-    count: door::Count,
-) {
+pub async fn serve(shared: Arc<Shared>, socket: net::TcpListener, executor: Executor) {
+    let count = shared.count.clone();
     door::accept(shared, socket, executor, count, limits, answer).await;
 }
 
@@ -174,7 +170,7 @@
         };
         let limit = self.shared.read(|_, d| d.limit(ticket));
         let limit = limit.unwrap_or(self.arrived + self.route.timeout);
-        let mut sent = false;
+        let mut left = false;
         loop {
             let order = self.until(limit, orders.recv()).await;
             let go = match order {
@@ -189,10 +185,10 @@
                 }
                 Some(Err(_)) | None => {
                     drop(seat);
-                    return if sent { self.unknown() } else { self.late() };
+                    return if left { self.unknown() } else { self.late() };
                 }
             };
-            let (next, answer) = self.attempt(&go, limit, &mut sent).await;
+            let (next, answer) = self.attempt(&go, limit, &mut left).await;
             match next {
                 Next::Again => {}
                 Next::Settled => {
--- a/crates/auburnrouter/src/direct/desk.rs
+++ b/crates/auburnrouter/src/direct/desk.rs
@@ -1,4 +1,4 @@
-//! Where to connect, and whether this instance is ready.
+//! Where to connect, whether this instance is ready, and what operators ask.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use steer::process::direct::members::Row;
 
 use super::door::{self, Limits, Request, Response};
-use super::{Executor, Shared};
+use super::{Executor, Shared, dump};
 use crate::daemon::guarded::Serving;
 
 /// Longest time for which an answer may be kept: it names instances that may
@@ -41,7 +41,20 @@
         Call::Ready if shared.is_ready() => door::empty(StatusCode::OK),
         Call::Ready => door::empty(StatusCode::SERVICE_UNAVAILABLE),
         Call::Where(from) => found(&shared, &from),
-        Call::Unknown => door::empty(StatusCode::NOT_FOUND),
+        Call::Unknown => operator(&shared, uri.path()),
+    }
+}
+
+/// What operators ask.
+fn operator(shared: &Shared, path: &str) -> Response {
+    let printed = match path {
+        "/metrics" => shared.metrics.print(shared).ok(),
+        "/dump" => serde_json::to_vec(&dump::State::of(shared)).ok(),
+        _ => return door::empty(StatusCode::NOT_FOUND),
+    };
+    match printed {
+        Some(text) => Response::new(Full::new(Bytes::from(text))),
+        None => door::empty(StatusCode::INTERNAL_SERVER_ERROR),
     }
 }
 
--- a/crates/auburnrouter/src/direct/door.rs
+++ b/crates/auburnrouter/src/direct/door.rs
@@ -38,7 +38,8 @@
         Entered(Arc::clone(&self.0))
     }
 
-    fn get(&self) -> usize {
+    /// How many there are.
+    pub fn get(&self) -> usize {
         self.0.load(Ordering::Relaxed)
     }
 }
@@ -170,7 +171,9 @@
 const QUIET: Duration = Duration::from_millis(300);
 
 /// Waits until callers have gone, at most for the grace time.
-pub async fn drained(count: &Count, shared: &Shared, grace: Duration) {
+pub async fn drained(shared: &Shared) {
+    let grace = shared.settings.bounds.grace;
+    let count = &shared.count;
     let start = Instant::now();
     let mut quiet = start;
     while start.elapsed() < grace.mul_f64(END) {
--- /dev/null
+++ b/crates/auburnrouter/src/direct/dump.rs
@@ -0,0 +1,102 @@
+//! The state of the process, as JSON, on request.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+use steer::clock::Time;
+use steer::process::direct::roster;
+
+use super::{Phase, Shared};
+
+/// What this process knows and does now.
+#[derive(Serialize)]
+pub struct State {
+    /// Name of this instance.
+    pub name: Arc<str>,
+    /// Whether callers should come here.
+    pub ready: bool,
+    /// Whether it was told to stop.
+    pub leaving: bool,
+    /// Configuration in force; 0 before the first.
+    pub version: u64,
+    /// Revision of the store known whole.
+    pub revision: u64,
+    /// Whether the store answers.
+    pub store: bool,
+    /// Calls made to the store.
+    pub store_calls: u64,
+    /// Callers' open connections.
+    pub connections: usize,
+    /// Requests that are here.
+    pub requests: usize,
+    /// Requests that wait for a target.
+    pub waiting: usize,
+    /// Domains that get nothing.
+    pub evacuated: Vec<Arc<str>>,
+    /// Other instances.
+    pub instances: Vec<Arc<str>>,
+    /// Share of each service's requests that runs in other regions.
+    pub elsewhere: Vec<(Arc<str>, f64)>,
+    /// Targets.
+    pub targets: Vec<Target>,
+}
+
+/// One target.
+#[derive(Serialize)]
+pub struct Target {
+    id: Arc<str>,
+    service: Arc<str>,
+    domain: Arc<str>,
+    /// `leaving`, `gone`, `cold`, `aside`; none if it is in full use.
+    marks: Vec<&'static str>,
+    flying: u32,
+    slowness: f64,
+    illness: f64,
+}
+
+impl State {
+    /// The state now.
+    pub fn of(shared: &Shared) -> Self {
+        let ready = shared.is_ready();
+        let leaving = shared.phase() > Phase::Serving;
+        shared.read(|now, direct| Self {
+            name: Arc::clone(&shared.settings.name),
+            ready,
+            leaving,
+            version: direct.routes().map_or(0, |r| r.version),
+            revision: direct.revision(),
+            store: direct.is_in_touch(now),
+            store_calls: shared.store.calls(),
+            connections: shared.count.get(),
+            requests: direct.count(),
+            waiting: direct.waiting(),
+            evacuated: direct.roster.evacuated().to_vec(),
+            instances: direct.others(now).map(|o| Arc::clone(o.0)).collect(),
+            elsewhere: direct.elsewhere(),
+            targets: direct
+                .roster
+                .all()
+                .iter()
+                .map(|t| Target {
+                    id: Arc::clone(&t.entry.id),
+                    service: Arc::clone(&t.entry.service),
+                    domain: Arc::clone(&t.entry.domain),
+                    marks: marks(t, now),
+                    flying: t.flying,
+                    slowness: t.slowness,
+                    illness: t.illness,
+                })
+                .collect(),
+        })
+    }
+}
+
+fn marks(target: &roster::Target, now: Time) -> Vec<&'static str> {
+    let all = [
+        ("leaving", target.entry.draining),
+        ("gone", target.gone),
+        ("cold", target.is_cold(now)),
+        ("aside", target.is_aside(now)),
+    ];
+    all.iter().filter(|m| m.1).map(|m| m.0).collect()
+}
--- a/crates/auburnrouter/src/direct/events.rs
+++ b/crates/auburnrouter/src/direct/events.rs
@@ -4,6 +4,7 @@
 //! Invariant: names of events and fields stand here and nowhere else.
 
 use std::path::Path;
+use std::sync::Mutex;
 
 use serde::Serialize;
 
@@ -18,7 +19,74 @@
     fields: T,
 }
 
-fn write<T: Serialize>(shared: &Shared, event: &str, fields: T) {
+/// Lines of one kind that are written in a second; a busy instance decides on
+/// a hundred requests a second, twice over.
+const QUOTA: u32 = 400;
+
+/// What was written of each kind in the current second.
+#[derive(Debug, Default)]
+pub struct Quota(Mutex<Vec<Kind>>);
+
+#[derive(Debug)]
+struct Kind {
+    event: &'static str,
+    second: u64,
+    count: u32,
+    left_out: u64,
+}
+
+impl Quota {
+    /// Whether a line of this kind may be written now, and how many were left
+    /// out before it.
+    fn take(&self, event: &'static str, second: u64) -> Option<u64> {
+        let mut kinds = super::lock(&self.0);
+        let at = match kinds.binary_search_by(|k| k.event.cmp(event)) {
+            Ok(at) => at,
+            Err(at) => {
+                let kind = Kind {
+                    event,
+                    second,
+                    count: 0,
+                    left_out: 0,
+                };
+                kinds.insert(at, kind);
+                at
+            }
+        };
+        let kind = &mut kinds[at];
+        if kind.second != second {
+            kind.second = second;
+            kind.count = 0;
+        }
+        if kind.count >= QUOTA {
+            kind.left_out += 1;
+            return None;
+        }
+        kind.count += 1;
+        Some(core::mem::take(&mut kind.left_out))
+    }
+}
+
+#[derive(Serialize)]
+struct LeftOut<'a> {
+    kind: &'a str,
+    count: u64,
+}
+
+fn write<T: Serialize>(shared: &Shared, event: &'static str, fields: T) {
+    let second = shared.now().as_micros() / 1_000_000;
+    match shared.quota.take(event, second) {
+        None => {
+            shared.metrics.left_out.inc();
+            return;
+        }
+        Some(0) => {}
+        Some(count) => print(shared, "left-out", LeftOut { kind: event, count }),
+    }
+    print(shared, event, fields);
+}
+
+fn print<T: Serialize>(shared: &Shared, event: &str, fields: T) {
     let line = Line {
         at_ms: shared.now().as_micros() / 1000,
         event,
@@ -64,7 +132,8 @@
 }
 
 /// The process ends.
-pub fn stopped(shared: &Shared, store_calls: u64) {
+pub fn stopped(shared: &Shared) {
+    let store_calls = shared.store.calls();
     write(shared, "stop", Stopped { store_calls });
 }
 
@@ -246,6 +315,10 @@
 
 /// An attempt has ended.
 pub fn attempt(shared: &Shared, a: &Attempt<'_>) {
+    let metrics = &shared.metrics;
+    metrics.attempts.with_label_values(&[a.ending]).inc();
+    metrics.held.observe(seconds(a.held));
+    metrics.took.observe(seconds(a.took));
     let fields = Attempted {
         request: a.request,
         route: a.route,
@@ -276,6 +349,8 @@
 
 /// An answer of this system's own was given.
 pub fn own(shared: &Shared, request: &str, route: &str, status: u16, why: &str, held_ms: u64) {
+    let labels = [&*status.to_string(), why];
+    shared.metrics.own.with_label_values(&labels).inc();
     let waiting = shared.read(|_, d| d.waiting());
     let fields = Own {
         request,
@@ -287,3 +362,7 @@
     };
     write(shared, "own-answer", fields);
 }
+
+fn seconds(millis: u64) -> f64 {
+    std::time::Duration::from_millis(millis).as_secs_f64()
+}
--- a/crates/auburnrouter/src/direct/member.rs
+++ b/crates/auburnrouter/src/direct/member.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use platform::store::{Error, Store};
+use platform::store::Error;
 use wire::near;
 
 use super::{Phase, Shared, events, lock};
@@ -30,16 +30,14 @@
 /// Keeps this instance's row.
 pub struct Membership {
     shared: Arc<Shared>,
-    store: Arc<Store>,
     held: Mutex<Option<Held>>,
 }
 
 impl Membership {
     /// No row yet.
-    pub fn new(shared: Arc<Shared>, store: Arc<Store>) -> Self {
+    pub fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
-            store,
             held: Mutex::new(None),
         }
     }
@@ -71,7 +69,7 @@
             if !self.shared.is_ready() {
                 return Ok(());
             }
-            let lease = self.store.lease(LEASE).await?;
+            let lease = self.shared.store.lease(LEASE).await?;
             *lock(&self.held) = Some(Held {
                 lease,
                 written: false,
@@ -82,7 +80,7 @@
         if !held.written || self.shared.take_unlisted() {
             return self.write(held.lease).await;
         }
-        let kept = self.store.keep(held.lease).await;
+        let kept = self.shared.store.keep(held.lease).await;
         self.unless_ended(kept)
     }
 
@@ -90,7 +88,7 @@
         let row = near::Row::from(self.shared.row());
         let value = serde_json::to_vec(&row).unwrap_or_default();
         let key = format!("{PREFIX}{}", self.shared.settings.name);
-        let put = self.store.put(&key, &value, lease).await;
+        let put = self.shared.store.put(&key, &value, lease).await;
         self.unless_ended(put)?;
         *lock(&self.held) = Some(Held {
             lease,
@@ -110,7 +108,7 @@
     pub async fn leave(&self) {
         let held = lock(&self.held).take();
         if let Some(held) = held
-            && let Err(error) = self.store.end(held.lease).await
+            && let Err(error) = self.shared.store.end(held.lease).await
         {
             events::store_lost(&self.shared, "leave", &error.to_string());
         }
--- /dev/null
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -0,0 +1,131 @@
+//! Counters, gauges and latency histograms, as operators scrape them.
+//!
+//! Invariant: labels are enumerations of this program, never names from the
+//! outside, so that the number of series is fixed at any size of a deployment.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+use super::Shared;
+
+/// Metrics could not be set up or printed.
+#[derive(Debug, thiserror::Error)]
+#[error("metrics: {0}; this is a fault of the program, report it")]
+pub struct Error(#[from] prometheus::Error);
+
+/// Bounds of the latency histograms in seconds: a factor of two apart, around
+/// the latency objectives.
+const BUCKETS: [f64; 11] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10.0];
+
+/// The metrics of one process.
+pub struct Metrics {
+    registry: Registry,
+    /// Attempts at targets by ending.
+    pub attempts: IntCounterVec,
+    /// Answers of this system's own by status and cause.
+    pub own: IntCounterVec,
+    /// Time from a request's arrival to its being sent.
+    pub held: Histogram,
+    /// Time that attempts took.
+    pub took: Histogram,
+    /// Log lines left out.
+    pub left_out: IntCounter,
+    requests: IntGauge,
+    waiting: IntGauge,
+    targets: IntGauge,
+    instances: IntGauge,
+    version: IntGauge,
+    revision: IntGauge,
+    in_touch: IntGauge,
+    connections: IntGauge,
+    store_calls: IntGauge,
+}
+
+impl Metrics {
+    /// All metrics at zero.
+    ///
+    /// # Errors
+    /// If two metrics have one name.
+    pub fn new() -> Result<Self, Error> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| -> Result<_, Error> {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok(counters)
+        };
+        let histogram = |name: &str, help: &str| -> Result<_, Error> {
+            let options = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
+        let gauge = |name: &str, help: &str| -> Result<_, Error> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let left_out = IntCounter::new(
+            "auburnrouter_log_lines_left_out_total",
+            "Log lines left out, by the bound a second or a slow reader",
+        )?;
+        registry.register(Box::new(left_out.clone()))?;
+        Ok(Self {
+            attempts: counters(
+                "auburnrouter_attempts_total",
+                "Attempts at targets, by ending",
+                &["ending"],
+            )?,
+            own: counters(
+                "auburnrouter_own_answers_total",
+                "Answers that no target gave, by status and cause",
+                &["status", "cause"],
+            )?,
+            held: histogram(
+                "auburnrouter_held_seconds",
+                "Time from a request's arrival to its being sent",
+            )?,
+            took: histogram("auburnrouter_attempt_seconds", "Time that attempts took")?,
+            left_out,
+            requests: gauge("auburnrouter_requests", "Requests that are here")?,
+            waiting: gauge("auburnrouter_waiting", "Requests that wait for a target")?,
+            targets: gauge("auburnrouter_targets", "Targets listed")?,
+            instances: gauge("auburnrouter_instances", "Instances there, this one too")?,
+            version: gauge("auburnrouter_config_version", "Configuration in force")?,
+            revision: gauge("auburnrouter_store_revision", "Revision known whole")?,
+            in_touch: gauge("auburnrouter_store_in_touch", "1 while the store answers")?,
+            connections: gauge("auburnrouter_connections", "Callers' open connections")?,
+            store_calls: gauge("auburnrouter_store_calls", "Calls made to the store")?,
+            registry,
+        })
+    }
+
+    /// All metrics in the text format.
+    ///
+    /// # Errors
+    /// If they can't be printed.
+    pub fn print(&self, shared: &Shared) -> Result<Vec<u8>, Error> {
+        let state = super::dump::State::of(shared);
+        self.requests.set(int(state.requests));
+        self.waiting.set(int(state.waiting));
+        self.targets.set(int(state.targets.len()));
+        self.instances.set(int(state.instances.len() + 1));
+        self.version.set(int64(state.version));
+        self.revision.set(int64(state.revision));
+        self.in_touch.set(i64::from(state.store));
+        self.connections.set(int(state.connections));
+        self.store_calls.set(int64(state.store_calls));
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
+
+fn int(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+fn int64(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::store::{Error, Item, Store};
+use platform::store::{Error, Item};
 use platform::{document, entry};
 use wire::near;
 
@@ -30,13 +30,13 @@
 pub type Items = Vec<(Arc<str>, Vec<u8>)>;
 
 /// Follows the store for as long as the process runs.
-pub async fn follow(shared: Arc<Shared>, store: Arc<Store>) {
+pub async fn follow(shared: Arc<Shared>) {
     let mut revision = None;
     let mut lost = false;
     loop {
         let done = match revision {
-            None => list(&shared, &store).await,
-            Some(revision) => watch(&shared, &store, revision).await,
+            None => list(&shared).await,
+            Some(revision) => watch(&shared, revision).await,
         };
         match done {
             Ok(reached) => {
@@ -60,8 +60,8 @@
     }
 }
 
-async fn list(shared: &Shared, store: &Store) -> Result<u64, Error> {
-    let listing = store.list(ALL).await?;
+async fn list(shared: &Shared) -> Result<u64, Error> {
+    let listing = shared.store.list(ALL).await?;
     let revision = listing.revision;
     shared.note(|now, direct| direct.in_touch(now, revision));
     let held = |item: Item| item.value.map(|value| (Arc::from(item.key), value));
@@ -69,8 +69,8 @@
     Ok(revision)
 }
 
-async fn watch(shared: &Shared, store: &Store, revision: u64) -> Result<u64, Error> {
-    let changes = store.watch(ALL, revision, WAIT).await?;
+async fn watch(shared: &Shared, revision: u64) -> Result<u64, Error> {
+    let changes = shared.store.watch(ALL, revision, WAIT).await?;
     let known = shared.read(|_, d| d.revision());
     let reached = changes.revision.max(revision);
     shared.note(|now, direct| direct.in_touch(now, reached));
--- a/crates/auburnrouter/src/logs.rs
+++ b/crates/auburnrouter/src/logs.rs
@@ -4,8 +4,9 @@
 //! things are counted in the metrics.
 
 use std::fmt;
-use std::io;
-use std::time;
+use std::io::{self, Write};
+use std::sync::mpsc;
+use std::{thread, time};
 
 use thiserror::Error;
 
@@ -18,6 +19,9 @@
     /// Another logger is in place.
     #[error("logs are already set up in this process; start one daemon a process")]
     Twice,
+    /// The system refuses a thread.
+    #[error("the system refuses a thread for logs: {0}; allow the process more")]
+    Thread(io::Error),
 }
 
 /// Sends log lines to standard error, or to `file`.
@@ -36,17 +40,91 @@
     sink.apply().map_err(|_| Error::Twice)
 }
 
-/// Sends lines of JSON to standard output.
+/// Lines that wait for standard output at most. A few seconds of a busy
+/// instance; what comes beyond them while nobody reads is left out.
+const LINES: usize = 8192;
+
+/// Time for which lines are gathered before they are written in one piece.
+const GATHER: time::Duration = time::Duration::from_millis(50);
+
+/// Time that the last lines get when the process ends. Whoever doesn't read
+/// them by then holds the process up no longer.
+const LAST: time::Duration = time::Duration::from_millis(300);
+
+/// Hands lines to the thread that writes them, and waits for nothing.
+struct Lines(mpsc::SyncSender<Vec<u8>>);
+
+impl io::Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // Full means that the reader is slow: a request must not wait for it.
+        let _ = self.0.try_send(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The thread that writes lines.
+pub struct Writer {
+    end: mpsc::SyncSender<Vec<u8>>,
+    done: mpsc::Receiver<()>,
+}
+
+impl Writer {
+    /// Writes what is left, at most for [`LAST`].
+    pub fn finish(self) {
+        if self.end.try_send(Vec::new()).is_ok() {
+            // An error means that the time is over or the thread has ended.
+            let _ = self.done.recv_timeout(LAST);
+        }
+    }
+}
+
+/// Sends lines of JSON to standard output, from a thread of their own.
 ///
 /// # Errors
-/// If a logger is already in place.
-pub fn start_events() -> Result<(), Error> {
+/// If a logger is already in place, or the system refuses a thread.
+pub fn start_events() -> Result<Writer, Error> {
+    let (lines, taken) = mpsc::sync_channel(LINES);
+    let (ended, done) = mpsc::channel();
+    let run = move || {
+        write_lines(&taken);
+        // Nobody may wait for it any more.
+        let _ = ended.send(());
+    };
+    let thread = thread::Builder::new().name("logs".into());
+    thread.spawn(run).map_err(Error::Thread)?;
+    let sink: Box<dyn io::Write + Send> = Box::new(Lines(lines.clone()));
     let base = fern::Dispatch::new()
         .format(|out, message, _| out.finish(format_args!("{message}")))
         .level(log::LevelFilter::Warn)
         .level_for("auburnrouter", log::LevelFilter::Info)
-        .chain(io::stdout());
-    base.apply().map_err(|_| Error::Twice)
+        .chain(fern::Output::writer(sink, "\n"));
+    base.apply().map_err(|_| Error::Twice)?;
+    Ok(Writer { end: lines, done })
+}
+
+/// Writes lines until an empty one says that the process ends.
+fn write_lines(taken: &mpsc::Receiver<Vec<u8>>) {
+    let mut out = io::stdout();
+    while let Ok(first) = taken.recv() {
+        let mut end = first.is_empty();
+        let mut text = first;
+        if !end {
+            thread::sleep(GATHER);
+        }
+        for line in taken.try_iter() {
+            end |= line.is_empty();
+            text.extend_from_slice(&line);
+        }
+        // Nobody reads: the lines are lost, the process goes on.
+        let _ = out.write_all(&text).and_then(|()| out.flush());
+        if end {
+            return;
+        }
+    }
 }
 
 /// Time in milliseconds since 1970, and the level.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -217,8 +217,8 @@
                     kept: false,
                 };
                 let busy = pool::Connection::opened(self.connect(addr).await?);
-                let sent = exchange(busy, seat, request).await;
-                sent.map_err(|(error, _)| error)
+                let answered = exchange(busy, seat, request).await;
+                answered.map_err(|(error, _)| error)
             }
         }
     }
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -407,6 +407,13 @@
         self.jobs.len()
     }
 
+    /// The share of each service's requests that runs in other regions.
+    #[must_use]
+    pub fn elsewhere(&self) -> Vec<(Arc<str>, f64)> {
+        let share = |p: &(Arc<str>, Pace)| (Arc::clone(&p.0), p.1.share());
+        self.paces.iter().map(share).collect()
+    }
+
     /// Requests that wait for a target.
     #[must_use]
     pub fn waiting(&self) -> usize {
