Test steering straight to targets; refuse two lengths and false ones at once

Cause: the edge took the first of two Content-Length headers and answered 200, so that the rest of the body was read as a request nobody had sent; a length of -1 waited for the whole time of a request. Ruled out: the library has no check of its own for either. Change: such a request gets 400 and its connection is closed.

--- a/crates/auburnrouter/src/daemon/callers.rs
+++ b/crates/auburnrouter/src/daemon/callers.rs
@@ -17,7 +17,8 @@
 use serde::Serialize;
 use steer::request::{arrival, outcome};
 use steer::version::{lookup, view};
-use trillium_http::{Method, Status};
+use trillium_http::KnownHeaderName::ContentLength as CONTENT_LENGTH;
+use trillium_http::{KnownHeaderName, Method, Status};
 use wire::headers;
 
 use super::accept::{Conn, Peer};
@@ -77,7 +78,17 @@
 
 impl Callers {
     /// Answers one request.
-    pub async fn handle(self: Arc<Self>, conn: Conn, peer: Peer) -> Conn {
+    pub async fn handle(self: Arc<Self>, mut conn: Conn, peer: Peer) -> Conn {
+        if has_false_length(&conn) {
+            let refusal = unread(&conn, outcome::Reason::BadRequest);
+            // Without it the library doesn't wait for a body; nothing that
+            // follows on this connection can be told apart from one.
+            conn.request_headers_mut().remove(CONTENT_LENGTH);
+            let mut refused = self.refuse(conn, refusal);
+            let headers = refused.response_headers_mut();
+            headers.insert(KnownHeaderName::Connection, "close");
+            return refused;
+        }
         let path = conn.path().to_owned();
         match path.strip_prefix("/s/") {
             Some(rest) => self.request(conn, &peer, rest).await,
@@ -226,6 +237,19 @@
     }
 }
 
+/// Whether a request's length is given twice or is none. The HTTP library takes
+/// the first of two lengths; whoever passed the request on may have taken the
+/// other, and what is left of the body would be read as a request of its own.
+fn has_false_length(conn: &Conn) -> bool {
+    let Some(lengths) = conn.request_headers().get_values(CONTENT_LENGTH) else {
+        return false;
+    };
+    let digits = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+    !lengths
+        .one()
+        .is_some_and(|v| v.as_str().is_some_and(digits))
+}
+
 /// Region whose client block holds an address.
 fn region(view: &view::View, ip: IpAddr) -> Option<view::Region> {
     match ip {
--- a/crates/auburnrouter/tests/edge.rs
+++ b/crates/auburnrouter/tests/edge.rs
@@ -23,6 +23,16 @@
     "400",
     "unknown"
 )]
+#[case::two_lengths(
+    "POST /s/stock/x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    "400",
+    "not-run"
+)]
+#[case::negative_length(
+    "POST /s/stock/x HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+    "400",
+    "not-run"
+)]
 #[case::deadline(
     "GET /s/stock/x HTTP/1.1\r\nHost: a\r\nDeadline-Ms: soon\r\n\r\n",
     "400",
@@ -61,6 +71,19 @@
     bench.stop();
 }
 
+#[test]
+fn refuse_two_lengths_on_one_connection() {
+    // The caller sends two lengths. Whoever stands before this instance may
+    // believe the other one: the rest of the body would be read as a second
+    // request, which no caller has sent.
+    let bench = Bench::start("");
+    let text = "POST /s/stock/x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nContent-Length: 47\r\n\r\nGET /s/stock/smuggled HTTP/1.1\r\nHost: a\r\n\r\n";
+    let answers = bench.say_all(text);
+    assert_eq!(answers.matches("HTTP/1.1 ").count(), 1, "{answers}");
+    assert!(answers.starts_with("HTTP/1.1 400"), "{answers}");
+    bench.stop();
+}
+
 #[test]
 fn refuse_long_head() {
     let bench = Bench::start(r#""head_bytes": 1024"#);
--- a/crates/auburnrouter/tests/edge/bench.rs
+++ b/crates/auburnrouter/tests/edge/bench.rs
@@ -159,6 +159,18 @@
         say_to(self.entry.addresses().callers, text)
     }
 
+    /// Everything that comes back on one connection until it is closed.
+    pub fn say_all(&self, text: &str) -> String {
+        let mut stream = connect(self.entry.addresses().callers);
+        stream
+            .write_all(text.as_bytes())
+            .expect("the connection is open");
+        let mut bytes = Vec::new();
+        // A reset says the same as an end.
+        let _ = stream.read_to_end(&mut bytes);
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
     /// A connection that was served and stays open. Connections that have just
     /// ended may count for a moment longer, and then there is none to be had.
     pub fn hold(&self) -> TcpStream {
--- /dev/null
+++ b/crates/steer/tests/direct.rs
@@ -0,0 +1,19 @@
+//! Steering straight to targets: routes, placement, repeats, shares, members.
+
+#[path = "direct/bench.rs"]
+mod bench;
+
+#[path = "direct/budget.rs"]
+mod budget;
+#[path = "direct/members.rs"]
+mod members;
+#[path = "direct/pace.rs"]
+mod pace;
+#[path = "direct/place.rs"]
+mod place;
+#[path = "direct/repeat.rs"]
+mod repeat;
+#[path = "direct/roster.rs"]
+mod roster;
+#[path = "direct/routes.rs"]
+mod routes;
--- /dev/null
+++ b/crates/steer/tests/direct/bench.rs
@@ -0,0 +1,163 @@
+//! A small deployment: two regions of two domains, targets as a test names them.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use steer::clock::Time;
+use steer::process::direct::budget::Rule;
+use steer::process::direct::members::{Beat, Row};
+use steer::process::direct::roster::Entry;
+use steer::process::direct::{Ask, Bounds, Direct, Ending, Go, Home, Next, Order, Ticket};
+use steer::version::routes::{Limits, Part, Route, Routes, Service};
+
+pub const MS: Duration = Duration::from_millis(1);
+
+pub fn at(millis: u64) -> Time {
+    Time::from_micros(millis * 1000)
+}
+
+pub fn row(region: &str) -> Row {
+    let addr = ([127, 0, 0, 1], 1).into();
+    Row {
+        region: region.into(),
+        domain: format!("{region}-a").into(),
+        callers: addr,
+        peers: addr,
+        beats: addr,
+    }
+}
+
+pub fn beat(name: &str, seq: u64) -> Beat {
+    Beat {
+        name: name.into(),
+        life: 7,
+        seq,
+        leaving: false,
+        revision: 0,
+        version: 0,
+        row: Some(row("near")),
+        flying: Vec::new(),
+    }
+}
+
+pub fn route() -> Route {
+    Route {
+        name: "view".into(),
+        host: "a.example".into(),
+        prefix: "/view/".into(),
+        idempotent: true,
+        timeout: Duration::from_secs(2),
+        goal: Duration::from_millis(600),
+        attempts: 2,
+        priority: 1,
+        parts: vec![Part {
+            service: "sheets".into(),
+            weight: 1.0,
+        }],
+        affinity: true,
+        homes: Vec::new(),
+    }
+}
+
+pub fn routes(version: u64, route: Route) -> Routes {
+    let service = Service {
+        name: "sheets".into(),
+        health: "/health".into(),
+        connections: 100,
+        warmup: Duration::from_secs(3),
+        cold_rate: 2.0,
+    };
+    let limits = Limits {
+        head: 8192,
+        body: 8192,
+        arrive: Duration::from_secs(1),
+        idle: Duration::from_secs(5),
+    };
+    Routes::new(version, vec![route], vec![service], limits).expect("one route can't clash")
+}
+
+pub fn entry(id: &str, domain: &str) -> Entry {
+    Entry {
+        id: id.into(),
+        service: "sheets".into(),
+        addr: ([127, 0, 0, 1], 80).into(),
+        domain: domain.into(),
+        slots: 3,
+        draining: false,
+        seq: 1,
+        cold: Duration::ZERO,
+        born: 1,
+    }
+}
+
+pub struct Bench {
+    pub direct: Direct,
+    pub route: Arc<Route>,
+}
+
+impl Bench {
+    pub fn new(route: Route, targets: &[Entry]) -> Self {
+        let home = Home {
+            name: "near-1".into(),
+            region: "near".into(),
+            life: 1,
+            row: row("near"),
+        };
+        let bounds = Bounds {
+            repeats: Rule {
+                ratio: 0.2,
+                slack: 20.0,
+                window: Duration::from_secs(10),
+            },
+            cold_factor: 1.5,
+            cold_slack: 5.0,
+            shift: 0.15,
+        };
+        let domains = ["near-a", "near-b", "far-a", "far-b"];
+        let region = |d: &str| d.split('-').next().unwrap_or_default().into();
+        let domains = domains.map(|d| (d.into(), region(d))).to_vec();
+        let mut direct = Direct::new(home, bounds, domains);
+        direct.install(Arc::new(routes(1, route.clone())));
+        for target in targets {
+            direct.roster.put(at(0), target.clone());
+        }
+        let route = Arc::new(route);
+        Self { direct, route }
+    }
+
+    /// A request arrives at `now`, for an object if one is named.
+    pub fn arrive(&mut self, now: Time, object: Option<u64>) -> Ticket {
+        let ask = Ask {
+            route: Arc::clone(&self.route),
+            object,
+            deadline: now + Duration::from_secs(4),
+        };
+        self.direct
+            .arrive(now, ask)
+            .expect("the route has a service")
+    }
+
+    /// The only order of a step, if there is one.
+    pub fn order(&mut self, now: Time) -> Option<Order> {
+        let mut orders = self.direct.step(now);
+        assert!(orders.len() < 2, "more than one order: {orders:?}");
+        orders.pop()
+    }
+
+    /// A request arrives and is sent at once.
+    pub fn send(&mut self, now: Time, object: Option<u64>) -> Go {
+        self.arrive(now, object);
+        match self.order(now) {
+            Some(Order::Go(go)) => go,
+            other => panic!("not sent: {other:?}"),
+        }
+    }
+
+    /// A request arrives, is sent and answered after `took`.
+    pub fn serve(&mut self, now: Time, object: u64, took: Duration) -> Go {
+        let go = self.send(now, Some(object));
+        let next = self.direct.ended(now + took, go.ticket, Ending::Answered);
+        assert_eq!(next, Next::Settled);
+        go
+    }
+}
--- /dev/null
+++ b/crates/steer/tests/direct/members.rs
@@ -0,0 +1,98 @@
+//! Which other instances count as there.
+
+use rstest::rstest;
+use steer::process::direct::members::{Beat, Members, mark};
+
+use super::bench::{Bench, at, beat, entry, route, row};
+
+fn names(members: &Members, millis: u64, store: bool) -> Vec<String> {
+    let present = members.present(at(millis), store);
+    present.map(|(name, _)| name.as_ref().to_owned()).collect()
+}
+
+#[rstest]
+#[case::listed_and_store_in_touch(true, None, true, true)]
+#[case::listed_but_store_away(true, None, false, false)]
+#[case::heard_though_unlisted(false, Some(0), true, true)]
+#[case::heard_while_store_away(true, Some(0), false, true)]
+#[case::silent_and_unlisted(false, Some(4_000), true, false)]
+#[case::silent_while_store_away(true, Some(4_000), false, false)]
+#[case::silent_but_listed(true, Some(4_000), true, true)]
+fn count_instance(
+    #[case] listed: bool,
+    #[case] silent: Option<u64>,
+    #[case] store: bool,
+    #[case] there: bool,
+) {
+    let mut members = Members::default();
+    members.list("a", row("near"));
+    if !listed {
+        members.unlist("a");
+    }
+    if silent.is_some() {
+        members.hear(at(10_000), beat("a", 1));
+    }
+    let now = 10_000 + silent.unwrap_or_default();
+    assert_eq!(!names(&members, now, store).is_empty(), there);
+}
+
+/// One says that it leaves, and an older heartbeat of it arrives after that.
+/// Callers must not be sent to it again.
+#[test]
+fn stay_gone_on_older_heartbeat() {
+    let mut members = Members::default();
+    members.list("a", row("near"));
+    members.hear(at(0), beat("a", 1));
+    let leaving = Beat {
+        leaving: true,
+        ..beat("a", 3)
+    };
+    members.hear(at(10), leaving);
+    members.hear(at(20), beat("a", 2));
+    assert!(names(&members, 30, true).is_empty());
+    let anew = Beat {
+        life: 8,
+        ..beat("a", 1)
+    };
+    members.hear(at(40), anew);
+    assert_eq!(names(&members, 50, true), ["a"]);
+}
+
+/// One can't read the store; another has said that it knows a later version.
+#[test]
+fn ask_who_knows_more() {
+    let mut bench = Bench::new(route(), &[]);
+    bench.direct.told(5);
+    bench.direct.hear(
+        at(0),
+        Beat {
+            revision: 5,
+            ..beat("a", 1)
+        },
+    );
+    assert_eq!(bench.direct.ahead(at(10)), None);
+    bench.direct.hear(
+        at(20),
+        Beat {
+            revision: 9,
+            ..beat("b", 1)
+        },
+    );
+    assert!(bench.direct.ahead(at(30)).is_some());
+    assert_eq!(bench.direct.ahead(at(9_000)), None, "it was heard long ago");
+}
+
+/// Three instances share a target. What others have there counts as taken.
+#[test]
+fn count_requests_of_others() {
+    let targets = [entry("t1", "near-a"), entry("t2", "near-a")];
+    let mut bench = Bench::new(route(), &targets);
+    let busy = Beat {
+        flying: vec![(mark("t1"), 4)],
+        ..beat("near-2", 1)
+    };
+    bench.direct.hear(at(0), busy);
+    for i in 0..4 {
+        assert_eq!(&*bench.send(at(1 + i), None).target, "t2");
+    }
+}
--- /dev/null
+++ b/crates/steer/tests/direct/place.rs
@@ -0,0 +1,182 @@
+//! Which target a request is sent to.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use rstest::rstest;
+use steer::process::direct::{Ending, Order, Why};
+use steer::version::routes::Route;
+
+use super::bench::{Bench, MS, at, beat, entry, route};
+
+/// Callers ask for the same sheet again and again. A target that has handled it
+/// takes a third of the time; spread over all targets, each request would begin
+/// from nothing.
+#[test]
+fn keep_object_at_its_target() {
+    let targets = ["t1", "t2", "t3", "t4"].map(|id| entry(id, "near-a"));
+    let mut bench = Bench::new(route(), &targets);
+    let first = bench.serve(at(0), 5, 900 * MS);
+    for i in 1..20 {
+        let go = bench.serve(at(i * 1_000), 5, 300 * MS);
+        assert_eq!(go.target, first.target);
+        assert!(go.warm);
+    }
+}
+
+/// The target that holds the sheet is full for a moment and others are idle. A
+/// short wait beats three times the work, for this request and for those that
+/// would find the other target's slots taken.
+#[test]
+fn wait_for_warm_target() {
+    let targets = ["t1", "t2"].map(|id| entry(id, "near-a"));
+    let mut bench = Bench::new(route(), &targets);
+    let warm = bench.serve(at(0), 5, 900 * MS).target;
+    bench.serve(at(1_000), 5, 300 * MS);
+    let mut held = Vec::new();
+    for _ in 0..4 {
+        held.push(bench.send(at(2_000), Some(5)));
+    }
+    assert!(held.iter().all(|go| go.target == warm));
+    bench.arrive(at(2_010), Some(5));
+    assert_eq!(bench.order(at(2_010)), None, "it waits for its target");
+    bench
+        .direct
+        .ended(at(2_100), held[0].ticket, Ending::Answered);
+    let Some(Order::Go(go)) = bench.order(at(2_100)) else {
+        panic!("a slot is free");
+    };
+    assert_eq!(go.target, warm);
+}
+
+#[rstest]
+#[case::leaving("leaving")]
+#[case::gone("gone")]
+#[case::evacuated("evacuated")]
+fn avoid_target(#[case] why: &str) {
+    let targets = [entry("t1", "near-a"), entry("t2", "near-b")];
+    let mut bench = Bench::new(route(), &targets);
+    let now = at(1_000);
+    match why {
+        "leaving" => {
+            let leaving = steer::process::direct::roster::Entry {
+                draining: true,
+                seq: 2,
+                ..entry("t1", "near-a")
+            };
+            bench.direct.roster.put(now, leaving);
+        }
+        "gone" => assert!(bench.direct.unlist(now, "t1")),
+        _ => bench.direct.evacuate(now, vec!["near-a".into()]),
+    }
+    for i in 0..8 {
+        let go = bench.send(at(1_000 + i), Some(i));
+        assert_eq!(&*go.target, "t2");
+        bench
+            .direct
+            .ended(at(1_001 + i), go.ticket, Ending::Answered);
+    }
+}
+
+/// A request waits here for a target whose domain is then evacuated: it must
+/// not be sent there when the slot becomes free.
+#[test]
+fn evacuate_under_waiting_request() {
+    let mut bench = Bench::new(route(), &[entry("t1", "near-a"), entry("t2", "near-b")]);
+    bench.direct.evacuate(at(0), vec!["near-b".into()]);
+    let held: Vec<_> = (0..4).map(|_| bench.send(at(0), Some(1))).collect();
+    bench.arrive(at(10), Some(1));
+    assert_eq!(bench.order(at(10)), None);
+    let both = vec!["near-a".into(), "near-b".into()];
+    bench.direct.evacuate(at(20), both);
+    bench.direct.ended(at(30), held[0].ticket, Ending::Answered);
+    let order = bench.order(at(30));
+    assert!(!matches!(order, Some(Order::Go(_))), "{order:?}");
+}
+
+#[test]
+fn stay_in_home_regions() {
+    let homes: Vec<Arc<str>> = vec!["near".into()];
+    let only_far = [entry("t1", "far-a")];
+    let mut bench = Bench::new(Route { homes, ..route() }, &only_far);
+    bench.arrive(at(0), None);
+    assert_eq!(bench.order(at(0)), None);
+    let Some(Order::Reject { why, .. }) = bench.order(at(100)) else {
+        panic!("nothing can serve it");
+    };
+    assert_eq!(why, Why::NoTarget);
+}
+
+#[test]
+fn leave_region_without_targets() {
+    let mut bench = Bench::new(route(), &[entry("t1", "far-a")]);
+    assert_eq!(&*bench.send(at(0), Some(1)).target, "t1");
+}
+
+/// A cold target crashes above its rate. Seven instances that don't speak to
+/// each other about it must stay under 2 a second x 1.5 + 5 together: one each.
+#[test]
+fn share_cold_target() {
+    let cold = steer::process::direct::roster::Entry {
+        cold: Duration::from_secs(3),
+        ..entry("t1", "near-a")
+    };
+    let mut bench = Bench::new(route(), &[cold]);
+    for i in 0..6 {
+        bench
+            .direct
+            .hear(at(0), beat(&format!("near-{}", i + 2), 1));
+    }
+    let mut sent = 0;
+    for i in 0..10 {
+        bench.arrive(at(i), None);
+        let orders = bench.direct.step(at(i));
+        sent += orders.iter().filter(|o| matches!(o, Order::Go(_))).count();
+    }
+    assert_eq!(sent, 1);
+}
+
+/// All slots are taken for longer than the caller waits: it is rejected at
+/// once, with a time to come back, and not when its time is over.
+#[test]
+fn reject_hopeless_at_once() {
+    let mut bench = Bench::new(route(), &[entry("t1", "near-a")]);
+    for i in 0..3 {
+        bench.serve(at(i * 2_000), 1, 1_500 * MS);
+    }
+    let mut rejected = 0;
+    for _ in 0..20 {
+        bench.arrive(at(10_000), Some(1));
+        for order in bench.direct.step(at(10_000)) {
+            if let Order::Reject { after, why, .. } = order {
+                assert_eq!(why, Why::Overload);
+                assert!(after >= Duration::from_millis(100));
+                rejected += 1;
+            }
+        }
+    }
+    assert!(rejected >= 8, "only {rejected} of 20");
+}
+
+/// The more urgent of two that wait goes first, whichever came first.
+#[test]
+fn prefer_urgent_request() {
+    let mut bench = Bench::new(route(), &[entry("t1", "near-a")]);
+    let held: Vec<_> = (0..4).map(|_| bench.send(at(0), None)).collect();
+    let patient = bench.arrive(at(1), None);
+    assert_eq!(bench.order(at(1)), None);
+    let usual = Arc::clone(&bench.route);
+    bench.route = Arc::new(Route {
+        name: "urgent".into(),
+        priority: 0,
+        ..(*usual).clone()
+    });
+    let urgent = bench.arrive(at(2), None);
+    assert_eq!(bench.order(at(2)), None);
+    bench.direct.ended(at(50), held[0].ticket, Ending::Answered);
+    let Some(Order::Go(go)) = bench.order(at(50)) else {
+        panic!("a slot is free");
+    };
+    assert_eq!(go.ticket, urgent);
+    assert_ne!(go.ticket, patient);
+}
--- /dev/null
+++ b/crates/steer/tests/direct/roster.rs
@@ -0,0 +1,74 @@
+//! Targets as discovery names them, with what the store's outages do to it.
+
+use steer::process::direct::roster::Entry;
+
+use super::bench::{Bench, at, entry, route};
+
+/// The store was away for five seconds and entries lapsed meanwhile. Targets
+/// that live write them again within two seconds; dropped at once, the whole
+/// service would have none. One that stays missing is dropped.
+#[test]
+fn keep_lapsed_targets_for_a_moment() {
+    let mut bench = Bench::new(route(), &[entry("t1", "near-a"), entry("t2", "near-a")]);
+    bench.direct.in_touch(at(0), 10);
+    bench.direct.in_touch(at(5_000), 11);
+    assert!(!bench.direct.unlist(at(5_010), "t1"));
+    assert!(!bench.direct.unlist(at(5_010), "t2"));
+    assert!(bench.direct.sweep(at(6_000)).is_empty());
+    bench.direct.roster.put(at(6_500), entry("t1", "near-a"));
+    let dropped = bench.direct.sweep(at(7_300));
+    assert_eq!(dropped, ["t2".into()]);
+    assert!(
+        bench
+            .direct
+            .roster
+            .get_mut("t1")
+            .is_some_and(|t| t.is_open())
+    );
+}
+
+#[test]
+fn drop_at_once_in_touch() {
+    let mut bench = Bench::new(route(), &[entry("t1", "near-a")]);
+    bench.direct.in_touch(at(0), 10);
+    bench.direct.in_touch(at(2_000), 11);
+    assert!(bench.direct.unlist(at(2_010), "t1"));
+}
+
+/// A report from before "leaving" arrives after it. Taken for news, it would
+/// bring a target back that ends in a moment, and its requests with it.
+#[test]
+fn stay_leaving_on_older_report() {
+    let mut bench = Bench::new(route(), &[entry("t1", "near-a")]);
+    let leaving = Entry {
+        draining: true,
+        seq: 4,
+        ..entry("t1", "near-a")
+    };
+    bench.direct.roster.put(at(10), leaving);
+    let late = Entry {
+        seq: 4,
+        ..entry("t1", "near-a")
+    };
+    bench.direct.roster.put(at(20), late);
+    assert!(
+        bench
+            .direct
+            .roster
+            .get_mut("t1")
+            .is_some_and(|t| !t.is_open())
+    );
+}
+
+/// A target starts anew under its old name: it holds nothing of before.
+#[test]
+fn forget_what_old_incarnation_held() {
+    let mut bench = Bench::new(route(), &[entry("t1", "near-a")]);
+    bench.serve(at(0), 5, super::bench::MS * 100);
+    let anew = Entry {
+        born: 2,
+        ..entry("t1", "near-a")
+    };
+    assert!(bench.direct.roster.put(at(500), anew));
+    assert!(!bench.send(at(600), Some(5)).warm);
+}
