--- /dev/null
+++ b/crates/auburnrouter/tests/direct/bench.rs
@@ -0,0 +1,247 @@
+//! Entry instances as processes, with stand-ins of the platform around them.
+
+use std::fs;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use platform_standin::store::Route;
+use platform_standin::{Store, Target};
+
+/// Longest that anything is waited for.
+pub const BOUND: Duration = Duration::from_secs(20);
+
+/// The host that callers name.
+pub const HOST: &str = "a.example";
+
+/// Routes of the usual configuration.
+pub const ROUTES: [Route<'static>; 2] = [
+    Route {
+        prefix: "/view/",
+        service: "sheets",
+        safe: true,
+    },
+    Route {
+        prefix: "/pay/",
+        service: "sheets",
+        safe: false,
+    },
+];
+
+/// An entry instance. Dropped, it is killed.
+pub struct Entry {
+    child: Child,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub directory: SocketAddr,
+    pub peers: SocketAddr,
+    pub operators: SocketAddr,
+    pub lines: Arc<Mutex<Vec<String>>>,
+    file: PathBuf,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        // It may have ended as the test wanted it to.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+/// Ports that are free now. They are held together, so that all differ.
+fn ports() -> [SocketAddr; 6] {
+    let held: [TcpListener; 6] =
+        core::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a port is free"));
+    held.map(|l| l.local_addr().expect("it listens"))
+}
+
+impl Entry {
+    /// Starts an instance and reads its lines.
+    pub fn start(name: &str, domain: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        let mut entry = Self::start_unread(name, domain, store, seeds);
+        let out = entry.child.stdout.take().expect("it is piped");
+        let lines = Arc::clone(&entry.lines);
+        std::thread::spawn(move || {
+            for line in BufReader::new(out).lines().map_while(Result::ok) {
+                lines.lock().expect("no one panics with it").push(line);
+            }
+        });
+        entry
+    }
+
+    /// Starts an instance whose standard output nobody reads.
+    pub fn start_unread(name: &str, domain: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let ports = ports();
+        let text = platform_standin::settings(name, domain, &ports, store, seeds);
+        let file = format!("auburnrouter-direct-{}-{number}.jsonc", std::process::id());
+        let file = std::env::temp_dir().join(file);
+        fs::write(&file, text).expect("the temporary place is writable");
+        let child = Command::new(env!("CARGO_BIN_EXE_auburnrouter"))
+            .args(["direct", "--settings-var", "TEST_SETTINGS"])
+            .env("TEST_SETTINGS", &file)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program is built");
+        let [callers, ready, directory, peers, _, operators] = ports;
+        Self {
+            child,
+            callers,
+            ready,
+            directory,
+            peers,
+            operators,
+            lines: Arc::default(),
+            file,
+        }
+    }
+
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, signal).expect("it runs");
+    }
+
+    /// Waits until it has ended; its exit code.
+    pub fn ended(&mut self) -> Option<i32> {
+        await_that("the process ends", || {
+            self.child.try_wait().expect("it was started").is_some()
+        });
+        self.child.wait().expect("it was started").code()
+    }
+
+    pub fn await_ready(&self) {
+        await_that("the instance is ready", || {
+            ask(self.ready, "GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+                .is_some_and(|a| a.status == 200)
+        });
+    }
+
+    /// Sends a request of a caller.
+    pub fn send(&self, method: &str, path: &str, id: &str, body: &str) -> Answer {
+        self.try_send(method, path, id, body).expect("it answers")
+    }
+
+    /// The same; `None` if the connection ends without an answer.
+    pub fn try_send(&self, method: &str, path: &str, id: &str, body: &str) -> Option<Answer> {
+        ask(self.callers, &request(method, path, id, body))
+    }
+
+    /// Its state.
+    pub fn dump(&self) -> String {
+        let found = ask(self.operators, "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n");
+        found.map(|a| a.body).unwrap_or_default()
+    }
+}
+
+pub fn request(method: &str, path: &str, id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nAffinity-Key: 7\r\nDeadline-Ms: 2500\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|h| h.0 == name);
+        found.map(|h| h.1.as_str())
+    }
+}
+
+/// Sends text on a connection of its own and reads one answer.
+pub fn ask(addr: SocketAddr, text: &str) -> Option<Answer> {
+    let mut stream = TcpStream::connect(addr).ok()?;
+    stream.set_read_timeout(Some(BOUND)).ok()?;
+    stream.write_all(text.as_bytes()).ok()?;
+    read(&mut stream)
+}
+
+/// Reads one answer.
+pub fn read(stream: &mut TcpStream) -> Option<Answer> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    let text = String::from_utf8_lossy(&head).into_owned();
+    let mut lines = text.lines();
+    let status = lines.next()?.split(' ').nth(1)?.parse().ok()?;
+    let headers: Vec<(String, String)> = lines
+        .filter_map(|l| l.split_once(": "))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
+        .collect();
+    let length = headers.iter().find(|h| h.0 == "content-length");
+    let length = length.and_then(|h| h.1.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    let body = String::from_utf8_lossy(&body).into_owned();
+    Some(Answer {
+        status,
+        headers,
+        body,
+    })
+}
+
+/// Looks again and again, for a bounded time.
+pub fn await_that(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + BOUND;
+    while !holds() {
+        assert!(Instant::now() < until, "in vain: {what}");
+        std::thread::yield_now();
+    }
+}
+
+/// A store with a configuration, targets of service `sheets`, and an instance
+/// that is ready and knows all of them.
+pub struct Bench {
+    pub store: Store,
+    pub targets: Vec<Target>,
+    pub entry: Entry,
+}
+
+impl Bench {
+    pub fn start(targets: usize) -> Self {
+        let store = Store::start().expect("a port is free");
+        store.configure(3, HOST, &ROUTES);
+        let start = |i: usize| {
+            let id = format!("t{i}");
+            let target = Target::start(&id, "sheets", "near-a").expect("a port is free");
+            target.register(&store, "ready", 1);
+            target
+        };
+        let targets: Vec<Target> = (0..targets).map(start).collect();
+        let entry = Entry::start("near-1", "near-a", store.addr(), &[]);
+        entry.await_ready();
+        let bench = Self {
+            store,
+            targets,
+            entry,
+        };
+        let last = format!("\"t{}\"", bench.targets.len() - 1);
+        await_that("all targets are known", || {
+            bench.entry.dump().contains(&last)
+        });
+        bench
+    }
+
+    /// Requests that ran, over all targets.
+    pub fn runs(&self) -> Vec<platform_standin::target::Run> {
+        self.targets.iter().flat_map(Target::runs).collect()
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/direct.rs
@@ -0,0 +1,47 @@
+//! Settings of an instance that steers straight to targets.
+
+use rstest::rstest;
+use settings::direct::Settings;
+
+const GOOD: &str = r#"{
+  // filled in by the platform
+  "name": "near-1", "domain": "near-a", "region": "near",
+  "domains": { "near-b": "near", "near-a": "near" },
+  "listen": { "callers": "127.0.0.1:1", "ready": "127.0.0.1:2", "directory": "127.0.0.1:3",
+              "peers": "127.0.0.1:4", "beats": "127.0.0.1:5", "operators": "127.0.0.1:6" },
+  "store": "127.0.0.1:7", "seeds": ["127.0.0.1:8"],
+  "memory_mb": 260, "descriptors": 4100,
+  "bounds": { "contact_s": 4, "grace_s": 6, "lifetime_s": 5, "retry_ratio": 0.2,
+              "retry_window_s": 10, "retry_slack": 58, "cold_factor": 1.5, "cold_slack": 5,
+              "shift": 0.15 }
+}"#;
+
+#[test]
+fn read_settings() {
+    let settings = Settings::parse("own", GOOD).expect("they are whole");
+    assert_eq!(&*settings.name, "near-1");
+    assert_eq!(&*settings.domains[0].0, "near-a");
+    assert!((settings.bounds.retry_ratio - 0.2).abs() < 1e-9);
+}
+
+#[rstest]
+#[case::share(r#""shift": 0.15"#, r#""shift": 1.5"#, "shift")]
+#[case::text(r#""grace_s": 6"#, r#""grace_s": "6""#, "grace_s")]
+#[case::null(r#""store": "127.0.0.1:7""#, r#""store": null"#, "string")]
+#[case::unknown(r#""memory_mb""#, r#""memory_gb""#, "memory_mb")]
+#[case::address(r#""127.0.0.1:8""#, r#""here""#, "address")]
+fn refuse_settings(#[case] good: &str, #[case] bad: &str, #[case] named: &str) {
+    let faults = Settings::parse("own", &GOOD.replacen(good, bad, 1)).expect_err("they are not");
+    let text: String = faults.iter().map(ToString::to_string).collect();
+    assert!(text.contains(named), "{text}");
+    assert!(text.starts_with("own:"), "{text}");
+}
+
+#[test]
+fn report_all_faults() {
+    let text = GOOD
+        .replacen("\"region\"", "\"regoin\"", 1)
+        .replacen("4100", "0", 1);
+    let faults = Settings::parse("own", &text).expect_err("they are not whole");
+    assert_eq!(faults.len(), 3, "{faults:?}");
+}
--- a/crates/steer/tests/direct/budget.rs
+++ b/crates/steer/tests/direct/budget.rs
@@ -42,9 +42,10 @@
                 .filter(|t| (start..start + 10_000).contains(*t))
                 .count()
         };
-        let bound = 0.2 * within(&requests) as f64 + 58.0;
-        let seen = within(&repeats) as f64;
-        assert!(seen <= bound, "{seen} repeats from {start}, bound {bound}");
+        // In fifths, so that everything stays whole.
+        let bound = within(&requests) + 5 * 58;
+        let seen = 5 * within(&repeats);
+        assert!(seen <= bound, "{seen} fifths from {start}, bound {bound}");
     }
     assert!(!repeats.is_empty() || instances == 300);
 }
