Call nothing "not run" that may have run; refuse requests that crash targets

Ruled out: the listener; the requests were taken long before. Change: such a request gets 502; requests under which two targets broke are refused and told to peers by heartbeats. Conclusion: an answer that is lost in silence is waited for; it can't be told from a slow one early enough to matter.

--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -288,6 +288,7 @@
     smol::block_on(control.run(async {
         until_stopped(&mut signals, &shared, &file).await;
         *lock(&shared.phase) = Phase::Leaving;
+        shared.note(|_, direct| direct.stop());
         events::stopping(&shared);
         near::farewell(&shared, &listeners.beats).await;
         membership.leave().await;
--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -4,17 +4,19 @@
 //! will not; everything else that fails is 502 or 504. A caller that leaves
 //! takes its request with it.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_lite::future;
 use http_body_util::{BodyExt, Limited};
-use hyper::StatusCode;
 use hyper::header::HOST;
+use hyper::{Method, StatusCode, Uri};
 use platform::headers;
 use smol::net;
 use steer::clock::Time;
 use steer::process::direct::{self, Ask, Ending, Go, Next, Order, Ticket, Why};
+use steer::request::arrival::Fingerprint;
 use steer::version::routes::{Limits, Route};
 
 use super::attempt::{self, Whole};
@@ -33,6 +35,9 @@
 /// When a caller may come back that came before a configuration was known.
 const NOT_YET: Duration = Duration::from_millis(500);
 
+/// When a caller may come back whose request crashed targets.
+const POISON: Duration = Duration::from_mins(1);
+
 /// Longest time that a request without a deadline of its own is kept waiting
 /// past its route's timeout: none.
 const PATIENCE: Duration = Duration::from_hours(1);
@@ -124,7 +129,9 @@
     let patience = caller.patience.unwrap_or(PATIENCE);
     let object = caller.object.as_ref().filter(|_| route.affinity);
     let object = object.map(|o| object_of(&route, o.as_bytes()));
+    let ip = head.extensions.get::<door::Caller>().map(|c| c.0);
     let ask = Ask {
+        print: print_of(ip, &head.method, &head.uri, object, &body),
         object,
         deadline: arrived + patience,
         route: Arc::clone(&route),
@@ -150,6 +157,19 @@
     direct::hash(route.name.as_bytes()) ^ direct::hash(object).rotate_left(17)
 }
 
+/// The same for a repeat of the same request by the same caller.
+fn print_of(
+    caller: Option<IpAddr>,
+    method: &Method,
+    uri: &Uri,
+    object: Option<u64>,
+    body: &[u8],
+) -> Fingerprint {
+    let head = format!("{caller:?} {method} {uri} {object:?}");
+    let head = u128::from(direct::hash(head.as_bytes()));
+    Fingerprint(head << 64 | u128::from(direct::hash(body)))
+}
+
 fn host(request: &Request) -> String {
     let named = request.headers().get(HOST).and_then(|h| h.to_str().ok());
     let host = named.or_else(|| request.uri().host()).unwrap_or_default();
@@ -161,7 +181,7 @@
     async fn run(self, ask: Ask) -> Response {
         let ticket = match self.shared.arrive(ask) {
             Ok((ticket, orders)) => (ticket, orders),
-            Err(why) => return self.reject(why, NOT_YET),
+            Err(why) => return self.give_up(why, NOT_YET),
         };
         let (ticket, orders) = ticket;
         let seat = Seat {
@@ -177,11 +197,7 @@
                 Some(Ok(Order::Go(go))) => go,
                 Some(Ok(Order::Reject { why, after, .. })) => {
                     drop(seat);
-                    return if why == Why::Spent {
-                        self.unknown()
-                    } else {
-                        self.reject(why, after)
-                    };
+                    return self.give_up(why, after);
                 }
                 Some(Err(_)) | None => {
                     drop(seat);
@@ -197,7 +213,7 @@
                 }
                 Next::Reject { after } => {
                     drop(seat);
-                    return self.reject(Why::Spent, after);
+                    return self.reject("rejected-by-targets", after);
                 }
             }
         }
@@ -262,21 +278,25 @@
         id.unwrap_or_default()
     }
 
+    fn give_up(&self, why: Why, after: Duration) -> Response {
+        match why {
+            Why::NoTarget => self.reject("no-target", after),
+            Why::Overload => self.reject("overload", after),
+            Why::Poison => self.reject("crashes-targets", POISON),
+            Why::Doubt => self.unknown(),
+        }
+    }
+
     /// It has not run and will not.
-    fn reject(&self, why: Why, after: Duration) -> Response {
-        let text = match why {
-            Why::NoTarget => "no-target",
-            Why::Overload => "overload",
-            Why::Spent => "rejected-by-targets",
-        };
-        let mut response = self.own(StatusCode::SERVICE_UNAVAILABLE, text);
+    fn reject(&self, why: &str, after: Duration) -> Response {
+        let mut response = self.own(StatusCode::SERVICE_UNAVAILABLE, why);
         headers::come_back(response.headers_mut(), after);
         response
     }
 
     /// Its time ended before it was sent.
     fn late(&self) -> Response {
-        self.reject(Why::Overload, Duration::ZERO)
+        self.reject("late", Duration::ZERO)
     }
 
     /// It may have run.
--- a/crates/auburnrouter/src/direct/door.rs
+++ b/crates/auburnrouter/src/direct/door.rs
@@ -8,6 +8,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -28,6 +29,10 @@
 /// An answer as it leaves.
 pub type Response = hyper::Response<Full<Bytes>>;
 
+/// Who a request comes from.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller(pub IpAddr);
+
 /// Open connections.
 #[derive(Clone, Debug, Default)]
 pub struct Count(Arc<AtomicUsize>);
@@ -95,9 +100,9 @@
             shared.closed().await;
             None
         };
-        let stream = match future::or(closing, accepted).await {
+        let (stream, addr) = match future::or(closing, accepted).await {
             None => return,
-            Some(Ok((stream, _))) => stream,
+            Some(Ok(accepted)) => accepted,
             Some(Err(_)) => {
                 smol::Timer::after(ACCEPT_PAUSE).await;
                 continue;
@@ -109,14 +114,19 @@
         let handle = handle.clone();
         let serve = async move {
             let _entered = entered;
-            connection(shared, stream, limits, handle).await;
+            connection(shared, stream, Caller(addr.ip()), limits, handle).await;
         };
         executor.spawn(serve).detach();
     }
 }
 
-async fn connection<H, F>(shared: Arc<Shared>, stream: net::TcpStream, limits: Limits, handle: H)
-where
+async fn connection<H, F>(
+    shared: Arc<Shared>,
+    stream: net::TcpStream,
+    caller: Caller,
+    limits: Limits,
+    handle: H,
+) where
     H: Fn(Arc<Shared>, Request, Serving) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
@@ -130,7 +140,8 @@
     let guarded = Guarded::new(stream, bounds, TOO_SLOW);
     let serving = guarded.serving();
     let asked = Arc::clone(&shared);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request| {
+        request.extensions_mut().insert(caller);
         let answer = handle(Arc::clone(&asked), request, serving.clone());
         let shared = Arc::clone(&asked);
         async move {
--- a/crates/auburnrouter/src/direct/near.rs
+++ b/crates/auburnrouter/src/direct/near.rs
@@ -19,7 +19,7 @@
 use tarpc::{client, context, serde_transport};
 use wire::near::{Beat, DATAGRAM, Picture};
 
-use super::{Executor, Phase, Shared, events, lock, source};
+use super::{Executor, Shared, events, lock, source};
 use crate::daemon::peers;
 
 /// Calls that an instance takes from others.
@@ -58,27 +58,26 @@
     loop {
         smol::Timer::after(SOON).await;
         count += 1;
-        let leaving = shared.phase() > Phase::Serving;
         let all = count % AFAR == 0;
         let flying = shared.read(|_, d| d.roster.flying());
         if !all && flying == quiet {
             continue;
         }
         quiet = flying;
-        send(&shared, &socket, leaving, all, count % ROW == 0).await;
+        send(&shared, &socket, all, count % ROW == 0).await;
     }
 }
 
 /// Tells everybody at once that this instance leaves.
 pub async fn farewell(shared: &Shared, socket: &net::UdpSocket) {
-    send(shared, socket, true, true, true).await;
+    send(shared, socket, true, true).await;
 }
 
-async fn send(shared: &Shared, socket: &net::UdpSocket, leaving: bool, all: bool, row: bool) {
+async fn send(shared: &Shared, socket: &net::UdpSocket, all: bool, row: bool) {
     let (beat, to) = {
         let mut steering = lock(&shared.steering);
         let now = shared.now();
-        let beat = steering.direct.beat(leaving, row);
+        let beat = steering.direct.beat(now, row);
         (beat, receivers(shared, now, &steering.direct, all))
     };
     let bytes = Beat::from(beat).encode();
--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -399,3 +399,26 @@
     assert!(printed.contains(ended), "{printed}");
     assert!(printed.contains("auburnrouter_config_version 3"));
 }
+
+/// A look-up is at a target that is slow today, and would soon be asked of
+/// another. SIGTERM comes: it ends where it is, and its caller gets the answer.
+#[test]
+fn stop_without_breaking_off_a_slow_target() {
+    let mut bench = Bench::start(2);
+    for i in 0..8 {
+        bench.entry.send("GET", "/view/x", &format!("w{i}"), "");
+    }
+    for target in &bench.targets {
+        target.set(Manner::Well, 1_500 * MS);
+    }
+    let before = bench.runs().len();
+    let mut stream = TcpStream::connect(bench.entry.callers).expect("it listens");
+    let text = request("GET", "/view/x", "r1", "");
+    stream.write_all(text.as_bytes()).expect("it is open");
+    await_that("it runs", || bench.runs().len() > before);
+    bench.entry.signal(Signal::TERM);
+    let answer = read(&mut stream).expect("it is answered");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(bench.runs().len(), before + 1);
+    assert_eq!(bench.entry.ended(), Some(0));
+}
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -22,6 +22,8 @@
 use std::sync::Arc;
 
 use crate::clock::Time;
+use crate::request::arrival::Fingerprint;
+use crate::request::poison::{STRIKES, Suspects};
 use crate::version::routes::{Route, Routes};
 
 use budget::{Budget, Rule};
@@ -70,17 +72,22 @@
     pub object: Option<u64>,
     /// When its caller stops waiting.
     pub deadline: Time,
+    /// Equal for a repeat of the same request by the same caller.
+    pub print: Fingerprint,
 }
 
-/// Why a request is rejected. It has not run and will not.
+/// Why a request is given up. But for [`Why::Doubt`] it has not run and will
+/// not.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Why {
     /// No target of its service is known.
     NoTarget,
     /// It can't be answered in time.
     Overload,
-    /// Its last attempt was rejected and there is leave for no other.
-    Spent,
+    /// It crashes the targets that run it.
+    Poison,
+    /// It may have run at a target that gave no whole answer.
+    Doubt,
 }
 
 /// A request is to be sent.
@@ -182,12 +189,20 @@
     tried: Vec<Arc<str>>,
     /// Whether an attempt may have run it.
     may_have_run: bool,
+    /// Strikes against it when it was sent last.
+    strikes: u8,
     /// Whether it is to run in another region, once that is decided.
     elsewhere: Option<bool>,
     state: State,
 }
 
 impl Job {
+    /// Why it is given up: whatever keeps it from being sent again, a request
+    /// that may have run must not be called "not run".
+    const fn why(&self, why: Why) -> Why {
+        if self.may_have_run { Why::Doubt } else { why }
+    }
+
     fn objective(&self) -> Time {
         self.arrived + self.ask.route.goal
     }
@@ -229,6 +244,8 @@
     paces: Vec<(Arc<str>, Pace)>,
     members: Members,
     store: Touch,
+    leaving: bool,
+    suspects: Suspects,
     beats: u64,
     instances: usize,
     jobs: Vec<Job>,
@@ -247,8 +264,11 @@
 const AFTER_LEAST: Duration = Duration::from_millis(150);
 const AFTER_MOST: Duration = Duration::from_secs(2);
 
+/// Time for which heartbeats tell of a request that broke a target.
+const TOLD: Duration = Duration::from_secs(5);
+
 /// Time kept free at the end of a request's limit to write its last answer.
-const SPARE: Duration = Duration::from_millis(20);
+const SPARE: Duration = Duration::from_millis(30);
 
 impl Direct {
     /// Nothing known yet.
@@ -265,6 +285,8 @@
             paces: Vec::new(),
             members: Members::default(),
             store: Touch::default(),
+            leaving: false,
+            suspects: Suspects::default(),
             beats: 0,
             instances: 1,
             jobs: Vec::new(),
@@ -356,22 +378,32 @@
 
     /// Takes another instance's heartbeat.
     pub fn hear(&mut self, now: Time, beat: Beat) {
+        for (print, strikes) in &beat.struck {
+            self.suspects.told(now, Fingerprint(*print), *strikes);
+        }
         self.members.hear(now, beat);
         self.roster.hear(now, &self.members);
         self.recount(now);
     }
 
+    /// The process was told to stop; heartbeats say so from now on.
+    pub const fn stop(&mut self) {
+        self.leaving = true;
+    }
+
     /// This instance's heartbeat; with its row for those who may not know it.
-    pub fn beat(&mut self, leaving: bool, row: bool) -> Beat {
+    pub fn beat(&mut self, now: Time, row: bool) -> Beat {
         self.beats += 1;
+        let struck = self.suspects.lately(now, TOLD);
         Beat {
             name: Arc::clone(&self.home.name),
             life: self.home.life,
             seq: self.beats,
-            leaving,
+            leaving: self.leaving,
             revision: self.store.revision,
             version: self.routes.as_ref().map_or(0, |r| r.version),
             row: row.then(|| self.home.row.clone()),
+            struck: struck.map(|c| (c.print.0, c.strikes)).collect(),
             flying: self.roster.flying(),
         }
     }
@@ -390,6 +422,7 @@
 
     /// Forgets what is gone. Names targets that were missing and are dropped.
     pub fn sweep(&mut self, now: Time) -> Vec<Arc<str>> {
+        self.suspects.forget(now);
         self.members.sweep(now);
         self.roster.hear(now, &self.members);
         self.recount(now);
@@ -424,15 +457,18 @@
     /// A request has arrived; [`Direct::step`] says what becomes of it.
     ///
     /// # Errors
-    /// If its route has no service.
+    /// If its route has no service, or it has crashed targets before.
     pub fn arrive(&mut self, now: Time, ask: Ask) -> Result<Ticket, Why> {
+        if self.suspects.strikes(ask.print) >= STRIKES {
+            return Err(Why::Poison);
+        }
         let offset = unit(hash(self.home.name.as_bytes()));
         let service = self.splits.next(&ask.route, offset).ok_or(Why::NoTarget)?;
         let rule = self.bounds.repeats;
         self.budget(&service).request(now, &rule);
         let ticket = Ticket(self.next);
         self.next += 1;
-        let limit = ask.deadline.min(now + ask.route.timeout);
+        let limit = (ask.deadline - SPARE).min(now + ask.route.timeout);
         self.jobs.push(Job {
             ticket,
             ask,
@@ -441,6 +477,7 @@
             limit,
             tried: Vec::new(),
             may_have_run: false,
+            strikes: 0,
             elsewhere: None,
             state: State::Waiting,
         });
@@ -478,6 +515,7 @@
             return Next::Settled;
         };
         self.landed(&target);
+        self.judge(now, &self.jobs[at].clone(), &target, since, ending);
         let took = now.since(since).as_secs_f64();
         let object = self.jobs[at].ask.object;
         if let Some(target) = self.roster.get_mut(&target) {
@@ -507,6 +545,23 @@
         self.after_failure(now, at, ending)
     }
 
+    /// What an ending says for or against the request itself: one that crashes
+    /// its targets comes again and again, at any instance.
+    fn judge(&mut self, now: Time, job: &Job, target: &Arc<str>, since: Time, ending: Ending) {
+        let print = job.ask.print;
+        match ending {
+            Ending::Broken => {
+                self.suspects.strike(now, job.strikes, print, target);
+            }
+            Ending::Answered if !self.suspects.is_empty() => {
+                self.suspects.clear(print);
+                // What follows is told by the next heartbeats.
+                self.suspects.survived(target, since, &mut Vec::new());
+            }
+            _ => {}
+        }
+    }
+
     /// Whether a request whose attempt failed is tried elsewhere.
     fn after_failure(&mut self, now: Time, at: usize, ending: Ending) -> Next {
         let not_run = matches!(
@@ -515,7 +570,8 @@
         );
         let job = &mut self.jobs[at];
         job.may_have_run |= !not_run;
-        let again = !job.may_have_run || job.ask.route.idempotent;
+        let crashes = self.suspects.strikes(job.ask.print) >= STRIKES;
+        let again = !crashes && (!job.may_have_run || job.ask.route.idempotent);
         let left = job.tried.len() < job.ask.route.attempts.max(1);
         let time = now + SPARE < job.limit;
         let service = Arc::clone(&job.service);
@@ -586,11 +642,8 @@
         if hopeless || (far_off && held <= goal * HOLD) {
             let job = self.jobs.remove(at);
             let after = Self::after(&job, best.wait);
-            return Some(Order::Reject {
-                ticket,
-                why: Why::Overload,
-                after,
-            });
+            let why = job.why(Why::Overload);
+            return Some(Order::Reject { ticket, why, after });
         }
         self.roster.all_mut()[best.index].reserved += 1;
         None
@@ -606,11 +659,7 @@
             return None;
         }
         let job = self.jobs.remove(at);
-        let why = if job.may_have_run {
-            Why::Spent
-        } else {
-            Why::NoTarget
-        };
+        let why = job.why(Why::NoTarget);
         let after = Self::after(&job, 0.0);
         Some(Order::Reject {
             ticket: job.ticket,
@@ -633,6 +682,7 @@
         let id = Arc::clone(&target.entry.id);
         let addr = target.entry.addr;
         let job = &mut self.jobs[at];
+        job.strikes = self.suspects.strikes(job.ask.print);
         job.tried.push(Arc::clone(&id));
         job.state = State::At {
             target: Arc::clone(&id),
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -56,6 +56,8 @@
     pub row: Option<Row>,
     /// Requests that it has at targets: the target's mark, and how many.
     pub flying: Vec<(u32, u8)>,
+    /// Requests under which targets broke lately: fingerprint, and strikes.
+    pub struck: Vec<(u128, u8)>,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/steer/src/request/poison.rs
+++ b/crates/steer/src/request/poison.rs
@@ -135,6 +135,15 @@
         })
     }
 
+    /// Requests that were struck within `span`, for peers.
+    pub fn lately(&self, now: Time, span: Duration) -> impl Iterator<Item = Change> {
+        let fresh = self.entries.iter().filter(move |e| now.since(e.at) < span);
+        fresh.map(|entry| Change {
+            print: entry.print,
+            strikes: entry.strikes(),
+        })
+    }
+
     /// The request succeeded: it doesn't crash targets.
     pub fn clear(&mut self, print: Fingerprint) -> Option<Change> {
         let at = self.find(print)?;
--- a/crates/steer/tests/direct/bench.rs
+++ b/crates/steer/tests/direct/bench.rs
@@ -8,6 +8,7 @@
 use steer::process::direct::members::{Beat, Row};
 use steer::process::direct::roster::Entry;
 use steer::process::direct::{Ask, Bounds, Direct, Ending, Go, Home, Next, Order, Ticket};
+use steer::request::arrival::Fingerprint;
 use steer::version::routes::{Limits, Part, Route, Routes, Service};
 
 pub const MS: Duration = Duration::from_millis(1);
@@ -37,6 +38,7 @@
         version: 0,
         row: Some(row("near")),
         flying: Vec::new(),
+        struck: Vec::new(),
     }
 }
 
@@ -131,6 +133,7 @@
             route: Arc::clone(&self.route),
             object,
             deadline: now + Duration::from_secs(4),
+            print: Fingerprint(1),
         };
         self.direct
             .arrive(now, ask)
--- a/crates/wire/src/near.rs
+++ b/crates/wire/src/near.rs
@@ -13,7 +13,10 @@
 pub const DATAGRAM: usize = 1200;
 
 /// Targets named in one heartbeat: what fits a datagram beside the rest.
-pub const FLYING_MOST: usize = 150;
+pub const FLYING_MOST: usize = 120;
+
+/// Requests named in one heartbeat that broke targets.
+pub const STRUCK_MOST: usize = 16;
 
 /// A heartbeat that can't be read.
 #[derive(Debug, Error)]
@@ -46,6 +49,7 @@
     version: u64,
     row: Option<Row>,
     flying: Vec<(u32, u8)>,
+    struck: Vec<(u128, u8)>,
 }
 
 /// One item of the platform's store, as its reader got it.
@@ -111,6 +115,8 @@
     fn from(beat: members::Beat) -> Self {
         let mut flying = beat.flying;
         flying.truncate(FLYING_MOST);
+        let mut struck = beat.struck;
+        struck.truncate(STRUCK_MOST);
         Self {
             name: beat.name.as_ref().to_owned(),
             life: beat.life,
@@ -120,6 +126,7 @@
             version: beat.version,
             row: beat.row.map(Into::into),
             flying,
+            struck,
         }
     }
 }
@@ -137,6 +144,7 @@
             version: beat.version,
             row: beat.row.map(Into::into),
             flying,
+            struck: beat.struck,
         }
     }
 }
