--- a/crates/auburnrouter/src/direct/near.rs
+++ b/crates/auburnrouter/src/direct/near.rs
@@ -32,13 +32,13 @@
 
 /// Time between heartbeats to instances of the own region, which share targets
 /// and so need each other's counts.
-const SOON: Duration = Duration::from_millis(100);
+const SOON: Duration = Duration::from_millis(250);
 
 /// Every how many of them goes to instances of other regions too.
-const AFAR: u64 = 5;
+const AFAR: u64 = 2;
 
 /// Every how many of them carries the row.
-const ROW: u64 = 10;
+const ROW: u64 = 4;
 
 /// Instances of the own region that get each heartbeat, and all others; in
 /// larger fleets counts of further ones aren't worth their bytes.
