--- a/crates/auburnrouter/src/direct/near.rs
+++ b/crates/auburnrouter/src/direct/near.rs
@@ -35,10 +35,10 @@
 const SOON: Duration = Duration::from_millis(250);
 
 /// Every how many of them goes to instances of other regions too.
-const AFAR: u64 = 2;
+const AFAR: u64 = 3;
 
 /// Every how many of them carries the row.
-const ROW: u64 = 4;
+const ROW: u64 = 6;
 
 /// Instances of the own region that get each heartbeat, and all others; in
 /// larger fleets counts of further ones aren't worth their bytes.
@@ -78,21 +78,37 @@
         let mut steering = lock(&shared.steering);
         let now = shared.now();
         let beat = steering.direct.beat(now, row);
-        (beat, receivers(shared, now, &steering.direct, all))
+        (beat, receivers(shared, now, &steering.direct))
     };
-    let bytes = Beat::from(beat).encode();
-    for addr in to {
+    // What targets of this region have and hold is of no use elsewhere, and
+    // bytes between regions are the dearest.
+    let far = members::Beat {
+        flying: Vec::new(),
+        held: Vec::new(),
+        ..beat.clone()
+    };
+    let near = Beat::from(beat).encode();
+    let far = Beat::from(far).encode();
+    for addr in to.near {
         // As good as lost: the next one is due in a moment.
-        let _ = socket.send_to(&bytes, addr).await;
+        let _ = socket.send_to(&near, addr).await;
+    }
+    for addr in to.far.into_iter().filter(|_| all) {
+        let _ = socket.send_to(&far, addr).await;
     }
 }
 
+/// Who gets a heartbeat.
+struct Receivers {
+    near: Vec<SocketAddr>,
+    far: Vec<SocketAddr>,
+}
+
 fn receivers(
     shared: &Shared,
     now: steer::clock::Time,
     direct: &steer::process::direct::Direct,
-    all: bool,
-) -> Vec<SocketAddr> {
+) -> Receivers {
     let own = &shared.settings.region;
     let (mut near, mut far) = (Vec::new(), Vec::new());
     for (name, row) in direct.others(now) {
@@ -106,8 +122,12 @@
     near.sort_unstable();
     near.truncate(NEAR_MOST);
     far.sort_unstable();
-    far.truncate(if all { FAR_MOST } else { 0 });
-    near.into_iter().chain(far).map(|r| r.1).collect()
+    far.truncate(FAR_MOST);
+    let addrs = |list: Vec<(u64, SocketAddr)>| list.into_iter().map(|r| r.1).collect();
+    Receivers {
+        near: addrs(near),
+        far: addrs(far),
+    }
 }
 
 /// Spreads who tells whom, the same both ways.
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -246,6 +246,10 @@
     store: Touch,
     leaving: bool,
     suspects: Suspects,
+    /// Objects that targets have come to hold since the last heartbeat.
+    news: Vec<(u32, u32)>,
+    /// How far heartbeats have told all that targets hold.
+    told: usize,
     beats: u64,
     instances: usize,
     jobs: Vec<Job>,
@@ -264,6 +268,12 @@
 const AFTER_LEAST: Duration = Duration::from_millis(150);
 const AFTER_MOST: Duration = Duration::from_secs(2);
 
+/// Objects at targets that one heartbeat tells of as news ...
+const HELD_MOST: usize = 32;
+/// ... and in turn when there are none: all that a small region's targets hold
+/// within a few seconds.
+const HELD_TURN: usize = 12;
+
 /// Time for which heartbeats tell of a request that broke a target.
 const TOLD: Duration = Duration::from_secs(5);
 
@@ -287,6 +297,8 @@
             store: Touch::default(),
             leaving: false,
             suspects: Suspects::default(),
+            news: Vec::new(),
+            told: 0,
             beats: 0,
             instances: 1,
             jobs: Vec::new(),
@@ -381,6 +393,9 @@
         for (print, strikes) in &beat.struck {
             self.suspects.told(now, Fingerprint(*print), *strikes);
         }
+        for (mark, object) in &beat.held {
+            self.roster.told_held(now, *mark, *object);
+        }
         self.members.hear(now, beat);
         self.roster.hear(now, &self.members);
         self.recount(now);
@@ -394,6 +409,7 @@
     /// This instance's heartbeat; with its row for those who may not know it.
     pub fn beat(&mut self, now: Time, row: bool) -> Beat {
         self.beats += 1;
+        let held = self.held(now);
         let struck = self.suspects.lately(now, TOLD);
         Beat {
             name: Arc::clone(&self.home.name),
@@ -403,11 +419,28 @@
             revision: self.store.revision,
             version: self.routes.as_ref().map_or(0, |r| r.version),
             row: row.then(|| self.home.row.clone()),
+            held,
             struck: struck.map(|c| (c.print.0, c.strikes)).collect(),
             flying: self.roster.flying(),
         }
     }
 
+    /// What heartbeats tell of objects at targets: the news, and a part of all
+    /// that is known, in turn, for instances that have just started.
+    fn held(&mut self, now: Time) -> Vec<(u32, u32)> {
+        let mut held = core::mem::take(&mut self.news);
+        let all = self.roster.held(now, &self.home.region);
+        held.truncate(HELD_MOST);
+        if !held.is_empty() {
+            return held;
+        }
+        let room = HELD_TURN.min(all.len());
+        let turn = all.iter().cycle().skip(self.told % all.len().max(1));
+        held.extend(turn.take(room));
+        self.told = self.told.wrapping_add(room);
+        held
+    }
+
     /// Other instances that are there, with where they are reached.
     pub fn others(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Row)> {
         self.members.present(now, self.is_in_touch(now))
@@ -523,8 +556,11 @@
                 Ending::Answered => {
                     let ratio = (!queued).then_some(took / expected.max(0.001));
                     target.answered(ratio);
-                    if let Some(object) = object {
-                        target.warmed(now, object);
+                    if let Some(object) = object
+                        && target.handled(now, mark_of(object), true)
+                    {
+                        let mark = members::mark(&target.entry.id);
+                        self.news.push((mark, mark_of(object)));
                     }
                 }
                 Ending::Failed | Ending::NotRun | Ending::Garbled | Ending::Late => {
@@ -772,6 +808,16 @@
     (mixed ^ (mixed >> 32)).wrapping_mul(0x9E37_79B9_7F4A_7C15)
 }
 
+/// A part of an object's hash, by which targets' objects are remembered.
+#[must_use]
+#[allow(
+    clippy::cast_possible_truncation,
+    reason = "a mark is a part of the hash"
+)]
+pub const fn mark_of(object: u64) -> u32 {
+    (object >> 32) as u32
+}
+
 /// A hash as a number from 0 to 1.
 #[must_use]
 pub fn unit(hash: u64) -> f64 {
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -56,6 +56,9 @@
     pub row: Option<Row>,
     /// Requests that it has at targets: the target's mark, and how many.
     pub flying: Vec<(u32, u8)>,
+    /// Objects that targets of its region hold: the target's mark, and the
+    /// object's.
+    pub held: Vec<(u32, u32)>,
     /// Requests under which targets broke lately: fingerprint, and strikes.
     pub struck: Vec<(u128, u8)>,
 }
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 use super::roster::Target;
-use super::{Direct, FADE, Job, hash, unit};
+use super::{Direct, FADE, Job, hash, mark_of, unit};
 use crate::clock::Time;
 
 /// A target for a request.
@@ -141,7 +141,7 @@
                 continue;
             }
             let object = job.ask.object;
-            let warm = object.is_some_and(|o| target.is_warm(now, o));
+            let warm = object.is_some_and(|o| target.holds(now, mark_of(o)));
             let base = match (warm, first == Some(index)) {
                 (true, _) => work.warm,
                 // Others of this region send the object there too.
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -54,6 +54,16 @@
 /// Weight of a new sample in the moving means of a target.
 const SAMPLE: f64 = 0.2;
 
+/// An object that a target handled lately.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    object: u32,
+    at: Time,
+    /// Whether this instance sent it there. Only that is told to others: what
+    /// was heard would be told to and fro for ever.
+    own: bool,
+}
+
 /// One target and what this instance knows of it.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -83,7 +93,8 @@
     aside: Time,
     cold_until: Time,
     sent_at: VecDeque<Time>,
-    warm: Vec<(u64, Time)>,
+    /// Sorted by object.
+    held: Vec<Held>,
 }
 
 impl Target {
@@ -106,7 +117,7 @@
             aside: Time::ZERO,
             cold_until,
             sent_at: VecDeque::new(),
-            warm: Vec::new(),
+            held: Vec::new(),
         }
     }
 
@@ -151,24 +162,45 @@
 
     /// Whether an object was handled lately, as far as this instance knows.
     #[must_use]
-    pub fn is_warm(&self, now: Time, object: u64) -> bool {
-        let found = self.warm.binary_search_by_key(&object, |w| w.0);
-        found.is_ok_and(|at| now.since(self.warm[at].1) < WARM_SPAN)
+    pub fn holds(&self, now: Time, object: u32) -> bool {
+        let found = self.held.binary_search_by_key(&object, |h| h.object);
+        found.is_ok_and(|at| now.since(self.held[at].at) < WARM_SPAN)
     }
 
-    /// Notes that it has handled an object.
-    pub fn warmed(&mut self, now: Time, object: u64) {
-        match self.warm.binary_search_by_key(&object, |w| w.0) {
-            Ok(at) => self.warm[at].1 = now,
+    /// Notes that it has handled an object, for this instance or for another.
+    /// Says whether that is news.
+    pub fn handled(&mut self, now: Time, object: u32, own: bool) -> bool {
+        let held = Held {
+            object,
+            at: now,
+            own,
+        };
+        match self.held.binary_search_by_key(&object, |h| h.object) {
+            Ok(at) => {
+                let known = self.held[at];
+                let lapsed = now.since(known.at) >= WARM_SPAN;
+                // Another's word doesn't make what was seen here its own.
+                if own || !known.own || lapsed {
+                    self.held[at] = held;
+                }
+                lapsed || own && !known.own
+            }
             Err(at) => {
-                self.warm.insert(at, (object, now));
-                if self.warm.len() > WARM_MOST {
-                    self.warm.retain(|w| now.since(w.1) < WARM_SPAN / 2);
+                self.held.insert(at, held);
+                if self.held.len() > WARM_MOST {
+                    self.held.retain(|h| now.since(h.at) < WARM_SPAN / 2);
                 }
+                true
             }
         }
     }
 
+    /// Objects that this instance sent there lately.
+    fn own_held(&self, now: Time) -> impl Iterator<Item = u32> {
+        let own = move |h: &&Held| h.own && now.since(h.at) < WARM_SPAN;
+        self.held.iter().filter(own).map(|h| h.object)
+    }
+
     /// Requests of this instance sent to it within [`COLD_SPAN`].
     #[must_use]
     pub fn sent_lately(&self, now: Time) -> usize {
@@ -313,6 +345,23 @@
         flying
     }
 
+    /// Objects that targets of a region hold by what this instance sent them:
+    /// the target's mark, and the object.
+    #[must_use]
+    pub fn held(&self, now: Time, region: &str) -> Vec<(u32, u32)> {
+        let near = self.targets.iter().filter(|t| *t.region == *region);
+        let open = near.filter(|t| t.is_open());
+        open.flat_map(|t| t.own_held(now).map(|object| (t.mark, object)))
+            .collect()
+    }
+
+    /// Another instance says that the target of this mark holds an object.
+    pub fn told_held(&mut self, now: Time, mark: u32, object: u32) {
+        if let Some(target) = self.targets.iter_mut().find(|t| t.mark == mark) {
+            target.handled(now, object, false);
+        }
+    }
+
     /// Names of all listed targets, in order.
     #[must_use]
     pub fn listed(&self) -> Vec<Arc<str>> {
@@ -350,7 +399,7 @@
         for target in &mut self.targets {
             if back.contains(&target.entry.domain) {
                 target.chill(now + warmup);
-                target.warm.clear();
+                target.held.clear();
             }
         }
         self.evacuated = domains;
--- a/crates/steer/tests/direct/bench.rs
+++ b/crates/steer/tests/direct/bench.rs
@@ -38,6 +38,7 @@
         version: 0,
         row: Some(row("near")),
         flying: Vec::new(),
+        held: Vec::new(),
         struck: Vec::new(),
     }
 }
--- a/crates/steer/tests/direct/members.rs
+++ b/crates/steer/tests/direct/members.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 use steer::process::direct::members::{Beat, Members, mark};
 
-use super::bench::{Bench, at, beat, entry, route, row};
+use super::bench::{Bench, MS, at, beat, entry, route, row};
 
 fn names(members: &Members, millis: u64, store: bool) -> Vec<String> {
     let present = members.present(at(millis), store);
@@ -96,3 +96,29 @@
         assert_eq!(&*bench.send(at(1 + i), None).target, "t2");
     }
 }
+
+/// One instance has sent an object to a target; another of the region gets a
+/// request for it. It goes where the object is, and not to begin anew. What was
+/// only heard is not told on, or it would be believed for ever.
+#[test]
+fn learn_where_objects_are() {
+    let targets = ["t1", "t2", "t3", "t4"].map(|id| entry(id, "near-a"));
+    let mut one = Bench::new(route(), &targets);
+    let mut other = Bench::new(route(), &targets);
+    let object = 0x1234_5678_0000_0001;
+    let target = one.serve(at(0), object, MS * 900).target;
+    let told = one.direct.beat(at(1_000), false);
+    assert_eq!(told.held.len(), 1);
+    other.direct.hear(
+        at(1_000),
+        Beat {
+            held: told.held,
+            ..beat("near-2", 1)
+        },
+    );
+    let go = other.send(at(1_010), Some(object));
+    assert_eq!((go.target, go.warm), (target, true));
+    assert!(other.direct.beat(at(1_020), false).held.is_empty());
+    // In turn, for who has just started.
+    assert_eq!(one.direct.beat(at(2_000), false).held.len(), 1);
+}
--- a/crates/wire/src/near.rs
+++ b/crates/wire/src/near.rs
@@ -13,7 +13,7 @@
 pub const DATAGRAM: usize = 1200;
 
 /// Targets named in one heartbeat: what fits a datagram beside the rest.
-pub const FLYING_MOST: usize = 120;
+pub const FLYING_MOST: usize = 80;
 
 /// Requests named in one heartbeat that broke targets.
 pub const STRUCK_MOST: usize = 16;
@@ -49,6 +49,7 @@
     version: u64,
     row: Option<Row>,
     flying: Vec<(u32, u8)>,
+    held: Vec<(u32, u32)>,
     struck: Vec<(u128, u8)>,
 }
 
@@ -126,6 +127,7 @@
             version: beat.version,
             row: beat.row.map(Into::into),
             flying,
+            held: beat.held,
             struck,
         }
     }
@@ -144,6 +146,7 @@
             version: beat.version,
             row: beat.row.map(Into::into),
             flying,
+            held: beat.held,
             struck: beat.struck,
         }
     }
