--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -18,14 +18,14 @@
 
 use std::io;
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
-use settings::direct::Settings;
+use settings::direct::{Listen, Settings};
 use smol::net;
 use steer::clock::Time;
 use steer::process::direct::budget::Rule;
@@ -66,7 +66,10 @@
 
 /// State that both threads share.
 pub(crate) struct Shared {
+    /// The settings, with the addresses that are in fact listened on.
     settings: Settings,
+    /// The settings as they were read.
+    given: Settings,
     start: Instant,
     steering: Mutex<Steering>,
     /// What the store holds, for instances that can't read it.
@@ -86,6 +89,8 @@
     /// Callers' open connections.
     count: door::Count,
     metrics: metrics::Metrics,
+    /// Bytes of callers' bodies that are held.
+    bodies: Arc<AtomicUsize>,
     quota: events::Quota,
 }
 
@@ -110,6 +115,7 @@
 impl Shared {
     fn new(
         settings: Settings,
+        given: Settings,
         waiting: async_channel::Sender<()>,
         traffic: &Executor,
         control: &Executor,
@@ -144,8 +150,10 @@
             store: platform::store::Store::new(store, settings.store),
             count: door::Count::default(),
             metrics: metrics::Metrics::new()?,
+            bodies: Arc::default(),
             quota: events::Quota::default(),
             settings,
+            given,
         })
     }
 
@@ -267,11 +275,16 @@
 /// If it can't start.
 pub fn run(settings: Settings, file: &Path) -> Result<(), Failure> {
     let listeners = Listeners::bind(&settings)?;
+    let given = settings.clone();
+    let settings = Settings {
+        listen: listeners.addresses()?,
+        ..settings
+    };
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let traffic: Executor = Arc::new(smol::Executor::new());
     let control: Executor = Arc::new(smol::Executor::new());
     let (waiting, waits) = async_channel::bounded(1);
-    let shared = Arc::new(Shared::new(settings, waiting, &traffic, &control)?);
+    let shared = Arc::new(Shared::new(settings, given, waiting, &traffic, &control)?);
     events::started(&shared);
     let membership = Arc::new(member::Membership::new(Arc::clone(&shared)));
     spawn_traffic(&shared, &traffic, waits, listeners.callers.clone());
@@ -418,6 +431,18 @@
 }
 
 impl Listeners {
+    /// Where they listen: port 0 leaves that to the system.
+    fn addresses(&self) -> Result<Listen, Failure> {
+        Ok(Listen {
+            callers: self.callers.local_addr()?,
+            ready: self.ready.local_addr()?,
+            directory: self.directory.local_addr()?,
+            peers: self.peers.local_addr()?,
+            beats: self.beats.local_addr()?,
+            operators: self.operators.local_addr()?,
+        })
+    }
+
     fn bind(settings: &Settings) -> Result<Self, Failure> {
         let bind = |addr| {
             future::block_on(net::TcpListener::bind(addr)).map_err(|e| Failure::Listen(addr, e))
--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -6,10 +6,12 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use futures_lite::future;
 use http_body_util::{BodyExt, Limited};
+use hyper::body::Body;
 use hyper::header::HOST;
 use hyper::{Method, StatusCode, Uri};
 use platform::headers;
@@ -66,6 +68,42 @@
     )
 }
 
+/// Part of the process's memory that callers' bodies may take together. Each
+/// is held whole, and once more where it is sent.
+const BODIES: usize = 4;
+
+/// Memory for one body, for as long as its request is here. A few callers with
+/// long bodies would otherwise have the process killed, with all others'
+/// requests.
+struct Room {
+    held: Arc<AtomicUsize>,
+    bytes: usize,
+}
+
+impl Room {
+    /// Room for a body of the length that the request says, or of `most`.
+    fn take(shared: &Shared, request: &Request, most: usize) -> Option<Self> {
+        let said = request.body().size_hint().exact();
+        let bytes = said.and_then(|b| usize::try_from(b).ok()).unwrap_or(most);
+        let bytes = bytes.min(most);
+        let memory = usize::try_from(shared.settings.memory).unwrap_or(usize::MAX);
+        let all = memory.saturating_mul(1 << 20) / BODIES;
+        let room = Self {
+            held: Arc::clone(&shared.bodies),
+            bytes,
+        };
+        let before = room.held.fetch_add(bytes, Ordering::Relaxed);
+        // Dropped here, it gives back what it has just taken.
+        (before + bytes <= all).then_some(room)
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        self.held.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 /// Takes a request out of steering when its future is dropped: its caller has
 /// closed the connection.
 struct Seat {
@@ -107,8 +145,19 @@
     let host = host(&request);
     let Some(route) = routes.find(&host, request.uri().path()).cloned() else {
         serving.begin();
+        // The route may have been added while the store was out of touch; after
+        // a 404 the caller would ask nowhere else.
+        if !shared.read(|now, d| d.is_in_touch(now)) {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return reject(&shared, &caller, "", status, "no-route-known", NOT_YET);
+        }
         return own(&shared, &caller, "", StatusCode::NOT_FOUND, "no-route", 0);
     };
+    let Some(_room) = Room::take(&shared, &request, routes.limits.body) else {
+        serving.begin();
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return reject(&shared, &caller, &route.name, status, "memory", NOT_YET);
+    };
     let (head, body) = request.into_parts();
     let body = match Limited::new(body, routes.limits.body).collect().await {
         Ok(body) => body.to_bytes(),
--- a/crates/auburnrouter/src/direct/events.rs
+++ b/crates/auburnrouter/src/direct/events.rs
@@ -3,6 +3,7 @@
 //!
 //! Invariant: names of events and fields stand here and nowhere else.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Mutex;
 
@@ -104,6 +105,13 @@
     domain: &'a str,
     region: &'a str,
     version: &'a str,
+    /// Where it listens.
+    callers: SocketAddr,
+    ready: SocketAddr,
+    directory: SocketAddr,
+    peers: SocketAddr,
+    beats: SocketAddr,
+    operators: SocketAddr,
 }
 
 /// The process has started.
@@ -114,6 +122,12 @@
         domain: &settings.domain,
         region: &settings.region,
         version: env!("CARGO_PKG_VERSION"),
+        callers: settings.listen.callers,
+        ready: settings.listen.ready,
+        directory: settings.listen.directory,
+        peers: settings.listen.peers,
+        beats: settings.listen.beats,
+        operators: settings.listen.operators,
     };
     write(shared, "start", fields);
 }
@@ -151,7 +165,7 @@
         Err(_) => "unreadable",
         Ok(text) => match settings::direct::Settings::parse(&name, &text) {
             Err(_) => "faulty",
-            Ok(new) if new == shared.settings => "same",
+            Ok(new) if new == shared.given => "same",
             Ok(_) => "changed, in force at the next start",
         },
     };
@@ -238,13 +252,13 @@
 
 #[derive(Serialize)]
 struct Asked<'a> {
-    peer: std::net::SocketAddr,
+    peer: SocketAddr,
     known: u64,
     outcome: &'a str,
 }
 
 /// Another instance was asked for what this one has missed.
-pub fn asked(shared: &Shared, peer: std::net::SocketAddr, known: u64, outcome: &str) {
+pub fn asked(shared: &Shared, peer: SocketAddr, known: u64, outcome: &str) {
     let fields = Asked {
         peer,
         known,
--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -378,7 +378,7 @@
     store.configure(1, HOST, &ROUTES);
     let target = Target::start("t0", "sheets", "near-a").expect("a port is free");
     target.register(&store, "ready", 1);
-    let entry = Entry::start_unread("near-1", "near-a", store.addr(), &[]);
+    let (entry, _unread) = Entry::start_unread("near-1", "near-a", store.addr(), &[]);
     entry.await_ready();
     // A pipe holds 64 KiB, some two hundred lines.
     for i in 0..600 {
@@ -422,3 +422,44 @@
     assert_eq!(bench.runs().len(), before + 1);
     assert_eq!(bench.entry.ended(), Some(0));
 }
+
+/// Callers send bodies of a length that would take all memory together. Those
+/// beyond a quarter of it are told to come back; others are served.
+#[test]
+fn bound_memory_of_bodies() {
+    let bench = Bench::start(1);
+    bench.store.configure_limits(9, HOST, &ROUTES, 64 << 20);
+    await_that("the new limits are in force", || {
+        bench.entry.dump().contains("\"version\":9")
+    });
+    let begin = |id: &str| {
+        let mut stream = TcpStream::connect(bench.entry.callers).expect("it listens");
+        let length = 40 << 20;
+        let head = format!(
+            "PUT /pay/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nContent-Length: {length}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).expect("it is open");
+        stream
+    };
+    let _held = begin("r1");
+    await_that("a second one has no room", || {
+        let mut stream = begin("r2");
+        stream
+            .set_read_timeout(Some(100 * MS))
+            .expect("the time isn't zero");
+        read(&mut stream).is_some_and(|a| a.status == 503)
+    });
+    assert_eq!(bench.entry.send("GET", "/view/x", "r3", "").status, 200);
+}
+
+/// The store is away, and a caller asks for a route that may have been added
+/// meanwhile. "Come back" rather than "there is none".
+#[test]
+fn doubt_missing_route_without_store() {
+    let bench = Bench::start(1);
+    assert_eq!(bench.entry.send("GET", "/added/x", "r1", "").status, 404);
+    bench.store.set(Mode::Busy);
+    await_that("it is out of touch", || {
+        bench.entry.send("GET", "/added/x", "r2", "").status == 503
+    });
+}
--- a/crates/auburnrouter/tests/direct/bench.rs
+++ b/crates/auburnrouter/tests/direct/bench.rs
@@ -2,9 +2,9 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -53,53 +53,58 @@
     }
 }
 
-/// Ports that are free now. They are held together, so that all differ.
-fn ports() -> [SocketAddr; 6] {
-    let held: [TcpListener; 6] =
-        core::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a port is free"));
-    held.map(|l| l.local_addr().expect("it listens"))
-}
-
 impl Entry {
     /// Starts an instance and reads its lines.
     pub fn start(name: &str, domain: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        let mut entry = Self::start_unread(name, domain, store, seeds);
-        let out = entry.child.stdout.take().expect("it is piped");
+        let (entry, out) = Self::start_unread(name, domain, store, seeds);
         let lines = Arc::clone(&entry.lines);
         std::thread::spawn(move || {
-            for line in BufReader::new(out).lines().map_while(Result::ok) {
+            for line in out.lines().map_while(Result::ok) {
                 lines.lock().expect("no one panics with it").push(line);
             }
         });
         entry
     }
 
-    /// Starts an instance whose standard output nobody reads.
-    pub fn start_unread(name: &str, domain: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+    /// Starts an instance whose lines nobody reads, but for the first, which
+    /// says where it listens.
+    pub fn start_unread(
+        name: &str,
+        domain: &str,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+    ) -> (Self, BufReader<ChildStdout>) {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let ports = ports();
-        let text = platform_standin::settings(name, domain, &ports, store, seeds);
+        let text = platform_standin::settings(name, domain, store, seeds);
         let file = format!("auburnrouter-direct-{}-{number}.jsonc", std::process::id());
         let file = std::env::temp_dir().join(file);
         fs::write(&file, text).expect("the temporary place is writable");
-        let child = Command::new(env!("CARGO_BIN_EXE_auburnrouter"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_auburnrouter"))
             .args(["direct", "--settings-var", "TEST_SETTINGS"])
             .env("TEST_SETTINGS", &file)
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program is built");
-        let [callers, ready, directory, peers, _, operators] = ports;
-        Self {
+        let mut out = BufReader::new(child.stdout.take().expect("it is piped"));
+        let mut first = String::new();
+        out.read_line(&mut first).expect("it says where it listens");
+        let first: serde_json::Value = serde_json::from_str(&first).expect("a line is JSON");
+        let addr = |name: &str| {
+            let text = first[name].as_str().unwrap_or_default();
+            text.parse().expect("the line names all addresses")
+        };
+        let entry = Self {
             child,
-            callers,
-            ready,
-            directory,
-            peers,
-            operators,
+            callers: addr("callers"),
+            ready: addr("ready"),
+            directory: addr("directory"),
+            peers: addr("peers"),
+            operators: addr("operators"),
             lines: Arc::default(),
             file,
-        }
+        };
+        (entry, out)
     }
 
     pub fn signal(&self, signal: rustix::process::Signal) {
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -99,10 +99,6 @@
     pub target: Arc<str>,
     /// Its address.
     pub addr: SocketAddr,
-    /// Its service.
-    pub service: Arc<str>,
-    /// Connections that this instance may hold open to it.
-    pub connections: usize,
     /// Which of the request's attempts this is, from 1.
     pub attempt: usize,
     /// Seconds of work expected.
@@ -705,12 +701,6 @@
     }
 
     fn send(&mut self, now: Time, at: usize, best: &place::Place) -> Go {
-        let instances = self.instances;
-        let service = Arc::clone(&self.jobs[at].service);
-        let most = self
-            .routes
-            .as_ref()
-            .and_then(|r| r.service(&service).map(|s| s.connections));
         let target = &mut self.roster.all_mut()[best.index];
         let load = target.load(now, FADE);
         let queued = load >= f64::from(target.entry.slots);
@@ -731,8 +721,6 @@
             ticket: job.ticket,
             target: id,
             addr,
-            service,
-            connections: most.map_or(1, |m| (m / instances).max(1)),
             attempt: job.tried.len(),
             work: best.work,
             warm: best.warm,
