A first look at the product on its users' platform; check its settings

Cause: the demonstration showed only the product's own interface, and settings of an instance on the platform could be checked only by starting it.

--- a/crates/auburnrouter/src/cmd/direct.rs
+++ b/crates/auburnrouter/src/cmd/direct.rs
@@ -3,7 +3,7 @@
 
 use std::env;
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use settings::direct::Settings;
 
@@ -18,7 +18,7 @@
     name: NAME,
     about: "run an entry instance on the users' platform",
     help: HELP,
-    options: &["settings", "settings-var", "help"],
+    options: &["settings", "settings-var", "check", "help"],
     run,
 };
 
@@ -32,6 +32,7 @@
 Options:
   --settings FILE      the instance's settings, JSON with comments
   --settings-var NAME  the environment variable that holds the file's path
+  --check              verify the settings, print every fault, start nothing
 
 Logs are lines of JSON on standard output. SIGTERM shuts it down gracefully: it
 leaves the directory, finishes every request, and exits 0. SIGHUP reads the
@@ -40,6 +41,7 @@
 
 fn run(mut args: lexopt::Parser) -> Result<Exit, Error> {
     let mut file: Option<PathBuf> = None;
+    let mut check = false;
     while let Some(arg) = cli::next(&mut args, NAME)? {
         match arg {
             cli::Arg::Long(name) if name == "settings" => {
@@ -52,31 +54,37 @@
                 })?;
                 file = Some(path.into());
             }
+            cli::Arg::Long(name) if name == "check" => check = true,
             arg => return Err(cli::unexpected(&arg, NAME)),
         }
     }
     let file = file.ok_or(Error::Missing("settings", NAME))?;
-    Ok(serve(&file))
+    Ok(match read(&file) {
+        Ok(_) if check => Exit::Done,
+        Ok(settings) => serve(settings, &file),
+        Err(exit) => exit,
+    })
 }
 
-fn serve(file: &std::path::Path) -> Exit {
+/// Reads and checks the settings; prints what is wrong with them.
+fn read(file: &Path) -> Result<Settings, Exit> {
     let name = file.display().to_string();
     let text = match fs::read_to_string(file) {
         Ok(text) => text,
         Err(error) => {
             eprintln!("auburnrouter: can't read {name}: {error}");
-            return Exit::Unreachable;
+            return Err(Exit::Unreachable);
         }
     };
-    let settings = match Settings::parse(&name, &text) {
-        Ok(settings) => settings,
-        Err(faults) => {
-            for fault in faults {
-                eprintln!("{fault}");
-            }
-            return Exit::Refused;
+    Settings::parse(&name, &text).map_err(|faults| {
+        for fault in faults {
+            eprintln!("{fault}");
         }
-    };
+        Exit::Refused
+    })
+}
+
+fn serve(settings: Settings, file: &Path) -> Exit {
     let writer = match logs::start_events() {
         Ok(writer) => writer,
         Err(error) => {
--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -274,46 +274,93 @@
 /// # Errors
 /// If it can't start.
 pub fn run(settings: Settings, file: &Path) -> Result<(), Failure> {
-    let listeners = Listeners::bind(&settings)?;
-    let given = settings.clone();
-    let settings = Settings {
-        listen: listeners.addresses()?,
-        ..settings
-    };
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
-    let traffic: Executor = Arc::new(smol::Executor::new());
-    let control: Executor = Arc::new(smol::Executor::new());
-    let (waiting, waits) = async_channel::bounded(1);
-    let shared = Arc::new(Shared::new(settings, given, waiting, &traffic, &control)?);
-    events::started(&shared);
-    let membership = Arc::new(member::Membership::new(Arc::clone(&shared)));
-    spawn_traffic(&shared, &traffic, waits, listeners.callers.clone());
-    spawn_control(&shared, &control, &listeners, &membership);
-    let (stop, stopped) = async_channel::bounded::<()>(1);
-    let runner = Arc::clone(&traffic);
-    let thread = thread::Builder::new()
-        .name("traffic".into())
-        .spawn(move || {
-            // An error means that `stop` was dropped: the end was asked for.
-            let _ = smol::block_on(runner.run(stopped.recv()));
-        })?;
-    let file = file.to_owned();
-    smol::block_on(control.run(async {
-        until_stopped(&mut signals, &shared, &file).await;
-        *lock(&shared.phase) = Phase::Leaving;
-        shared.note(|_, direct| direct.stop());
-        events::stopping(&shared);
-        near::farewell(&shared, &listeners.beats).await;
-        membership.leave().await;
-        door::drained(&shared).await;
-    }));
-    drop(stop);
-    let joined = thread.join();
-    events::stopped(&shared);
-    if joined.is_err() {
-        log::error!("{{\"event\":\"thread-panicked\",\"thread\":\"traffic\"}}");
+    let instance = Instance::bind(settings)?;
+    let shared = Arc::clone(&instance.shared);
+    instance.run(async move { until_stopped(&mut signals, &shared, file).await })
+}
+
+/// An instance that listens and doesn't answer yet.
+pub struct Instance {
+    shared: Arc<Shared>,
+    listeners: Listeners,
+    traffic: Executor,
+    control: Executor,
+    waits: async_channel::Receiver<()>,
+}
+
+impl Instance {
+    /// Listens on the addresses of the settings.
+    ///
+    /// # Errors
+    /// If it can't.
+    pub fn bind(settings: Settings) -> Result<Self, Failure> {
+        let listeners = Listeners::bind(&settings)?;
+        let given = settings.clone();
+        let settings = Settings {
+            listen: listeners.addresses()?,
+            ..settings
+        };
+        let traffic: Executor = Arc::new(smol::Executor::new());
+        let control: Executor = Arc::new(smol::Executor::new());
+        let (waiting, waits) = async_channel::bounded(1);
+        let shared = Shared::new(settings, given, waiting, &traffic, &control)?;
+        Ok(Self {
+            shared: Arc::new(shared),
+            listeners,
+            traffic,
+            control,
+            waits,
+        })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn listen(&self) -> Listen {
+        self.shared.settings.listen
+    }
+
+    /// Serves until `stop` ends, then shuts down gracefully. Control runs on
+    /// the calling thread.
+    ///
+    /// # Errors
+    /// If the system refuses a thread.
+    pub fn run(self, stop: impl Future<Output = ()>) -> Result<(), Failure> {
+        let Self {
+            shared,
+            listeners,
+            traffic,
+            control,
+            waits,
+        } = self;
+        events::started(&shared);
+        let membership = Arc::new(member::Membership::new(Arc::clone(&shared)));
+        spawn_traffic(&shared, &traffic, waits, listeners.callers.clone());
+        spawn_control(&shared, &control, &listeners, &membership);
+        let (end, ended) = async_channel::bounded::<()>(1);
+        let thread = thread::Builder::new()
+            .name("traffic".into())
+            .spawn(move || {
+                // An error means that `end` was dropped: the end was asked for.
+                let _ = smol::block_on(traffic.run(ended.recv()));
+            })?;
+        smol::block_on(control.run(async {
+            stop.await;
+            *lock(&shared.phase) = Phase::Leaving;
+            shared.note(|_, direct| direct.stop());
+            events::stopping(&shared);
+            near::farewell(&shared, &listeners.beats).await;
+            membership.leave().await;
+            door::drained(&shared).await;
+        }));
+        drop(end);
+        let joined = thread.join();
+        events::stopped(&shared);
+        if joined.is_err() {
+            log::error!("{{\"event\":\"thread-panicked\",\"thread\":\"traffic\"}}");
+        }
+        Ok(())
     }
-    Ok(())
 }
 
 /// What runs beside control and must not wait for it.
--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -463,3 +463,23 @@
         bench.entry.send("GET", "/added/x", "r2", "").status == 503
     });
 }
+
+/// Settings are checked without starting anything: every fault, with its place.
+#[rstest]
+#[case::good("", "", 0, "")]
+#[case::fault("260", "\"much\"", 1, ":1:")]
+fn check_settings(#[case] good: &str, #[case] bad: &str, #[case] code: i32, #[case] said: &str) {
+    let store = "127.0.0.1:1".parse().expect("it is an address");
+    let text = platform_standin::settings("near-1", "near-a", store, &[]).replacen(good, bad, 1);
+    let file = format!("auburnrouter-check-{}-{code}.jsonc", std::process::id());
+    let file = std::env::temp_dir().join(file);
+    std::fs::write(&file, text).expect("the temporary place is writable");
+    let ran = std::process::Command::new(env!("CARGO_BIN_EXE_auburnrouter"))
+        .args(["direct", "--check", "--settings"])
+        .arg(&file)
+        .output()
+        .expect("the program is built");
+    std::fs::remove_file(&file).expect("it was written");
+    assert_eq!(ran.status.code(), Some(code));
+    assert!(String::from_utf8_lossy(&ran.stderr).contains(said));
+}
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -5,6 +5,7 @@
 //! and ends with the process.
 
 mod fleet;
+mod platform;
 
 use std::env;
 use std::process;
@@ -14,9 +15,10 @@
 use lexopt::prelude::*;
 
 const HELP: &str = "\
-Usage: demo [--deployment bluestone|tesfaye] [--seconds N]
+Usage: demo [--deployment bluestone|tesfaye|platform] [--seconds N]
 
 Starts a deployment on stand-ins in this process and prints commands to try.
+`platform` is the product on its users' platform, in three failure domains.
 Ends on Ctrl-C, or after N seconds.
 ";
 
@@ -37,6 +39,9 @@
             return process::ExitCode::from(2);
         }
     };
+    if wish.deployment == "platform" {
+        return show_platform(wish.span);
+    }
     match fleet::Fleet::start(&wish.deployment) {
         Ok(fleet) => {
             fleet.print_commands();
@@ -51,6 +56,21 @@
     }
 }
 
+fn show_platform(span: Option<Duration>) -> process::ExitCode {
+    match platform::Platform::start() {
+        Ok(platform) => {
+            platform.print_commands();
+            wait(span);
+            platform.stop();
+            process::ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("demo: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
 fn read() -> Result<Option<Wish>, lexopt::Error> {
     let mut wish = Wish {
         deployment: "bluestone".to_owned(),
