--- a/crates/steer/src/process/direct/pace.rs
+++ b/crates/steer/src/process/direct/pace.rs
@@ -17,7 +17,7 @@
 /// Part of the operator's bound by which the share may move within a window.
 /// The rest is for what counting by whole requests adds, at each instance and
 /// for each service.
-const PART: f64 = 0.4;
+const PART: f64 = 0.55;
 
 /// Window of the operator's bound.
 const WINDOW: Duration = Duration::from_secs(2);
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -44,7 +44,7 @@
 
 /// Part of what a region lacks by its share of the slots that is sent elsewhere
 /// from the start.
-const LACK: f64 = 0.8;
+const LACK: f64 = 1.0;
 
 /// How much slower a cold target is.
 const COLD: f64 = 2.0;
