--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -20,7 +20,7 @@
 
 /// Pause between an answer and the next watch. Changes come in bursts, and each
 /// call is paid; what is due in seconds can wait for this.
-const GATHER: Duration = Duration::from_millis(150);
+const GATHER: Duration = Duration::from_millis(300);
 
 /// Pause after a call that failed, so that a store that is down or busy isn't
 /// pressed further; each call is paid.
