--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -11,6 +11,7 @@
 mod door;
 mod dump;
 mod events;
+mod listeners;
 mod member;
 mod metrics;
 mod near;
@@ -24,7 +25,8 @@
 use std::time::{Duration, Instant};
 
 use async_signal::{Signal, Signals};
-use futures_lite::{StreamExt, future};
+use futures_lite::StreamExt;
+use listeners::Listeners;
 use settings::direct::{Listen, Settings};
 use smol::net;
 use steer::clock::Time;
@@ -467,44 +469,3 @@
         }
     }
 }
-
-struct Listeners {
-    callers: net::TcpListener,
-    ready: net::TcpListener,
-    directory: net::TcpListener,
-    peers: net::TcpListener,
-    operators: net::TcpListener,
-    beats: net::UdpSocket,
-}
-
-impl Listeners {
-    /// Where they listen: port 0 leaves that to the system.
-    fn addresses(&self) -> Result<Listen, Failure> {
-        Ok(Listen {
-            callers: self.callers.local_addr()?,
-            ready: self.ready.local_addr()?,
-            directory: self.directory.local_addr()?,
-            peers: self.peers.local_addr()?,
-            beats: self.beats.local_addr()?,
-            operators: self.operators.local_addr()?,
-        })
-    }
-
-    fn bind(settings: &Settings) -> Result<Self, Failure> {
-        let bind = |addr| {
-            future::block_on(net::TcpListener::bind(addr)).map_err(|e| Failure::Listen(addr, e))
-        };
-        Ok(Self {
-            callers: bind(settings.listen.callers)?,
-            ready: bind(settings.listen.ready)?,
-            directory: bind(settings.listen.directory)?,
-            peers: bind(settings.listen.peers)?,
-            operators: bind(settings.listen.operators)?,
-            beats: {
-                let addr = settings.listen.beats;
-                future::block_on(net::UdpSocket::bind(addr))
-                    .map_err(|e| Failure::Listen(addr, e))?
-            },
-        })
-    }
-}
--- /dev/null
+++ b/crates/auburnrouter/src/direct/listeners.rs
@@ -0,0 +1,50 @@
+//! The sockets of an instance.
+
+use futures_lite::future;
+use settings::direct::{Listen, Settings};
+use smol::net;
+
+use super::Failure;
+
+/// All sockets that are listened on.
+pub(super) struct Listeners {
+    pub(super) callers: net::TcpListener,
+    pub(super) ready: net::TcpListener,
+    pub(super) directory: net::TcpListener,
+    pub(super) peers: net::TcpListener,
+    pub(super) operators: net::TcpListener,
+    pub(super) beats: net::UdpSocket,
+}
+
+impl Listeners {
+    /// Where they listen: port 0 leaves that to the system.
+    pub(super) fn addresses(&self) -> Result<Listen, Failure> {
+        Ok(Listen {
+            callers: self.callers.local_addr()?,
+            ready: self.ready.local_addr()?,
+            directory: self.directory.local_addr()?,
+            peers: self.peers.local_addr()?,
+            beats: self.beats.local_addr()?,
+            operators: self.operators.local_addr()?,
+        })
+    }
+
+    /// Listens on the addresses of the settings.
+    pub(super) fn bind(settings: &Settings) -> Result<Self, Failure> {
+        let bind = |addr| {
+            future::block_on(net::TcpListener::bind(addr)).map_err(|e| Failure::Listen(addr, e))
+        };
+        Ok(Self {
+            callers: bind(settings.listen.callers)?,
+            ready: bind(settings.listen.ready)?,
+            directory: bind(settings.listen.directory)?,
+            peers: bind(settings.listen.peers)?,
+            operators: bind(settings.listen.operators)?,
+            beats: {
+                let addr = settings.listen.beats;
+                future::block_on(net::UdpSocket::bind(addr))
+                    .map_err(|e| Failure::Listen(addr, e))?
+            },
+        })
+    }
+}
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -98,8 +98,8 @@
     /// all regions had the same traffic. Where the pace starts.
     pub(super) fn lacking(&self, service: &str) -> f64 {
         let mut slots: Vec<(&str, f64)> = Vec::new();
-        for target in self.roster.all() {
-            if *target.entry.service != *service || !target.is_open() {
+        for (_, target) in self.roster.of(service) {
+            if !target.is_open() {
                 continue;
             }
             let own = f64::from(target.entry.slots);
@@ -122,13 +122,12 @@
     /// Whether the own region has a target that may be used soon.
     fn has_home(&self, job: &Job) -> bool {
         let home = |t: &Target| {
-            t.entry.service == job.service
-                && t.region == self.home.region
+            t.region == self.home.region
                 && t.is_open()
                 && !self.roster.is_evacuated(&t.entry.domain)
                 && !job.tried.contains(&t.entry.id)
         };
-        self.roster.all().iter().any(home)
+        self.roster.of(&job.service).any(|(_, t)| home(t))
     }
 
     fn best(&self, now: Time, job: &Job, near: bool) -> Option<Place> {
@@ -137,7 +136,7 @@
         let work = self.learnt.work(&job.service, &route.name, goal);
         let first = job.ask.object.and_then(|o| self.first(job, o, near));
         let mut best: Option<Place> = None;
-        for (index, target) in self.roster.all().iter().enumerate() {
+        for (index, target) in self.roster.of(&job.service) {
             if !self.is_usable(now, job, target, near) {
                 continue;
             }
@@ -181,8 +180,7 @@
     }
 
     fn is_usable(&self, now: Time, job: &Job, target: &Target, near: bool) -> bool {
-        target.entry.service == job.service
-            && (target.region == self.home.region) == near
+        (target.region == self.home.region) == near
             && target.is_open()
             && !target.is_aside(now)
             && job.ask.route.allows(&target.region)
@@ -215,13 +213,11 @@
     /// objects move when a target comes or goes.
     fn first(&self, job: &Job, object: u64, near: bool) -> Option<usize> {
         let fits = |t: &Target| {
-            t.entry.service == job.service
-                && (t.region == self.home.region) == near
+            (t.region == self.home.region) == near
                 && t.is_open()
                 && !self.roster.is_evacuated(&t.entry.domain)
         };
-        let targets = self.roster.all().iter().enumerate();
-        let fit = targets.filter(|(_, t)| fits(t));
+        let fit = self.roster.of(&job.service).filter(|(_, t)| fits(t));
         fit.max_by_key(|(_, t)| weight(&t.entry.id, object))
             .map(|(index, _)| index)
     }
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -250,6 +250,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     targets: Vec<Target>,
+    /// Places of each service's targets in `targets`, sorted by service: a
+    /// decision looks at those of one service only.
+    index: Vec<(Arc<str>, Vec<usize>)>,
     domains: Vec<(Arc<str>, Arc<str>)>,
     evacuated: Vec<Arc<str>>,
 }
@@ -279,6 +282,7 @@
         match self.find(&entry.id) {
             Err(at) => {
                 self.targets.insert(at, Target::new(now, entry, region));
+                self.reindex();
                 true
             }
             Ok(at) => {
@@ -292,6 +296,7 @@
                     let flying = target.flying;
                     *target = Target::new(now, entry, region);
                     target.flying = flying;
+                    self.reindex();
                     return true;
                 }
                 let changed = target.gone || target.entry.draining != entry.draining;
@@ -316,6 +321,7 @@
         self.targets[at].gone = true;
         if self.targets[at].flying == 0 {
             self.targets.remove(at);
+            self.reindex();
         }
         changed
     }
@@ -433,7 +439,31 @@
     }
 
     fn drop_gone(&mut self) {
+        let before = self.targets.len();
         self.targets.retain(|t| !t.gone || t.flying > 0);
+        if self.targets.len() != before {
+            self.reindex();
+        }
+    }
+
+    /// Finds the services' targets anew. Targets come and go a few times a
+    /// second at most, and decisions are made a thousand times as often.
+    fn reindex(&mut self) {
+        self.index.clear();
+        for (place, target) in self.targets.iter().enumerate() {
+            let service = &target.entry.service;
+            match self.index.binary_search_by(|i| i.0.cmp(service)) {
+                Ok(at) => self.index[at].1.push(place),
+                Err(at) => self.index.insert(at, (Arc::clone(service), vec![place])),
+            }
+        }
+    }
+
+    /// The targets of a service, with their places among all.
+    pub fn of<'a>(&'a self, service: &str) -> impl Iterator<Item = (usize, &'a Target)> {
+        let found = self.index.binary_search_by(|i| (*i.0).cmp(service));
+        let places = found.map_or(&[][..], |at| &self.index[at].1[..]);
+        places.iter().map(|&place| (place, &self.targets[place]))
     }
 
     fn find(&self, id: &str) -> Result<usize, usize> {
--- a/crates/steer/tests/direct/roster.rs
+++ b/crates/steer/tests/direct/roster.rs
@@ -72,3 +72,38 @@
     assert!(bench.direct.roster.put(at(500), anew));
     assert!(!bench.send(at(600), Some(5)).warm);
 }
+
+/// Targets come, change their service under an old name, and go; each service
+/// finds its own at every step.
+#[test]
+fn find_targets_of_service() {
+    let mut bench = Bench::new(route(), &[]);
+    let of = |bench: &Bench, service: &str| -> Vec<String> {
+        let found = bench.direct.roster.of(service);
+        found.map(|(_, t)| t.entry.id.as_ref().to_owned()).collect()
+    };
+    for id in ["t3", "t1", "t2"] {
+        bench.direct.roster.put(at(0), entry(id, "near-a"));
+    }
+    assert_eq!(of(&bench, "sheets"), ["t1", "t2", "t3"]);
+    let moved = Entry {
+        service: "bills".into(),
+        born: 2,
+        ..entry("t2", "near-a")
+    };
+    bench.direct.roster.put(at(10), moved);
+    assert_eq!(of(&bench, "sheets"), ["t1", "t3"]);
+    assert_eq!(of(&bench, "bills"), ["t2"]);
+    let busy = bench.send(at(20), None);
+    bench.direct.unlist(at(30), "t1");
+    bench.direct.unlist(at(30), "t3");
+    bench.direct.ended(
+        at(40),
+        busy.ticket,
+        steer::process::direct::Ending::Answered,
+    );
+    bench.direct.sweep(at(50));
+    assert!(of(&bench, "sheets").is_empty());
+    assert_eq!(of(&bench, "bills"), ["t2"]);
+    assert!(of(&bench, "none").is_empty());
+}
