--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -228,18 +228,17 @@
 
 impl Errand {
     async fn run(self, ask: Ask) -> Response {
-        let ticket = match self.shared.arrive(ask) {
-            Ok((ticket, orders)) => (ticket, orders),
+        let (ticket, orders) = match self.shared.arrive(ask) {
+            Ok(taken) => taken,
             Err(why) => return self.give_up(why, NOT_YET),
         };
-        let (ticket, orders) = ticket;
         let seat = Seat {
             shared: Arc::clone(&self.shared),
             ticket,
         };
         let limit = self.shared.read(|_, d| d.limit(ticket));
         let limit = limit.unwrap_or(self.arrived + self.route.timeout);
-        let mut left = false;
+        let mut may_have_run = false;
         loop {
             let order = self.until(limit, orders.recv()).await;
             let go = match order {
@@ -250,10 +249,14 @@
                 }
                 Some(Err(_)) | None => {
                     drop(seat);
-                    return if left { self.unknown() } else { self.late() };
+                    return if may_have_run {
+                        self.unknown()
+                    } else {
+                        self.late()
+                    };
                 }
             };
-            let (next, answer) = self.attempt(&go, limit, &mut left).await;
+            let (next, answer) = self.attempt(&go, limit, &mut may_have_run).await;
             match next {
                 Next::Again => {}
                 Next::Settled => {
@@ -278,7 +281,13 @@
         future::or(async { Some(work.await) }, late).await
     }
 
-    async fn attempt(&self, go: &Go, limit: Time, sent: &mut bool) -> (Next, Option<Response>) {
+    /// Sends the request to one target; notes whether it may have run there.
+    async fn attempt(
+        &self,
+        go: &Go,
+        limit: Time,
+        may_have_run: &mut bool,
+    ) -> (Next, Option<Response>) {
         let began = self.shared.now();
         let left = limit.since(began);
         let run = attempt::run(&self.shared, go, &self.whole, left);
@@ -287,7 +296,7 @@
             Some(ended) => (ended.ending, ended.answer, ended.present),
             None => (Ending::Late, None, None),
         };
-        *sent |= !matches!(
+        *may_have_run |= !matches!(
             ending,
             Ending::Unreached | Ending::NotRun | Ending::Elsewhere
         );
