Test that nothing is taken too late in the grace time

Change: callers keep coming after SIGTERM; each that was taken gets its whole answer, and from some moment on none is taken.

--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -483,3 +483,46 @@
     assert_eq!(ran.status.code(), Some(code));
     assert!(String::from_utf8_lossy(&ran.stderr).contains(said));
 }
+
+/// Callers that still know the address keep coming after SIGTERM. One that is
+/// taken late in the grace time would be cut at its end: from some moment on
+/// none is taken, and each that was taken gets its whole answer.
+#[test]
+fn stop_taking_requests_in_time_to_answer() {
+    let mut bench = Bench::start(4);
+    for target in &bench.targets {
+        target.set(Manner::Well, 1_200 * MS);
+    }
+    bench.entry.signal(Signal::TERM);
+    let mut taken = Vec::new();
+    while let Ok(mut stream) = TcpStream::connect(bench.entry.callers) {
+        let id = format!("r{}", taken.len());
+        let text = request("GET", &format!("/view/{id}"), &id, "");
+        let asked = std::thread::spawn(move || {
+            // A connection that ends before it was read was not taken.
+            if stream.write_all(text.as_bytes()).is_err() {
+                return None;
+            }
+            read(&mut stream).map(|answer| (id, answer))
+        });
+        taken.push(asked);
+        // Callers come one after the other, as many as the targets can serve.
+        std::thread::sleep(200 * MS);
+    }
+    let answers: Vec<_> = taken
+        .into_iter()
+        .filter_map(|asked| asked.join().expect("it doesn't panic"))
+        .collect();
+    assert!(answers.len() >= 5, "only {} were taken", answers.len());
+    for (id, answer) in &answers {
+        let known = [200, 503].contains(&answer.status);
+        assert!(known, "{id}: {answer:?}");
+    }
+    // Each that a target ran was answered with what the target said.
+    for run in bench.runs().iter().filter(|r| r.id.starts_with('r')) {
+        let answered = answers.iter().find(|a| a.0 == run.id);
+        let status = answered.map(|a| a.1.status);
+        assert_eq!(status, Some(200), "{run:?}");
+    }
+    assert_eq!(bench.entry.ended(), Some(0));
+}
