--- a/crates/auburnrouter/tests/direct/bench.rs
+++ b/crates/auburnrouter/tests/direct/bench.rs
@@ -15,6 +15,8 @@
 /// Longest that anything is waited for.
 pub const BOUND: Duration = Duration::from_secs(20);
 
+pub const MS: Duration = Duration::from_millis(1);
+
 /// The host that callers name.
 pub const HOST: &str = "a.example";
 
--- /dev/null
+++ b/crates/auburnrouter/tests/direct/follow.rs
@@ -0,0 +1,163 @@
+//! Following the platform's store, and peers where it is away.
+
+use std::time::{Duration, Instant};
+
+use platform_standin::Target;
+use platform_standin::store::{Mode, Route};
+use rstest::rstest;
+use rustix::process::Signal;
+
+use super::bench::{Bench, Entry, HOST, ROUTES, ask, await_that};
+
+/// A new version takes a route away and adds one; an older one arrives later
+/// and must change nothing.
+#[test]
+fn follow_configuration_upwards() {
+    let bench = Bench::start(1);
+    let added = Route {
+        prefix: "/added/",
+        service: "sheets",
+        safe: true,
+    };
+    bench.store.configure(9, HOST, &[added]);
+    await_that("the new route is there", || {
+        bench.entry.send("GET", "/added/x", "r1", "").status == 200
+    });
+    assert_eq!(bench.entry.send("GET", "/view/x", "r2", "").status, 404);
+    bench.store.configure(5, HOST, &ROUTES);
+    bench
+        .store
+        .write("servers/mark", &serde_json::json!("no entry"));
+    await_that("it has read what came after", || {
+        let lines = bench.entry.lines.lock().expect("no one panics with it");
+        lines
+            .iter()
+            .any(|l| l.contains("entry-refused") && l.contains("mark"))
+    });
+    assert_eq!(bench.entry.send("GET", "/view/x", "r3", "").status, 404);
+    assert_eq!(bench.entry.send("GET", "/added/x", "r4", "").status, 200);
+}
+
+/// A domain is evacuated and taken back, and a target leaves.
+#[test]
+fn follow_evacuation_and_leaving() {
+    let bench = Bench::start(1);
+    let other = Target::start("u0", "sheets", "near-b").expect("a port is free");
+    other.register(&bench.store, "ready", 1);
+    await_that("it is known", || bench.entry.dump().contains("\"u0\""));
+    bench
+        .store
+        .write("op/evacuate/near-a", &serde_json::json!({}));
+    await_that("it is evacuated", || {
+        bench.entry.dump().contains("\"evacuated\":[\"near-a\"]")
+    });
+    let before = bench.runs().len();
+    for i in 0..5 {
+        assert_eq!(
+            bench
+                .entry
+                .send("GET", "/view/x", &format!("r{i}"), "")
+                .status,
+            200
+        );
+    }
+    assert_eq!(bench.runs().len(), before);
+    bench.store.remove("op/evacuate/near-a");
+    other.register(&bench.store, "draining", 2);
+    await_that("it is taken back", || {
+        let dump = bench.entry.dump();
+        dump.contains("\"evacuated\":[]") && dump.contains("\"leaving\"]")
+    });
+    let there = other.runs().len();
+    assert_eq!(bench.entry.send("GET", "/view/x", "s1", "").status, 200);
+    assert_eq!(other.runs().len(), there);
+}
+
+/// Something writes entries that are none. They name no target, and the others
+/// hold.
+#[test]
+fn pass_over_malformed_entries() {
+    let bench = Bench::start(1);
+    bench
+        .store
+        .write_bytes("servers/bytes", vec![0xFF, 0x00, 0x7B]);
+    bench.store.write("servers/number", &serde_json::json!(7));
+    let state = serde_json::json!({
+        "address": "127.0.0.1:1", "info": { "service": "sheets", "zone": "near-a", "slots": 3 },
+        "status": { "state": "resting", "seq": 1, "warmup_left_s": 0 },
+    });
+    bench.store.write("servers/state", &state);
+    await_that("all are seen", || {
+        let lines = bench.entry.lines.lock().expect("no one panics with it");
+        lines.iter().filter(|l| l.contains("entry-refused")).count() >= 3
+    });
+    assert_eq!(bench.entry.send("GET", "/view/x", "r1", "").status, 200);
+}
+
+/// The store drops its history while an entry changes: everything is read anew.
+#[test]
+fn read_anew_without_history() {
+    let bench = Bench::start(1);
+    bench.store.set(Mode::Busy);
+    bench.store.remove("servers/t0");
+    let new = Target::start("n0", "sheets", "near-a").expect("a port is free");
+    new.register(&bench.store, "ready", 1);
+    bench.store.compact();
+    bench.store.set(Mode::Up);
+    await_that("the new target is known", || {
+        bench.entry.dump().contains("\"n0\"")
+    });
+    await_that("the old one is gone", || {
+        !bench.entry.dump().contains("\"t0\"")
+    });
+    assert_eq!(bench.entry.send("GET", "/view/x", "r1", "").status, 200);
+}
+
+/// The store is away. One instance knows everything; another starts and has
+/// only the address of the first. It learns from it and serves.
+#[rstest]
+#[case::busy(Mode::Busy)]
+#[case::silent(Mode::Silent)]
+fn learn_from_peer_without_store(#[case] mode: Mode) {
+    let bench = Bench::start(1);
+    bench.store.set(mode);
+    let seeds = [bench.entry.peers];
+    let late = Entry::start("near-2", "near-b", bench.store.addr(), &seeds);
+    late.await_ready();
+    await_that("it serves", || {
+        late.send("GET", "/view/x", "r1", "").status == 200
+    });
+}
+
+/// Two instances find each other in the store, and the directory names both for
+/// as long as both run: one is killed, and its row ends with its lease.
+#[test]
+fn name_only_running_instances() {
+    let bench = Bench::start(1);
+    let mut other = Entry::start("near-2", "near-b", bench.store.addr(), &[]);
+    other.await_ready();
+    let ask_where = || {
+        let text =
+            "GET /v1/resolve?name=a.example&region=near&zone=near-a HTTP/1.1\r\nHost: x\r\n\r\n";
+        ask(bench.entry.directory, text)
+            .map(|a| a.body)
+            .unwrap_or_default()
+    };
+    let named = |addr: std::net::SocketAddr| format!("\"{addr}\"");
+    await_that("both are named", || {
+        let body = ask_where();
+        body.contains(&named(bench.entry.callers)) && body.contains(&named(other.callers))
+    });
+    other.signal(Signal::KILL);
+    other.ended();
+    let killed = Instant::now();
+    await_that("one is named", || {
+        !ask_where().contains(&named(other.callers))
+    });
+    assert!(
+        killed.elapsed() < Duration::from_secs(7),
+        "{:?}",
+        killed.elapsed()
+    );
+    assert!(ask_where().contains(&named(bench.entry.callers)));
+}
--- /dev/null
+++ b/crates/auburnrouter/tests/direct/requests.rs
@@ -0,0 +1,128 @@
+//! What a caller gets for its request, and what targets see of it.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use platform_standin::Store;
+use platform_standin::store::Mode;
+use platform_standin::target::Manner;
+use rstest::rstest;
+
+use super::bench::{Bench, Entry, HOST, MS, ROUTES, ask, await_that, read, request};
+
+#[test]
+fn pass_request_on_unchanged() {
+    let bench = Bench::start(1);
+    let answer = bench
+        .entry
+        .send("PUT", "/pay/a%20b/../c?d=e&f", "r1", "the body");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.header("response-seal"), Some("seal-r1"));
+    assert_eq!(answer.header("own-header"), Some("kept"));
+    assert_eq!(answer.body, "body of r1");
+    let runs = bench.runs();
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].method, "PUT");
+    assert_eq!(runs[0].path, "/pay/a%20b/../c?d=e&f");
+    assert_eq!(runs[0].body, b"the body");
+    assert!(runs[0].left.is_some_and(|left| left <= 2_500));
+}
+
+#[rstest]
+#[case::no_route("GET /nowhere/ HTTP/1.1\r\nHost: a.example\r\n\r\n", 404)]
+#[case::other_host("GET /view/ HTTP/1.1\r\nHost: b.example\r\n\r\n", 404)]
+#[case::two_lengths(
+    "PUT /pay/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    400
+)]
+#[case::negative_length(
+    "PUT /pay/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: -1\r\n\r\n",
+    400
+)]
+#[case::nonsense("NONSENSE\r\n\r\n", 400)]
+fn refuse_at_once(#[case] text: &str, #[case] status: u16) {
+    let bench = Bench::start(1);
+    let answer = ask(bench.entry.callers, text).expect("it answers");
+    assert_eq!(answer.status, status, "{answer:?}");
+    assert!(bench.runs().is_empty());
+}
+
+#[test]
+fn refuse_long_body() {
+    let bench = Bench::start(1);
+    let answer = bench.entry.send("PUT", "/pay/x", "r1", &"x".repeat(70_000));
+    assert_eq!(answer.status, 413);
+    assert!(bench.runs().is_empty());
+}
+
+/// Callers send bodies of a length that would take all memory together. Those
+/// beyond a quarter of it are told to come back; others are served.
+#[test]
+fn bound_memory_of_bodies() {
+    let bench = Bench::start(1);
+    bench.store.configure_limits(9, HOST, &ROUTES, 64 << 20);
+    await_that("the new limits are in force", || {
+        bench.entry.dump().contains("\"version\":9")
+    });
+    let begin = |id: &str| {
+        let mut stream = TcpStream::connect(bench.entry.callers).expect("it listens");
+        let length = 40 << 20;
+        let head = format!(
+            "PUT /pay/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nContent-Length: {length}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).expect("it is open");
+        stream
+    };
+    let _held = begin("r1");
+    await_that("a second one has no room", || {
+        let mut stream = begin("r2");
+        stream
+            .set_read_timeout(Some(100 * MS))
+            .expect("the time isn't zero");
+        read(&mut stream).is_some_and(|a| a.status == 503)
+    });
+    assert_eq!(bench.entry.send("GET", "/view/x", "r3", "").status, 200);
+}
+
+/// An instance starts before there is a configuration. It says "come back" and
+/// not "there is no such route": a caller asks nowhere again after a 404.
+#[test]
+fn ask_back_without_configuration() {
+    let store = Store::start().expect("a port is free");
+    let entry = Entry::start("near-1", "near-a", store.addr(), &[]);
+    await_that("it listens", || {
+        entry.try_send("GET", "/view/x", "r", "").is_some()
+    });
+    let answer = entry.send("GET", "/view/x", "r1", "");
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.header("retry-after").is_some());
+}
+
+/// The store is away, and a caller asks for a route that may have been added
+/// meanwhile. "Come back" rather than "there is none".
+#[test]
+fn doubt_missing_route_without_store() {
+    let bench = Bench::start(1);
+    assert_eq!(bench.entry.send("GET", "/added/x", "r1", "").status, 404);
+    bench.store.set(Mode::Busy);
+    await_that("it is out of touch", || {
+        bench.entry.send("GET", "/added/x", "r2", "").status == 503
+    });
+}
+
+/// The caller closes its connection while its look-up runs: the target is
+/// freed at once.
+#[test]
+fn cancel_with_caller() {
+    let bench = Bench::start(1);
+    bench.targets[0].set(Manner::Well, Duration::from_secs(10));
+    let mut stream = TcpStream::connect(bench.entry.callers).expect("it listens");
+    let text = request("GET", "/view/x", "r1", "");
+    stream.write_all(text.as_bytes()).expect("it is open");
+    await_that("it runs", || !bench.runs().is_empty());
+    let left = Instant::now();
+    drop(stream);
+    await_that("the target is left alone", || bench.runs()[0].left_alone);
+    assert!(left.elapsed() < 500 * MS, "{:?}", left.elapsed());
+}
