Reject what has too little time left even where a slot is free

Only a request that found no free slot was checked against its own limit.

Ruled out: a wrong deadline (the lines' took_ms is the time that was left) and slow targets (others were answered at the same time).

Change: a request that has less than a quarter of the shortest time expected of an answer left is rejected at once. A quarter, as times scatter widely about their mean. Test first: reject_hopeless_despite_free_slot.

--- a/crates/steer/src/process/direct/line.rs
+++ b/crates/steer/src/process/direct/line.rs
@@ -20,6 +20,11 @@
 /// if it would be answered in time even so.
 const DOUBT: f64 = 1.5;
 
+/// Part of the shortest time expected of an answer that a request must have left
+/// to be sent at all. Times scatter widely about their mean; under a quarter of
+/// it hardly any answer comes, and the slot would be taken in vain.
+const LEAST: f64 = 0.25;
+
 /// Shortest and longest time after which a rejected caller is told to return.
 const AFTER_LEAST: Duration = Duration::from_millis(150);
 
@@ -58,6 +63,12 @@
         if self.jobs[at].elsewhere.is_none() {
             self.choose_side(now, at);
         }
+        if self.is_too_late(now, &self.jobs[at]) {
+            let job = self.jobs.remove(at);
+            let why = job.why(Why::Overload);
+            let after = Self::after(&job, 0.0);
+            return Some(Order::Reject { ticket, why, after });
+        }
         let Some(best) = self.place(now, &self.jobs[at]) else {
             return self.without_place(now, at);
         };
@@ -80,6 +91,14 @@
         None
     }
 
+    /// Whether even a free target that holds the object would answer too late.
+    fn is_too_late(&self, now: Time, job: &Job) -> bool {
+        let route = &job.ask.route;
+        let goal = route.goal.as_secs_f64();
+        let work = self.learnt.work(&job.service, &route.name, goal);
+        now + Duration::from_secs_f64(work.warm * LEAST) > job.limit
+    }
+
     /// No target can be used now.
     fn without_place(&mut self, now: Time, at: usize) -> Option<Order> {
         let job = &self.jobs[at];
--- a/crates/steer/tests/direct/bench.rs
+++ b/crates/steer/tests/direct/bench.rs
@@ -130,10 +130,15 @@
 
     /// A request arrives at `now`, for an object if one is named.
     pub fn arrive(&mut self, now: Time, object: Option<u64>) -> Ticket {
+        self.arrive_until(now, object, now + Duration::from_secs(4))
+    }
+
+    /// A request arrives whose caller waits until `deadline`.
+    pub fn arrive_until(&mut self, now: Time, object: Option<u64>, deadline: Time) -> Ticket {
         let ask = Ask {
             route: Arc::clone(&self.route),
             object,
-            deadline: now + Duration::from_secs(4),
+            deadline,
             print: Fingerprint(1),
         };
         self.direct
--- a/crates/steer/tests/direct/place.rs
+++ b/crates/steer/tests/direct/place.rs
@@ -158,6 +158,32 @@
     assert!(rejected >= 8, "only {rejected} of 20");
 }
 
+/// The caller returns after an outage with 20 ms of its time left. A slot is
+/// free, but the answer takes 300 ms: sent all the same, the request would
+/// occupy the slot in vain, and its caller couldn't be told that it hasn't run.
+#[test]
+fn reject_hopeless_despite_free_slot() {
+    let mut bench = Bench::new(route(), &[entry("t1", "near-a")]);
+    for i in 0..3 {
+        bench.serve(at(i * 2_000), 1, 300 * MS);
+    }
+    bench.arrive_until(at(10_000), Some(1), at(10_050));
+    let order = bench.order(at(10_000));
+    assert!(
+        matches!(
+            order,
+            Some(Order::Reject {
+                why: Why::Overload,
+                ..
+            })
+        ),
+        "{order:?}"
+    );
+    bench.arrive_until(at(10_000), Some(1), at(10_250));
+    let order = bench.order(at(10_000));
+    assert!(matches!(order, Some(Order::Go(_))), "{order:?}");
+}
+
 /// The more urgent of two that wait goes first, whichever came first.
 #[test]
 fn prefer_urgent_request() {
