Deal out a cold target's sum by region; keep parts of instances not heard; tell the silent

Heartbeats went only to instances that were heard or listed while the store answered: two cut off from each other, or one that started while the store was away, never spoke to the others again until it returned.

Change: three quarters of the bound are dealt out in whole requests, most of them to the target's region, by a hash of both names; instances keep their part for 30 s after the last sign of them; one that is cut off from all takes every target for cold; a new process sends cold targets nothing for 1.25 s. Heartbeats go to all that may be there.

--- a/crates/auburnrouter/src/direct/near.rs
+++ b/crates/auburnrouter/src/direct/near.rs
@@ -111,7 +111,7 @@
 ) -> Receivers {
     let own = &shared.settings.region;
     let (mut near, mut far) = (Vec::new(), Vec::new());
-    for (name, row) in direct.others(now) {
+    for (name, row) in direct.listeners(now) {
         let list = if row.region == *own {
             &mut near
         } else {
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod robin;
 pub mod scenarios;
 pub mod shift;
+pub mod sums;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,10 +1,10 @@
-//! `measure steer|policies|cost`.
+//! `measure steer|policies|hedge|cost|shift|shares|sums`.
 
 use std::process::ExitCode;
 
 use lexopt::{Arg, ValueExt};
 use measure::model::deployment;
-use measure::{cost, scenarios, shift};
+use measure::{cost, scenarios, shift, sums};
 
 const HELP: &str = "\
 measure steer --deployment bluestone|tesfaye [--seed N] [--seconds N] [--only WORD]
@@ -13,6 +13,7 @@
 measure cost [--seed N]
 measure shift --deployment bluestone|tesfaye [--seed N] [--seconds N] [--only WORD]
 measure shares
+measure sums [--seed N] [--seeds N] [--seconds N] [--only WORD]
 
 steer     virtual time: latency and refusals of both engines under load and faults
 policies  virtual time: ways to choose a target, 1 to 22 entry instances sharing 12
@@ -20,12 +21,14 @@
 cost      processor time of one decision at 12, 144 and 1500 targets
 shift     virtual time: caps and links when a region or a domain is lost
 shares    processor time of caps at 1,500 instances and 3,696 shifts
+sums      virtual time: largest use of the bounds on sums over a fleet, under faults
 ";
 
 struct Options {
     command: String,
     deployment: &'static deployment::Deployment,
     seed: u64,
+    seeds: u64,
     seconds: u64,
     only: String,
 }
@@ -45,6 +48,7 @@
         "hedge" => scenarios::hedge(seed, seconds),
         "cost" => cost::table(seed),
         "shift" => shift::table(options.deployment.name, seed, seconds, &options.only),
+        "sums" => sums::table(seed, options.seeds, seconds, &options.only),
         "shares" => shift::cost::table(),
         _ => HELP.to_owned(),
     };
@@ -57,6 +61,7 @@
         command: String::new(),
         deployment: &deployment::BLUESTONE,
         seed: 1,
+        seeds: 10,
         seconds: 30,
         only: String::new(),
     };
@@ -65,6 +70,7 @@
         match arg {
             Arg::Value(command) => options.command = command.string()?,
             Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+            Arg::Long("seeds") => options.seeds = parser.value()?.parse()?,
             Arg::Long("seconds") => options.seconds = parser.value()?.parse()?,
             Arg::Long("only") => options.only = parser.value()?.string()?,
             Arg::Long("deployment") => {
--- /dev/null
+++ b/crates/measure/src/sums.rs
@@ -0,0 +1,169 @@
+//! The runs behind the sums of `docs/PROMISES.md`: repeats, requests to cold
+//! targets and changes of region, over all instances of a fleet that steers
+//! straight to targets, under faults.
+//!
+//! Invariant: what is counted is what targets see, not what instances believe.
+
+pub mod fleet;
+mod tally;
+
+use core::fmt::Write;
+
+use fleet::{Fleet, Plan};
+
+/// What happens to a fleet: its name, and the plan.
+const PLANS: [(&str, Plan); 8] = [
+    ("calm", Plan::CALM),
+    (
+        "bursts",
+        Plan {
+            bursts: true,
+            ..Plan::CALM
+        },
+    ),
+    (
+        "cold",
+        Plan {
+            cold: true,
+            ..Plan::CALM
+        },
+    ),
+    (
+        "replaced",
+        Plan {
+            cold: true,
+            failing: true,
+            replaced: true,
+            ..Plan::CALM
+        },
+    ),
+    (
+        "all-at-once",
+        Plan {
+            cold: true,
+            failing: true,
+            herd: true,
+            ..Plan::CALM
+        },
+    ),
+    (
+        "cut-off",
+        Plan {
+            cold: true,
+            failing: true,
+            cut: true,
+            ..Plan::CALM
+        },
+    ),
+    (
+        "store-away",
+        Plan {
+            cold: true,
+            failing: true,
+            store: true,
+            ..Plan::CALM
+        },
+    ),
+    (
+        "added",
+        Plan {
+            cold: true,
+            failing: true,
+            added: true,
+            ..Plan::CALM
+        },
+    ),
+];
+
+/// Instances of a fleet. Few have a whole part of each sum; many have not.
+pub const SIZES: [usize; 3] = [3, 7, 27];
+
+/// Largest use of each sum's bound, 1 at the bound.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Use {
+    /// Repeats of a service in the operator's window.
+    pub repeats: f64,
+    /// Requests to one cold target within a second.
+    pub cold: f64,
+    /// Change of the share of a region's requests that run elsewhere.
+    pub shift: f64,
+}
+
+impl Use {
+    fn most(self, other: Self) -> Self {
+        Self {
+            repeats: self.repeats.max(other.repeats),
+            cold: self.cold.max(other.cold),
+            shift: self.shift.max(other.shift),
+        }
+    }
+}
+
+/// One line of the table.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// Name of the plan.
+    pub plan: &'static str,
+    /// Instances.
+    pub size: usize,
+    /// Requests that callers sent, over all seeds.
+    pub requests: usize,
+    /// Repeats that reached targets.
+    pub repeats: usize,
+    /// Requests that reached cold targets.
+    pub cold: usize,
+    /// Largest use of each bound over all seeds.
+    pub most: Use,
+}
+
+/// Plays all plans whose names contain `only`, `seeds` times each.
+#[must_use]
+pub fn lines(seed: u64, seeds: u64, seconds: u64, only: &str, sizes: &[usize]) -> Vec<Line> {
+    let mut lines = Vec::new();
+    for (name, plan) in PLANS.iter().filter(|p| p.0.contains(only)) {
+        for &size in sizes {
+            let mut line = Line {
+                plan: name,
+                size,
+                requests: 0,
+                repeats: 0,
+                cold: 0,
+                most: Use::default(),
+            };
+            for seed in seed..seed + seeds {
+                let tally = Fleet::new(size, *plan, seed).run(seconds);
+                line.requests += tally.requests();
+                line.repeats += tally.repeats();
+                line.cold += tally.cold();
+                line.most = line.most.most(tally.most());
+            }
+            lines.push(line);
+        }
+    }
+    lines
+}
+
+/// The same as a table.
+#[must_use]
+pub fn table(seed: u64, seeds: u64, seconds: u64, only: &str) -> String {
+    let mut out = format!(
+        "virtual time; seeds {seed} to {}, {seconds} s each; largest use of each bound, 1 at the \
+         bound (over it an over-run)\n\n| plan | instances | requests | repeats | to cold targets | \
+         use: repeats | cold | shift |\n|---|---|---|---|---|---|---|---|\n",
+        seed + seeds - 1
+    );
+    for line in lines(seed, seeds, seconds, only, &SIZES) {
+        let Line { plan, size, .. } = line;
+        let _ = writeln!(
+            out,
+            "| {plan} | {size} | {} | {} | {} | {:.2} | {:.2} | {:.2} |",
+            line.requests,
+            line.repeats,
+            line.cold,
+            line.most.repeats,
+            line.most.cold,
+            line.most.shift
+        );
+    }
+    out
+}
--- /dev/null
+++ b/crates/measure/src/sums/fleet.rs
@@ -0,0 +1,631 @@
+//! A fleet in virtual time: instances that decide for themselves, targets, the
+//! platform's store and heartbeats, all of which fail by a plan.
+//!
+//! Invariant: instances learn nothing but by the store and by heartbeats, each
+//! by its own clock, which starts at zero with its process.
+
+use core::time::Duration;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+use fastrand::Rng;
+use steer::clock::Time;
+use steer::process::direct::budget::Rule;
+use steer::process::direct::members::{Beat, Row};
+use steer::process::direct::roster::Entry;
+use steer::process::direct::{Ask, Bounds, Direct, Ending, Go, Home, Next, Order, Ticket};
+use steer::request::arrival::Fingerprint;
+use steer::version::routes::{Limits, Part, Route, Routes, Service};
+
+use super::tally::{Arrival, Sent, Tally};
+
+/// What happens to a fleet.
+#[allow(clippy::struct_excessive_bools, reason = "each is a fault of its own")]
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Callers come in waves.
+    pub bursts: bool,
+    /// Targets of a region turn cold now and then.
+    pub cold: bool,
+    /// A quarter of the attempts fail and may be repeated.
+    pub failing: bool,
+    /// Instances are killed and replaced, one after the other.
+    pub replaced: bool,
+    /// All are killed at once, twice, and return within a second or so.
+    pub herd: bool,
+    /// Some are cut off from the others and from the store.
+    pub cut: bool,
+    /// The store is away for seconds, and rows run out meanwhile.
+    pub store: bool,
+    /// Half as many instances again are added.
+    pub added: bool,
+}
+
+impl Plan {
+    /// Nothing fails.
+    pub const CALM: Self = Self {
+        bursts: false,
+        cold: false,
+        failing: false,
+        replaced: false,
+        herd: false,
+        cut: false,
+        store: false,
+        added: false,
+    };
+
+    const fn is_steady(self) -> bool {
+        !(self.cold || self.failing || self.replaced || self.herd || self.cut || self.added)
+    }
+}
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Step of the run.
+const STEP: Duration = Duration::from_millis(5);
+/// Targets by region: uneven, as at Bluestone; for each [`SHARE`] instances.
+const TARGETS: [usize; 3] = [4, 6, 2];
+/// Requests a second of all callers, for as many targets.
+const RATE: f64 = 80.0;
+/// Instances that so many targets have. Larger fleets have more of both.
+const SHARE: usize = 7;
+/// Time that a target works on a request, least and most.
+const WORK: (u64, u64) = (100, 500);
+/// Time on the way to a target in the own region, and in another one.
+const WAY: (u64, u64) = (1, 36);
+/// Between two heartbeats, as instances send them to their region.
+const BEAT: Duration = Duration::from_millis(250);
+/// Part of the heartbeats that are lost.
+const LOST: f64 = 0.05;
+/// Between two reads of the store, as a watch answers when something changes.
+const READ: Duration = Duration::from_millis(300);
+/// Time that a row outlives its instance.
+const LEASE: Duration = Duration::from_secs(3);
+/// Time that a target stays cold.
+const COLD: Duration = Duration::from_secs(3);
+
+enum Event {
+    Land {
+        node: usize,
+        life: u64,
+        go: Go,
+        sent: Time,
+    },
+    End {
+        node: usize,
+        life: u64,
+        ticket: Ticket,
+        ending: Ending,
+    },
+    Beat {
+        node: usize,
+        beat: Beat,
+    },
+}
+
+struct Node {
+    name: Arc<str>,
+    region: usize,
+    life: u64,
+    boot: Time,
+    direct: Option<Direct>,
+    back: Option<Time>,
+    cut: Time,
+    /// When its row in the store runs out.
+    row: Time,
+    /// Requests here and their places in the tally.
+    asks: Vec<(Ticket, usize)>,
+    beaten: Time,
+    read: Time,
+}
+
+struct Target {
+    entry: Entry,
+    region: usize,
+    cold: Time,
+}
+
+/// A fleet.
+pub struct Fleet {
+    plan: Plan,
+    rng: Rng,
+    now: Time,
+    nodes: Vec<Node>,
+    targets: Vec<Target>,
+    store: Time,
+    events: BinaryHeap<Reverse<(Time, usize)>>,
+    bodies: Vec<Option<Event>>,
+    routes: Arc<Routes>,
+    owed: f64,
+    /// How many times as many targets and callers there are.
+    scale: usize,
+    tally: Tally,
+}
+
+impl Fleet {
+    /// `size` instances, nothing started yet.
+    #[must_use]
+    pub fn new(size: usize, plan: Plan, seed: u64) -> Self {
+        let nodes = (0..size).map(|i| Node::new(i, Time::ZERO)).collect();
+        Self {
+            plan,
+            rng: Rng::with_seed(seed),
+            now: Time::ZERO,
+            nodes,
+            targets: targets(size.div_ceil(SHARE)),
+            store: Time::ZERO,
+            events: BinaryHeap::new(),
+            bodies: Vec::new(),
+            routes: Arc::new(routes()),
+            owed: 0.0,
+            scale: size.div_ceil(SHARE),
+            tally: Tally {
+                bounds: BOUNDS,
+                cold_rate: COLD_RATE,
+                steady: plan.is_steady(),
+                arrivals: Vec::new(),
+                requests: Vec::new(),
+            },
+        }
+    }
+
+    /// Runs for so many seconds.
+    #[must_use]
+    pub fn run(mut self, seconds: u64) -> Tally {
+        let end = Time::ZERO + Duration::from_secs(seconds);
+        while self.now < end {
+            self.fail();
+            self.restart();
+            self.deliver();
+            self.store();
+            self.beat();
+            if self.now > Time::ZERO + Duration::from_secs(2) {
+                self.callers();
+            }
+            self.decide();
+            self.now = self.now + STEP;
+        }
+        self.tally
+    }
+
+    /// True once in a while, by the mean time between.
+    fn now_and_then(&mut self, mean: Duration) -> bool {
+        self.rng.f64() < STEP.as_secs_f64() / mean.as_secs_f64()
+    }
+
+    fn some(&mut self, from: u64, upto: u64) -> Duration {
+        MS * u32::try_from(self.rng.u64(from..upto)).unwrap_or(u32::MAX)
+    }
+
+    fn is_at(&self, seconds: u64) -> bool {
+        self.now == Time::ZERO + Duration::from_secs(seconds)
+    }
+
+    fn fail(&mut self) {
+        let plan = self.plan;
+        if plan.cold && self.now_and_then(Duration::from_secs(4)) {
+            let region = self.rng.usize(0..TARGETS.len());
+            for target in self.targets.iter_mut().filter(|t| t.region == region) {
+                target.entry.seq += 1;
+                target.cold = self.now + COLD;
+            }
+        }
+        if plan.replaced && self.now_and_then(Duration::from_secs(2)) {
+            let node = self.rng.usize(0..self.nodes.len());
+            self.kill(node);
+        }
+        if plan.herd && (self.is_at(10) || self.is_at(22)) {
+            for node in 0..self.nodes.len() {
+                self.kill(node);
+            }
+        }
+        if plan.cut && self.now_and_then(Duration::from_secs(4)) {
+            let node = self.rng.usize(0..self.nodes.len());
+            self.nodes[node].cut = self.now + self.some(3_000, 12_000);
+        }
+        if plan.store && self.now_and_then(Duration::from_secs(10)) {
+            self.store = self.now + self.some(2_000, 9_000);
+        }
+        if plan.added && self.is_at(12) {
+            let size = self.nodes.len();
+            let more = (size..size + size.div_ceil(2)).map(|i| Node::new(i, self.now));
+            self.nodes.extend(more);
+        }
+    }
+
+    fn kill(&mut self, node: usize) {
+        let back = self.now + self.some(300, 2_000);
+        let node = &mut self.nodes[node];
+        if node.direct.take().is_some() {
+            node.asks.clear();
+            node.back = Some(back);
+        }
+    }
+
+    fn restart(&mut self) {
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].back.is_some_and(|at| self.now >= at) {
+                self.start(node);
+            }
+        }
+    }
+
+    fn start(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        node.back = None;
+        node.life += 1;
+        node.boot = self.now;
+        node.read = Time::ZERO;
+        let home = Home {
+            name: Arc::clone(&node.name),
+            region: region(node.region),
+            life: node.life,
+            row: row(node.region),
+        };
+        let domains = (0..TARGETS.len()).map(|r| (region(r), region(r))).collect();
+        let mut direct = Direct::new(home, BOUNDS, domains);
+        direct.install(Arc::clone(&self.routes));
+        node.direct = Some(direct);
+    }
+
+    fn deliver(&mut self) {
+        while let Some(Reverse((at, body))) = self.events.peek().copied() {
+            if at > self.now {
+                return;
+            }
+            self.events.pop();
+            match self.bodies[body].take() {
+                Some(Event::Land {
+                    node,
+                    life,
+                    go,
+                    sent,
+                }) => self.land(node, life, &go, sent),
+                Some(Event::End {
+                    node,
+                    life,
+                    ticket,
+                    ending,
+                }) => {
+                    self.end(node, life, ticket, ending);
+                }
+                Some(Event::Beat { node, beat }) => {
+                    let node = &mut self.nodes[node];
+                    let now = node.clock(self.now);
+                    if let Some(direct) = &mut node.direct {
+                        direct.hear(now, beat);
+                    }
+                }
+                None => {}
+            }
+        }
+    }
+
+    fn later(&mut self, after: Duration, event: Event) {
+        self.events
+            .push(Reverse((self.now + after, self.bodies.len())));
+        self.bodies.push(Some(event));
+    }
+
+    fn land(&mut self, node: usize, life: u64, go: &Go, sent: Time) {
+        let found = self.targets.iter().position(|t| t.entry.id == go.target);
+        let Some(target) = found else { return };
+        self.tally.arrivals.push(Arrival {
+            sent,
+            at: self.now,
+            target,
+            repeat: go.attempt > 1,
+            cold: self.now < self.targets[target].cold,
+        });
+        let work = self.some(WORK.0, WORK.1);
+        let draw = self.rng.f64();
+        let ending = match draw {
+            _ if !self.plan.failing => Ending::Answered,
+            _ if draw < 0.1 => Ending::NotRun,
+            _ if draw < 0.2 => Ending::Failed,
+            _ if draw < 0.25 => Ending::Broken,
+            _ => Ending::Answered,
+        };
+        let ticket = go.ticket;
+        let end = Event::End {
+            node,
+            life,
+            ticket,
+            ending,
+        };
+        self.later(if ending == Ending::NotRun { MS } else { work }, end);
+    }
+
+    fn end(&mut self, at: usize, life: u64, ticket: Ticket, ending: Ending) {
+        let node = &mut self.nodes[at];
+        let now = node.clock(self.now);
+        if node.life != life {
+            return;
+        }
+        let Some(direct) = &mut node.direct else {
+            return;
+        };
+        if direct.ended(now, ticket, ending) != Next::Again {
+            node.asks.retain(|a| a.0 != ticket);
+        }
+    }
+
+    fn has_store(&self, node: &Node) -> bool {
+        self.now >= self.store && self.now >= node.cut
+    }
+
+    /// Rows are renewed and read.
+    fn store(&mut self) {
+        for at in 0..self.nodes.len() {
+            let node = &self.nodes[at];
+            if node.direct.is_none() || !self.has_store(node) {
+                continue;
+            }
+            if node.read != Time::ZERO && self.now.since(node.read) < READ {
+                continue;
+            }
+            let revision = self.now.as_micros();
+            let listed = self.nodes.iter().filter(|n| n.row > self.now);
+            let listed: Vec<(Arc<str>, usize)> =
+                listed.map(|n| (Arc::clone(&n.name), n.region)).collect();
+            let entries: Vec<Entry> = self.targets.iter().map(|t| t.entry_at(self.now)).collect();
+            let now = self.now;
+            let node = &mut self.nodes[at];
+            // A row is written when the first reading is done.
+            node.row = now + LEASE;
+            node.read = now;
+            let local = node.clock(now);
+            let Some(direct) = &mut node.direct else {
+                continue;
+            };
+            direct.in_touch(local, revision);
+            let names: Vec<&str> = listed.iter().map(|l| &*l.0).collect();
+            direct.members_only(local, &names);
+            for (name, region) in &listed {
+                direct.member(local, name, Some(row(*region)));
+            }
+            for entry in entries {
+                direct.roster.put(local, entry);
+            }
+            direct.sweep(local);
+        }
+    }
+
+    fn beat(&mut self) {
+        for at in 0..self.nodes.len() {
+            let node = &mut self.nodes[at];
+            let local = node.clock(self.now);
+            let Some(direct) = &mut node.direct else {
+                continue;
+            };
+            if self.now.since(node.beaten) < BEAT {
+                continue;
+            }
+            node.beaten = self.now;
+            let beat = direct.beat(local, true);
+            direct.sweep(local);
+            let names: Vec<Arc<str>> = direct.others(local).map(|o| Arc::clone(o.0)).collect();
+            if self.now < node.cut {
+                continue;
+            }
+            for to in 0..self.nodes.len() {
+                let known = names.contains(&self.nodes[to].name);
+                if !known || self.now < self.nodes[to].cut || self.rng.f64() < LOST {
+                    continue;
+                }
+                let way = self.some(1, 40);
+                self.later(
+                    way,
+                    Event::Beat {
+                        node: to,
+                        beat: beat.clone(),
+                    },
+                );
+            }
+        }
+    }
+
+    fn callers(&mut self) {
+        let second = self.now.as_micros() / 1_000_000;
+        let wave = if self.plan.bursts && second % 10 >= 6 {
+            2.5
+        } else {
+            1.0
+        };
+        let scale = f64::from(u32::try_from(self.scale).unwrap_or(1));
+        self.owed += RATE * scale * wave * STEP.as_secs_f64();
+        while self.owed >= 1.0 {
+            self.owed -= 1.0 + (self.rng.f64() - 0.5) * 0.5;
+            let up: Vec<usize> = (0..self.nodes.len())
+                .filter(|n| self.nodes[*n].direct.is_some() && self.nodes[*n].read > Time::ZERO)
+                .collect();
+            if let Some(&node) = up.get(self.rng.usize(0..up.len().max(1))) {
+                self.ask(node);
+            }
+        }
+    }
+
+    fn ask(&mut self, at: usize) {
+        let object = self.rng.u64(0..60 * self.scale as u64);
+        let node = &mut self.nodes[at];
+        let now = node.clock(self.now);
+        let Some(direct) = &mut node.direct else {
+            return;
+        };
+        let ask = Ask {
+            route: Arc::clone(&self.routes.routes()[0]),
+            object: Some(object),
+            deadline: now + Duration::from_secs(4),
+            print: Fingerprint(u128::from(now.as_micros()) << 64 | u128::from(object)),
+        };
+        if let Ok(ticket) = direct.arrive(now, ask) {
+            node.asks.push((ticket, self.tally.requests.len()));
+        }
+        self.tally.requests.push(Sent {
+            at: self.now,
+            region: node.region,
+            elsewhere: None,
+        });
+    }
+
+    fn decide(&mut self) {
+        for at in 0..self.nodes.len() {
+            let node = &mut self.nodes[at];
+            let now = node.clock(self.now);
+            let (life, home) = (node.life, node.region);
+            let Some(direct) = &mut node.direct else {
+                continue;
+            };
+            for order in direct.step(now) {
+                match order {
+                    Order::Reject { ticket, .. } => self.nodes[at].asks.retain(|a| a.0 != ticket),
+                    Order::Go(go) => self.send(at, life, home, go),
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, node: usize, life: u64, home: usize, go: Go) {
+        let found = self.targets.iter().find(|t| t.entry.id == go.target);
+        let elsewhere = found.is_some_and(|t| t.region != home);
+        let asks = &self.nodes[node].asks;
+        if let Some((_, request)) = asks.iter().find(|a| a.0 == go.ticket) {
+            self.tally.requests[*request]
+                .elsewhere
+                .get_or_insert(elsewhere);
+        }
+        let way = if elsewhere { WAY.1 } else { WAY.0 };
+        let sent = self.now;
+        self.later(
+            MS * u32::try_from(way).unwrap_or(1),
+            Event::Land {
+                node,
+                life,
+                go,
+                sent,
+            },
+        );
+    }
+}
+
+impl Node {
+    fn new(number: usize, start: Time) -> Self {
+        Self {
+            name: format!("i{number:03}").into(),
+            region: number % TARGETS.len(),
+            life: 0,
+            boot: Time::ZERO,
+            direct: None,
+            back: Some(start),
+            cut: Time::ZERO,
+            row: Time::ZERO,
+            asks: Vec::new(),
+            beaten: Time::ZERO,
+            read: Time::ZERO,
+        }
+    }
+
+    /// The time by its own clock.
+    fn clock(&self, now: Time) -> Time {
+        Time::ZERO + now.since(self.boot)
+    }
+}
+
+impl Target {
+    fn entry_at(&self, now: Time) -> Entry {
+        let cold = self.cold.since(now);
+        Entry {
+            cold,
+            ..self.entry.clone()
+        }
+    }
+}
+
+fn targets(scale: usize) -> Vec<Target> {
+    let mut targets = Vec::new();
+    for (at, count) in TARGETS.iter().enumerate() {
+        for number in 0..count * scale {
+            let entry = Entry {
+                id: format!("t{at}-{number}").into(),
+                service: "sheets".into(),
+                addr: ([127, 0, 0, 1], 1).into(),
+                domain: region(at),
+                slots: 3,
+                draining: false,
+                seq: 1,
+                cold: Duration::ZERO,
+                born: 1,
+            };
+            targets.push(Target {
+                entry,
+                region: at,
+                cold: Time::ZERO,
+            });
+        }
+    }
+    targets
+}
+
+fn region(at: usize) -> Arc<str> {
+    format!("r{at}").into()
+}
+
+fn row(at: usize) -> Row {
+    let addr = ([127, 0, 0, 1], 1).into();
+    Row {
+        region: region(at),
+        domain: region(at),
+        callers: addr,
+        peers: addr,
+        beats: addr,
+    }
+}
+
+/// Bounds as the users' deployments set them.
+const BOUNDS: Bounds = Bounds {
+    repeats: Rule {
+        ratio: 0.2,
+        slack: 58.0,
+        window: Duration::from_secs(10),
+    },
+    cold_factor: 1.5,
+    cold_slack: 5.0,
+    shift: 0.15,
+};
+
+/// Requests a second that a cold target bears.
+const COLD_RATE: f64 = 2.0;
+
+fn routes() -> Routes {
+    let route = Route {
+        name: "view".into(),
+        host: "a.example".into(),
+        prefix: "/view/".into(),
+        idempotent: true,
+        timeout: Duration::from_secs(3),
+        goal: Duration::from_millis(600),
+        attempts: 3,
+        priority: 1,
+        parts: vec![Part {
+            service: "sheets".into(),
+            weight: 1.0,
+        }],
+        affinity: true,
+        homes: Vec::new(),
+    };
+    let service = Service {
+        name: "sheets".into(),
+        health: "/health".into(),
+        connections: 100,
+        warmup: COLD,
+        cold_rate: COLD_RATE,
+    };
+    let limits = Limits {
+        head: 8192,
+        body: 8192,
+        arrive: Duration::from_secs(1),
+        idle: Duration::from_secs(5),
+    };
+    Routes::new(1, vec![route], vec![service], limits).expect("one route can't clash")
+}
--- /dev/null
+++ b/crates/measure/src/sums/tally.rs
@@ -0,0 +1,173 @@
+//! What targets saw, held against the bounds.
+
+use core::time::Duration;
+
+use steer::clock::Time;
+use steer::process::direct::Bounds;
+
+use super::Use;
+
+/// One request that reached a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// When it was sent.
+    pub sent: Time,
+    /// When it arrived.
+    pub at: Time,
+    /// The target.
+    pub target: usize,
+    /// Whether it was sent before, to another.
+    pub repeat: bool,
+    /// Whether the target was cold.
+    pub cold: bool,
+}
+
+/// One request of a caller that was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Sent {
+    /// When it came.
+    pub at: Time,
+    /// Region of the instance that took it.
+    pub region: usize,
+    /// Whether it ran in another region; `None` if it was rejected.
+    pub elsewhere: Option<bool>,
+}
+
+/// Span over which requests to a cold target are counted.
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Spans between which the share of a region is compared.
+const SPAN: Duration = Duration::from_secs(2);
+
+/// Step by which these slide.
+const STEP: Duration = Duration::from_millis(100);
+
+/// Requests of a region in a span below which one request alone is more than a
+/// fifth of the bound: nothing can be said of a share then.
+const LEAST: usize = 34;
+
+/// All that was seen of one run.
+#[derive(Debug)]
+pub struct Tally {
+    /// The bounds.
+    pub bounds: Bounds,
+    /// Requests a second that a cold target bears.
+    pub cold_rate: f64,
+    /// Whether shares of regions are judged: not while instances come and go.
+    pub steady: bool,
+    /// In order of arrival.
+    pub arrivals: Vec<Arrival>,
+    /// In order of time.
+    pub requests: Vec<Sent>,
+}
+
+impl Tally {
+    /// Requests that callers sent.
+    #[must_use]
+    pub const fn requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Repeats that reached targets.
+    #[must_use]
+    pub fn repeats(&self) -> usize {
+        self.arrivals.iter().filter(|a| a.repeat).count()
+    }
+
+    /// Requests that reached cold targets.
+    #[must_use]
+    pub fn cold(&self) -> usize {
+        self.arrivals.iter().filter(|a| a.cold).count()
+    }
+
+    /// Largest use of each bound.
+    #[must_use]
+    pub fn most(&self) -> Use {
+        Use {
+            repeats: self.most_repeats(),
+            cold: self.most_cold(),
+            shift: if self.steady { self.most_shift() } else { 0.0 },
+        }
+    }
+
+    fn most_repeats(&self) -> f64 {
+        let rule = self.bounds.repeats;
+        let came: Vec<Time> = self.requests.iter().map(|r| r.at).collect();
+        let repeats: Vec<Time> = self
+            .arrivals
+            .iter()
+            .filter(|a| a.repeat)
+            .map(|a| a.at)
+            .collect();
+        let mut most = 0.0_f64;
+        for (i, &end) in repeats.iter().enumerate() {
+            let seen = repeats[..=i]
+                .iter()
+                .filter(|at| end.since(**at) < rule.window);
+            // The operator counts the requests of this window, of the one
+            // before or of the one half a window before, whichever has most.
+            let within = |back: Duration| {
+                let upto = end.since(Time::ZERO).saturating_sub(back);
+                let from = upto.saturating_sub(rule.window);
+                came.iter()
+                    .filter(|at| (from..=upto).contains(&at.since(Time::ZERO)))
+                    .count()
+            };
+            let counted = [Duration::ZERO, rule.window / 2, rule.window].map(within);
+            let counted = counted.into_iter().max().unwrap_or_default();
+            let bound = rule.ratio * number(counted) + rule.slack;
+            most = most.max(number(seen.count()) / bound);
+        }
+        most
+    }
+
+    fn most_cold(&self) -> f64 {
+        let bound = self.cold_rate * self.bounds.cold_factor + self.bounds.cold_slack;
+        let cold: Vec<&Arrival> = self.arrivals.iter().filter(|a| a.cold).collect();
+        let within = |first: &Arrival| {
+            let inside = |a: &&&Arrival| {
+                a.target == first.target && a.sent >= first.sent && a.at < first.sent + SECOND
+            };
+            number(cold.iter().filter(inside).count())
+        };
+        let most = cold.iter().map(|first| within(first)).fold(0.0, f64::max);
+        most / bound
+    }
+
+    fn most_shift(&self) -> f64 {
+        let Some(last) = self.requests.last() else {
+            return 0.0;
+        };
+        let regions = self
+            .requests
+            .iter()
+            .map(|r| r.region)
+            .max()
+            .unwrap_or_default();
+        let mut most = 0.0_f64;
+        for region in 0..=regions {
+            let mut start = Time::ZERO;
+            while start + SPAN * 2 <= last.at {
+                let shares = (self.share(region, start), self.share(region, start + SPAN));
+                if let (Some(one), Some(other)) = shares {
+                    most = most.max((one - other).abs() / self.bounds.shift);
+                }
+                start = start + STEP;
+            }
+        }
+        most
+    }
+
+    fn share(&self, region: usize, from: Time) -> Option<f64> {
+        let here = self.requests.iter().filter(|r| r.region == region);
+        let within = here.filter(|r| r.at >= from && r.at < from + SPAN);
+        let run: Vec<bool> = within.filter_map(|r| r.elsewhere).collect();
+        let elsewhere = run.iter().filter(|e| **e).count();
+        (run.len() >= LEAST).then(|| number(elsewhere) / number(run.len()))
+    }
+}
+
+#[allow(clippy::cast_precision_loss, reason = "counts of a run are small")]
+fn number(count: usize) -> f64 {
+    count as f64
+}
--- a/crates/measure/tests/virtual_time.rs
+++ b/crates/measure/tests/virtual_time.rs
@@ -5,6 +5,7 @@
 
 use measure::model::deployment::{self, Layout};
 use measure::model::{self, Fault, Kind, Outcomes, Setup, Sign};
+use measure::sums;
 use rstest::rstest;
 use steer::process::dispatch::tuning::Tuning;
 
@@ -62,3 +63,19 @@
     let span = sent.map_or(Duration::ZERO, |sent| sent.since(begun));
     assert!(span <= Duration::from_millis(most), "{span:?}");
 }
+
+/// Seven instances and twelve targets, with cold targets, repeats and
+/// instances that come and go: what targets see, over all instances, stays
+/// within the operator's bounds on repeats and on cold targets.
+#[rstest]
+#[case::cold_targets("cold")]
+#[case::replaced("replaced")]
+#[case::all_at_once("all-at-once")]
+#[case::added("added")]
+fn keep_sums(#[case] plan: &str) {
+    for line in sums::lines(1, 2, 25, plan, &[7]) {
+        let most = line.most;
+        assert!(line.cold > 0, "nothing was seen: {line:?}");
+        assert!(most.cold <= 1.0 && most.repeats <= 1.0, "{line:?}");
+    }
+}
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -10,6 +10,7 @@
 //! allows, nor to a target that leaves or whose domain is evacuated.
 
 pub mod budget;
+pub mod cold;
 mod contact;
 mod hash;
 mod job;
@@ -34,6 +35,7 @@
 use crate::version::routes::Routes;
 
 use budget::Budget;
+use cold::Sharer;
 use contact::Touch;
 use job::{Job, State};
 use learn::Learnt;
@@ -63,7 +65,8 @@
     /// How far heartbeats have told all that targets hold.
     told: usize,
     beats: u64,
-    instances: usize,
+    /// Other instances that sums are shared with.
+    sharers: Vec<Sharer>,
     jobs: Vec<Job>,
     next: u64,
 }
@@ -91,7 +94,7 @@
             news: Vec::new(),
             told: 0,
             beats: 0,
-            instances: 1,
+            sharers: Vec::new(),
             jobs: Vec::new(),
             next: 1,
         }
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 
 use super::Direct;
-use super::members::{Beat, Row};
+use super::cold::Sharer;
+use super::members::{self, Beat, Row};
 use crate::clock::Time;
 use crate::request::arrival::Fingerprint;
 
@@ -73,6 +74,11 @@
         self.store.seen.is_some_and(|at| now.since(at) < TOUCH)
     }
 
+    /// Whether nobody tells this instance anything, though others are there.
+    pub(super) fn is_isolated(&self, now: Time) -> bool {
+        !self.sharers.is_empty() && !self.is_in_touch(now) && !self.members.is_any_heard(now)
+    }
+
     /// A target is no longer listed. Says whether it is dropped at once.
     pub fn unlist(&mut self, now: Time, id: &str) -> bool {
         match self.store.back {
@@ -91,14 +97,14 @@
         }
         match row {
             Some(row) => self.members.list(name, row),
-            None => self.members.unlist(name),
+            None => self.members.unlist(now, name),
         }
         self.recount(now);
     }
 
     /// Only these other instances are listed in the store.
     pub fn members_only(&mut self, now: Time, names: &[&str]) {
-        self.members.list_only(names);
+        self.members.list_only(now, names);
         self.recount(now);
     }
 
@@ -160,6 +166,14 @@
         self.members.present(now, self.is_in_touch(now))
     }
 
+    /// Other instances that are to get heartbeats: those too that haven't been
+    /// heard, or two that were cut off from each other while the store is away
+    /// would never speak again, nor would one that has just started and knows
+    /// the others by the word of one of them.
+    pub fn listeners(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Row)> {
+        self.members.sharing(now)
+    }
+
     /// Where to ask for what this instance has missed, if another knows more.
     #[must_use]
     pub fn ahead(&self, now: Time) -> Option<SocketAddr> {
@@ -176,8 +190,13 @@
         self.roster.sweep(now)
     }
 
-    /// Counts the instances that share what is bounded as a sum.
+    /// Finds the instances that share what is bounded as a sum.
     fn recount(&mut self, now: Time) {
-        self.instances = 1 + self.members.present(now, true).count();
+        self.sharers.clear();
+        let sharer = |(name, row): (&Arc<str>, &Row)| Sharer {
+            region: Arc::clone(&row.region),
+            mark: members::mark(name),
+        };
+        self.sharers.extend(self.members.sharing(now).map(sharer));
     }
 }
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -6,6 +6,10 @@
 //! nothing can end them; heartbeats are lost where two instances are cut off
 //! from each other though callers reach both.
 //!
+//! An instance that nobody hears and the store no longer lists may be cut off
+//! and still send: it keeps its part of what is bounded as a sum for longer than
+//! callers are sent to it.
+//!
 //! Invariant: an instance that was ended counts as there for at most
 //! [`SILENT`] after its row is gone or the store is out of touch.
 
@@ -19,6 +23,10 @@
 /// the store, in touch, says so. Several heartbeats may be lost before.
 pub const SILENT: Duration = Duration::from_secs(3);
 
+/// Time for which an instance of which there is no sign keeps its part of sums:
+/// cuts that heal by themselves last seconds.
+const KEPT: Duration = Duration::from_secs(30);
+
 /// Time for which what an instance has at work is believed.
 const FRESH: Duration = Duration::from_millis(1200);
 
@@ -68,6 +76,8 @@
     name: Arc<str>,
     row: Option<Row>,
     listed: bool,
+    /// When its row went.
+    unlisted: Option<Time>,
     heard: Option<Time>,
     life: u64,
     seq: u64,
@@ -94,16 +104,18 @@
 
     /// A row is gone from the store. It counts on for a moment: its instance
     /// may be there all the same, which its heartbeats tell.
-    pub fn unlist(&mut self, name: &str) {
+    pub fn unlist(&mut self, now: Time, name: &str) {
         if let Ok(at) = self.find(name) {
-            self.members[at].listed = false;
+            self.members[at].unlist(now);
         }
     }
 
     /// Keeps only these as listed.
-    pub fn list_only(&mut self, names: &[&str]) {
+    pub fn list_only(&mut self, now: Time, names: &[&str]) {
         for member in &mut self.members {
-            member.listed &= names.contains(&&*member.name);
+            if !names.contains(&&*member.name) {
+                member.unlist(now);
+            }
         }
     }
 
@@ -133,10 +145,24 @@
         members.filter_map(|m| m.row.as_ref().map(|row| (&m.name, row)))
     }
 
+    /// Whether another instance was heard lately.
+    #[must_use]
+    pub fn is_any_heard(&self, now: Time) -> bool {
+        let heard = |m: &Member| m.heard.is_some_and(|at| now.since(at) < SILENT);
+        self.members.iter().any(heard)
+    }
+
+    /// Names and rows of those that may be sending requests, whether callers
+    /// should still be sent to them or not.
+    pub fn sharing(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Row)> {
+        let may_send = move |m: &&Member| m.may_send(now);
+        let members = self.members.iter().filter(may_send);
+        members.filter_map(|m| m.row.as_ref().map(|row| (&m.name, row)))
+    }
+
     /// Forgets those that are gone.
     pub fn sweep(&mut self, now: Time) {
-        let quiet = |m: &Member| m.heard.is_none_or(|at| now.since(at) > SILENT * 4);
-        self.members.retain(|m| m.listed || !quiet(m));
+        self.members.retain(|m| m.may_send(now));
     }
 
     /// Requests that others have at the target of this mark.
@@ -183,6 +209,7 @@
             name: name.into(),
             row: None,
             listed: false,
+            unlisted: None,
             heard: None,
             life: 0,
             seq: 0,
@@ -194,6 +221,25 @@
     }
 }
 
+impl Member {
+    fn unlist(&mut self, now: Time) {
+        if self.listed {
+            self.listed = false;
+            self.unlisted = Some(now);
+        }
+    }
+
+    /// Whether it may be sending requests. One that was told to stop does so
+    /// for as long as it is heard.
+    fn may_send(&self, now: Time) -> bool {
+        if self.leaving {
+            return self.heard.is_some_and(|at| now.since(at) < SILENT);
+        }
+        let last = self.heard.max(self.unlisted);
+        self.listed || last.is_some_and(|at| now.since(at) < KEPT)
+    }
+}
+
 fn is_there(member: &Member, now: Time, store: bool) -> bool {
     if member.leaving {
         return false;
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -11,9 +11,10 @@
 
 use std::sync::Arc;
 
+use super::cold::{self, Sharer};
 use super::job::Job;
-use super::roster::Target;
-use super::{Direct, FADE, hash, mark_of, unit};
+use super::roster::{COLD_SPAN, Target};
+use super::{Direct, FADE, hash, mark_of, members, unit};
 use crate::clock::Time;
 
 /// A target for a request.
@@ -47,6 +48,11 @@
 /// from the start.
 const LACK: f64 = 1.0;
 
+/// Part of what a cold target bears that instances send it knowingly. The rest
+/// is for those that haven't heard yet that it is cold: news takes up to half a
+/// second, and a busy target gets some seven requests a second.
+const COLD_USED: f64 = 0.75;
+
 /// How much slower a cold target is.
 const COLD: f64 = 2.0;
 
@@ -186,25 +192,41 @@
             && job.ask.route.allows(&target.region)
             && !self.roster.is_evacuated(&target.entry.domain)
             && !job.tried.contains(&target.entry.id)
-            && (!target.is_cold(now) || self.has_cold_room(now, target))
+            && (!self.may_be_cold(now, target) || self.has_cold_room(now, target))
+    }
+
+    /// Whether a target is cold, or may be without this instance's knowledge.
+    /// One that is cut off from the store and from all others isn't told; its
+    /// callers still reach it, and it still reaches targets.
+    fn may_be_cold(&self, now: Time, target: &Target) -> bool {
+        target.is_cold(now) || self.is_isolated(now)
     }
 
     /// Whether a cold target bears another request of this instance.
     fn has_cold_room(&self, now: Time, target: &Target) -> bool {
+        // A process that has just started may have an earlier one's requests
+        // behind it, and doesn't know yet whom it shares the sum with.
+        if now < Time::ZERO + COLD_SPAN {
+            return false;
+        }
         let rate = self
             .routes
             .as_ref()
             .and_then(|r| r.service(&target.entry.service))
             .map_or(0.0, |s| s.cold_rate);
         let total = rate * self.bounds.cold_factor + self.bounds.cold_slack;
-        #[allow(clippy::cast_precision_loss, reason = "instances are few")]
-        let part = (total / self.instances as f64).floor();
         #[allow(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "a small count"
         )]
-        let most = part.max(0.0) as usize;
+        let total = (total * COLD_USED).max(0.0) as usize;
+        let own = Sharer {
+            region: Arc::clone(&self.home.region),
+            mark: members::mark(&self.home.name),
+        };
+        let mark = members::mark(&target.entry.id);
+        let most = cold::part(total, &own, &self.sharers, &target.region, mark);
         target.sent_lately(now) < most
     }
 
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -44,7 +44,7 @@
 
 /// Span over which requests to a cold target are counted. The bound is on what
 /// arrives within one second; the rest covers different delays on the way.
-const COLD_SPAN: Duration = Duration::from_millis(1250);
+pub const COLD_SPAN: Duration = Duration::from_millis(1250);
 
 /// First pause after a failure to reach a target; doubles with each further one.
 const ASIDE_FIRST: Duration = Duration::from_millis(400);
--- a/crates/steer/src/process/direct/settle.rs
+++ b/crates/steer/src/process/direct/settle.rs
@@ -104,7 +104,7 @@
         let may_have_run = job.may_have_run;
         let arrived = ending != Ending::Unreached;
         let rule = self.bounds.repeats;
-        let instances = self.instances;
+        let instances = self.sharers.len() + 1;
         // What never arrived costs no target anything, and the budget counts
         // arrivals only. It is counted all the same: a connection that was
         // refused here may have been taken elsewhere.
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -5,6 +5,8 @@
 
 #[path = "direct/budget.rs"]
 mod budget;
+#[path = "direct/cold.rs"]
+mod cold;
 #[path = "direct/members.rs"]
 mod members;
 #[path = "direct/pace.rs"]
--- a/crates/steer/tests/direct/members.rs
+++ b/crates/steer/tests/direct/members.rs
@@ -27,7 +27,7 @@
     let mut members = Members::default();
     members.list("a", row("near"));
     if !listed {
-        members.unlist("a");
+        members.unlist(at(10_000), "a");
     }
     if silent.is_some() {
         members.hear(at(10_000), beat("a", 1));
@@ -82,6 +82,20 @@
     assert_eq!(bench.direct.ahead(at(9_000)), None, "it was heard long ago");
 }
 
+/// Two instances are cut off from each other while the store is away, or one
+/// starts then and knows the other by a third's word. If each only told those
+/// that it hears, neither would ever hear the other.
+#[test]
+fn tell_who_is_silent() {
+    let mut bench = Bench::new(route(), &[]);
+    bench.direct.told(5);
+    bench.direct.member(at(0), "near-2", Some(row("near")));
+    let told = |now| bench.direct.listeners(at(now)).count();
+    assert_eq!(told(0), 1);
+    assert_eq!(told(20_000), 1, "neither heard nor in the store's word");
+    assert_eq!(bench.direct.others(at(20_000)).count(), 0, "for callers");
+}
+
 /// Three instances share a target. What others have there counts as taken.
 #[test]
 fn count_requests_of_others() {
--- a/crates/steer/tests/direct/place.rs
+++ b/crates/steer/tests/direct/place.rs
@@ -7,7 +7,7 @@
 use steer::process::direct::{Ending, Order, Why};
 use steer::version::routes::Route;
 
-use super::bench::{Bench, MS, at, beat, entry, route};
+use super::bench::{Bench, MS, at, entry, route};
 
 /// Callers ask for the same sheet again and again. A target that has handled it
 /// takes a third of the time; spread over all targets, each request would begin
@@ -113,29 +113,6 @@
     assert_eq!(&*bench.send(at(0), Some(1)).target, "t1");
 }
 
-/// A cold target crashes above its rate. Seven instances that don't speak to
-/// each other about it must stay under 2 a second x 1.5 + 5 together: one each.
-#[test]
-fn share_cold_target() {
-    let cold = steer::process::direct::roster::Entry {
-        cold: Duration::from_secs(3),
-        ..entry("t1", "near-a")
-    };
-    let mut bench = Bench::new(route(), &[cold]);
-    for i in 0..6 {
-        bench
-            .direct
-            .hear(at(0), beat(&format!("near-{}", i + 2), 1));
-    }
-    let mut sent = 0;
-    for i in 0..10 {
-        bench.arrive(at(i), None);
-        let orders = bench.direct.step(at(i));
-        sent += orders.iter().filter(|o| matches!(o, Order::Go(_))).count();
-    }
-    assert_eq!(sent, 1);
-}
-
 /// All slots are taken for longer than the caller waits: it is rejected at
 /// once, with a time to come back, and not when its time is over.
 #[test]
