Reject what would outlast a process that was told to stop

Change: once told to stop, the process knows when it ends; a request whose answer would probably come later is rejected at once with a time to come back, whether a slot is free or not. The grace time counts from the signal and no longer from the store's answer to the end of the lease. Tests first: reject_who_still_waits, reject_what_outlasts_process, both shown to fail without it.

--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -25,7 +25,7 @@
 use std::time::{Duration, Instant};
 
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{StreamExt, future};
 use listeners::Listeners;
 use settings::direct::{Listen, Settings};
 use smol::net;
@@ -348,12 +348,18 @@
             })?;
         smol::block_on(control.run(async {
             stop.await;
+            let told = Instant::now();
             *lock(&shared.phase) = Phase::Leaving;
-            shared.note(|_, direct| direct.stop());
+            let last = door::last(&shared.settings);
+            shared.note(|now, direct| direct.stop(now + last));
             events::stopping(&shared);
             near::farewell(&shared, &listeners.beats).await;
-            membership.leave().await;
-            door::drained(&shared).await;
+            // The store may be silent, and the grace time runs.
+            let leave = async {
+                membership.leave().await;
+                future::pending().await
+            };
+            future::or(door::drained(&shared, told), leave).await;
         }));
         drop(end);
         let joined = thread.join();
--- a/crates/auburnrouter/src/direct/door.rs
+++ b/crates/auburnrouter/src/direct/door.rs
@@ -18,6 +18,7 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use settings::direct::Settings;
 use smol::net;
 use smol_hyper::rt::FuturesIo;
 
@@ -181,13 +182,18 @@
 /// Time for which no connection may be open before the process ends.
 const QUIET: Duration = Duration::from_millis(300);
 
-/// Waits until callers have gone, at most for the grace time.
-pub async fn drained(shared: &Shared) {
+/// Time from the word to stop to the end of the process, at most.
+pub fn last(settings: &Settings) -> Duration {
+    settings.bounds.grace.mul_f64(END)
+}
+
+/// Waits until callers have gone, at most for the grace time, which runs since
+/// `start`.
+pub async fn drained(shared: &Shared, start: Instant) {
     let grace = shared.settings.bounds.grace;
     let count = &shared.count;
-    let start = Instant::now();
     let mut quiet = start;
-    while start.elapsed() < grace.mul_f64(END) {
+    while start.elapsed() < last(&shared.settings) {
         if start.elapsed() > grace.mul_f64(LINGER) {
             shared.close();
         }
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -58,7 +58,8 @@
     paces: Vec<(Arc<str>, Pace)>,
     members: Members,
     store: Touch,
-    leaving: bool,
+    /// When this process ends, once it was told to stop.
+    end: Option<Time>,
     suspects: Suspects,
     /// Objects that targets have come to hold since the last heartbeat.
     news: Vec<(u32, u32)>,
@@ -89,7 +90,7 @@
             paces: Vec::new(),
             members: Members::default(),
             store: Touch::default(),
-            leaving: false,
+            end: None,
             suspects: Suspects::default(),
             news: Vec::new(),
             told: 0,
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -121,9 +121,10 @@
         self.recount(now);
     }
 
-    /// The process was told to stop; heartbeats say so from now on.
-    pub const fn stop(&mut self) {
-        self.leaving = true;
+    /// The process was told to stop and will end at `end`; heartbeats say so
+    /// from now on.
+    pub const fn stop(&mut self, end: Time) {
+        self.end = Some(end);
     }
 
     /// This instance's heartbeat; with its row for those who may not know it.
@@ -135,7 +136,7 @@
             name: Arc::clone(&self.home.name),
             life: self.home.life,
             seq: self.beats,
-            leaving: self.leaving,
+            leaving: self.end.is_some(),
             revision: self.store.revision,
             version: self.routes.as_ref().map_or(0, |r| r.version),
             row: row.then(|| self.home.row.clone()),
--- a/crates/steer/src/process/direct/line.rs
+++ b/crates/steer/src/process/direct/line.rs
@@ -1,7 +1,8 @@
 //! Who of those that wait is sent, and who is rejected.
 //!
 //! Invariant: the more urgent is looked at first; what can't be answered in
-//! time is rejected when that is known, and not when its time is over.
+//! time is rejected when that is known, and not when its time is over. Nothing
+//! waits for longer than this process lasts.
 
 use core::time::Duration;
 use std::sync::Arc;
@@ -73,13 +74,13 @@
             return self.without_place(now, at);
         };
         let job = &self.jobs[at];
-        if best.open {
+        if best.open && !self.outlasts(now, &best) {
             return Some(Order::Go(self.send(now, at, &best)));
         }
         let held = now.since(job.arrived).as_secs_f64();
         let goal = job.ask.route.goal.as_secs_f64();
         let finish = now + Duration::from_secs_f64(best.cost);
-        let hopeless = finish + SPARE > job.limit;
+        let hopeless = finish + SPARE > job.limit || self.outlasts(now, &best);
         let far_off = now + Duration::from_secs_f64(best.cost * DOUBT) > job.limit;
         if hopeless || (far_off && held <= goal * HOLD) {
             let job = self.jobs.remove(at);
@@ -91,6 +92,13 @@
         None
     }
 
+    /// Whether an answer would probably come after this process has ended, and
+    /// its caller would get none. Another instance can still take the request.
+    fn outlasts(&self, now: Time, best: &place::Place) -> bool {
+        let finish = now + Duration::from_secs_f64(best.cost * DOUBT);
+        self.end.is_some_and(|end| finish + SPARE > end)
+    }
+
     /// Whether even a free target that holds the object would answer too late.
     fn is_too_late(&self, now: Time, job: &Job) -> bool {
         let route = &job.ask.route;
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -19,3 +19,5 @@
 mod roster;
 #[path = "direct/routes.rs"]
 mod routes;
+#[path = "direct/stop.rs"]
+mod stop;
--- /dev/null
+++ b/crates/steer/tests/direct/stop.rs
@@ -0,0 +1,57 @@
+//! What a process that was told to stop does with requests.
+
+use core::time::Duration;
+
+use steer::process::direct::{Ending, Order, Why};
+use steer::version::routes::Route;
+
+use super::bench::{Bench, MS, at, entry, route};
+
+/// All slots are taken by long look-ups when the process is told to stop. One
+/// that waits would still wait when the process ends, and its caller would get
+/// no answer: it is rejected in time, and asks another instance.
+#[test]
+fn reject_who_still_waits() {
+    let patient = Route {
+        timeout: Duration::from_secs(20),
+        ..route()
+    };
+    let mut bench = Bench::new(patient, &[entry("t1", "near-a")]);
+    bench.serve(at(0), 1, 900 * MS);
+    for _ in 0..4 {
+        bench.send(at(1_000), Some(1));
+    }
+    bench.direct.stop(at(2_500));
+    bench.arrive_until(at(1_100), Some(1), at(21_000));
+    let mut rejected = None;
+    for millis in (1_100..2_500).step_by(25) {
+        if let Some(Order::Reject { why, .. }) = bench.order(at(millis)) {
+            assert_eq!(why, Why::Overload);
+            rejected.get_or_insert(millis);
+        }
+    }
+    assert!(rejected.is_some(), "it waits when the process ends");
+}
+
+/// A slot is free, but what it takes would last longer than the process.
+#[test]
+fn reject_what_outlasts_process() {
+    let mut bench = Bench::new(route(), &[entry("t1", "near-a")]);
+    bench.serve(at(0), 1, 900 * MS);
+    bench.direct.stop(at(2_500));
+    let sent = bench.send(at(1_000), Some(1));
+    bench.direct.ended(at(1_900), sent.ticket, Ending::Answered);
+    bench.arrive(at(2_000), Some(1));
+    let order = bench.order(at(2_000));
+    assert!(matches!(order, Some(Order::Reject { .. })), "{order:?}");
+}
+
+/// The caller's own limit still holds if it ends first.
+#[test]
+fn keep_callers_limit() {
+    let mut bench = Bench::new(route(), &[entry("t1", "near-a")]);
+    bench.direct.stop(at(60_000));
+    let ticket = bench.arrive_until(at(1_000), None, at(2_000));
+    let limit = bench.direct.limit(ticket);
+    assert!(limit.is_some_and(|l| l <= at(2_000) && l > at(2_000) - Duration::from_millis(100)));
+}
