Run the examples of the on-call page; mend the build

For that the platform's stand-ins are a program (`platform-standin`), which knows a slow target and one that loses its answers.

--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -357,7 +357,7 @@
             // The store may be silent, and the grace time runs.
             let leave = async {
                 membership.leave().await;
-                future::pending().await
+                future::pending::<()>().await;
             };
             future::or(door::drained(&shared, told), leave).await;
         }));
--- a/crates/scenarios/src/bin/actor.rs
+++ b/crates/scenarios/src/bin/actor.rs
@@ -23,9 +23,12 @@
     if program == "standin" {
         return standin::run(args);
     }
+    if program == "platform-standin" {
+        return platform_standin::stage::run(args);
+    }
     if program == "auburnrouter" {
         return auburnrouter::run(args);
     }
-    eprintln!("actor: say what to run: standin or auburnrouter");
+    eprintln!("actor: say what to run: standin, platform-standin or auburnrouter");
     ExitCode::FAILURE
 }
--- a/crates/scenarios/tests/pages.rs
+++ b/crates/scenarios/tests/pages.rs
@@ -109,7 +109,7 @@
         }
         fs::create_dir_all(dir.join("bin"))?;
         fs::create_dir(dir.join("trial"))?;
-        for program in ["auburnrouter", "standin"] {
+        for program in ["auburnrouter", "standin", "platform-standin"] {
             let path = dir.join("bin").join(program);
             let actor = env!("CARGO_BIN_EXE_actor");
             let text = format!("#!/bin/sh\nexec '{actor}' {program} \"$@\" <&3\n");
@@ -213,6 +213,11 @@
     check("CALLERS.md", 1, &all);
 }
 
+#[test]
+fn examples_of_operations() {
+    check("OPERATIONS.md", 2, &examples(&page("OPERATIONS.md")));
+}
+
 #[test]
 fn callers_know_every_reason() {
     let page = page("CALLERS.md");
