Write heartbeats in fewer bytes

Ruled out: sending them less often (the directory's bound on dead instances rests on them) and to fewer (a store that is away leaves nothing else).

Change: numbers in as few bytes as they need, hashes as bytes. Test first: far_beat_size (50 and 90 bytes at most); beat_there_and_back is new too.

Instances of the release before can't read them and the other way round: they show as `entry-refused` while a release is rolled.

--- a/crates/wire/src/near.rs
+++ b/crates/wire/src/near.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bincode::{DefaultOptions, Options};
 use serde::{Deserialize, Serialize};
 use steer::process::direct::members;
 use thiserror::Error;
@@ -48,9 +49,22 @@
     revision: u64,
     version: u64,
     row: Option<Row>,
-    flying: Vec<(u32, u8)>,
-    held: Vec<(u32, u32)>,
-    struck: Vec<(u128, u8)>,
+    flying: Vec<(Mark, u8)>,
+    held: Vec<(Mark, Mark)>,
+    struck: Vec<(Print, u8)>,
+}
+
+/// A hash. As bytes, since numbers are written in as few bytes as they need,
+/// and a hash needs all of them and one more.
+type Mark = [u8; 4];
+
+/// A longer one.
+type Print = [u8; 16];
+
+/// Numbers in as few bytes as they need: most are small, heartbeats are sent a
+/// hundred times a second in a small fleet, and what crosses regions is paid.
+fn form() -> impl Options {
+    DefaultOptions::new().with_limit(DATAGRAM as u64 * 2)
 }
 
 /// One item of the platform's store, as its reader got it.
@@ -76,7 +90,7 @@
     /// As bytes for a datagram.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
-        bincode::serialize(self).unwrap_or_default()
+        form().serialize(self).unwrap_or_default()
     }
 
     /// From a datagram.
@@ -84,7 +98,7 @@
     /// # Errors
     /// If it isn't a heartbeat.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        Ok(bincode::deserialize(bytes)?)
+        Ok(form().deserialize(bytes)?)
     }
 }
 
@@ -126,17 +140,30 @@
             revision: beat.revision,
             version: beat.version,
             row: beat.row.map(Into::into),
-            flying,
-            held: beat.held,
-            struck,
+            flying: flying
+                .into_iter()
+                .map(|(t, n)| (t.to_le_bytes(), n))
+                .collect(),
+            held: beat
+                .held
+                .into_iter()
+                .map(|(t, o)| (t.to_le_bytes(), o.to_le_bytes()))
+                .collect(),
+            struck: struck
+                .into_iter()
+                .map(|(r, n)| (r.to_le_bytes(), n))
+                .collect(),
         }
     }
 }
 
 impl From<Beat> for members::Beat {
     fn from(beat: Beat) -> Self {
-        let mut flying = beat.flying;
+        let count = |(target, count)| (u32::from_le_bytes(target), count);
+        let mut flying: Vec<(u32, u8)> = beat.flying.into_iter().map(count).collect();
         flying.sort_unstable();
+        let held = |(target, object)| (u32::from_le_bytes(target), u32::from_le_bytes(object));
+        let strikes = |(request, strikes)| (u128::from_le_bytes(request), strikes);
         Self {
             name: Arc::from(beat.name),
             life: beat.life,
@@ -146,8 +173,8 @@
             version: beat.version,
             row: beat.row.map(Into::into),
             flying,
-            held: beat.held,
-            struck: beat.struck,
+            held: beat.held.into_iter().map(held).collect(),
+            struck: beat.struck.into_iter().map(strikes).collect(),
         }
     }
 }
--- /dev/null
+++ b/crates/wire/tests/near.rs
@@ -0,0 +1,62 @@
+//! Heartbeats of instances that steer straight to targets.
+
+use rstest::rstest;
+use steer::process::direct::members::{Beat, Row};
+use wire::near;
+
+fn row() -> Row {
+    let addr = |port| ([10, 1, 0, 15], port).into();
+    Row {
+        region: "seq".into(),
+        domain: "seq-a".into(),
+        callers: addr(8641),
+        peers: addr(8649),
+        beats: addr(9000),
+    }
+}
+
+fn beat() -> Beat {
+    Beat {
+        name: "edge-seq-a-1".into(),
+        life: u64::MAX - 3,
+        seq: 240,
+        leaving: false,
+        revision: 90_000,
+        version: 130,
+        row: None,
+        flying: vec![(0xFFFF_0001, 3), (0xFFFF_0002, 1)],
+        held: vec![(0xFFFF_0001, 0xABCD_1234); 12],
+        struck: vec![(u128::MAX - 1, 2)],
+    }
+}
+
+#[rstest]
+#[case::without_row(beat())]
+#[case::with_row(Beat { row: Some(row()), ..beat() })]
+fn beat_there_and_back(#[case] beat: Beat) {
+    let bytes = near::Beat::from(beat.clone()).encode();
+    let read = near::Beat::decode(&bytes).expect("it is whole");
+    assert_eq!(Beat::from(read), beat);
+    for end in 0..bytes.len() {
+        assert!(near::Beat::decode(&bytes[..end]).is_err(), "cut at {end}");
+    }
+    let longer = [&bytes[..], b"x"].concat();
+    assert!(near::Beat::decode(&longer).is_err(), "bytes left over");
+}
+
+/// What goes to other regions is paid by the byte, and to each of them all the
+/// time: a growth shows here.
+#[rstest]
+#[case::usual(None, 50)]
+#[case::with_row(Some(row()), 90)]
+fn far_beat_size(#[case] row: Option<Row>, #[case] most: usize) {
+    let far = Beat {
+        row,
+        flying: Vec::new(),
+        held: Vec::new(),
+        struck: Vec::new(),
+        ..beat()
+    };
+    let size = near::Beat::from(far).encode().len();
+    assert!(size <= most, "{size} bytes");
+}
