--- a/crates/auburnrouter/src/direct/events.rs
+++ b/crates/auburnrouter/src/direct/events.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use serde::Serialize;
 
@@ -214,7 +215,7 @@
         service: &entry.service,
         domain: &entry.domain,
         state: if entry.draining { "leaving" } else { "ready" },
-        cold_ms: u64::try_from(entry.cold.as_millis()).unwrap_or(u64::MAX),
+        cold_ms: millis(entry.cold),
     };
     write(shared, "target", fields);
 }
@@ -295,10 +296,14 @@
     status: u16,
     /// Requests believed there when it was sent, and by the target's own word.
     believed: f64,
+    /// Age of the target's own last word on them.
+    believed_ms: u64,
     load: u32,
     warm: bool,
     expected_ms: f64,
     object: u64,
+    /// Version of the configuration.
+    config: u64,
 }
 
 /// What is known of an attempt when it ends.
@@ -343,10 +348,12 @@
         ending: a.ending,
         status: a.status,
         believed: a.go.load,
+        believed_ms: millis(a.go.age),
         load: a.load,
         warm: a.go.warm,
         expected_ms: a.go.work * 1000.0,
         object: a.object,
+        config: a.go.version,
     };
     write(shared, "attempt", fields);
 }
@@ -359,13 +366,18 @@
     why: &'a str,
     held_ms: u64,
     waiting: usize,
+    /// Version of the configuration in force.
+    config: u64,
+    /// Age of the store's last answer; null before the first.
+    store_ms: Option<u64>,
 }
 
 /// An answer of this system's own was given.
 pub fn own(shared: &Shared, request: &str, route: &str, status: u16, why: &str, held_ms: u64) {
     let labels = [&*status.to_string(), why];
     shared.metrics.own.with_label_values(&labels).inc();
-    let waiting = shared.read(|_, d| d.waiting());
+    let (waiting, config, store) =
+        shared.read(|now, d| (d.waiting(), d.version(), d.store_age(now)));
     let fields = Own {
         request,
         route,
@@ -373,10 +385,16 @@
         why,
         held_ms,
         waiting,
+        config,
+        store_ms: store.map(millis),
     };
     write(shared, "own-answer", fields);
 }
 
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn seconds(millis: u64) -> f64 {
-    std::time::Duration::from_millis(millis).as_secs_f64()
+    Duration::from_millis(millis).as_secs_f64()
 }
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -120,6 +120,12 @@
         self.routes.as_ref()
     }
 
+    /// Its version; 0 before the first.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.routes.as_ref().map_or(0, |r| r.version)
+    }
+
     /// Sets the domains that must get nothing; see [`Roster::evacuate`].
     pub fn evacuate(&mut self, now: Time, domains: Vec<Arc<str>>) {
         let warmups = self.routes.iter().flat_map(|r| r.services());
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -68,6 +68,12 @@
         self.store.revision
     }
 
+    /// Time since the store's last answer, if there was one.
+    #[must_use]
+    pub fn store_age(&self, now: Time) -> Option<Duration> {
+        self.store.seen.map(|at| now.since(at))
+    }
+
     /// Whether the store has answered lately.
     #[must_use]
     pub fn is_in_touch(&self, now: Time) -> bool {
@@ -138,7 +144,7 @@
             seq: self.beats,
             leaving: self.end.is_some(),
             revision: self.store.revision,
-            version: self.routes.as_ref().map_or(0, |r| r.version),
+            version: self.version(),
             row: row.then(|| self.home.row.clone()),
             held,
             struck: struck.map(|c| (c.print.0, c.strikes)).collect(),
@@ -178,8 +184,7 @@
     /// Where to ask for what this instance has missed, if another knows more.
     #[must_use]
     pub fn ahead(&self, now: Time) -> Option<SocketAddr> {
-        let version = self.routes.as_ref().map_or(0, |r| r.version);
-        self.members.ahead(now, self.store.revision, version)
+        self.members.ahead(now, self.store.revision, self.version())
     }
 
     /// Forgets what is gone. Names targets that were missing and are dropped.
--- a/crates/steer/src/process/direct/line.rs
+++ b/crates/steer/src/process/direct/line.rs
@@ -129,10 +129,12 @@
     fn send(&mut self, now: Time, at: usize, best: &place::Place) -> Go {
         let target = &mut self.roster.all_mut()[best.index];
         let load = target.load(now, FADE);
+        let age = target.age(now);
         let queued = load >= f64::from(target.entry.slots);
         target.sent(now);
         let id = Arc::clone(&target.entry.id);
         let addr = target.entry.addr;
+        let version = self.version();
         let job = &mut self.jobs[at];
         job.strikes = self.suspects.strikes(job.ask.print);
         job.tried.push(Arc::clone(&id));
@@ -151,6 +153,8 @@
             work: best.work,
             warm: best.warm,
             load,
+            age,
+            version,
         }
     }
 
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -84,6 +84,10 @@
     pub warm: bool,
     /// Requests believed to be at the target.
     pub load: f64,
+    /// How long ago the target last said so itself.
+    pub age: Duration,
+    /// Version of the configuration by which it was decided.
+    pub version: u64,
 }
 
 /// What is to be done now.
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -160,6 +160,13 @@
         self.told = now;
     }
 
+    /// Time since its own last report of its requests; since it was listed, if
+    /// there is none.
+    #[must_use]
+    pub fn age(&self, now: Time) -> Duration {
+        now.since(self.told)
+    }
+
     /// Whether an object was handled lately, as far as this instance knows.
     #[must_use]
     pub fn holds(&self, now: Time, object: u32) -> bool {
