Check settings of the users' platform with the others

auburnrouter check knew only the settings of our own path and took those of direct for a base file, with twenty faults of another kind. It tells them by their fields now, prints their values, and names every fault with place and remedy; test check_platform_settings.

--- a/crates/auburnrouter/src/cmd/check.rs
+++ b/crates/auburnrouter/src/cmd/check.rs
@@ -8,7 +8,7 @@
 use intent::listing;
 use jsonc::fault::{Fault, Kind, Place};
 use serde::Serialize;
-use settings::{Settings, secret};
+use settings::{Settings, direct, secret};
 
 use super::{given, report};
 use crate::cli::{self, Command, Error, Exit};
@@ -33,8 +33,8 @@
 with the file, line and column that it comes from, or \"default\".
 
 A path is a file or a folder as `apply` takes it: base.jsonc,
-overlay/SITE.jsonc, blocks/*.txt; settings may lie beside the base file. What
-a file is, is told by its fields, block files by their ending .txt.
+overlay/SITE.jsonc, blocks/*.txt; settings may lie beside the base file, those of
+`direct` too. What a file is, is told by its fields, block files by their ending .txt.
 Nothing is asked of any instance.
 
 Options:
@@ -57,6 +57,7 @@
 /// What the files are.
 struct Found {
     settings: Vec<(String, Settings)>,
+    direct: Vec<(String, direct::Settings)>,
     checked: Option<Checked>,
     faults: Vec<Fault>,
 }
@@ -113,6 +114,7 @@
 fn verify(given: given::Given) -> Found {
     let mut found = Found {
         settings: Vec::new(),
+        direct: Vec::new(),
         checked: None,
         faults: Vec::new(),
     };
@@ -125,6 +127,12 @@
             Err(faults) => found.faults.extend(faults),
         }
     }
+    for file in &given.direct {
+        match direct::Settings::parse(&file.name, &file.text) {
+            Ok(settings) => found.direct.push((file.name.to_string(), settings)),
+            Err(faults) => found.faults.extend(faults),
+        }
+    }
     let bundle = given.bundle();
     match bundle.and_then(|b| b.map(|b| b.check()).transpose()) {
         Ok(checked) => found.checked = checked,
@@ -166,6 +174,8 @@
     if wish.site.is_none() {
         let all = found.settings.iter();
         parts.extend(all.map(|(name, settings)| format!("settings {name}\n{settings}")));
+        let all = found.direct.iter();
+        parts.extend(all.map(|(name, settings)| format!("settings {name}\n{settings}")));
         let plan = found.checked.as_ref().map(|checked| &checked.base);
         parts.extend(plan.map(|plan| format!("configuration\n{plan}")));
     }
--- a/crates/auburnrouter/src/cmd/given.rs
+++ b/crates/auburnrouter/src/cmd/given.rs
@@ -9,6 +9,7 @@
 use intent::document;
 use jsonc::fault::{Fault, Kind, Place};
 use jsonc::node::{Node, Value};
+use settings::direct;
 use thiserror::Error;
 
 use super::files;
@@ -26,6 +27,8 @@
 pub struct Given {
     /// Settings of processes.
     pub settings: Vec<bundle::File>,
+    /// Settings of processes on the users' platform.
+    pub direct: Vec<bundle::File>,
     bases: Vec<bundle::File>,
     overlays: Vec<bundle::File>,
     blocks: Vec<bundle::File>,
@@ -103,6 +106,10 @@
         if names.contains(&SITE) {
             return &mut self.overlays;
         }
+        let direct = names.iter().filter(|n| direct::FIELDS.contains(n)).count();
+        if direct > own && direct * 2 > names.len() {
+            return &mut self.direct;
+        }
         if own * 2 > names.len() {
             return &mut self.settings;
         }
--- a/crates/auburnrouter/tests/files.rs
+++ b/crates/auburnrouter/tests/files.rs
@@ -203,3 +203,31 @@
     let ran = run(&["diff", "bluestone", "--from", "bluestone"]);
     assert_eq!((ran.code, ran.out.as_str()), (Some(0), "nothing changes\n"));
 }
+
+/// Settings of an instance on the users' platform: told by their fields, and
+/// all faults with their places and remedies.
+#[rstest]
+#[case::good(&[], 0, &["entry near-1 in near-a, near"])]
+#[case::two_faults(
+    &[("\"memory_mb\":260", "\"memory_mb\":\"much\""), ("grace_s", "grace")],
+    1,
+    &["entry.jsonc:1:", "found a string; write a number", "\"grace_s\" is missing"]
+)]
+fn check_platform_settings(
+    #[case] changes: &[(&str, &str)],
+    #[case] code: i32,
+    #[case] said: &[&str],
+) {
+    let store = "127.0.0.1:1".parse().unwrap();
+    let mut text = platform_standin::settings("near-1", "near-a", store, &[]);
+    for (good, bad) in changes {
+        assert!(text.contains(good), "{text}");
+        text = text.replacen(good, bad, 1);
+    }
+    let folder = folder(&format!("check-platform-{code}"));
+    let ran = run(&["check", &write(&folder, "entry.jsonc", &text)]);
+    assert_eq!(ran.code, Some(code), "{}{}", ran.out, ran.err);
+    for words in said {
+        assert!(ran.out.contains(words), "{words}: {}", ran.out);
+    }
+}
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -3,6 +3,7 @@
 //! Invariant: what is returned has passed every check; all faults of a file are
 //! reported together, each with its place.
 
+use core::fmt;
 use core::ops::RangeInclusive;
 use core::time::Duration;
 use std::net::SocketAddr;
@@ -78,7 +79,8 @@
     pub bounds: Bounds,
 }
 
-const FIELDS: [&str; 10] = [
+/// Fields of a settings file.
+pub const FIELDS: [&str; 10] = [
     "name",
     "domain",
     "region",
@@ -117,6 +119,40 @@
 /// Shares, factors and counts.
 const AMOUNT: RangeInclusive<f64> = 0.0..=1e6;
 
+impl fmt::Display for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (listen, bounds) = (&self.listen, &self.bounds);
+        writeln!(f, "entry {} in {}, {}", self.name, self.domain, self.region)?;
+        for (domain, region) in &self.domains {
+            writeln!(f, "  domain    {domain} in {region}")?;
+        }
+        writeln!(f, "  callers   {}", listen.callers)?;
+        writeln!(f, "  ready     {}", listen.ready)?;
+        writeln!(f, "  directory {}", listen.directory)?;
+        writeln!(f, "  peers     {}", listen.peers)?;
+        writeln!(f, "  beats     {}", listen.beats)?;
+        writeln!(f, "  operators {}", listen.operators)?;
+        writeln!(f, "  store     {}", self.store)?;
+        writeln!(f, "  seeds     {}", crate::join(&self.seeds))?;
+        writeln!(f, "  memory    {} MB", self.memory)?;
+        writeln!(f, "  files     {}", self.descriptors)?;
+        writeln!(f, "  contact   {:?}", bounds.contact)?;
+        writeln!(f, "  grace     {:?}", bounds.grace)?;
+        writeln!(f, "  lifetime  {:?}", bounds.lifetime)?;
+        writeln!(
+            f,
+            "  repeats   {} of the requests and {} in {:?}",
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+        )?;
+        writeln!(
+            f,
+            "  cold      {} times the rate and {}",
+            bounds.cold_factor, bounds.cold_slack
+        )?;
+        writeln!(f, "  shift     {}", bounds.shift)
+    }
+}
+
 impl Settings {
     /// Parses and checks one settings file's text.
     ///
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -86,7 +86,7 @@
     }
 }
 
-fn join(addrs: &[SocketAddr]) -> String {
+pub(crate) fn join(addrs: &[SocketAddr]) -> String {
     let texts: Vec<String> = addrs.iter().map(ToString::to_string).collect();
     if texts.is_empty() {
         return "none".into();
