Let status and dump ask instances on the users' platform

The operators' address of direct served /metrics and /dump; the program's own subcommands couldn't ask it, since its settings have no secret, and status had nothing to read. Both take the settings of either kind now; status lists every instance with the version that its heartbeats say it has in force.

--- a/crates/auburnrouter/src/cmd/client.rs
+++ b/crates/auburnrouter/src/cmd/client.rs
@@ -13,7 +13,7 @@
 use trillium_client::{Client, Conn};
 use trillium_smol::ClientConfig;
 
-use super::files;
+use super::{files, given};
 use crate::cli;
 use crate::daemon::{Change, Made};
 
@@ -56,7 +56,8 @@
 /// One instance's operators' listener.
 pub struct Operators {
     addr: SocketAddr,
-    secret: secret::Secret,
+    /// None on the users' platform: who reaches the address may read there.
+    secret: Option<secret::Secret>,
 }
 
 /// An answer of the listener.
@@ -102,24 +103,31 @@
     /// If they name none, or a file can't be read.
     pub fn operators(&self) -> Result<Operators, Error> {
         let settings = self.settings.as_deref().map(read_settings).transpose()?;
-        let addr = self
-            .operators
-            .or(settings.as_ref().map(|s| s.listen.operators));
+        let listens = match &settings {
+            Some(Read::Own(settings)) => Some(settings.listen.operators),
+            Some(Read::Direct(settings)) => Some(settings.listen.operators),
+            None => None,
+        };
+        let addr = self.operators.or(listens).ok_or(Error::Where)?;
         let secret = match (&self.secret, settings) {
             (Some(path), _) => Some(read_secret(path)?),
-            (None, Some(settings)) => match settings.secret {
-                secret::Source::Inline(secret) => Some(secret),
-                secret::Source::File(path) => Some(read_secret(&path)?),
-            },
-            (None, None) => None,
+            (None, Some(Read::Own(settings))) => Some(match settings.secret {
+                secret::Source::Inline(secret) => secret,
+                secret::Source::File(path) => read_secret(&path)?,
+            }),
+            (None, Some(Read::Direct(_))) => None,
+            (None, None) => return Err(Error::Where),
         };
-        match (addr, secret) {
-            (Some(addr), Some(secret)) => Ok(Operators { addr, secret }),
-            _ => Err(Error::Where),
-        }
+        Ok(Operators { addr, secret })
     }
 }
 
+/// Settings of either kind.
+enum Read {
+    Own(Box<settings::Settings>),
+    Direct(Box<settings::direct::Settings>),
+}
+
 impl Operators {
     /// `GET path`.
     ///
@@ -151,8 +159,13 @@
     }
 
     fn call(&self, conn: Conn) -> Result<Answer, Error> {
-        let bearer = format!("Bearer {}", String::from_utf8_lossy(self.secret.bytes()));
-        let conn = conn.with_request_header("Authorization", bearer);
+        let conn = match &self.secret {
+            Some(secret) => {
+                let bearer = format!("Bearer {}", String::from_utf8_lossy(secret.bytes()));
+                conn.with_request_header("Authorization", bearer)
+            }
+            None => conn,
+        };
         let answer = call(conn).map_err(|e| Error::Silent(self.addr, e))?;
         if answer.status == 401 {
             return Err(Error::Secret(self.addr));
@@ -207,10 +220,16 @@
     Ok(Answer { status, body })
 }
 
-fn read_settings(path: &Path) -> Result<settings::Settings, Error> {
+fn read_settings(path: &Path) -> Result<Read, Error> {
     let name = path.display().to_string();
     let text = fs::read_to_string(path).map_err(|e| Error::File(name.clone(), e.to_string()))?;
-    settings::Settings::parse(&name, &text).map_err(|faults| {
+    let root = jsonc::parse(&name, &text).ok();
+    let read = if root.is_some_and(|root| given::is_direct(&given::fields(&root))) {
+        settings::direct::Settings::parse(&name, &text).map(|s| Read::Direct(Box::new(s)))
+    } else {
+        settings::Settings::parse(&name, &text).map(|s| Read::Own(Box::new(s)))
+    };
+    read.map_err(|faults| {
         let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
         Error::File(name.clone(), lines.join("\n"))
     })
--- a/crates/auburnrouter/src/cmd/given.rs
+++ b/crates/auburnrouter/src/cmd/given.rs
@@ -47,6 +47,15 @@
     ("blocks", "txt"),
 ];
 
+/// Whether fields are those of settings on the users' platform. Some fields are
+/// in both kinds of settings; each kind has more of its own.
+#[must_use]
+pub fn is_direct(names: &[&str]) -> bool {
+    let count = |known: &[&str]| names.iter().filter(|name| known.contains(name)).count();
+    let direct = count(&direct::FIELDS);
+    direct > count(&SETTINGS) && direct * 2 > names.len()
+}
+
 /// Field that only overlays have.
 const SITE: &str = "site";
 
@@ -106,8 +115,7 @@
         if names.contains(&SITE) {
             return &mut self.overlays;
         }
-        let direct = names.iter().filter(|n| direct::FIELDS.contains(n)).count();
-        if direct > own && direct * 2 > names.len() {
+        if is_direct(&names) {
             return &mut self.direct;
         }
         if own * 2 > names.len() {
@@ -143,7 +151,9 @@
     }
 }
 
-fn fields(root: &Node) -> Vec<&str> {
+/// Names of a file's fields; none if it isn't an object.
+#[must_use]
+pub fn fields(root: &Node) -> Vec<&str> {
     match &root.value {
         Value::Object(fields) => fields.iter().map(|f| &*f.name).collect(),
         _ => Vec::new(),
--- a/crates/auburnrouter/src/daemon.rs
+++ b/crates/auburnrouter/src/daemon.rs
@@ -31,7 +31,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-pub use self::control::{Answer as Made, Change, File, Result as ChangeResult, Status};
+pub use self::control::{
+    Answer as Made, Change, File, Result as ChangeResult, Status, StatusEntry,
+};
 
 use arc_swap::ArcSwap;
 use futures_lite::future;
--- a/crates/auburnrouter/src/daemon/control.rs
+++ b/crates/auburnrouter/src/daemon/control.rs
@@ -23,7 +23,7 @@
 pub use self::apply::{Answer, Change, File, Result};
 pub use self::dump::Dump;
 use self::force::InForce;
-pub use self::status::Status;
+pub use self::status::{Entry as StatusEntry, Status};
 use super::Addresses;
 use super::engine::Engine;
 use super::metrics::Metrics;
--- a/crates/auburnrouter/src/direct/desk.rs
+++ b/crates/auburnrouter/src/direct/desk.rs
@@ -15,6 +15,7 @@
 use super::door::{self, Limits, Request, Response};
 use super::{Executor, Shared, dump};
 use crate::daemon::guarded::Serving;
+use crate::daemon::{Status, StatusEntry};
 
 /// Longest time for which an answer may be kept: it names instances that may
 /// be gone a moment later.
@@ -49,6 +50,7 @@
 fn operator(shared: &Shared, path: &str) -> Response {
     let printed = match path {
         "/metrics" => shared.metrics.print(shared).ok(),
+        "/status" => serde_json::to_vec(&status(shared)).ok(),
         "/dump" => serde_json::to_vec(&dump::State::of(shared)).ok(),
         _ => return door::empty(StatusCode::NOT_FOUND),
     };
@@ -58,6 +60,32 @@
     }
 }
 
+/// Which version is in force at each instance, as `auburnrouter status` reads it.
+fn status(shared: &Shared) -> Status {
+    let settings = &shared.settings;
+    shared.read(|now, direct| {
+        let version = direct.version();
+        let own = StatusEntry {
+            name: settings.name.as_ref().to_owned(),
+            domain: settings.domain.as_ref().to_owned(),
+            version: Some(version),
+        };
+        let other = |(name, row, version): (&Arc<str>, &Row, _)| StatusEntry {
+            name: name.as_ref().to_owned(),
+            domain: row.domain.as_ref().to_owned(),
+            version,
+        };
+        let mut entries: Vec<StatusEntry> = direct.versions(now).map(other).collect();
+        entries.push(own);
+        entries.sort_by(|a, b| a.name.cmp(&b.name));
+        Status {
+            name: settings.name.as_ref().to_owned(),
+            version,
+            entries,
+        }
+    })
+}
+
 fn found(shared: &Shared, from: &Where) -> Response {
     let addresses = addresses(shared, from);
     if addresses.is_empty() {
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -181,6 +181,12 @@
         self.members.sharing(now)
     }
 
+    /// Other instances with the version that each has in force, if it was heard
+    /// lately.
+    pub fn versions(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Row, Option<u64>)> {
+        self.members.versions(now)
+    }
+
     /// Where to ask for what this instance has missed, if another knows more.
     #[must_use]
     pub fn ahead(&self, now: Time) -> Option<SocketAddr> {
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -145,6 +145,18 @@
         members.filter_map(|m| m.row.as_ref().map(|row| (&m.name, row)))
     }
 
+    /// The same, with the version of the configuration that each has said lately
+    /// it has in force.
+    pub fn versions(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Row, Option<u64>)> {
+        let may_send = move |m: &&Member| m.may_send(now);
+        let members = self.members.iter().filter(may_send);
+        members.filter_map(move |m| {
+            let heard = m.heard.is_some_and(|at| now.since(at) < SILENT);
+            let row = m.row.as_ref()?;
+            Some((&m.name, row, heard.then_some(m.version)))
+        })
+    }
+
     /// Whether another instance was heard lately.
     #[must_use]
     pub fn is_any_heard(&self, now: Time) -> bool {
