Undo circles among files: safeguards and the guarded connection stand alone

dispatch/tuning and target used each other (safeguards stand in process/safeguard now, which uses neither), accept and reply did (the connection's type stands with what guards it). The fleet of measure sums is three files: what happens, what it consists of, how it runs. No behaviour changed.

--- a/crates/auburnrouter/src/daemon/accept.rs
+++ b/crates/auburnrouter/src/daemon/accept.rs
@@ -19,13 +19,10 @@
 use smol::net;
 use trillium_http::{HttpConfig, Stopper};
 
-use super::guarded::{Bounds, Guarded, Serving};
+use super::guarded::{Bounds, Conn, Guarded, Serving};
 use super::reply;
 use super::workers::Executor;
 
-/// A request on a guarded connection.
-pub type Conn = trillium_http::Conn<Guarded>;
-
 /// Bounds on one listener.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
--- a/crates/auburnrouter/src/daemon/callers.rs
+++ b/crates/auburnrouter/src/daemon/callers.rs
@@ -21,8 +21,9 @@
 use trillium_http::{KnownHeaderName, Method, Status};
 use wire::headers;
 
-use super::accept::{Conn, Peer};
+use super::accept::Peer;
 use super::engine::{Engine, Terms};
+use super::guarded::Conn;
 use super::inbound::{self, Inbound};
 use super::metrics::Metrics;
 use super::reply;
--- a/crates/auburnrouter/src/daemon/guarded.rs
+++ b/crates/auburnrouter/src/daemon/guarded.rs
@@ -46,6 +46,9 @@
     }
 }
 
+/// A request on a guarded connection.
+pub type Conn = trillium_http::Conn<Guarded>;
+
 /// The connection.
 pub struct Guarded {
     stream: net::TcpStream,
--- a/crates/auburnrouter/src/daemon/operators.rs
+++ b/crates/auburnrouter/src/daemon/operators.rs
@@ -22,10 +22,11 @@
 use subtle::ConstantTimeEq;
 use trillium_http::{KnownHeaderName, Method, Status};
 
-use super::accept::{Conn, Limits};
+use super::accept::Limits;
 use super::control;
 use super::engine::Engine;
 use super::guarded::Bounds;
+use super::guarded::Conn;
 use super::metrics::Metrics;
 use super::reply;
 
--- a/crates/auburnrouter/src/daemon/reply.rs
+++ b/crates/auburnrouter/src/daemon/reply.rs
@@ -11,7 +11,7 @@
 use trillium_http::{HeaderName, HeaderValue, KnownHeaderName, Status};
 use wire::{headers, peer};
 
-use super::accept::Conn;
+use super::guarded::Conn;
 
 /// Sent to a connection beyond the number allowed.
 pub const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nOutcome: unknown\r\nReason: overloaded\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
--- a/crates/measure/src/scenarios.rs
+++ b/crates/measure/src/scenarios.rs
@@ -4,7 +4,8 @@
 use core::time::Duration;
 
 use steer::clock::Time;
-use steer::process::dispatch::tuning::{Safeguard, Safeguards, Tuning};
+use steer::process::dispatch::tuning::Tuning;
+use steer::process::safeguard::{Safeguard, Safeguards};
 use steer::process::target::choose::Policy;
 
 use crate::model::deployment::{self, Deployment, Layout};
--- a/crates/measure/src/sums.rs
+++ b/crates/measure/src/sums.rs
@@ -5,11 +5,14 @@
 //! Invariant: what is counted is what targets see, not what instances believe.
 
 pub mod fleet;
+pub mod plan;
+mod setup;
 mod tally;
 
 use core::fmt::Write;
 
-use fleet::{Fleet, Plan};
+use fleet::Fleet;
+use plan::Plan;
 
 /// What happens to a fleet: its name, and the plan.
 const PLANS: [(&str, Plan); 8] = [
--- a/crates/measure/src/sums/fleet.rs
+++ b/crates/measure/src/sums/fleet.rs
@@ -11,61 +11,20 @@
 
 use fastrand::Rng;
 use steer::clock::Time;
-use steer::process::direct::budget::Rule;
-use steer::process::direct::members::{Beat, Row};
+use steer::process::direct::members::Beat;
 use steer::process::direct::roster::Entry;
-use steer::process::direct::{Ask, Bounds, Direct, Ending, Go, Home, Next, Order, Ticket};
+use steer::process::direct::{Ask, Direct, Ending, Go, Home, Next, Order, Ticket};
 use steer::request::arrival::Fingerprint;
-use steer::version::routes::{Limits, Part, Route, Routes, Service};
+use steer::version::routes::Routes;
 
+use super::plan::Plan;
+use super::setup::{self, BOUNDS, COLD, COLD_RATE, TARGETS, Target};
 use super::tally::{Arrival, Sent, Tally};
 
-/// What happens to a fleet.
-#[allow(clippy::struct_excessive_bools, reason = "each is a fault of its own")]
-#[derive(Clone, Copy, Debug)]
-pub struct Plan {
-    /// Callers come in waves.
-    pub bursts: bool,
-    /// Targets of a region turn cold now and then.
-    pub cold: bool,
-    /// A quarter of the attempts fail and may be repeated.
-    pub failing: bool,
-    /// Instances are killed and replaced, one after the other.
-    pub replaced: bool,
-    /// All are killed at once, twice, and return within a second or so.
-    pub herd: bool,
-    /// Some are cut off from the others and from the store.
-    pub cut: bool,
-    /// The store is away for seconds, and rows run out meanwhile.
-    pub store: bool,
-    /// Half as many instances again are added.
-    pub added: bool,
-}
-
-impl Plan {
-    /// Nothing fails.
-    pub const CALM: Self = Self {
-        bursts: false,
-        cold: false,
-        failing: false,
-        replaced: false,
-        herd: false,
-        cut: false,
-        store: false,
-        added: false,
-    };
-
-    const fn is_steady(self) -> bool {
-        !(self.cold || self.failing || self.replaced || self.herd || self.cut || self.added)
-    }
-}
-
 const MS: Duration = Duration::from_millis(1);
 
 /// Step of the run.
 const STEP: Duration = Duration::from_millis(5);
-/// Targets by region: uneven, as at Bluestone; for each [`SHARE`] instances.
-const TARGETS: [usize; 3] = [4, 6, 2];
 /// Requests a second of all callers, for as many targets.
 const RATE: f64 = 80.0;
 /// Instances that so many targets have. Larger fleets have more of both.
@@ -82,9 +41,6 @@
 const READ: Duration = Duration::from_millis(300);
 /// Time that a row outlives its instance.
 const LEASE: Duration = Duration::from_secs(3);
-/// Time that a target stays cold.
-const COLD: Duration = Duration::from_secs(3);
-
 enum Event {
     Land {
         node: usize,
@@ -120,12 +76,6 @@
     read: Time,
 }
 
-struct Target {
-    entry: Entry,
-    region: usize,
-    cold: Time,
-}
-
 /// A fleet.
 pub struct Fleet {
     plan: Plan,
@@ -153,11 +103,11 @@
             rng: Rng::with_seed(seed),
             now: Time::ZERO,
             nodes,
-            targets: targets(size.div_ceil(SHARE)),
+            targets: setup::targets(size.div_ceil(SHARE)),
             store: Time::ZERO,
             events: BinaryHeap::new(),
             bodies: Vec::new(),
-            routes: Arc::new(routes()),
+            routes: Arc::new(setup::routes()),
             owed: 0.0,
             scale: size.div_ceil(SHARE),
             tally: Tally {
@@ -259,11 +209,13 @@
         node.read = Time::ZERO;
         let home = Home {
             name: Arc::clone(&node.name),
-            region: region(node.region),
+            region: setup::region(node.region),
             life: node.life,
-            row: row(node.region),
+            row: setup::row(node.region),
         };
-        let domains = (0..TARGETS.len()).map(|r| (region(r), region(r))).collect();
+        let domains = (0..TARGETS.len())
+            .map(|r| (setup::region(r), setup::region(r)))
+            .collect();
         let mut direct = Direct::new(home, BOUNDS, domains);
         direct.install(Arc::clone(&self.routes));
         node.direct = Some(direct);
@@ -383,7 +335,7 @@
             let names: Vec<&str> = listed.iter().map(|l| &*l.0).collect();
             direct.members_only(local, &names);
             for (name, region) in &listed {
-                direct.member(local, name, Some(row(*region)));
+                direct.member(local, name, Some(setup::row(*region)));
             }
             for entry in entries {
                 direct.roster.put(local, entry);
@@ -531,101 +483,3 @@
         Time::ZERO + now.since(self.boot)
     }
 }
-
-impl Target {
-    fn entry_at(&self, now: Time) -> Entry {
-        let cold = self.cold.since(now);
-        Entry {
-            cold,
-            ..self.entry.clone()
-        }
-    }
-}
-
-fn targets(scale: usize) -> Vec<Target> {
-    let mut targets = Vec::new();
-    for (at, count) in TARGETS.iter().enumerate() {
-        for number in 0..count * scale {
-            let entry = Entry {
-                id: format!("t{at}-{number}").into(),
-                service: "sheets".into(),
-                addr: ([127, 0, 0, 1], 1).into(),
-                domain: region(at),
-                slots: 3,
-                draining: false,
-                seq: 1,
-                cold: Duration::ZERO,
-                born: 1,
-            };
-            targets.push(Target {
-                entry,
-                region: at,
-                cold: Time::ZERO,
-            });
-        }
-    }
-    targets
-}
-
-fn region(at: usize) -> Arc<str> {
-    format!("r{at}").into()
-}
-
-fn row(at: usize) -> Row {
-    let addr = ([127, 0, 0, 1], 1).into();
-    Row {
-        region: region(at),
-        domain: region(at),
-        callers: addr,
-        peers: addr,
-        beats: addr,
-    }
-}
-
-/// Bounds as the users' deployments set them.
-const BOUNDS: Bounds = Bounds {
-    repeats: Rule {
-        ratio: 0.2,
-        slack: 58.0,
-        window: Duration::from_secs(10),
-    },
-    cold_factor: 1.5,
-    cold_slack: 5.0,
-    shift: 0.15,
-};
-
-/// Requests a second that a cold target bears.
-const COLD_RATE: f64 = 2.0;
-
-fn routes() -> Routes {
-    let route = Route {
-        name: "view".into(),
-        host: "a.example".into(),
-        prefix: "/view/".into(),
-        idempotent: true,
-        timeout: Duration::from_secs(3),
-        goal: Duration::from_millis(600),
-        attempts: 3,
-        priority: 1,
-        parts: vec![Part {
-            service: "sheets".into(),
-            weight: 1.0,
-        }],
-        affinity: true,
-        homes: Vec::new(),
-    };
-    let service = Service {
-        name: "sheets".into(),
-        health: "/health".into(),
-        connections: 100,
-        warmup: COLD,
-        cold_rate: COLD_RATE,
-    };
-    let limits = Limits {
-        head: 8192,
-        body: 8192,
-        arrive: Duration::from_secs(1),
-        idle: Duration::from_secs(5),
-    };
-    Routes::new(1, vec![route], vec![service], limits).expect("one route can't clash")
-}
--- /dev/null
+++ b/crates/measure/src/sums/plan.rs
@@ -0,0 +1,45 @@
+//! What happens to a fleet.
+//!
+//! Invariant: a plan says which faults there are, the seed says when.
+
+/// What happens to a fleet.
+#[allow(clippy::struct_excessive_bools, reason = "each is a fault of its own")]
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Callers come in waves.
+    pub bursts: bool,
+    /// Targets of a region turn cold now and then.
+    pub cold: bool,
+    /// A quarter of the attempts fail and may be repeated.
+    pub failing: bool,
+    /// Instances are killed and replaced, one after the other.
+    pub replaced: bool,
+    /// All are killed at once, twice, and return within a second or so.
+    pub herd: bool,
+    /// Some are cut off from the others and from the store.
+    pub cut: bool,
+    /// The store is away for seconds, and rows run out meanwhile.
+    pub store: bool,
+    /// Half as many instances again are added.
+    pub added: bool,
+}
+
+impl Plan {
+    /// Nothing fails.
+    pub const CALM: Self = Self {
+        bursts: false,
+        cold: false,
+        failing: false,
+        replaced: false,
+        herd: false,
+        cut: false,
+        store: false,
+        added: false,
+    };
+
+    /// Whether instances and targets all stay what they are.
+    #[must_use]
+    pub const fn is_steady(self) -> bool {
+        !(self.cold || self.failing || self.replaced || self.herd || self.cut || self.added)
+    }
+}
--- /dev/null
+++ b/crates/measure/src/sums/setup.rs
@@ -0,0 +1,131 @@
+//! Targets, bounds and configuration of a fleet.
+//!
+//! Invariant: the bounds are those of the users' deployments today.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use steer::clock::Time;
+use steer::process::direct::Bounds;
+use steer::process::direct::budget::Rule;
+use steer::process::direct::members::Row;
+use steer::process::direct::roster::Entry;
+use steer::version::routes::{Limits, Part, Route, Routes, Service};
+
+/// Targets by region: uneven, as at Bluestone; for each [`SHARE`] instances.
+pub const TARGETS: [usize; 3] = [4, 6, 2];
+/// Time that a target stays cold.
+pub const COLD: Duration = Duration::from_secs(3);
+
+/// A target.
+pub struct Target {
+    /// What discovery says of it, but for the time that it stays cold.
+    pub entry: Entry,
+    /// Its region.
+    pub region: usize,
+    /// Until when it is cold.
+    pub cold: Time,
+}
+
+impl Target {
+    /// What discovery says of it now.
+    pub fn entry_at(&self, now: Time) -> Entry {
+        let cold = self.cold.since(now);
+        Entry {
+            cold,
+            ..self.entry.clone()
+        }
+    }
+}
+
+/// Targets of a fleet, `scale` times [`TARGETS`].
+pub fn targets(scale: usize) -> Vec<Target> {
+    let mut targets = Vec::new();
+    for (at, count) in TARGETS.iter().enumerate() {
+        for number in 0..count * scale {
+            let entry = Entry {
+                id: format!("t{at}-{number}").into(),
+                service: "sheets".into(),
+                addr: ([127, 0, 0, 1], 1).into(),
+                domain: region(at),
+                slots: 3,
+                draining: false,
+                seq: 1,
+                cold: Duration::ZERO,
+                born: 1,
+            };
+            targets.push(Target {
+                entry,
+                region: at,
+                cold: Time::ZERO,
+            });
+        }
+    }
+    targets
+}
+
+/// Name of a region.
+pub fn region(at: usize) -> Arc<str> {
+    format!("r{at}").into()
+}
+
+/// Where an instance of a region stands.
+pub fn row(at: usize) -> Row {
+    let addr = ([127, 0, 0, 1], 1).into();
+    Row {
+        region: region(at),
+        domain: region(at),
+        callers: addr,
+        peers: addr,
+        beats: addr,
+    }
+}
+
+/// Bounds as the users' deployments set them.
+pub const BOUNDS: Bounds = Bounds {
+    repeats: Rule {
+        ratio: 0.2,
+        slack: 58.0,
+        window: Duration::from_secs(10),
+    },
+    cold_factor: 1.5,
+    cold_slack: 5.0,
+    shift: 0.15,
+};
+
+/// Requests a second that a cold target bears.
+pub const COLD_RATE: f64 = 2.0;
+
+/// The configuration: one route to one service.
+pub fn routes() -> Routes {
+    let route = Route {
+        name: "view".into(),
+        host: "a.example".into(),
+        prefix: "/view/".into(),
+        idempotent: true,
+        timeout: Duration::from_secs(3),
+        goal: Duration::from_millis(600),
+        attempts: 3,
+        priority: 1,
+        parts: vec![Part {
+            service: "sheets".into(),
+            weight: 1.0,
+        }],
+        affinity: true,
+        homes: Vec::new(),
+    };
+    let service = Service {
+        name: "sheets".into(),
+        health: "/health".into(),
+        connections: 100,
+        warmup: COLD,
+        cold_rate: COLD_RATE,
+    };
+    let limits = Limits {
+        head: 8192,
+        body: 8192,
+        arrive: Duration::from_secs(1),
+        idle: Duration::from_secs(5),
+    };
+    Routes::new(1, vec![route], vec![service], limits).expect("one route can't clash")
+}
--- a/crates/steer/src/process.rs
+++ b/crates/steer/src/process.rs
@@ -7,6 +7,7 @@
 pub mod gate;
 pub mod member;
 pub mod outbox;
+pub mod safeguard;
 pub mod share;
 pub mod slot;
 pub mod target;
--- a/crates/steer/src/process/dispatch.rs
+++ b/crates/steer/src/process/dispatch.rs
@@ -23,6 +23,7 @@
 pub use message::{Action, Ending, Event, Home, Place, Report, TICK};
 
 use crate::clock::Time;
+use crate::process::safeguard::Safeguard;
 use crate::process::{share, target};
 use crate::request::admission;
 use crate::request::arrival::{Arrival, AttemptId, Origin, RequestId};
@@ -31,7 +32,7 @@
 use crate::version::view::{Region, View};
 use group::Group;
 use job::{Flight, Job, Running};
-use tuning::{Safeguard, Tuning};
+use tuning::Tuning;
 
 /// The dispatcher's state.
 pub struct Dispatch {
--- a/crates/steer/src/process/dispatch/caps.rs
+++ b/crates/steer/src/process/dispatch/caps.rs
@@ -11,8 +11,8 @@
 use std::sync::Arc;
 
 use crate::clock::Time;
-use crate::process::dispatch::tuning::Safeguard;
 use crate::process::dispatch::{Action, Dispatch};
+use crate::process::safeguard::Safeguard;
 use crate::process::share::{self, Route, Shares};
 use crate::request::arrival::{Arrival, Origin};
 use crate::version::view::{Member, Region, State};
--- a/crates/steer/src/process/dispatch/dump.rs
+++ b/crates/steer/src/process/dispatch/dump.rs
@@ -4,7 +4,7 @@
 
 use crate::process::dispatch::Dispatch;
 use crate::process::dispatch::group::Group;
-use crate::process::dispatch::tuning::Safeguards;
+use crate::process::safeguard::Safeguards;
 use crate::process::target::{Fit, Track};
 
 /// A dispatcher's state at a point in time; one line per service and place.
--- a/crates/steer/src/process/dispatch/group.rs
+++ b/crates/steer/src/process/dispatch/group.rs
@@ -10,7 +10,7 @@
 
 use crate::clock::Time;
 use crate::process::dispatch::job::Job;
-use crate::process::dispatch::tuning::{Safeguard, Safeguards};
+use crate::process::safeguard::{Safeguard, Safeguards};
 use crate::process::target::{Fit, Table, latency};
 use crate::request::admission::Outlook;
 use crate::version::view::{Incarnation, Member, Region};
--- a/crates/steer/src/process/dispatch/queue.rs
+++ b/crates/steer/src/process/dispatch/queue.rs
@@ -9,7 +9,7 @@
 use crate::process::dispatch::Dispatch;
 use crate::process::dispatch::job::Job;
 use crate::process::dispatch::message::Action;
-use crate::process::dispatch::tuning::Safeguard;
+use crate::process::safeguard::Safeguard;
 use crate::request::outcome::Reason;
 
 /// One in so many picks goes to whoever waits longest, whatever its class.
--- a/crates/steer/src/process/dispatch/renew.rs
+++ b/crates/steer/src/process/dispatch/renew.rs
@@ -13,7 +13,7 @@
 use crate::process::dispatch::Dispatch;
 use crate::process::dispatch::group::{Group, Local, Remote};
 use crate::process::dispatch::message::Action;
-use crate::process::dispatch::tuning::Safeguard;
+use crate::process::safeguard::Safeguard;
 use crate::process::target::window::{self, Window};
 use crate::process::target::{Kind, Track, latency};
 use crate::request::outcome::Reason;
--- a/crates/steer/src/process/dispatch/settle.rs
+++ b/crates/steer/src/process/dispatch/settle.rs
@@ -9,7 +9,7 @@
 use crate::process::dispatch::Dispatch;
 use crate::process::dispatch::job::Running;
 use crate::process::dispatch::message::{Action, Ending, Place, Report};
-use crate::process::dispatch::tuning::Safeguard;
+use crate::process::safeguard::Safeguard;
 use crate::process::target::health::Fault;
 use crate::process::target::{Fit, latency};
 use crate::request::admission;
--- a/crates/steer/src/process/target.rs
+++ b/crates/steer/src/process/target.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 use crate::clock::Time;
-use crate::process::dispatch::tuning::{Safeguard, Safeguards};
+use crate::process::safeguard::{Safeguard, Safeguards};
 use crate::version::view::{Incarnation, State};
 
 /// How long a sign of leaving outweighs a view that says otherwise. The list
--- a/crates/steer/src/process/target/report.rs
+++ b/crates/steer/src/process/target/report.rs
@@ -6,7 +6,7 @@
 use core::time::Duration;
 
 use crate::clock::Time;
-use crate::process::dispatch::tuning::{Safeguard, Safeguards};
+use crate::process::safeguard::{Safeguard, Safeguards};
 
 /// Age at which a report no longer counts.
 pub const FRESH: Duration = Duration::from_millis(500);
