Let changes gather for longer in larger fleets

Ruled out: renewals of leases (a tenth of the price each, 210 by reckoning).

Change: 25 ms for each instance, 300 ms at least and 800 ms at most; at today's seven nothing changes. Test gather_by_size.

--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -18,10 +18,6 @@
 /// connection that went silent goes unnoticed, with the time of a call.
 const WAIT: Duration = Duration::from_secs(2);
 
-/// Pause between an answer and the next watch. Changes come in bursts, and each
-/// call is paid; what is due in seconds can wait for this.
-const GATHER: Duration = Duration::from_millis(300);
-
 /// Pause after a call that failed, so that a store that is down or busy isn't
 /// pressed further; each call is paid.
 const PAUSE: Duration = Duration::from_millis(400);
@@ -44,7 +40,7 @@
         };
         match done {
             Ok(reached) => {
-                smol::Timer::after(GATHER).await;
+                smol::Timer::after(shared.read(|_, d| d.gather())).await;
                 if lost {
                     events::store_back(&shared, "watch");
                 }
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -36,6 +36,17 @@
 /// platform's word "about two seconds"; still missing then, they are gone.
 const RETURN: Duration = Duration::from_millis(2200);
 
+/// Pause between an answer of the store and the next question. Changes come in
+/// bursts, each call is paid, and what is due in seconds can wait for this.
+const GATHER: Duration = Duration::from_millis(300);
+
+/// The same for each instance of a large fleet, whose calls add up: 27 of them
+/// at 300 ms made 40 calls a second while targets came and went.
+const GATHER_EACH: Duration = Duration::from_millis(25);
+
+/// The longest such pause. What changes has to be in force in 2.5 s.
+const GATHER_MOST: Duration = Duration::from_millis(800);
+
 /// Objects at targets that one heartbeat tells of as news ...
 const HELD_MOST: usize = 32;
 
@@ -57,6 +68,15 @@
         self.store.revision = self.store.revision.max(revision);
     }
 
+    /// How long changes may gather in the store before they are asked for.
+    #[must_use]
+    pub fn gather(&self) -> Duration {
+        let others = u32::try_from(self.sharers.len()).unwrap_or(u32::MAX);
+        GATHER_EACH
+            .saturating_mul(others.saturating_add(1))
+            .clamp(GATHER, GATHER_MOST)
+    }
+
     /// Another instance has told everything up to `revision`.
     pub fn told(&mut self, revision: u64) {
         self.store.revision = self.store.revision.max(revision);
--- a/crates/steer/tests/direct/members.rs
+++ b/crates/steer/tests/direct/members.rs
@@ -96,6 +96,23 @@
     assert_eq!(bench.direct.others(at(20_000)).count(), 0, "for callers");
 }
 
+/// Each instance asks the store by itself, and calls are paid: a larger fleet
+/// lets changes gather for longer, but never for as long as they are due in.
+#[rstest]
+#[case::alone(0, 300)]
+#[case::today(6, 300)]
+#[case::grown(26, 675)]
+#[case::target(1_499, 800)]
+fn gather_by_size(#[case] others: usize, #[case] millis: u32) {
+    let mut bench = Bench::new(route(), &[]);
+    for i in 0..others {
+        bench
+            .direct
+            .member(at(0), &format!("i{i}"), Some(row("near")));
+    }
+    assert_eq!(bench.direct.gather(), MS * millis);
+}
+
 /// Three instances share a target. What others have there counts as taken.
 #[test]
 fn count_requests_of_others() {
