Turn callers away beyond what descriptors allow; a seeded soak of real processes

Half of the process's descriptors, less 48, is for callers; beyond that one is told 503 with a time to come back, and its request isn't read. Test turn_away_beyond_descriptors; metric connections_turned_away.

Soak (crates/auburnrouter/tests/soak.rs): three instances as processes, loopback proxies between them and the store and each target, kills, freezes, planned stops, hang-ups, outages of the store, lost history, targets with every fault, evacuations, configurations and targets that come and go, in series and overlapping; eight callers that keep their connections. It holds at most once, "not run", whole answers, attempts, exits and service after all faults against what callers and targets saw.

--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -150,7 +150,7 @@
             closing,
             close,
             store: platform::store::Store::new(store, settings.store),
-            count: door::Count::default(),
+            count: door::Count::new(door::most(&settings)),
             metrics: metrics::Metrics::new()?,
             bodies: Arc::default(),
             quota: events::Quota::default(),
--- a/crates/auburnrouter/src/direct/desk.rs
+++ b/crates/auburnrouter/src/direct/desk.rs
@@ -29,9 +29,13 @@
     idle: Duration::from_secs(15),
 };
 
+/// Part of callers' connections that those who ask may have besides, on each
+/// listener; each asks one question.
+const PART: usize = 8;
+
 /// Answers on one listener.
 pub async fn serve(shared: Arc<Shared>, socket: net::TcpListener, executor: Executor) {
-    let count = door::Count::default();
+    let count = door::Count::new(door::most(&shared.settings) / PART);
     door::accept(shared, socket, executor, count, |_| LIMITS, answer).await;
 }
 
--- a/crates/auburnrouter/src/direct/door.rs
+++ b/crates/auburnrouter/src/direct/door.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use futures_lite::future;
+use futures_lite::{AsyncWriteExt, future};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
@@ -34,22 +34,47 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Caller(pub IpAddr);
 
-/// Open connections.
-#[derive(Clone, Debug, Default)]
-pub struct Count(Arc<AtomicUsize>);
+/// Open connections, and how many there may be.
+#[derive(Clone, Debug)]
+pub struct Count {
+    open: Arc<AtomicUsize>,
+    most: usize,
+}
 
 impl Count {
-    fn enter(&self) -> Entered {
-        self.0.fetch_add(1, Ordering::Relaxed);
-        Entered(Arc::clone(&self.0))
+    /// None open, `most` at a time.
+    pub fn new(most: usize) -> Self {
+        Self {
+            open: Arc::default(),
+            most,
+        }
+    }
+
+    /// Counts one more, if there is room for it.
+    fn enter(&self) -> Option<Entered> {
+        let entered = Entered(Arc::clone(&self.open));
+        let before = self.open.fetch_add(1, Ordering::Relaxed);
+        // Dropped here, it is no longer counted.
+        (before < self.most).then_some(entered)
     }
 
     /// How many there are.
     pub fn get(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
+        self.open.load(Ordering::Relaxed)
     }
 }
 
+/// Descriptors that callers' connections leave to the log, listeners, the store
+/// and other instances.
+const RESERVE: u64 = 48;
+
+/// Callers' connections at a time: each request needs a connection to a target
+/// besides its own.
+pub fn most(settings: &Settings) -> usize {
+    let most = settings.descriptors.saturating_sub(RESERVE) / 2;
+    usize::try_from(most).unwrap_or(usize::MAX)
+}
+
 struct Entered(Arc<AtomicUsize>);
 
 impl Drop for Entered {
@@ -82,6 +107,9 @@
 const TOO_SLOW: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
+/// Sent to a caller for whom there is no connection; its request isn't read.
+const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Accepts until the process closes its connections. A request that came later
 /// than that could outlast the grace time and be cut.
 pub async fn accept<H, F>(
@@ -101,7 +129,7 @@
             shared.closed().await;
             None
         };
-        let (stream, addr) = match future::or(closing, accepted).await {
+        let (mut stream, addr) = match future::or(closing, accepted).await {
             None => return,
             Some(Ok(accepted)) => accepted,
             Some(Err(_)) => {
@@ -109,7 +137,12 @@
                 continue;
             }
         };
-        let entered = count.enter();
+        let Some(entered) = count.enter() else {
+            shared.metrics.turned_away.inc();
+            // It may have left already; its request isn't read in any case.
+            let _ = stream.write(TOO_MANY).await;
+            continue;
+        };
         let limits = limits(&shared);
         let shared = Arc::clone(&shared);
         let handle = handle.clone();
--- a/crates/auburnrouter/src/direct/metrics.rs
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -32,6 +32,8 @@
     pub took: Histogram,
     /// Log lines left out.
     pub left_out: IntCounter,
+    /// Connections that were turned away.
+    pub turned_away: IntCounter,
     requests: IntGauge,
     waiting: IntGauge,
     targets: IntGauge,
@@ -71,6 +73,11 @@
             "Log lines left out, by the bound a second or a slow reader",
         )?;
         registry.register(Box::new(left_out.clone()))?;
+        let turned_away = IntCounter::new(
+            "auburnrouter_connections_turned_away_total",
+            "Callers' connections beyond what the process's descriptors allow",
+        )?;
+        registry.register(Box::new(turned_away.clone()))?;
         Ok(Self {
             attempts: counters(
                 "auburnrouter_attempts_total",
@@ -88,6 +95,7 @@
             )?,
             took: histogram("auburnrouter_attempt_seconds", "Time that attempts took")?,
             left_out,
+            turned_away,
             requests: gauge("auburnrouter_requests", "Requests that are here")?,
             waiting: gauge("auburnrouter_waiting", "Requests that wait for a target")?,
             targets: gauge("auburnrouter_targets", "Targets listed")?,
--- a/crates/auburnrouter/tests/direct/bench.rs
+++ b/crates/auburnrouter/tests/direct/bench.rs
@@ -58,7 +58,12 @@
 impl Entry {
     /// Starts an instance and reads its lines.
     pub fn start(name: &str, domain: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        let (entry, out) = Self::start_unread(name, domain, store, seeds);
+        Self::start_with(&platform_standin::settings(name, domain, store, seeds))
+    }
+
+    /// The same with settings of the test's own.
+    pub fn start_with(settings: &str) -> Self {
+        let (entry, out) = Self::run(settings);
         let lines = Arc::clone(&entry.lines);
         std::thread::spawn(move || {
             for line in out.lines().map_while(Result::ok) {
@@ -76,12 +81,15 @@
         store: SocketAddr,
         seeds: &[SocketAddr],
     ) -> (Self, BufReader<ChildStdout>) {
+        Self::run(&platform_standin::settings(name, domain, store, seeds))
+    }
+
+    fn run(settings: &str) -> (Self, BufReader<ChildStdout>) {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let text = platform_standin::settings(name, domain, store, seeds);
         let file = format!("auburnrouter-direct-{}-{number}.jsonc", std::process::id());
         let file = std::env::temp_dir().join(file);
-        fs::write(&file, text).expect("the temporary place is writable");
+        fs::write(&file, settings).expect("the temporary place is writable");
         let mut child = Command::new(env!("CARGO_BIN_EXE_auburnrouter"))
             .args(["direct", "--settings-var", "TEST_SETTINGS"])
             .env("TEST_SETTINGS", &file)
--- a/crates/auburnrouter/tests/direct/requests.rs
+++ b/crates/auburnrouter/tests/direct/requests.rs
@@ -126,3 +126,37 @@
     await_that("the target is left alone", || bench.runs()[0].left_alone);
     assert!(left.elapsed() < 500 * MS, "{:?}", left.elapsed());
 }
+
+/// Somebody opens connections and sends nothing. Beyond what the process has
+/// descriptors for, the next caller is told to come back, and those that are
+/// connected are still served: running out would stop all of them.
+#[test]
+fn turn_away_beyond_descriptors() {
+    let store = platform_standin::Store::start().expect("a port is free");
+    store.configure(3, HOST, &ROUTES);
+    let target = platform_standin::Target::start("t0", "sheets", "near-a").expect("a port is free");
+    target.register(&store, "ready", 1);
+    let settings = platform_standin::settings("near-1", "near-a", store.addr(), &[]);
+    let few = settings.replace("\"descriptors\":1024", "\"descriptors\":80");
+    let entry = Entry::start_with(&few);
+    await_that("a target is known", || entry.dump().contains("\"t0\""));
+    let mut first = TcpStream::connect(entry.callers).expect("it listens");
+    let mut ask_first = |id: &str| {
+        let text = request("GET", "/view/x", id, "");
+        first.write_all(text.as_bytes()).expect("it is open");
+        read(&mut first).expect("it is answered").status
+    };
+    assert_eq!(ask_first("r1"), 200);
+    let open = || TcpStream::connect(entry.callers).expect("it listens");
+    let held: Vec<TcpStream> = (0..20).map(|_| open()).collect();
+    let told = read(&mut open()).expect("it is told at once");
+    assert_eq!(told.status, 503);
+    assert_eq!(told.header("retry-after"), Some("1"));
+    assert_eq!(ask_first("r2"), 200);
+    drop(held);
+    await_that("there is room again", || {
+        entry
+            .try_send("GET", "/view/x", "r3", "")
+            .is_some_and(|a| a.status == 200)
+    });
+}
--- /dev/null
+++ b/crates/auburnrouter/tests/soak.rs
@@ -0,0 +1,48 @@
+//! A seeded soak of the product on its users' platform: entry instances as
+//! processes, faults from outside them, promises held against what callers and
+//! targets saw.
+//!
+//! `SOAK_SEEDS=50 SOAK_SECONDS=20 SOAK_FIRST=1000 cargo test -p auburnrouter
+//! --test soak -- --nocapture` plays more; without them two short seeds are
+//! played.
+
+#[path = "direct/bench.rs"]
+#[allow(dead_code, reason = "shared with other tests, which use all of it")]
+mod bench;
+#[path = "soak/callers.rs"]
+mod callers;
+#[path = "soak/ledger.rs"]
+mod ledger;
+#[path = "soak/proxy.rs"]
+mod proxy;
+#[path = "soak/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+/// Seeds that failed once, each with its cause.
+const FAILED: [u64; 0] = [];
+
+/// A number from the environment.
+fn number(name: &str, usual: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.map_or(usual, |t| t.parse().expect("it is a number"))
+}
+
+/// Kills, freezes, stops, cuts, outages of the store, targets with every fault
+/// and changes of the configuration, in series and overlapping. Whatever comes,
+/// nothing unsafe runs twice, nothing that was rejected runs, every success is
+/// the target's whole answer, and afterwards callers are served again.
+#[test]
+fn keep_promises() {
+    let first = number("SOAK_FIRST", 1);
+    let seeds = first..first + number("SOAK_SEEDS", 2);
+    let span = Duration::from_secs(number("SOAK_SECONDS", 5));
+    for seed in seeds.chain(FAILED) {
+        println!("seed {seed}");
+        let seen = world::play(seed, span);
+        println!("  {seen}");
+        let broken = seen.broken();
+        assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+    }
+}
--- /dev/null
+++ b/crates/auburnrouter/tests/soak/callers.rs
@@ -0,0 +1,94 @@
+//! Callers that keep connections open and use them until they end.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use super::bench;
+use super::ledger::Asked;
+
+/// Callers at the same time.
+const CALLERS: usize = 8;
+
+/// Longest wait for an answer; callers say that they wait 2.5 s.
+const PATIENCE: Duration = Duration::from_secs(6);
+
+/// What callers share.
+pub struct Callers {
+    /// Where instances listen now.
+    pub addrs: Mutex<Vec<SocketAddr>>,
+    done: AtomicBool,
+}
+
+/// Starts callers; [`stop`] ends them.
+pub fn start(seed: u64) -> (Arc<Callers>, Vec<JoinHandle<Vec<Asked>>>) {
+    let callers = Arc::new(Callers {
+        addrs: Mutex::new(Vec::new()),
+        done: AtomicBool::new(false),
+    });
+    let run = |number: usize| {
+        let callers = Arc::clone(&callers);
+        thread::spawn(move || call(&callers, number, seed))
+    };
+    let threads = (0..CALLERS).map(run).collect();
+    (callers, threads)
+}
+
+/// Ends callers and gives what they saw, sorted by id.
+pub fn stop(callers: &Callers, threads: Vec<JoinHandle<Vec<Asked>>>) -> Vec<Asked> {
+    callers.done.store(true, Ordering::Relaxed);
+    let seen = threads.into_iter().map(JoinHandle::join);
+    let mut asked: Vec<Asked> = seen.flat_map(|s| s.expect("it doesn't panic")).collect();
+    asked.sort_by(|a, b| a.id.cmp(&b.id));
+    asked
+}
+
+fn call(callers: &Callers, number: usize, seed: u64) -> Vec<Asked> {
+    let mut rng = Rng::with_seed(seed ^ (number as u64) << 32);
+    let mut asked = Vec::new();
+    let mut kept: Option<TcpStream> = None;
+    while !callers.done.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(rng.u64(1..20)));
+        let id = format!("c{number}-{:06}", asked.len());
+        let (method, path) = match rng.u8(0..10) {
+            0..5 => ("GET", "/view/"),
+            5..9 => ("PUT", "/pay/"),
+            _ => ("GET", "/added/"),
+        };
+        let path = format!("{path}{}", rng.u8(0..12));
+        let open = kept.take().filter(|_| rng.u8(0..4) > 0);
+        let Some(mut stream) = open.or_else(|| connect(callers, &mut rng)) else {
+            continue;
+        };
+        let text = bench::request(method, &path, &id, "");
+        let sent = stream.write_all(text.as_bytes()).is_ok();
+        let answer = sent.then(|| bench::read(&mut stream)).flatten();
+        let closes = |a: &bench::Answer| a.header("connection") == Some("close");
+        if answer.as_ref().is_some_and(|a| !closes(a)) {
+            kept = Some(stream);
+        }
+        asked.push(Asked {
+            id,
+            method,
+            path,
+            answer: answer.map(|a| {
+                let seal = a.header("response-seal").unwrap_or_default().to_owned();
+                (a.status, seal, a.body)
+            }),
+        });
+    }
+    asked
+}
+
+fn connect(callers: &Callers, rng: &mut Rng) -> Option<TcpStream> {
+    let addrs = callers.addrs.lock().expect("no one panics with it").clone();
+    let addr = *addrs.get(rng.usize(0..addrs.len().max(1)))?;
+    let stream = TcpStream::connect(addr).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    Some(stream)
+}
