Keep knowing that an instance leaves while the store still lists it

Found in reading: since who counts for sums is kept apart from who is named, a leaving instance was forgotten 3 s after its last heartbeat though its row might still be listed, and the next whole reading of the store would have named it to callers again. It is kept for as long as it is listed, as before. A comment said that repeats that never arrived are counted; they aren't.

--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -174,7 +174,8 @@
 
     /// Forgets those that are gone.
     pub fn sweep(&mut self, now: Time) {
-        self.members.retain(|m| m.may_send(now));
+        // One that leaves and is still listed must be known to leave.
+        self.members.retain(|m| m.listed || m.may_send(now));
     }
 
     /// Requests that others have at the target of this mark.
--- a/crates/steer/src/process/direct/settle.rs
+++ b/crates/steer/src/process/direct/settle.rs
@@ -105,9 +105,7 @@
         let arrived = ending != Ending::Unreached;
         let rule = self.bounds.repeats;
         let instances = self.sharers.len() + 1;
-        // What never arrived costs no target anything, and the budget counts
-        // arrivals only. It is counted all the same: a connection that was
-        // refused here may have been taken elsewhere.
+        // What never arrived costs no target anything; the bound is on arrivals.
         let leave = !arrived || self.budget(&service).spend(now, &rule, instances);
         if again && left && time && leave {
             return Next::Again;
