Report where requests lose out, from the log lines of all instances

Cause: where worth is lost was found by hand from log lines and the users' tables; nobody on call could do it, and no other deployment could be read so.

Change: crate report and subcommand auburnrouter report: by route, region, instance and span what became of requests, by what late ones lost their objective, why others were rejected, and above all how many of both had a free slot in a region that they were allowed; tables, JSON, SVG by plotters. The file of JSON wire types of check and diff is now cmd/json.rs.

--- a/crates/auburnrouter/src/cmd.rs
+++ b/crates/auburnrouter/src/cmd.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod files;
 mod given;
+mod json;
 mod lookup;
 mod report;
 mod show;
@@ -30,4 +31,5 @@
     status::COMMAND,
     lookup::COMMAND,
     dump::COMMAND,
+    report::COMMAND,
 ];
--- a/crates/auburnrouter/src/cmd/check.rs
+++ b/crates/auburnrouter/src/cmd/check.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use settings::{Settings, direct, secret};
 
-use super::{given, report};
+use super::{given, json};
 use crate::cli::{self, Command, Error, Exit};
 
 const NAME: &str = "check";
@@ -191,14 +191,14 @@
 #[derive(Serialize)]
 struct Report<'a> {
     good: bool,
-    faults: Vec<report::Fault>,
+    faults: Vec<json::Fault>,
     sites: Vec<Site<'a>>,
 }
 
 #[derive(Serialize)]
 struct Site<'a> {
     site: &'a str,
-    values: Vec<report::Merged>,
+    values: Vec<json::Merged>,
 }
 
 fn json(found: &Found, wish: &Wish) -> String {
@@ -206,11 +206,11 @@
     let sites = shown.map_or(Vec::new(), |checked| sites(checked, wish));
     let sites = sites.iter().map(|(site, settings)| Site {
         site,
-        values: settings.iter().map(report::Merged::from).collect(),
+        values: settings.iter().map(json::Merged::from).collect(),
     });
     let report = Report {
         good: found.faults.is_empty(),
-        faults: found.faults.iter().map(report::Fault::from).collect(),
+        faults: found.faults.iter().map(json::Fault::from).collect(),
         sites: sites.collect(),
     };
     serde_json::to_string(&report).unwrap_or_default() + "\n"
--- a/crates/auburnrouter/src/cmd/diff.rs
+++ b/crates/auburnrouter/src/cmd/diff.rs
@@ -8,7 +8,7 @@
 use jsonc::fault::Fault;
 use thiserror::Error;
 
-use super::{client, given, report};
+use super::{client, given, json};
 use crate::cli::{self, Command, Exit};
 
 const NAME: &str = "diff";
@@ -155,7 +155,7 @@
     let percent = new.base.move_percent;
     let refusals = judge::refusals(&diff.moves, percent, &[], &wish.caps);
     let text = if wish.client.json {
-        let change = report::Change::new(&diff, &refusals);
+        let change = json::Change::new(&diff, &refusals);
         serde_json::to_string(&change).unwrap_or_default() + "\n"
     } else {
         let mut lines = vec![diff.to_string()];
--- a/crates/auburnrouter/src/cmd/report.rs
+++ b/crates/auburnrouter/src/cmd/report.rs
@@ -1,130 +1,153 @@
-//! Faults, values and moves as JSON, for scripts.
+//! `auburnrouter report`: where requests lose out, from instances' log lines.
 
-use intent::diff::{Changed, Diff};
-use intent::listing::Setting;
-use intent::moves::judge::Refusal;
-use intent::moves::{Cause, Move};
-use serde::Serialize;
+use std::fs;
+use std::io::{self, Read};
+use std::path::{Path, PathBuf};
 
-/// One fault.
-#[derive(Debug, Serialize)]
-pub struct Fault {
-    file: String,
-    line: u32,
-    column: u32,
-    kind: String,
-    message: String,
-    remedy: String,
-}
+use report::log::Log;
+use report::story::Story;
+use report::tally::Report;
+use report::{plot, table};
 
-impl From<&jsonc::Fault> for Fault {
-    fn from(fault: &jsonc::Fault) -> Self {
-        Self {
-            file: fault.place.file.to_string(),
-            line: fault.place.line,
-            column: fault.place.column,
-            kind: fault.kind.to_string(),
-            message: fault.message.clone(),
-            remedy: fault.remedy.clone(),
-        }
-    }
-}
+use crate::cli::{self, Command, Error, Exit};
 
-/// One value of a merged configuration and the file that it comes from; line
-/// and column are 0 for a default.
-#[derive(Debug, Serialize)]
-pub struct Merged {
-    path: String,
-    value: serde_json::Value,
-    file: String,
-    line: u32,
-    column: u32,
-}
+const NAME: &str = "report";
 
-impl From<&Setting> for Merged {
-    fn from(setting: &Setting) -> Self {
-        Self {
-            path: setting.path.clone(),
-            value: serde_json::from_str(&setting.value).unwrap_or_default(),
-            file: setting.place.file.to_string(),
-            line: setting.place.line,
-            column: setting.place.column,
-        }
-    }
-}
+/// The subcommand.
+pub const COMMAND: Command = Command {
+    name: NAME,
+    about: "where requests lose out, from instances' log lines",
+    help: HELP,
+    options: &["span", "plots", "json", "help"],
+    run,
+};
+
+const HELP: &str = "\
+Usage: auburnrouter report [OPTIONS] FILE...
+
+Reads the log lines of instances of `auburnrouter direct` and prints what became
+of requests: by route, region, instance and span of time; by what late ones lost
+their objective; why others were rejected; and how many of both would have had a
+free slot in a region that they were allowed. FILE is one instance's lines, or
+those of all with the instance's name before each (and the time in seconds
+before that, if the collector notes it); - is standard input.
 
-/// One setting that a change alters.
-#[derive(Debug, Serialize)]
-pub struct Altered {
-    site: Option<String>,
-    path: String,
-    old: Option<serde_json::Value>,
-    new: Option<serde_json::Value>,
+Options:
+  --span SECONDS  width of a span (default 2)
+  --plots FOLDER  draw the spans as SVG into a folder
+  --json          print JSON instead of tables
+";
+
+/// Width of a span in seconds unless told: the window in which the users' rules
+/// on shifts count.
+const SPAN: f64 = 2.0;
+
+struct Wish {
+    files: Vec<PathBuf>,
+    span: f64,
+    plots: Option<PathBuf>,
+    json: bool,
 }
 
-impl From<&Changed> for Altered {
-    fn from(changed: &Changed) -> Self {
-        let value = |text: &String| serde_json::from_str(text).unwrap_or_default();
-        Self {
-            site: changed.site.clone(),
-            path: changed.path.clone(),
-            old: changed.old.as_ref().map(value),
-            new: changed.new.as_ref().map(value),
+fn run(args: lexopt::Parser) -> Result<Exit, Error> {
+    let wish = read(args)?;
+    let mut log = Log::default();
+    for file in &wish.files {
+        match text(file) {
+            Ok(text) => log.read(&name(file), &text),
+            Err(error) => {
+                eprintln!(
+                    "auburnrouter: {}: {error}; name a file of log lines",
+                    file.display()
+                );
+                return Ok(Exit::Unreachable);
+            }
+        }
+    }
+    log.finish();
+    let story = Story::of(&log);
+    if story.requests.is_empty() {
+        eprintln!(
+            "auburnrouter: no line tells of a request; collect the lines of `auburnrouter direct`"
+        );
+        return Ok(Exit::Refused);
+    }
+    let report = Report::of(&log, &story, wish.span);
+    let printed = if wish.json {
+        serde_json::to_string_pretty(&report).map_err(|e| e.to_string())
+    } else {
+        table::print(&report).map_err(|e| e.to_string())
+    };
+    match printed {
+        Ok(text) => cli::print(&format!("{text}\n")),
+        Err(error) => {
+            eprintln!("auburnrouter: the report can't be printed: {error}; report it");
+            return Ok(Exit::Refused);
         }
     }
+    Ok(wish
+        .plots
+        .map_or(Exit::Done, |folder| draw(&report, &folder)))
 }
 
-/// Traffic that a change may move.
-#[derive(Debug, Serialize)]
-pub struct Moved {
-    service: String,
-    from: String,
-    to: Option<String>,
-    cause: &'static str,
-    percent: f64,
-    cap_per_s: Option<u64>,
-    old_cap_per_s: Option<u64>,
+fn read(mut args: lexopt::Parser) -> Result<Wish, Error> {
+    let mut wish = Wish {
+        files: Vec::new(),
+        span: SPAN,
+        plots: None,
+        json: false,
+    };
+    while let Some(arg) = cli::next(&mut args, NAME)? {
+        match arg {
+            cli::Arg::Long(name) if name == "span" => {
+                let text = cli::text(&mut args, NAME)?;
+                let span = text.parse().ok().filter(|s| (0.1..=86_400.0).contains(s));
+                let wrong = || Error::Args(format!("--span takes seconds, not {text}"), NAME);
+                wish.span = span.ok_or_else(wrong)?;
+            }
+            cli::Arg::Long(name) if name == "plots" => {
+                wish.plots = Some(cli::text(&mut args, NAME)?.into());
+            }
+            cli::Arg::Long(name) if name == "json" => wish.json = true,
+            cli::Arg::Value(file) => wish.files.push(file.into()),
+            arg => return Err(cli::unexpected(&arg, NAME)),
+        }
+    }
+    if wish.files.is_empty() {
+        return Err(Error::Args("no file of log lines is named".into(), NAME));
+    }
+    Ok(wish)
 }
 
-impl From<&Move> for Moved {
-    fn from(moved: &Move) -> Self {
-        let (cause, old) = match moved.cause {
-            Cause::Blocks => ("blocks", None),
-            Cause::Left => ("left", None),
-            Cause::Home => ("home", None),
-            Cause::Within => ("within", None),
-            Cause::Cap { old, .. } => ("cap", Some(old)),
-        };
-        Self {
-            service: moved.service.to_string(),
-            from: moved.from.to_string(),
-            to: moved.to.as_ref().map(ToString::to_string),
-            cause,
-            percent: f64::from(moved.share.0) / 10.0,
-            cap_per_s: moved.cap,
-            old_cap_per_s: old,
-        }
+fn text(file: &Path) -> io::Result<String> {
+    let mut bytes = Vec::new();
+    if file == Path::new("-") {
+        io::stdin().read_to_end(&mut bytes)?;
+    } else {
+        bytes = fs::read(file)?;
     }
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
 }
 
-/// A whole change.
-#[derive(Debug, Serialize)]
-pub struct Change {
-    changed: Vec<Altered>,
-    blocks_differ: bool,
-    moves: Vec<Moved>,
-    refused: Vec<String>,
+fn name(file: &Path) -> String {
+    let stem = file.file_stem().unwrap_or_default();
+    stem.to_string_lossy().into_owned()
 }
 
-impl Change {
-    /// A change and what is refused of it.
-    #[must_use]
-    pub fn new(diff: &Diff, refusals: &[Refusal]) -> Self {
-        Self {
-            changed: diff.changed.iter().map(Altered::from).collect(),
-            blocks_differ: diff.ranges.is_some(),
-            moves: diff.moves.iter().map(Moved::from).collect(),
-            refused: refusals.iter().map(ToString::to_string).collect(),
+fn draw(report: &Report, folder: &Path) -> Exit {
+    let drawn = fs::create_dir_all(folder)
+        .map_err(|e| format!("{}: {e}; name a folder that can be made", folder.display()))
+        .and_then(|()| plot::draw(report, folder).map_err(|e| e.to_string()));
+    match drawn {
+        Ok(files) => {
+            for file in files {
+                eprintln!("drawn: {}", file.display());
+            }
+            Exit::Done
+        }
+        Err(error) => {
+            eprintln!("auburnrouter: {error}");
+            Exit::Refused
         }
     }
 }
