--- /dev/null
+++ b/crates/emulator/src/world/instance.rs
@@ -0,0 +1,740 @@
+//! Entry instances: the product's decisions, driven as its process drives them.
+//!
+//! Invariant: an instance learns nothing but by the platform's store, by
+//! heartbeats, and by what comes back to it, each by its own clock, which starts
+//! at zero with its process.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::sync::Arc;
+
+use steer::clock::Time;
+use steer::process::direct::budget::Rule;
+use steer::process::direct::members::{Beat, Row};
+use steer::process::direct::roster::Entry;
+use steer::process::direct::{
+    Ask, Bounds, Direct, Ending, Go, Home, Next, Order, TICK, Ticket, Why, hash,
+};
+use steer::request::arrival::Fingerprint;
+use steer::version::routes::{Limits, Part, Route, Routes, Service};
+
+use super::{Event, Micros, Sent, World, micros};
+use crate::brain::Brain;
+use crate::plan::{Plan, What};
+
+/// Time from a process's start until it has read the store.
+const START: Micros = 200_000;
+
+/// Time until one that the store doesn't answer has asked another instance.
+const ASK: Micros = 700_000;
+
+/// Between two heartbeats, and every how many of them goes to other regions, as
+/// the process sends them.
+const BEAT: Micros = 250_000;
+const AFAR: u64 = 3;
+const NEAR_MOST: usize = 8;
+const FAR_MOST: usize = 24;
+
+/// Part of the heartbeats that are lost.
+const LOST: f64 = 0.01;
+
+/// Changes gather before they are read, at most so long.
+const GATHER: Micros = 300_000;
+
+/// Time that an instance's row outlives it.
+const LEASE: Micros = 3_000_000;
+
+/// Time after which a connection that isn't answered is given up, unsent.
+const CONNECT: Micros = 300_000;
+
+/// Time to open a connection to a target, beyond the way.
+const HANDSHAKE: Micros = 1_000;
+
+/// An instance.
+#[derive(Debug)]
+pub(super) struct Instance {
+    pub name: Arc<str>,
+    pub domain: usize,
+    pub region: usize,
+    /// Counts its processes.
+    pub life: u64,
+    pub boot: Micros,
+    /// Whether its process runs.
+    pub up: bool,
+    pub direct: Option<Direct>,
+    pub asks: Vec<Held>,
+    ticking: bool,
+    beats: u64,
+}
+
+/// A request that is at an instance.
+#[derive(Clone, Debug)]
+pub(super) struct Held {
+    ticket: Ticket,
+    request: usize,
+    current: u32,
+    /// Target that it is at.
+    at: Option<usize>,
+    may_have_run: bool,
+}
+
+/// All instances of a plan, none of them started.
+pub(super) fn all(plan: &Plan, region_of: &[usize]) -> Vec<Instance> {
+    let mut instances = Vec::new();
+    for (domain, known) in plan.domains.iter().enumerate() {
+        for number in 0..known.instances {
+            instances.push(Instance {
+                name: format!("{}-{number}", known.name).into(),
+                domain,
+                region: region_of[domain],
+                life: 0,
+                boot: 0,
+                up: false,
+                direct: None,
+                asks: Vec::new(),
+                ticking: false,
+                beats: 0,
+            });
+        }
+    }
+    instances
+}
+
+fn anywhere() -> SocketAddr {
+    ([127, 0, 0, 1], 1).into()
+}
+
+impl World<'_> {
+    fn row(&self, instance: usize) -> Row {
+        let instance = &self.instances[instance];
+        Row {
+            region: Arc::clone(&self.regions[instance.region]),
+            domain: Arc::clone(&self.plan.domains[instance.domain].name),
+            callers: anywhere(),
+            peers: anywhere(),
+            beats: anywhere(),
+        }
+    }
+
+    fn clock(&self, instance: usize) -> Time {
+        Time::from_micros(self.now - self.instances[instance].boot)
+    }
+
+    /// A process starts.
+    pub(super) fn restart(&mut self, number: usize) {
+        self.instances[number].up = true;
+        let Brain::Product(levers) = self.brain else {
+            return;
+        };
+        let row = self.row(number);
+        let instance = &mut self.instances[number];
+        instance.life += 1;
+        instance.boot = self.now;
+        let home = Home {
+            name: Arc::clone(&instance.name),
+            region: Arc::clone(&self.regions[instance.region]),
+            life: instance.life,
+            row,
+        };
+        let domains = self.plan.domains.iter();
+        let domains = domains.map(|d| (Arc::clone(&d.name), Arc::clone(&d.region)));
+        let direct = Direct::with(home, bounds(self.plan), domains.collect(), levers);
+        instance.direct = Some(direct);
+        instance.asks.clear();
+        instance.ticking = false;
+        let life = instance.life;
+        self.after(
+            START,
+            Event::Learn {
+                instance: number,
+                life,
+            },
+        );
+        let beat = self.rng.u64(0..BEAT);
+        self.after(beat, Event::Beat(number));
+        self.tell_members(number);
+    }
+
+    /// The process ends, and with it all that was at it.
+    pub(super) fn kill(&mut self, number: usize) {
+        let instance = &mut self.instances[number];
+        instance.up = false;
+        instance.direct = None;
+        let asks = core::mem::take(&mut instance.asks);
+        for held in asks {
+            if let Some(target) = held.at {
+                self.cancel(target, held.request, held.current);
+            }
+            if self.requests[held.request].current == held.current {
+                self.failed(held.request);
+            }
+        }
+        self.central_kill(number);
+    }
+
+    /// Others learn of an instance as the store lists it.
+    fn tell_members(&mut self, number: usize) {
+        if self.is_store_away(self.instances[number].region) {
+            return;
+        }
+        let row = self.row(number);
+        let name = Arc::clone(&self.instances[number].name);
+        for other in 0..self.instances.len() {
+            let now = self.clock_or_zero(other);
+            if other != number
+                && let Some(direct) = &mut self.instances[other].direct
+            {
+                direct.member(now, &name, Some(row.clone()));
+            }
+        }
+    }
+
+    fn clock_or_zero(&self, instance: usize) -> Time {
+        Time::from_micros(self.now.saturating_sub(self.instances[instance].boot))
+    }
+
+    /// All instances hear of changes of targets, some time after `late`.
+    pub(super) fn tell_all(&mut self, late: Micros) {
+        let delay = micros(self.plan.delays.store);
+        for number in 0..self.instances.len() {
+            let gather = self.rng.u64(0..GATHER);
+            let life = self.instances[number].life;
+            let event = Event::Learn {
+                instance: number,
+                life,
+            };
+            self.after(late + delay + gather, event);
+        }
+    }
+
+    /// An instance reads the store, or asks another that has.
+    pub(super) fn learn(&mut self, number: usize, life: u64) {
+        if self.instances[number].life != life {
+            return;
+        }
+        let region = self.instances[number].region;
+        if self.is_store_away(region) && !self.knows_peer(number) {
+            // Tried again until something answers.
+            self.after(
+                ASK,
+                Event::Learn {
+                    instance: number,
+                    life,
+                },
+            );
+            return;
+        }
+        let entries = self.entries();
+        let evacuated = self.evacuated();
+        let routes = Arc::new(routes(self.plan));
+        let rows: Vec<(Arc<str>, Row)> = (0..self.instances.len())
+            .filter(|n| *n != number && self.is_listed(*n))
+            .map(|n| (Arc::clone(&self.instances[n].name), self.row(n)))
+            .collect();
+        let now = self.clock(number);
+        let away = self.is_store_away(region);
+        let Some(direct) = &mut self.instances[number].direct else {
+            return;
+        };
+        direct.install(routes);
+        let known: Vec<Arc<str>> = direct
+            .roster
+            .all()
+            .iter()
+            .filter(|t| !t.gone)
+            .map(|t| Arc::clone(&t.entry.id))
+            .collect();
+        for id in known {
+            if !entries.iter().any(|e| e.id == id) {
+                direct.unlist(now, &id);
+            }
+        }
+        for entry in entries {
+            direct.roster.put(now, entry);
+        }
+        direct.evacuate(now, evacuated);
+        for (name, row) in rows {
+            direct.member(now, &name, Some(row));
+        }
+        if away {
+            direct.told(1);
+        } else {
+            direct.in_touch(now, 1);
+        }
+        self.pump(number);
+    }
+
+    /// Whether an instance is listed: it runs, or did until lately.
+    fn is_listed(&self, number: usize) -> bool {
+        self.instances[number].direct.is_some()
+    }
+
+    /// Whether another instance that knows something can be asked.
+    fn knows_peer(&self, number: usize) -> bool {
+        let own = self.instances[number].region;
+        let mut others = self.instances.iter().enumerate();
+        others.any(|(at, other)| {
+            at != number
+                && other.direct.as_ref().is_some_and(|d| d.routes().is_some())
+                && !self.is_cut(own, other.region)
+                && !self.is_cut(other.region, own)
+        })
+    }
+
+    /// Targets as the store lists them.
+    fn entries(&self) -> Vec<Entry> {
+        let listed = self.targets.iter().filter(|t| t.up);
+        let entry = |t: &super::target::Target| Entry {
+            id: Arc::clone(&t.name),
+            service: Arc::clone(&self.plan.services[t.service].name),
+            addr: anywhere(),
+            domain: Arc::clone(&self.plan.domains[t.domain].name),
+            slots: u32::try_from(t.slots).unwrap_or(u32::MAX),
+            draining: false,
+            seq: self.now,
+            cold: Duration::from_micros(t.cold_until.saturating_sub(self.now)),
+            born: t.born,
+        };
+        listed.map(entry).collect()
+    }
+
+    fn evacuated(&self) -> Vec<Arc<str>> {
+        let faults = self.plan.faults.iter().enumerate();
+        let domains = faults.filter_map(|(number, trouble)| match trouble.what {
+            What::Evacuate { domain } if self.active[number] => {
+                Some(Arc::clone(&self.plan.domains[domain].name))
+            }
+            _ => None,
+        });
+        domains.collect()
+    }
+
+    /// An instance sends its heartbeat.
+    pub(super) fn beat(&mut self, number: usize) {
+        let now = self.clock(number);
+        let region = self.instances[number].region;
+        let away = self.is_store_away(region);
+        let instance = &mut self.instances[number];
+        let life = instance.life;
+        let Some(direct) = &mut instance.direct else {
+            return;
+        };
+        instance.beats += 1;
+        if !away && direct.revision() > 0 && instance.beats.is_multiple_of(4) {
+            direct.in_touch(now, 1);
+        }
+        if instance.beats.is_multiple_of(8) {
+            direct.sweep(now);
+        }
+        let beat = direct.beat(now, instance.beats.is_multiple_of(6));
+        let afar = instance.beats.is_multiple_of(AFAR);
+        let far = Beat {
+            flying: Vec::new(),
+            held: Vec::new(),
+            ..beat.clone()
+        };
+        let (mut near, mut distant) = (0, 0);
+        for step in 1..self.instances.len() {
+            let other = (number + step) % self.instances.len();
+            let to = self.instances[other].region;
+            if to == region && near < NEAR_MOST {
+                near += 1;
+                self.send_beat(number, other, &beat);
+            } else if to != region && afar && distant < FAR_MOST {
+                distant += 1;
+                self.send_beat(number, other, &far);
+            }
+        }
+        let wait = BEAT;
+        if self.instances[number].life == life {
+            self.after(wait, Event::Beat(number));
+        }
+    }
+
+    fn send_beat(&mut self, from: usize, to: usize, beat: &Beat) {
+        let (own, other) = (&self.instances[from], &self.instances[to]);
+        if self.is_cut(own.region, other.region) || self.rng.f64() < LOST {
+            return;
+        }
+        let way = self.way(own.domain, other.domain);
+        let life = other.life;
+        let event = Event::Hear {
+            instance: to,
+            life,
+            beat: Box::new(beat.clone()),
+        };
+        self.after(way, event);
+    }
+
+    pub(super) fn hear(&mut self, number: usize, life: u64, beat: Beat) {
+        let now = self.clock_or_zero(number);
+        let instance = &mut self.instances[number];
+        if instance.life == life
+            && let Some(direct) = &mut instance.direct
+        {
+            direct.hear(now, beat);
+        }
+    }
+
+    /// A request reaches the instance that its caller has chosen.
+    pub(super) fn come(&mut self, request: usize, current: u32) {
+        let known = &self.requests[request];
+        if known.current != current || known.end.is_some() {
+            return;
+        }
+        let region = self.region_of[known.at];
+        let up = |n: &usize| self.instances[*n].up;
+        let near: Vec<usize> = (0..self.instances.len())
+            .filter(|n| self.instances[*n].region == region)
+            .filter(up)
+            .collect();
+        let all: Vec<usize> = (0..self.instances.len()).filter(up).collect();
+        let fit = if near.is_empty() { all } else { near };
+        if fit.is_empty() {
+            self.unanswered(request);
+            return;
+        }
+        let number = fit[self.rng.usize(0..fit.len())];
+        if matches!(self.brain, Brain::Product(_)) {
+            self.take(number, request, current);
+        } else {
+            self.central_come(request, current, number);
+        }
+    }
+
+    fn take(&mut self, number: usize, request: usize, current: u32) {
+        let now = self.clock(number);
+        let known = &self.requests[request];
+        let kind = &self.plan.kinds[known.kind];
+        let left = Duration::from_micros(known.until.saturating_sub(self.now));
+        let object = known.object;
+        let Some(direct) = &mut self.instances[number].direct else {
+            return;
+        };
+        let found = direct
+            .routes()
+            .and_then(|r| r.find("host", &path(&kind.name)));
+        let Some(route) = found.cloned() else {
+            self.rejected(request, 500_000);
+            return;
+        };
+        let ask = Ask {
+            route,
+            object: Some(object),
+            deadline: now + left,
+            print: Fingerprint(u128::from(hash(&request.to_le_bytes()))),
+        };
+        match direct.arrive(now, ask) {
+            Err(_) => self.rejected(request, 500_000),
+            Ok(ticket) => {
+                let limit = direct.limit(ticket).unwrap_or(now);
+                let instance = &mut self.instances[number];
+                instance.asks.push(Held {
+                    ticket,
+                    request,
+                    current,
+                    at: None,
+                    may_have_run: false,
+                });
+                let (life, boot) = (instance.life, instance.boot);
+                let at = boot + limit.as_micros();
+                let event = Event::Limit {
+                    instance: number,
+                    life,
+                    ticket,
+                };
+                self.at(at.max(self.now), event);
+                self.pump(number);
+            }
+        }
+    }
+
+    /// Hands out what an instance has decided.
+    fn pump(&mut self, number: usize) {
+        let now = self.clock(number);
+        let Some(direct) = &mut self.instances[number].direct else {
+            return;
+        };
+        for order in direct.step(now) {
+            match order {
+                Order::Go(go) => self.go(number, &go),
+                Order::Reject { ticket, why, after } => self.turn_away(number, ticket, why, after),
+            }
+        }
+        let instance = &mut self.instances[number];
+        let waits = instance.direct.as_ref().is_some_and(|d| d.waiting() > 0);
+        if waits && !instance.ticking {
+            instance.ticking = true;
+            self.after(micros(TICK), Event::Tick(number));
+        }
+    }
+
+    pub(super) fn tick(&mut self, number: usize) {
+        self.instances[number].ticking = false;
+        self.pump(number);
+    }
+
+    fn turn_away(&mut self, number: usize, ticket: Ticket, why: Why, after: Duration) {
+        let Some(held) = self.drop_ask(number, ticket) else {
+            return;
+        };
+        if self.requests[held.request].current != held.current {
+            return;
+        }
+        if matches!(why, Why::Doubt) || held.may_have_run {
+            self.failed(held.request);
+        } else {
+            self.rejected(held.request, micros(after));
+        }
+    }
+
+    fn drop_ask(&mut self, number: usize, ticket: Ticket) -> Option<Held> {
+        let asks = &mut self.instances[number].asks;
+        let at = asks.binary_search_by_key(&ticket, |a| a.ticket).ok()?;
+        Some(asks.remove(at))
+    }
+
+    fn go(&mut self, number: usize, go: &Go) {
+        let Some(target) = self.targets.iter().position(|t| t.name == go.target) else {
+            // It is gone, and nobody has its address.
+            self.lost(number, go.ticket);
+            return;
+        };
+        let instance = &mut self.instances[number];
+        let (domain, region, life, boot) = (
+            instance.domain,
+            instance.region,
+            instance.life,
+            instance.boot,
+        );
+        let limit = instance.direct.as_ref().and_then(|d| d.limit(go.ticket));
+        let until = limit.map_or(self.now, |l| boot + l.as_micros());
+        let Ok(at) = instance.asks.binary_search_by_key(&go.ticket, |a| a.ticket) else {
+            return;
+        };
+        instance.asks[at].at = Some(target);
+        let (request, current) = (instance.asks[at].request, instance.asks[at].current);
+        let place = &self.targets[target];
+        let (to, there, born) = (place.domain, place.region, place.born);
+        self.note_sent(region, there != region);
+        let way = self.way(domain, to);
+        let unsafe_way = if self.kind(request).idempotent {
+            way
+        } else {
+            way * 3 + HANDSHAKE
+        };
+        let sent = Sent {
+            request,
+            current,
+            target,
+            born,
+            from: Some((number, life, go.ticket)),
+            region,
+            until,
+        };
+        if self.is_cut(region, there) {
+            let ending = Ending::Unreached;
+            self.after(
+                CONNECT,
+                Event::Back {
+                    sent,
+                    ending,
+                    load: 0,
+                },
+            );
+        } else {
+            self.after(unsafe_way, Event::Land(sent));
+        }
+    }
+
+    fn lost(&mut self, number: usize, ticket: Ticket) {
+        let life = self.instances[number].life;
+        let sent = Sent {
+            request: 0,
+            current: 0,
+            target: 0,
+            born: 0,
+            from: Some((number, life, ticket)),
+            region: self.instances[number].region,
+            until: self.now,
+        };
+        let ending = Ending::Unreached;
+        self.after(
+            CONNECT,
+            Event::Back {
+                sent,
+                ending,
+                load: 0,
+            },
+        );
+    }
+
+    /// An attempt has ended.
+    pub(super) fn back(&mut self, sent: &Sent, ending: Ending, load: u32) {
+        let Some((number, life, ticket)) = sent.from else {
+            self.central_back(sent, ending);
+            return;
+        };
+        if self.instances[number].life != life {
+            return;
+        }
+        let now = self.clock(number);
+        let instance = &mut self.instances[number];
+        let Ok(at) = instance.asks.binary_search_by_key(&ticket, |a| a.ticket) else {
+            return;
+        };
+        let not_run = matches!(
+            ending,
+            Ending::NotRun | Ending::Unreached | Ending::Elsewhere
+        );
+        instance.asks[at].may_have_run |= !not_run;
+        instance.asks[at].at = None;
+        let held = instance.asks[at].clone();
+        let Some(direct) = &mut instance.direct else {
+            return;
+        };
+        let next = direct.ended(now, ticket, ending);
+        if load > 0
+            && let Some(target) = direct.roster.get_mut(&self.targets[sent.target].name)
+        {
+            target.tell(now, load);
+        }
+        match next {
+            Next::Again => {}
+            Next::Settled => {
+                self.drop_ask(number, ticket);
+                if self.requests[held.request].current == held.current {
+                    let far = self.targets[sent.target].region != sent.region;
+                    match ending {
+                        Ending::Answered => self.answered(held.request, far),
+                        _ => self.failed(held.request),
+                    }
+                }
+            }
+            Next::Reject { after } => self.turn_away(number, ticket, Why::Overload, after),
+        }
+        self.pump(number);
+    }
+
+    /// The time that caller and operator allow a request is over.
+    pub(super) fn limit(&mut self, number: usize, life: u64, ticket: Ticket) {
+        if self.instances[number].life != life {
+            return;
+        }
+        let Some(held) = self.drop_ask(number, ticket) else {
+            return;
+        };
+        let now = self.clock(number);
+        if let Some(direct) = &mut self.instances[number].direct {
+            if held.at.is_some() {
+                direct.ended(now, ticket, Ending::Late);
+            }
+            direct.leave(ticket);
+        }
+        if let Some(target) = held.at {
+            self.cancel(target, held.request, held.current);
+        }
+        if self.requests[held.request].current == held.current {
+            if held.at.is_some() || held.may_have_run {
+                self.failed(held.request);
+            } else {
+                self.rejected(held.request, 0);
+            }
+        }
+        self.pump(number);
+    }
+
+    /// A caller has left: its request is taken out wherever it is.
+    pub(super) fn forget(&mut self, request: usize) {
+        for number in 0..self.instances.len() {
+            let asks = &self.instances[number].asks;
+            let Some(held) = asks.iter().find(|a| a.request == request).cloned() else {
+                continue;
+            };
+            self.drop_ask(number, held.ticket);
+            if let Some(direct) = &mut self.instances[number].direct {
+                direct.leave(held.ticket);
+            }
+            if let Some(target) = held.at {
+                self.cancel(target, held.request, held.current);
+            }
+            self.pump(number);
+        }
+        self.central_forget(request);
+    }
+
+    /// An instance that doesn't run is no longer listed.
+    pub(super) fn unlist_members(&mut self, number: usize) {
+        let name = Arc::clone(&self.instances[number].name);
+        if self.instances[number].direct.is_some() {
+            return;
+        }
+        for other in 0..self.instances.len() {
+            let region = self.instances[other].region;
+            if other == number || self.is_store_away(region) {
+                continue;
+            }
+            let now = self.clock_or_zero(other);
+            if let Some(direct) = &mut self.instances[other].direct {
+                direct.member(now, &name, None);
+            }
+        }
+    }
+}
+
+/// Time after which an instance that has ended is no longer listed.
+pub(super) const LAPSE: Micros = LEASE;
+
+fn path(kind: &str) -> String {
+    format!("/{kind}/")
+}
+
+fn routes(plan: &Plan) -> Routes {
+    let route = |kind: &crate::plan::Kind| Route {
+        name: Arc::clone(&kind.name),
+        host: "host".into(),
+        prefix: path(&kind.name).into(),
+        idempotent: kind.idempotent,
+        timeout: kind.timeout,
+        goal: kind.goal,
+        attempts: kind.attempts,
+        priority: kind.priority,
+        parts: vec![Part {
+            service: Arc::clone(&plan.services[kind.service].name),
+            weight: 1.0,
+        }],
+        affinity: kind.gain > 0.0,
+        homes: Vec::new(),
+    };
+    let service = |s: &crate::plan::Service| Service {
+        name: Arc::clone(&s.name),
+        health: "/health".into(),
+        connections: 1000,
+        warmup: s.cold,
+        cold_rate: s.cold_rate,
+    };
+    let limits = Limits {
+        head: 16 * 1024,
+        body: 64 * 1024,
+        arrive: Duration::from_secs(5),
+        idle: Duration::from_secs(15),
+    };
+    let routes = plan.kinds.iter().map(route).collect();
+    let services = plan.services.iter().map(service).collect();
+    let found = Routes::new(1, routes, services, limits);
+    found.expect("kinds have names of their own")
+}
+
+fn bounds(plan: &Plan) -> Bounds {
+    let bounds = &plan.bounds;
+    Bounds {
+        repeats: Rule {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+        },
+        cold_factor: bounds.cold_factor,
+        cold_slack: bounds.cold_slack,
+        shift: bounds.shift,
+    }
+}
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -22,9 +22,11 @@
 const SIZE: (u32, u32) = (900, 420);
 
 /// One line of a drawing.
-struct Series {
-    name: String,
-    points: Vec<(f64, f64)>,
+pub struct Series {
+    /// Its name.
+    pub name: String,
+    /// Seconds, and a figure.
+    pub points: Vec<(f64, f64)>,
 }
 
 /// Draws everything into `folder`; gives the files.
@@ -35,12 +37,7 @@
     let mut files = Vec::new();
     let mut add = |name: &str, title: &str, series: &[Series]| {
         let path = folder.join(format!("{name}.svg"));
-        chart(&path, title, series)
-            .map_err(|cause| Error {
-                path: path.clone(),
-                cause,
-            })
-            .map(|()| files.push(path))
+        chart(&path, title, series).map(|()| files.push(path))
     };
     add("outcomes", "requests in each span", &outcomes(report))?;
     add(
@@ -126,7 +123,18 @@
     count as f64
 }
 
-fn chart(path: &Path, title: &str, series: &[Series]) -> Result<(), String> {
+/// Draws lines over time into one file.
+///
+/// # Errors
+/// If the file can't be written.
+pub fn chart(path: &Path, title: &str, series: &[Series]) -> Result<(), Error> {
+    lines(path, title, series).map_err(|cause| Error {
+        path: path.to_owned(),
+        cause,
+    })
+}
+
+fn lines(path: &Path, title: &str, series: &[Series]) -> Result<(), String> {
     let points = || series.iter().flat_map(|s| &s.points);
     let from = points().map(|p| p.0).fold(f64::INFINITY, f64::min);
     let to = points().map(|p| p.0).fold(f64::NEG_INFINITY, f64::max);
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -15,6 +15,7 @@
 mod hash;
 mod job;
 pub mod learn;
+pub mod levers;
 mod line;
 pub mod members;
 mod message;
@@ -39,6 +40,7 @@
 use contact::Touch;
 use job::{Job, State};
 use learn::Learnt;
+use levers::{Lever, Levers};
 use members::Members;
 use pace::Pace;
 use roster::Roster;
@@ -49,6 +51,7 @@
 pub struct Direct {
     home: Home,
     bounds: Bounds,
+    levers: Levers,
     routes: Option<Arc<Routes>>,
     /// Targets.
     pub roster: Roster,
@@ -79,9 +82,21 @@
     /// Nothing known yet.
     #[must_use]
     pub fn new(home: Home, bounds: Bounds, domains: Vec<(Arc<str>, Arc<str>)>) -> Self {
+        Self::with(home, bounds, domains, Levers::ALL)
+    }
+
+    /// The same with only some mechanisms, to measure the others.
+    #[must_use]
+    pub fn with(
+        home: Home,
+        bounds: Bounds,
+        domains: Vec<(Arc<str>, Arc<str>)>,
+        levers: Levers,
+    ) -> Self {
         Self {
             home,
             bounds,
+            levers,
             routes: None,
             roster: Roster::new(domains),
             learnt: Learnt::default(),
@@ -189,6 +204,17 @@
         self.find(ticket).ok().map(|at| self.jobs[at].limit)
     }
 
+    /// What a request takes at a service.
+    fn work(&self, job: &Job) -> learn::Work {
+        let route = &job.ask.route;
+        let goal = route.goal.as_secs_f64();
+        if self.levers.has(Lever::Learning) {
+            self.learnt.work(&job.service, &route.name, goal)
+        } else {
+            Learnt::default().work(&job.service, &route.name, goal)
+        }
+    }
+
     fn budget(&mut self, service: &Arc<str>) -> &mut Budget {
         let at = match self.budgets.binary_search_by(|b| b.0.cmp(service)) {
             Ok(at) => at,
--- a/crates/steer/src/process/direct/line.rs
+++ b/crates/steer/src/process/direct/line.rs
@@ -8,9 +8,10 @@
 use std::sync::Arc;
 
 use super::job::{Job, State};
+use super::levers::Lever;
 use super::message::{Go, Order, Ticket, Why};
 use super::pace::Pace;
-use super::{Direct, FADE, SPARE, place, unit};
+use super::{Direct, SPARE, place, unit};
 use crate::clock::Time;
 
 /// Share of a request's latency objective for which it may be held before it is
@@ -39,7 +40,12 @@
         for job in &self.jobs {
             if matches!(job.state, State::Waiting) {
                 let late = now > job.objective();
-                let rank = (job.ask.route.priority, late, job.objective(), job.ticket);
+                let priority = if self.levers.has(Lever::Priority) {
+                    job.ask.route.priority
+                } else {
+                    0
+                };
+                let rank = (priority, late, job.objective(), job.ticket);
                 order.push(rank);
             }
         }
@@ -82,7 +88,8 @@
         let finish = now + Duration::from_secs_f64(best.cost);
         let hopeless = finish + SPARE > job.limit || self.outlasts(now, &best);
         let far_off = now + Duration::from_secs_f64(best.cost * DOUBT) > job.limit;
-        if hopeless || (far_off && held <= goal * HOLD) {
+        let reject = self.levers.has(Lever::Reject);
+        if reject && (hopeless || (far_off && held <= goal * HOLD)) {
             let job = self.jobs.remove(at);
             let after = Self::after(&job, best.wait);
             let why = job.why(Why::Overload);
@@ -101,9 +108,7 @@
 
     /// Whether even a free target that holds the object would answer too late.
     fn is_too_late(&self, now: Time, job: &Job) -> bool {
-        let route = &job.ask.route;
-        let goal = route.goal.as_secs_f64();
-        let work = self.learnt.work(&job.service, &route.name, goal);
+        let work = self.work(job);
         now + Duration::from_secs_f64(work.warm * LEAST) > job.limit
     }
 
@@ -127,8 +132,8 @@
     }
 
     fn send(&mut self, now: Time, at: usize, best: &place::Place) -> Go {
+        let load = self.load(now, &self.roster.all()[best.index]);
         let target = &mut self.roster.all_mut()[best.index];
-        let load = target.load(now, FADE);
         let age = target.age(now);
         let queued = load >= f64::from(target.entry.slots);
         target.sent(now);
@@ -171,8 +176,11 @@
     fn choose_side(&mut self, now: Time, at: usize) {
         let (wish, lean) = self.wish(now, &self.jobs[at]);
         let service = Arc::clone(&self.jobs[at].service);
+        let has = |lever| self.levers.has(lever);
+        let wish = wish.filter(|_| has(Lever::Elsewhere));
+        let start = has(Lever::Start);
         let side = wish.is_some_and(|wish| {
-            let share = self.lacking(&service);
+            let share = if start { self.lacking(&service) } else { 0.0 };
             let bound = self.bounds.shift;
             let paces = &mut self.paces;
             let at = match paces.binary_search_by(|p| p.0.cmp(&service)) {
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -13,6 +13,7 @@
 
 use super::cold::{self, Sharer};
 use super::job::Job;
+use super::levers::Lever;
 use super::roster::{COLD_SPAN, Target};
 use super::{Direct, FADE, hash, mark_of, members, unit};
 use crate::clock::Time;
@@ -139,14 +140,22 @@
     fn best(&self, now: Time, job: &Job, near: bool) -> Option<Place> {
         let route = &job.ask.route;
         let goal = route.goal.as_secs_f64();
-        let work = self.learnt.work(&job.service, &route.name, goal);
-        let first = job.ask.object.and_then(|o| self.first(job, o, near));
+        let work = self.work(job);
+        let levers = self.levers;
+        let first = job.ask.object.filter(|_| levers.has(Lever::First));
+        let first = first.and_then(|o| self.first(job, o, near));
+        let vain = if levers.has(Lever::Vain) { SOCIAL } else { 0.0 };
+        let extra = if levers.has(Lever::Hold) {
+            EXTRA
+        } else {
+            f64::INFINITY
+        };
         let mut best: Option<Place> = None;
         for (index, target) in self.roster.of(&job.service) {
             if !self.is_usable(now, job, target, near) {
                 continue;
             }
-            let object = job.ask.object;
+            let object = job.ask.object.filter(|_| levers.has(Lever::Affinity));
             let warm = object.is_some_and(|o| target.holds(now, mark_of(o)));
             let base = match (warm, first == Some(index)) {
                 (true, _) => work.warm,
@@ -155,28 +164,38 @@
                 (false, false) => work.other,
             };
             let cold = if target.is_cold(now) { COLD } else { 1.0 };
-            let seconds = base * target.slowness.max(SLOW_LEAST) * cold;
+            let slowness = if levers.has(Lever::Slowness) {
+                target.slowness.max(SLOW_LEAST)
+            } else {
+                1.0
+            };
+            let seconds = base * slowness * cold;
             let slots = f64::from(target.entry.slots.max(1));
-            let load = target.load(now, FADE);
+            let load = self.load(now, target);
             let over = load - slots + 1.0;
             let mean = f64::midpoint(work.warm, work.other);
             let wait = if over > 0.5 {
-                over * mean * target.slowness.max(SLOW_LEAST) / slots
+                over * mean * slowness / slots
             } else {
                 0.0
             };
             let far = if near { 0.0 } else { FAR };
             // An ill target fails that share of its requests, each of which
             // has to begin anew elsewhere. Load breaks ties.
-            let cost = wait + seconds + far + target.illness * goal + load * 0.002;
-            let rank = cost + (base - work.warm) * SOCIAL;
+            let illness = if levers.has(Lever::Illness) {
+                target.illness * goal
+            } else {
+                0.0
+            };
+            let cost = wait + seconds + far + illness + load * 0.002;
+            let rank = cost + (base - work.warm) * vain;
             if best.is_none_or(|b| rank < b.rank) {
                 best = Some(Place {
                     rank,
                     index,
                     cost,
                     wait,
-                    open: load < slots + EXTRA,
+                    open: load < slots + extra,
                     work: base,
                     warm,
                 });
@@ -185,6 +204,15 @@
         best
     }
 
+    /// Requests believed to be at a target.
+    pub(super) fn load(&self, now: Time, target: &Target) -> f64 {
+        if self.levers.has(Lever::Counts) {
+            target.load(now, FADE)
+        } else {
+            f64::from(target.flying + target.reserved)
+        }
+    }
+
     fn is_usable(&self, now: Time, job: &Job, target: &Target, near: bool) -> bool {
         (target.region == self.home.region) == near
             && target.is_open()
--- a/crates/steer/src/process/direct/settle.rs
+++ b/crates/steer/src/process/direct/settle.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use super::job::{Job, State};
+use super::levers::Lever;
 use super::message::{Ending, Next, Ticket};
 use super::{Direct, SPARE, mark_of, members};
 use crate::clock::Time;
@@ -96,8 +97,9 @@
         );
         let job = &mut self.jobs[at];
         job.may_have_run |= !not_run;
+        let allowed = self.levers.has(Lever::Again);
         let crashes = self.suspects.strikes(job.ask.print) >= STRIKES;
-        let again = !crashes && (!job.may_have_run || job.ask.route.idempotent);
+        let again = allowed && !crashes && (!job.may_have_run || job.ask.route.idempotent);
         let left = job.tried.len() < job.ask.route.attempts.max(1);
         let time = now + SPARE < job.limit;
         let service = Arc::clone(&job.service);
