Read a caller's end before starting what it sent

An instance that had fallen behind by a second read a look-up and its caller's end in one turn; a read that didn't fill its buffer was taken to have emptied the socket, so the look-up was started and sent before the end was looked at. The library's server, which this layer replaced, looked first.

Ruled out: pipelines that are full (nothing was ahead of the requests).

Change: a turn reads until nothing is there, eight times at most, before it starts anything. The socket is a file of its own.

--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -17,6 +17,7 @@
 mod member;
 mod metrics;
 mod near;
+mod socket;
 mod source;
 
 use std::io;
--- a/crates/auburnrouter/src/direct/connection.rs
+++ b/crates/auburnrouter/src/direct/connection.rs
@@ -8,10 +8,9 @@
 //! requests with it: their futures are dropped.
 
 use core::pin::Pin;
-use core::task::{Context, Poll, ready};
-use std::io::{self, Read as _, Write as _};
+use core::task::{Context, Poll};
+use std::io;
 use std::net::IpAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -21,10 +20,11 @@
 use http1::pipeline::{self, Pipeline, Place};
 use http1::reader::{self, Reader, Step, Whole};
 use hyper::{Method, Version};
-use smol::{Async, net};
+use smol::net;
 
 use super::date;
 use super::door::{Limits, Refusal, Response, Service};
+use super::socket::Socket;
 
 /// Requests of one connection that are here unanswered, each of which may be at
 /// a target. Callers that send ahead have a few under way; one that sends more
@@ -38,6 +38,9 @@
 /// Bytes read at a time: a few heads.
 const READ: usize = 4096;
 
+/// Reads in one turn: more than a usual caller sends at once.
+const READS: usize = 8;
+
 /// Turns that one connection takes before others have theirs: a caller that
 /// sends without end must not keep the thread.
 const TURNS: usize = 32;
@@ -109,52 +112,6 @@
     expects: bool,
 }
 
-/// The socket, and whether it may have bytes to read. A read that fills less
-/// than its buffer has emptied the socket; trying again at each wake-up would
-/// cost a system call a time, which on a fraction of a core is felt.
-struct Socket {
-    stream: Arc<Async<std::net::TcpStream>>,
-    readable: bool,
-}
-
-impl Socket {
-    fn new(stream: net::TcpStream) -> Self {
-        Self {
-            stream: stream.into(),
-            readable: true,
-        }
-    }
-
-    fn poll_read(&mut self, cx: &mut Context<'_>, bytes: &mut [u8]) -> Poll<io::Result<usize>> {
-        loop {
-            if !self.readable {
-                ready!(self.stream.poll_readable(cx))?;
-                self.readable = true;
-            }
-            match self.stream.get_ref().read(bytes) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.readable = false,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                read => {
-                    self.readable = matches!(read, Ok(length) if length == bytes.len());
-                    return Poll::Ready(read);
-                }
-            }
-        }
-    }
-
-    fn poll_write(&self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        loop {
-            match self.stream.get_ref().write(bytes) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    ready!(self.stream.poll_writable(cx))?;
-                }
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                written => return Poll::Ready(written),
-            }
-        }
-    }
-}
-
 /// What the connection's bounds on time are counted from.
 struct Clock {
     timer: Option<smol::Timer>,
@@ -252,7 +209,17 @@
         if closes || self.service.is_leaving() {
             self.pipeline.stop();
         }
-        let mut moved = self.poll_read(cx)?;
+        let mut moved = false;
+        // All that is there, the caller's end too, before anything starts: under
+        // a load beyond the process a request and its caller's leaving are read
+        // in one turn, and it would run for nobody.
+        for _ in 0..READS {
+            if !self.poll_read(cx)? {
+                break;
+            }
+            moved = true;
+            self.take_requests();
+        }
         self.take_requests();
         self.start();
         moved |= self.poll_answers(cx);
@@ -496,9 +463,7 @@
 
     /// Lets the last answer arrive before the socket is closed.
     async fn linger(mut self) {
-        // The caller may have left already.
-        let stream = self.socket.stream.get_ref();
-        let _ = stream.shutdown(std::net::Shutdown::Write);
+        self.socket.close();
         let emptied = async {
             let mut bytes = [0; READ];
             let mut read = |cx: &mut Context<'_>| self.socket.poll_read(cx, &mut bytes);
--- a/crates/auburnrouter/tests/direct/requests.rs
+++ b/crates/auburnrouter/tests/direct/requests.rs
@@ -8,6 +8,7 @@
 use platform_standin::store::Mode;
 use platform_standin::target::Manner;
 use rstest::rstest;
+use rustix::process::Signal;
 
 use super::bench::{Bench, Entry, HOST, MS, ROUTES, ask, await_that, read, request};
 
@@ -127,6 +128,28 @@
     assert!(left.elapsed() < 500 * MS, "{:?}", left.elapsed());
 }
 
+/// The process stands still for a moment, as under a load that is beyond it. Its
+/// caller sends a look-up and leaves meanwhile. Once the process goes on, the
+/// look-up must not run: its bytes and the caller's end are both there to read,
+/// and whoever starts what it has read before it reads on works for nobody.
+#[test]
+fn forget_who_left_unread() {
+    let bench = Bench::start(1);
+    for round in 0..5 {
+        bench.entry.signal(Signal::STOP);
+        let mut stream = TcpStream::connect(bench.entry.callers).expect("it listens");
+        let left = format!("left{round}");
+        let text = request("GET", "/view/x", &left, "");
+        stream.write_all(text.as_bytes()).expect("it is open");
+        drop(stream);
+        bench.entry.signal(Signal::CONT);
+        let answer = bench.entry.send("GET", "/view/x", &format!("r{round}"), "");
+        assert_eq!(answer.status, 200);
+        let ran = bench.runs().iter().any(|r| r.id == left);
+        assert!(!ran, "{left} ran");
+    }
+}
+
 /// Somebody opens connections and sends nothing. Beyond what the process has
 /// descriptors for, the next caller is told to come back, and those that are
 /// connected are still served: running out would stop all of them.
