Emulator: what instances know in a file of its own; name a part of the targets

Cause: one file of 740 lines held both how requests go through an instance and how it learns; a type called Some read like the language's own.

Change: world/instance/knowledge.rs; plan::Part. No behaviour changed: the tests of patterns and of the emulator pass as before.

--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -220,19 +220,19 @@
         share: f64,
     },
     /// Targets end, and come back cold after the time.
-    Crash(Some),
+    Crash(Part),
     /// Targets take `x` times as long.
-    Slow(Some, f64),
+    Slow(Part, f64),
     /// Targets turn a part `x` of their requests away, in good health.
-    Shed(Some, f64),
+    Shed(Part, f64),
     /// Targets fail a part `x` of what they run.
-    Fail(Some, f64),
+    Fail(Part, f64),
     /// Answers of a part `x` of requests are lost.
-    Lose(Some, f64),
+    Lose(Part, f64),
     /// Targets are replaced by new ones, at once.
-    Replace(Some),
+    Replace(Part),
     /// Targets forget all objects and are cold.
-    Cold(Some),
+    Cold(Part),
     /// Instances end, and start anew after the time.
     Kill {
         /// How many.
@@ -259,7 +259,7 @@
 
 /// Some of the targets.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Some {
+pub struct Part {
     /// How many of those that fit.
     pub share: f64,
     /// Place of the only service, if there is one.
--- a/crates/emulator/src/plan/read.rs
+++ b/crates/emulator/src/plan/read.rs
@@ -9,9 +9,7 @@
 use jsonc::node::{Node, Value};
 use jsonc::{nearest, read};
 
-use super::{
-    Bounds, Callers, Delays, Domain, Kind, Plan, Service, Some as Part, Trouble, Weights, What,
-};
+use super::{Bounds, Callers, Delays, Domain, Kind, Part, Plan, Service, Trouble, Weights, What};
 
 const PLAN: [&str; 9] = [
     "span_s",
--- a/crates/emulator/src/world/instance.rs
+++ b/crates/emulator/src/world/instance.rs
@@ -4,45 +4,31 @@
 //! heartbeats, and by what comes back to it, each by its own clock, which starts
 //! at zero with its process.
 
+mod knowledge;
+
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::sync::Arc;
 
 use steer::clock::Time;
 use steer::process::direct::budget::Rule;
-use steer::process::direct::members::{Beat, Row};
-use steer::process::direct::roster::Entry;
+use steer::process::direct::members::Row;
 use steer::process::direct::{
     Ask, Bounds, Direct, Ending, Go, Home, Next, Order, TICK, Ticket, Why, hash,
 };
 use steer::request::arrival::Fingerprint;
-use steer::version::routes::{Limits, Part, Route, Routes, Service};
+
+pub(super) use knowledge::LAPSE;
 
 use super::{Event, Micros, Sent, World, micros};
 use crate::brain::Brain;
-use crate::plan::{Plan, What};
+use crate::plan::Plan;
 
 /// Time from a process's start until it has read the store.
 const START: Micros = 200_000;
 
-/// Time until one that the store doesn't answer has asked another instance.
-const ASK: Micros = 700_000;
-
-/// Between two heartbeats, and every how many of them goes to other regions, as
-/// the process sends them.
+/// Between two heartbeats, as the process sends them.
 const BEAT: Micros = 250_000;
-const AFAR: u64 = 3;
-const NEAR_MOST: usize = 8;
-const FAR_MOST: usize = 24;
-
-/// Part of the heartbeats that are lost.
-const LOST: f64 = 0.01;
-
-/// Changes gather before they are read, at most so long.
-const GATHER: Micros = 300_000;
-
-/// Time that an instance's row outlives it.
-const LEASE: Micros = 3_000_000;
 
 /// Time after which a connection that isn't answered is given up, unsent.
 const CONNECT: Micros = 300_000;
@@ -172,210 +158,6 @@
         self.central_kill(number);
     }
 
-    /// Others learn of an instance as the store lists it.
-    fn tell_members(&mut self, number: usize) {
-        if self.is_store_away(self.instances[number].region) {
-            return;
-        }
-        let row = self.row(number);
-        let name = Arc::clone(&self.instances[number].name);
-        for other in 0..self.instances.len() {
-            let now = self.clock_or_zero(other);
-            if other != number
-                && let Some(direct) = &mut self.instances[other].direct
-            {
-                direct.member(now, &name, Some(row.clone()));
-            }
-        }
-    }
-
-    fn clock_or_zero(&self, instance: usize) -> Time {
-        Time::from_micros(self.now.saturating_sub(self.instances[instance].boot))
-    }
-
-    /// All instances hear of changes of targets, some time after `late`.
-    pub(super) fn tell_all(&mut self, late: Micros) {
-        let delay = micros(self.plan.delays.store);
-        for number in 0..self.instances.len() {
-            let gather = self.rng.u64(0..GATHER);
-            let life = self.instances[number].life;
-            let event = Event::Learn {
-                instance: number,
-                life,
-            };
-            self.after(late + delay + gather, event);
-        }
-    }
-
-    /// An instance reads the store, or asks another that has.
-    pub(super) fn learn(&mut self, number: usize, life: u64) {
-        if self.instances[number].life != life {
-            return;
-        }
-        let region = self.instances[number].region;
-        if self.is_store_away(region) && !self.knows_peer(number) {
-            // Tried again until something answers.
-            self.after(
-                ASK,
-                Event::Learn {
-                    instance: number,
-                    life,
-                },
-            );
-            return;
-        }
-        let entries = self.entries();
-        let evacuated = self.evacuated();
-        let routes = Arc::new(routes(self.plan));
-        let rows: Vec<(Arc<str>, Row)> = (0..self.instances.len())
-            .filter(|n| *n != number && self.is_listed(*n))
-            .map(|n| (Arc::clone(&self.instances[n].name), self.row(n)))
-            .collect();
-        let now = self.clock(number);
-        let away = self.is_store_away(region);
-        let Some(direct) = &mut self.instances[number].direct else {
-            return;
-        };
-        direct.install(routes);
-        let known: Vec<Arc<str>> = direct
-            .roster
-            .all()
-            .iter()
-            .filter(|t| !t.gone)
-            .map(|t| Arc::clone(&t.entry.id))
-            .collect();
-        for id in known {
-            if !entries.iter().any(|e| e.id == id) {
-                direct.unlist(now, &id);
-            }
-        }
-        for entry in entries {
-            direct.roster.put(now, entry);
-        }
-        direct.evacuate(now, evacuated);
-        for (name, row) in rows {
-            direct.member(now, &name, Some(row));
-        }
-        if away {
-            direct.told(1);
-        } else {
-            direct.in_touch(now, 1);
-        }
-        self.pump(number);
-    }
-
-    /// Whether an instance is listed: it runs, or did until lately.
-    fn is_listed(&self, number: usize) -> bool {
-        self.instances[number].direct.is_some()
-    }
-
-    /// Whether another instance that knows something can be asked.
-    fn knows_peer(&self, number: usize) -> bool {
-        let own = self.instances[number].region;
-        let mut others = self.instances.iter().enumerate();
-        others.any(|(at, other)| {
-            at != number
-                && other.direct.as_ref().is_some_and(|d| d.routes().is_some())
-                && !self.is_cut(own, other.region)
-                && !self.is_cut(other.region, own)
-        })
-    }
-
-    /// Targets as the store lists them.
-    fn entries(&self) -> Vec<Entry> {
-        let listed = self.targets.iter().filter(|t| t.up);
-        let entry = |t: &super::target::Target| Entry {
-            id: Arc::clone(&t.name),
-            service: Arc::clone(&self.plan.services[t.service].name),
-            addr: anywhere(),
-            domain: Arc::clone(&self.plan.domains[t.domain].name),
-            slots: u32::try_from(t.slots).unwrap_or(u32::MAX),
-            draining: false,
-            seq: self.now,
-            cold: Duration::from_micros(t.cold_until.saturating_sub(self.now)),
-            born: t.born,
-        };
-        listed.map(entry).collect()
-    }
-
-    fn evacuated(&self) -> Vec<Arc<str>> {
-        let faults = self.plan.faults.iter().enumerate();
-        let domains = faults.filter_map(|(number, trouble)| match trouble.what {
-            What::Evacuate { domain } if self.active[number] => {
-                Some(Arc::clone(&self.plan.domains[domain].name))
-            }
-            _ => None,
-        });
-        domains.collect()
-    }
-
-    /// An instance sends its heartbeat.
-    pub(super) fn beat(&mut self, number: usize) {
-        let now = self.clock(number);
-        let region = self.instances[number].region;
-        let away = self.is_store_away(region);
-        let instance = &mut self.instances[number];
-        let life = instance.life;
-        let Some(direct) = &mut instance.direct else {
-            return;
-        };
-        instance.beats += 1;
-        if !away && direct.revision() > 0 && instance.beats.is_multiple_of(4) {
-            direct.in_touch(now, 1);
-        }
-        if instance.beats.is_multiple_of(8) {
-            direct.sweep(now);
-        }
-        let beat = direct.beat(now, instance.beats.is_multiple_of(6));
-        let afar = instance.beats.is_multiple_of(AFAR);
-        let far = Beat {
-            flying: Vec::new(),
-            held: Vec::new(),
-            ..beat.clone()
-        };
-        let (mut near, mut distant) = (0, 0);
-        for step in 1..self.instances.len() {
-            let other = (number + step) % self.instances.len();
-            let to = self.instances[other].region;
-            if to == region && near < NEAR_MOST {
-                near += 1;
-                self.send_beat(number, other, &beat);
-            } else if to != region && afar && distant < FAR_MOST {
-                distant += 1;
-                self.send_beat(number, other, &far);
-            }
-        }
-        let wait = BEAT;
-        if self.instances[number].life == life {
-            self.after(wait, Event::Beat(number));
-        }
-    }
-
-    fn send_beat(&mut self, from: usize, to: usize, beat: &Beat) {
-        let (own, other) = (&self.instances[from], &self.instances[to]);
-        if self.is_cut(own.region, other.region) || self.rng.f64() < LOST {
-            return;
-        }
-        let way = self.way(own.domain, other.domain);
-        let life = other.life;
-        let event = Event::Hear {
-            instance: to,
-            life,
-            beat: Box::new(beat.clone()),
-        };
-        self.after(way, event);
-    }
-
-    pub(super) fn hear(&mut self, number: usize, life: u64, beat: Beat) {
-        let now = self.clock_or_zero(number);
-        let instance = &mut self.instances[number];
-        if instance.life == life
-            && let Some(direct) = &mut instance.direct
-        {
-            direct.hear(now, beat);
-        }
-    }
-
     /// A request reaches the instance that its caller has chosen.
     pub(super) fn come(&mut self, request: usize, current: u32) {
         let known = &self.requests[request];
@@ -662,69 +444,12 @@
         }
         self.central_forget(request);
     }
-
-    /// An instance that doesn't run is no longer listed.
-    pub(super) fn unlist_members(&mut self, number: usize) {
-        let name = Arc::clone(&self.instances[number].name);
-        if self.instances[number].direct.is_some() {
-            return;
-        }
-        for other in 0..self.instances.len() {
-            let region = self.instances[other].region;
-            if other == number || self.is_store_away(region) {
-                continue;
-            }
-            let now = self.clock_or_zero(other);
-            if let Some(direct) = &mut self.instances[other].direct {
-                direct.member(now, &name, None);
-            }
-        }
-    }
 }
 
-/// Time after which an instance that has ended is no longer listed.
-pub(super) const LAPSE: Micros = LEASE;
-
 fn path(kind: &str) -> String {
     format!("/{kind}/")
 }
 
-fn routes(plan: &Plan) -> Routes {
-    let route = |kind: &crate::plan::Kind| Route {
-        name: Arc::clone(&kind.name),
-        host: "host".into(),
-        prefix: path(&kind.name).into(),
-        idempotent: kind.idempotent,
-        timeout: kind.timeout,
-        goal: kind.goal,
-        attempts: kind.attempts,
-        priority: kind.priority,
-        parts: vec![Part {
-            service: Arc::clone(&plan.services[kind.service].name),
-            weight: 1.0,
-        }],
-        affinity: kind.gain > 0.0,
-        homes: Vec::new(),
-    };
-    let service = |s: &crate::plan::Service| Service {
-        name: Arc::clone(&s.name),
-        health: "/health".into(),
-        connections: 1000,
-        warmup: s.cold,
-        cold_rate: s.cold_rate,
-    };
-    let limits = Limits {
-        head: 16 * 1024,
-        body: 64 * 1024,
-        arrive: Duration::from_secs(5),
-        idle: Duration::from_secs(15),
-    };
-    let routes = plan.kinds.iter().map(route).collect();
-    let services = plan.services.iter().map(service).collect();
-    let found = Routes::new(1, routes, services, limits);
-    found.expect("kinds have names of their own")
-}
-
 fn bounds(plan: &Plan) -> Bounds {
     let bounds = &plan.bounds;
     Bounds {
--- a/crates/emulator/src/world/trouble.rs
+++ b/crates/emulator/src/world/trouble.rs
@@ -2,7 +2,7 @@
 
 use super::instance::LAPSE;
 use super::{Event, Micros, World, micros};
-use crate::plan::{Some as Part, What};
+use crate::plan::{Part, What};
 
 impl World<'_> {
     pub(super) fn begin(&mut self, number: usize) {
