Let one instance of each region read the store, and the others from it

Change: a replica of the store by key and revision; an upstream found by hash (the domain's first, then the region's, then the store); a call between instances that waits for news and says how old its knowledge is; a start from a neighbour, else by reads that may be old, brought up to date before anything is applied; rows written as soon as an instance is ready.

--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -17,6 +17,7 @@
 mod member;
 mod metrics;
 mod near;
+mod peer;
 mod socket;
 mod source;
 
@@ -28,13 +29,16 @@
 use std::time::{Duration, Instant};
 
 use async_signal::{Signal, Signals};
+use event_listener::Event;
 use futures_lite::{StreamExt, future};
 use listeners::Listeners;
+use platform::store::Kind;
 use settings::direct::{Listen, Settings};
 use smol::net;
 use steer::clock::Time;
 use steer::process::direct::budget::Rule;
 use steer::process::direct::members::Row;
+use steer::process::direct::replica::Replica;
 use steer::process::direct::{Ask, Bounds, Direct, Home, Order, TICK, Ticket, Why};
 use thiserror::Error;
 
@@ -77,8 +81,11 @@
     given: Settings,
     start: Instant,
     steering: Mutex<Steering>,
-    /// What the store holds, for instances that can't read it.
-    items: Mutex<source::Items>,
+    /// What the store holds, for instances that don't read it.
+    replica: Mutex<Replica>,
+    /// Told with each answer of the store or of who reads it.
+    told: Event,
+    packed: peer::Packed,
     /// Whether the store has taken this instance's row away.
     unlisted: AtomicBool,
     /// Told when something begins to wait.
@@ -145,7 +152,9 @@
                 direct,
                 waiters: Vec::new(),
             }),
-            items: Mutex::new(source::Items::new()),
+            replica: Mutex::default(),
+            told: Event::new(),
+            packed: peer::Packed::default(),
             unlisted: AtomicBool::new(false),
             waiting,
             targets: pool::Pool::new(Arc::clone(traffic), limits),
@@ -212,6 +221,11 @@
         note(self.now(), &mut steering.direct);
     }
 
+    /// Calls made to the store.
+    fn store_calls(&self) -> u64 {
+        Kind::ALL.iter().map(|kind| self.store.calls(*kind)).sum()
+    }
+
     /// Where this instance is reached.
     fn row(&self) -> Row {
         row(&self.settings)
@@ -410,7 +424,9 @@
         control.spawn(serve).detach();
     }
     let beats = &listeners.beats;
-    control.spawn(source::follow(Arc::clone(shared))).detach();
+    control
+        .spawn(source::follow(Arc::clone(shared), Arc::clone(control)))
+        .detach();
     control.spawn(Arc::clone(membership).keep()).detach();
     control
         .spawn(near::hear(Arc::clone(shared), beats.clone()))
@@ -419,14 +435,15 @@
         .spawn(near::beat(Arc::clone(shared), beats.clone()))
         .detach();
     control
-        .spawn(near::serve(
+        .spawn(peer::serve(
             Arc::clone(shared),
             listeners.peers.clone(),
             Arc::clone(control),
         ))
         .detach();
-    control.spawn(near::catch_up(Arc::clone(shared))).detach();
-    control.spawn(near::first(Arc::clone(shared))).detach();
+    control
+        .spawn(source::catch_up(Arc::clone(shared), Arc::clone(control)))
+        .detach();
 }
 
 fn row(settings: &Settings) -> Row {
--- a/crates/auburnrouter/src/direct/dump.rs
+++ b/crates/auburnrouter/src/direct/dump.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 use steer::clock::Time;
 use steer::process::direct::roster;
+use steer::process::direct::upstream::Upstream;
 
 use super::{Phase, Shared};
 
@@ -25,6 +26,8 @@
     pub store: bool,
     /// Calls made to the store.
     pub store_calls: u64,
+    /// Where what the store holds is read from.
+    pub upstream: Arc<str>,
     /// Callers' open connections.
     pub connections: usize,
     /// Requests that are here.
@@ -66,7 +69,8 @@
             version: direct.routes().map_or(0, |r| r.version),
             revision: direct.revision(),
             store: direct.is_in_touch(now),
-            store_calls: shared.store.calls(),
+            store_calls: shared.store_calls(),
+            upstream: upstream(&direct.upstream(now)),
             connections: shared.count.get(),
             requests: direct.count(),
             waiting: direct.waiting(),
@@ -91,6 +95,13 @@
     }
 }
 
+fn upstream(upstream: &Upstream) -> Arc<str> {
+    match upstream {
+        Upstream::Store => "store".into(),
+        Upstream::Peer { name, .. } => Arc::clone(name),
+    }
+}
+
 fn marks(target: &roster::Target, now: Time) -> Vec<&'static str> {
     let all = [
         ("leaving", target.entry.draining),
--- a/crates/auburnrouter/src/direct/events.rs
+++ b/crates/auburnrouter/src/direct/events.rs
@@ -152,7 +152,7 @@
 
 /// The process ends.
 pub fn stopped(shared: &Shared) {
-    let store_calls = shared.store.calls();
+    let store_calls = shared.store_calls();
     write(shared, "stop", Stopped { store_calls });
 }
 
@@ -313,6 +313,36 @@
     write(shared, "asked-peer", fields);
 }
 
+#[derive(Serialize)]
+struct UpstreamSeen<'a> {
+    from: &'a str,
+    revision: u64,
+    /// Age of the store's last answer; null before the first.
+    store_ms: Option<u64>,
+}
+
+impl<'a> UpstreamSeen<'a> {
+    fn new(shared: &Shared, from: &'a str) -> Self {
+        let (revision, store) = shared.read(|now, d| (d.revision(), d.store_age(now)));
+        Self {
+            from,
+            revision,
+            store_ms: store.map(millis),
+        }
+    }
+}
+
+/// What the store holds is read from another place than before: the store, or
+/// the instance of this name.
+pub fn upstream(shared: &Shared, from: &str) {
+    write(shared, "upstream", UpstreamSeen::new(shared, from));
+}
+
+/// The instance read from gave no answer, or one that lies behind the store.
+pub fn upstream_failed(shared: &Shared, from: &str) {
+    write(shared, "upstream-failed", UpstreamSeen::new(shared, from));
+}
+
 #[derive(Serialize)]
 struct StoreLost<'a> {
     during: &'a str,
--- a/crates/auburnrouter/src/direct/member.rs
+++ b/crates/auburnrouter/src/direct/member.rs
@@ -20,6 +20,10 @@
 /// Time between renewals; two may be lost before the lease ends.
 const RENEW: Duration = Duration::from_millis(900);
 
+/// Time between looks at whether the process is ready for its row: callers come
+/// once it is there.
+const READY: Duration = Duration::from_millis(100);
+
 /// A lease, and whether the row lies under it.
 #[derive(Clone, Copy, Debug)]
 struct Held {
@@ -59,7 +63,8 @@
                     lost = true;
                 }
             }
-            smol::Timer::after(RENEW).await;
+            let waiting = lock(&self.held).is_none() && !lost;
+            smol::Timer::after(if waiting { READY } else { RENEW }).await;
         }
     }
 
--- a/crates/auburnrouter/src/direct/metrics.rs
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -4,10 +4,12 @@
 //! outside, so that the number of series is fixed at any size of a deployment.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
+use platform::store::Kind;
+
 use super::Shared;
 
 /// Metrics could not be set up or printed.
@@ -42,7 +44,7 @@
     revision: IntGauge,
     in_touch: IntGauge,
     connections: IntGauge,
-    store_calls: IntGauge,
+    store_calls: IntGaugeVec,
 }
 
 impl Metrics {
@@ -78,6 +80,14 @@
             "Callers' connections beyond what the process's descriptors allow",
         )?;
         registry.register(Box::new(turned_away.clone()))?;
+        let store_calls = IntGaugeVec::new(
+            Opts::new(
+                "auburnrouter_store_calls",
+                "Calls made to the store, by kind",
+            ),
+            &["kind"],
+        )?;
+        registry.register(Box::new(store_calls.clone()))?;
         Ok(Self {
             attempts: counters(
                 "auburnrouter_attempts_total",
@@ -104,7 +114,7 @@
             revision: gauge("auburnrouter_store_revision", "Revision known whole")?,
             in_touch: gauge("auburnrouter_store_in_touch", "1 while the store answers")?,
             connections: gauge("auburnrouter_connections", "Callers' open connections")?,
-            store_calls: gauge("auburnrouter_store_calls", "Calls made to the store")?,
+            store_calls,
             registry,
         })
     }
@@ -123,7 +133,10 @@
         self.revision.set(int64(state.revision));
         self.in_touch.set(i64::from(state.store));
         self.connections.set(int(state.connections));
-        self.store_calls.set(int64(state.store_calls));
+        for kind in Kind::ALL {
+            let calls = self.store_calls.with_label_values(&[kind.name()]);
+            calls.set(int64(shared.store.calls(kind)));
+        }
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(text)
--- a/crates/auburnrouter/src/direct/near.rs
+++ b/crates/auburnrouter/src/direct/near.rs
@@ -1,34 +1,17 @@
-//! Heartbeats among instances, and asking one of them for what was missed.
+//! Heartbeats among instances.
 //!
-//! Heartbeats are datagrams: one that is lost is made up for by the next, and
-//! none waits behind another. What has to arrive whole goes by `tarpc`.
-//!
-//! Invariant: an instance that can't read the store knows what any instance
-//! that it hears knows, a moment later.
+//! They are datagrams: one that is lost is made up for by the next, and none
+//! waits behind another. What has to arrive whole goes by `peer`.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use async_compat::CompatExt;
-use futures_lite::{StreamExt, future};
 use smol::net;
 use steer::process::direct::members;
-use tarpc::server::{self, Channel};
-use tarpc::tokio_serde::formats::Bincode;
-use tarpc::{client, context, serde_transport};
-use wire::near::{Beat, DATAGRAM, Picture};
-
-use super::{Executor, Shared, events, lock, source};
-use crate::daemon::peers;
+use wire::near::{Beat, DATAGRAM};
 
-/// Calls that an instance takes from others.
-#[tarpc::service]
-pub trait Near {
-    /// What it knows of the platform's store, if it knows more than up to
-    /// revision `known`.
-    async fn picture(known: u64) -> Option<Picture>;
-}
+use super::{Shared, events, lock};
 
 /// Time between heartbeats to instances of the own region, which share targets
 /// and so need each other's counts.
@@ -45,12 +28,6 @@
 const NEAR_MOST: usize = 8;
 const FAR_MOST: usize = 24;
 
-/// Time between looks at whether another instance knows more.
-const LOOK: Duration = Duration::from_millis(300);
-
-/// Time for a call to another instance, with opening its connection.
-const CALL: Duration = Duration::from_secs(1);
-
 /// Sends heartbeats until the process ends, then says that it leaves.
 pub async fn beat(shared: Arc<Shared>, socket: net::UdpSocket) {
     let mut count = 0;
@@ -151,96 +128,3 @@
         }
     }
 }
-
-/// Answers other instances until the process ends.
-pub async fn serve(shared: Arc<Shared>, socket: net::TcpListener, executor: Executor) {
-    loop {
-        let Ok((stream, _)) = socket.accept().await else {
-            smol::Timer::after(SOON).await;
-            continue;
-        };
-        let transport = serde_transport::new(peers::frames(stream), Bincode::default());
-        let channel = server::BaseChannel::with_defaults(transport);
-        let calls = channel.execute(Answering(Arc::clone(&shared)).serve());
-        let calls_on = Arc::clone(&executor);
-        let run = async move {
-            let mut calls = std::pin::pin!(calls);
-            while let Some(call) = calls.next().await {
-                calls_on.spawn(call.compat()).detach();
-            }
-        };
-        executor.spawn(run.compat()).detach();
-    }
-}
-
-#[derive(Clone)]
-struct Answering(Arc<Shared>);
-
-impl Near for Answering {
-    async fn picture(self, _: context::Context, known: u64) -> Option<Picture> {
-        let picture = source::picture(&self.0);
-        (picture.revision > known).then_some(picture)
-    }
-}
-
-/// Asks another instance whenever one has known more than this one for two
-/// looks in a row. One look isn't enough: what the store has just told one
-/// instance is on its way to the others.
-pub async fn catch_up(shared: Arc<Shared>) {
-    let mut before = None;
-    loop {
-        smol::Timer::after(LOOK).await;
-        let (ahead, revision) = shared.read(|now, d| (d.ahead(now), d.revision()));
-        let stuck = before == Some(revision);
-        before = ahead.map(|_| revision);
-        if let Some(addr) = ahead
-            && stuck
-        {
-            ask(&shared, addr).await;
-        }
-    }
-}
-
-/// Asks the instances that the settings name, until anything is known: a
-/// process may start while the store is away.
-pub async fn first(shared: Arc<Shared>) {
-    smol::Timer::after(LOOK).await;
-    while shared.read(|_, d| d.revision()) == 0 {
-        for seed in &shared.settings.seeds {
-            if *seed != shared.settings.listen.peers {
-                ask(&shared, *seed).await;
-            }
-        }
-        smol::Timer::after(LOOK).await;
-    }
-}
-
-async fn ask(shared: &Arc<Shared>, addr: SocketAddr) {
-    let known = shared.read(|_, d| d.revision());
-    let late = async {
-        smol::Timer::after(CALL).await;
-        None
-    };
-    let asked = future::or(call(addr, known).compat(), late).await;
-    let outcome = if asked.is_some() { "told" } else { "nothing" };
-    events::asked(shared, addr, known, outcome);
-    if let Some(picture) = asked {
-        source::take(shared, picture);
-    }
-}
-
-async fn call(addr: SocketAddr, known: u64) -> Option<Picture> {
-    let stream = net::TcpStream::connect(addr).await.ok()?;
-    let transport = serde_transport::new(peers::frames(stream), Bincode::default());
-    let calls = NearClient::new(client::Config::default(), transport);
-    let dispatch = calls.dispatch;
-    let mut context = context::current();
-    context.deadline = Instant::now() + CALL;
-    let answer = async { calls.client.picture(context, known).await.ok().flatten() };
-    let moved = async {
-        // It ends with the connection; the answer tells what became of the call.
-        let _ = dispatch.await;
-        future::pending().await
-    };
-    future::or(answer, moved).await
-}
--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -1,152 +1,333 @@
-//! Follows the platform's store: the operator's document, evacuations, targets
-//! and instances.
+//! Keeps up with the platform's store: the operator's document, evacuations,
+//! targets and instances, read from the store or from another instance.
 //!
 //! Invariants: after each answer the process knows at least what the store held
 //! at the revision it goes on from, and nothing it knows is older than what it
 //! has already applied.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::store::{Error, Item};
+use platform::store::{Changes, Error, Freshness, Listing};
 use platform::{document, entry};
+use steer::process::direct::replica::{Item, Update};
+use steer::process::direct::upstream::{STALE, Upstream, weight};
 use wire::near;
 
-use super::{Shared, events, lock, member};
+use super::peer::Link;
+use super::{Executor, Shared, events, lock, member};
 
 /// Time that a watch waits for changes. Also the longest time for which a
 /// connection that went silent goes unnoticed, with the time of a call.
 const WAIT: Duration = Duration::from_secs(2);
 
-/// Pause after a call that failed, so that a store that is down or busy isn't
-/// pressed further; each call is paid.
+/// The same for a call to another instance, which costs nothing.
+const WAIT_PEER: Duration = Duration::from_secs(1);
+
+/// Pause after a call to the store failed, so that a store that is down or busy
+/// isn't pressed further; each call is paid.
 const PAUSE: Duration = Duration::from_millis(400);
 
-/// Everything is watched by one call: it costs the same as one prefix.
-const ALL: &str = "";
+/// The same for an instance that usually reads from another: if the store is
+/// away for all, that one finds out soon enough when it is back.
+const PAUSE_OTHERS: Duration = Duration::from_millis(1600);
+
+/// Pause before another instance is tried in place of one that failed.
+const PAUSE_PEER: Duration = Duration::from_millis(50);
+
+/// Time for the list of instances that a start begins with.
+const MEMBERS: Duration = Duration::from_millis(600);
+
+/// Instances of the own domain that are asked at the start.
+const ASKED: usize = 2;
 
-/// Items as they lie in the store, sorted by key, for instances that can't
-/// read it.
-pub type Items = Vec<(Arc<str>, Vec<u8>)>;
+/// Pause after a start that read the store: where all start together, the rows
+/// that say who reads for whom are written meanwhile.
+const SETTLE: Duration = Duration::from_millis(800);
 
-/// Follows the store for as long as the process runs.
-pub async fn follow(shared: Arc<Shared>) {
-    let mut revision = None;
-    let mut lost = false;
+/// Time between looks at whether another instance knows more.
+const LOOK: Duration = Duration::from_millis(300);
+
+/// Everything is read by one call: it costs the same as one prefix.
+const ALL: &str = "";
+
+/// Keeps up for as long as the process runs.
+pub async fn follow(shared: Arc<Shared>, executor: Executor) {
+    let mut reader = Reader {
+        shared,
+        executor,
+        link: None,
+        lost: false,
+        from: None,
+    };
+    while !reader.begin().await {
+        smol::Timer::after(PAUSE).await;
+    }
     loop {
-        let done = match revision {
-            None => list(&shared).await,
-            Some(revision) => watch(&shared, revision).await,
+        reader.go_on().await;
+    }
+}
+
+struct Reader {
+    shared: Arc<Shared>,
+    executor: Executor,
+    /// Connection to the instance last read from.
+    link: Option<Link>,
+    /// Whether the last call to the store failed.
+    lost: bool,
+    /// Where it last read from, as the log names it.
+    from: Option<Arc<str>>,
+}
+
+impl Reader {
+    /// Learns everything for the first time: from an instance of the own domain
+    /// that is in touch, else from the store, else from whoever the settings
+    /// name.
+    async fn begin(&mut self) -> bool {
+        for (name, addr) in self.neighbours().await {
+            let fresh = |c: &near::Changes| c.age().is_some_and(|age| age < STALE);
+            if self.ask(addr, Duration::ZERO, fresh).await {
+                self.reads_from(&name);
+                return true;
+            }
+        }
+        if self.read_all().await {
+            self.reads_from("store");
+            smol::Timer::after(SETTLE).await;
+            return true;
+        }
+        // Better what is a little older than nothing: the store is away.
+        let seeds = self.shared.settings.seeds.clone();
+        for seed in seeds {
+            let own = seed == self.shared.settings.listen.peers;
+            if !own && self.ask(seed, Duration::ZERO, |_| true).await {
+                self.reads_from("seed");
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Instances of the own domain by the store's list, in the order in which
+    /// they read the store.
+    async fn neighbours(&self) -> Vec<(Arc<str>, SocketAddr)> {
+        let shared = &self.shared;
+        let late = async {
+            smol::Timer::after(MEMBERS).await;
+            Err(Error::Lost)
         };
-        match done {
-            Ok(reached) => {
-                smol::Timer::after(shared.read(|_, d| d.gather())).await;
-                if lost {
-                    events::store_back(&shared, "watch");
+        let list = shared.store.list(member::PREFIX, Freshness::Stale);
+        let Ok(listing) = smol::future::or(list, late).await else {
+            return Vec::new();
+        };
+        let row = |item: &platform::store::Item| {
+            let name = item.key.strip_prefix(member::PREFIX)?;
+            let row: near::Row = serde_json::from_slice(item.value.as_deref()?).ok()?;
+            let near = *row.domain == *shared.settings.domain && *name != *shared.settings.name;
+            near.then(|| (Arc::from(name), row.peers))
+        };
+        let mut found: Vec<(Arc<str>, SocketAddr)> = listing.items.iter().filter_map(row).collect();
+        found.sort_by_key(|(name, _)| core::cmp::Reverse(weight(name)));
+        found.truncate(ASKED);
+        found
+    }
+
+    /// Reads on from where the next changes are to come from.
+    async fn go_on(&mut self) {
+        let upstream = self.shared.read(|now, d| d.upstream(now));
+        match &upstream {
+            Upstream::Store => {
+                self.link = None;
+                if self.watch().await {
+                    self.reads_from("store");
+                    let pause = self.shared.read(|now, d| d.gather(now));
+                    smol::Timer::after(pause).await;
+                    return;
                 }
-                lost = false;
-                revision = Some(reached);
+                self.shared.note(|now, d| d.upstream_failed(now, &upstream));
+                let first = self.shared.read(|now, d| d.is_reader(now));
+                smol::Timer::after(if first { PAUSE } else { PAUSE_OTHERS }).await;
             }
-            Err(error) => {
-                if !lost {
-                    events::store_lost(&shared, "watch", &error.to_string());
-                }
-                lost = true;
-                if matches!(error, Error::Compacted | Error::Garbled(_)) {
-                    revision = None;
+            Upstream::Peer { name, addr } => {
+                let fresh = |c: &near::Changes| c.age().is_some_and(|age| age < STALE);
+                if self.ask(*addr, WAIT_PEER, fresh).await {
+                    self.reads_from(name);
+                    return;
                 }
-                smol::Timer::after(PAUSE).await;
+                events::upstream_failed(&self.shared, name);
+                self.shared.note(|now, d| d.upstream_failed(now, &upstream));
+                smol::Timer::after(PAUSE_PEER).await;
             }
         }
     }
-}
 
-async fn list(shared: &Shared) -> Result<u64, Error> {
-    let listing = shared.store.list(ALL).await?;
-    let revision = listing.revision;
-    shared.note(|now, direct| direct.in_touch(now, revision));
-    let held = |item: Item| item.value.map(|value| (Arc::from(item.key), value));
-    replace(shared, listing.items.into_iter().filter_map(held).collect());
-    Ok(revision)
-}
+    fn reads_from(&mut self, name: &str) {
+        if self.from.as_deref() != Some(name) {
+            events::upstream(&self.shared, name);
+            self.from = Some(name.into());
+        }
+    }
 
-async fn watch(shared: &Shared, revision: u64) -> Result<u64, Error> {
-    let changes = shared.store.watch(ALL, revision, WAIT).await?;
-    let known = shared.read(|_, d| d.revision());
-    let reached = changes.revision.max(revision);
-    shared.note(|now, direct| direct.in_touch(now, reached));
-    for item in &changes.events {
-        // Another instance may have told of it already, and of what came later.
-        if item.revision > known {
-            change(shared, item);
+    /// Asks another instance for what is missing. Says whether its answer was
+    /// good for something.
+    async fn ask(
+        &mut self,
+        addr: SocketAddr,
+        wait: Duration,
+        fit: impl Fn(&near::Changes) -> bool,
+    ) -> bool {
+        if self.link.as_ref().is_none_or(|link| link.addr() != addr) {
+            self.link = Link::open(addr, &self.executor).await;
+        }
+        let Some(link) = &self.link else {
+            return false;
+        };
+        let known = lock(&self.shared.replica).revision();
+        let answer = link.changes(known, wait).await;
+        match answer {
+            Some(changes) if changes.revision > 0 && fit(&changes) => {
+                take_changes(&self.shared, changes)
+            }
+            Some(_) => false,
+            None => {
+                self.link = None;
+                false
+            }
         }
     }
-    Ok(reached)
-}
 
-/// What this instance knows, for another.
-pub fn picture(shared: &Shared) -> near::Picture {
-    let revision = shared.read(|_, d| d.revision());
-    let items = lock(&shared.items);
-    let item = |(key, value): &(Arc<str>, Vec<u8>)| near::Item {
-        key: key.as_ref().to_owned(),
-        value: value.clone(),
-    };
-    near::Picture {
-        revision,
-        items: items.iter().map(item).collect(),
+    /// Reads everything from the store: a list that may be old, at a tenth of
+    /// the price, and what has changed since.
+    async fn read_all(&mut self) -> bool {
+        let read = self.list_and_watch().await;
+        let Some((listing, changes)) = self.heard(read) else {
+            return false;
+        };
+        let revision = changes.revision.max(listing.revision);
+        let items = listing.items.into_iter().chain(changes.events).map(item);
+        let update = Update {
+            revision,
+            whole: true,
+            items: items.collect(),
+        };
+        take(&self.shared, update, Some(Duration::ZERO));
+        true
+    }
+
+    async fn list_and_watch(&self) -> Result<(Listing, Changes), Error> {
+        let store = &self.shared.store;
+        let listing = store.list(ALL, Freshness::Stale).await?;
+        match store.watch(ALL, listing.revision, Duration::ZERO).await {
+            Ok(changes) => Ok((listing, changes)),
+            Err(Error::Compacted) => {
+                let listing = store.list(ALL, Freshness::Latest).await?;
+                Ok((listing, Changes::default()))
+            }
+            Err(error) => Err(error),
+        }
     }
-}
 
-/// Takes what another instance knows, if it is more.
-pub fn take(shared: &Shared, picture: near::Picture) {
-    if picture.revision <= shared.read(|_, d| d.revision()) {
-        return;
+    /// Waits for changes in the store.
+    async fn watch(&mut self) -> bool {
+        let known = lock(&self.shared.replica).revision();
+        let watched = self.shared.store.watch(ALL, known, WAIT).await;
+        if let Err(Error::Compacted | Error::Garbled(_)) = watched {
+            return self.read_all().await;
+        }
+        let Some(changes) = self.heard(watched) else {
+            return false;
+        };
+        let update = Update {
+            revision: changes.revision.max(known),
+            whole: false,
+            items: changes.events.into_iter().map(item).collect(),
+        };
+        take(&self.shared, update, Some(Duration::ZERO));
+        true
+    }
+
+    /// Says in the log when the store is lost, and when it is back.
+    fn heard<T>(&mut self, answer: Result<T, Error>) -> Option<T> {
+        let lost = core::mem::replace(&mut self.lost, answer.is_err());
+        match answer {
+            Ok(answer) => {
+                if lost {
+                    events::store_back(&self.shared, "watch");
+                }
+                Some(answer)
+            }
+            Err(error) => {
+                if !lost {
+                    events::store_lost(&self.shared, "watch", &error.to_string());
+                }
+                None
+            }
+        }
     }
-    shared.note(|_, direct| direct.told(picture.revision));
-    let items = picture.items.into_iter();
-    replace(shared, items.map(|i| (Arc::from(i.key), i.value)).collect());
 }
 
-/// Makes `items` all that is known.
-fn replace(shared: &Shared, mut items: Items) {
-    items.sort();
-    let under = |prefix: &str| -> Vec<Arc<str>> {
-        let keys = items.iter().filter_map(|i| i.0.strip_prefix(prefix));
-        keys.map(Arc::from).collect()
-    };
-    let targets = under(entry::PREFIX);
-    let gone: Vec<Arc<str>> = shared.read(|_, direct| {
-        let mut listed = direct.roster.listed();
-        listed.retain(|id| targets.binary_search(id).is_err());
-        listed
-    });
-    for id in gone {
-        remove_target(shared, &id);
+fn item(item: platform::store::Item) -> Item {
+    Item {
+        key: item.key.into(),
+        revision: item.revision,
+        value: item.value.map(Arc::from),
     }
-    let members = under(member::PREFIX);
-    let names: Vec<&str> = members.iter().map(|n| &**n).collect();
-    shared.note(|now, direct| direct.members_only(now, &names));
-    set_evacuated(shared, under(document::EVACUATE));
-    for (key, value) in &items {
-        apply(shared, key, Some(value));
+}
+
+/// Asks another instance whenever one has known more than this one for two
+/// looks in a row. One look isn't enough: what the store has just told one
+/// instance is on its way to the others.
+pub async fn catch_up(shared: Arc<Shared>, executor: Executor) {
+    let mut before = None;
+    loop {
+        smol::Timer::after(LOOK).await;
+        let (ahead, revision) = shared.read(|now, d| (d.ahead(now), d.revision()));
+        let stuck = before == Some(revision);
+        before = ahead.map(|_| revision);
+        if let Some(addr) = ahead
+            && stuck
+        {
+            let answer = match Link::open(addr, &executor).await {
+                Some(link) => link.changes(revision, Duration::ZERO).await,
+                None => None,
+            };
+            let outcome = if answer.is_some() { "told" } else { "nothing" };
+            events::asked(&shared, addr, revision, outcome);
+            if let Some(changes) = answer {
+                take_changes(&shared, changes);
+            }
+        }
     }
-    *lock(&shared.items) = items;
 }
 
-fn change(shared: &Shared, item: &Item) {
-    let mut items = lock(&shared.items);
-    let found = items.binary_search_by(|i| (*i.0).cmp(&*item.key));
-    match (found, &item.value) {
-        (Ok(at), Some(value)) => items[at].1.clone_from(value),
-        (Ok(at), None) => {
-            items.remove(at);
+/// Takes what another instance has told. Says whether it could be read.
+fn take_changes(shared: &Shared, changes: near::Changes) -> bool {
+    let age = changes.age();
+    match Update::try_from(changes) {
+        Ok(update) => {
+            take(shared, update, age);
+            true
         }
-        (Err(at), Some(value)) => items.insert(at, (Arc::from(&*item.key), value.clone())),
-        (Err(_), None) => {}
+        Err(error) => {
+            events::refused(shared, "changes", &error.to_string());
+            false
+        }
+    }
+}
+
+/// Applies what has changed; the store confirmed it `age` ago.
+fn take(shared: &Shared, update: Update, age: Option<Duration>) {
+    let revision = update.revision;
+    // Held until all is applied: what comes from elsewhere meanwhile is later.
+    let mut replica = lock(&shared.replica);
+    let changed = replica.take(update);
+    shared.note(|now, direct| direct.told(now, age, revision));
+    for item in &changed {
+        apply(shared, &item.key, item.value.as_deref());
     }
-    drop(items);
-    apply(shared, &item.key, item.value.as_deref());
+    drop(replica);
+    shared.told.notify(usize::MAX);
 }
 
 fn apply(shared: &Shared, key: &str, value: Option<&[u8]>) {
--- a/crates/emulator/src/world/instance/knowledge.rs
+++ b/crates/emulator/src/world/instance/knowledge.rs
@@ -120,7 +120,7 @@
             direct.member(now, &name, Some(row));
         }
         if away {
-            direct.told(1);
+            direct.told(now, None, 1);
         } else {
             direct.in_touch(now, 1);
         }
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -21,9 +21,11 @@
 mod message;
 pub mod pace;
 pub mod place;
+pub mod replica;
 pub mod roster;
 mod settle;
 pub mod split;
+pub mod upstream;
 
 use core::time::Duration;
 use std::sync::Arc;
@@ -45,6 +47,7 @@
 use pace::Pace;
 use roster::Roster;
 use split::Splits;
+use upstream::Failed;
 
 /// Steering of one instance.
 #[derive(Debug)]
@@ -61,6 +64,8 @@
     paces: Vec<(Arc<str>, Pace)>,
     members: Members,
     store: Touch,
+    /// Where not to read from for a while.
+    failed: Failed,
     /// When this process ends, once it was told to stop.
     end: Option<Time>,
     suspects: Suspects,
@@ -105,6 +110,7 @@
             paces: Vec::new(),
             members: Members::default(),
             store: Touch::default(),
+            failed: Failed::default(),
             end: None,
             suspects: Suspects::default(),
             news: Vec::new(),
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -40,11 +40,10 @@
 /// bursts, each call is paid, and what is due in seconds can wait for this.
 const GATHER: Duration = Duration::from_millis(300);
 
-/// The same for each instance of a large fleet, whose calls add up: 27 of them
-/// at 300 ms made 40 calls a second while targets came and went.
+/// The same for each instance that reads the store, as their calls add up.
 const GATHER_EACH: Duration = Duration::from_millis(25);
 
-/// The longest such pause. What changes has to be in force in 2.5 s.
+/// The longest such pause. What changes has to be in force within seconds.
 const GATHER_MOST: Duration = Duration::from_millis(800);
 
 /// Objects at targets that one heartbeat tells of as news ...
@@ -60,28 +59,37 @@
 impl Direct {
     /// The store has answered and everything up to `revision` is known.
     pub fn in_touch(&mut self, now: Time, revision: u64) {
-        let away = self.store.seen.is_some_and(|at| now.since(at) > LAPSE);
-        if away {
+        self.confirmed(now, now, revision);
+    }
+
+    /// Another instance has told everything up to `revision`; the store last
+    /// answered it, or the one that told it, `age` ago.
+    pub fn told(&mut self, now: Time, age: Option<Duration>, revision: u64) {
+        match age {
+            Some(age) => self.confirmed(now, now - age, revision),
+            None => self.store.revision = self.store.revision.max(revision),
+        }
+    }
+
+    /// The store answered at `seen`.
+    fn confirmed(&mut self, now: Time, seen: Time, revision: u64) {
+        let last = self.store.seen;
+        if last.is_some_and(|at| seen.since(at) > LAPSE) {
             self.store.back = Some(now);
         }
-        self.store.seen = Some(now);
+        self.store.seen = last.max(Some(seen));
         self.store.revision = self.store.revision.max(revision);
     }
 
     /// How long changes may gather in the store before they are asked for.
     #[must_use]
-    pub fn gather(&self) -> Duration {
-        let others = u32::try_from(self.sharers.len()).unwrap_or(u32::MAX);
+    pub fn gather(&self, now: Time) -> Duration {
+        let readers = u32::try_from(self.readers(now)).unwrap_or(u32::MAX);
         GATHER_EACH
-            .saturating_mul(others.saturating_add(1))
+            .saturating_mul(readers)
             .clamp(GATHER, GATHER_MOST)
     }
 
-    /// Another instance has told everything up to `revision`.
-    pub fn told(&mut self, revision: u64) {
-        self.store.revision = self.store.revision.max(revision);
-    }
-
     /// Revision up to which everything is known.
     #[must_use]
     pub const fn revision(&self) -> u64 {
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -15,9 +15,13 @@
 mod place;
 #[path = "direct/repeat.rs"]
 mod repeat;
+#[path = "direct/replica.rs"]
+mod replica;
 #[path = "direct/roster.rs"]
 mod roster;
 #[path = "direct/routes.rs"]
 mod routes;
 #[path = "direct/stop.rs"]
 mod stop;
+#[path = "direct/upstream.rs"]
+mod upstream;
--- /dev/null
+++ b/crates/steer/tests/direct/replica.rs
@@ -0,0 +1,228 @@
+//! What instances tell each other of the platform's store.
+
+use std::sync::Arc;
+
+use fastrand::Rng;
+use rstest::rstest;
+use steer::process::direct::replica::{Item, Replica, Update};
+
+fn item(key: &str, revision: u64, value: Option<&str>) -> Item {
+    Item {
+        key: key.into(),
+        revision,
+        value: value.map(|v| Arc::from(v.as_bytes())),
+    }
+}
+
+fn update(whole: bool, revision: u64, items: &[Item]) -> Update {
+    Update {
+        revision,
+        whole,
+        items: items.to_vec(),
+    }
+}
+
+fn keys(items: &[Item]) -> Vec<&str> {
+    items.iter().map(|i| &*i.key).collect()
+}
+
+/// A list may be older than a change that came by another way: what is newer
+/// stays, and what the list doesn't name is gone.
+#[test]
+fn keep_newer_over_list() {
+    let mut replica = Replica::default();
+    let first = [item("a", 1, Some("1")), item("b", 2, Some("1"))];
+    replica.take(update(true, 2, &first));
+    replica.take(update(false, 5, &[item("a", 5, Some("2"))]));
+    let late = [item("a", 1, Some("1")), item("c", 6, Some("1"))];
+    let changed = replica.take(update(true, 6, &late));
+    assert_eq!(changed, [item("c", 6, Some("1")), item("b", 6, None)]);
+    let all = replica.since(0);
+    assert_eq!(keys(&all.items), ["a", "c"]);
+    assert_eq!(all.items[0].revision, 5);
+}
+
+/// An answer that was long on its way arrives after a later one.
+#[rstest]
+#[case::changes(false)]
+#[case::everything(true)]
+fn pass_over_older_update(#[case] whole: bool) {
+    let mut replica = Replica::default();
+    replica.take(update(true, 9, &[item("a", 9, Some("new"))]));
+    let late = update(whole, 8, &[item("a", 3, Some("old")), item("b", 8, None)]);
+    assert_eq!(replica.take(late), []);
+    assert_eq!(replica.revision(), 9);
+    assert_eq!(replica.since(0).items.len(), 1);
+}
+
+/// One update writes a key, deletes it and writes it again: only how it ends
+/// matters, or a target that left would be used for a moment.
+#[test]
+fn apply_last_change_of_key() {
+    let mut replica = Replica::default();
+    let changes = [
+        item("a", 3, Some("1")),
+        item("b", 4, Some("1")),
+        item("a", 5, None),
+        item("b", 6, Some("2")),
+    ];
+    let changed = replica.take(update(false, 6, &changes));
+    assert_eq!(changed, [item("a", 5, None), item("b", 6, Some("2"))]);
+}
+
+/// Who knows less than deletions are remembered is told everything.
+#[test]
+fn tell_everything_beyond_memory() {
+    let mut replica = Replica::default();
+    replica.take(update(true, 1, &[item("kept", 1, Some("1"))]));
+    for i in 0..10_000 {
+        let key = format!("k{i}");
+        let written = item(&key, 2 * i + 2, Some("1"));
+        let deleted = item(&key, 2 * i + 3, None);
+        replica.take(update(false, 2 * i + 3, &[written, deleted]));
+    }
+    let behind = replica.since(1);
+    assert!(behind.whole);
+    assert_eq!(keys(&behind.items), ["kept"]);
+    let near = replica.since(replica.revision() - 10);
+    assert!(!near.whole);
+    assert_eq!(near.items.len(), 5);
+}
+
+/// A store, readers of it, and readers of those. Lists are old, answers are lost
+/// or late, readers restart and forget everything. No reader ever goes back to an
+/// earlier value of a key, and once all goes well each knows what the store does.
+#[rstest]
+fn catch_up_in_any_order(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    println!("seed {seed}");
+    let mut world = World::new(seed);
+    for _ in 0..3_000 {
+        world.step();
+    }
+    world.settle();
+}
+
+const READERS: usize = 5;
+
+struct World {
+    rng: Rng,
+    store: Replica,
+    /// What the store held at earlier times, for lists that are old.
+    past: Vec<Update>,
+    readers: Vec<Replica>,
+    /// Updates on their way, each to a reader.
+    flying: Vec<(usize, Update)>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        Self {
+            rng: Rng::with_seed(seed),
+            store: Replica::default(),
+            past: vec![Update::default()],
+            readers: vec![Replica::default(); READERS],
+            flying: Vec::new(),
+        }
+    }
+
+    fn step(&mut self) {
+        match self.rng.u8(..10) {
+            0..3 => self.write(),
+            3..5 => self.watch(),
+            5 => self.list_old(),
+            6 => self.ask_reader(),
+            7 => {
+                let lost = self.rng.usize(..=self.flying.len());
+                if lost < self.flying.len() {
+                    self.flying.swap_remove(lost);
+                }
+            }
+            8 if self.rng.u8(..20) == 0 => {
+                let at = self.rng.usize(..READERS);
+                self.readers[at] = Replica::default();
+                // Its connections end with it.
+                self.flying.retain(|(to, _)| *to != at);
+            }
+            _ => self.deliver(),
+        }
+    }
+
+    fn write(&mut self) {
+        let key = format!("k{}", self.rng.u8(..12));
+        let revision = self.store.revision() + 1;
+        let value = self.rng.u8(..4).checked_sub(1).map(|v| format!("{v}"));
+        let change = item(&key, revision, value.as_deref());
+        self.store.take(update(false, revision, &[change]));
+        let all = self.store.since(0);
+        let there = all.items.into_iter().filter(|i| i.value.is_some());
+        self.past.push(Update {
+            revision,
+            whole: true,
+            items: there.collect(),
+        });
+    }
+
+    fn watch(&mut self) {
+        let at = self.rng.usize(..READERS);
+        let known = self.readers[at].revision();
+        if known > 0 {
+            self.flying.push((at, self.store.since(known)));
+        }
+    }
+
+    fn list_old(&mut self) {
+        let at = self.rng.usize(..READERS);
+        let back = self.rng.usize(..self.past.len().min(8));
+        let old = self.past[self.past.len() - 1 - back].clone();
+        self.flying.push((at, old));
+    }
+
+    fn ask_reader(&mut self) {
+        let (to, from) = (self.rng.usize(..READERS), self.rng.usize(..READERS));
+        let known = self.readers[to].revision();
+        let answer = self.readers[from].since(known);
+        if answer.revision > 0 {
+            self.flying.push((to, answer));
+        }
+    }
+
+    fn deliver(&mut self) {
+        if self.flying.is_empty() {
+            return;
+        }
+        let next = self.rng.usize(..self.flying.len());
+        let (to, update) = self.flying.swap_remove(next);
+        self.take(to, update);
+    }
+
+    fn take(&mut self, to: usize, update: Update) {
+        let before = self.readers[to].clone();
+        let known: Vec<Item> = before.since(0).items;
+        self.readers[to].take(update);
+        for old in known {
+            let now = self.readers[to].since(0).items;
+            if let Some(new) = now.iter().find(|i| i.key == old.key) {
+                assert!(new.revision >= old.revision, "{old:?} became {new:?}");
+            }
+        }
+        assert!(self.readers[to].revision() >= before.revision());
+    }
+
+    fn settle(&mut self) {
+        while !self.flying.is_empty() {
+            self.deliver();
+        }
+        let wanted = self.past.last().expect("it began with one").items.clone();
+        for to in 0..READERS {
+            let known = self.readers[to].revision();
+            let missed = match known {
+                0 => self.past.last().expect("it began with one").clone(),
+                known => self.store.since(known),
+            };
+            self.take(to, missed);
+            let all = self.readers[to].since(0).items;
+            let there: Vec<Item> = all.into_iter().filter(|i| i.value.is_some()).collect();
+            assert_eq!(there, wanted, "reader {to}");
+        }
+    }
+}
--- a/crates/wire/src/near.rs
+++ b/crates/wire/src/near.rs
@@ -4,10 +4,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bincode::{DefaultOptions, Options};
 use serde::{Deserialize, Serialize};
-use steer::process::direct::members;
+use steer::process::direct::{members, replica};
 use thiserror::Error;
 
 /// Bytes of a datagram that crosses any network unbroken.
@@ -19,10 +20,19 @@
 /// Requests named in one heartbeat that broke targets.
 pub const STRUCK_MOST: usize = 16;
 
-/// A heartbeat that can't be read.
+/// A message that can't be read.
 #[derive(Debug, Error)]
-#[error("the heartbeat can't be read: {0}; its sender may be of another release")]
-pub struct Error(#[from] bincode::Error);
+pub enum Error {
+    /// Its bytes are none.
+    #[error("the message can't be read: {0}; its sender may be of another release")]
+    Bytes(#[from] bincode::Error),
+    /// What was compressed can't be unpacked.
+    #[error("the message can't be unpacked: {0}; its sender may be of another release")]
+    Packed(#[from] lz4_flex::block::DecompressError),
+    /// It would be too long.
+    #[error("a message of {0} bytes unpacked; its sender may be of another release")]
+    Size(usize),
+}
 
 /// Where an instance is reached, and where it stands.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,23 +77,95 @@
     DefaultOptions::new().with_limit(DATAGRAM as u64 * 2)
 }
 
-/// One item of the platform's store, as its reader got it.
+/// One item of the platform's store.
+#[derive(Serialize, Deserialize)]
+struct Item {
+    key: String,
+    revision: u64,
+    value: Option<serde_bytes::ByteBuf>,
+}
+
+/// What an instance knows of the platform's store and another has missed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Item {
-    /// Its key.
-    pub key: String,
-    /// Its value.
+pub struct Changes {
+    /// Revision up to which the receiver knows everything afterwards; 0 if the
+    /// sender knows nothing.
+    pub revision: u64,
+    /// Milliseconds since the store confirmed it, as far as the sender knows;
+    /// `None` if it never did.
+    pub age_ms: Option<u32>,
+    /// Whether it is everything, in place of what has changed.
+    whole: bool,
+    /// The items, compressed: instances have narrow links, and one tells many.
     #[serde(with = "serde_bytes")]
-    pub value: Vec<u8>,
+    items: Vec<u8>,
 }
 
-/// What an instance knows of the platform's store.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Picture {
-    /// Revision up to which it knows everything; 0 if it knows nothing.
-    pub revision: u64,
-    /// All items.
-    pub items: Vec<Item>,
+/// Longest list of items before it is compressed, in bytes: far more than a
+/// store of this kind holds, far less than an instance's memory.
+const ITEMS_MOST: usize = 48 << 20;
+
+impl Changes {
+    /// For another instance.
+    #[must_use]
+    pub fn new(update: &replica::Update, age: Option<Duration>) -> Self {
+        let item = |item: &replica::Item| Item {
+            key: item.key.as_ref().to_owned(),
+            revision: item.revision,
+            value: item.value.as_deref().map(|v| v.to_vec().into()),
+        };
+        let items: Vec<Item> = update.items.iter().map(item).collect();
+        // Vectors and strings in memory can always be written.
+        let plain = DefaultOptions::new().serialize(&items).unwrap_or_default();
+        Self {
+            revision: update.revision,
+            age_ms: millis(age),
+            whole: update.whole,
+            items: lz4_flex::compress_prepend_size(&plain),
+        }
+    }
+
+    /// The same, confirmed by the store `age` ago.
+    #[must_use]
+    pub fn confirmed(self, age: Option<Duration>) -> Self {
+        Self {
+            age_ms: millis(age),
+            ..self
+        }
+    }
+
+    /// Time since the store confirmed it.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        self.age_ms.map(|ms| Duration::from_millis(ms.into()))
+    }
+}
+
+fn millis(age: Option<Duration>) -> Option<u32> {
+    age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
+}
+
+impl TryFrom<Changes> for replica::Update {
+    type Error = Error;
+
+    fn try_from(changes: Changes) -> Result<Self, Error> {
+        let (size, packed) = lz4_flex::block::uncompressed_size(&changes.items)?;
+        if size > ITEMS_MOST {
+            return Err(Error::Size(size));
+        }
+        let plain = lz4_flex::decompress(packed, size)?;
+        let items: Vec<Item> = DefaultOptions::new().deserialize(&plain)?;
+        let item = |item: Item| replica::Item {
+            key: Arc::from(item.key),
+            revision: item.revision,
+            value: item.value.map(|v| Arc::from(v.into_vec())),
+        };
+        Ok(Self {
+            revision: changes.revision,
+            whole: changes.whole,
+            items: items.into_iter().map(item).collect(),
+        })
+    }
 }
 
 impl Beat {
