Tell heartbeats to the own failure domain first

Cause: each heartbeat went to the 8 nearest of a region by hash and to 24 others. The nearest by hash form closed circles: at 119 instances what one knew of requests and objects at targets reached the same 8 of 39 and nobody else, and two thirds of the bytes left the domain.

Change: all of the own domain (12 at most), which costs no bytes between domains, filled up from the region where the domain is small; 3 more of the region and 8 of other regions at every third. Chosen in steer (audience), and by the emulator with the same code.

--- a/crates/auburnrouter/src/direct/near.rs
+++ b/crates/auburnrouter/src/direct/near.rs
@@ -3,7 +3,6 @@
 //! They are datagrams: one that is lost is made up for by the next, and none
 //! waits behind another. What has to arrive whole goes by `peer`.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,21 +12,16 @@
 
 use super::{Shared, events, lock};
 
-/// Time between heartbeats to instances of the own region, which share targets
-/// and so need each other's counts.
+/// Time between heartbeats to the nearest instances, which share targets and so
+/// need each other's counts.
 const SOON: Duration = Duration::from_millis(250);
 
-/// Every how many of them goes to instances of other regions too.
+/// Every how many of them goes to further instances too.
 const AFAR: u64 = 3;
 
 /// Every how many of them carries the row.
 const ROW: u64 = 6;
 
-/// Instances of the own region that get each heartbeat, and all others; in
-/// larger fleets counts of further ones aren't worth their bytes.
-const NEAR_MOST: usize = 8;
-const FAR_MOST: usize = 24;
-
 /// Sends heartbeats until the process ends, then says that it leaves.
 pub async fn beat(shared: Arc<Shared>, socket: net::UdpSocket) {
     let mut count = 0;
@@ -55,7 +49,7 @@
         let mut steering = lock(&shared.steering);
         let now = shared.now();
         let beat = steering.direct.beat(now, row);
-        (beat, receivers(shared, now, &steering.direct))
+        (beat, steering.direct.audience(now))
     };
     // What targets of this region have and hold is of no use elsewhere, and
     // bytes between regions are the dearest.
@@ -66,7 +60,8 @@
     };
     let near = Beat::from(beat).encode();
     let far = Beat::from(far).encode();
-    for addr in to.near {
+    let region = to.region.into_iter().filter(|_| all);
+    for addr in to.near.into_iter().chain(region) {
         // As good as lost: the next one is due in a moment.
         let _ = socket.send_to(&near, addr).await;
     }
@@ -75,43 +70,6 @@
     }
 }
 
-/// Who gets a heartbeat.
-struct Receivers {
-    near: Vec<SocketAddr>,
-    far: Vec<SocketAddr>,
-}
-
-fn receivers(
-    shared: &Shared,
-    now: steer::clock::Time,
-    direct: &steer::process::direct::Direct,
-) -> Receivers {
-    let own = &shared.settings.region;
-    let (mut near, mut far) = (Vec::new(), Vec::new());
-    for (name, row) in direct.listeners(now) {
-        let list = if row.region == *own {
-            &mut near
-        } else {
-            &mut far
-        };
-        list.push((distance(&shared.settings.name, name), row.beats));
-    }
-    near.sort_unstable();
-    near.truncate(NEAR_MOST);
-    far.sort_unstable();
-    far.truncate(FAR_MOST);
-    let addrs = |list: Vec<(u64, SocketAddr)>| list.into_iter().map(|r| r.1).collect();
-    Receivers {
-        near: addrs(near),
-        far: addrs(far),
-    }
-}
-
-/// Spreads who tells whom, the same both ways.
-fn distance(one: &str, other: &str) -> u64 {
-    u64::from(members::mark(one) ^ members::mark(other))
-}
-
 /// Takes heartbeats until the process ends.
 pub async fn hear(shared: Arc<Shared>, socket: net::UdpSocket) {
     let mut bytes = vec![0; DATAGRAM * 2];
--- a/crates/emulator/src/world/instance.rs
+++ b/crates/emulator/src/world/instance.rs
@@ -6,7 +6,7 @@
 
 mod knowledge;
 
-use core::net::SocketAddr;
+use core::net::{Ipv4Addr, SocketAddr};
 use core::time::Duration;
 use std::sync::Arc;
 
@@ -90,15 +90,29 @@
     ([127, 0, 0, 1], 1).into()
 }
 
+/// Where an instance's heartbeats go, by which it is found again.
+fn address(number: usize) -> SocketAddr {
+    let number = u32::try_from(number).unwrap_or(u32::MAX);
+    (Ipv4Addr::from_bits(number), 1).into()
+}
+
+/// The instance of such an address.
+fn number(addr: SocketAddr) -> Option<usize> {
+    match addr {
+        SocketAddr::V4(addr) => usize::try_from(addr.ip().to_bits()).ok(),
+        SocketAddr::V6(_) => None,
+    }
+}
+
 impl World<'_> {
-    fn row(&self, instance: usize) -> Row {
-        let instance = &self.instances[instance];
+    fn row(&self, number: usize) -> Row {
+        let instance = &self.instances[number];
         Row {
             region: Arc::clone(&self.regions[instance.region]),
             domain: Arc::clone(&self.plan.domains[instance.domain].name),
             callers: anywhere(),
             peers: anywhere(),
-            beats: anywhere(),
+            beats: address(number),
         }
     }
 
--- a/crates/emulator/src/world/instance/knowledge.rs
+++ b/crates/emulator/src/world/instance/knowledge.rs
@@ -19,11 +19,9 @@
 /// Time until one that the store doesn't answer has asked another instance.
 const ASK: Micros = 700_000;
 
-/// Every how many heartbeats goes to other regions, and how many instances of the
-/// own region and of others get each, as the process sends them.
+/// Every how many heartbeats goes to further instances, as the process sends
+/// them.
 const AFAR: u64 = 3;
-const NEAR_MOST: usize = 8;
-const FAR_MOST: usize = 24;
 
 /// Part of the heartbeats that are lost.
 const LOST: f64 = 0.01;
@@ -196,17 +194,15 @@
             held: Vec::new(),
             ..beat.clone()
         };
-        let (mut near, mut distant) = (0, 0);
-        for step in 1..self.instances.len() {
-            let other = (number + step) % self.instances.len();
-            let to = self.instances[other].region;
-            if to == region && near < NEAR_MOST {
-                near += 1;
-                self.send_beat(number, other, &beat);
-            } else if to != region && afar && distant < FAR_MOST {
-                distant += 1;
-                self.send_beat(number, other, &far);
-            }
+        let to = direct.audience(now);
+        let region = to.region.into_iter().filter(|_| afar);
+        let near = to.near.into_iter().chain(region);
+        for other in near.filter_map(super::number) {
+            self.send_beat(number, other, &beat);
+        }
+        let distant = to.far.into_iter().filter(|_| afar);
+        for other in distant.filter_map(super::number) {
+            self.send_beat(number, other, &far);
         }
         let wait = BEAT;
         if self.instances[number].life == life {
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -9,6 +9,7 @@
 //! will not be sent any more; no request goes to more targets than its route
 //! allows, nor to a target that leaves or whose domain is evacuated.
 
+pub mod audience;
 pub mod budget;
 pub mod cold;
 mod contact;
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -201,14 +201,6 @@
         self.members.present(now, self.is_in_touch(now))
     }
 
-    /// Other instances that are to get heartbeats: those too that haven't been
-    /// heard, or two that were cut off from each other while the store is away
-    /// would never speak again, nor would one that has just started and knows
-    /// the others by the word of one of them.
-    pub fn listeners(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Row)> {
-        self.members.sharing(now)
-    }
-
     /// Other instances with the version that each has in force, if it was heard
     /// lately.
     pub fn versions(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Row, Option<u64>)> {
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -1,5 +1,7 @@
 //! Steering straight to targets: routes, placement, repeats, shares, members.
 
+#[path = "direct/audience.rs"]
+mod audience;
 #[path = "direct/bench.rs"]
 mod bench;
 
--- a/crates/steer/tests/direct/members.rs
+++ b/crates/steer/tests/direct/members.rs
@@ -90,7 +90,10 @@
     let mut bench = Bench::new(route(), &[]);
     bench.direct.told(at(0), None, 5);
     bench.direct.member(at(0), "near-2", Some(row("near")));
-    let told = |now| bench.direct.listeners(at(now)).count();
+    let told = |now| {
+        let to = bench.direct.audience(at(now));
+        to.near.len() + to.region.len() + to.far.len()
+    };
     assert_eq!(told(0), 1);
     assert_eq!(told(20_000), 1, "neither heard nor in the store's word");
     assert_eq!(bench.direct.others(at(20_000)).count(), 0, "for callers");
--- a/crates/steer/tests/direct/replica.rs
+++ b/crates/steer/tests/direct/replica.rs
@@ -60,13 +60,13 @@
 #[test]
 fn apply_last_change_of_key() {
     let mut replica = Replica::default();
-    let changes = [
+    let all = [
         item("a", 3, Some("1")),
         item("b", 4, Some("1")),
         item("a", 5, None),
         item("b", 6, Some("2")),
     ];
-    let changed = replica.take(update(false, 6, &changes));
+    let changed = replica.take(update(false, 6, &all));
     assert_eq!(changed, [item("a", 5, None), item("b", 6, Some("2"))]);
 }
 
