--- a/crates/measure/src/sums/setup.rs
+++ b/crates/measure/src/sums/setup.rs
@@ -12,7 +12,7 @@
 use steer::process::direct::roster::Entry;
 use steer::version::routes::{Limits, Part, Route, Routes, Service};
 
-/// Targets by region: uneven, as at Bluestone; for each [`SHARE`] instances.
+/// Targets by region: uneven, as they often are; for each [`SHARE`] instances.
 pub const TARGETS: [usize; 3] = [4, 6, 2];
 /// Time that a target stays cold.
 pub const COLD: Duration = Duration::from_secs(3);
--- a/crates/steer/src/process/direct/pace.rs
+++ b/crates/steer/src/process/direct/pace.rs
@@ -35,9 +35,7 @@
 ///
 /// The share is an integral of what goes beyond it. A share that follows the
 /// part of such requests itself settles where as many are late at home as run
-/// elsewhere: with a sixth of the targets and a third of the callers, a region
-/// sent 0.3 away and left 0.3 late. Worth of a fleet of 26 instances with such a
-/// region 0.65 to 0.75 on a calm day, 0.58 to 0.63 on the most loaded one.
+/// elsewhere, far below what a region with few targets lacks.
 const WANTED: f64 = 0.05;
 
 /// How far beyond [`WANTED`] the share rises as fast as it may: single requests
@@ -46,9 +44,9 @@
 
 /// How full the own region may be with all its requests for the share to fall as
 /// fast as it may. A region that fits them only just would send them away again
-/// a moment later, and objects begin cold each time they move. Falling by a slow
-/// fixed rate instead, where objectives are short and home had room, kept half
-/// of a region's requests away for most of a calm day: worth 0.79 to 0.76.
+/// a moment later, and objects begin cold each time they move. A slow fixed rate
+/// would keep requests away long after home has room, where the way there alone
+/// uses up short objectives.
 const FITS: f64 = 0.4;
 
 /// How full it is from where on the share doesn't fall at all, though nobody is
@@ -95,8 +93,8 @@
     }
 
     /// Whether the next request runs elsewhere. `wish`: it would be better off.
-    /// `used`: part of the own region's slots in use. `lean`, from 0 to 1, is the same for all requests of an object: low ones
-    /// go first.
+    /// `used`: part of the own region's slots in use. `lean`, from 0 to 1, is the
+    /// same for all requests of an object: low ones go first.
     pub fn next(&mut self, now: Time, wish: bool, used: f64, lean: f64) -> bool {
         self.follow(now, wish, used);
         self.credit += self.share;
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -61,9 +61,9 @@
 /// idle from each answer until the next request has come all the way.
 const EXTRA: f64 = 1.0;
 
-/// What work in vain counts over what it costs the request itself. An object sent to an idle target that doesn't hold it takes
-/// a slot several times as long, which fills the targets further, which sends
-/// more objects astray: at Tesfaye's archive half of all requests.
+/// What work in vain counts over what it costs the request itself. An object
+/// sent to an idle target that doesn't hold it takes a slot several times as
+/// long, which fills the targets further, which sends more objects astray.
 const SOCIAL: f64 = 5.0;
 
 /// Smallest slowness that estimates use.
@@ -88,9 +88,7 @@
     ///
     /// Only a wait that is longer than the way there counts: a request that is
     /// late because its object is cold is as late elsewhere, and leaves its
-    /// object cold in two regions. Worth of six days with trouble at seven
-    /// instances 0.708 to 0.718 (mean of two seeds), together with a fall of the
-    /// share by demand.
+    /// object cold in two regions.
     pub(super) fn wish(&self, now: Time, job: &Job) -> (Option<bool>, f64) {
         let lean = match job.ask.object {
             Some(object) => unit(hash(&object.to_le_bytes())),
--- a/crates/steer/tests/lookup.rs
+++ b/crates/steer/tests/lookup.rs
@@ -8,7 +8,7 @@
 
 const CALLERS: u64 = 20_000;
 
-/// Seven instances as at Bluestone: three in the first region, two in each of
+/// Seven instances as in a small deployment: three in the first region, two in each of
 /// the others, all alive but those named.
 fn fleet(gone: &[&str], leaving: &[&str]) -> view::View {
     let mut view = view::View {
