Tell each other how targets do, and take less time for a decision

Cause: at 119 instances one sends a given target a request every many seconds. It learnt by itself that a target is slow or loses answers when the trouble was over; meanwhile each instance sent its own requests there.

Change: heartbeats tell failed and overdue requests by target; receivers take them as samples of their own, which fade in 6 s. While a target does poorly its objects belong to the next one by hash. A request that must not repeat counts a lost answer ten objectives. What a target turned away unrun is kept apart: it still serves, and its objects are warm nowhere else. Nothing is told before times rest on several answers. Counts by mark, hashes kept, entries put at once, no exponential for targets that do well, sums counted anew only as members change.

--- a/crates/auburnrouter/src/direct/dump.rs
+++ b/crates/auburnrouter/src/direct/dump.rs
@@ -87,8 +87,8 @@
                     domain: Arc::clone(&t.entry.domain),
                     marks: marks(t, now),
                     flying: t.flying,
-                    slowness: t.slowness,
-                    illness: t.illness,
+                    slowness: t.health.slowness(now),
+                    illness: t.health.illness(now).max(t.health.refusal(now)),
                 })
                 .collect(),
         })
--- a/crates/auburnrouter/src/direct/near.rs
+++ b/crates/auburnrouter/src/direct/near.rs
@@ -56,6 +56,7 @@
     let far = members::Beat {
         flying: Vec::new(),
         held: Vec::new(),
+        troubles: Vec::new(),
         ..beat.clone()
     };
     let near = Beat::from(beat).encode();
--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -323,9 +323,14 @@
     let mut replica = lock(&shared.replica);
     let changed = replica.take(update);
     shared.note(|now, direct| direct.told(now, age, revision));
+    let mut targets = Vec::new();
     for item in &changed {
-        apply(shared, &item.key, item.value.as_deref());
+        match (item.key.strip_prefix(entry::PREFIX), &item.value) {
+            (Some(id), Some(value)) => targets.push((id, &**value)),
+            _ => apply(shared, &item.key, item.value.as_deref()),
+        }
     }
+    put_targets(shared, &targets);
     drop(replica);
     shared.told.notify(usize::MAX);
 }
@@ -343,10 +348,7 @@
         }
         set_evacuated(shared, domains);
     } else if let Some(id) = key.strip_prefix(entry::PREFIX) {
-        match value {
-            Some(value) => put_target(shared, id, value),
-            None => remove_target(shared, id),
-        }
+        remove_target(shared, id);
     } else if let Some(name) = key.strip_prefix(member::PREFIX) {
         put_member(shared, name, value);
     }
@@ -378,15 +380,24 @@
     }
 }
 
-fn put_target(shared: &Shared, id: &str, value: &[u8]) {
-    match entry::read(id, value) {
-        Ok(entry) => {
-            let seen = entry.clone();
-            if shared.decide(|now, direct| direct.roster.put(now, entry)) {
-                events::target(shared, &seen);
-            }
+/// Puts targets all at once: a start brings thousands.
+fn put_targets(shared: &Shared, targets: &[(&str, &[u8])]) {
+    let mut entries = Vec::new();
+    for (id, value) in targets {
+        match entry::read(id, value) {
+            Ok(entry) => entries.push(entry),
+            Err(error) => events::refused(shared, id, &error.to_string()),
+        }
+    }
+    if entries.is_empty() {
+        return;
+    }
+    let seen = entries.clone();
+    let changed = shared.decide(|now, direct| direct.roster.put_all(now, entries));
+    for (entry, changed) in seen.iter().zip(changed) {
+        if changed {
+            events::target(shared, entry);
         }
-        Err(error) => events::refused(shared, id, &error.to_string()),
     }
 }
 
--- a/crates/emulator/src/world/instance/knowledge.rs
+++ b/crates/emulator/src/world/instance/knowledge.rs
@@ -110,9 +110,7 @@
                 direct.unlist(now, &id);
             }
         }
-        for entry in entries {
-            direct.roster.put(now, entry);
-        }
+        direct.roster.put_all(now, entries);
         direct.evacuate(now, evacuated);
         for (name, row) in rows {
             direct.member(now, &name, Some(row));
@@ -192,6 +190,7 @@
         let far = Beat {
             flying: Vec::new(),
             held: Vec::new(),
+            troubles: Vec::new(),
             ..beat.clone()
         };
         let to = direct.audience(now);
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -14,6 +14,7 @@
 pub mod cold;
 mod contact;
 mod hash;
+pub mod health;
 mod job;
 pub mod learn;
 pub mod levers;
@@ -41,6 +42,7 @@
 use budget::Budget;
 use cold::Sharer;
 use contact::Touch;
+use health::Trouble;
 use job::{Job, State};
 use learn::Learnt;
 use levers::{Lever, Levers};
@@ -72,6 +74,8 @@
     suspects: Suspects,
     /// Objects that targets have come to hold since the last heartbeat.
     news: Vec<(u32, u32)>,
+    /// What was seen of slow and failing targets since then.
+    troubles: Vec<Trouble>,
     /// How far heartbeats have told all that targets hold.
     told: usize,
     beats: u64,
@@ -115,6 +119,7 @@
             end: None,
             suspects: Suspects::default(),
             news: Vec::new(),
+            troubles: Vec::new(),
             told: 0,
             beats: 0,
             sharers: Vec::new(),
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -150,9 +150,12 @@
         for (mark, object) in &beat.held {
             self.roster.told_held(now, *mark, *object);
         }
-        self.members.hear(now, beat);
+        self.hear_troubles(now, &beat.troubles);
+        let changed = self.members.hear(now, beat);
         self.roster.hear(now, &self.members);
-        self.recount(now);
+        if changed {
+            self.recount(now);
+        }
     }
 
     /// The process was told to stop and will end at `end`; heartbeats say so
@@ -165,6 +168,7 @@
     pub fn beat(&mut self, now: Time, row: bool) -> Beat {
         self.beats += 1;
         let held = self.held(now);
+        let troubles = self.take_troubles(now);
         let struck = self.suspects.lately(now, TOLD);
         Beat {
             name: Arc::clone(&self.home.name),
@@ -177,6 +181,7 @@
             held,
             struck: struck.map(|c| (c.print.0, c.strikes)).collect(),
             flying: self.roster.flying(),
+            troubles,
         }
     }
 
--- /dev/null
+++ b/crates/steer/src/process/direct/health.rs
@@ -0,0 +1,274 @@
+//! How a target does: whether it is slow, and what share of requests it fails.
+//!
+//! In a large fleet an instance sends a given target a request every many
+//! seconds, and would learn nothing from its own alone before the trouble is
+//! over. So instances tell each other what they saw, as samples, and each
+//! takes them as its own. Only bad news is told; it fades, or a target that
+//! nobody tries any more would stay avoided for ever.
+//!
+//! Invariant: an estimate that isn't renewed is back at "well" after a few
+//! times [`HEAL`].
+
+use core::time::Duration;
+
+use super::Direct;
+use super::job::State;
+use super::levers::Lever;
+use super::members::mark;
+use crate::clock::Time;
+
+/// Weight of a new sample.
+const SAMPLE: f64 = 0.2;
+
+/// Time in which what is known fades to a third.
+const HEAL: Duration = Duration::from_secs(6);
+
+/// Largest and smallest time over the time expected that a sample may have.
+const RATIO: core::ops::RangeInclusive<f64> = 0.2..=20.0;
+
+/// Time over the time expected from which on others are told.
+const TOLD_RATIO: f64 = 2.0;
+
+/// The same for a request that is still there, over the time for an object that
+/// the target doesn't hold: it may only be longer than usual.
+const OVERDUE: f64 = 1.6;
+
+/// Slowness, and part of requests failed, from which on an object's first target
+/// is another one for the time being.
+const SLOW: f64 = 2.5;
+const ILL: f64 = 0.25;
+
+/// Difference from "well" that changes no decision.
+const NOTHING: f64 = 0.01;
+
+/// A moving mean that fades to what it is for a target that does well.
+#[derive(Clone, Copy, Debug)]
+struct Faded {
+    well: f64,
+    value: f64,
+    at: Time,
+}
+
+impl Faded {
+    const fn new(well: f64) -> Self {
+        Self {
+            well,
+            value: well,
+            at: Time::ZERO,
+        }
+    }
+
+    /// The mean now. Most targets do well, and this is asked for all of them
+    /// with each request.
+    fn get(&self, now: Time) -> f64 {
+        let off = self.value - self.well;
+        if off.abs() < NOTHING {
+            return self.well;
+        }
+        let age = now.since(self.at).as_secs_f64() / HEAL.as_secs_f64();
+        self.well + off * (-age).exp()
+    }
+
+    fn add(&mut self, now: Time, sample: f64) {
+        let value = self.get(now);
+        self.value = value + (sample - value) * SAMPLE;
+        self.at = now;
+    }
+}
+
+/// How one target does.
+#[derive(Clone, Copy, Debug)]
+pub struct Health {
+    slow: Faded,
+    ill: Faded,
+    refusing: Faded,
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Self {
+            slow: Faded::new(1.0),
+            ill: Faded::new(0.0),
+            refusing: Faded::new(0.0),
+        }
+    }
+}
+
+impl Health {
+    /// Time that it needs, over that of others of its service.
+    #[must_use]
+    pub fn slowness(&self, now: Time) -> f64 {
+        self.slow.get(now)
+    }
+
+    /// Share of the last requests that it failed, and that may have run.
+    #[must_use]
+    pub fn illness(&self, now: Time) -> f64 {
+        self.ill.get(now)
+    }
+
+    /// Share of the last requests that it turned away unrun.
+    #[must_use]
+    pub fn refusal(&self, now: Time) -> f64 {
+        self.refusing.get(now)
+    }
+
+    /// Whether objects are better handled elsewhere for the time being. One that
+    /// turns requests away still serves the rest, and its objects are warm there;
+    /// what it didn't run can be sent again.
+    #[must_use]
+    pub fn is_poor(&self, now: Time) -> bool {
+        self.slowness(now) > SLOW || self.illness(now) > ILL
+    }
+
+    /// An answer, with the time it took over the time expected, if that says
+    /// something.
+    pub fn answered(&mut self, now: Time, ratio: Option<f64>) {
+        self.ill.add(now, 0.0);
+        self.refusing.add(now, 0.0);
+        if let Some(ratio) = ratio {
+            self.slow(now, ratio);
+        }
+    }
+
+    /// A request that it failed.
+    pub fn failed(&mut self, now: Time) {
+        self.ill.add(now, 1.0);
+    }
+
+    /// A request that it turned away.
+    pub fn refused(&mut self, now: Time) {
+        self.refusing.add(now, 1.0);
+    }
+
+    /// A request that took so many times the time expected.
+    fn slow(&mut self, now: Time, ratio: f64) {
+        self.slow
+            .add(now, ratio.clamp(*RATIO.start(), *RATIO.end()));
+    }
+}
+
+/// What an instance saw of a target since its last heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Trouble {
+    /// The target's mark.
+    pub mark: u32,
+    /// Requests that it failed.
+    pub failed: u8,
+    /// Time that a request took over the time expected, in eighths; 0 if none
+    /// was slow.
+    pub eighths: u8,
+}
+
+/// Eighths in one.
+const EIGHTHS: f64 = 8.0;
+
+impl Trouble {
+    /// A failed request.
+    #[must_use]
+    pub const fn failed(mark: u32) -> Self {
+        Self {
+            mark,
+            failed: 1,
+            eighths: 0,
+        }
+    }
+
+    /// A slow one.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped to what fits"
+    )]
+    pub fn slow(mark: u32, ratio: f64) -> Self {
+        let eighths = (ratio * EIGHTHS).clamp(1.0, f64::from(u8::MAX));
+        Self {
+            mark,
+            failed: 0,
+            eighths: eighths as u8,
+        }
+    }
+
+    fn ratio(self) -> Option<f64> {
+        (self.eighths > 0).then(|| f64::from(self.eighths) / EIGHTHS)
+    }
+}
+
+/// Puts what was seen of each target together, sorted by mark.
+pub(super) fn gather(mut seen: Vec<Trouble>) -> Vec<Trouble> {
+    seen.sort_unstable();
+    let mut all: Vec<Trouble> = Vec::new();
+    for next in seen {
+        match all.last_mut() {
+            Some(last) if last.mark == next.mark => {
+                last.failed = last.failed.saturating_add(next.failed);
+                last.eighths = last.eighths.max(next.eighths);
+            }
+            _ => all.push(next),
+        }
+    }
+    all
+}
+
+impl Direct {
+    /// Notes a slow answer for the next heartbeat.
+    pub(super) fn note_slow(&mut self, id: &str, ratio: Option<f64>) {
+        if let Some(ratio) = ratio.filter(|r| *r >= TOLD_RATIO) {
+            self.troubles.push(Trouble::slow(mark(id), ratio));
+        }
+    }
+
+    /// Notes a failed request for the next heartbeat.
+    pub(super) fn note_failed(&mut self, id: &str) {
+        self.troubles.push(Trouble::failed(mark(id)));
+    }
+
+    /// What the next heartbeat tells: what was noted, and requests that are at
+    /// targets for far longer than they should be. Their answers come too late
+    /// to keep others from the same target.
+    pub(super) fn take_troubles(&mut self, now: Time) -> Vec<Trouble> {
+        let mut seen = core::mem::take(&mut self.troubles);
+        let mut overdue = Vec::new();
+        for job in &self.jobs {
+            if let State::At {
+                target,
+                since,
+                queued: false,
+                ..
+            } = &job.state
+            {
+                let work = self.work(job);
+                let ratio = now.since(*since).as_secs_f64() / work.other;
+                if work.sure && ratio >= OVERDUE {
+                    overdue.push((target.clone(), ratio));
+                }
+            }
+        }
+        for (id, ratio) in overdue {
+            seen.push(Trouble::slow(mark(&id), ratio));
+            if let Some(target) = self.roster.get_mut(&id) {
+                target.health.slow(now, ratio);
+            }
+        }
+        gather(seen)
+    }
+
+    /// Takes what another instance saw.
+    pub(super) fn hear_troubles(&mut self, now: Time, told: &[Trouble]) {
+        if told.is_empty() || !self.levers.has(Lever::Health) {
+            return;
+        }
+        for target in self.roster.all_mut() {
+            let Ok(at) = told.binary_search_by_key(&target.mark(), |t| t.mark) else {
+                continue;
+            };
+            for _ in 0..told[at].failed {
+                target.health.failed(now);
+            }
+            if let Some(ratio) = told[at].ratio() {
+                target.health.slow(now, ratio);
+            }
+        }
+    }
+}
--- a/crates/steer/src/process/direct/learn.rs
+++ b/crates/steer/src/process/direct/learn.rs
@@ -12,6 +12,9 @@
 /// Time for a warm object over that for another, before any is known.
 const GAIN: f64 = 0.6;
 
+/// Answers of each sort from which on times are sure enough to move objects by.
+const SURE: u32 = 8;
+
 /// A moving mean of seconds.
 #[derive(Clone, Copy, Debug, Default)]
 struct Mean {
@@ -53,36 +56,27 @@
     pub warm: f64,
     /// Seconds where it isn't.
     pub other: f64,
+    /// Whether both rest on several answers.
+    pub sure: bool,
 }
 
 impl Learnt {
     /// What a request of `route` takes at `service`; `goal` if nothing is known.
     #[must_use]
     pub fn work(&self, service: &str, route: &str, goal: f64) -> Work {
-        let Ok(at) = self.find(service, route) else {
-            return Work {
-                warm: goal * GAIN,
-                other: goal,
-            };
+        let times = self.find(service, route).ok().map(|at| &self.times[at]);
+        let known = times.map(|t| (t.warm.get(), t.other.get()));
+        let (warm, other) = match known.unwrap_or_default() {
+            (Some(warm), Some(other)) => (warm, other.max(warm)),
+            (None, Some(other)) => (other * GAIN, other),
+            (Some(warm), None) => (warm, warm / GAIN),
+            (None, None) => (goal * GAIN, goal),
         };
-        let times = &self.times[at];
-        match (times.warm.get(), times.other.get()) {
-            (Some(warm), Some(other)) => Work {
-                warm: warm.max(0.001),
-                other: other.max(warm).max(0.001),
-            },
-            (None, Some(other)) => Work {
-                warm: (other * GAIN).max(0.001),
-                other: other.max(0.001),
-            },
-            (Some(warm), None) => Work {
-                warm: warm.max(0.001),
-                other: (warm / GAIN).max(0.001),
-            },
-            (None, None) => Work {
-                warm: goal * GAIN,
-                other: goal,
-            },
+        let sure = times.is_some_and(|t| t.warm.samples.min(t.other.samples) >= SURE);
+        Work {
+            warm: warm.max(0.001),
+            other: other.max(0.001),
+            sure,
         }
     }
 
--- a/crates/steer/src/process/direct/levers.rs
+++ b/crates/steer/src/process/direct/levers.rs
@@ -30,6 +30,9 @@
     Slowness,
     /// Targets that fail cost more.
     Illness,
+    /// Instances tell each other how targets do, and objects of those that do
+    /// poorly move.
+    Health,
     /// Requests run in other regions.
     Elsewhere,
     /// The share elsewhere starts by slots; without, at nothing.
@@ -46,7 +49,7 @@
 
 impl Levers {
     /// Names of all, in the order of [`Lever`].
-    pub const NAMES: [&'static str; 13] = [
+    pub const NAMES: [&'static str; 14] = [
         "affinity",
         "first",
         "vain",
@@ -54,6 +57,7 @@
         "learning",
         "slowness",
         "illness",
+        "health",
         "elsewhere",
         "start",
         "hold",
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -17,6 +17,7 @@
 use core::time::Duration;
 use std::sync::Arc;
 
+use super::health::Trouble;
 use crate::clock::Time;
 
 /// Time without a heartbeat after which one no longer counts as there, unless
@@ -69,6 +70,8 @@
     pub held: Vec<(u32, u32)>,
     /// Requests under which targets broke lately: fingerprint, and strikes.
     pub struck: Vec<(u128, u8)>,
+    /// What it saw of slow and failing targets, sorted by mark.
+    pub troubles: Vec<Trouble>,
 }
 
 #[derive(Clone, Debug)]
@@ -119,12 +122,15 @@
         }
     }
 
-    /// Takes a heartbeat; an older one of the same life is passed over.
-    pub fn hear(&mut self, now: Time, beat: Beat) {
+    /// Takes a heartbeat; an older one of the same life is passed over. Says
+    /// whether its sender has come to share sums by it, or no longer does.
+    pub fn hear(&mut self, now: Time, beat: Beat) -> bool {
         let member = self.ensure(&beat.name);
         if member.life == beat.life && beat.seq <= member.seq && member.heard.is_some() {
-            return;
+            return false;
         }
+        let shares = |m: &Member| m.row.is_some() && m.may_send(now);
+        let before = shares(member);
         if beat.row.is_some() {
             member.row = beat.row;
         }
@@ -135,6 +141,7 @@
         member.revision = beat.revision;
         member.version = beat.version;
         member.flying = beat.flying;
+        shares(member) != before
     }
 
     /// Names and rows of those that are there; `store`: whether the store is in
@@ -178,15 +185,12 @@
         self.members.retain(|m| m.listed || m.may_send(now));
     }
 
-    /// Requests that others have at the target of this mark.
-    #[must_use]
-    pub fn flying(&self, now: Time, mark: u32) -> u32 {
-        let fresh = |m: &&Member| m.heard.is_some_and(|at| now.since(at) < FRESH);
-        let count = |m: &Member| {
-            let found = m.flying.binary_search_by_key(&mark, |f| f.0);
-            found.map_or(0, |at| u32::from(m.flying[at].1))
-        };
-        self.members.iter().filter(fresh).map(count).sum()
+    /// Requests that others have said lately they have at targets, by mark; a
+    /// target once for each of them.
+    pub fn flying(&self, now: Time) -> impl Iterator<Item = (u32, u8)> {
+        let fresh = move |m: &&Member| m.heard.is_some_and(|at| now.since(at) < FRESH);
+        let members = self.members.iter().filter(fresh);
+        members.flat_map(|m| m.flying.iter().copied())
     }
 
     /// Where to ask for what the store says: of those heard lately, one that
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -66,6 +66,20 @@
 /// long, which fills the targets further, which sends more objects astray.
 const SOCIAL: f64 = 5.0;
 
+/// Targets of a region that an object belongs to: one, and another for objects
+/// that are asked for more often than one target can bear.
+const PREFERRED: usize = 1;
+
+/// What work in vain counts at the second of them. All instances spill there, so
+/// the object is cold there once; but while everything is cold, as after a
+/// start, each spill is one more cold run.
+const SECOND: f64 = 3.0;
+
+/// Latency objectives that a failed request costs: it begins anew, or it is lost
+/// since nobody knows whether it ran.
+const AGAIN: f64 = 2.0;
+const LOST: f64 = 10.0;
+
 /// Smallest slowness that estimates use.
 const SLOW_LEAST: f64 = 0.5;
 
@@ -159,14 +173,15 @@
         let goal = route.goal.as_secs_f64();
         let work = self.work(job);
         let levers = self.levers;
-        let first = job.ask.object.filter(|_| levers.has(Lever::First));
-        let first = first.and_then(|o| self.first(job, o, near));
+        let object = job.ask.object.filter(|_| levers.has(Lever::First));
+        let preferred = object.map_or([None; PREFERRED], |o| self.preferred(now, job, o, near));
         let vain = if levers.has(Lever::Vain) { SOCIAL } else { 0.0 };
         let extra = if levers.has(Lever::Hold) {
             EXTRA
         } else {
             f64::INFINITY
         };
+        let lost = if route.idempotent { AGAIN } else { LOST };
         let mut best: Option<Place> = None;
         for (index, target) in self.roster.of(&job.service) {
             if !self.is_usable(now, job, target, near) {
@@ -174,15 +189,16 @@
             }
             let object = job.ask.object.filter(|_| levers.has(Lever::Affinity));
             let warm = object.is_some_and(|o| target.holds(now, mark_of(o)));
-            let base = match (warm, first == Some(index)) {
+            let place = preferred.iter().position(|p| *p == Some(index));
+            let base = match (warm, place) {
                 (true, _) => work.warm,
                 // Others of this region send the object there too.
-                (false, true) => f64::midpoint(work.warm, work.other),
-                (false, false) => work.other,
+                (false, Some(_)) => f64::midpoint(work.warm, work.other),
+                (false, None) => work.other,
             };
             let cold = if target.is_cold(now) { COLD } else { 1.0 };
             let slowness = if levers.has(Lever::Slowness) {
-                target.slowness.max(SLOW_LEAST)
+                target.health.slowness(now).max(SLOW_LEAST)
             } else {
                 1.0
             };
@@ -200,11 +216,16 @@
             // An ill target fails that share of its requests, each of which
             // has to begin anew elsewhere. Load breaks ties.
             let illness = if levers.has(Lever::Illness) {
-                target.illness * goal
+                (target.health.refusal(now) + target.health.illness(now) * lost) * goal
             } else {
                 0.0
             };
             let cost = wait + seconds + far + illness + load * 0.002;
+            let vain = match place {
+                Some(0) => 0.0,
+                Some(_) if work.sure => vain.min(SECOND),
+                _ => vain,
+            };
             let rank = cost + (base - work.warm) * vain;
             if best.is_none_or(|b| rank < b.rank) {
                 best = Some(Place {
@@ -275,23 +296,41 @@
         target.sent_lately(now) < most
     }
 
-    /// The target of a region that an object belongs to first: the one of the
-    /// highest hash of both, so that instances agree without a word and few
-    /// objects move when a target comes or goes.
-    fn first(&self, job: &Job, object: u64, near: bool) -> Option<usize> {
+    /// The targets of a region that an object belongs to, the first one first:
+    /// those of the highest hash of both, so that instances agree without a word
+    /// and few objects move when a target comes or goes. One that does poorly
+    /// comes last meanwhile, or each request of its objects would be late or
+    /// lost.
+    fn preferred(
+        &self,
+        now: Time,
+        job: &Job,
+        object: u64,
+        near: bool,
+    ) -> [Option<usize>; PREFERRED] {
         let fits = |t: &Target| {
             (t.region == self.home.region) == near
                 && t.is_open()
                 && !self.roster.is_evacuated(&t.entry.domain)
         };
+        let shared = self.levers.has(Lever::Health);
         let fit = self.roster.of(&job.service).filter(|(_, t)| fits(t));
-        fit.max_by_key(|(_, t)| weight(&t.entry.id, object))
-            .map(|(index, _)| index)
+        let mut best = [None; PREFERRED];
+        for (index, target) in fit {
+            let well = !shared || !target.health.is_poor(now);
+            let mut next = Some(((well, weight(target.hash(), object)), index));
+            for held in &mut best {
+                if next > *held {
+                    core::mem::swap(&mut next, held);
+                }
+            }
+        }
+        best.map(|held| held.map(|(_, index)| index))
     }
 }
 
-fn weight(id: &Arc<str>, object: u64) -> u64 {
-    let mixed = hash(id.as_bytes()) ^ object;
+fn weight(target: u64, object: u64) -> u64 {
+    let mixed = target ^ object;
     let mixed = (mixed ^ (mixed >> 31)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
     (mixed ^ (mixed >> 29)).wrapping_mul(0x94D0_49BB_1331_11EB)
 }
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -9,6 +9,8 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use super::hash;
+use super::health::Health;
 use super::members::{self, Members};
 use crate::clock::Time;
 
@@ -51,9 +53,6 @@
 /// Longest such pause.
 const ASIDE_MOST: Duration = Duration::from_secs(3);
 
-/// Weight of a new sample in the moving means of a target.
-const SAMPLE: f64 = 0.2;
-
 /// An object that a target handled lately.
 #[derive(Clone, Copy, Debug)]
 struct Held {
@@ -83,12 +82,12 @@
     /// Requests that other instances say they have there.
     near: u32,
     mark: u32,
+    /// Hash of its name.
+    hash: u64,
     /// When it is dropped unless it is listed again.
     missing: Option<Time>,
-    /// Time that it needs, over that of others of its service.
-    pub slowness: f64,
-    /// Share of late requests that it failed.
-    pub illness: f64,
+    /// How it does.
+    pub health: Health,
     failures: u32,
     aside: Time,
     cold_until: Time,
@@ -102,6 +101,7 @@
         let cold_until = now + entry.cold;
         Self {
             mark: members::mark(&entry.id),
+            hash: hash(entry.id.as_bytes()),
             entry,
             region,
             gone: false,
@@ -111,8 +111,7 @@
             told: now,
             near: 0,
             missing: None,
-            slowness: 1.0,
-            illness: 0.0,
+            health: Health::default(),
             failures: 0,
             aside: Time::ZERO,
             cold_until,
@@ -121,6 +120,18 @@
         }
     }
 
+    /// The mark by which heartbeats name it.
+    #[must_use]
+    pub const fn mark(&self) -> u32 {
+        self.mark
+    }
+
+    /// Hash of its name.
+    #[must_use]
+    pub const fn hash(&self) -> u64 {
+        self.hash
+    }
+
     /// Whether it may be sent requests at all.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -148,8 +159,11 @@
     /// fades with the time since the target last told.
     #[must_use]
     pub fn load(&self, now: Time, fade: Duration) -> f64 {
-        let age = now.since(self.told).as_secs_f64() / fade.as_secs_f64().max(0.001);
-        let others = (self.others * (-age).exp()).max(f64::from(self.near));
+        let mut others = f64::from(self.near);
+        if self.others > 0.0 {
+            let age = now.since(self.told).as_secs_f64() / fade.as_secs_f64().max(0.001);
+            others = others.max(self.others * (-age).exp());
+        }
         f64::from(self.flying + self.reserved) + others
     }
 
@@ -229,24 +243,16 @@
     }
 
     /// Notes an answer, with the time it took over the time expected.
-    pub fn answered(&mut self, ratio: Option<f64>) {
+    pub fn answered(&mut self, now: Time, ratio: Option<f64>) {
         self.failures = 0;
         self.aside = Time::ZERO;
-        self.illness -= self.illness * SAMPLE;
-        if let Some(ratio) = ratio {
-            self.slowness += (ratio.clamp(0.2, 20.0) - self.slowness) * SAMPLE;
-        }
-    }
-
-    /// Notes a request that it failed or rejected while it had room.
-    pub fn failed(&mut self) {
-        self.illness += (1.0 - self.illness) * SAMPLE;
+        self.health.answered(now, ratio);
     }
 
     /// Notes that it couldn't be reached or broke off: it gets nothing for a
     /// while, or each request would find out anew.
     pub fn unreached(&mut self, now: Time) {
-        self.failed();
+        self.health.failed(now);
         let factor = 1 << self.failures.min(4);
         self.failures += 1;
         self.aside = now + (ASIDE_FIRST * factor).min(ASIDE_MOST);
@@ -260,6 +266,8 @@
     /// Places of each service's targets in `targets`, sorted by service: a
     /// decision looks at those of one service only.
     index: Vec<(Arc<str>, Vec<usize>)>,
+    /// Marks of all targets with their places, sorted.
+    marks: Vec<(u32, usize)>,
     domains: Vec<(Arc<str>, Arc<str>)>,
     evacuated: Vec<Arc<str>>,
 }
@@ -285,11 +293,27 @@
     /// Adds a target or takes its newer report. Says whether anything that
     /// matters for steering has changed.
     pub fn put(&mut self, now: Time, entry: Entry) -> bool {
+        self.put_all(now, vec![entry]) == [true]
+    }
+
+    /// The same for many, which costs little more than for one.
+    pub fn put_all(&mut self, now: Time, entries: Vec<Entry>) -> Vec<bool> {
+        let mut moved = false;
+        let put = |entry| self.put_one(now, entry, &mut moved);
+        let changed = entries.into_iter().map(put).collect();
+        if moved {
+            self.reindex();
+        }
+        changed
+    }
+
+    /// Puts one; `moved` is set if places or services have changed.
+    fn put_one(&mut self, now: Time, entry: Entry, moved: &mut bool) -> bool {
         let region = self.region(&entry.domain);
         match self.find(&entry.id) {
             Err(at) => {
                 self.targets.insert(at, Target::new(now, entry, region));
-                self.reindex();
+                *moved = true;
                 true
             }
             Ok(at) => {
@@ -303,7 +327,7 @@
                     let flying = target.flying;
                     *target = Target::new(now, entry, region);
                     target.flying = flying;
-                    self.reindex();
+                    *moved = true;
                     return true;
                 }
                 let changed = target.gone || target.entry.draining != entry.draining;
@@ -344,8 +368,19 @@
     /// Renews what other instances say they have at each target.
     pub fn hear(&mut self, now: Time, members: &Members) {
         for target in &mut self.targets {
-            target.near = members.flying(now, target.mark);
+            target.near = 0;
         }
+        for (mark, count) in members.flying(now) {
+            if let Some(target) = self.marked(mark) {
+                target.near += u32::from(count);
+            }
+        }
+    }
+
+    /// The target of a mark.
+    fn marked(&mut self, mark: u32) -> Option<&mut Target> {
+        let found = self.marks.binary_search_by_key(&mark, |m| m.0);
+        found.ok().map(|at| &mut self.targets[self.marks[at].1])
     }
 
     /// What this instance has at targets, by mark, sorted.
@@ -370,7 +405,7 @@
 
     /// Another instance says that the target of this mark holds an object.
     pub fn told_held(&mut self, now: Time, mark: u32, object: u32) {
-        if let Some(target) = self.targets.iter_mut().find(|t| t.mark == mark) {
+        if let Some(target) = self.marked(mark) {
             target.handled(now, object, false);
         }
     }
@@ -421,6 +456,9 @@
     /// Whether nothing may be sent to a domain.
     #[must_use]
     pub fn is_evacuated(&self, domain: &str) -> bool {
+        if self.evacuated.is_empty() {
+            return false;
+        }
         let found = self.evacuated.binary_search_by(|d| (**d).cmp(domain));
         found.is_ok()
     }
@@ -464,6 +502,9 @@
                 Err(at) => self.index.insert(at, (Arc::clone(service), vec![place])),
             }
         }
+        let marks = self.targets.iter().enumerate().map(|(at, t)| (t.mark, at));
+        self.marks = marks.collect();
+        self.marks.sort_unstable();
     }
 
     /// The targets of a service, with their places among all.
--- a/crates/steer/src/process/direct/settle.rs
+++ b/crates/steer/src/process/direct/settle.rs
@@ -42,11 +42,18 @@
         self.judge(now, &self.jobs[at].clone(), &target, since, ending);
         let took = now.since(since).as_secs_f64();
         let object = self.jobs[at].ask.object;
+        let ratio = (!queued).then_some(took / expected.max(0.001));
+        match ending {
+            Ending::Answered if self.work(&self.jobs[at]).sure => {
+                self.note_slow(&target, ratio);
+            }
+            Ending::Answered | Ending::NotRun => {}
+            _ => self.note_failed(&target),
+        }
         if let Some(target) = self.roster.get_mut(&target) {
             match ending {
                 Ending::Answered => {
-                    let ratio = (!queued).then_some(took / expected.max(0.001));
-                    target.answered(ratio);
+                    target.answered(now, ratio);
                     if let Some(object) = object
                         && target.handled(now, mark_of(object), true)
                     {
@@ -54,8 +61,9 @@
                         self.news.push((mark, mark_of(object)));
                     }
                 }
-                Ending::Failed | Ending::NotRun | Ending::Garbled | Ending::Late => {
-                    target.failed();
+                Ending::NotRun => target.health.refused(now),
+                Ending::Failed | Ending::Garbled | Ending::Late => {
+                    target.health.failed(now);
                 }
                 Ending::Elsewhere | Ending::Unreached | Ending::Broken => target.unreached(now),
             }
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -9,6 +9,8 @@
 mod budget;
 #[path = "direct/cold.rs"]
 mod cold;
+#[path = "direct/health.rs"]
+mod health;
 #[path = "direct/members.rs"]
 mod members;
 #[path = "direct/pace.rs"]
--- a/crates/steer/tests/direct/bench.rs
+++ b/crates/steer/tests/direct/bench.rs
@@ -40,6 +40,7 @@
         flying: Vec::new(),
         held: Vec::new(),
         struck: Vec::new(),
+        troubles: Vec::new(),
     }
 }
 
@@ -100,8 +101,12 @@
 
 impl Bench {
     pub fn new(route: Route, targets: &[Entry]) -> Self {
+        Self::named("near-1", route, targets)
+    }
+
+    pub fn named(name: &str, route: Route, targets: &[Entry]) -> Self {
         let home = Home {
-            name: "near-1".into(),
+            name: name.into(),
             region: "near".into(),
             life: 1,
             row: row("near"),
@@ -169,4 +174,16 @@
         assert_eq!(next, Next::Settled);
         go
     }
+
+    /// Serves an object and others until times are known well, by 20 s. The
+    /// object's target.
+    pub fn learn(&mut self, object: u64) -> String {
+        let first = self.serve(at(0), object, 600 * MS).target;
+        for i in 1..10 {
+            self.serve(at(i * 2_000), object + (i << 32), 600 * MS);
+            let go = self.serve(at(i * 2_000 + 1_000), object, 300 * MS);
+            assert_eq!(go.target, first);
+        }
+        first.as_ref().to_owned()
+    }
 }
--- a/crates/wire/src/near.rs
+++ b/crates/wire/src/near.rs
@@ -8,14 +8,17 @@
 
 use bincode::{DefaultOptions, Options};
 use serde::{Deserialize, Serialize};
-use steer::process::direct::{members, replica};
+use steer::process::direct::{health, members, replica};
 use thiserror::Error;
 
 /// Bytes of a datagram that crosses any network unbroken.
 pub const DATAGRAM: usize = 1200;
 
 /// Targets named in one heartbeat: what fits a datagram beside the rest.
-pub const FLYING_MOST: usize = 80;
+pub const FLYING_MOST: usize = 70;
+
+/// Targets named in one heartbeat that are slow or fail.
+pub const TROUBLES_MOST: usize = 30;
 
 /// Requests named in one heartbeat that broke targets.
 pub const STRUCK_MOST: usize = 16;
@@ -62,6 +65,8 @@
     flying: Vec<(Mark, u8)>,
     held: Vec<(Mark, Mark)>,
     struck: Vec<(Print, u8)>,
+    /// Mark, requests failed, and slowness in eighths.
+    troubles: Vec<(Mark, u8, u8)>,
 }
 
 /// A hash. As bytes, since numbers are written in as few bytes as they need,
@@ -214,6 +219,9 @@
         flying.truncate(FLYING_MOST);
         let mut struck = beat.struck;
         struck.truncate(STRUCK_MOST);
+        let mut troubles = beat.troubles;
+        troubles.truncate(TROUBLES_MOST);
+        let trouble = |t: health::Trouble| (t.mark.to_le_bytes(), t.failed, t.eighths);
         Self {
             name: beat.name.as_ref().to_owned(),
             life: beat.life,
@@ -235,6 +243,7 @@
                 .into_iter()
                 .map(|(r, n)| (r.to_le_bytes(), n))
                 .collect(),
+            troubles: troubles.into_iter().map(trouble).collect(),
         }
     }
 }
@@ -245,6 +254,13 @@
         let mut flying: Vec<(u32, u8)> = beat.flying.into_iter().map(count).collect();
         flying.sort_unstable();
         let held = |(target, object)| (u32::from_le_bytes(target), u32::from_le_bytes(object));
+        let trouble = |(target, failed, eighths)| health::Trouble {
+            mark: u32::from_le_bytes(target),
+            failed,
+            eighths,
+        };
+        let mut troubles: Vec<_> = beat.troubles.into_iter().map(trouble).collect();
+        troubles.sort_unstable();
         let strikes = |(request, strikes)| (u128::from_le_bytes(request), strikes);
         Self {
             name: Arc::from(beat.name),
@@ -257,6 +273,7 @@
             flying,
             held: beat.held.into_iter().map(held).collect(),
             struck: beat.struck.into_iter().map(strikes).collect(),
+            troubles,
         }
     }
 }
--- a/crates/wire/tests/near.rs
+++ b/crates/wire/tests/near.rs
@@ -1,6 +1,7 @@
 //! Heartbeats of instances that steer straight to targets.
 
 use rstest::rstest;
+use steer::process::direct::health::Trouble;
 use steer::process::direct::members::{Beat, Row};
 use wire::near;
 
@@ -27,6 +28,10 @@
         flying: vec![(0xFFFF_0001, 3), (0xFFFF_0002, 1)],
         held: vec![(0xFFFF_0001, 0xABCD_1234); 12],
         struck: vec![(u128::MAX - 1, 2)],
+        troubles: vec![
+            Trouble::failed(0xFFFF_0001),
+            Trouble::slow(0xFFFF_0002, 3.5),
+        ],
     }
 }
 
@@ -55,6 +60,7 @@
         flying: Vec::new(),
         held: Vec::new(),
         struck: Vec::new(),
+        troubles: Vec::new(),
         ..beat()
     };
     let size = near::Beat::from(far).encode().len();
