Let an object have a second target in its region

Cause: an object belongs to one target of a region by hash, and whatever doesn't fit waits for it: work in vain counted five times, 12 s for the longest kind.

Change: the second by hash counts work in vain three times and is taken to be as likely warm as the first, since all instances spill there. Only once times rest on several answers: in the first seconds everything is cold, and each spill is one more cold run.

Test: spill_to_same_second_target fails with one target.

--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -68,7 +68,7 @@
 
 /// Targets of a region that an object belongs to: one, and another for objects
 /// that are asked for more often than one target can bear.
-const PREFERRED: usize = 1;
+const PREFERRED: usize = 2;
 
 /// What work in vain counts at the second of them. All instances spill there, so
 /// the object is cold there once; but while everything is cold, as after a
--- a/crates/steer/tests/direct/place.rs
+++ b/crates/steer/tests/direct/place.rs
@@ -49,6 +49,35 @@
     assert_eq!(go.target, warm);
 }
 
+/// One sheet is asked for more often than a target can bear, and others stand
+/// idle. All instances send what doesn't fit to the same second target: it is
+/// cold there once, instead of at each instance's own choice.
+#[test]
+fn spill_to_same_second_target() {
+    const SENT: u64 = 16;
+    let ids = ["t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"];
+    let targets = ids.map(|id| entry(id, "near-a"));
+    let used = |name: &str| {
+        let mut bench = Bench::named(name, route(), &targets);
+        bench.learn(5);
+        for _ in 0..SENT {
+            bench.arrive(at(21_000), Some(5));
+        }
+        let mut used = Vec::new();
+        for order in bench.direct.step(at(21_000)) {
+            if let Order::Go(go) = order
+                && !used.contains(&go.target)
+            {
+                used.push(go.target);
+            }
+        }
+        used
+    };
+    let one = used("near-1");
+    assert_eq!(one.len(), 2, "{one:?}");
+    assert_eq!(used("near-2"), one);
+}
+
 #[rstest]
 #[case::leaving("leaving")]
 #[case::gone("gone")]
