Send nothing to a target that began to leave before its turn came

Change: what was decided is asked again at the moment of sending. Nothing has been sent then, so any request goes to another target, and it says nothing about the target's health.

Test: withdraw_from_leaving_target, and a case of repeat_unsafe; neither built before. The time between opening a connection and writing to it is left: a few milliseconds within a region.

--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -323,15 +323,18 @@
     ) -> (Next, Option<Response>) {
         let began = self.shared.now();
         let left = limit.since(began);
-        let run = attempt::run(&self.shared, go, &self.whole, left);
-        let ended = self.until(limit, run).await;
-        let (ending, answer, present) = match ended {
-            Some(ended) => (ended.ending, ended.answer, ended.present),
-            None => (Ending::Late, None, None),
+        let (ending, answer, present) = if self.shared.read(|_, d| d.may_send(&go.target)) {
+            let run = attempt::run(&self.shared, go, &self.whole, left);
+            match self.until(limit, run).await {
+                Some(ended) => (ended.ending, ended.answer, ended.present),
+                None => (Ending::Late, None, None),
+            }
+        } else {
+            (Ending::Withdrawn, None, None)
         };
         *may_have_run |= !matches!(
             ending,
-            Ending::Unreached | Ending::NotRun | Ending::Elsewhere
+            Ending::Unreached | Ending::Withdrawn | Ending::NotRun | Ending::Elsewhere
         );
         let next = self.shared.decide(|now, direct| {
             let next = direct.ended(now, go.ticket, ending);
@@ -459,6 +462,7 @@
         Ending::NotRun => "not-run",
         Ending::Elsewhere => "elsewhere",
         Ending::Unreached => "unreached",
+        Ending::Withdrawn => "withdrawn",
         Ending::Broken => "broken",
         Ending::Garbled => "garbled",
         Ending::Late => "late",
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -119,6 +119,8 @@
     Elsewhere,
     /// Nothing was sent.
     Unreached,
+    /// Nothing was sent, as the target had begun to leave before its turn came.
+    Withdrawn,
     /// The connection broke after something was sent.
     Broken,
     /// What came back isn't the answer to this request.
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -418,6 +418,12 @@
     }
 
     /// The target of this name, listed or still at work.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Target> {
+        self.find(id).ok().map(|at| &self.targets[at])
+    }
+
+    /// The same, to change.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut Target> {
         self.find(id).ok().map(|at| &mut self.targets[at])
     }
--- a/crates/steer/src/process/direct/settle.rs
+++ b/crates/steer/src/process/direct/settle.rs
@@ -23,6 +23,15 @@
         }
     }
 
+    /// Whether what was decided to be sent to a target may be sent still. An
+    /// instance that is behind sends long after it has decided, and a target that
+    /// leaves counts on nothing coming after a bounded time.
+    #[must_use]
+    pub fn may_send(&self, target: &str) -> bool {
+        let target = self.roster.get(target);
+        target.is_some_and(|t| t.is_open() && !self.roster.is_evacuated(&t.entry.domain))
+    }
+
     /// An attempt has ended.
     pub fn ended(&mut self, now: Time, ticket: Ticket, ending: Ending) -> Next {
         let Ok(at) = self.find(ticket) else {
@@ -47,7 +56,7 @@
             Ending::Answered if self.work(&self.jobs[at]).sure => {
                 self.note_slow(&target, ratio);
             }
-            Ending::Answered | Ending::NotRun => {}
+            Ending::Answered | Ending::NotRun | Ending::Withdrawn => {}
             _ => self.note_failed(&target),
         }
         if let Some(target) = self.roster.get_mut(&target) {
@@ -66,6 +75,7 @@
                     target.health.failed(now);
                 }
                 Ending::Elsewhere | Ending::Unreached | Ending::Broken => target.unreached(now),
+                Ending::Withdrawn => {}
             }
         }
         if ending == Ending::Answered {
@@ -101,7 +111,7 @@
     fn after_failure(&mut self, now: Time, at: usize, ending: Ending) -> Next {
         let not_run = matches!(
             ending,
-            Ending::NotRun | Ending::Elsewhere | Ending::Unreached
+            Ending::NotRun | Ending::Elsewhere | Ending::Unreached | Ending::Withdrawn
         );
         let job = &mut self.jobs[at];
         job.may_have_run |= !not_run;
@@ -112,7 +122,7 @@
         let time = now + SPARE < job.limit;
         let service = Arc::clone(&job.service);
         let may_have_run = job.may_have_run;
-        let arrived = ending != Ending::Unreached;
+        let arrived = !matches!(ending, Ending::Unreached | Ending::Withdrawn);
         let rule = self.bounds.repeats;
         let instances = self.sharers.len() + 1;
         // What never arrived costs no target anything; the bound is on arrivals.
--- a/crates/steer/tests/direct/place.rs
+++ b/crates/steer/tests/direct/place.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use rstest::rstest;
-use steer::process::direct::{Ending, Order, Why};
+use steer::process::direct::{Ending, Next, Order, Why};
 use steer::version::routes::Route;
 
 use super::bench::{Bench, MS, at, entry, route};
@@ -212,3 +212,35 @@
     assert_eq!(go.ticket, urgent);
     assert_ne!(go.ticket, patient);
 }
+
+/// A request is decided on, and its target announces that it leaves before an
+/// instance that is a second behind has sent it. It must not be sent any more,
+/// and goes to another target, whether it may be repeated or not.
+#[rstest]
+#[case::idempotent(true)]
+#[case::once(false)]
+fn withdraw_from_leaving_target(#[case] idempotent: bool) {
+    let targets = [entry("t1", "near-a"), entry("t2", "near-b")];
+    let route = Route {
+        idempotent,
+        ..route()
+    };
+    let mut bench = Bench::new(route, &targets);
+    let go = bench.send(at(1_000), Some(5));
+    assert!(bench.direct.may_send(&go.target));
+    let left = targets.iter().find(|t| t.id == go.target);
+    let leaving = steer::process::direct::roster::Entry {
+        draining: true,
+        seq: 2,
+        ..left.expect("it was sent to one of them").clone()
+    };
+    bench.direct.roster.put(at(1_200), leaving);
+    assert!(!bench.direct.may_send(&go.target));
+    let next = bench.direct.ended(at(2_400), go.ticket, Ending::Withdrawn);
+    assert_eq!(next, Next::Again);
+    let Some(Order::Go(again)) = bench.order(at(2_400)) else {
+        panic!("there is another target");
+    };
+    assert_ne!(again.target, go.target);
+    assert!(bench.direct.may_send(&again.target));
+}
--- a/crates/steer/tests/direct/repeat.rs
+++ b/crates/steer/tests/direct/repeat.rs
@@ -25,6 +25,7 @@
 #[case::not_run(Ending::NotRun, Next::Again)]
 #[case::elsewhere(Ending::Elsewhere, Next::Again)]
 #[case::unreached(Ending::Unreached, Next::Again)]
+#[case::withdrawn(Ending::Withdrawn, Next::Again)]
 #[case::failed(Ending::Failed, Next::Settled)]
 #[case::broken(Ending::Broken, Next::Settled)]
 #[case::garbled(Ending::Garbled, Next::Settled)]
