Ask neighbours and list the store side by side at a start

Cause: where all instances lose power, those that start find the others' rows still listed and waited up to 0.3 s for each of two neighbours that were starting too, before they listed the store: 0.75 to 1.1 s from the start to the first configuration, in which callers are turned away.

Change: neighbours have 0.15 s ahead, then the store is listed beside them, and what comes first is taken.

--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_lite::future;
 use platform::store::{Changes, Error, Freshness, Listing};
 use platform::{document, entry};
 use steer::process::direct::replica::{Item, Update};
@@ -42,6 +43,10 @@
 /// Instances of the own domain that are asked at the start.
 const ASKED: usize = 2;
 
+/// Time that neighbours have to answer before the store is listed, which is paid
+/// and takes longer.
+const AHEAD: Duration = Duration::from_millis(150);
+
 /// Pause after a start that read the store: where all start together, the rows
 /// that say who reads for whom are written meanwhile.
 const SETTLE: Duration = Duration::from_millis(800);
@@ -82,20 +87,39 @@
 
 impl Reader {
     /// Learns everything for the first time: from an instance of the own domain
-    /// that is in touch, else from the store, else from whoever the settings
-    /// name.
+    /// that is in touch or from the store, whichever is sooner, else from whoever
+    /// the settings name. Callers wait meanwhile, and neighbours that are listed
+    /// may have ended with all the others.
     async fn begin(&mut self) -> bool {
-        for (name, addr) in self.neighbours().await {
-            let fresh = |c: &near::Changes| c.age().is_some_and(|age| age < STALE);
-            if self.ask(addr, Duration::ZERO, fresh).await {
-                self.reads_from(&name);
-                return true;
+        let neighbours = self.neighbours().await;
+        let shared = Arc::clone(&self.shared);
+        let told = async {
+            for (name, addr) in neighbours {
+                if let Some((link, changes)) = first_told(&shared, addr, &self.executor).await {
+                    return First::Told(name, link, changes);
+                }
+            }
+            future::pending().await
+        };
+        let read = async {
+            smol::Timer::after(AHEAD).await;
+            First::Read(list_and_watch(&shared).await)
+        };
+        match future::or(told, read).await {
+            First::Told(name, link, changes) => {
+                self.link = Some(link);
+                if take_changes(&shared, changes) {
+                    self.reads_from(&name);
+                    return true;
+                }
+            }
+            First::Read(read) => {
+                if self.take_all(read) {
+                    self.reads_from("store");
+                    smol::Timer::after(SETTLE).await;
+                    return true;
+                }
             }
-        }
-        if self.read_all().await {
-            self.reads_from("store");
-            smol::Timer::after(SETTLE).await;
-            return true;
         }
         // Better what is a little older than nothing: the store is away.
         let seeds = self.shared.settings.seeds.clone();
@@ -118,7 +142,7 @@
             Err(Error::Lost)
         };
         let list = shared.store.list(member::PREFIX, Freshness::Stale);
-        let Ok(listing) = smol::future::or(list, late).await else {
+        let Ok(listing) = future::or(list, late).await else {
             return Vec::new();
         };
         let row = |item: &platform::store::Item| {
@@ -150,8 +174,7 @@
                 smol::Timer::after(if first { PAUSE } else { PAUSE_OTHERS }).await;
             }
             Upstream::Peer { name, addr } => {
-                let fresh = |c: &near::Changes| c.age().is_some_and(|age| age < STALE);
-                if self.ask(*addr, WAIT_PEER, fresh).await {
+                if self.ask(*addr, WAIT_PEER, is_fresh).await {
                     self.reads_from(name);
                     return;
                 }
@@ -197,10 +220,8 @@
         }
     }
 
-    /// Reads everything from the store: a list that may be old, at a tenth of
-    /// the price, and what has changed since.
-    async fn read_all(&mut self) -> bool {
-        let read = self.list_and_watch().await;
+    /// Takes everything as the store has told it.
+    fn take_all(&mut self, read: Result<(Listing, Changes), Error>) -> bool {
         let Some((listing, changes)) = self.heard(read) else {
             return false;
         };
@@ -215,25 +236,13 @@
         true
     }
 
-    async fn list_and_watch(&self) -> Result<(Listing, Changes), Error> {
-        let store = &self.shared.store;
-        let listing = store.list(ALL, Freshness::Stale).await?;
-        match store.watch(ALL, listing.revision, Duration::ZERO).await {
-            Ok(changes) => Ok((listing, changes)),
-            Err(Error::Compacted) => {
-                let listing = store.list(ALL, Freshness::Latest).await?;
-                Ok((listing, Changes::default()))
-            }
-            Err(error) => Err(error),
-        }
-    }
-
     /// Waits for changes in the store.
     async fn watch(&mut self) -> bool {
         let known = lock(&self.shared.replica).revision();
         let watched = self.shared.store.watch(ALL, known, WAIT).await;
         if let Err(Error::Compacted | Error::Garbled(_)) = watched {
-            return self.read_all().await;
+            let read = list_and_watch(&self.shared).await;
+            return self.take_all(read);
         }
         let Some(changes) = self.heard(watched) else {
             return false;
@@ -267,6 +276,46 @@
     }
 }
 
+/// What came first at a start.
+enum First {
+    /// An instance, by name, has told everything.
+    Told(Arc<str>, Link, near::Changes),
+    /// The store has answered.
+    Read(Result<(Listing, Changes), Error>),
+}
+
+/// Asks an instance for everything; `None` if it gives no answer, or one that
+/// lies behind the store.
+async fn first_told(
+    shared: &Shared,
+    addr: SocketAddr,
+    executor: &Executor,
+) -> Option<(Link, near::Changes)> {
+    let link = Link::open(addr, executor).await?;
+    let known = lock(&shared.replica).revision();
+    let changes = link.changes(known, Duration::ZERO).await?;
+    is_fresh(&changes).then_some((link, changes))
+}
+
+fn is_fresh(changes: &near::Changes) -> bool {
+    changes.revision > 0 && changes.age().is_some_and(|age| age < STALE)
+}
+
+/// Reads everything from the store: a list that may be old, at a tenth of the
+/// price, and what has changed since.
+async fn list_and_watch(shared: &Shared) -> Result<(Listing, Changes), Error> {
+    let store = &shared.store;
+    let listing = store.list(ALL, Freshness::Stale).await?;
+    match store.watch(ALL, listing.revision, Duration::ZERO).await {
+        Ok(changes) => Ok((listing, changes)),
+        Err(Error::Compacted) => {
+            let listing = store.list(ALL, Freshness::Latest).await?;
+            Ok((listing, Changes::default()))
+        }
+        Err(error) => Err(error),
+    }
+}
+
 fn item(item: platform::store::Item) -> Item {
     Item {
         key: item.key.into(),
