Use the field's words: spillover, server, heartbeat, trace

Pace and its wish, lean: Spillover, pressure, position (spillover.rs). door.rs: server.rs, desk.rs: queries.rs, near.rs of the process: heartbeat.rs, story.rs of the report: trace.rs. Nothing decides otherwise.

The code it plays was not touched.

--- a/crates/auburnrouter/src/cmd/report.rs
+++ b/crates/auburnrouter/src/cmd/report.rs
@@ -5,8 +5,8 @@
 use std::path::{Path, PathBuf};
 
 use report::log::Log;
-use report::story::Story;
 use report::tally::Report;
+use report::trace::Trace;
 use report::{plot, table};
 
 use crate::cli::{self, Command, Error, Exit};
@@ -65,14 +65,14 @@
         }
     }
     log.finish();
-    let story = Story::of(&log);
-    if story.requests.is_empty() {
+    let trace = Trace::of(&log);
+    if trace.requests.is_empty() {
         eprintln!(
             "auburnrouter: no line tells of a request; collect the lines of `auburnrouter direct`"
         );
         return Ok(Exit::Refused);
     }
-    let report = Report::of(&log, &story, wish.span);
+    let report = Report::of(&log, &trace, wish.span);
     let printed = if wish.json {
         serde_json::to_string_pretty(&report).map_err(|e| e.to_string())
     } else {
--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -9,15 +9,15 @@
 mod callers;
 mod connection;
 mod date;
-mod desk;
-mod door;
 mod dump;
 mod events;
+mod heartbeat;
 mod listeners;
 mod member;
 mod metrics;
-mod near;
 mod peer;
+mod queries;
+mod server;
 mod socket;
 mod source;
 
@@ -99,7 +99,7 @@
     /// The platform's store.
     store: platform::store::Store,
     /// Callers' open connections.
-    count: door::Count,
+    count: server::Count,
     metrics: metrics::Metrics,
     /// Bytes of callers' bodies that are held.
     bodies: Arc<AtomicUsize>,
@@ -162,7 +162,7 @@
             closing,
             close,
             store: platform::store::Store::new(store, settings.store),
-            count: door::Count::new(door::most(&settings)),
+            count: server::Count::new(server::most(&settings)),
             metrics: metrics::Metrics::new()?,
             bodies: Arc::default(),
             quota: events::Quota::default(),
@@ -372,16 +372,16 @@
             stop.await;
             let told = Instant::now();
             *lock(&shared.phase) = Phase::Leaving;
-            let last = door::last(&shared.settings);
+            let last = server::last(&shared.settings);
             shared.note(|now, direct| direct.stop(now + last));
             events::stopping(&shared);
-            near::farewell(&shared, &listeners.beats).await;
+            heartbeat::farewell(&shared, &listeners.beats).await;
             // The store may be silent, and the grace time runs.
             let leave = async {
                 membership.leave().await;
                 future::pending::<()>().await;
             };
-            future::or(door::drained(&shared, told), leave).await;
+            future::or(server::drained(&shared, told), leave).await;
         }));
         drop(end);
         let joined = thread.join();
@@ -420,7 +420,7 @@
 ) {
     let sockets = [&listeners.ready, &listeners.directory, &listeners.operators];
     for socket in sockets {
-        let serve = desk::serve(Arc::clone(shared), socket.clone(), Arc::clone(control));
+        let serve = queries::serve(Arc::clone(shared), socket.clone(), Arc::clone(control));
         control.spawn(serve).detach();
     }
     let beats = &listeners.beats;
@@ -429,10 +429,10 @@
         .detach();
     control.spawn(Arc::clone(membership).keep()).detach();
     control
-        .spawn(near::hear(Arc::clone(shared), beats.clone()))
+        .spawn(heartbeat::hear(Arc::clone(shared), beats.clone()))
         .detach();
     control
-        .spawn(near::beat(Arc::clone(shared), beats.clone()))
+        .spawn(heartbeat::beat(Arc::clone(shared), beats.clone()))
         .detach();
     control
         .spawn(peer::serve(
--- a/crates/auburnrouter/src/direct/attempt.rs
+++ b/crates/auburnrouter/src/direct/attempt.rs
@@ -15,7 +15,7 @@
 use steer::process::direct::{Ending, Go};
 
 use super::Shared;
-use super::door::Response;
+use super::server::Response;
 
 /// Longest answer that is taken from a target. It is held whole, so that one
 /// that breaks off is never mistaken for a complete one.
--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -22,12 +22,12 @@
 
 use super::attempt::{self, Whole};
 use super::connection::{Arrival, Caller};
-use super::door::{self, Refusal, Response, Service};
 use super::events::Origin;
+use super::server::{self, Refusal, Response, Service};
 use super::{Executor, Shared, events};
 
 /// Bounds before a configuration is known.
-const UNKNOWN: door::Limits = door::Limits {
+const UNKNOWN: server::Limits = server::Limits {
     head: 16 * 1024,
     body: 1024 * 1024,
     whole: Duration::from_secs(5),
@@ -47,7 +47,7 @@
 /// Answers callers on one listener.
 pub async fn serve(shared: Arc<Shared>, socket: net::TcpListener, executor: Executor) {
     let count = shared.count.clone();
-    door::accept(Callers(shared), socket, executor, count).await;
+    server::accept(Callers(shared), socket, executor, count).await;
 }
 
 type Request = hyper::Request<Bytes>;
@@ -58,7 +58,7 @@
 impl Service for Callers {
     type Room = Room;
 
-    fn limits(&self) -> door::Limits {
+    fn limits(&self) -> server::Limits {
         limits(&self.0)
     }
 
@@ -99,7 +99,7 @@
     }
 }
 
-fn limits(shared: &Shared) -> door::Limits {
+fn limits(shared: &Shared) -> server::Limits {
     let found = shared.read(|_, d| d.routes().map(|r| r.limits));
     found.map_or(
         UNKNOWN,
@@ -108,7 +108,7 @@
              body,
              arrive,
              idle,
-         }| door::Limits {
+         }| server::Limits {
             head,
             body,
             whole: arrive,
@@ -414,7 +414,7 @@
             held_ms: held,
         };
         events::own(&self.shared, &given);
-        let mut response = door::empty(status);
+        let mut response = server::empty(status);
         headers::name(response.headers_mut(), self.whole.id.as_ref());
         response
     }
@@ -438,7 +438,7 @@
             held_ms: 0,
         };
         events::own(shared, &given);
-        let mut response = door::empty(status);
+        let mut response = server::empty(status);
         headers::name(response.headers_mut(), id);
         response
     }
--- a/crates/auburnrouter/src/direct/connection.rs
+++ b/crates/auburnrouter/src/direct/connection.rs
@@ -23,7 +23,7 @@
 use smol::net;
 
 use super::date;
-use super::door::{Limits, Refusal, Response, Service};
+use super::server::{Limits, Refusal, Response, Service};
 use super::socket::Socket;
 
 /// Requests of one connection that are here unanswered, each of which may be at
--- a/crates/auburnrouter/src/direct/desk.rs
+++ b/crates/auburnrouter/src/direct/queries.rs
@@ -12,7 +12,7 @@
 use steer::process::direct::members::Row;
 
 use super::connection::{Arrival, Caller};
-use super::door::{self, Limits, Refusal, Response, Service};
+use super::server::{self, Limits, Refusal, Response, Service};
 use super::{Executor, Shared, dump};
 use crate::daemon::{Status, StatusEntry};
 
@@ -34,14 +34,14 @@
 
 /// Answers on one listener.
 pub async fn serve(shared: Arc<Shared>, socket: net::TcpListener, executor: Executor) {
-    let count = door::Count::new(door::most(&shared.settings) / PART);
-    door::accept(Desk(shared), socket, executor, count).await;
+    let count = server::Count::new(server::most(&shared.settings) / PART);
+    server::accept(Queries(shared), socket, executor, count).await;
 }
 
 #[derive(Clone)]
-struct Desk(Arc<Shared>);
+struct Queries(Arc<Shared>);
 
-impl Service for Desk {
+impl Service for Queries {
     type Room = ();
 
     fn limits(&self) -> Limits {
@@ -53,7 +53,7 @@
     }
 
     fn refuse(&self, _caller: Caller, why: Refusal) -> Response {
-        door::empty(why.status())
+        server::empty(why.status())
     }
 
     fn is_idempotent(&self, request: &hyper::Request<Bytes>) -> bool {
@@ -72,8 +72,8 @@
 
 fn answer(shared: &Shared, uri: &Uri) -> Response {
     match directory::call(uri.path(), uri.query()) {
-        Call::Ready if shared.is_ready() => door::empty(StatusCode::OK),
-        Call::Ready => door::empty(StatusCode::SERVICE_UNAVAILABLE),
+        Call::Ready if shared.is_ready() => server::empty(StatusCode::OK),
+        Call::Ready => server::empty(StatusCode::SERVICE_UNAVAILABLE),
         Call::Where(from) => found(shared, &from),
         Call::Unknown => operator(shared, uri.path()),
     }
@@ -85,11 +85,11 @@
         "/metrics" => shared.metrics.print(shared).ok(),
         "/status" => serde_json::to_vec(&status(shared)).ok(),
         "/dump" => serde_json::to_vec(&dump::State::of(shared)).ok(),
-        _ => return door::empty(StatusCode::NOT_FOUND),
+        _ => return server::empty(StatusCode::NOT_FOUND),
     };
     match printed {
         Some(text) => Response::new(Bytes::from(text)),
-        None => door::empty(StatusCode::INTERNAL_SERVER_ERROR),
+        None => server::empty(StatusCode::INTERNAL_SERVER_ERROR),
     }
 }
 
@@ -122,7 +122,7 @@
 fn found(shared: &Shared, from: &Where) -> Response {
     let addresses = addresses(shared, from);
     if addresses.is_empty() {
-        return door::empty(StatusCode::SERVICE_UNAVAILABLE);
+        return server::empty(StatusCode::SERVICE_UNAVAILABLE);
     }
     let lifetime = LIFETIME.min(shared.settings.bounds.lifetime);
     let body = directory::found(&addresses, lifetime.as_secs_f64());
--- a/crates/report/src/tally.rs
+++ b/crates/report/src/tally.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use crate::log::Log;
-use crate::story::{Cause, End, Request, Story};
+use crate::trace::{Cause, End, Request, Trace};
 
 /// What became of a group of requests.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
@@ -181,23 +181,23 @@
 impl Report {
     /// Counts, in spans of `span` seconds.
     #[must_use]
-    pub fn of(log: &Log, story: &Story, span: f64) -> Self {
+    pub fn of(log: &Log, trace: &Trace, span: f64) -> Self {
         let held = |r: &Request| {
-            let goal = story.route(&r.route).map_or(u64::MAX, |r| r.goal_ms);
+            let goal = trace.route(&r.route).map_or(u64::MAX, |r| r.goal_ms);
             #[allow(clippy::cast_precision_loss, reason = "milliseconds of a request")]
             let held = r.held_ms as f64 >= goal as f64 * HELD;
             r.attempts > 0 && held
         };
-        let group = |name: fn(&Request) -> Arc<str>| Group::of(story.requests.iter(), name, held);
+        let group = |name: fn(&Request) -> Arc<str>| Group::of(trace.requests.iter(), name, held);
         let mut all = Tally::default();
-        for request in &story.requests {
+        for request in &trace.requests {
             all.add(request, held(request));
         }
-        let rejected = Cross::of(story.requests.iter().filter_map(|r| match &r.end {
+        let rejected = Cross::of(trace.requests.iter().filter_map(|r| match &r.end {
             End::Rejected(why) => Some((why.to_string(), r.region.to_string())),
             _ => None,
         }));
-        let spans = spans(story, span, &rejected.lines, held);
+        let spans = spans(trace, span, &rejected.lines, held);
         Self {
             unread: log.unread,
             left_out: log.left_out,
@@ -206,13 +206,13 @@
             regions: group(|r| Arc::clone(&r.region)),
             instances: group(|r| Arc::clone(&r.instance)),
             rejected,
-            late: Cross::of(story.requests.iter().filter_map(|r| match r.end {
+            late: Cross::of(trace.requests.iter().filter_map(|r| match r.end {
                 End::Late => Some((r.route.to_string(), word(r.cause).to_owned())),
                 _ => None,
             })),
-            missed: missed(story),
-            places: story.load.places(),
-            shares: shares(story, &spans, span),
+            missed: missed(trace),
+            places: trace.load.places(),
+            shares: shares(trace, &spans, span),
             spans,
         }
     }
@@ -229,8 +229,8 @@
     }
 }
 
-fn missed(story: &Story) -> Cross {
-    Cross::of(story.requests.iter().flat_map(|r| {
+fn missed(trace: &Trace) -> Cross {
+    Cross::of(trace.requests.iter().flat_map(|r| {
         let what = match r.end {
             End::Rejected(_) => "rejected",
             _ => "late",
@@ -243,24 +243,24 @@
 }
 
 fn spans(
-    story: &Story,
+    trace: &Trace,
     span: f64,
     causes: &[String],
     held: impl Fn(&Request) -> bool,
 ) -> Vec<Span> {
     let mut spans: Vec<Span> = Vec::new();
-    let Some(first) = story.requests.first() else {
+    let Some(first) = trace.requests.first() else {
         return spans;
     };
     let start = (first.arrived / span).floor() * span;
-    let places = story.load.places();
-    for request in &story.requests {
+    let places = trace.load.places();
+    for request in &trace.requests {
         let at = index(request.arrived - start, span);
         while spans.len() <= at {
             #[allow(clippy::cast_precision_loss, reason = "spans are few")]
             let from = start + spans.len() as f64 * span;
             let usage = places.iter().map(|(service, region)| {
-                let usage = story.load.usage(service, region, from + span / 2.0);
+                let usage = trace.load.usage(service, region, from + span / 2.0);
                 (usage.flying, usage.slots)
             });
             spans.push(Span {
@@ -280,10 +280,10 @@
     spans
 }
 
-fn shares(story: &Story, spans: &[Span], span: f64) -> Vec<Share> {
+fn shares(trace: &Trace, spans: &[Span], span: f64) -> Vec<Share> {
     let mut shares: Vec<Share> = Vec::new();
     let start = spans.first().map_or(0.0, |s| s.from);
-    for request in story.requests.iter().filter(|r| r.attempts > 0) {
+    for request in trace.requests.iter().filter(|r| r.attempts > 0) {
         let at = match shares.binary_search_by(|s| s.region.cmp(&request.region)) {
             Ok(at) => at,
             Err(at) => {
--- a/crates/report/src/story.rs
+++ b/crates/report/src/trace.rs
@@ -84,7 +84,7 @@
 
 /// All requests, and the load they made.
 #[derive(Debug, Default)]
-pub struct Story {
+pub struct Trace {
     /// By arrival.
     pub requests: Vec<Request>,
     /// Requests in flight and slots, by service and region.
@@ -101,15 +101,15 @@
 /// How much more than the work expected is remarked.
 const SLOW: f64 = 2.0;
 
-impl Story {
+impl Trace {
     /// Lays the lines side by side.
     #[must_use]
     pub fn of(log: &Log) -> Self {
-        let mut story = Self::default();
+        let mut trace = Self::default();
         for entry in &log.entries {
-            story.learn(entry);
+            trace.learn(entry);
         }
-        story.load.settle();
+        trace.load.settle();
         let mut told: Vec<&Entry> = log
             .entries
             .iter()
@@ -117,13 +117,13 @@
             .collect();
         told.sort_by(|a, b| key(a).cmp(&key(b)).then(a.at.total_cmp(&b.at)));
         for lines in told.chunk_by(|a, b| key(a) == key(b) && !key(a).0.is_empty()) {
-            let request = story.request(lines);
-            story.requests.extend(request);
+            let request = trace.request(lines);
+            trace.requests.extend(request);
         }
-        story
+        trace
             .requests
             .sort_by(|a, b| a.arrived.total_cmp(&b.arrived));
-        story
+        trace
     }
 
     fn learn(&mut self, entry: &Entry) {
--- a/crates/report/tests/report.rs
+++ b/crates/report/tests/report.rs
@@ -6,8 +6,8 @@
 
 use report::line::Event;
 use report::log::Log;
-use report::story::{Cause, End, Request, Story};
 use report::tally::Report;
+use report::trace::{Cause, End, Request, Trace};
 use report::{plot, table};
 use rstest::rstest;
 
@@ -31,16 +31,16 @@
     });
     let first = only.map(|e| e.at).fold(f64::INFINITY, f64::min);
     assert!(first.is_finite(), "no line tells of {id}");
-    let story = Story::of(&log);
-    let found = story.requests.iter().find(|r| *r.id == *id);
+    let trace = Trace::of(&log);
+    let found = trace.requests.iter().find(|r| *r.id == *id);
     found.expect("each request has its end").clone()
 }
 
 #[test]
 fn print_tables() {
     let log = read(&["collected"]);
-    let story = Story::of(&log);
-    let report = Report::of(&log, &story, 2.0);
+    let trace = Trace::of(&log);
+    let report = Report::of(&log, &trace, 2.0);
     let printed = table::print(&report).expect("text can be written");
     let path = Path::new("tests/logs/collected.txt");
     if std::env::var_os("REWRITE").is_some() {
@@ -57,7 +57,7 @@
     let collected = read(&["collected"]);
     let apart = read(&["a-1", "b-1"]);
     let tables = |log: &Log| {
-        let report = Report::of(log, &Story::of(log), 2.0);
+        let report = Report::of(log, &Trace::of(log), 2.0);
         (report.all, report.regions.names, report.late, report.missed)
     };
     assert_eq!(tables(&collected), tables(&apart));
@@ -89,7 +89,7 @@
 #[test]
 fn draw_plots() {
     let log = read(&["collected"]);
-    let report = Report::of(&log, &Story::of(&log), 2.0);
+    let report = Report::of(&log, &Trace::of(&log), 2.0);
     let folder = std::env::temp_dir().join(format!("auburnrouter-plots-{}", std::process::id()));
     fs::create_dir_all(&folder).expect("the temporary place is writable");
     let files = plot::draw(&report, &folder).expect("the folder is there");
@@ -118,7 +118,7 @@
 #[test]
 fn name_folder_that_cannot_be_drawn_into() {
     let log = read(&["collected"]);
-    let report = Report::of(&log, &Story::of(&log), 2.0);
+    let report = Report::of(&log, &Trace::of(&log), 2.0);
     let error = plot::draw(&report, Path::new("/nowhere/at/all"));
     let text = error.expect_err("there is no such folder").to_string();
     assert!(text.contains("/nowhere/at/all"), "{text}");
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -21,11 +21,11 @@
 mod line;
 pub mod members;
 mod message;
-pub mod pace;
 pub mod place;
 pub mod replica;
 pub mod roster;
 mod settle;
+pub mod spillover;
 pub mod split;
 pub mod upstream;
 
@@ -47,8 +47,8 @@
 use learn::Learnt;
 use levers::{Lever, Levers};
 use members::Members;
-use pace::Pace;
 use roster::Roster;
+use spillover::Spillover;
 use split::Splits;
 use upstream::Failed;
 
@@ -64,7 +64,7 @@
     learnt: Learnt,
     splits: Splits,
     budgets: Vec<(Arc<str>, Budget)>,
-    paces: Vec<(Arc<str>, Pace)>,
+    spillovers: Vec<(Arc<str>, Spillover)>,
     members: Members,
     store: Touch,
     /// Where not to read from for a while.
@@ -112,7 +112,7 @@
             learnt: Learnt::default(),
             splits: Splits::default(),
             budgets: Vec::new(),
-            paces: Vec::new(),
+            spillovers: Vec::new(),
             members: Members::default(),
             store: Touch::default(),
             failed: Failed::default(),
@@ -169,8 +169,8 @@
     /// The share of each service's requests that runs in other regions.
     #[must_use]
     pub fn elsewhere(&self) -> Vec<(Arc<str>, f64)> {
-        let share = |p: &(Arc<str>, Pace)| (Arc::clone(&p.0), p.1.share());
-        self.paces.iter().map(share).collect()
+        let share = |p: &(Arc<str>, Spillover)| (Arc::clone(&p.0), p.1.share());
+        self.spillovers.iter().map(share).collect()
     }
 
     /// Requests that wait for a target.
--- a/crates/steer/src/process/direct/line.rs
+++ b/crates/steer/src/process/direct/line.rs
@@ -10,7 +10,7 @@
 use super::job::{Job, State};
 use super::levers::Lever;
 use super::message::{Go, Order, Ticket, Why};
-use super::pace::Pace;
+use super::spillover::Spillover;
 use super::{Direct, SPARE, place, unit};
 use crate::clock::Time;
 
@@ -174,24 +174,24 @@
 
     /// Decides in which region a request is to run.
     fn choose_side(&mut self, now: Time, at: usize) {
-        let (wish, lean) = self.wish(now, &self.jobs[at]);
+        let (pressure, position) = self.pressure(now, &self.jobs[at]);
         let service = Arc::clone(&self.jobs[at].service);
         let has = |lever| self.levers.has(lever);
-        let wish = wish.filter(|_| has(Lever::Elsewhere));
+        let pressure = pressure.filter(|_| has(Lever::Elsewhere));
         let start = has(Lever::Start);
         let used = self.used(now, &service);
-        let side = wish.is_some_and(|wish| {
+        let side = pressure.is_some_and(|pressure| {
             let share = if start { self.lacking(&service) } else { 0.0 };
             let bound = self.bounds.shift;
-            let paces = &mut self.paces;
-            let at = match paces.binary_search_by(|p| p.0.cmp(&service)) {
+            let spillovers = &mut self.spillovers;
+            let at = match spillovers.binary_search_by(|p| p.0.cmp(&service)) {
                 Ok(at) => at,
                 Err(at) => {
-                    paces.insert(at, (service, Pace::new(bound, share)));
+                    spillovers.insert(at, (service, Spillover::new(bound, share)));
                     at
                 }
             };
-            paces[at].1.next(now, wish, used, lean)
+            spillovers[at].1.next(now, pressure, used, position)
         });
         self.jobs[at].elsewhere = Some(side);
     }
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -98,29 +98,29 @@
     }
 
     /// Whether a request would be better off in another region, and how its
-    /// object leans. `None` if it has no choice.
+    /// object stands among them. `None` if it has no choice.
     ///
     /// Only a wait that is longer than the way there counts: a request that is
     /// late because its object is cold is as late elsewhere, and leaves its
     /// object cold in two regions.
-    pub(super) fn wish(&self, now: Time, job: &Job) -> (Option<bool>, f64) {
-        let lean = match job.ask.object {
+    pub(super) fn pressure(&self, now: Time, job: &Job) -> (Option<bool>, f64) {
+        let position = match job.ask.object {
             Some(object) => unit(hash(&object.to_le_bytes())),
             None => 0.5,
         };
         let near = self.best(now, job, true);
         let far = self.best(now, job, false);
         let (Some(near), Some(far)) = (near, far) else {
-            return (None, lean);
+            return (None, position);
         };
         let goal = job.ask.route.goal.as_secs_f64();
         let late = near.cost > goal;
         let gain = far.cost <= goal || far.cost * FAR_GAIN < near.cost;
-        (Some(late && near.wait > FAR && gain), lean)
+        (Some(late && near.wait > FAR && gain), position)
     }
 
     /// The share of a service's requests that this region lacks room for, if
-    /// all regions had the same traffic. Where the pace starts.
+    /// all regions had the same traffic. Where the spillover starts.
     pub(super) fn lacking(&self, service: &str) -> f64 {
         let mut slots: Vec<(&str, f64)> = Vec::new();
         for (_, target) in self.roster.of(service) {
--- a/crates/steer/src/process/direct/pace.rs
+++ b/crates/steer/src/process/direct/spillover.rs
@@ -8,7 +8,7 @@
 //! better off elsewhere, falls while none would and the own region has room for
 //! all of its requests, and requests follow it one by one, wanted or not.
 //!
-//! Invariant: the share moves by at most [`Pace::rate`] a second, and the
+//! Invariant: the share moves by at most [`Spillover::rate`] a second, and the
 //! requests sent elsewhere stay within [`BAND`] and one of it.
 
 use core::time::Duration;
@@ -23,8 +23,8 @@
 /// Window of the operator's bound.
 const WINDOW: Duration = Duration::from_secs(2);
 
-/// Time over which wishes are averaged.
-const WISH: Duration = Duration::from_millis(1500);
+/// Time over which the pressure is averaged.
+const SMOOTH: Duration = Duration::from_millis(1500);
 
 /// How far requests may run ahead of the share or lag behind it, so that the
 /// same objects go elsewhere time and again: they are warm there.
@@ -58,23 +58,23 @@
 
 /// The share of one service's requests that runs in other regions.
 #[derive(Clone, Copy, Debug)]
-pub struct Pace {
+pub struct Spillover {
     rate: f64,
     share: f64,
-    wish: f64,
+    pressure: f64,
     used: f64,
     credit: f64,
     at: Option<Time>,
 }
 
-impl Pace {
+impl Spillover {
     /// Starts at `share`; `bound` is the largest change of it in a window.
     #[must_use]
     pub fn new(bound: f64, share: f64) -> Self {
         Self {
             rate: bound * PART / WINDOW.as_secs_f64(),
             share,
-            wish: WANTED,
+            pressure: WANTED,
             used: 0.0,
             credit: 0.5,
             at: None,
@@ -92,32 +92,32 @@
         self.share
     }
 
-    /// Whether the next request runs elsewhere. `wish`: it would be better off.
-    /// `used`: part of the own region's slots in use. `lean`, from 0 to 1, is the
+    /// Whether the next request runs elsewhere. `pressure`: it would be better off so.
+    /// `used`: part of the own region's slots in use. `position`, from 0 to 1, is the
     /// same for all requests of an object: low ones go first.
-    pub fn next(&mut self, now: Time, wish: bool, used: f64, lean: f64) -> bool {
-        self.follow(now, wish, used);
+    pub fn next(&mut self, now: Time, pressure: bool, used: f64, position: f64) -> bool {
+        self.follow(now, pressure, used);
         self.credit += self.share;
         let ahead = self.credit >= 1.0 + BAND;
         let open = self.credit >= 1.0 - BAND && self.share > 0.0;
-        let elsewhere = ahead || (open && lean <= self.share);
+        let elsewhere = ahead || (open && position <= self.share);
         if elsewhere {
             self.credit -= 1.0;
         }
         elsewhere
     }
 
-    fn follow(&mut self, now: Time, wish: bool, used: f64) {
+    fn follow(&mut self, now: Time, pressure: bool, used: f64) {
         let passed = self.at.map_or(0.0, |at| now.since(at).as_secs_f64());
         self.at = Some(now);
-        let weight = (passed / WISH.as_secs_f64()).min(0.2);
-        self.wish += (f64::from(u8::from(wish)) - self.wish) * weight;
+        let weight = (passed / SMOOTH.as_secs_f64()).min(0.2);
+        self.pressure += (f64::from(u8::from(pressure)) - self.pressure) * weight;
         self.used += (used - self.used) * weight;
         let fits = ((FULL - self.demand()) / (FULL - FITS)).clamp(0.0, 1.0);
-        let pull = if self.wish > WANTED {
-            ((self.wish - WANTED) / STEEP).min(1.0)
+        let pull = if self.pressure > WANTED {
+            ((self.pressure - WANTED) / STEEP).min(1.0)
         } else {
-            fits * (self.wish - WANTED) / WANTED
+            fits * (self.pressure - WANTED) / WANTED
         };
         self.share = (self.share + pull * self.rate * passed).clamp(0.0, MOST);
     }
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -13,8 +13,6 @@
 mod health;
 #[path = "direct/members.rs"]
 mod members;
-#[path = "direct/pace.rs"]
-mod pace;
 #[path = "direct/place.rs"]
 mod place;
 #[path = "direct/repeat.rs"]
@@ -25,6 +23,8 @@
 mod roster;
 #[path = "direct/routes.rs"]
 mod routes;
+#[path = "direct/spillover.rs"]
+mod spillover;
 #[path = "direct/stop.rs"]
 mod stop;
 #[path = "direct/upstream.rs"]
--- a/crates/steer/tests/direct/pace.rs
+++ b/crates/steer/tests/direct/spillover.rs
@@ -1,23 +1,23 @@
 //! The share of requests that runs in other regions.
 
 use rstest::rstest;
-use steer::process::direct::pace::Pace;
+use steer::process::direct::spillover::Spillover;
 
 use super::bench::at;
 
 const BOUND: f64 = 0.15;
 
-/// Requests of one instance, 50 a second for 40 s, that wish to run
-/// elsewhere between 5 and 15 s; true where one does. Objects lean as their
+/// Requests of one instance, 50 a second for 40 s, that would be better off
+/// elsewhere between 5 and 15 s; true where one does. Objects stand as their
 /// numbers fall.
 fn run(share: f64) -> Vec<bool> {
-    let mut pace = Pace::new(BOUND, share);
+    let mut spillover = Spillover::new(BOUND, share);
     (0..2_000_u64)
         .map(|i| {
             let millis = i * 20;
-            let wish = (5_000..15_000).contains(&millis);
-            let lean = f64::from(u32::try_from(i * 7 % 24).unwrap_or_default()) / 24.0;
-            pace.next(at(millis), wish, 0.0, lean)
+            let pressure = (5_000..15_000).contains(&millis);
+            let position = f64::from(u32::try_from(i * 7 % 24).unwrap_or_default()) / 24.0;
+            spillover.next(at(millis), pressure, 0.0, position)
         })
         .collect()
 }
@@ -42,7 +42,10 @@
 fn follow_wishes() {
     let picks = run(0.0);
     let last = picks[650..750].iter().filter(|p| **p).count();
-    assert!(last >= 15, "only {last} of 100 after ten seconds of wishes");
+    assert!(
+        last >= 15,
+        "only {last} of 100 after ten seconds of pressure"
+    );
     let end = picks[1_900..].iter().filter(|p| **p).count();
     assert!(end <= 5, "still {end} of 100 23 s after them");
 }
@@ -55,14 +58,14 @@
 #[case::no_room(0.5, 0.45)]
 #[case::room(0.25, 0.0)]
 fn fall_if_home_has_room(#[case] used: f64, #[case] least: f64) {
-    let mut pace = Pace::new(BOUND, 0.5);
+    let mut spillover = Spillover::new(BOUND, 0.5);
     for i in 0..1_000_u64 {
-        let lean = f64::from(u32::try_from(i * 7 % 24).unwrap_or_default()) / 24.0;
+        let position = f64::from(u32::try_from(i * 7 % 24).unwrap_or_default()) / 24.0;
         // As requests come home they take their slots there.
-        let used = used * (1.0 - pace.share()) / 0.5;
-        pace.next(at(i * 20), false, used, lean);
+        let used = used * (1.0 - spillover.share()) / 0.5;
+        spillover.next(at(i * 20), false, used, position);
     }
-    let share = pace.share();
+    let share = spillover.share();
     assert!(
         share >= least && share <= least + 0.1,
         "the share is {share:.2}"
@@ -76,18 +79,18 @@
 #[test]
 fn rise_until_few_are_late() {
     let fits = 0.5;
-    let mut pace = Pace::new(BOUND, 0.0);
+    let mut spillover = Spillover::new(BOUND, 0.0);
     let mut late = 0;
     for i in 0..2_000_u64 {
         // What stays beyond what fits is late, evenly spread.
-        let home = 1.0 - pace.share();
+        let home = 1.0 - spillover.share();
         let part = ((home - fits) / home).max(0.0);
-        let wish = (f64::from(u32::try_from(i * 61 % 100).unwrap_or_default()) / 100.0) < part;
-        let lean = f64::from(u32::try_from(i * 7 % 24).unwrap_or_default()) / 24.0;
-        let elsewhere = pace.next(at(i * 20), wish, home, lean);
-        late += usize::from(i >= 1_500 && wish && !elsewhere);
+        let pressure = (f64::from(u32::try_from(i * 61 % 100).unwrap_or_default()) / 100.0) < part;
+        let position = f64::from(u32::try_from(i * 7 % 24).unwrap_or_default()) / 24.0;
+        let elsewhere = spillover.next(at(i * 20), pressure, home, position);
+        late += usize::from(i >= 1_500 && pressure && !elsewhere);
     }
     assert!(late <= 50, "{late} of the last 500 are late at home");
-    let share = pace.share();
+    let share = spillover.share();
     assert!((0.4..0.6).contains(&share), "the share is {share:.2}");
 }
