Keep a process's first callers until it knows a configuration, for 0.6 s

Change: nothing is accepted before a configuration is known, for 0.6 s from the start at most; after that callers are told to come back as before.

Test: keep_caller_during_start (soon) fails without it.

With it: the report finds a free slot by one target of a region, not by all.

--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -44,12 +44,33 @@
 /// past its route's timeout: none.
 const PATIENCE: Duration = Duration::from_hours(1);
 
+/// Time from the start for which callers wait to be accepted while no
+/// configuration is known. Where all instances start together, each caller that
+/// is turned away has used up its retry by the time the first one is ready, and
+/// all come back at the same moment.
+const START: Duration = Duration::from_millis(600);
+
 /// Answers callers on one listener.
 pub async fn serve(shared: Arc<Shared>, socket: net::TcpListener, executor: Executor) {
+    let late = async {
+        smol::Timer::after(START).await;
+    };
+    future::or(configured(&shared), late).await;
     let count = shared.count.clone();
     server::accept(Callers(shared), socket, executor, count).await;
 }
 
+/// Ends when a configuration is known.
+async fn configured(shared: &Shared) {
+    loop {
+        let told = shared.told.listen();
+        if shared.read(|_, d| d.routes().is_some()) {
+            return;
+        }
+        told.await;
+    }
+}
+
 type Request = hyper::Request<Bytes>;
 
 #[derive(Clone)]
--- a/crates/auburnrouter/tests/direct/follow.rs
+++ b/crates/auburnrouter/tests/direct/follow.rs
@@ -323,6 +323,28 @@
     assert!(first.contains("\"version\":9"), "{first}");
 }
 
+/// A caller comes while a process starts. It isn't turned away for want of a
+/// configuration that is there a moment later; one that stays away is said so.
+#[rstest]
+#[case::soon(Mode::Up)]
+#[case::never(Mode::Busy)]
+fn keep_caller_during_start(#[case] mode: Mode) {
+    const HELD_MS: u64 = 500;
+    let bench = Bench::start(1);
+    bench.store.set(mode);
+    let late = Entry::start("far-1", "far-a", bench.store.addr(), &[]);
+    let answer = late.send("GET", "/view/x", "r1", "");
+    if mode == Mode::Busy {
+        assert_eq!(answer.status, 503);
+        assert!(answer.header("retry-after").is_some(), "{answer:?}");
+        return;
+    }
+    let line = await_line(&late, "\"event\":\"config\"");
+    let line: serde_json::Value = serde_json::from_str(&line).expect("a line is JSON");
+    let soon = line["at_ms"].as_u64().is_some_and(|at| at < HELD_MS);
+    assert!(answer.status == 200 || !soon, "{answer:?}, {line}");
+}
+
 /// A process starts in a domain where others know everything, and the store is
 /// slow to list it: it learns from one of them and serves at once.
 #[test]
--- a/crates/report/src/load.rs
+++ b/crates/report/src/load.rs
@@ -97,12 +97,19 @@
         at.ok().map(|at| &self.targets[at].region)
     }
 
-    /// Regions in which a service has a free slot.
+    /// Regions in which a service has a free slot, each once.
     pub(crate) fn free(&self, service: &str, at: f64) -> Vec<Arc<str>> {
-        let free = self.targets.iter().filter(|t| {
-            *t.service == *service && t.is_usable(at) && t.flying(at) < t.slots as usize
-        });
-        free.map(|t| Arc::clone(&t.region)).collect()
+        let mut found: Vec<Arc<str>> = Vec::new();
+        for target in self.targets.iter().filter(|t| *t.service == *service) {
+            // Asked for each late request: one target of a region is enough.
+            if found.contains(&target.region) {
+                continue;
+            }
+            if target.is_usable(at) && target.flying(at) < target.slots as usize {
+                found.push(Arc::clone(&target.region));
+            }
+        }
+        found
     }
 
     /// Services and regions that there are, in order.
