Spread tokens that nobody wants, tell only what changed, ask at once

Cause: requests of small teams waited 27 to 60 ms for a token (a quarter of them): a request that began to wait while a report was being sent was overheard, and tokens lay idle where no demand was. The first requests of a team that was idle had to ask across regions. A holder dropped tokens that nobody else needed.

Change: what nobody wants is spread over all; who hands out says how many may be held; a report names what changed by a third, or is low; a request that begins to wait is told at once. The route's priority decides among requests of teams of one priority.

--- a/crates/auburnrouter/src/direct/heartbeat.rs
+++ b/crates/auburnrouter/src/direct/heartbeat.rs
@@ -74,18 +74,17 @@
 }
 
 /// Shortest time between two reports of teams' tokens.
-const URGENT: Duration = Duration::from_millis(20);
+const URGENT: Duration = Duration::from_millis(5);
 
 /// Reports teams' tokens until the process ends, and at once when a request
 /// waits for one.
 pub async fn report(shared: Arc<Shared>, socket: net::UdpSocket) {
     loop {
-        let asked = shared.asking.listen();
         let pace = shared.read(|_, d| d.report_pace());
         let due = async {
             smol::Timer::after(pace).await;
         };
-        future::or(asked, due).await;
+        future::or(shared.asked(), due).await;
         let due = {
             let mut steering = lock(&shared.steering);
             let now = shared.now();
--- a/crates/auburnrouter/src/direct/shared.rs
+++ b/crates/auburnrouter/src/direct/shared.rs
@@ -48,6 +48,8 @@
     pub(super) told: Event,
     /// Told when a request begins to wait for its team's quota.
     pub(super) asking: Event,
+    /// Whether one has, since that was last looked at.
+    urgent: AtomicBool,
     pub(super) packed: peer::Packed,
     /// Whether the store has taken this instance's row away.
     pub(super) unlisted: AtomicBool,
@@ -118,6 +120,7 @@
             replica: Mutex::default(),
             told: Event::new(),
             asking: Event::new(),
+            urgent: AtomicBool::new(false),
             packed: peer::Packed::default(),
             unlisted: AtomicBool::new(false),
             waiting,
@@ -174,6 +177,7 @@
         let urgent = steering.direct.take_urgent();
         drop(steering);
         if urgent {
+            self.urgent.store(true, Ordering::Relaxed);
             self.asking.notify(1);
         }
         if waiting {
@@ -204,6 +208,15 @@
         self.unlisted.store(!listed, Ordering::Relaxed);
     }
 
+    /// Ends when a request waits for its team's quota.
+    pub(super) async fn asked(&self) {
+        let asked = self.asking.listen();
+        if !self.urgent.swap(false, Ordering::Relaxed) {
+            asked.await;
+            self.urgent.store(false, Ordering::Relaxed);
+        }
+    }
+
     /// Whether the store has taken the row away since it was last asked.
     pub(super) fn take_unlisted(&self) -> bool {
         self.unlisted.swap(false, Ordering::Relaxed)
--- a/crates/steer/src/process/direct/line.rs
+++ b/crates/steer/src/process/direct/line.rs
@@ -36,14 +36,14 @@
     /// Decides on everything that waits. To be called after each event, and at
     /// the latest after [`TICK`] while something waits.
     pub fn step(&mut self, now: Time) -> Vec<Order> {
-        let mut order: Vec<(u32, bool, Time, Ticket)> = Vec::new();
+        let mut order: Vec<((u32, u32), bool, Time, Ticket)> = Vec::new();
         for job in &self.jobs {
             if matches!(job.state, State::Waiting) {
                 let late = now > job.objective();
                 let priority = if self.levers.has(Lever::Priority) {
                     job.ask.priority()
                 } else {
-                    0
+                    (0, 0)
                 };
                 let rank = (priority, late, job.objective(), job.ticket);
                 order.push(rank);
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -62,11 +62,13 @@
 }
 
 impl Ask {
-    /// Rank among the requests of a service; 0 is the most urgent.
+    /// Rank among the requests of a service, (0, 0) the most urgent: the team's
+    /// goes before the route's, and the route's decides among equals.
     #[must_use]
-    pub fn priority(&self) -> u32 {
+    pub fn priority(&self) -> (u32, u32) {
         let team = self.pass.as_ref().and_then(|pass| pass.team.priority);
-        team.unwrap_or(self.route.priority)
+        let route = self.route.priority;
+        (team.unwrap_or(route), route)
     }
 
     /// Whether a region may serve it: the homes of route and team both bind.
--- a/crates/steer/src/process/direct/quota.rs
+++ b/crates/steer/src/process/direct/quota.rs
@@ -24,7 +24,6 @@
 use super::message::{Admission, Why};
 use super::{Direct, cold, hash, members};
 use crate::clock::Time;
-use crate::version::routes::Routes;
 use crate::version::teams::{Quota, Team};
 
 /// What the operator allows beyond a quota.
@@ -61,14 +60,19 @@
     }
 }
 
-/// The terms of a team's bucket.
-fn terms(routes: Option<&Routes>, rule: Rule, team: u64) -> Option<pool::Terms> {
-    let teams = routes?.teams.all();
-    let team = teams.iter().find(|t| mark(&t.name) == team)?;
-    team.quota.map(|quota| pool::Terms {
-        rate: rule.rate(&quota),
-        capacity: rule.capacity(&quota),
-    })
+/// The terms of all teams' buckets, sorted by mark.
+fn all_terms(teams: &[Arc<Team>], rule: Rule) -> Vec<(u64, pool::Terms)> {
+    let of = |team: &Arc<Team>| {
+        let quota = team.quota?;
+        let bucket = pool::Terms {
+            rate: rule.rate(&quota),
+            capacity: rule.capacity(&quota),
+        };
+        Some((mark(&team.name), bucket))
+    };
+    let mut all: Vec<_> = teams.iter().filter_map(of).collect();
+    all.sort_unstable_by_key(|(team, _)| *team);
+    all
 }
 
 impl Rule {
@@ -171,6 +175,8 @@
     pub team: u64,
     /// Tokens handed out to this instance in this spell.
     pub total: u32,
+    /// Tokens that it may hold; those beyond are dropped, as others need them.
+    pub keep: u32,
     /// Tokens that come to this instance in a thousand seconds.
     pub share: u32,
     /// Whether there are none left for it.
@@ -189,6 +195,8 @@
 /// Quotas as one instance keeps them.
 #[derive(Debug, Default)]
 pub(super) struct Quotas {
+    /// Sorted by team's mark.
+    terms: Vec<(u64, pool::Terms)>,
     /// Tokens that it holds, and whom it asks for more in its region.
     stock: stock::Stock,
     near: link::Link,
@@ -207,8 +215,7 @@
     /// Whether any team has a quota.
     #[must_use]
     pub fn has_quotas(&self) -> bool {
-        let routes = self.routes.as_ref();
-        routes.is_some_and(|r| r.teams.all().iter().any(|t| t.quota.is_some()))
+        !self.quotas.terms.is_empty()
     }
 
     /// Whether a request has begun to wait for a token since this was asked.
@@ -236,11 +243,10 @@
         };
         let first = job.admission == Admission::New;
         let arrived = job.arrived;
-        let share = self.share(&team, &quota);
-        let verdict = self
-            .quotas
-            .stock
-            .take(now, &team.name, first, arrived, share);
+        let alone = self.quotas.stock.is_alone(now);
+        let share = alone.then(|| self.share(&team, &quota));
+        let stock = &mut self.quotas.stock;
+        let verdict = stock.take(now, &team.name, first, arrived, share);
         let job = &mut self.jobs[at];
         match verdict {
             stock::Verdict::Admitted => {
@@ -314,13 +320,10 @@
                 _ => {}
             }
         }
-        let fit = |mark| {
-            let teams = routes.teams.all().iter();
-            teams
-                .filter(|t| t.quota.is_some())
-                .any(|t| self::mark(&t.name) == mark)
-        };
-        self.quotas.stock.retain(fit);
+        let terms = all_terms(routes.teams.all(), rule);
+        let marks: Vec<u64> = terms.iter().map(|(team, _)| *team).collect();
+        self.quotas.stock.keep_teams(&marks);
+        self.quotas.terms = terms;
     }
 
     /// What is to be told about tokens now, and to whom. What this instance itself
@@ -342,8 +345,7 @@
         let mut due: Vec<Due> = self.address(now, own).into_iter().collect();
         let quotas = &mut self.quotas;
         if quotas.region.is_asked(now) {
-            let teams = self.routes.iter().flat_map(|r| r.teams.all());
-            let teams = teams.filter(|t| t.quota.is_some()).map(|t| mark(&t.name));
+            let teams = quotas.terms.iter().map(|(team, _)| *team);
             let needs = quotas.region.needs(now, teams);
             let count = quotas.region.count(now);
             let upper = quotas.upper.report_for(now, name, life, &needs, count);
@@ -391,6 +393,7 @@
             region,
             upper,
             fleet: all,
+            terms,
             urgent,
             ..
         } = &mut self.quotas;
@@ -402,9 +405,10 @@
         let part = pool.part(now, count);
         let mut given = Vec::new();
         for need in report.needs {
-            let Some(terms) = terms(self.routes.as_deref(), self.bounds.quota, need.team) else {
+            let Ok(found) = terms.binary_search_by_key(&need.team, |(team, _)| *team) else {
                 continue;
             };
+            let terms = terms[found].1;
             if alone {
                 pool.accrue(now, need.team, part, &terms);
                 let (capacity, rate) = (terms.capacity * part, terms.rate * part);
@@ -415,7 +419,7 @@
             let capacity = pool.add(now, need.team, new.tokens);
             let mut part = pool.give(now, at, &need, (level, capacity, new.rate));
             // What a region can't give is asked for at once.
-            *urgent |= part.dry || pool.is_low(need.team, capacity);
+            *urgent |= part.dry;
             part.dry &= new.dry;
             given.push(part);
         }
@@ -435,6 +439,11 @@
         // What was asked for before this incarnation was known has to be asked for
         // again.
         quotas.urgent |= stock.receive(now, grant);
+        if grant.level == Level::Fleet {
+            for given in &grant.given {
+                quotas.region.trim(now, given.team, given.keep);
+            }
+        }
     }
 
     /// Finds whom to ask: the first by hash of the region and of the fleet, of
--- a/crates/steer/src/process/direct/quota/pool.rs
+++ b/crates/steer/src/process/direct/quota/pool.rs
@@ -212,8 +212,12 @@
         let wanted: f64 = self.held(now, need.team).map(|held| held.want).sum();
         let want = f64::from(need.want) / PARTS;
         let reserve = capacity * reserve(level);
-        // Where less is there than all want, each gets its part of it.
-        let fair = want * ((capacity - reserve) / wanted.max(1.0)).min(1.0);
+        // Where less is there than all want, each gets its part of it; what nobody
+        // wants is spread over all, or the first requests of a team that was idle
+        // would have to wait.
+        let rest = (capacity - reserve - wanted).max(0.0);
+        let spread = rest / f64::from(self.count(now).max(1)) * f64::from(self.clients[at].counted);
+        let fair = want * ((capacity - reserve) / wanted.max(1.0)).min(1.0) + spread;
         let here = self.tokens(need.team);
         let held = self.clients[at].ensure(need.team);
         let ahead = (fair - held.tokens).min(here - reserve);
@@ -230,14 +234,19 @@
         Given {
             team: need.team,
             total,
+            keep: whole(fair.ceil()).saturating_add(1),
             share: whole(share * 1000.0),
             dry: unmet >= 1.0,
         }
     }
 
-    /// Whether less is left here than is kept for requests that wait.
-    pub fn is_low(&self, team: u64, capacity: f64) -> bool {
-        self.tokens(team) < capacity * RESERVE_REGION * 0.5
+    /// Drops what is here of a team's tokens beyond what may be held in all.
+    pub fn trim(&mut self, now: Time, team: u64, keep: u32) {
+        let room = (f64::from(keep) - self.out(now, team)).max(0.0);
+        if let Ok(at) = self.find(team) {
+            let bucket = &mut self.buckets[at];
+            bucket.tokens = bucket.tokens.min(room);
+        }
     }
 
     /// Tokens at those who report, and on the way there.
--- a/crates/steer/src/process/direct/quota/stock.rs
+++ b/crates/steer/src/process/direct/quota/stock.rs
@@ -19,9 +19,6 @@
 /// Time over which the rate of requests is averaged, in seconds.
 const AVERAGE: f64 = 4.0;
 
-/// How many times as many tokens as are wanted are kept.
-const SURPLUS: f64 = 1.5;
-
 /// Requests a second below which no tokens are held.
 const IDLE: f64 = 0.05;
 
@@ -43,6 +40,10 @@
 /// count for another window.
 const RETURN: Duration = Duration::from_secs(1);
 
+/// What is held or wanted is told when it has changed by more than one part in so
+/// many.
+const DRIFT: u32 = 3;
+
 /// Every how many reports tell of all teams.
 const WHOLE: u64 = 8;
 
@@ -102,8 +103,8 @@
     share: f64,
     /// When this instance last filled its own part.
     filled: Option<Time>,
-    /// Tokens held and wanted as last told.
-    told: (u32, u32),
+    /// Tokens held and wanted as last told in this spell.
+    told: Option<(u32, u32)>,
 }
 
 /// All tokens of an instance.
@@ -127,22 +128,21 @@
 
 impl Stock {
     /// Takes a token for a request of this team; `first`: whether it has just
-    /// come. It arrived at `arrived`.
+    /// come. It arrived at `arrived`. Without a pool, tokens come by this instance's
+    /// own `share`.
     pub fn take(
         &mut self,
         now: Time,
         team: &str,
         first: bool,
         arrived: Time,
-        share: Share,
+        share: Option<Share>,
     ) -> Verdict {
-        let alone = self.is_alone(now);
         let account = self.account(mark(team));
         account.arrived += u32::from(first);
-        if alone {
-            account.fill(now, share);
-        } else {
-            account.filled = None;
+        match share {
+            Some(share) => account.fill(now, share),
+            None => account.filled = None,
         }
         if account.tokens >= 1.0 {
             account.tokens -= 1.0;
@@ -150,10 +150,10 @@
             return Verdict::Admitted;
         }
         let dry = account.is_dry(now);
-        let rate = if alone { share.rate } else { account.share };
+        let rate = share.map_or(account.share, |share| share.rate);
         let next = f64::from(account.refused + 1) / rate.max(f64::EPSILON);
         let patient = now.since(arrived) < WAIT;
-        if patient && !alone && (!dry || next < SOON) {
+        if patient && share.is_none() && (!dry || next < SOON) {
             return Verdict::Wait;
         }
         account.refused += 1;
@@ -173,9 +173,13 @@
         self.account(mark(team)).tokens *= part;
     }
 
-    /// Keeps only teams that fit.
-    pub fn retain(&mut self, fit: impl Fn(u64) -> bool) {
-        self.accounts.retain(|a| fit(a.team));
+    /// Keeps accounts of these teams, which are sorted, and no others.
+    pub fn keep_teams(&mut self, teams: &[u64]) {
+        self.accounts
+            .retain(|a| teams.binary_search(&a.team).is_ok());
+        for team in teams {
+            self.account(*team);
+        }
     }
 
     /// Another pool is asked from now on.
@@ -193,7 +197,7 @@
         for account in &mut self.accounts {
             account.received = 0;
             account.dry = None;
-            account.told = (0, 0);
+            account.told = None;
         }
     }
 
@@ -235,11 +239,9 @@
             .chain(all.iter().enumerate().take(start))
         {
             let account = self.account(need.team);
-            let told = (need.held, need.want);
-            let some = need.held > 0 || need.want > 0;
-            let due = need.urgent > 0 || told != account.told || (whole && some);
+            let due = need.urgent > 0 || account.is_news(need, whole);
             if due && needs.len() < TEAMS_MOST {
-                account.told = told;
+                account.told = Some((need.held, need.want));
                 needs.push(Need {
                     received: account.received,
                     ..*need
@@ -289,6 +291,7 @@
             let new = given.total.saturating_sub(account.received);
             account.received += new;
             account.tokens += f64::from(new);
+            account.tokens = account.tokens.min(f64::from(given.keep.max(new)));
             account.share = f64::from(given.share) / 1000.0;
             account.dry = given.dry.then_some(now);
         }
@@ -331,6 +334,18 @@
         self.dry.is_some_and(|at| now.since(at) < DRY)
     }
 
+    /// Whether what is held or wanted differs from what was told by enough to tell
+    /// it; `whole`: whether by anything.
+    fn is_news(&self, need: &Need, whole: bool) -> bool {
+        let Some((held, want)) = self.told else {
+            return true;
+        };
+        let drift = |new: u32, old: u32| new.abs_diff(old) * DRIFT > new.max(old);
+        let low = f64::from(need.held) * PARTS * 2.0 < f64::from(need.want);
+        let changed = need.held != held || need.want != want;
+        changed && (whole || low || drift(need.held, held) || drift(need.want, want))
+    }
+
     /// Fills this instance's own part of the bucket.
     fn fill(&mut self, now: Time, share: Share) {
         let span = self.filled.map_or(Duration::ZERO, |at| now.since(at));
@@ -353,9 +368,6 @@
         };
         // Requests come by chance, so some more than are expected.
         let want = expected + expected.sqrt();
-        if self.tokens > want * SURPLUS + 1.0 {
-            self.tokens = want.ceil();
-        }
         Need {
             team: self.team,
             held: whole(self.tokens.ceil()),
--- a/crates/wire/src/near.rs
+++ b/crates/wire/src/near.rs
@@ -237,8 +237,8 @@
     fleet: bool,
     to: u64,
     spell: u64,
-    /// Mark, total, share, dry.
-    given: Vec<(Long, u32, u32, bool)>,
+    /// Mark, total, keep, share, dry.
+    given: Vec<(Long, u32, u32, u32, bool)>,
 }
 
 /// A long hash, as bytes.
@@ -308,7 +308,7 @@
 
 impl From<quota::Grant> for Grant {
     fn from(grant: quota::Grant) -> Self {
-        let given = |g: quota::Given| (g.team.to_le_bytes(), g.total, g.share, g.dry);
+        let given = |g: quota::Given| (g.team.to_le_bytes(), g.total, g.keep, g.share, g.dry);
         Self {
             name: grant.name.as_ref().to_owned(),
             life: grant.life,
@@ -322,9 +322,10 @@
 
 impl From<Grant> for quota::Grant {
     fn from(grant: Grant) -> Self {
-        let given = |(team, total, share, dry): (Long, u32, u32, bool)| quota::Given {
+        let given = |(team, total, keep, share, dry): (Long, u32, u32, u32, bool)| quota::Given {
             team: u64::from_le_bytes(team),
             total,
+            keep,
             share,
             dry,
         };
