--- a/crates/demo/src/platform.rs
+++ b/crates/demo/src/platform.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use auburnrouter::direct::{Failure, Instance};
-use platform_standin::store::Route;
+use platform_standin::store::{Route, Team};
 use platform_standin::target::Manner;
 use platform_standin::{Store, Target};
 use settings::direct::{Listen, Settings};
@@ -35,6 +35,22 @@
     },
 ];
 
+/// A team without a quota, and one that soon reaches it.
+const TEAMS: [Team<'static>; 2] = [
+    Team {
+        name: "masons",
+        keys: &["masons-key"],
+        rate: 0.0,
+        homes: &[],
+    },
+    Team {
+        name: "office",
+        keys: &["office-key"],
+        rate: 1.0,
+        homes: &[],
+    },
+];
+
 /// Why the demonstration can't start.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -67,7 +83,7 @@
     /// Starts everything.
     pub fn start() -> Result<Self, Error> {
         let store = Store::start()?;
-        store.configure(1, HOST, &ROUTES);
+        store.configure_teams(1, HOST, &ROUTES, &TEAMS);
         for domain in DOMAINS {
             for route in &ROUTES {
                 for i in 0..TARGETS {
@@ -94,9 +110,12 @@
         for entry in &self.entries {
             let listen = &entry.listen;
             println!("\n{}", entry.name);
+            let ask = format!("curl -si -H 'Host: {HOST}' -H 'Request-Id: 1'");
+            let view = format!("http://{}/view/7", listen.callers);
+            println!("  {ask} -H 'Authorization: Bearer masons-key' {view}   # 200");
+            println!("  {ask} {view}   # 401: no team's key");
             println!(
-                "  curl -i -H 'Host: {HOST}' -H 'Request-Id: 1' http://{}/view/7",
-                listen.callers
+                "  for i in $(seq 30); do {ask} -H 'Authorization: Bearer office-key' {view} | head -n 1; done   # some 429: over its quota"
             );
             println!(
                 "  curl 'http://{}/v1/resolve?name={HOST}&region=near&zone=near-a'",
