Bind keys in touch as any change; tokens through restarts; late answers press elsewhere

Four causes, each found in the lines of all instances:

A request ran 3.05 s after the store had accepted a version without its key, at an instance in touch: its upstream was turned away by the store and lay behind, and only the bound on revoked keys (5 s) was looked at. Now an instance that the store answers serves keys only within the time for a version to be in force; the store's word is read again by 0.4 of it, and an upstream older than 0.6 of it is left. The first by hash reads the store too, and its link is full while 1,400 routes change three times a second. Tokens are handed out by another order of names; who has just appeared isn't asked for 5 s; who was asked before is told, so that nothing is counted twice and nobody waits for it. The share elsewhere now rises while warm answers at home are late more often than elsewhere, to 0.98. A second target was used in full regions as well, which starts objects cold; poor health is judged against the best quarter.

--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -221,6 +221,7 @@
             strikes: 0,
             elsewhere: None,
             admission: Admission::New,
+            spare: false,
             state: State::Waiting,
         });
         Ok(ticket)
--- a/crates/steer/src/process/direct/access.rs
+++ b/crates/steer/src/process/direct/access.rs
@@ -68,9 +68,16 @@
 /// most have gone before requests have to be turned away.
 const LEAVE: f64 = 0.6;
 
-/// Part of that bound by which the store's word is to be read again.
+/// Part of the time for a version to be in force by which the store's word is to be
+/// read again.
 const READ: f64 = 0.4;
 
+/// The same from which on an upstream's word is too old to go on from.
+const USEFUL: f64 = 0.6;
+
+/// Time for which an instance that the store turned away counts as out of touch.
+const AWAY: Duration = Duration::from_secs(4);
+
 /// Shortest wait of a watch that is to confirm what is known.
 const WAIT_LEAST: Duration = Duration::from_millis(300);
 
@@ -111,10 +118,16 @@
         confirmed.map(|at| now.since(at))
     }
 
-    /// Whether a key that was taken away would be refused here in time.
+    /// Whether a key that was taken away would be refused here in time: as soon as
+    /// any change of the configuration, by an instance that the store answers, and
+    /// within the bound on keys by any other.
     #[must_use]
     pub fn is_sure(&self, now: Time) -> bool {
-        self.is_younger(now, |bound| bound.saturating_sub(MARGIN))
+        let away = self.failed.has_store_within(now, AWAY);
+        let lag = self.lag().filter(|_| !away);
+        self.is_younger(now, |bound| {
+            lag.unwrap_or(bound).min(bound).saturating_sub(MARGIN)
+        })
     }
 
     /// Whether callers should come here, as far as keys are concerned.
@@ -126,8 +139,8 @@
     /// Whether another instance's word of this age is worth reading.
     #[must_use]
     pub fn is_useful(&self, age: Option<Duration>) -> bool {
-        match self.revoke() {
-            Some(bound) => age.is_some_and(|age| age < bound.mul_f64(LEAVE)),
+        match self.lag() {
+            Some(bound) => age.is_some_and(|age| age < bound.mul_f64(USEFUL)),
             None => true,
         }
     }
@@ -136,7 +149,7 @@
     /// says nothing of the time since it was asked, unless nothing has changed.
     #[must_use]
     pub fn watch_wait(&self, now: Time, most: Duration) -> Duration {
-        let Some(bound) = self.revoke() else {
+        let Some(bound) = self.lag() else {
             return most;
         };
         let age = self.word_age(now).unwrap_or(bound);
@@ -187,6 +200,14 @@
         self.bounds.access.revoke.filter(|_| !keyless)
     }
 
+    /// How far an instance in touch may lie behind the store, if keys may be taken
+    /// away.
+    fn lag(&self) -> Option<Duration> {
+        let revoke = self.revoke()?;
+        let config = self.bounds.access.config;
+        Some(config.map_or(revoke, |config| config.min(revoke)))
+    }
+
     fn is_younger(&self, now: Time, than: impl Fn(Duration) -> Duration) -> bool {
         match self.revoke() {
             Some(bound) => self.word_age(now).is_some_and(|age| age < than(bound)),
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -130,7 +130,7 @@
             return;
         }
         match row {
-            Some(row) => self.members.list(name, row),
+            Some(row) => self.members.list(now, name, row),
             None => self.members.unlist(now, name),
         }
         self.recount(now);
--- a/crates/steer/src/process/direct/health.rs
+++ b/crates/steer/src/process/direct/health.rs
@@ -33,8 +33,8 @@
 /// the target doesn't hold: it may only be longer than usual.
 const OVERDUE: f64 = 1.6;
 
-/// Slowness, and part of requests failed, from which on an object's first target
-/// is another one for the time being.
+/// Slowness over the usual one, and part of requests failed beyond the usual one,
+/// from which on an object's first target is another one for the time being.
 const SLOW: f64 = 2.5;
 const ILL: f64 = 0.25;
 
@@ -117,8 +117,8 @@
     /// turns requests away still serves the rest, and its objects are warm there;
     /// what it didn't run can be sent again.
     #[must_use]
-    pub fn is_poor(&self, now: Time) -> bool {
-        self.slowness(now) > SLOW || self.illness(now) > ILL
+    pub fn is_poor(&self, now: Time, usual: &Usual) -> bool {
+        self.slowness(now) > SLOW * usual.slowness || self.illness(now) > ILL + usual.illness
     }
 
     /// An answer, with the time it took over the time expected, if that says
@@ -148,6 +148,46 @@
     }
 }
 
+/// How targets of a service do that do well. Where a region is overloaded all of
+/// its targets are slow and miss deadlines; moving objects among them would only
+/// make them cold besides.
+#[derive(Clone, Copy, Debug)]
+pub struct Usual {
+    slowness: f64,
+    illness: f64,
+}
+
+impl Usual {
+    /// How targets do that do well.
+    const WELL: Self = Self {
+        slowness: 1.0,
+        illness: 0.0,
+    };
+
+    /// By the best quarter of these targets.
+    pub(super) fn of<'a>(now: Time, all: impl Iterator<Item = &'a Health> + Clone) -> Self {
+        // Asked with each request, and mostly there is nothing to compare.
+        if !all.clone().any(|h| h.is_poor(now, &Self::WELL)) {
+            return Self::WELL;
+        }
+        let (mut slowness, mut illness): (Vec<f64>, Vec<f64>) =
+            all.map(|h| (h.slowness(now), h.illness(now))).unzip();
+        Self {
+            slowness: quarter(&mut slowness).max(1.0),
+            illness: quarter(&mut illness),
+        }
+    }
+}
+
+/// The value below which a quarter lies; 0 of none.
+fn quarter(values: &mut [f64]) -> f64 {
+    if values.is_empty() {
+        return 0.0;
+    }
+    let at = values.len() / 4;
+    *values.select_nth_unstable_by(at, f64::total_cmp).1
+}
+
 /// What an instance saw of a target since its last heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Trouble {
--- a/crates/steer/src/process/direct/job.rs
+++ b/crates/steer/src/process/direct/job.rs
@@ -35,6 +35,8 @@
     pub(super) elsewhere: Option<bool>,
     /// Whether its team's quota has let it in.
     pub(super) admission: Admission,
+    /// Whether the own region had slots to spare when that was decided.
+    pub(super) spare: bool,
     pub(super) state: State,
 }
 
--- a/crates/steer/src/process/direct/line.rs
+++ b/crates/steer/src/process/direct/line.rs
@@ -27,6 +27,9 @@
 /// it hardly any answer comes, and the slot would be taken in vain.
 const LEAST: f64 = 0.25;
 
+/// Part of a region's slots in use below which it has slots to spare.
+const SPARE_USED: f64 = 0.6;
+
 /// Shortest and longest time after which a rejected caller is told to return.
 const AFTER_LEAST: Duration = Duration::from_millis(150);
 
@@ -203,5 +206,6 @@
             spillovers[at].1.next(now, pressure, used, position)
         });
         self.jobs[at].elsewhere = Some(side);
+        self.jobs[at].spare = self.used_for(now, &self.jobs[at], side) < SPARE_USED;
     }
 }
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -28,6 +28,13 @@
 /// cuts that heal by themselves last seconds.
 const KEPT: Duration = Duration::from_secs(30);
 
+/// Time for which an instance that has appeared counts as new: it has to learn first
+/// what the others know.
+const NEW: Duration = Duration::from_secs(5);
+
+/// Age of this process up to which all others seem to have just appeared.
+const ACQUAINTED: Duration = Duration::from_secs(2);
+
 /// Time for which what an instance has at work is believed.
 const FRESH: Duration = Duration::from_millis(1200);
 
@@ -82,6 +89,8 @@
     name: Arc<str>,
     row: Option<Row>,
     listed: bool,
+    /// When its row came, if it wasn't there before.
+    appeared: Option<Time>,
     /// When its row went.
     unlisted: Option<Time>,
     heard: Option<Time>,
@@ -102,8 +111,11 @@
 
 impl Members {
     /// A row in the store.
-    pub fn list(&mut self, name: &str, row: Row) {
+    pub fn list(&mut self, now: Time, name: &str, row: Row) {
         let member = self.ensure(name);
+        if !member.listed && now >= Time::ZERO + ACQUAINTED {
+            member.appeared = Some(now);
+        }
         member.row = Some(row);
         member.listed = true;
         member.leaving = false;
@@ -193,6 +205,21 @@
         self.members.iter().any(heard)
     }
 
+    /// Whether an instance has just appeared.
+    #[must_use]
+    pub fn is_new(&self, now: Time, name: &str) -> bool {
+        let appeared = self.find(name).map(|at| self.members[at].appeared);
+        let appeared = appeared.ok().flatten();
+        appeared.is_some_and(|at| now.since(at) < NEW)
+    }
+
+    /// Where an instance is reached, whether it is there or not.
+    #[must_use]
+    pub fn row(&self, name: &str) -> Option<&Row> {
+        let at = self.find(name).ok()?;
+        self.members[at].row.as_ref()
+    }
+
     /// Names and rows of those that may be sending requests, whether callers
     /// should still be sent to them or not.
     pub fn sharing(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Row)> {
@@ -248,6 +275,7 @@
             name: name.into(),
             row: None,
             listed: false,
+            appeared: None,
             unlisted: None,
             heard: None,
             life: 0,
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -71,6 +71,13 @@
         (team.unwrap_or(route), route)
     }
 
+    /// Whether any region may serve it.
+    #[must_use]
+    pub fn is_free(&self) -> bool {
+        let team = self.pass.as_ref().is_none_or(|p| p.team.homes.is_empty());
+        team && self.route.homes.is_empty()
+    }
+
     /// Whether a region may serve it: the homes of route and team both bind.
     #[must_use]
     pub fn allows(&self, region: &str) -> bool {
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 
 use super::cold::{self, Sharer};
+use super::health::Usual;
 use super::job::Job;
 use super::levers::Lever;
 use super::target::{COLD_SPAN, Target};
@@ -70,9 +71,10 @@
 /// that are asked for more often than one target can bear.
 const PREFERRED: usize = 2;
 
-/// What work in vain counts at the second of them. All instances spill there, so
-/// the object is cold there once; but while everything is cold, as after a
-/// start, each spill is one more cold run.
+/// What work in vain counts at the second of them, while the region has slots to
+/// spare. All instances spill there, so the object is cold there once; but while
+/// everything is cold, as after a start, each spill is one more cold run, and in
+/// a full region it takes a slot from objects that are warm.
 const SECOND: f64 = 3.0;
 
 /// Latency objectives that a failed request costs: it begins anew, or it is lost
@@ -146,10 +148,23 @@
 
     /// Part of the slots of a service in the own region that are in use.
     pub(super) fn used(&self, now: Time, service: &str) -> f64 {
+        self.used_where(now, service, |target| target.region == self.home.region)
+    }
+
+    /// The same of the regions where a request is to run.
+    pub(super) fn used_for(&self, now: Time, job: &Job, elsewhere: bool) -> f64 {
+        let home = &self.home.region;
+        let far = elsewhere || !job.ask.allows(home);
+        self.used_where(now, &job.service, |target| {
+            (target.region != *home) == far && job.ask.allows(&target.region)
+        })
+    }
+
+    fn used_where(&self, now: Time, service: &str, fits: impl Fn(&Target) -> bool) -> f64 {
         let (mut load, mut slots) = (0.0, 0.0);
         for (_, target) in self.roster.of(service) {
             let open = target.is_open() && !self.roster.is_evacuated(&target.entry.domain);
-            if open && target.region == self.home.region {
+            if open && fits(target) {
                 load += self.load(now, target);
                 slots += f64::from(target.entry.slots);
             }
@@ -224,7 +239,7 @@
             let cost = wait + seconds + far + illness + load * 0.002;
             let vain = match place {
                 Some(0) => 0.0,
-                Some(_) if work.sure => vain.min(SECOND),
+                Some(_) if work.sure && job.spare => vain.min(SECOND),
                 _ => vain,
             };
             let rank = cost + (base - work.warm) * vain;
@@ -317,9 +332,11 @@
         };
         let shared = self.levers.has(Lever::Health);
         let fit = self.roster.of(&job.service).filter(|(_, t)| fits(t));
+        let fit: Vec<(usize, &Target)> = fit.collect();
+        let usual = Usual::of(now, fit.iter().map(|(_, t)| &t.health));
         let mut best = [None; PREFERRED];
         for (index, target) in fit {
-            let well = !shared || !target.health.is_poor(now);
+            let well = !shared || !target.health.is_poor(now, &usual);
             let mut next = Some(((well, weight(target.hash(), object)), index));
             for held in &mut best {
                 if next > *held {
--- a/crates/steer/src/process/direct/quota.rs
+++ b/crates/steer/src/process/direct/quota.rs
@@ -47,6 +47,9 @@
 /// The same while a request waits.
 const PACE_WAITING: Duration = Duration::from_millis(40);
 
+/// Shortest time between two reports of a region that runs low.
+const PRESS: Duration = Duration::from_millis(100);
+
 /// Instances for which that holds; each so many more add as much.
 const REPORTERS: u32 = 64;
 
@@ -209,6 +212,8 @@
     fleet: pool::Pool,
     /// Whether a request has begun to wait for a token.
     urgent: bool,
+    /// When it last asked for more before any request waited.
+    pressed: Time,
 }
 
 impl Direct {
@@ -351,6 +356,36 @@
             let upper = quotas.upper.report_for(now, name, life, &needs, count);
             due.extend(self.address(now, upper.to(Level::Fleet)));
         }
+        due.extend(self.farewells(now));
+        due
+    }
+
+    /// Tells whoever was asked before that it no longer is.
+    fn farewells(&mut self, now: Time) -> Vec<Due> {
+        let own = Arc::clone(&self.home.name);
+        let life = self.home.life;
+        let quotas = &mut self.quotas;
+        let links = [
+            (Level::Region, &mut quotas.near, &mut quotas.stock),
+            (Level::Fleet, &mut quotas.far, &mut quotas.upper),
+        ];
+        let mut told = Vec::new();
+        for (level, link, stock) in links {
+            for to in link.previous(now) {
+                let report = stock.farewell(Arc::clone(&own), life, level);
+                told.push((to, report));
+            }
+        }
+        let mut due = Vec::new();
+        for (to, report) in told {
+            if to == own {
+                let grant = self.take_report(now, report);
+                self.take_grant(now, &grant);
+            } else if let Some(row) = self.members.row(&to) {
+                let addr = row.beats;
+                due.push(Due { addr, report });
+            }
+        }
         due
     }
 
@@ -395,6 +430,7 @@
             fleet: all,
             terms,
             urgent,
+            pressed,
             ..
         } = &mut self.quotas;
         let pool = if fleet { all } else { region };
@@ -420,6 +456,10 @@
             let mut part = pool.give(now, at, &need, (level, capacity, new.rate));
             // What a region can't give is asked for at once.
             *urgent |= part.dry;
+            if pool.is_low(need.team, capacity) && now.since(*pressed) >= PRESS {
+                *pressed = now;
+                *urgent = true;
+            }
             part.dry &= new.dry;
             given.push(part);
         }
@@ -433,7 +473,16 @@
             Level::Region => (&mut quotas.near, &mut quotas.stock),
             Level::Fleet => (&mut quotas.far, &mut quotas.upper),
         };
-        if grant.to != self.home.life || !link.answered(now, &grant.name) {
+        if grant.to != self.home.life {
+            return;
+        }
+        if grant.spell == 0 {
+            if link.released(&grant.name) {
+                stock.released();
+            }
+            return;
+        }
+        if !link.answered(now, &grant.name) {
             return;
         }
         // What was asked for before this incarnation was known has to be asked for
@@ -453,6 +502,7 @@
         let home = &self.home.row.region;
         let others: Vec<(Arc<str>, bool)> = self
             .others(now)
+            .filter(|(name, _)| !self.members.is_new(now, name))
             .map(|(name, row): (_, &Row)| (Arc::clone(name), row.region == *home))
             .chain([(Arc::clone(own), true)])
             .collect();
--- a/crates/steer/src/process/direct/quota/link.rs
+++ b/crates/steer/src/process/direct/quota/link.rs
@@ -1,12 +1,13 @@
 //! Whom an instance asks for tokens.
 //!
-//! Invariant: one that didn't answer isn't asked again for [`REST`], unless it is
-//! this instance.
+//! Invariants: one that didn't answer isn't asked again for [`REST`], unless it is
+//! this instance; one that is no longer asked is told so until it has answered.
 
 use core::time::Duration;
 use std::sync::Arc;
 
-use super::super::upstream::weight;
+use super::super::hash;
+use super::pool::HEARD;
 use crate::clock::Time;
 
 /// Time without an answer after which another instance is asked.
@@ -21,6 +22,9 @@
     /// Who is asked, and when it last answered.
     asked: Option<(Arc<str>, Time)>,
     failed: Vec<(Arc<str>, Time)>,
+    /// Who were asked before and don't know yet that they no longer are, and until
+    /// when they believe so at most.
+    previous: Vec<(Arc<str>, Time)>,
 }
 
 impl Link {
@@ -40,6 +44,19 @@
         }
     }
 
+    /// Who have to be told that they are no longer asked.
+    pub fn previous(&mut self, now: Time) -> Vec<Arc<str>> {
+        self.previous.retain(|(_, end)| *end > now);
+        let names = self.previous.iter().map(|(name, _)| Arc::clone(name));
+        names.collect()
+    }
+
+    /// One that was asked before has answered that it knows. Says whether all do.
+    pub fn released(&mut self, name: &Arc<str>) -> bool {
+        self.previous.retain(|(previous, _)| previous != name);
+        self.previous.is_empty()
+    }
+
     /// Finds whom to ask, of these. Says whether it is another than before.
     pub fn settle<'a>(
         &mut self,
@@ -55,12 +72,23 @@
             self.failed.push((Arc::clone(name), now));
         }
         let failed = |name: &&Arc<str>| self.failed.iter().any(|(known, _)| known == *name);
-        let best = all.filter(|n| !failed(n)).max_by_key(|name| weight(name));
+        let best = all.filter(|n| !failed(n)).max_by_key(|name| order(name));
         let best = Arc::clone(best.unwrap_or(own));
         let same = self.asked() == Some(&best);
         if !same {
-            self.asked = Some((best, now));
+            let before = self.asked.replace((best, now));
+            self.previous
+                .extend(before.map(|(name, _)| (name, now + HEARD)));
+            let asked = self.asked.as_ref().map(|(name, _)| name);
+            self.previous.retain(|(name, _)| Some(name) != asked);
         }
         !same
     }
 }
+
+/// The order in which instances are asked, the greatest first: another than that
+/// in which they read the store, as whoever reads it has its link full while a
+/// large configuration changes.
+fn order(name: &str) -> u64 {
+    hash(format!("quota {name}").as_bytes())
+}
--- a/crates/steer/src/process/direct/quota/pool.rs
+++ b/crates/steer/src/process/direct/quota/pool.rs
@@ -16,7 +16,7 @@
 
 /// Time without a report after which an instance fills its own part, or asks
 /// another pool.
-pub const HEARD: Duration = Duration::from_millis(1500);
+pub const HEARD: Duration = Duration::from_millis(1250);
 
 /// Time for which what was handed out to a silent instance is remembered.
 const KEPT: Duration = Duration::from_secs(30);
@@ -249,6 +249,11 @@
         }
     }
 
+    /// Whether less is left here than is kept for requests that wait.
+    pub fn is_low(&self, team: u64, capacity: f64) -> bool {
+        self.tokens(team) < capacity * RESERVE_REGION
+    }
+
     /// Tokens at those who report, and on the way there.
     fn out(&self, now: Time, team: u64) -> f64 {
         self.held(now, team).map(|held| held.tokens).sum()
--- a/crates/steer/src/process/direct/quota/stock.rs
+++ b/crates/steer/src/process/direct/quota/stock.rs
@@ -190,6 +190,26 @@
         self.begin_spell(0);
     }
 
+    /// The pool that was asked before no longer counts this instance.
+    pub const fn released(&mut self) {
+        self.changed = None;
+    }
+
+    /// Tells a pool that it is no longer asked.
+    pub fn farewell(&mut self, name: Arc<str>, life: u64, level: Level) -> Report {
+        self.count += 1;
+        Report {
+            name,
+            life,
+            seq: self.count,
+            level,
+            pool: 0,
+            spell: 0,
+            counted: 0,
+            needs: Vec::new(),
+        }
+    }
+
     /// Begins to count what comes from this incarnation of a pool.
     fn begin_spell(&mut self, pool: u64) {
         self.pool = pool;
--- a/crates/steer/src/process/direct/settle.rs
+++ b/crates/steer/src/process/direct/settle.rs
@@ -88,6 +88,7 @@
             }
         }
         if ending == Ending::Answered {
+            self.note_punctual(now, at, &target, warm);
             if !queued {
                 let job = &self.jobs[at];
                 self.learnt
@@ -149,6 +150,24 @@
         }
     }
 
+    /// Tells the share that runs elsewhere whether an answer was in time. Where the
+    /// object was cold it is late at home and elsewhere alike.
+    fn note_punctual(&mut self, now: Time, at: usize, target: &str, warm: bool) {
+        let job = &self.jobs[at];
+        let Some(target) = self.roster.get(target) else {
+            return;
+        };
+        if !warm || !job.ask.is_free() {
+            return;
+        }
+        let elsewhere = target.region != self.home.region;
+        let late = now > job.objective();
+        let found = self.spillovers.binary_search_by(|p| p.0.cmp(&job.service));
+        if let Ok(at) = found {
+            self.spillovers[at].1.answered(elsewhere, late);
+        }
+    }
+
     fn landed(&mut self, target: &str) {
         if let Some(target) = self.roster.get_mut(target) {
             target.flying = target.flying.saturating_sub(1);
--- a/crates/steer/src/process/direct/spillover.rs
+++ b/crates/steer/src/process/direct/spillover.rs
@@ -38,6 +38,14 @@
 /// elsewhere, far below what a region with few targets lacks.
 const WANTED: f64 = 0.05;
 
+/// How much more of the warm answers may be late at home than elsewhere. Beyond it
+/// home is fuller than it looks: other regions' instances send requests there too
+/// whose team has no other home.
+const LATER: f64 = 0.25;
+
+/// Answers over which the parts that are late are averaged.
+const ANSWERS: f64 = 16.0;
+
 /// How far beyond [`WANTED`] the share rises as fast as it may: single requests
 /// move it little.
 const STEEP: f64 = 0.10;
@@ -56,6 +64,9 @@
 /// Largest share: some requests must show whether there is room at home again.
 const MOST: f64 = 0.9;
 
+/// The same while answers at home are late: few are enough to show that.
+const MOST_LATE: f64 = 0.98;
+
 /// The share of one service's requests that runs in other regions.
 #[derive(Clone, Copy, Debug)]
 pub struct Spillover {
@@ -65,6 +76,8 @@
     used: f64,
     credit: f64,
     at: Option<Time>,
+    /// Parts of the answers that are late, at home and elsewhere.
+    late: [f64; 2],
 }
 
 impl Spillover {
@@ -78,6 +91,7 @@
             used: 0.0,
             credit: 0.5,
             at: None,
+            late: [0.0; 2],
         }
     }
 
@@ -92,6 +106,12 @@
         self.share
     }
 
+    /// A request that might have run at home or elsewhere was answered.
+    pub fn answered(&mut self, elsewhere: bool, late: bool) {
+        let part = &mut self.late[usize::from(elsewhere)];
+        *part += (f64::from(u8::from(late)) - *part) / ANSWERS;
+    }
+
     /// Whether the next request runs elsewhere. `pressure`: it would be better off so.
     /// `used`: part of the own region's slots in use. `position`, from 0 to 1, is the
     /// same for all requests of an object: low ones go first.
@@ -110,6 +130,14 @@
     fn follow(&mut self, now: Time, pressure: bool, used: f64) {
         let passed = self.at.map_or(0.0, |at| now.since(at).as_secs_f64());
         self.at = Some(now);
+        let [home, elsewhere] = self.late;
+        let later = home - elsewhere > LATER;
+        let pressure = pressure || later;
+        let most = if later {
+            MOST_LATE
+        } else {
+            MOST.max(self.share)
+        };
         let weight = (passed / SMOOTH.as_secs_f64()).min(0.2);
         self.pressure += (f64::from(u8::from(pressure)) - self.pressure) * weight;
         self.used += (used - self.used) * weight;
@@ -119,6 +147,6 @@
         } else {
             fits * (self.pressure - WANTED) / WANTED
         };
-        self.share = (self.share + pull * self.rate * passed).clamp(0.0, MOST);
+        self.share = (self.share + pull * self.rate * passed).clamp(0.0, most);
     }
 }
--- a/crates/steer/src/process/direct/upstream.rs
+++ b/crates/steer/src/process/direct/upstream.rs
@@ -67,7 +67,12 @@
 
 impl Failed {
     fn has_store(&self, now: Time) -> bool {
-        self.store.is_some_and(|at| now.since(at) < REST_STORE)
+        self.has_store_within(now, REST_STORE)
+    }
+
+    /// Whether the store has failed within this time.
+    pub(super) fn has_store_within(&self, now: Time, span: Duration) -> bool {
+        self.store.is_some_and(|at| now.since(at) < span)
     }
 
     fn has(&self, now: Time, name: &str) -> bool {
--- a/crates/steer/tests/direct/access.rs
+++ b/crates/steer/tests/direct/access.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 use steer::clock::Time;
 use steer::process::direct::access::{self, Access, Pass, Presented};
+use steer::process::direct::upstream::Upstream;
 use steer::process::direct::{Ask, Bounds, Direct, Ending, Next, Order, Why};
 use steer::request::arrival::Fingerprint;
 use steer::version::routes::Route;
@@ -88,7 +89,9 @@
         Access::Unsure => "unsure",
     };
     assert_eq!(name(access(&bench, at(1_500), presented)), expected);
-    // Too old to say that a key is unknown, and to say that it is known.
+    // Too old to say that a key is unknown, but not that one is known: the store
+    // turns this instance away.
+    bench.direct.upstream_failed(at(4_000), &Upstream::Store);
     let refused = if expected == "granted" {
         "granted"
     } else {
@@ -123,6 +126,9 @@
     let mut bench = bench(route(), vec![team("masons", &[], None)]);
     bench.direct.confirm(at(1_000));
     assert!(bench.direct.is_sound(at(3_900)) && !bench.direct.is_sound(at(4_100)));
+    // In touch, it would know of any change sooner.
+    assert!(bench.direct.is_sure(at(3_700)) && !bench.direct.is_sure(at(3_800)));
+    bench.direct.upstream_failed(at(3_800), &Upstream::Store);
     assert!(bench.direct.is_sure(at(5_700)) && !bench.direct.is_sure(at(6_000)));
     // An older word that comes late changes nothing.
     bench.direct.confirm(at(500));
@@ -155,6 +161,7 @@
 fn withhold_waiting_request(#[case] taken: bool, #[case] expected: Why) {
     let mut bench = bench(route(), vec![team("masons", &[], None)]);
     bench.direct.confirm(at(0));
+    bench.direct.upstream_failed(at(3_900), &Upstream::Store);
     let held: Vec<_> = (0..8)
         .map(|_| {
             let ask = ask(&bench, at(4_000), "masons");
--- a/crates/steer/tests/direct/members.rs
+++ b/crates/steer/tests/direct/members.rs
@@ -25,7 +25,7 @@
     #[case] there: bool,
 ) {
     let mut members = Members::default();
-    members.list("a", row("near"));
+    members.list(at(0), "a", row("near"));
     if !listed {
         members.unlist(at(10_000), "a");
     }
@@ -41,7 +41,7 @@
 #[test]
 fn stay_gone_on_older_heartbeat() {
     let mut members = Members::default();
-    members.list("a", row("near"));
+    members.list(at(0), "a", row("near"));
     members.hear(at(0), beat("a", 1));
     let leaving = Beat {
         leaving: true,
--- a/crates/steer/tests/direct/quota.rs
+++ b/crates/steer/tests/direct/quota.rs
@@ -25,6 +25,12 @@
 
 const STEP: u64 = 10;
 
+/// Time between two instances that are stopped in turn.
+const ROLL: u64 = 2_000;
+
+/// Time for which one that was told to stop goes on.
+const GRACE: u64 = 500;
+
 /// What the network and the instances suffer.
 #[derive(Clone, Copy, Debug, Default)]
 struct Faults {
@@ -39,6 +45,8 @@
     cut: Option<(u64, u64, bool)>,
     /// When an instance restarts; which, and every how many milliseconds.
     restart: Option<u64>,
+    /// Whether instances are stopped in turn, each for three seconds.
+    rolled: bool,
     /// When the quota is cut to a fifth.
     lowered: Option<u64>,
 }
@@ -58,6 +66,9 @@
     came: Vec<(Ticket, u64)>,
     /// When it reports next.
     due: u64,
+    /// Until when it is down, once it has ended.
+    down: u64,
+    last: u64,
 }
 
 struct Fleet {
@@ -160,6 +171,8 @@
             life,
             came: Vec::new(),
             due: self.now + self.rng.u64(0..250),
+            down: 0,
+            last: 0,
         }
     }
 
@@ -205,7 +218,9 @@
             self.fail();
             self.deliver();
             for node in 0..self.nodes.len() {
-                self.tell(node);
+                if !self.is_down(node) {
+                    self.tell(node);
+                }
             }
             #[allow(clippy::cast_precision_loss, reason = "small")]
             let expected = rate * STEP as f64 / 1000.0;
@@ -214,7 +229,9 @@
             while count >= 1.0 {
                 count -= 1.0;
                 let node = at[self.rng.usize(0..at.len())];
-                self.ask(node);
+                if self.nodes[node].down <= self.now {
+                    self.ask(node);
+                }
             }
             for node in 0..self.nodes.len() {
                 self.settle(node);
@@ -232,6 +249,9 @@
             let at = self.rng.usize(0..count);
             self.nodes[at] = self.node(at, count);
         }
+        if self.faults.rolled && self.now.is_multiple_of(ROLL) {
+            self.roll();
+        }
         if self.faults.lowered == Some(self.now) {
             self.version += 1;
             let lower = Quota {
@@ -249,6 +269,37 @@
         }
     }
 
+    /// Stops one instance, and starts the one that was stopped before.
+    fn roll(&mut self) {
+        let count = self.nodes.len();
+        let turn = usize::try_from(self.now / ROLL).expect("few");
+        let (stopped, started) = (turn % count, (turn + count - 1) % count);
+        if self.nodes[started].down > 0 {
+            self.nodes[started] = self.node(started, count);
+        }
+        let clock = self.clock(stopped);
+        let end = clock + Duration::from_secs(10);
+        self.nodes[stopped].direct.stop(end);
+        let farewell = self.nodes[stopped].direct.beat(clock, true);
+        self.nodes[stopped].down = self.now + ROLL;
+        self.nodes[stopped].last = self.now + GRACE;
+        for at in 0..count {
+            let clock = self.clock(at);
+            let direct = &mut self.nodes[at].direct;
+            if at != stopped {
+                direct.hear(clock, farewell.clone());
+                direct.member(clock, &name(stopped), None);
+            }
+            if at != started {
+                direct.member(clock, &name(started), Some(place(started)));
+            }
+        }
+    }
+
+    fn is_down(&self, at: usize) -> bool {
+        self.nodes[at].down > self.now && self.nodes[at].last <= self.now
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let (due, rest) = core::mem::take(&mut self.mail)
@@ -256,6 +307,9 @@
             .partition(|(at, ..)| *at <= now);
         self.mail = rest;
         for (_, to, message) in due {
+            if self.is_down(to) {
+                continue;
+            }
             let clock = self.clock(to);
             let direct = &mut self.nodes[to].direct;
             match message {
@@ -387,6 +441,7 @@
             delay,
             cut: cut.map(|(start, span, both)| (start, start + span, both)),
             restart: restart.map(|every| every / STEP * STEP),
+            rolled: false,
             lowered: None,
         };
         let fleet = flood(faults, count, f64::from(rate), seed);
@@ -473,3 +528,23 @@
     assert!(refused * 20 <= asked, "{refused} refused of {asked}");
     assert!(fleet.nodes.iter().all(|node| node.life > 0));
 }
+
+/// Instances are stopped and started in turn, whoever hands out tokens among them.
+#[rstest]
+fn outlive_rolling_restart(#[values(1, 2)] seed: u64, #[values(30.0, 400.0)] rate: f64) {
+    let faults = Faults {
+        near: 3,
+        delay: 70,
+        rolled: true,
+        ..Faults::default()
+    };
+    let mut fleet = Fleet::new(34, quota(rate), faults, seed);
+    let all: Vec<usize> = (0..34).collect();
+    fleet.run(2_000, &all, 0.0);
+    fleet.run(32_000, &all, rate * 0.62);
+    let (refused, asked) = (fleet.refused.len(), fleet.asked);
+    assert!(refused * 20 <= asked, "{refused} refused of {asked}");
+    let long = fleet.held.iter().filter(|held| **held > 40).count();
+    let all = fleet.held.len();
+    assert!(long * 10 <= all, "{long} of {all} were held for long");
+}
