--- a/crates/steer/src/process/direct/quota.rs
+++ b/crates/steer/src/process/direct/quota.rs
@@ -14,54 +14,34 @@
 //! late, doubled or out of order: what was handed out is told as a sum.
 
 mod link;
+mod message;
 mod pool;
+mod rule;
 mod stock;
 
 use core::time::Duration;
 use std::sync::Arc;
 
+pub use message::{Due, Given, Grant, Level, Need, Report, mark};
+pub use rule::Rule;
+
 use super::members::Row;
 use super::message::{Admission, Why};
-use super::{Direct, cold, hash, members};
+use super::{Direct, cold, members};
 use crate::clock::Time;
 use crate::version::teams::{Quota, Team};
 
-/// What the operator allows beyond a quota.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Rule {
-    /// Span over which a team's requests are counted.
-    pub window: Duration,
-    /// Part of the quota in that span that may be admitted beyond it.
-    pub excess: f64,
-    /// Requests that may be admitted besides.
-    pub slack: f64,
-}
-
-/// Part of what is allowed beyond a quota that tokens are held in stock for. The
-/// rest covers changes of who shares a bucket.
-const STOCKED: f64 = 0.7;
-
 /// Time between reports.
 const PACE: Duration = Duration::from_millis(250);
 
-/// The same while a request waits.
-const PACE_WAITING: Duration = Duration::from_millis(40);
-
-/// Shortest time between two reports of a region that runs low.
-const PRESS: Duration = Duration::from_millis(100);
-
 /// Instances for which that holds; each so many more add as much.
 const REPORTERS: u32 = 64;
 
-/// Part of a burst that is added to the rate over the window, in place of tokens
-/// held for it: a team at its limit gets all that the window allows.
-const SPREAD: f64 = 0.8;
+/// Time between reports while a request waits.
+const PACE_WAITING: Duration = Duration::from_millis(40);
 
-impl Report {
-    fn to(self, level: Level) -> Self {
-        Self { level, ..self }
-    }
-}
+/// Shortest time between two reports of a region that runs low.
+const PRESS: Duration = Duration::from_millis(100);
 
 /// The terms of all teams' buckets, sorted by mark.
 fn all_terms(teams: &[Arc<Team>], rule: Rule) -> Vec<(u64, pool::Terms)> {
@@ -78,123 +58,6 @@
     all
 }
 
-impl Rule {
-    fn beyond(&self, quota: &Quota) -> f64 {
-        let window = quota.rate * self.window.as_secs_f64() + quota.burst;
-        window * self.excess + self.slack
-    }
-
-    /// Tokens of a bucket.
-    #[must_use]
-    pub fn capacity(&self, quota: &Quota) -> f64 {
-        (quota.burst * (1.0 - SPREAD) + self.beyond(quota) * STOCKED).max(1.0)
-    }
-
-    /// Tokens a second that are added to it.
-    #[must_use]
-    pub fn rate(&self, quota: &Quota) -> f64 {
-        quota.rate + quota.burst * SPREAD / self.window.as_secs_f64().max(1.0)
-    }
-}
-
-/// By which messages name a team.
-#[must_use]
-pub fn mark(team: &str) -> u64 {
-    hash(team.as_bytes())
-}
-
-/// Parts of a token that wants are told in.
-const PARTS: f64 = 8.0;
-
-/// Who hands tokens out, and to whom.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Level {
-    /// One instance of each region, to the instances there.
-    Region,
-    /// One of all, to those.
-    Fleet,
-}
-
-/// What an instance asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Report {
-    /// Who asks.
-    pub name: Arc<str>,
-    /// Tells its incarnations apart.
-    pub life: u64,
-    /// Counts its reports.
-    pub seq: u64,
-    /// Whom it asks.
-    pub level: Level,
-    /// Incarnation of the pool that it counts from; 0 before it has heard one.
-    pub pool: u64,
-    /// Tells its spells with a pool apart; what was handed out in an earlier one
-    /// and comes late is passed over.
-    pub spell: u64,
-    /// Instances whose part of the buckets is to be filled by the pool: they don't
-    /// do so themselves, nor may an earlier pool.
-    pub counted: u32,
-    /// Teams whose tokens have changed here, or are needed.
-    pub needs: Vec<Need>,
-}
-
-/// One team's tokens at an instance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Need {
-    /// The team's mark.
-    pub team: u64,
-    /// Tokens held.
-    pub held: u32,
-    /// Tokens that it has got in this spell.
-    pub received: u32,
-    /// Eighths of a token that it would hold ahead of need. Many instances that
-    /// would each hold a part of one are worth whole ones to their region.
-    pub want: u32,
-    /// Requests that wait for one.
-    pub urgent: u32,
-}
-
-/// What a pool hands out.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Grant {
-    /// Whose pool it is.
-    pub name: Arc<str>,
-    /// Its incarnation.
-    pub life: u64,
-    /// In which role it hands out.
-    pub level: Level,
-    /// Incarnation of the instance that it is for.
-    pub to: u64,
-    /// The spell that it belongs to.
-    pub spell: u64,
-    /// By team.
-    pub given: Vec<Given>,
-}
-
-/// One team's tokens from a pool.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Given {
-    /// The team's mark.
-    pub team: u64,
-    /// Tokens handed out to this instance in this spell.
-    pub total: u32,
-    /// Tokens that it may hold; those beyond are dropped, as others need them.
-    pub keep: u32,
-    /// Tokens that come to this instance in a thousand seconds.
-    pub share: u32,
-    /// Whether there are none left for it.
-    pub dry: bool,
-}
-
-/// A message that is due, and where to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Due {
-    /// Where the instance takes it.
-    pub addr: core::net::SocketAddr,
-    /// The report.
-    pub report: Report,
-}
-
 /// Quotas as one instance keeps them.
 #[derive(Debug, Default)]
 pub(super) struct Quotas {
--- /dev/null
+++ b/crates/steer/src/process/direct/quota/message.rs
@@ -0,0 +1,111 @@
+//! What instances tell each other of teams' tokens.
+
+use core::net::SocketAddr;
+use std::sync::Arc;
+
+use super::super::hash;
+
+/// By which messages name a team.
+#[must_use]
+pub fn mark(team: &str) -> u64 {
+    hash(team.as_bytes())
+}
+
+/// Parts of a token that wants are told in.
+pub const PARTS: f64 = 8.0;
+
+/// Who hands tokens out, and to whom.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// One instance of each region, to the instances there.
+    Region,
+    /// One of all, to those.
+    Fleet,
+}
+
+/// What an instance asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Who asks.
+    pub name: Arc<str>,
+    /// Tells its incarnations apart.
+    pub life: u64,
+    /// Counts its reports.
+    pub seq: u64,
+    /// Whom it asks.
+    pub level: Level,
+    /// Incarnation of the pool that it counts from; 0 before it has heard one.
+    pub pool: u64,
+    /// Tells its spells with a pool apart; what was handed out in an earlier one
+    /// and comes late is passed over.
+    pub spell: u64,
+    /// Instances whose part of the buckets is to be filled by the pool: they don't
+    /// do so themselves, nor may an earlier pool.
+    pub counted: u32,
+    /// Teams whose tokens have changed here, or are needed.
+    pub needs: Vec<Need>,
+}
+
+/// One team's tokens at an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Need {
+    /// The team's mark.
+    pub team: u64,
+    /// Tokens held.
+    pub held: u32,
+    /// Tokens that it has got in this spell.
+    pub received: u32,
+    /// Eighths of a token that it would hold ahead of need. Many instances that
+    /// would each hold a part of one are worth whole ones to their region.
+    pub want: u32,
+    /// Requests that wait for one.
+    pub urgent: u32,
+}
+
+/// What a pool hands out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Whose pool it is.
+    pub name: Arc<str>,
+    /// Its incarnation.
+    pub life: u64,
+    /// In which role it hands out.
+    pub level: Level,
+    /// Incarnation of the instance that it is for.
+    pub to: u64,
+    /// The spell that it belongs to.
+    pub spell: u64,
+    /// By team.
+    pub given: Vec<Given>,
+}
+
+/// One team's tokens from a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Given {
+    /// The team's mark.
+    pub team: u64,
+    /// Tokens handed out to this instance in this spell.
+    pub total: u32,
+    /// Tokens that it may hold; those beyond are dropped, as others need them.
+    pub keep: u32,
+    /// Tokens that come to this instance in a thousand seconds.
+    pub share: u32,
+    /// Whether there are none left for it.
+    pub dry: bool,
+}
+
+/// A message that is due, and where to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Due {
+    /// Where the instance takes it.
+    pub addr: SocketAddr,
+    /// The report.
+    pub report: Report,
+}
+
+impl Report {
+    /// The same for another level.
+    pub(super) fn to(self, level: Level) -> Self {
+        Self { level, ..self }
+    }
+}
--- a/crates/steer/src/process/direct/quota/pool.rs
+++ b/crates/steer/src/process/direct/quota/pool.rs
@@ -11,7 +11,7 @@
 use core::time::Duration;
 use std::sync::Arc;
 
-use super::{Given, Level, Need, PARTS, Report};
+use super::message::{Given, Level, Need, PARTS, Report};
 use crate::clock::Time;
 
 /// Time without a report after which an instance fills its own part, or asks
--- a/crates/steer/src/process/direct/quota/stock.rs
+++ b/crates/steer/src/process/direct/quota/stock.rs
@@ -10,7 +10,8 @@
 use core::time::Duration;
 use std::sync::Arc;
 
-use super::{Grant, Level, Need, PARTS, Report, mark, pool};
+use super::message::{Grant, Level, Need, PARTS, Report, mark};
+use super::pool;
 use crate::clock::Time;
 
 /// Seconds of requests that tokens are held for.
