--- a/crates/steer/src/process/direct/spillover.rs
+++ b/crates/steer/src/process/direct/spillover.rs
@@ -41,7 +41,7 @@
 /// How much more of the warm answers may be late at home than elsewhere. Beyond it
 /// home is fuller than it looks: other regions' instances send requests there too
 /// whose team has no other home.
-const LATER: f64 = 0.25;
+const LATER: f64 = 0.4;
 
 /// Answers over which the parts that are late are averaged.
 const ANSWERS: f64 = 16.0;
