--- a/crates/auburnrouter/src/direct/dump.rs
+++ b/crates/auburnrouter/src/direct/dump.rs
@@ -41,7 +41,7 @@
     pub instances: Vec<Arc<str>>,
     /// Milliseconds since the moment at which all that the store held is known, at
     /// most; none before the first.
-    pub word_ms: Option<u64>,
+    pub stale_ms: Option<u64>,
     /// Teams with a quota of which this instance holds tokens.
     pub quotas: Vec<QuotaUse>,
     /// Share of each service's requests that runs in other regions.
@@ -92,7 +92,7 @@
             waiting: direct.waiting(),
             evacuated: direct.roster.evacuated().to_vec(),
             instances: direct.others(now).map(|o| Arc::clone(o.0)).collect(),
-            word_ms: direct.word_age(now).map(millis),
+            stale_ms: direct.staleness(now).map(millis),
             quotas: direct
                 .quota_stocks()
                 .map(|(team, tokens, rate)| QuotaUse {
--- a/crates/auburnrouter/src/direct/events/requests.rs
+++ b/crates/auburnrouter/src/direct/events/requests.rs
@@ -119,8 +119,9 @@
     config: u64,
     /// Age of the store's last answer; null before the first.
     store_ms: Option<u64>,
-    /// Age of the store's word as it bounds the use of keys; null before the first.
-    word_ms: Option<u64>,
+    /// Time since all that the store held is known, as it bounds the use of keys; null
+    /// before the first answer.
+    stale_ms: Option<u64>,
 }
 
 /// What is known of an answer of this system's own.
@@ -154,8 +155,8 @@
     } = *given;
     let labels = [&*status.to_string(), why];
     shared.metrics.own.with_label_values(&labels).inc();
-    let (waiting, config, store, word) =
-        shared.read(|now, d| (d.waiting(), d.version(), d.store_age(now), d.word_age(now)));
+    let (waiting, config, store, stale) =
+        shared.read(|now, d| (d.waiting(), d.version(), d.store_age(now), d.staleness(now)));
     let fields = Own {
         request,
         route,
@@ -167,7 +168,7 @@
         waiting,
         config,
         store_ms: store.map(millis),
-        word_ms: word.map(millis),
+        stale_ms: stale.map(millis),
     };
     write(shared, "own-answer", fields);
 }
--- a/crates/auburnrouter/src/direct/metrics.rs
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -43,7 +43,7 @@
     version: IntGauge,
     revision: IntGauge,
     in_touch: IntGauge,
-    word_age: IntGauge,
+    staleness: IntGauge,
     teams: IntGauge,
     connections: IntGauge,
     store_calls: IntGaugeVec,
@@ -115,8 +115,8 @@
             version: gauge("auburnrouter_config_version", "Configuration in force")?,
             revision: gauge("auburnrouter_store_revision", "Revision known whole")?,
             in_touch: gauge("auburnrouter_store_in_touch", "1 while the store answers")?,
-            word_age: gauge(
-                "auburnrouter_word_age_milliseconds",
+            staleness: gauge(
+                "auburnrouter_staleness_milliseconds",
                 "Time since all that the store held is known, at most; -1 before",
             )?,
             teams: gauge("auburnrouter_teams", "Teams of the configuration")?,
@@ -139,7 +139,7 @@
         self.version.set(int64(state.version));
         self.revision.set(int64(state.revision));
         self.in_touch.set(i64::from(state.store));
-        self.word_age.set(state.word_ms.map_or(-1, int64));
+        self.staleness.set(state.stale_ms.map_or(-1, int64));
         let teams = shared.read(|_, d| d.routes().map_or(0, |r| r.teams.all().len()));
         self.teams.set(int(teams));
         self.connections.set(int(state.connections));
--- a/crates/auburnrouter/src/direct/peer.rs
+++ b/crates/auburnrouter/src/direct/peer.rs
@@ -94,25 +94,25 @@
 
 fn changes(shared: &Shared, known: u64, asked: Time) -> Changes {
     // Read before the replica, which then holds at least what they speak of.
-    let (age, word, held) =
-        shared.read(|now, d| (d.store_age(now), d.word_age(now), now.since(asked)));
+    let (age, stale, held) =
+        shared.read(|now, d| (d.store_age(now), d.staleness(now), now.since(asked)));
     let replica = lock(&shared.replica);
     let update = replica.since(known);
     if !update.whole || update.revision == 0 {
-        return Changes::new(&update, age).answered(word, held);
+        return Changes::new(&update, age).answered(stale, held);
     }
     let mut packed = lock(&shared.packed.0);
     if let Some(old) = &*packed {
         let missed = replica.since(old.revision);
         if !missed.whole && missed.items.len() < REPACK {
             // The receiver asks for the few changes since at once.
-            let word = word.filter(|_| missed.items.is_empty());
-            return old.clone().confirmed(age).answered(word, held);
+            let stale = stale.filter(|_| missed.items.is_empty());
+            return old.clone().confirmed(age).answered(stale, held);
         }
     }
     let new = Changes::new(&update, age);
     *packed = Some(new.clone());
-    new.answered(word, held)
+    new.answered(stale, held)
 }
 
 /// A connection to another instance.
--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -261,7 +261,7 @@
         // That nothing has changed is said at the end of the wait; when the store
         // told of a change isn't known.
         let waited = self.shared.now().since(asked) >= wait;
-        let word = if waited && changes.events.is_empty() {
+        let confirmed = if waited && changes.events.is_empty() {
             asked + wait
         } else {
             asked
@@ -272,7 +272,7 @@
             whole: false,
             items: items.map(|i| item(&self.shared, i)).collect(),
         };
-        take(&self.shared, update, Some(Duration::ZERO), Some(word));
+        take(&self.shared, update, Some(Duration::ZERO), Some(confirmed));
         true
     }
 
@@ -324,9 +324,9 @@
 /// Whether what an upstream told, asked at `asked`, is worth reading on from it.
 fn is_useful(shared: &Shared, (changes, asked): (&near::Changes, Time)) -> bool {
     let useful = |now: Time, direct: &Direct| {
-        let word = changes.word_age(now.since(asked));
+        let stale = changes.staleness(now.since(asked));
         // One that tells of everything is asked again at once for the rest.
-        word.is_none() && direct.revision() == 0 || direct.is_useful(word)
+        stale.is_none() && direct.revision() == 0 || direct.is_useful(stale)
     };
     is_fresh(changes) && shared.read(useful)
 }
@@ -391,11 +391,11 @@
     let mut before = None;
     loop {
         smol::Timer::after(LOOK).await;
-        let (ahead, sounder, revision) =
-            shared.read(|now, d| (d.ahead(now), d.sounder(now), d.revision()));
+        let (ahead, freshest, revision) =
+            shared.read(|now, d| (d.ahead(now), d.freshest(now), d.revision()));
         let stuck = before == Some(revision);
         before = ahead.map(|_| revision);
-        if let Some(addr) = sounder.or(ahead.filter(|_| stuck)) {
+        if let Some(addr) = freshest.or(ahead.filter(|_| stuck)) {
             let asked = shared.now();
             let answer = match Link::open(addr, &executor).await {
                 Some(link) => link.changes(revision, Duration::ZERO).await,
@@ -415,10 +415,11 @@
 fn take_changes(shared: &Shared, changes: near::Changes, asked: Time) -> bool {
     let age = changes.age();
     let now = shared.now();
-    let word = changes.word_age(now.since(asked)).map(|word| now - word);
+    let stale = changes.staleness(now.since(asked));
+    let confirmed = stale.map(|stale| now - stale);
     match Update::try_from(changes) {
         Ok(update) => {
-            take(shared, update, age, word);
+            take(shared, update, age, confirmed);
             true
         }
         Err(error) => {
@@ -429,8 +430,8 @@
 }
 
 /// Applies what has changed; the store confirmed it `age` ago, and it is all that
-/// the store held at `word`.
-fn take(shared: &Shared, update: Update, age: Option<Duration>, word: Option<Time>) {
+/// the store held at `confirmed`.
+fn take(shared: &Shared, update: Update, age: Option<Duration>, confirmed: Option<Time>) {
     let revision = update.revision;
     // Held until all is applied: what comes from elsewhere meanwhile is later.
     let mut replica = lock(&shared.replica);
@@ -444,8 +445,8 @@
         }
     }
     put_targets(shared, &targets);
-    if let Some(word) = word {
-        shared.note(|_, direct| direct.confirm(word));
+    if let Some(at) = confirmed {
+        shared.note(|_, direct| direct.confirm(at));
     }
     drop(replica);
     shared.told.notify(usize::MAX);
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -70,8 +70,8 @@
     spillovers: Vec<(Arc<str>, Spillover)>,
     members: Members,
     store: Touch,
-    /// How far the store's word goes.
-    word: access::Word,
+    /// Up to when the store's content is known.
+    confirmed: access::Confirmed,
     quotas: quota::Quotas,
     /// Where not to read from for a while.
     failed: Failed,
@@ -121,7 +121,7 @@
             spillovers: Vec::new(),
             members: Members::default(),
             store: Touch::default(),
-            word: access::Word::default(),
+            confirmed: access::Confirmed::default(),
             quotas: quota::Quotas::default(),
             failed: Failed::default(),
             end: None,
--- a/crates/steer/src/process/direct/access.rs
+++ b/crates/steer/src/process/direct/access.rs
@@ -6,7 +6,7 @@
 //! between, and serves requests with keys only while that lies less than the
 //! operator's bound ago.
 //!
-//! Invariant: the moment is never later than the store's own word: what is not
+//! Invariant: the moment is never later than the store's own answer: what is not
 //! known of a delay counts as delay. It is looked at when a request arrives and
 //! once more when it is sent.
 
@@ -68,11 +68,11 @@
 /// most have gone before requests have to be turned away.
 const LEAVE: f64 = 0.6;
 
-/// Part of the time for a version to be in force by which the store's word is to be
-/// read again.
+/// Part of the time for a version to be in force at which the store is to be read
+/// again.
 const READ: f64 = 0.4;
 
-/// The same from which on an upstream's word is too old to go on from.
+/// The same from which on an upstream is too stale to read on from.
 const USEFUL: f64 = 0.6;
 
 /// Time for which an instance that the store turned away counts as out of touch.
@@ -81,15 +81,14 @@
 /// Shortest wait of a watch that is to confirm what is known.
 const WAIT_LEAST: Duration = Duration::from_millis(300);
 
-/// Age of the store's word up to which "no such key" is said, if the operator
-/// bounds nothing.
+/// Staleness up to which "no such key" is said, if the operator bounds nothing.
 const FRESH: Duration = Duration::from_secs(4);
 
-/// What is known of the store's word.
+/// Up to which moment the store's content is known.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Word {
+pub(super) struct Confirmed {
     /// All that the store held then is known.
-    confirmed: Option<Time>,
+    at: Option<Time>,
     /// Whether a later configuration is there that can't be read.
     unread: bool,
 }
@@ -97,24 +96,25 @@
 impl Direct {
     /// Everything that the store held at `at` is known and applied.
     pub fn confirm(&mut self, at: Time) {
-        self.word.confirmed = self.word.confirmed.max(Some(at));
+        self.confirmed.at = self.confirmed.at.max(Some(at));
     }
 
     /// A configuration has come that can't be read, so that what is in force may
     /// be out of date.
     pub const fn configuration_unread(&mut self) {
-        self.word.unread = true;
+        self.confirmed.unread = true;
     }
 
     /// A configuration has been read, whether it is newer or not.
     pub(super) const fn configuration_read(&mut self) {
-        self.word.unread = false;
+        self.confirmed.unread = false;
     }
 
-    /// Age of the store's word at most; `None` before the first.
+    /// Time since all that the store held is known, at most; `None` before the first
+    /// answer.
     #[must_use]
-    pub fn word_age(&self, now: Time) -> Option<Duration> {
-        let confirmed = self.word.confirmed.filter(|_| !self.word.unread);
+    pub fn staleness(&self, now: Time) -> Option<Duration> {
+        let confirmed = self.confirmed.at.filter(|_| !self.confirmed.unread);
         confirmed.map(|at| now.since(at))
     }
 
@@ -136,7 +136,7 @@
         self.is_younger(now, |bound| bound.mul_f64(LEAVE))
     }
 
-    /// Whether another instance's word of this age is worth reading.
+    /// Whether an upstream of this staleness is worth reading from.
     #[must_use]
     pub fn is_useful(&self, age: Option<Duration>) -> bool {
         match self.lag() {
@@ -152,7 +152,7 @@
         let Some(bound) = self.lag() else {
             return most;
         };
-        let age = self.word_age(now).unwrap_or(bound);
+        let age = self.staleness(now).unwrap_or(bound);
         let left = bound.mul_f64(READ).saturating_sub(age);
         left.clamp(WAIT_LEAST.min(most), most)
     }
@@ -210,7 +210,7 @@
 
     fn is_younger(&self, now: Time, than: impl Fn(Duration) -> Duration) -> bool {
         match self.revoke() {
-            Some(bound) => self.word_age(now).is_some_and(|age| age < than(bound)),
+            Some(bound) => self.staleness(now).is_some_and(|age| age < than(bound)),
             None => true,
         }
     }
@@ -218,6 +218,6 @@
     /// Whether this instance would know of a key that was added in time.
     fn is_fresh(&self, now: Time) -> bool {
         let bound = self.bounds.access.config.unwrap_or(FRESH);
-        self.word_age(now).is_some_and(|age| age < bound)
+        self.staleness(now).is_some_and(|age| age < bound)
     }
 }
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -212,10 +212,10 @@
         self.members.serving(now, self.is_in_touch(now))
     }
 
-    /// Where to ask for the store's word, if this instance is in doubt of it and
-    /// another isn't.
+    /// Where to ask what the store holds, if this instance is too stale and another
+    /// isn't.
     #[must_use]
-    pub fn sounder(&self, now: Time) -> Option<SocketAddr> {
+    pub fn freshest(&self, now: Time) -> Option<SocketAddr> {
         let doubtful = !self.is_sound(now);
         self.members.sound(now).filter(|_| doubtful)
     }
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -177,8 +177,8 @@
         members.filter_map(|m| m.row.as_ref().map(|row| (&m.name, row)))
     }
 
-    /// Where to ask for the store's word: of those heard lately, one that isn't
-    /// in doubt of it.
+    /// Where to ask what the store holds: of those heard lately, one that isn't
+    /// too stale itself.
     #[must_use]
     pub fn sound(&self, now: Time) -> Option<SocketAddr> {
         let fit = |m: &&Member| m.is_heard(now) && !m.doubtful && !m.leaving;
--- a/crates/steer/src/process/direct/quota.rs
+++ b/crates/steer/src/process/direct/quota.rs
@@ -271,14 +271,14 @@
 
     /// A report of an instance, this one among them; says what it is given.
     pub fn take_report(&mut self, now: Time, report: Report) -> Grant {
-        let (to, spell, level) = (report.life, report.spell, report.level);
+        let (to, session, level) = (report.life, report.session, report.level);
         let given = self.give(now, report);
         Grant {
             name: Arc::clone(&self.home.name),
             life: self.home.life,
             level,
             to,
-            spell,
+            session,
             given,
         }
     }
@@ -339,7 +339,7 @@
         if grant.to != self.home.life {
             return;
         }
-        if grant.spell == 0 {
+        if grant.session == 0 {
             if link.released(&grant.name) {
                 stock.released();
             }
--- a/crates/steer/src/process/direct/quota/message.rs
+++ b/crates/steer/src/process/direct/quota/message.rs
@@ -36,9 +36,9 @@
     pub level: Level,
     /// Incarnation of the pool that it counts from; 0 before it has heard one.
     pub pool: u64,
-    /// Tells its spells with a pool apart; what was handed out in an earlier one
+    /// Tells its sessions with a pool apart; what was handed out in an earlier one
     /// and comes late is passed over.
-    pub spell: u64,
+    pub session: u64,
     /// Instances whose part of the buckets is to be filled by the pool: they don't
     /// do so themselves, nor may an earlier pool.
     pub counted: u32,
@@ -53,7 +53,7 @@
     pub team: u64,
     /// Tokens held.
     pub held: u32,
-    /// Tokens that it has got in this spell.
+    /// Tokens that it has got in this session.
     pub received: u32,
     /// Eighths of a token that it would hold ahead of need. Many instances that
     /// would each hold a part of one are worth whole ones to their region.
@@ -73,8 +73,8 @@
     pub level: Level,
     /// Incarnation of the instance that it is for.
     pub to: u64,
-    /// The spell that it belongs to.
-    pub spell: u64,
+    /// The session that it belongs to.
+    pub session: u64,
     /// By team.
     pub given: Vec<Given>,
 }
@@ -84,7 +84,7 @@
 pub struct Given {
     /// The team's mark.
     pub team: u64,
-    /// Tokens handed out to this instance in this spell.
+    /// Tokens handed out to this instance in this session.
     pub total: u32,
     /// Tokens that it may hold; those beyond are dropped, as others need them.
     pub keep: u32,
--- a/crates/steer/src/process/direct/quota/pool.rs
+++ b/crates/steer/src/process/direct/quota/pool.rs
@@ -1,11 +1,11 @@
 //! The tokens of all teams, as the instance keeps them that hands them out.
 //!
 //! Everything is learnt from the reports of those that ask, so a pool that takes
-//! over from another needs no word of it, and one that restarts loses nothing but
+//! over from another needs nothing from it, and one that restarts loses nothing but
 //! the tokens not yet handed out.
 //!
 //! Invariant: a bucket is filled for the part of instances that report here only,
-//! and what they hold, by their last word and with what is on its way to them,
+//! and what they hold, by their last report and with what is on its way to them,
 //! counts against it.
 
 use core::time::Duration;
@@ -48,7 +48,7 @@
     name: Arc<str>,
     life: u64,
     seq: u64,
-    spell: u64,
+    session: u64,
     heard: Time,
     counted: u32,
     /// Sorted by team.
@@ -61,7 +61,7 @@
     team: u64,
     /// Tokens there, and on the way there.
     tokens: f64,
-    /// Handed out in this spell.
+    /// Handed out in this session.
     given: u32,
     want: f64,
     /// Tokens that requests wait for.
@@ -112,7 +112,7 @@
                     name: Arc::clone(&report.name),
                     life: report.life,
                     seq: 0,
-                    spell: report.spell,
+                    session: report.session,
                     heard: now,
                     counted: 0,
                     held: Vec::new(),
@@ -130,8 +130,8 @@
         if report.seq <= client.seq {
             return None;
         }
-        if client.spell != report.spell {
-            client.spell = report.spell;
+        if client.session != report.session {
+            client.session = report.session;
             client.held.clear();
         }
         client.seq = report.seq;
--- a/crates/steer/src/process/direct/quota/stock.rs
+++ b/crates/steer/src/process/direct/quota/stock.rs
@@ -104,7 +104,7 @@
     share: f64,
     /// When this instance last filled its own part.
     filled: Option<Time>,
-    /// Tokens held and wanted as last told in this spell.
+    /// Tokens held and wanted as last told in this session.
     told: Option<(u32, u32)>,
 }
 
@@ -115,10 +115,10 @@
     accounts: Vec<Account>,
     /// Incarnation of the pool that tokens come from; 0 while none is known.
     pool: u64,
-    spell: u64,
+    session: u64,
     /// When another pool was last chosen in place of one that was heard.
     changed: Option<Time>,
-    /// Last word of a pool.
+    /// When a pool was last heard.
     heard: Option<Time>,
     /// Last report.
     told: Option<Time>,
@@ -188,7 +188,7 @@
         if self.heard.is_some() {
             self.changed = Some(now);
         }
-        self.begin_spell(0);
+        self.begin_session(0);
     }
 
     /// The pool that was asked before no longer counts this instance.
@@ -205,16 +205,16 @@
             seq: self.count,
             level,
             pool: 0,
-            spell: 0,
+            session: 0,
             counted: 0,
             needs: Vec::new(),
         }
     }
 
     /// Begins to count what comes from this incarnation of a pool.
-    fn begin_spell(&mut self, pool: u64) {
+    fn begin_session(&mut self, pool: u64) {
         self.pool = pool;
-        self.spell += 1;
+        self.session += 1;
         for account in &mut self.accounts {
             account.received = 0;
             account.dry = None;
@@ -278,7 +278,7 @@
             seq: self.count,
             level: Level::Region,
             pool: self.pool,
-            spell: self.spell,
+            session: self.session,
             counted: if counted { count } else { 0 },
             needs,
         }
@@ -299,12 +299,12 @@
     /// Takes what the pool hands out. Says whether it has to be asked anew: this
     /// incarnation of it wasn't known.
     pub fn receive(&mut self, now: Time, grant: &Grant) -> bool {
-        if self.spell != grant.spell {
+        if self.session != grant.session {
             return false;
         }
         self.heard = Some(now);
         if self.pool != grant.life {
-            self.begin_spell(grant.life);
+            self.begin_session(grant.life);
             return true;
         }
         for given in &grant.given {
--- a/crates/wire/src/near.rs
+++ b/crates/wire/src/near.rs
@@ -102,7 +102,7 @@
     pub age_ms: Option<u32>,
     /// Milliseconds since the moment at which everything that the store held is
     /// known here, at most; `None` if there is no such moment.
-    word_ms: Option<u32>,
+    stale_ms: Option<u32>,
     /// Milliseconds for which the question was kept waiting for this answer.
     held_ms: u32,
     /// Whether it is everything, in place of what has changed.
@@ -131,7 +131,7 @@
         Self {
             revision: update.revision,
             age_ms: millis(age),
-            word_ms: None,
+            stale_ms: None,
             held_ms: 0,
             whole: update.whole,
             items: lz4_flex::compress_prepend_size(&plain),
@@ -147,12 +147,12 @@
         }
     }
 
-    /// The same by a sender that knows all that the store held `word` ago, after
+    /// The same by a sender that knows all that the store held `stale` ago, after
     /// it has kept the question waiting.
     #[must_use]
-    pub fn answered(self, word: Option<Duration>, held: Duration) -> Self {
+    pub fn answered(self, stale: Option<Duration>, held: Duration) -> Self {
         Self {
-            word_ms: millis(word),
+            stale_ms: millis(stale),
             // Less is safe: the rest counts as time on the way.
             held_ms: u32::try_from(held.as_millis()).unwrap_or(0),
             ..self
@@ -163,10 +163,10 @@
     /// between the question and now. How long the question and its answer were on
     /// their way isn't known, so all of that counts.
     #[must_use]
-    pub fn word_age(&self, span: Duration) -> Option<Duration> {
-        let word = Duration::from_millis(self.word_ms?.into());
+    pub fn staleness(&self, span: Duration) -> Option<Duration> {
+        let stale = Duration::from_millis(self.stale_ms?.into());
         let held = Duration::from_millis(self.held_ms.into());
-        Some(word + span.saturating_sub(held))
+        Some(stale + span.saturating_sub(held))
     }
 
     /// Time since the store confirmed it.
@@ -223,7 +223,7 @@
     /// Whether it goes to the fleet's pool and not to the region's.
     fleet: bool,
     pool: u64,
-    spell: u64,
+    session: u64,
     counted: u32,
     /// Mark, held, received, want, urgent.
     needs: Vec<(Long, u32, u32, u32, u32)>,
@@ -236,7 +236,7 @@
     life: u64,
     fleet: bool,
     to: u64,
-    spell: u64,
+    session: u64,
     /// Mark, total, keep, share, dry.
     given: Vec<(Long, u32, u32, u32, bool)>,
 }
@@ -277,7 +277,7 @@
             seq: report.seq,
             fleet: report.level == quota::Level::Fleet,
             pool: report.pool,
-            spell: report.spell,
+            session: report.session,
             counted: report.counted,
             needs: report.needs.into_iter().map(need).collect(),
         }
@@ -299,7 +299,7 @@
             seq: report.seq,
             level: level(report.fleet),
             pool: report.pool,
-            spell: report.spell,
+            session: report.session,
             counted: report.counted,
             needs: report.needs.into_iter().map(need).collect(),
         }
@@ -314,7 +314,7 @@
             life: grant.life,
             fleet: grant.level == quota::Level::Fleet,
             to: grant.to,
-            spell: grant.spell,
+            session: grant.session,
             given: grant.given.into_iter().map(given).collect(),
         }
     }
@@ -334,7 +334,7 @@
             life: grant.life,
             level: level(grant.fleet),
             to: grant.to,
-            spell: grant.spell,
+            session: grant.session,
             given: grant.given.into_iter().map(given).collect(),
         }
     }
