--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -216,8 +216,10 @@
     /// isn't.
     #[must_use]
     pub fn freshest(&self, now: Time) -> Option<SocketAddr> {
-        let doubtful = !self.is_sound(now);
-        self.members.sound(now).filter(|_| doubtful)
+        // One that starts is told everything where it reads from; asking around for it
+        // besides would fill links that all others start by.
+        let stale = self.store.revision > 0 && !self.is_sound(now);
+        self.members.sound(now, &self.home.region).filter(|_| stale)
     }
 
     /// Other instances with the version that each has in force, if it was heard
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -177,11 +177,12 @@
         members.filter_map(|m| m.row.as_ref().map(|row| (&m.name, row)))
     }
 
-    /// Where to ask what the store holds: of those heard lately, one that isn't
-    /// too stale itself.
+    /// Where to ask what the store holds: of those of a region heard lately, one that
+    /// isn't too stale itself.
     #[must_use]
-    pub fn sound(&self, now: Time) -> Option<SocketAddr> {
-        let fit = |m: &&Member| m.is_heard(now) && !m.doubtful && !m.leaving;
+    pub fn sound(&self, now: Time, region: &str) -> Option<SocketAddr> {
+        let near = |m: &Member| m.row.as_ref().is_some_and(|row| *row.region == *region);
+        let fit = |m: &&Member| m.is_heard(now) && !m.doubtful && !m.leaving && near(m);
         let newest = self.members.iter().filter(fit).max_by_key(|m| m.heard)?;
         newest.row.as_ref().map(|row| row.peers)
     }
--- a/crates/steer/src/process/direct/quota.rs
+++ b/crates/steer/src/process/direct/quota.rs
@@ -40,7 +40,8 @@
 /// Time between reports while a request waits.
 const PACE_WAITING: Duration = Duration::from_millis(40);
 
-/// Shortest time between two reports of a region that runs low.
+/// Shortest time between two reports of a region. What crosses regions is paid by
+/// the byte, and a large region always lacks some team's tokens.
 const PRESS: Duration = Duration::from_millis(100);
 
 /// The terms of all teams' buckets, sorted by mark.
@@ -75,7 +76,7 @@
     fleet: pool::Pool,
     /// Whether a request has begun to wait for a token.
     urgent: bool,
-    /// When it last asked for more before any request waited.
+    /// When it last asked for more for its region.
     pressed: Time,
 }
 
@@ -212,7 +213,8 @@
         let own = quotas.stock.report(now, Arc::clone(&name), life, &waiting);
         let mut due: Vec<Due> = self.address(now, own).into_iter().collect();
         let quotas = &mut self.quotas;
-        if quotas.region.is_asked(now) {
+        if quotas.region.is_asked(now) && now.since(quotas.pressed) >= PRESS {
+            quotas.pressed = now;
             let teams = quotas.terms.iter().map(|(team, _)| *team);
             let needs = quotas.region.needs(now, teams);
             let count = quotas.region.count(now);
@@ -318,11 +320,8 @@
             let capacity = pool.add(now, need.team, new.tokens);
             let mut part = pool.give(now, at, &need, (level, capacity, new.rate));
             // What a region can't give is asked for at once.
-            *urgent |= part.dry;
-            if pool.is_low(need.team, capacity) && now.since(*pressed) >= PRESS {
-                *pressed = now;
-                *urgent = true;
-            }
+            let lacks = part.dry || pool.is_low(need.team, capacity);
+            *urgent |= lacks && now.since(*pressed) >= PRESS;
             part.dry &= new.dry;
             given.push(part);
         }
