--- a/crates/steer/src/process/direct/job.rs
+++ b/crates/steer/src/process/direct/job.rs
@@ -35,7 +35,7 @@
     pub(super) elsewhere: Option<bool>,
     /// Whether its team's quota has let it in.
     pub(super) admission: Admission,
-    /// Whether the own region had slots to spare when that was decided.
+    /// Whether the regions where it is to run had slots to spare then.
     pub(super) spare: bool,
     pub(super) state: State,
 }
--- a/crates/steer/src/process/direct/quota.rs
+++ b/crates/steer/src/process/direct/quota.rs
@@ -10,7 +10,7 @@
 //! an equal part of the bucket by itself.
 //!
 //! Invariant: tokens at all instances, in the pool and on the way never exceed
-//! the bucket, and are added at the quota's rate at most. Messages may be lost,
+//! the bucket, and are added at its rate at most. Messages may be lost,
 //! late, doubled or out of order: what was handed out is told as a sum.
 
 mod link;
--- a/crates/steer/src/process/direct/quota/message.rs
+++ b/crates/steer/src/process/direct/quota/message.rs
@@ -109,3 +109,13 @@
         Self { level, ..self }
     }
 }
+
+/// A number of tokens as messages tell it, the fraction left out.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "saturates"
+)]
+pub(super) fn whole(number: f64) -> u32 {
+    number as u32
+}
--- a/crates/steer/src/process/direct/quota/pool.rs
+++ b/crates/steer/src/process/direct/quota/pool.rs
@@ -11,7 +11,7 @@
 use core::time::Duration;
 use std::sync::Arc;
 
-use super::message::{Given, Level, Need, PARTS, Report};
+use super::message::{Given, Level, Need, PARTS, Report, whole};
 use crate::clock::Time;
 
 /// Time without a report after which an instance fills its own part, or asks
@@ -329,12 +329,3 @@
         &mut self.held[at]
     }
 }
-
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "saturates"
-)]
-fn whole(number: f64) -> u32 {
-    number as u32
-}
--- a/crates/steer/src/process/direct/quota/stock.rs
+++ b/crates/steer/src/process/direct/quota/stock.rs
@@ -10,7 +10,7 @@
 use core::time::Duration;
 use std::sync::Arc;
 
-use super::message::{Grant, Level, Need, PARTS, Report, mark};
+use super::message::{Grant, Level, Need, PARTS, Report, mark, whole};
 use super::pool;
 use crate::clock::Time;
 
@@ -398,12 +398,3 @@
         }
     }
 }
-
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "saturates"
-)]
-fn whole(number: f64) -> u32 {
-    number as u32
-}
