Split what applies the store's content, and memory for bodies, into files of their own

Change: source/apply.rs and callers/room.rs; the longest body is handed to Room in place of being looked up there.

--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -4,9 +4,10 @@
 //! will not; everything else that fails is 502 or 504. A caller that leaves
 //! takes its request with it. A caller's key goes no further than here.
 
+mod room;
+
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use futures_lite::future;
@@ -14,6 +15,7 @@
 use hyper::header::HOST;
 use hyper::{Method, StatusCode, Uri};
 use platform::headers;
+use room::Room;
 use smol::net;
 use steer::clock::Time;
 use steer::process::direct::access::{Access, Presented};
@@ -85,7 +87,7 @@
     }
 
     fn room(&self, length: Option<u64>) -> Option<Room> {
-        Room::take(&self.0, length)
+        Room::take(&self.0, limits(&self.0).body, length)
     }
 
     fn refuse(&self, caller: Caller, why: Refusal) -> Response {
@@ -139,43 +141,6 @@
     )
 }
 
-/// Part of the process's memory that callers' bodies may take together. Each
-/// is held whole, and once more where it is sent.
-const BODIES: usize = 4;
-
-/// Memory for one body, for as long as its request is here. A few callers with
-/// long bodies would otherwise have the process killed, with all others'
-/// requests.
-pub struct Room {
-    held: Arc<AtomicUsize>,
-    bytes: usize,
-}
-
-impl Room {
-    /// Room for a body of the length that the request says, or of the longest.
-    fn take(shared: &Shared, length: Option<u64>) -> Option<Self> {
-        let most = limits(shared).body;
-        let said = length.and_then(|b| usize::try_from(b).ok()).unwrap_or(most);
-        let memory = usize::try_from(shared.settings.memory).unwrap_or(usize::MAX);
-        let all = memory.saturating_mul(1 << 20) / BODIES;
-        // An operator's limit may be larger than any memory.
-        let bytes = said.min(most).min(all.saturating_add(1));
-        let room = Self {
-            held: Arc::clone(&shared.bodies),
-            bytes,
-        };
-        let before = room.held.fetch_add(bytes, Ordering::Relaxed);
-        // Dropped here, it gives back what it has just taken.
-        (before + bytes <= all).then_some(room)
-    }
-}
-
-impl Drop for Room {
-    fn drop(&mut self) {
-        self.held.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// Takes a request out of steering when its future is dropped: its caller has
 /// closed the connection.
 struct Seat {
--- /dev/null
+++ b/crates/auburnrouter/src/direct/source/apply.rs
@@ -0,0 +1,153 @@
+//! Applies what the store holds to steering, item by item.
+//!
+//! Invariants: an item is applied only if it is later than what is known of it;
+//! what is confirmed is raised after all of it is applied.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use platform::{document, entry};
+use steer::clock::Time;
+use steer::process::direct::replica::Update;
+use wire::near;
+
+use super::super::{Shared, events, lock, member};
+
+/// Takes what another instance, asked at `asked`, has told. Says whether it could
+/// be read.
+pub(super) fn take_changes(shared: &Shared, changes: near::Changes, asked: Time) -> bool {
+    let age = changes.age();
+    let now = shared.now();
+    let stale = changes.staleness(now.since(asked));
+    let confirmed = stale.map(|stale| now - stale);
+    match Update::try_from(changes) {
+        Ok(update) => {
+            take(shared, update, age, confirmed);
+            true
+        }
+        Err(error) => {
+            events::refused(shared, "changes", &error.to_string());
+            false
+        }
+    }
+}
+
+/// Applies what has changed; the store confirmed it `age` ago, and it is all that
+/// the store held at `confirmed`.
+pub(super) fn take(
+    shared: &Shared,
+    update: Update,
+    age: Option<Duration>,
+    confirmed: Option<Time>,
+) {
+    let revision = update.revision;
+    // Held until all is applied: what comes from elsewhere meanwhile is later.
+    let mut replica = lock(&shared.replica);
+    let changed = replica.take(update);
+    shared.note(|now, direct| direct.told(now, age, revision));
+    let mut targets = Vec::new();
+    for item in &changed {
+        match (item.key.strip_prefix(entry::PREFIX), &item.value) {
+            (Some(id), Some(value)) => targets.push((id, &**value)),
+            _ => apply(shared, &item.key, item.value.as_deref()),
+        }
+    }
+    put_targets(shared, &targets);
+    if let Some(at) = confirmed {
+        shared.note(|_, direct| direct.confirm(at));
+    }
+    drop(replica);
+    shared.told.notify(usize::MAX);
+}
+
+fn apply(shared: &Shared, key: &str, value: Option<&[u8]>) {
+    if key == document::KEY {
+        if let Some(value) = value {
+            install(shared, value);
+        }
+    } else if let Some(domain) = key.strip_prefix(document::EVACUATE) {
+        let mut domains = shared.read(|_, d| d.roster.evacuated().to_vec());
+        domains.retain(|d| **d != *domain);
+        if value.is_some() {
+            domains.push(domain.into());
+        }
+        set_evacuated(shared, domains);
+    } else if let Some(id) = key.strip_prefix(entry::PREFIX) {
+        remove_target(shared, id);
+    } else if let Some(name) = key.strip_prefix(member::PREFIX) {
+        put_member(shared, name, value);
+    }
+}
+
+fn install(shared: &Shared, value: &[u8]) {
+    match document::read(value) {
+        Ok(routes) => {
+            let routes = Arc::new(routes);
+            let new = Arc::clone(&routes);
+            let before = shared.read(|_, d| d.routes().cloned());
+            if shared.decide(|_, direct| direct.install(new)) {
+                events::installed(shared, &routes, before.as_deref());
+            }
+        }
+        Err(error) => {
+            shared.note(|_, direct| direct.configuration_unread());
+            events::refused(shared, document::KEY, &error.to_string());
+        }
+    }
+}
+
+fn set_evacuated(shared: &Shared, domains: Vec<Arc<str>>) {
+    let changed = shared.decide(|now, direct| {
+        let before = direct.roster.evacuated().to_vec();
+        direct.evacuate(now, domains);
+        before != direct.roster.evacuated()
+    });
+    if changed {
+        let domains = shared.read(|_, d| d.roster.evacuated().to_vec());
+        events::evacuated(shared, &domains);
+    }
+}
+
+/// Puts targets all at once: a start brings thousands.
+fn put_targets(shared: &Shared, targets: &[(&str, &[u8])]) {
+    let mut entries = Vec::new();
+    for (id, value) in targets {
+        match entry::read(id, value) {
+            Ok(entry) => entries.push(entry),
+            Err(error) => events::refused(shared, id, &error.to_string()),
+        }
+    }
+    if entries.is_empty() {
+        return;
+    }
+    let seen = entries.clone();
+    let changed = shared.decide(|now, direct| direct.roster.put_all(now, entries));
+    for (entry, changed) in seen.iter().zip(changed) {
+        if changed {
+            events::target(shared, entry);
+        }
+    }
+}
+
+fn remove_target(shared: &Shared, id: &str) {
+    if shared.decide(|now, direct| direct.unlist(now, id)) {
+        events::target_gone(shared, id);
+    }
+}
+
+fn put_member(shared: &Shared, name: &str, value: Option<&[u8]>) {
+    let row = match value.map(serde_json::from_slice::<near::Row>) {
+        Some(Ok(row)) => Some(row.into()),
+        Some(Err(error)) => {
+            events::refused(shared, name, &error.to_string());
+            None
+        }
+        None => None,
+    };
+    if *name == *shared.settings.name {
+        shared.own_row(row.is_some());
+    }
+    let listed = row.is_some();
+    shared.note(|now, direct| direct.member(now, name, row));
+    events::member(shared, name, listed);
+}
