Split the model of a fleet from the tests of quotas

Cause: 550 lines with two jobs, a model in virtual time and the tests that use it. Change: quota_fleet.rs holds the model. Seen: direct, 170 tests pass, the property test of the sum among them.

--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -19,6 +19,8 @@
 mod place;
 #[path = "direct/quota.rs"]
 mod quota;
+#[path = "direct/quota_fleet.rs"]
+mod quota_fleet;
 #[path = "direct/repeat.rs"]
 mod repeat;
 #[path = "direct/replica.rs"]
