--- a/crates/steer/src/process/direct/quota.rs
+++ b/crates/steer/src/process/direct/quota.rs
@@ -31,12 +31,10 @@
 use crate::clock::Time;
 use crate::version::teams::{Quota, Team};
 
-/// Time between reports.
+/// Time between reports, in a fleet of any size: all other times that concern tokens
+/// are a few times this one.
 const PACE: Duration = Duration::from_millis(250);
 
-/// Instances for which that holds; each so many more add as much.
-const REPORTERS: u32 = 64;
-
 /// Time between reports while a request waits.
 const PACE_WAITING: Duration = Duration::from_millis(40);
 
@@ -93,14 +91,14 @@
     }
 
     /// Time until the next report: soon where requests wait for tokens that have
-    /// a way to go, and longer in a large fleet, all of which is heard by one.
+    /// a way to go.
     #[must_use]
     pub fn report_pace(&self) -> Duration {
         if self.jobs.iter().any(|j| j.admission == Admission::Waiting) {
-            return PACE_WAITING;
+            PACE_WAITING
+        } else {
+            PACE
         }
-        let count = u32::try_from(self.sharers.len()).unwrap_or(u32::MAX);
-        PACE * (count / REPORTERS + 1)
     }
 
     /// Takes a token for the request at `at`. `Some` if it may not go on now.
--- a/crates/steer/tests/direct/quota.rs
+++ b/crates/steer/tests/direct/quota.rs
@@ -85,6 +85,7 @@
 #[case::small_team(34, 34, 10.0)]
 #[case::small_fleet(7, 7, 30.0)]
 #[case::hundred_instances(119, 119, 200.0)]
+#[case::three_hundred_instances(300, 300, 400.0)]
 fn admit_team_below_quota(
     #[case] count: usize,
     #[case] by: usize,
--- a/crates/steer/tests/direct/quota_fleet.rs
+++ b/crates/steer/tests/direct/quota_fleet.rs
@@ -26,6 +26,9 @@
 /// Time between two instances that are stopped in turn.
 const ROLL: u64 = 2_000;
 
+/// Instances that get each heartbeat of one, and it; the store lists the others.
+const AUDIENCE: usize = 40;
+
 /// Time for which one that was told to stop goes on.
 const GRACE: u64 = 500;
 
@@ -329,7 +332,9 @@
         let phase = u64::try_from(at).expect("few") * STEP;
         if (self.now + phase).is_multiple_of(250) {
             let beat = self.nodes[at].direct.beat(clock, true);
-            for to in (0..self.nodes.len()).filter(|to| *to != at) {
+            let count = self.nodes.len();
+            for step in 1..count.min(AUDIENCE) {
+                let to = (at + step) % count;
                 self.post(at, to, || Message::Beat(beat.clone()));
             }
         }
