Report tokens at one pace in a fleet of any size

Cause: the time between reports grew with the fleet, to 1.25 s at 300 instances, and an instance that has not reported for 1.25 s counts as silent. Change: one time, 250 ms, at any size.

--- a/crates/steer/src/process/direct/quota.rs
+++ b/crates/steer/src/process/direct/quota.rs
@@ -31,8 +31,8 @@
 use crate::clock::Time;
 use crate::version::teams::{Quota, Team};
 
-/// Time between reports, in a fleet of any size: all other times that concern tokens
-/// are a few times this one.
+/// Time between reports. The same in a fleet of any size: an instance that reports
+/// less often than [`pool::HEARD`] counts as silent.
 const PACE: Duration = Duration::from_millis(250);
 
 /// Time between reports while a request waits.
