Log the limit that a target names, and attempts at targets known to name one

Seen: in the incident no line and no metric speaks of a target's limit, so the three hypotheses can't be told apart: which answers bore one, which instance knew of it when it sent, until when it was named. The header still goes on to callers. With it: an answer under another name (421) or of another request no longer tells the load of the target that was meant.

--- a/crates/auburnrouter/src/direct/attempt.rs
+++ b/crates/auburnrouter/src/direct/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, StatusCode, Uri};
 use platform::headers;
+use steer::process::direct::target::Word;
 use steer::process::direct::{Ending, Go};
 
 use super::Shared;
@@ -44,8 +45,8 @@
     pub ending: Ending,
     /// The target's whole answer.
     pub answer: Option<Response>,
-    /// Requests at the target by its own word.
-    pub present: Option<u32>,
+    /// What the target says of itself, if the answer is its own.
+    pub word: Option<Word>,
 }
 
 impl Ended {
@@ -53,7 +54,7 @@
         Self {
             ending,
             answer: None,
-            present: None,
+            word: None,
         }
     }
 }
@@ -93,10 +94,14 @@
     let mut answer = Response::new(body.to_bytes());
     *answer.status_mut() = head.status;
     *answer.headers_mut() = fields;
+    let own = !matches!(ending, Ending::Garbled | Ending::Elsewhere);
     Ended {
         ending,
         answer: Some(answer),
-        present: said.load.map(|l| l.running + l.waiting),
+        word: own.then_some(Word {
+            load: said.load.map(|l| l.running.saturating_add(l.waiting)),
+            limit: said.limit,
+        }),
     }
 }
 
--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -337,10 +337,10 @@
     ) -> (Next, Option<Response>) {
         let began = self.shared.now();
         let left = limit.since(began);
-        let (ending, answer, present) = if self.shared.read(|now, d| d.may_go(now, go)) {
+        let (ending, answer, word) = if self.shared.read(|now, d| d.may_go(now, go)) {
             let run = attempt::run(&self.shared, go, &self.whole, left);
             match self.until(limit, run).await {
-                Some(ended) => (ended.ending, ended.answer, ended.present),
+                Some(ended) => (ended.ending, ended.answer, ended.word),
                 None => (Ending::Late, None, None),
             }
         } else {
@@ -350,15 +350,15 @@
             ending,
             Ending::Unreached | Ending::Withdrawn | Ending::NotRun | Ending::Elsewhere
         );
-        let next = self.shared.decide(|now, direct| {
+        let (next, named) = self.shared.decide(|now, direct| {
             let next = direct.ended(now, go.ticket, ending);
-            if let Some(present) = present
-                && let Some(target) = direct.roster.get_mut(&go.target)
-            {
-                target.tell(now, present);
-            }
-            next
+            let named = word.is_some_and(|word| direct.hear_target(now, &go.target, word));
+            (next, named)
         });
+        let word = word.unwrap_or_default();
+        if named {
+            events::limit(&self.shared, &go.target, word.limit, self.id());
+        }
         let status = answer.as_ref().map_or(0, |a| a.status().as_u16());
         events::attempt(
             &self.shared,
@@ -373,7 +373,7 @@
                 took: millis(self.shared.now(), began),
                 ending: name(ending),
                 status,
-                load: present.unwrap_or_default(),
+                word,
                 go,
                 object: self.object,
             },
--- a/crates/auburnrouter/src/direct/dump.rs
+++ b/crates/auburnrouter/src/direct/dump.rs
@@ -69,10 +69,19 @@
     /// `leaving`, `gone`, `cold`, `aside`; none if it is in full use.
     marks: Vec<&'static str>,
     flying: u32,
+    /// Requests a second that it takes from all instances, if it says so.
+    limit: Option<f64>,
     slowness: f64,
     illness: f64,
 }
 
+impl Target {
+    /// Whether it names a limit.
+    pub const fn is_limited(&self) -> bool {
+        self.limit.is_some()
+    }
+}
+
 impl State {
     /// The state now.
     pub fn of(shared: &Shared) -> Self {
@@ -112,6 +121,7 @@
                     domain: Arc::clone(&t.entry.domain),
                     marks: marks(t, now),
                     flying: t.flying,
+                    limit: t.limit(),
                     slowness: t.health.slowness(now),
                     illness: t.health.illness(now).max(t.health.refusal(now)),
                 })
--- a/crates/auburnrouter/src/direct/events.rs
+++ b/crates/auburnrouter/src/direct/events.rs
@@ -311,6 +311,25 @@
     write(shared, "target-gone", TargetGone { target });
 }
 
+#[derive(Serialize)]
+struct Limited<'a> {
+    target: &'a str,
+    /// Requests a second from all instances together; null if it names no limit.
+    rate: Option<f64>,
+    /// The request whose answer says so.
+    request: &'a str,
+}
+
+/// A target names another limit than before, or none any more.
+pub fn limit(shared: &Shared, target: &str, rate: Option<f64>, request: &str) {
+    let fields = Limited {
+        target,
+        rate,
+        request,
+    };
+    write(shared, "target-limit", fields);
+}
+
 #[derive(Serialize)]
 struct Evacuated<'a> {
     domains: &'a [std::sync::Arc<str>],
--- a/crates/auburnrouter/src/direct/events/requests.rs
+++ b/crates/auburnrouter/src/direct/events/requests.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use steer::process::direct::target::Word;
 
 use super::{millis, write};
 use crate::direct::Shared;
@@ -38,6 +39,12 @@
     /// Age of the target's own last word on them.
     believed_ms: u64,
     load: u32,
+    /// Requests a second that the target takes, by its answer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    limit: Option<f64>,
+    /// The same as known when it was sent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    limit_known: Option<f64>,
     warm: bool,
     expected_ms: f64,
     object: u64,
@@ -67,8 +74,8 @@
     pub ending: &'a str,
     /// The target's status; 0 if there is none.
     pub status: u16,
-    /// Requests at the target by its own word.
-    pub load: u32,
+    /// What the target says of itself.
+    pub word: Word,
     /// What decided it.
     pub go: &'a steer::process::direct::Go,
     /// The object's hash; 0 if it names none.
@@ -81,6 +88,9 @@
     metrics.attempts.with_label_values(&[a.ending]).inc();
     metrics.held.observe(seconds(a.held));
     metrics.took.observe(seconds(a.took));
+    if a.go.limit.is_some() {
+        metrics.limited.inc();
+    }
     let fields = Attempted {
         request: a.request,
         route: a.route,
@@ -94,7 +104,9 @@
         status: a.status,
         believed: a.go.load,
         believed_ms: millis(a.go.age),
-        load: a.load,
+        load: a.word.load.unwrap_or_default(),
+        limit: a.word.limit,
+        limit_known: a.go.limit,
         warm: a.go.warm,
         expected_ms: a.go.work * 1000.0,
         object: a.object,
--- a/crates/auburnrouter/src/direct/metrics.rs
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -32,6 +32,8 @@
     pub held: Histogram,
     /// Time that attempts took.
     pub took: Histogram,
+    /// Attempts at targets that were known to name a limit.
+    pub limited: IntCounter,
     /// Log lines left out.
     pub left_out: IntCounter,
     /// Connections that were turned away.
@@ -39,6 +41,7 @@
     requests: IntGauge,
     waiting: IntGauge,
     targets: IntGauge,
+    targets_limited: IntGauge,
     instances: IntGauge,
     version: IntGauge,
     revision: IntGauge,
@@ -72,6 +75,11 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        let limited = IntCounter::new(
+            "auburnrouter_attempts_limited_total",
+            "Attempts at targets that were known to name a limit",
+        )?;
+        registry.register(Box::new(limited.clone()))?;
         let left_out = IntCounter::new(
             "auburnrouter_log_lines_left_out_total",
             "Log lines left out, by the bound a second or a slow reader",
@@ -106,11 +114,16 @@
                 "Time from a request's arrival to its being sent",
             )?,
             took: histogram("auburnrouter_attempt_seconds", "Time that attempts took")?,
+            limited,
             left_out,
             turned_away,
             requests: gauge("auburnrouter_requests", "Requests that are here")?,
             waiting: gauge("auburnrouter_waiting", "Requests that wait for a target")?,
             targets: gauge("auburnrouter_targets", "Targets listed")?,
+            targets_limited: gauge(
+                "auburnrouter_targets_limited",
+                "Targets that name a limit of requests a second",
+            )?,
             instances: gauge("auburnrouter_instances", "Instances there, this one too")?,
             version: gauge("auburnrouter_config_version", "Configuration in force")?,
             revision: gauge("auburnrouter_store_revision", "Revision known whole")?,
@@ -135,6 +148,8 @@
         self.requests.set(int(state.requests));
         self.waiting.set(int(state.waiting));
         self.targets.set(int(state.targets.len()));
+        let limited = state.targets.iter().filter(|t| t.is_limited()).count();
+        self.targets_limited.set(int(limited));
         self.instances.set(int(state.instances.len() + 1));
         self.version.set(int64(state.version));
         self.revision.set(int64(state.revision));
--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -10,6 +10,8 @@
 mod follow;
 #[path = "direct/keys.rs"]
 mod keys;
+#[path = "direct/limits.rs"]
+mod limits;
 #[path = "direct/operators.rs"]
 mod operators;
 #[path = "direct/pipeline.rs"]
--- a/crates/auburnrouter/tests/direct/bench.rs
+++ b/crates/auburnrouter/tests/direct/bench.rs
@@ -222,6 +222,17 @@
     }
 }
 
+/// The first line of an instance's log that has `part`; lines come a moment after
+/// what they tell.
+pub fn await_line(entry: &Entry, part: &str) -> String {
+    let find = || {
+        let lines = entry.lines.lock().expect("no one panics with it");
+        lines.iter().find(|l| l.contains(part)).cloned()
+    };
+    await_that(part, || find().is_some());
+    find().unwrap_or_default()
+}
+
 /// A store with a configuration, targets of service `sheets`, and an instance
 /// that is ready and knows all of them.
 pub struct Bench {
--- a/crates/auburnrouter/tests/direct/follow.rs
+++ b/crates/auburnrouter/tests/direct/follow.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use rustix::process::Signal;
 
-use super::bench::{Bench, Entry, HOST, ROUTES, ask, await_that};
+use super::bench::{Bench, Entry, HOST, ROUTES, ask, await_line, await_that};
 
 /// A new version takes a route away and adds one; an older one arrives later
 /// and must change nothing.
@@ -213,17 +213,6 @@
     }
 }
 
-/// The first line of an instance's log that has `part`; lines come a moment after
-/// what they tell.
-fn await_line(entry: &Entry, part: &str) -> String {
-    let find = || {
-        let lines = entry.lines.lock().expect("no one panics with it");
-        lines.iter().find(|l| l.contains(part)).cloned()
-    };
-    await_that(part, || find().is_some());
-    find().unwrap_or_default()
-}
-
 fn added() -> Route<'static> {
     Route {
         prefix: "/added/",
--- a/crates/steer/src/process/direct/line.rs
+++ b/crates/steer/src/process/direct/line.rs
@@ -151,6 +151,7 @@
         target.sent(now);
         let id = Arc::clone(&target.entry.id);
         let addr = target.entry.addr;
+        let limit = target.limit();
         let version = self.version();
         let job = &mut self.jobs[at];
         job.strikes = self.suspects.strikes(job.ask.print);
@@ -170,6 +171,7 @@
             work: best.work,
             warm: best.warm,
             load,
+            limit,
             age,
             version,
         }
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -136,6 +136,8 @@
     pub warm: bool,
     /// Requests believed to be at the target.
     pub load: f64,
+    /// The limit that it is known to have, in requests a second.
+    pub limit: Option<f64>,
     /// How long ago the target last said so itself.
     pub age: Duration,
     /// Version of the configuration by which it was decided.
--- a/crates/steer/src/process/direct/settle.rs
+++ b/crates/steer/src/process/direct/settle.rs
@@ -9,6 +9,7 @@
 use super::job::{Job, State};
 use super::levers::Lever;
 use super::message::{Ending, Go, Next, Ticket};
+use super::target::Word;
 use super::{Direct, SPARE, mark_of, members};
 use crate::clock::Time;
 use crate::request::poison::STRIKES;
@@ -117,6 +118,18 @@
         }
     }
 
+    /// A target's answer says this of it. Says whether it names another limit than
+    /// before.
+    pub fn hear_target(&mut self, now: Time, id: &str, word: Word) -> bool {
+        let Some(target) = self.roster.get_mut(id) else {
+            return false;
+        };
+        if let Some(load) = word.load {
+            target.tell(now, load);
+        }
+        target.name_limit(word.limit)
+    }
+
     /// Whether a request whose attempt failed is tried elsewhere.
     fn after_failure(&mut self, now: Time, at: usize, ending: Ending) -> Next {
         let not_run = matches!(
--- a/crates/steer/src/process/direct/target.rs
+++ b/crates/steer/src/process/direct/target.rs
@@ -37,6 +37,15 @@
     pub born: u64,
 }
 
+/// What a target's answer says of the target itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Word {
+    /// Requests there.
+    pub load: Option<u32>,
+    /// Requests a second that it takes from all instances together.
+    pub limit: Option<f64>,
+}
+
 /// How long an object counts as warm at a target since its last request. A
 /// target forgets objects by their number, which isn't known here.
 const WARM_SPAN: Duration = Duration::from_mins(1);
@@ -79,6 +88,9 @@
     /// Requests of others that were there at the last report.
     others: f64,
     told: Time,
+    /// Requests a second that it takes from all instances together, by its last
+    /// answer.
+    limit: Option<f64>,
     /// Requests that other instances say they have there.
     pub(super) near: u32,
     mark: u32,
@@ -109,6 +121,7 @@
             reserved: 0,
             others: 0.0,
             told: now,
+            limit: None,
             near: 0,
             missing: None,
             health: Health::default(),
@@ -174,6 +187,18 @@
         self.told = now;
     }
 
+    /// The limit that it names, in requests a second.
+    #[must_use]
+    pub const fn limit(&self) -> Option<f64> {
+        self.limit
+    }
+
+    /// Notes the limit that an answer names, or that it names none. Says whether
+    /// that is news.
+    pub fn name_limit(&mut self, limit: Option<f64>) -> bool {
+        core::mem::replace(&mut self.limit, limit) != limit
+    }
+
     /// Time since its own last report of its requests; since it was listed, if
     /// there is none.
     #[must_use]
