--- a/crates/measure/src/sums.rs
+++ b/crates/measure/src/sums.rs
@@ -15,7 +15,7 @@
 use plan::Plan;
 
 /// What happens to a fleet: its name, and the plan.
-const PLANS: [(&str, Plan); 8] = [
+const PLANS: [(&str, Plan); 12] = [
     ("calm", Plan::CALM),
     (
         "bursts",
@@ -76,6 +76,39 @@
             ..Plan::CALM
         },
     ),
+    (
+        "limit",
+        Plan {
+            limit: Some(1.0),
+            ..Plan::CALM
+        },
+    ),
+    (
+        "limit-waves",
+        Plan {
+            bursts: true,
+            limit: Some(2.5),
+            ..Plan::CALM
+        },
+    ),
+    (
+        "limit-churn",
+        Plan {
+            failing: true,
+            replaced: true,
+            limit: Some(1.0),
+            ..Plan::CALM
+        },
+    ),
+    (
+        "limit-growth",
+        Plan {
+            failing: true,
+            added: true,
+            limit: Some(1.0),
+            ..Plan::CALM
+        },
+    ),
 ];
 
 /// Instances of a fleet. Few have a whole part of each sum; many have not.
@@ -90,6 +123,8 @@
     pub cold: f64,
     /// Change of the share of a region's requests that run elsewhere.
     pub shift: f64,
+    /// Requests to a target that names a limit, by instances that it has told.
+    pub limit: f64,
 }
 
 impl Use {
@@ -98,6 +133,7 @@
             repeats: self.repeats.max(other.repeats),
             cold: self.cold.max(other.cold),
             shift: self.shift.max(other.shift),
+            limit: self.limit.max(other.limit),
         }
     }
 }
@@ -115,35 +151,43 @@
     pub repeats: usize,
     /// Requests that reached cold targets.
     pub cold: usize,
+    /// Requests that reached targets while they named a limit.
+    pub limited: usize,
     /// Largest use of each bound over all seeds.
     pub most: Use,
 }
 
-/// Plays all plans whose names contain `only`, `seeds` times each.
+/// Plays one plan, `seeds` times; `None` if there is none of this name.
 #[must_use]
-pub fn lines(seed: u64, seeds: u64, seconds: u64, only: &str, sizes: &[usize]) -> Vec<Line> {
-    let mut lines = Vec::new();
-    for (name, plan) in PLANS.iter().filter(|p| p.0.contains(only)) {
-        for &size in sizes {
-            let mut line = Line {
-                plan: name,
-                size,
-                requests: 0,
-                repeats: 0,
-                cold: 0,
-                most: Use::default(),
-            };
-            for seed in seed..seed + seeds {
-                let tally = Fleet::new(size, *plan, seed).run(seconds);
-                line.requests += tally.requests();
-                line.repeats += tally.repeats();
-                line.cold += tally.cold();
-                line.most = line.most.most(tally.most());
-            }
-            lines.push(line);
-        }
+pub fn line(seed: u64, seeds: u64, seconds: u64, plan: &str, size: usize) -> Option<Line> {
+    let (name, plan) = PLANS.iter().find(|p| p.0 == plan)?;
+    let mut line = Line {
+        plan: name,
+        size,
+        requests: 0,
+        repeats: 0,
+        cold: 0,
+        limited: 0,
+        most: Use::default(),
+    };
+    for seed in seed..seed + seeds {
+        let tally = Fleet::new(size, *plan, seed).run(seconds);
+        line.requests += tally.requests();
+        line.repeats += tally.repeats();
+        line.cold += tally.cold();
+        line.limited += tally.limited();
+        line.most = line.most.most(tally.most());
     }
-    lines
+    Some(line)
+}
+
+/// Plays all plans whose names contain `only`.
+#[must_use]
+pub fn lines(seed: u64, seeds: u64, seconds: u64, only: &str, sizes: &[usize]) -> Vec<Line> {
+    let plans = PLANS.iter().filter(|p| p.0.contains(only));
+    let each = plans.flat_map(|p| sizes.iter().map(|size| (p.0, *size)));
+    each.filter_map(|(plan, size)| line(seed, seeds, seconds, plan, size))
+        .collect()
 }
 
 /// The same as a table.
@@ -152,20 +196,23 @@
     let mut out = format!(
         "virtual time; seeds {seed} to {}, {seconds} s each; largest use of each bound, 1 at the \
          bound (over it an over-run)\n\n| plan | instances | requests | repeats | to cold targets | \
-         use: repeats | cold | shift |\n|---|---|---|---|---|---|---|---|\n",
+         to limited ones | use: repeats | cold | shift | limit \
+         |\n|---|---|---|---|---|---|---|---|---|---|\n",
         seed + seeds - 1
     );
     for line in lines(seed, seeds, seconds, only, &SIZES) {
         let Line { plan, size, .. } = line;
         let _ = writeln!(
             out,
-            "| {plan} | {size} | {} | {} | {} | {:.2} | {:.2} | {:.2} |",
+            "| {plan} | {size} | {} | {} | {} | {} | {:.2} | {:.2} | {:.2} | {:.2} |",
             line.requests,
             line.repeats,
             line.cold,
+            line.limited,
             line.most.repeats,
             line.most.cold,
-            line.most.shift
+            line.most.shift,
+            line.most.limit
         );
     }
     out
--- a/crates/measure/src/sums/fleet.rs
+++ b/crates/measure/src/sums/fleet.rs
@@ -4,6 +4,7 @@
 //! Invariant: instances learn nothing but by the store and by heartbeats, each
 //! by its own clock, which starts at zero with its process.
 
+use core::ops::Range;
 use core::time::Duration;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -12,14 +13,14 @@
 use fastrand::Rng;
 use steer::clock::Time;
 use steer::process::direct::members::Beat;
-use steer::process::direct::target::Entry;
+use steer::process::direct::target::{Entry, Word};
 use steer::process::direct::{Ask, Direct, Ending, Go, Home, Next, Order, Ticket};
 use steer::request::arrival::Fingerprint;
 use steer::version::routes::Routes;
 
 use super::plan::Plan;
 use super::setup::{self, BOUNDS, COLD, COLD_RATE, TARGETS, Target};
-use super::tally::{Arrival, Sent, Tally};
+use super::tally::{Arrival, NOTICE, Sent, Tally};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -41,6 +42,10 @@
 const READ: Duration = Duration::from_millis(300);
 /// Time that a row outlives its instance.
 const LEASE: Duration = Duration::from_secs(3);
+
+/// When targets name limits.
+const LIMITED: Range<Time> = Time::from_micros(8_000_000)..Time::from_micros(20_000_000);
+
 enum Event {
     Land {
         node: usize,
@@ -53,6 +58,8 @@
         life: u64,
         ticket: Ticket,
         ending: Ending,
+        target: usize,
+        word: Word,
     },
     Beat {
         node: usize,
@@ -74,6 +81,8 @@
     asks: Vec<(Ticket, usize)>,
     beaten: Time,
     read: Time,
+    /// Targets that have told it of a limit, and when.
+    told: Vec<(usize, Time)>,
 }
 
 /// A fleet.
@@ -205,6 +214,7 @@
         let node = &mut self.nodes[at];
         node.back = None;
         node.life += 1;
+        node.told.clear();
         node.boot = self.now;
         node.read = Time::ZERO;
         let home = Home {
@@ -239,8 +249,11 @@
                     life,
                     ticket,
                     ending,
+                    target,
+                    word,
                 }) => {
                     self.end(node, life, ticket, ending);
+                    self.hear(node, life, target, word);
                 }
                 Some(Event::Beat { node, beat }) => {
                     let node = &mut self.nodes[node];
@@ -263,12 +276,15 @@
     fn land(&mut self, node: usize, life: u64, go: &Go, sent: Time) {
         let found = self.targets.iter().position(|t| t.entry.id == go.target);
         let Some(target) = found else { return };
+        let limit = self.limit(target);
         self.tally.arrivals.push(Arrival {
             sent,
             at: self.now,
             target,
             repeat: go.attempt > 1,
             cold: self.now < self.targets[target].cold,
+            limit,
+            told: limit.is_some() && self.nodes[node].is_told(life, target, self.now),
         });
         let work = self.some(WORK.0, WORK.1);
         let draw = self.rng.f64();
@@ -285,6 +301,8 @@
             life,
             ticket,
             ending,
+            target,
+            word: Word { load: None, limit },
         };
         self.later(if ending == Ending::NotRun { MS } else { work }, end);
     }
@@ -303,6 +321,25 @@
         }
     }
 
+    /// The limit that a target names now.
+    fn limit(&self, target: usize) -> Option<f64> {
+        let named = target.is_multiple_of(3) && LIMITED.contains(&self.now);
+        self.plan.limit.filter(|_| named)
+    }
+
+    /// A target's answer has come and is passed on.
+    fn hear(&mut self, at: usize, life: u64, target: usize, word: Word) {
+        let node = &mut self.nodes[at];
+        let now = node.clock(self.now);
+        let (true, Some(direct)) = (node.life == life, &mut node.direct) else {
+            return;
+        };
+        direct.hear_target(now, &self.targets[target].entry.id, word);
+        if word.limit.is_some() {
+            node.told.push((target, self.now));
+        }
+    }
+
     fn has_store(&self, node: &Node) -> bool {
         self.now >= self.store && self.now >= node.cut
     }
@@ -476,9 +513,16 @@
             asks: Vec::new(),
             beaten: Time::ZERO,
             read: Time::ZERO,
+            told: Vec::new(),
         }
     }
 
+    /// Whether a target has told this incarnation of a limit long enough ago.
+    fn is_told(&self, life: u64, target: usize, now: Time) -> bool {
+        let told = |t: &(usize, Time)| t.0 == target && now.since(t.1) >= NOTICE;
+        self.life == life && self.told.iter().any(told)
+    }
+
     /// The time by its own clock.
     fn clock(&self, now: Time) -> Time {
         Time::ZERO + now.since(self.boot)
--- a/crates/measure/src/sums/plan.rs
+++ b/crates/measure/src/sums/plan.rs
@@ -22,6 +22,8 @@
     pub store: bool,
     /// Half as many instances again are added.
     pub added: bool,
+    /// A third of the targets name a limit for a while, in requests a second.
+    pub limit: Option<f64>,
 }
 
 impl Plan {
@@ -35,11 +37,13 @@
         cut: false,
         store: false,
         added: false,
+        limit: None,
     };
 
     /// Whether instances and targets all stay what they are.
     #[must_use]
     pub const fn is_steady(self) -> bool {
         !(self.cold || self.failing || self.replaced || self.herd || self.cut || self.added)
+            && self.limit.is_none()
     }
 }
--- a/crates/measure/src/sums/tally.rs
+++ b/crates/measure/src/sums/tally.rs
@@ -20,6 +20,10 @@
     pub repeat: bool,
     /// Whether the target was cold.
     pub cold: bool,
+    /// The limit that it named, in requests a second.
+    pub limit: Option<f64>,
+    /// Whether it had told the instance's callers of it for [`NOTICE`].
+    pub told: bool,
 }
 
 /// One request of a caller that was sent.
@@ -36,6 +40,16 @@
 /// Span over which requests to a cold target are counted.
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Span over which requests to a target that names a limit are counted; what it
+/// may get in it over what the limit allows, and requests besides.
+const LIMITED: Duration = Duration::from_secs(4);
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+
+/// Time after an instance has passed on an answer with a limit from which it counts
+/// as told.
+pub const NOTICE: Duration = Duration::from_millis(500);
+
 /// Spans between which the share of a region is compared.
 const SPAN: Duration = Duration::from_secs(2);
 
@@ -80,6 +94,12 @@
         self.arrivals.iter().filter(|a| a.cold).count()
     }
 
+    /// Requests that reached targets while they named a limit.
+    #[must_use]
+    pub fn limited(&self) -> usize {
+        self.arrivals.iter().filter(|a| a.limit.is_some()).count()
+    }
+
     /// Largest use of each bound.
     #[must_use]
     pub fn most(&self) -> Use {
@@ -87,6 +107,7 @@
             repeats: self.most_repeats(),
             cold: self.most_cold(),
             shift: if self.steady { self.most_shift() } else { 0.0 },
+            limit: self.most_limited(),
         }
     }
 
@@ -134,6 +155,20 @@
         most / bound
     }
 
+    fn most_limited(&self) -> f64 {
+        let limited: Vec<&Arrival> = self.arrivals.iter().filter(|a| a.told).collect();
+        let mut most = 0.0_f64;
+        for (at, first) in limited.iter().enumerate() {
+            let Some(limit) = first.limit else { continue };
+            let bound = limit * LIMITED.as_secs_f64() * LIMIT_FACTOR + LIMIT_SLACK;
+            let later = limited[at..].iter();
+            let window = later.take_while(|a| a.at.since(first.at) < LIMITED);
+            let same = window.filter(|a| a.target == first.target);
+            most = most.max(number(same.count()) / bound);
+        }
+        most
+    }
+
     fn most_shift(&self) -> f64 {
         let Some(last) = self.requests.last() else {
             return 0.0;
--- a/crates/measure/tests/virtual_time.rs
+++ b/crates/measure/tests/virtual_time.rs
@@ -79,3 +79,15 @@
         assert!(most.cold <= 1.0 && most.repeats <= 1.0, "{line:?}");
     }
 }
+
+/// Targets named a limit and each instance went on sending as before.
+#[rstest]
+#[case::calm("limit")]
+#[case::bursts("limit-waves")]
+#[case::replaced("limit-churn")]
+#[case::added("limit-growth")]
+fn keep_named_limits(#[case] plan: &str, #[values(3, 7, 27)] size: usize) {
+    let line = sums::line(1, 2, 22, plan, size).expect("it is a plan");
+    assert!(line.limited > 0, "nothing was seen: {line:?}");
+    assert!(line.most.limit <= 1.0, "{line:?}");
+}
