Call the division of a sum over instances parts

Cold targets aren't the only ones whose requests are bounded as a sum: quotas use the same division while an instance hears no pool, and named limits are to. The module cold becomes parts; nothing else changes.

--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 
 use super::Direct;
-use super::cold::Sharer;
 use super::members::{self, Beat, Row};
+use super::parts::Sharer;
 use crate::clock::Time;
 use crate::request::arrival::Fingerprint;
 
--- a/crates/steer/src/process/direct/cold.rs
+++ b/crates/steer/src/process/direct/parts.rs
@@ -1,6 +1,6 @@
-//! How many requests this instance may send to a cold target in a second.
+//! This instance's part of what all instances together may send to a target.
 //!
-//! A cold target crashes above a rate that the operator bounds as a sum over
+//! What a cold target bears, or one that names a limit, is bounded as a sum over
 //! all instances, those that are dying or cut off too. No instance asks another
 //! before it sends; each works out its own part from the list of instances that
 //! all of them know. Most of the sum goes to instances of the target's region:
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -11,10 +11,10 @@
 
 use std::sync::Arc;
 
-use super::cold::{self, Sharer};
 use super::health::Usual;
 use super::job::Job;
 use super::levers::Lever;
+use super::parts::{self, Sharer};
 use super::target::{COLD_SPAN, Target};
 use super::{Direct, FADE, hash, mark_of, members, unit};
 use crate::clock::Time;
@@ -308,7 +308,7 @@
             mark: members::mark(&self.home.name),
         };
         let mark = members::mark(&target.entry.id);
-        let most = cold::part(total, &own, &self.sharers, &target.region, mark);
+        let most = parts::part(total, &own, &self.sharers, &target.region, mark);
         target.sent_lately(now) < most
     }
 
--- a/crates/steer/src/process/direct/quota.rs
+++ b/crates/steer/src/process/direct/quota.rs
@@ -27,7 +27,7 @@
 
 use super::members::Row;
 use super::message::{Admission, Why};
-use super::{Direct, cold, members};
+use super::{Direct, members, parts};
 use crate::clock::Time;
 use crate::version::teams::{Quota, Team};
 
@@ -146,7 +146,7 @@
         let equal = capacity / count as f64;
         let part = if equal < 1.0 {
             // Whole tokens for some of the instances.
-            let own = cold::Sharer {
+            let own = parts::Sharer {
                 region: Arc::clone(&self.home.region),
                 mark: members::mark(&self.home.name),
             };
@@ -158,7 +158,7 @@
             )]
             let whole = capacity as usize;
             #[allow(clippy::cast_precision_loss, reason = "instances are few")]
-            let part = cold::part(whole, &own, &self.sharers, &self.home.region, mark) as f64;
+            let part = parts::part(whole, &own, &self.sharers, &self.home.region, mark) as f64;
             part
         } else {
             equal
--- a/crates/steer/tests/direct/cold.rs
+++ b/crates/steer/tests/direct/cold.rs
@@ -4,8 +4,8 @@
 
 use rstest::rstest;
 use steer::process::direct::Order;
-use steer::process::direct::cold::{self, Sharer};
 use steer::process::direct::members::Beat;
+use steer::process::direct::parts::{self, Sharer};
 use steer::process::direct::target::Entry;
 
 use super::bench::{Bench, at, beat, entry, route};
@@ -35,7 +35,7 @@
             for (i, own) in all.iter().enumerate() {
                 let mut others = all.clone();
                 others.remove(i);
-                sum += cold::part(total, own, &others, "near", target);
+                sum += parts::part(total, own, &others, "near", target);
             }
             assert_eq!(sum, total, "of {total} at {target}");
         }
