Divide the limit that a target names over all instances

More widely, a class of fault: a bound on a sum over instances that each instance alone can't see broken. Here nothing divided it; cold targets' bounds and quotas were divided, by means of their own. Ruled out: that each instance knew the limit and took all of it (one sent 9 in 4 s), and that instances disagreed on who shares (it fails alike without churn, and before anything was restarted). Change: each instance sends its part of what the limit allows in 4 s, by the division that cold targets have (parts), counted over half a second more. Answers that name no limit lift it. Heartbeats, those to other regions too, tell what targets said to their sender, with its age; what was heard is not passed on, and later words win. An instance that hears nothing of a limit for 10 s, and longer by a part of its own, sends one request to ask. Of a sum of one or more at least one request is for the target's region. The tolerance of the rule isn't used: the target gets what it names.

--- a/crates/auburnrouter/tests/direct/limits.rs
+++ b/crates/auburnrouter/tests/direct/limits.rs
@@ -1,5 +1,7 @@
 //! Targets that name a limit of requests a second.
 
+use std::time::Instant;
+
 use super::bench::{Bench, await_line};
 
 #[test]
@@ -25,3 +27,24 @@
     assert!(line.contains(r#""limit_known":2.5"#), "{line}");
     await_line(&bench.entry, r#""rate":null,"request":"r3""#);
 }
+
+/// Targets that named a limit got as many requests as before.
+#[test]
+fn send_target_what_its_limit_allows() {
+    let bench = Bench::start(2);
+    bench.targets[0].limit(Some(1.0));
+    let send = |n: usize| bench.entry.send("GET", "/view/x", &format!("r{n}"), "");
+    let mut first = 0;
+    while bench.targets[0].runs().is_empty() {
+        send(first);
+        first += 1;
+        assert!(first < 1_000, "one of the targets gets nothing");
+    }
+    let began = Instant::now();
+    for n in first..first + 60 {
+        assert_eq!(send(n).status, 200);
+    }
+    let runs = bench.targets[0].runs().len();
+    let most = 4 + began.elapsed().as_secs();
+    assert!(runs as u64 <= most, "{runs} requests of {most}");
+}
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -18,6 +18,7 @@
 mod job;
 pub mod learn;
 pub mod levers;
+pub mod limit;
 mod line;
 pub mod members;
 mod message;
@@ -84,6 +85,8 @@
     troubles: Vec<Trouble>,
     /// How far heartbeats have told all that targets hold.
     told: usize,
+    /// The same of the limits that targets name.
+    named: usize,
     beats: u64,
     /// Other instances that sums are shared with.
     sharers: Vec<Sharer>,
@@ -129,6 +132,7 @@
             news: Vec::new(),
             troubles: Vec::new(),
             told: 0,
+            named: 0,
             beats: 0,
             sharers: Vec::new(),
             jobs: Vec::new(),
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -151,6 +151,7 @@
             self.roster.told_held(now, *mark, *object);
         }
         self.hear_troubles(now, &beat.troubles);
+        self.hear_limits(now, &beat.limits);
         let changed = self.members.hear(now, beat);
         self.roster.hear(now, &self.members);
         if changed {
@@ -169,6 +170,7 @@
         self.beats += 1;
         let held = self.held(now);
         let troubles = self.take_troubles(now);
+        let limits = self.named_limits(now);
         let struck = self.suspects.lately(now, TOLD);
         Beat {
             name: Arc::clone(&self.home.name),
@@ -183,6 +185,7 @@
             struck: struck.map(|c| (c.print.0, c.strikes)).collect(),
             flying: self.roster.flying(),
             troubles,
+            limits,
         }
     }
 
--- /dev/null
+++ b/crates/steer/src/process/direct/limit.rs
@@ -0,0 +1,173 @@
+//! Limits that targets in need name: requests a second that one takes from all
+//! instances together, for as long as its answers say so.
+//!
+//! Each instance sends its part ([`parts`](super::parts)) of what the limit allows
+//! in [`SPAN`]. Those that send nothing hear no answers, so whoever has an answer
+//! of a target tells the others; and who hears nothing of a limit for long asks by
+//! a single request whether it still holds.
+//!
+//! Invariant: the parts of instances that know the same list and the same limit
+//! never add up to more than the limit allows.
+
+use core::time::Duration;
+
+use super::target::Target;
+use super::{Direct, members, parts, unit};
+use crate::clock::Time;
+
+/// Span in which a target gets what its limit allows, if that is a request at
+/// least; else the time of one request.
+const SPAN: Duration = Duration::from_secs(4);
+
+/// Longest such time.
+const SPAN_MOST: Duration = Duration::from_mins(1);
+
+/// Time by which requests sent one after the other may arrive closer together.
+const WAY: Duration = Duration::from_millis(500);
+
+/// Time without news of a limit after which an instance asks whether it holds. Each
+/// adds some of its own, so that one of them asks and tells the others.
+const QUIET: Duration = Duration::from_secs(10);
+
+/// Time for which heartbeats tell that a target no longer names a limit.
+const LIFTED: Duration = Duration::from_secs(5);
+
+/// Limits that one heartbeat tells of, in turn.
+const TOLD_MOST: usize = 10;
+
+/// What a target said last of its limit.
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    /// Requests a second from all instances together; `None` if any number.
+    pub rate: Option<f64>,
+    /// When it said so.
+    at: Time,
+    /// Whether it said so to this instance. Only that is told to others.
+    own: bool,
+}
+
+impl Limit {
+    /// None was named.
+    pub(super) const NONE: Self = Self {
+        rate: None,
+        at: Time::ZERO,
+        own: false,
+    };
+
+    /// By an answer to this instance.
+    pub(super) const fn answered(now: Time, rate: Option<f64>) -> Self {
+        Self {
+            rate,
+            at: now,
+            own: true,
+        }
+    }
+
+    /// Requests that all instances together may send within the span that is given
+    /// with it.
+    pub(super) fn allowance(rate: f64) -> (usize, Duration) {
+        let requests = rate * SPAN.as_secs_f64();
+        if requests < 1.0 && rate > 0.0 {
+            let span = Duration::try_from_secs_f64(rate.recip()).unwrap_or(SPAN_MOST);
+            return (1, span.min(SPAN_MOST));
+        }
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "saturates"
+        )]
+        let whole = requests as usize;
+        (whole, SPAN)
+    }
+
+    /// Span over which this instance counts its own requests.
+    pub(super) fn span(&self) -> Option<Duration> {
+        self.rate.map(|rate| Self::allowance(rate).1 + WAY)
+    }
+
+    /// Whether another was named later.
+    pub(super) fn is_before(&self, other: &Self) -> bool {
+        self.at < other.at
+    }
+
+    /// What heartbeats tell of it.
+    fn told(&self, now: Time, mark: u32) -> Option<Named> {
+        let age = now.since(self.at);
+        let is_news = self.rate.is_some() || age < LIFTED;
+        (self.own && is_news).then_some(Named {
+            mark,
+            rate: self.rate,
+            age,
+        })
+    }
+}
+
+/// What a target has told another instance.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Named {
+    /// The target's mark.
+    pub mark: u32,
+    /// Requests a second; `None` if it names no limit any more.
+    pub rate: Option<f64>,
+    /// How long ago it said so.
+    pub age: Duration,
+}
+
+impl Direct {
+    /// Whether this instance may send another request to a target by the limit that
+    /// it names.
+    pub(super) fn is_within_limit(&self, now: Time, target: &Target) -> bool {
+        let limit = target.named();
+        let Some(rate) = limit.rate else { return true };
+        let (total, span) = Limit::allowance(rate);
+        if target.sent_within(now, span + WAY) < self.part(total, target) {
+            return true;
+        }
+        let last = target.last_sent().map_or(limit.at, |at| at.max(limit.at));
+        now.since(last) >= self.patience(target)
+    }
+
+    /// Time without news of a target's limit after which this instance asks. The
+    /// more instances, the wider they are spread.
+    fn patience(&self, target: &Target) -> Duration {
+        let count = u32::try_from(self.sharers.len() + 1).unwrap_or(u32::MAX);
+        let own = members::mark(&self.home.name) ^ target.mark();
+        let own = u64::from(own).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        QUIET + SPAN.saturating_mul(count).mul_f64(unit(own))
+    }
+
+    /// What heartbeats tell of limits: all that targets have told this instance, in
+    /// turn.
+    pub(super) fn named_limits(&mut self, now: Time) -> Vec<Named> {
+        let targets = self.roster.all().iter();
+        let all: Vec<Named> = targets
+            .filter_map(|t| t.named().told(now, t.mark()))
+            .collect();
+        let room = TOLD_MOST.min(all.len());
+        let from = self.named % all.len().max(1);
+        self.named = from + room;
+        all.into_iter().cycle().skip(from).take(room).collect()
+    }
+
+    /// Takes what targets have told another instance.
+    pub(super) fn hear_limits(&mut self, now: Time, all: &[Named]) {
+        for named in all {
+            let told = Limit {
+                rate: named.rate,
+                at: now - named.age,
+                own: false,
+            };
+            self.roster.told_limit(named.mark, told);
+        }
+    }
+
+    /// This instance's part of `total` requests to a target.
+    pub(super) fn part(&self, total: usize, target: &Target) -> usize {
+        let own = parts::Sharer {
+            region: self.home.region.clone(),
+            mark: members::mark(&self.home.name),
+        };
+        let region = &target.region;
+        parts::part(total, &own, &self.sharers, region, target.mark())
+    }
+}
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -18,6 +18,7 @@
 use std::sync::Arc;
 
 use super::health::Trouble;
+use super::limit::Named;
 use crate::clock::Time;
 
 /// Time without a heartbeat after which one no longer counts as there, unless
@@ -54,7 +55,7 @@
 }
 
 /// A heartbeat.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Beat {
     /// Who sends it.
     pub name: Arc<str>,
@@ -82,6 +83,8 @@
     pub struck: Vec<(u128, u8)>,
     /// What it saw of slow and failing targets, sorted by mark.
     pub troubles: Vec<Trouble>,
+    /// Limits that targets have named to it, or no longer name.
+    pub limits: Vec<Named>,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/steer/src/process/direct/parts.rs
+++ b/crates/steer/src/process/direct/parts.rs
@@ -21,7 +21,8 @@
     pub mark: u32,
 }
 
-/// Part of the sum for instances of the target's region, if there are others.
+/// Part of the sum for instances of the target's region, if there are others, and
+/// one request at least.
 /// A region with too few targets sends a share of its requests to others' ones.
 const NEAR: f64 = 0.75;
 
@@ -55,5 +56,5 @@
     reason = "a small count"
 )]
 fn near_part(total: usize) -> usize {
-    (total as f64 * NEAR) as usize
+    ((total as f64 * NEAR) as usize).max(1).min(total)
 }
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -7,16 +7,13 @@
 //!
 //! Invariant: only targets that may be used are placed on: known, not leaving,
 //! in no evacuated domain, in a region that the route allows, not tried before,
-//! and, while cold, within this instance's part of what they bear.
-
-use std::sync::Arc;
+//! and, while cold or limited, within this instance's part of what they take.
 
 use super::health::Usual;
 use super::job::Job;
 use super::levers::Lever;
-use super::parts::{self, Sharer};
 use super::target::{COLD_SPAN, Target};
-use super::{Direct, FADE, hash, mark_of, members, unit};
+use super::{Direct, FADE, hash, mark_of, unit};
 use crate::clock::Time;
 
 /// A target for a request.
@@ -275,6 +272,7 @@
             && !self.roster.is_evacuated(&target.entry.domain)
             && !job.tried.contains(&target.entry.id)
             && (!self.may_be_cold(now, target) || self.has_cold_room(now, target))
+            && self.is_within_limit(now, target)
     }
 
     /// Whether a target is cold, or may be without this instance's knowledge.
@@ -303,13 +301,7 @@
             reason = "a small count"
         )]
         let total = (total * COLD_USED).max(0.0) as usize;
-        let own = Sharer {
-            region: Arc::clone(&self.home.region),
-            mark: members::mark(&self.home.name),
-        };
-        let mark = members::mark(&target.entry.id);
-        let most = parts::part(total, &own, &self.sharers, &target.region, mark);
-        target.sent_lately(now) < most
+        target.sent_within(now, COLD_SPAN) < self.part(total, target)
     }
 
     /// The targets of a region that an object belongs to, the first one first:
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -6,6 +6,7 @@
 use core::time::Duration;
 use std::sync::Arc;
 
+use super::limit::Limit;
 use super::members::Members;
 use super::target::{Entry, Target};
 use crate::clock::Time;
@@ -166,6 +167,13 @@
         }
     }
 
+    /// Another instance was told this by the target of this mark.
+    pub(super) fn told_limit(&mut self, mark: u32, limit: Limit) {
+        if let Some(target) = self.marked(mark) {
+            target.told_limit(limit);
+        }
+    }
+
     /// Names of all listed targets, in order.
     #[must_use]
     pub fn listed(&self) -> Vec<Arc<str>> {
--- a/crates/steer/src/process/direct/settle.rs
+++ b/crates/steer/src/process/direct/settle.rs
@@ -127,7 +127,7 @@
         if let Some(load) = word.load {
             target.tell(now, load);
         }
-        target.name_limit(word.limit)
+        target.name_limit(now, word.limit)
     }
 
     /// Whether a request whose attempt failed is tried elsewhere.
--- a/crates/steer/src/process/direct/target.rs
+++ b/crates/steer/src/process/direct/target.rs
@@ -11,6 +11,7 @@
 
 use super::hash;
 use super::health::Health;
+use super::limit::Limit;
 use super::members;
 use crate::clock::Time;
 
@@ -88,9 +89,7 @@
     /// Requests of others that were there at the last report.
     others: f64,
     told: Time,
-    /// Requests a second that it takes from all instances together, by its last
-    /// answer.
-    limit: Option<f64>,
+    limit: Limit,
     /// Requests that other instances say they have there.
     pub(super) near: u32,
     mark: u32,
@@ -121,7 +120,7 @@
             reserved: 0,
             others: 0.0,
             told: now,
-            limit: None,
+            limit: Limit::NONE,
             near: 0,
             missing: None,
             health: Health::default(),
@@ -190,13 +189,26 @@
     /// The limit that it names, in requests a second.
     #[must_use]
     pub const fn limit(&self) -> Option<f64> {
-        self.limit
+        self.limit.rate
     }
 
-    /// Notes the limit that an answer names, or that it names none. Says whether
-    /// that is news.
-    pub fn name_limit(&mut self, limit: Option<f64>) -> bool {
-        core::mem::replace(&mut self.limit, limit) != limit
+    /// The same, with when it was named.
+    pub(super) const fn named(&self) -> &Limit {
+        &self.limit
+    }
+
+    /// Notes the limit that an answer to this instance names, or that it names none.
+    /// Says whether that is news.
+    pub fn name_limit(&mut self, now: Time, rate: Option<f64>) -> bool {
+        let before = core::mem::replace(&mut self.limit, Limit::answered(now, rate));
+        before.rate != rate
+    }
+
+    /// Notes what another instance was told of its limit.
+    pub(super) fn told_limit(&mut self, told: Limit) {
+        if self.limit.is_before(&told) {
+            self.limit = told;
+        }
     }
 
     /// Time since its own last report of its requests; since it was listed, if
@@ -252,20 +264,27 @@
         self.held.iter().filter(own).map(|h| h.object)
     }
 
-    /// Requests of this instance sent to it within [`COLD_SPAN`].
+    /// Requests of this instance sent to it within `span`, which is [`COLD_SPAN`] or
+    /// that of its limit.
     #[must_use]
-    pub fn sent_lately(&self, now: Time) -> usize {
-        let recent = |at: &&Time| now.since(**at) < COLD_SPAN;
+    pub fn sent_within(&self, now: Time, span: Duration) -> usize {
+        let recent = |at: &&Time| now.since(**at) < span;
         self.sent_at.iter().rev().take_while(recent).count()
     }
 
+    /// When this instance last sent it a request, if that is remembered.
+    pub(super) fn last_sent(&self) -> Option<Time> {
+        self.sent_at.back().copied()
+    }
+
     /// Notes a request sent to it.
     pub fn sent(&mut self, now: Time) {
         self.flying += 1;
+        let span = self.limit.span().unwrap_or_default().max(COLD_SPAN);
         while self
             .sent_at
             .front()
-            .is_some_and(|at| now.since(*at) >= COLD_SPAN)
+            .is_some_and(|at| now.since(*at) >= span)
         {
             self.sent_at.pop_front();
         }
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -13,6 +13,8 @@
 mod cold;
 #[path = "direct/health.rs"]
 mod health;
+#[path = "direct/limit.rs"]
+mod limit;
 #[path = "direct/members.rs"]
 mod members;
 #[path = "direct/place.rs"]
--- a/crates/steer/tests/direct/bench.rs
+++ b/crates/steer/tests/direct/bench.rs
@@ -44,6 +44,7 @@
         held: Vec::new(),
         struck: Vec::new(),
         troubles: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/steer/tests/direct/quota_fleet.rs
+++ b/crates/steer/tests/direct/quota_fleet.rs
@@ -53,7 +53,7 @@
 }
 
 enum Message {
-    Beat(Beat),
+    Beat(Box<Beat>),
     Report(usize, quota::Report),
     Grant(quota::Grant),
 }
@@ -316,7 +316,7 @@
             let clock = self.clock(to);
             let direct = &mut self.nodes[to].direct;
             match message {
-                Message::Beat(beat) => direct.hear(clock, beat),
+                Message::Beat(beat) => direct.hear(clock, *beat),
                 Message::Grant(grant) => direct.take_grant(clock, &grant),
                 Message::Report(from, report) => {
                     let grant = direct.take_report(clock, report);
@@ -335,7 +335,7 @@
             let count = self.nodes.len();
             for step in 1..count.min(AUDIENCE) {
                 let to = (at + step) % count;
-                self.post(at, to, || Message::Beat(beat.clone()));
+                self.post(at, to, || Message::Beat(Box::new(beat.clone())));
             }
         }
         let node = &mut self.nodes[at];
--- a/crates/wire/src/near.rs
+++ b/crates/wire/src/near.rs
@@ -8,7 +8,7 @@
 
 use bincode::{DefaultOptions, Options};
 use serde::{Deserialize, Serialize};
-use steer::process::direct::{health, members, quota, replica};
+use steer::process::direct::{health, limit, members, quota, replica};
 use thiserror::Error;
 
 /// Bytes of a datagram that crosses any network unbroken.
@@ -23,6 +23,9 @@
 /// Requests named in one heartbeat that broke targets.
 pub const STRUCK_MOST: usize = 16;
 
+/// Thousandths in one.
+const THOUSANDTHS: f64 = 1000.0;
+
 /// A message that can't be read.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -68,6 +71,8 @@
     struck: Vec<(Print, u8)>,
     /// Mark, requests failed, and slowness in eighths.
     troubles: Vec<(Mark, u8, u8)>,
+    /// Mark, thousandths of a request a second, and milliseconds since then.
+    limits: Vec<(Mark, Option<u32>, u32)>,
 }
 
 /// A hash. As bytes, since numbers are written in as few bytes as they need,
@@ -396,6 +401,7 @@
                 .map(|(r, n)| (r.to_le_bytes(), n))
                 .collect(),
             troubles: troubles.into_iter().map(trouble).collect(),
+            limits: beat.limits.into_iter().map(named).collect(),
         }
     }
 }
@@ -413,6 +419,11 @@
         };
         let mut troubles: Vec<_> = beat.troubles.into_iter().map(trouble).collect();
         troubles.sort_unstable();
+        let named = |(mark, rate, age): (Mark, Option<u32>, u32)| limit::Named {
+            mark: u32::from_le_bytes(mark),
+            rate: rate.map(|rate| f64::from(rate) / THOUSANDTHS),
+            age: Duration::from_millis(age.into()),
+        };
         let strikes = |(request, strikes)| (u128::from_le_bytes(request), strikes);
         Self {
             name: Arc::from(beat.name),
@@ -427,6 +438,19 @@
             held: beat.held.into_iter().map(held).collect(),
             struck: beat.struck.into_iter().map(strikes).collect(),
             troubles,
+            limits: beat.limits.into_iter().map(named).collect(),
         }
     }
 }
+
+fn named(named: limit::Named) -> (Mark, Option<u32>, u32) {
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "saturates"
+    )]
+    let thousandths = |rate: f64| (rate * THOUSANDTHS) as u32;
+    let age = u32::try_from(named.age.as_millis()).unwrap_or(u32::MAX);
+    let mark = named.mark.to_le_bytes();
+    (mark, named.rate.map(thousandths), age)
+}
--- a/crates/wire/tests/near.rs
+++ b/crates/wire/tests/near.rs
@@ -1,7 +1,10 @@
 //! Heartbeats of instances that steer straight to targets.
 
+use core::time::Duration;
+
 use rstest::rstest;
 use steer::process::direct::health::Trouble;
+use steer::process::direct::limit::Named;
 use steer::process::direct::members::{Beat, Row};
 use wire::near::Message;
 
@@ -33,6 +36,18 @@
             Trouble::failed(0xFFFF_0001),
             Trouble::slow(0xFFFF_0002, 3.5),
         ],
+        limits: vec![
+            Named {
+                mark: 0xFFFF_0001,
+                rate: Some(2.5),
+                age: Duration::from_millis(250),
+            },
+            Named {
+                mark: 0xFFFF_0002,
+                rate: None,
+                age: Duration::from_secs(1),
+            },
+        ],
     }
 }
 
@@ -64,6 +79,7 @@
         held: Vec::new(),
         struck: Vec::new(),
         troubles: Vec::new(),
+        limits: Vec::new(),
         ..beat()
     };
     let size = Message::Beat(Box::new(far.into())).encode().len();
