Divide a quota evenly among instances that hear no pool

Seen by reading: an instance that hears no pool took its own region for the one that gets three quarters of a team's whole tokens, so the parts of three regions added up to more than twice the bucket. Change: parts::even divides without a region. share_whole_sum asks the same of it; sum_stays_within_quota_without_pool, which passes before too, guards the sum.

--- a/crates/steer/src/process/direct/parts.rs
+++ b/crates/steer/src/process/direct/parts.rs
@@ -39,10 +39,28 @@
         (false, 0, _) => (far, total),
         (false, ..) => (far, total - near_part(total)),
     };
-    let order = |s: &Sharer| (s.mark ^ target).wrapping_mul(SPREAD);
     let side = others.iter().filter(|s| is_near(s) == is_near(own));
+    slice(tokens, count, own, side, target)
+}
+
+/// The part of `own` in `total` requests that concern no region more than another;
+/// `mark` is that of what is divided.
+#[must_use]
+pub fn even(total: usize, own: &Sharer, others: &[Sharer], mark: u32) -> usize {
+    slice(total, others.len() + 1, own, others.iter(), mark)
+}
+
+/// The part of `own` in `tokens` for `count` instances, of whom `others` are the rest.
+fn slice<'a>(
+    tokens: usize,
+    count: usize,
+    own: &Sharer,
+    others: impl Iterator<Item = &'a Sharer>,
+    mark: u32,
+) -> usize {
+    let order = |s: &Sharer| (s.mark ^ mark).wrapping_mul(SPREAD);
     // Two of the same hash would both stand first: both stand last instead.
-    let before = side.filter(|s| order(s) <= order(own)).count();
+    let before = others.filter(|s| order(s) <= order(own)).count();
     tokens / count + usize::from(before < tokens % count)
 }
 
--- a/crates/steer/src/process/direct/quota.rs
+++ b/crates/steer/src/process/direct/quota.rs
@@ -158,7 +158,7 @@
             )]
             let whole = capacity as usize;
             #[allow(clippy::cast_precision_loss, reason = "instances are few")]
-            let part = parts::part(whole, &own, &self.sharers, &self.home.region, mark) as f64;
+            let part = parts::even(whole, &own, &self.sharers, mark) as f64;
             part
         } else {
             equal
--- a/crates/steer/tests/direct/cold.rs
+++ b/crates/steer/tests/direct/cold.rs
@@ -31,13 +31,14 @@
     let all: Vec<Sharer> = (0..near + far).map(|i| sharer(i, i < near)).collect();
     for target in [3, 0x7777_1234, u32::MAX] {
         for total in [1, 8, 9, 40] {
-            let mut sum = 0;
+            let (mut sum, mut even) = (0, 0);
             for (i, own) in all.iter().enumerate() {
                 let mut others = all.clone();
                 others.remove(i);
                 sum += parts::part(total, own, &others, "near", target);
+                even += parts::even(total, own, &others, target);
             }
-            assert_eq!(sum, total, "of {total} at {target}");
+            assert_eq!((sum, even), (total, total), "of {total} at {target}");
         }
     }
 }
--- a/crates/steer/tests/direct/quota.rs
+++ b/crates/steer/tests/direct/quota.rs
@@ -62,6 +62,28 @@
     }
 }
 
+/// Instances that hear no pool each took their region for the one that gets most of a
+/// team's bucket.
+#[rstest]
+#[case::few(7, 30.0)]
+#[case::many(34, 4.0)]
+#[case::hundred(119, 30.0)]
+fn sum_stays_within_quota_without_pool(#[case] count: usize, #[case] rate: f64) {
+    let faults = Faults {
+        lost: 1.0,
+        near: 3,
+        delay: 70,
+        ..Faults::default()
+    };
+    let mut fleet = Fleet::new(count, quota(rate), faults, 1);
+    let all: Vec<usize> = (0..count).collect();
+    fleet.run(10_000, &all, rate * 20.0);
+    fleet.run(40_000, &all, 0.0);
+    fleet.run(50_000, &all, rate * 20.0);
+    let (most, bound) = (fleet.most(0, 50_000), bound(&fleet.quota));
+    assert!(most <= bound, "{most} of {bound}");
+}
+
 /// A quota that is lowered binds one window later.
 #[rstest]
 fn lowered_quota_binds_after_window(#[values(1, 2, 3, 4)] seed: u64) {
