Take only gaps of the store itself for outages in which entries lapse

Cause, by the lines of all instances: two of a region's three instances were cut off from the store, the third read from one of them. Told by another region after 4 s without the store's word, it took the gap for an outage of the store and kept what was no longer listed for 2.2 s, in which lapsed entries come back. The store had answered everybody else all the while. Change: with what it tells, an instance says for how long the store has answered without such a gap, as far as it knows. A gap here that this span covers is this instance's own, and what is no longer listed is dropped at once. Whoever reads the store itself, and whoever is told by one that started after the gap began, keeps to the caution of before.

--- a/crates/auburnrouter/src/direct/peer.rs
+++ b/crates/auburnrouter/src/direct/peer.rs
@@ -94,12 +94,12 @@
 
 fn changes(shared: &Shared, known: u64, asked: Time) -> Changes {
     // Read before the replica, which then holds at least what they speak of.
-    let (age, stale, held) =
-        shared.read(|now, d| (d.store_age(now), d.staleness(now), now.since(asked)));
+    let (contact, stale, held) =
+        shared.read(|now, d| (d.contact(now), d.staleness(now), now.since(asked)));
     let replica = lock(&shared.replica);
     let update = replica.since(known);
     if !update.whole || update.revision == 0 {
-        return Changes::new(&update, age).answered(stale, held);
+        return Changes::new(&update, contact).answered(stale, held);
     }
     let mut packed = lock(&shared.packed.0);
     if let Some(old) = &*packed {
@@ -107,10 +107,10 @@
         if !missed.whole && missed.items.len() < REPACK {
             // The receiver asks for the few changes since at once.
             let stale = stale.filter(|_| missed.items.is_empty());
-            return old.clone().confirmed(age).answered(stale, held);
+            return old.clone().confirmed(contact).answered(stale, held);
         }
     }
-    let new = Changes::new(&update, age);
+    let new = Changes::new(&update, contact);
     *packed = Some(new.clone());
     new.answered(stale, held)
 }
--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -16,9 +16,9 @@
 use platform::document;
 use platform::store::{Changes, Error, Freshness, Listing};
 use steer::clock::Time;
-use steer::process::direct::Direct;
 use steer::process::direct::replica::{Item, Update};
 use steer::process::direct::upstream::{STALE, Upstream, weight};
+use steer::process::direct::{Contact, Direct};
 use wire::near;
 
 use super::peer::Link;
@@ -244,7 +244,7 @@
             whole: true,
             items: items.map(|i| item(&self.shared, i)).collect(),
         };
-        take(&self.shared, update, Some(Duration::ZERO), Some(asked));
+        take(&self.shared, update, Contact::NOW, Some(asked));
         true
     }
 
@@ -275,7 +275,7 @@
             whole: false,
             items: items.map(|i| item(&self.shared, i)).collect(),
         };
-        take(&self.shared, update, Some(Duration::ZERO), Some(confirmed));
+        take(&self.shared, update, Contact::NOW, Some(confirmed));
         true
     }
 
--- a/crates/auburnrouter/src/direct/source/apply.rs
+++ b/crates/auburnrouter/src/direct/source/apply.rs
@@ -4,10 +4,10 @@
 //! what is confirmed is raised after all of it is applied.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use platform::{document, entry};
 use steer::clock::Time;
+use steer::process::direct::Contact;
 use steer::process::direct::replica::Update;
 use wire::near;
 
@@ -16,13 +16,13 @@
 /// Takes what another instance, asked at `asked`, has told. Says whether it could
 /// be read.
 pub(super) fn take_changes(shared: &Shared, changes: near::Changes, asked: Time) -> bool {
-    let age = changes.age();
+    let contact = changes.contact();
     let now = shared.now();
     let stale = changes.staleness(now.since(asked));
     let confirmed = stale.map(|stale| now - stale);
     match Update::try_from(changes) {
         Ok(update) => {
-            take(shared, update, age, confirmed);
+            take(shared, update, contact, confirmed);
             true
         }
         Err(error) => {
@@ -32,19 +32,14 @@
     }
 }
 
-/// Applies what has changed; the store confirmed it `age` ago, and it is all that
+/// Applies what has changed, told by one that stands so to the store; it is all that
 /// the store held at `confirmed`.
-pub(super) fn take(
-    shared: &Shared,
-    update: Update,
-    age: Option<Duration>,
-    confirmed: Option<Time>,
-) {
+pub(super) fn take(shared: &Shared, update: Update, contact: Contact, confirmed: Option<Time>) {
     let revision = update.revision;
     // Held until all is applied: what comes from elsewhere meanwhile is later.
     let mut replica = lock(&shared.replica);
     let changed = replica.take(update);
-    shared.note(|now, direct| direct.told(now, age, revision));
+    shared.note(|now, direct| direct.told(now, contact, revision));
     let mut targets = Vec::new();
     for item in &changed {
         match (item.key.strip_prefix(entry::PREFIX), &item.value) {
--- a/crates/emulator/src/world/instance/knowledge.rs
+++ b/crates/emulator/src/world/instance/knowledge.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use steer::clock::Time;
+use steer::process::direct::Contact;
 use steer::process::direct::members::{Beat, Row};
 use steer::process::direct::target::Entry;
 use steer::version::routes::{Limits, Part, Route, Routes, Service};
@@ -116,7 +117,7 @@
             direct.member(now, &name, Some(row));
         }
         if away {
-            direct.told(now, None, 1);
+            direct.told(now, Contact::default(), 1);
         } else {
             direct.in_touch(now, 1);
         }
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -44,6 +44,7 @@
 use crate::version::routes::Routes;
 
 use budget::Budget;
+pub use contact::Contact;
 use contact::Touch;
 use health::Trouble;
 use job::{Job, State};
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -23,6 +23,26 @@
     seen: Option<Time>,
     /// When it answered again after a time out of touch.
     back: Option<Time>,
+    /// Since when it has answered, as far as is known, without such a time.
+    since: Option<Time>,
+}
+
+/// How another instance stands to the platform's store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Contact {
+    /// Time since the store's last answer, if there was one.
+    pub age: Option<Duration>,
+    /// Time since which it has answered without a gap in which entries may have
+    /// lapsed.
+    pub span: Option<Duration>,
+}
+
+impl Contact {
+    /// The store has just answered; nothing is known of the time before.
+    pub const NOW: Self = Self {
+        age: Some(Duration::ZERO),
+        span: None,
+    };
 }
 
 /// Time without an answer of the store after which it counts as out of touch.
@@ -59,24 +79,29 @@
 impl Direct {
     /// The store has answered and everything up to `revision` is known.
     pub fn in_touch(&mut self, now: Time, revision: u64) {
-        self.confirmed(now, now, revision);
+        self.confirmed(now, now, None, revision);
     }
 
-    /// Another instance has told everything up to `revision`; the store last
-    /// answered it, or the one that told it, `age` ago.
-    pub fn told(&mut self, now: Time, age: Option<Duration>, revision: u64) {
-        match age {
-            Some(age) => self.confirmed(now, now - age, revision),
+    /// Another instance has told everything up to `revision`; `contact` is its own, or
+    /// that of the one that told it.
+    pub fn told(&mut self, now: Time, contact: Contact, revision: u64) {
+        let since = contact.span.map(|span| now - span);
+        match contact.age {
+            Some(age) => self.confirmed(now, now - age, since, revision),
             None => self.store.revision = self.store.revision.max(revision),
         }
     }
 
-    /// The store answered at `seen`.
-    fn confirmed(&mut self, now: Time, seen: Time, revision: u64) {
+    /// The store answered at `seen`, and whoever tells so without a gap from `since`.
+    fn confirmed(&mut self, now: Time, seen: Time, since: Option<Time>, revision: u64) {
         let last = self.store.seen;
-        if last.is_some_and(|at| seen.since(at) > LAPSE) {
+        let gap = last.is_some_and(|at| seen.since(at) > LAPSE);
+        let only_here = since.is_some() && since <= last;
+        if gap && !only_here {
             self.store.back = Some(now);
+            self.store.since = Some(seen);
         }
+        self.store.since.get_or_insert(seen);
         self.store.seen = last.max(Some(seen));
         self.store.revision = self.store.revision.max(revision);
     }
@@ -102,6 +127,15 @@
         self.store.seen.map(|at| now.since(at))
     }
 
+    /// How this instance stands to the store, for another that it tells.
+    #[must_use]
+    pub fn contact(&self, now: Time) -> Contact {
+        Contact {
+            age: self.store_age(now),
+            span: self.store.since.map(|at| now.since(at)),
+        }
+    }
+
     /// Whether the store has answered lately.
     #[must_use]
     pub fn is_in_touch(&self, now: Time) -> bool {
--- a/crates/steer/tests/direct/members.rs
+++ b/crates/steer/tests/direct/members.rs
@@ -1,6 +1,7 @@
 //! Which other instances count as there.
 
 use rstest::rstest;
+use steer::process::direct::Contact;
 use steer::process::direct::members::{Beat, Members, mark};
 
 use super::bench::{Bench, MS, at, beat, entry, route, row};
@@ -62,7 +63,7 @@
 #[test]
 fn ask_who_knows_more() {
     let mut bench = Bench::new(route(), &[]);
-    bench.direct.told(at(0), None, 5);
+    bench.direct.told(at(0), Contact::default(), 5);
     bench.direct.hear(
         at(0),
         Beat {
@@ -88,7 +89,7 @@
 #[test]
 fn tell_who_is_silent() {
     let mut bench = Bench::new(route(), &[]);
-    bench.direct.told(at(0), None, 5);
+    bench.direct.told(at(0), Contact::default(), 5);
     bench.direct.member(at(0), "near-2", Some(row("near")));
     let told = |now| {
         let to = bench.direct.audience(at(now));
--- a/crates/steer/tests/direct/roster.rs
+++ b/crates/steer/tests/direct/roster.rs
@@ -1,8 +1,12 @@
 //! Targets as discovery names them, with what the store's outages do to it.
 
+use core::time::Duration;
+
+use rstest::rstest;
+use steer::process::direct::Contact;
 use steer::process::direct::target::Entry;
 
-use super::bench::{Bench, at, entry, route};
+use super::bench::{Bench, MS, at, entry, route};
 
 /// The store was away for five seconds and entries lapsed meanwhile. Targets
 /// that live write them again within two seconds; dropped at once, the whole
@@ -27,6 +31,37 @@
     );
 }
 
+/// An instance whose upstream was cut off took that for an outage of the store and kept
+/// sending to targets that had left.
+#[rstest]
+#[case::store_answered_all_the_while(10_000, true)]
+#[case::store_was_away(800, false)]
+fn drop_at_once_if_only_upstream_was_away(#[case] span: u64, #[case] dropped: bool) {
+    let mut bench = Bench::new(route(), &[entry("t1", "near-a")]);
+    bench.direct.in_touch(at(1_000), 10);
+    let contact = Contact {
+        age: Some(MS * 300),
+        span: Some(Duration::from_millis(span)),
+    };
+    bench.direct.told(at(5_000), contact, 11);
+    assert_eq!(bench.direct.unlist(at(5_010), "t1"), dropped);
+}
+
+/// What an instance tells of its own contact holds through a gap that was its own.
+#[test]
+fn tell_of_contact_through_own_gap() {
+    let mut bench = Bench::new(route(), &[]);
+    bench.direct.in_touch(at(1_000), 10);
+    let contact = Contact {
+        age: Some(MS * 300),
+        span: Some(Duration::from_secs(10)),
+    };
+    bench.direct.told(at(6_000), contact, 11);
+    assert_eq!(bench.direct.contact(at(6_000)).span, Some(MS * 5_000));
+    bench.direct.in_touch(at(10_000), 12);
+    assert_eq!(bench.direct.contact(at(10_000)).span, Some(Duration::ZERO));
+}
+
 #[test]
 fn drop_at_once_in_touch() {
     let mut bench = Bench::new(route(), &[entry("t1", "near-a")]);
--- a/crates/steer/tests/direct/upstream.rs
+++ b/crates/steer/tests/direct/upstream.rs
@@ -4,6 +4,7 @@
 use core::time::Duration;
 
 use rstest::rstest;
+use steer::process::direct::Contact;
 use steer::process::direct::members::Row;
 use steer::process::direct::upstream::{Upstream, weight};
 
@@ -153,9 +154,11 @@
     let mut bench = Bench::new(route(), &[]);
     bench.direct.in_touch(at(1_000), 5);
     let told = |bench: &mut Bench, millis, age| {
-        bench
-            .direct
-            .told(at(millis), Some(Duration::from_millis(age)), 5);
+        let contact = Contact {
+            age: Some(Duration::from_millis(age)),
+            span: None,
+        };
+        bench.direct.told(at(millis), contact, 5);
         bench.direct.store_age(at(millis)).expect("it was in touch")
     };
     assert_eq!(told(&mut bench, 2_000, 1_500), Duration::from_secs(1));
--- a/crates/wire/src/near.rs
+++ b/crates/wire/src/near.rs
@@ -8,7 +8,7 @@
 
 use bincode::{DefaultOptions, Options};
 use serde::{Deserialize, Serialize};
-use steer::process::direct::{health, limit, members, quota, replica};
+use steer::process::direct::{Contact, health, limit, members, quota, replica};
 use thiserror::Error;
 
 /// Bytes of a datagram that crosses any network unbroken.
@@ -105,6 +105,9 @@
     /// Milliseconds since the store confirmed it, as far as the sender knows;
     /// `None` if it never did.
     pub age_ms: Option<u32>,
+    /// Milliseconds since which it has confirmed without a gap in which entries may
+    /// have lapsed.
+    span_ms: Option<u32>,
     /// Milliseconds since the moment at which everything that the store held is
     /// known here, at most; `None` if there is no such moment.
     stale_ms: Option<u32>,
@@ -124,7 +127,7 @@
 impl Changes {
     /// For another instance.
     #[must_use]
-    pub fn new(update: &replica::Update, age: Option<Duration>) -> Self {
+    pub fn new(update: &replica::Update, contact: Contact) -> Self {
         let item = |item: &replica::Item| Item {
             key: item.key.as_ref().to_owned(),
             revision: item.revision,
@@ -135,7 +138,8 @@
         let plain = DefaultOptions::new().serialize(&items).unwrap_or_default();
         Self {
             revision: update.revision,
-            age_ms: millis(age),
+            age_ms: millis(contact.age),
+            span_ms: millis(contact.span),
             stale_ms: None,
             held_ms: 0,
             whole: update.whole,
@@ -143,11 +147,12 @@
         }
     }
 
-    /// The same, confirmed by the store `age` ago.
+    /// The same by a sender that now stands so to the store.
     #[must_use]
-    pub fn confirmed(self, age: Option<Duration>) -> Self {
+    pub fn confirmed(self, contact: Contact) -> Self {
         Self {
-            age_ms: millis(age),
+            age_ms: millis(contact.age),
+            span_ms: millis(contact.span),
             ..self
         }
     }
@@ -177,7 +182,17 @@
     /// Time since the store confirmed it.
     #[must_use]
     pub fn age(&self) -> Option<Duration> {
-        self.age_ms.map(|ms| Duration::from_millis(ms.into()))
+        self.contact().age
+    }
+
+    /// How the sender stands to the store.
+    #[must_use]
+    pub fn contact(&self) -> Contact {
+        let span = |ms: u32| Duration::from_millis(ms.into());
+        Contact {
+            age: self.age_ms.map(span),
+            span: self.span_ms.map(span),
+        }
     }
 }
 
