Tell in heartbeats only of limits that were there

Cause: the time of the last word stood for the time of the last change. Change: a limit remembers when it last changed; that none is named is told for 5 s after one was. Shown: tell_nothing_where_no_limit_was fails before.

--- a/crates/steer/src/process/direct/limit.rs
+++ b/crates/steer/src/process/direct/limit.rs
@@ -2,9 +2,9 @@
 //! instances together, for as long as its answers say so.
 //!
 //! Each instance sends its part ([`parts`](super::parts)) of what the operator's
-//! [`Rule`] allows for the limit. Those that send nothing hear no answers, so whoever has an answer
-//! of a target tells the others; and who hears nothing of a limit for long asks by
-//! a single request whether it still holds.
+//! [`Rule`] allows for the limit. Those that send nothing hear no answers, so
+//! whoever has an answer of a target tells the others; and who hears nothing of a
+//! limit for long asks by a single request whether it still holds.
 //!
 //! Invariant: the parts of instances that know the same list and the same limit
 //! never add up to more than the rule allows.
@@ -47,6 +47,19 @@
 /// Longest time that one request of a small limit may stand for.
 const SPAN_MOST: Duration = Duration::from_mins(1);
 
+/// Time by which requests sent one after the other may arrive closer together.
+const WAY: Duration = Duration::from_millis(250);
+
+/// Time without news of a limit after which an instance asks whether it holds. Each
+/// adds some of its own, so that one of them asks and tells the others.
+const QUIET: Duration = Duration::from_secs(10);
+
+/// Time for which heartbeats tell that a target no longer names a limit.
+const LIFTED: Duration = Duration::from_secs(5);
+
+/// Limits that one heartbeat tells of, in turn.
+const TOLD_MOST: usize = 10;
+
 impl Rule {
     /// Requests that all instances together send for a limit of `rate` a second, and
     /// the span in which they do.
@@ -74,19 +87,6 @@
     }
 }
 
-/// Time by which requests sent one after the other may arrive closer together.
-const WAY: Duration = Duration::from_millis(250);
-
-/// Time without news of a limit after which an instance asks whether it holds. Each
-/// adds some of its own, so that one of them asks and tells the others.
-const QUIET: Duration = Duration::from_secs(10);
-
-/// Time for which heartbeats tell that a target no longer names a limit.
-const LIFTED: Duration = Duration::from_secs(5);
-
-/// Limits that one heartbeat tells of, in turn.
-const TOLD_MOST: usize = 10;
-
 /// What a target said last of its limit.
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
@@ -96,6 +96,8 @@
     at: Time,
     /// Whether it said so to this instance. Only that is told to others.
     own: bool,
+    /// When it last said something else than before.
+    changed: Option<Time>,
 }
 
 impl Limit {
@@ -104,14 +106,17 @@
         rate: None,
         at: Time::ZERO,
         own: false,
+        changed: None,
     };
 
-    /// By an answer to this instance.
-    pub(super) const fn answered(now: Time, rate: Option<f64>) -> Self {
+    /// After an answer to this instance.
+    pub(super) fn answered(&self, now: Time, rate: Option<f64>) -> Self {
+        let same = rate == self.rate;
         Self {
             rate,
             at: now,
             own: true,
+            changed: self.changed.filter(|_| same).or((!same).then_some(now)),
         }
     }
 
@@ -123,7 +128,8 @@
     /// What heartbeats tell of it.
     fn told(&self, now: Time, mark: u32) -> Option<Named> {
         let age = now.since(self.at);
-        let is_news = self.rate.is_some() || age < LIFTED;
+        let lately = self.changed.is_some_and(|at| now.since(at) < LIFTED);
+        let is_news = self.rate.is_some() || lately;
         (self.own && is_news).then_some(Named {
             mark,
             rate: self.rate,
@@ -164,13 +170,8 @@
         let count = u32::try_from(self.sharers.len() + 1).unwrap_or(u32::MAX);
         let own = members::mark(&self.home.name) ^ target.mark();
         let own = u64::from(own).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        QUIET
-            + self
-                .bounds
-                .limit
-                .window
-                .saturating_mul(count)
-                .mul_f64(unit(own))
+        let window = self.bounds.limit.window;
+        QUIET + window.saturating_mul(count).mul_f64(unit(own))
     }
 
     /// Span of requests to a target that has to be remembered.
@@ -199,6 +200,7 @@
                 rate: named.rate,
                 at: now - named.age,
                 own: false,
+                changed: None,
             };
             self.roster.told_limit(named.mark, told);
         }
--- a/crates/steer/src/process/direct/target.rs
+++ b/crates/steer/src/process/direct/target.rs
@@ -200,8 +200,8 @@
     /// Notes the limit that an answer to this instance names, or that it names none.
     /// Says whether that is news.
     pub fn name_limit(&mut self, now: Time, rate: Option<f64>) -> bool {
-        let before = core::mem::replace(&mut self.limit, Limit::answered(now, rate));
-        before.rate != rate
+        let named = self.limit.answered(now, rate);
+        core::mem::replace(&mut self.limit, named).rate != rate
     }
 
     /// Notes what another instance was told of its limit.
--- a/crates/steer/tests/direct/limit.rs
+++ b/crates/steer/tests/direct/limit.rs
@@ -176,6 +176,15 @@
     assert!(bench.direct.beat(at(9_000), false).limits.is_empty());
 }
 
+/// Heartbeats told of every target that answered without a limit, and grew by that.
+#[test]
+fn tell_nothing_where_no_limit_was() {
+    let mut bench = one_of(7);
+    name(&mut bench, at(2_000), None);
+    name(&mut bench, at(2_100), None);
+    assert!(bench.direct.beat(at(2_300), false).limits.is_empty());
+}
+
 /// What was heard of others went to and fro between instances for ever.
 #[test]
 fn tell_others_own_word_only() {
