--- a/crates/measure/src/sums.rs
+++ b/crates/measure/src/sums.rs
@@ -5,6 +5,7 @@
 //! Invariant: what is counted is what targets see, not what instances believe.
 
 pub mod fleet;
+mod node;
 pub mod plan;
 mod setup;
 mod tally;
--- a/crates/measure/src/sums/fleet.rs
+++ b/crates/measure/src/sums/fleet.rs
@@ -18,9 +18,10 @@
 use steer::request::arrival::Fingerprint;
 use steer::version::routes::Routes;
 
+use super::node::Node;
 use super::plan::Plan;
 use super::setup::{self, BOUNDS, COLD, COLD_RATE, TARGETS, Target};
-use super::tally::{Arrival, NOTICE, Sent, Tally};
+use super::tally::{Arrival, Sent, Tally};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -67,24 +68,6 @@
     },
 }
 
-struct Node {
-    name: Arc<str>,
-    region: usize,
-    life: u64,
-    boot: Time,
-    direct: Option<Direct>,
-    back: Option<Time>,
-    cut: Time,
-    /// When its row in the store runs out.
-    row: Time,
-    /// Requests here and their places in the tally.
-    asks: Vec<(Ticket, usize)>,
-    beaten: Time,
-    read: Time,
-    /// Targets that have told it of a limit, and when.
-    told: Vec<(usize, Time)>,
-}
-
 /// A fleet.
 pub struct Fleet {
     plan: Plan,
@@ -498,33 +481,3 @@
         );
     }
 }
-
-impl Node {
-    fn new(number: usize, start: Time) -> Self {
-        Self {
-            name: format!("i{number:03}").into(),
-            region: number % TARGETS.len(),
-            life: 0,
-            boot: Time::ZERO,
-            direct: None,
-            back: Some(start),
-            cut: Time::ZERO,
-            row: Time::ZERO,
-            asks: Vec::new(),
-            beaten: Time::ZERO,
-            read: Time::ZERO,
-            told: Vec::new(),
-        }
-    }
-
-    /// Whether a target has told this incarnation of a limit long enough ago.
-    fn is_told(&self, life: u64, target: usize, now: Time) -> bool {
-        let told = |t: &(usize, Time)| t.0 == target && now.since(t.1) >= NOTICE;
-        self.life == life && self.told.iter().any(told)
-    }
-
-    /// The time by its own clock.
-    fn clock(&self, now: Time) -> Time {
-        Time::ZERO + now.since(self.boot)
-    }
-}
