Log and count what targets ask for in their answers

Seen: in the incident no line says which 503 asked for time without requests, for how long, and whether the instance knew of it when it sent; no line says whether any target announced in its answers that it leaves. Either header was passed on unread, like the limit before it. Change, observability only; nothing decides by it: - The adapter decodes Retry-After of a target's 503 (seconds with a fraction; the longest of several; a date, a negative or unreadable value counts as absent, one too long to hold saturates) and Server-Leaving. - Load, limit, backoff and leaving are one report of a target. It is applied in one place, as soon as the head of an answer is there that certainly is that target's, by the incarnation that the request was sent to: a body that breaks off or is late takes nothing back. - attempt has backoff_ms, backoff_known_ms, leaving, leaving_known_ms; target-backoff and target-leaving say when; two gauges, a counter, marks and backoff_ms in the dump. - The class: unknown-header names a header of a target that the adapter doesn't know, once a name, and a counter has it by name, 32 names at most. The next header is found from the logs.

--- a/crates/auburnrouter/src/direct/attempt.rs
+++ b/crates/auburnrouter/src/direct/attempt.rs
@@ -45,8 +45,6 @@
     pub outcome: AttemptOutcome,
     /// The complete answer, whatever the outcome; `None` if none was received.
     pub answer: Option<Response>,
-    /// Load and limit that the target reports, if it is the one that answered.
-    pub feedback: Option<Feedback>,
 }
 
 impl Completion {
@@ -54,19 +52,20 @@
         Self {
             outcome,
             answer: None,
-            feedback: None,
         }
     }
 }
 
 /// Sends a request to the assigned target and reads the complete answer. The target
 /// is told that `remaining` is left of the request's time; the caller of this
-/// function enforces it.
+/// function enforces it. `report` gets what the head of the answer says of the target,
+/// whether or not the body follows.
 pub async fn run(
     shared: &Arc<Shared>,
     assignment: &Assignment,
     forwarded: &ForwardedRequest,
     remaining: Duration,
+    report: impl FnOnce(Feedback, &HeaderMap),
 ) -> Completion {
     let Ok(request) = request(assignment, forwarded, remaining) else {
         return Completion::without_answer(AttemptOutcome::NotSent);
@@ -93,11 +92,17 @@
     };
     let (response, rest) = exchange.split();
     let (head, body) = response.into_parts();
+    let info = headers::answer(&head.headers);
+    let outcome = classify(head.status, &info, forwarded);
+    if !matches!(
+        outcome,
+        AttemptOutcome::InvalidResponse | AttemptOutcome::WrongTarget
+    ) {
+        report(feedback(head.status, &info), &head.headers);
+    }
     let Ok(body) = Limited::new(body, ANSWER_MAX_BYTES).collect().await else {
         return Completion::without_answer(AttemptOutcome::ConnectionLost);
     };
-    let info = headers::answer(&head.headers);
-    let outcome = classify(head.status, &info, forwarded);
     if outcome != AttemptOutcome::InvalidResponse && forwarded.is_idempotent {
         rest.put_back();
     }
@@ -107,17 +112,20 @@
     let mut answer = Response::new(body.to_bytes());
     *answer.status_mut() = head.status;
     *answer.headers_mut() = fields;
-    let is_own = !matches!(
-        outcome,
-        AttemptOutcome::InvalidResponse | AttemptOutcome::WrongTarget
-    );
     Completion {
         outcome,
         answer: Some(answer),
-        feedback: is_own.then_some(Feedback {
-            load: info.load.map(|l| l.running.saturating_add(l.waiting)),
-            limit: info.limit,
-        }),
+    }
+}
+
+/// What a target's answer reports of the target.
+fn feedback(status: StatusCode, info: &headers::Answer) -> Feedback {
+    let is_unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
+    Feedback {
+        load: info.load.map(|l| l.running.saturating_add(l.waiting)),
+        limit: info.limit,
+        backoff: info.backoff.filter(|_| is_unavailable),
+        is_leaving: info.is_leaving,
     }
 }
 
--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -9,18 +9,19 @@
 mod body_memory;
 
 use std::net::IpAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use body_memory::Reservation;
 use futures_lite::future;
 use hyper::body::Bytes;
-use hyper::header::HOST;
+use hyper::header::{HOST, HeaderMap};
 use hyper::{Method, StatusCode, Uri};
 use platform::headers;
 use smol::net;
 use steer::clock::Time;
 use steer::process::direct::access::{Access, Credential};
+use steer::process::direct::target::Feedback;
 use steer::process::direct::{
     self, Assignment, AttemptOutcome, Decision, FollowUp, Rejection, Request, Ticket,
 };
@@ -356,17 +357,23 @@
     ) -> (FollowUp, Option<Response>) {
         let start = self.shared.now();
         let remaining = limit.since(start);
-        let (outcome, answer, feedback) = if self
+        let reported = OnceLock::new();
+        let (outcome, answer) = if self
             .shared
             .read(|now, d| d.may_send_request(now, assignment))
         {
-            let run = attempt::run(&self.shared, assignment, &self.forwarded, remaining);
+            let report = |feedback, headers: &HeaderMap| {
+                self.report(assignment, feedback, headers);
+                // The closure runs once at most.
+                let _ = reported.set(feedback);
+            };
+            let run = attempt::run(&self.shared, assignment, &self.forwarded, remaining, report);
             match self.run_until(limit, run).await {
-                Some(completion) => (completion.outcome, completion.answer, completion.feedback),
-                None => (AttemptOutcome::TimedOut, None, None),
+                Some(completion) => (completion.outcome, completion.answer),
+                None => (AttemptOutcome::TimedOut, None),
             }
         } else {
-            (AttemptOutcome::Withdrawn, None, None)
+            (AttemptOutcome::Withdrawn, None)
         };
         *may_have_run |= !matches!(
             outcome,
@@ -375,16 +382,9 @@
                 | AttemptOutcome::NotRun
                 | AttemptOutcome::WrongTarget
         );
-        let (follow_up, limit_changed) = self.shared.decide(|now, direct| {
-            let follow_up = direct.finish_attempt(now, assignment.ticket, outcome);
-            let limit_changed = feedback
-                .is_some_and(|feedback| direct.apply_feedback(now, &assignment.target, feedback));
-            (follow_up, limit_changed)
-        });
-        let feedback = feedback.unwrap_or_default();
-        if limit_changed {
-            events::limit_changed(&self.shared, &assignment.target, feedback.limit, self.id());
-        }
+        let follow_up = self
+            .shared
+            .decide(|now, direct| direct.finish_attempt(now, assignment.ticket, outcome));
         let status = answer.as_ref().map_or(0, |a| a.status().as_u16());
         events::attempt_ended(
             &self.shared,
@@ -399,7 +399,7 @@
                 took_ms: millis(self.shared.now(), start),
                 outcome: outcome_name(outcome),
                 status,
-                feedback,
+                feedback: reported.into_inner().unwrap_or_default(),
                 assignment,
                 object: self.object,
             },
@@ -409,6 +409,29 @@
         (follow_up, answer)
     }
 
+    /// Applies and logs what the head of a target's answer reports of the target.
+    fn report(&self, assignment: &Assignment, feedback: Feedback, headers: &HeaderMap) {
+        let (shared, target) = (&self.shared, &assignment.target);
+        let effect = shared.decide(|now, direct| {
+            direct.apply_feedback(now, target, assignment.incarnation, feedback)
+        });
+        if effect.limit_changed {
+            events::limit_changed(shared, target, feedback.limit, self.id());
+        }
+        if let Some(backoff) = feedback.backoff {
+            shared.metrics.backoffs.inc();
+            events::backoff_asked(shared, target, backoff, self.id());
+        }
+        if effect.began_leaving {
+            events::target_leaving(shared, target, self.id());
+        }
+        for name in headers::unknown_answer_headers(headers) {
+            if shared.metrics.count_unknown_header(name.as_str()) {
+                events::unknown_header(shared, target, name.as_str(), self.id());
+            }
+        }
+    }
+
     /// Request id as text; empty if there is none or it is not visible ASCII.
     fn id(&self) -> &str {
         let id = self.forwarded.id.as_ref().and_then(|id| id.to_str().ok());
--- a/crates/auburnrouter/src/direct/dump.rs
+++ b/crates/auburnrouter/src/direct/dump.rs
@@ -14,6 +14,12 @@
 
 use super::{Phase, Shared};
 
+/// Mark of a target that has announced that it is about to stop.
+pub const LEAVING: &str = "leaving";
+
+/// Mark of a target that asked this instance to send nothing for a time.
+pub const BACKOFF: &str = "backoff";
+
 /// State of an instance at one moment.
 #[derive(Serialize)]
 pub struct State {
@@ -71,12 +77,15 @@
     id: Arc<str>,
     service: Arc<str>,
     domain: Arc<str>,
-    /// Any of `leaving`, `gone`, `cold` and `aside` (ejected); empty in full use.
+    /// Any of `leaving`, `gone`, `cold`, `aside` (ejected) and `backoff`; empty in full
+    /// use.
     marks: Vec<&'static str>,
     /// Requests from this instance that it has in flight.
     flying: u32,
     /// Requests per second that it accepts from all instances, if it states a limit.
     limit: Option<f64>,
+    /// Remaining time in milliseconds for which it asked this instance to send nothing.
+    backoff_ms: Option<u64>,
     /// Mean ratio of its response times to the expected ones.
     slowness: f64,
     /// The greater of its failure rate and its refusal rate.
@@ -88,6 +97,11 @@
     pub const fn is_limited(&self) -> bool {
         self.limit.is_some()
     }
+
+    /// Whether it has this restriction on its use.
+    pub fn has_mark(&self, mark: &str) -> bool {
+        self.marks.contains(&mark)
+    }
 }
 
 impl State {
@@ -130,6 +144,7 @@
                     marks: labels(t, now),
                     flying: t.in_flight,
                     limit: t.limit(),
+                    backoff_ms: t.backoff_left(now).map(millis),
                     slowness: t.health.slowness(now),
                     illness: t.health.failure_rate(now).max(t.health.refusal_rate(now)),
                 })
@@ -152,10 +167,14 @@
 /// Labels of the restrictions on a target's use.
 fn labels(target: &target::Target, now: Time) -> Vec<&'static str> {
     let all = [
-        ("leaving", target.entry.draining),
+        (
+            LEAVING,
+            target.entry.draining || target.leaving_age(now).is_some(),
+        ),
         ("gone", target.is_gone),
         ("cold", target.is_cold(now)),
         ("aside", target.is_ejected(now)),
+        (BACKOFF, target.backoff_left(now).is_some()),
     ];
     all.iter().filter(|l| l.1).map(|l| l.0).collect()
 }
--- a/crates/auburnrouter/src/direct/events.rs
+++ b/crates/auburnrouter/src/direct/events.rs
@@ -321,6 +321,56 @@
     write(shared, "target-gone", TargetGoneFields { target });
 }
 
+#[derive(Serialize)]
+struct BackoffFields<'a> {
+    target: &'a str,
+    /// Time that it asks for, in milliseconds.
+    backoff_ms: u64,
+    /// Id of the request whose answer asked for it.
+    request: &'a str,
+}
+
+/// Logs that a target asks this instance to send it nothing for a time.
+pub fn backoff_asked(shared: &Shared, target: &str, backoff: Duration, request: &str) {
+    let fields = BackoffFields {
+        target,
+        backoff_ms: millis(backoff),
+        request,
+    };
+    write(shared, "target-backoff", fields);
+}
+
+#[derive(Serialize)]
+struct TargetAnswerFields<'a> {
+    target: &'a str,
+    /// Id of the request whose answer reports it.
+    request: &'a str,
+}
+
+/// Logs that a target has reported in an answer that it is about to stop.
+pub fn target_leaving(shared: &Shared, target: &str, request: &str) {
+    let fields = TargetAnswerFields { target, request };
+    write(shared, "target-leaving", fields);
+}
+
+#[derive(Serialize)]
+struct UnknownHeaderFields<'a> {
+    target: &'a str,
+    header: &'a str,
+    /// Id of the first request whose answer had it.
+    request: &'a str,
+}
+
+/// Logs the first answer of a target with a header that this release doesn't know.
+pub fn unknown_header(shared: &Shared, target: &str, header: &str, request: &str) {
+    let fields = UnknownHeaderFields {
+        target,
+        header,
+        request,
+    };
+    write(shared, "unknown-header", fields);
+}
+
 #[derive(Serialize)]
 struct LimitFields<'a> {
     target: &'a str,
--- a/crates/auburnrouter/src/direct/events/requests.rs
+++ b/crates/auburnrouter/src/direct/events/requests.rs
@@ -47,6 +47,18 @@
     /// That limit as known when the request was sent.
     #[serde(skip_serializing_if = "Option::is_none")]
     limit_known: Option<f64>,
+    /// Time for which the target asks for no requests, as its answer states.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    backoff_ms: Option<u64>,
+    /// Remaining time of such a backoff as known when the request was sent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    backoff_known_ms: Option<u64>,
+    /// Whether the target reports in its answer that it is about to stop.
+    #[serde(skip_serializing_if = "is_false")]
+    leaving: bool,
+    /// Time since it first did so, as known when the request was sent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    leaving_known_ms: Option<u64>,
     warm: bool,
     expected_ms: f64,
     object: u64,
@@ -76,7 +88,7 @@
     pub outcome: &'a str,
     /// Status code of the target's answer; 0 if there is none.
     pub status: u16,
-    /// Load and limit that the target reported.
+    /// What the target's answer reports of the target.
     pub feedback: Feedback,
     /// The decision to send it there, with the estimates it was based on.
     pub assignment: &'a steer::process::direct::Assignment,
@@ -109,6 +121,10 @@
         load: a.feedback.load.unwrap_or_default(),
         limit: a.feedback.limit,
         limit_known: a.assignment.limit,
+        backoff_ms: a.feedback.backoff.map(millis),
+        backoff_known_ms: a.assignment.backoff_left.map(millis),
+        leaving: a.feedback.is_leaving,
+        leaving_known_ms: a.assignment.leaving_age.map(millis),
         warm: a.assignment.is_warm,
         expected_ms: a.assignment.expected_work * 1000.0,
         object: a.object,
@@ -194,6 +210,14 @@
     write(shared, "own-answer", fields);
 }
 
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 fn seconds(millis: u64) -> f64 {
     Duration::from_millis(millis).as_secs_f64()
 }
--- a/crates/auburnrouter/src/direct/metrics.rs
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -1,7 +1,10 @@
 //! Counters, gauges and latency histograms in the Prometheus text format.
 //!
-//! Invariant: label values come from fixed sets in this program, never from input,
-//! so the number of series does not grow with the deployment.
+//! Invariant: label values come from fixed sets in this program, so that the number of
+//! series does not grow with the deployment. The names of unknown headers come from
+//! targets; their number is bounded.
+
+use std::sync::Mutex;
 
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
@@ -10,7 +13,13 @@
 
 use platform::store::Kind;
 
-use super::Shared;
+use super::{Shared, dump, lock};
+
+/// Largest number of unknown headers that are counted by name.
+const UNKNOWN_HEADERS_MAX: usize = 32;
+
+/// Label of the unknown headers beyond [`UNKNOWN_HEADERS_MAX`].
+const OTHER_HEADERS: &str = "other";
 
 /// The metrics cannot be registered or encoded.
 #[derive(Debug, thiserror::Error)]
@@ -34,6 +43,11 @@
     pub attempt_time: Histogram,
     /// Attempts at targets that were known to have a request limit.
     pub limited_attempts: IntCounter,
+    /// Answers of targets that ask this instance to send nothing for a time.
+    pub backoffs: IntCounter,
+    unknown_headers: IntCounterVec,
+    /// Names of the headers counted by name, sorted.
+    header_names: Mutex<Vec<Box<str>>>,
     /// Log lines dropped by the bound per second.
     pub dropped_lines: IntCounter,
     /// Callers' connections rejected for lack of file descriptors.
@@ -42,6 +56,8 @@
     waiting: IntGauge,
     targets: IntGauge,
     targets_limited: IntGauge,
+    targets_backing_off: IntGauge,
+    targets_leaving: IntGauge,
     instances: IntGauge,
     version: IntGauge,
     revision: IntGauge,
@@ -80,6 +96,11 @@
             "Attempts at targets that were known to name a limit",
         )?;
         registry.register(Box::new(limited_attempts.clone()))?;
+        let backoffs = IntCounter::new(
+            "auburnrouter_target_backoffs_total",
+            "Answers of targets that ask this instance to send nothing for a time",
+        )?;
+        registry.register(Box::new(backoffs.clone()))?;
         let dropped_lines = IntCounter::new(
             "auburnrouter_log_lines_left_out_total",
             "Log lines left out, by the bound a second or a slow reader",
@@ -115,6 +136,13 @@
             )?,
             attempt_time: histogram("auburnrouter_attempt_seconds", "Time that attempts took")?,
             limited_attempts,
+            backoffs,
+            unknown_headers: counters(
+                "auburnrouter_unknown_headers_total",
+                "Headers in answers of targets that this release doesn't know, by name",
+                &["header"],
+            )?,
+            header_names: Mutex::default(),
             dropped_lines,
             rejected_connections,
             requests: gauge("auburnrouter_requests", "Requests that are here")?,
@@ -124,6 +152,14 @@
                 "auburnrouter_targets_limited",
                 "Targets that name a limit of requests a second",
             )?,
+            targets_backing_off: gauge(
+                "auburnrouter_targets_backing_off",
+                "Targets that asked this instance to send nothing now",
+            )?,
+            targets_leaving: gauge(
+                "auburnrouter_targets_leaving",
+                "Targets that announced that they are about to stop",
+            )?,
             instances: gauge("auburnrouter_instances", "Instances there, this one too")?,
             version: gauge("auburnrouter_config_version", "Configuration in force")?,
             revision: gauge("auburnrouter_store_revision", "Revision known whole")?,
@@ -139,17 +175,43 @@
         })
     }
 
+    /// Counts an answer's header that this release doesn't know. Returns whether it is
+    /// the first of its name.
+    pub fn count_unknown_header(&self, name: &str) -> bool {
+        let mut names = lock(&self.header_names);
+        let found = names.binary_search_by(|n| (**n).cmp(name));
+        let has_room = names.len() < UNKNOWN_HEADERS_MAX;
+        if let Err(at) = found
+            && has_room
+        {
+            names.insert(at, name.into());
+        }
+        let label = if found.is_ok() || has_room {
+            name
+        } else {
+            OTHER_HEADERS
+        };
+        self.unknown_headers.with_label_values(&[label]).inc();
+        found.is_err() && has_room
+    }
+
     /// Updates the gauges from the present state and encodes all metrics as text.
     ///
     /// # Errors
     /// If encoding fails.
     pub fn encode(&self, shared: &Shared) -> Result<Vec<u8>, Error> {
-        let state = super::dump::State::capture(shared);
+        let state = dump::State::capture(shared);
         self.requests.set(int(state.requests));
         self.waiting.set(int(state.waiting));
         self.targets.set(int(state.targets.len()));
-        let limited = state.targets.iter().filter(|t| t.is_limited()).count();
-        self.targets_limited.set(int(limited));
+        let count = |is_counted: fn(&dump::Target) -> bool| {
+            int(state.targets.iter().filter(|t| is_counted(t)).count())
+        };
+        self.targets_limited.set(count(dump::Target::is_limited));
+        self.targets_backing_off
+            .set(count(|t| t.has_mark(dump::BACKOFF)));
+        self.targets_leaving
+            .set(count(|t| t.has_mark(dump::LEAVING)));
         self.instances.set(int(state.instances.len() + 1));
         self.version.set(int64(state.version));
         self.revision.set(int64(state.revision));
--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -6,6 +6,8 @@
 
 #[path = "direct/answers.rs"]
 mod answers;
+#[path = "direct/backoff.rs"]
+mod backoff;
 #[path = "direct/follow.rs"]
 mod follow;
 #[path = "direct/keys.rs"]
--- a/crates/emulator/src/world/instance.rs
+++ b/crates/emulator/src/world/instance.rs
@@ -402,12 +402,12 @@
         let Some(direct) = &mut instance.direct else {
             return;
         };
-        let next = direct.finish_attempt(now, ticket, ending);
         if load > 0
             && let Some(target) = direct.roster.get_mut(&self.targets[sent.target].name)
         {
             target.record_load(now, load);
         }
+        let next = direct.finish_attempt(now, ticket, ending);
         match next {
             FollowUp::Retry => {}
             FollowUp::Settled => {
--- a/crates/measure/src/sums/fleet.rs
+++ b/crates/measure/src/sums/fleet.rs
@@ -237,8 +237,8 @@
                     target,
                     word,
                 }) => {
-                    self.end(node, life, ticket, ending);
                     self.hear(node, life, target, word);
+                    self.end(node, life, ticket, ending);
                 }
                 Some(Event::Beat { node, beat }) => {
                     let node = &mut self.nodes[node];
@@ -287,7 +287,10 @@
             ticket,
             ending,
             target,
-            word: Feedback { load: None, limit },
+            word: Feedback {
+                limit,
+                ..Feedback::default()
+            },
         };
         self.later(
             if ending == AttemptOutcome::NotRun {
@@ -326,7 +329,8 @@
         let (true, Some(direct)) = (node.life == life, &mut node.direct) else {
             return;
         };
-        direct.apply_feedback(now, &self.targets[target].entry.id, word);
+        let entry = &self.targets[target].entry;
+        direct.apply_feedback(now, &entry.id, entry.incarnation, word);
         if word.limit.is_some() {
             node.told.push((target, self.now));
         }
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -10,7 +10,7 @@
 use super::job::{Job, State};
 use super::mechanisms::Mechanism;
 use super::message::{Assignment, AttemptOutcome, FollowUp, Ticket};
-use super::target::Feedback;
+use super::target::{Feedback, FeedbackEffect};
 use super::{ANSWER_RESERVE, Direct, members, short_hash};
 use crate::clock::Time;
 use crate::request::poison::STRIKES_MAX;
@@ -137,16 +137,27 @@
         }
     }
 
-    /// Applies what a target's answer reports of the target itself. Returns whether
-    /// its limit has changed.
-    pub fn apply_feedback(&mut self, now: Time, id: &str, feedback: Feedback) -> bool {
-        let Some(target) = self.roster.get_mut(id) else {
-            return false;
+    /// Applies what the head of a target's answer reports of the target itself, while
+    /// the answered request still counts as in flight. An answer of an earlier
+    /// incarnation changes nothing.
+    pub fn apply_feedback(
+        &mut self,
+        now: Time,
+        id: &str,
+        incarnation: u64,
+        feedback: Feedback,
+    ) -> FeedbackEffect {
+        let target = self.roster.get_mut(id);
+        let Some(target) = target.filter(|t| t.entry.incarnation == incarnation) else {
+            return FeedbackEffect::default();
         };
         if let Some(load) = feedback.load {
             target.record_load(now, load);
         }
-        target.update_limit(now, feedback.limit)
+        FeedbackEffect {
+            limit_changed: target.update_limit(now, feedback.limit),
+            began_leaving: target.record_requests(now, &feedback),
+        }
     }
 
     /// Decides whether a request whose attempt failed is sent to another target.
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -138,6 +138,8 @@
     pub ticket: Ticket,
     /// Name of the target.
     pub target: Arc<str>,
+    /// Incarnation of the target, by its entry in service discovery.
+    pub incarnation: u64,
     /// Address of the target.
     pub addr: SocketAddr,
     /// Number of this attempt of the request, from 1.
@@ -150,6 +152,10 @@
     pub load: f64,
     /// Limit that the target reports, in requests a second.
     pub limit: Option<f64>,
+    /// Remaining time of a backoff that the target asked for.
+    pub backoff_left: Option<Duration>,
+    /// Time since the target reported that it is about to stop.
+    pub leaving_age: Option<Duration>,
     /// Time since the target last reported its load.
     pub load_age: Duration,
     /// Version of the configuration in force.
--- a/crates/steer/src/process/direct/queue.rs
+++ b/crates/steer/src/process/direct/queue.rs
@@ -171,7 +171,10 @@
         target.record_sent(now, span);
         let id = Arc::clone(&target.entry.id);
         let addr = target.entry.addr;
+        let incarnation = target.entry.incarnation;
         let limit = target.limit();
+        let backoff_left = target.backoff_left(now);
+        let leaving_age = target.leaving_age(now);
         let version = self.version();
         let job = &mut self.jobs[at];
         job.strikes = self.suspects.strikes(job.request.fingerprint);
@@ -186,12 +189,15 @@
         Assignment {
             ticket: job.ticket,
             target: id,
+            incarnation,
             addr,
             attempt: job.tried.len(),
             expected_work: best.service_time,
             is_warm: best.warm,
             load,
             limit,
+            backoff_left,
+            leaving_age,
             load_age: age,
             version,
         }
--- a/crates/steer/src/process/direct/target.rs
+++ b/crates/steer/src/process/direct/target.rs
@@ -46,6 +46,19 @@
     /// Largest rate that it accepts from all instances together, in requests per
     /// second.
     pub limit: Option<f64>,
+    /// Time for which it asks this instance to send it nothing.
+    pub backoff: Option<Duration>,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+}
+
+/// What an answer has changed in the state of its target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FeedbackEffect {
+    /// Whether its rate limit is another one than before.
+    pub limit_changed: bool,
+    /// Whether it is the first one to report that the target is about to stop.
+    pub began_leaving: bool,
 }
 
 /// Time since its last request for which an object counts as warm at a target. A
@@ -60,6 +73,9 @@
 /// requests that arrive within one second; the rest covers differences in delay.
 pub const COLD_WINDOW: Duration = Duration::from_millis(1250);
 
+/// Longest backoff that counts.
+const BACKOFF_MAX: Duration = Duration::from_mins(5);
+
 /// Ejection time after the first failure to reach a target; it doubles with each
 /// further consecutive failure.
 const EJECTION_TIME_MIN: Duration = Duration::from_millis(400);
@@ -97,6 +113,10 @@
     /// Time of the last load report; of the first entry before one.
     reported_at: Time,
     limit: Limit,
+    /// End of the longest backoff that it asked of this instance.
+    backoff_until: Time,
+    /// Time of its first answer that reported that it is about to stop.
+    leaving_since: Option<Time>,
     /// Requests that other instances have in flight to it, by their heartbeats.
     pub(super) peers_in_flight: u32,
     /// 32-bit hash of its name, used in heartbeats.
@@ -131,6 +151,8 @@
             others_load: 0.0,
             reported_at: now,
             limit: Limit::NONE,
+            backoff_until: Time::ZERO,
+            leaving_since: None,
             peers_in_flight: 0,
             drop_at: None,
             health: Health::default(),
@@ -192,9 +214,9 @@
     }
 
     /// Records the target's load report: `present` counts requests running and queued
-    /// there, including the answered one, which has already ended here.
+    /// there, including the answered one, which still counts as in flight here.
     pub fn record_load(&mut self, now: Time, present: u32) {
-        self.others_load = f64::from(present.saturating_sub(self.in_flight + 1));
+        self.others_load = f64::from(present.saturating_sub(self.in_flight));
         self.reported_at = now;
     }
 
@@ -223,6 +245,31 @@
         }
     }
 
+    /// Remaining time of the backoff that it asked of this instance, if any.
+    #[must_use]
+    pub fn backoff_left(&self, now: Time) -> Option<Duration> {
+        (now < self.backoff_until).then(|| self.backoff_until.since(now))
+    }
+
+    /// Time since it first reported in an answer that it is about to stop.
+    #[must_use]
+    pub fn leaving_age(&self, now: Time) -> Option<Duration> {
+        self.leaving_since.map(|since| now.since(since))
+    }
+
+    /// Records a backoff that it asked of this instance, and whether it is about to stop,
+    /// by one of its answers. Returns whether that is the first one to say so.
+    pub(super) fn record_requests(&mut self, now: Time, feedback: &Feedback) -> bool {
+        if let Some(backoff) = feedback.backoff {
+            self.backoff_until = self.backoff_until.max(now + backoff.min(BACKOFF_MAX));
+        }
+        let began_leaving = feedback.is_leaving && self.leaving_since.is_none();
+        if began_leaving {
+            self.leaving_since = Some(now);
+        }
+        began_leaving
+    }
+
     /// Time since its last load report, or since it was first listed.
     #[must_use]
     pub fn age(&self, now: Time) -> Duration {
--- a/crates/steer/tests/direct/limit.rs
+++ b/crates/steer/tests/direct/limit.rs
@@ -29,8 +29,11 @@
 }
 
 fn report_limit(bench: &mut Bench, now: Time, limit: Option<f64>) {
-    let feedback = Feedback { load: None, limit };
-    bench.direct.apply_feedback(now, "t1", feedback);
+    let feedback = Feedback {
+        limit,
+        ..Feedback::default()
+    };
+    bench.direct.apply_feedback(now, "t1", 1, feedback);
 }
 
 /// Submits a request every 100 ms in this span and returns the number sent.
@@ -220,10 +223,12 @@
     let mut bench = Bench::new(route(), &targets);
     for target in &targets {
         let feedback = Feedback {
-            load: None,
             limit: Some(1.0),
+            ..Feedback::default()
         };
-        bench.direct.apply_feedback(at(1_000), &target.id, feedback);
+        bench
+            .direct
+            .apply_feedback(at(1_000), &target.id, 1, feedback);
     }
     let reports = (0..3).flat_map(|_| bench.direct.heartbeat(at(1_100), false).limits);
     let mut hashes: Vec<u32> = reports.map(|n| n.target_hash).collect();
