Show in virtual time that targets' backoffs and announced stops are ignored (known red)

A third of the targets (all of them in one plan) turns everything away from 8 to 20 s and asks each time for 1.5 to 3 s without requests; in other plans they announce from 8 s on that they are about to stop, and the store goes on listing them. Counted at targets: requests of one process between half a second after such an answer and the end of its time; requests that callers sent more than 2.5 s after the first announcement was passed on.

The table of measure sums has two columns for them, and the requests that were answered.

--- a/crates/measure/src/sums.rs
+++ b/crates/measure/src/sums.rs
@@ -16,7 +16,7 @@
 use plan::Plan;
 
 /// What happens to a fleet: its name, and the plan.
-const PLANS: [(&str, Plan); 13] = [
+const PLANS: [(&str, Plan); 20] = [
     ("calm", Plan::CALM),
     (
         "bursts",
@@ -118,6 +118,63 @@
             ..Plan::CALM
         },
     ),
+    (
+        "backoff",
+        Plan {
+            backoff_ms: Some(3_000),
+            ..Plan::CALM
+        },
+    ),
+    (
+        "backoff-waves",
+        Plan {
+            bursts: true,
+            backoff_ms: Some(1_500),
+            ..Plan::CALM
+        },
+    ),
+    (
+        "backoff-all",
+        Plan {
+            backoff_ms: Some(2_000),
+            each: 1,
+            ..Plan::CALM
+        },
+    ),
+    (
+        "backoff-churn",
+        Plan {
+            failing: true,
+            replaced: true,
+            backoff_ms: Some(3_000),
+            ..Plan::CALM
+        },
+    ),
+    (
+        "leaving",
+        Plan {
+            leaving: true,
+            ..Plan::CALM
+        },
+    ),
+    (
+        "leaving-all",
+        Plan {
+            leaving: true,
+            each: 1,
+            ..Plan::CALM
+        },
+    ),
+    (
+        "leaving-cut",
+        Plan {
+            failing: true,
+            cut: true,
+            store: true,
+            leaving: true,
+            ..Plan::CALM
+        },
+    ),
 ];
 
 /// Instances of a fleet. Few have a whole part of each sum; many have not.
@@ -134,6 +191,11 @@
     pub shift: f64,
     /// Requests to a target that names a limit, by instances that it has told.
     pub limit: f64,
+    /// Requests of an instance to a target that asked it for time without any.
+    pub backoff: f64,
+    /// Requests to a target too long after it announced to the instance that it is about
+    /// to stop, 1 for each.
+    pub leaving: f64,
 }
 
 impl Use {
@@ -143,6 +205,8 @@
             cold: self.cold.max(other.cold),
             shift: self.shift.max(other.shift),
             limit: self.limit.max(other.limit),
+            backoff: self.backoff.max(other.backoff),
+            leaving: self.leaving.max(other.leaving),
         }
     }
 }
@@ -158,12 +222,17 @@
     pub requests: usize,
     /// Those that never reached a target.
     pub rejected: usize,
+    /// Those that were answered.
+    pub answered: usize,
     /// Repeats that reached targets.
     pub repeats: usize,
     /// Requests that reached cold targets.
     pub cold: usize,
     /// Requests that reached targets while they named a limit.
     pub limited: usize,
+    /// Answers that asked for time without requests, and instances to which a target
+    /// announced that it is about to stop.
+    pub asked: usize,
     /// Largest use of each bound over all seeds.
     pub most: Use,
 }
@@ -177,18 +246,22 @@
         size,
         requests: 0,
         rejected: 0,
+        answered: 0,
         repeats: 0,
         cold: 0,
         limited: 0,
+        asked: 0,
         most: Use::default(),
     };
     for seed in seed..seed + seeds {
         let tally = Fleet::new(size, *plan, seed).run(seconds);
         line.requests += tally.requests();
         line.rejected += tally.rejected();
+        line.answered += tally.answered;
         line.repeats += tally.repeats();
         line.cold += tally.cold();
         line.limited += tally.limited();
+        line.asked += tally.pauses.len() + tally.notices.len();
         line.most = line.most.most(tally.most());
     }
     Some(line)
@@ -208,25 +281,29 @@
 pub fn table(seed: u64, seeds: u64, seconds: u64, only: &str) -> String {
     let mut out = format!(
         "virtual time; seeds {seed} to {}, {seconds} s each; largest use of each bound, 1 at the \
-         bound (over it an over-run)\n\n| plan | instances | requests | rejected | repeats | to cold targets | \
-         to limited ones | use: repeats | cold | shift | limit \
-         |\n|---|---|---|---|---|---|---|---|---|---|---|\n",
+         bound (over it an over-run)\n\n| plan | instances | requests | rejected | answered | repeats | to cold targets | \
+         to limited ones | asked to pause or leaving | use: repeats | cold | shift | limit | backoff | leaving \
+         |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
         seed + seeds - 1
     );
     for line in lines(seed, seeds, seconds, only, &SIZES) {
         let Line { plan, size, .. } = line;
         let _ = writeln!(
             out,
-            "| {plan} | {size} | {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.2} | {:.2} |",
+            "| {plan} | {size} | {} | {} | {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.2} | {:.2} | {:.2} | {:.2} |",
             line.requests,
             line.rejected,
+            line.answered,
             line.repeats,
             line.cold,
             line.limited,
+            line.asked,
             line.most.repeats,
             line.most.cold,
             line.most.shift,
-            line.most.limit
+            line.most.limit,
+            line.most.backoff,
+            line.most.leaving
         );
     }
     out
--- a/crates/measure/src/sums/fleet.rs
+++ b/crates/measure/src/sums/fleet.rs
@@ -23,7 +23,7 @@
 use super::node::Node;
 use super::plan::Plan;
 use super::setup::{self, BOUNDS, COLD, COLD_RATE, TARGETS, Target};
-use super::tally::{Arrival, Sent, Tally};
+use super::tally::{Arrival, Pause, Sent, Tally};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -46,7 +46,8 @@
 /// Time that a row outlives its instance.
 const LEASE: Duration = Duration::from_secs(3);
 
-/// When targets name limits.
+/// When targets name limits, ask for time without requests or announce that they are
+/// about to stop.
 const LIMITED: Range<Time> = Time::from_micros(8_000_000)..Time::from_micros(20_000_000);
 
 enum Event {
@@ -54,6 +55,7 @@
         node: usize,
         life: u64,
         go: Assignment,
+        asked: Time,
         sent: Time,
     },
     End {
@@ -109,6 +111,9 @@
                 cold_rate: COLD_RATE,
                 steady: plan.is_steady(),
                 arrivals: Vec::new(),
+                answered: 0,
+                pauses: Vec::new(),
+                notices: Vec::new(),
                 requests: Vec::new(),
             },
         }
@@ -227,8 +232,9 @@
                     node,
                     life,
                     go,
+                    asked,
                     sent,
-                }) => self.land(node, life, &go, sent),
+                }) => self.land(node, life, &go, asked, sent),
                 Some(Event::End {
                     node,
                     life,
@@ -258,11 +264,14 @@
         self.bodies.push(Some(event));
     }
 
-    fn land(&mut self, node: usize, life: u64, go: &Assignment, sent: Time) {
+    fn land(&mut self, node: usize, life: u64, go: &Assignment, asked: Time, sent: Time) {
         let found = self.targets.iter().position(|t| t.entry.id == go.target);
         let Some(target) = found else { return };
         let limit = self.limit(target);
+        let backoff = self.backoff(target);
         self.tally.arrivals.push(Arrival {
+            from: (node, life),
+            asked,
             sent,
             at: self.now,
             target,
@@ -274,12 +283,21 @@
         let work = self.some(WORK.0, WORK.1);
         let draw = self.rng.f64();
         let ending = match draw {
+            _ if backoff.is_some() => AttemptOutcome::NotRun,
             _ if !self.plan.failing => AttemptOutcome::Answered,
             _ if draw < 0.1 => AttemptOutcome::NotRun,
             _ if draw < 0.2 => AttemptOutcome::Failed,
             _ if draw < 0.25 => AttemptOutcome::ConnectionLost,
             _ => AttemptOutcome::Answered,
         };
+        if let Some(backoff) = backoff {
+            self.tally.pauses.push(Pause {
+                by: (node, life),
+                target,
+                at: self.now,
+                until: self.now + backoff,
+            });
+        }
         let ticket = go.ticket;
         let end = Event::End {
             node,
@@ -289,6 +307,8 @@
             target,
             word: Feedback {
                 limit,
+                backoff,
+                is_leaving: self.is_leaving(target),
                 ..Feedback::default()
             },
         };
@@ -311,6 +331,9 @@
         let Some(direct) = &mut node.direct else {
             return;
         };
+        if ending == AttemptOutcome::Answered {
+            self.tally.answered += 1;
+        }
         if direct.finish_attempt(now, ticket, ending) != FollowUp::Retry {
             node.asks.retain(|a| a.0 != ticket);
         }
@@ -322,6 +345,18 @@
         self.plan.limit.filter(|_| named)
     }
 
+    /// The time without requests that a target asks for now.
+    fn backoff(&self, target: usize) -> Option<Duration> {
+        let asks = target.is_multiple_of(self.plan.each) && LIMITED.contains(&self.now);
+        let millis = self.plan.backoff_ms.filter(|_| asks)?;
+        Some(MS * millis)
+    }
+
+    /// Whether a target announces now that it is about to stop.
+    fn is_leaving(&self, target: usize) -> bool {
+        self.plan.leaving && target.is_multiple_of(self.plan.each) && self.now >= LIMITED.start
+    }
+
     /// A target's answer has come and is passed on.
     fn hear(&mut self, at: usize, life: u64, target: usize, word: Feedback) {
         let node = &mut self.nodes[at];
@@ -334,6 +369,9 @@
         if word.limit.is_some() {
             node.told.push((target, self.now));
         }
+        if word.is_leaving {
+            self.tally.announce((at, life), target, self.now);
+        }
     }
 
     fn has_store(&self, node: &Node) -> bool {
@@ -478,10 +516,11 @@
         let found = self.targets.iter().find(|t| t.entry.id == go.target);
         let elsewhere = found.is_some_and(|t| t.region != home);
         let asks = &self.nodes[node].asks;
+        let mut asked = self.now;
         if let Some((_, request)) = asks.iter().find(|a| a.0 == go.ticket) {
-            self.tally.requests[*request]
-                .elsewhere
-                .get_or_insert(elsewhere);
+            let request = &mut self.tally.requests[*request];
+            request.elsewhere.get_or_insert(elsewhere);
+            asked = request.at;
         }
         let way = if elsewhere { WAY.1 } else { WAY.0 };
         let sent = self.now;
@@ -491,6 +530,7 @@
                 node,
                 life,
                 go,
+                asked,
                 sent,
             },
         );
--- a/crates/measure/src/sums/plan.rs
+++ b/crates/measure/src/sums/plan.rs
@@ -24,6 +24,12 @@
     pub added: bool,
     /// Some targets name a limit for a while, in requests a second.
     pub limit: Option<f64>,
+    /// Some targets turn everything away for a while, and ask for so many milliseconds
+    /// without requests each time.
+    pub backoff_ms: Option<u32>,
+    /// Some targets announce in their answers that they are about to stop; the store
+    /// goes on listing them as ready.
+    pub leaving: bool,
     /// One in so many of them.
     pub each: usize,
 }
@@ -40,6 +46,8 @@
         store: false,
         added: false,
         limit: None,
+        backoff_ms: None,
+        leaving: false,
         each: 3,
     };
 
@@ -48,5 +56,7 @@
     pub const fn is_steady(self) -> bool {
         !(self.cold || self.failing || self.replaced || self.herd || self.cut || self.added)
             && self.limit.is_none()
+            && self.backoff_ms.is_none()
+            && !self.leaving
     }
 }
--- a/crates/measure/src/sums/tally.rs
+++ b/crates/measure/src/sums/tally.rs
@@ -7,9 +7,40 @@
 
 use super::Use;
 
+/// A process of an instance: the instance's number, and which of its processes.
+pub type Process = (usize, u64);
+
+/// A target's answer that asked an instance for time without requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Pause {
+    /// The instance.
+    pub by: Process,
+    /// The target.
+    pub target: usize,
+    /// When the target answered.
+    pub at: Time,
+    /// End of that time.
+    pub until: Time,
+}
+
+/// First answer of a target to an instance that announced that it is about to stop.
+#[derive(Clone, Copy, Debug)]
+pub struct Notice {
+    /// The instance.
+    pub by: Process,
+    /// The target.
+    pub target: usize,
+    /// When it was passed on.
+    pub at: Time,
+}
+
 /// One request that reached a target.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
+    /// The instance that sent it.
+    pub from: Process,
+    /// When its caller sent it.
+    pub asked: Time,
     /// When it was sent.
     pub sent: Time,
     /// When it arrived.
@@ -50,6 +81,15 @@
 /// as told.
 pub const NOTICE: Duration = Duration::from_millis(500);
 
+/// Time after a target asked for time without requests in which those on their way
+/// may still arrive, and requests that may arrive later.
+const PAUSE_NOTICE: Duration = Duration::from_millis(500);
+const PAUSE_SLACK: f64 = 2.0;
+
+/// Time after the first announcement of a stop from which callers' requests must not
+/// reach the target.
+const DRAIN: Duration = Duration::from_millis(2_500);
+
 /// Spans between which the share of a region is compared.
 const SPAN: Duration = Duration::from_secs(2);
 
@@ -69,9 +109,15 @@
     pub cold_rate: f64,
     /// Whether shares of regions are judged: not while instances come and go.
     pub steady: bool,
+    /// Requests that were answered.
+    pub answered: usize,
     /// In order of arrival.
     pub arrivals: Vec<Arrival>,
     /// In order of time.
+    pub pauses: Vec<Pause>,
+    /// One for each process and target.
+    pub notices: Vec<Notice>,
+    /// In order of time.
     pub requests: Vec<Sent>,
 }
 
@@ -115,9 +161,41 @@
             cold: self.most_cold(),
             shift: if self.steady { self.most_shift() } else { 0.0 },
             limit: self.most_limited(),
+            backoff: self.most_in_pause(),
+            leaving: self.after_drain(),
         }
     }
 
+    /// Records an answer by which a target announced to an instance that it is about to
+    /// stop.
+    pub fn announce(&mut self, by: Process, target: usize, at: Time) {
+        let is_known = |n: &Notice| n.by == by && n.target == target;
+        if !self.notices.iter().any(is_known) {
+            self.notices.push(Notice { by, target, at });
+        }
+    }
+
+    fn most_in_pause(&self) -> f64 {
+        let within = |pause: &Pause| {
+            let from = pause.at + PAUSE_NOTICE;
+            let is_counted = |a: &&Arrival| {
+                a.from == pause.by && a.target == pause.target && a.at >= from && a.at < pause.until
+            };
+            number(self.arrivals.iter().filter(is_counted).count())
+        };
+        self.pauses.iter().map(within).fold(0.0, f64::max) / PAUSE_SLACK
+    }
+
+    fn after_drain(&self) -> f64 {
+        let after = |notice: &Notice| {
+            let is_late = |a: &&Arrival| {
+                a.from == notice.by && a.target == notice.target && a.asked > notice.at + DRAIN
+            };
+            self.arrivals.iter().filter(is_late).count()
+        };
+        number(self.notices.iter().map(after).sum())
+    }
+
     fn most_repeats(&self) -> f64 {
         let rule = self.bounds.retries;
         let came: Vec<Time> = self.requests.iter().map(|r| r.at).collect();
--- a/crates/measure/tests/virtual_time.rs
+++ b/crates/measure/tests/virtual_time.rs
@@ -91,3 +91,27 @@
     assert!(line.limited > 0, "nothing was seen: {line:?}");
     assert!(line.most.limit <= 1.0, "{line:?}");
 }
+
+/// Targets asked instances for time without requests and got as many as before.
+#[rstest]
+#[case::calm("backoff")]
+#[case::bursts("backoff-waves")]
+#[case::all_targets("backoff-all")]
+#[case::replaced("backoff-churn")]
+fn keep_asked_backoffs(#[case] plan: &str, #[values(3, 7, 27)] size: usize) {
+    let line = sums::line(1, 2, 26, plan, size).expect("it is a plan");
+    assert!(line.asked > 0, "nothing was seen: {line:?}");
+    assert!(line.most.backoff <= 1.0, "{line:?}");
+}
+
+/// Targets announced that they were about to stop and got requests until they were gone
+/// from the store's list.
+#[rstest]
+#[case::some_targets("leaving")]
+#[case::all_targets("leaving-all")]
+#[case::cut_off("leaving-cut")]
+fn drain_targets_that_announce_stop(#[case] plan: &str, #[values(3, 7, 27)] size: usize) {
+    let line = sums::line(1, 2, 26, plan, size).expect("it is a plan");
+    assert!(line.asked > 0, "nothing was seen: {line:?}");
+    assert!(line.most.leaving <= 0.0, "{line:?}");
+}
