Ask whether a request may be sent once its connection is ready

Opening takes up to 0.3 s, and more on a machine that is short of processor time; a target that asked for a backoff or announced its stop meanwhile got the request all the same. Change: the pool asks a condition of the sender when the connection is ready, just before the first byte, and reports Withheld, with the connection kept. The first question stays, as it saves the connection. The attempt's line names the reason (withheld). Not covered, and no claim: bytes handed to the system that a lossy link delivers late.

--- a/crates/auburnrouter/src/direct/attempt.rs
+++ b/crates/auburnrouter/src/direct/attempt.rs
@@ -58,13 +58,15 @@
 
 /// Sends a request to the assigned target and reads the complete answer. The target
 /// is told that `remaining` is left of the request's time; the caller of this
-/// function enforces it. `report` gets what the head of the answer says of the target,
+/// function enforces it. Nothing is sent unless `may_send` holds when a connection is
+/// ready. `report` gets what the head of the answer says of the target,
 /// whether or not the body follows.
 pub async fn run(
     shared: &Arc<Shared>,
     assignment: &Assignment,
     forwarded: &ForwardedRequest,
     remaining: Duration,
+    may_send: impl Fn() -> bool,
     report: impl FnOnce(Feedback, &HeaderMap),
 ) -> Completion {
     let Ok(request) = request(assignment, forwarded, remaining) else {
@@ -74,15 +76,19 @@
     // A request that must not run twice gets a new connection: on a reused one that
     // the target is just closing, it would stay unknown whether it was received.
     let sent = if forwarded.is_idempotent {
-        pool.send(assignment.addr, request).await
+        pool.send_if(assignment.addr, request, may_send).await
     } else {
-        pool.send_dedicated(assignment.addr, request).await
+        pool.send_dedicated_if(assignment.addr, request, may_send)
+            .await
     };
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(pool::Error::Unsent | pool::Error::Full) => {
             return Completion::without_answer(AttemptOutcome::NotSent);
         }
+        Err(pool::Error::Withheld) => {
+            return Completion::without_answer(AttemptOutcome::Withdrawn);
+        }
         Err(pool::Error::Broken) => {
             return Completion::without_answer(AttemptOutcome::ConnectionLost);
         }
--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -358,14 +358,29 @@
         let start = self.shared.now();
         let remaining = limit.since(start);
         let reported = OnceLock::new();
-        let withheld = self.shared.read(|now, d| d.withheld(now, assignment));
-        let (outcome, answer) = if withheld.is_none() {
+        let withheld = OnceLock::new();
+        let may_send = || match self.shared.read(|now, d| d.withheld(now, assignment)) {
+            None => true,
+            Some(reason) => {
+                // A request is withheld once at most.
+                let _ = withheld.set(reason);
+                false
+            }
+        };
+        let (outcome, answer) = if may_send() {
             let report = |feedback, headers: &HeaderMap| {
                 self.report(assignment, feedback, headers);
                 // The closure runs once at most.
                 let _ = reported.set(feedback);
             };
-            let run = attempt::run(&self.shared, assignment, &self.forwarded, remaining, report);
+            let run = attempt::run(
+                &self.shared,
+                assignment,
+                &self.forwarded,
+                remaining,
+                may_send,
+                report,
+            );
             match self.run_until(limit, run).await {
                 Some(completion) => (completion.outcome, completion.answer),
                 None => (AttemptOutcome::TimedOut, None),
@@ -397,7 +412,7 @@
                 took_ms: millis(self.shared.now(), start),
                 outcome: outcome_name(outcome),
                 status,
-                withheld,
+                withheld: withheld.into_inner(),
                 feedback: reported.into_inner().unwrap_or_default(),
                 assignment,
                 object: self.object,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -55,6 +55,10 @@
         "the limit on open connections to the address is reached; nothing was sent; raise the limit or retry later"
     )]
     Full,
+    /// The sender's condition no longer held when a connection was ready; nothing was
+    /// sent.
+    #[error("the request was withheld before it was sent; decide anew where to send it")]
+    Withheld,
     /// The connection broke after a byte may have been sent.
     #[error("the connection broke; the request may have been executed")]
     Broken,
@@ -184,6 +188,20 @@
         self: &Arc<Self>,
         addr: SocketAddr,
         request: Request,
+    ) -> Result<Exchange, Error> {
+        self.send_if(addr, request, || true).await
+    }
+
+    /// Like [`Pool::send`], but sends the request only if `may_send` holds when a
+    /// connection is ready for it.
+    ///
+    /// # Errors
+    /// [`Error::Withheld`] if it doesn't; otherwise those of [`Pool::send`].
+    pub async fn send_if(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        request: Request,
+        may_send: impl Fn() -> bool,
     ) -> Result<Exchange, Error> {
         let mut request = request;
         loop {
@@ -202,25 +220,28 @@
                 Some(busy) => busy,
                 None => pool::Connection::opened(self.connect(addr).await?),
             };
-            match exchange(busy, slot, request).await {
+            match exchange(busy, slot, request, &may_send).await {
                 Ok(exchange) => return Ok(exchange),
+                Err((Error::Withheld, _)) => return Err(Error::Withheld),
                 Err((_, Some(unsent))) if !is_new => request = unsent,
                 Err((error, _)) => return Err(error),
             }
         }
     }
 
-    /// Sends a request on a new connection. Its response can't be a leftover of an
-    /// earlier exchange, and no idle connection can be closed by the peer just as
-    /// the request is sent, which would leave its outcome unknown.
+    /// Sends a request on a new connection if `may_send` holds when that is open. Its
+    /// response can't be a leftover of an earlier exchange, and no idle connection can
+    /// be closed by the peer just as the request is sent, which would leave its outcome
+    /// unknown.
     ///
     /// # Errors
-    /// If no response head arrived; the error tells whether the request may have been
-    /// sent.
-    pub async fn send_dedicated(
+    /// [`Error::Withheld`] if `may_send` doesn't hold, another if no response head
+    /// arrived; the error tells whether the request may have been sent.
+    pub async fn send_dedicated_if(
         self: &Arc<Self>,
         addr: SocketAddr,
         request: Request,
+        may_send: impl Fn() -> bool,
     ) -> Result<Exchange, Error> {
         match self.with(addr, pool::Pool::permit) {
             pool::Checkout::Full => Err(Error::Full),
@@ -231,7 +252,7 @@
                     is_returned: false,
                 };
                 let busy = pool::Connection::opened(self.connect(addr).await?);
-                let answered = exchange(busy, slot, request).await;
+                let answered = exchange(busy, slot, request, &may_send).await;
                 answered.map_err(|(error, _)| error)
             }
         }
@@ -333,18 +354,29 @@
     }
 }
 
-/// Sends a request on one connection. An error includes the request if no byte of it
-/// was sent.
+/// Sends a request on one connection, unless `may_send` doesn't hold when that is ready;
+/// then the connection returns to the pool. An error includes the request if no byte of
+/// it was sent.
 async fn exchange(
     mut busy: Busy,
     slot: OpenSlot,
     request: Request,
+    may_send: &impl Fn() -> bool,
 ) -> Result<Exchange, (Error, Option<Request>)> {
     let link = busy.get();
     if link.sender.ready().await.is_err() {
         return Err((Error::Unsent, Some(request)));
     }
     let is_first = !link.is_used;
+    if !may_send() {
+        let unused = PendingBody {
+            is_first,
+            busy,
+            slot,
+        };
+        unused.put_back();
+        return Err((Error::Withheld, Some(request)));
+    }
     link.is_used = true;
     match link.sender.try_send_request(request).await {
         Ok(response) => Ok(Exchange {
--- a/crates/pool/tests/pool.rs
+++ b/crates/pool/tests/pool.rs
@@ -159,3 +159,24 @@
         }
     });
 }
+
+/// A request left on a connection that took long to open although its sender had
+/// changed its mind since. Nothing may be sent, and the connection is kept.
+#[rstest]
+#[case::pooled(false)]
+#[case::dedicated(true)]
+fn withhold_when_connected(#[case] is_dedicated: bool) {
+    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+    run(async |executor| {
+        let (addr, count) = serve(answer, false);
+        let pool = Pool::new(Arc::clone(executor), LIMITS);
+        let result = if is_dedicated {
+            pool.send_dedicated_if(addr, request("/a"), || false).await
+        } else {
+            pool.send_if(addr, request("/a"), || false).await
+        };
+        assert!(matches!(result, Err(Error::Withheld)));
+        assert!(pool.send(addr, request("/b")).await.is_ok());
+        assert_eq!(count.load(Ordering::Relaxed), 1);
+    });
+}
