Send nothing to a target that announces its stop in an answer

Cause: the header was read by nothing that decides; only the store's list ended the use of a target. An instance that the store doesn't answer, or whose news is late, would have gone on until the target was gone. Change: the first answer that announces it ends the target's use for its incarnation, as a draining entry does; an answer without it, an entry that says ready, or a lapsed entry that returns changes nothing. Requests that have no other target use it for the rest of the drain time (drain_s of the settings, 0.5 s kept in reserve), so that they aren't rejected while it still serves. The question at the moment of sending asks the same.

--- a/crates/auburnrouter/src/direct/shared.rs
+++ b/crates/auburnrouter/src/direct/shared.rs
@@ -330,6 +330,7 @@
             factor: bounds.limit_factor,
             slack: bounds.limit_slack,
         },
+        drain: bounds.drain,
         backoff_max: bounds.backoff_max,
         shift_max: bounds.shift_max,
         access: access::Bounds {
--- a/crates/auburnrouter/tests/direct/backoff.rs
+++ b/crates/auburnrouter/tests/direct/backoff.rs
@@ -110,6 +110,25 @@
     assert!(harness.entry.dump().contains(r#""marks":["leaving"]"#));
 }
 
+/// A target that had announced its stop got requests until the store's list said so.
+#[test]
+fn avoid_target_that_announced_stop() {
+    let harness = Harness::start(2);
+    harness.targets[0].announce_leaving(Some("1"));
+    send_until_reached(&harness, 0);
+    // The announcement holds although later entries don't repeat it.
+    harness.targets[0].announce_leaving(None);
+    harness.targets[0].register(&harness.store, "ready", 2);
+    wait_for_line(&harness.entry, "target-leaving");
+    for next in 0..60 {
+        let answer = harness
+            .entry
+            .send("GET", "/view/x", &format!("r{next}"), "");
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(harness.targets[0].arrivals().len(), 1);
+}
+
 /// An announcement was lost when the body of its answer was incomplete.
 #[test]
 fn read_head_of_truncated_answer() {
--- a/crates/emulator/src/plan/read.rs
+++ b/crates/emulator/src/plan/read.rs
@@ -402,6 +402,7 @@
         cold_factor: factor?,
         cold_slack: cold?,
         limit: limit::Rule::default(),
+        drain: Duration::from_millis(2_500),
         backoff_max: Duration::from_mins(1),
         shift_max: shift?,
         access: access::Bounds::default(),
--- a/crates/measure/src/sums/setup.rs
+++ b/crates/measure/src/sums/setup.rs
@@ -95,6 +95,7 @@
         factor: 1.5,
         slack: 5.0,
     },
+    drain: Duration::from_millis(2_500),
     backoff_max: Duration::from_mins(1),
     shift_max: 0.15,
     access: access::Bounds {
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -56,6 +56,8 @@
     pub limit_factor: f64,
     /// Requests that it may get in the window beyond `limit_factor`.
     pub limit_slack: f64,
+    /// Time for which targets serve after they announce that they are about to stop.
+    pub drain: Duration,
     /// Longest time for which a target's request to send it nothing counts. It bounds
     /// what a faulty target can ask for.
     pub backoff_max: Duration,
@@ -114,7 +116,7 @@
     "bounds",
 ];
 
-const BOUND_FIELDS: [&str; 18] = [
+const BOUND_FIELDS: [&str; 19] = [
     "contact_s",
     "grace_s",
     "lifetime_s",
@@ -126,6 +128,7 @@
     "limit_window_s",
     "limit_factor",
     "limit_slack",
+    "drain_s",
     "backoff_max_s",
     "shift",
     "config_s",
@@ -194,6 +197,7 @@
             "  limit     {} times what a target names and {} in {:?}",
             bounds.limit_factor, bounds.limit_slack, bounds.limit_window
         )?;
+        writeln!(f, "  drain     {:?}", bounds.drain)?;
         writeln!(f, "  backoff   {:?} at most", bounds.backoff_max)?;
         writeln!(f, "  shift     {}", bounds.shift_max)?;
         writeln!(f, "  config    {}", display_span(bounds.config_delay))?;
@@ -324,6 +328,7 @@
     let limit_window = optional_amount(&fields, "limit_window_s", SECONDS_RANGE, faults);
     let limit_factor = optional_amount(&fields, "limit_factor", 1.0..=*AMOUNT_RANGE.end(), faults);
     let limit_slack = optional_amount(&fields, "limit_slack", AMOUNT_RANGE, faults);
+    let drain = optional_amount(&fields, "drain_s", SECONDS_RANGE, faults);
     let backoff_max = optional_amount(&fields, "backoff_max_s", SECONDS_RANGE, faults);
     let shift_max = amount(&fields, "shift", 0.0..=1.0, faults);
     let config_delay = optional_amount(&fields, "config_s", SECONDS_RANGE, faults);
@@ -343,6 +348,7 @@
         limit_window: limit_window.map_or(LIMIT_WINDOW_DEFAULT, Duration::from_secs_f64),
         limit_factor: limit_factor.unwrap_or(1.0),
         limit_slack: limit_slack.unwrap_or_default(),
+        drain: drain.map_or(Duration::ZERO, Duration::from_secs_f64),
         backoff_max: backoff_max.map_or(BACKOFF_MAX_DEFAULT, Duration::from_secs_f64),
         shift_max: shift_max?,
         config_delay: config_delay.map(Duration::from_secs_f64),
--- a/crates/steer/src/process/direct/backoff.rs
+++ b/crates/steer/src/process/direct/backoff.rs
@@ -123,7 +123,7 @@
     pub(super) fn all_back_off(&self, now: Time, job: &Job) -> Option<Duration> {
         let targets = self.roster.of_service(&job.service);
         let is_candidate = |t: &&Target| {
-            t.is_available()
+            (t.is_available() || t.is_last_resort(now, self.bounds.drain))
                 && job.request.allows(&t.region)
                 && !self.roster.is_evacuated(&t.entry.domain)
         };
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -39,9 +39,10 @@
         let Some(target) = self.roster.get(&assignment.target) else {
             return Some(Withheld::Gone);
         };
+        let is_usable = target.is_available() || target.is_last_resort(now, self.bounds.drain);
         if target.entry.incarnation != assignment.incarnation || target.is_gone {
             Some(Withheld::Gone)
-        } else if target.entry.draining {
+        } else if !is_usable {
             Some(Withheld::Leaving)
         } else if self.roster.is_evacuated(&target.entry.domain) {
             Some(Withheld::Evacuated)
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -16,6 +16,17 @@
 use super::{Direct, REPORT_DECAY_TIME, hash, short_hash, unit_interval};
 use crate::clock::Time;
 
+/// Targets among which one is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pool {
+    /// Those of the local region.
+    Local,
+    /// Those of the other regions.
+    Remote,
+    /// Those of any region that are about to stop and serve for a while yet.
+    LastResort,
+}
+
 /// A target chosen for a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Place {
@@ -89,15 +100,19 @@
     /// Chooses the best target for a request in the region decided for it, or in the
     /// others if that has none; `None` if no target can be used now.
     pub(super) fn place(&self, now: Time, job: &Job) -> Option<Place> {
-        let is_local = job.is_remote != Some(true);
-        if let Some(place) = self.best(now, job, is_local) {
+        let (first, second) = match job.is_remote {
+            Some(true) => (Pool::Remote, Pool::Local),
+            _ => (Pool::Local, Pool::Remote),
+        };
+        if let Some(place) = self.best(now, job, first) {
             return Some(place);
         }
-        if is_local && self.has_local_target(job) {
+        if first == Pool::Local && self.has_local_target(job) {
             // The local region has targets that can't be used for a moment only.
             return None;
         }
-        self.best(now, job, !is_local)
+        let place = self.best(now, job, second);
+        place.or_else(|| self.best(now, job, Pool::LastResort))
     }
 
     /// Returns whether a request would be better off in another region, `None` if it
@@ -112,8 +127,8 @@
             Some(object) => unit_interval(hash(&object.to_le_bytes())),
             None => 0.5,
         };
-        let local = self.best(now, job, true);
-        let remote = self.best(now, job, false);
+        let local = self.best(now, job, Pool::Local);
+        let remote = self.best(now, job, Pool::Remote);
         let (local, remote) = match (local, remote) {
             (Some(local), Some(remote)) => (local, remote),
             (None, Some(_)) if self.is_local_limited(now, job) => return (Some(true), position),
@@ -203,12 +218,13 @@
     /// it reports.
     fn is_local_limited(&self, now: Time, job: &Job) -> bool {
         let mut all = self.roster.of_service(&job.service);
-        all.any(|(_, t)| self.is_eligible(now, job, t, true) && !self.is_within_limit(now, t))
+        all.any(|(_, t)| {
+            self.is_eligible(now, job, t, Pool::Local) && !self.is_within_limit(now, t)
+        })
     }
 
-    /// The usable target of lowest rank, in the local region if `is_local` or else in
-    /// the others.
-    fn best(&self, now: Time, job: &Job, is_local: bool) -> Option<Place> {
+    /// The usable target of lowest rank in a pool.
+    fn best(&self, now: Time, job: &Job, pool: Pool) -> Option<Place> {
         let route = &job.request.route;
         let goal = route.latency_goal.as_secs_f64();
         let estimate = self.estimate(job);
@@ -217,9 +233,7 @@
             .request
             .object
             .filter(|_| mechanisms.has(Mechanism::PreferredTargets));
-        let preferred = object.map_or([None; PREFERRED_MAX], |o| {
-            self.preferred(now, job, o, is_local)
-        });
+        let preferred = object.map_or([None; PREFERRED_MAX], |o| self.preferred(now, job, o, pool));
         let waste_weight = if mechanisms.has(Mechanism::WastedWork) {
             WASTED_WORK_WEIGHT
         } else {
@@ -237,7 +251,7 @@
         };
         let mut best: Option<Place> = None;
         for (index, target) in self.roster.of_service(&job.service) {
-            if !self.is_usable(now, job, target, is_local) {
+            if !self.is_usable(now, job, target, pool) {
                 continue;
             }
             let object = job
@@ -273,6 +287,7 @@
             } else {
                 0.0
             };
+            let is_local = target.region == self.identity.region;
             let distance = if is_local { 0.0 } else { CROSS_REGION_SECONDS };
             // Each failed or refused request has to start again at another target.
             // The load breaks ties.
@@ -316,14 +331,13 @@
     }
 
     /// Whether a request may be sent to a target now.
-    fn is_usable(&self, now: Time, job: &Job, target: &Target, is_local: bool) -> bool {
-        self.is_eligible(now, job, target, is_local) && self.is_within_limit(now, target)
+    fn is_usable(&self, now: Time, job: &Job, target: &Target, pool: Pool) -> bool {
+        self.is_eligible(now, job, target, pool) && self.is_within_limit(now, target)
     }
 
     /// Whether a target is usable apart from the rate limit that it reports.
-    fn is_eligible(&self, now: Time, job: &Job, target: &Target, is_local: bool) -> bool {
-        (target.region == self.identity.region) == is_local
-            && target.is_available()
+    fn is_eligible(&self, now: Time, job: &Job, target: &Target, pool: Pool) -> bool {
+        self.is_in_pool(now, target, pool)
             && !target.is_ejected(now)
             && job.request.allows(&target.region)
             && !self.roster.is_evacuated(&target.entry.domain)
@@ -332,6 +346,16 @@
             && (!self.may_be_cold(now, target) || self.has_cold_allotment(now, target))
     }
 
+    /// Whether a target belongs to a pool.
+    fn is_in_pool(&self, now: Time, target: &Target, pool: Pool) -> bool {
+        let is_local = target.region == self.identity.region;
+        match pool {
+            Pool::Local => is_local && target.is_available(),
+            Pool::Remote => !is_local && target.is_available(),
+            Pool::LastResort => target.is_last_resort(now, self.bounds.drain),
+        }
+    }
+
     /// Whether a target is cold, or may have become cold without this instance's
     /// knowledge. An instance that is cut off from the store and from all others gets
     /// no such update, although callers still reach it and it reaches targets.
@@ -372,11 +396,10 @@
         now: Time,
         job: &Job,
         object: u64,
-        is_local: bool,
+        pool: Pool,
     ) -> [Option<usize>; PREFERRED_MAX] {
         let is_candidate = |t: &Target| {
-            (t.region == self.identity.region) == is_local
-                && t.is_available()
+            self.is_in_pool(now, t, pool)
                 && job.request.allows(&t.region)
                 && !self.roster.is_evacuated(&t.entry.domain)
         };
--- a/crates/steer/src/process/direct/target.rs
+++ b/crates/steer/src/process/direct/target.rs
@@ -1,8 +1,9 @@
 //! State of one target: its latest entry in service discovery, and what this
 //! instance has learned of its load, health, limit and warm objects.
 //!
-//! Invariant: a target that has announced that it is draining receives no request
-//! under the same incarnation any more.
+//! Invariant: a target that has announced that it is about to stop, in service
+//! discovery or in an answer, receives no request under the same incarnation any more,
+//! unless it is the last resort for a request in the time for which it serves yet.
 
 use core::net::SocketAddr;
 use core::time::Duration;
@@ -74,6 +75,10 @@
 /// requests that arrive within one second; the rest covers differences in delay.
 pub const COLD_WINDOW: Duration = Duration::from_millis(1250);
 
+/// Time before the end of a target's drain from which it is no last resort any more:
+/// the request has to reach it and to be served.
+const LAST_RESORT_RESERVE: Duration = Duration::from_millis(500);
+
 /// Ejection time after the first failure to reach a target; it doubles with each
 /// further consecutive failure.
 const EJECTION_TIME_MIN: Duration = Duration::from_millis(400);
@@ -173,10 +178,17 @@
         self.hash
     }
 
-    /// Whether the target is listed and not draining.
+    /// Whether the target is listed and has not announced that it is about to stop.
     #[must_use]
     pub fn is_available(&self) -> bool {
-        !self.is_gone && !self.entry.draining
+        !self.is_gone && !self.entry.draining && self.leaving_since.is_none()
+    }
+
+    /// Whether the target is about to stop by its own answers alone, and serves for a
+    /// while yet; `drain` is the time for which targets do after they announce it.
+    pub(super) fn is_last_resort(&self, now: Time, drain: Duration) -> bool {
+        let is_serving = |since| now + LAST_RESORT_RESERVE < since + drain;
+        !self.is_gone && !self.entry.draining && self.leaving_since.is_some_and(is_serving)
     }
 
     /// Whether the target is ejected after failures to reach it.
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -15,6 +15,8 @@
 mod cold;
 #[path = "direct/health.rs"]
 mod health;
+#[path = "direct/leaving.rs"]
+mod leaving;
 #[path = "direct/limit.rs"]
 mod limit;
 #[path = "direct/members.rs"]
--- a/crates/steer/tests/direct/bench.rs
+++ b/crates/steer/tests/direct/bench.rs
@@ -151,6 +151,7 @@
             cold_factor: 1.5,
             cold_slack: 5.0,
             limit: limit::Rule::default(),
+            drain: Duration::from_millis(2_500),
             backoff_max: Duration::from_mins(1),
             shift_max: 0.15,
             access: access::Bounds::default(),
