Tell other instances which targets back off or are about to stop

Change: a datagram of its own four times a second, only while there is something to tell, by the paths of heartbeats (remote instances get every third): target, incarnation, time left of the backoff, leaving; 12 targets at most, in turn, 240 bytes. What was heard isn't passed on. Who hears of a backoff prefers other targets (as for one that refuses all) and lets its objects go to the next by hash; it may still send where nothing else is left. A stop that was heard of holds like one's own. Heartbeats keep their encoding, so an instance of the release before hears them as ever; it logs the new datagram as one it can't read.

--- a/crates/auburnrouter/src/direct/dump.rs
+++ b/crates/auburnrouter/src/direct/dump.rs
@@ -17,7 +17,7 @@
 /// Mark of a target that has announced that it is about to stop.
 pub const LEAVING: &str = "leaving";
 
-/// Mark of a target that asked this instance to send nothing for a time.
+/// Mark of a target that asked this or another instance to send nothing for a time.
 pub const BACKOFF: &str = "backoff";
 
 /// State of an instance at one moment.
@@ -174,7 +174,7 @@
         ("gone", target.is_gone),
         ("cold", target.is_cold(now)),
         ("aside", target.is_ejected(now)),
-        (BACKOFF, target.backoff_left(now).is_some()),
+        (BACKOFF, target.backs_off(now)),
     ];
     all.iter().filter(|l| l.1).map(|l| l.0).collect()
 }
--- a/crates/auburnrouter/src/direct/heartbeat.rs
+++ b/crates/auburnrouter/src/direct/heartbeat.rs
@@ -1,4 +1,4 @@
-//! Datagrams between instances: heartbeats, and reports and grants of quota tokens.
+//! Datagrams between instances: heartbeats, notices of what targets asked, and reports and grants of quota tokens.
 //!
 //! Datagrams may be lost: counts and totals are repeated in later ones, and none
 //! waits behind another. Data that must arrive complete goes over the calls of
@@ -35,6 +35,7 @@
         smol::Timer::after(HEARTBEAT_INTERVAL).await;
         count += 1;
         let all = count % REMOTE_EVERY == 0;
+        send_notices(&shared, &socket, all).await;
         let in_flight = shared.read(|_, d| d.roster.in_flight());
         if !all && in_flight == last_sent {
             continue;
@@ -78,6 +79,28 @@
     }
 }
 
+/// Tells the nearest instances, and with `all` remote ones, what targets have asked of
+/// this one, if there is anything. It goes to other regions too, as their requests come
+/// to the same targets.
+async fn send_notices(shared: &Shared, socket: &net::UdpSocket, all: bool) {
+    let (notices, recipients) = {
+        let mut steering = lock(&shared.steering);
+        let now = shared.now();
+        let notices = steering.direct.target_notices(now);
+        if notices.is_empty() {
+            return;
+        }
+        (notices, steering.direct.recipients(now))
+    };
+    let message = Message::Notices(notices.into()).encode();
+    let remote = recipients.region.into_iter().chain(recipients.remote);
+    let recipients = recipients.local.into_iter();
+    for addr in recipients.chain(remote.filter(|_| all)) {
+        // A failed send counts as a lost datagram: the next notices follow soon.
+        let _ = socket.send_to(&message, addr).await;
+    }
+}
+
 /// Minimum time between two rounds of quota reports.
 const QUOTA_REPORT_INTERVAL_MIN: Duration = Duration::from_millis(5);
 
@@ -132,6 +155,10 @@
                 // report repeats the totals.
                 let _ = socket.send_to(&grant, from).await;
             }
+            Ok(Message::Notices(notices)) => {
+                let notices: Vec<_> = notices.into();
+                shared.update(|now, d| d.receive_target_notices(now, &notices));
+            }
             Ok(Message::Grant(grant)) => {
                 let grant = quota::Grant::from(grant);
                 shared.decide(|now, direct| direct.receive_grant(now, &grant));
--- a/crates/auburnrouter/src/direct/metrics.rs
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -154,7 +154,7 @@
             )?,
             targets_backing_off: gauge(
                 "auburnrouter_targets_backing_off",
-                "Targets that asked this instance to send nothing now",
+                "Targets that asked this or another instance to send nothing now",
             )?,
             targets_leaving: gauge(
                 "auburnrouter_targets_leaving",
--- a/crates/auburnrouter/tests/direct/backoff.rs
+++ b/crates/auburnrouter/tests/direct/backoff.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use rustix::process::Signal;
 
-use super::harness::{Harness, wait_for_line};
+use super::harness::{Entry, Harness, wait_for_line, wait_until};
 
 /// Time after a target's answer in which requests on their way may still arrive.
 const NOTICE: Duration = Duration::from_millis(500);
@@ -54,6 +54,26 @@
     assert_eq!(arrivals.iter().filter(late).count(), 0, "{arrivals:?}");
 }
 
+/// Each instance was turned away once before it knew of a target's backoff.
+#[test]
+fn tell_other_instances_of_backoff() {
+    let harness = Harness::start(2);
+    let store = harness.store.addr();
+    let other = Entry::start("near-2", "near-a", store, &[harness.entry.peers]);
+    other.await_ready();
+    harness.targets[0].set(Behavior::Full, Duration::ZERO);
+    harness.targets[0].ask_backoff(Some("20"));
+    send_until_reached(&harness, 0);
+    wait_until("the other instance is told", || {
+        other.dump().contains(r#""marks":["backoff"]"#)
+    });
+    for next in 0..20 {
+        let answer = other.send("GET", "/view/x", &format!("o{next}"), "");
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(harness.targets[0].arrivals().len(), 1);
+}
+
 /// Callers waited for targets that were known to take nothing.
 #[test]
 fn reject_at_once_while_all_back_off() {
--- a/crates/measure/src/sums/fleet.rs
+++ b/crates/measure/src/sums/fleet.rs
@@ -13,6 +13,7 @@
 use fastrand::Rng;
 use steer::clock::Time;
 use steer::process::direct::members::Heartbeat;
+use steer::process::direct::notice::TargetNotice;
 use steer::process::direct::target::{Entry, Feedback};
 use steer::process::direct::{
     Assignment, AttemptOutcome, Decision, Direct, FollowUp, Identity, Request, Ticket,
@@ -69,6 +70,7 @@
     Beat {
         node: usize,
         beat: Heartbeat,
+        notices: Vec<TargetNotice>,
     },
 }
 
@@ -246,11 +248,16 @@
                     self.hear(node, life, target, word);
                     self.end(node, life, ticket, ending);
                 }
-                Some(Event::Beat { node, beat }) => {
+                Some(Event::Beat {
+                    node,
+                    beat,
+                    notices,
+                }) => {
                     let node = &mut self.nodes[node];
                     let now = node.clock(self.now);
                     if let Some(direct) = &mut node.direct {
                         direct.receive_heartbeat(now, beat);
+                        direct.receive_target_notices(now, &notices);
                     }
                 }
                 None => {}
@@ -427,6 +434,7 @@
             }
             node.beaten = self.now;
             let beat = direct.heartbeat(local, true);
+            let notices = direct.target_notices(local);
             direct.sweep(local);
             let names: Vec<Arc<str>> = direct.others(local).map(|o| Arc::clone(o.0)).collect();
             if self.now < node.cut {
@@ -443,6 +451,7 @@
                     Event::Beat {
                         node: to,
                         beat: beat.clone(),
+                        notices: notices.clone(),
                     },
                 );
             }
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -23,6 +23,7 @@
 pub mod mechanisms;
 pub mod members;
 mod message;
+pub mod notice;
 pub mod place;
 mod queue;
 pub mod quota;
@@ -96,6 +97,8 @@
     object_cursor: usize,
     /// Position of the next heartbeat in the rotation over all targets' limits.
     limit_cursor: usize,
+    /// Position of the next message in the rotation over all notices.
+    notice_cursor: usize,
     heartbeat_seq: u64,
     /// Other instances that share the bounds on sums with this one.
     participants: Vec<Participant>,
@@ -144,6 +147,7 @@
             observations: Vec::new(),
             object_cursor: 0,
             limit_cursor: 0,
+            notice_cursor: 0,
             heartbeat_seq: 0,
             participants: Vec::new(),
             jobs: Vec::new(),
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -190,7 +190,7 @@
         for (_, target) in self.roster.of_service(service) {
             let is_usable = target.is_available()
                 && !self.roster.is_evacuated(&target.entry.domain)
-                && target.backoff_left(now).is_none();
+                && !target.backs_off(now);
             if is_usable && fits(target) {
                 load += self.load(now, target);
                 slots += f64::from(target.entry.slots);
@@ -291,9 +291,13 @@
             let distance = if is_local { 0.0 } else { CROSS_REGION_SECONDS };
             // Each failed or refused request has to start again at another target.
             // The load breaks ties.
+            let refusal_rate = if target.backs_off(now) {
+                1.0
+            } else {
+                target.health.refusal_rate(now)
+            };
             let failure_penalty = if mechanisms.has(Mechanism::FailureRate) {
-                (target.health.refusal_rate(now) + target.health.failure_rate(now) * failure_cost)
-                    * goal
+                (refusal_rate + target.health.failure_rate(now) * failure_cost) * goal
             } else {
                 0.0
             };
@@ -413,7 +417,7 @@
         let mut best = [None; PREFERRED_MAX];
         for (index, target) in candidates {
             let is_degraded = uses_shared_health && target.health.is_degraded(now, &baseline);
-            let is_healthy = !is_degraded && target.backoff_left(now).is_none();
+            let is_healthy = !is_degraded && !target.backs_off(now);
             let mut next = Some((
                 (is_healthy, rendezvous_weight(target.hash(), object)),
                 index,
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -8,6 +8,7 @@
 
 use super::limit::Limit;
 use super::members::Members;
+use super::notice::TargetNotice;
 use super::target::{Entry, Target};
 use crate::clock::Time;
 
@@ -174,6 +175,15 @@
         }
     }
 
+    /// Records what a target told another instance, unless it was another incarnation.
+    pub(super) fn note_target(&mut self, now: Time, notice: &TargetNotice) {
+        if let Some(target) = self.target_by_hash(notice.target_hash)
+            && target.entry.incarnation == notice.incarnation
+        {
+            target.note(now, notice);
+        }
+    }
+
     /// Names of all listed targets, sorted.
     #[must_use]
     pub fn listed(&self) -> Vec<Arc<str>> {
--- a/crates/steer/src/process/direct/target.rs
+++ b/crates/steer/src/process/direct/target.rs
@@ -15,6 +15,7 @@
 use super::health::Health;
 use super::limit::Limit;
 use super::members;
+use super::notice::TargetNotice;
 use crate::clock::Time;
 
 /// Service discovery's entry of a target.
@@ -117,8 +118,12 @@
     reported_at: Time,
     limit: Limit,
     backoff: Backoff,
-    /// Time of its first answer that reported that it is about to stop.
+    /// End of a backoff that it asked of other instances.
+    others_backoff_until: Time,
+    /// Time at which it first reported in an answer that it is about to stop.
     leaving_since: Option<Time>,
+    /// Whether it reported that to this instance itself.
+    has_announced_stop: bool,
     /// Requests that other instances have in flight to it, by their heartbeats.
     pub(super) peers_in_flight: u32,
     /// 32-bit hash of its name, used in heartbeats.
@@ -154,7 +159,9 @@
             reported_at: now,
             limit: Limit::NONE,
             backoff: Backoff::default(),
+            others_backoff_until: Time::ZERO,
             leaving_since: None,
+            has_announced_stop: false,
             peers_in_flight: 0,
             drop_at: None,
             health: Health::default(),
@@ -282,13 +289,34 @@
         if let Some(span) = feedback.backoff {
             self.backoff.extend(now, span.min(backoff_max));
         }
-        let began_leaving = feedback.is_leaving && self.leaving_since.is_none();
+        let began_leaving = feedback.is_leaving && !self.has_announced_stop;
         if began_leaving {
-            self.leaving_since = Some(now);
+            self.leaving_since.get_or_insert(now);
+            self.has_announced_stop = true;
         }
         began_leaving
     }
 
+    /// Whether it has announced to this instance itself that it is about to stop.
+    #[must_use]
+    pub(super) const fn has_announced_stop(&self) -> bool {
+        self.has_announced_stop
+    }
+
+    /// Whether a backoff lasts that it asked of this or another instance.
+    #[must_use]
+    pub fn backs_off(&self, now: Time) -> bool {
+        now < self.others_backoff_until || self.backoff_left(now).is_some()
+    }
+
+    /// Records what it told another instance.
+    pub(super) fn note(&mut self, now: Time, notice: &TargetNotice) {
+        self.others_backoff_until = self.others_backoff_until.max(now + notice.backoff);
+        if notice.is_leaving {
+            self.leaving_since.get_or_insert(now);
+        }
+    }
+
     /// Time since its last load report, or since it was first listed.
     #[must_use]
     pub fn age(&self, now: Time) -> Duration {
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -21,6 +21,8 @@
 mod limit;
 #[path = "direct/members.rs"]
 mod members;
+#[path = "direct/notice.rs"]
+mod notice;
 #[path = "direct/place.rs"]
 mod place;
 #[path = "direct/quota.rs"]
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -12,7 +12,7 @@
 
 use bincode::{DefaultOptions, Options};
 use serde::{Deserialize, Serialize};
-use steer::process::direct::{StoreContact, health, limit, members, quota, replica};
+use steer::process::direct::{StoreContact, health, limit, members, notice, quota, replica};
 use thiserror::Error;
 
 /// Intended largest size of a datagram in bytes, at which usual networks don't fragment it.
@@ -257,6 +257,46 @@
     Report(Report),
     /// Quota tokens that a pool grants.
     Grant(Grant),
+    /// What targets have asked of the sender.
+    Notices(Notices),
+}
+
+/// Twins of [`notice::TargetNotice`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notices {
+    /// Target hash, incarnation, milliseconds left of a backoff, and whether the target
+    /// is about to stop.
+    notices: Vec<(ShortHash, u64, u32, bool)>,
+}
+
+impl From<Vec<notice::TargetNotice>> for Notices {
+    fn from(notices: Vec<notice::TargetNotice>) -> Self {
+        let encode = |notice: notice::TargetNotice| {
+            (
+                notice.target_hash.to_le_bytes(),
+                notice.incarnation,
+                u32::try_from(notice.backoff.as_millis()).unwrap_or(u32::MAX),
+                notice.is_leaving,
+            )
+        };
+        Self {
+            notices: notices.into_iter().map(encode).collect(),
+        }
+    }
+}
+
+impl From<Notices> for Vec<notice::TargetNotice> {
+    fn from(notices: Notices) -> Self {
+        let decode = |(hash, incarnation, millis, is_leaving): (ShortHash, u64, u32, bool)| {
+            notice::TargetNotice {
+                target_hash: u32::from_le_bytes(hash),
+                incarnation,
+                backoff: Duration::from_millis(millis.into()),
+                is_leaving,
+            }
+        };
+        notices.notices.into_iter().map(decode).collect()
+    }
 }
 
 /// Twin of [`quota::Report`].
--- a/crates/wire/tests/direct.rs
+++ b/crates/wire/tests/direct.rs
@@ -6,6 +6,7 @@
 use steer::process::direct::health::Observation;
 use steer::process::direct::limit::LimitReport;
 use steer::process::direct::members::{Heartbeat, Registration};
+use steer::process::direct::notice::TargetNotice;
 use wire::direct::Message;
 
 fn registration() -> Registration {
@@ -85,3 +86,23 @@
     let size = Message::Heartbeat(Box::new(remote.into())).encode().len();
     assert!(size <= size_max, "{size} bytes");
 }
+
+/// Bytes between regions are paid for, whatever number of targets asks for something.
+#[test]
+fn notices_round_trip_and_size() {
+    let notice = |i: u32| TargetNotice {
+        target_hash: u32::MAX - i,
+        incarnation: 1_764_700_000_000 + u64::from(i),
+        backoff: Duration::from_millis(2_999),
+        is_leaving: i.is_multiple_of(2),
+    };
+    let notices: Vec<TargetNotice> = (0..12).map(notice).collect();
+    let bytes = Message::Notices(notices.clone().into()).encode();
+    assert!(bytes.len() <= 240, "{} bytes", bytes.len());
+    match Message::decode(&bytes) {
+        Ok(Message::Notices(decoded)) => {
+            assert_eq!(Vec::<TargetNotice>::from(decoded), notices);
+        }
+        other => panic!("not decoded: {other:?}"),
+    }
+}
