Let the soak check what targets ask of instances

Targets of the soak now turn requests away with a backoff (0.6 to 3 s, one or all, with and without the not-run marker) and announce their stop in answers before the store lists them as draining. They record each request that arrives and what its answer asked for; the instances' log lines tell which process sent it. At most two requests may arrive from that process between half a second after the answer and the end of the backoff, and none more than 2.5 s after the first announcement; processes that were frozen in between are left out.

--- a/crates/auburnrouter/tests/direct/backoff.rs
+++ b/crates/auburnrouter/tests/direct/backoff.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use platform_standin::target::Behavior;
+use platform_standin::target::{Arrival, Behavior};
 use rstest::rstest;
 use rustix::process::Signal;
 
@@ -17,7 +17,7 @@
     let mut next = 0;
     loop {
         if let Some(first) = harness.targets[target].arrivals().first() {
-            return *first;
+            return first.at;
         }
         harness
             .entry
@@ -50,7 +50,7 @@
     }
     let arrivals = harness.targets[0].arrivals();
     let until = first + Duration::from_secs(2);
-    let late = |at: &&Instant| **at > first + NOTICE && **at < until;
+    let late = |a: &&Arrival| a.at > first + NOTICE && a.at < until;
     assert_eq!(arrivals.iter().filter(late).count(), 0, "{arrivals:?}");
 }
 
--- a/crates/auburnrouter/tests/soak.rs
+++ b/crates/auburnrouter/tests/soak.rs
@@ -14,6 +14,8 @@
 mod invariants;
 #[path = "soak/proxy.rs"]
 mod proxy;
+#[path = "soak/requests.rs"]
+mod requests;
 #[path = "soak/runner.rs"]
 mod runner;
 
@@ -29,7 +31,8 @@
 }
 
 /// Injects overlapping faults: kills, freezes, stops, broken connections, store
-/// outages, faulty targets and configuration changes. No unsafe request may run
+/// outages, faulty targets, targets that ask for a backoff or announce their stop, and
+/// configuration changes. What targets ask of an instance must be kept, no unsafe request may run
 /// twice, no rejected request may run, every success must be the target's complete
 /// answer, and callers must be served again afterwards.
 #[test]
--- /dev/null
+++ b/crates/auburnrouter/tests/soak/requests.rs
@@ -0,0 +1,91 @@
+//! Checks that what targets ask of an instance in their answers is kept. Targets record
+//! requests and when they arrived; the instances' log lines tell which process sent each.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use platform_standin::target::Arrival;
+
+/// One process of an instance.
+pub struct Process {
+    /// Its log lines.
+    pub lines: Arc<Mutex<Vec<String>>>,
+    /// Times at which it was frozen.
+    pub frozen_at: Vec<Instant>,
+}
+
+/// Time after a target's answer in which requests on their way may still arrive.
+const NOTICE: Duration = Duration::from_millis(500);
+
+/// Requests that may arrive later in a backoff.
+const SLACK: usize = 2;
+
+/// Time after the first announcement of a stop from which no request may arrive.
+const DRAIN: Duration = Duration::from_millis(2_500);
+
+/// A request that arrived at a target, with the process that sent it.
+struct Request {
+    process: usize,
+    arrival: Arrival,
+}
+
+/// Returns all cases in which a process sent requests to a target in a backoff that the
+/// target had asked it for, or long after the target had announced its stop. Requests of
+/// a process that was frozen meanwhile are left out, as are those without a log line.
+pub fn violations(arrivals: Vec<(String, Vec<Arrival>)>, processes: &[Process]) -> Vec<String> {
+    let senders = senders(processes);
+    let mut violations = Vec::new();
+    for (target, arrivals) in arrivals {
+        let sender = |arrival: Arrival| {
+            let key = (arrival.id.clone(), target.clone());
+            let at = senders.binary_search_by(|s| s.0.cmp(&key)).ok()?;
+            let process = senders[at].1;
+            Some(Request { process, arrival })
+        };
+        let requests: Vec<Request> = arrivals.into_iter().filter_map(sender).collect();
+        for (at, request) in requests.iter().enumerate() {
+            let frozen_at = &processes[request.process].frozen_at;
+            let later = requests[at + 1..].iter().filter(|later| {
+                let span = request.arrival.at..=later.arrival.at;
+                later.process == request.process && !frozen_at.iter().any(|f| span.contains(f))
+            });
+            let after: Vec<Duration> = later.map(|l| l.arrival.at - request.arrival.at).collect();
+            if let Some(backoff) = request.arrival.backoff {
+                let count = after
+                    .iter()
+                    .filter(|a| (NOTICE..backoff).contains(a))
+                    .count();
+                if count > SLACK {
+                    violations.push(format!(
+                        "{count} requests to {target} in a backoff of {backoff:?} after {}",
+                        request.arrival.id
+                    ));
+                }
+            }
+            if request.arrival.is_leaving && after.iter().any(|a| *a > DRAIN) {
+                violations.push(format!(
+                    "a request to {target} that announced its stop to {}: {after:?}",
+                    request.arrival.id
+                ));
+            }
+        }
+    }
+    violations
+}
+
+/// Process that sent each request to a target, sorted by request id and target.
+fn senders(processes: &[Process]) -> Vec<((String, String), usize)> {
+    let mut senders = Vec::new();
+    for (process, record) in processes.iter().enumerate() {
+        let lines = record.lines.lock().expect("the lock is not poisoned");
+        for line in lines.iter().filter(|l| l.contains(r#""event":"attempt""#)) {
+            let fields: serde_json::Value = serde_json::from_str(line).expect("a line is JSON");
+            let text = |name: &str| fields[name].as_str().unwrap_or_default().to_owned();
+            if text("ending") != "withdrawn" {
+                senders.push(((text("request"), text("target")), process));
+            }
+        }
+    }
+    senders.sort();
+    senders
+}
--- a/crates/auburnrouter/tests/soak/runner.rs
+++ b/crates/auburnrouter/tests/soak/runner.rs
@@ -4,6 +4,7 @@
 //! on the machine's timing, so a failed seed is run more than once.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,7 @@
 use super::harness::{Entry, HOST, MS, ROUTES, wait_until};
 use super::invariants::Report;
 use super::proxy::{Fault, Proxy};
+use super::requests::{self, Process};
 
 /// Failure domain of each instance.
 const ENTRY_DOMAINS: [&str; 3] = ["near-a", "near-b", "far-a"];
@@ -40,6 +42,8 @@
     TargetProxy(usize),
     StoreProxy(usize),
     Target(usize),
+    /// A target that announces its stop is listed as draining.
+    Drain(usize),
     Domain(usize),
 }
 
@@ -54,6 +58,10 @@
     entries: Vec<Option<Entry>>,
     /// Instances that have got SIGTERM.
     leaving: Vec<Entry>,
+    /// Records of all processes, those that were killed included.
+    processes: Vec<Process>,
+    /// Process of each instance, as an index.
+    running: Vec<usize>,
     /// Indices of the instances that have got SIGSTOP.
     frozen: Vec<usize>,
     recoveries: Vec<(Instant, Recovery)>,
@@ -100,6 +108,8 @@
             target_proxies: Vec::new(),
             entries: Vec::new(),
             leaving: Vec::new(),
+            processes: Vec::new(),
+            running: vec![0; ENTRY_DOMAINS.len()],
             frozen: Vec::new(),
             recoveries: Vec::new(),
             version: 1,
@@ -123,15 +133,17 @@
         self.entries.iter().flatten().map(|e| e.callers).collect()
     }
 
-    fn start_entry(&self, number: usize) -> Entry {
+    fn start_entry(&mut self, number: usize) -> Entry {
         let seeds: Vec<SocketAddr> = self.entries.iter().flatten().map(|e| e.peers).collect();
         let name = format!("i{number}");
-        Entry::start(
-            &name,
-            ENTRY_DOMAINS[number],
-            self.store_proxies[number].addr,
-            &seeds,
-        )
+        let store = self.store_proxies[number].addr;
+        let entry = Entry::start(&name, ENTRY_DOMAINS[number], store, &seeds);
+        self.running[number] = self.processes.len();
+        self.processes.push(Process {
+            lines: Arc::clone(&entry.lines),
+            frozen_at: Vec::new(),
+        });
+        entry
     }
 
     fn add_target(&mut self) {
@@ -160,7 +172,7 @@
         self.faults += 1;
         let entry = self.rng.usize(0..ENTRY_DOMAINS.len());
         let target = self.rng.usize(0..self.targets.len());
-        match self.rng.u8(0..16) {
+        match self.rng.u8(0..18) {
             0 => self.kill(entry),
             1 => self.freeze(entry),
             2 => self.terminate(entry),
@@ -183,6 +195,8 @@
             }
             9..=13 => self.set_target_faults(target),
             14 => self.evacuate(entry),
+            15 => self.ask_backoff(target),
+            16 => self.announce_stop(target),
             _ => self.change_config(),
         }
     }
@@ -212,6 +226,9 @@
             return;
         }
         entry.signal(Signal::STOP);
+        self.processes[self.running[number]]
+            .frozen_at
+            .push(Instant::now());
         self.frozen.push(number);
         self.schedule(Recovery::Wake(number));
     }
@@ -227,7 +244,8 @@
         entry.signal(Signal::TERM);
         self.leaving.push(entry);
         // A replacement starts at once, as in a rolling release.
-        self.entries[number] = Some(self.start_entry(number));
+        let entry = self.start_entry(number);
+        self.entries[number] = Some(entry);
     }
 
     fn send_hangup(&self, number: usize) {
@@ -261,6 +279,34 @@
         }
     }
 
+    /// Lets a target, or all of them, turn requests away and ask for a backoff, which may
+    /// last longer than that.
+    fn ask_backoff(&mut self, number: usize) {
+        let behavior = [Behavior::Full, Behavior::Unavailable][self.rng.usize(0..2)];
+        let seconds = ["0.6", "1.5", "3"][self.rng.usize(0..3)];
+        let all = 0..self.targets.len();
+        let targets = if self.rng.u8(0..4) == 0 {
+            all
+        } else {
+            number..number + 1
+        };
+        for number in targets {
+            self.targets[number].set(behavior, 20 * MS);
+            self.targets[number].ask_backoff(Some(seconds));
+            self.schedule(Recovery::Target(number));
+        }
+    }
+
+    /// Lets a target announce its stop in its answers, some time before the store lists it
+    /// as draining, and adds another.
+    fn announce_stop(&mut self, number: usize) {
+        if self.targets.len() < TARGET_COUNT * 2 {
+            self.targets[number].announce_leaving(Some("1"));
+            self.schedule(Recovery::Drain(number));
+            self.add_target();
+        }
+    }
+
     fn evacuate(&mut self, number: usize) {
         let key = format!("op/evacuate/{}", ENTRY_DOMAINS[number]);
         self.store.write(&key, &json!({}));
@@ -308,13 +354,18 @@
             }
             Recovery::Restart(number) => {
                 if self.entries[number].is_none() {
-                    self.entries[number] = Some(self.start_entry(number));
+                    let entry = self.start_entry(number);
+                    self.entries[number] = Some(entry);
                 }
             }
             Recovery::Store => self.store.set(Mode::Up),
             Recovery::StoreProxy(number) => self.store_proxies[number].set(Fault::None),
             Recovery::TargetProxy(number) => self.target_proxies[number].set(Fault::None),
-            Recovery::Target(number) => self.targets[number].set(Behavior::Normal, 20 * MS),
+            Recovery::Target(number) => {
+                self.targets[number].set(Behavior::Normal, 20 * MS);
+                self.targets[number].ask_backoff(None);
+            }
+            Recovery::Drain(number) => self.list(number, "draining", 9),
             Recovery::Domain(number) => {
                 let key = format!("op/evacuate/{}", ENTRY_DOMAINS[number]);
                 self.store.remove(&key);
@@ -329,6 +380,7 @@
         }
         for target in &self.targets {
             target.set(Behavior::Normal, 20 * MS);
+            target.ask_backoff(None);
         }
     }
 
@@ -362,6 +414,10 @@
         let runs = self.targets.iter().flat_map(Target::runs);
         let mut runs: Vec<_> = runs.filter(|r| r.id != "again").collect();
         runs.sort_by(|a, b| a.id.cmp(&b.id));
+        let targets = self.targets.iter().enumerate();
+        let arrivals = targets.map(|(i, target)| (format!("t{i}"), target.arrivals()));
+        self.failures
+            .extend(requests::violations(arrivals.collect(), &self.processes));
         Report {
             exchanges,
             runs,
