Remember what a target asked while it isn't listed

Found by reading, after the incident: a target whose entry lapsed and came back, with the same incarnation, was taken for a new one; its backoff and its announced stop were forgotten with it. The store drops entries while it is away, so such a return needs no fault of the target. Change: what a target asked (one value: backoff, told backoff, stop) is kept when the target is dropped, for 256 targets at most, and taken up again if an entry of the same incarnation arrives. A new incarnation starts without it, as before.

--- a/crates/auburnrouter/src/direct/heartbeat.rs
+++ b/crates/auburnrouter/src/direct/heartbeat.rs
@@ -1,4 +1,5 @@
-//! Datagrams between instances: heartbeats, notices of what targets asked, and reports and grants of quota tokens.
+//! Datagrams between instances: heartbeats, notices of what targets asked, and reports
+//! and grants of quota tokens.
 //!
 //! Datagrams may be lost: counts and totals are repeated in later ones, and none
 //! waits behind another. Data that must arrive complete goes over the calls of
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -165,7 +165,7 @@
                 self.roster.mark_missing(id, back + ENTRY_RENEWAL_GRACE);
                 false
             }
-            _ => self.roster.remove(id),
+            _ => self.roster.remove(now, id),
         }
     }
 
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -1,15 +1,17 @@
 //! Roster of all targets that service discovery lists.
 //!
 //! Invariants: nothing is sent to a target in an evacuated domain; a target that
-//! restarts under its old name starts without learnt state.
+//! restarts under its old name starts without learnt state; what a target asked holds
+//! for its incarnation, also if its entry lapses and returns.
 
 use core::time::Duration;
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use super::limit::Limit;
 use super::members::Members;
 use super::notice::TargetNotice;
-use super::target::{Entry, Target};
+use super::target::{Asked, Entry, Target};
 use crate::clock::Time;
 
 /// All targets, sorted by name.
@@ -23,8 +25,22 @@
     hashes: Vec<(u32, usize)>,
     domains: Vec<(Arc<str>, Arc<str>)>,
     evacuated: Vec<Arc<str>>,
+    /// What targets had asked that are no longer known, oldest first. Their entries may
+    /// come back.
+    unlisted: VecDeque<Unlisted>,
 }
 
+/// A target that was dropped, with what it had asked.
+#[derive(Clone, Debug)]
+struct Unlisted {
+    id: Arc<str>,
+    incarnation: u64,
+    asked: Asked,
+}
+
+/// Largest number of dropped targets that are remembered.
+const UNLISTED_MAX: usize = 256;
+
 impl Roster {
     /// Creates an empty roster; `domains` are pairs of a failure domain and its region.
     #[must_use]
@@ -70,7 +86,14 @@
         let region = self.region(&entry.domain);
         match self.find(&entry.id) {
             Err(at) => {
-                self.targets.insert(at, Target::new(now, entry, region));
+                let mut target = Target::new(now, entry, region);
+                let is_same = |u: &Unlisted| {
+                    u.id == target.entry.id && u.incarnation == target.entry.incarnation
+                };
+                if let Some(asked) = self.unlisted.iter().rev().find(|u| is_same(u)) {
+                    target.resume(asked.asked);
+                }
+                self.targets.insert(at, target);
                 *moved = true;
                 true
             }
@@ -102,19 +125,35 @@
     }
 
     /// Records that a target is no longer listed. Returns whether it was listed.
-    pub fn remove(&mut self, id: &str) -> bool {
+    pub fn remove(&mut self, now: Time, id: &str) -> bool {
         let Ok(at) = self.find(id) else {
             return false;
         };
         let changed = !self.targets[at].is_gone;
         self.targets[at].is_gone = true;
         if self.targets[at].in_flight == 0 {
-            self.targets.remove(at);
+            let target = self.targets.remove(at);
+            self.remember(now, &target);
             self.reindex();
         }
         changed
     }
 
+    /// Keeps what a target asked that is dropped.
+    fn remember(&mut self, now: Time, target: &Target) {
+        if !target.asked().holds(now) {
+            return;
+        }
+        if self.unlisted.len() >= UNLISTED_MAX {
+            self.unlisted.pop_front();
+        }
+        self.unlisted.push_back(Unlisted {
+            id: Arc::clone(&target.entry.id),
+            incarnation: target.entry.incarnation,
+            asked: *target.asked(),
+        });
+    }
+
     /// Records that a target is missing after the store was unreachable: its entry may
     /// have expired and be renewed soon. It is dropped at `until`.
     pub fn mark_missing(&mut self, id: &str, until: Time) {
@@ -259,14 +298,17 @@
                 dropped.push(Arc::clone(&target.entry.id));
             }
         }
-        self.drop_gone();
+        self.drop_gone(now);
         dropped
     }
 
-    fn drop_gone(&mut self) {
-        let before = self.targets.len();
-        self.targets.retain(|t| !t.is_gone || t.in_flight > 0);
-        if self.targets.len() != before {
+    fn drop_gone(&mut self, now: Time) {
+        let is_dropped = |t: &mut Target| t.is_gone && t.in_flight == 0;
+        let dropped: Vec<Target> = self.targets.extract_if(.., is_dropped).collect();
+        for target in &dropped {
+            self.remember(now, target);
+        }
+        if !dropped.is_empty() {
             self.reindex();
         }
     }
--- a/crates/steer/src/process/direct/target.rs
+++ b/crates/steer/src/process/direct/target.rs
@@ -99,6 +99,29 @@
     is_own: bool,
 }
 
+/// What a target asked of instances in its answers. It holds for the incarnation, also
+/// while service discovery doesn't list it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Asked {
+    /// Backoff that it asked of this instance.
+    backoff: Backoff,
+    /// End of a backoff that it asked of other instances.
+    others_backoff_until: Time,
+    /// Time at which it first reported in an answer that it is about to stop.
+    leaving_since: Option<Time>,
+    /// Whether it reported that to this instance itself.
+    has_announced_stop: bool,
+}
+
+impl Asked {
+    /// Whether any of it still holds.
+    pub(super) fn holds(&self, now: Time) -> bool {
+        self.leaving_since.is_some()
+            || self.backoff.left(now).is_some()
+            || now < self.others_backoff_until
+    }
+}
+
 /// A target with all that this instance knows of it.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -117,13 +140,7 @@
     /// Time of the last load report; of the first entry before one.
     reported_at: Time,
     limit: Limit,
-    backoff: Backoff,
-    /// End of a backoff that it asked of other instances.
-    others_backoff_until: Time,
-    /// Time at which it first reported in an answer that it is about to stop.
-    leaving_since: Option<Time>,
-    /// Whether it reported that to this instance itself.
-    has_announced_stop: bool,
+    asked: Asked,
     /// Requests that other instances have in flight to it, by their heartbeats.
     pub(super) peers_in_flight: u32,
     /// 32-bit hash of its name, used in heartbeats.
@@ -158,10 +175,7 @@
             others_load: 0.0,
             reported_at: now,
             limit: Limit::NONE,
-            backoff: Backoff::default(),
-            others_backoff_until: Time::ZERO,
-            leaving_since: None,
-            has_announced_stop: false,
+            asked: Asked::default(),
             peers_in_flight: 0,
             drop_at: None,
             health: Health::default(),
@@ -188,14 +202,14 @@
     /// Whether the target is listed and has not announced that it is about to stop.
     #[must_use]
     pub fn is_available(&self) -> bool {
-        !self.is_gone && !self.entry.draining && self.leaving_since.is_none()
+        !self.is_gone && !self.entry.draining && self.asked.leaving_since.is_none()
     }
 
     /// Whether the target is about to stop by its own answers alone, and serves for a
     /// while yet; `drain` is the time for which targets do after they announce it.
     pub(super) fn is_last_resort(&self, now: Time, drain: Duration) -> bool {
         let is_serving = |since| now + LAST_RESORT_RESERVE < since + drain;
-        !self.is_gone && !self.entry.draining && self.leaving_since.is_some_and(is_serving)
+        !self.is_gone && !self.entry.draining && self.asked.leaving_since.is_some_and(is_serving)
     }
 
     /// Whether the target is ejected after failures to reach it.
@@ -264,18 +278,28 @@
     /// Remaining time of the backoff that it asked of this instance, if any.
     #[must_use]
     pub fn backoff_left(&self, now: Time) -> Option<Duration> {
-        self.backoff.left(now)
+        self.asked.backoff.left(now)
+    }
+
+    /// What it asked of instances.
+    pub(super) const fn asked(&self) -> &Asked {
+        &self.asked
+    }
+
+    /// Takes up what the same incarnation asked before it was unlisted.
+    pub(super) const fn resume(&mut self, asked: Asked) {
+        self.asked = asked;
     }
 
     /// The backoff that it asked of this instance.
     pub(super) const fn backoff(&self) -> &Backoff {
-        &self.backoff
+        &self.asked.backoff
     }
 
     /// Time since it first reported in an answer that it is about to stop.
     #[must_use]
     pub fn leaving_age(&self, now: Time) -> Option<Duration> {
-        self.leaving_since.map(|since| now.since(since))
+        self.asked.leaving_since.map(|since| now.since(since))
     }
 
     /// Records a backoff that it asked of this instance, of which `backoff_max` counts, and
@@ -287,12 +311,12 @@
         backoff_max: Duration,
     ) -> bool {
         if let Some(span) = feedback.backoff {
-            self.backoff.extend(now, span.min(backoff_max));
+            self.asked.backoff.extend(now, span.min(backoff_max));
         }
-        let began_leaving = feedback.is_leaving && !self.has_announced_stop;
+        let began_leaving = feedback.is_leaving && !self.asked.has_announced_stop;
         if began_leaving {
-            self.leaving_since.get_or_insert(now);
-            self.has_announced_stop = true;
+            self.asked.leaving_since.get_or_insert(now);
+            self.asked.has_announced_stop = true;
         }
         began_leaving
     }
@@ -300,20 +324,20 @@
     /// Whether it has announced to this instance itself that it is about to stop.
     #[must_use]
     pub(super) const fn has_announced_stop(&self) -> bool {
-        self.has_announced_stop
+        self.asked.has_announced_stop
     }
 
     /// Whether a backoff lasts that it asked of this or another instance.
     #[must_use]
     pub fn backs_off(&self, now: Time) -> bool {
-        now < self.others_backoff_until || self.backoff_left(now).is_some()
+        now < self.asked.others_backoff_until || self.backoff_left(now).is_some()
     }
 
     /// Records what it told another instance.
     pub(super) fn note(&mut self, now: Time, notice: &TargetNotice) {
-        self.others_backoff_until = self.others_backoff_until.max(now + notice.backoff);
+        self.asked.others_backoff_until = self.asked.others_backoff_until.max(now + notice.backoff);
         if notice.is_leaving {
-            self.leaving_since.get_or_insert(now);
+            self.asked.leaving_since.get_or_insert(now);
         }
     }
 
@@ -398,7 +422,7 @@
     /// Records that it refused a request sent at `sent_at`. One that asked for a backoff
     /// is avoided by that alone.
     pub(super) fn record_refusal(&mut self, now: Time, sent_at: Time) {
-        if !self.backoff.was_asked_since(sent_at) {
+        if !self.asked.backoff.was_asked_since(sent_at) {
             self.health.record_refusal(now);
         }
     }
@@ -406,7 +430,7 @@
     /// Records an answer to a request sent at `sent_at`, with its latency over the
     /// expected one if that is known.
     pub fn record_answer(&mut self, now: Time, sent_at: Time, ratio: Option<f64>) {
-        self.backoff.record_answer(sent_at);
+        self.asked.backoff.record_answer(sent_at);
         self.failure_streak = 0;
         self.ejected_until = Time::ZERO;
         self.health.record_answer(now, ratio);
--- a/crates/steer/tests/direct/backoff.rs
+++ b/crates/steer/tests/direct/backoff.rs
@@ -111,11 +111,17 @@
     let entry = Entry { seq: 2, ..wide(&sent.target, "near-a") };
     bench.direct.roster.put(at(1_200), entry);
 })]
+#[case::unlisted_and_listed_again(|bench: &mut Bench, sent: &Assignment| {
+    bench.direct.finish_attempt(at(1_150), sent.ticket, AttemptOutcome::NotRun);
+    bench.direct.unlist(at(1_200), &sent.target);
+    let entry = wide(&sent.target, "near-a");
+    bench.direct.roster.put(at(1_220), entry);
+})]
 #[case::may_have_run(|bench: &mut Bench, sent: &Assignment| {
     bench.direct.finish_attempt(at(1_200), sent.ticket, AttemptOutcome::Failed);
 })]
 fn keep_backoff_despite(#[case] event: fn(&mut Bench, &Assignment)) {
-    let mut bench = two_targets();
+    let mut bench = one_target();
     let sent = bench.send(at(1_000), Some(5));
     ask(&mut bench, at(1_100), &sent.target, 3 * SECOND);
     event(&mut bench, &sent);
--- a/crates/steer/tests/direct/leaving.rs
+++ b/crates/steer/tests/direct/leaving.rs
@@ -55,15 +55,24 @@
     let late = Entry { seq: 2, ..entry("t1", "near-a") };
     bench.direct.roster.put(at(1_100), late);
 })]
+#[case::unlisted_and_listed_again(|bench: &mut Bench| {
+    bench.direct.unlist(at(1_100), "t1");
+    bench.direct.roster.put(at(1_200), entry("t1", "near-a"));
+})]
 #[case::lapsed_and_listed_again(|bench: &mut Bench| {
     bench.direct.roster.mark_missing("t1", at(1_900));
     bench.direct.roster.put(at(1_200), entry("t1", "near-a"));
 })]
 fn avoid_target_that_announced_stop(#[case] event: fn(&mut Bench)) {
-    let mut bench = bench(&[entry("t1", "near-a"), entry("t2", "near-b")]);
-    announce(&mut bench, at(1_000), "t1");
-    event(&mut bench);
-    let targets = targets_of(&mut bench, 1_300, 6_000);
+    let mut alone = bench(&[entry("t1", "near-a")]);
+    announce(&mut alone, at(1_000), "t1");
+    event(&mut alone);
+    let targets = targets_of(&mut alone, 3_100, 6_000);
+    assert!(targets.is_empty(), "{targets:?}");
+    let mut two = bench(&[entry("t1", "near-a"), entry("t2", "near-b")]);
+    announce(&mut two, at(1_000), "t1");
+    event(&mut two);
+    let targets = targets_of(&mut two, 1_300, 6_000);
     assert!(targets.iter().all(|t| t == "t2"), "{targets:?}");
     assert_eq!(targets.len(), 47);
 }
