Let the emulator's targets ask for backoffs and announce their stop

Two kinds of faults: backoff (targets turn everything away and ask for x seconds without requests) and announce (their answers announce a stop, they end after the time, and others come in their place). Instances apply what an answer reports before its outcome, as the process does, and send notices with their heartbeats.

--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -209,6 +209,11 @@
     Slow(Part, f64),
     /// Targets turn a part `x` of their requests away, in good health.
     Shed(Part, f64),
+    /// Targets turn everything away, and ask instances to send nothing for `x` seconds.
+    Backoff(Part, f64),
+    /// Targets announce in their answers that they are about to stop. They end after the
+    /// time, and others come in their place.
+    Announce(Part),
     /// Targets fail a part `x` of what they run.
     Fail(Part, f64),
     /// Answers of a part `x` of requests are lost.
--- a/crates/emulator/src/plan/read.rs
+++ b/crates/emulator/src/plan/read.rs
@@ -424,9 +424,9 @@
     })
 }
 
-const TROUBLES: [&str; 15] = [
-    "burst", "shift", "again", "leave", "crash", "slow", "shed", "fail", "lose", "replace", "cold",
-    "kill", "cut", "store", "evacuate",
+const TROUBLES: [&str; 17] = [
+    "burst", "shift", "again", "leave", "crash", "slow", "shed", "backoff", "announce", "fail",
+    "lose", "replace", "cold", "kill", "cut", "store", "evacuate",
 ];
 
 fn trouble(
@@ -465,6 +465,8 @@
         "crash" => What::Crash(part),
         "slow" => What::Slow(part, x),
         "shed" => What::Shed(part, x),
+        "backoff" => What::Backoff(part, x),
+        "announce" => What::Announce(part),
         "fail" => What::Fail(part, x),
         "lose" => What::Lose(part, x),
         "replace" => What::Replace(part),
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -16,6 +16,7 @@
 
 use fastrand::Rng;
 use steer::process::direct::members::Heartbeat;
+use steer::process::direct::notice::TargetNotice;
 use steer::process::direct::{AttemptOutcome, Ticket};
 
 use crate::brain::Brain;
@@ -23,7 +24,7 @@
 use callers::Crowd;
 use central::Central;
 use instance::Instance;
-use target::Target;
+use target::{Reply, Target};
 
 /// Microseconds of virtual time.
 pub type Micros = u64;
@@ -91,7 +92,7 @@
     Back {
         sent: Sent,
         ending: AttemptOutcome,
-        load: u32,
+        reply: Reply,
     },
     Tick(usize),
     Beat(usize),
@@ -99,6 +100,7 @@
         instance: usize,
         life: u64,
         beat: Box<Heartbeat>,
+        notices: Vec<TargetNotice>,
     },
     Learn {
         instance: usize,
@@ -294,14 +296,19 @@
             Event::Come { request, current } => self.come(request, current),
             Event::Land(sent) => self.land(sent),
             Event::Done { target, run } => self.done(target, run),
-            Event::Back { sent, ending, load } => self.back(&sent, ending, load),
+            Event::Back {
+                sent,
+                ending,
+                reply,
+            } => self.back(&sent, ending, reply),
             Event::Tick(instance) => self.tick(instance),
             Event::Beat(instance) => self.beat(instance),
             Event::Hear {
                 instance,
                 life,
                 beat,
-            } => self.hear(instance, life, *beat),
+                notices,
+            } => self.hear(instance, life, *beat, &notices),
             Event::Learn { instance, life } => self.learn(instance, life),
             Event::Limit {
                 instance,
--- a/crates/emulator/src/world/instance.rs
+++ b/crates/emulator/src/world/instance.rs
@@ -12,6 +12,7 @@
 
 use steer::clock::Time;
 use steer::process::direct::members::Registration;
+use steer::process::direct::target::Feedback;
 use steer::process::direct::{
     Assignment, AttemptOutcome, Decision, Direct, FollowUp, Identity, Rejection, Request,
     STEP_INTERVAL_MAX, Ticket, hash,
@@ -20,7 +21,7 @@
 
 pub(super) use knowledge::LAPSE;
 
-use super::{Event, Micros, Sent, World, micros};
+use super::{Event, Micros, Reply, Sent, World, micros};
 use crate::brain::Brain;
 use crate::plan::Plan;
 
@@ -348,7 +349,7 @@
                 Event::Back {
                     sent,
                     ending,
-                    load: 0,
+                    reply: Reply::default(),
                 },
             );
         } else {
@@ -373,13 +374,13 @@
             Event::Back {
                 sent,
                 ending,
-                load: 0,
+                reply: Reply::default(),
             },
         );
     }
 
     /// An attempt has ended.
-    pub(super) fn back(&mut self, sent: &Sent, ending: AttemptOutcome, load: u32) {
+    pub(super) fn back(&mut self, sent: &Sent, ending: AttemptOutcome, reply: Reply) {
         let Some((number, life, ticket)) = sent.from else {
             self.central_back(sent, ending);
             return;
@@ -402,10 +403,15 @@
         let Some(direct) = &mut instance.direct else {
             return;
         };
-        if load > 0
-            && let Some(target) = direct.roster.get_mut(&self.targets[sent.target].name)
-        {
-            target.record_load(now, load);
+        let feedback = Feedback {
+            load: (reply.load > 0).then_some(reply.load),
+            limit: None,
+            backoff: (reply.backoff > 0).then(|| Duration::from_micros(reply.backoff)),
+            is_leaving: reply.is_leaving,
+        };
+        if feedback != Feedback::default() {
+            let name = &self.targets[sent.target].name;
+            direct.apply_feedback(now, name, sent.born, feedback);
         }
         let next = direct.finish_attempt(now, ticket, ending);
         match next {
--- a/crates/emulator/src/world/instance/knowledge.rs
+++ b/crates/emulator/src/world/instance/knowledge.rs
@@ -9,6 +9,7 @@
 use steer::clock::Time;
 use steer::process::direct::StoreContact;
 use steer::process::direct::members::{Heartbeat, Registration};
+use steer::process::direct::notice::TargetNotice;
 use steer::process::direct::target::Entry;
 use steer::version::routes::{Limits, Route, Routes, Service, WeightedService};
 
@@ -187,6 +188,7 @@
             direct.sweep(now);
         }
         let beat = direct.heartbeat(now, instance.beats.is_multiple_of(6));
+        let notices = direct.target_notices(now);
         let afar = instance.beats.is_multiple_of(AFAR);
         let far = Heartbeat {
             in_flight: Vec::new(),
@@ -198,11 +200,11 @@
         let region = to.region.into_iter().filter(|_| afar);
         let near = to.local.into_iter().chain(region);
         for other in near.filter_map(super::number) {
-            self.send_beat(number, other, &beat);
+            self.send_beat(number, other, &beat, &notices);
         }
         let distant = to.remote.into_iter().filter(|_| afar);
         for other in distant.filter_map(super::number) {
-            self.send_beat(number, other, &far);
+            self.send_beat(number, other, &far, &notices);
         }
         let wait = BEAT;
         if self.instances[number].life == life {
@@ -210,7 +212,7 @@
         }
     }
 
-    fn send_beat(&mut self, from: usize, to: usize, beat: &Heartbeat) {
+    fn send_beat(&mut self, from: usize, to: usize, beat: &Heartbeat, notices: &[TargetNotice]) {
         let (own, other) = (&self.instances[from], &self.instances[to]);
         if self.is_cut(own.region, other.region) || self.rng.f64() < LOST {
             return;
@@ -221,17 +223,25 @@
             instance: to,
             life,
             beat: Box::new(beat.clone()),
+            notices: notices.to_vec(),
         };
         self.after(way, event);
     }
 
-    pub(in crate::world) fn hear(&mut self, number: usize, life: u64, beat: Heartbeat) {
+    pub(in crate::world) fn hear(
+        &mut self,
+        number: usize,
+        life: u64,
+        beat: Heartbeat,
+        notices: &[TargetNotice],
+    ) {
         let now = self.clock_or_zero(number);
         let instance = &mut self.instances[number];
         if instance.life == life
             && let Some(direct) = &mut instance.direct
         {
             direct.receive_heartbeat(now, beat);
+            direct.receive_target_notices(now, notices);
         }
     }
 
--- a/crates/emulator/src/world/target.rs
+++ b/crates/emulator/src/world/target.rs
@@ -17,6 +17,17 @@
     ends: Micros,
 }
 
+/// What a target says of itself in an answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Reply {
+    /// Requests at it, the answered one included; 0 if it doesn't say.
+    pub load: u32,
+    /// Time for which it wants no requests.
+    pub backoff: Micros,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+}
+
 /// A target.
 #[derive(Clone, Debug)]
 pub(super) struct Target {
@@ -35,6 +46,10 @@
     pace: f64,
     pub slow: f64,
     pub shed: f64,
+    /// Time for which it asks for no requests while it turns all away; 0 if it doesn't.
+    pub backoff: Micros,
+    /// Whether its answers announce that it is about to stop.
+    pub is_leaving: bool,
     pub fail: f64,
     pub lose: f64,
     running: Vec<Run>,
@@ -66,6 +81,8 @@
                     pace: 1.0,
                     slow: 1.0,
                     shed: 0.0,
+                    backoff: 0,
+                    is_leaving: false,
                     fail: 0.0,
                     lose: 0.0,
                     running: Vec::new(),
@@ -139,6 +156,10 @@
             self.answer(sent, AttemptOutcome::NotSent, 0);
             return;
         }
+        if target.backoff > 0 {
+            self.answer(sent, AttemptOutcome::NotRun, 0);
+            return;
+        }
         let shed = target.shed > 0.0 && target.rng.f64() < target.shed;
         let full = !target.has_slot() && target.waiting.len() >= target.queue;
         if shed || full {
@@ -275,7 +296,25 @@
             // Nothing arrives; the instance waits until the request's limit.
             return;
         }
-        self.after(way, Event::Back { sent, ending, load });
+        let has_answer = matches!(
+            ending,
+            AttemptOutcome::Answered | AttemptOutcome::Failed | AttemptOutcome::NotRun
+        );
+        let reply = Reply {
+            load,
+            backoff: if ending == AttemptOutcome::NotRun {
+                target.backoff
+            } else {
+                0
+            },
+            is_leaving: has_answer && target.is_leaving,
+        };
+        let back = Event::Back {
+            sent,
+            ending,
+            reply,
+        };
+        self.after(way, back);
     }
 
     /// A target ends; what it ran is lost. It is back after `span`, as another.
@@ -301,6 +340,7 @@
         let target = &mut self.targets[place];
         target.up = true;
         target.born += 1;
+        target.is_leaving = false;
         target.name = format!("t{place}-{}", target.born).into();
         target.cold_until = self.now + cold;
         self.tell_all(0);
--- a/crates/emulator/src/world/trouble.rs
+++ b/crates/emulator/src/world/trouble.rs
@@ -1,5 +1,7 @@
 //! What goes wrong, when it begins and when it ends.
 
+use core::time::Duration;
+
 use super::instance::LAPSE;
 use super::{Event, Micros, World, micros};
 use crate::plan::{Part, What};
@@ -26,6 +28,11 @@
                 }
                 self.tell_all(0);
             }
+            What::Announce(part) => {
+                for place in self.some(number, *part) {
+                    self.targets[place].is_leaving = true;
+                }
+            }
             What::Kill { share, domain } => self.kill_some(number, *share, *domain, span),
             What::Evacuate { .. } => self.tell_all(0),
             _ => self.harm(),
@@ -35,6 +42,11 @@
     pub(super) fn finish(&mut self, number: usize) {
         self.active[number] = false;
         match &self.plan.faults[number].what {
+            What::Announce(part) => {
+                for place in self.some(number, *part) {
+                    self.crash(place, 1);
+                }
+            }
             What::Evacuate { .. } | What::Store | What::Cut { .. } => self.tell_all(0),
             What::Kill { .. } => {
                 for instance in 0..self.instances.len() {
@@ -50,6 +62,7 @@
         for target in &mut self.targets {
             target.slow = 1.0;
             target.shed = 0.0;
+            target.backoff = 0;
             target.fail = 0.0;
             target.lose = 0.0;
         }
@@ -59,6 +72,7 @@
             }
             let (What::Slow(part, x)
             | What::Shed(part, x)
+            | What::Backoff(part, x)
             | What::Fail(part, x)
             | What::Lose(part, x)) = self.plan.faults[number].what
             else {
@@ -69,6 +83,7 @@
                 match self.plan.faults[number].what {
                     What::Slow(..) => target.slow *= x,
                     What::Shed(..) => target.shed = target.shed.max(x),
+                    What::Backoff(..) => target.backoff = micros(Duration::from_secs_f64(x)),
                     What::Fail(..) => target.fail = target.fail.max(x),
                     _ => target.lose = target.lose.max(x),
                 }
--- a/crates/emulator/tests/emulate.rs
+++ b/crates/emulator/tests/emulate.rs
@@ -150,6 +150,8 @@
 #[case::crash(r#"{"what": "crash", "at_s": 1, "for_s": 3, "domain": "a"}"#)]
 #[case::slow(r#"{"what": "slow", "at_s": 1, "for_s": 4, "x": 6}"#)]
 #[case::shed(r#"{"what": "shed", "at_s": 1, "for_s": 4, "x": 0.9}"#)]
+#[case::backoff(r#"{"what": "backoff", "at_s": 1, "for_s": 4, "share": 0.9, "x": 1.5}"#)]
+#[case::announce(r#"{"what": "announce", "at_s": 1, "for_s": 2}"#)]
 #[case::fail(r#"{"what": "fail", "at_s": 1, "for_s": 4, "x": 0.8}"#)]
 #[case::lose(r#"{"what": "lose", "at_s": 1, "for_s": 4, "x": 0.8}"#)]
 #[case::replace(r#"{"what": "replace", "at_s": 2}"#)]
