Read how slow a target's machine is, and count values that aren't read

What was seen: targets of two new deployments add a fourth figure to Server-Load, how long work takes on their machine at this moment in percent. The adapter read three figures and dropped the rest, seen nowhere.

Cause: an unknown value of a known header, where LIMIT and BUDGET were unknown headers. Nothing that a target says in addition to what is read left a trace.

Any value of a known header that isn't read whole is logged (unread-value) and counted by header. No decision uses the figure yet.

--- a/crates/auburnrouter/src/direct/attempt.rs
+++ b/crates/auburnrouter/src/direct/attempt.rs
@@ -172,6 +172,7 @@
         StatusCode::TOO_MANY_REQUESTS
             | StatusCode::SERVICE_UNAVAILABLE
             | StatusCode::REQUEST_TIMEOUT
+        slowdown: info.load.and_then(|l| l.slowdown),
             | StatusCode::MISDIRECTED_REQUEST
     )
 }
--- a/crates/auburnrouter/src/direct/callers/routed.rs
+++ b/crates/auburnrouter/src/direct/callers/routed.rs
@@ -212,6 +212,11 @@
                 events::unknown_header(shared, target, name.as_str(), self.id());
             }
         }
+        for name in headers::unread_answer_values(headers) {
+            let value = headers.get(name).map_or(&[][..], |v| v.as_bytes());
+            shared.metrics.count_unread_value(name.as_str());
+            events::unread_value(shared, target, name.as_str(), value, self.id());
+        }
     }
 
     /// Request id as text; empty if there is none or it is not visible ASCII.
--- a/crates/auburnrouter/src/direct/dump.rs
+++ b/crates/auburnrouter/src/direct/dump.rs
@@ -88,6 +88,11 @@
     backoff_ms: Option<u64>,
     /// Mean ratio of its response times to the expected ones.
     slowness: f64,
+    /// Time that work takes on its machine, as a multiple of the usual one, as it last
+    /// reported.
+    slowdown: Option<f64>,
+    /// Age of that report in milliseconds.
+    slowdown_ms: Option<u64>,
     /// The greater of its failure rate and its refusal rate.
     illness: f64,
 }
@@ -148,6 +153,8 @@
                     slowness: t.health.slowness(now),
                     illness: t.health.failure_rate(now).max(t.health.refusal_rate(now)),
                 })
+                    slowdown: t.slowdown(now).map(|(factor, _)| factor),
+                    slowdown_ms: t.slowdown(now).map(|(_, age)| millis(age)),
                 .collect(),
         })
     }
--- a/crates/auburnrouter/src/direct/events.rs
+++ b/crates/auburnrouter/src/direct/events.rs
@@ -371,6 +371,30 @@
     write(shared, "unknown-header", fields);
 }
 
+#[derive(Serialize)]
+struct UnreadValueFields<'a> {
+    target: &'a str,
+    header: &'a str,
+    value: &'a str,
+    /// Id of the request whose answer had it.
+    request: &'a str,
+}
+
+/// Length up to which a value that can't be read is logged.
+const LOGGED_VALUE_BYTES_MAX: usize = 64;
+
+/// Logs a header of a target's answer with a value of which not all is read.
+pub fn unread_value(shared: &Shared, target: &str, header: &str, value: &[u8], request: &str) {
+    let value = &value[..value.len().min(LOGGED_VALUE_BYTES_MAX)];
+    let fields = UnreadValueFields {
+        target,
+        header,
+        value: &String::from_utf8_lossy(value),
+        request,
+    };
+    write(shared, "unread-value", fields);
+}
+
 #[derive(Serialize)]
 struct LimitFields<'a> {
     target: &'a str,
--- a/crates/auburnrouter/src/direct/events/requests.rs
+++ b/crates/auburnrouter/src/direct/events/requests.rs
@@ -45,6 +45,15 @@
     believed_ms: u64,
     /// Requests at the target, as its answer reports.
     load: u32,
+    /// Time that work takes on its machine, as a multiple of the usual one, as its answer
+    /// reports.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    slowdown: Option<f64>,
+    /// That figure as last reported before the request was sent, and its age.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    slowdown_known: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    slowdown_known_ms: Option<u64>,
     /// Requests per second that the target accepts, as its answer states.
     #[serde(skip_serializing_if = "Option::is_none")]
     limit: Option<f64>,
@@ -111,6 +120,9 @@
     if a.assignment.limit.is_some() {
         metrics.limited_attempts.inc();
     }
+    if let Some(slowdown) = a.feedback.slowdown {
+        metrics.slowdown.observe(slowdown);
+    }
     let fields = AttemptFields {
         request: a.request,
         route: a.route,
@@ -126,6 +138,9 @@
         believed: a.assignment.load,
         believed_ms: millis(a.assignment.load_age),
         load: a.feedback.load.unwrap_or_default(),
+        slowdown: a.feedback.slowdown,
+        slowdown_known: a.assignment.slowdown.map(|(factor, _)| factor),
+        slowdown_known_ms: a.assignment.slowdown.map(|(_, age)| millis(age)),
         limit: a.feedback.limit,
         limit_known: a.assignment.limit,
         backoff_ms: a.feedback.backoff.map(millis),
--- a/crates/auburnrouter/src/direct/metrics.rs
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -30,6 +30,9 @@
 /// apart around the latency objectives.
 const LATENCY_BUCKETS: [f64; 11] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10.0];
 
+/// Upper bounds of the buckets of targets' slowdown, around the usual 1.
+const SLOWDOWN_BUCKETS: [f64; 9] = [0.5, 0.8, 0.95, 1.05, 1.25, 1.5, 2.0, 4.0, 10.0];
+
 /// The metrics of one instance.
 pub struct Metrics {
     registry: Registry,
@@ -45,6 +48,10 @@
     pub limited_attempts: IntCounter,
     /// Answers of targets that ask this instance to send nothing for a time.
     pub backoffs: IntCounter,
+    /// Time that work takes on targets' machines by their answers, as a multiple of the
+    /// usual one.
+    pub slowdown: Histogram,
+    unread_values: IntCounterVec,
     unknown_headers: IntCounterVec,
     /// Names of the headers counted by name, sorted.
     header_names: Mutex<Vec<Box<str>>>,
@@ -87,6 +94,14 @@
             Ok(histogram)
         };
         let gauge = |name: &str, help: &str| -> Result<_, Error> {
+        let slowdown = Histogram::with_opts(
+            HistogramOpts::new(
+                "auburnrouter_target_slowdown",
+                "Time that work takes on targets' machines by their answers; 1 is usual",
+            )
+            .buckets(SLOWDOWN_BUCKETS.to_vec()),
+        )?;
+        registry.register(Box::new(slowdown.clone()))?;
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
@@ -138,6 +153,12 @@
             limited_attempts,
             backoffs,
             unknown_headers: counters(
+            slowdown,
+            unread_values: counters(
+                "auburnrouter_unread_values_total",
+                "Headers in answers of targets with a value that isn't read whole, by name",
+                &["header"],
+            )?,
                 "auburnrouter_unknown_headers_total",
                 "Headers in answers of targets that this release doesn't know, by name",
                 &["header"],
@@ -180,6 +201,12 @@
     pub fn count_unknown_header(&self, name: &str) -> bool {
         let mut names = lock(&self.header_names);
         let found = names.binary_search_by(|n| (**n).cmp(name));
+    /// Counts an answer's header, one that this release reads, with a value that isn't
+    /// read whole.
+    pub fn count_unread_value(&self, name: &str) {
+        self.unread_values.with_label_values(&[name]).inc();
+    }
+
         let has_room = names.len() < UNKNOWN_HEADERS_MAX;
         if let Err(at) = found
             && has_room
--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -18,6 +18,8 @@
 mod operators;
 #[path = "direct/pipeline.rs"]
 mod pipeline;
+#[path = "direct/reports.rs"]
+mod reports;
 #[path = "direct/requests.rs"]
 mod requests;
 #[path = "direct/stop.rs"]
--- a/crates/auburnrouter/tests/direct/harness.rs
+++ b/crates/auburnrouter/tests/direct/harness.rs
@@ -180,6 +180,12 @@
 
 /// Answer as a caller receives it.
 #[derive(Debug)]
+    /// Metrics as text; empty if there is no answer.
+    pub fn metrics(&self) -> String {
+        let found = send_raw(self.operators, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+        found.map(|a| a.body).unwrap_or_default()
+    }
+
 pub struct Answer {
     pub status: u16,
     pub headers: Vec<(String, String)>,
--- a/crates/emulator/src/world/instance.rs
+++ b/crates/emulator/src/world/instance.rs
@@ -405,6 +405,7 @@
         };
         let feedback = Feedback {
             load: (reply.load > 0).then_some(reply.load),
+            slowdown: None,
             limit: None,
             backoff: (reply.backoff > 0).then(|| Duration::from_micros(reply.backoff)),
             is_leaving: reply.is_leaving,
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -166,6 +166,9 @@
         if let Some(load) = feedback.load {
             target.record_load(now, load);
         }
+        if let Some(slowdown) = feedback.slowdown {
+            target.record_slowdown(now, slowdown);
+        }
         FeedbackEffect {
             limit_changed: target.update_limit(now, feedback.limit),
             began_leaving: target.record_requests(now, &feedback, backoff_max),
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -158,6 +158,9 @@
     pub load: f64,
     /// Limit that the target reports, in requests a second.
     pub limit: Option<f64>,
+    /// Last report of how long work takes on the target's machine, as a multiple of the
+    /// usual time, and its age.
+    pub slowdown: Option<(f64, Duration)>,
     /// Remaining time of a backoff that the target asked for.
     pub backoff_left: Option<Duration>,
     /// Time since the target reported that it is about to stop.
--- a/crates/steer/src/process/direct/queue.rs
+++ b/crates/steer/src/process/direct/queue.rs
@@ -173,6 +173,7 @@
         target.record_sent(now, span);
         let id = Arc::clone(&target.entry.id);
         let addr = target.entry.addr;
+        let slowdown = target.slowdown(now);
         let incarnation = target.entry.incarnation;
         let limit = target.limit();
         let backoff_left = target.backoff_left(now);
@@ -196,6 +197,7 @@
             attempt: job.tried.len(),
             expected_work: best.service_time,
             is_warm: best.warm,
+            slowdown,
             load,
             limit,
             backoff_left,
--- a/crates/steer/src/process/direct/target.rs
+++ b/crates/steer/src/process/direct/target.rs
@@ -46,6 +46,9 @@
 pub struct Feedback {
     /// Requests running or queued at the target, the answered one included.
     pub load: Option<u32>,
+    /// Time that work takes on the target's machine at that moment, as a multiple of the
+    /// usual one.
+    pub slowdown: Option<f64>,
     /// Largest rate that it accepts from all instances together, in requests per
     /// second.
     pub limit: Option<f64>,
@@ -141,6 +144,9 @@
     reported_at: Time,
     limit: Limit,
     asked: Asked,
+    /// Last report of how long work takes on its machine, as a multiple of the usual
+    /// time, and when it was received.
+    slowdown: Option<(f64, Time)>,
     /// Requests that other instances have in flight to it, by their heartbeats.
     pub(super) peers_in_flight: u32,
     /// 32-bit hash of its name, used in heartbeats.
@@ -177,6 +183,7 @@
             limit: Limit::NONE,
             asked: Asked::default(),
             peers_in_flight: 0,
+            slowdown: None,
             drop_at: None,
             health: Health::default(),
             failure_streak: 0,
@@ -272,6 +279,18 @@
     pub(super) fn merge_limit(&mut self, limit: Limit) {
         if self.limit.is_older_than(&limit) {
             self.limit = limit;
+    /// Records how long work takes on its machine, as a multiple of the usual time.
+    pub fn record_slowdown(&mut self, now: Time, slowdown: f64) {
+        self.slowdown = Some((slowdown, now));
+    }
+
+    /// The last report of how long work takes on its machine, as a multiple of the usual
+    /// time, and its age.
+    #[must_use]
+    pub fn slowdown(&self, now: Time) -> Option<(f64, Duration)> {
+        self.slowdown.map(|(factor, at)| (factor, now.since(at)))
+    }
+
         }
     }
 
