Charge answers that callers have yet to read to the memory account

What callers would see: an instance killed for its memory, with the requests of all others, once enough callers read slowly. Request bodies were bounded by a quarter of the memory limit; answers were held without any bound.

Change: one account for both. An answer is read at its target's pace and charged until it is written to its caller; what is charged beyond half of the limit is given up, as its outcome unknown. A request reserves room for a usual answer before it is sent, and is turned away with 503 and a time to come back, before it runs, while a quarter of the limit is used. The account is in dump and metrics (auburnrouter_body_bytes).

Tests: slow_readers::bound_memory_of_unread_answers (300 callers that don't read answers of 12 MB, at a limit of 260 MB: the bytes held, the peak of the process, the rejection, and service after they left), give_up_caller_that_does_not_read.

--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -15,6 +15,7 @@
 mod heartbeat;
 mod listeners;
 mod member;
+mod memory;
 mod metrics;
 mod peer;
 mod queries;
--- a/crates/auburnrouter/src/direct/attempt.rs
+++ b/crates/auburnrouter/src/direct/attempt.rs
@@ -7,16 +7,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Bytes;
+use bytes::BytesMut;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Bytes};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, StatusCode, Uri};
 use platform::headers;
 use steer::process::direct::target::Feedback;
 use steer::process::direct::{Assignment, AttemptOutcome};
 
-use super::Shared;
 use super::server::Response;
+use super::{Shared, memory};
 
 /// Longest body of a target's answer. Answers are buffered in full before they are
 /// passed on, so that a truncated one is never taken for a complete one.
@@ -106,8 +107,9 @@
     ) {
         report(feedback(head.status, &info), &head.headers);
     }
-    let Ok(body) = Limited::new(body, ANSWER_MAX_BYTES).collect().await else {
-        return Completion::without_answer(AttemptOutcome::ConnectionLost);
+    let (body, charge) = match read_body(shared, body).await {
+        Ok(read) => read,
+        Err(failed) => return Completion::without_answer(failed),
     };
     if outcome != AttemptOutcome::InvalidResponse && forwarded.is_idempotent {
         rest.put_back();
@@ -115,7 +117,8 @@
     let mut fields = head.headers;
     headers::strip(&mut fields);
     fields.remove(CONTENT_LENGTH);
-    let mut answer = Response::new(body.to_bytes());
+    let mut answer = Response::new(body);
+    answer.extensions_mut().insert(Arc::new(charge));
     *answer.status_mut() = head.status;
     *answer.headers_mut() = fields;
     Completion {
@@ -124,11 +127,52 @@
     }
 }
 
+/// Reads the body of an answer at the target's pace, whatever the pace of its caller.
+/// The charge for it lasts until the caller has it.
+///
+/// # Errors
+/// The outcome of the attempt if the body is incomplete or there is no memory for it.
+async fn read_body(
+    shared: &Shared,
+    body: impl Body<Data = Bytes>,
+) -> Result<(Bytes, memory::Charge), AttemptOutcome> {
+    let mut body = core::pin::pin!(body);
+    let mut charge = shared.memory.begin_answer();
+    let mut first = Bytes::new();
+    let mut joined = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| AttemptOutcome::ConnectionLost)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let length = first.len() + joined.len() + data.len();
+        if length > ANSWER_MAX_BYTES {
+            return Err(AttemptOutcome::ConnectionLost);
+        }
+        if !charge.add(data.len()) {
+            return Err(AttemptOutcome::TimedOut);
+        }
+        if first.is_empty() && joined.is_empty() {
+            first = data;
+        } else {
+            joined.extend_from_slice(&core::mem::take(&mut first));
+            joined.extend_from_slice(&data);
+        }
+    }
+    let body = if joined.is_empty() {
+        first
+    } else {
+        joined.freeze()
+    };
+    Ok((body, charge))
+}
+
 /// What a target's answer reports of the target.
 fn feedback(status: StatusCode, info: &headers::Answer) -> Feedback {
     let is_unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
     Feedback {
         load: info.load.map(|l| l.running.saturating_add(l.waiting)),
+        slowdown: info.load.and_then(|l| l.slowdown),
         limit: info.limit,
         backoff: info.backoff.filter(|_| is_unavailable),
         is_leaving: info.is_leaving,
@@ -172,7 +216,6 @@
         StatusCode::TOO_MANY_REQUESTS
             | StatusCode::SERVICE_UNAVAILABLE
             | StatusCode::REQUEST_TIMEOUT
-        slowdown: info.load.and_then(|l| l.slowdown),
             | StatusCode::MISDIRECTED_REQUEST
     )
 }
--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -6,14 +6,12 @@
 //! 504. When a caller disconnects, its requests are withdrawn. Where teams are
 //! configured, a caller's key is never forwarded to a target.
 
-mod body_memory;
 mod routed;
 
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use body_memory::Reservation;
 use futures_lite::future;
 use hyper::body::Bytes;
 use hyper::header::HOST;
@@ -31,7 +29,7 @@
 use super::connection::{Caller, IncomingRequest};
 use super::events::Origin;
 use super::server::{self, ReadError, Response, Service};
-use super::{Executor, Shared, events};
+use super::{Executor, Shared, events, memory};
 
 /// Limits on requests until a configuration is known.
 const DEFAULT_LIMITS: server::Limits = server::Limits {
@@ -81,14 +79,14 @@
 struct CallerService(Arc<Shared>);
 
 impl Service for CallerService {
-    type Reservation = Reservation;
+    type Reservation = memory::Charge;
 
     fn limits(&self) -> server::Limits {
         limits(&self.0)
     }
 
-    fn reserve_body(&self, length: Option<u64>) -> Option<Reservation> {
-        Reservation::take(&self.0, limits(&self.0).body, length)
+    fn reserve_body(&self, length: Option<u64>) -> Option<memory::Charge> {
+        self.0.memory.reserve_body(limits(&self.0).body, length)
     }
 
     fn error_response(&self, caller: Caller, error: ReadError) -> Response {
@@ -117,7 +115,7 @@
 
     fn answer(
         &self,
-        incoming: IncomingRequest<Reservation>,
+        incoming: IncomingRequest<memory::Charge>,
     ) -> impl Future<Output = Response> + Send + use<> {
         answer(Arc::clone(&self.0), incoming)
     }
@@ -147,7 +145,7 @@
 
 /// Routes and authorizes a request, then steers it. A request that fails a check on
 /// the way is answered here.
-async fn answer(shared: Arc<Shared>, incoming: IncomingRequest<Reservation>) -> Response {
+async fn answer(shared: Arc<Shared>, incoming: IncomingRequest<memory::Charge>) -> Response {
     let arrived = shared.at(incoming.head_read);
     let first_byte = shared.at(incoming.first_byte);
     let request = incoming.request;
@@ -182,6 +180,10 @@
         }
         Access::KeysStale => return meta.reject(&shared, &route.name, "unsure-of-keys"),
     };
+    // Callers that don't read their answers may hold all memory there is for them.
+    let Some(_answer_allowance) = shared.memory.reserve_answer() else {
+        return meta.reject(&shared, &route.name, "memory");
+    };
     let RequestMeta { caller, origin } = meta;
     let _reservation = incoming.reservation;
     let (head, body) = request.into_parts();
--- a/crates/auburnrouter/src/direct/connection.rs
+++ b/crates/auburnrouter/src/direct/connection.rs
@@ -7,13 +7,15 @@
 //!
 //! Invariants: a request that does not arrive within the request timeout is answered
 //! with an error, a connection whose output stays blocked for that long or that is
-//! idle for too long is closed, and when the caller disconnects, the futures of all
+//! idle for too long is closed, memory charged for an answer is held until it is written,
+//! and when the caller disconnects, the futures of all
 //! its requests are dropped.
 
 use core::pin::Pin;
 use core::task::{Context, Poll};
 use std::io;
 use std::net::IpAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -26,6 +28,7 @@
 use smol::net;
 
 use super::date;
+use super::memory;
 use super::server::{Limits, ReadError, Response, Service};
 use super::socket::Socket;
 
@@ -111,6 +114,8 @@
     out: BytesMut,
     /// Unwritten rest of a body too long for the output buffer; follows `out`.
     body_tail: Bytes,
+    /// Memory charged for the bodies in `out` and `body_tail`.
+    unwritten: Vec<Arc<memory::Charge>>,
     timeouts: Timeouts,
     /// Memory reserved for the body that is arriving.
     reservation: Option<S::Reservation>,
@@ -168,6 +173,7 @@
             running: FuturesUnordered::new(),
             out: BytesMut::new(),
             body_tail: Bytes::new(),
+            unwritten: Vec::new(),
             timeouts: Timeouts {
                 timer: None,
                 timer_at: None,
@@ -386,7 +392,9 @@
                 is_head_only: due.context.is_head,
                 is_http10: due.context.is_http10,
             };
-            let body = date::with(|date| answer::encode(&mut self.out, due.answer, options, date));
+            let mut answer = due.answer;
+            self.unwritten.extend(answer.extensions_mut().remove());
+            let body = date::with(|date| answer::encode(&mut self.out, answer, options, date));
             if body.len() <= COPIED_BODY_BYTES_MAX {
                 self.out.extend_from_slice(&body);
             } else {
@@ -421,6 +429,7 @@
             self.timeouts.write_blocked = None;
             progressed = true;
         }
+        self.unwritten.clear();
         Ok(progressed)
     }
 
--- a/crates/auburnrouter/src/direct/dump.rs
+++ b/crates/auburnrouter/src/direct/dump.rs
@@ -46,6 +46,8 @@
     pub requests: usize,
     /// Requests that wait to be sent.
     pub waiting: usize,
+    /// Bytes of request bodies and of answers that callers have yet to read.
+    pub body_bytes: usize,
     /// Failure domains whose targets get no requests.
     pub evacuated: Vec<Arc<str>>,
     /// Names of the other instances that are present.
@@ -86,13 +88,13 @@
     limit: Option<f64>,
     /// Remaining time in milliseconds for which it asked this instance to send nothing.
     backoff_ms: Option<u64>,
-    /// Mean ratio of its response times to the expected ones.
-    slowness: f64,
     /// Time that work takes on its machine, as a multiple of the usual one, as it last
     /// reported.
     slowdown: Option<f64>,
     /// Age of that report in milliseconds.
     slowdown_ms: Option<u64>,
+    /// Mean ratio of its response times to the expected ones.
+    slowness: f64,
     /// The greater of its failure rate and its refusal rate.
     illness: f64,
 }
@@ -126,6 +128,7 @@
             connections: shared.connections.get(),
             requests: direct.request_count(),
             waiting: direct.waiting_count(),
+            body_bytes: shared.memory.used(),
             evacuated: direct.roster.evacuated().to_vec(),
             instances: direct.others(now).map(|o| Arc::clone(o.0)).collect(),
             stale_ms: direct.staleness(now).map(millis),
@@ -150,11 +153,11 @@
                     flying: t.in_flight,
                     limit: t.limit(),
                     backoff_ms: t.backoff_left(now).map(millis),
+                    slowdown: t.slowdown(now).map(|(factor, _)| factor),
+                    slowdown_ms: t.slowdown(now).map(|(_, age)| millis(age)),
                     slowness: t.health.slowness(now),
                     illness: t.health.failure_rate(now).max(t.health.refusal_rate(now)),
                 })
-                    slowdown: t.slowdown(now).map(|(factor, _)| factor),
-                    slowdown_ms: t.slowdown(now).map(|(_, age)| millis(age)),
                 .collect(),
         })
     }
--- a/crates/auburnrouter/src/direct/metrics.rs
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -61,6 +61,7 @@
     pub rejected_connections: IntCounter,
     requests: IntGauge,
     waiting: IntGauge,
+    body_bytes: IntGauge,
     targets: IntGauge,
     targets_limited: IntGauge,
     targets_backing_off: IntGauge,
@@ -93,7 +94,6 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok(histogram)
         };
-        let gauge = |name: &str, help: &str| -> Result<_, Error> {
         let slowdown = Histogram::with_opts(
             HistogramOpts::new(
                 "auburnrouter_target_slowdown",
@@ -102,6 +102,7 @@
             .buckets(SLOWDOWN_BUCKETS.to_vec()),
         )?;
         registry.register(Box::new(slowdown.clone()))?;
+        let gauge = |name: &str, help: &str| -> Result<_, Error> {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
@@ -152,13 +153,13 @@
             attempt_time: histogram("auburnrouter_attempt_seconds", "Time that attempts took")?,
             limited_attempts,
             backoffs,
-            unknown_headers: counters(
             slowdown,
             unread_values: counters(
                 "auburnrouter_unread_values_total",
                 "Headers in answers of targets with a value that isn't read whole, by name",
                 &["header"],
             )?,
+            unknown_headers: counters(
                 "auburnrouter_unknown_headers_total",
                 "Headers in answers of targets that this release doesn't know, by name",
                 &["header"],
@@ -168,6 +169,10 @@
             rejected_connections,
             requests: gauge("auburnrouter_requests", "Requests that are here")?,
             waiting: gauge("auburnrouter_waiting", "Requests that wait for a target")?,
+            body_bytes: gauge(
+                "auburnrouter_body_bytes",
+                "Bytes of request bodies and of answers that callers have yet to read",
+            )?,
             targets: gauge("auburnrouter_targets", "Targets listed")?,
             targets_limited: gauge(
                 "auburnrouter_targets_limited",
@@ -196,17 +201,17 @@
         })
     }
 
-    /// Counts an answer's header that this release doesn't know. Returns whether it is
-    /// the first of its name.
-    pub fn count_unknown_header(&self, name: &str) -> bool {
-        let mut names = lock(&self.header_names);
-        let found = names.binary_search_by(|n| (**n).cmp(name));
     /// Counts an answer's header, one that this release reads, with a value that isn't
     /// read whole.
     pub fn count_unread_value(&self, name: &str) {
         self.unread_values.with_label_values(&[name]).inc();
     }
 
+    /// Counts an answer's header that this release doesn't know. Returns whether it is
+    /// the first of its name.
+    pub fn count_unknown_header(&self, name: &str) -> bool {
+        let mut names = lock(&self.header_names);
+        let found = names.binary_search_by(|n| (**n).cmp(name));
         let has_room = names.len() < UNKNOWN_HEADERS_MAX;
         if let Err(at) = found
             && has_room
@@ -230,6 +235,7 @@
         let state = dump::State::capture(shared);
         self.requests.set(int(state.requests));
         self.waiting.set(int(state.waiting));
+        self.body_bytes.set(int(state.body_bytes));
         self.targets.set(int(state.targets.len()));
         let count = |is_counted: fn(&dump::Target) -> bool| {
             int(state.targets.iter().filter(|t| is_counted(t)).count())
--- a/crates/auburnrouter/src/direct/shared.rs
+++ b/crates/auburnrouter/src/direct/shared.rs
@@ -3,7 +3,7 @@
 //! Invariants: the lock on [`Steering`] is held for one decision at a time, never
 //! across an await; each decision on a request is delivered to that request.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -19,7 +19,7 @@
     Bounds, Decision, Direct, Identity, Rejection, Request, Ticket, access, limit, quota,
 };
 
-use super::{Executor, Failure, events, metrics, peer, server};
+use super::{Executor, Failure, events, memory, metrics, peer, server};
 
 /// Time limit for opening a connection to a target or to the store. Several times
 /// what a connection across regions takes, and short enough to leave time for
@@ -71,8 +71,8 @@
     /// Counts callers' open connections.
     pub(super) connections: server::ConnectionCount,
     pub(super) metrics: metrics::Metrics,
-    /// Bytes reserved for callers' request bodies.
-    pub(super) body_bytes: Arc<AtomicUsize>,
+    /// Memory account of request and answer bodies.
+    pub(super) memory: Arc<memory::Account>,
     pub(super) log_quota: events::LogQuota,
 }
 
@@ -136,7 +136,7 @@
             store: platform::store::Store::new(store, settings.store),
             connections: server::ConnectionCount::new(server::max_connections(&settings)),
             metrics: metrics::Metrics::new()?,
-            body_bytes: Arc::default(),
+            memory: Arc::new(memory::Account::new(settings.memory_mb)),
             log_quota: events::LogQuota::default(),
             settings,
             original_settings,
--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -22,5 +22,7 @@
 mod reports;
 #[path = "direct/requests.rs"]
 mod requests;
+#[path = "direct/slow_readers.rs"]
+mod slow_readers;
 #[path = "direct/stop.rs"]
 mod stop;
--- a/crates/auburnrouter/tests/direct/harness.rs
+++ b/crates/auburnrouter/tests/direct/harness.rs
@@ -121,6 +121,22 @@
         (entry, out)
     }
 
+    /// Memory limit in its settings, in bytes.
+    pub fn memory_limit(&self) -> u64 {
+        let text = fs::read_to_string(&self.file).expect("the settings are there");
+        let settings = settings::direct::Settings::parse("settings", &text);
+        settings.expect("the settings are valid").memory_mb << 20
+    }
+
+    /// Largest resident memory of the process so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let file = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(file).expect("the process runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.expect("the system tells the peak") << 10
+    }
+
     pub fn signal(&self, signal: Signal) {
         let pid = rustix::process::Pid::from_child(&self.child);
         rustix::process::kill_process(pid, signal).expect("the process runs");
@@ -164,6 +180,12 @@
         send_raw(self.callers, &request(method, path, id, body))
     }
 
+    /// Metrics as text; empty if there is no answer.
+    pub fn metrics(&self) -> String {
+        let found = send_raw(self.operators, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+        found.map(|a| a.body).unwrap_or_default()
+    }
+
     /// State as the operators' dump gives it; empty if there is no answer.
     pub fn dump(&self) -> String {
         let found = send_raw(self.operators, "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -180,12 +202,6 @@
 
 /// Answer as a caller receives it.
 #[derive(Debug)]
-    /// Metrics as text; empty if there is no answer.
-    pub fn metrics(&self) -> String {
-        let found = send_raw(self.operators, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
-        found.map(|a| a.body).unwrap_or_default()
-    }
-
 pub struct Answer {
     pub status: u16,
     pub headers: Vec<(String, String)>,
