Visit only the targets that an action concerns

Cause: what an instance does went with the number of targets it knows, not with those it uses.

Change: targets that come or go in one update are merged in one pass. Targets are indexed by service and region, the other regions' are compared only for a request that would be late at home, and a region's slots are counted once for a service. Decisions stay the same.

The counter came with the change.

--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -88,7 +88,7 @@
             AttemptOutcome::Answered | AttemptOutcome::NotRun | AttemptOutcome::Withdrawn => {}
             _ => self.note_failed(&target),
         }
-        if let Some(target) = self.roster.get_mut(&target) {
+        if let Some(target) = self.roster.contact_by_id(&target) {
             match outcome {
                 AttemptOutcome::Answered => {
                     target.record_answer(now, sent_at, ratio);
@@ -159,7 +159,7 @@
         feedback: Feedback,
     ) -> FeedbackEffect {
         let backoff_max = self.bounds.backoff_max;
-        let target = self.roster.get_mut(id);
+        let target = self.roster.contact_by_id(id);
         let Some(target) = target.filter(|t| t.entry.incarnation == incarnation) else {
             return FeedbackEffect::default();
         };
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -160,12 +160,18 @@
     /// once; after a gap in the store's answers it is kept until its entry could be
     /// renewed.
     pub fn unlist(&mut self, now: Time, id: &str) -> bool {
+        self.unlist_all(now, &[id]) == [true]
+    }
+
+    /// The same for several targets. A failure domain that is lost takes thousands with
+    /// it at once.
+    pub fn unlist_all(&mut self, now: Time, ids: &[&str]) -> Vec<bool> {
         match self.store.back_at {
             Some(back) if now.since(back) < ENTRY_RENEWAL_GRACE => {
                 self.roster.mark_missing(id, back + ENTRY_RENEWAL_GRACE);
                 false
             }
-            _ => self.roster.remove(now, id),
+            _ => self.roster.remove_all(now, ids),
         }
     }
 
--- a/crates/steer/src/process/direct/hash.rs
+++ b/crates/steer/src/process/direct/hash.rs
@@ -29,3 +29,10 @@
     let top = (hash >> 11) as f64;
     top / 9_007_199_254_740_992.0
 }
+
+/// Weight of a candidate for a key in rendezvous hashing, from both hashes.
+pub(super) fn rendezvous_weight(candidate: u64, key: u64) -> u64 {
+    let mixed = candidate ^ key;
+    let mixed = (mixed ^ (mixed >> 31)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    (mixed ^ (mixed >> 29)).wrapping_mul(0x94D0_49BB_1331_11EB)
+}
--- a/crates/steer/src/process/direct/health.rs
+++ b/crates/steer/src/process/direct/health.rs
@@ -306,15 +306,14 @@
         if observations.is_empty() || !self.mechanisms.has(Mechanism::SharedHealth) {
             return;
         }
-        for target in self.roster.all_mut() {
-            let Ok(at) = observations.binary_search_by_key(&target.short_hash(), |o| o.target_hash)
-            else {
+        for observation in observations {
+            let Some(target) = self.roster.target_by_hash(observation.target_hash) else {
                 continue;
             };
-            for _ in 0..observations[at].failures {
+            for _ in 0..observation.failures {
                 target.health.record_failure(now);
             }
-            if let Some(ratio) = observations[at].ratio() {
+            if let Some(ratio) = observation.ratio() {
                 target.health.record_slowness(now, ratio);
             }
         }
--- a/crates/steer/src/process/direct/limit.rs
+++ b/crates/steer/src/process/direct/limit.rs
@@ -131,18 +131,21 @@
         self.reported_at < other.reported_at
     }
 
-    /// Report of this limit for heartbeats; `None` if it came from another instance, or
-    /// if there is no limit and none was lifted recently.
-    fn report(&self, now: Time, target_hash: u32) -> Option<LimitReport> {
-        let age = now.since(self.reported_at);
+    /// Returns whether heartbeats report this limit: it didn't come from another
+    /// instance, and there is a limit or one was lifted recently.
+    pub(super) fn is_reported(&self, now: Time) -> bool {
         let is_recent_change = self
             .changed_at
             .is_some_and(|at| now.since(at) < LIFTED_REPORT_SPAN);
-        let is_reported = self.rate.is_some() || is_recent_change;
-        (self.is_own && is_reported).then_some(LimitReport {
+        self.is_own && (self.rate.is_some() || is_recent_change)
+    }
+
+    /// Report of this limit for heartbeats, if they report it.
+    fn report(&self, now: Time, target_hash: u32) -> Option<LimitReport> {
+        self.is_reported(now).then(|| LimitReport {
             target_hash,
             rate: self.rate,
-            age,
+            age: now.since(self.reported_at),
         })
     }
 }
@@ -202,8 +205,9 @@
     /// Limits for the next heartbeat: those reported by targets to this instance, in
     /// turn.
     pub(super) fn limit_reports(&mut self, now: Time) -> Vec<LimitReport> {
-        let targets = self.roster.all().iter();
-        let all: Vec<LimitReport> = targets
+        let all: Vec<LimitReport> = self
+            .roster
+            .contacted()
             .filter_map(|t| t.limit_state().report(now, t.short_hash()))
             .collect();
         let room = HEARTBEAT_LIMITS_MAX.min(all.len());
--- a/crates/steer/src/process/direct/notice.rs
+++ b/crates/steer/src/process/direct/notice.rs
@@ -49,7 +49,7 @@
     /// Notices for the next message to other instances, in turn; empty if targets have
     /// asked for nothing.
     pub fn target_notices(&mut self, now: Time) -> Vec<TargetNotice> {
-        let targets = self.roster.all().iter();
+        let targets = self.roster.contacted();
         let all: Vec<TargetNotice> = targets.filter_map(|t| TargetNotice::of(now, t)).collect();
         let room = NOTICES_MAX.min(all.len());
         let from = self.notice_cursor % all.len().max(1);
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -9,6 +9,7 @@
 //! in no evacuated domain, in a region that route and team allow, not tried before, past
 //! any backoff that they asked for, and, while cold or limited, within this instance's allotment of what they take.
 
+use super::hash::rendezvous_weight;
 use super::health::Baseline;
 use super::job::Job;
 use super::mechanisms::Mechanism;
@@ -127,20 +128,35 @@
             Some(object) => unit_interval(hash(&object.to_le_bytes())),
             None => 0.5,
         };
-        let local = self.best(now, job, Pool::Local);
-        let remote = self.best(now, job, Pool::Remote);
-        let (local, remote) = match (local, remote) {
-            (Some(local), Some(remote)) => (local, remote),
-            (None, Some(_)) if self.is_local_limited(now, job) => return (Some(true), position),
-            _ => return (None, position),
+        let Some(local) = self.best(now, job, Pool::Local) else {
+            let has_choice = self.is_local_limited(now, job) && self.has_remote(now, job);
+            return (has_choice.then_some(true), position);
         };
         let goal = job.request.route.latency_goal.as_secs_f64();
-        let is_late = local.cost > goal;
-        let is_gain = remote.cost <= goal || remote.cost * REMOTE_GAIN_RATIO_MIN < local.cost;
-        (
-            Some(is_late && local.wait > CROSS_REGION_SECONDS && is_gain),
-            position,
-        )
+        if local.cost <= goal || local.wait <= CROSS_REGION_SECONDS {
+            let pressure = self.has_remote(now, job).then_some(false);
+            return (pressure, position);
+        }
+        let remote = self.best(now, job, Pool::Remote);
+        let is_gain =
+            |remote: Place| remote.cost <= goal || remote.cost * REMOTE_GAIN_RATIO_MIN < local.cost;
+        (remote.map(is_gain), position)
+    }
+
+    /// Whether another region has a usable target for a request.
+    fn has_remote(&self, now: Time, job: &Job) -> bool {
+        let mut all = self.pool_of(&job.service, Pool::Remote);
+        all.any(|(_, target)| self.is_usable(now, job, target, Pool::Remote))
+    }
+
+    /// Targets of a service among which those of a pool are, with their indexes.
+    fn pool_of<'a>(
+        &'a self,
+        service: &str,
+        pool: Pool,
+    ) -> impl Iterator<Item = (usize, &'a Target)> {
+        let region = (pool == Pool::Local).then_some(&*self.identity.region);
+        self.roster.of(service, region)
     }
 
     /// The share of a service's requests that this region has too few slots for, on
@@ -172,7 +188,8 @@
     /// Load of a service's targets in the local region over their slots; 1 if there
     /// are none.
     pub(super) fn local_utilization(&self, now: Time, service: &str) -> f64 {
-        self.utilization_where(now, service, |target| target.region == self.identity.region)
+        let region = Some(&*self.identity.region);
+        self.utilization_where(now, service, region, |_| true)
     }
 
     /// Utilization of the targets in the regions where a request is to run: the local
@@ -180,14 +197,23 @@
     pub(super) fn utilization_for(&self, now: Time, job: &Job, is_remote: bool) -> f64 {
         let local_region = &self.identity.region;
         let is_remote = is_remote || !job.request.allows(local_region);
-        self.utilization_where(now, &job.service, |target| {
+        let region = (!is_remote).then_some(&**local_region);
+        self.utilization_where(now, &job.service, region, |target| {
             (target.region != *local_region) == is_remote && job.request.allows(&target.region)
         })
     }
 
-    fn utilization_where(&self, now: Time, service: &str, fits: impl Fn(&Target) -> bool) -> f64 {
+    /// Utilization of a service's targets, in one region if it is given, that `fits`
+    /// holds for.
+    fn utilization_where(
+        &self,
+        now: Time,
+        service: &str,
+        region: Option<&str>,
+        fits: impl Fn(&Target) -> bool,
+    ) -> f64 {
         let (mut load, mut slots) = (0.0, 0.0);
-        for (_, target) in self.roster.of_service(service) {
+        for (_, target) in self.roster.of(service, region) {
             let is_usable = target.is_available()
                 && !self.roster.is_evacuated(&target.entry.domain)
                 && !target.backs_off(now);
@@ -202,22 +228,20 @@
     /// Whether the local region has a target for a request that may be usable soon.
     fn has_local_target(&self, job: &Job) -> bool {
         let is_candidate = |t: &Target| {
-            t.region == self.identity.region
-                && t.is_available()
+            t.is_available()
                 && job.request.allows(&t.region)
                 && !self.roster.is_evacuated(&t.entry.domain)
                 && !job.tried.contains(&t.entry.id)
                 && self.reopens_in_time(t, job)
         };
-        self.roster
-            .of_service(&job.service)
+        self.pool_of(&job.service, Pool::Local)
             .any(|(_, t)| is_candidate(t))
     }
 
     /// Whether a target of the local region would be usable but for the rate limit that
     /// it reports.
     fn is_local_limited(&self, now: Time, job: &Job) -> bool {
-        let mut all = self.roster.of_service(&job.service);
+        let mut all = self.pool_of(&job.service, Pool::Local);
         all.any(|(_, t)| {
             self.is_eligible(now, job, t, Pool::Local) && !self.is_within_limit(now, t)
         })
@@ -250,7 +274,7 @@
             LOST_COST
         };
         let mut best: Option<Place> = None;
-        for (index, target) in self.roster.of_service(&job.service) {
+        for (index, target) in self.pool_of(&job.service, pool) {
             if !self.is_usable(now, job, target, pool) {
                 continue;
             }
@@ -408,11 +432,9 @@
                 && !self.roster.is_evacuated(&t.entry.domain)
         };
         let uses_shared_health = self.mechanisms.has(Mechanism::SharedHealth);
-        let candidates = self
-            .roster
-            .of_service(&job.service)
-            .filter(|(_, t)| is_candidate(t));
-        let candidates: Vec<(usize, &Target)> = candidates.collect();
+        let candidates = self.pool_of(&job.service, pool);
+        let candidates: Vec<(usize, &Target)> =
+            candidates.filter(|(_, t)| is_candidate(t)).collect();
         let baseline = Baseline::of(now, candidates.iter().map(|(_, t)| &t.health));
         let mut best = [None; PREFERRED_MAX];
         for (index, target) in candidates {
@@ -431,10 +453,3 @@
         best.map(|choice| choice.map(|(_, index)| index))
     }
 }
-
-/// Weight of a target for an object in rendezvous hashing, from both hashes.
-fn rendezvous_weight(target: u64, object: u64) -> u64 {
-    let mixed = target ^ object;
-    let mixed = (mixed ^ (mixed >> 31)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    (mixed ^ (mixed >> 29)).wrapping_mul(0x94D0_49BB_1331_11EB)
-}
--- a/crates/steer/src/process/direct/queue.rs
+++ b/crates/steer/src/process/direct/queue.rs
@@ -61,9 +61,7 @@
             return Vec::new();
         }
         queue.sort_unstable();
-        for target in self.roster.all_mut() {
-            target.reserved = 0;
-        }
+        self.roster.clear_reserved();
         let mut decisions = Vec::new();
         for (_, _, _, ticket) in queue {
             if let Some(decision) = self.decide(now, ticket) {
@@ -108,7 +106,7 @@
             let after = Self::retry_after(&self.jobs[at], best.wait);
             return Some(self.reject(now, at, Rejection::Overload, Some(after)));
         }
-        self.roster.all_mut()[best.index].reserved += 1;
+        self.roster.reserve(best.index);
         None
     }
 
@@ -167,15 +165,15 @@
     fn send(&mut self, now: Time, at: usize, best: &place::Place) -> Assignment {
         let load = self.load(now, &self.roster.all()[best.index]);
         let span = self.send_history_span(&self.roster.all()[best.index]);
-        let target = &mut self.roster.all_mut()[best.index];
+        let target = self.roster.contact(best.index);
         let age = target.age(now);
         let queued = load >= f64::from(target.entry.slots);
         target.record_sent(now, span);
         let id = Arc::clone(&target.entry.id);
         let addr = target.entry.addr;
-        let slowdown = target.slowdown(now);
         let incarnation = target.entry.incarnation;
         let limit = target.limit();
+        let slowdown = target.slowdown(now);
         let backoff_left = target.backoff_left(now);
         let leaving_age = target.leaving_age(now);
         let version = self.version();
@@ -197,9 +195,9 @@
             attempt: job.tried.len(),
             expected_work: best.service_time,
             is_warm: best.warm,
-            slowdown,
             load,
             limit,
+            slowdown,
             backoff_left,
             leaving_age,
             load_age: age,
@@ -228,30 +226,39 @@
         let service = Arc::clone(&self.jobs[at].service);
         let has = |mechanism| self.mechanisms.has(mechanism);
         let pressure = pressure.filter(|_| has(Mechanism::Spillover));
-        let has_initial_share = has(Mechanism::InitialShare);
-        let utilization = self.local_utilization(now, &service);
+        let mut local_utilization = None;
         let is_remote = pressure.is_some_and(|pressure| {
-            let share = if has_initial_share {
-                self.slot_deficit(&service)
-            } else {
-                0.0
-            };
-            let bound = self.bounds.shift_max;
-            let spillovers = &mut self.spillovers;
-            let at = match spillovers.binary_search_by(|p| p.0.cmp(&service)) {
-                Ok(at) => at,
-                Err(at) => {
-                    spillovers.insert(at, (service, Spillover::new(bound, share)));
-                    at
-                }
-            };
-            spillovers[at]
-                .1
+            let utilization = self.local_utilization(now, &service);
+            local_utilization = Some(utilization);
+            self.spillover(&service)
                 .choose_remote(now, pressure, utilization, position)
         });
         self.jobs[at].is_remote = Some(is_remote);
-        self.jobs[at].has_spare_slots =
-            self.utilization_for(now, &self.jobs[at], is_remote) < SPARE_UTILIZATION_MAX;
+        let job = &self.jobs[at];
+        let runs_locally = !is_remote && job.request.allows(&self.identity.region);
+        let utilization = local_utilization
+            .filter(|_| runs_locally)
+            .unwrap_or_else(|| self.utilization_for(now, job, is_remote));
+        self.jobs[at].has_spare_slots = utilization < SPARE_UTILIZATION_MAX;
+    }
+
+    /// The spillover controller of a service, created on first use.
+    fn spillover(&mut self, service: &Arc<str>) -> &mut Spillover {
+        let at = match self.spillovers.binary_search_by(|p| p.0.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                let has_initial_share = self.mechanisms.has(Mechanism::InitialShare);
+                let share = if has_initial_share {
+                    self.slot_deficit(service)
+                } else {
+                    0.0
+                };
+                let spillover = Spillover::new(self.bounds.shift_max, share);
+                self.spillovers.insert(at, (Arc::clone(service), spillover));
+                at
+            }
+        };
+        &mut self.spillovers[at].1
     }
 }
 
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -1,9 +1,19 @@
 //! Roster of all targets that service discovery lists.
 //!
+//! An instance knows every target of a deployment and uses few of them. What is done
+//! often (heartbeats, sweeps, decisions) therefore visits only the targets concerned:
+//! those that this instance has contacted, those at which others have requests, those
+//! of one service and region. [`Roster::visits`] counts what is visited.
+//!
 //! Invariants: nothing is sent to a target in an evacuated domain; a target that
 //! restarts under its old name starts without learnt state; what a target asked holds
-//! for its incarnation, also if its entry lapses and returns.
+//! for its incarnation, also if its entry lapses and returns; every target with
+//! requests in flight, with own warm objects, with a limit reported to this instance, or
+//! that asked something of it is among the contacted ones.
+
+mod index;
 
+use core::cell::Cell;
 use core::time::Duration;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -13,16 +23,19 @@
 use super::notice::TargetNotice;
 use super::target::{Asked, Entry, Target};
 use crate::clock::Time;
+use index::Index;
 
 /// All targets, sorted by name.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     targets: Vec<Target>,
-    /// Indexes into `targets` by service, sorted by service; a decision looks at the
-    /// targets of one service only.
-    index: Vec<(Arc<str>, Vec<usize>)>,
-    /// Name hashes of all targets with their indexes, sorted.
-    hashes: Vec<(u32, usize)>,
+    index: Index,
+    /// Short hashes of the targets at which other instances have requests in flight.
+    busy_by_peers: Vec<u32>,
+    /// Whether a target may be gone or missing.
+    has_departures: bool,
+    /// Entries of the roster visited or moved so far.
+    visits: Cell<u64>,
     domains: Vec<(Arc<str>, Arc<str>)>,
     evacuated: Vec<Arc<str>>,
     /// What targets had asked that are no longer known, oldest first. Their entries may
@@ -70,73 +83,90 @@
         self.put_all(now, vec![entry]) == [true]
     }
 
-    /// Applies several entries, with one rebuild of the index at most.
+    /// Applies several entries, with one rebuild of the index at most. Returns for each
+    /// whether anything that matters for steering has changed.
     pub fn put_all(&mut self, now: Time, entries: Vec<Entry>) -> Vec<bool> {
+        let mut changed = vec![true; entries.len()];
         let mut moved = false;
-        let put = |entry| self.put_one(now, entry, &mut moved);
-        let changed = entries.into_iter().map(put).collect();
-        if moved {
+        let mut unknown = Vec::new();
+        for (at, entry) in entries.into_iter().enumerate() {
+            match self.find(&entry.id) {
+                Ok(found) => {
+                    let effect = update(now, &mut self.targets[found], entry);
+                    changed[at] = effect.is_change;
+                    moved |= effect.is_restart;
+                }
+                Err(_) => unknown.push((at, entry)),
+            }
+        }
+        // Stable: of several entries of one target the last one counts.
+        unknown.sort_by(|a, b| a.1.id.cmp(&b.1.id));
+        let mut added: Vec<Target> = Vec::new();
+        for (at, entry) in unknown {
+            match added.last_mut() {
+                Some(last) if last.entry.id == entry.id => {
+                    changed[at] = update(now, last, entry).is_change;
+                }
+                _ => added.push(self.create(now, entry)),
+            }
+        }
+        if !added.is_empty() {
+            self.insert_all(added);
+        } else if moved {
             self.reindex();
         }
         changed
     }
 
-    /// Applies one entry; sets `moved` if indexes or services have changed.
-    fn put_one(&mut self, now: Time, entry: Entry, moved: &mut bool) -> bool {
+    /// A target that is newly listed, or again after it was dropped.
+    fn create(&self, now: Time, entry: Entry) -> Target {
         let region = self.region(&entry.domain);
-        match self.find(&entry.id) {
-            Err(at) => {
-                let mut target = Target::new(now, entry, region);
-                let is_same = |u: &Unlisted| {
-                    u.id == target.entry.id && u.incarnation == target.entry.incarnation
-                };
-                if let Some(asked) = self.unlisted.iter().rev().find(|u| is_same(u)) {
-                    target.resume(asked.asked);
-                }
-                self.targets.insert(at, target);
-                *moved = true;
-                true
-            }
-            Ok(at) => {
-                let target = &mut self.targets[at];
-                let known = &target.entry;
-                let restarted = entry.incarnation != known.incarnation
-                    || entry.seq < known.seq
-                    || entry.addr != known.addr
-                    || entry.service != known.service;
-                if restarted {
-                    let in_flight = target.in_flight;
-                    *target = Target::new(now, entry, region);
-                    target.in_flight = in_flight;
-                    *moved = true;
-                    return true;
-                }
-                let changed = target.is_gone || target.entry.draining != entry.draining;
-                // Draining is final for an incarnation: a late older report must not
-                // undo it.
-                let draining = target.entry.draining || entry.draining;
-                target.is_gone = false;
-                target.drop_at = None;
-                target.cold_until = target.cold_until.max(now + entry.cold);
-                target.entry = Entry { draining, ..entry };
-                changed
+        let mut target = Target::new(now, entry, region);
+        let is_same =
+            |u: &Unlisted| u.id == target.entry.id && u.incarnation == target.entry.incarnation;
+        if let Some(asked) = self.unlisted.iter().rev().find(|u| is_same(u)) {
+            target.resume(asked.asked);
+        }
+        target
+    }
+
+    /// Adds unknown targets, sorted by name. One pass over the roster, however many they
+    /// are: a start brings all targets of a deployment at once.
+    fn insert_all(&mut self, added: Vec<Target>) {
+        let mut merged = Vec::with_capacity(self.targets.len() + added.len());
+        let mut added = added.into_iter().peekable();
+        for target in core::mem::take(&mut self.targets) {
+            while let Some(new) = added.next_if(|new| new.entry.id < target.entry.id) {
+                merged.push(new);
             }
+            merged.push(target);
         }
+        merged.extend(added);
+        self.visit(merged.len());
+        self.targets = merged;
+        self.reindex();
     }
 
     /// Records that a target is no longer listed. Returns whether it was listed.
     pub fn remove(&mut self, now: Time, id: &str) -> bool {
-        let Ok(at) = self.find(id) else {
-            return false;
-        };
-        let changed = !self.targets[at].is_gone;
-        self.targets[at].is_gone = true;
-        if self.targets[at].in_flight == 0 {
-            let target = self.targets.remove(at);
-            self.remember(now, &target);
-            self.reindex();
+        self.remove_all(now, &[id]) == [true]
+    }
+
+    /// Records that targets are no longer listed, with one pass over the roster at most.
+    /// Returns for each whether it was listed.
+    pub fn remove_all(&mut self, now: Time, ids: &[&str]) -> Vec<bool> {
+        let mut was_listed = Vec::with_capacity(ids.len());
+        for id in ids {
+            let found = self.find(id).map(|at| &mut self.targets[at]);
+            was_listed.push(found.is_ok_and(|target| {
+                self.has_departures = true;
+                !core::mem::replace(&mut target.is_gone, true)
+            }));
         }
-        changed
+        if self.has_departures {
+            self.drop_gone(now);
+        }
+        was_listed
     }
 
     /// Keeps what a target asked that is dropped.
@@ -159,31 +189,73 @@
     pub fn mark_missing(&mut self, id: &str, until: Time) {
         if let Some(target) = self.get_mut(id) {
             target.drop_at.get_or_insert(until);
+            self.has_departures = true;
         }
     }
 
-    /// Updates each target's requests in flight as reported by other instances.
+    /// Updates targets' requests in flight as reported by other instances.
     pub fn update_peer_load(&mut self, now: Time, members: &Members) {
-        for target in &mut self.targets {
-            target.peers_in_flight = 0;
+        for short_hash in core::mem::take(&mut self.busy_by_peers) {
+            if let Some(target) = self.target_by_hash(short_hash) {
+                target.peers_in_flight = 0;
+            }
         }
-        for (target_hash, count) in members.in_flight(now) {
-            if let Some(target) = self.target_by_hash(target_hash) {
+        for (short_hash, count) in members.in_flight(now) {
+            if let Some(target) = self.target_by_hash(short_hash) {
                 target.peers_in_flight += u32::from(count);
+                self.busy_by_peers.push(short_hash);
             }
         }
     }
 
     /// Target with this name hash.
-    fn target_by_hash(&mut self, target_hash: u32) -> Option<&mut Target> {
-        let found = self.hashes.binary_search_by_key(&target_hash, |m| m.0);
-        found.ok().map(|at| &mut self.targets[self.hashes[at].1])
+    pub(super) fn target_by_hash(&mut self, short_hash: u32) -> Option<&mut Target> {
+        self.visit(1);
+        self.index
+            .by_hash(short_hash)
+            .map(|at| &mut self.targets[at])
+    }
+
+    /// Targets that this instance has contacted and still remembers something of.
+    pub(super) fn contacted(&self) -> impl Iterator<Item = &Target> {
+        let contacted = self.index.contacted().iter();
+        contacted
+            .inspect(|_| self.visit(1))
+            .map(|at| &self.targets[*at])
+    }
+
+    /// The target at an index, which this instance is in contact with from now on.
+    pub(super) fn contact(&mut self, index: usize) -> &mut Target {
+        self.index.add_contacted(index);
+        let target = &mut self.targets[index];
+        target.is_contacted = true;
+        target
+    }
+
+    /// The target of this name, which this instance is in contact with from now on.
+    pub(super) fn contact_by_id(&mut self, id: &str) -> Option<&mut Target> {
+        let at = self.find(id).ok()?;
+        Some(self.contact(at))
+    }
+
+    /// Counts one more request that waits for the target at an index.
+    pub(super) fn reserve(&mut self, index: usize) {
+        self.targets[index].reserved += 1;
+        self.index.add_reserved(index);
+    }
+
+    /// Begins the count of requests that wait for targets anew.
+    pub(super) fn clear_reserved(&mut self) {
+        for index in self.index.take_reserved() {
+            self.visit(1);
+            self.targets[index].reserved = 0;
+        }
     }
 
     /// Requests of this instance at targets, by target hash, sorted.
     #[must_use]
     pub fn in_flight(&self) -> Vec<(u32, u8)> {
-        let busy = self.targets.iter().filter(|t| t.in_flight > 0);
+        let busy = self.contacted().filter(|t| t.in_flight > 0);
         let count = |t: &Target| u8::try_from(t.in_flight).unwrap_or(u8::MAX);
         let mut in_flight: Vec<(u32, u8)> = busy.map(|t| (t.short_hash(), count(t))).collect();
         in_flight.sort_unstable();
@@ -194,7 +266,7 @@
     /// target hash and object hash.
     #[must_use]
     pub fn warm_objects(&self, now: Time, region: &str) -> Vec<(u32, u32)> {
-        let local = self.targets.iter().filter(|t| *t.region == *region);
+        let local = self.contacted().filter(|t| *t.region == *region);
         let open = local.filter(|t| t.is_available());
         open.flat_map(|t| t.own_objects(now).map(|object| (t.short_hash(), object)))
             .collect()
@@ -288,9 +360,14 @@
         &self.evacuated
     }
 
-    /// Drops targets that are gone and have no requests in flight. Returns the names of
-    /// those that were missing for too long.
+    /// Drops targets that are gone and have no requests in flight, and forgets contacts of
+    /// which nothing is remembered. Returns the names of targets that were missing for
+    /// too long.
     pub fn sweep(&mut self, now: Time) -> Vec<Arc<str>> {
+        self.forget_contacts(now);
+        if !self.has_departures {
+            return Vec::new();
+        }
         let mut dropped = Vec::new();
         for target in &mut self.targets {
             if target.drop_at.is_some_and(|until| now >= until) && !target.is_gone {
@@ -302,7 +379,19 @@
         dropped
     }
 
+    fn forget_contacts(&mut self, now: Time) {
+        let targets = &mut self.targets;
+        let visits = &self.visits;
+        self.index.retain_contacted(|at| {
+            let target = &mut targets[*at];
+            visits.set(visits.get() + 1);
+            target.is_contacted = target.holds_contact(now);
+            target.is_contacted
+        });
+    }
+
     fn drop_gone(&mut self, now: Time) {
+        self.visit(self.targets.len());
         let is_dropped = |t: &mut Target| t.is_gone && t.in_flight == 0;
         let dropped: Vec<Target> = self.targets.extract_if(.., is_dropped).collect();
         for target in &dropped {
@@ -311,36 +400,84 @@
         if !dropped.is_empty() {
             self.reindex();
         }
+        let is_departing = |t: &Target| t.is_gone || t.drop_at.is_some();
+        self.has_departures = self.targets.iter().any(is_departing);
     }
 
-    /// Rebuilds the indexes. Targets come and go a few times a second at most,
-    /// decisions are made a thousand times as often.
+    /// Rebuilds the index, after targets have come or gone.
     fn reindex(&mut self) {
-        self.index.clear();
-        for (index, target) in self.targets.iter().enumerate() {
-            let service = &target.entry.service;
-            match self.index.binary_search_by(|i| i.0.cmp(service)) {
-                Ok(at) => self.index[at].1.push(index),
-                Err(at) => self.index.insert(at, (Arc::clone(service), vec![index])),
-            }
-        }
-        let marks = self
-            .targets
-            .iter()
-            .enumerate()
-            .map(|(at, t)| (t.short_hash(), at));
-        self.hashes = marks.collect();
-        self.hashes.sort_unstable();
+        self.visit(self.targets.len());
+        self.index.build(&self.targets);
     }
 
     /// Targets of a service, with their indexes in the roster.
     pub fn of_service<'a>(&'a self, service: &str) -> impl Iterator<Item = (usize, &'a Target)> {
-        let found = self.index.binary_search_by(|i| (*i.0).cmp(service));
-        let indexes = found.map_or(&[][..], |at| &self.index[at].1[..]);
-        indexes.iter().map(|&index| (index, &self.targets[index]))
+        self.of(service, None)
+    }
+
+    /// Targets of a service, of one region if it is given, with their indexes in the
+    /// roster.
+    pub(super) fn of<'a>(
+        &'a self,
+        service: &str,
+        region: Option<&str>,
+    ) -> impl Iterator<Item = (usize, &'a Target)> {
+        let indexes = match region {
+            Some(region) => self.index.of_region(service, region),
+            None => self.index.of_service(service),
+        };
+        let targets = indexes.iter().map(|&index| (index, &self.targets[index]));
+        targets.inspect(|_| self.visit(1))
+    }
+
+    /// Number of the roster's entries visited or moved so far: the work that may grow
+    /// with the number of targets.
+    #[must_use]
+    pub const fn visits(&self) -> u64 {
+        self.visits.get()
+    }
+
+    fn visit(&self, entries: usize) {
+        let entries = u64::try_from(entries).unwrap_or(u64::MAX);
+        self.visits.set(self.visits.get().saturating_add(entries));
     }
 
     fn find(&self, id: &str) -> Result<usize, usize> {
         self.targets.binary_search_by(|t| (*t.entry.id).cmp(id))
     }
 }
+
+/// Effect of an entry on a known target.
+struct Effect {
+    /// Whether anything that matters for steering has changed.
+    is_change: bool,
+    /// Whether the target has started anew, perhaps as one of another service.
+    is_restart: bool,
+}
+
+/// Applies an entry to the known target of its name.
+fn update(now: Time, target: &mut Target, entry: Entry) -> Effect {
+    let known = &target.entry;
+    let is_restart = entry.incarnation != known.incarnation
+        || entry.seq < known.seq
+        || entry.addr != known.addr
+        || entry.service != known.service;
+    if is_restart {
+        target.restart(now, entry);
+        return Effect {
+            is_change: true,
+            is_restart,
+        };
+    }
+    let is_change = target.is_gone || target.entry.draining != entry.draining;
+    // Draining is final for an incarnation: a late older report must not undo it.
+    let draining = target.entry.draining || entry.draining;
+    target.is_gone = false;
+    target.drop_at = None;
+    target.cold_until = target.cold_until.max(now + entry.cold);
+    target.entry = Entry { draining, ..entry };
+    Effect {
+        is_change,
+        is_restart,
+    }
+}
--- a/crates/steer/src/process/direct/target.rs
+++ b/crates/steer/src/process/direct/target.rs
@@ -138,15 +138,17 @@
     pub in_flight: u32,
     /// Requests of this instance that wait for it, counted anew in each step.
     pub reserved: u32,
+    /// Whether the roster has it among the targets that this instance has contacted.
+    pub(super) is_contacted: bool,
     /// Requests of other instances at the target's last load report.
     others_load: f64,
     /// Time of the last load report; of the first entry before one.
     reported_at: Time,
-    limit: Limit,
-    asked: Asked,
     /// Last report of how long work takes on its machine, as a multiple of the usual
     /// time, and when it was received.
     slowdown: Option<(f64, Time)>,
+    limit: Limit,
+    asked: Asked,
     /// Requests that other instances have in flight to it, by their heartbeats.
     pub(super) peers_in_flight: u32,
     /// 32-bit hash of its name, used in heartbeats.
@@ -178,12 +180,13 @@
             is_gone: false,
             in_flight: 0,
             reserved: 0,
+            is_contacted: false,
             others_load: 0.0,
             reported_at: now,
+            slowdown: None,
             limit: Limit::NONE,
             asked: Asked::default(),
             peers_in_flight: 0,
-            slowdown: None,
             drop_at: None,
             health: Health::default(),
             failure_streak: 0,
@@ -194,6 +197,25 @@
         }
     }
 
+    /// Starts anew by an entry of another incarnation or address. Requests of before may
+    /// still be in flight.
+    pub(super) fn restart(&mut self, now: Time, entry: Entry) {
+        let is_contacted = self.is_contacted;
+        let in_flight = self.in_flight;
+        *self = Self::new(now, entry, Arc::clone(&self.region));
+        self.in_flight = in_flight;
+        self.is_contacted = is_contacted;
+    }
+
+    /// Whether this instance remembers anything of its contact with the target that it
+    /// reports to others.
+    pub(super) fn holds_contact(&self, now: Time) -> bool {
+        self.in_flight > 0
+            || self.limit.is_reported(now)
+            || self.asked.holds(now)
+            || self.own_objects(now).next().is_some()
+    }
+
     /// The 32-bit hash of its name, by which heartbeats identify it.
     #[must_use]
     pub const fn short_hash(&self) -> u32 {
@@ -257,6 +279,18 @@
         self.reported_at = now;
     }
 
+    /// Records how long work takes on its machine, as a multiple of the usual time.
+    pub fn record_slowdown(&mut self, now: Time, slowdown: f64) {
+        self.slowdown = Some((slowdown, now));
+    }
+
+    /// The last report of how long work takes on its machine, as a multiple of the usual
+    /// time, and its age.
+    #[must_use]
+    pub fn slowdown(&self, now: Time) -> Option<(f64, Duration)> {
+        self.slowdown.map(|(factor, at)| (factor, now.since(at)))
+    }
+
     /// The rate limit that it reports, in requests per second.
     #[must_use]
     pub const fn limit(&self) -> Option<f64> {
@@ -279,18 +313,6 @@
     pub(super) fn merge_limit(&mut self, limit: Limit) {
         if self.limit.is_older_than(&limit) {
             self.limit = limit;
-    /// Records how long work takes on its machine, as a multiple of the usual time.
-    pub fn record_slowdown(&mut self, now: Time, slowdown: f64) {
-        self.slowdown = Some((slowdown, now));
-    }
-
-    /// The last report of how long work takes on its machine, as a multiple of the usual
-    /// time, and its age.
-    #[must_use]
-    pub fn slowdown(&self, now: Time) -> Option<(f64, Duration)> {
-        self.slowdown.map(|(factor, at)| (factor, now.since(at)))
-    }
-
         }
     }
 
@@ -308,6 +330,7 @@
     /// Takes up what the same incarnation asked before it was unlisted.
     pub(super) const fn resume(&mut self, asked: Asked) {
         self.asked = asked;
+        self.is_contacted = true;
     }
 
     /// The backoff that it asked of this instance.
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -39,6 +39,8 @@
 mod routes;
 #[path = "direct/spillover.rs"]
 mod spillover;
+#[path = "direct/scale.rs"]
+mod scale;
 #[path = "direct/stop.rs"]
 mod stop;
 #[path = "direct/upstream.rs"]
