Apply the instances and lost targets of an update in one step

Each instance that a start brings, or that a failure domain takes along, made the list of participants anew: the square of their number, at every instance. Targets that were lost were removed one by one, with a decision each. Reports of requests in flight were looked for at all members with each heartbeat, and whether any other instance is alive was looked for again with each target of a decision.

Now an update's targets, lost targets and instances are each applied in one step; reports are kept for the few senders that this instance hears, and the last heartbeat of any instance with its time. A full list of members is compared by binary search.

--- a/crates/auburnrouter/src/direct/source/apply.rs
+++ b/crates/auburnrouter/src/direct/source/apply.rs
@@ -47,14 +47,21 @@
     let mut replica = lock(&shared.replica);
     let changed = replica.apply(update);
     shared.update(|now, direct| direct.peer_answered(now, contact, revision));
-    let mut targets = Vec::new();
+    let mut batch = Batch::default();
     for item in &changed {
-        match (item.key.strip_prefix(entry::TARGET_PREFIX), &item.value) {
-            (Some(id), Some(value)) => targets.push((id, &**value)),
-            _ => apply_item(shared, &item.key, item.value.as_deref()),
+        let value = item.value.as_deref();
+        if let Some(id) = item.key.strip_prefix(entry::TARGET_PREFIX) {
+            match value {
+                Some(value) => batch.targets.push((id, value)),
+                None => batch.gone.push(id),
+            }
+        } else if let Some(name) = item.key.strip_prefix(member::KEY_PREFIX) {
+            batch.members.push((name, value));
+        } else {
+            apply_item(shared, &item.key, value);
         }
     }
-    put_targets(shared, &targets);
+    batch.apply(shared);
     if let Some(at) = confirmed {
         shared.update(|_, direct| direct.confirm_up_to(at));
     }
@@ -62,8 +69,26 @@
     shared.updated.notify(usize::MAX);
 }
 
-/// Applies one item other than a target entry that has a value, which
-/// [`put_targets`] takes. Unknown keys are ignored.
+/// Changes of targets and instances in one update. A start brings those of a whole
+/// deployment and the loss of a failure domain all of its own, so each kind is applied
+/// in one step.
+#[derive(Default)]
+struct Batch<'a> {
+    targets: Vec<(&'a str, &'a [u8])>,
+    gone: Vec<&'a str>,
+    members: Vec<(&'a str, Option<&'a [u8]>)>,
+}
+
+impl Batch<'_> {
+    fn apply(&self, shared: &Shared) {
+        put_targets(shared, &self.targets);
+        remove_targets(shared, &self.gone);
+        put_members(shared, &self.members);
+    }
+}
+
+/// Applies one item that concerns neither a target nor an instance. Unknown keys are
+/// ignored.
 fn apply_item(shared: &Shared, key: &str, value: Option<&[u8]>) {
     if key == document::CONFIG_KEY {
         if let Some(value) = value {
@@ -76,10 +101,6 @@
             domains.push(domain.into());
         }
         set_evacuated(shared, domains);
-    } else if let Some(id) = key.strip_prefix(entry::TARGET_PREFIX) {
-        remove_target(shared, id);
-    } else if let Some(name) = key.strip_prefix(member::KEY_PREFIX) {
-        put_member(shared, name, value);
     }
 }
 
@@ -137,29 +158,41 @@
     }
 }
 
-/// Removes a target that is no longer listed. Shortly after a loss of the store,
-/// steering keeps it for a while instead.
-fn remove_target(shared: &Shared, id: &str) {
-    if shared.decide(|now, direct| direct.unlist(now, id)) {
-        events::target_gone(shared, id);
+/// Removes targets that are no longer listed. Shortly after a loss of the store,
+/// steering keeps them for a while instead.
+fn remove_targets(shared: &Shared, ids: &[&str]) {
+    if ids.is_empty() {
+        return;
+    }
+    let dropped = shared.decide(|now, direct| direct.unlist_all(now, ids));
+    for (id, dropped) in ids.iter().zip(dropped) {
+        if dropped {
+            events::target_gone(shared, id);
+        }
     }
 }
 
-/// Adds, updates or removes the registration of an instance. One that can't be read
-/// counts as removed.
-fn put_member(shared: &Shared, name: &str, value: Option<&[u8]>) {
-    let registration = match value.map(serde_json::from_slice::<direct::Registration>) {
-        Some(Ok(registration)) => Some(registration.into()),
-        Some(Err(error)) => {
-            events::input_rejected(shared, name, &error.to_string());
-            None
+/// Adds, updates or removes registrations of instances. One that can't be read counts
+/// as removed.
+fn put_members(shared: &Shared, members: &[(&str, Option<&[u8]>)]) {
+    if members.is_empty() {
+        return;
+    }
+    let mut read = Vec::new();
+    for (name, value) in members {
+        let registration = match value.map(serde_json::from_slice::<direct::Registration>) {
+            Some(Ok(registration)) => Some(registration.into()),
+            Some(Err(error)) => {
+                events::input_rejected(shared, name, &error.to_string());
+                None
+            }
+            None => None,
+        };
+        if **name == *shared.settings.name {
+            shared.set_listed(registration.is_some());
         }
-        None => None,
-    };
-    if *name == *shared.settings.name {
-        shared.set_listed(registration.is_some());
+        events::member_changed(shared, name, registration.is_some());
+        read.push((*name, registration));
     }
-    let listed = registration.is_some();
-    shared.update(|now, direct| direct.set_member(now, name, registration));
-    events::member_changed(shared, name, listed);
+    shared.update(|now, direct| direct.set_members(now, read));
 }
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -168,8 +168,10 @@
     pub fn unlist_all(&mut self, now: Time, ids: &[&str]) -> Vec<bool> {
         match self.store.back_at {
             Some(back) if now.since(back) < ENTRY_RENEWAL_GRACE => {
-                self.roster.mark_missing(id, back + ENTRY_RENEWAL_GRACE);
-                false
+                for id in ids {
+                    self.roster.mark_missing(id, back + ENTRY_RENEWAL_GRACE);
+                }
+                vec![false; ids.len()]
             }
             _ => self.roster.remove_all(now, ids),
         }
@@ -177,12 +179,19 @@
 
     /// Records that another instance is registered in the store, or no longer is.
     pub fn set_member(&mut self, now: Time, name: &str, registration: Option<Registration>) {
-        if *name == *self.identity.name {
-            return;
-        }
-        match registration {
-            Some(registration) => self.members.add(now, name, registration),
-            None => self.members.unlist(now, name),
+        self.set_members(now, vec![(name, registration)]);
+    }
+
+    /// The same for several instances; all of a deployment start together.
+    pub fn set_members(&mut self, now: Time, members: Vec<(&str, Option<Registration>)>) {
+        for (name, registration) in members {
+            if *name == *self.identity.name {
+                continue;
+            }
+            match registration {
+                Some(registration) => self.members.add(now, name, registration),
+                None => self.members.unlist(now, name),
+            }
         }
         self.update_participants(now);
     }
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -106,6 +106,13 @@
     is_stale: bool,
     revision: u64,
     version: u64,
+}
+
+/// Requests that an instance has reported to have at targets.
+#[derive(Clone, Debug)]
+struct LoadReport {
+    sender: Arc<str>,
+    received_at: Time,
     in_flight: Vec<(u32, u8)>,
 }
 
@@ -113,6 +120,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     members: Vec<Member>,
+    /// Latest reports of the instances that send heartbeats to this one, sorted by
+    /// sender: few, however many instances there are.
+    load_reports: Vec<LoadReport>,
+    /// Time of the last heartbeat of any instance.
+    last_heard: Option<Time>,
 }
 
 impl Members {
@@ -137,8 +149,10 @@
 
     /// Treats all instances but these as no longer registered.
     pub fn retain_listed(&mut self, now: Time, names: &[&str]) {
+        let mut sorted = names.to_vec();
+        sorted.sort_unstable();
         for member in &mut self.members {
-            if !names.contains(&&*member.name) {
+            if sorted.binary_search(&&*member.name).is_err() {
                 member.unlist(now);
             }
         }
@@ -167,8 +181,23 @@
         member.is_stale = heartbeat.is_stale;
         member.revision = heartbeat.revision;
         member.version = heartbeat.version;
-        member.in_flight = heartbeat.in_flight;
-        participates(member) != before
+        let has_changed = participates(member) != before;
+        self.last_heard = Some(now);
+        self.record_load(LoadReport {
+            sender: heartbeat.name,
+            received_at: now,
+            in_flight: heartbeat.in_flight,
+        });
+        has_changed
+    }
+
+    /// Replaces the report of its sender.
+    fn record_load(&mut self, report: LoadReport) {
+        let reports = &mut self.load_reports;
+        match reports.binary_search_by(|r| r.sender.cmp(&report.sender)) {
+            Ok(at) => reports[at] = report,
+            Err(at) => reports.insert(at, report),
+        }
     }
 
     /// Instances that are present. The store's list counts only if
@@ -245,11 +274,8 @@
     /// Returns whether a heartbeat of any other instance arrived recently.
     #[must_use]
     pub fn has_live_peer(&self, now: Time) -> bool {
-        let is_live = |m: &Member| {
-            m.last_seen
-                .is_some_and(|at| now.since(at) < HEARTBEAT_TIMEOUT)
-        };
-        self.members.iter().any(is_live)
+        self.last_heard
+            .is_some_and(|at| now.since(at) < HEARTBEAT_TIMEOUT)
     }
 
     /// Returns whether an instance has appeared recently.
@@ -279,8 +305,9 @@
         })
     }
 
-    /// Removes instances that are gone.
+    /// Removes instances that are gone, and reports that are too old to be used.
     pub fn sweep(&mut self, now: Time) {
+        self.load_reports.retain(|r| r.is_fresh(now));
         // One that leaves while it is registered must stay known as leaving.
         self.members.retain(|m| m.is_listed || m.may_send(now));
     }
@@ -288,10 +315,8 @@
     /// Requests that other instances recently reported to have at targets, by target
     /// hash; a target appears once for each instance.
     pub fn in_flight(&self, now: Time) -> impl Iterator<Item = (u32, u8)> {
-        let is_fresh =
-            move |m: &&Member| m.last_seen.is_some_and(|at| now.since(at) < IN_FLIGHT_TTL);
-        let members = self.members.iter().filter(is_fresh);
-        members.flat_map(|m| m.in_flight.iter().copied())
+        let reports = self.load_reports.iter().filter(move |r| r.is_fresh(now));
+        reports.flat_map(|r| r.in_flight.iter().copied())
     }
 
     /// Address of an instance that knows a later revision or version than these; the
@@ -341,12 +366,8 @@
             is_stale: false,
             revision: 0,
             version: 0,
-            in_flight: Vec::new(),
         }
     }
-}
-
-impl Member {
     fn unlist(&mut self, now: Time) {
         if self.is_listed {
             self.is_listed = false;
@@ -376,6 +397,12 @@
     }
 }
 
+impl LoadReport {
+    fn is_fresh(&self, now: Time) -> bool {
+        now.since(self.received_at) < IN_FLIGHT_TTL
+    }
+}
+
 fn is_present(member: &Member, now: Time, is_store_reachable: bool) -> bool {
     if member.is_leaving {
         return false;
