Merge new items into the replica in one pass

Each new item moved all that sort after it: at a start the square of the number of targets and instances, at every instance. Existing tests of the replica hold the order of changes and what is reported as changed.

--- a/crates/steer/src/process/direct/replica.rs
+++ b/crates/steer/src/process/direct/replica.rs
@@ -58,18 +58,13 @@
         if update.revision < self.revision {
             return Vec::new();
         }
-        let mut changed = Vec::new();
         let mut keys = Vec::new();
-        for item in update.items {
-            if update.is_full {
-                keys.push(Arc::clone(&item.key));
-            }
-            if self.put(&item) {
-                changed.push(item);
-            }
-        }
         if update.is_full {
+            keys = update.items.iter().map(|i| Arc::clone(&i.key)).collect();
             keys.sort_unstable();
+        }
+        let mut changed = self.put_all(update.items);
+        if update.is_full {
             changed.extend(self.delete_unnamed(&keys, update.revision));
             // Earlier deletions are not known one by one.
             self.changes_floor = update.revision;
@@ -101,22 +96,35 @@
         }
     }
 
-    /// Stores an item unless a later revision of it is known; returns whether it was
-    /// stored.
-    fn put(&mut self, item: &Item) -> bool {
-        match self.find(&item.key) {
-            Ok(at) => {
-                let held = &self.items[at];
-                if held.revision >= item.revision {
-                    return false;
+    /// Stores items of which no later revision is known, and returns those stored. One
+    /// pass over the replica, however many are new.
+    fn put_all(&mut self, items: Vec<Item>) -> Vec<Item> {
+        let mut stored = Vec::new();
+        let mut unknown: Vec<Item> = Vec::new();
+        for item in items {
+            match self.find(&item.key) {
+                Ok(at) if self.items[at].revision >= item.revision => {}
+                Ok(at) => {
+                    self.deleted_count -= usize::from(self.items[at].value.is_none());
+                    self.deleted_count += usize::from(item.value.is_none());
+                    self.items[at] = item.clone();
+                    stored.push(item);
                 }
-                self.deleted_count -= usize::from(held.value.is_none());
-                self.items[at] = item.clone();
+                Err(_) => unknown.push(item),
             }
-            Err(at) => self.items.insert(at, item.clone()),
         }
-        self.deleted_count += usize::from(item.value.is_none());
-        true
+        // Of several new items of one key the latest counts.
+        unknown.sort_by(|a, b| a.key.cmp(&b.key).then(b.revision.cmp(&a.revision)));
+        unknown.dedup_by(|later, first| later.key == first.key);
+        let deleted = unknown.iter().filter(|item| item.value.is_none());
+        self.deleted_count += deleted.count();
+        if !unknown.is_empty() {
+            self.items.extend(unknown.iter().cloned());
+            // Two sorted runs, which the sort merges in one pass.
+            self.items.sort_by(|a, b| a.key.cmp(&b.key));
+            stored.append(&mut unknown);
+        }
+        stored
     }
 
     /// Deletes the items that a full snapshot of `revision` does not name and that have
