Name callers instances of all failure domains, evenly

What callers would see: of the 328 instances of a region, a directory's answer named the first 64 by name. All callers of the region used the same 64, all in one failure domain: its loss would have taken every instance they knew, and 264 instances served nobody.

Cause: the answer has room for 64 addresses, and the list was cut in the order of names. It holds only while a region has at most 64 instances.

Change: where there are more, an instance names those that rank first by a hash of both names, one of each failure domain in turn. Each is named by about the same number of others, and an instance goes on naming the same ones while they are there, as callers close connections to what a new answer leaves out. Smaller regions get the same answers as before.

--- a/crates/auburnrouter/src/direct/queries.rs
+++ b/crates/auburnrouter/src/direct/queries.rs
@@ -11,9 +11,10 @@
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, StatusCode, Uri};
-use platform::directory::{self, Call, Resolve};
+use platform::directory::{self, ADDRESSES_MAX, Call, Resolve};
 use smol::net;
 use steer::process::direct::members::Registration;
+use steer::process::direct::referral::{self, Candidate};
 
 use super::connection::{Caller, IncomingRequest};
 use super::server::{self, Limits, ReadError, Response, Service};
@@ -148,33 +149,39 @@
 /// out of date are named only if there is no other: they still serve requests that
 /// need no key.
 fn addresses(shared: &Shared, from: &Resolve) -> Vec<SocketAddr> {
-    let ready = shared.is_ready().then(|| shared.registration());
-    let (mut candidates, home_regions) = shared.read(|now, direct| {
-        let serving = direct.serving(now).map(|(_, instance)| instance.clone());
-        let candidates: Vec<Registration> = ready.into_iter().chain(serving).collect();
-        let routes = direct.routes();
-        (
-            candidates,
-            routes.map_or_else(Vec::new, |r| r.home_regions(&from.host)),
-        )
-    });
-    if candidates.is_empty() && shared.is_serving() {
-        candidates = shared.read(|now, direct| {
-            let others = direct.others(now).map(|(_, instance)| instance.clone());
-            others.chain([shared.registration()]).collect()
-        });
-    }
-    let select = |matches: &dyn Fn(&Registration) -> bool| -> Vec<SocketAddr> {
-        let candidates = candidates.iter().filter(|instance| matches(instance));
-        candidates.map(|instance| instance.callers).collect()
-    };
-    let local = select(&|instance| *instance.region == *from.region);
-    if !local.is_empty() {
-        return local;
-    }
-    let home = select(&|instance| home_regions.contains(&instance.region));
-    if !home.is_empty() {
-        return home;
+    let own = (&shared.settings.name, &shared.registration());
+    let is_ready = shared.is_ready();
+    let is_serving = shared.is_serving();
+    shared.read(|now, direct| {
+        let mut instances: Vec<(&Arc<str>, &Registration)> = direct.serving(now).collect();
+        if is_ready {
+            instances.insert(0, own);
+        }
+        if instances.is_empty() && is_serving {
+            instances.extend(direct.others(now));
+            instances.push(own);
+        }
+        let select = |matches: &dyn Fn(&Registration) -> bool| -> Vec<Candidate<'_>> {
+            let candidates = instances.iter().filter(|(_, instance)| matches(instance));
+            candidates.map(candidate).collect()
+        };
+        let mut candidates = select(&|instance| *instance.region == *from.region);
+        if candidates.is_empty() {
+            let routes = direct.routes();
+            let homes = routes.map_or_else(Vec::new, |r| r.home_regions(&from.host));
+            candidates = select(&|instance| homes.contains(&instance.region));
+        }
+        if candidates.is_empty() {
+            candidates = select(&|_| true);
+        }
+        referral::select(&shared.settings.name, &candidates, ADDRESSES_MAX)
+    })
+}
+
+fn candidate<'a>((name, instance): &(&'a Arc<str>, &'a Registration)) -> Candidate<'a> {
+    Candidate {
+        name,
+        domain: &instance.domain,
+        callers: instance.callers,
     }
-    select(&|_| true)
 }
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -28,6 +28,7 @@
 mod queue;
 pub mod quota;
 pub mod recipients;
+pub mod referral;
 pub mod replica;
 pub mod roster;
 pub mod spillover;
--- /dev/null
+++ b/crates/steer/src/process/direct/referral.rs
@@ -0,0 +1,48 @@
+//! Choice of the instances that a caller is told to connect to, where there are more
+//! than one answer can name.
+//!
+//! Invariants: the named instances are spread evenly over failure domains, so that the
+//! loss of one leaves callers the others; each instance is named by about the same
+//! number of others; an instance names the same ones for as long as they are there, as
+//! callers close connections to those that a new answer doesn't name.
+
+use core::cmp::Reverse;
+use core::net::SocketAddr;
+
+use super::hash::{hash, rendezvous_weight};
+
+/// Instance that may be named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate<'a> {
+    /// Name of the instance.
+    pub name: &'a str,
+    /// Its failure domain.
+    pub domain: &'a str,
+    /// Its address for callers.
+    pub callers: SocketAddr,
+}
+
+/// Addresses of at most `max` candidates, as the instance `own` names them; all in the
+/// given order if they are that few.
+#[must_use]
+pub fn select(own: &str, candidates: &[Candidate<'_>], max: usize) -> Vec<SocketAddr> {
+    if candidates.len() <= max {
+        return candidates.iter().map(|c| c.callers).collect();
+    }
+    let own = hash(own.as_bytes());
+    let weight = |c: &Candidate<'_>| rendezvous_weight(hash(c.name.as_bytes()), own);
+    let mut ranked: Vec<(&str, Reverse<u64>, SocketAddr)> = candidates
+        .iter()
+        .map(|c| (c.domain, Reverse(weight(c)), c.callers))
+        .collect();
+    ranked.sort_unstable();
+    // One candidate of each domain in turn, each domain's in the order of their weights.
+    let mut in_turn: Vec<(usize, Reverse<u64>, SocketAddr)> = ranked
+        .chunk_by(|a, b| a.0 == b.0)
+        .flat_map(|domain| domain.iter().enumerate())
+        .map(|(turn, (_, weight, addr))| (turn, *weight, *addr))
+        .collect();
+    in_turn.sort_unstable();
+    in_turn.truncate(max);
+    in_turn.into_iter().map(|(_, _, addr)| addr).collect()
+}
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -29,6 +29,8 @@
 mod quota;
 #[path = "direct/quota_fleet.rs"]
 mod quota_fleet;
+#[path = "direct/referral.rs"]
+mod referral;
 #[path = "direct/replica.rs"]
 mod replica;
 #[path = "direct/retry.rs"]
@@ -37,10 +39,10 @@
 mod roster;
 #[path = "direct/routes.rs"]
 mod routes;
-#[path = "direct/spillover.rs"]
-mod spillover;
 #[path = "direct/scale.rs"]
 mod scale;
+#[path = "direct/spillover.rs"]
+mod spillover;
 #[path = "direct/stop.rs"]
 mod stop;
 #[path = "direct/upstream.rs"]
