Let an instance serve ten others of its failure domain at most

At a hundred instances a domain all of that leaves over one link of 20 Mbit/s; it grows with the domain.

Change: within a domain the readers form a tree by rank, with a fan-out of ten; an instance whose upstream fails climbs to the next one above, then as before to the rest of the region and the store. A domain of up to eleven is read as before.

Tests: upstream::bound_readers_of_one_instance at 110, 220 and 1,100 instances a domain, climb_past_failed_upstreams_of_large_domain.

--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -17,7 +17,7 @@
 use platform::store::{Changes, Error, Freshness, Listing};
 use steer::clock::Time;
 use steer::process::direct::replica::{Item, Update};
-use steer::process::direct::upstream::{UPSTREAM_STALE_AGE, Upstream, reader_rank};
+use steer::process::direct::upstream::{UPSTREAM_STALE_AGE, Upstream, domain_sources, reader_rank};
 use steer::process::direct::{Direct, StoreContact};
 use wire::direct;
 
@@ -168,9 +168,15 @@
         };
         let mut found: Vec<(Arc<str>, SocketAddr)> =
             listing.items.iter().filter_map(peer).collect();
-        found.sort_by_key(|(name, _)| core::cmp::Reverse(reader_rank(name)));
-        found.truncate(START_PEERS_MAX);
-        found
+        found.sort_by_cached_key(|(name, _)| core::cmp::Reverse(reader_rank(name)));
+        let own = reader_rank(&shared.settings.name);
+        let above = found.partition_point(|(name, _)| reader_rank(name) > own);
+        // Those that rank first have nobody above them, and start from any other.
+        let ranks: Vec<usize> = domain_sources(above.max(START_PEERS_MAX)).collect();
+        let peers = ranks
+            .into_iter()
+            .filter_map(|rank| found.get(rank).cloned());
+        peers.take(START_PEERS_MAX).collect()
     }
 
     /// Waits for the next changes from the present upstream and applies them. After
--- a/crates/steer/src/process/direct/upstream.rs
+++ b/crates/steer/src/process/direct/upstream.rs
@@ -4,10 +4,11 @@
 //! Every call to the store is paid for. If all instances read it, calls would grow with
 //! the fleet although all get the same answers. So one instance of each region reads
 //! the store, one of each other failure domain reads from that one, and the rest of a
-//! domain from the domain's reader. Readers are chosen by a hash of names, without
-//! agreement: instances that choose differently cost a few extra calls and nothing
-//! else. A loop is broken by age: no instance in it hears from the store, so each finds
-//! the others stale.
+//! domain from the domain's reader, as a tree: an instance serves at most
+//! [`DOMAIN_FANOUT`] others of its domain, whatever the size of the domain. Readers are
+//! chosen by a hash of names, without agreement: instances that choose differently cost
+//! a few extra calls and nothing else. A loop is broken by age: no instance in it hears
+//! from the store, so each finds the others stale.
 //!
 //! Invariants: a peer that failed or lags behind the store is not asked again for
 //! [`PEER_BACKOFF`], and the store for [`STORE_BACKOFF`]. An instance that finds no
@@ -35,9 +36,13 @@
     },
 }
 
-/// Instances of this failure domain that are asked before the store if they rank above
-/// this one. The second stands in for the first while the first has ended unnoticed.
-const DOMAIN_PEERS_BEFORE_STORE: usize = 2;
+/// Instances of a failure domain that read from one other. All answers leave over that
+/// one's link, and a start takes a snapshot for each.
+pub const DOMAIN_FANOUT: usize = 10;
+
+/// Rank within its failure domain of the instance that stands in for the domain's
+/// reader while that one has ended unnoticed.
+const STAND_IN: usize = 1;
 
 /// Instances of the rest of the region that are asked before the store if they rank
 /// above this one.
@@ -97,10 +102,11 @@
             })
         };
         let own = reader_rank(&self.identity.name);
-        let before = domain.iter().take(DOMAIN_PEERS_BEFORE_STORE);
-        let before = before.chain(region.iter().take(REGION_PEERS_BEFORE_STORE));
-        let mut before = before.filter(|(name, _)| reader_rank(name) > own);
-        if let Some(peer) = before.find_map(usable) {
+        let above = domain.partition_point(|(name, _)| reader_rank(name) > own);
+        let in_domain = domain_sources(above).map(|rank| &domain[rank]);
+        let in_region = region.iter().take(REGION_PEERS_BEFORE_STORE);
+        let in_region = in_region.filter(|(name, _)| reader_rank(name) > own);
+        if let Some(peer) = in_domain.chain(in_region).find_map(usable) {
             return peer;
         }
         if !self.failed_upstreams.is_store_failed(now) {
@@ -155,12 +161,21 @@
             .filter(|(_, registration)| registration.region == own.region);
         let (mut domain, mut region): (Candidates<'_>, Candidates<'_>) =
             others.partition(|(_, registration)| registration.domain == own.domain);
-        domain.sort_by_key(|(name, _)| core::cmp::Reverse(reader_rank(name)));
-        region.sort_by_key(|(name, _)| core::cmp::Reverse(reader_rank(name)));
+        domain.sort_by_cached_key(|(name, _)| core::cmp::Reverse(reader_rank(name)));
+        region.sort_by_cached_key(|(name, _)| core::cmp::Reverse(reader_rank(name)));
         (domain, region)
     }
 }
 
+/// Ranks within a failure domain of those that the instance of rank `own` reads from,
+/// the first choice first: its parent in the tree, the parents above, and the stand-in
+/// of the domain's reader.
+pub fn domain_sources(own: usize) -> impl Iterator<Item = usize> {
+    let parent = |rank: &usize| rank.checked_sub(1).map(|r| r / DOMAIN_FANOUT);
+    let parents = core::iter::successors(parent(&own), parent);
+    parents.chain((own > STAND_IN).then_some(STAND_IN))
+}
+
 type Candidates<'a> = Vec<(&'a Arc<str>, &'a Registration)>;
 
 /// Rank of an instance as a reader of the store; the highest of a region reads it. All
--- a/crates/steer/tests/direct/upstream.rs
+++ b/crates/steer/tests/direct/upstream.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use steer::process::direct::StoreContact;
 use steer::process::direct::members::Registration;
-use steer::process::direct::upstream::{Upstream, reader_rank};
+use steer::process::direct::upstream::{DOMAIN_FANOUT, Upstream, domain_sources, reader_rank};
 
 use super::bench::{Bench, at, heartbeat, registration, route};
 
@@ -180,3 +180,49 @@
     region.bench.direct.receive_heartbeat(at(20), last);
     assert_ne!(region.upstream(30), first);
 }
+
+/// All instances of a domain read from its reader, which sent a snapshot of thousands of
+/// targets to each at a start, over one link.
+#[rstest]
+#[case::as_large(110, 2)]
+#[case::twice_as_large(220, 3)]
+#[case::ten_times_as_large(1_100, 3)]
+fn bound_readers_of_one_instance(#[case] count: usize, #[case] levels_max: usize) {
+    let mut readers = vec![0; count];
+    for rank in 1..count {
+        let parent = domain_sources(rank).next().expect("it reads from another");
+        assert!(parent < rank, "{parent} above {rank}");
+        readers[parent] += 1;
+        let levels = core::iter::successors(Some(rank), |r| domain_sources(*r).next());
+        assert!(levels.skip(1).count() <= levels_max, "rank {rank}");
+    }
+    assert!(readers.iter().all(|n| *n <= DOMAIN_FANOUT), "{readers:?}");
+}
+
+/// An instance deep in a large domain whose upstreams fail one after the other reads from
+/// the next one above, then from the rest of the region, then the store.
+#[test]
+fn climb_past_failed_upstreams_of_large_domain() {
+    let mut region = region(110);
+    let domain: Vec<String> = region
+        .by_rank
+        .iter()
+        .filter(|(name, domain)| *domain == "near-a" && name != "near-1")
+        .map(|(name, _)| name.clone())
+        .collect();
+    let rank = |region: &Region| {
+        let upstream = region.upstream(10);
+        domain.iter().position(|name| *name == upstream)
+    };
+    let own = reader_rank("near-1");
+    let mut last = domain.iter().filter(|name| reader_rank(name) > own).count();
+    assert!(last > DOMAIN_FANOUT, "the fixture ranks it deep enough");
+    while let Some(next) = rank(&region) {
+        assert!(next < last || next == 1, "{next} after {last}");
+        last = next;
+        region.fail_upstream(10);
+    }
+    assert_ne!(region.upstream(10), "store");
+    region.fail_upstream(10);
+    assert_eq!(region.upstream(10), "store");
+}
