Encode changes once for all instances that wait for them

Each of an instance's readers waits for the same changes, which were searched in the whole replica, encoded and compressed for each of them anew.

--- a/crates/auburnrouter/src/direct/peer.rs
+++ b/crates/auburnrouter/src/direct/peer.rs
@@ -15,6 +15,8 @@
 use futures_lite::{StreamExt, future};
 use smol::net;
 use steer::clock::Time;
+use steer::process::direct::StoreContact;
+use steer::process::direct::replica::Replica;
 use tarpc::server::{self, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context, serde_transport};
@@ -54,6 +56,32 @@
 #[derive(Debug, Default)]
 pub struct SnapshotCache(Mutex<Option<Changes>>);
 
+/// Last encoded changes, with the revision after which they begin. The instances that
+/// read from this one wait for the same changes, which are encoded once for all.
+#[derive(Debug, Default)]
+pub struct ChangesCache(Mutex<Option<(u64, Changes)>>);
+
+impl ChangesCache {
+    /// The changes of a replica after revision `known`, with this contact to the store;
+    /// `None` if only a snapshot holds them.
+    fn get(&self, replica: &Replica, known: u64, contact: StoreContact) -> Option<Changes> {
+        let mut cache = lock(&self.0);
+        if let Some((from, changes)) = &*cache
+            && *from == known
+            && changes.revision == replica.revision()
+        {
+            return Some(changes.clone().confirmed(contact));
+        }
+        let update = replica.changes_since(known);
+        if update.is_full && update.revision > 0 {
+            return None;
+        }
+        let changes = Changes::new(&update, contact);
+        *cache = Some((known, changes.clone()));
+        Some(changes)
+    }
+}
+
 /// Serves other instances' calls until the process ends.
 pub async fn serve(shared: Arc<Shared>, socket: net::TcpListener, executor: Executor) {
     loop {
@@ -101,9 +129,8 @@
     let (contact, stale, held) =
         shared.read(|now, d| (d.store_contact(now), d.staleness(now), now.since(asked)));
     let replica = lock(&shared.replica);
-    let update = replica.changes_since(known);
-    if !update.is_full || update.revision == 0 {
-        return Changes::new(&update, contact).answered(stale, held);
+    if let Some(changes) = shared.changes_cache.get(&replica, known, contact) {
+        return changes.answered(stale, held);
     }
     let mut cache = lock(&shared.snapshot_cache.0);
     if let Some(cached) = &*cache {
@@ -115,7 +142,7 @@
             return cached.clone().confirmed(contact).answered(stale, held);
         }
     }
-    let new = Changes::new(&update, contact);
+    let new = Changes::new(&replica.changes_since(known), contact);
     *cache = Some(new.clone());
     new.answered(stale, held)
 }
--- a/crates/auburnrouter/src/direct/shared.rs
+++ b/crates/auburnrouter/src/direct/shared.rs
@@ -54,6 +54,8 @@
     is_quota_urgent: AtomicBool,
     /// Encoded snapshot of the replica, for instances that start.
     pub(super) snapshot_cache: peer::SnapshotCache,
+    /// Encoded changes of the replica, for the instances that read from this one.
+    pub(super) changes_cache: peer::ChangesCache,
     /// Whether the store has deleted this instance's registration.
     pub(super) is_unlisted: AtomicBool,
     /// Wakes the tick task while requests wait.
@@ -127,6 +129,7 @@
             quota_wait: Event::new(),
             is_quota_urgent: AtomicBool::new(false),
             snapshot_cache: peer::SnapshotCache::default(),
+            changes_cache: peer::ChangesCache::default(),
             is_unlisted: AtomicBool::new(false),
             ticker,
             target_pool: pool::Pool::new(Arc::clone(traffic), limits),
