Reword the command line and log output

Constants and types without a subject get names that say what they bound or hold, comments say what the code does. Behaviour, names and texts that leave the process stay.

--- a/crates/auburnrouter/src/cli.rs
+++ b/crates/auburnrouter/src/cli.rs
@@ -1,4 +1,4 @@
-//! The command line: finds the subcommand, prints help, names near misses.
+//! The command line: finds the subcommand, prints help, suggests similar names.
 //!
 //! Invariant: exit codes are those of [`Exit`], for every subcommand.
 
@@ -16,13 +16,13 @@
 pub enum Exit {
     /// Done as asked.
     Done = 0,
-    /// Asked and answered "no": faults found, a conflict, a refusal.
+    /// The answer is "no": faults were found, or a change was refused or conflicts.
     Refused = 1,
     /// The command line itself is wrong; nothing was done.
     Usage = 2,
-    /// Could not reach what was asked for; nothing was done.
+    /// A file or an instance could not be reached; nothing was done.
     Unreachable = 3,
-    /// A change was sent and its fate is not known.
+    /// A change was sent, and its outcome is not known.
     Unknown = 4,
 }
 
@@ -54,13 +54,14 @@
     pub about: &'static str,
     /// The page that `--help` prints.
     pub help: &'static str,
-    /// Long options it knows, for naming near misses.
+    /// Long options it knows, to suggest one for an unknown option.
     pub options: &'static [&'static str],
     /// Runs it.
     pub run: fn(lexopt::Parser) -> Result<Exit, Error>,
 }
 
-const NEAR: f64 = 0.7;
+/// Least similarity, from 0 to 1, at which a known name is suggested for an unknown one.
+const SUGGESTION_SIMILARITY_MIN: f64 = 0.7;
 
 const EXIT_CODES: &str = "\
 Exit codes:
@@ -122,8 +123,8 @@
     println!("\n`auburnrouter COMMAND --help` explains each.\n\n{EXIT_CODES}");
 }
 
-/// Writes to standard output. A reader that has gone, such as `head`, has seen
-/// what it wanted; `println!` would panic.
+/// Writes to standard output. Unlike `println!` it doesn't panic if the reader, such as
+/// `head`, has closed it.
 pub fn print(text: &str) {
     let _ = io::stdout().write_all(text.as_bytes());
 }
@@ -210,7 +211,7 @@
 fn nearest<'a>(name: &str, known: impl Iterator<Item = &'a str>) -> Option<&'a str> {
     known
         .map(|k| (strsim::jaro_winkler(name, k), k))
-        .filter(|(score, _)| *score >= NEAR)
+        .filter(|(score, _)| *score >= SUGGESTION_SIMILARITY_MIN)
         .max_by(|a, b| a.0.total_cmp(&b.0))
         .map(|(_, k)| k)
 }
--- a/crates/auburnrouter/src/cmd/apply.rs
+++ b/crates/auburnrouter/src/cmd/apply.rs
@@ -54,9 +54,9 @@
 the line printed says how to find out.
 ";
 
-/// The command line, read.
+/// Parsed command line.
 #[derive(Default)]
-struct Wish {
+struct Arguments {
     path: Option<PathBuf>,
     over: Option<u64>,
     caps: Vec<String>,
@@ -66,10 +66,10 @@
 }
 
 fn run(mut args: lexopt::Parser) -> Result<Exit, Error> {
-    let wish = read(&mut args)?;
-    let path = wish.path.clone().ok_or(Error::Missing("DIR", NAME))?;
-    Ok(match make(&wish, &path) {
-        Ok(made) => report(&made, wish.client.json),
+    let arguments = read(&mut args)?;
+    let path = arguments.path.clone().ok_or(Error::Missing("DIR", NAME))?;
+    Ok(match submit(&arguments, &path) {
+        Ok(answer) => report(&answer, arguments.client.json),
         Err(error) => {
             eprintln!("auburnrouter: {error}");
             error.exit()
@@ -77,30 +77,30 @@
     })
 }
 
-fn read(args: &mut lexopt::Parser) -> Result<Wish, Error> {
-    let mut wish = Wish::default();
+fn read(args: &mut lexopt::Parser) -> Result<Arguments, Error> {
+    let mut arguments = Arguments::default();
     while let Some(arg) = cli::next(args, NAME)? {
         match &arg {
-            cli::Arg::Value(path) if wish.path.is_none() => wish.path = Some(path.into()),
+            cli::Arg::Value(path) if arguments.path.is_none() => arguments.path = Some(path.into()),
             cli::Arg::Long(name) if name == "over" => {
-                wish.over = Some(cli::number(args, "over", NAME)?);
+                arguments.over = Some(cli::number(args, "over", NAME)?);
             }
-            cli::Arg::Long(name) if name == "cap" => wish.caps.push(cli::text(args, NAME)?),
-            cli::Arg::Long(name) if name == "id" => wish.id = Some(cli::text(args, NAME)?),
-            cli::Arg::Long(name) if name == "dry-run" => wish.dry_run = true,
+            cli::Arg::Long(name) if name == "cap" => arguments.caps.push(cli::text(args, NAME)?),
+            cli::Arg::Long(name) if name == "id" => arguments.id = Some(cli::text(args, NAME)?),
+            cli::Arg::Long(name) if name == "dry-run" => arguments.dry_run = true,
             arg => {
-                if !wish.client.take(arg, args, NAME)? {
+                if !arguments.client.take(arg, args, NAME)? {
                     return Err(cli::unexpected(arg, NAME));
                 }
             }
         }
     }
-    Ok(wish)
+    Ok(arguments)
 }
 
-/// Why no answer to a change can be shown.
+/// The change has no answer to show.
 #[derive(Debug, thiserror::Error)]
-enum Failed {
+enum Failure {
     #[error(transparent)]
     Files(#[from] files::Error),
     #[error(transparent)]
@@ -109,7 +109,7 @@
     Lost(client::Error, String),
 }
 
-impl Failed {
+impl Failure {
     const fn exit(&self) -> Exit {
         match self {
             Self::Files(_) | Self::Client(_) => Exit::Unreachable,
@@ -118,43 +118,43 @@
     }
 }
 
-fn make(wish: &Wish, path: &std::path::Path) -> Result<ChangeAnswer, Failed> {
-    let operators = wish.client.operators()?;
-    let over = match wish.over.or_else(|| files::version(path)) {
+fn submit(arguments: &Arguments, path: &std::path::Path) -> Result<ChangeAnswer, Failure> {
+    let operators = arguments.client.operators()?;
+    let over = match arguments.over.or_else(|| files::version(path)) {
         Some(over) => over,
         None => client::config(&operators)?.version,
     };
     let change = Change {
-        id: wish.id.clone().unwrap_or_else(new_id),
+        id: arguments.id.clone().unwrap_or_else(new_id),
         over,
         files: files::read(path)?,
-        caps: wish.caps.clone(),
-        dry_run: wish.dry_run,
+        caps: arguments.caps.clone(),
+        dry_run: arguments.dry_run,
     };
     client::change(&operators, &change).map_err(|e| match e {
-        client::Error::Silent(..) if !wish.dry_run => Failed::Lost(e, change.id.clone()),
-        e => Failed::Client(e),
+        client::Error::Silent(..) if !arguments.dry_run => Failure::Lost(e, change.id.clone()),
+        e => Failure::Client(e),
     })
 }
 
-/// A name for a change that no other change has.
+/// A random id for a change.
 pub fn new_id() -> String {
     format!("{:016x}", fastrand::u64(..))
 }
 
-/// Prints what became of a change, and gives the exit code.
-pub fn report(made: &ChangeAnswer, json: bool) -> Exit {
+/// Prints the result of a change and returns the exit code.
+pub fn report(answer: &ChangeAnswer, json: bool) -> Exit {
     if json {
         cli::print(&format!(
             "{}\n",
-            serde_json::to_string(made).unwrap_or_default()
+            serde_json::to_string(answer).unwrap_or_default()
         ));
     } else {
-        for line in &made.lines {
+        for line in &answer.lines {
             cli::print(&format!("{line}\n"));
         }
     }
-    match made.result {
+    match answer.result {
         ChangeResult::Accepted | ChangeResult::WouldBe => Exit::Done,
         ChangeResult::Refused | ChangeResult::Conflict | ChangeResult::NotAccepted => Exit::Refused,
         ChangeResult::Unknown => Exit::Unknown,
--- a/crates/auburnrouter/src/cmd/check.rs
+++ b/crates/auburnrouter/src/cmd/check.rs
@@ -45,9 +45,9 @@
 After a syntax error the rest of that file is not looked at.
 ";
 
-/// The command line, read.
+/// Parsed command line.
 #[derive(Default)]
-struct Wish {
+struct Arguments {
     paths: Vec<PathBuf>,
     site: Option<String>,
     quiet: bool,
@@ -63,11 +63,11 @@
 }
 
 fn run(mut args: lexopt::Parser) -> Result<Exit, Error> {
-    let wish = read(&mut args)?;
-    if wish.paths.is_empty() {
+    let arguments = read(&mut args)?;
+    if arguments.paths.is_empty() {
         return Err(Error::Args("no file is given".into(), NAME));
     }
-    let given = match given::Given::read(&wish.paths) {
+    let given = match given::InputFiles::read(&arguments.paths) {
         Ok(given) => given,
         Err(error) => {
             eprintln!("auburnrouter: {error}");
@@ -75,7 +75,7 @@
         }
     };
     let found = verify(given);
-    if let Some(site) = &wish.site
+    if let Some(site) = &arguments.site
         && let Some(checked) = &found.checked
         && checked.base.site(site).is_none()
     {
@@ -84,10 +84,10 @@
         let message = format!("no site \"{site}\" in the base; {remedy}");
         return Err(Error::Args(message, NAME));
     }
-    let text = if wish.json {
-        json(&found, &wish)
+    let text = if arguments.json {
+        json(&found, &arguments)
     } else {
-        text(&found, &wish)
+        text(&found, &arguments)
     };
     cli::print(&text);
     Ok(if found.faults.is_empty() {
@@ -97,21 +97,21 @@
     })
 }
 
-fn read(args: &mut lexopt::Parser) -> Result<Wish, Error> {
-    let mut wish = Wish::default();
+fn read(args: &mut lexopt::Parser) -> Result<Arguments, Error> {
+    let mut arguments = Arguments::default();
     while let Some(arg) = cli::next(args, NAME)? {
         match &arg {
-            cli::Arg::Value(path) => wish.paths.push(path.into()),
-            cli::Arg::Long(name) if name == "site" => wish.site = Some(cli::text(args, NAME)?),
-            cli::Arg::Long(name) if name == "quiet" => wish.quiet = true,
-            cli::Arg::Long(name) if name == "json" => wish.json = true,
+            cli::Arg::Value(path) => arguments.paths.push(path.into()),
+            cli::Arg::Long(name) if name == "site" => arguments.site = Some(cli::text(args, NAME)?),
+            cli::Arg::Long(name) if name == "quiet" => arguments.quiet = true,
+            cli::Arg::Long(name) if name == "json" => arguments.json = true,
             _ => return Err(cli::unexpected(&arg, NAME)),
         }
     }
-    Ok(wish)
+    Ok(arguments)
 }
 
-fn verify(given: given::Given) -> Found {
+fn verify(given: given::InputFiles) -> Found {
     let mut found = Found {
         settings: Vec::new(),
         direct: Vec::new(),
@@ -155,8 +155,11 @@
 }
 
 /// Sites whose merged values are shown, with the values.
-fn sites<'a>(checked: &'a Checked, wish: &'a Wish) -> Vec<(&'a str, Vec<listing::Setting>)> {
-    if let Some(site) = &wish.site {
+fn sites<'a>(
+    checked: &'a Checked,
+    arguments: &'a Arguments,
+) -> Vec<(&'a str, Vec<listing::Setting>)> {
+    if let Some(site) = &arguments.site {
         return vec![(site, listing::settings(&checked.root_at(site)))];
     }
     let sites = checked.overlays.iter().map(|o| &*o.site);
@@ -165,13 +168,13 @@
         .collect()
 }
 
-fn text(found: &Found, wish: &Wish) -> String {
-    if wish.quiet || !found.faults.is_empty() {
+fn text(found: &Found, arguments: &Arguments) -> String {
+    if arguments.quiet || !found.faults.is_empty() {
         let lines = found.faults.iter().map(|fault| format!("{fault}\n"));
         return lines.collect::<Vec<String>>().concat();
     }
     let mut parts = Vec::new();
-    if wish.site.is_none() {
+    if arguments.site.is_none() {
         let all = found.settings.iter();
         parts.extend(all.map(|(name, settings)| format!("settings {name}\n{settings}")));
         let all = found.direct.iter();
@@ -180,7 +183,7 @@
         parts.extend(plan.map(|plan| format!("configuration\n{plan}")));
     }
     let checked = found.checked.iter();
-    for (site, settings) in checked.flat_map(|checked| sites(checked, wish)) {
+    for (site, settings) in checked.flat_map(|checked| sites(checked, arguments)) {
         let lines = settings.iter().map(|setting| format!("  {setting}\n"));
         let lines = lines.collect::<Vec<String>>().concat();
         parts.push(format!("site {site}\n{lines}"));
@@ -201,9 +204,9 @@
     values: Vec<json::Merged>,
 }
 
-fn json(found: &Found, wish: &Wish) -> String {
-    let shown = found.checked.as_ref().filter(|_| !wish.quiet);
-    let sites = shown.map_or(Vec::new(), |checked| sites(checked, wish));
+fn json(found: &Found, arguments: &Arguments) -> String {
+    let shown = found.checked.as_ref().filter(|_| !arguments.quiet);
+    let sites = shown.map_or(Vec::new(), |checked| sites(checked, arguments));
     let sites = sites.iter().map(|(site, settings)| Site {
         site,
         values: settings.iter().map(json::Merged::from).collect(),
--- a/crates/auburnrouter/src/cmd/client.rs
+++ b/crates/auburnrouter/src/cmd/client.rs
@@ -1,4 +1,4 @@
-//! What the operators' subcommands share: where to ask, and how.
+//! Calls to an instance's operators' listener, shared by the subcommands.
 
 use std::fs;
 use std::net::SocketAddr;
@@ -17,7 +17,7 @@
 use crate::cli;
 use crate::daemon::{Change, ChangeAnswer};
 
-/// Options that say where to ask.
+/// Options that name the instance to call.
 #[derive(Debug, Default)]
 pub struct Options {
     settings: Option<PathBuf>,
@@ -30,22 +30,22 @@
 /// Names of [`Options`].
 pub const NAMES: &[&str] = &["settings", "operators", "secret-file", "json", "help"];
 
-/// Longest time for one call.
-const CALL_TIME: Duration = Duration::from_secs(30);
+/// Time limit for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Why an instance could not be asked.
+/// A call to an instance failed.
 #[derive(Debug, Error)]
 pub enum Error {
-    /// No address or secret given.
+    /// The options name no address or no secret.
     #[error("say where to ask: --settings FILE, or --operators ADDR and --secret-file FILE")]
-    Where,
+    MissingAddress,
     /// A file can't be read or is wrong.
     #[error("{0}: {1}")]
     File(String, String),
     /// No answer.
     #[error("{0} does not answer: {1}; check the address, or ask another instance")]
     Silent(SocketAddr, String),
-    /// The answer makes no sense.
+    /// The answer can't be decoded.
     #[error("{0} answers what this version can't read; run the same version on both ends")]
     Garbled(SocketAddr),
     /// The secret is wrong.
@@ -56,7 +56,7 @@
 /// One instance's operators' listener.
 pub struct Operators {
     addr: SocketAddr,
-    /// None on the users' platform: who reaches the address may read there.
+    /// `None` on the users' platform, where all that reach the address may read.
     secret: Option<secret::Secret>,
 }
 
@@ -104,26 +104,26 @@
     pub fn operators(&self) -> Result<Operators, Error> {
         let settings = self.settings.as_deref().map(read_settings).transpose()?;
         let listens = match &settings {
-            Some(Read::Own(settings)) => Some(settings.listen.operators),
-            Some(Read::Direct(settings)) => Some(settings.listen.operators),
+            Some(AnySettings::Own(settings)) => Some(settings.listen.operators),
+            Some(AnySettings::Direct(settings)) => Some(settings.listen.operators),
             None => None,
         };
-        let addr = self.operators.or(listens).ok_or(Error::Where)?;
+        let addr = self.operators.or(listens).ok_or(Error::MissingAddress)?;
         let secret = match (&self.secret, settings) {
             (Some(path), _) => Some(read_secret(path)?),
-            (None, Some(Read::Own(settings))) => Some(match settings.secret {
+            (None, Some(AnySettings::Own(settings))) => Some(match settings.secret {
                 secret::Source::Inline(secret) => secret,
                 secret::Source::File(path) => read_secret(&path)?,
             }),
-            (None, Some(Read::Direct(_))) => None,
-            (None, None) => return Err(Error::Where),
+            (None, Some(AnySettings::Direct(_))) => None,
+            (None, None) => return Err(Error::MissingAddress),
         };
         Ok(Operators { addr, secret })
     }
 }
 
-/// Settings of either kind.
-enum Read {
+/// Settings of one of the two interfaces.
+enum AnySettings {
     Own(Box<settings::Settings>),
     Direct(Box<settings::direct::Settings>),
 }
@@ -203,7 +203,7 @@
 /// In words, if no whole answer comes.
 pub fn call(conn: Conn) -> Result<Answer, String> {
     let late = async {
-        smol::Timer::after(CALL_TIME).await;
+        smol::Timer::after(CALL_TIMEOUT).await;
         Err("no answer in time".to_owned())
     };
     smol::block_on(future::or(exchange(conn), late))
@@ -220,14 +220,14 @@
     Ok(Answer { status, body })
 }
 
-fn read_settings(path: &Path) -> Result<Read, Error> {
+fn read_settings(path: &Path) -> Result<AnySettings, Error> {
     let name = path.display().to_string();
     let text = fs::read_to_string(path).map_err(|e| Error::File(name.clone(), e.to_string()))?;
     let root = jsonc::parse(&name, &text).ok();
     let read = if root.is_some_and(|root| given::is_direct(&given::fields(&root))) {
-        settings::direct::Settings::parse(&name, &text).map(|s| Read::Direct(Box::new(s)))
+        settings::direct::Settings::parse(&name, &text).map(|s| AnySettings::Direct(Box::new(s)))
     } else {
-        settings::Settings::parse(&name, &text).map(|s| Read::Own(Box::new(s)))
+        settings::Settings::parse(&name, &text).map(|s| AnySettings::Own(Box::new(s)))
     };
     read.map_err(|faults| {
         let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
--- a/crates/auburnrouter/src/cmd/diff.rs
+++ b/crates/auburnrouter/src/cmd/diff.rs
@@ -55,9 +55,9 @@
 change as it is; the lines printed say why and what to do.
 ";
 
-/// The command line, read.
+/// Parsed command line.
 #[derive(Default)]
-struct Wish {
+struct Arguments {
     paths: Vec<PathBuf>,
     from: Vec<PathBuf>,
     caps: Vec<Stated>,
@@ -94,13 +94,13 @@
 }
 
 fn run(mut args: lexopt::Parser) -> Result<Exit, cli::Error> {
-    let wish = read(&mut args)?;
-    if wish.paths.is_empty() {
+    let arguments = read(&mut args)?;
+    if arguments.paths.is_empty() {
         return Err(cli::Error::Args("no file is given".into(), NAME));
     }
-    let pair = old(&wish).and_then(|old| Ok((old, files(&wish.paths, "new files")?)));
+    let pair = old(&arguments).and_then(|old| Ok((old, files(&arguments.paths, "new files")?)));
     Ok(match pair {
-        Ok((old, new)) => compare(&old, &new, &wish),
+        Ok((old, new)) => compare(&old, &new, &arguments),
         Err(error) => {
             eprintln!("{error}");
             error.exit()
@@ -108,40 +108,42 @@
     })
 }
 
-fn read(args: &mut lexopt::Parser) -> Result<Wish, cli::Error> {
-    let mut wish = Wish::default();
+fn read(args: &mut lexopt::Parser) -> Result<Arguments, cli::Error> {
+    let mut arguments = Arguments::default();
     while let Some(arg) = cli::next(args, NAME)? {
         match &arg {
-            cli::Arg::Value(path) => wish.paths.push(path.into()),
+            cli::Arg::Value(path) => arguments.paths.push(path.into()),
             cli::Arg::Long(name) if name == "from" => {
-                wish.from.push(cli::text(args, NAME)?.into());
+                arguments.from.push(cli::text(args, NAME)?.into());
             }
             cli::Arg::Long(name) if name == "cap" => {
                 let cap = cli::text(args, NAME)?.parse();
                 let cap = cap.map_err(|e: judge::StatedError| e.to_string());
-                wish.caps.push(cap.map_err(|e| cli::Error::Args(e, NAME))?);
+                arguments
+                    .caps
+                    .push(cap.map_err(|e| cli::Error::Args(e, NAME))?);
             }
             arg => {
-                if !wish.client.take(arg, args, NAME)? {
+                if !arguments.client.take(arg, args, NAME)? {
                     return Err(cli::unexpected(arg, NAME));
                 }
             }
         }
     }
-    Ok(wish)
+    Ok(arguments)
 }
 
-fn old(wish: &Wish) -> Result<Checked, Failed> {
-    if !wish.from.is_empty() {
-        return files(&wish.from, "old files");
+fn old(arguments: &Arguments) -> Result<Checked, Failed> {
+    if !arguments.from.is_empty() {
+        return files(&arguments.from, "old files");
     }
-    let config = client::config(&wish.client.operators()?)?;
+    let config = client::config(&arguments.client.operators()?)?;
     let bundle = given::in_force(&config).ok_or(Failed::Nothing)?;
     check(&bundle)
 }
 
 fn files(paths: &[PathBuf], what: &'static str) -> Result<Checked, Failed> {
-    let bundle = given::Given::read(paths)?.bundle();
+    let bundle = given::InputFiles::read(paths)?.bundle();
     let bundle = bundle.map_err(Failed::Faults)?;
     check(&bundle.ok_or(Failed::NoBase(what))?)
 }
@@ -150,11 +152,11 @@
     bundle.check().map_err(Failed::Faults)
 }
 
-fn compare(old: &Checked, new: &Checked, wish: &Wish) -> Exit {
+fn compare(old: &Checked, new: &Checked, arguments: &Arguments) -> Exit {
     let diff = diff::diff(old, new);
     let percent = new.base.move_percent;
-    let refusals = judge::refusals(&diff.moves, percent, &[], &wish.caps);
-    let text = if wish.client.json {
+    let refusals = judge::refusals(&diff.moves, percent, &[], &arguments.caps);
+    let text = if arguments.client.json {
         let change = json::Change::new(&diff, &refusals);
         serde_json::to_string(&change).unwrap_or_default() + "\n"
     } else {
--- a/crates/auburnrouter/src/cmd/drain.rs
+++ b/crates/auburnrouter/src/cmd/drain.rs
@@ -92,7 +92,7 @@
 }
 
 #[derive(Default)]
-struct Wish {
+struct Arguments {
     what: Option<What>,
     caps: Vec<String>,
     dry_run: bool,
@@ -111,11 +111,11 @@
 }
 
 fn run(mut args: lexopt::Parser, name: &'static str) -> Result<Exit, Error> {
-    let wish = read(&mut args, name)?;
-    let what = wish.what.as_ref();
+    let arguments = read(&mut args, name)?;
+    let what = arguments.what.as_ref();
     let what = what.ok_or(Error::Missing("site, --target or --entry", name))?;
-    Ok(match make(&wish, what, name == DRAIN) {
-        Ok(made) => apply::report(&made, wish.client.json),
+    Ok(match make(&arguments, what, name == DRAIN) {
+        Ok(made) => apply::report(&made, arguments.client.json),
         Err(error) => {
             eprintln!("auburnrouter: {error}");
             match error {
@@ -126,32 +126,32 @@
     })
 }
 
-fn read(args: &mut lexopt::Parser, command: &'static str) -> Result<Wish, Error> {
-    let mut wish = Wish::default();
+fn read(args: &mut lexopt::Parser, command: &'static str) -> Result<Arguments, Error> {
+    let mut arguments = Arguments::default();
     while let Some(arg) = cli::next(args, command)? {
         let list = match &arg {
             cli::Arg::Long(name) if name == "site" => "sites",
             cli::Arg::Long(name) if name == "target" => "targets",
             cli::Arg::Long(name) if name == "entry" => "entries",
             cli::Arg::Long(name) if name == "cap" => {
-                wish.caps.push(cli::text(args, command)?);
+                arguments.caps.push(cli::text(args, command)?);
                 continue;
             }
             cli::Arg::Long(name) if name == "dry-run" => {
-                wish.dry_run = true;
+                arguments.dry_run = true;
                 continue;
             }
-            arg if wish.client.take(arg, args, command)? => continue,
+            arg if arguments.client.take(arg, args, command)? => continue,
             arg => return Err(cli::unexpected(arg, command)),
         };
         let name = cli::text(args, command)?;
-        wish.what = Some(What { list, name });
+        arguments.what = Some(What { list, name });
     }
-    Ok(wish)
+    Ok(arguments)
 }
 
-fn make(wish: &Wish, what: &What, drain: bool) -> Result<ChangeAnswer, Failed> {
-    let operators = wish.client.operators()?;
+fn make(arguments: &Arguments, what: &What, drain: bool) -> Result<ChangeAnswer, Failed> {
+    let operators = arguments.client.operators()?;
     let files::Config { version, mut files } = client::config(&operators)?;
     let base = files.iter_mut().find(|f| f.name == "base");
     let base = base.ok_or(Failed::Nothing)?;
@@ -164,8 +164,8 @@
         id: apply::new_id(),
         over: version,
         files,
-        caps: wish.caps.clone(),
-        dry_run: wish.dry_run,
+        caps: arguments.caps.clone(),
+        dry_run: arguments.dry_run,
     };
     Ok(client::change(&operators, &change)?)
 }
--- a/crates/auburnrouter/src/cmd/files.rs
+++ b/crates/auburnrouter/src/cmd/files.rs
@@ -34,11 +34,11 @@
     pub files: Vec<File>,
 }
 
-/// Where a folder remembers the version it came from.
-const VERSION: &str = ".version";
+/// File that holds the version that a folder was written from.
+const VERSION_FILE: &str = ".version";
 
-/// Folders, and the ending of the files in them.
-const KINDS: [(&str, &str); 2] = [("overlay", "jsonc"), ("blocks", "txt")];
+/// Subfolders, with the extension of the files in each.
+const SUBFOLDERS: [(&str, &str); 2] = [("overlay", "jsonc"), ("blocks", "txt")];
 
 /// Reads a folder's files; the base file alone may be named instead.
 ///
@@ -49,7 +49,7 @@
         return Ok(vec![file("base".to_owned(), path)?]);
     }
     let mut files = vec![file("base".to_owned(), &path.join("base.jsonc"))?];
-    for (kind, ending) in KINDS {
+    for (kind, ending) in SUBFOLDERS {
         let folder = path.join(kind);
         if folder.is_dir() {
             let stem = |path: &Path| format!("{kind}/{}", part(path.file_stem()));
@@ -59,9 +59,9 @@
     Ok(files)
 }
 
-/// The version that a folder's files came from, if it says.
+/// The version that a folder was written from, if it is recorded.
 pub fn version(path: &Path) -> Option<u64> {
-    let text = fs::read_to_string(path.join(VERSION)).ok()?;
+    let text = fs::read_to_string(path.join(VERSION_FILE)).ok()?;
     text.trim().parse().ok()
 }
 
@@ -78,14 +78,14 @@
         }
         fs::write(&target, &file.text).map_err(|e| unwritten(&target, e))?;
     }
-    let target = path.join(VERSION);
+    let target = path.join(VERSION_FILE);
     fs::write(&target, format!("{}\n", config.version)).map_err(|e| unwritten(&target, e))
 }
 
-/// Removes overlays and blocks of an earlier version: what is no longer in
-/// force would come back with the next `apply`.
+/// Removes overlays and blocks of an earlier version, which the next `apply` would put
+/// in force again.
 fn clear(path: &Path) -> Result<(), Error> {
-    for (kind, ending) in KINDS {
+    for (kind, ending) in SUBFOLDERS {
         let folder = path.join(kind);
         if !folder.is_dir() {
             continue;
@@ -101,7 +101,7 @@
     if name == "base" {
         return Ok(path.join("base.jsonc"));
     }
-    for (kind, ending) in KINDS {
+    for (kind, ending) in SUBFOLDERS {
         let Some(rest) = name.strip_prefix(kind).and_then(|r| r.strip_prefix('/')) else {
             continue;
         };
--- a/crates/auburnrouter/src/cmd/given.rs
+++ b/crates/auburnrouter/src/cmd/given.rs
@@ -1,4 +1,4 @@
-//! The files that an operator gives to a command, told apart by what they say.
+//! Input files of a command, sorted into kinds by their content.
 
 use std::ffi::OsStr;
 use std::fs;
@@ -24,7 +24,7 @@
 
 /// Files by their kind, each with its path as its name.
 #[derive(Debug, Default)]
-pub struct Given {
+pub struct InputFiles {
     /// Settings of processes.
     pub settings: Vec<bundle::File>,
     /// Settings of processes on the users' platform.
@@ -35,12 +35,12 @@
 }
 
 /// Fields that only settings have.
-const SETTINGS: [&str; 7] = [
+const SETTINGS_FIELDS: [&str; 7] = [
     "name", "domain", "listen", "seeds", "store", "limits", "log",
 ];
 
-/// Folders of a configuration's folder, and the ending of the files in them.
-const FOLDERS: [(&str, &str); 4] = [
+/// Subfolders of a configuration, with the extension of the files in each.
+const SUBFOLDERS: [(&str, &str); 4] = [
     ("", "jsonc"),
     ("", "txt"),
     ("overlay", "jsonc"),
@@ -53,13 +53,13 @@
 pub fn is_direct(names: &[&str]) -> bool {
     let count = |known: &[&str]| names.iter().filter(|name| known.contains(name)).count();
     let direct = count(&direct::SETTINGS_FIELDS);
-    direct > count(&SETTINGS) && direct * 2 > names.len()
+    direct > count(&SETTINGS_FIELDS) && direct * 2 > names.len()
 }
 
 /// Field that only overlays have.
-const SITE: &str = "site";
+const SITE_FIELD: &str = "site";
 
-impl Given {
+impl InputFiles {
     /// Reads paths: files of any kind, or folders as `apply` takes them.
     ///
     /// # Errors
@@ -77,7 +77,7 @@
     }
 
     fn read_folder(&mut self, path: &Path) -> Result<(), Unread> {
-        for (folder, ending) in FOLDERS {
+        for (folder, ending) in SUBFOLDERS {
             let folder = if folder.is_empty() {
                 path.to_path_buf()
             } else {
@@ -111,8 +111,11 @@
         }
         let root = jsonc::parse(&file.name, &file.text).ok();
         let names = root.as_ref().map_or(Vec::new(), fields);
-        let own = names.iter().filter(|name| SETTINGS.contains(name)).count();
-        if names.contains(&SITE) {
+        let own = names
+            .iter()
+            .filter(|name| SETTINGS_FIELDS.contains(name))
+            .count();
+        if names.contains(&SITE_FIELD) {
             return &mut self.overlays;
         }
         if is_direct(&names) {
--- a/crates/auburnrouter/src/cmd/report.rs
+++ b/crates/auburnrouter/src/cmd/report.rs
@@ -42,7 +42,7 @@
 /// on shifts count.
 const SPAN: f64 = 2.0;
 
-struct Wish {
+struct Arguments {
     files: Vec<PathBuf>,
     span: f64,
     plots: Option<PathBuf>,
@@ -50,9 +50,9 @@
 }
 
 fn run(args: lexopt::Parser) -> Result<Exit, Error> {
-    let wish = read(args)?;
+    let arguments = read(args)?;
     let mut log = Log::default();
-    for file in &wish.files {
+    for file in &arguments.files {
         match text(file) {
             Ok(text) => log.read(&name(file), &text),
             Err(error) => {
@@ -72,8 +72,8 @@
         );
         return Ok(Exit::Refused);
     }
-    let report = Report::of(&log, &trace, wish.span);
-    let printed = if wish.json {
+    let report = Report::of(&log, &trace, arguments.span);
+    let printed = if arguments.json {
         serde_json::to_string_pretty(&report).map_err(|e| e.to_string())
     } else {
         table::print(&report).map_err(|e| e.to_string())
@@ -85,13 +85,13 @@
             return Ok(Exit::Refused);
         }
     }
-    Ok(wish
+    Ok(arguments
         .plots
         .map_or(Exit::Done, |folder| draw(&report, &folder)))
 }
 
-fn read(mut args: lexopt::Parser) -> Result<Wish, Error> {
-    let mut wish = Wish {
+fn read(mut args: lexopt::Parser) -> Result<Arguments, Error> {
+    let mut arguments = Arguments {
         files: Vec::new(),
         span: SPAN,
         plots: None,
@@ -103,20 +103,20 @@
                 let text = cli::text(&mut args, NAME)?;
                 let span = text.parse().ok().filter(|s| (0.1..=86_400.0).contains(s));
                 let wrong = || Error::Args(format!("--span takes seconds, not {text}"), NAME);
-                wish.span = span.ok_or_else(wrong)?;
+                arguments.span = span.ok_or_else(wrong)?;
             }
             cli::Arg::Long(name) if name == "plots" => {
-                wish.plots = Some(cli::text(&mut args, NAME)?.into());
+                arguments.plots = Some(cli::text(&mut args, NAME)?.into());
             }
-            cli::Arg::Long(name) if name == "json" => wish.json = true,
-            cli::Arg::Value(file) => wish.files.push(file.into()),
+            cli::Arg::Long(name) if name == "json" => arguments.json = true,
+            cli::Arg::Value(file) => arguments.files.push(file.into()),
             arg => return Err(cli::unexpected(&arg, NAME)),
         }
     }
-    if wish.files.is_empty() {
+    if arguments.files.is_empty() {
         return Err(Error::Args("no file of log lines is named".into(), NAME));
     }
-    Ok(wish)
+    Ok(arguments)
 }
 
 fn text(file: &Path) -> io::Result<String> {
--- a/crates/auburnrouter/src/logs.rs
+++ b/crates/auburnrouter/src/logs.rs
@@ -1,4 +1,5 @@
-//! Structured logs: one line of `key=value` words per change of state.
+//! Log output: lines of `key=value` words for the product's own interface, and lines of
+//! JSON events for the users' platform.
 //!
 //! Invariant: nothing that repeats per request or per failure is logged; such
 //! things are counted in the metrics.
@@ -40,23 +41,23 @@
     sink.apply().map_err(|_| Error::Twice)
 }
 
-/// Lines that wait for standard output at most. A few seconds of a busy
-/// instance; what comes beyond them while nobody reads is left out.
-const LINES: usize = 8192;
+/// Largest number of lines queued for standard output, a few seconds of a busy
+/// instance. Further lines are dropped while the reader is slow.
+const QUEUED_LINES_MAX: usize = 8192;
 
-/// Time for which lines are gathered before they are written in one piece.
-const GATHER: time::Duration = time::Duration::from_millis(50);
+/// Time over which lines are collected before they are written in one call.
+const BATCH_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
-/// Time that the last lines get when the process ends. Whoever doesn't read
-/// them by then holds the process up no longer.
-const LAST: time::Duration = time::Duration::from_millis(300);
+/// Time limit for writing the remaining lines when the process ends, so that a slow
+/// reader doesn't delay its end.
+const FLUSH_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
-/// Hands lines to the thread that writes them, and waits for nothing.
-struct Lines(mpsc::SyncSender<Vec<u8>>);
+/// Queues lines for the thread that writes them, without blocking.
+struct LineQueue(mpsc::SyncSender<Vec<u8>>);
 
-impl io::Write for Lines {
+impl io::Write for LineQueue {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        // Full means that the reader is slow: a request must not wait for it.
+        // Drops the line if the queue is full: a request must not wait for the reader.
         let _ = self.0.try_send(bytes.to_vec());
         Ok(bytes.len())
     }
@@ -66,18 +67,18 @@
     }
 }
 
-/// The thread that writes lines.
+/// Handle of the thread that writes lines.
 pub struct Writer {
     end: mpsc::SyncSender<Vec<u8>>,
     done: mpsc::Receiver<()>,
 }
 
 impl Writer {
-    /// Writes what is left, at most for [`LAST`].
+    /// Writes the remaining lines, for at most [`FLUSH_TIMEOUT`].
     pub fn finish(self) {
         if self.end.try_send(Vec::new()).is_ok() {
-            // An error means that the time is over or the thread has ended.
-            let _ = self.done.recv_timeout(LAST);
+            // An error means that the time limit has passed or the thread has ended.
+            let _ = self.done.recv_timeout(FLUSH_TIMEOUT);
         }
     }
 }
@@ -87,16 +88,16 @@
 /// # Errors
 /// If a logger is already in place, or the system refuses a thread.
 pub fn start_events() -> Result<Writer, Error> {
-    let (lines, taken) = mpsc::sync_channel(LINES);
+    let (lines, queued) = mpsc::sync_channel(QUEUED_LINES_MAX);
     let (ended, done) = mpsc::channel();
     let run = move || {
-        write_lines(&taken);
-        // Nobody may wait for it any more.
+        write_lines(&queued);
+        // Fails if nobody waits for the end any more.
         let _ = ended.send(());
     };
     let thread = thread::Builder::new().name("logs".into());
     thread.spawn(run).map_err(Error::Thread)?;
-    let sink: Box<dyn io::Write + Send> = Box::new(Lines(lines.clone()));
+    let sink: Box<dyn io::Write + Send> = Box::new(LineQueue(lines.clone()));
     let base = fern::Dispatch::new()
         .format(|out, message, _| out.finish(format_args!("{message}")))
         .level(log::LevelFilter::Warn)
@@ -106,20 +107,20 @@
     Ok(Writer { end: lines, done })
 }
 
-/// Writes lines until an empty one says that the process ends.
-fn write_lines(taken: &mpsc::Receiver<Vec<u8>>) {
+/// Writes queued lines until an empty one marks the end of the process.
+fn write_lines(queued: &mpsc::Receiver<Vec<u8>>) {
     let mut out = io::stdout();
-    while let Ok(first) = taken.recv() {
+    while let Ok(first) = queued.recv() {
         let mut end = first.is_empty();
         let mut text = first;
         if !end {
-            thread::sleep(GATHER);
+            thread::sleep(BATCH_INTERVAL);
         }
-        for line in taken.try_iter() {
+        for line in queued.try_iter() {
             end |= line.is_empty();
             text.extend_from_slice(&line);
         }
-        // Nobody reads: the lines are lost, the process goes on.
+        // An error means that the reader is gone: the lines are lost, the process goes on.
         let _ = out.write_all(&text).and_then(|()| out.flush());
         if end {
             return;
@@ -127,7 +128,7 @@
     }
 }
 
-/// Time in milliseconds since 1970, and the level.
+/// Milliseconds since the Unix epoch, and the level.
 struct Stamp<'a>(&'a log::Record<'a>);
 
 impl fmt::Display for Stamp<'_> {
