--- a/crates/auburnrouter/src/direct/metrics.rs
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -4,16 +4,19 @@
 //! series does not grow with the deployment. The names of unknown headers come from
 //! targets; their number is bounded.
 
+mod gauges;
+
 use std::sync::Mutex;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 use platform::store::Kind;
 
-use super::{Shared, dump, lock};
+use super::{Shared, lock};
+use gauges::Gauges;
 
 /// Largest number of unknown headers that are counted by name.
 const UNKNOWN_HEADERS_MAX: usize = 32;
@@ -59,20 +62,7 @@
     pub dropped_lines: IntCounter,
     /// Callers' connections rejected for lack of file descriptors.
     pub rejected_connections: IntCounter,
-    requests: IntGauge,
-    waiting: IntGauge,
-    body_bytes: IntGauge,
-    targets: IntGauge,
-    targets_limited: IntGauge,
-    targets_backing_off: IntGauge,
-    targets_leaving: IntGauge,
-    instances: IntGauge,
-    version: IntGauge,
-    revision: IntGauge,
-    in_touch: IntGauge,
-    staleness: IntGauge,
-    teams: IntGauge,
-    connections: IntGauge,
+    gauges: Gauges,
     store_calls: IntGaugeVec,
 }
 
@@ -88,45 +78,32 @@
             registry.register(Box::new(counters.clone()))?;
             Ok(counters)
         };
-        let histogram = |name: &str, help: &str| -> Result<_, Error> {
-            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+        let histogram = |name: &str, help: &str, buckets: &[f64]| -> Result<_, Error> {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
             let histogram = Histogram::with_opts(options)?;
             registry.register(Box::new(histogram.clone()))?;
             Ok(histogram)
         };
-        let slowdown = Histogram::with_opts(
-            HistogramOpts::new(
-                "auburnrouter_target_slowdown",
-                "Time that work takes on targets' machines by their answers; 1 is usual",
-            )
-            .buckets(SLOWDOWN_BUCKETS.to_vec()),
-        )?;
-        registry.register(Box::new(slowdown.clone()))?;
-        let gauge = |name: &str, help: &str| -> Result<_, Error> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
-        };
-        let limited_attempts = IntCounter::new(
+        let limited_attempts = counter(
+            &registry,
             "auburnrouter_attempts_limited_total",
             "Attempts at targets that were known to name a limit",
         )?;
-        registry.register(Box::new(limited_attempts.clone()))?;
-        let backoffs = IntCounter::new(
+        let backoffs = counter(
+            &registry,
             "auburnrouter_target_backoffs_total",
             "Answers of targets that ask this instance to send nothing for a time",
         )?;
-        registry.register(Box::new(backoffs.clone()))?;
-        let dropped_lines = IntCounter::new(
+        let dropped_lines = counter(
+            &registry,
             "auburnrouter_log_lines_left_out_total",
             "Log lines left out, by the bound a second or a slow reader",
         )?;
-        registry.register(Box::new(dropped_lines.clone()))?;
-        let rejected_connections = IntCounter::new(
+        let rejected_connections = counter(
+            &registry,
             "auburnrouter_connections_turned_away_total",
             "Callers' connections beyond what the process's descriptors allow",
         )?;
-        registry.register(Box::new(rejected_connections.clone()))?;
         let store_calls = IntGaugeVec::new(
             Opts::new(
                 "auburnrouter_store_calls",
@@ -149,11 +126,20 @@
             hold_time: histogram(
                 "auburnrouter_held_seconds",
                 "Time from a request's arrival to its being sent",
+                &LATENCY_BUCKETS,
+            )?,
+            attempt_time: histogram(
+                "auburnrouter_attempt_seconds",
+                "Time that attempts took",
+                &LATENCY_BUCKETS,
+            )?,
+            slowdown: histogram(
+                "auburnrouter_target_slowdown",
+                "Time that work takes on targets' machines by their answers; 1 is usual",
+                &SLOWDOWN_BUCKETS,
             )?,
-            attempt_time: histogram("auburnrouter_attempt_seconds", "Time that attempts took")?,
             limited_attempts,
             backoffs,
-            slowdown,
             unread_values: counters(
                 "auburnrouter_unread_values_total",
                 "Headers in answers of targets with a value that isn't read whole, by name",
@@ -167,35 +153,7 @@
             header_names: Mutex::default(),
             dropped_lines,
             rejected_connections,
-            requests: gauge("auburnrouter_requests", "Requests that are here")?,
-            waiting: gauge("auburnrouter_waiting", "Requests that wait for a target")?,
-            body_bytes: gauge(
-                "auburnrouter_body_bytes",
-                "Bytes of request bodies and of answers that callers have yet to read",
-            )?,
-            targets: gauge("auburnrouter_targets", "Targets listed")?,
-            targets_limited: gauge(
-                "auburnrouter_targets_limited",
-                "Targets that name a limit of requests a second",
-            )?,
-            targets_backing_off: gauge(
-                "auburnrouter_targets_backing_off",
-                "Targets that asked this or another instance to send nothing now",
-            )?,
-            targets_leaving: gauge(
-                "auburnrouter_targets_leaving",
-                "Targets that announced that they are about to stop",
-            )?,
-            instances: gauge("auburnrouter_instances", "Instances there, this one too")?,
-            version: gauge("auburnrouter_config_version", "Configuration in force")?,
-            revision: gauge("auburnrouter_store_revision", "Revision known whole")?,
-            in_touch: gauge("auburnrouter_store_in_touch", "1 while the store answers")?,
-            staleness: gauge(
-                "auburnrouter_staleness_milliseconds",
-                "Time since all that the store held is known, at most; -1 before",
-            )?,
-            teams: gauge("auburnrouter_teams", "Teams of the configuration")?,
-            connections: gauge("auburnrouter_connections", "Callers' open connections")?,
+            gauges: Gauges::new(&registry)?,
             store_calls,
             registry,
         })
@@ -232,27 +190,7 @@
     /// # Errors
     /// If encoding fails.
     pub fn encode(&self, shared: &Shared) -> Result<Vec<u8>, Error> {
-        let state = dump::State::capture(shared);
-        self.requests.set(int(state.requests));
-        self.waiting.set(int(state.waiting));
-        self.body_bytes.set(int(state.body_bytes));
-        self.targets.set(int(state.targets.len()));
-        let count = |is_counted: fn(&dump::Target) -> bool| {
-            int(state.targets.iter().filter(|t| is_counted(t)).count())
-        };
-        self.targets_limited.set(count(dump::Target::is_limited));
-        self.targets_backing_off
-            .set(count(|t| t.has_mark(dump::BACKOFF)));
-        self.targets_leaving
-            .set(count(|t| t.has_mark(dump::LEAVING)));
-        self.instances.set(int(state.instances.len() + 1));
-        self.version.set(int64(state.version));
-        self.revision.set(int64(state.revision));
-        self.in_touch.set(i64::from(state.store));
-        self.staleness.set(state.stale_ms.map_or(-1, int64));
-        let teams = shared.read(|_, d| d.routes().map_or(0, |r| r.teams.all().len()));
-        self.teams.set(int(teams));
-        self.connections.set(int(state.connections));
+        self.gauges.set(shared);
         for kind in Kind::ALL {
             let calls = self.store_calls.with_label_values(&[kind.name()]);
             calls.set(int64(shared.store.calls(kind)));
@@ -263,9 +201,11 @@
     }
 }
 
-/// Converts a count, saturating.
-fn int(count: usize) -> i64 {
-    i64::try_from(count).unwrap_or(i64::MAX)
+/// Registers a counter without labels.
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, Error> {
+    let counter = IntCounter::new(name, help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
 }
 
 /// Converts a number, saturating.
--- /dev/null
+++ b/crates/auburnrouter/src/direct/metrics/gauges.rs
@@ -0,0 +1,96 @@
+//! Gauges of an instance's present state.
+
+use prometheus::{IntGauge, Registry};
+
+use super::super::{Shared, dump};
+use super::{Error, int64};
+
+/// Gauges, set when the metrics are read.
+pub(super) struct Gauges {
+    requests: IntGauge,
+    waiting: IntGauge,
+    body_bytes: IntGauge,
+    targets: IntGauge,
+    targets_limited: IntGauge,
+    targets_backing_off: IntGauge,
+    targets_leaving: IntGauge,
+    instances: IntGauge,
+    version: IntGauge,
+    revision: IntGauge,
+    in_touch: IntGauge,
+    staleness: IntGauge,
+    teams: IntGauge,
+    connections: IntGauge,
+}
+
+impl Gauges {
+    /// Registers all gauges at zero.
+    pub(super) fn new(registry: &Registry) -> Result<Self, Error> {
+        let gauge = |name: &str, help: &str| -> Result<_, Error> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        Ok(Self {
+            requests: gauge("auburnrouter_requests", "Requests that are here")?,
+            waiting: gauge("auburnrouter_waiting", "Requests that wait for a target")?,
+            body_bytes: gauge(
+                "auburnrouter_body_bytes",
+                "Bytes of request bodies and of answers that callers have yet to read",
+            )?,
+            targets: gauge("auburnrouter_targets", "Targets listed")?,
+            targets_limited: gauge(
+                "auburnrouter_targets_limited",
+                "Targets that name a limit of requests a second",
+            )?,
+            targets_backing_off: gauge(
+                "auburnrouter_targets_backing_off",
+                "Targets that asked this or another instance to send nothing now",
+            )?,
+            targets_leaving: gauge(
+                "auburnrouter_targets_leaving",
+                "Targets that announced that they are about to stop",
+            )?,
+            instances: gauge("auburnrouter_instances", "Instances there, this one too")?,
+            version: gauge("auburnrouter_config_version", "Configuration in force")?,
+            revision: gauge("auburnrouter_store_revision", "Revision known whole")?,
+            in_touch: gauge("auburnrouter_store_in_touch", "1 while the store answers")?,
+            staleness: gauge(
+                "auburnrouter_staleness_milliseconds",
+                "Time since all that the store held is known, at most; -1 before",
+            )?,
+            teams: gauge("auburnrouter_teams", "Teams of the configuration")?,
+            connections: gauge("auburnrouter_connections", "Callers' open connections")?,
+        })
+    }
+
+    /// Sets all gauges from the present state.
+    pub(super) fn set(&self, shared: &Shared) {
+        let state = dump::State::capture(shared);
+        self.requests.set(int(state.requests));
+        self.waiting.set(int(state.waiting));
+        self.body_bytes.set(int(state.body_bytes));
+        self.targets.set(int(state.targets.len()));
+        let count = |is_counted: fn(&dump::Target) -> bool| {
+            int(state.targets.iter().filter(|t| is_counted(t)).count())
+        };
+        self.targets_limited.set(count(dump::Target::is_limited));
+        self.targets_backing_off
+            .set(count(|t| t.has_mark(dump::BACKOFF)));
+        self.targets_leaving
+            .set(count(|t| t.has_mark(dump::LEAVING)));
+        self.instances.set(int(state.instances.len() + 1));
+        self.version.set(int64(state.version));
+        self.revision.set(int64(state.revision));
+        self.in_touch.set(i64::from(state.store));
+        self.staleness.set(state.stale_ms.map_or(-1, int64));
+        let teams = shared.read(|_, d| d.routes().map_or(0, |r| r.teams.all().len()));
+        self.teams.set(int(teams));
+        self.connections.set(int(state.connections));
+    }
+}
+
+/// Converts a count, saturating.
+fn int(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -119,7 +119,7 @@
 /// Other instances, sorted by name.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
-    members: Vec<Member>,
+    all: Vec<Member>,
     /// Latest reports of the instances that send heartbeats to this one, sorted by
     /// sender: few, however many instances there are.
     load_reports: Vec<LoadReport>,
@@ -143,7 +143,7 @@
     /// and count as present by its heartbeats.
     pub fn unlist(&mut self, now: Time, name: &str) {
         if let Ok(at) = self.find(name) {
-            self.members[at].unlist(now);
+            self.all[at].unlist(now);
         }
     }
 
@@ -151,7 +151,7 @@
     pub fn retain_listed(&mut self, now: Time, names: &[&str]) {
         let mut sorted = names.to_vec();
         sorted.sort_unstable();
-        for member in &mut self.members {
+        for member in &mut self.all {
             if sorted.binary_search(&&*member.name).is_err() {
                 member.unlist(now);
             }
@@ -208,7 +208,7 @@
         is_store_reachable: bool,
     ) -> impl Iterator<Item = (&Arc<str>, &Registration)> {
         let present = move |m: &&Member| is_present(m, now, is_store_reachable);
-        let members = self.members.iter().filter(present);
+        let members = self.all.iter().filter(present);
         members.filter_map(|m| {
             m.registration
                 .as_ref()
@@ -225,7 +225,7 @@
     ) -> impl Iterator<Item = (&Arc<str>, &Registration)> {
         let present =
             move |m: &&Member| is_present(m, now, is_store_reachable) && !m.is_known_stale(now);
-        let members = self.members.iter().filter(present);
+        let members = self.all.iter().filter(present);
         members.filter_map(|m| {
             m.registration
                 .as_ref()
@@ -243,11 +243,7 @@
                 .is_some_and(|registration| *registration.region == *region)
         };
         let is_fit = |m: &&Member| m.is_live(now) && !m.is_stale && !m.is_leaving && in_region(m);
-        let newest = self
-            .members
-            .iter()
-            .filter(is_fit)
-            .max_by_key(|m| m.last_seen)?;
+        let newest = self.all.iter().filter(is_fit).max_by_key(|m| m.last_seen)?;
         newest
             .registration
             .as_ref()
@@ -261,7 +257,7 @@
         now: Time,
     ) -> impl Iterator<Item = (&Arc<str>, &Registration, Option<u64>)> {
         let may_send = move |m: &&Member| m.may_send(now);
-        let members = self.members.iter().filter(may_send);
+        let members = self.all.iter().filter(may_send);
         members.filter_map(move |m| {
             let is_live = m
                 .last_seen
@@ -281,7 +277,7 @@
     /// Returns whether an instance has appeared recently.
     #[must_use]
     pub fn is_new(&self, now: Time, name: &str) -> bool {
-        let appeared = self.find(name).map(|at| self.members[at].appeared_at);
+        let appeared = self.find(name).map(|at| self.all[at].appeared_at);
         let appeared = appeared.ok().flatten();
         appeared.is_some_and(|at| now.since(at) < NEWCOMER_SPAN)
     }
@@ -290,14 +286,14 @@
     #[must_use]
     pub fn registration(&self, name: &str) -> Option<&Registration> {
         let at = self.find(name).ok()?;
-        self.members[at].registration.as_ref()
+        self.all[at].registration.as_ref()
     }
 
     /// Instances that may be sending requests, including those that get no more
     /// callers.
     pub fn participants(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Registration)> {
         let may_send = move |m: &&Member| m.may_send(now);
-        let members = self.members.iter().filter(may_send);
+        let members = self.all.iter().filter(may_send);
         members.filter_map(|m| {
             m.registration
                 .as_ref()
@@ -309,7 +305,7 @@
     pub fn sweep(&mut self, now: Time) {
         self.load_reports.retain(|r| r.is_fresh(now));
         // One that leaves while it is registered must stay known as leaving.
-        self.members.retain(|m| m.is_listed || m.may_send(now));
+        self.all.retain(|m| m.is_listed || m.may_send(now));
     }
 
     /// Requests that other instances recently reported to have at targets, by target
@@ -328,7 +324,7 @@
                 .is_some_and(|at| now.since(at) < HEARTBEAT_TIMEOUT)
         };
         let ahead = |m: &&Member| m.version > version || m.revision > revision;
-        let members = self.members.iter().filter(is_fresh).filter(ahead);
+        let members = self.all.iter().filter(is_fresh).filter(ahead);
         let best = members.max_by_key(|m| (m.version, m.revision))?;
         best.registration
             .as_ref()
@@ -339,15 +335,15 @@
         let at = match self.find(name) {
             Ok(at) => at,
             Err(at) => {
-                self.members.insert(at, Member::new(name));
+                self.all.insert(at, Member::new(name));
                 at
             }
         };
-        &mut self.members[at]
+        &mut self.all[at]
     }
 
     fn find(&self, name: &str) -> Result<usize, usize> {
-        self.members.binary_search_by(|m| (*m.name).cmp(name))
+        self.all.binary_search_by(|m| (*m.name).cmp(name))
     }
 }
 
