Name all callers of a region the same instances

With callers spread over all 328 instances of a region each gets two requests a second, too few to learn latencies and where objects are.

Change: the named instances are spread over the failure domains as before, and all instances of a region name the same 64. One that is lost is replaced in the next answer, a second later. Traffic of a region is borne by 64 of its instances.

--- a/crates/auburnrouter/src/direct/queries.rs
+++ b/crates/auburnrouter/src/direct/queries.rs
@@ -174,7 +174,7 @@
         if candidates.is_empty() {
             candidates = select(&|_| true);
         }
-        referral::select(&shared.settings.name, &candidates, ADDRESSES_MAX)
+        referral::select(&from.region, &candidates, ADDRESSES_MAX)
     })
 }
 
--- a/crates/steer/src/process/direct/referral.rs
+++ b/crates/steer/src/process/direct/referral.rs
@@ -1,10 +1,14 @@
 //! Choice of the instances that a caller is told to connect to, where there are more
 //! than one answer can name.
 //!
+//! All callers of a region are told the same ones. An instance learns from the requests
+//! it gets how long they take and where their objects are; a few requests a second for
+//! each of hundreds of instances would teach none of them.
+//!
 //! Invariants: the named instances are spread evenly over failure domains, so that the
-//! loss of one leaves callers the others; each instance is named by about the same
-//! number of others; an instance names the same ones for as long as they are there, as
-//! callers close connections to those that a new answer doesn't name.
+//! loss of one leaves callers the others; all instances that know the same members name
+//! the same ones, and go on naming them for as long as they are there, as callers close
+//! connections to those that a new answer doesn't name.
 
 use core::cmp::Reverse;
 use core::net::SocketAddr;
@@ -22,15 +26,15 @@
     pub callers: SocketAddr,
 }
 
-/// Addresses of at most `max` candidates, as the instance `own` names them; all in the
-/// given order if they are that few.
+/// Addresses of at most `max` candidates for callers of a region; all in the given order
+/// if they are that few.
 #[must_use]
-pub fn select(own: &str, candidates: &[Candidate<'_>], max: usize) -> Vec<SocketAddr> {
+pub fn select(region: &str, candidates: &[Candidate<'_>], max: usize) -> Vec<SocketAddr> {
     if candidates.len() <= max {
         return candidates.iter().map(|c| c.callers).collect();
     }
-    let own = hash(own.as_bytes());
-    let weight = |c: &Candidate<'_>| rendezvous_weight(hash(c.name.as_bytes()), own);
+    let region = hash(region.as_bytes());
+    let weight = |c: &Candidate<'_>| rendezvous_weight(hash(c.name.as_bytes()), region);
     let mut ranked: Vec<(&str, Reverse<u64>, SocketAddr)> = candidates
         .iter()
         .map(|c| (c.domain, Reverse(weight(c)), c.callers))
