Spread requests without an object over equal targets

Cause: an idle target is as good as any other, and the first by name was taken. With two requests a second an instance knows of no load, so all took the same one. In a small deployment reported loads break the tie.

Change: among targets of equal rank each instance follows an order of its own.

Test: place::spread_instances_over_equal_targets (40 instances chose one target before).

--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -9,10 +9,13 @@
 //! in no evacuated domain, in a region that route and team allow, not tried before, past
 //! any backoff that they asked for, and, while cold or limited, within this instance's allotment of what they take.
 
+use core::cmp::Ordering;
+
 use super::hash::rendezvous_weight;
 use super::health::Baseline;
 use super::job::Job;
 use super::mechanisms::Mechanism;
+use super::members::name_hash;
 use super::target::{COLD_WINDOW, Target};
 use super::{Direct, REPORT_DECAY_TIME, hash, short_hash, unit_interval};
 use crate::clock::Time;
@@ -97,6 +100,9 @@
 /// Least slowness that costs use.
 const SLOWNESS_MIN: f64 = 0.5;
 
+/// Odd, so that the order of equal targets differs between instances.
+const TURN_MULTIPLIER: u32 = 0x9E37_79B1;
+
 impl Direct {
     /// Chooses the best target for a request in the region decided for it, or in the
     /// others if that has none; `None` if no target can be used now.
@@ -273,6 +279,8 @@
         } else {
             LOST_COST
         };
+        let own_hash = name_hash(&self.identity.name);
+        let turn = |t: &Target| (t.short_hash() ^ own_hash).wrapping_mul(TURN_MULTIPLIER);
         let mut best: Option<Place> = None;
         for (index, target) in self.pool_of(&job.service, pool) {
             if !self.is_usable(now, job, target, pool) {
@@ -313,19 +321,9 @@
             };
             let is_local = target.region == self.identity.region;
             let distance = if is_local { 0.0 } else { CROSS_REGION_SECONDS };
-            // Each failed or refused request has to start again at another target.
+            let failures = self.expected_failures(now, target, failure_cost);
             // The load breaks ties.
-            let refusal_rate = if target.backs_off(now) {
-                1.0
-            } else {
-                target.health.refusal_rate(now)
-            };
-            let failure_penalty = if mechanisms.has(Mechanism::FailureRate) {
-                (refusal_rate + target.health.failure_rate(now) * failure_cost) * goal
-            } else {
-                0.0
-            };
-            let cost = wait + seconds + distance + failure_penalty + load * 0.002;
+            let cost = wait + seconds + distance + failures * goal + load * 0.002;
             let waste_weight = match preference {
                 Some(0) => 0.0,
                 Some(_) if estimate.is_reliable && job.has_spare_slots => {
@@ -334,7 +332,14 @@
                 _ => waste_weight,
             };
             let rank = cost + (base - estimate.warm) * waste_weight;
-            if best.is_none_or(|b| rank < b.rank) {
+            let is_better = |b: &Place| match rank.total_cmp(&b.rank) {
+                Ordering::Less => true,
+                // Without an order of its own, each instance would take the first of all
+                // idle targets by name.
+                Ordering::Equal => turn(target) < turn(&self.roster.all()[b.index]),
+                Ordering::Greater => false,
+            };
+            if best.as_ref().is_none_or(is_better) {
                 best = Some(Place {
                     rank,
                     index,
@@ -349,6 +354,20 @@
         best
     }
 
+    /// Expected cost of failures and refusals at a target, in latency objectives: each
+    /// such request has to start again at another target.
+    fn expected_failures(&self, now: Time, target: &Target, failure_cost: f64) -> f64 {
+        if !self.mechanisms.has(Mechanism::FailureRate) {
+            return 0.0;
+        }
+        let refusal_rate = if target.backs_off(now) {
+            1.0
+        } else {
+            target.health.refusal_rate(now)
+        };
+        refusal_rate + target.health.failure_rate(now) * failure_cost
+    }
+
     /// Estimated number of requests at a target, of this and of other instances.
     pub(super) fn load(&self, now: Time, target: &Target) -> f64 {
         if self.mechanisms.has(Mechanism::PeerLoad) {
--- a/crates/steer/tests/direct/place.rs
+++ b/crates/steer/tests/direct/place.rs
@@ -266,3 +266,19 @@
     assert_ne!(retry.target, assignment.target);
     assert_eq!(bench.direct.withheld(at(2_400), &retry), None);
 }
+
+/// Instances that knew of no load all sent requests without an object to the first target
+/// by name.
+#[test]
+fn spread_instances_over_equal_targets() {
+    let names: Vec<String> = (0..40).map(|n| format!("t{n:02}")).collect();
+    let targets: Vec<_> = names.iter().map(|name| entry(name, "near-a")).collect();
+    let first = |n: u32| {
+        let mut bench = Bench::named(&format!("near-{n}"), route(), &targets);
+        bench.send(at(2_000), None).target
+    };
+    let mut chosen: Vec<_> = (0..40).map(first).collect();
+    chosen.sort_unstable();
+    let most = chosen.chunk_by(|a, b| a == b).map(<[_]>::len).max();
+    assert!(most.is_some_and(|most| most <= 8), "{chosen:?}");
+}
