--- a/crates/steer/tests/direct/referral.rs
+++ b/crates/steer/tests/direct/referral.rs
@@ -35,11 +35,11 @@
 fn name_instances_of_all_domains(#[case] per_domain: usize) {
     let names = names(per_domain);
     let candidates = candidates(&names);
-    let named = referral::select("near", &candidates, MAX);
-    assert_eq!(named.len(), MAX);
+    let chosen = referral::select("near", &candidates, MAX);
+    assert_eq!(chosen.len(), MAX);
     for domain in 0..3 {
         let ports = domain * per_domain + 1..=(domain + 1) * per_domain;
-        let of_domain = named.iter().filter(|a| ports.contains(&a.port().into()));
+        let of_domain = chosen.iter().filter(|a| ports.contains(&a.port().into()));
         let count = of_domain.count();
         assert!((21..=22).contains(&count), "{count} of domain {domain}");
     }
@@ -50,9 +50,9 @@
 fn name_same_instances_everywhere() {
     let names = names(110);
     let mut candidates = candidates(&names);
-    let named = referral::select("near", &candidates, MAX);
+    let chosen = referral::select("near", &candidates, MAX);
     candidates.rotate_left(100);
-    assert_eq!(referral::select("near", &candidates, MAX), named);
+    assert_eq!(referral::select("near", &candidates, MAX), chosen);
 }
 
 #[test]
@@ -63,7 +63,7 @@
     assert_eq!(referral::select("near", &candidates, MAX), all);
 }
 
-/// Callers close connections to instances that are no longer named.
+/// Callers close connections to instances that are no longer chosen.
 #[test]
 fn keep_named_instances_when_one_leaves() {
     let names = names(110);
