--- a/crates/auburnrouter/src/direct/connection.rs
+++ b/crates/auburnrouter/src/direct/connection.rs
@@ -7,9 +7,9 @@
 //!
 //! Invariants: a request that does not arrive within the request timeout is answered
 //! with an error, a connection whose output stays blocked for that long or that is
-//! idle for too long is closed, memory charged for an answer is held until it is written,
-//! and when the caller disconnects, the futures of all
-//! its requests are dropped.
+//! idle for too long is closed, memory charged for an answer is held until it is
+//! written, and when the caller disconnects, the futures of all its requests are
+//! dropped.
 
 use core::pin::Pin;
 use core::task::{Context, Poll};
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -92,7 +92,8 @@
         for (at, entry) in entries.into_iter().enumerate() {
             match self.find(&entry.id) {
                 Ok(found) => {
-                    let effect = update(now, &mut self.targets[found], entry);
+                    let region = self.region(&entry.domain);
+                    let effect = update(now, &mut self.targets[found], entry, region);
                     changed[at] = effect.is_change;
                     moved |= effect.is_restart;
                 }
@@ -105,7 +106,8 @@
         for (at, entry) in unknown {
             match added.last_mut() {
                 Some(last) if last.entry.id == entry.id => {
-                    changed[at] = update(now, last, entry).is_change;
+                    let region = self.region(&entry.domain);
+                    changed[at] = update(now, last, entry, region).is_change;
                 }
                 _ => added.push(self.create(now, entry)),
             }
@@ -456,14 +458,14 @@
 }
 
 /// Applies an entry to the known target of its name.
-fn update(now: Time, target: &mut Target, entry: Entry) -> Effect {
+fn update(now: Time, target: &mut Target, entry: Entry, region: Arc<str>) -> Effect {
     let known = &target.entry;
     let is_restart = entry.incarnation != known.incarnation
         || entry.seq < known.seq
         || entry.addr != known.addr
         || entry.service != known.service;
     if is_restart {
-        target.restart(now, entry);
+        target.restart(now, entry, region);
         return Effect {
             is_change: true,
             is_restart,
--- a/crates/steer/src/process/direct/target.rs
+++ b/crates/steer/src/process/direct/target.rs
@@ -199,10 +199,10 @@
 
     /// Starts anew by an entry of another incarnation or address. Requests of before may
     /// still be in flight.
-    pub(super) fn restart(&mut self, now: Time, entry: Entry) {
+    pub(super) fn restart(&mut self, now: Time, entry: Entry, region: Arc<str>) {
         let is_contacted = self.is_contacted;
         let in_flight = self.in_flight;
-        *self = Self::new(now, entry, Arc::clone(&self.region));
+        *self = Self::new(now, entry, region);
         self.in_flight = in_flight;
         self.is_contacted = is_contacted;
     }
--- a/crates/steer/tests/direct/roster.rs
+++ b/crates/steer/tests/direct/roster.rs
@@ -145,3 +145,22 @@
     assert_eq!(of(&bench, "bills"), ["t2"]);
     assert!(of(&bench, "none").is_empty());
 }
+
+/// A target that starts again in another region was taken for one of the region it left.
+#[test]
+fn follow_restarted_target_to_other_region() {
+    let mut bench = Bench::new(route(), &[entry("t1", "near-a")]);
+    let moved = Entry {
+        incarnation: 2,
+        ..entry("t1", "far-a")
+    };
+    bench.direct.roster.put(at(10), moved);
+    let regions: Vec<_> = bench
+        .direct
+        .roster
+        .all()
+        .iter()
+        .map(|t| &*t.region)
+        .collect();
+    assert_eq!(regions, ["far"]);
+}
