--- a/crates/auburnrouter/src/direct/events.rs
+++ b/crates/auburnrouter/src/direct/events.rs
@@ -5,6 +5,7 @@
 //! of one event are bounded per second, and dropped ones are counted.
 
 mod requests;
+mod targets;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -16,6 +17,10 @@
 use steer::version::teams::Team;
 
 pub use requests::{Attempt, Origin, OwnAnswer, attempt_ended, own_answer};
+pub use targets::{
+    backoff_asked, limit_changed, target_changed, target_gone, target_leaving, unknown_header,
+    unread_value,
+};
 
 use super::Shared;
 
@@ -284,136 +289,6 @@
     write(shared, "entry-refused", RejectionFields { key, error });
 }
 
-#[derive(Serialize)]
-struct TargetFields<'a> {
-    target: &'a str,
-    service: &'a str,
-    domain: &'a str,
-    region: &'a str,
-    slots: u32,
-    state: &'a str,
-    cold_ms: u64,
-}
-
-/// Logs a target that is newly listed or has changed.
-pub fn target_changed(shared: &Shared, entry: &steer::process::direct::target::Entry) {
-    let domains = &shared.settings.domains;
-    let region = domains.iter().find(|d| d.0 == entry.domain);
-    let fields = TargetFields {
-        target: &entry.id,
-        service: &entry.service,
-        domain: &entry.domain,
-        region: region.map_or("", |d| &d.1),
-        slots: entry.slots,
-        state: if entry.draining { "leaving" } else { "ready" },
-        cold_ms: millis(entry.cold),
-    };
-    write(shared, "target", fields);
-}
-
-#[derive(Serialize)]
-struct TargetGoneFields<'a> {
-    target: &'a str,
-}
-
-/// Logs the removal of a target.
-pub fn target_gone(shared: &Shared, target: &str) {
-    write(shared, "target-gone", TargetGoneFields { target });
-}
-
-#[derive(Serialize)]
-struct BackoffFields<'a> {
-    target: &'a str,
-    /// Time that it asks for, in milliseconds.
-    backoff_ms: u64,
-    /// Id of the request whose answer asked for it.
-    request: &'a str,
-}
-
-/// Logs that a target asks this instance to send it nothing for a time.
-pub fn backoff_asked(shared: &Shared, target: &str, backoff: Duration, request: &str) {
-    let fields = BackoffFields {
-        target,
-        backoff_ms: millis(backoff),
-        request,
-    };
-    write(shared, "target-backoff", fields);
-}
-
-#[derive(Serialize)]
-struct TargetAnswerFields<'a> {
-    target: &'a str,
-    /// Id of the request whose answer reports it.
-    request: &'a str,
-}
-
-/// Logs that a target has reported in an answer that it is about to stop.
-pub fn target_leaving(shared: &Shared, target: &str, request: &str) {
-    let fields = TargetAnswerFields { target, request };
-    write(shared, "target-leaving", fields);
-}
-
-#[derive(Serialize)]
-struct UnknownHeaderFields<'a> {
-    target: &'a str,
-    header: &'a str,
-    /// Id of the first request whose answer had it.
-    request: &'a str,
-}
-
-/// Logs the first answer of a target with a header that this release doesn't know.
-pub fn unknown_header(shared: &Shared, target: &str, header: &str, request: &str) {
-    let fields = UnknownHeaderFields {
-        target,
-        header,
-        request,
-    };
-    write(shared, "unknown-header", fields);
-}
-
-#[derive(Serialize)]
-struct UnreadValueFields<'a> {
-    target: &'a str,
-    header: &'a str,
-    value: &'a str,
-    /// Id of the request whose answer had it.
-    request: &'a str,
-}
-
-/// Length up to which a value that can't be read is logged.
-const LOGGED_VALUE_BYTES_MAX: usize = 64;
-
-/// Logs a header of a target's answer with a value of which not all is read.
-pub fn unread_value(shared: &Shared, target: &str, header: &str, value: &[u8], request: &str) {
-    let value = &value[..value.len().min(LOGGED_VALUE_BYTES_MAX)];
-    let fields = UnreadValueFields {
-        target,
-        header,
-        value: &String::from_utf8_lossy(value),
-        request,
-    };
-    write(shared, "unread-value", fields);
-}
-
-#[derive(Serialize)]
-struct LimitFields<'a> {
-    target: &'a str,
-    /// Requests per second from all instances together; null if it states no limit.
-    rate: Option<f64>,
-    /// Id of the request whose answer stated it.
-    request: &'a str,
-}
-
-/// Logs a target's request limit, when it states a new one or none any more.
-pub fn limit_changed(shared: &Shared, target: &str, rate: Option<f64>, request: &str) {
-    let fields = LimitFields {
-        target,
-        rate,
-        request,
-    };
-    write(shared, "target-limit", fields);
-}
-
 #[derive(Serialize)]
 struct EvacuationFields<'a> {
     domains: &'a [std::sync::Arc<str>],
