Show which requests are suspected of crashing targets, and why

Callers saw nothing of it; on call could not tell whether repeats of a request had the same fingerprint, which strikes it had when it was sent, or why strikes came and went.

An attempt and an answer of our own name the caller's address and the fingerprint, in two parts (head and body); an attempt the strikes it was sent with. Event suspect: each change of strikes with its cause and the target or instance it came from. Gauges auburnrouter_suspects and auburnrouter_crashing_requests; the dump lists them. No decision changes.

--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -93,8 +93,10 @@
         let meta = RequestMeta {
             caller: headers::Caller::default(),
             origin: Origin {
+                caller: caller.ip,
                 connection: caller.connection_id,
-                ..Origin::default()
+                ahead: 0,
+                read_ms: 0,
             },
         };
         match error {
@@ -152,6 +154,7 @@
     let meta = RequestMeta {
         caller: headers::caller(request.headers()),
         origin: Origin {
+            caller: incoming.caller,
             connection: incoming.connection_id,
             ahead: incoming.ahead,
             read_ms: millis(shared.now(), first_byte),
@@ -196,8 +199,9 @@
     let max_wait = caller.timeout.unwrap_or(DEFAULT_DEADLINE);
     let object = caller.affinity_key.as_ref().filter(|_| route.has_affinity);
     let object = object.map(|o| object_hash(&route, o.as_bytes()));
+    let fingerprint = fingerprint(incoming.caller, &head.method, &head.uri, object, &body);
     let steer_request = Request {
-        fingerprint: fingerprint(incoming.caller, &head.method, &head.uri, object, &body),
+        fingerprint,
         object,
         deadline: arrived + max_wait,
         route: Arc::clone(&route),
@@ -216,6 +220,7 @@
         route,
         team,
         object: object.unwrap_or_default(),
+        fingerprint,
         arrived,
         origin,
     };
@@ -279,6 +284,7 @@
             route,
             team: None,
             origin: self.origin,
+            fingerprint: None,
             status: status.as_u16(),
             reason,
             held_ms: 0,
--- a/crates/auburnrouter/src/direct/callers/routed.rs
+++ b/crates/auburnrouter/src/direct/callers/routed.rs
@@ -16,6 +16,7 @@
 use steer::process::direct::{
     Assignment, AttemptOutcome, Decision, FollowUp, Rejection, Request, Ticket,
 };
+use steer::request::arrival::Fingerprint;
 use steer::version::routes::Route;
 
 use super::{DEFAULT_RETRY_AFTER, millis};
@@ -49,6 +50,8 @@
     pub(super) team: Option<Arc<str>>,
     /// Hash of the object that the request concerns; 0 if it names none.
     pub(super) object: u64,
+    /// Fingerprint that its repeats share.
+    pub(super) fingerprint: Fingerprint,
     pub(super) arrived: Time,
     pub(super) origin: Origin,
 }
@@ -273,6 +276,7 @@
             route: &self.route.name,
             team: self.team.as_deref(),
             origin: self.origin,
+            fingerprint: Some(self.fingerprint),
             status: status.as_u16(),
             reason,
             held_ms: held,
--- a/crates/auburnrouter/src/direct/dump.rs
+++ b/crates/auburnrouter/src/direct/dump.rs
@@ -59,6 +59,8 @@
     pub quotas: Vec<QuotaUse>,
     /// Share of each service's requests that is sent to other regions.
     pub elsewhere: Vec<(Arc<str>, f64)>,
+    /// Requests that are suspected of crashing targets: fingerprint and strikes.
+    pub suspects: Vec<(String, u8)>,
     /// All known targets.
     pub targets: Vec<Target>,
 }
@@ -141,6 +143,10 @@
                 })
                 .collect(),
             elsewhere: direct.spillover_shares(),
+            suspects: direct
+                .suspects()
+                .map(|(fingerprint, strikes)| (fingerprint.to_string(), strikes))
+                .collect(),
             targets: direct
                 .roster
                 .all()
--- a/crates/auburnrouter/src/direct/events/requests.rs
+++ b/crates/auburnrouter/src/direct/events/requests.rs
@@ -1,18 +1,22 @@
 //! Log events of single requests: attempts at targets, and answers that this system
 //! gave itself.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use serde::Serialize;
 use steer::process::direct::Withheld;
 use steer::process::direct::target::Feedback;
+use steer::request::arrival::Fingerprint;
 
 use super::{millis, write};
 use crate::direct::Shared;
 
-/// Position of a request on its connection, and how it arrived.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+/// Caller of a request, its position on its connection, and how it arrived.
+#[derive(Clone, Copy, Debug, Serialize)]
 pub struct Origin {
+    /// Address of the caller.
+    pub caller: IpAddr,
     /// Number of the connection, among those of callers.
     pub connection: u64,
     /// Unanswered requests ahead of it on the connection when its handling began.
@@ -75,6 +79,11 @@
     warm: bool,
     expected_ms: f64,
     object: u64,
+    /// Fingerprint that repeats of the request share.
+    fingerprint: String,
+    /// Strikes against it as a suspect of crashing targets when it was sent.
+    #[serde(skip_serializing_if = "is_zero")]
+    strikes: u8,
     /// Version of the configuration it was decided by.
     config: u64,
 }
@@ -150,6 +159,8 @@
         warm: a.assignment.is_warm,
         expected_ms: a.assignment.expected_work * 1000.0,
         object: a.object,
+        fingerprint: a.assignment.fingerprint.to_string(),
+        strikes: a.assignment.strikes,
         config: a.assignment.version,
     };
     write(shared, "attempt", fields);
@@ -164,6 +175,9 @@
     team: Option<&'a str>,
     #[serde(flatten)]
     origin: Origin,
+    /// Fingerprint that repeats of the request share; none before it is routed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    fingerprint: Option<String>,
     status: u16,
     why: &'a str,
     held_ms: u64,
@@ -187,6 +201,8 @@
     pub team: Option<&'a str>,
     /// Its connection and arrival.
     pub origin: Origin,
+    /// Fingerprint that its repeats share, once it is routed.
+    pub fingerprint: Option<Fingerprint>,
     /// Status code of the answer.
     pub status: u16,
     /// Short name of the cause.
@@ -202,6 +218,7 @@
         route,
         team,
         origin,
+        fingerprint,
         status,
         reason,
         held_ms,
@@ -221,6 +238,7 @@
         route,
         team,
         origin,
+        fingerprint: fingerprint.map(|f| f.to_string()),
         status,
         why: reason,
         held_ms,
@@ -240,6 +258,14 @@
     !*value
 }
 
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(value: &u8) -> bool {
+    *value == 0
+}
+
 fn seconds(millis: u64) -> f64 {
     Duration::from_millis(millis).as_secs_f64()
 }
--- /dev/null
+++ b/crates/auburnrouter/src/direct/events/suspects.rs
@@ -0,0 +1,33 @@
+//! Log events of requests that are suspected of crashing targets.
+
+use serde::Serialize;
+use steer::process::direct::suspect::Change;
+
+use super::write;
+use crate::direct::Shared;
+
+/// Fields of event `suspect`.
+#[derive(Serialize)]
+struct SuspectFields<'a> {
+    /// Fingerprint that repeats of the request share.
+    fingerprint: String,
+    before: u8,
+    strikes: u8,
+    why: &'a str,
+    /// Target or instance that the change came from; null if it was neither.
+    source: Option<&'a str>,
+}
+
+/// Logs changes of the strikes against requests.
+pub fn suspects_changed(shared: &Shared, changes: &[Change]) {
+    for change in changes {
+        let fields = SuspectFields {
+            fingerprint: change.fingerprint.to_string(),
+            before: change.before,
+            strikes: change.strikes,
+            why: change.cause.name(),
+            source: change.cause.source().map(|s| &**s),
+        };
+        write(shared, "suspect", fields);
+    }
+}
--- a/crates/auburnrouter/src/direct/metrics/gauges.rs
+++ b/crates/auburnrouter/src/direct/metrics/gauges.rs
@@ -21,6 +21,8 @@
     staleness: IntGauge,
     teams: IntGauge,
     connections: IntGauge,
+    suspects: IntGauge,
+    refused_requests: IntGauge,
 }
 
 impl Gauges {
@@ -61,6 +63,14 @@
             )?,
             teams: gauge("auburnrouter_teams", "Teams of the configuration")?,
             connections: gauge("auburnrouter_connections", "Callers' open connections")?,
+            suspects: gauge(
+                "auburnrouter_suspects",
+                "Requests suspected of crashing targets, those always refused included",
+            )?,
+            refused_requests: gauge(
+                "auburnrouter_crashing_requests",
+                "Requests that are always refused because targets crashed under them",
+            )?,
         })
     }
 
@@ -87,6 +97,9 @@
         let teams = shared.read(|_, d| d.routes().map_or(0, |r| r.teams.all().len()));
         self.teams.set(int(teams));
         self.connections.set(int(state.connections));
+        let (suspects, refused) = shared.read(|_, d| d.suspect_counts());
+        self.suspects.set(int(suspects));
+        self.refused_requests.set(int(refused));
     }
 }
 
--- a/crates/auburnrouter/src/direct/shared.rs
+++ b/crates/auburnrouter/src/direct/shared.rs
@@ -184,7 +184,9 @@
         }
         let waiting = steering.direct.waiting_count() > 0;
         let urgent = steering.direct.take_report_due();
+        let suspected = steering.direct.take_suspect_changes();
         drop(steering);
+        events::suspects_changed(self, &suspected);
         if urgent {
             self.is_quota_urgent.store(true, Ordering::Relaxed);
             self.quota_wait.notify(1);
@@ -201,6 +203,9 @@
     pub(super) fn update(&self, update: impl FnOnce(Time, &mut Direct)) {
         let mut steering = lock(&self.steering);
         update(self.now(), &mut steering.direct);
+        let suspected = steering.direct.take_suspect_changes();
+        drop(steering);
+        events::suspects_changed(self, &suspected);
     }
 
     /// Number of calls made to the store, of all kinds.
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -33,6 +33,7 @@
 pub mod roster;
 pub mod spillover;
 pub mod split;
+pub mod suspect;
 pub mod target;
 pub mod upstream;
 
@@ -89,6 +90,8 @@
     /// The end of this process, once it was told to stop.
     stops_at: Option<Time>,
     suspects: Suspects,
+    /// Changes of strikes that wait to be logged.
+    suspect_changes: Vec<suspect::Change>,
     /// Objects that have become warm at targets since the last heartbeat, each with
     /// the hash of the target.
     object_updates: Vec<(u32, u32)>,
@@ -144,6 +147,7 @@
             failed_upstreams: FailedUpstreams::default(),
             stops_at: None,
             suspects: Suspects::default(),
+            suspect_changes: Vec::new(),
             object_updates: Vec::new(),
             observations: Vec::new(),
             object_cursor: 0,
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -10,6 +10,7 @@
 use super::job::{Job, State};
 use super::mechanisms::Mechanism;
 use super::message::{Assignment, AttemptOutcome, FollowUp, Ticket, Withheld};
+use super::suspect::Cause;
 use super::target::{Feedback, FeedbackEffect};
 use super::{ANSWER_RESERVE, Direct, members, short_hash};
 use crate::clock::Time;
@@ -135,14 +136,22 @@
         outcome: AttemptOutcome,
     ) {
         let fingerprint = job.request.fingerprint;
+        let before = self.suspects.strikes(fingerprint);
         match outcome {
             AttemptOutcome::ConnectionLost => {
                 self.suspects.strike(now, job.strikes, fingerprint, target);
+                self.log_suspect(fingerprint, before, Cause::Broken(Arc::clone(target)));
             }
             AttemptOutcome::Answered if !self.suspects.is_empty() => {
                 self.suspects.clear(fingerprint);
+                self.log_suspect(fingerprint, before, Cause::Answered);
                 // The changes need no message: heartbeats report all recent strikes.
-                self.suspects.withdraw(target, sent_at, &mut Vec::new());
+                let mut withdrawn = Vec::new();
+                self.suspects.withdraw(target, sent_at, &mut withdrawn);
+                for change in withdrawn {
+                    let cause = Cause::Survived(Arc::clone(target));
+                    self.log_suspect(change.fingerprint, change.strikes + 1, cause);
+                }
             }
             _ => {}
         }
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -11,6 +11,7 @@
 use super::Direct;
 use super::allotment::Participant;
 use super::members::{self, Heartbeat, Registration};
+use super::suspect::Cause;
 use crate::clock::Time;
 use crate::request::arrival::Fingerprint;
 
@@ -205,8 +206,11 @@
     /// Takes another instance's heartbeat.
     pub fn receive_heartbeat(&mut self, now: Time, heartbeat: Heartbeat) {
         for (fingerprint, strikes) in &heartbeat.suspects {
-            self.suspects
-                .merge(now, Fingerprint(*fingerprint), *strikes);
+            let fingerprint = Fingerprint(*fingerprint);
+            let before = self.suspects.strikes(fingerprint);
+            self.suspects.merge(now, fingerprint, *strikes);
+            let cause = Cause::Told(Arc::clone(&heartbeat.name));
+            self.log_suspect(fingerprint, before, cause);
         }
         for (target_hash, object) in &heartbeat.warm_objects {
             self.roster.note_warm_object(now, *target_hash, *object);
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -150,6 +150,10 @@
     pub addr: SocketAddr,
     /// Number of this attempt of the request, from 1.
     pub attempt: usize,
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Strikes against the request, as a suspect of crashing targets.
+    pub strikes: u8,
     /// Expected work at the target, in seconds.
     pub expected_work: f64,
     /// Whether the target is known to have handled the object recently.
--- a/crates/steer/src/process/direct/queue.rs
+++ b/crates/steer/src/process/direct/queue.rs
@@ -193,6 +193,8 @@
             incarnation,
             addr,
             attempt: job.tried.len(),
+            fingerprint: job.request.fingerprint,
+            strikes: job.strikes,
             expected_work: best.service_time,
             is_warm: best.warm,
             load,
--- a/crates/steer/src/request/arrival.rs
+++ b/crates/steer/src/request/arrival.rs
@@ -32,6 +32,15 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint(pub u128);
 
+impl fmt::Display for Fingerprint {
+    /// Prints the first digits of the hashes of the head and of the body, so that logs
+    /// show which of them differ.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let [head, body] = [self.0 >> 96, self.0 >> 32 & u128::from(u32::MAX)];
+        write!(f, "{head:08x}-{body:08x}")
+    }
+}
+
 /// Sender of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Origin {
--- a/crates/steer/src/request/poison.rs
+++ b/crates/steer/src/request/poison.rs
@@ -131,6 +131,14 @@
         }
     }
 
+    /// Lists all fingerprints with their strikes.
+    pub fn all(&self) -> impl Iterator<Item = StrikeUpdate> {
+        self.entries.iter().map(|entry| StrikeUpdate {
+            fingerprint: entry.fingerprint,
+            strikes: entry.strikes(),
+        })
+    }
+
     /// Lists the fingerprints that are always refused, with their strikes.
     pub fn rejected(&self) -> impl Iterator<Item = StrikeUpdate> {
         let refused = self.entries.iter().filter(|e| e.strikes() >= STRIKES_MAX);
