Show that repeats of requests that crash targets are sent on

Failing tests of the incident, with real processes and a stand-in target that crashes under a path: repeats from other addresses or for other objects count as other requests; an instance that starts later knows nothing; of forty such requests a second instance learns some.

--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -8,6 +8,8 @@
 mod answers;
 #[path = "direct/backoff.rs"]
 mod backoff;
+#[path = "direct/crashes.rs"]
+mod crashes;
 #[path = "direct/follow.rs"]
 mod follow;
 #[path = "direct/keys.rs"]
