Recognize repeats of a request from any address and for any object

Cause: the fingerprint that repeats share held the caller's IP address and the object's key. A caller comes from several addresses and may change the key, so each repeat was a new request without strikes. Evidence: in the record an instance with two breaks of its own under the request sends it on 44 ms later, in both regions at once, and no line shows a strike withdrawn between; it rejects only what the same address sends again.

The fingerprint now consists of what the target is asked to do: method, host, path with query, team and body. Whoever sends it, the third repeat is refused.

--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -8,7 +8,6 @@
 
 mod routed;
 
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -199,7 +198,7 @@
     let max_wait = caller.timeout.unwrap_or(DEFAULT_DEADLINE);
     let object = caller.affinity_key.as_ref().filter(|_| route.has_affinity);
     let object = object.map(|o| object_hash(&route, o.as_bytes()));
-    let fingerprint = fingerprint(incoming.caller, &head.method, &head.uri, object, &body);
+    let fingerprint = fingerprint(&host, &head.method, &head.uri, team.as_deref(), &body);
     let steer_request = Request {
         fingerprint,
         object,
@@ -241,15 +240,19 @@
     direct::hash(route.name.as_bytes()) ^ direct::hash(object).rotate_left(17)
 }
 
-/// Fingerprint that is equal for retries of the same request by the same caller.
+/// Fingerprint that repeats of a request share, whoever sends them. It consists of what
+/// the target is asked to do: neither the address that the request comes from, as callers
+/// have several, nor its id or object, which repeats may change.
 fn fingerprint(
-    caller: IpAddr,
+    host: &str,
     method: &Method,
     uri: &Uri,
-    object: Option<u64>,
+    team: Option<&str>,
     body: &[u8],
 ) -> Fingerprint {
-    let head = format!("{caller:?} {method} {uri} {object:?}");
+    // An absolute URI names its host once more.
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    let head = format!("{method} {host} {path} {team:?}");
     let head = u128::from(direct::hash(head.as_bytes()));
     Fingerprint(head << 64 | u128::from(direct::hash(body)))
 }
