Tell all instances which requests crash targets, for as long as it holds

Callers lost further targets to a known request whenever it came to an instance that had just started, that was cut off, or that is not among the few that heartbeats go to; all instances started anew lost the verdict.

Cause: verdicts were told in heartbeats, for 5 s after a strike, the 16 with the smallest fingerprints, and each instance's heartbeats go to the same few others.

Now: a message of its own at the pace of heartbeats, news to the nearest instances and four at random, everything held in turn, newest first, to one at random and to newcomers, 32 reports at most; rounds, so that news of before can't bring back strikes that were taken back; and for each verdict a row in the platform's store under a lease of the verdict's life, written with the condition that it is as the writer knew it. An instance reads the rows before it takes callers. While the store is away instances tell each other, and rows are written afterwards by whoever found them, or later by another.

--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -23,6 +23,7 @@
 mod shared;
 mod socket;
 mod source;
+mod verdict;
 
 use std::io;
 use std::path::Path;
@@ -206,6 +207,9 @@
             heartbeats.clone(),
         ))
         .detach();
+    control
+        .spawn(verdict::write_rows(Arc::clone(shared)))
+        .detach();
     control
         .spawn(peer::serve(
             Arc::clone(shared),
--- a/crates/auburnrouter/src/direct/heartbeat.rs
+++ b/crates/auburnrouter/src/direct/heartbeat.rs
@@ -12,6 +12,7 @@
 use smol::net;
 use steer::process::direct::members;
 use steer::process::direct::quota;
+use wire::direct::suspects::Suspects;
 use wire::direct::{DATAGRAM_MAX, Heartbeat, Message};
 
 use super::{Shared, events, lock};
@@ -37,6 +38,7 @@
         count += 1;
         let all = count % REMOTE_EVERY == 0;
         send_notices(&shared, &socket, all).await;
+        send_suspects(&shared, &socket).await;
         let in_flight = shared.read(|_, d| d.roster.in_flight());
         if !all && in_flight == last_sent {
             continue;
@@ -102,6 +104,24 @@
     }
 }
 
+/// Tells other instances which requests crash targets, if there are any.
+async fn send_suspects(shared: &Shared, socket: &net::UdpSocket) {
+    let message = {
+        let mut steering = lock(&shared.steering);
+        let now = shared.now();
+        steering.direct.suspect_message(now)
+    };
+    let Some(message) = message else {
+        return;
+    };
+    let reports = Suspects::new(&shared.settings.name, &message.reports);
+    let reports = Message::Suspects(reports).encode();
+    for addr in message.recipients {
+        // A failed send counts as a lost datagram: the next turn follows soon.
+        let _ = socket.send_to(&reports, addr).await;
+    }
+}
+
 /// Minimum time between two rounds of quota reports.
 const QUOTA_REPORT_INTERVAL_MIN: Duration = Duration::from_millis(5);
 
@@ -160,6 +180,10 @@
                 let notices: Vec<_> = notices.into();
                 shared.update(|now, d| d.receive_target_notices(now, &notices));
             }
+            Ok(Message::Suspects(suspects)) => {
+                let (sender, reports) = suspects.decode();
+                shared.decide(|now, d| d.receive_suspects(now, &sender, &reports));
+            }
             Ok(Message::Grant(grant)) => {
                 let grant = quota::Grant::from(grant);
                 shared.decide(|now, direct| direct.receive_grant(now, &grant));
--- a/crates/auburnrouter/src/direct/shared.rs
+++ b/crates/auburnrouter/src/direct/shared.rs
@@ -16,7 +16,7 @@
 use steer::process::direct::members::Registration;
 use steer::process::direct::replica::Replica;
 use steer::process::direct::{
-    Bounds, Decision, Direct, Identity, Rejection, Request, Ticket, access, limit, quota,
+    Bounds, Decision, Direct, Identity, Rejection, Request, Ticket, access, limit, quota, suspect,
 };
 
 use super::{Executor, Failure, events, memory, metrics, peer, server};
@@ -50,6 +50,8 @@
     pub(super) updated: Event,
     /// Notified when a request begins to wait for a token of its team's quota.
     pub(super) quota_wait: Event,
+    /// Notified when strikes against a request have changed.
+    pub(super) suspected: Event,
     /// Whether one has begun to wait since the last quota reports.
     is_quota_urgent: AtomicBool,
     /// Encoded snapshot of the replica, for instances that start.
@@ -127,6 +129,7 @@
             replica: Mutex::default(),
             updated: Event::new(),
             quota_wait: Event::new(),
+            suspected: Event::new(),
             is_quota_urgent: AtomicBool::new(false),
             snapshot_cache: peer::SnapshotCache::default(),
             changes_cache: peer::ChangesCache::default(),
@@ -186,7 +189,7 @@
         let urgent = steering.direct.take_report_due();
         let suspected = steering.direct.take_suspect_changes();
         drop(steering);
-        events::suspects_changed(self, &suspected);
+        self.report_suspects(&suspected);
         if urgent {
             self.is_quota_urgent.store(true, Ordering::Relaxed);
             self.quota_wait.notify(1);
@@ -205,7 +208,15 @@
         update(self.now(), &mut steering.direct);
         let suspected = steering.direct.take_suspect_changes();
         drop(steering);
-        events::suspects_changed(self, &suspected);
+        self.report_suspects(&suspected);
+    }
+
+    /// Logs changes of strikes, and wakes the task that stores verdicts.
+    fn report_suspects(&self, changes: &[suspect::Change]) {
+        if !changes.is_empty() {
+            events::suspects_changed(self, changes);
+            self.suspected.notify(1);
+        }
     }
 
     /// Number of calls made to the store, of all kinds.
--- a/crates/auburnrouter/src/direct/source/apply.rs
+++ b/crates/auburnrouter/src/direct/source/apply.rs
@@ -12,7 +12,7 @@
 use steer::process::direct::replica::Update;
 use wire::direct;
 
-use super::super::{Shared, events, lock, member};
+use super::super::{Shared, events, lock, member, verdict};
 
 /// Applies the answer of another instance to a query sent at `sent_at`. Returns
 /// whether it could be decoded.
@@ -57,6 +57,8 @@
             }
         } else if let Some(name) = item.key.strip_prefix(member::KEY_PREFIX) {
             batch.members.push((name, value));
+        } else if let Some(digits) = item.key.strip_prefix(verdict::KEY_PREFIX) {
+            verdict::apply(shared, digits, item.revision, value);
         } else {
             apply_item(shared, &item.key, value);
         }
--- a/crates/auburnrouter/tests/direct/crashes.rs
+++ b/crates/auburnrouter/tests/direct/crashes.rs
@@ -103,6 +103,9 @@
             targets,
             entry,
         } = harness;
+        wait_until("the verdict is stored", || {
+            !store.keys("auburnrouter/crashes/").is_empty()
+        });
         drop(entry);
         let entry = Entry::start("near-1", "near-a", store.addr(), &[]);
         entry.await_ready();
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -36,6 +36,7 @@
 pub mod suspect;
 pub mod target;
 pub mod upstream;
+pub mod verdict;
 
 use core::time::Duration;
 use std::sync::Arc;
@@ -90,6 +91,12 @@
     /// The end of this process, once it was told to stop.
     stops_at: Option<Time>,
     suspects: Suspects,
+    /// Rows of the store on requests that crash targets.
+    rows: verdict::Rows,
+    /// Counts the turns of messages on suspects.
+    suspect_turn: u64,
+    /// Position of the next message in the rotation over all suspects.
+    suspect_cursor: usize,
     /// Changes of strikes that wait to be logged.
     suspect_changes: Vec<suspect::Change>,
     /// Objects that have become warm at targets since the last heartbeat, each with
@@ -147,6 +154,9 @@
             failed_upstreams: FailedUpstreams::default(),
             stops_at: None,
             suspects: Suspects::default(),
+            rows: verdict::Rows::default(),
+            suspect_turn: 0,
+            suspect_cursor: 0,
             suspect_changes: Vec::new(),
             object_updates: Vec::new(),
             observations: Vec::new(),
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -143,11 +143,11 @@
                 self.log_suspect(fingerprint, before, Cause::Broken(Arc::clone(target)));
             }
             AttemptOutcome::Answered if !self.suspects.is_empty() => {
-                self.suspects.clear(fingerprint);
+                self.suspects.clear(now, fingerprint);
                 self.log_suspect(fingerprint, before, Cause::Answered);
                 // The changes need no message: heartbeats report all recent strikes.
                 let mut withdrawn = Vec::new();
-                self.suspects.withdraw(target, sent_at, &mut withdrawn);
+                self.suspects.withdraw(now, target, sent_at, &mut withdrawn);
                 for change in withdrawn {
                     let cause = Cause::Survived(Arc::clone(target));
                     self.log_suspect(change.fingerprint, change.strikes + 1, cause);
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -77,9 +77,6 @@
 /// small region's targets hold within a few seconds.
 const HEARTBEAT_KNOWN_OBJECTS_MAX: usize = 12;
 
-/// Time for which heartbeats report a request that broke a target.
-const SUSPECT_REPORT_SPAN: Duration = Duration::from_secs(5);
-
 impl Direct {
     /// Records an answer of the store, by which everything up to `revision` is known.
     pub fn store_answered(&mut self, now: Time, revision: u64) {
@@ -208,7 +205,10 @@
         for (fingerprint, strikes) in &heartbeat.suspects {
             let fingerprint = Fingerprint(*fingerprint);
             let before = self.suspects.strikes(fingerprint);
-            self.suspects.merge(now, fingerprint, *strikes);
+            // Heartbeats don't tell the round; reports of suspects do.
+            if self.suspects.round(fingerprint) == 0 {
+                self.suspects.merge(now, fingerprint, *strikes);
+            }
             let cause = Cause::Told(Arc::clone(&heartbeat.name));
             self.log_suspect(fingerprint, before, cause);
         }
@@ -237,7 +237,9 @@
         let warm_objects = self.object_reports(now);
         let observations = self.take_observations(now);
         let limits = self.limit_reports(now);
-        let suspects = self.suspects.recent(now, SUSPECT_REPORT_SPAN);
+        // Read by earlier releases, which know no reports of suspects.
+        let suspects = self.suspects.reports(now).into_iter();
+        let suspects = suspects.filter(|s| s.round == 0 && s.strikes > 0);
         Heartbeat {
             name: Arc::clone(&self.identity.name),
             incarnation: self.identity.incarnation,
@@ -316,6 +318,7 @@
     /// dropped.
     pub fn sweep(&mut self, now: Time) -> Vec<Arc<str>> {
         self.suspects.expire(now);
+        self.sweep_rows();
         self.members.sweep(now);
         self.roster.update_peer_load(now, &self.members);
         self.update_participants(now);
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -282,6 +282,18 @@
         appeared.is_some_and(|at| now.since(at) < NEWCOMER_SPAN)
     }
 
+    /// Addresses for heartbeats of up to `max` instances that have appeared recently.
+    #[must_use]
+    pub fn newcomers(&self, now: Time, max: usize) -> Vec<SocketAddr> {
+        let is_new = |m: &&Member| {
+            m.appeared_at
+                .is_some_and(|at| now.since(at) < NEWCOMER_SPAN)
+        };
+        let all = self.all.iter().filter(is_new);
+        let addrs = all.filter_map(|m| Some(m.registration.as_ref()?.heartbeats));
+        addrs.take(max).collect()
+    }
+
     /// Registration of an instance, whether or not it is present.
     #[must_use]
     pub fn registration(&self, name: &str) -> Option<&Registration> {
--- a/crates/steer/src/process/direct/suspect.rs
+++ b/crates/steer/src/process/direct/suspect.rs
@@ -1,16 +1,56 @@
-//! Changes in the suspicion that requests crash the targets that run them, for the log.
+//! What instances tell each other of requests that crash the targets that run them, and
+//! what they log of it.
 //!
-//! Invariant: at most [`CHANGES_MAX`] changes wait to be logged; further ones are
+//! Such a request comes again at any instance, for minutes. So all that is held against
+//! requests is told for as long as it is held: news at once to the nearest instances and
+//! to some at random, who pass it on, and everything in turn to an instance at random
+//! and to those that have just started. Heartbeats alone wouldn't do, as each instance
+//! sends them to the same few.
+//!
+//! Invariants: at most [`REPORTS_MAX`] reports in one message, the newest in each, the
+//! others in turn; at most [`CHANGES_MAX`] changes wait to be logged, further ones are
 //! dropped.
 
+use core::net::SocketAddr;
+use core::time::Duration;
 use std::sync::Arc;
 
-use super::Direct;
+use super::{Direct, hash};
+use crate::clock::Time;
 use crate::request::arrival::Fingerprint;
+use crate::request::poison::Report;
+
+/// Largest number of reports in one message, so that it fits a datagram.
+pub const REPORTS_MAX: usize = 32;
+
+/// Of these, the number of reports with the latest changes.
+const NEWEST_REPORTS: usize = 16;
+
+/// Time for which a change is told at each turn.
+const NEWS_SPAN: Duration = Duration::from_secs(2);
+
+/// Instances at random that are told news at each turn. With four, news reaches a
+/// thousand instances in about five turns.
+const NEWS_FANOUT: usize = 4;
+
+/// Turns between messages without news.
+const QUIET_TURNS: u64 = 4;
+
+/// Instances that have just started and are told at each turn.
+const NEWCOMERS_MAX: usize = 8;
 
 /// Largest number of changes that wait to be logged.
 const CHANGES_MAX: usize = 256;
 
+/// Reports for other instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SuspectMessage {
+    /// What this instance holds against requests.
+    pub reports: Vec<Report>,
+    /// Addresses for heartbeats of those that get it.
+    pub recipients: Vec<SocketAddr>,
+}
+
 /// Cause of a change of strikes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Cause {
@@ -22,6 +62,8 @@
     Answered,
     /// Another instance reported it.
     Told(Arc<str>),
+    /// It is in the platform's store.
+    Stored,
 }
 
 impl Cause {
@@ -33,6 +75,7 @@
             Self::Survived(_) => "survived",
             Self::Answered => "answered",
             Self::Told(_) => "told",
+            Self::Stored => "stored",
         }
     }
 
@@ -41,7 +84,7 @@
     pub const fn source(&self) -> Option<&Arc<str>> {
         match self {
             Self::Broken(name) | Self::Survived(name) | Self::Told(name) => Some(name),
-            Self::Answered => None,
+            Self::Answered | Self::Stored => None,
         }
     }
 }
@@ -76,6 +119,76 @@
         self.suspects.all().map(|s| (s.fingerprint, s.strikes))
     }
 
+    /// Reports for other instances at this turn; `None` if nobody is to be told
+    /// anything. To be called at the pace of heartbeats.
+    pub fn suspect_message(&mut self, now: Time) -> Option<SuspectMessage> {
+        self.suspect_turn += 1;
+        if self.suspects.is_unknown() {
+            return None;
+        }
+        let recipients = self.suspect_recipients(now);
+        if recipients.is_empty() {
+            return None;
+        }
+        let mut reports = self.suspects.reports(now);
+        let rest = reports.split_off(NEWEST_REPORTS.min(reports.len()));
+        let room = (REPORTS_MAX - reports.len()).min(rest.len());
+        let from = self.suspect_cursor % rest.len().max(1);
+        reports.extend(rest.iter().cycle().skip(from).take(room));
+        self.suspect_cursor = from + room;
+        Some(SuspectMessage {
+            reports,
+            recipients,
+        })
+    }
+
+    fn suspect_recipients(&self, now: Time) -> Vec<SocketAddr> {
+        let is_news = self.suspects.has_changed(now, NEWS_SPAN);
+        let is_turn = self.suspect_turn.is_multiple_of(QUIET_TURNS);
+        let mut recipients = self.members.newcomers(now, NEWCOMERS_MAX);
+        if is_news {
+            recipients.extend(self.recipients(now).local);
+        }
+        let random = match (is_news, is_turn) {
+            (true, _) => NEWS_FANOUT,
+            (false, true) => 1,
+            (false, false) => 0,
+        };
+        if random > 0 {
+            let all: Vec<SocketAddr> = self
+                .members
+                .participants(now)
+                .map(|(_, registration)| registration.heartbeats)
+                .collect();
+            let pick = |i: usize| {
+                let draw =
+                    hash(format!("{} {} {i}", self.identity.name, self.suspect_turn).as_bytes());
+                let at = usize::try_from(draw % all.len().max(1) as u64).unwrap_or_default();
+                all.get(at).copied()
+            };
+            recipients.extend((0..random).filter_map(pick));
+        }
+        recipients.sort_unstable();
+        recipients.dedup();
+        recipients
+    }
+
+    /// Takes reports of another instance.
+    pub fn receive_suspects(&mut self, now: Time, sender: &Arc<str>, reports: &[Report]) {
+        for report in reports {
+            let before = self.suspects.strikes(report.fingerprint);
+            self.suspects.absorb(now, *report);
+            let cause = Cause::Told(Arc::clone(sender));
+            self.log_suspect(report.fingerprint, before, cause);
+        }
+    }
+
+    /// What is held against a request, if anything is.
+    #[must_use]
+    pub fn suspect_report(&self, now: Time, fingerprint: Fingerprint) -> Option<Report> {
+        self.suspects.report(now, fingerprint)
+    }
+
     /// Records a change for the log if the strikes differ from those before.
     pub(super) fn log_suspect(&mut self, fingerprint: Fingerprint, before: u8, cause: Cause) {
         let strikes = self.suspects.strikes(fingerprint);
--- /dev/null
+++ b/crates/steer/src/process/direct/verdict.rs
@@ -0,0 +1,180 @@
+//! Verdicts on requests that crash targets, as the platform's store keeps them.
+//!
+//! What instances hold in memory is gone when all start anew, and an instance that starts
+//! hears of it late. So each request that is always refused has a row in the store, with
+//! an end to its life; every instance reads all rows before it takes callers. While the
+//! store is away, instances tell each other, and the rows are written afterwards.
+//!
+//! Invariants: a row is replaced only at the revision that the writer knew, so of several
+//! writers one succeeds; an instance has at most one write under way.
+
+use core::time::Duration;
+
+use super::{Direct, hash};
+use crate::clock::Time;
+use crate::request::arrival::Fingerprint;
+use crate::request::poison::{Report, STRIKES_MAX};
+
+/// Time after which an instance writes what another one should have written. Most are
+/// written by then.
+const SUBSTITUTE_DELAY: Duration = Duration::from_secs(3);
+
+/// Time over which substitutes spread their writes.
+const SUBSTITUTE_SPREAD: Duration = Duration::from_secs(30);
+
+/// Time after a write during which its row is expected to arrive.
+const WRITE_SETTLES: Duration = Duration::from_secs(2);
+
+/// Shortest rest of its life for which a verdict is worth a row.
+const ROW_LIFE_MIN: Duration = Duration::from_secs(30);
+
+/// Row of the store on one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Counts how often strikes were taken back.
+    pub round: u16,
+    /// Strikes; zero if the request was cleared.
+    pub strikes: u8,
+    /// Time for which the verdict was to be kept when the row was written.
+    pub left: Duration,
+}
+
+/// Row to be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RowWrite {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Revision of the row that it replaces; zero if there must be none.
+    pub revision: u64,
+    /// New content.
+    pub row: Row,
+}
+
+/// Row as this instance knows it.
+#[derive(Clone, Debug)]
+struct Known {
+    fingerprint: Fingerprint,
+    /// Revision in the store; zero if it has no row.
+    revision: u64,
+    round: u16,
+    strikes: u8,
+    /// Time until which a write of this instance is under way.
+    busy_until: Time,
+}
+
+/// Known rows, sorted by fingerprint.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Rows(Vec<Known>);
+
+impl Rows {
+    fn find(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
+        self.0.binary_search_by_key(&fingerprint, |k| k.fingerprint)
+    }
+
+    fn get(&self, fingerprint: Fingerprint) -> Option<&Known> {
+        self.find(fingerprint).ok().map(|at| &self.0[at])
+    }
+
+    fn ensure(&mut self, fingerprint: Fingerprint) -> &mut Known {
+        let at = match self.find(fingerprint) {
+            Ok(at) => at,
+            Err(at) => {
+                let known = Known {
+                    fingerprint,
+                    revision: 0,
+                    round: 0,
+                    strikes: 0,
+                    busy_until: Time::ZERO,
+                };
+                self.0.insert(at, known);
+                at
+            }
+        };
+        &mut self.0[at]
+    }
+}
+
+impl Direct {
+    /// Takes a row of the store, or its end.
+    pub fn learn_row(
+        &mut self,
+        now: Time,
+        fingerprint: Fingerprint,
+        revision: u64,
+        row: Option<Row>,
+    ) {
+        let known = self.rows.ensure(fingerprint);
+        known.busy_until = Time::ZERO;
+        let Some(row) = row else {
+            known.revision = 0;
+            return;
+        };
+        known.revision = revision;
+        known.round = row.round;
+        known.strikes = row.strikes;
+        let before = self.suspects.strikes(fingerprint);
+        let report = Report {
+            fingerprint,
+            round: row.round,
+            strikes: row.strikes,
+            left: row.left,
+        };
+        self.suspects.absorb(now, report);
+        self.log_suspect(fingerprint, before, super::suspect::Cause::Stored);
+    }
+
+    /// Next row that this instance is to write, if there is one. It counts as under way
+    /// until the row arrives, or for a while.
+    pub fn next_row_write(&mut self, now: Time) -> Option<RowWrite> {
+        if self.suspects.is_unknown() || !self.is_store_reachable(now) {
+            return None;
+        }
+        let reports = self.suspects.reports(now);
+        let report = reports.into_iter().find(|r| self.is_row_due(now, r))?;
+        let known = self.rows.ensure(report.fingerprint);
+        known.busy_until = now + WRITE_SETTLES;
+        Some(RowWrite {
+            fingerprint: report.fingerprint,
+            revision: known.revision,
+            row: Row {
+                round: report.round,
+                strikes: report.strikes,
+                left: report.left,
+            },
+        })
+    }
+
+    /// Whether this instance is to write a row with this report.
+    fn is_row_due(&self, now: Time, report: &Report) -> bool {
+        let known = self.rows.get(report.fingerprint);
+        if known.is_some_and(|k| now < k.busy_until) || report.left < ROW_LIFE_MIN {
+            return false;
+        }
+        let stored = known.filter(|k| k.revision > 0);
+        let is_newer = stored.map_or(report.strikes >= STRIKES_MAX, |k| {
+            let is_verdict = report.strikes >= STRIKES_MAX || k.strikes >= STRIKES_MAX;
+            is_verdict && (report.round, report.strikes) > (k.round, k.strikes)
+        });
+        is_newer && now >= self.row_due(report.fingerprint)
+    }
+
+    /// Time from which this instance writes what it holds against a request: at once
+    /// what it found itself, later what others found.
+    fn row_due(&self, fingerprint: Fingerprint) -> Time {
+        let (changed_at, is_own) = self.suspects.origin(fingerprint);
+        if is_own {
+            return changed_at;
+        }
+        let draw = hash(format!("{} {fingerprint}", self.identity.name).as_bytes());
+        let spread = SUBSTITUTE_SPREAD.mul_f64(super::unit_interval(draw));
+        changed_at + SUBSTITUTE_DELAY + spread
+    }
+
+    /// Forgets rows that are gone and against whose requests nothing is held any more.
+    pub(super) fn sweep_rows(&mut self) {
+        let suspects = &self.suspects;
+        self.rows
+            .0
+            .retain(|k| k.revision > 0 || suspects.is_held(k.fingerprint));
+    }
+}
--- a/crates/steer/src/process/dispatch/completion.rs
+++ b/crates/steer/src/process/dispatch/completion.rs
@@ -217,9 +217,10 @@
         }
         let mut changes = Vec::new();
         if is_local && !self.suspects.is_empty() {
-            changes.extend(self.suspects.clear(running.job.arrival.fingerprint));
+            changes.extend(self.suspects.clear(now, running.job.arrival.fingerprint));
             let name = running.destination.name();
-            self.suspects.withdraw(name, running.sent_at, &mut changes);
+            self.suspects
+                .withdraw(now, name, running.sent_at, &mut changes);
         }
         out.extend(changes.into_iter().map(suspect_action));
     }
--- a/crates/steer/src/request/poison.rs
+++ b/crates/steer/src/request/poison.rs
@@ -8,8 +8,12 @@
 //! also withdrawn when the target goes on answering requests sent before the
 //! break, since then only a connection failed.
 //!
+//! Instances tell each other what they hold. Strikes only grow within a round; whoever
+//! clears or withdraws some begins a new round, so that older news can't bring them
+//! back.
+//!
 //! Invariant: at most [`SUSPECTS_MAX`] fingerprints are kept, each until
-//! [`SUSPECT_TTL`] after its last strike.
+//! [`SUSPECT_TTL`] after its last strike, or after it was cleared.
 
 use core::time::Duration;
 use std::sync::Arc;
@@ -36,10 +40,16 @@
     fingerprint: Fingerprint,
     /// Breaks that this instance has seen.
     breaks: Vec<Break>,
-    /// Strikes, including those that peers reported.
+    /// Strikes, including those that peers reported; zero if it was cleared.
     total: u8,
-    /// Time of the last strike.
-    struck_at: Time,
+    /// Counts how often strikes were taken back.
+    round: u16,
+    /// End of its life.
+    expires_at: Time,
+    /// Time at which this instance last learned something new.
+    changed_at: Time,
+    /// Whether it found that itself.
+    is_own: bool,
 }
 
 impl Entry {
@@ -47,6 +57,41 @@
         let own = u8::try_from(self.breaks.len()).unwrap_or(u8::MAX);
         own.max(self.total)
     }
+
+    /// Begins a round with this number of strikes.
+    fn begin_round(&mut self, now: Time, strikes: u8) {
+        self.round = self.round.saturating_add(1);
+        self.total = strikes;
+        self.changed_at = now;
+        self.is_own = true;
+        if strikes == 0 {
+            self.breaks.clear();
+            self.expires_at = now + SUSPECT_TTL;
+        }
+    }
+
+    fn report(&self, now: Time) -> Report {
+        Report {
+            fingerprint: self.fingerprint,
+            round: self.round,
+            strikes: self.strikes(),
+            left: self.expires_at.since(now),
+        }
+    }
+}
+
+/// What an instance holds against a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Counts how often strikes were taken back. A report of a later round replaces one
+    /// of an earlier round.
+    pub round: u16,
+    /// Strikes; zero if it was cleared.
+    pub strikes: u8,
+    /// Time for which it is kept.
+    pub left: Duration,
 }
 
 /// New number of strikes of a fingerprint, to be reported to peers.
@@ -72,16 +117,23 @@
             .map_or(0, |at| self.entries[at].strikes())
     }
 
-    /// Returns the number of fingerprints kept.
+    /// Returns how often strikes against a fingerprint were taken back.
+    #[must_use]
+    pub fn round(&self, fingerprint: Fingerprint) -> u16 {
+        self.find(fingerprint)
+            .map_or(0, |at| self.entries[at].round)
+    }
+
+    /// Returns the number of fingerprints with strikes.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.entries.len()
+        self.all().count()
     }
 
     /// Returns whether no fingerprint has strikes.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.all().next().is_none()
     }
 
     /// Records a strike for a request in flight when the connection to `target`
@@ -105,8 +157,10 @@
                 target: Arc::clone(target),
                 at: now,
             });
-            entry.total = entry.total.max((before + 1).min(STRIKES_MAX));
-            entry.struck_at = now;
+            entry.total = entry.total.max(before.saturating_add(1));
+            entry.expires_at = now + SUSPECT_TTL;
+            entry.changed_at = now;
+            entry.is_own = true;
         }
         StrikeUpdate {
             fingerprint,
@@ -118,7 +172,7 @@
     /// [`STRIKES_MAX`].
     pub fn merge(&mut self, now: Time, fingerprint: Fingerprint, strikes: u8) {
         if strikes == 0 {
-            self.clear(fingerprint);
+            self.clear(now, fingerprint);
             return;
         }
         let at = self.ensure(now, fingerprint);
@@ -127,13 +181,80 @@
         // each new instance and would keep the entry alive for ever.
         if strikes > entry.total {
             entry.total = strikes;
-            entry.struck_at = now;
+            entry.expires_at = now + SUSPECT_TTL;
+            entry.changed_at = now;
+            entry.is_own = false;
+        }
+    }
+
+    /// Takes a report of another instance. A later round replaces what is held, of the
+    /// same round the larger number of strikes counts.
+    pub fn absorb(&mut self, now: Time, report: Report) {
+        let left = report.left.min(SUSPECT_TTL);
+        if left.is_zero() {
+            return;
         }
+        let held = self.report(now, report.fingerprint);
+        if held.is_some_and(|h| (h.round, h.strikes) >= (report.round, report.strikes)) {
+            return;
+        }
+        let at = self.ensure(now, report.fingerprint);
+        let entry = &mut self.entries[at];
+        if report.round > entry.round {
+            entry.breaks.clear();
+        }
+        entry.round = report.round;
+        entry.total = report.strikes;
+        entry.expires_at = now + left;
+        entry.changed_at = now;
+        entry.is_own = false;
+    }
+
+    /// What is held against all fingerprints, the latest change first.
+    #[must_use]
+    pub fn reports(&self, now: Time) -> Vec<Report> {
+        let mut all: Vec<&Entry> = self.entries.iter().collect();
+        all.sort_by_key(|entry| core::cmp::Reverse(entry.changed_at));
+        all.into_iter().map(|entry| entry.report(now)).collect()
+    }
+
+    /// What is held against a fingerprint.
+    #[must_use]
+    pub fn report(&self, now: Time, fingerprint: Fingerprint) -> Option<Report> {
+        let at = self.find(fingerprint).ok()?;
+        Some(self.entries[at].report(now))
+    }
+
+    /// Returns whether anything is held against a fingerprint, or was lately.
+    #[must_use]
+    pub fn is_held(&self, fingerprint: Fingerprint) -> bool {
+        self.find(fingerprint).is_ok()
+    }
+
+    /// Returns when something new was last learned of a fingerprint, and whether this
+    /// instance found it itself.
+    #[must_use]
+    pub fn origin(&self, fingerprint: Fingerprint) -> (Time, bool) {
+        let found = self.find(fingerprint).map(|at| &self.entries[at]);
+        found.map_or((Time::ZERO, false), |e| (e.changed_at, e.is_own))
+    }
+
+    /// Returns whether nothing is held against any fingerprint, or was lately.
+    #[must_use]
+    pub const fn is_unknown(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns whether something new was learned less than `span` ago.
+    #[must_use]
+    pub fn has_changed(&self, now: Time, span: Duration) -> bool {
+        self.entries.iter().any(|e| now.since(e.changed_at) < span)
     }
 
     /// Lists all fingerprints with their strikes.
     pub fn all(&self) -> impl Iterator<Item = StrikeUpdate> {
-        self.entries.iter().map(|entry| StrikeUpdate {
+        let struck = self.entries.iter().filter(|e| e.strikes() > 0);
+        struck.map(|entry| StrikeUpdate {
             fingerprint: entry.fingerprint,
             strikes: entry.strikes(),
         })
@@ -148,25 +269,22 @@
         })
     }
 
-    /// Lists the fingerprints whose last strike is less than `span` ago.
-    pub fn recent(&self, now: Time, span: Duration) -> impl Iterator<Item = StrikeUpdate> {
-        let fresh = self
-            .entries
-            .iter()
-            .filter(move |e| now.since(e.struck_at) < span);
-        fresh.map(|entry| StrikeUpdate {
-            fingerprint: entry.fingerprint,
-            strikes: entry.strikes(),
-        })
+    /// Clears a request that succeeded. Does nothing if it has [`STRIKES_MAX`].
+    pub fn clear(&mut self, now: Time, fingerprint: Fingerprint) -> Option<StrikeUpdate> {
+        if self.strikes(fingerprint) >= STRIKES_MAX {
+            return None;
+        }
+        self.acquit(now, fingerprint)
     }
 
-    /// Clears a request that succeeded. Does nothing if it has [`STRIKES_MAX`].
-    pub fn clear(&mut self, fingerprint: Fingerprint) -> Option<StrikeUpdate> {
-        let at = self.find(fingerprint)?;
-        if self.entries[at].strikes() >= STRIKES_MAX {
+    /// Clears a request whatever its strikes.
+    pub fn acquit(&mut self, now: Time, fingerprint: Fingerprint) -> Option<StrikeUpdate> {
+        let at = self.find(fingerprint).ok()?;
+        let entry = &mut self.entries[at];
+        if entry.strikes() == 0 {
             return None;
         }
-        self.entries.remove(at);
+        entry.begin_round(now, 0);
         Some(StrikeUpdate {
             fingerprint,
             strikes: 0,
@@ -176,39 +294,49 @@
     /// Withdraws the strikes of breaks since `sent_at`, after `target` has answered a
     /// request sent at that time: the target did not crash. Appends the changed
     /// fingerprints to `out`.
-    pub fn withdraw(&mut self, target: &str, sent_at: Time, out: &mut Vec<StrikeUpdate>) {
+    pub fn withdraw(
+        &mut self,
+        now: Time,
+        target: &str,
+        sent_at: Time,
+        out: &mut Vec<StrikeUpdate>,
+    ) {
+        let is_disproved = |b: &Break| *b.target == *target && b.at > sent_at;
         for entry in &mut self.entries {
             let before = entry.breaks.len();
-            entry
-                .breaks
-                .retain(|b| *b.target != *target || b.at <= sent_at);
+            entry.breaks.retain(|b| !is_disproved(b));
             if entry.breaks.len() == before {
                 continue;
             }
             let own = u8::try_from(entry.breaks.len()).unwrap_or(u8::MAX);
-            entry.total = entry.total.saturating_sub(1).max(own);
+            let strikes = entry.total.saturating_sub(1).max(own);
+            entry.begin_round(now, strikes);
             out.push(StrikeUpdate {
                 fingerprint: entry.fingerprint,
-                strikes: entry.total,
+                strikes,
             });
         }
-        self.entries.retain(|e| e.strikes() > 0);
     }
 
-    /// Drops fingerprints whose last strike is [`SUSPECT_TTL`] ago.
+    /// Drops a fingerprint.
+    pub fn forget(&mut self, fingerprint: Fingerprint) {
+        if let Ok(at) = self.find(fingerprint) {
+            self.entries.remove(at);
+        }
+    }
+
+    /// Drops fingerprints at the end of their life.
     pub fn expire(&mut self, now: Time) {
-        self.entries
-            .retain(|e| now.since(e.struck_at) < SUSPECT_TTL);
+        self.entries.retain(|e| now < e.expires_at);
     }
 
-    fn find(&self, fingerprint: Fingerprint) -> Option<usize> {
+    fn find(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
         self.entries
             .binary_search_by_key(&fingerprint, |e| e.fingerprint)
-            .ok()
     }
 
     fn ensure(&mut self, now: Time, fingerprint: Fingerprint) -> usize {
-        if let Some(at) = self.find(fingerprint) {
+        if let Ok(at) = self.find(fingerprint) {
             return at;
         }
         if self.entries.len() >= SUSPECTS_MAX {
@@ -221,18 +349,21 @@
             fingerprint,
             breaks: Vec::new(),
             total: 0,
-            struck_at: now,
+            round: 0,
+            expires_at: now + SUSPECT_TTL,
+            changed_at: now,
+            is_own: false,
         };
         self.entries.insert(at, entry);
         at
     }
 
-    /// Removes the oldest suspect, or if there is none the oldest fingerprint that is
-    /// always refused.
+    /// Removes the oldest fingerprint that was cleared, if there is none the oldest
+    /// suspect, or else the oldest that is always refused.
     fn evict(&mut self) {
         let oldest = (0..self.entries.len()).min_by_key(|&i| {
             let entry = &self.entries[i];
-            (entry.strikes() >= STRIKES_MAX, entry.struck_at)
+            (entry.strikes().min(STRIKES_MAX), entry.expires_at)
         });
         if let Some(at) = oldest {
             self.entries.remove(at);
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -45,5 +45,7 @@
 mod spillover;
 #[path = "direct/stop.rs"]
 mod stop;
+#[path = "direct/suspect.rs"]
+mod suspect;
 #[path = "direct/upstream.rs"]
 mod upstream;
--- a/crates/steer/tests/direct/bench.rs
+++ b/crates/steer/tests/direct/bench.rs
@@ -176,16 +176,21 @@
 
     /// Submits a request whose caller waits until `deadline`.
     pub fn submit_until(&mut self, now: Time, object: Option<u64>, deadline: Time) -> Ticket {
-        let request = Request {
+        let request = self.request(object, deadline);
+        self.direct
+            .submit(now, request)
+            .expect("the route has a service")
+    }
+
+    /// Request whose caller waits until `deadline`; all have the same fingerprint.
+    pub fn request(&self, object: Option<u64>, deadline: Time) -> Request {
+        Request {
             route: Arc::clone(&self.route),
             authorized: None,
             object,
             deadline,
             fingerprint: Fingerprint(1),
-        };
-        self.direct
-            .submit(now, request)
-            .expect("the route has a service")
+        }
     }
 
     /// Runs a step and returns its only decision, if there is one.
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -6,6 +6,8 @@
 //! Invariant: fields and variants are encoded by position. Their order and types are
 //! part of the protocol.
 
+pub mod suspects;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -259,6 +261,8 @@
     Grant(Grant),
     /// What targets have asked of the sender.
     Notices(Notices),
+    /// What the sender holds against requests that crash targets.
+    Suspects(suspects::Suspects),
 }
 
 /// Twins of [`notice::TargetNotice`].
--- a/crates/wire/tests/direct.rs
+++ b/crates/wire/tests/direct.rs
@@ -7,7 +7,11 @@
 use steer::process::direct::limit::LimitReport;
 use steer::process::direct::members::{Heartbeat, Registration};
 use steer::process::direct::notice::TargetNotice;
-use wire::direct::Message;
+use steer::process::direct::suspect::REPORTS_MAX;
+use steer::request::arrival::Fingerprint;
+use steer::request::poison::Report;
+use wire::direct::suspects::Suspects;
+use wire::direct::{DATAGRAM_MAX, Message};
 
 fn registration() -> Registration {
     let addr = |port| ([10, 1, 0, 15], port).into();
@@ -106,3 +110,28 @@
         other => panic!("not decoded: {other:?}"),
     }
 }
+
+#[test]
+fn suspects_round_trip_and_size() {
+    let report = |i: u128| Report {
+        fingerprint: Fingerprint(u128::MAX - i),
+        round: 700,
+        strikes: 2,
+        left: Duration::from_millis(599_500),
+    };
+    let reports: Vec<Report> = (0..REPORTS_MAX as u128).map(report).collect();
+    let name = "a".repeat(64);
+    let bytes = Message::Suspects(Suspects::new(&name, &reports)).encode();
+    assert!(bytes.len() <= DATAGRAM_MAX, "{} bytes", bytes.len());
+    let Ok(Message::Suspects(decoded)) = Message::decode(&bytes) else {
+        panic!("not decoded");
+    };
+    let (sender, decoded) = decoded.decode();
+    assert_eq!(*sender, *name);
+    for (read, sent) in decoded.iter().zip(&reports) {
+        // Times are rounded up to seconds.
+        let left = Duration::from_mins(10);
+        assert_eq!(*read, Report { left, ..*sent });
+    }
+    assert_eq!(decoded.len(), reports.len());
+}
