Ask whether a request crashes targets when it is sent, and run one copy of a suspect

Callers lost a target to each copy of a request that waited, or whose connection was being opened, when the verdict on it came; and to each copy that was sent while the first under suspicion was still running.

Cause: the verdict was asked for at arrival and after a failed attempt only; nothing held copies of a suspect back.

Now each decision asks, and so does the moment at which the connection is ready (withheld: crashes-targets); of a request with a strike one copy runs at a time at an instance, others wait for its outcome or are rejected with a time to come back (suspect-in-flight). If it is answered all go.

--- a/crates/auburnrouter/src/direct/callers/routed.rs
+++ b/crates/auburnrouter/src/direct/callers/routed.rs
@@ -242,6 +242,7 @@
             }
             Rejection::BackingOff => self.reject("targets-back-off", after),
             Rejection::Overload => self.reject("overload", after),
+            Rejection::Suspect => self.reject("suspect-in-flight", after),
             Rejection::Poison => self.reject("crashes-targets", POISON_RETRY_AFTER),
             Rejection::OutcomeUnknown => self.outcome_unknown(),
         }
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -37,6 +37,9 @@
         if !job.is_ok_and(|job| self.withhold_reason(now, &job.request).is_none()) {
             return Some(Withheld::Key);
         }
+        if self.suspects.strikes(assignment.fingerprint) >= STRIKES_MAX {
+            return Some(Withheld::Poison);
+        }
         let Some(target) = self.roster.get(&assignment.target) else {
             return Some(Withheld::Gone);
         };
@@ -198,6 +201,10 @@
         if outcome == AttemptOutcome::Withdrawn {
             // It reached no target, and this one may serve it later.
             job.tried.pop();
+            if self.suspects.strikes(job.request.fingerprint) >= STRIKES_MAX {
+                // The next step rejects it with the reason.
+                return FollowUp::Retry;
+            }
         }
         let may_retry = self.mechanisms.has(Mechanism::Retry);
         let is_poison = self.suspects.strikes(job.request.fingerprint) >= STRIKES_MAX;
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -133,6 +133,8 @@
     Overload,
     /// It has crashed targets before.
     Poison,
+    /// A target may have crashed under it, and a copy of it is in flight.
+    Suspect,
     /// It may have run at a target that gave no complete answer.
     OutcomeUnknown,
 }
@@ -190,6 +192,8 @@
     Backoff,
     /// The target could not be reached lately.
     Ejected,
+    /// The request has crashed targets.
+    Poison,
 }
 
 impl Withheld {
@@ -203,6 +207,7 @@
             Self::Evacuated => "evacuated",
             Self::Backoff => "backoff",
             Self::Ejected => "aside",
+            Self::Poison => "crashes-targets",
         }
     }
 }
--- a/crates/steer/src/process/direct/queue.rs
+++ b/crates/steer/src/process/direct/queue.rs
@@ -12,6 +12,7 @@
 use super::mechanisms::Mechanism;
 use super::message::{Assignment, Decision, Rejection, Ticket};
 use super::spillover::Spillover;
+use super::suspect::Suspicion;
 use super::{ANSWER_RESERVE, Direct, place, unit_interval};
 use crate::clock::Time;
 
@@ -77,6 +78,12 @@
         if let Some(reason) = self.withhold_reason(now, &self.jobs[at].request) {
             return Some(self.reject(now, at, reason, None));
         }
+        match self.suspicion(at) {
+            Suspicion::None => {}
+            Suspicion::Refused => return Some(self.reject(now, at, Rejection::Poison, None)),
+            Suspicion::Waits if now < hold_limit(&self.jobs[at]) => return None,
+            Suspicion::Waits => return Some(self.reject(now, at, Rejection::Suspect, None)),
+        }
         if let Some(held) = self.admit(now, at) {
             let (reason, after) = held.verdict()?;
             return Some(self.reject(now, at, reason, Some(after)));
--- a/crates/steer/src/process/direct/suspect.rs
+++ b/crates/steer/src/process/direct/suspect.rs
@@ -15,10 +15,11 @@
 use core::time::Duration;
 use std::sync::Arc;
 
+use super::job::{Job, State};
 use super::{Direct, hash};
 use crate::clock::Time;
 use crate::request::arrival::Fingerprint;
-use crate::request::poison::Report;
+use crate::request::poison::{Report, STRIKES_MAX};
 
 /// Largest number of reports in one message, so that it fits a datagram.
 pub const REPORTS_MAX: usize = 32;
@@ -42,6 +43,17 @@
 /// Largest number of changes that wait to be logged.
 const CHANGES_MAX: usize = 256;
 
+/// Whether a request may be sent, as far as it is suspected of crashing targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Suspicion {
+    /// Nothing is held against it, or no copy of it is in flight.
+    None,
+    /// A copy is in flight here, whose outcome decides.
+    Waits,
+    /// It is always refused.
+    Refused,
+}
+
 /// Reports for other instances.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SuspectMessage {
@@ -108,6 +120,25 @@
         core::mem::take(&mut self.suspect_changes)
     }
 
+    /// Whether the request at `at` may be sent. Of a suspect one copy runs at a time: if
+    /// it crashes a target too, the others never run.
+    pub(super) fn suspicion(&self, at: usize) -> Suspicion {
+        let fingerprint = self.jobs[at].request.fingerprint;
+        match self.suspects.strikes(fingerprint) {
+            0 => return Suspicion::None,
+            STRIKES_MAX.. => return Suspicion::Refused,
+            _ => {}
+        }
+        let is_copy = |job: &Job| {
+            job.request.fingerprint == fingerprint && matches!(job.state, State::InFlight { .. })
+        };
+        if self.jobs.iter().any(is_copy) {
+            Suspicion::Waits
+        } else {
+            Suspicion::None
+        }
+    }
+
     /// Number of requests under suspicion, and of those that are always refused.
     #[must_use]
     pub fn suspect_counts(&self) -> (usize, usize) {
--- a/crates/steer/tests/direct/suspect.rs
+++ b/crates/steer/tests/direct/suspect.rs
@@ -8,7 +8,7 @@
 use steer::clock::Time;
 use steer::process::direct::members::Registration;
 use steer::process::direct::verdict::Row;
-use steer::process::direct::{AttemptOutcome, Decision, Rejection};
+use steer::process::direct::{AttemptOutcome, Decision, FollowUp, Rejection, Withheld};
 use steer::request::arrival::Fingerprint;
 use steer::request::poison::{Report, SUSPECT_TTL};
 
@@ -217,3 +217,60 @@
     other.direct.store_answered(at(40_000), 9);
     assert!(other.direct.next_row_write(at(40_000)).is_some());
 }
+
+/// A request that waited when the verdict came, or for its connection, was sent.
+#[test]
+fn ask_at_moment_of_sending() {
+    let targets = ["t1", "t2"].map(|id| entry(id, "near-a"));
+    let mut bench = Bench::new(route(), &targets);
+    let decided = bench.send(at(0), Some(1));
+    bench.submit(at(1), Some(1));
+    let sender: Arc<str> = "other".into();
+    bench.direct.receive_suspects(at(2), &sender, &verdicts(1));
+    assert_eq!(
+        bench.direct.withheld(at(3), &decided),
+        Some(Withheld::Poison)
+    );
+    let Some(Decision::Reject { reason, .. }) = bench.decide(at(3)) else {
+        panic!("the waiting request is refused");
+    };
+    assert_eq!(reason, Rejection::Poison);
+    let follow_up = bench
+        .direct
+        .finish_attempt(at(4), decided.ticket, AttemptOutcome::Withdrawn);
+    assert_eq!(follow_up, FollowUp::Retry);
+    let Some(Decision::Reject { reason, .. }) = bench.decide(at(4)) else {
+        panic!("the withheld request is refused");
+    };
+    assert_eq!(reason, Rejection::Poison);
+}
+
+/// Copies of a suspect ran at once, and each took a target with it.
+#[rstest]
+#[case::crashes(AttemptOutcome::ConnectionLost, Some(Rejection::Poison))]
+#[case::is_answered(AttemptOutcome::Answered, None)]
+fn run_one_copy_of_suspect(#[case] outcome: AttemptOutcome, #[case] copies: Option<Rejection>) {
+    let targets = ["t1", "t2", "t3", "t4"].map(|id| entry(id, "near-a"));
+    let mut bench = Bench::new(route(), &targets);
+    let first = bench.send(at(0), Some(1));
+    bench
+        .direct
+        .finish_attempt(at(50), first.ticket, AttemptOutcome::ConnectionLost);
+    for _ in 0..3 {
+        bench.submit(at(50), Some(1));
+    }
+    let mut sent = bench.direct.step(at(50));
+    assert_eq!(sent.len(), 1, "{sent:?}");
+    let Some(Decision::Send(second)) = sent.pop() else {
+        panic!("one copy is sent");
+    };
+    bench.direct.finish_attempt(at(60), second.ticket, outcome);
+    for decision in bench.direct.step(at(60)) {
+        let reason = match decision {
+            Decision::Send(_) => None,
+            Decision::Reject { reason, .. } => Some(reason),
+        };
+        // The copy that ran is not reported as not run.
+        assert!(reason == copies || reason == Some(Rejection::OutcomeUnknown));
+    }
+}
