Take a strike back only when the target has survived the break by a second

A target that crashed could count as alive: an answer that it had finished before, read from the kernel's buffer after the break, withdrew the strikes of the request under which it ended, which then cost two targets more.

Cause: any answer to a request sent before the break counted, however soon. The users' outside view has targets whose answers arrive 40 ms after they broke. Now the answer must come a second after the break at least; a target that has crashed closes all its connections, so that later ones can't.

The old test asked for the withdrawal after 10 ms, which is that fault; it now asks for it after a second, and for none before. Its two requests no longer share a fingerprint: the answered one would clear the other by itself.

--- a/crates/steer/src/request/poison.rs
+++ b/crates/steer/src/request/poison.rs
@@ -27,6 +27,9 @@
 pub const SUSPECT_TTL: Duration = Duration::from_mins(10);
 /// Maximum number of fingerprints kept.
 pub const SUSPECTS_MAX: usize = 1024;
+/// Time after a break from which an answer to a request sent before shows that the target
+/// didn't crash. Answers that it had finished may still be read when it has crashed.
+pub const SURVIVAL_SPAN: Duration = Duration::from_secs(1);
 
 /// A broken connection to a target while the request was in flight there.
 #[derive(Clone, Debug)]
@@ -291,9 +294,9 @@
         })
     }
 
-    /// Withdraws the strikes of breaks since `sent_at`, after `target` has answered a
-    /// request sent at that time: the target did not crash. Appends the changed
-    /// fingerprints to `out`.
+    /// Withdraws the strikes of breaks since `sent_at` and at least [`SURVIVAL_SPAN`]
+    /// ago, after `target` has answered a request sent at that time: the target did not
+    /// crash. Appends the changed fingerprints to `out`.
     pub fn withdraw(
         &mut self,
         now: Time,
@@ -301,7 +304,8 @@
         sent_at: Time,
         out: &mut Vec<StrikeUpdate>,
     ) {
-        let is_disproved = |b: &Break| *b.target == *target && b.at > sent_at;
+        let is_disproved =
+            |b: &Break| *b.target == *target && b.at > sent_at && now.since(b.at) >= SURVIVAL_SPAN;
         for entry in &mut self.entries {
             let before = entry.breaks.len();
             entry.breaks.retain(|b| !is_disproved(b));
--- a/crates/steer/tests/direct/retry.rs
+++ b/crates/steer/tests/direct/retry.rs
@@ -157,18 +157,27 @@
 
 /// A connection to a target breaks, but the target still answers a request that was
 /// sent before. The request on the broken connection can't have crashed it and must
-/// be cleared.
-#[test]
-fn clear_request_whose_target_survives() {
+/// be cleared, unless the target may have answered before it crashed.
+#[rstest]
+#[case::survived(1_060, 0)]
+#[case::answered_before_crash(90, 1)]
+fn clear_request_whose_target_survives(#[case] answered: u64, #[case] suspects: usize) {
     let targets = [entry("t1", "near-a")];
     let mut bench = Bench::new(route(), &targets);
     let lost = bench.send(at(0), Some(1));
-    let kept = bench.send(at(1), Some(1));
+    let other = bench.request(Some(2), at(5_000));
+    let fingerprint = steer::request::arrival::Fingerprint(2);
+    let other = steer::process::direct::Request {
+        fingerprint,
+        ..other
+    };
+    let kept = bench.direct.submit(at(1), other).expect("it is accepted");
+    bench.decide(at(1));
     bench
         .direct
         .finish_attempt(at(50), lost.ticket, AttemptOutcome::ConnectionLost);
     bench
         .direct
-        .finish_attempt(at(60), kept.ticket, AttemptOutcome::Answered);
-    assert!(bench.direct.heartbeat(at(70), false).suspects.is_empty());
+        .finish_attempt(at(answered), kept, AttemptOutcome::Answered);
+    assert_eq!(bench.direct.suspect_counts().0, suspects);
 }
