Try a refused request once more after a minute, under a row in the store

Callers of a request that happened to be under way in two crashes were refused for ten minutes, at all instances, and no answer cleared it. With one fingerprint for all callers of a path such a mistake costs more of them.

Cause: a verdict had no way back. Now a copy that arrives a minute or more after the verdict or the last trial may be run, alone: the instance first writes the trial into the request's row, at the revision that it knows, so that of all instances one runs it, twice in all at most. An answer takes the verdict back in a new round, everywhere; a crash adds a strike. With the store away there is no trial. Event suspect-trial.

The platform's rule allows three sends after the third crash; trials are two.

--- a/crates/auburnrouter/src/direct/callers/routed.rs
+++ b/crates/auburnrouter/src/direct/callers/routed.rs
@@ -24,6 +24,7 @@
 use crate::direct::attempt::{self, ForwardedRequest};
 use crate::direct::events::{self, Origin};
 use crate::direct::server::{self, Response};
+use crate::direct::verdict;
 
 /// Retry delay for a request that crashed targets.
 const POISON_RETRY_AFTER: Duration = Duration::from_mins(1);
@@ -60,6 +61,7 @@
     /// Sends the request to targets as decided by steering until it is answered,
     /// rejected or out of time.
     pub(super) async fn run(self, request: Request) -> Response {
+        verdict::claim_trial(&self.shared, self.fingerprint).await;
         let (ticket, decisions) = match self.shared.submit(request) {
             Ok(submitted) => submitted,
             Err(rejection) => return self.rejection_response(rejection, DEFAULT_RETRY_AFTER),
--- a/crates/auburnrouter/src/direct/events.rs
+++ b/crates/auburnrouter/src/direct/events.rs
@@ -18,7 +18,7 @@
 use steer::version::teams::Team;
 
 pub use requests::{Attempt, Origin, OwnAnswer, attempt_ended, own_answer};
-pub use suspects::suspects_changed;
+pub use suspects::{suspects_changed, trial_begun};
 pub use targets::{
     backoff_asked, limit_changed, target_changed, target_gone, target_leaving, unknown_header,
     unread_value,
--- a/crates/auburnrouter/src/direct/events/suspects.rs
+++ b/crates/auburnrouter/src/direct/events/suspects.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 use steer::process::direct::suspect::Change;
+use steer::request::arrival::Fingerprint;
 
 use super::write;
 use crate::direct::Shared;
@@ -31,3 +32,20 @@
         write(shared, "suspect", fields);
     }
 }
+
+/// Fields of event `suspect-trial`.
+#[derive(Serialize)]
+struct TrialFields {
+    fingerprint: String,
+    /// Number of the trial, from 1.
+    trial: u8,
+}
+
+/// Logs that a request that is always refused is tried once more.
+pub fn trial_begun(shared: &Shared, fingerprint: Fingerprint, trial: u8) {
+    let fields = TrialFields {
+        fingerprint: fingerprint.to_string(),
+        trial,
+    };
+    write(shared, "suspect-trial", fields);
+}
--- a/crates/auburnrouter/src/direct/verdict.rs
+++ b/crates/auburnrouter/src/direct/verdict.rs
@@ -23,11 +23,15 @@
 /// Time without writes after one that failed.
 const FAILURE_BACKOFF: Duration = Duration::from_secs(1);
 
+/// Longest time that a request waits until its trial is written down.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Row as the store holds it, in JSON.
 #[derive(Serialize, Deserialize)]
 struct StoredRow {
     round: u16,
     strikes: u8,
+    trials: u8,
     left_s: u16,
 }
 
@@ -65,12 +69,36 @@
     }
 }
 
+/// Writes down that a copy of a request that is always refused is tried, if one may be.
+/// Returns whether this instance may run it.
+pub async fn claim_trial(shared: &Shared, fingerprint: Fingerprint) -> bool {
+    if !shared.read(|now, d| d.is_trial_due(now, fingerprint)) {
+        return false;
+    }
+    let write = shared.decide(|now, d| d.begin_trial(now, fingerprint));
+    let Some(write) = write else {
+        return false;
+    };
+    let timeout = async {
+        smol::Timer::after(TRIAL_TIMEOUT).await;
+        Err(Error::Lost)
+    };
+    // Without the row another instance might try it too.
+    let is_written = future::or(write_row(shared, write), timeout).await.is_ok();
+    if is_written {
+        shared.decide(|now, d| d.permit_trial(now, fingerprint));
+        events::trial_begun(shared, fingerprint, write.row.trials);
+    }
+    is_written
+}
+
 async fn write_row(shared: &Shared, write: RowWrite) -> Result<(), Error> {
     let lease = shared.store.grant_lease(write.row.left).await?;
     let left = write.row.left.as_secs();
     let row = StoredRow {
         round: write.row.round,
         strikes: write.row.strikes,
+        trials: write.row.trials,
         left_s: u16::try_from(left).unwrap_or(u16::MAX),
     };
     // Encoding numbers can't fail.
@@ -95,6 +123,7 @@
         Some(Ok(row)) => Some(Row {
             round: row.round,
             strikes: row.strikes,
+            trials: row.trials,
             left: Duration::from_secs(u64::from(row.left_s)),
         }),
         Some(Err(error)) => {
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -232,7 +232,8 @@
     /// Returns the reason if the route has no service, if no region is allowed by
     /// both the route and the team, or if the request has crashed targets before.
     pub fn submit(&mut self, now: Time, request: Request) -> Result<Ticket, Rejection> {
-        if self.suspects.strikes(request.fingerprint) >= STRIKES_MAX {
+        let is_trial = self.suspects.strikes(request.fingerprint) >= STRIKES_MAX;
+        if is_trial && !self.take_trial(now, request.fingerprint) {
             return Err(Rejection::Poison);
         }
         if !self.has_region(&request) {
@@ -257,6 +258,7 @@
             tried: Vec::new(),
             may_have_run: false,
             strikes: 0,
+            is_trial,
             is_remote: None,
             admission: Admission::New,
             has_spare_slots: false,
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -37,7 +37,8 @@
         if !job.is_ok_and(|job| self.withhold_reason(now, &job.request).is_none()) {
             return Some(Withheld::Key);
         }
-        if self.suspects.strikes(assignment.fingerprint) >= STRIKES_MAX {
+        let is_trial = job.is_ok_and(|job| job.is_trial);
+        if !is_trial && self.suspects.strikes(assignment.fingerprint) >= STRIKES_MAX {
             return Some(Withheld::Poison);
         }
         let Some(target) = self.roster.get(&assignment.target) else {
@@ -146,7 +147,11 @@
                 self.log_suspect(fingerprint, before, Cause::Broken(Arc::clone(target)));
             }
             AttemptOutcome::Answered if !self.suspects.is_empty() => {
-                self.suspects.clear(now, fingerprint);
+                if job.is_trial {
+                    self.suspects.acquit(now, fingerprint);
+                } else {
+                    self.suspects.clear(now, fingerprint);
+                }
                 self.log_suspect(fingerprint, before, Cause::Answered);
                 // The changes need no message: heartbeats report all recent strikes.
                 let mut withdrawn = Vec::new();
--- a/crates/steer/src/process/direct/job.rs
+++ b/crates/steer/src/process/direct/job.rs
@@ -41,6 +41,9 @@
     /// Strikes against it when it was last sent; see
     /// [`Suspects::strike`](crate::request::poison::Suspects::strike).
     pub(super) strikes: u8,
+    /// Whether it is run although it is always refused, to see whether it still crashes
+    /// its target.
+    pub(super) is_trial: bool,
     /// Whether the request is to run in another region; `None` until that is decided.
     pub(super) is_remote: Option<bool>,
     /// State of its admission by its team's quota.
--- a/crates/steer/src/process/direct/suspect.rs
+++ b/crates/steer/src/process/direct/suspect.rs
@@ -126,6 +126,7 @@
         let fingerprint = self.jobs[at].request.fingerprint;
         match self.suspects.strikes(fingerprint) {
             0 => return Suspicion::None,
+            STRIKES_MAX.. if self.jobs[at].is_trial => return Suspicion::None,
             STRIKES_MAX.. => return Suspicion::Refused,
             _ => {}
         }
--- a/crates/steer/src/process/direct/verdict.rs
+++ b/crates/steer/src/process/direct/verdict.rs
@@ -5,6 +5,11 @@
 //! an end to its life; every instance reads all rows before it takes callers. While the
 //! store is away, instances tell each other, and the rows are written afterwards.
 //!
+//! A request may be refused by mistake: one that happened to be under way in two crashes.
+//! After a while a copy of it is run once more, and if it is answered the verdict is
+//! taken back. The row says how many such trials there were, so that all instances
+//! together run no more than [`TRIALS_MAX`].
+//!
 //! Invariants: a row is replaced only at the revision that the writer knew, so of several
 //! writers one succeeds; an instance has at most one write under way.
 
@@ -28,6 +33,15 @@
 /// Shortest rest of its life for which a verdict is worth a row.
 const ROW_LIFE_MIN: Duration = Duration::from_secs(30);
 
+/// Time after a verdict or a trial from which a copy of the request may be tried.
+pub const TRIAL_DELAY: Duration = Duration::from_mins(1);
+
+/// Largest number of trials of a request, by all instances together.
+pub const TRIALS_MAX: u8 = 2;
+
+/// Time for which an instance may begin the trial that it has written down.
+const TRIAL_PERMIT: Duration = Duration::from_secs(1);
+
 /// Row of the store on one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Row {
@@ -35,6 +49,8 @@
     pub round: u16,
     /// Strikes; zero if the request was cleared.
     pub strikes: u8,
+    /// Trials since the verdict.
+    pub trials: u8,
     /// Time for which the verdict was to be kept when the row was written.
     pub left: Duration,
 }
@@ -58,8 +74,13 @@
     revision: u64,
     round: u16,
     strikes: u8,
+    trials: u8,
+    /// Time at which the row last changed.
+    changed_at: Time,
     /// Time until which a write of this instance is under way.
     busy_until: Time,
+    /// Time until which this instance may begin a trial.
+    trial_until: Time,
 }
 
 /// Known rows, sorted by fingerprint.
@@ -84,7 +105,10 @@
                     revision: 0,
                     round: 0,
                     strikes: 0,
+                    trials: 0,
+                    changed_at: Time::ZERO,
                     busy_until: Time::ZERO,
+                    trial_until: Time::ZERO,
                 };
                 self.0.insert(at, known);
                 at
@@ -112,6 +136,8 @@
         known.revision = revision;
         known.round = row.round;
         known.strikes = row.strikes;
+        known.trials = row.trials;
+        known.changed_at = now;
         let before = self.suspects.strikes(fingerprint);
         let report = Report {
             fingerprint,
@@ -139,11 +165,65 @@
             row: Row {
                 round: report.round,
                 strikes: report.strikes,
+                trials: if report.strikes == 0 { 0 } else { known.trials },
                 left: report.left,
             },
         })
     }
 
+    /// Whether a copy of a request that is always refused may be tried now.
+    #[must_use]
+    pub fn is_trial_due(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        let Some(known) = self.rows.get(fingerprint) else {
+            return false;
+        };
+        let strikes = self.suspects.strikes(fingerprint);
+        known.revision > 0
+            && strikes >= STRIKES_MAX
+            && strikes == known.strikes
+            && known.trials < TRIALS_MAX
+            && now >= known.busy_until
+            && now.since(known.changed_at) >= TRIAL_DELAY
+            && self.is_store_reachable(now)
+    }
+
+    /// Row to be written before a copy of a request is tried; `None` if none may be.
+    pub fn begin_trial(&mut self, now: Time, fingerprint: Fingerprint) -> Option<RowWrite> {
+        if !self.is_trial_due(now, fingerprint) {
+            return None;
+        }
+        let report = self.suspects.report(now, fingerprint)?;
+        let known = self.rows.ensure(fingerprint);
+        known.busy_until = now + WRITE_SETTLES;
+        Some(RowWrite {
+            fingerprint,
+            revision: known.revision,
+            row: Row {
+                round: known.round,
+                strikes: known.strikes,
+                trials: known.trials + 1,
+                left: report.left.max(ROW_LIFE_MIN),
+            },
+        })
+    }
+
+    /// Records that the row of a trial is written: the next copy of the request that
+    /// arrives soon is run.
+    pub fn permit_trial(&mut self, now: Time, fingerprint: Fingerprint) {
+        self.rows.ensure(fingerprint).trial_until = now + TRIAL_PERMIT;
+    }
+
+    /// Takes the permit to try a request, if there is one.
+    pub(super) fn take_trial(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        let Ok(at) = self.rows.find(fingerprint) else {
+            return false;
+        };
+        let known = &mut self.rows.0[at];
+        let is_permitted = now < known.trial_until;
+        known.trial_until = Time::ZERO;
+        is_permitted
+    }
+
     /// Whether this instance is to write a row with this report.
     fn is_row_due(&self, now: Time, report: &Report) -> bool {
         let known = self.rows.get(report.fingerprint);
--- a/crates/steer/tests/direct/suspect.rs
+++ b/crates/steer/tests/direct/suspect.rs
@@ -177,6 +177,7 @@
     let row = Row {
         round: 0,
         strikes: 2,
+        trials: 0,
         left: SUSPECT_TTL,
     };
     bench.direct.learn_row(at(0), Fingerprint(1), 9, Some(row));
@@ -274,3 +275,60 @@
         assert!(reason == copies || reason == Some(Rejection::OutcomeUnknown));
     }
 }
+
+/// A request that was under way in two crashes by chance was refused for ten minutes.
+#[rstest]
+#[case::innocent(AttemptOutcome::Answered, 0)]
+#[case::crashes(AttemptOutcome::ConnectionLost, 3)]
+fn try_refused_request_after_a_while(#[case] outcome: AttemptOutcome, #[case] strikes: u8) {
+    const FINGERPRINT: Fingerprint = Fingerprint(1);
+    let targets = ["t1", "t2"].map(|id| entry(id, "near-a"));
+    let mut bench = Bench::new(route(), &targets);
+    let row = |strikes, trials| {
+        Some(Row {
+            round: 0,
+            strikes,
+            trials,
+            left: SUSPECT_TTL,
+        })
+    };
+    bench.direct.learn_row(at(0), FINGERPRINT, 9, row(2, 0));
+    bench.direct.store_answered(at(59_000), 9);
+    assert_eq!(bench.direct.begin_trial(at(59_000), FINGERPRINT), None);
+    bench.direct.store_answered(at(60_000), 9);
+    let write = bench.direct.begin_trial(at(60_000), FINGERPRINT);
+    let write = write.expect("a minute is over");
+    assert_eq!((write.revision, write.row.trials), (9, 1));
+    // One trial at a time, and none before it is written.
+    assert_eq!(bench.direct.begin_trial(at(60_001), FINGERPRINT), None);
+    let request = bench.request(Some(1), at(64_000));
+    assert_eq!(
+        bench.direct.submit(at(60_001), request.clone()),
+        Err(Rejection::Poison)
+    );
+    bench.direct.permit_trial(at(60_010), FINGERPRINT);
+    let trial = bench.send(at(60_010), Some(1));
+    assert_eq!(bench.direct.withheld(at(60_011), &trial), None);
+    assert_eq!(
+        bench.direct.submit(at(60_011), request),
+        Err(Rejection::Poison)
+    );
+    let follow_up = bench
+        .direct
+        .finish_attempt(at(60_060), trial.ticket, outcome);
+    assert_eq!(follow_up, FollowUp::Settled);
+    let report = bench.direct.suspect_report(at(60_060), FINGERPRINT);
+    assert_eq!(report.map(|r| r.strikes), Some(strikes));
+    // Others learn of it from the store.
+    bench
+        .direct
+        .learn_row(at(60_070), FINGERPRINT, 10, row(2, 1));
+    let write = bench.direct.next_row_write(at(60_100)).expect("it changed");
+    assert_eq!((write.revision, write.row.strikes), (10, strikes));
+    // No more than two trials.
+    bench
+        .direct
+        .learn_row(at(60_200), FINGERPRINT, 11, row(3, 2));
+    bench.direct.store_answered(at(200_000), 11);
+    assert_eq!(bench.direct.begin_trial(at(200_000), FINGERPRINT), None);
+}
