Take strikes back while the targets that broke off are still listed

Where answers are lost on connections and no target crashes, callers of a request that many of them send were refused for a minute and longer: two lost answers in a row, one in forty at two or three in a hundred, are a verdict, and it now holds for all callers.

Cause: a broken connection counts as a crash and nothing but an answer to an earlier request says otherwise. The store does: the entry of a target that has crashed is removed within three intervals of its reports. A target that is listed with the same incarnation 15 s after the break, while the store answered without a gap, has not crashed, and its strikes are taken back in a new round.

--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -91,6 +91,8 @@
     /// The end of this process, once it was told to stop.
     stops_at: Option<Time>,
     suspects: Suspects,
+    /// Breaks of connections to targets that may have crashed.
+    breaks: Vec<suspect::TargetBreak>,
     /// Rows of the store on requests that crash targets.
     rows: verdict::Rows,
     /// Counts the turns of messages on suspects.
@@ -154,6 +156,7 @@
             failed_upstreams: FailedUpstreams::default(),
             stops_at: None,
             suspects: Suspects::default(),
+            breaks: Vec::new(),
             rows: verdict::Rows::default(),
             suspect_turn: 0,
             suspect_cursor: 0,
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -144,6 +144,7 @@
         match outcome {
             AttemptOutcome::ConnectionLost => {
                 self.suspects.strike(now, job.strikes, fingerprint, target);
+                self.remember_break(now, target);
                 self.log_suspect(fingerprint, before, Cause::Broken(Arc::clone(target)));
             }
             AttemptOutcome::Answered if !self.suspects.is_empty() => {
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -117,6 +117,11 @@
             .clamp(READ_PAUSE_MIN, READ_PAUSE_MAX)
     }
 
+    /// Whether the store is reachable and has answered without a gap since `at`.
+    pub(super) fn is_store_known_since(&self, now: Time, at: Time) -> bool {
+        self.is_store_reachable(now) && self.store.since.is_some_and(|since| since <= at)
+    }
+
     /// Revision up to which everything is known.
     #[must_use]
     pub const fn revision(&self) -> u64 {
@@ -319,6 +324,7 @@
     pub fn sweep(&mut self, now: Time) -> Vec<Arc<str>> {
         self.suspects.expire(now);
         self.sweep_rows();
+        self.sweep_breaks(now);
         self.members.sweep(now);
         self.roster.update_peer_load(now, &self.members);
         self.update_participants(now);
--- a/crates/steer/src/process/direct/suspect.rs
+++ b/crates/steer/src/process/direct/suspect.rs
@@ -40,9 +40,25 @@
 /// Instances that have just started and are told at each turn.
 const NEWCOMERS_MAX: usize = 8;
 
+/// Time after a break from which a target that the store still lists has not crashed: the
+/// entry of one that has is removed within three intervals of the targets' reports, which
+/// are some seconds apart.
+const LISTED_SPAN: Duration = Duration::from_secs(15);
+
+/// Largest number of breaks that are remembered until then.
+const BREAKS_MAX: usize = 256;
+
 /// Largest number of changes that wait to be logged.
 const CHANGES_MAX: usize = 256;
 
+/// Last break of a connection to a target.
+#[derive(Clone, Debug)]
+pub(super) struct TargetBreak {
+    target: Arc<str>,
+    incarnation: u64,
+    at: Time,
+}
+
 /// Whether a request may be sent, as far as it is suspected of crashing targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Suspicion {
@@ -68,7 +84,8 @@
 pub enum Cause {
     /// The connection to this target broke while the request was in flight there.
     Broken(Arc<str>),
-    /// This target answered a request that was sent before its connection broke.
+    /// This target answered a request that was sent before its connection broke, or is
+    /// still listed long after.
     Survived(Arc<str>),
     /// The request was answered.
     Answered,
@@ -221,6 +238,43 @@
         self.suspects.report(now, fingerprint)
     }
 
+    /// Remembers a break, to see later whether the target has crashed.
+    pub(super) fn remember_break(&mut self, now: Time, target: &Arc<str>) {
+        let Some(incarnation) = self.roster.get(target).map(|t| t.entry.incarnation) else {
+            return;
+        };
+        self.breaks.retain(|b| b.target != *target);
+        if self.breaks.len() < BREAKS_MAX {
+            self.breaks.push(TargetBreak {
+                target: Arc::clone(target),
+                incarnation,
+                at: now,
+            });
+        }
+    }
+
+    /// Withdraws the strikes of breaks at targets that have not crashed, as the store
+    /// still lists them.
+    pub(super) fn sweep_breaks(&mut self, now: Time) {
+        let is_due = |b: &TargetBreak| now.since(b.at) >= LISTED_SPAN;
+        let (due, rest): (Vec<_>, Vec<_>) = self.breaks.drain(..).partition(is_due);
+        self.breaks = rest;
+        for last in due {
+            let listed = self.roster.get(&last.target);
+            let is_listed =
+                listed.is_some_and(|t| !t.is_gone && t.entry.incarnation == last.incarnation);
+            if is_listed && self.is_store_known_since(now, last.at) {
+                let mut withdrawn = Vec::new();
+                self.suspects
+                    .withdraw_all(now, &last.target, &mut withdrawn);
+                for change in withdrawn {
+                    let cause = Cause::Survived(Arc::clone(&last.target));
+                    self.log_suspect(change.fingerprint, change.strikes + 1, cause);
+                }
+            }
+        }
+    }
+
     /// Records a change for the log if the strikes differ from those before.
     pub(super) fn log_suspect(&mut self, fingerprint: Fingerprint, before: u8, cause: Cause) {
         let strikes = self.suspects.strikes(fingerprint);
--- a/crates/steer/src/request/poison.rs
+++ b/crates/steer/src/request/poison.rs
@@ -306,6 +306,21 @@
     ) {
         let is_disproved =
             |b: &Break| *b.target == *target && b.at > sent_at && now.since(b.at) >= SURVIVAL_SPAN;
+        self.withdraw_breaks(now, is_disproved, out);
+    }
+
+    /// Withdraws the strikes of all breaks at a target that has not crashed. Appends the
+    /// changed fingerprints to `out`.
+    pub fn withdraw_all(&mut self, now: Time, target: &str, out: &mut Vec<StrikeUpdate>) {
+        self.withdraw_breaks(now, |b| *b.target == *target, out);
+    }
+
+    fn withdraw_breaks(
+        &mut self,
+        now: Time,
+        is_disproved: impl Fn(&Break) -> bool,
+        out: &mut Vec<StrikeUpdate>,
+    ) {
         for entry in &mut self.entries {
             let before = entry.breaks.len();
             entry.breaks.retain(|b| !is_disproved(b));
--- a/crates/steer/tests/direct/suspect.rs
+++ b/crates/steer/tests/direct/suspect.rs
@@ -332,3 +332,33 @@
     bench.direct.store_answered(at(200_000), 11);
     assert_eq!(bench.direct.begin_trial(at(200_000), FINGERPRINT), None);
 }
+
+/// Where answers are lost on connections, a request that many callers send was refused
+/// although no target had crashed.
+#[rstest]
+#[case::connections_broke(true, 0)]
+#[case::targets_crashed(false, 1)]
+fn take_strikes_back_while_targets_are_listed(#[case] listed: bool, #[case] held: usize) {
+    let targets = ["t1", "t2", "t3"].map(|id| entry(id, "near-a"));
+    let mut bench = Bench::new(route(), &targets);
+    bench.direct.store_answered(at(0), 9);
+    let first = bench.send(at(0), Some(1));
+    for millis in [50, 90] {
+        bench
+            .direct
+            .finish_attempt(at(millis), first.ticket, AttemptOutcome::ConnectionLost);
+        bench.decide(at(millis));
+    }
+    assert_eq!(bench.direct.suspect_counts(), (1, 1));
+    for second in 1..=16 {
+        let now = at(second * 1_000);
+        bench.direct.store_answered(now, 9);
+        if second == 4 && !listed {
+            for id in ["t1", "t2", "t3"] {
+                bench.direct.unlist(now, id);
+            }
+        }
+        bench.direct.sweep(now);
+    }
+    assert_eq!(bench.direct.suspect_counts(), (held, held));
+}
