Check with three instances that crashes under a request end

A test with real processes: repeats from six addresses and for any object at three instances, one of which is killed and starts anew, ordinary requests beside. After 4 s no target ends any more, and nine of ten ordinary requests are served.

--- a/crates/auburnrouter/tests/direct/crashes.rs
+++ b/crates/auburnrouter/tests/direct/crashes.rs
@@ -152,3 +152,53 @@
     }
     assert_eq!(crashes(&harness.targets), before);
 }
+
+/// Sends a request of a caller from one of six addresses.
+fn send_as(caller: usize, entry: &Entry, path: &str, id: &str) -> Option<Answer> {
+    let host = u8::try_from(caller % 6).expect("it is small") + 2;
+    send_from(host, entry.callers, &text(path, id, &caller.to_string()))
+}
+
+/// Targets ended for as long as callers repeated a request at all instances, one of which
+/// starts anew.
+#[test]
+fn stop_crashes_at_all_instances() {
+    let harness = harness(12);
+    let store = harness.store.addr();
+    let peers = [harness.entry.peers];
+    let mut other = second_entry(&harness);
+    let third = Entry::start("near-3", "near-a", store, &peers);
+    third.await_ready();
+    wait_until("the third instance knows all targets", || {
+        third.dump().contains("\"t9\"")
+    });
+    let mut settled = None;
+    let mut unserved = 0;
+    let begin = Instant::now();
+    let mut round = 0;
+    while begin.elapsed() < Duration::from_secs(8) {
+        round += 1;
+        if round == 40 {
+            drop(other);
+            other = second_entry(&harness);
+        }
+        if settled.is_none() && begin.elapsed() >= Duration::from_secs(4) {
+            settled = Some(crashes(&harness.targets));
+        }
+        std::thread::scope(|scope| {
+            let entries = [&harness.entry, &other, &third];
+            for (at, entry) in entries.into_iter().enumerate() {
+                scope.spawn(move || {
+                    let caller = round * 3 + at;
+                    send_as(caller, entry, CRASHING, &format!("c{round}-{at}"));
+                });
+            }
+        });
+        let path = format!("/view/{round}");
+        let answer = harness.entry.send("GET", &path, &format!("r{round}"), "");
+        unserved += usize::from(answer.status != 200);
+    }
+    println!("{settled:?} crashes");
+    assert_eq!(Some(crashes(&harness.targets)), settled);
+    assert!(unserved * 10 <= round, "{unserved} of {round} not served");
+}
