Tell verdicts apart from suspicions, and bound both by what a fleet can carry

Now the messages hold verdicts, those taken back included; heartbeats tell suspicions for 5 s, as before, and that one was cleared, which doesn't touch strikes that the receiver has seen itself; newcomers are told by neighbours; breaks are remembered by incarnation, for one second each, so that a target that breaks off often is judged too.

--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -77,6 +77,9 @@
 /// small region's targets hold within a few seconds.
 const HEARTBEAT_KNOWN_OBJECTS_MAX: usize = 12;
 
+/// Time for which heartbeats report a change of a request under suspicion.
+const SUSPECT_REPORT_SPAN: Duration = Duration::from_secs(5);
+
 impl Direct {
     /// Records an answer of the store, by which everything up to `revision` is known.
     pub fn store_answered(&mut self, now: Time, revision: u64) {
@@ -210,7 +213,7 @@
         for (fingerprint, strikes) in &heartbeat.suspects {
             let fingerprint = Fingerprint(*fingerprint);
             let before = self.suspects.strikes(fingerprint);
-            // Heartbeats don't tell the round; reports of suspects do.
+            // Heartbeats don't tell the round. Messages on verdicts do.
             if self.suspects.round(fingerprint) == 0 {
                 self.suspects.merge(now, fingerprint, *strikes);
             }
@@ -242,9 +245,7 @@
         let warm_objects = self.object_reports(now);
         let observations = self.take_observations(now);
         let limits = self.limit_reports(now);
-        // Read by earlier releases, which know no reports of suspects.
-        let suspects = self.suspects.reports(now).into_iter();
-        let suspects = suspects.filter(|s| s.round == 0 && s.strikes > 0);
+        let suspects = self.suspects.recent(now, SUSPECT_REPORT_SPAN).into_iter();
         Heartbeat {
             name: Arc::clone(&self.identity.name),
             incarnation: self.identity.incarnation,
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -282,16 +282,18 @@
         appeared.is_some_and(|at| now.since(at) < NEWCOMER_SPAN)
     }
 
-    /// Addresses for heartbeats of up to `max` instances that have appeared recently.
+    /// Addresses for heartbeats of the instances that have appeared recently, sorted.
     #[must_use]
-    pub fn newcomers(&self, now: Time, max: usize) -> Vec<SocketAddr> {
+    pub fn newcomers(&self, now: Time) -> Vec<SocketAddr> {
         let is_new = |m: &&Member| {
             m.appeared_at
                 .is_some_and(|at| now.since(at) < NEWCOMER_SPAN)
         };
         let all = self.all.iter().filter(is_new);
         let addrs = all.filter_map(|m| Some(m.registration.as_ref()?.heartbeats));
-        addrs.take(max).collect()
+        let mut addrs: Vec<SocketAddr> = addrs.collect();
+        addrs.sort_unstable();
+        addrs
     }
 
     /// Registration of an instance, whether or not it is present.
--- a/crates/steer/src/process/direct/suspect.rs
+++ b/crates/steer/src/process/direct/suspect.rs
@@ -1,11 +1,11 @@
 //! What instances tell each other of requests that crash the targets that run them, and
 //! what they log of it.
 //!
-//! Such a request comes again at any instance, for minutes. So all that is held against
-//! requests is told for as long as it is held: news at once to the nearest instances and
-//! to some at random, who pass it on, and everything in turn to an instance at random
-//! and to those that have just started. Heartbeats alone wouldn't do, as each instance
-//! sends them to the same few.
+//! Such a request comes again at any instance, for minutes. So verdicts are told for as
+//! long as they hold: news at once to the nearest instances and to some at random, who
+//! pass it on, and everything in turn to an instance at random and to neighbours that
+//! have just started. Heartbeats alone wouldn't do, as each instance sends them to the
+//! same few; they tell which requests are under suspicion.
 //!
 //! Invariants: at most [`REPORTS_MAX`] reports in one message, the newest in each, the
 //! others in turn; at most [`CHANGES_MAX`] changes wait to be logged, further ones are
@@ -35,10 +35,7 @@
 const NEWS_FANOUT: usize = 4;
 
 /// Turns between messages without news.
-const QUIET_TURNS: u64 = 4;
-
-/// Instances that have just started and are told at each turn.
-const NEWCOMERS_MAX: usize = 8;
+const QUIET_TURNS: u64 = 8;
 
 /// Time after a break from which a target that the store still lists has not crashed: the
 /// entry of one that has is removed within three intervals of the targets' reports, which
@@ -48,15 +45,18 @@
 /// Largest number of breaks that are remembered until then.
 const BREAKS_MAX: usize = 256;
 
+/// Time in which further breaks at a target are remembered as one.
+const BREAK_SPAN: Duration = Duration::from_secs(1);
+
 /// Largest number of changes that wait to be logged.
 const CHANGES_MAX: usize = 256;
 
-/// Last break of a connection to a target.
+/// Breaks of connections to a target, in [`BREAK_SPAN`] from the first.
 #[derive(Clone, Debug)]
 pub(super) struct TargetBreak {
     target: Arc<str>,
     incarnation: u64,
-    at: Time,
+    first: Time,
 }
 
 /// Whether a request may be sent, as far as it is suspected of crashing targets.
@@ -172,7 +172,7 @@
     /// anything. To be called at the pace of heartbeats.
     pub fn suspect_message(&mut self, now: Time) -> Option<SuspectMessage> {
         self.suspect_turn += 1;
-        if self.suspects.is_unknown() {
+        if self.suspects.has_no_verdict() {
             return None;
         }
         let recipients = self.suspect_recipients(now);
@@ -194,9 +194,13 @@
     fn suspect_recipients(&self, now: Time) -> Vec<SocketAddr> {
         let is_news = self.suspects.has_changed(now, NEWS_SPAN);
         let is_turn = self.suspect_turn.is_multiple_of(QUIET_TURNS);
-        let mut recipients = self.members.newcomers(now, NEWCOMERS_MAX);
-        if is_news {
-            recipients.extend(self.recipients(now).local);
+        let newcomers = self.members.newcomers(now);
+        let mut recipients = Vec::new();
+        if is_news || !newcomers.is_empty() {
+            recipients = self.recipients(now).local;
+        }
+        if !is_news {
+            recipients.retain(|addr| newcomers.binary_search(addr).is_ok());
         }
         let random = match (is_news, is_turn) {
             (true, _) => NEWS_FANOUT,
@@ -243,12 +247,14 @@
         let Some(incarnation) = self.roster.get(target).map(|t| t.entry.incarnation) else {
             return;
         };
-        self.breaks.retain(|b| b.target != *target);
-        if self.breaks.len() < BREAKS_MAX {
+        let covers = |b: &TargetBreak| {
+            b.target == *target && b.incarnation == incarnation && now < b.first + BREAK_SPAN
+        };
+        if self.breaks.len() < BREAKS_MAX && !self.breaks.iter().any(covers) {
             self.breaks.push(TargetBreak {
                 target: Arc::clone(target),
                 incarnation,
-                at: now,
+                first: now,
             });
         }
     }
@@ -256,21 +262,23 @@
     /// Withdraws the strikes of breaks at targets that have not crashed, as the store
     /// still lists them.
     pub(super) fn sweep_breaks(&mut self, now: Time) {
-        let is_due = |b: &TargetBreak| now.since(b.at) >= LISTED_SPAN;
+        let is_due = |b: &TargetBreak| now >= b.first + BREAK_SPAN + LISTED_SPAN;
         let (due, rest): (Vec<_>, Vec<_>) = self.breaks.drain(..).partition(is_due);
         self.breaks = rest;
-        for last in due {
-            let listed = self.roster.get(&last.target);
+        for broken in due {
+            let target = self.roster.get(&broken.target);
             let is_listed =
-                listed.is_some_and(|t| !t.is_gone && t.entry.incarnation == last.incarnation);
-            if is_listed && self.is_store_known_since(now, last.at) {
-                let mut withdrawn = Vec::new();
-                self.suspects
-                    .withdraw_all(now, &last.target, &mut withdrawn);
-                for change in withdrawn {
-                    let cause = Cause::Survived(Arc::clone(&last.target));
-                    self.log_suspect(change.fingerprint, change.strikes + 1, cause);
-                }
+                target.is_some_and(|t| !t.is_gone && t.entry.incarnation == broken.incarnation);
+            if !is_listed || !self.is_store_known_since(now, broken.first) {
+                continue;
+            }
+            let end = broken.first + BREAK_SPAN;
+            let mut withdrawn = Vec::new();
+            self.suspects
+                .withdraw_within(now, &broken.target, broken.first, end, &mut withdrawn);
+            for change in withdrawn {
+                let cause = Cause::Survived(Arc::clone(&broken.target));
+                self.log_suspect(change.fingerprint, change.strikes + 1, cause);
             }
         }
     }
--- a/crates/steer/src/process/direct/verdict.rs
+++ b/crates/steer/src/process/direct/verdict.rs
@@ -152,7 +152,7 @@
     /// Next row that this instance is to write, if there is one. It counts as under way
     /// until the row arrives, or for a while.
     pub fn next_row_write(&mut self, now: Time) -> Option<RowWrite> {
-        if self.suspects.is_unknown() || !self.is_store_reachable(now) {
+        if self.suspects.has_no_verdict() || !self.is_store_reachable(now) {
             return None;
         }
         let reports = self.suspects.reports(now);
--- a/crates/steer/src/request/poison.rs
+++ b/crates/steer/src/request/poison.rs
@@ -53,6 +53,8 @@
     changed_at: Time,
     /// Whether it found that itself.
     is_own: bool,
+    /// Whether the request is always refused, or was: all instances are told of it then.
+    is_public: bool,
 }
 
 impl Entry {
@@ -66,7 +68,7 @@
         self.round = self.round.saturating_add(1);
         self.total = strikes;
         self.changed_at = now;
-        self.is_own = true;
+        self.is_own = strikes > 0 || self.is_public;
         if strikes == 0 {
             self.breaks.clear();
             self.expires_at = now + SUSPECT_TTL;
@@ -164,6 +166,7 @@
             entry.expires_at = now + SUSPECT_TTL;
             entry.changed_at = now;
             entry.is_own = true;
+            entry.is_public |= entry.strikes() >= STRIKES_MAX;
         }
         StrikeUpdate {
             fingerprint,
@@ -175,7 +178,10 @@
     /// [`STRIKES_MAX`].
     pub fn merge(&mut self, now: Time, fingerprint: Fingerprint, strikes: u8) {
         if strikes == 0 {
-            self.clear(now, fingerprint);
+            // What this instance has seen since may be newer than the report.
+            if !self.origin(fingerprint).1 {
+                self.clear(now, fingerprint);
+            }
             return;
         }
         let at = self.ensure(now, fingerprint);
@@ -187,6 +193,7 @@
             entry.expires_at = now + SUSPECT_TTL;
             entry.changed_at = now;
             entry.is_own = false;
+            entry.is_public |= entry.strikes() >= STRIKES_MAX;
         }
     }
 
@@ -211,16 +218,39 @@
         entry.expires_at = now + left;
         entry.changed_at = now;
         entry.is_own = false;
+        entry.is_public = true;
     }
 
-    /// What is held against all fingerprints, the latest change first.
+    /// What is held against the fingerprints that are always refused, or were, the latest
+    /// change first.
     #[must_use]
     pub fn reports(&self, now: Time) -> Vec<Report> {
-        let mut all: Vec<&Entry> = self.entries.iter().collect();
+        let mut all: Vec<&Entry> = self.public().collect();
         all.sort_by_key(|entry| core::cmp::Reverse(entry.changed_at));
         all.into_iter().map(|entry| entry.report(now)).collect()
     }
 
+    /// Strikes that changed less than `span` ago, the latest change first, as far as they
+    /// can be told without their round: none that were withdrawn, and zero of those that
+    /// were cleared before there was a verdict.
+    #[must_use]
+    pub fn recent(&self, now: Time, span: Duration) -> Vec<StrikeUpdate> {
+        let is_clear = |e: &Entry| e.strikes() == 0 && !e.is_public;
+        let is_recent =
+            |e: &&Entry| now.since(e.changed_at) < span && (e.round == 0 || is_clear(e));
+        let mut all: Vec<&Entry> = self.entries.iter().filter(is_recent).collect();
+        all.sort_by_key(|entry| core::cmp::Reverse(entry.changed_at));
+        let update = |entry: &Entry| StrikeUpdate {
+            fingerprint: entry.fingerprint,
+            strikes: entry.strikes(),
+        };
+        all.into_iter().map(update).collect()
+    }
+
+    fn public(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter().filter(|e| e.is_public)
+    }
+
     /// What is held against a fingerprint.
     #[must_use]
     pub fn report(&self, now: Time, fingerprint: Fingerprint) -> Option<Report> {
@@ -242,16 +272,17 @@
         found.map_or((Time::ZERO, false), |e| (e.changed_at, e.is_own))
     }
 
-    /// Returns whether nothing is held against any fingerprint, or was lately.
+    /// Returns whether no fingerprint is always refused, or was lately.
     #[must_use]
-    pub const fn is_unknown(&self) -> bool {
-        self.entries.is_empty()
+    pub fn has_no_verdict(&self) -> bool {
+        self.public().next().is_none()
     }
 
-    /// Returns whether something new was learned less than `span` ago.
+    /// Returns whether something new was learned less than `span` ago of a fingerprint
+    /// that is always refused, or was.
     #[must_use]
     pub fn has_changed(&self, now: Time, span: Duration) -> bool {
-        self.entries.iter().any(|e| now.since(e.changed_at) < span)
+        self.public().any(|e| now.since(e.changed_at) < span)
     }
 
     /// Lists all fingerprints with their strikes.
@@ -309,10 +340,18 @@
         self.withdraw_breaks(now, is_disproved, out);
     }
 
-    /// Withdraws the strikes of all breaks at a target that has not crashed. Appends the
-    /// changed fingerprints to `out`.
-    pub fn withdraw_all(&mut self, now: Time, target: &str, out: &mut Vec<StrikeUpdate>) {
-        self.withdraw_breaks(now, |b| *b.target == *target, out);
+    /// Withdraws the strikes of breaks from `first` on and before `end` at a target that
+    /// has not crashed. Appends the changed fingerprints to `out`.
+    pub fn withdraw_within(
+        &mut self,
+        now: Time,
+        target: &str,
+        first: Time,
+        end: Time,
+        out: &mut Vec<StrikeUpdate>,
+    ) {
+        let is_disproved = |b: &Break| *b.target == *target && b.at >= first && b.at < end;
+        self.withdraw_breaks(now, is_disproved, out);
     }
 
     fn withdraw_breaks(
@@ -372,6 +411,7 @@
             expires_at: now + SUSPECT_TTL,
             changed_at: now,
             is_own: false,
+            is_public: false,
         };
         self.entries.insert(at, entry);
         at
--- a/crates/steer/tests/direct/suspect.rs
+++ b/crates/steer/tests/direct/suspect.rs
@@ -350,7 +350,7 @@
         bench.decide(at(millis));
     }
     assert_eq!(bench.direct.suspect_counts(), (1, 1));
-    for second in 1..=16 {
+    for second in 1..=17 {
         let now = at(second * 1_000);
         bench.direct.store_answered(now, 9);
         if second == 4 && !listed {
@@ -362,3 +362,35 @@
     }
     assert_eq!(bench.direct.suspect_counts(), (held, held));
 }
+
+/// Strikes that an answer had cleared were held at other instances.
+#[rstest]
+#[case::told(false, 0)]
+#[case::seen(true, 1)]
+fn tell_that_suspect_was_answered(#[case] is_own: bool, #[case] strikes: usize) {
+    let targets = ["t1", "t2"].map(|id| entry(id, "near-a"));
+    let mut bench = Bench::new(route(), &targets);
+    let mut other = Bench::named("near-2", route(), &targets);
+    let first = bench.send(at(0), Some(1));
+    bench
+        .direct
+        .finish_attempt(at(50), first.ticket, AttemptOutcome::ConnectionLost);
+    if is_own {
+        let sent = other.send(at(0), Some(1));
+        other
+            .direct
+            .finish_attempt(at(55), sent.ticket, AttemptOutcome::ConnectionLost);
+    }
+    let told = bench.direct.heartbeat(at(60), true);
+    other.direct.receive_heartbeat(at(60), told);
+    assert_eq!(other.direct.suspect_counts(), (1, 0));
+    let Some(Decision::Send(second)) = bench.decide(at(70)) else {
+        panic!("another target is free");
+    };
+    bench
+        .direct
+        .finish_attempt(at(90), second.ticket, AttemptOutcome::Answered);
+    let told = bench.direct.heartbeat(at(100), true);
+    other.direct.receive_heartbeat(at(100), told);
+    assert_eq!(other.direct.suspect_counts(), (strikes, 0));
+}
