Let the soak send a request that crashes targets

Callers of the soak send it one time in sixty, at any instance and for any object, beside all other faults. Later than 4 s after the third crash no more than three sends may reach targets, those of processes left out that started or were frozen within 4 s before. The report counts rejections of suspects.

--- a/crates/auburnrouter/tests/soak.rs
+++ b/crates/auburnrouter/tests/soak.rs
@@ -7,6 +7,8 @@
 
 #[path = "soak/callers.rs"]
 mod callers;
+#[path = "soak/crashes.rs"]
+mod crashes;
 #[path = "direct/harness.rs"]
 #[allow(dead_code, reason = "shared with other tests, which use all of it")]
 mod harness;
@@ -35,8 +37,9 @@
 }
 
 /// Injects overlapping faults: kills, freezes, stops, broken connections, store
-/// outages, faulty targets, targets that ask for a backoff or announce their stop, and
-/// configuration changes. What targets ask of an instance must be kept, no unsafe request may run
+/// outages, faulty targets, targets that ask for a backoff or announce their stop,
+/// requests that crash targets, and configuration changes. What targets ask of an instance
+/// must be kept, a request that crashes targets refused, no unsafe request may run
 /// twice, no rejected request may run, every success must be the target's complete
 /// answer, and callers must be served again afterwards.
 #[test]
--- a/crates/auburnrouter/tests/soak/callers.rs
+++ b/crates/auburnrouter/tests/soak/callers.rs
@@ -50,6 +50,9 @@
     exchanges
 }
 
+/// Path of the request that crashes targets.
+pub const CRASHING: &str = "/view/crash";
+
 /// Maximum number of pipelined requests.
 const PIPELINE_MAX: usize = 4;
 
@@ -69,7 +72,12 @@
     };
     // Different objects, or one target would get every request.
     let object = rng.u8(0..24);
-    let path = format!("{path}{object}");
+    let path = if rng.u8(0..60) == 0 {
+        CRASHING.to_owned()
+    } else {
+        format!("{path}{object}")
+    };
+    let method = if path == CRASHING { "GET" } else { method };
     let text = harness::request(method, &path, &id, "");
     let text = text.replace("Affinity-Key: 7", &format!("Affinity-Key: {object}"));
     PlannedRequest {
--- a/crates/auburnrouter/tests/soak/invariants.rs
+++ b/crates/auburnrouter/tests/soak/invariants.rs
@@ -47,6 +47,8 @@
     pub runs: Vec<Run>,
     /// Number of faults injected.
     pub faults: usize,
+    /// Requests rejected because they crash targets, or may.
+    pub suspected: usize,
     /// Other failures, such as a nonzero exit code of an instance.
     pub failures: Vec<String>,
 }
@@ -115,12 +117,13 @@
         let unanswered = self.exchanges.iter().filter(|a| a.answer.is_none()).count();
         write!(
             f,
-            "{} faults; {} requests: {} answered, {} rejected, {} unknown routes, {} failed, \
-             {} with unknown outcome, {unanswered} without an answer; {} runs",
+            "{} faults; {} requests: {} answered, {} rejected ({} as suspects), {} unknown routes, \
+             {} failed, {} with unknown outcome, {unanswered} without an answer; {} runs",
             self.faults,
             self.exchanges.len(),
             count(|s| s == 200),
             count(|s| matches!(s, 408 | 421 | 429 | 503)),
+            self.suspected,
             count(|s| s == 404),
             count(|s| s == 500),
             count(|s| matches!(s, 502 | 504)),
--- a/crates/auburnrouter/tests/soak/requests.rs
+++ b/crates/auburnrouter/tests/soak/requests.rs
@@ -10,6 +10,8 @@
 pub struct Process {
     /// Its log lines.
     pub lines: Arc<Mutex<Vec<String>>>,
+    /// Time at which it was started.
+    pub started_at: Instant,
     /// Times at which it was frozen.
     pub frozen_at: Vec<Instant>,
 }
@@ -83,7 +85,7 @@
 
 /// Process that sent each request to a target, and whether it got an answer, sorted by
 /// request id and target.
-fn senders(processes: &[Process]) -> Vec<((String, String), usize, bool)> {
+pub fn senders(processes: &[Process]) -> Vec<((String, String), usize, bool)> {
     let mut senders = Vec::new();
     for (process, record) in processes.iter().enumerate() {
         let lines = record.lines.lock().expect("the lock is not poisoned");
--- a/crates/auburnrouter/tests/soak/runner.rs
+++ b/crates/auburnrouter/tests/soak/runner.rs
@@ -16,6 +16,7 @@
 use serde_json::json;
 
 use super::callers;
+use super::crashes;
 use super::harness::{Entry, HOST, MS, ROUTES, wait_until};
 use super::invariants::Report;
 use super::proxy::{Fault, Proxy};
@@ -141,6 +142,7 @@
         self.running[number] = self.processes.len();
         self.processes.push(Process {
             lines: Arc::clone(&entry.lines),
+            started_at: Instant::now(),
             frozen_at: Vec::new(),
         });
         entry
@@ -152,6 +154,7 @@
         let target =
             Target::start(&format!("t{number}"), "sheets", domain).expect("a port is free");
         target.set(Behavior::Normal, 20 * MS);
+        target.crash_on(callers::CRASHING);
         self.target_proxies.push(Proxy::start(target.addr()));
         self.targets.push(target);
         self.list(number, "ready", 1);
@@ -416,12 +419,19 @@
         runs.sort_by(|a, b| a.id.cmp(&b.id));
         let targets = self.targets.iter().enumerate();
         let arrivals = targets.map(|(i, target)| (format!("t{i}"), target.arrivals()));
+        let arrivals: Vec<_> = arrivals.collect();
+        let is_crashing = |e: &&super::invariants::Exchange| e.path == callers::CRASHING;
+        let crashing = exchanges.iter().filter(is_crashing);
+        let crashing: Vec<&str> = crashing.map(|e| &*e.id).collect();
         self.failures
-            .extend(requests::violations(arrivals.collect(), &self.processes));
+            .extend(crashes::violation(&crashing, &arrivals, &self.processes));
+        self.failures
+            .extend(requests::violations(arrivals, &self.processes));
         Report {
             exchanges,
             runs,
             faults: self.faults,
+            suspected: crashes::rejections(&self.processes),
             failures: self.failures,
         }
     }
