Store a verdict only once its request has come again

Cause: each verdict cost a lease, a row and often a second row that took it back, and most verdicts are of requests that happened to be under way in two breaks and never come again.

Now an instance writes the row of a request that it has refused twice; a caller's second try of an ordinary request is one refusal. Until then instances tell each other as before.

--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -237,6 +237,7 @@
     pub fn submit(&mut self, now: Time, request: Request) -> Result<Ticket, Rejection> {
         let is_trial = self.suspects.strikes(request.fingerprint) >= STRIKES_MAX;
         if is_trial && !self.take_trial(now, request.fingerprint) {
+            self.note_refusal(request.fingerprint);
             return Err(Rejection::Poison);
         }
         if !self.has_region(&request) {
--- a/crates/steer/src/process/direct/verdict.rs
+++ b/crates/steer/src/process/direct/verdict.rs
@@ -1,9 +1,11 @@
 //! Verdicts on requests that crash targets, as the platform's store keeps them.
 //!
 //! What instances hold in memory is gone when all start anew, and an instance that starts
-//! hears of it late. So each request that is always refused has a row in the store, with
-//! an end to its life; every instance reads all rows before it takes callers. While the
-//! store is away, instances tell each other, and the rows are written afterwards.
+//! hears of it late. So a request that is always refused, and comes again all the same,
+//! has a row in the store, with an end to its life; every instance reads all rows before
+//! it takes callers. While the store is away, instances tell each other, and the rows are
+//! written afterwards. Calls to the store are paid for, and most requests that happen to
+//! be under way in two breaks never come again.
 //!
 //! A request may be refused by mistake: one that happened to be under way in two crashes.
 //! After a while a copy of it is run once more, and if it is answered the verdict is
@@ -20,8 +22,12 @@
 use crate::request::arrival::Fingerprint;
 use crate::request::poison::{Report, STRIKES_MAX};
 
-/// Time after which an instance writes what another one should have written. Most are
-/// written by then.
+/// Refusals of a request by an instance from which on its verdict is worth a row; a
+/// caller that tries an ordinary request again causes one.
+const REFUSALS_MIN: u8 = 2;
+
+/// Time after which an instance writes down that a verdict was taken back, if another one
+/// found it and has not written it.
 const SUBSTITUTE_DELAY: Duration = Duration::from_secs(3);
 
 /// Time over which substitutes spread their writes.
@@ -75,6 +81,8 @@
     round: u16,
     strikes: u8,
     trials: u8,
+    /// Refusals by this instance.
+    refusals: u8,
     /// Time at which the row last changed.
     changed_at: Time,
     /// Time until which a write of this instance is under way.
@@ -106,6 +114,7 @@
                     round: 0,
                     strikes: 0,
                     trials: 0,
+                    refusals: 0,
                     changed_at: Time::ZERO,
                     busy_until: Time::ZERO,
                     trial_until: Time::ZERO,
@@ -230,16 +239,24 @@
         if known.is_some_and(|k| now < k.busy_until) || report.left < ROW_LIFE_MIN {
             return false;
         }
-        let stored = known.filter(|k| k.revision > 0);
-        let is_newer = stored.map_or(report.strikes >= STRIKES_MAX, |k| {
-            let is_verdict = report.strikes >= STRIKES_MAX || k.strikes >= STRIKES_MAX;
-            is_verdict && (report.round, report.strikes) > (k.round, k.strikes)
-        });
-        is_newer && now >= self.row_due(report.fingerprint)
+        let is_verdict = report.strikes >= STRIKES_MAX;
+        match known.filter(|k| k.revision > 0) {
+            None => is_verdict && known.is_some_and(|k| k.refusals >= REFUSALS_MIN),
+            Some(k) if (report.round, report.strikes) <= (k.round, k.strikes) => false,
+            Some(k) => {
+                (is_verdict || k.strikes >= STRIKES_MAX) && now >= self.row_due(report.fingerprint)
+            }
+        }
+    }
+
+    /// Counts a refusal of a request.
+    pub(super) fn note_refusal(&mut self, fingerprint: Fingerprint) {
+        let known = self.rows.ensure(fingerprint);
+        known.refusals = known.refusals.saturating_add(1);
     }
 
-    /// Time from which this instance writes what it holds against a request: at once
-    /// what it found itself, later what others found.
+    /// Time from which this instance changes a row: at once for what it found itself,
+    /// later for what others found.
     fn row_due(&self, fingerprint: Fingerprint) -> Time {
         let (changed_at, is_own) = self.suspects.origin(fingerprint);
         if is_own {
