--- a/crates/steer/src/request/poison.rs
+++ b/crates/steer/src/request/poison.rs
@@ -376,13 +376,6 @@
         }
     }
 
-    /// Drops a fingerprint.
-    pub fn forget(&mut self, fingerprint: Fingerprint) {
-        if let Ok(at) = self.find(fingerprint) {
-            self.entries.remove(at);
-        }
-    }
-
     /// Drops fingerprints at the end of their life.
     pub fn expire(&mut self, now: Time) {
         self.entries.retain(|e| now < e.expires_at);
