--- a/crates/steer/tests/direct/suspect.rs
+++ b/crates/steer/tests/direct/suspect.rs
@@ -7,8 +7,9 @@
 use rstest::rstest;
 use steer::clock::Time;
 use steer::process::direct::members::Registration;
+use steer::process::direct::target::Entry;
 use steer::process::direct::verdict::Row;
-use steer::process::direct::{AttemptOutcome, Decision, FollowUp, Rejection, Withheld};
+use steer::process::direct::{Assignment, AttemptOutcome, Decision, FollowUp, Rejection, Withheld};
 use steer::request::arrival::Fingerprint;
 use steer::request::poison::{Report, SUSPECT_TTL};
 
@@ -190,12 +191,10 @@
     assert_eq!(bench.direct.next_row_write(at(60_000)), None);
 }
 
-/// A verdict was lost with all instances, or written by each of them, or for requests that
-/// never came again.
-#[test]
-fn store_verdict_of_repeated_request_once() {
-    let targets = ["t1", "t2", "t3"].map(|id| entry(id, "near-a"));
-    let mut bench = Bench::new(route(), &targets);
+/// An instance that knows the store, with a request under which two of its targets broke
+/// off by 90 ms.
+fn break_twice(targets: &[Entry]) -> (Bench, Assignment) {
+    let mut bench = Bench::new(route(), targets);
     bench.direct.store_answered(at(0), 9);
     let first = bench.send(at(0), Some(1));
     for millis in [50, 90] {
@@ -204,6 +203,15 @@
             .finish_attempt(at(millis), first.ticket, AttemptOutcome::ConnectionLost);
         bench.decide(at(millis));
     }
+    (bench, first)
+}
+
+/// A verdict was lost with all instances, or written by each of them, or for requests that
+/// never came again.
+#[test]
+fn store_verdict_of_repeated_request_once() {
+    let targets = ["t1", "t2", "t3"].map(|id| entry(id, "near-a"));
+    let (mut bench, first) = break_twice(&targets);
     // A caller's second try is no sign that the request comes again and again.
     let request = bench.request(Some(1), at(5_000));
     assert!(bench.direct.submit(at(95), request.clone()).is_err());
@@ -348,15 +356,7 @@
 #[case::targets_crashed(false, 1)]
 fn take_strikes_back_while_targets_are_listed(#[case] listed: bool, #[case] held: usize) {
     let targets = ["t1", "t2", "t3"].map(|id| entry(id, "near-a"));
-    let mut bench = Bench::new(route(), &targets);
-    bench.direct.store_answered(at(0), 9);
-    let first = bench.send(at(0), Some(1));
-    for millis in [50, 90] {
-        bench
-            .direct
-            .finish_attempt(at(millis), first.ticket, AttemptOutcome::ConnectionLost);
-        bench.decide(at(millis));
-    }
+    let (mut bench, _) = break_twice(&targets);
     assert_eq!(bench.direct.suspect_counts(), (1, 1));
     for second in 1..=17 {
         let now = at(second * 1_000);
