Show the time that targets are told is left, and how much of the retry budget is spent

Neither logs nor metrics could tell which of the BUDGET rules a service broke: an attempt line did not say which deadline the target got, and nothing showed second attempts, those that the budget refused, and among how many instances the sum is divided. attempt lines have left_ms now, metrics and the dump the rest. No decision changes.

--- a/crates/auburnrouter/src/direct/callers/routed.rs
+++ b/crates/auburnrouter/src/direct/callers/routed.rs
@@ -183,6 +183,7 @@
                 number: assignment.attempt,
                 held_ms: millis(start, self.arrived),
                 took_ms: millis(self.shared.now(), start),
+                left_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
                 outcome: outcome_name(outcome),
                 status,
                 withheld: withheld.into_inner(),
--- a/crates/auburnrouter/src/direct/dump.rs
+++ b/crates/auburnrouter/src/direct/dump.rs
@@ -57,6 +57,10 @@
     pub stale_ms: Option<u64>,
     /// Teams with a quota, and the tokens that this instance holds of each.
     pub quotas: Vec<QuotaUse>,
+    /// Instances that share the bounds on sums with this one, itself included.
+    pub sharing: usize,
+    /// Use of each service's retry budget.
+    pub retries: Vec<RetryUse>,
     /// Share of each service's requests that is sent to other regions.
     pub elsewhere: Vec<(Arc<str>, f64)>,
     /// Requests that are suspected of crashing targets: fingerprint and strikes.
@@ -75,6 +79,18 @@
     rate: f64,
 }
 
+/// Use of a service's retry budget in the window that ends now.
+#[derive(Serialize)]
+pub struct RetryUse {
+    service: Arc<str>,
+    /// Requests of callers.
+    requests: usize,
+    /// Retries.
+    pub sent: usize,
+    /// Retries that were not allowed, since the start of the process.
+    pub refused: u64,
+}
+
 /// One target as this instance sees it.
 #[derive(Serialize)]
 pub struct Target {
@@ -142,6 +158,16 @@
                     rate,
                 })
                 .collect(),
+            sharing: direct.sharing_instances(),
+            retries: direct
+                .budget_uses(now)
+                .map(|(service, budget)| RetryUse {
+                    service: Arc::clone(service),
+                    requests: budget.requests,
+                    sent: budget.retries,
+                    refused: budget.refused,
+                })
+                .collect(),
             elsewhere: direct.spillover_shares(),
             suspects: direct
                 .suspects()
--- a/crates/auburnrouter/src/direct/events/requests.rs
+++ b/crates/auburnrouter/src/direct/events/requests.rs
@@ -38,6 +38,8 @@
     attempt: usize,
     held_ms: u64,
     took_ms: u64,
+    /// Time that the target was told is left, in milliseconds.
+    left_ms: u64,
     ending: &'a str,
     status: u16,
     /// Why it was not sent, of a request that was withdrawn.
@@ -106,6 +108,8 @@
     pub held_ms: u64,
     /// Duration of the attempt in milliseconds.
     pub took_ms: u64,
+    /// Time that the target was told is left of the request's, in milliseconds.
+    pub left_ms: u64,
     /// Name of the outcome.
     pub outcome: &'a str,
     /// Status code of the target's answer; 0 if there is none.
@@ -141,6 +145,7 @@
         attempt: a.number,
         held_ms: a.held_ms,
         took_ms: a.took_ms,
+        left_ms: a.left_ms,
         ending: a.outcome,
         status: a.status,
         withheld: a.withheld.map(Withheld::name),
--- a/crates/auburnrouter/src/direct/metrics/gauges.rs
+++ b/crates/auburnrouter/src/direct/metrics/gauges.rs
@@ -23,6 +23,9 @@
     connections: IntGauge,
     suspects: IntGauge,
     refused_requests: IntGauge,
+    sharing: IntGauge,
+    retries: IntGauge,
+    refused_retries: IntGauge,
 }
 
 impl Gauges {
@@ -71,6 +74,18 @@
                 "auburnrouter_crashing_requests",
                 "Requests that are always refused because targets crashed under them",
             )?,
+            sharing: gauge(
+                "auburnrouter_sharing_instances",
+                "Instances that share the bounds on sums, this one too",
+            )?,
+            retries: gauge(
+                "auburnrouter_retries_in_window",
+                "Second attempts in the operator's window, of all services",
+            )?,
+            refused_retries: gauge(
+                "auburnrouter_retries_refused",
+                "Second attempts that the retry budget did not allow, since the start",
+            )?,
         })
     }
 
@@ -100,6 +115,11 @@
         let (suspects, refused) = shared.read(|_, d| d.suspect_counts());
         self.suspects.set(int(suspects));
         self.refused_requests.set(int(refused));
+        self.sharing.set(int(state.sharing));
+        let retries = state.retries.iter();
+        self.retries.set(int(retries.map(|r| r.sent).sum()));
+        let refused = state.retries.iter().map(|r| r.refused).sum();
+        self.refused_retries.set(int64(refused));
     }
 }
 
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -309,6 +309,19 @@
         &mut self.budgets[at].1
     }
 
+    /// Use of each service's retry budget in the window that ends now.
+    pub fn budget_uses(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, budget::Use)> {
+        let rule = self.bounds.retries;
+        let uses = self.budgets.iter();
+        uses.map(move |(service, budget)| (service, budget.recent_use(now, &rule)))
+    }
+
+    /// Number of instances that share the bounds on sums, this one included.
+    #[must_use]
+    pub fn sharing_instances(&self) -> usize {
+        self.participants.len() + 1
+    }
+
     /// Index of a request in `jobs`.
     fn find(&self, ticket: Ticket) -> Result<usize, usize> {
         self.jobs.binary_search_by_key(&ticket, |j| j.ticket)
--- a/crates/steer/src/process/direct/budget.rs
+++ b/crates/steer/src/process/direct/budget.rs
@@ -35,6 +35,18 @@
 pub struct Budget {
     requests: VecDeque<Time>,
     retries: VecDeque<Time>,
+    refused: u64,
+}
+
+/// Use of the budget in the window that ends now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Use {
+    /// Requests of callers.
+    pub requests: usize,
+    /// Retries.
+    pub retries: usize,
+    /// Retries that were not allowed, since the start of the process.
+    pub refused: u64,
 }
 
 impl Budget {
@@ -65,9 +77,25 @@
         let is_allowed = used < (allotment * USED_RATIO).floor();
         if is_allowed {
             self.retries.push_back(now);
+        } else {
+            self.refused += 1;
         }
         is_allowed
     }
+
+    /// Returns the use of the budget in the window that ends now.
+    #[must_use]
+    pub fn recent_use(&self, now: Time, rule: &Rule) -> Use {
+        let count = |times: &VecDeque<Time>| {
+            let is_recent = |at: &&Time| now.since(**at) < rule.window;
+            times.iter().filter(is_recent).count()
+        };
+        Use {
+            requests: count(&self.requests),
+            retries: count(&self.retries),
+            refused: self.refused,
+        }
+    }
 }
 
 fn remove_expired(times: &mut VecDeque<Time>, now: Time, window: Duration) {
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -223,7 +223,7 @@
         let was_sent = !matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Withdrawn);
         let all_back_off = self.all_back_off(now, &self.jobs[at]);
         let rule = self.bounds.retries;
-        let instances = self.participants.len() + 1;
+        let instances = self.sharing_instances();
         // The bound is on retries that follow an attempt which reached a target; one
         // that was never sent cost no target anything.
         let is_in_budget = all_back_off.is_none()
