Show that restarts let instances spend the retry budget again

Each process counts its own second attempts in memory. One that starts has spent nothing, and while it knows no other instance it takes the whole slack.

--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -20,6 +20,8 @@
 mod operators;
 #[path = "direct/pipeline.rs"]
 mod pipeline;
+#[path = "direct/repeats.rs"]
+mod repeats;
 #[path = "direct/reports.rs"]
 mod reports;
 #[path = "direct/requests.rs"]
--- a/crates/steer/tests/direct/budget.rs
+++ b/crates/steer/tests/direct/budget.rs
@@ -63,3 +63,38 @@
     }
     assert_eq!(spent, 16, "0.8 of a fifth of 100 and of 0.058");
 }
+
+/// Processes that started anew spent the slack of their predecessors once more, and took
+/// all of it while they knew no other instance.
+#[rstest]
+#[case::all_at_once(7, 5_000, 0)]
+#[case::all_every_second(7, 1_000, 0)]
+#[case::in_turn(7, 7_000, 1_000)]
+#[case::large_all_at_once(100, 5_000, 0)]
+#[case::large_in_turn(100, 5_000, 50)]
+fn keep_sum_through_restarts(#[case] instances: usize, #[case] life: u64, #[case] stagger: u64) {
+    /// Time in which a process knows no other instance.
+    const ALONE: u64 = 500;
+    let start = |i: usize| 15_000 + stagger * i as u64;
+    let mut budgets = vec![(0, Budget::default()); instances];
+    let mut retries = Vec::new();
+    for millis in (0..40_000).step_by(50) {
+        for (i, (started, budget)) in budgets.iter_mut().enumerate() {
+            let is_due = millis >= start(i) && (millis - start(i)).is_multiple_of(life);
+            if is_due && millis < 30_000 {
+                (*started, *budget) = (millis, Budget::default());
+            }
+            let age = millis - *started;
+            let known = if age < ALONE { 1 } else { instances };
+            while budget.try_spend(at(age), &RULE, known) {
+                retries.push(millis);
+            }
+        }
+    }
+    for from in (0..30_000).step_by(500) {
+        let is_within = |t: &&u64| (from..from + 10_000).contains(*t);
+        let spent = retries.iter().filter(is_within).count();
+        assert!(spent <= 58, "{spent} from {from}");
+    }
+    assert!(!retries.is_empty() || instances == 100);
+}
