Use no slack of the retry budget until a process has run for a window

Callers could see targets hit by more second attempts than the operator allows after instances restarted: each process counted from nothing and, while it knew no other instance, took the whole slack. What the predecessor spent is gone with it, and a count in the store would cost a call for each retry. So a process uses the slack only once everything its predecessor may have sent is out of the window; what its own requests earn is used at once. By then it knows how many share the sum.

--- a/crates/steer/src/process/direct/budget.rs
+++ b/crates/steer/src/process/direct/budget.rs
@@ -5,7 +5,9 @@
 //! coordinator, so that the allotments can never add up to more: each instance
 //! spends `ratio` of the requests that it received itself, and `slack` over the
 //! number of instances. An instance that is dead or cut off spends nothing or its
-//! own allotment.
+//! own allotment. A process that starts doesn't know what its predecessor has spent, nor
+//! at first with how many it shares the slack, so it uses none of the slack until a
+//! window has passed.
 //!
 //! Invariant: within any [`Rule::window`], the retries of this instance don't
 //! exceed its allotment.
@@ -58,21 +60,22 @@
 
     /// Takes one retry from the budget if there is one left; `instances` is the
     /// number of instances that share the bound.
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "counts within a window are small"
+    )]
     pub fn try_spend(&mut self, now: Time, rule: &Rule, instances: usize) -> bool {
         remove_expired(&mut self.requests, now, rule.window);
         // A retry stays counted for a little longer than the window, since it
         // reaches its target later than it is counted here.
-        remove_expired(&mut self.retries, now, rule.window + rule.window / 8);
-        #[allow(
-            clippy::cast_precision_loss,
-            reason = "counts within a window are small"
-        )]
-        let allotment =
-            rule.ratio * self.requests.len() as f64 + rule.slack / instances.max(1) as f64;
-        #[allow(
-            clippy::cast_precision_loss,
-            reason = "counts within a window are small"
-        )]
+        let counted_span = rule.window + rule.window / 8;
+        remove_expired(&mut self.retries, now, counted_span);
+        let slack = if now < Time::ZERO + counted_span {
+            0.0
+        } else {
+            rule.slack / instances.max(1) as f64
+        };
+        let allotment = rule.ratio * self.requests.len() as f64 + slack;
         let used = self.retries.len() as f64;
         let is_allowed = used < (allotment * USED_RATIO).floor();
         if is_allowed {
