Spend from the retry budget only for requests that are retried

A request that must not repeat, had no attempts or no time left, took a retry from the budget and was not retried; requests that could have been were then refused one. The budget is asked last now. spend_only_for_retries failed before in both cases.

--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -226,9 +226,8 @@
         let instances = self.sharing_instances();
         // The bound is on retries that follow an attempt which reached a target; one
         // that was never sent cost no target anything.
-        let is_in_budget = all_back_off.is_none()
-            && (!was_sent || self.budget(&service).try_spend(now, &rule, instances));
-        if is_safe && has_attempts && has_time && is_in_budget {
+        let is_possible = is_safe && has_attempts && has_time && all_back_off.is_none();
+        if is_possible && (!was_sent || self.budget(&service).try_spend(now, &rule, instances)) {
             return FollowUp::Retry;
         }
         let job = self.jobs.remove(at);
--- a/crates/steer/tests/direct/retry.rs
+++ b/crates/steer/tests/direct/retry.rs
@@ -181,3 +181,23 @@
         .finish_attempt(at(answered), kept, AttemptOutcome::Answered);
     assert_eq!(bench.direct.suspect_counts().0, suspects);
 }
+
+/// Requests that could not be retried spent from the retry budget.
+#[rstest]
+#[case::may_have_run(false, 1)]
+#[case::attempts_spent(true, 2)]
+fn spend_only_for_retries(#[case] is_idempotent: bool, #[case] attempts: usize) {
+    let (mut bench, mut follow_up) = send_and_finish(is_idempotent, AttemptOutcome::Failed);
+    for _ in 1..attempts {
+        let Some(Decision::Send(assignment)) = bench.decide(at(10)) else {
+            panic!("another target is free");
+        };
+        let ticket = assignment.ticket;
+        let failed = AttemptOutcome::Failed;
+        follow_up = bench.direct.finish_attempt(at(20), ticket, failed);
+    }
+    assert_eq!(follow_up, FollowUp::Settled);
+    let retries = bench.direct.budget_uses(at(20)).map(|(_, u)| u);
+    let counts: Vec<_> = retries.map(|u| (u.retries, u.refused)).collect();
+    assert_eq!(counts, [(attempts - 1, 0)]);
+}
