Tell a target the time that is left when the connection is ready

The time left was written into the request before a connection was sought, so a second attempt whose connection took long to open, or whose process had to wait for its turn, told the target more time than its caller had. The pool calls back when the connection is ready, where the last check is made already, and the header is set there; the attempt line logs the same figure.

prepare_when_connected shows the moment; nothing of ours showed the rule broken before.

--- a/crates/auburnrouter/src/direct/attempt.rs
+++ b/crates/auburnrouter/src/direct/attempt.rs
@@ -57,29 +57,35 @@
     }
 }
 
-/// Sends a request to the assigned target and reads the complete answer. The target
-/// is told that `remaining` is left of the request's time; the caller of this
-/// function enforces it. Nothing is sent unless `may_send` holds when a connection is
-/// ready. `report` gets what the head of the answer says of the target,
-/// whether or not the body follows.
+/// Sends a request to the assigned target and reads the complete answer. `remaining`
+/// is called when a connection is ready, which may be some time later: it returns the
+/// time that is left, which the target is told and the caller of this function
+/// enforces, or `None` if nothing may be sent any more. `report` gets what the head of
+/// the answer says of the target, whether or not the body follows.
 pub async fn run(
     shared: &Arc<Shared>,
     assignment: &Assignment,
     forwarded: &ForwardedRequest,
-    remaining: Duration,
-    may_send: impl Fn() -> bool,
+    remaining: impl Fn() -> Option<Duration>,
     report: impl FnOnce(Feedback, &HeaderMap),
 ) -> Completion {
-    let Ok(request) = request(assignment, forwarded, remaining) else {
+    let Ok(request) = request(assignment, forwarded) else {
         return Completion::without_answer(AttemptOutcome::NotSent);
     };
     let pool = &shared.target_pool;
+    let prepare = |request: &mut pool::Request| {
+        let left = remaining();
+        if let Some(left) = left {
+            headers::set_deadline(request.headers_mut(), left);
+        }
+        left.is_some()
+    };
     // A request that must not run twice gets a new connection: on a reused one that
     // the target is just closing, it would stay unknown whether it was received.
     let sent = if forwarded.is_idempotent {
-        pool.send_if(assignment.addr, request, may_send).await
+        pool.send_if(assignment.addr, request, prepare).await
     } else {
-        pool.send_dedicated_if(assignment.addr, request, may_send)
+        pool.send_dedicated_if(assignment.addr, request, prepare)
             .await
     };
     let exchange = match sent {
@@ -223,7 +229,6 @@
 fn request(
     assignment: &Assignment,
     forwarded: &ForwardedRequest,
-    remaining: Duration,
 ) -> Result<pool::Request, hyper::http::Error> {
     let mut request = hyper::Request::builder()
         .method(forwarded.method.clone())
@@ -232,7 +237,7 @@
     let mut fields = forwarded.headers.clone();
     fields.remove(TRANSFER_ENCODING);
     fields.remove(CONTENT_LENGTH);
-    headers::set_target(&mut fields, &assignment.target, remaining);
+    headers::set_target(&mut fields, &assignment.target);
     *request.headers_mut() = fields;
     Ok(request)
 }
--- a/crates/auburnrouter/src/direct/callers/routed.rs
+++ b/crates/auburnrouter/src/direct/callers/routed.rs
@@ -4,6 +4,7 @@
 //! Invariant: a request that may have run is never rejected with a status that means
 //! it has not.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -129,18 +130,24 @@
         may_have_run: &mut bool,
     ) -> (FollowUp, Option<Response>) {
         let start = self.shared.now();
-        let remaining = limit.since(start);
         let reported = OnceLock::new();
         let withheld = OnceLock::new();
-        let may_send = || match self.shared.read(|now, d| d.withheld(now, assignment)) {
-            None => true,
-            Some(reason) => {
+        let left_ms = AtomicU64::new(0);
+        let remaining = || match self
+            .shared
+            .read(|now, d| (now, d.withheld(now, assignment)))
+        {
+            (now, None) => {
+                left_ms.store(millis(limit, now), Ordering::Relaxed);
+                Some(limit.since(now))
+            }
+            (_, Some(reason)) => {
                 // A request is withheld once at most.
                 let _ = withheld.set(reason);
-                false
+                None
             }
         };
-        let (outcome, answer) = if may_send() {
+        let (outcome, answer) = if remaining().is_some() {
             let report = |feedback, headers: &HeaderMap| {
                 self.report(assignment, feedback, headers);
                 // The closure runs once at most.
@@ -150,8 +157,7 @@
                 &self.shared,
                 assignment,
                 &self.forwarded,
-                remaining,
-                may_send,
+                &remaining,
                 report,
             );
             match self.run_until(limit, run).await {
@@ -183,7 +189,7 @@
                 number: assignment.attempt,
                 held_ms: millis(start, self.arrived),
                 took_ms: millis(self.shared.now(), start),
-                left_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+                left_ms: left_ms.into_inner(),
                 outcome: outcome_name(outcome),
                 status,
                 withheld: withheld.into_inner(),
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -189,19 +189,20 @@
         addr: SocketAddr,
         request: Request,
     ) -> Result<Exchange, Error> {
-        self.send_if(addr, request, || true).await
+        self.send_if(addr, request, |_| true).await
     }
 
-    /// Like [`Pool::send`], but sends the request only if `may_send` holds when a
-    /// connection is ready for it.
+    /// Like [`Pool::send`], but calls `prepare` when a connection is ready for the request:
+    /// it sets what depends on that moment, and the request is sent only if it returns
+    /// true.
     ///
     /// # Errors
-    /// [`Error::Withheld`] if it doesn't; otherwise those of [`Pool::send`].
+    /// [`Error::Withheld`] if it returns false; otherwise those of [`Pool::send`].
     pub async fn send_if(
         self: &Arc<Self>,
         addr: SocketAddr,
         request: Request,
-        may_send: impl Fn() -> bool,
+        prepare: impl Fn(&mut Request) -> bool,
     ) -> Result<Exchange, Error> {
         let mut request = request;
         loop {
@@ -220,7 +221,7 @@
                 Some(busy) => busy,
                 None => pool::Connection::opened(self.connect(addr).await?),
             };
-            match exchange(busy, slot, request, &may_send).await {
+            match exchange(busy, slot, request, &prepare).await {
                 Ok(exchange) => return Ok(exchange),
                 Err((Error::Withheld, _)) => return Err(Error::Withheld),
                 Err((_, Some(unsent))) if !is_new => request = unsent,
@@ -229,19 +230,19 @@
         }
     }
 
-    /// Sends a request on a new connection if `may_send` holds when that is open. Its
+    /// Sends a request on a new connection if `prepare` allows it when that is open. Its
     /// response can't be a leftover of an earlier exchange, and no idle connection can
     /// be closed by the peer just as the request is sent, which would leave its outcome
     /// unknown.
     ///
     /// # Errors
-    /// [`Error::Withheld`] if `may_send` doesn't hold, another if no response head
+    /// [`Error::Withheld`] if `prepare` returns false, another if no response head
     /// arrived; the error tells whether the request may have been sent.
     pub async fn send_dedicated_if(
         self: &Arc<Self>,
         addr: SocketAddr,
         request: Request,
-        may_send: impl Fn() -> bool,
+        prepare: impl Fn(&mut Request) -> bool,
     ) -> Result<Exchange, Error> {
         match self.with(addr, pool::Pool::permit) {
             pool::Checkout::Full => Err(Error::Full),
@@ -252,7 +253,7 @@
                     is_returned: false,
                 };
                 let busy = pool::Connection::opened(self.connect(addr).await?);
-                let answered = exchange(busy, slot, request, &may_send).await;
+                let answered = exchange(busy, slot, request, &prepare).await;
                 answered.map_err(|(error, _)| error)
             }
         }
@@ -354,21 +355,21 @@
     }
 }
 
-/// Sends a request on one connection, unless `may_send` doesn't hold when that is ready;
+/// Sends a request on one connection, unless `prepare` returns false when that is ready;
 /// then the connection returns to the pool. An error includes the request if no byte of
 /// it was sent.
 async fn exchange(
     mut busy: Busy,
     slot: OpenSlot,
-    request: Request,
-    may_send: &impl Fn() -> bool,
+    mut request: Request,
+    prepare: &impl Fn(&mut Request) -> bool,
 ) -> Result<Exchange, (Error, Option<Request>)> {
     let link = busy.get();
     if link.sender.ready().await.is_err() {
         return Err((Error::Unsent, Some(request)));
     }
     let is_first = !link.is_used;
-    if !may_send() {
+    if !prepare(&mut request) {
         let unused = PendingBody {
             is_first,
             busy,
--- a/crates/pool/tests/pool.rs
+++ b/crates/pool/tests/pool.rs
@@ -171,12 +171,34 @@
         let (addr, count) = serve(answer, false);
         let pool = Pool::new(Arc::clone(executor), LIMITS);
         let result = if is_dedicated {
-            pool.send_dedicated_if(addr, request("/a"), || false).await
+            pool.send_dedicated_if(addr, request("/a"), |_| false).await
         } else {
-            pool.send_if(addr, request("/a"), || false).await
+            pool.send_if(addr, request("/a"), |_| false).await
         };
         assert!(matches!(result, Err(Error::Withheld)));
         assert!(pool.send(addr, request("/b")).await.is_ok());
         assert_eq!(count.load(Ordering::Relaxed), 1);
     });
 }
+
+/// A request told its receiver how much time was left before the connection was opened.
+#[rstest]
+#[case::pooled(false)]
+#[case::dedicated(true)]
+fn prepare_when_connected(#[case] is_dedicated: bool) {
+    run(async |executor| {
+        let (listener, addr) = listen();
+        let pool = Pool::new(Arc::clone(executor), LIMITS);
+        let prepare = |_: &mut Request| {
+            listener.set_nonblocking(true).unwrap();
+            assert!(listener.accept().is_ok(), "no connection is open yet");
+            false
+        };
+        let sent = if is_dedicated {
+            pool.send_dedicated_if(addr, request("/a"), prepare).await
+        } else {
+            pool.send_if(addr, request("/a"), prepare).await
+        };
+        assert!(matches!(sent, Err(Error::Withheld)));
+    });
+}
