Check the retry budget and the time handed on in the soak

The soak checks both now, with a tighter budget than the default so that it is used up, and each caller has an address of its own.

--- a/crates/auburnrouter/tests/direct/crashes.rs
+++ b/crates/auburnrouter/tests/direct/crashes.rs
@@ -1,12 +1,11 @@
 //! Tests of requests that crash the targets that run them.
 
 use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use platform_standin::Target;
 use rstest::rstest;
-use rustix::net::{AddressFamily, SocketType};
 
 use super::harness::{self, Answer, Entry, HOST, Harness, MS, wait_until};
 
@@ -25,12 +24,7 @@
 
 /// Sends a request from an address of the loopback interface that ends in `host`.
 fn send_from(host: u8, to: SocketAddr, text: &str) -> Option<Answer> {
-    let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None);
-    let socket = socket.expect("a socket is free");
-    let from = SocketAddr::from((Ipv4Addr::new(127, 0, 0, host), 0));
-    rustix::net::bind(&socket, &from).expect("the address is of the loopback interface");
-    rustix::net::connect(&socket, &to).ok()?;
-    let mut stream = std::net::TcpStream::from(socket);
+    let mut stream = harness::connect_from(host, to)?;
     stream.set_read_timeout(Some(harness::WAIT_TIMEOUT)).ok()?;
     stream.write_all(text.as_bytes()).ok()?;
     harness::read_answer(&mut stream)
--- a/crates/auburnrouter/tests/direct/harness.rs
+++ b/crates/auburnrouter/tests/direct/harness.rs
@@ -3,7 +3,7 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -12,6 +12,7 @@
 
 use platform_standin::store::Route;
 use platform_standin::{Store, Target};
+use rustix::net::{AddressFamily, SocketType};
 use rustix::process::{Signal, WaitId, WaitIdOptions};
 
 /// Longest time that a test waits for a condition or an answer.
@@ -232,6 +233,16 @@
     read_answer(&mut stream)
 }
 
+/// Opens a connection from the address of the loopback interface that ends in `host`.
+pub fn connect_from(host: u8, to: SocketAddr) -> Option<TcpStream> {
+    let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None);
+    let socket = socket.expect("a socket is free");
+    let from = SocketAddr::from((Ipv4Addr::new(127, 0, 0, host), 0));
+    rustix::net::bind(&socket, &from).expect("the address is of the loopback interface");
+    rustix::net::connect(&socket, &to).ok()?;
+    Some(TcpStream::from(socket))
+}
+
 /// Reads one answer; `None` if the connection ends or times out before it is complete.
 pub fn read_answer(stream: &mut TcpStream) -> Option<Answer> {
     let mut head = Vec::new();
--- a/crates/auburnrouter/tests/direct/repeats.rs
+++ b/crates/auburnrouter/tests/direct/repeats.rs
@@ -53,15 +53,15 @@
         for entry in &entries {
             entry.await_ready();
         }
-        for number in 0..INSTANCES {
+        for (number, entry) in entries.iter_mut().enumerate() {
             for _ in 0..REQUESTS {
                 sent += 1;
                 let path = format!("/view/{sent}");
-                entries[number].send("GET", &path, &format!("r{sent}"), "");
+                entry.send("GET", &path, &format!("r{sent}"), "");
             }
             if !all_at_once && round + 1 < ROUNDS {
-                entries[number] = start(&harness, number);
-                entries[number].await_ready();
+                *entry = start(&harness, number);
+                entry.await_ready();
             }
         }
         if all_at_once && round + 1 < ROUNDS {
--- a/crates/auburnrouter/tests/soak.rs
+++ b/crates/auburnrouter/tests/soak.rs
@@ -5,6 +5,8 @@
 //! `SOAK_SEEDS=50 SOAK_SECONDS=20 SOAK_FIRST=1000 cargo test -p auburnrouter
 //! --test soak -- --nocapture` runs more seeds; the default is two short ones.
 
+#[path = "soak/budget.rs"]
+mod budget;
 #[path = "soak/callers.rs"]
 mod callers;
 #[path = "soak/crashes.rs"]
@@ -39,7 +41,8 @@
 /// Injects overlapping faults: kills, freezes, stops, broken connections, store
 /// outages, faulty targets, targets that ask for a backoff or announce their stop,
 /// requests that crash targets, and configuration changes. What targets ask of an instance
-/// must be kept, a request that crashes targets refused, no unsafe request may run
+/// must be kept, a request that crashes targets refused, second attempts must stay within
+/// their bound and the caller's time, no unsafe request may run
 /// twice, no rejected request may run, every success must be the target's complete
 /// answer, and callers must be served again afterwards.
 #[test]
--- a/crates/auburnrouter/tests/soak/callers.rs
+++ b/crates/auburnrouter/tests/soak/callers.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fastrand::Rng;
 
@@ -95,7 +95,7 @@
     while !callers.is_done.load(Ordering::Relaxed) {
         thread::sleep(Duration::from_millis(rng.u64(1..20)));
         let open = kept_open.take().filter(|_| rng.u8(0..4) > 0);
-        let Some(mut stream) = open.or_else(|| connect(callers, &mut rng)) else {
+        let Some(mut stream) = open.or_else(|| connect(callers, number, &mut rng)) else {
             continue;
         };
         // One time in three requests are pipelined, including payments: the router has
@@ -110,6 +110,7 @@
             .map(|n| plan(&mut rng, format!("c{number}-{n:06}")))
             .collect();
         let text: String = planned.iter().map(|w| &*w.text).collect();
+        let sent_at = Instant::now();
         let mut is_open = stream.write_all(text.as_bytes()).is_ok();
         // One time in twenty the caller disconnects before the answers.
         let is_leaving = rng.u8(0..20) == 0;
@@ -123,6 +124,7 @@
                 id: request.id,
                 method: request.method,
                 path: request.path,
+                sent_at,
                 answer: answer.map(Received::from),
             });
         }
@@ -131,14 +133,16 @@
     exchanges
 }
 
-fn connect(callers: &Callers, rng: &mut Rng) -> Option<TcpStream> {
+/// Connects to an instance. Each caller has an address of its own.
+fn connect(callers: &Callers, number: usize, rng: &mut Rng) -> Option<TcpStream> {
     let addrs = callers
         .addrs
         .lock()
         .expect("the lock is not poisoned")
         .clone();
     let addr = *addrs.get(rng.usize(0..addrs.len().max(1)))?;
-    let stream = TcpStream::connect(addr).ok()?;
+    let host = u8::try_from(number).expect("there are few callers") + 2;
+    let stream = harness::connect_from(host, addr)?;
     stream.set_read_timeout(Some(ANSWER_TIMEOUT)).ok()?;
     Some(stream)
 }
--- a/crates/auburnrouter/tests/soak/invariants.rs
+++ b/crates/auburnrouter/tests/soak/invariants.rs
@@ -1,6 +1,7 @@
 //! Records of callers and targets, and the checks of the guarantees on them.
 
 use std::fmt;
+use std::time::Instant;
 
 use platform_standin::target::Run;
 
@@ -12,6 +13,8 @@
     pub id: String,
     pub method: &'static str,
     pub path: String,
+    /// Time at which it was sent.
+    pub sent_at: Instant,
     /// `None` if the connection ended without an answer.
     pub answer: Option<Received>,
 }
--- a/crates/auburnrouter/tests/soak/proxy.rs
+++ b/crates/auburnrouter/tests/soak/proxy.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Fault applied to connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +32,8 @@
     /// Address on which the proxy listens.
     pub addr: SocketAddr,
     fault: Arc<Mutex<Fault>>,
+    /// Times at which the fault was changed, with the one before.
+    changes: Arc<Mutex<Vec<(Instant, Fault)>>>,
 }
 
 impl Proxy {
@@ -41,6 +43,7 @@
         let proxy = Self {
             addr: listener.local_addr().expect("the listener is bound"),
             fault: Arc::new(Mutex::new(Fault::None)),
+            changes: Arc::default(),
         };
         let fault = Arc::clone(&proxy.fault);
         thread::spawn(move || {
@@ -53,7 +56,24 @@
 
     /// Sets the fault for existing and new connections.
     pub fn set(&self, fault: Fault) {
-        *self.fault.lock().expect("the lock is not poisoned") = fault;
+        let mut current = self.fault.lock().expect("the lock is not poisoned");
+        let mut changes = self.changes.lock().expect("the lock is not poisoned");
+        changes.push((Instant::now(), *current));
+        *current = fault;
+    }
+
+    /// Whether bytes that left it from `from` to `to` may have been held back.
+    pub fn is_faulty_within(&self, from: Instant, to: Instant) -> bool {
+        let current = self.fault.lock().expect("the lock is not poisoned");
+        let changes = self.changes.lock().expect("the lock is not poisoned");
+        // Each fault lasts until the change that names it.
+        let ends = changes.iter().copied().chain([(Instant::now(), *current)]);
+        let mut begin = None;
+        ends.into_iter().any(|(end, fault)| {
+            let overlaps = begin.is_none_or(|begin| begin <= to) && end >= from;
+            begin = Some(end);
+            overlaps && fault != Fault::None
+        })
     }
 }
 
--- a/crates/auburnrouter/tests/soak/runner.rs
+++ b/crates/auburnrouter/tests/soak/runner.rs
@@ -15,9 +15,10 @@
 use rustix::process::Signal;
 use serde_json::json;
 
+use super::budget;
 use super::callers;
 use super::crashes;
-use super::harness::{Entry, HOST, MS, ROUTES, wait_until};
+use super::harness::{self, Entry, HOST, MS, ROUTES, wait_until};
 use super::invariants::Report;
 use super::proxy::{Fault, Proxy};
 use super::requests::{self, Process};
@@ -138,7 +139,9 @@
         let seeds: Vec<SocketAddr> = self.entries.iter().flatten().map(|e| e.peers).collect();
         let name = format!("i{number}");
         let store = self.store_proxies[number].addr;
-        let entry = Entry::start(&name, ENTRY_DOMAINS[number], store, &seeds);
+        let settings = platform_standin::settings(&name, ENTRY_DOMAINS[number], store, &seeds);
+        let settings = harness::with_retries(&settings, budget::RATIO, budget::SLACK);
+        let entry = Entry::start_with(&settings);
         self.running[number] = self.processes.len();
         self.processes.push(Process {
             lines: Arc::clone(&entry.lines),
@@ -425,6 +428,8 @@
         let crashing: Vec<&str> = crashing.map(|e| &*e.id).collect();
         self.failures
             .extend(crashes::violation(&crashing, &arrivals, &self.processes));
+        let repeats = budget::violations(&exchanges, &arrivals, &self.target_proxies);
+        self.failures.extend(repeats);
         self.failures
             .extend(requests::violations(arrivals, &self.processes));
         Report {
