--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -5,6 +5,7 @@
 //! read; and *processor time* of single decisions. Neither sends anything.
 
 pub mod cost;
+pub mod crashes;
 pub mod hedge;
 pub mod model;
 pub mod robin;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,10 +1,10 @@
-//! `measure steer|policies|hedge|cost|shift|shares|sums`.
+//! `measure steer|policies|hedge|cost|shift|shares|sums|crashes`.
 
 use std::process::ExitCode;
 
 use lexopt::{Arg, ValueExt};
 use measure::model::deployment;
-use measure::{cost, scenarios, shift, sums};
+use measure::{cost, crashes, scenarios, shift, sums};
 
 const HELP: &str = "\
 measure steer --deployment bluestone|tesfaye [--seed N] [--seconds N] [--only WORD]
@@ -14,6 +14,7 @@
 measure shift --deployment bluestone|tesfaye [--seed N] [--seconds N] [--only WORD]
 measure shares
 measure sums [--seed N] [--seeds N] [--seconds N] [--only WORD]
+measure crashes [--seed N] [--seeds N] [--seconds N] [--only WORD]
 
 steer     virtual time: latency and refusals of both engines under load and faults
 policies  virtual time: ways to choose a target, 1 to 22 entry instances sharing 12
@@ -22,6 +23,7 @@
 shift     virtual time: caps and links when a region or a domain is lost
 shares    processor time of caps at 1,500 instances and 3,696 shifts
 sums      virtual time: largest use of the bounds on sums over a fleet, under faults
+crashes   virtual time: targets that crashing requests end, and ordinary ones refused
 ";
 
 struct Options {
@@ -49,6 +51,7 @@
         "cost" => cost::table(seed),
         "shift" => shift::table(options.deployment.name, seed, seconds, &options.only),
         "sums" => sums::table(seed, options.seeds, seconds, &options.only),
+        "crashes" => crashes::table(seed, options.seeds, seconds, &options.only),
         "shares" => shift::cost::table(),
         _ => HELP.to_owned(),
     };
--- a/crates/measure/src/sums.rs
+++ b/crates/measure/src/sums.rs
@@ -7,7 +7,7 @@
 pub mod fleet;
 mod node;
 pub mod plan;
-mod setup;
+pub(crate) mod setup;
 mod tally;
 
 use core::fmt::Write;
