--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -8,6 +8,8 @@
 mod answers;
 #[path = "direct/backoff.rs"]
 mod backoff;
+#[path = "direct/bystanders.rs"]
+mod bystanders;
 #[path = "direct/crashes.rs"]
 mod crashes;
 #[path = "direct/follow.rs"]
