Run suspects one copy at a time over all instances, and count answers as evidence

Callers of popular paths were refused everywhere, for a minute or longer, because their request happened to be under way in two crashes; and a crashing request ended up to six targets, as each instance ran a copy of its own.

Cause: two breaks are proof only if the request runs alone, which holds on the product's own interface. On the users' platform every instance ran a copy beside other work, and what was known of a request's answers was forgotten at the second strike.

Now a suspect runs one copy at a time over all instances: the first of those present by a hash of names and fingerprint gives turns, by datagrams that tell what each side holds, so a turn is given on the newest outcome; one that can't be reached is passed over. Changes of strikes are told at once. A third strike is needed, which copies that were under way together don't reach. Log lines of strikes that others tell are left out unless they change what is refused; metric auburnrouter_verdicts_withdrawn_total counts those taken back.

--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -201,6 +201,12 @@
     control
         .spawn(heartbeat::broadcast(Arc::clone(shared), heartbeats.clone()))
         .detach();
+    control
+        .spawn(heartbeat::report_suspects(
+            Arc::clone(shared),
+            heartbeats.clone(),
+        ))
+        .detach();
     control
         .spawn(heartbeat::report_quotas(
             Arc::clone(shared),
--- a/crates/auburnrouter/src/direct/events/suspects.rs
+++ b/crates/auburnrouter/src/direct/events/suspects.rs
@@ -1,7 +1,7 @@
 //! Log events of requests that are suspected of crashing targets.
 
 use serde::Serialize;
-use steer::process::direct::suspect::Change;
+use steer::process::direct::suspect::{Change, STRIKES_MAX};
 use steer::request::arrival::Fingerprint;
 
 use super::write;
@@ -19,9 +19,13 @@
     source: Option<&'a str>,
 }
 
-/// Logs changes of the strikes against requests.
+/// Logs changes of the strikes against requests, and counts requests that are no longer
+/// refused.
 pub fn suspects_changed(shared: &Shared, changes: &[Change]) {
     for change in changes {
+        if change.before >= STRIKES_MAX && change.strikes < STRIKES_MAX {
+            shared.metrics.verdicts_withdrawn.inc();
+        }
         let fields = SuspectFields {
             fingerprint: change.fingerprint.to_string(),
             before: change.before,
--- a/crates/auburnrouter/src/direct/heartbeat.rs
+++ b/crates/auburnrouter/src/direct/heartbeat.rs
@@ -1,5 +1,6 @@
-//! Datagrams between instances: heartbeats, notices of what targets asked, and reports
-//! and grants of quota tokens.
+//! Datagrams between instances: heartbeats, notices of what targets asked, reports of
+//! requests that crash targets and turns of those that may, and reports and grants of
+//! quota tokens.
 //!
 //! Datagrams may be lost: counts and totals are repeated in later ones, and none
 //! waits behind another. Data that must arrive complete goes over the calls of
@@ -12,6 +13,8 @@
 use smol::net;
 use steer::process::direct::members;
 use steer::process::direct::quota;
+use steer::process::direct::suspect::SuspectMessage;
+use steer::process::direct::turn;
 use wire::direct::suspects::Suspects;
 use wire::direct::{DATAGRAM_MAX, Heartbeat, Message};
 
@@ -38,7 +41,6 @@
         count += 1;
         let all = count % REMOTE_EVERY == 0;
         send_notices(&shared, &socket, all).await;
-        send_suspects(&shared, &socket).await;
         let in_flight = shared.read(|_, d| d.roster.in_flight());
         if !all && in_flight == last_sent {
             continue;
@@ -104,16 +106,50 @@
     }
 }
 
-/// Tells other instances which requests crash targets, if there are any.
-async fn send_suspects(shared: &Shared, socket: &net::UdpSocket) {
-    let message = {
-        let mut steering = lock(&shared.steering);
-        let now = shared.now();
-        steering.direct.suspect_message(now)
-    };
-    let Some(message) = message else {
-        return;
-    };
+/// Time between two rounds of news about suspects, and of askings for their turns.
+const NEWS_INTERVAL_MIN: Duration = Duration::from_millis(5);
+
+/// Tells other instances which requests crash targets, or may, and asks for turns of the
+/// latter, until the process ends: news at once, and everything in turn.
+pub async fn report_suspects(shared: Arc<Shared>, socket: net::UdpSocket) {
+    let mut told_at = shared.now();
+    loop {
+        let is_asking = shared.read(|_, d| d.is_asking_turns());
+        let pace = if is_asking {
+            turn::ASK_INTERVAL
+        } else {
+            HEARTBEAT_INTERVAL
+        };
+        let due = async {
+            smol::Timer::after(pace).await;
+        };
+        future::or(shared.until_suspect_news(), due).await;
+        let (asks, news, all) = {
+            let mut steering = lock(&shared.steering);
+            let now = shared.now();
+            let direct = &mut steering.direct;
+            let is_turn = now.since(told_at) >= HEARTBEAT_INTERVAL;
+            if is_turn {
+                told_at = now;
+            }
+            let all = is_turn.then(|| direct.suspect_message(now)).flatten();
+            (direct.turn_asks(now), direct.suspect_news(now), all)
+        };
+        for (addr, ask) in asks {
+            let ask = Message::TurnAsk(ask.into()).encode();
+            // A failed send counts as a lost datagram: it is asked again.
+            let _ = socket.send_to(&ask, addr).await;
+        }
+        for message in news.into_iter().chain(all) {
+            send_suspects(&shared, &socket, message).await;
+        }
+        // A turn that this instance gives itself may let a request go.
+        shared.decide(|_, _| ());
+        smol::Timer::after(NEWS_INTERVAL_MIN).await;
+    }
+}
+
+async fn send_suspects(shared: &Shared, socket: &net::UdpSocket, message: SuspectMessage) {
     let reports = Suspects::new(&shared.settings.name, &message.reports);
     let reports = Message::Suspects(reports).encode();
     for addr in message.recipients {
@@ -184,6 +220,19 @@
                 let (sender, reports) = suspects.decode();
                 shared.decide(|now, d| d.receive_suspects(now, &sender, &reports));
             }
+            Ok(Message::TurnAsk(ask)) => {
+                let ask = ask.into();
+                let answer = shared.decide(|now, d| d.receive_turn_ask(now, &ask));
+                if let Some(answer) = answer {
+                    let answer = Message::TurnAnswer(answer.into()).encode();
+                    // A failed send counts as a lost datagram: it is asked again.
+                    let _ = socket.send_to(&answer, from).await;
+                }
+            }
+            Ok(Message::TurnAnswer(answer)) => {
+                let answer = answer.into();
+                shared.decide(|now, d| d.receive_turn_answer(now, &answer));
+            }
             Ok(Message::Grant(grant)) => {
                 let grant = quota::Grant::from(grant);
                 shared.decide(|now, direct| direct.receive_grant(now, &grant));
--- a/crates/auburnrouter/src/direct/metrics.rs
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -51,6 +51,8 @@
     pub limited_attempts: IntCounter,
     /// Answers of targets that ask this instance to send nothing for a time.
     pub backoffs: IntCounter,
+    /// Requests that were refused because targets crashed under them, and are served again.
+    pub verdicts_withdrawn: IntCounter,
     /// Time that work takes on targets' machines by their answers, as a multiple of the
     /// usual one.
     pub slowdown: Histogram,
@@ -94,6 +96,11 @@
             "auburnrouter_target_backoffs_total",
             "Answers of targets that ask this instance to send nothing for a time",
         )?;
+        let verdicts_withdrawn = counter(
+            &registry,
+            "auburnrouter_verdicts_withdrawn_total",
+            "Requests that were refused because targets crashed under them, and are served again",
+        )?;
         let dropped_lines = counter(
             &registry,
             "auburnrouter_log_lines_left_out_total",
@@ -140,6 +147,7 @@
             )?,
             limited_attempts,
             backoffs,
+            verdicts_withdrawn,
             unread_values: counters(
                 "auburnrouter_unread_values_total",
                 "Headers in answers of targets with a value that isn't read whole, by name",
--- a/crates/auburnrouter/src/direct/shared.rs
+++ b/crates/auburnrouter/src/direct/shared.rs
@@ -52,6 +52,8 @@
     pub(super) quota_wait: Event,
     /// Notified when strikes against a request have changed.
     pub(super) suspected: Event,
+    /// Notified when others are to be told of suspects at once.
+    pub(super) suspect_news: Event,
     /// Whether one has begun to wait since the last quota reports.
     is_quota_urgent: AtomicBool,
     /// Encoded snapshot of the replica, for instances that start.
@@ -130,6 +132,7 @@
             updated: Event::new(),
             quota_wait: Event::new(),
             suspected: Event::new(),
+            suspect_news: Event::new(),
             is_quota_urgent: AtomicBool::new(false),
             snapshot_cache: peer::SnapshotCache::default(),
             changes_cache: peer::ChangesCache::default(),
@@ -188,8 +191,12 @@
         let waiting = steering.direct.waiting_count() > 0;
         let urgent = steering.direct.take_report_due();
         let suspected = steering.direct.take_suspect_changes();
+        let has_news = steering.direct.is_news_due();
         drop(steering);
         self.report_suspects(&suspected);
+        if has_news {
+            self.suspect_news.notify(1);
+        }
         if urgent {
             self.is_quota_urgent.store(true, Ordering::Relaxed);
             self.quota_wait.notify(1);
@@ -243,6 +250,14 @@
         }
     }
 
+    /// Completes when others are to be told of suspects at once.
+    pub(super) async fn until_suspect_news(&self) {
+        let listener = self.suspect_news.listen();
+        if !self.read(|_, d| d.is_news_due()) {
+            listener.await;
+        }
+    }
+
     /// Whether the store has deleted the registration since the last call.
     pub(super) fn take_unlisted(&self) -> bool {
         self.is_unlisted.swap(false, Ordering::Relaxed)
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -11,6 +11,7 @@
 
 pub mod access;
 pub mod allotment;
+mod answered;
 mod backoff;
 pub mod budget;
 mod completion;
@@ -35,6 +36,7 @@
 pub mod split;
 pub mod suspect;
 pub mod target;
+pub mod turn;
 pub mod upstream;
 pub mod verdict;
 
@@ -48,7 +50,7 @@
 };
 
 use crate::clock::Time;
-use crate::request::poison::{STRIKES_MAX, Suspects};
+use crate::request::poison::Suspects;
 use crate::version::routes::Routes;
 
 use allotment::Participant;
@@ -91,12 +93,20 @@
     /// The end of this process, once it was told to stop.
     stops_at: Option<Time>,
     suspects: Suspects,
+    /// Requests that were answered lately.
+    answered: answered::Answered,
     /// Breaks of connections to targets that may have crashed.
     breaks: Vec<suspect::TargetBreak>,
     /// Rows of the store on requests that crash targets.
     rows: verdict::Rows,
     /// Counts the turns of messages on suspects.
     suspect_turn: u64,
+    /// Turns of suspects.
+    turns: turn::Turns,
+    /// Whether a turn is to be asked for or ended at once.
+    is_ask_due: bool,
+    /// Whether others are to be told of changed strikes at once.
+    news_due: suspect::NewsDue,
     /// Position of the next message in the rotation over all suspects.
     suspect_cursor: usize,
     /// Changes of strikes that wait to be logged.
@@ -155,10 +165,14 @@
             quotas: quota::Quotas::default(),
             failed_upstreams: FailedUpstreams::default(),
             stops_at: None,
-            suspects: Suspects::default(),
+            suspects: Suspects::new(suspect::STRIKES_MAX),
+            answered: answered::Answered::default(),
             breaks: Vec::new(),
             rows: verdict::Rows::default(),
             suspect_turn: 0,
+            turns: turn::Turns::default(),
+            is_ask_due: false,
+            news_due: suspect::NewsDue::None,
             suspect_cursor: 0,
             suspect_changes: Vec::new(),
             object_updates: Vec::new(),
@@ -235,7 +249,7 @@
     /// Returns the reason if the route has no service, if no region is allowed by
     /// both the route and the team, or if the request has crashed targets before.
     pub fn submit(&mut self, now: Time, request: Request) -> Result<Ticket, Rejection> {
-        let is_trial = self.suspects.strikes(request.fingerprint) >= STRIKES_MAX;
+        let is_trial = self.is_refused(now, request.fingerprint);
         if is_trial && !self.take_trial(now, request.fingerprint) {
             self.note_refusal(request.fingerprint);
             return Err(Rejection::Poison);
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -14,7 +14,6 @@
 use super::target::{Feedback, FeedbackEffect};
 use super::{ANSWER_RESERVE, Direct, members, short_hash};
 use crate::clock::Time;
-use crate::request::poison::STRIKES_MAX;
 
 impl Direct {
     /// Removes a request whose caller has left or whose time is over.
@@ -22,7 +21,10 @@
         let Ok(at) = self.find(ticket) else { return };
         let job = self.jobs.remove(at);
         match &job.state {
-            State::InFlight { target, .. } => self.end_in_flight(target),
+            State::InFlight { target, .. } => {
+                self.end_in_flight(target);
+                self.end_turn(job.request.fingerprint, ticket);
+            }
             State::Waiting => self.refund_token(now, &job),
         }
     }
@@ -38,9 +40,16 @@
             return Some(Withheld::Key);
         }
         let is_trial = job.is_ok_and(|job| job.is_trial);
-        if !is_trial && self.suspects.strikes(assignment.fingerprint) >= STRIKES_MAX {
+        if !is_trial && self.is_refused(now, assignment.fingerprint) {
             return Some(Withheld::Poison);
         }
+        // It was decided on before the first strike, or has lost its turn.
+        if !is_trial
+            && self.suspects.strikes(assignment.fingerprint) > assignment.strikes
+            && !self.is_in_turn(assignment.fingerprint, assignment.ticket)
+        {
+            return Some(Withheld::Suspect);
+        }
         let Some(target) = self.roster.get(&assignment.target) else {
             return Some(Withheld::Gone);
         };
@@ -83,6 +92,7 @@
         };
         self.end_in_flight(&target);
         self.update_suspects(now, &self.jobs[at].clone(), &target, sent_at, outcome);
+        self.end_turn(self.jobs[at].request.fingerprint, ticket);
         let elapsed = now.since(sent_at).as_secs_f64();
         let object = self.jobs[at].request.object;
         let ratio = (!queued).then_some(elapsed / service_time.max(0.001));
@@ -117,6 +127,8 @@
             }
         }
         if outcome == AttemptOutcome::Answered {
+            let fingerprint = self.jobs[at].request.fingerprint;
+            self.answered.record(now, fingerprint);
             self.record_punctuality(now, at, &target, warm);
             if !queued {
                 let job = &self.jobs[at];
@@ -147,12 +159,9 @@
                 self.remember_break(now, target);
                 self.log_suspect(fingerprint, before, Cause::Broken(Arc::clone(target)));
             }
-            AttemptOutcome::Answered if !self.suspects.is_empty() => {
-                if job.is_trial {
-                    self.suspects.acquit(now, fingerprint);
-                } else {
-                    self.suspects.clear(now, fingerprint);
-                }
+            // Whatever the target answered, it has survived the request.
+            AttemptOutcome::Answered | AttemptOutcome::Failed if !self.suspects.is_empty() => {
+                self.suspects.acquit(now, fingerprint);
                 self.log_suspect(fingerprint, before, Cause::Answered);
                 // The changes need no message: heartbeats report all recent strikes.
                 let mut withdrawn = Vec::new();
@@ -202,18 +211,18 @@
                 | AttemptOutcome::NotSent
                 | AttemptOutcome::Withdrawn
         );
+        let is_poison = self.is_refused(now, self.jobs[at].request.fingerprint);
         let job = &mut self.jobs[at];
         job.may_have_run |= !is_not_run;
         if outcome == AttemptOutcome::Withdrawn {
             // It reached no target, and this one may serve it later.
             job.tried.pop();
-            if self.suspects.strikes(job.request.fingerprint) >= STRIKES_MAX {
+            if is_poison {
                 // The next step rejects it with the reason.
                 return FollowUp::Retry;
             }
         }
         let may_retry = self.mechanisms.has(Mechanism::Retry);
-        let is_poison = self.suspects.strikes(job.request.fingerprint) >= STRIKES_MAX;
         let is_safe =
             may_retry && !is_poison && (!job.may_have_run || job.request.route.is_idempotent);
         let has_attempts = job.tried.len() < job.request.route.attempts_max.max(1);
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -194,6 +194,8 @@
     Ejected,
     /// The request has crashed targets.
     Poison,
+    /// A target may have crashed under the request since it was decided on.
+    Suspect,
 }
 
 impl Withheld {
@@ -208,6 +210,7 @@
             Self::Backoff => "backoff",
             Self::Ejected => "aside",
             Self::Poison => "crashes-targets",
+            Self::Suspect => "suspect",
         }
     }
 }
--- a/crates/steer/src/process/direct/queue.rs
+++ b/crates/steer/src/process/direct/queue.rs
@@ -22,6 +22,10 @@
 /// back.
 const REJECT_HOLD_RATIO: f64 = 0.125;
 
+/// Part of its latency objective for which a suspect is held while a copy of it is in
+/// flight. Most suspects are cleared by that copy's answer.
+const SUSPECT_HOLD_RATIO: f64 = 0.5;
+
 /// Factor on the estimated time to an answer; a request is only held if it would
 /// be answered in time even so.
 const COST_UNCERTAINTY_FACTOR: f64 = 1.5;
@@ -78,10 +82,10 @@
         if let Some(reason) = self.withhold_reason(now, &self.jobs[at].request) {
             return Some(self.reject(now, at, reason, None));
         }
-        match self.suspicion(at) {
+        match self.suspicion(now, at) {
             Suspicion::None => {}
             Suspicion::Refused => return Some(self.reject(now, at, Rejection::Poison, None)),
-            Suspicion::Waits if now < hold_limit(&self.jobs[at]) => return None,
+            Suspicion::Waits if now < suspect_hold_limit(&self.jobs[at]) => return None,
             Suspicion::Waits => return Some(self.reject(now, at, Rejection::Suspect, None)),
         }
         if let Some(held) = self.admit(now, at) {
@@ -187,6 +191,7 @@
         let job = &mut self.jobs[at];
         job.strikes = self.suspects.strikes(job.request.fingerprint);
         job.tried.push(Arc::clone(&id));
+        let (fingerprint, ticket) = (job.request.fingerprint, job.ticket);
         job.state = State::InFlight {
             target: Arc::clone(&id),
             sent_at: now,
@@ -194,14 +199,16 @@
             warm: best.warm,
             queued,
         };
+        let (attempt, strikes) = (job.tried.len(), job.strikes);
+        self.begin_turn(fingerprint, ticket);
         Assignment {
-            ticket: job.ticket,
+            ticket,
             target: id,
             incarnation,
             addr,
-            attempt: job.tried.len(),
-            fingerprint: job.request.fingerprint,
-            strikes: job.strikes,
+            attempt,
+            fingerprint,
+            strikes,
             expected_work: best.service_time,
             is_warm: best.warm,
             load,
@@ -271,6 +278,12 @@
     }
 }
 
+/// Time until which a request may be held while a copy of it, which may crash its target,
+/// is in flight.
+fn suspect_hold_limit(job: &Job) -> Time {
+    job.arrived + job.request.route.latency_goal.mul_f64(SUSPECT_HOLD_RATIO)
+}
+
 /// Time until which a request may be held while no target can be used.
 pub(super) fn hold_limit(job: &Job) -> Time {
     job.arrived + job.request.route.latency_goal.mul_f64(REJECT_HOLD_RATIO)
--- a/crates/steer/src/process/direct/suspect.rs
+++ b/crates/steer/src/process/direct/suspect.rs
@@ -19,7 +19,16 @@
 use super::{Direct, hash};
 use crate::clock::Time;
 use crate::request::arrival::Fingerprint;
-use crate::request::poison::{Report, STRIKES_MAX};
+use crate::request::poison::Report;
+
+/// Number of strikes at which a request is always refused. A suspect runs beside other
+/// requests, one copy at a time, so two breaks may be chance.
+pub const STRIKES_MAX: u8 = 3;
+
+/// Number of strikes at which a request is always refused though this instance has had an
+/// answer to it lately. Popular requests are under way in many breaks, and each of those
+/// answers comes from a target that has survived it.
+pub const ANSWERED_STRIKES_MAX: u8 = 5;
 
 /// Largest number of reports in one message, so that it fits a datagram.
 pub const REPORTS_MAX: usize = 32;
@@ -30,6 +39,9 @@
 /// Time for which a change is told at each turn.
 const NEWS_SPAN: Duration = Duration::from_secs(2);
 
+/// Age up to which changes are told at once.
+const URGENT_SPAN: Duration = Duration::from_millis(100);
+
 /// Instances at random that are told news at each turn. With four, news reaches a
 /// thousand instances in about five turns.
 const NEWS_FANOUT: usize = 4;
@@ -59,12 +71,24 @@
     first: Time,
 }
 
+/// Whether others are to be told of changed strikes at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum NewsDue {
+    /// There is no change.
+    #[default]
+    None,
+    /// Another instance has told of one.
+    Heard,
+    /// This instance has found one.
+    Found,
+}
+
 /// Whether a request may be sent, as far as it is suspected of crashing targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Suspicion {
     /// Nothing is held against it, or no copy of it is in flight.
     None,
-    /// A copy is in flight here, whose outcome decides.
+    /// A copy is in flight here or at another instance, whose outcome decides.
     Waits,
     /// It is always refused.
     Refused,
@@ -139,24 +163,37 @@
 
     /// Whether the request at `at` may be sent. Of a suspect one copy runs at a time: if
     /// it crashes a target too, the others never run.
-    pub(super) fn suspicion(&self, at: usize) -> Suspicion {
+    pub(super) fn suspicion(&mut self, now: Time, at: usize) -> Suspicion {
         let fingerprint = self.jobs[at].request.fingerprint;
         match self.suspects.strikes(fingerprint) {
             0 => return Suspicion::None,
-            STRIKES_MAX.. if self.jobs[at].is_trial => return Suspicion::None,
-            STRIKES_MAX.. => return Suspicion::Refused,
+            _ if self.jobs[at].is_trial => return Suspicion::None,
+            _ if self.is_refused(now, fingerprint) => return Suspicion::Refused,
             _ => {}
         }
         let is_copy = |job: &Job| {
             job.request.fingerprint == fingerprint && matches!(job.state, State::InFlight { .. })
         };
-        if self.jobs.iter().any(is_copy) {
+        if self.jobs.iter().any(is_copy) || !self.has_turn(now, fingerprint) {
             Suspicion::Waits
         } else {
             Suspicion::None
         }
     }
 
+    /// Whether [`Direct::suspect_news`] or [`Direct::turn_asks`] is to be called at once.
+    #[must_use]
+    pub fn is_news_due(&self) -> bool {
+        self.is_ask_due || self.news_due != NewsDue::None
+    }
+
+    /// Whether a request is always refused here.
+    pub(super) fn is_refused(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        let strikes = self.suspects.strikes(fingerprint);
+        strikes >= ANSWERED_STRIKES_MAX
+            || strikes >= STRIKES_MAX && !self.answered.has(now, fingerprint)
+    }
+
     /// Number of requests under suspicion, and of those that are always refused.
     #[must_use]
     pub fn suspect_counts(&self) -> (usize, usize) {
@@ -191,6 +228,36 @@
         })
     }
 
+    /// Reports of changes that others are to be told of at once; `None` if there are none.
+    /// Whoever finds something tells the instances that get its heartbeats, and whoever
+    /// hears of it tells some at random, if there may be more.
+    pub fn suspect_news(&mut self, now: Time) -> Option<SuspectMessage> {
+        let due = core::mem::take(&mut self.news_due);
+        if due == NewsDue::None {
+            return None;
+        }
+        let mut reports = self.suspects.news(now, URGENT_SPAN);
+        reports.truncate(NEWEST_REPORTS);
+        let nearest = self.recipients(now);
+        let mut recipients = nearest.local;
+        recipients.extend(nearest.region);
+        recipients.extend(nearest.remote);
+        let has_more = recipients.len() < self.participants.len();
+        if due == NewsDue::Heard {
+            recipients.clear();
+        }
+        if has_more {
+            recipients.extend(self.random_recipients(now, NEWS_FANOUT));
+        }
+        recipients.sort_unstable();
+        recipients.dedup();
+        let has_news = !reports.is_empty() && !recipients.is_empty();
+        has_news.then_some(SuspectMessage {
+            reports,
+            recipients,
+        })
+    }
+
     fn suspect_recipients(&self, now: Time) -> Vec<SocketAddr> {
         let is_news = self.suspects.has_changed(now, NEWS_SPAN);
         let is_turn = self.suspect_turn.is_multiple_of(QUIET_TURNS);
@@ -208,24 +275,29 @@
             (false, false) => 0,
         };
         if random > 0 {
-            let all: Vec<SocketAddr> = self
-                .members
-                .participants(now)
-                .map(|(_, registration)| registration.heartbeats)
-                .collect();
-            let pick = |i: usize| {
-                let draw =
-                    hash(format!("{} {} {i}", self.identity.name, self.suspect_turn).as_bytes());
-                let at = usize::try_from(draw % all.len().max(1) as u64).unwrap_or_default();
-                all.get(at).copied()
-            };
-            recipients.extend((0..random).filter_map(pick));
+            recipients.extend(self.random_recipients(now, random));
         }
         recipients.sort_unstable();
         recipients.dedup();
         recipients
     }
 
+    /// Addresses for heartbeats of instances at random; others at each time.
+    fn random_recipients(&self, now: Time, count: usize) -> Vec<SocketAddr> {
+        let all: Vec<SocketAddr> = self
+            .members
+            .participants(now)
+            .map(|(_, registration)| registration.heartbeats)
+            .collect();
+        let (name, time) = (&self.identity.name, now.as_micros());
+        let pick = |i: usize| {
+            let draw = hash(format!("{name} {time} {i}").as_bytes());
+            let at = usize::try_from(draw % all.len().max(1) as u64).unwrap_or_default();
+            all.get(at).copied()
+        };
+        (0..count).filter_map(pick).collect()
+    }
+
     /// Takes reports of another instance.
     pub fn receive_suspects(&mut self, now: Time, sender: &Arc<str>, reports: &[Report]) {
         for report in reports {
@@ -286,7 +358,18 @@
     /// Records a change for the log if the strikes differ from those before.
     pub(super) fn log_suspect(&mut self, fingerprint: Fingerprint, before: u8, cause: Cause) {
         let strikes = self.suspects.strikes(fingerprint);
-        if strikes != before && self.suspect_changes.len() < CHANGES_MAX {
+        if strikes != before {
+            let due = match cause {
+                Cause::Broken(_) | Cause::Survived(_) | Cause::Answered => NewsDue::Found,
+                Cause::Told(_) | Cause::Stored => NewsDue::Heard,
+            };
+            self.news_due = self.news_due.max(due);
+        }
+        // All instances hear of each strike; what they hear is logged where it changes
+        // whether the request is refused.
+        let is_heard = matches!(cause, Cause::Told(_) | Cause::Stored);
+        let is_logged = !is_heard || before.max(strikes) >= STRIKES_MAX;
+        if strikes != before && is_logged && self.suspect_changes.len() < CHANGES_MAX {
             self.suspect_changes.push(Change {
                 fingerprint,
                 before,
--- a/crates/steer/src/process/direct/verdict.rs
+++ b/crates/steer/src/process/direct/verdict.rs
@@ -20,7 +20,9 @@
 use super::{Direct, hash};
 use crate::clock::Time;
 use crate::request::arrival::Fingerprint;
-use crate::request::poison::{Report, STRIKES_MAX};
+use crate::request::poison::Report;
+
+use super::suspect::STRIKES_MAX;
 
 /// Refusals of a request by an instance from which on its verdict is worth a row; a
 /// caller that tries an ordinary request again causes one.
--- a/crates/steer/src/request/poison.rs
+++ b/crates/steer/src/request/poison.rs
@@ -8,6 +8,10 @@
 //! also withdrawn when the target goes on answering requests sent before the
 //! break, since then only a connection failed.
 //!
+//! That holds where a suspect has its target to itself. Where it runs beside others, or
+//! copies of it run at several instances, two breaks are no proof: such an owner sets a
+//! higher number of strikes, and copies that were under way together don't reach it.
+//!
 //! Instances tell each other what they hold. Strikes only grow within a round; whoever
 //! clears or withdraws some begins a new round, so that older news can't bring them
 //! back.
@@ -109,12 +113,35 @@
 }
 
 /// Fingerprints with strikes, sorted by fingerprint.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Suspects {
     entries: Vec<Entry>,
+    /// Number of strikes at which a request is always refused.
+    strikes_max: u8,
+}
+
+impl Default for Suspects {
+    fn default() -> Self {
+        Self::new(STRIKES_MAX)
+    }
 }
 
 impl Suspects {
+    /// Creates an empty list that refuses requests from `strikes_max` strikes on.
+    #[must_use]
+    pub const fn new(strikes_max: u8) -> Self {
+        Self {
+            entries: Vec::new(),
+            strikes_max,
+        }
+    }
+
+    /// Returns whether a request is always refused.
+    #[must_use]
+    pub fn is_refused(&self, fingerprint: Fingerprint) -> bool {
+        self.strikes(fingerprint) >= self.strikes_max
+    }
+
     /// Returns the strikes of a fingerprint.
     #[must_use]
     pub fn strikes(&self, fingerprint: Fingerprint) -> u8 {
@@ -144,9 +171,10 @@
     /// Records a strike for a request in flight when the connection to `target`
     /// broke. `known` is its number of strikes when it was sent there.
     ///
-    /// No strike is added if the fingerprint has got one since then. Several copies
-    /// of a popular request are in flight at any time; when a rack fails they break
-    /// on several targets at once, which is no more evidence than a single break.
+    /// If the fingerprint has got a strike since then, this one is never the last before
+    /// it is always refused. Several copies of a popular request are in flight at any
+    /// time; when a rack fails they break on several targets at once, which is little
+    /// more evidence than a single break.
     pub fn strike(
         &mut self,
         now: Time,
@@ -155,9 +183,10 @@
         target: &Arc<str>,
     ) -> StrikeUpdate {
         let at = self.ensure(now, fingerprint);
+        let strikes_max = self.strikes_max;
         let entry = &mut self.entries[at];
         let before = entry.strikes();
-        if known >= before {
+        if known >= before || before.saturating_add(1) < strikes_max {
             entry.breaks.push(Break {
                 target: Arc::clone(target),
                 at: now,
@@ -166,7 +195,7 @@
             entry.expires_at = now + SUSPECT_TTL;
             entry.changed_at = now;
             entry.is_own = true;
-            entry.is_public |= entry.strikes() >= STRIKES_MAX;
+            entry.is_public |= entry.strikes() >= strikes_max;
         }
         StrikeUpdate {
             fingerprint,
@@ -174,8 +203,8 @@
         }
     }
 
-    /// Merges a peer's report. Zero strikes clear the fingerprint, unless it has
-    /// [`STRIKES_MAX`].
+    /// Merges a peer's report. Zero strikes clear the fingerprint, unless it is always
+    /// refused.
     pub fn merge(&mut self, now: Time, fingerprint: Fingerprint, strikes: u8) {
         if strikes == 0 {
             // What this instance has seen since may be newer than the report.
@@ -185,6 +214,7 @@
             return;
         }
         let at = self.ensure(now, fingerprint);
+        let strikes_max = self.strikes_max;
         let entry = &mut self.entries[at];
         // A repeated report doesn't extend the lifetime: peers repeat reports to
         // each new instance and would keep the entry alive for ever.
@@ -193,7 +223,7 @@
             entry.expires_at = now + SUSPECT_TTL;
             entry.changed_at = now;
             entry.is_own = false;
-            entry.is_public |= entry.strikes() >= STRIKES_MAX;
+            entry.is_public |= entry.strikes() >= strikes_max;
         }
     }
 
@@ -209,6 +239,7 @@
             return;
         }
         let at = self.ensure(now, report.fingerprint);
+        let strikes_max = self.strikes_max;
         let entry = &mut self.entries[at];
         if report.round > entry.round {
             entry.breaks.clear();
@@ -218,7 +249,7 @@
         entry.expires_at = now + left;
         entry.changed_at = now;
         entry.is_own = false;
-        entry.is_public = true;
+        entry.is_public |= report.strikes >= strikes_max;
     }
 
     /// What is held against the fingerprints that are always refused, or were, the latest
@@ -230,6 +261,16 @@
         all.into_iter().map(|entry| entry.report(now)).collect()
     }
 
+    /// What is held against the fingerprints of which something new was learned less than
+    /// `span` ago, the latest change first.
+    #[must_use]
+    pub fn news(&self, now: Time, span: Duration) -> Vec<Report> {
+        let is_new = |e: &&Entry| now.since(e.changed_at) < span;
+        let mut all: Vec<&Entry> = self.entries.iter().filter(is_new).collect();
+        all.sort_by_key(|entry| core::cmp::Reverse(entry.changed_at));
+        all.into_iter().map(|entry| entry.report(now)).collect()
+    }
+
     /// Strikes that changed less than `span` ago, the latest change first, as far as they
     /// can be told without their round: none that were withdrawn, and zero of those that
     /// were cleared before there was a verdict.
@@ -296,16 +337,17 @@
 
     /// Lists the fingerprints that are always refused, with their strikes.
     pub fn rejected(&self) -> impl Iterator<Item = StrikeUpdate> {
-        let refused = self.entries.iter().filter(|e| e.strikes() >= STRIKES_MAX);
+        let is_refused = |e: &&Entry| e.strikes() >= self.strikes_max;
+        let refused = self.entries.iter().filter(is_refused);
         refused.map(|entry| StrikeUpdate {
             fingerprint: entry.fingerprint,
             strikes: entry.strikes(),
         })
     }
 
-    /// Clears a request that succeeded. Does nothing if it has [`STRIKES_MAX`].
+    /// Clears a request that succeeded. Does nothing if it is always refused.
     pub fn clear(&mut self, now: Time, fingerprint: Fingerprint) -> Option<StrikeUpdate> {
-        if self.strikes(fingerprint) >= STRIKES_MAX {
+        if self.is_refused(fingerprint) {
             return None;
         }
         self.acquit(now, fingerprint)
@@ -415,7 +457,7 @@
     fn evict(&mut self) {
         let oldest = (0..self.entries.len()).min_by_key(|&i| {
             let entry = &self.entries[i];
-            (entry.strikes().min(STRIKES_MAX), entry.expires_at)
+            (entry.strikes().min(self.strikes_max), entry.expires_at)
         });
         if let Some(at) = oldest {
             self.entries.remove(at);
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -47,5 +47,7 @@
 mod stop;
 #[path = "direct/suspect.rs"]
 mod suspect;
+#[path = "direct/turn.rs"]
+mod turn;
 #[path = "direct/upstream.rs"]
 mod upstream;
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -263,6 +263,10 @@
     Notices(Notices),
     /// What the sender holds against requests that crash targets.
     Suspects(suspects::Suspects),
+    /// Asks for a turn of a suspect, or ends one.
+    TurnAsk(suspects::TurnAsk),
+    /// Answer to an asking.
+    TurnAnswer(suspects::TurnAnswer),
 }
 
 /// Twins of [`notice::TargetNotice`].
