Let instances that start together learn from those above them in their domain

After a loss of power of a whole deployment nobody was served for as long as each instance read the whole store by itself: an instance that started gave those of its domain 150 ms, in which none that was starting too could know anything, and asked them once. It now asks until they answer, and reads the store only after a time that grows with its depth in the domain's tree and with the deployment, if one of those above accepts connections; if none does, after 150 ms as before.

Not played on the fleet.

--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -9,6 +9,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use apply::{apply_changes, apply_update};
@@ -17,7 +18,9 @@
 use platform::store::{Changes, Error, Freshness, Listing};
 use steer::clock::Time;
 use steer::process::direct::replica::{Item, Update};
-use steer::process::direct::upstream::{UPSTREAM_STALE_AGE, Upstream, domain_sources, reader_rank};
+use steer::process::direct::upstream::{
+    START_DELAY, UPSTREAM_STALE_AGE, Upstream, domain_sources, reader_rank, start_delay,
+};
 use steer::process::direct::{Direct, StoreContact};
 use wire::direct;
 
@@ -49,10 +52,6 @@
 /// Maximum number of instances of the own domain that are queried at the start.
 const START_PEERS_MAX: usize = 2;
 
-/// Time that instances of the own domain have to answer at the start before the
-/// store is read, which is billed and takes longer.
-const PEER_HEAD_START: Duration = Duration::from_millis(150);
-
 /// Pause after the store was read at the start. Where all instances start together
 /// they register meanwhile, and their names decide which of them read the store.
 const START_PAUSE: Duration = Duration::from_millis(800);
@@ -101,21 +100,34 @@
     /// left to the last, as callers wait meanwhile and all listed instances may have
     /// ended.
     async fn bootstrap(&mut self) -> bool {
-        let peers = self.domain_peers().await;
+        let StartPeers { peers, delay } = self.domain_peers().await;
         let shared = Arc::clone(&self.shared);
+        // Whether an instance that is asked is there.
+        let is_starting = AtomicBool::new(false);
         let from_peer = async {
-            for (name, addr) in peers {
-                let sent_at = shared.now();
-                if let Some((connection, changes)) =
-                    read_snapshot(&shared, addr, &self.executor).await
-                {
-                    return FirstAnswer::Peer(name, connection, changes, sent_at);
+            if peers.is_empty() {
+                return future::pending().await;
+            }
+            // They may be starting too, and answer once they know something.
+            loop {
+                for (name, addr) in &peers {
+                    let Some(connection) = Connection::open(*addr, &self.executor).await else {
+                        continue;
+                    };
+                    is_starting.store(true, Ordering::Relaxed);
+                    let sent_at = shared.now();
+                    if let Some(changes) = read_snapshot(&shared, &connection).await {
+                        return FirstAnswer::Peer(Arc::clone(name), connection, changes, sent_at);
+                    }
                 }
+                smol::Timer::after(PEER_RETRY_PAUSE).await;
             }
-            future::pending().await
         };
         let from_store = async {
-            smol::Timer::after(PEER_HEAD_START).await;
+            smol::Timer::after(START_DELAY.min(delay)).await;
+            if is_starting.load(Ordering::Relaxed) {
+                smol::Timer::after(delay.saturating_sub(START_DELAY)).await;
+            }
             FirstAnswer::Store(list_and_watch(&shared).await)
         };
         match future::or(from_peer, from_store).await {
@@ -148,7 +160,7 @@
 
     /// Other registered instances of the own domain with their peer addresses: the
     /// first few by precedence for reading the store. Empty if the list fails.
-    async fn domain_peers(&self) -> Vec<(Arc<str>, SocketAddr)> {
+    async fn domain_peers(&self) -> StartPeers {
         let shared = &self.shared;
         let late = async {
             smol::Timer::after(MEMBER_LIST_TIMEOUT).await;
@@ -156,7 +168,10 @@
         };
         let list = shared.store.list(member::KEY_PREFIX, Freshness::Stale);
         let Ok(listing) = future::or(list, late).await else {
-            return Vec::new();
+            return StartPeers {
+                peers: Vec::new(),
+                delay: start_delay(0, 0),
+            };
         };
         let peer = |item: &platform::store::Item| {
             let name = item.key.strip_prefix(member::KEY_PREFIX)?;
@@ -176,7 +191,10 @@
         let peers = ranks
             .into_iter()
             .filter_map(|rank| found.get(rank).cloned());
-        peers.take(START_PEERS_MAX).collect()
+        StartPeers {
+            peers: peers.take(START_PEERS_MAX).collect(),
+            delay: start_delay(above, listing.items.len()),
+        }
     }
 
     /// Waits for the next changes from the present upstream and applies them. After
@@ -330,6 +348,14 @@
     }
 }
 
+/// Instances that one that starts asks for everything.
+struct StartPeers {
+    /// Names and addresses for calls of peers, in the order of asking.
+    peers: Vec<(Arc<str>, SocketAddr)>,
+    /// Time after which the store is read.
+    delay: Duration,
+}
+
 /// First answer at the start.
 enum FirstAnswer {
     /// Everything that the named instance knows, and when it was queried.
@@ -340,15 +366,10 @@
 
 /// Reads everything from another instance; `None` if it does not answer or isn't up
 /// to date with the store.
-async fn read_snapshot(
-    shared: &Shared,
-    addr: SocketAddr,
-    executor: &Executor,
-) -> Option<(Connection, direct::Changes)> {
-    let connection = Connection::open(addr, executor).await?;
+async fn read_snapshot(shared: &Shared, connection: &Connection) -> Option<direct::Changes> {
     let known = lock(&shared.replica).revision();
-    let changes = connection.changes(known, Duration::ZERO).await?;
-    is_fresh(&changes).then_some((connection, changes))
+    let changes = connection.changes(known, PEER_WAIT).await?;
+    is_fresh(&changes).then_some(changes)
 }
 
 /// Whether a peer has a store revision that the store has confirmed lately.
--- a/crates/auburnrouter/tests/direct/follow.rs
+++ b/crates/auburnrouter/tests/direct/follow.rs
@@ -1,6 +1,8 @@
 //! Tests of following the platform's store, and of reading from other instances
 //! while it is unavailable.
 
+use std::net::SocketAddr;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use platform_standin::store::{Mode, Route};
@@ -8,7 +10,7 @@
 use rstest::rstest;
 use rustix::process::Signal;
 
-use super::harness::{Entry, HOST, Harness, ROUTES, send_raw, wait_for_line, wait_until};
+use super::harness::{Entry, HOST, Harness, MS, ROUTES, send_raw, wait_for_line, wait_until};
 
 /// A new version of the configuration removes a route and adds one. An older version
 /// that is written later must not change anything.
@@ -356,6 +358,48 @@
     assert!(answer.status == 200 || !soon, "{answer:?}, {line}");
 }
 
+/// When all instances of a failure domain started at once, each read the whole store.
+#[test]
+fn read_store_once_when_all_start() {
+    const INSTANCES: usize = 12;
+    let harness = Harness::start(3);
+    let store = harness.store.addr();
+    let settings = |i: usize| {
+        let name = format!("near-b-{i}");
+        platform_standin::settings(&name, "near-b", store, &[])
+    };
+    let entries: Vec<Entry> = (0..INSTANCES)
+        .map(|i| Entry::start_with(&settings(i)))
+        .collect();
+    let registered = || harness.store.keys("auburnrouter/").len();
+    wait_until("all are registered", || registered() > INSTANCES);
+    let peers: Vec<SocketAddr> = entries.iter().map(|e| e.peers).collect();
+    drop(entries);
+    harness.store.delay_full_lists(50 * MS);
+    let before = harness.store.full_lists();
+    // They start again at their addresses, side by side.
+    let restart = |(i, addr): (usize, &SocketAddr)| {
+        let text = settings(i);
+        let mut settings: serde_json::Value = serde_json::from_str(&text).expect("it is JSON");
+        settings["listen"]["peers"] = addr.to_string().into();
+        Entry::start_with(&settings.to_string())
+    };
+    let entries: Vec<Entry> = thread::scope(|scope| {
+        let numbered = peers.iter().enumerate();
+        let started: Vec<_> = numbered
+            .map(|peer| scope.spawn(move || restart(peer)))
+            .collect();
+        let joined = started.into_iter().map(thread::ScopedJoinHandle::join);
+        joined.map(|e| e.expect("the instance starts")).collect()
+    });
+    for entry in &entries {
+        entry.await_ready();
+    }
+    // The first of the domain by rank, and one that may be as quick.
+    let lists = harness.store.full_lists() - before;
+    assert!(lists <= 2, "{lists} of {INSTANCES} read the whole store");
+}
+
 /// The store does not answer the full read of an instance that starts. It must learn
 /// everything from another instance of its domain instead.
 #[test]
--- a/crates/steer/src/process/direct/upstream.rs
+++ b/crates/steer/src/process/direct/upstream.rs
@@ -54,6 +54,19 @@
 /// Instances of the rest of the region that are asked if the store failed.
 const REGION_PEERS_AFTER_STORE: usize = 2;
 
+/// Time that the instances above one that starts have to answer before it reads the
+/// store.
+pub const START_DELAY: Duration = Duration::from_millis(150);
+
+/// Further time, if one of them is there and knows nothing yet, for each level of the
+/// domain's tree above: this for each instance of the deployment, since what each of
+/// them reads grows with it.
+const START_LEVEL_DELAY: Duration = Duration::from_millis(2);
+
+/// Bounds on that time for a level.
+const START_LEVEL_BOUNDS: (Duration, Duration) =
+    (Duration::from_millis(600), Duration::from_secs(2));
+
 /// Age of an upstream's knowledge above which it lags behind; its watch of the store
 /// has failed at least once.
 pub const UPSTREAM_STALE_AGE: Duration = Duration::from_millis(3200);
@@ -176,6 +189,20 @@
     parents.chain((own > STAND_IN).then_some(STAND_IN))
 }
 
+/// Time after which an instance that starts reads the store if others that are starting
+/// too have not told it everything. Of a deployment that starts at once only the first of each domain read the
+/// store, and the others from them; `own` is its rank within its domain, `listed` the
+/// number of instances that the store lists.
+#[must_use]
+pub fn start_delay(own: usize, listed: usize) -> Duration {
+    let parent = |rank: &usize| rank.checked_sub(1).map(|r| r / DOMAIN_FANOUT);
+    let levels = core::iter::successors(parent(&own), parent).count();
+    let listed = u32::try_from(listed).unwrap_or(u32::MAX);
+    let (least, most) = START_LEVEL_BOUNDS;
+    let level = START_LEVEL_DELAY.saturating_mul(listed).clamp(least, most);
+    START_DELAY + level * u32::try_from(levels).unwrap_or(u32::MAX)
+}
+
 type Candidates<'a> = Vec<(&'a Arc<str>, &'a Registration)>;
 
 /// Rank of an instance as a reader of the store; the highest of a region reads it. All
--- a/crates/steer/tests/direct/upstream.rs
+++ b/crates/steer/tests/direct/upstream.rs
@@ -7,10 +7,43 @@
 use rstest::rstest;
 use steer::process::direct::StoreContact;
 use steer::process::direct::members::Registration;
-use steer::process::direct::upstream::{DOMAIN_FANOUT, Upstream, domain_sources, reader_rank};
+use steer::process::direct::upstream::{
+    DOMAIN_FANOUT, Upstream, domain_sources, reader_rank, start_delay,
+};
 
 use super::bench::{Bench, at, heartbeat, registration, route};
 
+/// When all of a failure domain started at once, as many read the whole store as there
+/// were, and it was busy for seconds.
+#[rstest]
+#[case::domain_of_fleet(110, 985)]
+#[case::twice_as_large(220, 1_970)]
+#[case::ten_times_as_large(1_100, 9_850)]
+fn read_store_by_few_when_all_start(#[case] size: usize, #[case] listed: usize) {
+    // What the first takes to read the store, and what each level takes to tell the next.
+    let (reading, telling) = (Duration::from_secs(1), Duration::from_millis(600));
+    let mut known_at = vec![Duration::MAX; size];
+    let mut readers = 0;
+    for rank in 0..size {
+        let told = domain_sources(rank).filter(|above| *above < rank);
+        let told = told.map(|above| known_at[above].saturating_add(telling));
+        let told = told.min().unwrap_or(Duration::MAX);
+        let delay = start_delay(rank, listed);
+        if told <= delay {
+            known_at[rank] = told;
+        } else {
+            readers += 1;
+            known_at[rank] = delay + reading;
+        }
+    }
+    assert_eq!(readers, 1);
+    let last = known_at.iter().max().copied().unwrap_or_default();
+    assert!(
+        last <= Duration::from_secs(5),
+        "the last knows all after {last:?}"
+    );
+}
+
 /// This instance, which is in `near-a`, and others of its region, by descending rank.
 struct Region {
     bench: Bench,
