--- a/crates/measure/src/sums.rs
+++ b/crates/measure/src/sums.rs
@@ -5,7 +5,7 @@
 //! Invariant: what is counted is what targets see, not what instances believe.
 
 pub mod fleet;
-mod node;
+mod instance;
 pub mod plan;
 pub(crate) mod setup;
 mod tally;
@@ -199,7 +199,7 @@
 }
 
 impl Use {
-    fn most(self, other: Self) -> Self {
+    fn merge(self, other: Self) -> Self {
         Self {
             repeats: self.repeats.max(other.repeats),
             cold: self.cold.max(other.cold),
@@ -234,7 +234,7 @@
     /// announced that it is about to stop.
     pub asked: usize,
     /// Largest use of each bound over all seeds.
-    pub most: Use,
+    pub max: Use,
 }
 
 /// Plays one plan, `seeds` times; `None` if there is none of this name.
@@ -251,7 +251,7 @@
         cold: 0,
         limited: 0,
         asked: 0,
-        most: Use::default(),
+        max: Use::default(),
     };
     for seed in seed..seed + seeds {
         let tally = Fleet::new(size, *plan, seed).run(seconds);
@@ -261,8 +261,8 @@
         line.repeats += tally.repeats();
         line.cold += tally.cold();
         line.limited += tally.limited();
-        line.asked += tally.pauses.len() + tally.notices.len();
-        line.most = line.most.most(tally.most());
+        line.asked += tally.backoffs.len() + tally.notices.len();
+        line.max = line.max.merge(tally.max_use());
     }
     Some(line)
 }
@@ -298,12 +298,12 @@
             line.cold,
             line.limited,
             line.asked,
-            line.most.repeats,
-            line.most.cold,
-            line.most.shift,
-            line.most.limit,
-            line.most.backoff,
-            line.most.leaving
+            line.max.repeats,
+            line.max.cold,
+            line.max.shift,
+            line.max.limit,
+            line.max.backoff,
+            line.max.leaving
         );
     }
     out
--- a/crates/measure/src/sums/fleet.rs
+++ b/crates/measure/src/sums/fleet.rs
@@ -4,7 +4,8 @@
 //! Invariant: instances learn nothing but by the store and by heartbeats, each
 //! by its own clock, which starts at zero with its process.
 
-use core::ops::Range;
+mod faults;
+
 use core::time::Duration;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -21,118 +22,115 @@
 use steer::request::arrival::Fingerprint;
 use steer::version::routes::Routes;
 
-use super::node::Node;
+use super::instance::Instance;
 use super::plan::Plan;
-use super::setup::{self, BOUNDS, COLD, COLD_RATE, TARGETS, Target};
-use super::tally::{Arrival, Pause, Sent, Tally};
+use super::setup::{self, BOUNDS, COLD_RATE, TARGETS, Target};
+use super::tally::{Arrival, BackoffRequest, CallerRequest, Tally};
 
 const MS: Duration = Duration::from_millis(1);
 
-/// Step of the run.
+/// Step of virtual time.
 const STEP: Duration = Duration::from_millis(5);
-/// Requests a second of all callers, for as many targets.
-const RATE: f64 = 80.0;
-/// Instances that so many targets have. Larger fleets have more of both.
-const SHARE: usize = 7;
-/// Time that a target works on a request, least and most.
-const WORK: (u64, u64) = (100, 500);
-/// Time on the way to a target in the own region, and in another one.
-const WAY: (u64, u64) = (1, 36);
-/// Between two heartbeats, as instances send them to their region.
-const BEAT: Duration = Duration::from_millis(250);
-/// Part of the heartbeats that are lost.
-const LOST: f64 = 0.05;
-/// Between two reads of the store, as a watch answers when something changes.
-const READ: Duration = Duration::from_millis(300);
-/// Time that a row outlives its instance.
-const LEASE: Duration = Duration::from_secs(3);
-
-/// When targets name limits, ask for time without requests or announce that they are
-/// about to stop.
-const LIMITED: Range<Time> = Time::from_micros(8_000_000)..Time::from_micros(20_000_000);
+/// Requests per second of all callers, for each multiple of [`TARGETS`].
+const REQUEST_RATE: f64 = 80.0;
+/// Instances for each multiple of [`TARGETS`].
+const INSTANCES_PER_SCALE: usize = 7;
+/// Shortest and longest time that a target works on a request, in milliseconds.
+const WORK_TIME_MS: (u64, u64) = (100, 500);
+/// Network latency to a target in the own region and in another one, in milliseconds.
+const LATENCY_MS: (u64, u64) = (1, 36);
+/// Time between two heartbeats of an instance.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Share of heartbeats that are lost.
+const HEARTBEAT_LOSS: f64 = 0.05;
+/// Time between two reads of the store; stands for a watch.
+const STORE_READ_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which a registration outlives its instance.
+const REGISTRATION_TTL: Duration = Duration::from_secs(3);
 
 enum Event {
-    Land {
-        node: usize,
-        life: u64,
-        go: Assignment,
-        asked: Time,
-        sent: Time,
+    Arrival {
+        instance: usize,
+        incarnation: u64,
+        assignment: Assignment,
+        submitted_at: Time,
+        sent_at: Time,
     },
-    End {
-        node: usize,
-        life: u64,
+    Completion {
+        instance: usize,
+        incarnation: u64,
         ticket: Ticket,
-        ending: AttemptOutcome,
+        outcome: AttemptOutcome,
         target: usize,
-        word: Feedback,
+        feedback: Feedback,
     },
-    Beat {
-        node: usize,
-        beat: Heartbeat,
+    Heartbeat {
+        instance: usize,
+        heartbeat: Heartbeat,
         notices: Vec<TargetNotice>,
     },
 }
 
-/// A fleet.
+/// Instances, targets, store and callers of one run.
 pub struct Fleet {
     plan: Plan,
     rng: Rng,
     now: Time,
-    nodes: Vec<Node>,
+    instances: Vec<Instance>,
     targets: Vec<Target>,
-    store: Time,
-    events: BinaryHeap<Reverse<(Time, usize)>>,
-    bodies: Vec<Option<Event>>,
+    store_away_until: Time,
+    queue: BinaryHeap<Reverse<(Time, usize)>>,
+    /// Events by number; `None` once handled.
+    events: Vec<Option<Event>>,
     routes: Arc<Routes>,
-    owed: f64,
-    /// How many times as many targets and callers there are.
+    due_requests: f64,
+    /// Multiple of [`TARGETS`] and of [`REQUEST_RATE`].
     scale: usize,
     tally: Tally,
 }
 
 impl Fleet {
-    /// `size` instances, nothing started yet.
+    /// Creates a fleet of `size` instances, none of which has started.
     #[must_use]
     pub fn new(size: usize, plan: Plan, seed: u64) -> Self {
-        let nodes = (0..size).map(|i| Node::new(i, Time::ZERO)).collect();
+        let instances = (0..size).map(|i| Instance::new(i, Time::ZERO)).collect();
         Self {
             plan,
             rng: Rng::with_seed(seed),
             now: Time::ZERO,
-            nodes,
-            targets: setup::targets(size.div_ceil(SHARE)),
-            store: Time::ZERO,
-            events: BinaryHeap::new(),
-            bodies: Vec::new(),
+            instances,
+            targets: setup::targets(size.div_ceil(INSTANCES_PER_SCALE)),
+            store_away_until: Time::ZERO,
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
             routes: Arc::new(setup::routes()),
-            owed: 0.0,
-            scale: size.div_ceil(SHARE),
+            due_requests: 0.0,
+            scale: size.div_ceil(INSTANCES_PER_SCALE),
             tally: Tally {
                 bounds: BOUNDS,
                 cold_rate: COLD_RATE,
-                steady: plan.is_steady(),
+                is_steady: plan.is_steady(),
                 arrivals: Vec::new(),
                 answered: 0,
-                pauses: Vec::new(),
+                backoffs: Vec::new(),
                 notices: Vec::new(),
                 requests: Vec::new(),
             },
         }
     }
 
-    /// Runs for so many seconds.
+    /// Runs for `seconds` of virtual time.
     #[must_use]
     pub fn run(mut self, seconds: u64) -> Tally {
         let end = Time::ZERO + Duration::from_secs(seconds);
         while self.now < end {
-            self.fail();
-            self.restart();
-            self.deliver();
-            self.store();
-            self.beat();
+            self.inject_faults();
+            self.restart_due();
+            self.handle_due_events();
+            self.sync_with_store();
+            self.send_heartbeats();
             if self.now > Time::ZERO + Duration::from_secs(2) {
-                self.callers();
+                self.send_due_requests();
             }
             self.decide();
             self.now = self.now + STEP;
@@ -140,123 +138,81 @@
         self.tally
     }
 
-    /// True once in a while, by the mean time between.
-    fn now_and_then(&mut self, mean: Duration) -> bool {
+    /// Whether an event with this mean time between occurrences occurs in this step.
+    fn occurs(&mut self, mean: Duration) -> bool {
         self.rng.f64() < STEP.as_secs_f64() / mean.as_secs_f64()
     }
 
-    fn some(&mut self, from: u64, upto: u64) -> Duration {
+    fn random_duration(&mut self, from: u64, upto: u64) -> Duration {
         MS * u32::try_from(self.rng.u64(from..upto)).unwrap_or(u32::MAX)
     }
 
-    fn is_at(&self, seconds: u64) -> bool {
-        self.now == Time::ZERO + Duration::from_secs(seconds)
-    }
-
-    fn fail(&mut self) {
-        let plan = self.plan;
-        if plan.cold && self.now_and_then(Duration::from_secs(4)) {
-            let region = self.rng.usize(0..TARGETS.len());
-            for target in self.targets.iter_mut().filter(|t| t.region == region) {
-                target.entry.seq += 1;
-                target.cold = self.now + COLD;
-            }
-        }
-        if plan.replaced && self.now_and_then(Duration::from_secs(2)) {
-            let node = self.rng.usize(0..self.nodes.len());
-            self.kill(node);
-        }
-        if plan.herd && (self.is_at(10) || self.is_at(22)) {
-            for node in 0..self.nodes.len() {
-                self.kill(node);
-            }
-        }
-        if plan.cut && self.now_and_then(Duration::from_secs(4)) {
-            let node = self.rng.usize(0..self.nodes.len());
-            self.nodes[node].cut = self.now + self.some(3_000, 12_000);
-        }
-        if plan.store && self.now_and_then(Duration::from_secs(10)) {
-            self.store = self.now + self.some(2_000, 9_000);
-        }
-        if plan.added && self.is_at(12) {
-            let size = self.nodes.len();
-            let more = (size..size + size.div_ceil(2)).map(|i| Node::new(i, self.now));
-            self.nodes.extend(more);
-        }
-    }
-
-    fn kill(&mut self, node: usize) {
-        let back = self.now + self.some(300, 2_000);
-        let node = &mut self.nodes[node];
-        if node.direct.take().is_some() {
-            node.asks.clear();
-            node.back = Some(back);
-        }
-    }
-
-    fn restart(&mut self) {
-        for node in 0..self.nodes.len() {
-            if self.nodes[node].back.is_some_and(|at| self.now >= at) {
-                self.start(node);
+    fn restart_due(&mut self) {
+        for instance in 0..self.instances.len() {
+            if self.instances[instance]
+                .restarts_at
+                .is_some_and(|at| self.now >= at)
+            {
+                self.start(instance);
             }
         }
     }
 
     fn start(&mut self, at: usize) {
-        let node = &mut self.nodes[at];
-        node.back = None;
-        node.life += 1;
-        node.told.clear();
-        node.boot = self.now;
-        node.read = Time::ZERO;
-        let home = Identity {
-            name: Arc::clone(&node.name),
-            region: setup::region(node.region),
-            incarnation: node.life,
-            registration: setup::row(node.region),
+        let instance = &mut self.instances[at];
+        instance.restarts_at = None;
+        instance.incarnation += 1;
+        instance.limits_told.clear();
+        instance.started_at = self.now;
+        instance.read_at = Time::ZERO;
+        let identity = Identity {
+            name: Arc::clone(&instance.name),
+            region: setup::region(instance.region),
+            incarnation: instance.incarnation,
+            registration: setup::row(instance.region),
         };
         let domains = (0..TARGETS.len())
             .map(|r| (setup::region(r), setup::region(r)))
             .collect();
-        let mut direct = Direct::new(home, BOUNDS, domains);
+        let mut direct = Direct::new(identity, BOUNDS, domains);
         direct.install(Arc::clone(&self.routes));
-        node.direct = Some(direct);
+        instance.direct = Some(direct);
     }
 
-    fn deliver(&mut self) {
-        while let Some(Reverse((at, body))) = self.events.peek().copied() {
+    fn handle_due_events(&mut self) {
+        while let Some(Reverse((at, number))) = self.queue.peek().copied() {
             if at > self.now {
                 return;
             }
-            self.events.pop();
-            match self.bodies[body].take() {
-                Some(Event::Land {
-                    node,
-                    life,
-                    go,
-                    asked,
-                    sent,
-                }) => self.land(node, life, &go, asked, sent),
-                Some(Event::End {
-                    node,
-                    life,
+            self.queue.pop();
+            match self.events[number].take() {
+                Some(Event::Arrival {
+                    instance,
+                    incarnation,
+                    assignment,
+                    submitted_at,
+                    sent_at,
+                }) => self.arrive(instance, incarnation, &assignment, submitted_at, sent_at),
+                Some(Event::Completion {
+                    instance,
+                    incarnation,
                     ticket,
-                    ending,
+                    outcome,
                     target,
-                    word,
+                    feedback,
                 }) => {
-                    self.hear(node, life, target, word);
-                    self.end(node, life, ticket, ending);
+                    self.pass_on_answer(instance, incarnation, target, feedback);
+                    self.complete(instance, incarnation, ticket, outcome);
                 }
-                Some(Event::Beat {
-                    node,
-                    beat,
+                Some(Event::Heartbeat {
+                    instance,
+                    heartbeat,
                     notices,
                 }) => {
-                    let node = &mut self.nodes[node];
-                    let now = node.clock(self.now);
-                    if let Some(direct) = &mut node.direct {
-                        direct.receive_heartbeat(now, beat);
+                    let instance = &mut self.instances[instance];
+                    let now = instance.clock(self.now);
+                    if let Some(direct) = &mut instance.direct {
+                        direct.receive_heartbeat(now, heartbeat);
                         direct.receive_target_notices(now, &notices);
                     }
                 }
@@ -265,31 +221,42 @@
         }
     }
 
-    fn later(&mut self, after: Duration, event: Event) {
-        self.events
-            .push(Reverse((self.now + after, self.bodies.len())));
-        self.bodies.push(Some(event));
+    fn schedule(&mut self, after: Duration, event: Event) {
+        self.queue
+            .push(Reverse((self.now + after, self.events.len())));
+        self.events.push(Some(event));
     }
 
-    fn land(&mut self, node: usize, life: u64, go: &Assignment, asked: Time, sent: Time) {
-        let found = self.targets.iter().position(|t| t.entry.id == go.target);
+    fn arrive(
+        &mut self,
+        instance: usize,
+        incarnation: u64,
+        assignment: &Assignment,
+        submitted_at: Time,
+        sent_at: Time,
+    ) {
+        let found = self
+            .targets
+            .iter()
+            .position(|t| t.entry.id == assignment.target);
         let Some(target) = found else { return };
         let limit = self.limit(target);
         let backoff = self.backoff(target);
         self.tally.arrivals.push(Arrival {
-            from: (node, life),
-            asked,
-            sent,
+            process: (instance, incarnation),
+            submitted_at,
+            sent_at,
             at: self.now,
             target,
-            repeat: go.attempt > 1,
-            cold: self.now < self.targets[target].cold,
+            is_repeat: assignment.attempt > 1,
+            is_cold: self.now < self.targets[target].cold,
             limit,
-            told: limit.is_some() && self.nodes[node].is_told(life, target, self.now),
+            is_told: limit.is_some()
+                && self.instances[instance].is_limit_told(incarnation, target, self.now),
         });
-        let work = self.some(WORK.0, WORK.1);
+        let work = self.random_duration(WORK_TIME_MS.0, WORK_TIME_MS.1);
         let draw = self.rng.f64();
-        let ending = match draw {
+        let outcome = match draw {
             _ if backoff.is_some() => AttemptOutcome::NotRun,
             _ if !self.plan.failing => AttemptOutcome::Answered,
             _ if draw < 0.1 => AttemptOutcome::NotRun,
@@ -298,29 +265,29 @@
             _ => AttemptOutcome::Answered,
         };
         if let Some(backoff) = backoff {
-            self.tally.pauses.push(Pause {
-                by: (node, life),
+            self.tally.backoffs.push(BackoffRequest {
+                process: (instance, incarnation),
                 target,
                 at: self.now,
                 until: self.now + backoff,
             });
         }
-        let ticket = go.ticket;
-        let end = Event::End {
-            node,
-            life,
+        let ticket = assignment.ticket;
+        let end = Event::Completion {
+            instance,
+            incarnation,
             ticket,
-            ending,
+            outcome,
             target,
-            word: Feedback {
+            feedback: Feedback {
                 limit,
                 backoff,
                 is_leaving: self.is_leaving(target),
                 ..Feedback::default()
             },
         };
-        self.later(
-            if ending == AttemptOutcome::NotRun {
+        self.schedule(
+            if outcome == AttemptOutcome::NotRun {
                 MS
             } else {
                 work
@@ -329,84 +296,69 @@
         );
     }
 
-    fn end(&mut self, at: usize, life: u64, ticket: Ticket, ending: AttemptOutcome) {
-        let node = &mut self.nodes[at];
-        let now = node.clock(self.now);
-        if node.life != life {
+    fn complete(&mut self, at: usize, incarnation: u64, ticket: Ticket, outcome: AttemptOutcome) {
+        let instance = &mut self.instances[at];
+        let now = instance.clock(self.now);
+        if instance.incarnation != incarnation {
             return;
         }
-        let Some(direct) = &mut node.direct else {
+        let Some(direct) = &mut instance.direct else {
             return;
         };
-        if ending == AttemptOutcome::Answered {
+        if outcome == AttemptOutcome::Answered {
             self.tally.answered += 1;
         }
-        if direct.finish_attempt(now, ticket, ending) != FollowUp::Retry {
-            node.asks.retain(|a| a.0 != ticket);
+        if direct.finish_attempt(now, ticket, outcome) != FollowUp::Retry {
+            instance.pending.retain(|a| a.0 != ticket);
         }
     }
 
-    /// The limit that a target names now.
-    fn limit(&self, target: usize) -> Option<f64> {
-        let named = target.is_multiple_of(self.plan.each) && LIMITED.contains(&self.now);
-        self.plan.limit.filter(|_| named)
-    }
-
-    /// The time without requests that a target asks for now.
-    fn backoff(&self, target: usize) -> Option<Duration> {
-        let asks = target.is_multiple_of(self.plan.each) && LIMITED.contains(&self.now);
-        let millis = self.plan.backoff_ms.filter(|_| asks)?;
-        Some(MS * millis)
-    }
-
-    /// Whether a target announces now that it is about to stop.
-    fn is_leaving(&self, target: usize) -> bool {
-        self.plan.leaving && target.is_multiple_of(self.plan.each) && self.now >= LIMITED.start
-    }
-
-    /// A target's answer has come and is passed on.
-    fn hear(&mut self, at: usize, life: u64, target: usize, word: Feedback) {
-        let node = &mut self.nodes[at];
-        let now = node.clock(self.now);
-        let (true, Some(direct)) = (node.life == life, &mut node.direct) else {
+    /// Applies what a target's answer reports.
+    fn pass_on_answer(&mut self, at: usize, incarnation: u64, target: usize, feedback: Feedback) {
+        let instance = &mut self.instances[at];
+        let now = instance.clock(self.now);
+        let (true, Some(direct)) = (instance.incarnation == incarnation, &mut instance.direct)
+        else {
             return;
         };
         let entry = &self.targets[target].entry;
-        direct.apply_feedback(now, &entry.id, entry.incarnation, word);
-        if word.limit.is_some() {
-            node.told.push((target, self.now));
+        direct.apply_feedback(now, &entry.id, entry.incarnation, feedback);
+        if feedback.limit.is_some() {
+            instance.limits_told.push((target, self.now));
         }
-        if word.is_leaving {
-            self.tally.announce((at, life), target, self.now);
+        if feedback.is_leaving {
+            self.tally.announce((at, incarnation), target, self.now);
         }
     }
 
-    fn has_store(&self, node: &Node) -> bool {
-        self.now >= self.store && self.now >= node.cut
+    fn has_store(&self, instance: &Instance) -> bool {
+        self.now >= self.store_away_until && self.now >= instance.cut_until
     }
 
-    /// Rows are renewed and read.
-    fn store(&mut self) {
-        for at in 0..self.nodes.len() {
-            let node = &self.nodes[at];
-            if node.direct.is_none() || !self.has_store(node) {
+    /// Renews registrations and reads the store at all instances that reach it.
+    fn sync_with_store(&mut self) {
+        for at in 0..self.instances.len() {
+            let instance = &self.instances[at];
+            if instance.direct.is_none() || !self.has_store(instance) {
                 continue;
             }
-            if node.read != Time::ZERO && self.now.since(node.read) < READ {
+            if instance.read_at != Time::ZERO
+                && self.now.since(instance.read_at) < STORE_READ_INTERVAL
+            {
                 continue;
             }
             let revision = self.now.as_micros();
-            let listed = self.nodes.iter().filter(|n| n.row > self.now);
+            let listed = self.instances.iter().filter(|n| n.listed_until > self.now);
             let listed: Vec<(Arc<str>, usize)> =
                 listed.map(|n| (Arc::clone(&n.name), n.region)).collect();
             let entries: Vec<Entry> = self.targets.iter().map(|t| t.entry_at(self.now)).collect();
             let now = self.now;
-            let node = &mut self.nodes[at];
-            // A row is written when the first reading is done.
-            node.row = now + LEASE;
-            node.read = now;
-            let local = node.clock(now);
-            let Some(direct) = &mut node.direct else {
+            let instance = &mut self.instances[at];
+            // An instance registers once it has read the store.
+            instance.listed_until = now + REGISTRATION_TTL;
+            instance.read_at = now;
+            let local = instance.clock(now);
+            let Some(direct) = &mut instance.direct else {
                 continue;
             };
             direct.store_answered(local, revision);
@@ -422,35 +374,38 @@
         }
     }
 
-    fn beat(&mut self) {
-        for at in 0..self.nodes.len() {
-            let node = &mut self.nodes[at];
-            let local = node.clock(self.now);
-            let Some(direct) = &mut node.direct else {
+    fn send_heartbeats(&mut self) {
+        for at in 0..self.instances.len() {
+            let instance = &mut self.instances[at];
+            let local = instance.clock(self.now);
+            let Some(direct) = &mut instance.direct else {
                 continue;
             };
-            if self.now.since(node.beaten) < BEAT {
+            if self.now.since(instance.heartbeat_at) < HEARTBEAT_INTERVAL {
                 continue;
             }
-            node.beaten = self.now;
-            let beat = direct.heartbeat(local, true);
+            instance.heartbeat_at = self.now;
+            let heartbeat = direct.heartbeat(local, true);
             let notices = direct.target_notices(local);
             direct.sweep(local);
             let names: Vec<Arc<str>> = direct.others(local).map(|o| Arc::clone(o.0)).collect();
-            if self.now < node.cut {
+            if self.now < instance.cut_until {
                 continue;
             }
-            for to in 0..self.nodes.len() {
-                let known = names.contains(&self.nodes[to].name);
-                if !known || self.now < self.nodes[to].cut || self.rng.f64() < LOST {
+            for to in 0..self.instances.len() {
+                let known = names.contains(&self.instances[to].name);
+                if !known
+                    || self.now < self.instances[to].cut_until
+                    || self.rng.f64() < HEARTBEAT_LOSS
+                {
                     continue;
                 }
-                let way = self.some(1, 40);
-                self.later(
-                    way,
-                    Event::Beat {
-                        node: to,
-                        beat: beat.clone(),
+                let latency = self.random_duration(1, 40);
+                self.schedule(
+                    latency,
+                    Event::Heartbeat {
+                        instance: to,
+                        heartbeat: heartbeat.clone(),
                         notices: notices.clone(),
                     },
                 );
@@ -458,89 +413,106 @@
         }
     }
 
-    fn callers(&mut self) {
+    fn send_due_requests(&mut self) {
         let second = self.now.as_micros() / 1_000_000;
-        let wave = if self.plan.bursts && second % 10 >= 6 {
+        let burst_factor = if self.plan.bursts && second % 10 >= 6 {
             2.5
         } else {
             1.0
         };
         let scale = f64::from(u32::try_from(self.scale).unwrap_or(1));
-        self.owed += RATE * scale * wave * STEP.as_secs_f64();
-        while self.owed >= 1.0 {
-            self.owed -= 1.0 + (self.rng.f64() - 0.5) * 0.5;
-            let up: Vec<usize> = (0..self.nodes.len())
-                .filter(|n| self.nodes[*n].direct.is_some() && self.nodes[*n].read > Time::ZERO)
+        self.due_requests += REQUEST_RATE * scale * burst_factor * STEP.as_secs_f64();
+        while self.due_requests >= 1.0 {
+            self.due_requests -= 1.0 + (self.rng.f64() - 0.5) * 0.5;
+            let ready: Vec<usize> = (0..self.instances.len())
+                .filter(|n| {
+                    self.instances[*n].direct.is_some() && self.instances[*n].read_at > Time::ZERO
+                })
                 .collect();
-            if let Some(&node) = up.get(self.rng.usize(0..up.len().max(1))) {
-                self.ask(node);
+            if let Some(&instance) = ready.get(self.rng.usize(0..ready.len().max(1))) {
+                self.submit(instance);
             }
         }
     }
 
-    fn ask(&mut self, at: usize) {
+    fn submit(&mut self, at: usize) {
         let object = self.rng.u64(0..60 * self.scale as u64);
-        let node = &mut self.nodes[at];
-        let now = node.clock(self.now);
-        let Some(direct) = &mut node.direct else {
+        let instance = &mut self.instances[at];
+        let now = instance.clock(self.now);
+        let Some(direct) = &mut instance.direct else {
             return;
         };
-        let ask = Request {
+        let request = Request {
             route: Arc::clone(&self.routes.routes()[0]),
             authorized: None,
             object: Some(object),
             deadline: now + Duration::from_secs(4),
             fingerprint: Fingerprint(u128::from(now.as_micros()) << 64 | u128::from(object)),
         };
-        if let Ok(ticket) = direct.submit(now, ask) {
-            node.asks.push((ticket, self.tally.requests.len()));
+        if let Ok(ticket) = direct.submit(now, request) {
+            instance.pending.push((ticket, self.tally.requests.len()));
         }
-        self.tally.requests.push(Sent {
+        self.tally.requests.push(CallerRequest {
             at: self.now,
-            region: node.region,
+            region: instance.region,
             elsewhere: None,
         });
     }
 
     fn decide(&mut self) {
-        for at in 0..self.nodes.len() {
-            let node = &mut self.nodes[at];
-            let now = node.clock(self.now);
-            let (life, home) = (node.life, node.region);
-            let Some(direct) = &mut node.direct else {
+        for at in 0..self.instances.len() {
+            let instance = &mut self.instances[at];
+            let now = instance.clock(self.now);
+            let (incarnation, home_region) = (instance.incarnation, instance.region);
+            let Some(direct) = &mut instance.direct else {
                 continue;
             };
-            for order in direct.step(now) {
-                match order {
+            for decision in direct.step(now) {
+                match decision {
                     Decision::Reject { ticket, .. } => {
-                        self.nodes[at].asks.retain(|a| a.0 != ticket);
+                        self.instances[at].pending.retain(|a| a.0 != ticket);
+                    }
+                    Decision::Send(assignment) => {
+                        self.send(at, incarnation, home_region, assignment);
                     }
-                    Decision::Send(go) => self.send(at, life, home, go),
                 }
             }
         }
     }
 
-    fn send(&mut self, node: usize, life: u64, home: usize, go: Assignment) {
-        let found = self.targets.iter().find(|t| t.entry.id == go.target);
-        let elsewhere = found.is_some_and(|t| t.region != home);
-        let asks = &self.nodes[node].asks;
-        let mut asked = self.now;
-        if let Some((_, request)) = asks.iter().find(|a| a.0 == go.ticket) {
+    fn send(
+        &mut self,
+        instance: usize,
+        incarnation: u64,
+        home_region: usize,
+        assignment: Assignment,
+    ) {
+        let found = self
+            .targets
+            .iter()
+            .find(|t| t.entry.id == assignment.target);
+        let elsewhere = found.is_some_and(|t| t.region != home_region);
+        let pending = &self.instances[instance].pending;
+        let mut submitted_at = self.now;
+        if let Some((_, request)) = pending.iter().find(|a| a.0 == assignment.ticket) {
             let request = &mut self.tally.requests[*request];
             request.elsewhere.get_or_insert(elsewhere);
-            asked = request.at;
+            submitted_at = request.at;
         }
-        let way = if elsewhere { WAY.1 } else { WAY.0 };
-        let sent = self.now;
-        self.later(
-            MS * u32::try_from(way).unwrap_or(1),
-            Event::Land {
-                node,
-                life,
-                go,
-                asked,
-                sent,
+        let latency = if elsewhere {
+            LATENCY_MS.1
+        } else {
+            LATENCY_MS.0
+        };
+        let sent_at = self.now;
+        self.schedule(
+            MS * u32::try_from(latency).unwrap_or(1),
+            Event::Arrival {
+                instance,
+                incarnation,
+                assignment,
+                submitted_at,
+                sent_at,
             },
         );
     }
--- a/crates/measure/src/sums/tally.rs
+++ b/crates/measure/src/sums/tally.rs
@@ -1,4 +1,4 @@
-//! What targets saw, held against the bounds.
+//! What targets saw in a run, compared with the bounds.
 
 use core::time::Duration;
 
@@ -10,16 +10,16 @@
 /// A process of an instance: the instance's number, and which of its processes.
 pub type Process = (usize, u64);
 
-/// A target's answer that asked an instance for time without requests.
+/// Backoff that a target asked a process for.
 #[derive(Clone, Copy, Debug)]
-pub struct Pause {
-    /// The instance.
-    pub by: Process,
-    /// The target.
+pub struct BackoffRequest {
+    /// Process that was asked.
+    pub process: Process,
+    /// Target that asked.
     pub target: usize,
-    /// When the target answered.
+    /// Time of the answer.
     pub at: Time,
-    /// End of that time.
+    /// End of the backoff.
     pub until: Time,
 }
 
@@ -27,40 +27,40 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Notice {
     /// The instance.
-    pub by: Process,
+    pub process: Process,
     /// The target.
     pub target: usize,
-    /// When it was passed on.
+    /// Time at which the answer was passed on.
     pub at: Time,
 }
 
 /// One request that reached a target.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
-    /// The instance that sent it.
-    pub from: Process,
-    /// When its caller sent it.
-    pub asked: Time,
-    /// When it was sent.
-    pub sent: Time,
-    /// When it arrived.
+    /// Process that sent it.
+    pub process: Process,
+    /// Time at which its caller sent it.
+    pub submitted_at: Time,
+    /// Time at which the process sent it.
+    pub sent_at: Time,
+    /// Time of arrival.
     pub at: Time,
     /// The target.
     pub target: usize,
     /// Whether it was sent before, to another.
-    pub repeat: bool,
+    pub is_repeat: bool,
     /// Whether the target was cold.
-    pub cold: bool,
+    pub is_cold: bool,
     /// The limit that it named, in requests a second.
     pub limit: Option<f64>,
     /// Whether it had told the instance's callers of it for [`NOTICE`].
-    pub told: bool,
+    pub is_told: bool,
 }
 
-/// One request of a caller that was sent.
+/// Request of a caller.
 #[derive(Clone, Copy, Debug)]
-pub struct Sent {
-    /// When it came.
+pub struct CallerRequest {
+    /// Time of arrival.
     pub at: Time,
     /// Region of the instance that took it.
     pub region: usize,
@@ -69,11 +69,11 @@
 }
 
 /// Span over which requests to a cold target are counted.
-const SECOND: Duration = Duration::from_secs(1);
+const COLD_WINDOW: Duration = Duration::from_secs(1);
 
 /// Span over which requests to a target that names a limit are counted; what it
 /// may get in it over what the limit allows, and requests besides.
-const LIMITED: Duration = Duration::from_secs(4);
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 const LIMIT_FACTOR: f64 = 1.5;
 const LIMIT_SLACK: f64 = 5.0;
 
@@ -81,26 +81,26 @@
 /// as told.
 pub const NOTICE: Duration = Duration::from_millis(500);
 
-/// Time after a target asked for time without requests in which those on their way
+/// Time after a target asked for a backoff in which requests on their way
 /// may still arrive, and requests that may arrive later.
-const PAUSE_NOTICE: Duration = Duration::from_millis(500);
-const PAUSE_SLACK: f64 = 2.0;
+const BACKOFF_NOTICE: Duration = Duration::from_millis(500);
+const BACKOFF_SLACK: f64 = 2.0;
 
 /// Time after the first announcement of a stop from which callers' requests must not
 /// reach the target.
 const DRAIN: Duration = Duration::from_millis(2_500);
 
-/// Spans between which the share of a region is compared.
-const SPAN: Duration = Duration::from_secs(2);
+/// Windows between which the share of a region is compared.
+const SHIFT_WINDOW: Duration = Duration::from_secs(2);
 
-/// Step by which these slide.
-const STEP: Duration = Duration::from_millis(100);
+/// Step by which these windows slide.
+const SHIFT_STEP: Duration = Duration::from_millis(100);
 
 /// Requests of a region in a span below which one request alone is more than a
 /// fifth of the bound: nothing can be said of a share then.
-const LEAST: usize = 34;
+const SHARE_REQUESTS_MIN: usize = 34;
 
-/// All that was seen of one run.
+/// Records of one run.
 #[derive(Debug)]
 pub struct Tally {
     /// The bounds.
@@ -108,17 +108,17 @@
     /// Requests a second that a cold target bears.
     pub cold_rate: f64,
     /// Whether shares of regions are judged: not while instances come and go.
-    pub steady: bool,
+    pub is_steady: bool,
     /// Requests that were answered.
     pub answered: usize,
     /// In order of arrival.
     pub arrivals: Vec<Arrival>,
     /// In order of time.
-    pub pauses: Vec<Pause>,
+    pub backoffs: Vec<BackoffRequest>,
     /// One for each process and target.
     pub notices: Vec<Notice>,
     /// In order of time.
-    pub requests: Vec<Sent>,
+    pub requests: Vec<CallerRequest>,
 }
 
 impl Tally {
@@ -138,13 +138,13 @@
     /// Repeats that reached targets.
     #[must_use]
     pub fn repeats(&self) -> usize {
-        self.arrivals.iter().filter(|a| a.repeat).count()
+        self.arrivals.iter().filter(|a| a.is_repeat).count()
     }
 
     /// Requests that reached cold targets.
     #[must_use]
     pub fn cold(&self) -> usize {
-        self.arrivals.iter().filter(|a| a.cold).count()
+        self.arrivals.iter().filter(|a| a.is_cold).count()
     }
 
     /// Requests that reached targets while they named a limit.
@@ -155,54 +155,67 @@
 
     /// Largest use of each bound.
     #[must_use]
-    pub fn most(&self) -> Use {
+    pub fn max_use(&self) -> Use {
         Use {
-            repeats: self.most_repeats(),
-            cold: self.most_cold(),
-            shift: if self.steady { self.most_shift() } else { 0.0 },
-            limit: self.most_limited(),
-            backoff: self.most_in_pause(),
-            leaving: self.after_drain(),
+            repeats: self.max_repeats(),
+            cold: self.max_cold(),
+            shift: if self.is_steady {
+                self.max_shift()
+            } else {
+                0.0
+            },
+            limit: self.max_limited(),
+            backoff: self.max_in_backoff(),
+            leaving: self.sent_after_drain(),
         }
     }
 
     /// Records an answer by which a target announced to an instance that it is about to
     /// stop.
-    pub fn announce(&mut self, by: Process, target: usize, at: Time) {
-        let is_known = |n: &Notice| n.by == by && n.target == target;
+    pub fn announce(&mut self, process: Process, target: usize, at: Time) {
+        let is_known = |n: &Notice| n.process == process && n.target == target;
         if !self.notices.iter().any(is_known) {
-            self.notices.push(Notice { by, target, at });
+            self.notices.push(Notice {
+                process,
+                target,
+                at,
+            });
         }
     }
 
-    fn most_in_pause(&self) -> f64 {
-        let within = |pause: &Pause| {
-            let from = pause.at + PAUSE_NOTICE;
+    fn max_in_backoff(&self) -> f64 {
+        let within = |backoff: &BackoffRequest| {
+            let from = backoff.at + BACKOFF_NOTICE;
             let is_counted = |a: &&Arrival| {
-                a.from == pause.by && a.target == pause.target && a.at >= from && a.at < pause.until
+                a.process == backoff.process
+                    && a.target == backoff.target
+                    && a.at >= from
+                    && a.at < backoff.until
             };
             number(self.arrivals.iter().filter(is_counted).count())
         };
-        self.pauses.iter().map(within).fold(0.0, f64::max) / PAUSE_SLACK
+        self.backoffs.iter().map(within).fold(0.0, f64::max) / BACKOFF_SLACK
     }
 
-    fn after_drain(&self) -> f64 {
+    fn sent_after_drain(&self) -> f64 {
         let after = |notice: &Notice| {
             let is_late = |a: &&Arrival| {
-                a.from == notice.by && a.target == notice.target && a.asked > notice.at + DRAIN
+                a.process == notice.process
+                    && a.target == notice.target
+                    && a.submitted_at > notice.at + DRAIN
             };
             self.arrivals.iter().filter(is_late).count()
         };
         number(self.notices.iter().map(after).sum())
     }
 
-    fn most_repeats(&self) -> f64 {
+    fn max_repeats(&self) -> f64 {
         let rule = self.bounds.retries;
-        let came: Vec<Time> = self.requests.iter().map(|r| r.at).collect();
+        let received: Vec<Time> = self.requests.iter().map(|r| r.at).collect();
         let repeats: Vec<Time> = self
             .arrivals
             .iter()
-            .filter(|a| a.repeat)
+            .filter(|a| a.is_repeat)
             .map(|a| a.at)
             .collect();
         let mut most = 0.0_f64;
@@ -215,7 +228,8 @@
             let within = |back: Duration| {
                 let upto = end.since(Time::ZERO).saturating_sub(back);
                 let from = upto.saturating_sub(rule.window);
-                came.iter()
+                received
+                    .iter()
                     .filter(|at| (from..=upto).contains(&at.since(Time::ZERO)))
                     .count()
             };
@@ -227,12 +241,14 @@
         most
     }
 
-    fn most_cold(&self) -> f64 {
+    fn max_cold(&self) -> f64 {
         let bound = self.cold_rate * self.bounds.cold_factor + self.bounds.cold_slack;
-        let cold: Vec<&Arrival> = self.arrivals.iter().filter(|a| a.cold).collect();
+        let cold: Vec<&Arrival> = self.arrivals.iter().filter(|a| a.is_cold).collect();
         let within = |first: &Arrival| {
             let inside = |a: &&&Arrival| {
-                a.target == first.target && a.sent >= first.sent && a.at < first.sent + SECOND
+                a.target == first.target
+                    && a.sent_at >= first.sent_at
+                    && a.at < first.sent_at + COLD_WINDOW
             };
             number(cold.iter().filter(inside).count())
         };
@@ -240,21 +256,21 @@
         most / bound
     }
 
-    fn most_limited(&self) -> f64 {
-        let limited: Vec<&Arrival> = self.arrivals.iter().filter(|a| a.told).collect();
+    fn max_limited(&self) -> f64 {
+        let limited: Vec<&Arrival> = self.arrivals.iter().filter(|a| a.is_told).collect();
         let mut most = 0.0_f64;
         for (at, first) in limited.iter().enumerate() {
             let Some(limit) = first.limit else { continue };
-            let bound = limit * LIMITED.as_secs_f64() * LIMIT_FACTOR + LIMIT_SLACK;
+            let bound = limit * LIMIT_WINDOW.as_secs_f64() * LIMIT_FACTOR + LIMIT_SLACK;
             let later = limited[at..].iter();
-            let window = later.take_while(|a| a.at.since(first.at) < LIMITED);
+            let window = later.take_while(|a| a.at.since(first.at) < LIMIT_WINDOW);
             let same = window.filter(|a| a.target == first.target);
             most = most.max(number(same.count()) / bound);
         }
         most
     }
 
-    fn most_shift(&self) -> f64 {
+    fn max_shift(&self) -> f64 {
         let Some(last) = self.requests.last() else {
             return 0.0;
         };
@@ -267,12 +283,15 @@
         let mut most = 0.0_f64;
         for region in 0..=regions {
             let mut start = Time::ZERO;
-            while start + SPAN * 2 <= last.at {
-                let shares = (self.share(region, start), self.share(region, start + SPAN));
+            while start + SHIFT_WINDOW * 2 <= last.at {
+                let shares = (
+                    self.share(region, start),
+                    self.share(region, start + SHIFT_WINDOW),
+                );
                 if let (Some(one), Some(other)) = shares {
                     most = most.max((one - other).abs() / self.bounds.shift_max);
                 }
-                start = start + STEP;
+                start = start + SHIFT_STEP;
             }
         }
         most
@@ -280,10 +299,10 @@
 
     fn share(&self, region: usize, from: Time) -> Option<f64> {
         let here = self.requests.iter().filter(|r| r.region == region);
-        let within = here.filter(|r| r.at >= from && r.at < from + SPAN);
+        let within = here.filter(|r| r.at >= from && r.at < from + SHIFT_WINDOW);
         let run: Vec<bool> = within.filter_map(|r| r.elsewhere).collect();
         let elsewhere = run.iter().filter(|e| **e).count();
-        (run.len() >= LEAST).then(|| number(elsewhere) / number(run.len()))
+        (run.len() >= SHARE_REQUESTS_MIN).then(|| number(elsewhere) / number(run.len()))
     }
 }
 
--- a/crates/measure/tests/virtual_time.rs
+++ b/crates/measure/tests/virtual_time.rs
@@ -74,9 +74,9 @@
 #[case::added("added")]
 fn keep_sums(#[case] plan: &str) {
     for line in sums::lines(1, 2, 25, plan, &[7]) {
-        let most = line.most;
+        let max = line.max;
         assert!(line.cold > 0, "nothing was seen: {line:?}");
-        assert!(most.cold <= 1.0 && most.repeats <= 1.0, "{line:?}");
+        assert!(max.cold <= 1.0 && max.repeats <= 1.0, "{line:?}");
     }
 }
 
@@ -89,7 +89,7 @@
 fn keep_named_limits(#[case] plan: &str, #[values(3, 7, 27)] size: usize) {
     let line = sums::line(1, 2, 22, plan, size).expect("it is a plan");
     assert!(line.limited > 0, "nothing was seen: {line:?}");
-    assert!(line.most.limit <= 1.0, "{line:?}");
+    assert!(line.max.limit <= 1.0, "{line:?}");
 }
 
 /// Targets asked instances for time without requests and got as many as before.
@@ -101,7 +101,7 @@
 fn keep_asked_backoffs(#[case] plan: &str, #[values(3, 7, 27)] size: usize) {
     let line = sums::line(1, 2, 26, plan, size).expect("it is a plan");
     assert!(line.asked > 0, "nothing was seen: {line:?}");
-    assert!(line.most.backoff <= 1.0, "{line:?}");
+    assert!(line.max.backoff <= 1.0, "{line:?}");
 }
 
 /// Targets announced that they were about to stop and got requests until they were gone
@@ -113,5 +113,5 @@
 fn drain_targets_that_announce_stop(#[case] plan: &str, #[values(3, 7, 27)] size: usize) {
     let line = sums::line(1, 2, 26, plan, size).expect("it is a plan");
     assert!(line.asked > 0, "nothing was seen: {line:?}");
-    assert!(line.most.leaving <= 0.0, "{line:?}");
+    assert!(line.max.leaving <= 0.0, "{line:?}");
 }
