--- a/crates/auburnrouter/src/direct/heartbeat.rs
+++ b/crates/auburnrouter/src/direct/heartbeat.rs
@@ -1,5 +1,5 @@
 //! Datagrams between instances: heartbeats, notices of what targets asked, reports of
-//! requests that crash targets and turns of those that may, and reports and grants of
+//! requests that crash targets and permits to run those that may, and reports and grants of
 //! quota tokens.
 //!
 //! Datagrams may be lost: counts and totals are repeated in later ones, and none
@@ -12,9 +12,9 @@
 use futures_lite::future;
 use smol::net;
 use steer::process::direct::members;
+use steer::process::direct::permit;
 use steer::process::direct::quota;
 use steer::process::direct::suspect::SuspectMessage;
-use steer::process::direct::turn;
 use wire::direct::suspects::Suspects;
 use wire::direct::{DATAGRAM_MAX, Heartbeat, Message};
 
@@ -106,17 +106,17 @@
     }
 }
 
-/// Time between two rounds of news about suspects, and of askings for their turns.
+/// Time between two rounds of news about suspects, and of requests for permits to run them.
 const NEWS_INTERVAL_MIN: Duration = Duration::from_millis(5);
 
-/// Tells other instances which requests crash targets, or may, and asks for turns of the
-/// latter, until the process ends: news at once, and everything in turn.
+/// Tells other instances which requests crash targets, or may, and requests permits to
+/// run the latter, until the process ends: news at once, and everything in turn.
 pub async fn report_suspects(shared: Arc<Shared>, socket: net::UdpSocket) {
     let mut told_at = shared.now();
     loop {
-        let is_asking = shared.read(|_, d| d.is_asking_turns());
+        let is_asking = shared.read(|_, d| d.is_requesting_permits());
         let pace = if is_asking {
-            turn::ASK_INTERVAL
+            permit::REQUEST_INTERVAL
         } else {
             HEARTBEAT_INTERVAL
         };
@@ -133,17 +133,17 @@
                 told_at = now;
             }
             let all = is_turn.then(|| direct.suspect_message(now)).flatten();
-            (direct.turn_asks(now), direct.suspect_news(now), all)
+            (direct.permit_requests(now), direct.suspect_news(now), all)
         };
         for (addr, ask) in asks {
-            let ask = Message::TurnAsk(ask.into()).encode();
-            // A failed send counts as a lost datagram: it is asked again.
+            let ask = Message::PermitRequest(ask.into()).encode();
+            // A failed send counts as a lost datagram: the request is repeated.
             let _ = socket.send_to(&ask, addr).await;
         }
         for message in news.into_iter().chain(all) {
             send_suspects(&shared, &socket, message).await;
         }
-        // A turn that this instance gives itself may let a request go.
+        // A permit that this instance issues to itself may let a request go.
         shared.decide(|_, _| ());
         smol::Timer::after(NEWS_INTERVAL_MIN).await;
     }
@@ -220,18 +220,18 @@
                 let (sender, reports) = suspects.decode();
                 shared.decide(|now, d| d.receive_suspects(now, &sender, &reports));
             }
-            Ok(Message::TurnAsk(ask)) => {
+            Ok(Message::PermitRequest(ask)) => {
                 let ask = ask.into();
-                let answer = shared.decide(|now, d| d.receive_turn_ask(now, &ask));
+                let answer = shared.decide(|now, d| d.receive_permit_request(now, &ask));
                 if let Some(answer) = answer {
-                    let answer = Message::TurnAnswer(answer.into()).encode();
-                    // A failed send counts as a lost datagram: it is asked again.
+                    let answer = Message::PermitReply(answer.into()).encode();
+                    // A failed send counts as a lost datagram: the request is repeated.
                     let _ = socket.send_to(&answer, from).await;
                 }
             }
-            Ok(Message::TurnAnswer(answer)) => {
+            Ok(Message::PermitReply(answer)) => {
                 let answer = answer.into();
-                shared.decide(|now, d| d.receive_turn_answer(now, &answer));
+                shared.decide(|now, d| d.receive_permit_reply(now, &answer));
             }
             Ok(Message::Grant(grant)) => {
                 let grant = quota::Grant::from(grant);
--- a/crates/auburnrouter/tests/soak/callers.rs
+++ b/crates/auburnrouter/tests/soak/callers.rs
@@ -16,7 +16,7 @@
 const CALLER_COUNT: usize = 8;
 
 /// Read timeout for an answer; the deadline that callers send is 2.5 s.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
+const REPLY_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// State shared by all callers.
 pub struct Callers {
@@ -143,6 +143,6 @@
     let addr = *addrs.get(rng.usize(0..addrs.len().max(1)))?;
     let host = u8::try_from(number).expect("there are few callers") + 2;
     let stream = harness::connect_from(host, addr)?;
-    stream.set_read_timeout(Some(ANSWER_TIMEOUT)).ok()?;
+    stream.set_read_timeout(Some(REPLY_TIMEOUT)).ok()?;
     Some(stream)
 }
--- a/crates/intent/src/document.rs
+++ b/crates/intent/src/document.rs
@@ -91,7 +91,7 @@
     Hash(Sha256::digest(bytes).into())
 }
 
-/// Turns a checked bundle's files to documents, sorted by name. Overlays are
+/// Permits a checked bundle's files to documents, sorted by name. Overlays are
 /// named by their sites; block files are joined and cut into chunks.
 ///
 /// # Errors
--- a/crates/measure/src/crashes/fleet.rs
+++ b/crates/measure/src/crashes/fleet.rs
@@ -10,9 +10,9 @@
 use steer::clock::Time;
 use steer::process::direct::mechanisms::Mechanisms;
 use steer::process::direct::members::{Heartbeat, Registration};
+use steer::process::direct::permit::{PermitReply, PermitRequest};
 use steer::process::direct::suspect::SuspectMessage;
 use steer::process::direct::target::Entry;
-use steer::process::direct::turn::{TurnAnswer, TurnAsk};
 use steer::process::direct::{
     Assignment, AttemptOutcome, Decision, Direct, FollowUp, Identity, Rejection, Request, Ticket,
 };
@@ -50,8 +50,8 @@
 enum Message {
     Heartbeat(Box<Heartbeat>),
     Suspects(Arc<str>, Vec<Report>),
-    TurnAsk(TurnAsk),
-    TurnAnswer(TurnAnswer),
+    PermitRequest(PermitRequest),
+    PermitReply(PermitReply),
 }
 
 enum Event {
@@ -228,7 +228,7 @@
             Event::Beat(instance) => self.beat(instance),
             Event::Step => {
                 for instance in 0..self.case.instances {
-                    self.ask_turns(instance);
+                    self.request_permits(instance);
                     if self.instances[instance].waiting_count() > 0 {
                         self.step(instance);
                     }
@@ -265,14 +265,14 @@
                     Message::Suspects(sender, reports) => {
                         direct.receive_suspects(self.now, &sender, &reports);
                     }
-                    Message::TurnAsk(ask) => {
-                        if let Some(answer) = direct.receive_turn_ask(self.now, &ask) {
+                    Message::PermitRequest(ask) => {
+                        if let Some(answer) = direct.receive_permit_request(self.now, &ask) {
                             let number = ask.name.trim_start_matches('i').parse();
                             let to = number.expect("names have numbers");
-                            self.plan(WAY, Event::Receive(to, Message::TurnAnswer(answer)));
+                            self.plan(WAY, Event::Receive(to, Message::PermitReply(answer)));
                         }
                     }
-                    Message::TurnAnswer(answer) => direct.receive_turn_answer(self.now, &answer),
+                    Message::PermitReply(answer) => direct.receive_permit_reply(self.now, &answer),
                 }
                 self.step(instance);
             }
@@ -366,15 +366,15 @@
             }
         }
         if self.instances[instance].is_news_due() {
-            self.ask_turns(instance);
+            self.request_permits(instance);
             let news = self.instances[instance].suspect_news(self.now);
             self.send_suspects(instance, news);
         }
     }
 
-    fn ask_turns(&mut self, instance: usize) {
-        for (addr, ask) in self.instances[instance].turn_asks(self.now) {
-            self.send(addr, Message::TurnAsk(ask));
+    fn request_permits(&mut self, instance: usize) {
+        for (addr, ask) in self.instances[instance].permit_requests(self.now) {
+            self.send(addr, Message::PermitRequest(ask));
         }
     }
 
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -25,6 +25,7 @@
 pub mod members;
 mod message;
 pub mod notice;
+pub mod permit;
 pub mod place;
 mod queue;
 pub mod quota;
@@ -36,7 +37,6 @@
 pub mod split;
 pub mod suspect;
 pub mod target;
-pub mod turn;
 pub mod upstream;
 pub mod verdict;
 
@@ -101,10 +101,10 @@
     rows: verdict::Rows,
     /// Counts the turns of messages on suspects.
     suspect_turn: u64,
-    /// Turns of suspects.
-    turns: turn::Turns,
-    /// Whether a turn is to be asked for or ended at once.
-    is_ask_due: bool,
+    /// Permits of suspects.
+    permits: permit::Permits,
+    /// Whether a permit is to be requested or released at once.
+    is_permit_request_due: bool,
     /// Whether others are to be told of changed strikes at once.
     news_due: suspect::NewsDue,
     /// Position of the next message in the rotation over all suspects.
@@ -170,8 +170,8 @@
             breaks: Vec::new(),
             rows: verdict::Rows::default(),
             suspect_turn: 0,
-            turns: turn::Turns::default(),
-            is_ask_due: false,
+            permits: permit::Permits::default(),
+            is_permit_request_due: false,
             news_due: suspect::NewsDue::None,
             suspect_cursor: 0,
             suspect_changes: Vec::new(),
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -23,7 +23,7 @@
         match &job.state {
             State::InFlight { target, .. } => {
                 self.end_in_flight(target);
-                self.end_turn(job.request.fingerprint, ticket);
+                self.release_permit(job.request.fingerprint, ticket);
             }
             State::Waiting => self.refund_token(now, &job),
         }
@@ -43,10 +43,10 @@
         if !is_trial && self.is_refused(now, assignment.fingerprint) {
             return Some(Withheld::Poison);
         }
-        // It was decided on before the first strike, or has lost its turn.
+        // It was decided on before the first strike, or has no permit.
         if !is_trial
             && self.suspects.strikes(assignment.fingerprint) > assignment.strikes
-            && !self.is_in_turn(assignment.fingerprint, assignment.ticket)
+            && !self.holds_permit(assignment.fingerprint, assignment.ticket)
         {
             return Some(Withheld::Suspect);
         }
@@ -92,7 +92,7 @@
         };
         self.end_in_flight(&target);
         self.update_suspects(now, &self.jobs[at].clone(), &target, sent_at, outcome);
-        self.end_turn(self.jobs[at].request.fingerprint, ticket);
+        self.release_permit(self.jobs[at].request.fingerprint, ticket);
         let elapsed = now.since(sent_at).as_secs_f64();
         let object = self.jobs[at].request.object;
         let ratio = (!queued).then_some(elapsed / service_time.max(0.001));
--- a/crates/steer/src/process/direct/queue.rs
+++ b/crates/steer/src/process/direct/queue.rs
@@ -200,7 +200,7 @@
             queued,
         };
         let (attempt, strikes) = (job.tried.len(), job.strikes);
-        self.begin_turn(fingerprint, ticket);
+        self.use_permit(fingerprint, ticket);
         Assignment {
             ticket,
             target: id,
--- a/crates/steer/src/process/direct/quota/link.rs
+++ b/crates/steer/src/process/direct/quota/link.rs
@@ -12,7 +12,7 @@
 use crate::clock::Time;
 
 /// Time without an answer after which another pool is chosen.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+const REPLY_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Time for which a pool that did not answer is not chosen.
 const FAILED_POOL_BACKOFF: Duration = Duration::from_secs(4);
@@ -69,7 +69,7 @@
         self.failed
             .retain(|(_, at)| now.since(*at) < FAILED_POOL_BACKOFF);
         if let Some((name, at)) = &self.pool
-            && now.since(*at) >= ANSWER_TIMEOUT
+            && now.since(*at) >= REPLY_TIMEOUT
             && name != own
         {
             self.failed.push((Arc::clone(name), now));
--- a/crates/steer/src/process/direct/suspect.rs
+++ b/crates/steer/src/process/direct/suspect.rs
@@ -46,7 +46,7 @@
 /// thousand instances in about five turns.
 const NEWS_FANOUT: usize = 4;
 
-/// Turns between messages without news.
+/// Permits between messages without news.
 const QUIET_TURNS: u64 = 8;
 
 /// Time after a break from which a target that the store still lists has not crashed: the
@@ -174,17 +174,17 @@
         let is_copy = |job: &Job| {
             job.request.fingerprint == fingerprint && matches!(job.state, State::InFlight { .. })
         };
-        if self.jobs.iter().any(is_copy) || !self.has_turn(now, fingerprint) {
+        if self.jobs.iter().any(is_copy) || !self.has_permit(now, fingerprint) {
             Suspicion::Waits
         } else {
             Suspicion::None
         }
     }
 
-    /// Whether [`Direct::suspect_news`] or [`Direct::turn_asks`] is to be called at once.
+    /// Whether [`Direct::suspect_news`] or [`Direct::permit_requests`] is to be called at once.
     #[must_use]
     pub fn is_news_due(&self) -> bool {
-        self.is_ask_due || self.news_due != NewsDue::None
+        self.is_permit_request_due || self.news_due != NewsDue::None
     }
 
     /// Whether a request is always refused here.
--- a/crates/steer/tests/direct.rs
+++ b/crates/steer/tests/direct.rs
@@ -23,6 +23,8 @@
 mod members;
 #[path = "direct/notice.rs"]
 mod notice;
+#[path = "direct/permit.rs"]
+mod permit;
 #[path = "direct/place.rs"]
 mod place;
 #[path = "direct/quota.rs"]
@@ -47,7 +49,5 @@
 mod stop;
 #[path = "direct/suspect.rs"]
 mod suspect;
-#[path = "direct/turn.rs"]
-mod turn;
 #[path = "direct/upstream.rs"]
 mod upstream;
--- a/crates/steer/tests/direct/turn.rs
+++ b/crates/steer/tests/direct/permit.rs
@@ -1,12 +1,12 @@
-//! Turns of suspects over several instances, and answers as evidence.
+//! Permits of suspects over several instances, and answers as evidence.
 
 use std::sync::Arc;
 
 use rstest::rstest;
 use steer::clock::Time;
 use steer::process::direct::members::Registration;
+use steer::process::direct::permit::PermitRequest;
 use steer::process::direct::suspect::{ANSWERED_STRIKES_MAX, STRIKES_MAX};
-use steer::process::direct::turn::TurnAsk;
 use steer::process::direct::{AttemptOutcome, Decision, Rejection, Withheld};
 use steer::request::arrival::Fingerprint;
 use steer::request::poison::{Report, SUSPECT_TTL};
@@ -55,7 +55,7 @@
     }
 }
 
-/// Delivers all messages about turns, but those to and from `cut`; returns the requests
+/// Delivers all messages about permits, but those to and from `cut`; returns the requests
 /// that are sent or rejected, by instance.
 fn exchange(fleet: &mut [Bench], now: Time, cut: Option<usize>) -> Vec<(usize, Decision)> {
     let mut decisions = Vec::new();
@@ -64,13 +64,13 @@
             fleet[number].direct.store_answered(now, 1);
             let decided = fleet[number].direct.step(now).into_iter();
             decisions.extend(decided.map(|d| (number, d)));
-            for (addr, ask) in fleet[number].direct.turn_asks(now) {
-                let giver = usize::from(addr.port()) - 1;
-                if [Some(number), Some(giver)].contains(&cut) {
+            for (addr, ask) in fleet[number].direct.permit_requests(now) {
+                let issuer = usize::from(addr.port()) - 1;
+                if [Some(number), Some(issuer)].contains(&cut) {
                     continue;
                 }
-                if let Some(answer) = fleet[giver].direct.receive_turn_ask(now, &ask) {
-                    fleet[number].direct.receive_turn_answer(now, &answer);
+                if let Some(answer) = fleet[issuer].direct.receive_permit_request(now, &ask) {
+                    fleet[number].direct.receive_permit_reply(now, &answer);
                 }
             }
         }
@@ -114,14 +114,14 @@
     }
 }
 
-/// A suspect was never tried again when the instance that gives its turns could not be
+/// A suspect was never tried again when the instance that issues its permits could not be
 /// reached, or had gone while a copy ran.
 #[rstest]
-#[case::giver_cut_off(0)]
+#[case::issuer_cut_off(0)]
 #[case::holder_gone(1)]
 fn pass_over_unreachable_instance(#[case] lost: usize) {
     const INSTANCES: usize = 3;
-    // Found by the answers: the giver answers the asking of another instance.
+    // The issuer is whom another instance sends its request to.
     let mut probe = fleet(INSTANCES);
     tell(&mut probe, at(0), suspect(1));
     probe[0].submit(at(10), Some(1));
@@ -129,17 +129,17 @@
     probe[0].direct.step(at(10));
     probe[1].direct.step(at(10));
     let asked = (0..2).find_map(|n| {
-        let asks = probe[n].direct.turn_asks(at(10));
+        let asks = probe[n].direct.permit_requests(at(10));
         asks.first().map(|(addr, _)| usize::from(addr.port()) - 1)
     });
-    let giver = asked.expect("two instances can't both be the giver");
-    let others: Vec<usize> = (0..INSTANCES).filter(|n| *n != giver).collect();
+    let issuer = asked.expect("two instances can't both be the issuer");
+    let others: Vec<usize> = (0..INSTANCES).filter(|n| *n != issuer).collect();
     let mut fleet = fleet(INSTANCES);
     tell(&mut fleet, at(0), suspect(1));
     let (cut, runner) = if lost == 0 {
-        (giver, others[0])
+        (issuer, others[0])
     } else {
-        // This one gets the turn, and is never heard of again.
+        // This one gets the permit, and is never heard of again.
         fleet[others[0]].submit(at(10), Some(1));
         assert_eq!(sent(&exchange(&mut fleet, at(10), None)), [others[0]]);
         (others[0], others[1])
@@ -156,13 +156,13 @@
         }
     }
     let sent_at = sent_at.expect("it is tried");
-    // The time of a turn, or that without an answer.
+    // The life of a permit, or the time without a reply.
     let bound = if lost == 0 { 400 } else { 3_200 };
     assert!(sent_at <= bound, "after {sent_at} ms");
 }
 
 /// A copy that was decided on before the first strike was sent beside the one that has the
-/// turn.
+/// permit.
 #[test]
 fn withhold_copy_decided_before_strike() {
     let mut fleet = fleet(2);
@@ -205,17 +205,17 @@
     assert_eq!(fleet[0].direct.suspect_counts(), (0, 0));
 }
 
-/// An instance was given a turn on what its giver had not heard of yet.
+/// An instance was issued a permit on what its issuer had not heard of yet.
 #[test]
-fn learn_strikes_by_asking() {
+fn learn_strikes_by_request() {
     let mut fleet = fleet(2);
-    let ask = TurnAsk {
+    let ask = PermitRequest {
         name: name(0),
         incarnation: 1,
         report: suspect(ANSWERED_STRIKES_MAX),
-        is_over: false,
+        is_release: false,
     };
-    let answer = fleet[1].direct.receive_turn_ask(at(0), &ask);
-    assert!(!answer.expect("it is asked").is_given);
+    let answer = fleet[1].direct.receive_permit_request(at(0), &ask);
+    assert!(!answer.expect("it is asked").is_granted);
     assert_eq!(fleet[1].direct.suspect_counts(), (1, 1));
 }
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -263,10 +263,10 @@
     Notices(Notices),
     /// What the sender holds against requests that crash targets.
     Suspects(suspects::Suspects),
-    /// Asks for a turn of a suspect, or ends one.
-    TurnAsk(suspects::TurnAsk),
-    /// Answer to an asking.
-    TurnAnswer(suspects::TurnAnswer),
+    /// Requests a permit to run a suspect, or releases one.
+    PermitRequest(suspects::PermitRequest),
+    /// Reply to such a request.
+    PermitReply(suspects::PermitReply),
 }
 
 /// Twins of [`notice::TargetNotice`].
--- a/crates/wire/src/direct/suspects.rs
+++ b/crates/wire/src/direct/suspects.rs
@@ -1,4 +1,4 @@
-//! Reports between instances of requests that crash targets, and turns of those that may.
+//! Reports between instances of requests that crash targets, and permits to run those that may.
 //!
 //! Invariant: times are rounded up to whole seconds, so that passing a report on doesn't
 //! shorten its life to nothing; the receiver bounds them.
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use steer::process::direct::turn;
+use steer::process::direct::permit;
 use steer::request::arrival;
 use steer::request::poison::Report;
 
@@ -60,64 +60,64 @@
     }
 }
 
-/// Asks for a turn of a suspect, or ends one. Twin of [`turn::TurnAsk`].
+/// Requests a permit to run a suspect, or releases one. Twin of [`permit::PermitRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TurnAsk {
+pub struct PermitRequest {
     name: String,
     incarnation: u64,
     report: Encoded,
-    is_over: bool,
+    is_release: bool,
 }
 
-impl From<turn::TurnAsk> for TurnAsk {
-    fn from(ask: turn::TurnAsk) -> Self {
+impl From<permit::PermitRequest> for PermitRequest {
+    fn from(ask: permit::PermitRequest) -> Self {
         Self {
             name: ask.name.as_ref().to_owned(),
             incarnation: ask.incarnation,
             report: encode(&ask.report),
-            is_over: ask.is_over,
+            is_release: ask.is_release,
         }
     }
 }
 
-impl From<TurnAsk> for turn::TurnAsk {
-    fn from(ask: TurnAsk) -> Self {
+impl From<PermitRequest> for permit::PermitRequest {
+    fn from(ask: PermitRequest) -> Self {
         Self {
             name: Arc::from(ask.name),
             incarnation: ask.incarnation,
             report: decode(ask.report),
-            is_over: ask.is_over,
+            is_release: ask.is_release,
         }
     }
 }
 
-/// Answer of the instance that gives turns. Twin of [`turn::TurnAnswer`].
+/// Reply of an issuer of permits. Twin of [`permit::PermitReply`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TurnAnswer {
+pub struct PermitReply {
     name: String,
     incarnation: u64,
     report: Encoded,
-    is_given: bool,
+    is_granted: bool,
 }
 
-impl From<turn::TurnAnswer> for TurnAnswer {
-    fn from(answer: turn::TurnAnswer) -> Self {
+impl From<permit::PermitReply> for PermitReply {
+    fn from(answer: permit::PermitReply) -> Self {
         Self {
             name: answer.name.as_ref().to_owned(),
             incarnation: answer.incarnation,
             report: encode(&answer.report),
-            is_given: answer.is_given,
+            is_granted: answer.is_granted,
         }
     }
 }
 
-impl From<TurnAnswer> for turn::TurnAnswer {
-    fn from(answer: TurnAnswer) -> Self {
+impl From<PermitReply> for permit::PermitReply {
+    fn from(answer: PermitReply) -> Self {
         Self {
             name: Arc::from(answer.name),
             incarnation: answer.incarnation,
             report: decode(answer.report),
-            is_given: answer.is_given,
+            is_granted: answer.is_granted,
         }
     }
 }
--- a/crates/wire/tests/direct.rs
+++ b/crates/wire/tests/direct.rs
@@ -7,8 +7,8 @@
 use steer::process::direct::limit::LimitReport;
 use steer::process::direct::members::{Heartbeat, Registration};
 use steer::process::direct::notice::TargetNotice;
+use steer::process::direct::permit::{PermitReply, PermitRequest};
 use steer::process::direct::suspect::REPORTS_MAX;
-use steer::process::direct::turn::{TurnAnswer, TurnAsk};
 use steer::request::arrival::Fingerprint;
 use steer::request::poison::Report;
 use wire::direct::suspects::Suspects;
@@ -113,35 +113,35 @@
 }
 
 #[test]
-fn turn_messages_round_trip() {
+fn permit_messages_round_trip() {
     let report = Report {
         fingerprint: Fingerprint(u128::MAX - 1),
         round: 7,
         strikes: 2,
         left: Duration::from_mins(10),
     };
-    let ask = TurnAsk {
+    let ask = PermitRequest {
         name: "near-1".into(),
         incarnation: u64::MAX,
         report,
-        is_over: true,
+        is_release: true,
     };
-    let bytes = Message::TurnAsk(ask.clone().into()).encode();
-    let Ok(Message::TurnAsk(decoded)) = Message::decode(&bytes) else {
+    let bytes = Message::PermitRequest(ask.clone().into()).encode();
+    let Ok(Message::PermitRequest(decoded)) = Message::decode(&bytes) else {
         panic!("not decoded");
     };
-    assert_eq!(TurnAsk::from(decoded), ask);
-    let answer = TurnAnswer {
+    assert_eq!(PermitRequest::from(decoded), ask);
+    let answer = PermitReply {
         name: "far-1".into(),
         incarnation: 9,
         report,
-        is_given: true,
+        is_granted: true,
     };
-    let bytes = Message::TurnAnswer(answer.clone().into()).encode();
-    let Ok(Message::TurnAnswer(decoded)) = Message::decode(&bytes) else {
+    let bytes = Message::PermitReply(answer.clone().into()).encode();
+    let Ok(Message::PermitReply(decoded)) = Message::decode(&bytes) else {
         panic!("not decoded");
     };
-    assert_eq!(TurnAnswer::from(decoded), answer);
+    assert_eq!(PermitReply::from(decoded), answer);
 }
 
 #[test]
