Release a permit whose issuer replied after it was skipped

A suspect's copies were held back or rejected for up to 3 s where an issuer replied after 250 ms: the reply was left out, and the issuer went on holding the permit for this instance. It is released now. release_permit_of_skipped_issuer failed before.

--- a/crates/steer/src/process/direct/permit.rs
+++ b/crates/steer/src/process/direct/permit.rs
@@ -367,6 +367,8 @@
             let wanted = &self.permits.wanted[*at];
             wanted.issuer == reply.name && matches!(wanted.stage, Stage::Requested { .. })
         });
+        // Whether this is the issuer of a permit that was granted before.
+        let is_used = found.is_ok_and(|at| self.permits.wanted[at].issuer == reply.name);
         match pending {
             Some(at) if reply.is_granted => {
                 self.permits.wanted[at].stage = Stage::Granted {
@@ -382,7 +384,7 @@
                 }
             }
             // Replies to repeated requests arrive while the permit is used.
-            None if reply.is_granted && found.is_err() => {
+            None if reply.is_granted && !is_used => {
                 let issuer = Arc::clone(&reply.name);
                 self.permits.released.push((issuer, fingerprint));
                 self.is_permit_request_due = true;
--- a/crates/steer/tests/direct/permit.rs
+++ b/crates/steer/tests/direct/permit.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use steer::clock::Time;
 use steer::process::direct::members::Registration;
-use steer::process::direct::permit::PermitRequest;
+use steer::process::direct::permit::{PermitReply, PermitRequest};
 use steer::process::direct::suspect::{ANSWERED_STRIKES_MAX, STRIKES_MAX};
 use steer::process::direct::{AttemptOutcome, Decision, Rejection, Withheld};
 use steer::request::arrival::Fingerprint;
@@ -219,3 +219,29 @@
     assert!(!answer.expect("it is asked").is_granted);
     assert_eq!(fleet[1].direct.suspect_counts(), (1, 1));
 }
+
+/// An issuer whose reply came after it was skipped kept its permit for seconds.
+#[test]
+fn release_permit_of_skipped_issuer() {
+    let mut fleet = fleet(3);
+    tell(&mut fleet, at(0), suspect(1));
+    // One that doesn't issue the permits itself, so that it requests one.
+    let runner = (0..3).find(|number| {
+        fleet[*number].submit(at(10), Some(1));
+        fleet[*number].direct.step(at(10)).is_empty()
+    });
+    let direct = &mut fleet[runner.expect("two of three must request")].direct;
+    let first = direct.permit_requests(at(10)).pop().expect("one is due");
+    let later = direct.permit_requests(at(270));
+    let (second, _) = later.first().expect("another issuer is tried");
+    assert_ne!(*second, first.0);
+    let reply = PermitReply {
+        name: name(usize::from(first.0.port()) - 1),
+        incarnation: 1,
+        report: suspect(1),
+        is_granted: true,
+    };
+    direct.receive_permit_reply(at(280), &reply);
+    let due = direct.permit_requests(at(281));
+    assert!(due.iter().any(|(to, r)| *to == first.0 && r.is_release));
+}
