--- a/crates/steer/src/process/direct/suspect.rs
+++ b/crates/steer/src/process/direct/suspect.rs
@@ -229,9 +229,8 @@
     }
 
     /// Reports of changes that others are to be told of at once; `None` if there are none.
-    /// Whoever finds something tells the instances of its region that get its heartbeats,
-    /// of a verdict those of other regions too; whoever hears of a verdict tells some at
-    /// random, if there may be more.
+    /// Whoever finds something tells the instances that get its heartbeats, and whoever
+    /// hears of it tells some at random, if there may be more.
     pub fn suspect_news(&mut self, now: Time) -> Option<SuspectMessage> {
         let due = core::mem::take(&mut self.news_due);
         if due == NewsDue::None {
@@ -242,16 +241,12 @@
         let nearest = self.recipients(now);
         let mut recipients = nearest.local;
         recipients.extend(nearest.region);
-        // Traffic between regions costs most, and heartbeats tell strikes within a second.
-        let is_verdict = |r: &Report| r.strikes >= STRIKES_MAX;
-        if reports.iter().any(is_verdict) {
-            recipients.extend(nearest.remote);
-        }
+        recipients.extend(nearest.remote);
         let has_more = recipients.len() < self.participants.len();
         if due == NewsDue::Heard {
             recipients.clear();
         }
-        if has_more && reports.iter().any(is_verdict) {
+        if has_more {
             recipients.extend(self.random_recipients(now, NEWS_FANOUT));
         }
         recipients.sort_unstable();
