Show how connections to targets fail to open, and how many targets are ejected

`attempt` lines get `connect`, and there are auburnrouter_connect_faults_total{cause} and auburnrouter_targets_aside.

No decision is changed. The pool tells a connection that could not be opened from one that was closed before a byte was sent; both still count as not sent.

--- a/crates/auburnrouter/src/daemon/outbound.rs
+++ b/crates/auburnrouter/src/daemon/outbound.rs
@@ -152,7 +152,7 @@
         match self.pool.send(attempt.addr, request).await {
             Ok(exchange) => receive(attempt.name, exchange).await,
             Err(pool::Error::Full) => target_full(),
-            Err(pool::Error::Unsent | pool::Error::Withheld) => {
+            Err(pool::Error::Unreachable(_) | pool::Error::Unsent | pool::Error::Withheld) => {
                 dispatch::AttemptOutcome::Unreachable.into()
             }
             Err(pool::Error::Broken) => dispatch::AttemptOutcome::Broken.into(),
--- a/crates/auburnrouter/src/direct/attempt.rs
+++ b/crates/auburnrouter/src/direct/attempt.rs
@@ -13,6 +13,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, StatusCode, Uri};
 use platform::headers;
+use pool::ConnectFault;
 use steer::process::direct::target::Feedback;
 use steer::process::direct::{Assignment, AttemptOutcome};
 
@@ -46,6 +47,8 @@
     pub outcome: AttemptOutcome,
     /// The complete answer, whatever the outcome; `None` if none was received.
     pub answer: Option<Response>,
+    /// Why no connection could be opened, if none could.
+    pub connect_fault: Option<ConnectFault>,
 }
 
 impl Completion {
@@ -53,6 +56,7 @@
         Self {
             outcome,
             answer: None,
+            connect_fault: None,
         }
     }
 }
@@ -90,6 +94,12 @@
     };
     let exchange = match sent {
         Ok(exchange) => exchange,
+        Err(pool::Error::Unreachable(fault)) => {
+            return Completion {
+                connect_fault: Some(fault),
+                ..Completion::without_answer(AttemptOutcome::NotSent)
+            };
+        }
         Err(pool::Error::Unsent | pool::Error::Full) => {
             return Completion::without_answer(AttemptOutcome::NotSent);
         }
@@ -130,6 +140,7 @@
     Completion {
         outcome,
         answer: Some(answer),
+        connect_fault: None,
     }
 }
 
--- a/crates/auburnrouter/src/direct/callers/routed.rs
+++ b/crates/auburnrouter/src/direct/callers/routed.rs
@@ -147,6 +147,7 @@
                 None
             }
         };
+        let mut connect_fault = None;
         let (outcome, answer) = if remaining().is_some() {
             let report = |feedback, headers: &HeaderMap| {
                 self.report(assignment, feedback, headers);
@@ -161,7 +162,10 @@
                 report,
             );
             match self.run_until(limit, run).await {
-                Some(completion) => (completion.outcome, completion.answer),
+                Some(completion) => {
+                    connect_fault = completion.connect_fault;
+                    (completion.outcome, completion.answer)
+                }
                 None => (AttemptOutcome::TimedOut, None),
             }
         } else {
@@ -193,6 +197,7 @@
                 outcome: outcome_name(outcome),
                 status,
                 withheld: withheld.into_inner(),
+                connect_fault,
                 feedback: reported.into_inner().unwrap_or_default(),
                 assignment,
                 object: self.object,
--- a/crates/auburnrouter/src/direct/dump.rs
+++ b/crates/auburnrouter/src/direct/dump.rs
@@ -20,6 +20,9 @@
 /// Mark of a target that asked this or another instance to send nothing for a time.
 pub const BACKOFF: &str = "backoff";
 
+/// Mark of a target that is ejected for a moment, as it could not be reached.
+pub const EJECTED: &str = "aside";
+
 /// State of an instance at one moment.
 #[derive(Serialize)]
 pub struct State {
@@ -215,7 +218,7 @@
         ),
         ("gone", target.is_gone),
         ("cold", target.is_cold(now)),
-        ("aside", target.is_ejected(now)),
+        (EJECTED, target.is_ejected(now)),
         (BACKOFF, target.backs_off(now)),
     ];
     all.iter().filter(|l| l.1).map(|l| l.0).collect()
--- a/crates/auburnrouter/src/direct/events/requests.rs
+++ b/crates/auburnrouter/src/direct/events/requests.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use pool::ConnectFault;
 use serde::Serialize;
 use steer::process::direct::Withheld;
 use steer::process::direct::target::Feedback;
@@ -45,6 +46,9 @@
     /// Why it was not sent, of a request that was withdrawn.
     #[serde(skip_serializing_if = "Option::is_none")]
     withheld: Option<&'a str>,
+    /// Why no connection to the target could be opened, if none could.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    connect: Option<&'a str>,
     /// Load of the target as estimated when the request was sent.
     believed: f64,
     /// Age of the target's last load report at that time, in milliseconds.
@@ -116,6 +120,8 @@
     pub status: u16,
     /// Why it was not sent, if it was withdrawn.
     pub withheld: Option<Withheld>,
+    /// Why no connection to the target could be opened, if none could.
+    pub connect_fault: Option<ConnectFault>,
     /// What the target's answer reports of the target.
     pub feedback: Feedback,
     /// The decision to send it there, with the estimates it was based on.
@@ -133,6 +139,10 @@
     if a.assignment.limit.is_some() {
         metrics.limited_attempts.inc();
     }
+    if let Some(fault) = a.connect_fault {
+        let counter = metrics.connect_faults.with_label_values(&[fault.name()]);
+        counter.inc();
+    }
     if let Some(slowdown) = a.feedback.slowdown {
         metrics.slowdown.observe(slowdown);
     }
@@ -149,6 +159,7 @@
         ending: a.outcome,
         status: a.status,
         withheld: a.withheld.map(Withheld::name),
+        connect: a.connect_fault.map(ConnectFault::name),
         believed: a.assignment.load,
         believed_ms: millis(a.assignment.load_age),
         load: a.feedback.load.unwrap_or_default(),
--- a/crates/auburnrouter/src/direct/metrics.rs
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -41,6 +41,8 @@
     registry: Registry,
     /// Attempts at targets, by outcome.
     pub attempts: IntCounterVec,
+    /// Connections to targets that could not be opened, by cause.
+    pub connect_faults: IntCounterVec,
     /// Answers that no target gave, by status and cause.
     pub own_answers: IntCounterVec,
     /// Time from a request's arrival to the start of each attempt.
@@ -125,6 +127,11 @@
                 "Attempts at targets, by ending",
                 &["ending"],
             )?,
+            connect_faults: counters(
+                "auburnrouter_connect_faults_total",
+                "Connections to targets that could not be opened, by cause",
+                &["cause"],
+            )?,
             own_answers: counters(
                 "auburnrouter_own_answers_total",
                 "Answers that no target gave, by status and cause",
--- a/crates/auburnrouter/src/direct/metrics/gauges.rs
+++ b/crates/auburnrouter/src/direct/metrics/gauges.rs
@@ -14,6 +14,7 @@
     targets_limited: IntGauge,
     targets_backing_off: IntGauge,
     targets_leaving: IntGauge,
+    targets_ejected: IntGauge,
     instances: IntGauge,
     version: IntGauge,
     revision: IntGauge,
@@ -56,6 +57,10 @@
                 "auburnrouter_targets_leaving",
                 "Targets that announced that they are about to stop",
             )?,
+            targets_ejected: gauge(
+                "auburnrouter_targets_aside",
+                "Targets that get no requests for a moment, as they could not be reached",
+            )?,
             instances: gauge("auburnrouter_instances", "Instances there, this one too")?,
             version: gauge("auburnrouter_config_version", "Configuration in force")?,
             revision: gauge("auburnrouter_store_revision", "Revision known whole")?,
@@ -104,6 +109,8 @@
             .set(count(|t| t.has_mark(dump::BACKOFF)));
         self.targets_leaving
             .set(count(|t| t.has_mark(dump::LEAVING)));
+        self.targets_ejected
+            .set(count(|t| t.has_mark(dump::EJECTED)));
         self.instances.set(int(state.instances.len() + 1));
         self.version.set(int64(state.version));
         self.revision.set(int64(state.revision));
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -7,11 +7,12 @@
 //! [`steer::connection::pool`] decides how many connections are open and which are
 //! reused.
 //!
-//! Invariants: [`Error::Unsent`] is returned only if no byte of the request left
-//! this process. Only a connection whose last response was read to its end returns
+//! Invariants: [`Error::Unreachable`] and [`Error::Unsent`] are returned only if no byte
+//! of the request left this process. Only a connection whose last response was read to its end returns
 //! to the pool: a cancelled, late or broken exchange drops its connection, so that
 //! a late response can't be read as the response to the next request.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -44,11 +45,51 @@
     pub connect_timeout: Duration,
 }
 
+/// How a connection failed to open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectFault {
+    /// The peer's machine refused it: nothing listens on the address.
+    Refused,
+    /// It was reset while it was being opened.
+    Reset,
+    /// It was not open within the connect timeout.
+    TimedOut,
+    /// The system reported another error.
+    Other,
+}
+
+impl ConnectFault {
+    /// Name in log lines and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Reset => "reset",
+            Self::TimedOut => "timeout",
+            Self::Other => "other",
+        }
+    }
+}
+
+impl From<io::Error> for ConnectFault {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Self::Refused,
+            io::ErrorKind::ConnectionReset => Self::Reset,
+            io::ErrorKind::TimedOut => Self::TimedOut,
+            _ => Self::Other,
+        }
+    }
+}
+
 /// Reasons why no response head was received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Error {
-    /// No byte of the request was sent.
+    /// No connection could be opened; nothing was sent.
     #[error("the request was not sent: no connection to the peer; check that it listens")]
+    Unreachable(ConnectFault),
+    /// The connection was closed before a byte of the request was sent.
+    #[error("the request was not sent: the peer closed the connection; retry it")]
     Unsent,
     /// The limit on open connections is reached; nothing was sent.
     #[error(
@@ -298,12 +339,13 @@
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<HttpLink, Error> {
-        let opened = async { net::TcpStream::connect(addr).await.ok() };
+        let opened = async { net::TcpStream::connect(addr).await.map_err(From::from) };
         let timeout = async {
             smol::Timer::after(self.limits.connect_timeout).await;
-            None
+            Err(ConnectFault::TimedOut)
         };
-        let stream = future::or(opened, timeout).await.ok_or(Error::Unsent)?;
+        let stream = future::or(opened, timeout).await;
+        let stream = stream.map_err(Error::Unreachable)?;
         // An error is harmless: without it, requests are slightly delayed.
         let _ = stream.set_nodelay(true);
         let io = smol_hyper::rt::FuturesIo::new(stream);
--- a/crates/pool/tests/pool.rs
+++ b/crates/pool/tests/pool.rs
@@ -10,7 +10,7 @@
 use futures_lite::future;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use http_body_util::BodyExt;
-use pool::{Error, Executor, Limits, Pool, Request};
+use pool::{ConnectFault, Error, Executor, Limits, Pool, Request};
 use rstest::rstest;
 
 /// Upper bound on the duration of a test.
@@ -111,7 +111,8 @@
         let (listener, addr) = listen();
         drop(listener);
         let pool = Pool::new(Arc::clone(executor), LIMITS);
-        assert_eq!(fetch(&pool, addr, "/").await, Err(Error::Unsent));
+        let refused = Error::Unreachable(ConnectFault::Refused);
+        assert_eq!(fetch(&pool, addr, "/").await, Err(refused));
     });
 }
 
@@ -126,7 +127,8 @@
         let fill = |_| TcpStream::connect_timeout(&addr, Duration::from_millis(100)).ok();
         let _filled: Vec<TcpStream> = (0..4).filter_map(fill).collect();
         let pool = Pool::new(Arc::clone(executor), LIMITS);
-        assert_eq!(fetch(&pool, addr, "/").await, Err(Error::Unsent));
+        let late = Error::Unreachable(ConnectFault::TimedOut);
+        assert_eq!(fetch(&pool, addr, "/").await, Err(late));
     });
 }
 
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -321,7 +321,7 @@
 
 const fn send_error(error: pool::Error) -> Error {
     match error {
-        pool::Error::Unsent => Error::Unreachable,
+        pool::Error::Unreachable(_) | pool::Error::Unsent => Error::Unreachable,
         pool::Error::Full | pool::Error::Withheld => Error::Busy,
         pool::Error::Broken | pool::Error::Malformed => Error::Lost,
     }
