Show that callers of instances that reach no target are rejected

Seven instances as processes, fourteen targets of two services, 60 requests a second, one in three of which must not repeat. The links of some instances to all targets are cut for 7.5 s, in three ways: open connections are reset and new ones refused; nothing passes; open ones live on and new ones are refused.

A link of one instance needs an address of its own for each target, so an instance's settings may translate the addresses that targets' entries list, as networks do; platform-standin has the links.

--- a/crates/auburnrouter/src/direct/shared.rs
+++ b/crates/auburnrouter/src/direct/shared.rs
@@ -138,7 +138,11 @@
             changes_cache: peer::ChangesCache::default(),
             is_unlisted: AtomicBool::new(false),
             ticker,
-            target_pool: pool::Pool::new(Arc::clone(traffic), limits),
+            target_pool: pool::Pool::with_translations(
+                Arc::clone(traffic),
+                limits,
+                settings.translations.clone(),
+            ),
             phase: Mutex::new(Phase::Serving),
             closing,
             close,
--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -12,6 +12,8 @@
 mod bystanders;
 #[path = "direct/crashes.rs"]
 mod crashes;
+#[path = "direct/cut.rs"]
+mod cut;
 #[path = "direct/follow.rs"]
 mod follow;
 #[path = "direct/keys.rs"]
--- /dev/null
+++ b/crates/auburnrouter/tests/direct/cut.rs
@@ -0,0 +1,258 @@
+//! Tests of instances whose links to all targets are cut while callers, the store and the
+//! other instances reach them.
+
+use std::net::Ipv4Addr;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use platform_standin::store::Route;
+use platform_standin::target::{Behavior, Run};
+use platform_standin::{Link, LinkState, Store, Target};
+use rstest::rstest;
+
+use super::harness::{self, Entry, HOST, wait_until};
+
+const DOMAINS: [&str; 3] = ["near-a", "near-b", "far-a"];
+const INSTANCES: usize = 7;
+const TARGETS: usize = 14;
+const PATHS: usize = 40;
+
+const TWO_SERVICES: [Route<'static>; 2] = [
+    Route {
+        prefix: "/view/",
+        service: "sheets",
+        is_idempotent: true,
+    },
+    Route {
+        prefix: "/pay/",
+        service: "bills",
+        is_idempotent: false,
+    },
+];
+
+/// Time between two requests, of which one in three must not repeat.
+const PAUSE: Duration = Duration::from_micros(16_667);
+const WORK: Duration = Duration::from_millis(150);
+
+/// When the links are cut, and for how long.
+const CALM: Duration = Duration::from_millis(1_500);
+const CUT: Duration = Duration::from_millis(7_500);
+
+/// Time from the cut on which callers at cut instances must be served like others.
+const CONTACT: Duration = Duration::from_secs(4);
+
+/// End of the span in which they are compared: the answers are here before the cut ends.
+const COMPARED: Duration = Duration::from_secs(7);
+
+/// Time after the cut's end from which the instances must serve by themselves.
+const RETURN: Duration = Duration::from_millis(1_500);
+const END: Duration = Duration::from_secs(12);
+
+/// A first try of a caller.
+struct Try {
+    /// Time since the start of the requests.
+    at: Duration,
+    instance: usize,
+    id: String,
+    /// Status of the answer; 0 if there was none.
+    status: u16,
+}
+
+struct Scene {
+    targets: Vec<Target>,
+    /// Links of each instance to all targets.
+    links: Vec<Vec<Link>>,
+    entries: Vec<Entry>,
+    begin: Instant,
+}
+
+impl Scene {
+    fn start() -> Self {
+        static NEXT: AtomicU8 = AtomicU8::new(1);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let process = u8::try_from(std::process::id() % 200).expect("it is small");
+        let store = Store::start().expect("a port is free");
+        store.configure(3, HOST, &TWO_SERVICES);
+        let start = |i: usize| {
+            let service = ["sheets", "bills"][i % 2];
+            let domain = DOMAINS[i / 2 % 3];
+            let target = Target::start(&format!("t{i}"), service, domain);
+            let target = target.expect("a port is free");
+            target.set(Behavior::Normal, WORK);
+            target.register(&store, "ready", 1);
+            target
+        };
+        let targets: Vec<Target> = (0..TARGETS).map(start).collect();
+        let links = (0..INSTANCES).map(|i| {
+            let host = u8::try_from(i + 1).expect("it is small");
+            let host = Ipv4Addr::new(127, 20 + process, number, host);
+            let open = |t: &Target| Link::open(host, t.addr()).expect("a port is free");
+            targets.iter().map(open).collect()
+        });
+        let links: Vec<Vec<Link>> = links.collect();
+        let entries = (0..INSTANCES).map(|i| {
+            let settings =
+                platform_standin::settings(&format!("i{i}"), DOMAINS[i % 3], store.addr(), &[]);
+            Entry::start_with(&translated(&settings, &targets, &links[i]))
+        });
+        let entries: Vec<Entry> = entries.collect();
+        for entry in &entries {
+            entry.await_ready();
+            wait_until("all targets and instances are known", || {
+                let dump = entry.dump();
+                let name = |i| format!("\"i{i}\"");
+                dump.matches("\"id\":\"t").count() == TARGETS
+                    && (0..INSTANCES).all(|i| dump.contains(&name(i)))
+            });
+        }
+        Self {
+            targets,
+            links,
+            entries,
+            begin: Instant::now(),
+        }
+    }
+
+    fn set_links(&self, instances: &[usize], state: LinkState) {
+        thread::scope(|scope| {
+            for instance in instances {
+                let links = &self.links[*instance];
+                scope.spawn(move || {
+                    for link in links {
+                        link.set(state).expect("its port is free");
+                    }
+                });
+            }
+        });
+    }
+
+    /// Sends requests at instances drawn at random until the end.
+    fn run_callers(&self, seed: u64) -> Vec<Try> {
+        let tries = Mutex::new(Vec::new());
+        let mut rng = Rng::with_seed(seed);
+        thread::scope(|scope| {
+            let mut count = 0;
+            while self.begin.elapsed() < END {
+                thread::sleep((PAUSE * count).saturating_sub(self.begin.elapsed()));
+                count += 1;
+                let instance = rng.usize(0..INSTANCES);
+                let (kind, method) = match rng.u8(0..3) {
+                    0 => ("pay", "POST"),
+                    _ => ("view", "GET"),
+                };
+                let path = format!("/{kind}/{}", rng.usize(0..PATHS));
+                let tries = &tries;
+                scope.spawn(move || {
+                    let id = format!("{kind}{count}");
+                    let at = self.begin.elapsed();
+                    let text = harness::request(method, &path, &id, "");
+                    let text = text.replace("Affinity-Key: 7", &format!("Affinity-Key: {path}"));
+                    let answer = harness::send_raw(self.entries[instance].callers, &text);
+                    let made = Try {
+                        at,
+                        instance,
+                        id,
+                        status: answer.map_or(0, |a| a.status),
+                    };
+                    tries.lock().expect("no thread panics").push(made);
+                });
+            }
+        });
+        tries.into_inner().expect("no thread panics")
+    }
+}
+
+/// Settings of an instance that reaches targets by its own links.
+fn translated(settings: &str, targets: &[Target], links: &[Link]) -> String {
+    let mut settings: serde_json::Value = serde_json::from_str(settings).expect("it is JSON");
+    let pairs = targets.iter().zip(links);
+    let table: serde_json::Map<String, serde_json::Value> = pairs
+        .map(|(target, link)| (target.addr().to_string(), link.addr().to_string().into()))
+        .collect();
+    settings["translate"] = table.into();
+    settings.to_string()
+}
+
+/// Served and all tries in a span, at the given instances or at the others.
+fn served(
+    tries: &[Try],
+    span: (Duration, Duration),
+    cut: &[usize],
+    is_cut: bool,
+) -> (usize, usize) {
+    let is_meant =
+        |t: &&Try| t.at >= span.0 && t.at < span.1 && cut.contains(&t.instance) == is_cut;
+    let all: Vec<&Try> = tries.iter().filter(is_meant).collect();
+    (all.iter().filter(|t| t.status == 200).count(), all.len())
+}
+
+/// Whether callers at cut instances are served at least two thirds as often as those at the
+/// others.
+fn is_fair(cut: (usize, usize), others: (usize, usize)) -> bool {
+    3 * cut.0 * others.1 >= 2 * others.0 * cut.1
+}
+
+fn check_runs(tries: &[Try], runs: &[Run]) {
+    let must_not_run = [408, 421, 429, 503];
+    for made in tries.iter().filter(|t| t.id.starts_with("pay")) {
+        let count = runs.iter().filter(|r| r.id == made.id).count();
+        assert!(count <= 1, "{} ran {count} times", made.id);
+        let is_promised = must_not_run.contains(&made.status);
+        assert!(
+            !is_promised || count == 0,
+            "{} ran despite {}",
+            made.id,
+            made.status
+        );
+    }
+}
+
+/// Callers of instances that reached no target were rejected for as long as that lasted.
+#[rstest]
+#[case::one_reset(&[0], LinkState::Reset, 1)]
+#[case::three_silent(&[0, 2, 4], LinkState::Silent, 2)]
+#[case::one_closed(&[3], LinkState::Closed, 3)]
+#[case::five_silent(&[0, 1, 2, 3, 4], LinkState::Silent, 4)]
+#[case::whole_domain_reset(&[0, 3, 6], LinkState::Reset, 5)]
+#[case::whole_region_reset(&[2, 5], LinkState::Reset, 6)]
+fn serve_callers_of_cut_instances(
+    #[case] cut: &[usize],
+    #[case] state: LinkState,
+    #[case] seed: u64,
+) {
+    let scene = Scene::start();
+    let tries = thread::scope(|scope| {
+        let callers = scope.spawn(|| scene.run_callers(seed));
+        thread::sleep(CALM.saturating_sub(scene.begin.elapsed()));
+        scene.set_links(cut, state);
+        thread::sleep((CALM + CUT).saturating_sub(scene.begin.elapsed()));
+        scene.set_links(cut, LinkState::Up);
+        callers.join().expect("no thread panics")
+    });
+    let both = |from, to| {
+        (
+            served(&tries, (from, to), cut, true),
+            served(&tries, (from, to), cut, false),
+        )
+    };
+    let first = both(CALM, CALM + CONTACT);
+    let later = both(CALM + CONTACT, CALM + COMPARED);
+    let after = both(CALM + CUT + RETURN, END);
+    println!(
+        "seed {seed}: at cut instances and others: first {first:?}, later {later:?}, after {after:?}"
+    );
+    let runs: Vec<Run> = scene.targets.iter().flat_map(Target::runs).collect();
+    check_runs(&tries, &runs);
+    assert!(is_fair(after.0, after.1));
+    assert!(is_fair(later.0, later.1));
+    for at in (0..INSTANCES).filter(|at| !cut.contains(at)) {
+        let lines: Arc<Mutex<Vec<String>>> = Arc::clone(&scene.entries[at].lines);
+        let lines = lines.lock().expect("no thread panics");
+        let is_refusal = |l: &&String| l.contains("own-answer") && l.contains("\"status\":503");
+        let refusals: Vec<&String> = lines.iter().filter(is_refusal).collect();
+        assert!(refusals.is_empty(), "{refusals:?}");
+    }
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -203,6 +203,8 @@
     start: Instant,
     executor: Executor,
     limits: Limits,
+    /// Addresses of peers, each with the one to connect to instead; sorted.
+    translations: Vec<(SocketAddr, SocketAddr)>,
     pools: Mutex<Vec<AddressPool>>,
 }
 
@@ -210,10 +212,22 @@
     /// Creates a pool without connections.
     #[must_use]
     pub fn new(executor: Executor, limits: Limits) -> Arc<Self> {
+        Self::with_translations(executor, limits, Vec::new())
+    }
+
+    /// Creates a pool without connections, which reaches some peers at other addresses
+    /// than those that requests name: pairs of both, sorted.
+    #[must_use]
+    pub fn with_translations(
+        executor: Executor,
+        limits: Limits,
+        translations: Vec<(SocketAddr, SocketAddr)>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             start: Instant::now(),
             executor,
             limits,
+            translations,
             pools: Mutex::new(Vec::new()),
         })
     }
@@ -339,6 +353,8 @@
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<HttpLink, Error> {
+        let found = self.translations.binary_search_by_key(&addr, |t| t.0);
+        let addr = found.map_or(addr, |at| self.translations[at].1);
         let opened = async { net::TcpStream::connect(addr).await.map_err(From::from) };
         let timeout = async {
             smol::Timer::after(self.limits.connect_timeout).await;
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -94,6 +94,9 @@
     pub store: SocketAddr,
     /// Addresses of peers to call first.
     pub seeds: Vec<SocketAddr>,
+    /// Addresses of targets as listed, each with the one at which this instance reaches
+    /// the target, where the network translates addresses; sorted.
+    pub translations: Vec<(SocketAddr, SocketAddr)>,
     /// Memory of the process in megabytes.
     pub memory_mb: u64,
     /// Largest number of file descriptors of the process.
@@ -103,7 +106,7 @@
 }
 
 /// Fields of a settings file.
-pub const SETTINGS_FIELDS: [&str; 10] = [
+pub const SETTINGS_FIELDS: [&str; 11] = [
     "name",
     "domain",
     "region",
@@ -111,6 +114,7 @@
     "listen",
     "store",
     "seeds",
+    "translate",
     "memory_mb",
     "descriptors",
     "bounds",
@@ -177,6 +181,9 @@
         writeln!(f, "  operators {}", listen.operators)?;
         writeln!(f, "  store     {}", self.store)?;
         writeln!(f, "  seeds     {}", crate::join(&self.seeds))?;
+        for (listed, reached) in &self.translations {
+            writeln!(f, "  translate {listed} to {reached}")?;
+        }
         writeln!(f, "  memory    {} MB", self.memory_mb)?;
         writeln!(f, "  files     {}", self.descriptors)?;
         writeln!(f, "  contact   {:?}", bounds.contact_loss)?;
@@ -236,6 +243,7 @@
     let listen = listen(&fields, faults);
     let store = addr(&fields, "store", faults);
     let seeds = seeds(&fields, faults);
+    let translations = translations(&fields, faults);
     let memory_mb = integer(&fields, "memory_mb", 16..=1_048_576, faults);
     let descriptors = integer(&fields, "descriptors", 64..=1_048_576, faults);
     let bounds = bounds(&fields, faults);
@@ -247,6 +255,7 @@
         listen: listen?,
         store: store?,
         seeds: seeds?,
+        translations,
         memory_mb: memory_mb?,
         descriptors: descriptors?,
         bounds: bounds?,
@@ -299,6 +308,35 @@
     Some(seeds)
 }
 
+/// Reads the table of translated addresses, which may be absent.
+fn translations(fields: &Fields<'_>, faults: &mut Vec<Fault>) -> Vec<(SocketAddr, SocketAddr)> {
+    let mut translations = Vec::new();
+    let Some(node) = fields.find("translate") else {
+        return translations;
+    };
+    for field in read::object(node, faults) {
+        let reached = read::parsed(
+            &field.node,
+            "an address with a port",
+            "192.0.2.7:8080",
+            faults,
+        );
+        let Ok(listed) = field.name.parse() else {
+            faults.push(Fault::new(
+                &field.node.place,
+                Kind::OutOfRange,
+                format!("\"{}\" is no address with a port", field.name),
+                "name the address that the target's entry lists, as in \"192.0.2.7:8080\""
+                    .to_owned(),
+            ));
+            continue;
+        };
+        translations.extend(reached.map(|reached| (listed, reached)));
+    }
+    translations.sort_unstable();
+    translations
+}
+
 fn listen(fields: &Fields<'_>, faults: &mut Vec<Fault>) -> Option<Listen> {
     let node = fields.require("listen", faults)?;
     let fields = Fields::open(node, &LISTEN_FIELDS, faults);
--- a/crates/settings/tests/direct.rs
+++ b/crates/settings/tests/direct.rs
@@ -30,6 +30,16 @@
 #[case::null(r#""store": "127.0.0.1:7""#, r#""store": null"#, "string")]
 #[case::unknown(r#""memory_mb""#, r#""memory_gb""#, "memory_mb")]
 #[case::address(r#""127.0.0.1:8""#, r#""here""#, "address")]
+#[case::listed(
+    r#""memory_mb""#,
+    r#""translate": { "here": "127.0.0.1:9" }, "memory_mb""#,
+    "here"
+)]
+#[case::reached(
+    r#""memory_mb""#,
+    r#""translate": { "127.0.0.1:9": "there" }, "memory_mb""#,
+    "there"
+)]
 fn refuse_settings(#[case] valid: &str, #[case] invalid: &str, #[case] named: &str) {
     let faults = Settings::parse("own", &VALID_TEXT.replacen(valid, invalid, 1))
         .expect_err("the settings are invalid");
@@ -38,6 +48,19 @@
     assert!(text.starts_with("own:"), "{text}");
 }
 
+#[test]
+fn read_translations() {
+    let table = r#""translate": { "127.0.0.1:9": "127.0.0.2:9", "127.0.0.1:8": "127.0.0.2:8" }, "memory_mb""#;
+    let text = VALID_TEXT.replacen(r#""memory_mb""#, table, 1);
+    let settings = Settings::parse("own", &text).expect("the settings are valid");
+    let addr = |text: &str| text.parse().expect("it is an address");
+    let sorted = ["8", "9"].map(|port| {
+        let (listed, reached) = (format!("127.0.0.1:{port}"), format!("127.0.0.2:{port}"));
+        (addr(&listed), addr(&reached))
+    });
+    assert_eq!(settings.translations, sorted);
+}
+
 #[test]
 fn report_all_faults() {
     let text = VALID_TEXT
