Let the soak cut instances from all targets

Each instance has links of its own to all targets, through which its settings translate their addresses. In one round of faults in twelve one instance or all but one is cut off for 0.2 to 3 s: reset, silent, or open connections live on.

The sender of a relayed request is the relay: what a target asks of the sender binds that one.

--- a/crates/auburnrouter/tests/soak.rs
+++ b/crates/auburnrouter/tests/soak.rs
@@ -16,6 +16,8 @@
 mod harness;
 #[path = "soak/invariants.rs"]
 mod invariants;
+#[path = "soak/links.rs"]
+mod links;
 #[path = "soak/proxy.rs"]
 mod proxy;
 #[path = "soak/requests.rs"]
@@ -39,7 +41,7 @@
 }
 
 /// Injects overlapping faults: kills, freezes, stops, broken connections, store
-/// outages, faulty targets, targets that ask for a backoff or announce their stop,
+/// outages, instances whose links to all targets are cut, faulty targets, targets that ask for a backoff or announce their stop,
 /// requests that crash targets, and configuration changes. What targets ask of an instance
 /// must be kept, a request that crashes targets refused, second attempts must stay within
 /// their bound and the caller's time, no unsafe request may run
