Let the emulator cut instances from all targets

A fault `unlink`: what is in flight breaks, connections don't open, probes fail; requests go by the relay that steering names, with its way added, if that is up and linked itself. Targets that are down are unreachable now, as they are to real processes, not merely not sent to.

--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -229,6 +229,13 @@
         /// Of a domain or of all.
         domain: Option<usize>,
     },
+    /// Instances reach no target, while callers and the other instances reach them.
+    Unlink {
+        /// How many.
+        share: f64,
+        /// Of a domain or of all.
+        domain: Option<usize>,
+    },
     /// A region is cut off from the others and the store; `one_way`: only what
     /// it sends is lost.
     Cut {
--- a/crates/emulator/src/plan/read.rs
+++ b/crates/emulator/src/plan/read.rs
@@ -424,9 +424,9 @@
     })
 }
 
-const TROUBLES: [&str; 17] = [
+const TROUBLES: [&str; 18] = [
     "burst", "shift", "again", "leave", "crash", "slow", "shed", "backoff", "announce", "fail",
-    "lose", "replace", "cold", "kill", "cut", "store", "evacuate",
+    "lose", "replace", "cold", "kill", "unlink", "cut", "store", "evacuate",
 ];
 
 fn trouble(
@@ -472,6 +472,7 @@
         "replace" => What::Replace(part),
         "cold" => What::Cold(part),
         "kill" => What::Kill { share, domain },
+        "unlink" => What::Unlink { share, domain },
         "cut" => What::Cut {
             region: Arc::clone(&regions[r.place("region", regions)?]),
             one_way: match r.fields.find("one_way") {
--- a/crates/emulator/src/world/central.rs
+++ b/crates/emulator/src/world/central.rs
@@ -337,7 +337,7 @@
             return;
         }
         let kind = self.kind(sent.request);
-        let not_run = matches!(ending, AttemptOutcome::NotRun | AttemptOutcome::NotSent);
+        let not_run = ending.is_not_run();
         let again = waiting.attempts < kind.attempts && self.now < waiting.limit;
         match ending {
             AttemptOutcome::Answered => {
--- a/crates/emulator/src/world/instance.rs
+++ b/crates/emulator/src/world/instance.rs
@@ -263,8 +263,7 @@
                 } => {
                     self.turn_away(number, ticket, reason, retry_after);
                 }
-                // No instance is cut off from targets here.
-                Decision::GiveUp { .. } => {}
+                Decision::GiveUp { ticket } => self.give_up(number, ticket),
             }
         }
         let instance = &mut self.instances[number];
@@ -329,7 +328,20 @@
         let place = &self.targets[target];
         let (to, there, born) = (place.domain, place.region, place.born);
         self.note_sent(region, there != region);
-        let way = self.way(domain, to);
+        let relay = match &go.relay {
+            None => None,
+            Some(relay) => match self.relay(number, &relay.name) {
+                Some(relay) => Some(relay),
+                None => return self.unsent(number, go.ticket, AttemptOutcome::RelayRefused),
+            },
+        };
+        let is_unlinked = relay.is_none() && self.is_unlinked(number);
+        // A relay has both ways more.
+        let hop = relay.map_or(0, |relay| {
+            self.way(domain, self.instances[relay].domain) * 2
+        });
+        let domain = relay.map_or(domain, |relay| self.instances[relay].domain);
+        let way = self.way(domain, to) + hop;
         let unsafe_way = if self.kind(request).idempotent {
             way
         } else {
@@ -344,8 +356,8 @@
             region,
             until,
         };
-        if self.is_cut(region, there) {
-            let ending = AttemptOutcome::NotSent;
+        if is_unlinked || self.is_cut(region, there) {
+            let ending = AttemptOutcome::Unreachable;
             self.after(
                 CONNECT,
                 Event::Back {
@@ -359,7 +371,44 @@
         }
     }
 
+    /// The instance that sends for another one, if it does.
+    fn relay(&self, sender: usize, name: &str) -> Option<usize> {
+        let relay = self.instances.iter().position(|i| *i.name == *name)?;
+        let (from, to) = (self.instances[sender].region, self.instances[relay].region);
+        let is_there = self.instances[relay].up && !self.is_cut(from, to);
+        (is_there && !self.is_unlinked(relay)).then_some(relay)
+    }
+
+    /// An attempt that steering gives up.
+    fn give_up(&mut self, number: usize, ticket: Ticket) {
+        let asks = &mut self.instances[number].asks;
+        let Ok(at) = asks.binary_search_by_key(&ticket, |a| a.ticket) else {
+            return;
+        };
+        let (request, current) = (asks[at].request, asks[at].current);
+        if let Some(target) = asks[at].at.take() {
+            self.cancel(target, request, current);
+        }
+        self.unsent(number, ticket, AttemptOutcome::GivenUp);
+    }
+
+    /// The connections of an instance to all targets break.
+    pub(super) fn break_links(&mut self, number: usize) {
+        let held = self.instances[number].asks.clone();
+        for held in held {
+            if let Some(target) = held.at {
+                self.cancel(target, held.request, held.current);
+                self.unsent(number, held.ticket, AttemptOutcome::ConnectionLost);
+            }
+        }
+    }
+
     fn lost(&mut self, number: usize, ticket: Ticket) {
+        self.unsent(number, ticket, AttemptOutcome::Unreachable);
+    }
+
+    /// Ends an attempt of which no answer comes.
+    fn unsent(&mut self, number: usize, ticket: Ticket, ending: AttemptOutcome) {
         let life = self.instances[number].life;
         let sent = Sent {
             request: 0,
@@ -370,9 +419,13 @@
             region: self.instances[number].region,
             until: self.now,
         };
-        let ending = AttemptOutcome::NotSent;
+        // Connecting takes its time; what breaks or is refused shows at once.
+        let delay = match ending {
+            AttemptOutcome::Unreachable => CONNECT,
+            _ => 0,
+        };
         self.after(
-            CONNECT,
+            delay,
             Event::Back {
                 sent,
                 ending,
@@ -395,11 +448,7 @@
         let Ok(at) = instance.asks.binary_search_by_key(&ticket, |a| a.ticket) else {
             return;
         };
-        let not_run = matches!(
-            ending,
-            AttemptOutcome::NotRun | AttemptOutcome::NotSent | AttemptOutcome::WrongTarget
-        );
-        instance.asks[at].may_have_run |= !not_run;
+        instance.asks[at].may_have_run |= !ending.is_not_run();
         instance.asks[at].at = None;
         let held = instance.asks[at].clone();
         let Some(direct) = &mut instance.direct else {
--- a/crates/emulator/src/world/instance/knowledge.rs
+++ b/crates/emulator/src/world/instance/knowledge.rs
@@ -10,6 +10,7 @@
 use steer::process::direct::StoreContact;
 use steer::process::direct::members::{Heartbeat, Registration};
 use steer::process::direct::notice::TargetNotice;
+use steer::process::direct::reach::Probe;
 use steer::process::direct::target::Entry;
 use steer::version::routes::{Limits, Route, Routes, Service, WeightedService};
 
@@ -170,8 +171,31 @@
         domains.collect()
     }
 
+    /// An instance probes targets, if its steering asks for it.
+    fn probe(&mut self, number: usize) {
+        let now = self.clock(number);
+        let Some(direct) = &mut self.instances[number].direct else {
+            return;
+        };
+        let probes = direct.begin_probes(now);
+        let region = self.instances[number].region;
+        let is_reached = |probe: &&Probe| {
+            let target = self.targets.iter().find(|t| t.name == probe.target);
+            target.is_some_and(|t| t.is_up() && !self.is_cut(region, t.region))
+        };
+        let reached = if self.is_unlinked(number) {
+            0
+        } else {
+            probes.iter().filter(is_reached).count()
+        };
+        if let Some(direct) = &mut self.instances[number].direct {
+            direct.finish_probes(now, reached, probes.len());
+        }
+    }
+
     /// An instance sends its heartbeat.
     pub(in crate::world) fn beat(&mut self, number: usize) {
+        self.probe(number);
         let now = self.clock(number);
         let region = self.instances[number].region;
         let away = self.is_store_away(region);
@@ -187,8 +211,6 @@
         if instance.beats.is_multiple_of(8) {
             direct.sweep(now);
         }
-        let probes = direct.begin_probes(now).len();
-        direct.finish_probes(now, probes, probes);
         let beat = direct.heartbeat(now, instance.beats.is_multiple_of(6));
         let notices = direct.target_notices(now);
         let afar = instance.beats.is_multiple_of(AFAR);
--- a/crates/emulator/src/world/target.rs
+++ b/crates/emulator/src/world/target.rs
@@ -153,7 +153,7 @@
         let place = sent.target;
         let target = &mut self.targets[place];
         if !target.up || target.born != sent.born {
-            self.answer(sent, AttemptOutcome::NotSent, 0);
+            self.answer(sent, AttemptOutcome::Unreachable, 0);
             return;
         }
         if target.backoff > 0 {
--- a/crates/emulator/src/world/trouble.rs
+++ b/crates/emulator/src/world/trouble.rs
@@ -34,6 +34,11 @@
                 }
             }
             What::Kill { share, domain } => self.kill_some(number, *share, *domain, span),
+            What::Unlink { share, domain } => {
+                for instance in self.some_instances(number, *share, *domain) {
+                    self.break_links(instance);
+                }
+            }
             What::Evacuate { .. } => self.tell_all(0),
             _ => self.harm(),
         }
@@ -119,7 +124,8 @@
         target.cold_until = self.now + cold;
     }
 
-    fn kill_some(&mut self, number: usize, share: f64, domain: Option<usize>, span: Micros) {
+    /// Instances that a trouble is about: the same at its beginning and its end.
+    fn some_instances(&self, number: usize, share: f64, domain: Option<usize>) -> Vec<usize> {
         let fits = |n: &usize| domain.is_none_or(|d| self.instances[*n].domain == d);
         let mut fit: Vec<usize> = (0..self.instances.len()).filter(fits).collect();
         let mut rng = fastrand::Rng::with_seed(number as u64 * 104_729 + 1);
@@ -131,7 +137,24 @@
             reason = "instances are few"
         )]
         let count = (share * fit.len() as f64).ceil() as usize;
-        for instance in fit.into_iter().take(count) {
+        fit.truncate(count);
+        fit
+    }
+
+    /// Whether an instance reaches no target.
+    pub(super) fn is_unlinked(&self, instance: usize) -> bool {
+        let faults = self.plan.faults.iter().enumerate();
+        let mut active = faults.filter(|(number, _)| self.active[*number]);
+        active.any(|(number, trouble)| match trouble.what {
+            What::Unlink { share, domain } => self
+                .some_instances(number, share, domain)
+                .contains(&instance),
+            _ => false,
+        })
+    }
+
+    fn kill_some(&mut self, number: usize, share: f64, domain: Option<usize>, span: Micros) {
+        for instance in self.some_instances(number, share, domain) {
             self.kill(instance);
             self.after(span, Event::Restart(instance));
         }
--- a/crates/emulator/tests/emulate.rs
+++ b/crates/emulator/tests/emulate.rs
@@ -109,6 +109,28 @@
     assert!("callers".parse::<Set>().is_err());
 }
 
+/// Callers of instances that reach no target are served by the one that does.
+#[rstest]
+#[case::one(0.3)]
+#[case::all_but_one(0.6)]
+fn serve_callers_of_unlinked_instances(#[case] share: f64) {
+    let text = SMALL.replace("\"span_s\": 6", "\"span_s\": 12");
+    let fault = format!(r#"{{"what": "unlink", "at_s": 2, "for_s": 8, "share": {share}}}"#);
+    let harmed = text.replace("\"faults\": []", &format!("\"faults\": [{fault}]"));
+    let served = |text: &str| {
+        let plan = Plan::parse("small", text, &[]).expect("it is sound");
+        let shares = (1..=4).map(|seed| score(&plan, PRODUCT, seed).served);
+        shares.sum::<f64>() / 4.0
+    };
+    let (calm, harmed) = (served(&text), served(&harmed));
+    println!("served {calm:.3} on a calm day, {harmed:.3} with the cut");
+    // Two thirds from the moment at which they must know.
+    assert!(
+        harmed >= calm * (1.0 - 8.0 / 12.0 * share / 3.0),
+        "{harmed} of {calm}"
+    );
+}
+
 /// One seed gives one run; another gives another.
 #[rstest]
 #[case::product(PRODUCT)]
