Return to any target that is reached while nobody relays

An instance that was cut off came back only once most of its probes succeeded. After an outage of all targets every instance is cut off and none relays; if less than half of the failure domains came back, none of them would have served again. While no relay has answered for 2 s, one target that is reached is enough.

Found by reading.

--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -196,12 +196,12 @@
                 self.record_unreached(now, target);
             }
             (
-                None,
+                _,
                 AttemptOutcome::Answered
                 | AttemptOutcome::Failed
                 | AttemptOutcome::NotRun
                 | AttemptOutcome::WrongTarget,
-            ) => self.record_reached(now),
+            ) => self.record_reached(now, relay.is_some()),
             _ => {}
         }
     }
--- a/crates/steer/src/process/direct/members.rs
+++ b/crates/steer/src/process/direct/members.rs
@@ -67,8 +67,8 @@
     pub seq: u64,
     /// Whether the sender has been told to stop.
     pub is_leaving: bool,
-    /// Whether the sender's knowledge of the store is so old that callers with keys are
-    /// better served elsewhere.
+    /// Whether callers are better served elsewhere: the sender's knowledge of the store is
+    /// too old for keys, or it is cut off from all targets.
     pub is_stale: bool,
     /// Revision of the store up to which the sender knows everything.
     pub revision: u64,
--- a/crates/steer/src/process/direct/reach.rs
+++ b/crates/steer/src/process/direct/reach.rs
@@ -6,7 +6,8 @@
 //! round of probes: a connection is opened to a target of each failure domain. If none
 //! opens, this instance is cut off, and other instances send its requests (see
 //! [`super::relay`]). It sends them itself again once most probes succeed in several
-//! rounds: as long as only some links are back, the others are the better way.
+//! rounds: as long as only some links are back, the others are the better way. If none of
+//! them relays, as when all targets were down, a single target that is reached is enough.
 //!
 //! Invariants: only a round of probes in which no connection opens makes an instance cut
 //! off; one that is sends nothing to targets; a round ends in bounded time; what failed
@@ -54,9 +55,12 @@
 const CUT_ROUND_PAUSE: Duration = Duration::from_millis(400);
 
 /// Rounds in a row in which most probes must succeed before this instance sends to targets
-/// again.
+/// again, while relays work.
 const GOOD_ROUNDS_MIN: u32 = 2;
 
+/// Time since the last answer by a relay for which relays count as working.
+const RELAY_WORKS_SPAN: Duration = Duration::from_secs(2);
+
 /// Evidence on whether this instance reaches targets.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Reach {
@@ -66,6 +70,8 @@
     failures: Vec<(Arc<str>, Time)>,
     /// Time of the last answer of a target to this instance itself.
     answered_at: Option<Time>,
+    /// Time of the last answer of a target by a relay.
+    relayed_at: Option<Time>,
     /// Start of the round of probes in progress.
     round_since: Option<Time>,
     /// End of the last round.
@@ -121,6 +127,23 @@
         count >= FAILED_TARGETS_MIN || count > 0 && is_quiet
     }
 
+    /// Counts a round of probes while cut off; returns whether targets are reached well
+    /// enough again.
+    fn is_back(&mut self, now: Time, reached: usize, probed: usize) -> bool {
+        let has_relay = self
+            .relayed_at
+            .is_some_and(|at| now.since(at) < RELAY_WORKS_SPAN);
+        if !has_relay {
+            return reached > 0;
+        }
+        self.good_rounds = if reached * 2 > probed {
+            self.good_rounds + 1
+        } else {
+            0
+        };
+        self.good_rounds >= GOOD_ROUNDS_MIN
+    }
+
     fn is_due(&self, now: Time) -> bool {
         let (is_wanted, pause) = match self.cut_since {
             Some(_) => (true, CUT_ROUND_PAUSE),
@@ -235,12 +258,7 @@
                 span: None,
             });
         };
-        if reached * 2 <= probed {
-            self.reach.good_rounds = 0;
-            return None;
-        }
-        self.reach.good_rounds += 1;
-        if self.reach.good_rounds < GOOD_ROUNDS_MIN {
+        if !self.reach.is_back(now, reached, probed) {
             return None;
         }
         self.reach.cut_since = None;
@@ -289,9 +307,13 @@
         }
     }
 
-    /// Records an answer of a target to this instance itself.
-    pub(super) const fn record_reached(&mut self, now: Time) {
-        self.reach.answered_at = Some(now);
+    /// Records an answer of a target to this instance itself, or by a relay.
+    pub(super) const fn record_reached(&mut self, now: Time, is_relayed: bool) {
+        if is_relayed {
+            self.reach.relayed_at = Some(now);
+        } else {
+            self.reach.answered_at = Some(now);
+        }
     }
 
     /// Whether a request sent at `sent_at` is the only evidence on its target: no target
