Bound what a request waits for relays, and drop idle connections of a cut

A round of probes counts for a second, as a busy process may be late with its result. Idle connections to targets are dropped when the instance finds itself cut off: whether they still work would show only when a request is lost on one, which is held against that request.

Found by reading. `give_up_after_some_relays`; `--test direct cut::` (9 passed).

--- a/crates/auburnrouter/src/direct/probe.rs
+++ b/crates/auburnrouter/src/direct/probe.rs
@@ -31,7 +31,10 @@
         let change = shared.decide(|now, d| d.finish_probes(now, reached, count));
         if let Some(change) = change {
             events::reach_changed(&shared, &change);
-            if !change.is_cut {
+            if change.is_cut {
+                // Whether idle connections still work shows only when a request is lost.
+                shared.target_pool.retain_addresses(&[]);
+            } else {
                 shared.relays.clear();
             }
         }
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -283,6 +283,7 @@
             time_limit,
             tried: Vec::new(),
             unreached: Vec::new(),
+            refusals: 0,
             may_have_run: false,
             strikes: 0,
             is_trial,
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -290,6 +290,7 @@
             // It reached no target, and this one may serve it later.
             AttemptOutcome::Withdrawn | AttemptOutcome::RelayRefused => {
                 job.tried.pop();
+                job.refusals += u8::from(outcome == AttemptOutcome::RelayRefused);
             }
             AttemptOutcome::Unreachable | AttemptOutcome::RelayWithheld => {
                 job.unreached.extend(job.tried.pop());
--- a/crates/steer/src/process/direct/job.rs
+++ b/crates/steer/src/process/direct/job.rs
@@ -42,6 +42,8 @@
     pub(super) tried: Vec<Arc<str>>,
     /// Targets that it could not be sent to.
     pub(super) unreached: Vec<Arc<str>>,
+    /// Relays that refused to send it.
+    pub(super) refusals: u8,
     /// Whether one of its attempts may have run it.
     pub(super) may_have_run: bool,
     /// Strikes against it when it was last sent; see
--- a/crates/steer/src/process/direct/queue.rs
+++ b/crates/steer/src/process/direct/queue.rs
@@ -36,6 +36,10 @@
 /// of it hardly any answer comes in time, and the slot would be wasted.
 const SERVICE_TIME_LEFT_RATIO_MIN: f64 = 0.25;
 
+/// Relays that a request is tried at. Each may take a connect timeout to fail, and its
+/// caller had better go elsewhere.
+const RELAY_TRIES_MAX: u8 = 3;
+
 /// Utilization of a region's slots below which it has slots to spare.
 const SPARE_UTILIZATION_MAX: f64 = 0.6;
 
@@ -110,7 +114,8 @@
         if best.has_room && !self.outlasts_process(now, &best) {
             let relay = if self.is_cut_off() {
                 let region = &self.roster.all()[best.index].region;
-                let Some(relay) = self.choose_relay(now, job, region) else {
+                let relay = self.choose_relay(now, job, region);
+                let Some(relay) = relay.filter(|_| job.refusals < RELAY_TRIES_MAX) else {
                     return Some(self.reject(now, at, Rejection::CutOff, None));
                 };
                 Some(relay)
--- a/crates/steer/src/process/direct/reach.rs
+++ b/crates/steer/src/process/direct/reach.rs
@@ -45,8 +45,8 @@
 /// Number of probes below which a round shows nothing.
 const PROBES_MIN: usize = 2;
 
-/// Time after which a round without a result is given up.
-const ROUND_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time after which a round without a result is given up. A busy process is late with it.
+const ROUND_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Pause after a round that has reached a target.
 const ROUND_PAUSE: Duration = Duration::from_secs(1);
--- a/crates/steer/tests/direct/relay.rs
+++ b/crates/steer/tests/direct/relay.rs
@@ -131,6 +131,25 @@
     ));
 }
 
+/// A caller must not wait for one connect timeout after the other.
+#[test]
+fn give_up_after_some_relays() {
+    let instances: Vec<_> = (2..9)
+        .map(|i| instance(&format!("near-{i}"), "near", i))
+        .collect();
+    let mut bench = cut_off("near-1", route(), &instances);
+    let ticket = bench.submit(at(1_100), Some(1));
+    let mut tries = 0;
+    while let Some(Decision::Send(assignment)) = bench.decide(at(1_100)) {
+        assert_eq!(assignment.ticket, ticket);
+        tries += 1;
+        bench
+            .direct
+            .finish_attempt(at(1_100), ticket, AttemptOutcome::RelayRefused);
+    }
+    assert_eq!(tries, 3);
+}
+
 /// Requests of many instances that are cut off must not all go to one, at any size: none has
 /// more than two of them send.
 #[rstest]
