Keep the count of connections when idle ones are dropped

The pools of all addresses were dropped with their idle connections, so that busy ones that came back were no longer counted as open. Idle connections are drained instead. `drain_idle_only`.

--- a/crates/auburnrouter/src/direct/probe.rs
+++ b/crates/auburnrouter/src/direct/probe.rs
@@ -33,7 +33,7 @@
             events::reach_changed(&shared, &change);
             if change.is_cut {
                 // Whether idle connections still work shows only when a request is lost.
-                shared.target_pool.retain_addresses(&[]);
+                shared.target_pool.close_idle();
             } else {
                 shared.relays.clear();
             }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -322,6 +322,14 @@
         self.connect(addr).await.map(drop)
     }
 
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        let mut pools = self.lock();
+        let closed: Vec<HttpLink> = pools.iter_mut().flat_map(|p| p.pool.drain_idle()).collect();
+        drop(pools);
+        drop(closed);
+    }
+
     /// Keeps the pools of these addresses, which must be sorted, and drops the idle
     /// connections to all others.
     pub fn retain_addresses(&self, addrs: &[SocketAddr]) {
--- a/crates/steer/src/connection/pool.rs
+++ b/crates/steer/src/connection/pool.rs
@@ -163,6 +163,12 @@
         self.idle.drain(..count).map(|i| i.1.inner).collect()
     }
 
+    /// Removes and returns all idle connections, to be closed.
+    pub fn drain_idle(&mut self) -> Vec<C> {
+        self.open = self.open.saturating_sub(self.idle.len());
+        self.idle.drain(..).map(|i| i.1.inner).collect()
+    }
+
     /// Returns the number of connections open or being opened.
     #[must_use]
     pub const fn open(&self) -> usize {
--- a/crates/steer/tests/dispatch_pool.rs
+++ b/crates/steer/tests/dispatch_pool.rs
@@ -46,6 +46,20 @@
     assert_eq!(pool.open(), 1);
 }
 
+/// Connections in use go on, and still count.
+#[test]
+fn drain_idle_only() {
+    let mut pool = Pool::new(4, 0);
+    let busy = opened(&mut pool, 1);
+    let idle = opened(&mut pool, 2);
+    pool.put(Time::ZERO, idle.into_idle());
+    assert_eq!(pool.drain_idle(), [2]);
+    assert_eq!(pool.open(), 1);
+    pool.put(Time::ZERO, busy.into_idle());
+    assert_eq!(pool.drain_idle(), [1]);
+    assert_eq!(pool.open(), 0);
+}
+
 /// Seven instances share the 330 connections of a target: none may open them
 /// all.
 #[test]
