Share the tests' seven instances and the links between the test programs

`cut` had its own copy of what `bystanders` starts, and the soak its own of what `cut` does with links. `fleet` starts instances and targets for both; platform- standin opens an instance's links, cuts them and translates its settings.

--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -1,6 +1,8 @@
 //! End-to-end tests on the users' platform: entry instances as processes, with
 //! stand-ins for the store, the operator and the targets.
 
+#[path = "direct/fleet.rs"]
+mod fleet;
 #[path = "direct/harness.rs"]
 mod harness;
 
--- a/crates/auburnrouter/tests/direct/bystanders.rs
+++ b/crates/auburnrouter/tests/direct/bystanders.rs
@@ -9,12 +9,8 @@
 use platform_standin::{Store, Target};
 use rstest::rstest;
 
-use super::harness::{self, Entry, HOST, MS, ROUTES, wait_until};
-
-const DOMAINS: [&str; 3] = ["near-a", "near-b", "far-a"];
-const INSTANCES: usize = 7;
-const TARGETS: usize = 14;
-const PATHS: usize = 40;
+use super::fleet::{self, INSTANCES, PATHS, TARGETS};
+use super::harness::{self, Entry, HOST, MS, ROUTES};
 
 /// Requests that crash targets, and callers that repeat each.
 const CRASHING: usize = 3;
@@ -51,30 +47,14 @@
         let store = Store::start().expect("a port is free");
         store.configure(3, HOST, &ROUTES);
         let start = |i: usize| {
-            let id = format!("t{i}");
-            let target = Target::start(&id, "sheets", DOMAINS[i % 3]).expect("a port is free");
+            let target = fleet::start_target(&store, i, "sheets", i);
             target.set(Behavior::Normal, WORK);
             target.crash_on("/view/crash");
             target.rename_on_crash();
-            target.register(&store, "ready", 1);
             target
         };
         let targets = (0..TARGETS).map(start).collect();
-        let entries = (0..INSTANCES).map(|i| {
-            let settings =
-                platform_standin::settings(&format!("i{i}"), DOMAINS[i % 3], store.addr(), &[]);
-            Entry::start_with(&settings)
-        });
-        let entries: Vec<Entry> = entries.collect();
-        for entry in &entries {
-            entry.await_ready();
-            wait_until("all targets and instances are known", || {
-                let dump = entry.dump();
-                let name = |i| format!("\"i{i}\"");
-                dump.matches("\"id\":\"t").count() == TARGETS
-                    && (0..INSTANCES).all(|i| dump.contains(&name(i)))
-            });
-        }
+        let entries = fleet::start_entries(&store, |_, settings| settings);
         Self {
             store,
             targets,
--- a/crates/auburnrouter/tests/direct/cut.rs
+++ b/crates/auburnrouter/tests/direct/cut.rs
@@ -2,8 +2,7 @@
 //! other instances reach them.
 
 use std::io::Write;
-use std::net::{Ipv4Addr, TcpStream};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -11,17 +10,13 @@
 use fastrand::Rng;
 use platform_standin::store::Route;
 use platform_standin::target::{Behavior, Run};
-use platform_standin::{Link, LinkState, Store, Target};
+use platform_standin::{LinkState, Links, Store, Target};
 use rstest::rstest;
 use rustix::process::Signal;
 
+use super::fleet::{self, INSTANCES, PATHS, TARGETS};
 use super::harness::{self, Entry, HOST, wait_until};
 
-const DOMAINS: [&str; 3] = ["near-a", "near-b", "far-a"];
-const INSTANCES: usize = 7;
-const TARGETS: usize = 14;
-const PATHS: usize = 40;
-
 const TWO_SERVICES: [Route<'static>; 2] = [
     Route {
         prefix: "/view/",
@@ -66,50 +61,28 @@
 struct Scene {
     targets: Vec<Target>,
     /// Links of each instance to all targets.
-    links: Vec<Vec<Link>>,
+    links: Vec<Links>,
     entries: Vec<Entry>,
     begin: Instant,
 }
 
 impl Scene {
     fn start() -> Self {
-        static NEXT: AtomicU8 = AtomicU8::new(1);
-        let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let process = u8::try_from(std::process::id() % 200).expect("it is small");
         let store = Store::start().expect("a port is free");
         store.configure(3, HOST, &TWO_SERVICES);
         let start = |i: usize| {
             let service = ["sheets", "bills"][i % 2];
-            let domain = DOMAINS[i / 2 % 3];
-            let target = Target::start(&format!("t{i}"), service, domain);
-            let target = target.expect("a port is free");
+            let target = fleet::start_target(&store, i, service, i / 2);
             target.set(Behavior::Normal, WORK);
-            target.register(&store, "ready", 1);
             target
         };
         let targets: Vec<Target> = (0..TARGETS).map(start).collect();
-        let links = (0..INSTANCES).map(|i| {
-            let host = u8::try_from(i + 1).expect("it is small");
-            let host = Ipv4Addr::new(127, 20 + process, number, host);
-            let open = |t: &Target| Link::open(host, t.addr()).expect("a port is free");
-            targets.iter().map(open).collect()
-        });
-        let links: Vec<Vec<Link>> = links.collect();
-        let entries = (0..INSTANCES).map(|i| {
-            let settings =
-                platform_standin::settings(&format!("i{i}"), DOMAINS[i % 3], store.addr(), &[]);
-            Entry::start_with(&translated(&settings, &targets, &links[i]))
+        let addrs: Vec<SocketAddr> = targets.iter().map(Target::addr).collect();
+        let links = (0..INSTANCES).map(|_| Links::open(&addrs).expect("ports are free"));
+        let links: Vec<Links> = links.collect();
+        let entries = fleet::start_entries(&store, |i, settings| {
+            links[i].translate(&settings).expect("they are JSON")
         });
-        let entries: Vec<Entry> = entries.collect();
-        for entry in &entries {
-            entry.await_ready();
-            wait_until("all targets and instances are known", || {
-                let dump = entry.dump();
-                let name = |i| format!("\"i{i}\"");
-                dump.matches("\"id\":\"t").count() == TARGETS
-                    && (0..INSTANCES).all(|i| dump.contains(&name(i)))
-            });
-        }
         Self {
             targets,
             links,
@@ -122,11 +95,7 @@
         thread::scope(|scope| {
             for instance in instances {
                 let links = &self.links[*instance];
-                scope.spawn(move || {
-                    for link in links {
-                        link.set(state).expect("its port is free");
-                    }
-                });
+                scope.spawn(move || links.set(state).expect("their ports are free"));
             }
         });
     }
@@ -167,17 +136,6 @@
     }
 }
 
-/// Settings of an instance that reaches targets by its own links.
-fn translated(settings: &str, targets: &[Target], links: &[Link]) -> String {
-    let mut settings: serde_json::Value = serde_json::from_str(settings).expect("it is JSON");
-    let pairs = targets.iter().zip(links);
-    let table: serde_json::Map<String, serde_json::Value> = pairs
-        .map(|(target, link)| (target.addr().to_string(), link.addr().to_string().into()))
-        .collect();
-    settings["translate"] = table.into();
-    settings.to_string()
-}
-
 /// Served and all tries in a span, at the given instances or at the others.
 fn served(
     tries: &[Try],
--- a/crates/auburnrouter/tests/soak/links.rs
+++ b/crates/auburnrouter/tests/soak/links.rs
@@ -1,11 +1,10 @@
 //! Links of each instance to all targets, which are cut instance by instance.
 
-use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
-use platform_standin::{Link, LinkState};
+use platform_standin::LinkState;
 
 /// Time after the end of a cut in which bytes that it held up may still arrive.
 const HELD_UP: Duration = Duration::from_secs(4);
@@ -30,7 +29,7 @@
 pub struct Links {
     rng: Rng,
     /// Those of each instance to all targets.
-    by_instance: Vec<Vec<Link>>,
+    by_instance: Vec<platform_standin::Links>,
     cuts: Vec<Cut>,
     /// Instances that are cut now, and until when.
     now: Vec<(usize, Instant)>,
@@ -39,32 +38,19 @@
 impl Links {
     /// Opens links of `instances` instances to targets at these addresses.
     pub fn open(seed: u64, instances: usize, targets: &[SocketAddr]) -> Self {
-        static NEXT: AtomicU8 = AtomicU8::new(1);
-        let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let process = u8::try_from(std::process::id() % 200).expect("it is small");
-        let links = (0..instances).map(|i| {
-            let host = u8::try_from(i + 1).expect("it is small");
-            let host = Ipv4Addr::new(127, 20 + process, number, host);
-            let open = |addr: &SocketAddr| Link::open(host, *addr).expect("a port is free");
-            targets.iter().map(open).collect()
-        });
+        let open = |_| platform_standin::Links::open(targets).expect("ports are free");
         Self {
             rng: Rng::with_seed(seed ^ SEED_MASK),
-            by_instance: links.collect(),
+            by_instance: (0..instances).map(open).collect(),
             cuts: Vec::new(),
             now: Vec::new(),
         }
     }
 
     /// Settings of an instance that reaches targets by its links.
-    pub fn translated(&self, settings: &str, instance: usize, targets: &[SocketAddr]) -> String {
-        let mut settings: serde_json::Value = serde_json::from_str(settings).expect("it is JSON");
-        let pairs = targets.iter().zip(&self.by_instance[instance]);
-        let table: serde_json::Map<String, serde_json::Value> = pairs
-            .map(|(addr, link)| (addr.to_string(), link.addr().to_string().into()))
-            .collect();
-        settings["translate"] = table.into();
-        settings.to_string()
+    pub fn translate(&self, settings: &str, instance: usize) -> String {
+        let settings = self.by_instance[instance].translate(settings);
+        settings.expect("they are JSON")
     }
 
     /// Restores what is due, and sometimes cuts one instance or all but one, in one of three
@@ -111,9 +97,8 @@
     }
 
     fn set(&self, instance: usize, state: LinkState) {
-        for link in &self.by_instance[instance] {
-            link.set(state).expect("its port is free");
-        }
+        let links = &self.by_instance[instance];
+        links.set(state).expect("their ports are free");
     }
 
     /// Whether bytes of an instance, or of any if none is named, that arrive at this time may
--- a/crates/auburnrouter/tests/soak/runner.rs
+++ b/crates/auburnrouter/tests/soak/runner.rs
@@ -77,8 +77,6 @@
     spare: Vec<(Target, Proxy)>,
     /// Links of each instance to the proxies.
     links: Links,
-    /// Addresses of the proxies of all targets, in the order of the links.
-    target_addrs: Vec<SocketAddr>,
     entries: Vec<Option<Entry>>,
     /// Instances that have got SIGTERM.
     leaving: Vec<Entry>,
@@ -126,7 +124,6 @@
         let target_addrs: Vec<SocketAddr> = spare.iter().rev().map(|s| s.1.addr).collect();
         let mut cluster = Self {
             links: Links::open(seed, ENTRY_DOMAINS.len(), &target_addrs),
-            target_addrs,
             spare,
             rng: Rng::with_seed(seed),
             retries: budget::Rule::of(seed),
@@ -170,7 +167,7 @@
         let store = self.store_proxies[number].addr;
         let settings = platform_standin::settings(&name, ENTRY_DOMAINS[number], store, &seeds);
         let settings = harness::with_retries(&settings, self.retries.ratio, self.retries.slack);
-        let settings = self.links.translated(&settings, number, &self.target_addrs);
+        let settings = self.links.translate(&settings, number);
         let entry = Entry::start_with(&settings);
         self.running[number] = self.processes.len();
         self.processes.push(Process {
