Write three setups of steering's tests once

`finish` ends an attempt in the tests of reach and relays, `sent_at_once` counts requests for both tests of limits, `sent_for_team` starts both tests of keys that go while a request is under way. No assertion is changed.

--- a/crates/steer/tests/direct/access.rs
+++ b/crates/steer/tests/direct/access.rs
@@ -8,7 +8,7 @@
 use steer::process::direct::access::{self, Access, Authorized, Credential};
 use steer::process::direct::upstream::Upstream;
 use steer::process::direct::{
-    AttemptOutcome, Bounds, Decision, Direct, FollowUp, Rejection, Request, Withheld,
+    Assignment, AttemptOutcome, Bounds, Decision, Direct, FollowUp, Rejection, Request, Withheld,
 };
 use steer::request::arrival::Fingerprint;
 use steer::version::routes::Route;
@@ -205,9 +205,8 @@
     assert_eq!(held.len(), 8);
 }
 
-/// A request's key is revoked just before the request is sent or retried.
-#[test]
-fn withhold_request_before_it_is_sent() {
+/// A request of team `masons` that is sent at 10 ms.
+fn sent_for_team() -> (Bench, Assignment) {
     let mut bench = bench(route(), vec![team("masons", &[], None)]);
     bench.direct.confirm_up_to(at(0));
     let request = team_request(&bench, at(10), "masons");
@@ -218,6 +217,13 @@
     let Some(Decision::Send(assignment)) = bench.decide(at(10)) else {
         panic!("a target is free");
     };
+    (bench, assignment)
+}
+
+/// A request's key is revoked just before the request is sent or retried.
+#[test]
+fn withhold_request_before_it_is_sent() {
+    let (mut bench, assignment) = sent_for_team();
     assert_eq!(bench.direct.withheld(at(20), &assignment), None);
     configure(
         &mut bench.direct,
@@ -242,16 +248,7 @@
 /// A request that may have run is never reported as refused, even if its key is gone.
 #[test]
 fn unknown_outcome_after_revoked_key() {
-    let mut bench = bench(route(), vec![team("masons", &[], None)]);
-    bench.direct.confirm_up_to(at(0));
-    let request = team_request(&bench, at(10), "masons");
-    bench
-        .direct
-        .submit(at(10), request)
-        .expect("it is accepted");
-    let Some(Decision::Send(assignment)) = bench.decide(at(10)) else {
-        panic!("a target is free");
-    };
+    let (mut bench, assignment) = sent_for_team();
     configure(
         &mut bench.direct,
         3,
--- a/crates/steer/tests/direct/bench.rs
+++ b/crates/steer/tests/direct/bench.rs
@@ -210,6 +210,11 @@
         }
     }
 
+    /// Ends an attempt.
+    pub fn finish(&mut self, now: Time, sent: &Assignment, outcome: AttemptOutcome) -> FollowUp {
+        self.direct.finish_attempt(now, sent.ticket, outcome)
+    }
+
     /// Submits a request that is sent at once and answered after `latency`.
     pub fn serve(&mut self, now: Time, object: u64, latency: Duration) -> Assignment {
         let assignment = self.send(now, Some(object));
--- a/crates/steer/tests/direct/limit.rs
+++ b/crates/steer/tests/direct/limit.rs
@@ -38,16 +38,20 @@
 
 /// Submits a request every 100 ms in this span and returns the number sent.
 fn requests_sent(bench: &mut Bench, from: u64, until: u64) -> usize {
-    let mut count = 0;
-    for now in (from..until).step_by(100) {
+    let times = (from..until).step_by(100);
+    times.map(|now| sent_at_once(bench, now, 1)).sum()
+}
+
+/// Submits requests at once, answers those that are sent and returns their number.
+fn sent_at_once(bench: &mut Bench, now: u64, requests: usize) -> usize {
+    for _ in 0..requests {
         bench.submit(at(now), None);
-        for decision in bench.direct.step(at(now)) {
-            if let Decision::Send(assignment) = decision {
-                count += 1;
-                bench
-                    .direct
-                    .finish_attempt(at(now), assignment.ticket, AttemptOutcome::Answered);
-            }
+    }
+    let mut count = 0;
+    for decision in bench.direct.step(at(now)) {
+        if let Decision::Send(assignment) = decision {
+            count += 1;
+            bench.finish(at(now), &assignment, AttemptOutcome::Answered);
         }
     }
     count
@@ -86,28 +90,11 @@
     report_limit(&mut bench, at(2_000), Some(limit));
     let mut all = 0;
     for from in (2_100..10_300).step_by(100) {
-        all += sent_at_once(&mut bench, from);
+        all += sent_at_once(&mut bench, from, 3);
     }
     assert_eq!(all, expected);
 }
 
-/// Submits three requests at once and returns the number sent.
-fn sent_at_once(bench: &mut Bench, now: u64) -> usize {
-    for _ in 0..3 {
-        bench.submit(at(now), None);
-    }
-    let mut count = 0;
-    for decision in bench.direct.step(at(now)) {
-        if let Decision::Send(assignment) = decision {
-            count += 1;
-            bench
-                .direct
-                .finish_attempt(at(now), assignment.ticket, AttemptOutcome::Answered);
-        }
-    }
-    count
-}
-
 /// All targets of a region reported limits, and the excess was rejected while other
 /// regions had room.
 #[test]
--- a/crates/steer/tests/direct/reach.rs
+++ b/crates/steer/tests/direct/reach.rs
@@ -35,9 +35,7 @@
 fn fail_twice(bench: &mut Bench, now: Time) -> Ticket {
     let mut assignment = bench.send(now, None);
     for _ in 0..2 {
-        let next = bench
-            .direct
-            .finish_attempt(now, assignment.ticket, AttemptOutcome::Unreachable);
+        let next = bench.finish(now, &assignment, AttemptOutcome::Unreachable);
         assert_eq!(next, FollowUp::Retry);
         match bench.decide(now) {
             Some(Decision::Send(next)) => assignment = next,
@@ -133,12 +131,8 @@
     let mut bench = bench(route());
     let first = bench.send(at(1_000), Some(1));
     let second = bench.send(at(1_000), Some(2));
-    bench
-        .direct
-        .finish_attempt(at(1_010), first.ticket, AttemptOutcome::ConnectionLost);
-    bench
-        .direct
-        .finish_attempt(at(1_020), second.ticket, AttemptOutcome::Unreachable);
+    bench.finish(at(1_010), &first, AttemptOutcome::ConnectionLost);
+    bench.finish(at(1_020), &second, AttemptOutcome::Unreachable);
     assert_eq!(bench.direct.suspect_counts().0, 1);
     probe(&mut bench, at(1_030), 0).expect("no probe succeeds");
     assert_eq!(bench.direct.suspect_counts().0, 0);
@@ -157,9 +151,7 @@
     let early = bench.send(at(900), Some(1));
     cut_off(&mut bench);
     let _ = bench.direct.step(at(1_100));
-    bench
-        .direct
-        .finish_attempt(at(1_200), early.ticket, AttemptOutcome::ConnectionLost);
+    bench.finish(at(1_200), &early, AttemptOutcome::ConnectionLost);
     assert_eq!(bench.direct.suspect_counts().0, 0);
     let target = bench
         .direct
@@ -199,9 +191,7 @@
     };
     assert_eq!(decisions.iter().any(given_up), is_idempotent);
     assert!(!bench.direct.step(at(2_610)).iter().any(given_up), "once");
-    let next = bench
-        .direct
-        .finish_attempt(at(2_620), hanging.ticket, AttemptOutcome::GivenUp);
+    let next = bench.finish(at(2_620), &hanging, AttemptOutcome::GivenUp);
     assert_eq!(next == FollowUp::Retry, is_idempotent);
 }
 
@@ -215,9 +205,7 @@
     bench.send(at(1_000), Some(1));
     if is_answered {
         let other = bench.send(at(1_000), Some(2));
-        bench
-            .direct
-            .finish_attempt(at(2_400), other.ticket, AttemptOutcome::Answered);
+        bench.finish(at(2_400), &other, AttemptOutcome::Answered);
     }
     bench.direct.sweep(at(2_500));
     assert_eq!(bench.direct.is_probe_due(at(2_500)), !is_answered);
@@ -229,9 +217,7 @@
     let mut bench = bench(route());
     cut_off(&mut bench);
     let waiting = sent(&mut bench, at(1_000));
-    bench
-        .direct
-        .finish_attempt(at(1_100), waiting.ticket, AttemptOutcome::Answered);
+    bench.finish(at(1_100), &waiting, AttemptOutcome::Answered);
     for (round, reached) in [1, 3, 2, 3, 0, 6].into_iter().enumerate() {
         let now = at(1_500 + 500 * round as u64);
         assert_eq!(probe(&mut bench, now, reached), None, "round {round}");
@@ -239,9 +225,7 @@
         let beat = heartbeat("near-2", 2 + round as u64);
         bench.direct.receive_heartbeat(now, beat);
         let relayed = bench.send(now, Some(9));
-        bench
-            .direct
-            .finish_attempt(now, relayed.ticket, AttemptOutcome::Answered);
+        bench.finish(now, &relayed, AttemptOutcome::Answered);
     }
     let change = probe(&mut bench, at(4_500), 5).expect("most succeed again");
     assert!(!change.is_cut);
@@ -255,9 +239,7 @@
     let mut bench = bench(route());
     cut_off(&mut bench);
     let refused = sent(&mut bench, at(1_000));
-    bench
-        .direct
-        .finish_attempt(at(1_010), refused.ticket, AttemptOutcome::RelayRefused);
+    bench.finish(at(1_010), &refused, AttemptOutcome::RelayRefused);
     assert_eq!(probe(&mut bench, at(1_500), 0), None);
     let change = probe(&mut bench, at(2_000), 1).expect("a target is reached");
     assert!(!change.is_cut);
@@ -283,9 +265,7 @@
     let mut bench = bench(route());
     cut_off(&mut bench);
     let first = sent(&mut bench, at(1_000));
-    let next = bench
-        .direct
-        .finish_attempt(at(1_010), first.ticket, AttemptOutcome::RelayWithheld);
+    let next = bench.finish(at(1_010), &first, AttemptOutcome::RelayWithheld);
     assert_eq!(next, FollowUp::Retry);
     let second = sent(&mut bench, at(1_010));
     assert_ne!(second.target, first.target);
@@ -313,9 +293,7 @@
     bench.direct.receive_heartbeat(at(900), far);
     cut_off(&mut bench);
     let first = sent(&mut bench, at(1_000));
-    let next = bench
-        .direct
-        .finish_attempt(at(1_010), first.ticket, AttemptOutcome::RelayLost);
+    let next = bench.finish(at(1_010), &first, AttemptOutcome::RelayLost);
     assert_eq!(next, expected);
     assert_eq!(bench.direct.suspect_counts().0, 0);
     if expected == FollowUp::Retry {
@@ -330,9 +308,7 @@
     let mut bench = bench(route());
     cut_off(&mut bench);
     let first = sent(&mut bench, at(1_000));
-    bench
-        .direct
-        .finish_attempt(at(1_010), first.ticket, AttemptOutcome::ConnectionLost);
+    bench.finish(at(1_010), &first, AttemptOutcome::ConnectionLost);
     let strikes: Vec<_> = bench.direct.suspects().collect();
     assert_eq!(strikes, [(Fingerprint(1), 1)]);
 }
--- a/crates/steer/tests/direct/relay.rs
+++ b/crates/steer/tests/direct/relay.rs
@@ -32,9 +32,7 @@
     bench.direct.set_members(at(900), known.collect());
     for (ticket, failed) in [(1, 1_000), (2, 1_000)] {
         let assignment = bench.send(at(failed), Some(ticket));
-        bench
-            .direct
-            .finish_attempt(at(failed), assignment.ticket, AttemptOutcome::Unreachable);
+        bench.finish(at(failed), &assignment, AttemptOutcome::Unreachable);
         bench.direct.cancel(at(failed), assignment.ticket);
     }
     let probes = bench.direct.begin_probes(at(1_000));
@@ -55,9 +53,7 @@
     for object in 0..8 {
         let assignment = bench.send(at(1_100), Some(object));
         assert_eq!(&**relay(&assignment), "near-2");
-        bench
-            .direct
-            .finish_attempt(at(1_100), assignment.ticket, AttemptOutcome::Answered);
+        bench.finish(at(1_100), &assignment, AttemptOutcome::Answered);
     }
 }
 
@@ -113,18 +109,14 @@
     let instances = [instance("near-2", "near", 2), instance("near-3", "near", 3)];
     let mut bench = cut_off("near-1", route(), &instances);
     let first = bench.send(at(1_100), Some(1));
-    let next = bench
-        .direct
-        .finish_attempt(at(1_110), first.ticket, AttemptOutcome::RelayRefused);
+    let next = bench.finish(at(1_110), &first, AttemptOutcome::RelayRefused);
     assert_eq!(next, FollowUp::Retry);
     let Some(Decision::Send(second)) = bench.decide(at(1_110)) else {
         panic!("the other one is asked");
     };
     assert_ne!(relay(&first), relay(&second));
     assert_eq!(second.attempt, 1, "nothing was sent before");
-    bench
-        .direct
-        .finish_attempt(at(1_120), second.ticket, AttemptOutcome::RelayRefused);
+    bench.finish(at(1_120), &second, AttemptOutcome::RelayRefused);
     assert!(matches!(
         bench.decide(at(1_120)),
         Some(Decision::Reject { .. })
@@ -177,9 +169,7 @@
                 .port();
             counts[usize::from(port) - 1] += 1;
             used.push(port);
-            bench
-                .direct
-                .finish_attempt(now, assignment.ticket, AttemptOutcome::Answered);
+            bench.finish(now, &assignment, AttemptOutcome::Answered);
         }
         used.sort_unstable();
         used.dedup();
