Test the wire's outcomes of relayed requests and the pool's new calls

`relayed_outcome_round_trip` holds that the sender of a relayed request never takes it for more certain than the relay does; `send_to_translated_address` and `close_idle_connections` cover what the pool gained.

--- a/crates/pool/tests/pool.rs
+++ b/crates/pool/tests/pool.rs
@@ -91,6 +91,33 @@
     });
 }
 
+/// A network may translate the addresses that peers are known by.
+#[test]
+fn send_to_translated_address() {
+    run(async |executor| {
+        let (addr, _) = serve(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false);
+        let (nobody, listed) = listen();
+        drop(nobody);
+        let executor = Arc::clone(executor);
+        let pool = Pool::with_translations(executor, LIMITS, vec![(listed, addr)]);
+        assert_eq!(fetch(&pool, listed, "/").await.as_deref(), Ok("hi"));
+        assert_eq!(pool.probe(listed).await, Ok(()));
+    });
+}
+
+/// What is idle may have become useless with its network; what is in use goes on.
+#[test]
+fn close_idle_connections() {
+    run(async |executor| {
+        let (addr, opened) = serve(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false);
+        let pool = Pool::new(Arc::clone(executor), LIMITS);
+        assert_eq!(fetch(&pool, addr, "/").await.as_deref(), Ok("hi"));
+        pool.close_idle();
+        assert_eq!(fetch(&pool, addr, "/").await.as_deref(), Ok("hi"));
+        assert_eq!(opened.load(Ordering::Relaxed), 2);
+    });
+}
+
 #[rstest]
 #[case::silent(b"", Error::Broken)]
 #[case::half_head(b"HTTP/1.1 200 O", Error::Broken)]
--- a/crates/wire/tests/direct.rs
+++ b/crates/wire/tests/direct.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 
 use rstest::rstest;
+use steer::process::direct::AttemptOutcome;
 use steer::process::direct::health::Observation;
 use steer::process::direct::limit::LimitReport;
 use steer::process::direct::members::{Heartbeat, Registration};
@@ -11,6 +12,7 @@
 use steer::process::direct::suspect::REPORTS_MAX;
 use steer::request::arrival::Fingerprint;
 use steer::request::poison::Report;
+use wire::direct::relay;
 use wire::direct::suspects::Suspects;
 use wire::direct::{DATAGRAM_MAX, Message};
 
@@ -168,3 +170,27 @@
     }
     assert_eq!(decoded.len(), reports.len());
 }
+
+/// What became of a relayed request must not look more certain to its sender than it is to
+/// the relay.
+#[rstest]
+#[case::answered(AttemptOutcome::Answered)]
+#[case::failed(AttemptOutcome::Failed)]
+#[case::not_run(AttemptOutcome::NotRun)]
+#[case::wrong_target(AttemptOutcome::WrongTarget)]
+#[case::unreachable(AttemptOutcome::Unreachable)]
+#[case::not_sent(AttemptOutcome::NotSent)]
+#[case::withdrawn(AttemptOutcome::Withdrawn)]
+#[case::connection_lost(AttemptOutcome::ConnectionLost)]
+#[case::invalid_response(AttemptOutcome::InvalidResponse)]
+#[case::timed_out(AttemptOutcome::TimedOut)]
+fn relayed_outcome_round_trip(#[case] outcome: AttemptOutcome) {
+    let told = AttemptOutcome::from(relay::Outcome::from(outcome));
+    assert_eq!(told.is_not_run(), outcome.is_not_run());
+    assert_eq!(told.was_sent(), outcome.was_sent());
+    let expected = match outcome {
+        AttemptOutcome::Withdrawn => AttemptOutcome::RelayWithheld,
+        outcome => outcome,
+    };
+    assert_eq!(told, expected);
+}
