Take back all strikes that a cut instance gave at one target

Two breaks at the same target before the probes told: the second moved the moment from which strikes are taken back past the first, and of several strikes taken back at once only one was. Each target's first failure counts now, and as many strikes go as breaks. The log's `before` is what it was.

Found by reading. `withdraw_all_strikes_at_one_target` fails without either. Run: `cargo test -p steer`.

--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -242,12 +242,8 @@
                 self.suspects.acquit(now, fingerprint);
                 self.log_suspect(fingerprint, before, Cause::Answered);
                 // The changes need no message: heartbeats report all recent strikes.
-                let mut withdrawn = Vec::new();
-                self.suspects.withdraw(now, target, sent_at, &mut withdrawn);
-                for change in withdrawn {
-                    let cause = Cause::Survived(Arc::clone(target));
-                    self.log_suspect(change.fingerprint, change.strikes + 1, cause);
-                }
+                let withdrawn = self.suspects.withdraw(now, target, sent_at);
+                self.log_withdrawn(&withdrawn, &Cause::Survived(Arc::clone(target)));
             }
             _ => {}
         }
--- a/crates/steer/src/process/direct/reach.rs
+++ b/crates/steer/src/process/direct/reach.rs
@@ -66,8 +66,8 @@
 pub(super) struct Reach {
     /// Since when it reaches none, if that is so.
     cut_since: Option<Time>,
-    /// Targets at which requests of this instance failed lately, and when.
-    failures: Vec<(Arc<str>, Time)>,
+    /// Targets at which requests of this instance failed lately.
+    failures: Vec<Failure>,
     /// Time of the last answer of a target to this instance itself.
     answered_at: Option<Time>,
     /// Time of the last answer of a target by a relay.
@@ -82,6 +82,14 @@
     turn: usize,
 }
 
+/// Failed requests of this instance at one target.
+#[derive(Clone, Debug)]
+struct Failure {
+    target: Arc<str>,
+    first: Time,
+    last: Time,
+}
+
 /// A connection to be opened to a target, without sending anything.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Probe {
@@ -106,6 +114,12 @@
     pub span: Option<Duration>,
 }
 
+impl Failure {
+    fn is_recent(&self, now: Time) -> bool {
+        now.since(self.last) < FAILURE_SPAN
+    }
+}
+
 impl Reach {
     fn is_round_running(&self, now: Time) -> bool {
         self.round_since
@@ -113,14 +127,19 @@
     }
 
     fn record_failure(&mut self, now: Time, target: &Arc<str>) {
-        self.failures
-            .retain(|(known, at)| known != target && now.since(*at) < FAILURE_SPAN);
-        self.failures.push((Arc::clone(target), now));
+        self.failures.retain(|f| f.is_recent(now));
+        match self.failures.iter_mut().find(|f| f.target == *target) {
+            Some(known) => known.last = now,
+            None => self.failures.push(Failure {
+                target: Arc::clone(target),
+                first: now,
+                last: now,
+            }),
+        }
     }
 
     fn is_doubtful(&self, now: Time) -> bool {
-        let recent = |(_, at): &&(Arc<str>, Time)| now.since(*at) < FAILURE_SPAN;
-        let count = self.failures.iter().filter(recent).count();
+        let count = self.failures.iter().filter(|f| f.is_recent(now)).count();
         let is_quiet = self
             .answered_at
             .is_none_or(|at| now.since(at) >= QUIET_SPAN);
@@ -277,27 +296,21 @@
         self.reach.cut_since = Some(now);
         self.reach.good_rounds = 0;
         let failures = core::mem::take(&mut self.reach.failures);
-        let first = failures.iter().map(|(_, at)| *at).min().unwrap_or(now);
-        for (target, _) in &failures {
+        for Failure { target, first, .. } in &failures {
             if let Some(target) = self.roster.get_mut(target) {
                 target.readmit();
             }
             let hash = members::name_hash(target);
             self.observations.retain(|o| o.target_hash != hash);
             self.breaks.retain(|b| !b.is_at(target));
-            let mut withdrawn = Vec::new();
             let end = now + Duration::from_micros(1);
-            self.suspects
-                .withdraw_within(now, target, first, end, &mut withdrawn);
-            for change in withdrawn {
-                let cause = Cause::CutOff(Arc::clone(target));
-                self.log_suspect(change.fingerprint, change.strikes + 1, cause);
-            }
+            let withdrawn = self.suspects.withdraw_within(now, target, *first, end);
+            self.log_withdrawn(&withdrawn, &Cause::CutOff(Arc::clone(target)));
         }
         for job in &mut self.jobs {
             job.unreached.clear();
         }
-        failures.into_iter().map(|(target, _)| target).collect()
+        failures.into_iter().map(|f| f.target).collect()
     }
 
     /// Records that this instance's own connection to a target failed.
--- a/crates/steer/src/process/direct/suspect.rs
+++ b/crates/steer/src/process/direct/suspect.rs
@@ -19,7 +19,7 @@
 use super::{Direct, hash};
 use crate::clock::Time;
 use crate::request::arrival::Fingerprint;
-use crate::request::poison::Report;
+use crate::request::poison::{Report, Withdrawal};
 
 /// Number of strikes at which a request is always refused. A suspect runs beside other
 /// requests, one copy at a time, so two breaks may be chance.
@@ -357,13 +357,17 @@
                 continue;
             }
             let end = broken.first + BREAK_SPAN;
-            let mut withdrawn = Vec::new();
-            self.suspects
-                .withdraw_within(now, &broken.target, broken.first, end, &mut withdrawn);
-            for change in withdrawn {
-                let cause = Cause::Survived(Arc::clone(&broken.target));
-                self.log_suspect(change.fingerprint, change.strikes + 1, cause);
-            }
+            let withdrawn = self
+                .suspects
+                .withdraw_within(now, &broken.target, broken.first, end);
+            self.log_withdrawn(&withdrawn, &Cause::Survived(broken.target));
+        }
+    }
+
+    /// Records for the log that strikes were taken back.
+    pub(super) fn log_withdrawn(&mut self, withdrawn: &[Withdrawal], cause: &Cause) {
+        for change in withdrawn {
+            self.log_suspect(change.fingerprint, change.before, cause.clone());
         }
     }
 
--- a/crates/steer/src/process/dispatch/completion.rs
+++ b/crates/steer/src/process/dispatch/completion.rs
@@ -219,8 +219,8 @@
         if is_local && !self.suspects.is_empty() {
             changes.extend(self.suspects.clear(now, running.job.arrival.fingerprint));
             let name = running.destination.name();
-            self.suspects
-                .withdraw(now, name, running.sent_at, &mut changes);
+            let withdrawn = self.suspects.withdraw(now, name, running.sent_at);
+            changes.extend(withdrawn.into_iter().map(StrikeUpdate::from));
         }
         out.extend(changes.into_iter().map(suspect_action));
     }
--- a/crates/steer/src/request/poison.rs
+++ b/crates/steer/src/request/poison.rs
@@ -112,6 +112,26 @@
     pub strikes: u8,
 }
 
+/// Strikes of a fingerprint that were taken back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Withdrawal {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Strikes before.
+    pub before: u8,
+    /// Strikes since.
+    pub strikes: u8,
+}
+
+impl From<Withdrawal> for StrikeUpdate {
+    fn from(withdrawal: Withdrawal) -> Self {
+        Self {
+            fingerprint: withdrawal.fingerprint,
+            strikes: withdrawal.strikes,
+        }
+    }
+}
+
 /// Fingerprints with strikes, sorted by fingerprint.
 #[derive(Clone, Debug)]
 pub struct Suspects {
@@ -369,53 +389,50 @@
 
     /// Withdraws the strikes of breaks since `sent_at` and at least [`SURVIVAL_SPAN`]
     /// ago, after `target` has answered a request sent at that time: the target did not
-    /// crash. Appends the changed fingerprints to `out`.
-    pub fn withdraw(
-        &mut self,
-        now: Time,
-        target: &str,
-        sent_at: Time,
-        out: &mut Vec<StrikeUpdate>,
-    ) {
+    /// crash.
+    pub fn withdraw(&mut self, now: Time, target: &str, sent_at: Time) -> Vec<Withdrawal> {
         let is_disproved =
             |b: &Break| *b.target == *target && b.at > sent_at && now.since(b.at) >= SURVIVAL_SPAN;
-        self.withdraw_breaks(now, is_disproved, out);
+        self.withdraw_breaks(now, is_disproved)
     }
 
     /// Withdraws the strikes of breaks from `first` on and before `end` at a target that
-    /// has not crashed. Appends the changed fingerprints to `out`.
+    /// has not crashed.
     pub fn withdraw_within(
         &mut self,
         now: Time,
         target: &str,
         first: Time,
         end: Time,
-        out: &mut Vec<StrikeUpdate>,
-    ) {
+    ) -> Vec<Withdrawal> {
         let is_disproved = |b: &Break| *b.target == *target && b.at >= first && b.at < end;
-        self.withdraw_breaks(now, is_disproved, out);
+        self.withdraw_breaks(now, is_disproved)
     }
 
     fn withdraw_breaks(
         &mut self,
         now: Time,
         is_disproved: impl Fn(&Break) -> bool,
-        out: &mut Vec<StrikeUpdate>,
-    ) {
+    ) -> Vec<Withdrawal> {
+        let mut changes = Vec::new();
         for entry in &mut self.entries {
-            let before = entry.breaks.len();
+            let (before, breaks) = (entry.strikes(), entry.breaks.len());
             entry.breaks.retain(|b| !is_disproved(b));
-            if entry.breaks.len() == before {
+            let withdrawn = breaks - entry.breaks.len();
+            if withdrawn == 0 {
                 continue;
             }
             let own = u8::try_from(entry.breaks.len()).unwrap_or(u8::MAX);
-            let strikes = entry.total.saturating_sub(1).max(own);
+            let withdrawn = u8::try_from(withdrawn).unwrap_or(u8::MAX);
+            let strikes = entry.total.saturating_sub(withdrawn).max(own);
             entry.begin_round(now, strikes);
-            out.push(StrikeUpdate {
+            changes.push(Withdrawal {
                 fingerprint: entry.fingerprint,
+                before,
                 strikes,
             });
         }
+        changes
     }
 
     /// Drops fingerprints at the end of their life.
--- a/crates/steer/tests/direct/reach.rs
+++ b/crates/steer/tests/direct/reach.rs
@@ -144,6 +144,27 @@
     }
 }
 
+/// A target at which requests broke twice before the probes told kept its first strike.
+#[test]
+fn withdraw_all_strikes_at_one_target() {
+    let mut bench = bench(route());
+    let sent = [0, 1, 2].map(|object| bench.send(at(1_000), Some(object)));
+    let first = sent.iter().find(|a| {
+        let same = sent.iter().filter(|b| b.target == a.target);
+        same.count() > 1
+    });
+    let target = &first
+        .expect("three requests share two targets of the domain")
+        .target;
+    for (number, broken) in sent.iter().filter(|a| a.target == *target).enumerate() {
+        let now = at(1_010 + 10 * number as u64);
+        bench.finish(now, broken, AttemptOutcome::ConnectionLost);
+    }
+    assert_eq!(bench.direct.suspects().count(), 1);
+    probe(&mut bench, at(1_040), 0).expect("no probe succeeds");
+    assert_eq!(bench.direct.suspects().count(), 0);
+}
+
 /// Breaks that follow while the instance is cut off are no crashes either.
 #[test]
 fn hold_later_breaks_against_nobody() {
