--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -36,3 +36,5 @@
 mod slow_readers;
 #[path = "direct/stop.rs"]
 mod stop;
+#[path = "direct/unread.rs"]
+mod unread;
--- a/crates/auburnrouter/tests/direct/harness.rs
+++ b/crates/auburnrouter/tests/direct/harness.rs
@@ -132,9 +132,18 @@
 
     /// Largest resident memory of the process so far, in bytes.
     pub fn peak_memory(&self) -> u64 {
+        self.memory("VmHWM:")
+    }
+
+    /// Resident memory of the process, in bytes.
+    pub fn resident_memory(&self) -> u64 {
+        self.memory("VmRSS:")
+    }
+
+    fn memory(&self, name: &str) -> u64 {
         let file = format!("/proc/{}/status", self.child.id());
         let status = fs::read_to_string(file).expect("the process runs");
-        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let line = status.lines().find_map(|l| l.strip_prefix(name));
         let kilobytes = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
         kilobytes.expect("the system tells the peak") << 10
     }
