Doubt silence only at several targets, and probe for it seldom

Each overdue request there began a round of probes each second, and what it tells others of a slow target waited for the round. One silent target is a slow one now, as before; two begin a round, and a further one only 4 s later.

--- a/crates/steer/src/process/direct/reach.rs
+++ b/crates/steer/src/process/direct/reach.rs
@@ -51,6 +51,10 @@
 /// Pause after a round that has reached a target.
 const ROUND_PAUSE: Duration = Duration::from_secs(1);
 
+/// The same if nothing but silence gives a reason for another one. Requests that take long
+/// are more often the reason than links.
+const SILENCE_ROUND_PAUSE: Duration = Duration::from_secs(4);
+
 /// Pause between rounds while this instance is cut off.
 const CUT_ROUND_PAUSE: Duration = Duration::from_millis(400);
 
@@ -88,6 +92,8 @@
     target: Arc<str>,
     first: Time,
     last: Time,
+    /// Whether the target has only been silent.
+    is_silence: bool,
 }
 
 /// A connection to be opened to a target, without sending anything.
@@ -126,24 +132,35 @@
             .is_some_and(|since| now < since + ROUND_TIMEOUT)
     }
 
-    fn record_failure(&mut self, now: Time, target: &Arc<str>) {
+    fn record_failure(&mut self, now: Time, target: &Arc<str>, is_silence: bool) {
         self.failures.retain(|f| f.is_recent(now));
         match self.failures.iter_mut().find(|f| f.target == *target) {
-            Some(known) => known.last = now,
+            Some(known) => {
+                known.last = now;
+                known.is_silence &= is_silence;
+            }
             None => self.failures.push(Failure {
                 target: Arc::clone(target),
                 first: now,
                 last: now,
+                is_silence,
             }),
         }
     }
 
-    fn is_doubtful(&self, now: Time) -> bool {
-        let count = self.failures.iter().filter(|f| f.is_recent(now)).count();
+    /// Pause from the last round until the next one, if there is a reason for one.
+    fn doubt_pause(&self, now: Time) -> Option<Duration> {
+        let recent = self.failures.iter().filter(|f| f.is_recent(now));
+        let (silent, failed): (Vec<_>, Vec<_>) = recent.partition(|f| f.is_silence);
         let is_quiet = self
             .answered_at
             .is_none_or(|at| now.since(at) >= QUIET_SPAN);
-        count >= FAILED_TARGETS_MIN || count > 0 && is_quiet
+        if failed.len() >= FAILED_TARGETS_MIN || !failed.is_empty() && is_quiet {
+            Some(ROUND_PAUSE)
+        } else {
+            let is_doubtful = silent.len() + failed.len() >= FAILED_TARGETS_MIN;
+            is_doubtful.then_some(SILENCE_ROUND_PAUSE)
+        }
     }
 
     /// Counts a round of probes while cut off; returns whether targets are reached well
@@ -164,12 +181,15 @@
     }
 
     fn is_due(&self, now: Time) -> bool {
-        let (is_wanted, pause) = match self.cut_since {
-            Some(_) => (true, CUT_ROUND_PAUSE),
-            None => (self.is_doubtful(now), ROUND_PAUSE),
+        let pause = match self.cut_since {
+            Some(_) => Some(CUT_ROUND_PAUSE),
+            None => self.doubt_pause(now),
+        };
+        let Some(pause) = pause else {
+            return false;
         };
         let is_paused = self.round_end.is_some_and(|end| now.since(end) < pause);
-        is_wanted && !is_paused && !self.is_round_running(now)
+        !is_paused && !self.is_round_running(now)
     }
 }
 
@@ -316,7 +336,7 @@
     /// Records that this instance's own connection to a target failed.
     pub(super) fn record_unreached(&mut self, now: Time, target: &Arc<str>) {
         if self.reach.cut_since.is_none() {
-            self.reach.record_failure(now, target);
+            self.reach.record_failure(now, target, false);
         }
     }
 
@@ -352,7 +372,7 @@
             .filter_map(|job| job.target().cloned())
             .collect();
         for target in silent {
-            self.reach.record_failure(now, &target);
+            self.reach.record_failure(now, &target, true);
         }
     }
 
