Freeze processes of scenarios until they stand still

A freeze returned once SIGSTOP was sent. Until the thread that takes the signal gets the processor, the others run on: on a busy machine `freeze_entry` saw the frozen instance witness a key and execute its request (200 instead of 503). Seen once in four runs of all scenarios beside an optimized build.

--- a/crates/scenarios/src/process.rs
+++ b/crates/scenarios/src/process.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions};
 
 use crate::BOUND;
 use crate::error::Error;
@@ -68,11 +68,24 @@
     /// # Errors
     /// It has ended already.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
-        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        let pid = pid.ok_or(io::ErrorKind::InvalidInput)?;
+        let pid = Pid::from_child(&self.child);
         Ok(rustix::process::kill_process(pid, signal)?)
     }
 
+    /// Freezes it. Returns once all its threads have stopped, which is later than the
+    /// signal is sent, or once it has ended.
+    ///
+    /// # Errors
+    /// It has ended already.
+    pub fn freeze(&self) -> io::Result<()> {
+        self.signal(Signal::STOP)?;
+        let child = WaitId::Pid(Pid::from_child(&self.child));
+        // The status is left for whoever waits for the end.
+        let stopped = WaitIdOptions::STOPPED | WaitIdOptions::EXITED | WaitIdOptions::NOWAIT;
+        rustix::process::waitid(child, stopped)?;
+        Ok(())
+    }
+
     /// Waits until it has ended.
     ///
     /// # Errors
--- a/crates/scenarios/src/script.rs
+++ b/crates/scenarios/src/script.rs
@@ -133,7 +133,7 @@
             "fault" => self.fault(case),
             "executed" => self.executed(case),
             "kill" => self.kill(case),
-            "freeze" => self.signal(case, Signal::STOP),
+            "freeze" => self.freeze(case),
             "thaw" => self.signal(case, Signal::CONT),
             "term" => self.signal(case, Signal::TERM),
             "exit" => self.exit(case),
@@ -416,6 +416,12 @@
         Ok(String::new())
     }
 
+    fn freeze(&mut self, case: &mut TestCase) -> Result<String, Error> {
+        let name: String = case.take_arg("name")?;
+        self.world.freeze(&name)?;
+        Ok(String::new())
+    }
+
     fn exit(&mut self, case: &mut TestCase) -> Result<String, Error> {
         let name: String = case.take_arg("name")?;
         Ok(process::ending(self.world.wait(&name)?))
--- a/crates/scenarios/src/storm.rs
+++ b/crates/scenarios/src/storm.rs
@@ -169,7 +169,7 @@
     fn event(&mut self, event: Event) -> Result<(), Error> {
         match event {
             Event::Kill(name) => self.kill(name),
-            Event::Freeze(name) => self.signal(name, Signal::STOP),
+            Event::Freeze(name) => self.freeze(name),
             Event::Thaw(name) => self.signal(name, Signal::CONT),
             Event::Term(name, listed) => self.term(name, listed),
             Event::Reap(name) => self.reap(name),
@@ -192,6 +192,14 @@
         Ok(())
     }
 
+    /// As [`Storm::signal`].
+    fn freeze(&mut self, name: &str) -> Result<(), Error> {
+        if self.world.runs(name)? {
+            self.world.freeze(name)?;
+        }
+        Ok(())
+    }
+
     fn kill(&mut self, name: &str) -> Result<(), Error> {
         self.signal(name, Signal::KILL)?;
         self.world.wait(name)?;
--- a/crates/scenarios/src/world.rs
+++ b/crates/scenarios/src/world.rs
@@ -286,6 +286,14 @@
         Ok(self.find(name)?.process.signal(signal)?)
     }
 
+    /// Freezes a process; returns once it stands still.
+    ///
+    /// # Errors
+    /// There is no such process.
+    pub fn freeze(&self, name: &str) -> Result<(), Error> {
+        Ok(self.find(name)?.process.freeze()?)
+    }
+
     /// Waits until a process has ended.
     ///
     /// # Errors
