--- a/crates/scenarios/src/script/burst.rs
+++ b/crates/scenarios/src/script/burst.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::Deserialize;
 use standin::target::Echo;
@@ -130,12 +130,18 @@
         // Callers are spread over the instances that they may use.
         let first = number % self.at.len();
         let mut doubt = false;
+        let mut tries = Vec::new();
         for round in 0..=self.resend {
             call.addr = self.at[(first + round) % self.at.len()];
+            let start = Instant::now();
             let answer = call.make();
+            tries.push(describe(call.addr, start.elapsed(), &answer));
             let after = answer.as_ref().ok().and_then(come_back);
             match judge(answer, body) {
-                Known::NotRun if round == self.resend && !doubt => return Known::NotRun,
+                Known::NotRun if round == self.resend && !doubt => {
+                    println!("{body} not run: {}", tries.join("; "));
+                    return Known::NotRun;
+                }
                 // Without a key a refusal speaks of this try alone.
                 Known::NotRun => {}
                 Known::Unknown => doubt = !self.keyed,
@@ -145,6 +151,7 @@
                 thread::sleep(after.min(AFTER_MAX));
             }
         }
+        println!("{body} unanswered: {}", tries.join("; "));
         Known::Unknown
     }
 }
@@ -155,6 +162,20 @@
     Some(Duration::from_millis(ms))
 }
 
+/// One try as a line for whoever reads a failed run.
+fn describe(addr: SocketAddr, took: Duration, answer: &Result<Answer, Error>) -> String {
+    let ms = took.as_millis();
+    match answer {
+        Ok(answer) => {
+            let of = |name| answer.header(name).unwrap_or("-");
+            let (outcome, reason) = (of(headers::OUTCOME), of(headers::REASON));
+            let (status, after) = (answer.status, of(headers::RETRY_AFTER_MS));
+            format!("{addr} in {ms} ms: {status} {outcome} {reason}, come back in {after} ms")
+        }
+        Err(error) => format!("{addr} in {ms} ms: {error}"),
+    }
+}
+
 fn judge(answer: Result<Answer, Error>, body: &str) -> Known {
     let Ok(answer) = answer else {
         return Known::Unknown;
--- a/crates/scenarios/src/storm.rs
+++ b/crates/scenarios/src/storm.rs
@@ -293,7 +293,8 @@
         Ok(())
     }
 
-    /// Waits until every entry instance has the newest version and nothing to do.
+    /// Waits until every entry instance has the newest version and nothing to do. Names
+    /// those that have not, with their state or why they give none.
     fn settle(&self, when: &str) -> Result<(), Error> {
         let until = Instant::now() + RECOVERY;
         let head = self.head()?;
@@ -312,7 +313,7 @@
             let mut behind = Vec::new();
             for entry in self.board.entries() {
                 match watch::dump(&entry) {
-                    Some(d) if is_settled(entry.name, &d, newest) => {}
+                    Ok(d) if is_settled(entry.name, &d, newest) => {}
                     other => behind.push(format!("{}: {other:?}", entry.name)),
                 }
             }
--- a/crates/scenarios/src/storm/watch.rs
+++ b/crates/scenarios/src/storm/watch.rs
@@ -7,6 +7,7 @@
 use trillium_client::Method;
 
 use super::board::{Board, Entry};
+use crate::error::Error;
 use crate::http::Call;
 use crate::settings;
 
@@ -52,12 +53,19 @@
 }
 
 /// Asks an entry instance for its state.
-pub(super) fn dump(entry: &Entry) -> Option<Dump> {
+///
+/// # Errors
+/// It gives none in time, or what it gives can't be read.
+pub(super) fn dump(entry: &Entry) -> Result<Dump, Error> {
     let mut call = Call::new(Method::Get, entry.listens.operators, "/dump", "");
     let bearer = format!("Bearer {}", settings::SECRET);
     call.headers.push(("Authorization", bearer));
-    let answer = call.make_within(ASK).ok()?;
-    serde_json::from_str(&answer.body).ok()
+    let answer = call.make_within(ASK)?;
+    let wrong = |e: serde_json::Error| {
+        let (status, body) = (answer.status, &answer.body);
+        Error::Http(format!("{status}, {e}: {body}"))
+    };
+    serde_json::from_str(&answer.body).map_err(wrong)
 }
 
 /// Sees to it, until the storm is over, that no version goes down.
@@ -65,7 +73,7 @@
     let mut highest: Vec<(String, u64)> = Vec::new();
     while !board.is_over() {
         for entry in board.entries() {
-            let Some(dump) = dump(&entry) else {
+            let Ok(dump) = dump(&entry) else {
                 continue;
             };
             note(board, &mut highest, &entry, &dump);
