Don't hold an answer for which there is no memory against its target

Callers that read large answers slowly, or not at all, used up the memory for answers. An answer that then found no room was given up as if its target had been too late: the target counted as failing, was avoided and told to others as failing, and an idempotent request was sent again, only to be read and given up once more. The instance took its own shortage for a fault of the target.

Between instances it is a new last variant of a relayed request's outcome; a sender of an earlier release takes it for a lost relay, which promises nothing either.

--- a/crates/auburnrouter/src/direct/attempt.rs
+++ b/crates/auburnrouter/src/direct/attempt.rs
@@ -176,7 +176,7 @@
             return Err(AttemptOutcome::ConnectionLost);
         }
         if !charge.add(data.len()) {
-            return Err(AttemptOutcome::TimedOut);
+            return Err(AttemptOutcome::NoMemory);
         }
         if first.is_empty() && joined.is_empty() {
             first = data;
--- a/crates/auburnrouter/src/direct/relay.rs
+++ b/crates/auburnrouter/src/direct/relay.rs
@@ -165,8 +165,7 @@
         return Completion::without_answer(outcome);
     };
     let Some(response) = response(shared, answer) else {
-        // There is no memory for it.
-        return Completion::without_answer(AttemptOutcome::TimedOut);
+        return Completion::without_answer(AttemptOutcome::NoMemory);
     };
     if outcome != AttemptOutcome::InvalidResponse && outcome != AttemptOutcome::WrongTarget {
         let info = headers::answer(response.headers());
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -298,6 +298,8 @@
             return FollowUp::Retry;
         }
         let may_retry = self.mechanisms.has(Mechanism::Retry);
+        // Its answer would find no memory either, and would be read in vain once more.
+        let may_retry = may_retry && outcome != AttemptOutcome::NoMemory;
         let is_safe =
             may_retry && !is_poison && (!job.may_have_run || job.request.route.is_idempotent);
         let has_attempts = job.tried.len() < job.request.route.attempts_max.max(1)
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -280,6 +280,8 @@
     TimedOut,
     /// Given up without an answer, as this instance reaches no target.
     GivenUp,
+    /// Given up while the answer arrived, as this instance has no memory for it.
+    NoMemory,
     /// The relay doesn't relay now, and has sent nothing.
     RelayRefused,
     /// The relay must not send to this target now, and has sent nothing.
@@ -304,6 +306,7 @@
             Self::InvalidResponse => "garbled",
             Self::TimedOut => "late",
             Self::GivenUp => "given-up",
+            Self::NoMemory => "no-memory",
             Self::RelayRefused => "relay-refused",
             Self::RelayWithheld => "relay-withheld",
             Self::RelayLost => "relay-lost",
@@ -323,6 +326,7 @@
             self,
             Self::Withdrawn
                 | Self::GivenUp
+                | Self::NoMemory
                 | Self::RelayRefused
                 | Self::RelayWithheld
                 | Self::RelayLost
--- a/crates/steer/tests/direct/retry.rs
+++ b/crates/steer/tests/direct/retry.rs
@@ -33,6 +33,7 @@
 #[case::connection_lost(AttemptOutcome::ConnectionLost, FollowUp::Settled)]
 #[case::invalid_response(AttemptOutcome::InvalidResponse, FollowUp::Settled)]
 #[case::timed_out(AttemptOutcome::TimedOut, FollowUp::Settled)]
+#[case::no_memory(AttemptOutcome::NoMemory, FollowUp::Settled)]
 fn retry_unsafe(#[case] outcome: AttemptOutcome, #[case] expected: FollowUp) {
     let (mut bench, follow_up) = send_and_finish(false, outcome);
     assert_eq!(follow_up, expected);
@@ -58,6 +59,17 @@
     assert_ne!(last, FollowUp::Retry, "its route allows two targets");
 }
 
+/// Answers for which an instance had no memory were asked for once more, and their targets
+/// counted as failing.
+#[test]
+fn give_up_answer_without_memory() {
+    let (bench, follow_up) = send_and_finish(true, AttemptOutcome::NoMemory);
+    assert_eq!(follow_up, FollowUp::Settled);
+    for target in bench.direct.roster.all() {
+        assert!(target.health.failure_rate(at(10)) < 0.01);
+    }
+}
+
 /// A target refuses the retry of a request whose first attempt may have run. The
 /// answer must not say that it wasn't run.
 #[test]
--- a/crates/wire/src/direct/relay.rs
+++ b/crates/wire/src/direct/relay.rs
@@ -122,6 +122,8 @@
     InvalidResponse,
     /// See [`AttemptOutcome::TimedOut`].
     TimedOut,
+    /// See [`AttemptOutcome::NoMemory`].
+    NoMemory,
 }
 
 impl From<AttemptOutcome> for Outcome {
@@ -138,6 +140,7 @@
             | AttemptOutcome::RelayWithheld => Self::Withheld,
             AttemptOutcome::InvalidResponse => Self::InvalidResponse,
             AttemptOutcome::TimedOut => Self::TimedOut,
+            AttemptOutcome::NoMemory => Self::NoMemory,
             AttemptOutcome::ConnectionLost
             | AttemptOutcome::GivenUp
             | AttemptOutcome::RelayLost => Self::ConnectionLost,
@@ -158,6 +161,7 @@
             Outcome::ConnectionLost => Self::ConnectionLost,
             Outcome::InvalidResponse => Self::InvalidResponse,
             Outcome::TimedOut => Self::TimedOut,
+            Outcome::NoMemory => Self::NoMemory,
         }
     }
 }
--- a/crates/wire/tests/direct.rs
+++ b/crates/wire/tests/direct.rs
@@ -184,6 +184,7 @@
 #[case::connection_lost(AttemptOutcome::ConnectionLost)]
 #[case::invalid_response(AttemptOutcome::InvalidResponse)]
 #[case::timed_out(AttemptOutcome::TimedOut)]
+#[case::no_memory(AttemptOutcome::NoMemory)]
 fn relayed_outcome_round_trip(#[case] outcome: AttemptOutcome) {
     let told = AttemptOutcome::from(relay::Outcome::from(outcome));
     assert_eq!(told.is_not_run(), outcome.is_not_run());
