Let go of a long answer once it is written

An instance with 160 MB took 337 and 385 MB for callers that asked for answers of 512 and 256 KiB and read nothing, and kept 162 and 255 MB: the system's sockets had taken the answers whole, and the account of memory said that nothing was held. A connection writes a long body from a reference-counted buffer that it advances; the empty rest still refers to the whole body, so each open connection kept its last long answer until it was closed, read or unread, in no account. The rest is dropped now when all is written, and an output buffer that a pipeline has grown likewise.

--- a/crates/auburnrouter/src/direct/connection.rs
+++ b/crates/auburnrouter/src/direct/connection.rs
@@ -59,6 +59,9 @@
 /// Fill of the output buffer from which on no further answer is added.
 const OUTPUT_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Largest output buffer that a connection keeps while it has nothing to write.
+const OUTPUT_KEPT_BYTES_MAX: usize = 16 * 1024;
+
 /// Time to go on reading after an answer that closes the connection. Closing a socket
 /// with unread input resets the connection, and the answer may be lost. A few round
 /// trips between the farthest regions are enough for the answer to arrive.
@@ -430,6 +433,11 @@
             progressed = true;
         }
         self.unwritten.clear();
+        // An empty rest keeps the whole body.
+        self.body_tail = Bytes::new();
+        if self.out.capacity() > OUTPUT_KEPT_BYTES_MAX {
+            self.out = BytesMut::new();
+        }
         Ok(progressed)
     }
 
