Hold a request's future once

Each request under way took some 36 KB: its future had 17.7 KB, as wrappers of a future hold it twice, before and while it runs, and the block around it for its connection held that twice again. What a burst of requests takes stays with the allocator.

--- a/crates/auburnrouter/src/direct/callers/routed.rs
+++ b/crates/auburnrouter/src/direct/callers/routed.rs
@@ -210,14 +210,16 @@
         report: impl FnOnce(Feedback, &HeaderMap),
     ) -> Completion {
         let (shared, forwarded) = (&self.shared, &self.forwarded);
+        // Boxed, as each wrapper of a future may hold it twice.
         if let Some(by) = &assignment.relay {
-            return relay::run(shared, by, assignment, forwarded, remaining, report).await;
+            let run = relay::run(shared, by, assignment, forwarded, remaining, report);
+            return Box::pin(run).await;
         }
         let to = Destination {
             target: &assignment.target,
             addr: assignment.addr,
         };
-        attempt::run(shared, &to, forwarded, remaining, report).await
+        Box::pin(attempt::run(shared, &to, forwarded, remaining, report)).await
     }
 
     /// Request id as text; empty if there is none or it is not visible ASCII.
--- a/crates/auburnrouter/src/direct/connection.rs
+++ b/crates/auburnrouter/src/direct/connection.rs
@@ -20,6 +20,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::{Stream, future};
+use futures_util::FutureExt;
 use futures_util::stream::FuturesUnordered;
 use http1::answer::{self, Options};
 use http1::pipeline::{self, Pipeline, Slot};
@@ -366,10 +367,10 @@
         while let Some(start) = self.pipeline.start_next(is_idempotent) {
             let mut incoming = start.request;
             incoming.ahead = start.ahead;
-            let answer = service.answer(incoming);
             let slot = start.slot;
-            self.running
-                .push(Box::pin(async move { (slot, answer.await) }));
+            // An async block would hold the future twice, before and while it runs.
+            let answer = service.answer(incoming).map(move |answer| (slot, answer));
+            self.running.push(Box::pin(answer));
         }
     }
 
