Leave room for short answers beside long ones that nobody reads

With 300 callers that asked for answers of 4 MB and read nothing, 1 of 152 ordinary requests was served: one sum held what all answers took, and requests were turned away beyond a quarter of the limit. And what was charged was not what was held: a body grew by doubling, read buffers of connections to targets took up to 400 KiB each, and bodies that were freed stayed with the allocator.

Now long answers have three eighths of the limit, so that an eighth is left to requests and short answers; a request reserves the mean length of its route's answers, so that it is turned away before it runs; an answer is charged before its buffer is allocated, by the length that the target names; bodies from 64 KiB on lie in pages of their own (memmap2: anonymous maps without code of ours that is unsafe), which go back at once; read buffers take 16 KiB. Who pays: while there is no room, callers that have taken nothing for a second are closed, the longest stalled first, and the answer waits for half a second.

`make_room_for_callers_that_read` is new.

--- a/crates/auburnrouter/src/daemon/outbound.rs
+++ b/crates/auburnrouter/src/daemon/outbound.rs
@@ -73,6 +73,7 @@
             connections_max,
             warm_connections: WARM_CONNECTIONS,
             connect_timeout: CONNECT_TIMEOUT,
+            read_buffer_max: None,
         };
         Self {
             pool: pool::Pool::new(executor, limits),
--- a/crates/auburnrouter/src/direct/attempt.rs
+++ b/crates/auburnrouter/src/direct/attempt.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
@@ -18,8 +17,9 @@
 use steer::process::direct::AttemptOutcome;
 use steer::process::direct::target::Feedback;
 
+use super::Shared;
+use super::memory::{AnswerCharge, Buffer};
 use super::server::Response;
-use super::{Shared, memory};
 
 /// Longest body of a target's answer. Answers are buffered in full before they are
 /// passed on, so that a truncated one is never taken for a complete one.
@@ -40,6 +40,8 @@
     pub id: Option<HeaderValue>,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
+    /// Memory for its answer.
+    pub memory: Arc<AnswerCharge>,
 }
 
 /// Where an attempt goes.
@@ -132,8 +134,8 @@
     ) {
         report(feedback(head.status, &info), &head.headers);
     }
-    let (body, charge) = match read_body(shared, body).await {
-        Ok(read) => read,
+    let body = match read_body(&forwarded.memory, body).await {
+        Ok(body) => body,
         Err(failed) => return Completion::without_answer(failed),
     };
     if outcome != AttemptOutcome::InvalidResponse && forwarded.is_idempotent {
@@ -143,7 +145,9 @@
     headers::strip(&mut fields);
     fields.remove(CONTENT_LENGTH);
     let mut answer = Response::new(body);
-    answer.extensions_mut().insert(Arc::new(charge));
+    answer
+        .extensions_mut()
+        .insert(Arc::clone(&forwarded.memory));
     *answer.status_mut() = head.status;
     *answer.headers_mut() = fields;
     Completion {
@@ -154,43 +158,69 @@
 }
 
 /// Reads the body of an answer at the target's pace, whatever the pace of its caller.
-/// The charge for it lasts until the caller has it.
 ///
 /// # Errors
 /// The outcome of the attempt if the body is incomplete or there is no memory for it.
 async fn read_body(
-    shared: &Shared,
+    memory: &AnswerCharge,
     body: impl Body<Data = Bytes>,
-) -> Result<(Bytes, memory::Charge), AttemptOutcome> {
+) -> Result<Bytes, AttemptOutcome> {
+    let announced = body.size_hint().exact();
+    let announced = announced.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    let capacity = announced.unwrap_or_default();
+    if capacity > ANSWER_MAX_BYTES {
+        return Err(AttemptOutcome::ConnectionLost);
+    }
+    if let Some(bytes) = announced {
+        memory.record(bytes);
+    }
+    let mut buffer = allocate(memory, capacity).await?;
     let mut body = core::pin::pin!(body);
-    let mut charge = shared.memory.begin_answer();
-    let mut first = Bytes::new();
-    let mut joined = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| AttemptOutcome::ConnectionLost)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let length = first.len() + joined.len() + data.len();
+        let length = buffer.len() + data.len();
         if length > ANSWER_MAX_BYTES {
             return Err(AttemptOutcome::ConnectionLost);
         }
-        if !charge.add(data.len()) {
-            return Err(AttemptOutcome::NoMemory);
-        }
-        if first.is_empty() && joined.is_empty() {
-            first = data;
-        } else {
-            joined.extend_from_slice(&core::mem::take(&mut first));
-            joined.extend_from_slice(&data);
+        if length > buffer.capacity() {
+            buffer = grow(memory, buffer, length).await?;
         }
+        buffer.push(&data);
     }
-    let body = if joined.is_empty() {
-        first
-    } else {
-        joined.freeze()
-    };
-    Ok((body, charge))
+    if announced.is_none() {
+        memory.record(buffer.len());
+    }
+    Ok(buffer.freeze())
+}
+
+/// A buffer of this capacity, once there is memory for it.
+async fn allocate(memory: &AnswerCharge, capacity: usize) -> Result<Buffer, AttemptOutcome> {
+    if !memory.hold(capacity).await {
+        return Err(AttemptOutcome::NoMemory);
+    }
+    Buffer::with_capacity(capacity).map_err(|_| AttemptOutcome::NoMemory)
+}
+
+/// The same buffer with room for `length` bytes, and more to come.
+async fn grow(
+    memory: &AnswerCharge,
+    buffer: Buffer,
+    length: usize,
+) -> Result<Buffer, AttemptOutcome> {
+    let capacity = length
+        .max(buffer.capacity().saturating_mul(2))
+        .min(ANSWER_MAX_BYTES);
+    // Both are held while the bytes are copied.
+    if !memory.hold(buffer.capacity() + capacity).await {
+        return Err(AttemptOutcome::NoMemory);
+    }
+    let larger = buffer.grow(capacity).map_err(|_| AttemptOutcome::NoMemory);
+    // Fewer bytes always have room.
+    let _ = memory.try_hold(capacity);
+    larger
 }
 
 /// What a target's answer reports of the target.
--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -183,7 +183,7 @@
         Access::KeysStale => return meta.reject(&shared, &route.name, "unsure-of-keys"),
     };
     // Callers that don't read their answers may hold all memory there is for them.
-    let Some(_answer_allowance) = shared.memory.reserve_answer() else {
+    let Some(memory) = shared.memory.reserve_answer(&route.name) else {
         return meta.reject(&shared, &route.name, "memory");
     };
     let RequestMeta { caller, origin } = meta;
@@ -215,6 +215,7 @@
             body,
             id: caller.id,
             is_idempotent: route.is_idempotent,
+            memory: Arc::new(memory),
         },
         route,
         team,
--- a/crates/auburnrouter/src/direct/connection.rs
+++ b/crates/auburnrouter/src/direct/connection.rs
@@ -29,6 +29,7 @@
 use smol::net;
 
 use super::date;
+use super::events;
 use super::memory;
 use super::server::{Limits, ReadError, Response, Service};
 use super::socket::Socket;
@@ -119,7 +120,9 @@
     /// Unwritten rest of a body too long for the output buffer; follows `out`.
     body_tail: Bytes,
     /// Memory charged for the bodies in `out` and `body_tail`.
-    unwritten: Vec<Arc<memory::Charge>>,
+    unwritten: Vec<Arc<memory::AnswerCharge>>,
+    /// Held while the caller takes nothing of them.
+    stall: Option<memory::Stall>,
     timeouts: Timeouts,
     /// Memory reserved for the body that is arriving.
     reservation: Option<S::Reservation>,
@@ -178,6 +181,7 @@
             out: BytesMut::new(),
             body_tail: Bytes::new(),
             unwritten: Vec::new(),
+            stall: None,
             timeouts: Timeouts {
                 timer: None,
                 timer_at: None,
@@ -423,6 +427,7 @@
             match self.socket.poll_write(cx, bytes) {
                 Poll::Pending => {
                     self.timeouts.write_blocked.get_or_insert_with(Instant::now);
+                    self.poll_stall(cx)?;
                     return Ok(progressed);
                 }
                 Poll::Ready(Ok(0)) => return Err(io::ErrorKind::WriteZero.into()),
@@ -431,6 +436,7 @@
                 Poll::Ready(Err(error)) => return Err(error),
             }
             self.timeouts.write_blocked = None;
+            self.stall = None;
             progressed = true;
         }
         self.unwritten.clear();
@@ -442,6 +448,21 @@
         Ok(progressed)
     }
 
+    /// Fails if the caller has taken nothing for so long that memory is taken from it.
+    fn poll_stall(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        let shared = self.service.shared();
+        let unwritten = &self.unwritten;
+        let stall = self.stall.get_or_insert_with(|| {
+            let bytes = unwritten.iter().map(|charge| charge.bytes()).sum();
+            shared.memory.stall(bytes)
+        });
+        if !stall.is_evicted(cx.waker()) {
+            return Ok(());
+        }
+        events::caller_evicted(shared, self.caller, stall);
+        Err(io::ErrorKind::TimedOut.into())
+    }
+
     /// Handles the next timeout if it is due, else registers a wake-up for it.
     fn poll_timeouts(&mut self, cx: &mut Context<'_>) -> io::Result<StepResult> {
         loop {
--- a/crates/auburnrouter/src/direct/events.rs
+++ b/crates/auburnrouter/src/direct/events.rs
@@ -4,6 +4,7 @@
 //! Invariants: names of events and fields are defined here and nowhere else; lines
 //! of one event are bounded per second, and dropped ones are counted.
 
+mod callers;
 mod reach;
 mod requests;
 mod suspects;
@@ -18,6 +19,7 @@
 use steer::version::routes::{Route, Routes};
 use steer::version::teams::Team;
 
+pub use callers::caller_evicted;
 pub use reach::{Relayed, reach_changed, relayed};
 pub use requests::{Attempt, Origin, OwnAnswer, attempt_ended, own_answer};
 pub use suspects::{suspects_changed, trial_begun};
--- a/crates/auburnrouter/src/direct/memory.rs
+++ b/crates/auburnrouter/src/direct/memory.rs
@@ -1,39 +1,81 @@
 //! Memory account for bodies: those of callers' requests, and those of answers until
 //! they are written to their callers.
 //!
-//! A caller that reads slowly, or not at all, keeps its answers here. They are charged
-//! in any case, as a request that ran must be answered. So the account turns away
-//! requests before they run while it is used up, and a request reserves room for a
-//! usual answer before it is sent.
+//! A caller that reads slowly, or not at all, keeps its answers here. So a request
+//! reserves room for the answer that its route usually gets before it is sent, and is
+//! turned away where there is none. Small answers and bodies of requests have room of
+//! their own, so that long answers that nobody reads leave it to all others. While
+//! room is short, callers that take nothing of their answers are closed, the longest
+//! stalled first ([`stalls`]).
 //!
-//! Invariants: what is reserved never exceeds 1/[`RESERVABLE_DIVISOR`] of the process's
-//! memory limit, and all bytes together never exceed 1/[`TOTAL_DIVISOR`] of it.
+//! Invariants: what requests reserve never exceeds 1/[`RESERVABLE_DIVISOR`] of the
+//! process's memory limit, long answers never take the last 1/[`GUARANTEED_DIVISOR`],
+//! and all bytes together never exceed 1/[`TOTAL_DIVISOR`] of it.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+mod answer;
+mod buffer;
+mod sizes;
+mod stalls;
 
-/// Fraction (1/n) of the memory limit up to which requests may reserve memory. Each
-/// body is buffered in full here, and a second time where it is sent.
+use std::sync::{Arc, Mutex};
+
+use event_listener::Event;
+
+use super::lock;
+pub use answer::AnswerCharge;
+pub use buffer::Buffer;
+use sizes::AnswerSizes;
+pub use stalls::Stall;
+use stalls::Stalls;
+
+/// Fraction (1/n) of the memory limit up to which requests may reserve memory for their
+/// bodies and usual answers. Each body is buffered in full here, and a second time where
+/// it is sent.
 const RESERVABLE_DIVISOR: usize = 4;
 
+/// Fraction (1/n) of the memory limit that is left to requests whatever long answers take.
+const GUARANTEED_DIVISOR: usize = 8;
+
 /// Fraction (1/n) of the memory limit beyond which answers are given up.
 const TOTAL_DIVISOR: usize = 2;
 
-/// Bytes reserved for the answer to a request before it is sent.
-const ANSWER_ALLOWANCE_BYTES: usize = 16 * 1024;
+/// Bytes reserved for any answer before its request is sent. They cover the read buffer
+/// of the connection to the target too.
+pub const ANSWER_ALLOWANCE_BYTES: usize = 16 * 1024;
 
 /// Bytes of all bodies that this process holds.
 #[derive(Debug)]
 pub struct Account {
-    used: AtomicUsize,
+    used: Mutex<Used>,
     /// Memory limit of the process in bytes.
     limit: usize,
+    sizes: Mutex<AnswerSizes>,
+    stalls: Stalls,
+    /// Notified when bytes are released.
+    released: Event,
+}
+
+/// Bytes that are held, by purpose.
+#[derive(Clone, Copy, Debug, Default)]
+struct Used {
+    reserved: usize,
+    long: usize,
+}
+
+/// What bytes are held for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    /// Bodies of requests, and the allowance of each answer.
+    Reserved,
+    /// What answers take beyond their allowance.
+    Long,
 }
 
 /// Bytes in an account; released on drop.
 #[derive(Debug)]
 pub struct Charge {
     account: Arc<Account>,
+    purpose: Purpose,
     bytes: usize,
 }
 
@@ -42,66 +84,107 @@
     pub fn new(memory_mb: u64) -> Self {
         let memory = usize::try_from(memory_mb).unwrap_or(usize::MAX);
         Self {
-            used: AtomicUsize::new(0),
+            used: Mutex::default(),
             limit: memory.saturating_mul(1 << 20),
+            sizes: Mutex::default(),
+            stalls: Stalls::default(),
+            released: Event::new(),
         }
     }
 
     /// Bytes held.
     pub fn used(&self) -> usize {
-        self.used.load(Ordering::Relaxed)
+        let used = lock(&self.used);
+        used.reserved + used.long
     }
 
     /// Reserves memory for a request body of `length` bytes, as it announces, or of
     /// `max` bytes if it announces nothing. `None` if the account is used up.
     pub fn reserve_body(self: &Arc<Self>, max: usize, length: Option<u64>) -> Option<Charge> {
         let announced = length.and_then(|b| usize::try_from(b).ok()).unwrap_or(max);
-        self.take(announced.min(max), self.limit / RESERVABLE_DIVISOR)
+        self.take(Purpose::Reserved, announced.min(max))
+    }
+
+    /// Reserves memory for the usual answer of a route, before its request is sent.
+    /// `None` if the account is used up.
+    pub fn reserve_answer(self: &Arc<Self>, route: &Arc<str>) -> Option<AnswerCharge> {
+        let allowance = self.take(Purpose::Reserved, ANSWER_ALLOWANCE_BYTES)?;
+        let usual = lock(&self.sizes).usual(route);
+        let long = self.take(Purpose::Long, usual.saturating_sub(ANSWER_ALLOWANCE_BYTES))?;
+        Some(AnswerCharge::new(Arc::clone(route), allowance, long))
     }
 
-    /// Reserves memory for a usual answer, before its request is sent. `None` if the
-    /// account is used up.
-    pub fn reserve_answer(self: &Arc<Self>) -> Option<Charge> {
-        self.take(ANSWER_ALLOWANCE_BYTES, self.limit / RESERVABLE_DIVISOR)
+    /// Lists a connection whose caller takes nothing from now on of this many bytes,
+    /// until what is returned is dropped.
+    pub fn stall(self: &Arc<Self>, bytes: usize) -> Stall {
+        Stalls::begin(self, bytes)
     }
 
-    /// Begins the charge for an answer that is being read.
-    pub fn begin_answer(self: &Arc<Self>) -> Charge {
-        Charge {
+    /// Tells the callers that have taken nothing for longest to go, until they release
+    /// this many bytes.
+    fn evict(&self, bytes: usize) {
+        self.stalls.evict(bytes);
+    }
+
+    /// Takes bytes; `None` if there is no room for them, which there may be soon, as
+    /// stalled callers are told to go.
+    fn take(self: &Arc<Self>, purpose: Purpose, bytes: usize) -> Option<Charge> {
+        let mut charge = Charge {
             account: Arc::clone(self),
+            purpose,
             bytes: 0,
+        };
+        if charge.resize(bytes) {
+            return Some(charge);
         }
+        self.evict(bytes);
+        None
     }
+}
 
-    fn take(self: &Arc<Self>, bytes: usize, capacity: usize) -> Option<Charge> {
-        let mut charge = self.begin_answer();
-        charge.add_within(bytes, capacity).then_some(charge)
+impl Used {
+    /// Bytes held for a purpose.
+    const fn of(&mut self, purpose: Purpose) -> &mut usize {
+        match purpose {
+            Purpose::Reserved => &mut self.reserved,
+            Purpose::Long => &mut self.long,
+        }
+    }
+
+    /// Whether no bound is exceeded in a process with this memory limit.
+    const fn is_within(self, limit: usize) -> bool {
+        let total = limit / TOTAL_DIVISOR;
+        self.reserved <= limit / RESERVABLE_DIVISOR
+            && self.long <= total - limit / GUARANTEED_DIVISOR
+            && self.reserved + self.long <= total
     }
 }
 
 impl Charge {
-    /// Adds bytes of an answer. Returns whether there is room for them; if not, nothing
-    /// is added.
+    /// Changes the number of bytes. Returns whether there is room for them; if not,
+    /// nothing changes.
     #[must_use]
-    pub fn add(&mut self, bytes: usize) -> bool {
-        self.add_within(bytes, self.account.limit / TOTAL_DIVISOR)
-    }
-
-    fn add_within(&mut self, bytes: usize, capacity: usize) -> bool {
-        let grown = |used: usize| used.checked_add(bytes).filter(|used| *used <= capacity);
-        let used = &self.account.used;
-        let is_added = used
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, grown)
-            .is_ok();
-        if is_added {
-            self.bytes += bytes;
+    fn resize(&mut self, bytes: usize) -> bool {
+        let mut used = lock(&self.account.used);
+        let mut changed = *used;
+        let held = changed.of(self.purpose);
+        *held = (*held - self.bytes).saturating_add(bytes);
+        if bytes > self.bytes && !changed.is_within(self.account.limit) {
+            return false;
+        }
+        *used = changed;
+        drop(used);
+        if bytes < self.bytes {
+            self.account.released.notify(usize::MAX);
         }
-        is_added
+        self.bytes = bytes;
+        true
     }
 }
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        self.account.used.fetch_sub(self.bytes, Ordering::Relaxed);
+        // Fewer bytes always have room.
+        let _ = self.resize(0);
     }
 }
--- a/crates/auburnrouter/src/direct/metrics.rs
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -68,6 +68,8 @@
     pub dropped_lines: IntCounter,
     /// Callers' connections rejected for lack of file descriptors.
     pub rejected_connections: IntCounter,
+    /// Callers' connections closed as they took nothing of their answers.
+    pub evicted_callers: IntCounter,
     gauges: Gauges,
     store_calls: IntGaugeVec,
 }
@@ -115,6 +117,11 @@
             "auburnrouter_connections_turned_away_total",
             "Callers' connections beyond what the process's descriptors allow",
         )?;
+        let evicted_callers = counter(
+            &registry,
+            "auburnrouter_callers_evicted_total",
+            "Callers' connections closed, as they took nothing of their answers while memory was short",
+        )?;
         let store_calls = store_calls(&registry)?;
         Ok(Self {
             attempts: counters(
@@ -168,6 +175,7 @@
             header_names: Mutex::default(),
             dropped_lines,
             rejected_connections,
+            evicted_callers,
             gauges: Gauges::new(&registry)?,
             store_calls,
             registry,
--- a/crates/auburnrouter/src/direct/relay.rs
+++ b/crates/auburnrouter/src/direct/relay.rs
@@ -164,7 +164,7 @@
     let Some(answer) = ended.answer else {
         return Completion::without_answer(outcome);
     };
-    let Some(response) = response(shared, answer) else {
+    let Some(response) = response(forwarded, answer).await else {
         return Completion::without_answer(AttemptOutcome::NoMemory);
     };
     if outcome != AttemptOutcome::InvalidResponse && outcome != AttemptOutcome::WrongTarget {
@@ -182,15 +182,16 @@
 
 /// A relayed answer, charged to the account of memory until its caller has it; `None` if
 /// there is no room for it or it is malformed.
-fn response(shared: &Shared, answer: relay::Answer) -> Option<Response> {
-    let mut charge = shared.memory.begin_answer();
-    if !charge.add(answer.body.len()) {
+async fn response(forwarded: &ForwardedRequest, answer: relay::Answer) -> Option<Response> {
+    let memory = &forwarded.memory;
+    memory.record(answer.body.len());
+    if !memory.hold(answer.body.len()).await {
         return None;
     }
     let mut response = Response::new(Bytes::from(answer.body));
     *response.status_mut() = StatusCode::from_u16(answer.status).ok()?;
     *response.headers_mut() = decode_headers(answer.headers)?;
-    response.extensions_mut().insert(Arc::new(charge));
+    response.extensions_mut().insert(Arc::clone(memory));
     Some(response)
 }
 
--- a/crates/auburnrouter/src/direct/relay/carrier.rs
+++ b/crates/auburnrouter/src/direct/relay/carrier.rs
@@ -21,8 +21,12 @@
 
 use super::{decode_headers, encode_headers};
 use crate::direct::attempt::{self, Completion, Destination, ForwardedRequest};
+use crate::direct::memory::AnswerCharge;
 use crate::direct::{Phase, Shared, events, feedback};
 
+/// Name under which the usual length of relayed answers is learnt, in place of a route's.
+const RELAYED_ROUTE: &str = "";
+
 /// Number of requests that are being relayed.
 #[derive(Debug, Default)]
 pub struct RelayedCount(AtomicUsize);
@@ -72,10 +76,10 @@
     let body = shared
         .memory
         .reserve_body(length, u64::try_from(length).ok());
-    let answer = shared.memory.reserve_answer();
-    if body.is_none() || answer.is_none() {
+    let answer = shared.memory.reserve_answer(&Arc::from(RELAYED_ROUTE));
+    let (Some(_body), Some(answer)) = (body, answer) else {
         return Reply::Refused(Refusal::Memory);
-    }
+    };
     let target: Arc<str> = Arc::from(&*request.target);
     let incarnation = request.incarnation;
     let found = shared.read(|now, d| d.relay_target(now, &target, incarnation));
@@ -85,7 +89,7 @@
     };
     let limit = arrived + Duration::from_millis(request.left_ms.into());
     let sender = request.sender.clone();
-    let Some(forwarded) = decode(request) else {
+    let Some(forwarded) = decode(request, answer) else {
         return Reply::Refused(Refusal::Malformed);
     };
     let remaining = || {
@@ -144,7 +148,7 @@
 }
 
 /// The request as it is sent; `None` if it isn't HTTP.
-fn decode(request: relay::Request) -> Option<ForwardedRequest> {
+fn decode(request: relay::Request, memory: AnswerCharge) -> Option<ForwardedRequest> {
     let fields = decode_headers(request.headers)?;
     Some(ForwardedRequest {
         method: Method::try_from(&*request.method).ok()?,
@@ -153,6 +157,7 @@
         headers: fields,
         body: Bytes::from(request.body),
         is_idempotent: request.is_idempotent,
+        memory: Arc::new(memory),
     })
 }
 
--- a/crates/auburnrouter/src/direct/shared.rs
+++ b/crates/auburnrouter/src/direct/shared.rs
@@ -124,6 +124,11 @@
             connections_max: CONNECTIONS_PER_ADDR_MAX,
             warm_connections: 0,
             connect_timeout: CONNECT_TIMEOUT,
+            read_buffer_max: None,
+        };
+        let target_limits = pool::Limits {
+            read_buffer_max: Some(memory::ANSWER_ALLOWANCE_BYTES),
+            ..limits
         };
         let identity = Identity {
             name: Arc::clone(&settings.name),
@@ -156,7 +161,7 @@
             relayed: relay::carrier::RelayedCount::default(),
             target_pool: pool::Pool::with_translations(
                 Arc::clone(traffic),
-                limits,
+                target_limits,
                 settings.translations.clone(),
             ),
             phase: Mutex::new(Phase::Serving),
--- a/crates/auburnrouter/tests/direct/slow_readers.rs
+++ b/crates/auburnrouter/tests/direct/slow_readers.rs
@@ -79,6 +79,29 @@
     rejected.map(id).collect()
 }
 
+/// Callers that take nothing of their answers kept the memory of those who read theirs for
+/// the whole request timeout.
+#[test]
+fn make_room_for_callers_that_read() {
+    let harness = Harness::start(1);
+    harness.targets[0].pad_answers(ANSWER_BYTES);
+    let memory = harness.entry.memory_limit();
+    let mut callers = Vec::new();
+    while held(&harness) + ANSWER_BYTES as u64 <= memory * 3 / 8 {
+        let before = held(&harness);
+        callers.push(send_unread(&harness, &format!("first{}", callers.len())));
+        wait_until("the answer waits for its caller", || {
+            held(&harness) > before
+        });
+    }
+    wait_until("a caller that reads is served", || {
+        let id = format!("reads{}", harness.runs().len());
+        harness.entry.send("GET", "/view/x", &id, "").status == 200
+    });
+    wait_for_line(&harness.entry, "\"event\":\"evicted\"");
+    assert!(held(&harness) > 0, "only as many go as is needed");
+}
+
 /// A caller that doesn't read its answer keeps its memory for a bounded time.
 #[test]
 fn give_up_caller_that_does_not_read() {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -43,6 +43,9 @@
     /// distinguishes a request that was not sent from one without an answer in
     /// time.
     pub connect_timeout: Duration,
+    /// Largest read buffer of a connection in bytes, 8192 at least, which also bounds the
+    /// head of a response; `None` for the library's bound of some 400 KiB.
+    pub read_buffer_max: Option<usize>,
 }
 
 /// How a connection failed to open.
@@ -381,7 +384,11 @@
         // An error is harmless: without it, requests are slightly delayed.
         let _ = stream.set_nodelay(true);
         let io = smol_hyper::rt::FuturesIo::new(stream);
-        let (sender, driver) = http1::handshake(io).await.map_err(|_| Error::Unsent)?;
+        let mut builder = http1::Builder::new();
+        if let Some(bytes) = self.limits.read_buffer_max {
+            builder.max_buf_size(bytes);
+        }
+        let (sender, driver) = builder.handshake(io).await.map_err(|_| Error::Unsent)?;
         let driver = self.executor.spawn(async {
             // Errors are reported to the pending request by the sender.
             let _ = driver.await;
--- a/crates/pool/tests/pool.rs
+++ b/crates/pool/tests/pool.rs
@@ -20,6 +20,7 @@
     connections_max: 4,
     warm_connections: 0,
     connect_timeout: Duration::from_millis(200),
+    read_buffer_max: None,
 };
 
 /// Runs a test on the executor that drives the pool's connections.
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -99,6 +99,7 @@
             connections_max: config.calls_max + config.watches_max,
             warm_connections: 0,
             connect_timeout: config.connect_timeout,
+            read_buffer_max: None,
         };
         Self {
             pool: pool::Pool::new(executor, limits),
