Bring readers up to date by changes after the store was read anew

The region's reader then reads everything anew, and its replica took the revision of that full read as the oldest that readers can be sent changes from.

A replica now knows from two exact states which items changed and which are gone, and sends just these. What it can't know is what came and went between them: a reader at a revision inside that gap still gets everything, and changes that follow another revision than the receiver's are not applied. So that the state after a full read is exact, it always ends with the changes since the list.

--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use apply::{apply_changes, apply_update};
+use apply::{Query, apply_changes, apply_update};
 use futures_lite::future;
 use platform::document;
 use platform::store::{Changes, Error, Freshness, Listing};
@@ -115,9 +115,9 @@
                         continue;
                     };
                     is_starting.store(true, Ordering::Relaxed);
-                    let sent_at = shared.now();
-                    if let Some(changes) = read_snapshot(&shared, &connection).await {
-                        return FirstAnswer::Peer(Arc::clone(name), connection, changes, sent_at);
+                    let query = Query::new(&shared);
+                    if let Some(changes) = read_snapshot(&connection, query).await {
+                        return FirstAnswer::Peer(Arc::clone(name), connection, changes, query);
                     }
                 }
                 smol::Timer::after(PEER_RETRY_PAUSE).await;
@@ -128,12 +128,12 @@
             if is_starting.load(Ordering::Relaxed) {
                 smol::Timer::after(delay.saturating_sub(START_DELAY)).await;
             }
-            FirstAnswer::Store(list_and_watch(&shared).await)
+            FirstAnswer::Store(list_and_watch(&shared, Freshness::Stale).await)
         };
         match future::or(from_peer, from_store).await {
-            FirstAnswer::Peer(name, connection, changes, sent_at) => {
+            FirstAnswer::Peer(name, connection, changes, query) => {
                 self.connection = Some(connection);
-                if apply_changes(&shared, changes, sent_at) {
+                if apply_changes(&shared, changes, query) {
                     self.set_source(&name);
                     return true;
                 }
@@ -259,12 +259,13 @@
         let Some(connection) = &self.connection else {
             return false;
         };
-        let known = lock(&self.shared.replica).revision();
-        let sent_at = self.shared.now();
-        let answer = connection.changes(known, wait).await;
+        let query = Query::new(&self.shared);
+        let answer = connection.changes(query.known, wait).await;
         match answer {
-            Some(changes) if changes.revision > 0 && accept(&self.shared, (&changes, sent_at)) => {
-                apply_changes(&self.shared, changes, sent_at)
+            Some(changes)
+                if changes.revision > 0 && accept(&self.shared, (&changes, query.sent_at)) =>
+            {
+                apply_changes(&self.shared, changes, query)
             }
             Some(_) => false,
             None => {
@@ -289,6 +290,7 @@
         let update = Update {
             revision,
             is_full: true,
+            since: None,
             items: items.map(|i| replica_item(&self.shared, i)).collect(),
         };
         apply_update(&self.shared, update, StoreContact::NOW, Some(sent_at));
@@ -303,7 +305,7 @@
         let sent_at = self.shared.now();
         let watched = self.shared.store.watch(ALL_KEYS, known, wait).await;
         if let Err(Error::Compacted | Error::Malformed(_)) = watched {
-            let result = list_and_watch(&self.shared).await;
+            let result = list_and_watch(&self.shared, Freshness::Stale).await;
             return self.apply_full(result);
         }
         let Some(changes) = self.log_transition(watched) else {
@@ -322,6 +324,7 @@
         let update = Update {
             revision: changes.revision.max(known),
             is_full: false,
+            since: None,
             items: items.map(|i| replica_item(&self.shared, i)).collect(),
         };
         apply_update(&self.shared, update, StoreContact::NOW, Some(confirmed));
@@ -359,16 +362,15 @@
 /// First answer at the start.
 enum FirstAnswer {
     /// Everything that the named instance knows, and when it was queried.
-    Peer(Arc<str>, Connection, direct::Changes, Time),
+    Peer(Arc<str>, Connection, direct::Changes, Query),
     /// Result of reading the store.
     Store(Result<Snapshot, Error>),
 }
 
 /// Reads everything from another instance; `None` if it does not answer or isn't up
 /// to date with the store.
-async fn read_snapshot(shared: &Shared, connection: &Connection) -> Option<direct::Changes> {
-    let known = lock(&shared.replica).revision();
-    let changes = connection.changes(known, PEER_WAIT).await?;
+async fn read_snapshot(connection: &Connection, query: Query) -> Option<direct::Changes> {
+    let changes = connection.changes(query.known, PEER_WAIT).await?;
     is_fresh(&changes).then_some(changes)
 }
 
@@ -397,11 +399,12 @@
     sent_at: Time,
 }
 
-/// Reads everything from the store: a list that may be stale, which costs a tenth of
-/// a fresh one, and the changes since. Lists anew if their history is gone.
-async fn list_and_watch(shared: &Shared) -> Result<Snapshot, Error> {
+/// Reads everything from the store: a list and the changes since, so that what changed
+/// between its pages is known too. A list that may be stale costs a tenth of a fresh one;
+/// if the history since is gone, everything is listed anew.
+async fn list_and_watch(shared: &Shared, freshness: Freshness) -> Result<Snapshot, Error> {
     let store = &shared.store;
-    let listing = store.list(ALL_KEYS, Freshness::Stale).await?;
+    let listing = store.list(ALL_KEYS, freshness).await?;
     let sent_at = shared.now();
     match store
         .watch(ALL_KEYS, listing.revision, Duration::ZERO)
@@ -412,14 +415,8 @@
             changes,
             sent_at,
         }),
-        Err(Error::Compacted) => {
-            let sent_at = shared.now();
-            let listing = store.list(ALL_KEYS, Freshness::Latest).await?;
-            Ok(Snapshot {
-                listing,
-                changes: Changes::default(),
-                sent_at,
-            })
+        Err(Error::Compacted) if freshness == Freshness::Stale => {
+            Box::pin(list_and_watch(shared, Freshness::Latest)).await
         }
         Err(error) => Err(error),
     }
@@ -459,15 +456,15 @@
         let is_stuck = previous == Some(revision);
         previous = ahead.map(|_| revision);
         if let Some(addr) = freshest.or(ahead.filter(|_| is_stuck)) {
-            let sent_at = shared.now();
+            let query = Query::new(&shared);
             let answer = match Connection::open(addr, &executor).await {
-                Some(connection) => connection.changes(revision, Duration::ZERO).await,
+                Some(connection) => connection.changes(query.known, Duration::ZERO).await,
                 None => None,
             };
             let outcome = if answer.is_some() { "told" } else { "nothing" };
             events::peer_queried(&shared, addr, revision, outcome);
             if let Some(changes) = answer {
-                apply_changes(&shared, changes, sent_at);
+                apply_changes(&shared, changes, query);
             }
         }
     }
--- a/crates/auburnrouter/src/direct/source/apply.rs
+++ b/crates/auburnrouter/src/direct/source/apply.rs
@@ -14,15 +14,34 @@
 
 use super::super::{Shared, events, lock, member, verdict};
 
-/// Applies the answer of another instance to a query sent at `sent_at`. Returns
-/// whether it could be decoded.
-pub(super) fn apply_changes(shared: &Shared, changes: direct::Changes, sent_at: Time) -> bool {
+/// A query for the changes of another instance.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Query {
+    /// Revision that the changes are to follow.
+    pub known: u64,
+    pub sent_at: Time,
+}
+
+impl Query {
+    /// A query that is sent now.
+    pub(super) fn new(shared: &Shared) -> Self {
+        Self {
+            known: lock(&shared.replica).revision(),
+            sent_at: shared.now(),
+        }
+    }
+}
+
+/// Applies the answer of another instance to a query. Returns whether it could be
+/// decoded.
+pub(super) fn apply_changes(shared: &Shared, changes: direct::Changes, query: Query) -> bool {
     let contact = changes.contact();
     let now = shared.now();
-    let stale = changes.staleness(now.since(sent_at));
+    let stale = changes.staleness(now.since(query.sent_at));
     let confirmed = stale.map(|stale| now - stale);
     match Update::try_from(changes) {
-        Ok(update) => {
+        Ok(mut update) => {
+            update.since = Some(query.known);
             apply_update(shared, update, contact, confirmed);
             true
         }
@@ -45,6 +64,10 @@
     // Locked until all items are applied, so that concurrent updates are applied one
     // after the other.
     let mut replica = lock(&shared.replica);
+    if !replica.accepts(&update) {
+        // Another answer has come first; the next query asks for what is missing.
+        return;
+    }
     let changed = replica.apply(update);
     shared.update(|now, direct| direct.peer_answered(now, contact, revision));
     let mut batch = Batch::default();
--- a/crates/steer/src/process/direct/replica.rs
+++ b/crates/steer/src/process/direct/replica.rs
@@ -1,9 +1,14 @@
 //! Replica of the platform's store, item by item with the revision of its last change,
 //! so that one instance can bring another up to date.
 //!
+//! A replica that reads everything anew, as the store's history is gone, still brings
+//! readers up to date by changes: else one loss of history would send a full snapshot to
+//! every instance of the deployment.
+//!
 //! Invariants: an item is replaced only by a later revision of it, whatever the source.
 //! Deletions are remembered for as long as [`Replica::changes_since`] answers with
-//! changes instead of a full snapshot.
+//! changes instead of a full snapshot. Changes never leave a reader with an item that was
+//! deleted meanwhile.
 
 use std::sync::Arc;
 
@@ -26,6 +31,9 @@
     /// Whether this is a full snapshot, in which items not named are gone, or only
     /// changes.
     pub is_full: bool,
+    /// The revision at which the receiver has to be, where the sender may not know all
+    /// that came and went since an earlier or later one.
+    pub since: Option<u64>,
     /// Items in any order.
     pub items: Vec<Item>,
 }
@@ -34,12 +42,22 @@
 /// readers behind them get a full snapshot.
 const DELETED_ITEMS_MAX: usize = 4096;
 
+/// Largest number of remembered gaps. Readers behind the oldest of more get a full
+/// snapshot.
+const GAPS_MAX: usize = 8;
+
 /// Items by key, including recently deleted ones.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
     revision: u64,
     /// Readers that know this revision or a later one can be sent changes.
     changes_floor: u64,
+    /// Spans between the revisions before and after a full snapshot, oldest first. What
+    /// came and went within one was never known here, so readers that know a revision
+    /// inside can't be sent changes.
+    gaps: Vec<(u64, u64)>,
+    /// Counts the updates that changed something.
+    version: u64,
     /// Sorted by key.
     items: Vec<Item>,
     deleted_count: usize,
@@ -52,10 +70,24 @@
         self.revision
     }
 
+    /// Number that changes with the items.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Whether an update can be applied: its changes may follow another revision than
+    /// that which is known.
+    #[must_use]
+    pub fn accepts(&self, update: &Update) -> bool {
+        update.is_full || update.since.is_none_or(|since| since == self.revision)
+    }
+
     /// Applies an update and returns the items it changed, the oldest first and each
-    /// key once. An update that ends before the known revision changes nothing.
+    /// key once. An update that ends before the known revision, or isn't accepted,
+    /// changes nothing.
     pub fn apply(&mut self, update: Update) -> Vec<Item> {
-        if update.revision < self.revision {
+        if update.revision < self.revision || !self.accepts(&update) {
             return Vec::new();
         }
         let mut keys = Vec::new();
@@ -66,8 +98,7 @@
         let mut changed = self.put_all(update.items);
         if update.is_full {
             changed.extend(self.delete_unnamed(&keys, update.revision));
-            // Earlier deletions are not known one by one.
-            self.changes_floor = update.revision;
+            self.note_gap(update.revision);
         }
         self.revision = update.revision;
         self.forget_deleted();
@@ -75,13 +106,30 @@
         // An update may name a key several times; the last change counts.
         let held = |item: &Item| self.find(&item.key).map(|at| self.items[at].revision);
         changed.retain(|item| held(item) == Ok(item.revision));
+        self.version += u64::from(!changed.is_empty());
         changed
     }
 
+    /// Remembers that a full snapshot of `revision` follows what is known.
+    fn note_gap(&mut self, revision: u64) {
+        if self.revision == 0 {
+            self.changes_floor = revision;
+        }
+        if self.revision == 0 || revision <= self.revision + 1 {
+            return;
+        }
+        self.gaps.push((self.revision, revision));
+        if self.gaps.len() > GAPS_MAX {
+            let (_, end) = self.gaps.remove(0);
+            self.changes_floor = self.changes_floor.max(end);
+        }
+    }
+
     /// Update for a reader that knows everything up to `known`.
     #[must_use]
     pub fn changes_since(&self, known: u64) -> Update {
-        let is_full = known < self.changes_floor;
+        let is_in_gap = |(from, to): &(u64, u64)| (from + 1..*to).contains(&known);
+        let is_full = known < self.changes_floor || self.gaps.iter().any(is_in_gap);
         let is_missed = |item: &&Item| {
             if is_full {
                 item.value.is_some()
@@ -92,6 +140,7 @@
         Update {
             revision: self.revision,
             is_full,
+            since: Some(known),
             items: self.items.iter().filter(is_missed).cloned().collect(),
         }
     }
--- a/crates/steer/tests/direct/replica.rs
+++ b/crates/steer/tests/direct/replica.rs
@@ -18,6 +18,7 @@
     Update {
         revision,
         is_full,
+        since: None,
         items: items.to_vec(),
     }
 }
@@ -89,9 +90,51 @@
     assert_eq!(recent.items.len(), 5);
 }
 
+/// The store's history was lost, its reader read everything anew, and every other instance
+/// was sent everything, whatever had changed.
+#[rstest]
+#[case::as_large(1_000)]
+#[case::ten_times_as_large(10_000)]
+fn send_changes_across_full_read(#[case] count: u64) {
+    let mut items: Vec<Item> = (1..=count)
+        .map(|i| item(&format!("k{i:05}"), i, Some("1")))
+        .collect();
+    let mut reader = Replica::default();
+    reader.apply(update(true, count, &items));
+    items.remove(0);
+    items[0] = item("k00002", count + 5, Some("2"));
+    items.push(item("new", count + 7, Some("1")));
+    reader.apply(update(true, count + 9, &items));
+    let sent = reader.changes_since(count);
+    assert!(!sent.is_full);
+    let mut sent = keys(&sent.items);
+    sent.sort_unstable();
+    assert_eq!(sent, ["k00001", "k00002", "new"]);
+    // What came and went since may be known there.
+    assert!(reader.changes_since(count + 3).is_full);
+}
+
+/// Changes for an instance at one revision arrived when another answer had moved it on, to
+/// where it knew an item that the sender had never seen.
+#[test]
+fn reject_changes_since_other_revision() {
+    let mut reader = Replica::default();
+    reader.apply(update(true, 4, &[item("a", 4, Some("1"))]));
+    let mut behind = reader.clone();
+    let late = {
+        reader.apply(update(true, 9, &[item("a", 4, Some("1"))]));
+        reader.changes_since(4)
+    };
+    behind.apply(update(false, 6, &[item("brief", 6, Some("1"))]));
+    assert!(!behind.accepts(&late));
+    assert_eq!(behind.apply(late), []);
+    assert_eq!(behind.revision(), 6);
+}
+
 /// A store, readers of it and readers of those. Lists are old, answers are lost or
 /// late, and readers restart without state. No reader ever returns to an earlier value
-/// of a key, and in the end each knows what the store holds.
+/// of a key, each knows just what the store held at its revision, and in the end what it
+/// holds.
 #[rstest]
 fn catch_up_in_any_order(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
     println!("seed {seed}");
@@ -158,6 +201,7 @@
         self.snapshots.push(Update {
             revision,
             is_full: true,
+            since: None,
             items: present.collect(),
         });
     }
@@ -199,6 +243,11 @@
         let before = self.readers[to].clone();
         let known: Vec<Item> = before.changes_since(0).items;
         self.readers[to].apply(update);
+        let after = &self.readers[to];
+        let snapshot = &self.snapshots[usize::try_from(after.revision()).expect("it is small")];
+        let present = after.changes_since(0).items;
+        let present: Vec<Item> = present.into_iter().filter(|i| i.value.is_some()).collect();
+        assert_eq!(present, snapshot.items, "reader {to}");
         for old in known {
             let now = self.readers[to].changes_since(0).items;
             if let Some(new) = now.iter().find(|i| i.key == old.key) {
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -245,6 +245,7 @@
         Ok(Self {
             revision: changes.revision,
             is_full: changes.is_full,
+            since: None,
             items: items.into_iter().map(item).collect(),
         })
     }
