Read the configuration alone, and no old list, when the store has lost its history

A reader whose watch finds the history gone listed everything twice: a list that may be old, whose changes since are gone as well, then a fresh one; 22 pages each on the fleet, over a link of 20 Mbit/s some two seconds. Only then was a changed configuration in force, and its bound is 5 s. The configuration is one item that is never deleted: it is read first and passed on at once, and the list is fresh from the start. Encoded changes that are kept for readers now follow the replica's version, as its items may change at the same revision.

--- a/crates/auburnrouter/src/direct/peer.rs
+++ b/crates/auburnrouter/src/direct/peer.rs
@@ -64,28 +64,42 @@
 #[derive(Debug, Default)]
 pub struct SnapshotCache(Mutex<Option<Changes>>);
 
-/// Last encoded changes, with the revision after which they begin. The instances that
-/// read from this one wait for the same changes, which are encoded once for all.
+/// Last encoded changes. The instances that read from this one wait for the same
+/// changes, which are encoded once for all.
 #[derive(Debug, Default)]
-pub struct ChangesCache(Mutex<Option<(u64, Changes)>>);
+pub struct ChangesCache(Mutex<Option<EncodedChanges>>);
+
+#[derive(Debug)]
+struct EncodedChanges {
+    /// Revision after which they begin.
+    known: u64,
+    /// Version of the replica that they are of.
+    version: u64,
+    changes: Changes,
+}
 
 impl ChangesCache {
     /// The changes of a replica after revision `known`, with this contact to the store;
     /// `None` if only a snapshot holds them.
     fn get(&self, replica: &Replica, known: u64, contact: StoreContact) -> Option<Changes> {
         let mut cache = lock(&self.0);
-        if let Some((from, changes)) = &*cache
-            && *from == known
-            && changes.revision == replica.revision()
+        if let Some(last) = &*cache
+            && last.known == known
+            && last.version == replica.version()
+            && last.changes.revision == replica.revision()
         {
-            return Some(changes.clone().confirmed(contact));
+            return Some(last.changes.clone().confirmed(contact));
         }
         let update = replica.changes_since(known);
         if update.is_full && update.revision > 0 {
             return None;
         }
         let changes = Changes::new(&update, contact);
-        *cache = Some((known, changes.clone()));
+        *cache = Some(EncodedChanges {
+            known,
+            version: replica.version(),
+            changes: changes.clone(),
+        });
         Some(changes)
     }
 }
--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -305,7 +305,9 @@
         let sent_at = self.shared.now();
         let watched = self.shared.store.watch(ALL_KEYS, known, wait).await;
         if let Err(Error::Compacted | Error::Malformed(_)) = watched {
-            let result = list_and_watch(&self.shared, Freshness::Stale).await;
+            self.read_config().await;
+            // A list that may be old may end before the history that is left.
+            let result = list_and_watch(&self.shared, Freshness::Latest).await;
             return self.apply_full(result);
         }
         let Some(changes) = self.log_transition(watched) else {
@@ -331,6 +333,24 @@
         true
     }
 
+    /// Reads the configuration alone, since a list of everything may take seconds. It is
+    /// never deleted, so it may be known earlier than all else of its revision.
+    async fn read_config(&self) {
+        let shared = &self.shared;
+        let list = shared.store.list(document::CONFIG_KEY, Freshness::Latest);
+        // If it fails, the list of everything tells.
+        let Ok(listing) = list.await else { return };
+        let items = listing.items.into_iter();
+        let config = items.filter(|item| item.key == document::CONFIG_KEY);
+        let update = Update {
+            revision: lock(&shared.replica).revision(),
+            is_full: false,
+            since: None,
+            items: config.map(|item| replica_item(shared, item)).collect(),
+        };
+        apply_update(shared, update, StoreContact::NOW, None);
+    }
+
     /// Logs when reads of the store begin to fail and when they succeed again.
     fn log_transition<T>(&mut self, answer: Result<T, Error>) -> Option<T> {
         let was_lost = core::mem::replace(&mut self.is_lost, answer.is_err());
--- a/crates/auburnrouter/tests/direct/follow.rs
+++ b/crates/auburnrouter/tests/direct/follow.rs
@@ -140,6 +140,24 @@
     assert_eq!(harness.entry.send("GET", "/view/x", "r1", "").status, 200);
 }
 
+/// The store lost its history with a change of the configuration, which was in force only
+/// once thousands of entries had been read anew.
+#[test]
+fn know_configuration_before_all_is_read_anew() {
+    let harness = Harness::start(1);
+    let other = Entry::start("near-2", "near-a", harness.store.addr(), &[]);
+    other.await_ready();
+    harness.store.withhold_full_lists();
+    harness.store.set(Mode::Busy);
+    harness.store.configure(4, HOST, &ROUTES);
+    harness.store.compact();
+    harness.store.set(Mode::Up);
+    wait_until("the new configuration is in force", || {
+        let dumps = [harness.entry.dump(), other.dump()];
+        dumps.iter().all(|dump| dump.contains("\"version\":4"))
+    });
+}
+
 /// The store is unavailable when an instance starts. It must learn everything from
 /// the instance that its settings name as seed.
 #[rstest]
