Keep the types of direct steering apart from the decisions that use them

Nineteen files of `process/direct` used each other in a circle, two of them since starts meet at seeds: files that define a type, which others need, also held the decisions of `Direct` on it, which need those others. No line of code changes but imports and visibility. `cargo test -p steer`: all passed.

--- /dev/null
+++ b/crates/steer/src/process/direct/access/staleness.rs
@@ -0,0 +1,165 @@
+//! How old this instance's knowledge of keys may be, and whether a request is allowed.
+//!
+//! Invariant: the age is never underestimated.
+
+use super::super::Direct;
+use super::super::message::{Rejection, Request};
+use super::{
+    Access, Authorized, CLOCK_MARGIN, Credential, READ_DUE_RATIO, SHED_CALLERS_RATIO,
+    STORE_FAILURE_WINDOW, UNKNOWN_KEY_STALENESS_MAX, UPSTREAM_LAG_RATIO, WATCH_WAIT_MIN,
+};
+use crate::clock::Time;
+use crate::version::routes::{Route, Routes};
+use core::time::Duration;
+use std::sync::Arc;
+
+impl Direct {
+    /// Records that everything the store held at `at` is known and applied.
+    pub fn confirm_up_to(&mut self, at: Time) {
+        self.confirmed.at = self.confirmed.at.max(Some(at));
+    }
+
+    /// Records that a configuration arrived that can't be parsed, so the one in force
+    /// may be out of date.
+    pub const fn config_unreadable(&mut self) {
+        self.confirmed.is_config_unreadable = true;
+    }
+
+    /// Records that the latest configuration was parsed, whether or not it is newer.
+    pub(in crate::process::direct) const fn config_readable(&mut self) {
+        self.confirmed.is_config_unreadable = false;
+    }
+
+    /// Upper bound of the time since everything that the store held was known; `None`
+    /// before the first answer and while the latest configuration can't be parsed.
+    #[must_use]
+    pub fn staleness(&self, now: Time) -> Option<Duration> {
+        let confirmed = self
+            .confirmed
+            .at
+            .filter(|_| !self.confirmed.is_config_unreadable);
+        confirmed.map(|at| now.since(at))
+    }
+
+    /// Returns whether a revoked key would be refused here in time. An instance that
+    /// can read the store is held to the smaller of the two bounds, one that can't to
+    /// the revocation bound.
+    #[must_use]
+    pub fn has_current_keys(&self, now: Time) -> bool {
+        let is_store_failed = self
+            .failed_upstreams
+            .is_store_failed_within(now, STORE_FAILURE_WINDOW);
+        let lag = self.lag_bound().filter(|_| !is_store_failed);
+        self.is_staleness_below(now, |bound| {
+            lag.unwrap_or(bound).min(bound).saturating_sub(CLOCK_MARGIN)
+        })
+    }
+
+    /// Returns whether callers with keys should be sent here.
+    #[must_use]
+    pub fn is_fit_for_callers(&self, now: Time) -> bool {
+        self.is_staleness_below(now, |bound| bound.mul_f64(SHED_CALLERS_RATIO))
+    }
+
+    /// Returns whether an upstream that is `age` stale is worth reading from.
+    #[must_use]
+    pub fn is_worth_reading(&self, age: Option<Duration>) -> bool {
+        match self.lag_bound() {
+            Some(bound) => age.is_some_and(|age| age < bound.mul_f64(UPSTREAM_LAG_RATIO)),
+            None => true,
+        }
+    }
+
+    /// Longest wait of a watch of the store, at most `max`. An answer with changes
+    /// doesn't confirm the state at any time after the watch was sent.
+    #[must_use]
+    pub fn watch_wait(&self, now: Time, max: Duration) -> Duration {
+        let Some(bound) = self.lag_bound() else {
+            return max;
+        };
+        let age = self.staleness(now).unwrap_or(bound);
+        let left = bound.mul_f64(READ_DUE_RATIO).saturating_sub(age);
+        left.clamp(WATCH_WAIT_MIN.min(max), max)
+    }
+
+    /// Checks the key of a request.
+    #[must_use]
+    pub fn access(
+        &self,
+        now: Time,
+        routes: &Routes,
+        route: &Route,
+        credential: Credential,
+    ) -> Access {
+        if routes.teams.is_empty() {
+            return Access::Open;
+        }
+        let known = match credential {
+            Credential::Key(key) => routes.teams.find(&key).map(|team| (key, team)),
+            Credential::Missing | Credential::Malformed => None,
+        };
+        match known {
+            Some((key, team)) if route.is_public || self.has_current_keys(now) => {
+                Access::Granted(Authorized {
+                    team: Arc::clone(team),
+                    key,
+                })
+            }
+            None if route.is_public => Access::Open,
+            None if self.has_recent_config(now) => Access::Denied,
+            _ => Access::KeysStale,
+        }
+    }
+
+    /// Reason for not sending a request now that was authorized on arrival.
+    pub(in crate::process::direct) fn withhold_reason(
+        &self,
+        now: Time,
+        request: &Request,
+    ) -> Option<Rejection> {
+        let authorized = request
+            .authorized
+            .as_ref()
+            .filter(|_| !request.route.is_public)?;
+        let known = self
+            .routes
+            .as_ref()
+            .and_then(|r| r.teams.find(&authorized.key));
+        if known.is_none_or(|team| team.name != authorized.team.name) {
+            return Some(Rejection::Denied);
+        }
+        (!self.has_current_keys(now)).then_some(Rejection::KeysStale)
+    }
+
+    /// Bound on revoked keys; `None` if there are certainly no keys.
+    fn revocation_bound(&self) -> Option<Duration> {
+        let has_no_keys = self.routes.as_ref().is_some_and(|r| r.teams.is_empty());
+        self.bounds.access.revocation.filter(|_| !has_no_keys)
+    }
+
+    /// Largest allowed lag behind the store while it can be read; `None` without a
+    /// revocation bound.
+    fn lag_bound(&self) -> Option<Duration> {
+        let revocation = self.revocation_bound()?;
+        let config = self.bounds.access.config;
+        Some(config.map_or(revocation, |config| config.min(revocation)))
+    }
+
+    fn is_staleness_below(&self, now: Time, limit: impl Fn(Duration) -> Duration) -> bool {
+        match self.revocation_bound() {
+            Some(bound) => self.staleness(now).is_some_and(|age| age < limit(bound)),
+            None => true,
+        }
+    }
+
+    /// Returns whether a key added within the configuration's bound would be known
+    /// here.
+    fn has_recent_config(&self, now: Time) -> bool {
+        let bound = self
+            .bounds
+            .access
+            .config
+            .unwrap_or(UNKNOWN_KEY_STALENESS_MAX);
+        self.staleness(now).is_some_and(|age| age < bound)
+    }
+}
--- a/crates/steer/src/process/direct/backoff.rs
+++ b/crates/steer/src/process/direct/backoff.rs
@@ -8,11 +8,10 @@
 //! Invariant: while a backoff lasts that a target asked of this instance, no request
 //! leaves for it; nothing but a new incarnation ends it early.
 
+mod waiting;
+
 use core::time::Duration;
 
-use super::job::Job;
-use super::target::Target;
-use super::{Direct, queue};
 use crate::clock::Time;
 
 /// Longest delay of an instance's own after the first backoff, as a part of it. It doubles
@@ -90,52 +89,3 @@
         self.streak > 0 && now >= self.until
     }
 }
-
-impl Direct {
-    /// Returns whether the backoff that a target asked for is over, and the target may
-    /// get a request now.
-    pub(super) fn accepts_after_backoff(&self, now: Time, target: &Target) -> bool {
-        let backoff = target.backoff();
-        if now < self.reopens_at(target) {
-            return false;
-        }
-        let is_tried = target.in_flight > 0
-            && target
-                .last_sent()
-                .is_some_and(|at| at >= self.reopens_at(target));
-        !(backoff.is_on_trial(now) && is_tried)
-    }
-
-    /// Time from which this instance sends to a target again after a backoff.
-    fn reopens_at(&self, target: &Target) -> Time {
-        target.backoff().reopens_at(self.own_fraction(target))
-    }
-
-    /// Returns whether a target's backoff is over within the time for which a request
-    /// may be held.
-    pub(super) fn reopens_in_time(&self, target: &Target, job: &Job) -> bool {
-        self.reopens_at(target) <= queue::hold_limit(job)
-    }
-
-    /// The time after which the caller of a request may come back, if all targets that
-    /// could serve it have asked for a backoff that lasts for longer than the request
-    /// may be held.
-    pub(super) fn all_back_off(&self, now: Time, job: &Job) -> Option<Duration> {
-        let targets = self.roster.of_service(&job.service);
-        let is_candidate = |t: &&Target| {
-            (t.is_available() || t.is_last_resort(now, self.bounds.drain))
-                && job.request.allows(&t.region)
-                && !self.roster.is_evacuated(&t.entry.domain)
-        };
-        let mut first: Option<Time> = None;
-        for target in targets.map(|(_, t)| t).filter(is_candidate) {
-            let reopens_at = self.reopens_at(target);
-            if now >= reopens_at {
-                return None;
-            }
-            first = Some(first.map_or(reopens_at, |at| at.min(reopens_at)));
-        }
-        let first = first.filter(|at| *at > queue::hold_limit(job))?;
-        Some(first.since(now) + RETURN_SPREAD.mul_f64(Self::jitter(job)))
-    }
-}
--- a/crates/steer/src/process/direct/starters.rs
+++ b/crates/steer/src/process/direct/starters.rs
@@ -9,12 +9,13 @@
 //! Invariants: an announcement counts for [`ANNOUNCEMENT_TTL`]; what an instance is told
 //! has the same size however many there are.
 
+mod announce;
+
 use core::cmp::Reverse;
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::sync::Arc;
 
-use super::Direct;
 use super::upstream::{domain_sources, reader_rank};
 use crate::clock::Time;
 
@@ -92,24 +93,3 @@
         starters.take_while(move |starter| *starter.domain == *domain)
     }
 }
-
-impl Direct {
-    /// Remembers an instance that starts, and returns its place among the others of its
-    /// failure domain.
-    pub fn announce_start(&mut self, now: Time, starter: Starter) -> StartPlace {
-        let (name, domain) = (Arc::clone(&starter.name), Arc::clone(&starter.domain));
-        self.starters.put(now, starter);
-        let starting = self.starters.of(&domain).map(|s| (&s.name, s.peers));
-        let present = self.others(now);
-        let present = present.filter(|(_, registration)| registration.domain == domain);
-        let present = present.map(|(name, registration)| (name, registration.peers));
-        let mut others: Vec<(Arc<str>, SocketAddr)> = starting
-            .chain(present)
-            .filter(|(other, _)| **other != name)
-            .map(|(other, peers)| (Arc::clone(other), peers))
-            .collect();
-        others.sort_by(|a, b| a.0.cmp(&b.0));
-        others.dedup_by(|later, first| later.0 == first.0);
-        StartPlace::among(&name, others)
-    }
-}
