Print why ordinary requests beside crashes were refused

When `bystanders` failed on a busy machine (13 refusals where 2 are allowed), nothing said why. It prints the lines of all instances about those requests now, and about the suspicion against them. No check changes.

--- a/crates/auburnrouter/tests/direct/bystanders.rs
+++ b/crates/auburnrouter/tests/direct/bystanders.rs
@@ -32,8 +32,15 @@
 /// Crashes of a request after which it must not reach further targets.
 const FREE_CRASHES: usize = 3;
 
-/// Times at which an ordinary request was not served, with its path and status.
-type Unserved = Mutex<Vec<(usize, Instant, u16)>>;
+/// An ordinary request that was not served.
+struct Refusal {
+    path: usize,
+    id: String,
+    at: Instant,
+    status: u16,
+}
+
+type Unserved = Mutex<Vec<Refusal>>;
 
 struct Scene {
     store: Store,
@@ -84,8 +91,13 @@
             let id = format!("o{number}-{count}");
             let status = self.send(&mut rng, &format!("/view/{path}"), &id);
             if status != Some(200) {
-                let record = (path, Instant::now(), status.unwrap_or_default());
-                unserved.lock().expect("no thread panics").push(record);
+                let refusal = Refusal {
+                    path,
+                    id,
+                    at: Instant::now(),
+                    status: status.unwrap_or_default(),
+                };
+                unserved.lock().expect("no thread panics").push(refusal);
             }
             thread::sleep(PAUSE);
         }
@@ -135,6 +147,36 @@
     }
 }
 
+/// Lines of all instances about these requests, and about the suspicion against them.
+fn print_reasons(entries: &[Entry], ids: &[&str]) {
+    let field = |line: &str, name: &str| -> Option<String> {
+        let line: serde_json::Value = serde_json::from_str(line).ok()?;
+        line[name].as_str().map(str::to_owned)
+    };
+    let lines = |entry: &Entry| entry.lines.lock().expect("no thread panics").clone();
+    let lines: Vec<(usize, String)> = entries
+        .iter()
+        .enumerate()
+        .flat_map(|(at, entry)| lines(entry).into_iter().map(move |line| (at, line)))
+        .collect();
+    let is_named = |line: &str| field(line, "request").is_some_and(|id| ids.contains(&&*id));
+    let named: Vec<_> = lines.iter().filter(|(_, line)| is_named(line)).collect();
+    let mut suspects: Vec<String> = named
+        .iter()
+        .filter_map(|(_, line)| field(line, "fingerprint"))
+        .collect();
+    suspects.sort_unstable();
+    suspects.dedup();
+    let is_suspicion = |line: &str| {
+        let is_of_suspect = field(line, "fingerprint").is_some_and(|f| suspects.contains(&f));
+        is_of_suspect && line.contains("\"event\":\"suspect")
+    };
+    let suspicions = lines.iter().filter(|(_, line)| is_suspicion(line));
+    for (at, line) in named.into_iter().chain(suspicions) {
+        println!("instance {at}: {line}");
+    }
+}
+
 /// Ordinary requests that ran beside crashing ones were refused for as long as anybody asked
 /// for them.
 #[rstest]
@@ -164,14 +206,20 @@
     let last = times.max().expect("some request crashes a target");
     let unserved = unserved.into_inner().expect("no thread panics");
     let mut refusals = [0; PATHS];
-    for (path, at, status) in &unserved {
-        refusals[*path] += usize::from(*at > last && *status == 503);
+    let is_late = |refusal: &&Refusal| refusal.at > last && refusal.status == 503;
+    for refusal in unserved.iter().filter(is_late) {
+        refusals[refusal.path] += 1;
     }
     println!(
         "{crashes:?} crashes, {} of {} not served, {refusals:?} refused later",
         unserved.len(),
         runs.len()
     );
+    if refusals.iter().any(|count| *count > 2) {
+        let late = unserved.iter().filter(is_late);
+        let ids: Vec<&str> = late.map(|refusal| &*refusal.id).collect();
+        print_reasons(&scene.entries, &ids);
+    }
     assert!(refusals.iter().all(|count| *count <= 2));
     assert!(crashes.iter().all(|count| *count <= FREE_CRASHES));
 }
