Ask seeds only where the store lists no instance at all

An instance that is alone in its failure domain, as on the small deployments, asked the seeds at each restart, though the deployment was running: a tenth of a second and two or three round trips to other regions, and up to two seconds if the seeds stood still, before it read the store. Seeds are for the start of all: they are asked if the list is empty or fails, for half a second at most. An answer that has room waits for nothing.

--- a/crates/auburnrouter/src/direct/memory/answer.rs
+++ b/crates/auburnrouter/src/direct/memory/answer.rs
@@ -49,6 +49,9 @@
     /// room, stalled callers are told to go and the answer waits a while. Returns
     /// whether it has room.
     pub async fn hold(&self, bytes: usize) -> bool {
+        if self.try_hold(bytes) {
+            return true;
+        }
         let until = Instant::now() + ROOM_WAIT;
         loop {
             let released = self.allowance.account.released.listen();
--- a/crates/auburnrouter/src/direct/source/start.rs
+++ b/crates/auburnrouter/src/direct/source/start.rs
@@ -1,5 +1,6 @@
 //! Whom an instance that starts learns from: others of its failure domain, by the store's
-//! list of instances, or by a seed where the list names nobody or comes too late.
+//! list of instances, or by a seed where the list names no instance at all or comes too
+//! late.
 //!
 //! Invariant: each way is bounded in time, so that the store is read in the end whoever
 //! else is there.
@@ -25,6 +26,9 @@
 /// same order, and so meet at the same one.
 const SEEDS_MAX: usize = 2;
 
+/// Longest wait for the seeds once the list has named nobody.
+const SEEDS_WAIT: Duration = Duration::from_millis(500);
+
 /// Time from an instance's announcement to the question for its place. Those that start at
 /// once announce themselves meanwhile.
 const ANNOUNCEMENT_PAUSE: Duration = Duration::from_millis(100);
@@ -42,11 +46,15 @@
     // Begun at once, so that a list that names nobody costs no further time.
     let seeds = executor.spawn(place_by_seed(Arc::clone(shared), Arc::clone(executor)));
     let (place, listed) = match list_domain(shared).await {
-        Some((others, listed)) if !others.is_empty() => {
+        Some((others, listed)) if listed > 0 => {
             (StartPlace::among(&shared.settings.name, others), listed)
         }
         _ => {
-            let place = seeds.await.unwrap_or_default();
+            let late = async {
+                smol::Timer::after(SEEDS_WAIT).await;
+                None
+            };
+            let place = future::or(seeds, late).await.unwrap_or_default();
             // Seeds tell of one failure domain; the others are about as large.
             let listed = (place.others + 1) * shared.settings.domains.len();
             (place, listed)
@@ -59,7 +67,8 @@
 }
 
 /// Other registered instances of the own domain with their addresses for calls of peers,
-/// and the number of all registered ones. `None` if the list fails or takes too long.
+/// and the number of all other registered ones. `None` if the list fails or takes too
+/// long.
 async fn list_domain(shared: &Shared) -> Option<(Vec<(Arc<str>, SocketAddr)>, usize)> {
     let late = async {
         smol::Timer::after(MEMBER_LIST_TIMEOUT).await;
@@ -76,7 +85,9 @@
         is_other.then(|| (Arc::from(name), registration.peers))
     };
     let others = listing.items.iter().filter_map(peer).collect();
-    Some((others, listing.items.len()))
+    let own = format!("{}{}", member::KEY_PREFIX, settings.name);
+    let listed = listing.items.iter().filter(|item| item.key != own).count();
+    Some((others, listed))
 }
 
 /// Place of this instance by the first seed that answers; `None` if none does.
--- a/crates/auburnrouter/tests/direct/follow.rs
+++ b/crates/auburnrouter/tests/direct/follow.rs
@@ -395,21 +395,7 @@
     drop(entries);
     harness.store.delay_full_lists(50 * MS);
     let before = harness.store.full_lists();
-    // They start again at their addresses, side by side.
-    let restart = |(i, addr): (usize, &SocketAddr)| {
-        let text = settings(i);
-        let mut settings: serde_json::Value = serde_json::from_str(&text).expect("it is JSON");
-        settings["listen"]["peers"] = addr.to_string().into();
-        Entry::start_with(&settings.to_string())
-    };
-    let entries: Vec<Entry> = thread::scope(|scope| {
-        let numbered = peers.iter().enumerate();
-        let started: Vec<_> = numbered
-            .map(|peer| scope.spawn(move || restart(peer)))
-            .collect();
-        let joined = started.into_iter().map(thread::ScopedJoinHandle::join);
-        joined.map(|e| e.expect("the instance starts")).collect()
-    });
+    let entries = restart_all(&peers, settings);
     for entry in &entries {
         entry.await_ready();
     }
@@ -418,32 +404,57 @@
     assert!(lists <= 2, "{lists} of {INSTANCES} read the whole store");
 }
 
-/// When all of a failure domain started and none was listed any more, each read the whole
-/// store.
+/// When all instances lost power and their registrations lapsed, each read the whole store
+/// as it started again.
 #[test]
 fn read_store_by_few_when_none_is_listed() {
     const INSTANCES: usize = 12;
-    let harness = Harness::start(3);
-    harness.store.delay_full_lists(50 * MS);
-    let before = harness.store.full_lists();
-    let seeds = [harness.entry.peers];
-    let store = harness.store.addr();
-    let start = |i: usize| Entry::start(&format!("near-b-{i}"), "near-b", store, &seeds);
-    let entries: Vec<Entry> = thread::scope(|scope| {
-        let start = |i| scope.spawn(move || start(i));
-        let started: Vec<_> = (0..INSTANCES).map(start).collect();
-        let joined = started.into_iter().map(thread::ScopedJoinHandle::join);
-        joined.map(|e| e.expect("the instance starts")).collect()
-    });
+    let store = Store::start().expect("a port is free");
+    store.configure(3, HOST, &ROUTES);
+    let target = Target::start("t0", "sheets", "near-a").expect("a port is free");
+    target.register(&store, "ready", 1);
+    let settings = |i: usize, seeds: &[SocketAddr]| {
+        platform_standin::settings(&format!("near-b-{i}"), "near-b", store.addr(), seeds)
+    };
+    let entries: Vec<Entry> = (0..INSTANCES)
+        .map(|i| Entry::start_with(&settings(i, &[])))
+        .collect();
+    let registered = || store.keys("auburnrouter/instances/").len();
+    wait_until("all are registered", || registered() == INSTANCES);
+    let peers: Vec<SocketAddr> = entries.iter().map(|e| e.peers).collect();
+    drop(entries);
+    wait_until("all registrations have lapsed", || registered() == 0);
+    store.delay_full_lists(50 * MS);
+    let before = store.full_lists();
+    let entries = restart_all(&peers, |i| settings(i, &peers[..2]));
     for entry in &entries {
         entry.await_ready();
     }
-    let lists = harness.store.full_lists() - before;
+    let lists = store.full_lists() - before;
     println!("{lists} of {INSTANCES} read the whole store");
     // Those that announce themselves before any that ranks above them.
     assert!(lists <= 4, "{lists} of {INSTANCES} read the whole store");
 }
 
+/// Starts instances again, all at once, at their addresses for calls of peers.
+fn restart_all(peers: &[SocketAddr], settings: impl Fn(usize) -> String + Sync) -> Vec<Entry> {
+    let restart = |i: usize, addr: SocketAddr| {
+        let mut settings: serde_json::Value =
+            serde_json::from_str(&settings(i)).expect("it is JSON");
+        settings["listen"]["peers"] = addr.to_string().into();
+        Entry::start_with(&settings.to_string())
+    };
+    let restart = &restart;
+    thread::scope(|scope| {
+        let numbered = peers.iter().enumerate();
+        let started: Vec<_> = numbered
+            .map(|(i, addr)| scope.spawn(move || restart(i, *addr)))
+            .collect();
+        let joined = started.into_iter().map(thread::ScopedJoinHandle::join);
+        joined.map(|e| e.expect("the instance starts")).collect()
+    })
+}
+
 /// The store does not answer the full read of an instance that starts. It must learn
 /// everything from another instance of its domain instead.
 #[test]
