--- a/crates/auburnrouter/src/direct/connection.rs
+++ b/crates/auburnrouter/src/direct/connection.rs
@@ -11,6 +11,8 @@
 //! written, and when the caller disconnects, the futures of all its requests are
 //! dropped.
 
+mod timeouts;
+
 use core::pin::Pin;
 use core::task::{Context, Poll};
 use std::io;
@@ -33,6 +35,7 @@
 use super::memory;
 use super::server::{Limits, ReadError, Response, Service};
 use super::socket::Socket;
+use timeouts::Timeouts;
 
 /// Unanswered requests read from one connection, each of which may be running at a
 /// target. Usual callers pipeline a few; one that sends more is read on as its answers
@@ -130,21 +133,6 @@
     expects_continue: bool,
 }
 
-/// Timer of a connection and the moments from which its timeouts run.
-struct Timeouts {
-    timer: Option<smol::Timer>,
-    /// Expiry of `timer`.
-    timer_at: Option<Instant>,
-    /// First byte of the arriving request, or the end of the last pause of reading.
-    arriving_since: Option<Instant>,
-    /// When the head of the arriving request was complete.
-    head_read: Option<Instant>,
-    /// Since when the socket takes no more output.
-    write_blocked: Option<Instant>,
-    /// When the last answer was queued, or the connection opened.
-    idle_since: Instant,
-}
-
 /// State of the connection after a step.
 enum StepResult {
     /// Progress was made; step again.
@@ -463,82 +451,6 @@
         Err(io::ErrorKind::TimedOut.into())
     }
 
-    /// Handles the next timeout if it is due, else registers a wake-up for it.
-    fn poll_timeouts(&mut self, cx: &mut Context<'_>) -> io::Result<StepResult> {
-        loop {
-            let Some(due) = self.deadline() else {
-                self.timeouts.timer_at = None;
-                self.timeouts.timer = None;
-                return Ok(StepResult::Pending);
-            };
-            // A timer that expires before `due` is left to fire and is then set again:
-            // resetting it with each request would cost more.
-            if self.timeouts.timer_at.is_none_or(|at| at > due) {
-                self.timeouts.timer_at = Some(due);
-                self.timeouts.timer = Some(smol::Timer::at(due));
-            }
-            let timer = self.timeouts.timer.as_mut().map(Pin::new);
-            if timer.is_none_or(|timer| timer.poll(cx).is_pending()) {
-                return Ok(StepResult::Pending);
-            }
-            self.timeouts.timer_at = None;
-            if Instant::now() < due {
-                continue;
-            }
-            return self.expire();
-        }
-    }
-
-    /// Moment of the next timeout.
-    fn deadline(&self) -> Option<Instant> {
-        let Limits {
-            request_timeout,
-            idle_timeout,
-            ..
-        } = self.limits;
-        // A timeout beyond the range of the clock never expires.
-        let write_due = self
-            .timeouts
-            .write_blocked
-            .and_then(|s| s.checked_add(request_timeout));
-        let request_due = self
-            .reading_since()
-            .and_then(|s| s.checked_add(request_timeout));
-        let is_empty = self.pipeline.is_empty() && !self.reader.is_partial();
-        let idle_due = self
-            .timeouts
-            .idle_since
-            .checked_add(idle_timeout)
-            .filter(|_| is_empty);
-        [write_due, request_due, idle_due]
-            .into_iter()
-            .flatten()
-            .min()
-    }
-
-    /// Start of the arriving request's timeout; `None` while reading is paused.
-    fn reading_since(&self) -> Option<Instant> {
-        self.timeouts
-            .arriving_since
-            .filter(|_| self.pipeline.has_room())
-    }
-
-    /// Handles an expired timeout: blocked output or an idle connection ends the
-    /// connection, a request that is too slow is answered with an error.
-    fn expire(&mut self) -> io::Result<StepResult> {
-        let now = Instant::now();
-        let request_timeout = self.limits.request_timeout;
-        let timed_out = |since: Instant| now.saturating_duration_since(since) >= request_timeout;
-        if self.timeouts.write_blocked.is_some_and(timed_out) {
-            return Err(io::ErrorKind::TimedOut.into());
-        }
-        if self.reading_since().is_some_and(timed_out) {
-            self.fail_read(ReadError::TimedOut);
-            return Ok(StepResult::Again);
-        }
-        Ok(StepResult::Closed)
-    }
-
     /// Shuts down the write side and discards input until the caller closes, for
     /// [`LINGER_TIMEOUT`] at most, so that the last answer arrives.
     async fn linger(mut self) {
