--- a/crates/scenarios/src/script/burst.rs
+++ b/crates/scenarios/src/script/burst.rs
@@ -96,8 +96,9 @@
                 return Ok(sent);
             }
             let body = format!("burst-{}-request-{number:06}", self.number);
-            let key = self.key(&body);
+            let key = self.key(&body, 0);
             if self.keyed && key.is_none() {
+                println!("{body} got no key");
                 let known = Known::NotRun;
                 sent.push(Sent { body, known });
                 continue;
@@ -107,32 +108,32 @@
         }
     }
 
-    /// A key from the first instance that issues one.
-    fn key(&self, body: &str) -> Option<String> {
+    /// A key from the first instance that issues one, for the given round of tries.
+    fn key(&self, body: &str, round: usize) -> Option<String> {
         if !self.keyed {
             return None;
         }
         let ask = |&addr: &SocketAddr| Call::new(Method::Get, addr, "/key", "").make().ok();
         let mut answers = self.at.iter().filter_map(ask);
         let issued = answers.find_map(|a| serde_json::from_str::<Issued>(&a.body).ok());
-        Some(format!("{}nonce-{body}", issued?.prefix))
+        Some(format!("{}nonce-{body}-{round}", issued?.prefix))
     }
 
     /// Sends a request until its caller knows that it ran.
     fn request(&self, number: usize, body: &str, key: Option<String>) -> Known {
         let path = format!("/s/{}/work", self.service);
         let mut call = Call::new(Method::Post, self.at[0], &path, body);
-        call.headers
-            .extend(key.map(|k| (headers::IDEMPOTENCY_KEY, k)));
+        let mut key = key.map(|k| (headers::IDEMPOTENCY_KEY, k));
         let deadline = self.deadline.map(|ms| ms.to_string());
         let deadline = deadline.map(|ms| (headers::DEADLINE_MS, ms));
-        call.headers.extend(deadline);
+        let deadline: Vec<_> = deadline.into_iter().collect();
         // Callers are spread over the instances that they may use.
         let first = number % self.at.len();
         let mut doubt = false;
         let mut tries = Vec::new();
         for round in 0..=self.resend {
             call.addr = self.at[(first + round) % self.at.len()];
+            call.headers = key.clone().into_iter().chain(deadline.clone()).collect();
             let start = Instant::now();
             let answer = call.make();
             tries.push(describe(call.addr, start.elapsed(), &answer));
@@ -142,8 +143,12 @@
                     println!("{body} not run: {}", tries.join("; "));
                     return Known::NotRun;
                 }
-                // Without a key a refusal speaks of this try alone.
-                Known::NotRun => {}
+                // Without a key a refusal speaks of this try alone; under its key the
+                // request never runs.
+                Known::NotRun => {
+                    let new = self.key(body, round + 1);
+                    key = new.map(|k| (headers::IDEMPOTENCY_KEY, k));
+                }
                 Known::Unknown => doubt = !self.keyed,
                 known => return known,
             }
