Start instances of a test at ports of their own

The test started a second generation at the ports of the first, three seconds after these were free, and another test had taken one. One generation is enough: the seed still reads the store while the others start, and all take ports that the system gives.

--- a/crates/auburnrouter/tests/direct/follow.rs
+++ b/crates/auburnrouter/tests/direct/follow.rs
@@ -413,20 +413,21 @@
     store.configure(3, HOST, &ROUTES);
     let target = Target::start("t0", "sheets", "near-a").expect("a port is free");
     target.register(&store, "ready", 1);
-    let settings = |i: usize, seeds: &[SocketAddr]| {
-        platform_standin::settings(&format!("near-b-{i}"), "near-b", store.addr(), seeds)
-    };
-    let entries: Vec<Entry> = (0..INSTANCES)
-        .map(|i| Entry::start_with(&settings(i, &[])))
-        .collect();
-    let registered = || store.keys("auburnrouter/instances/").len();
-    wait_until("all are registered", || registered() == INSTANCES);
-    let peers: Vec<SocketAddr> = entries.iter().map(|e| e.peers).collect();
-    drop(entries);
-    wait_until("all registrations have lapsed", || registered() == 0);
-    store.delay_full_lists(50 * MS);
     let before = store.full_lists();
-    let entries = restart_all(&peers, |i| settings(i, &peers[..2]));
+    // The seed still reads the store while the others start.
+    store.delay_full_lists(1_500 * MS);
+    let seed = Entry::start("near-b-0", "near-b", store.addr(), &[]);
+    wait_until("the seed reads the store", || store.full_lists() > before);
+    store.delay_full_lists(50 * MS);
+    let (addr, seeds) = (store.addr(), [seed.peers]);
+    let start = |i: usize| Entry::start(&format!("near-b-{i}"), "near-b", addr, &seeds);
+    let mut entries: Vec<Entry> = thread::scope(|scope| {
+        let start = |i| scope.spawn(move || start(i));
+        let started: Vec<_> = (1..INSTANCES).map(start).collect();
+        let joined = started.into_iter().map(thread::ScopedJoinHandle::join);
+        joined.map(|e| e.expect("the instance starts")).collect()
+    });
+    entries.push(seed);
     for entry in &entries {
         entry.await_ready();
     }
