--- a/crates/auburnrouter/src/direct/callers/routed.rs
+++ b/crates/auburnrouter/src/direct/callers/routed.rs
@@ -12,10 +12,11 @@
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use platform::headers;
+use pool::ConnectFault;
 use steer::clock::Time;
 use steer::process::direct::target::Feedback;
 use steer::process::direct::{
-    Assignment, AttemptOutcome, Decision, FollowUp, Rejection, Request, Ticket,
+    Assignment, AttemptOutcome, Decision, FollowUp, Rejection, Request, Ticket, Withheld,
 };
 use steer::request::arrival::Fingerprint;
 use steer::version::routes::Route;
@@ -43,6 +44,75 @@
     }
 }
 
+/// Outcome in log lines of an attempt that is dropped before it ends, as its caller has
+/// left.
+const ABANDONED: &str = "abandoned";
+
+/// What is known of an attempt; logged on drop, however it ends.
+struct AttemptLog<'a> {
+    request: &'a RoutedRequest,
+    assignment: &'a Assignment,
+    started: Time,
+    left_ms: AtomicU64,
+    withheld: OnceLock<Withheld>,
+    feedback: OnceLock<Feedback>,
+    outcome: &'static str,
+    status: u16,
+    connect_fault: Option<ConnectFault>,
+}
+
+impl<'a> AttemptLog<'a> {
+    fn new(request: &'a RoutedRequest, assignment: &'a Assignment) -> Self {
+        Self {
+            request,
+            assignment,
+            started: request.shared.now(),
+            left_ms: AtomicU64::new(0),
+            withheld: OnceLock::new(),
+            feedback: OnceLock::new(),
+            outcome: ABANDONED,
+            status: 0,
+            connect_fault: None,
+        }
+    }
+}
+
+impl Drop for AttemptLog<'_> {
+    fn drop(&mut self) {
+        let RoutedRequest {
+            shared,
+            route,
+            team,
+            origin,
+            arrived,
+            object,
+            ..
+        } = self.request;
+        events::attempt_ended(
+            shared,
+            &events::Attempt {
+                request: self.request.id(),
+                route: &route.name,
+                team: team.as_deref(),
+                origin: *origin,
+                target: &self.assignment.target,
+                number: self.assignment.attempt,
+                started: self.started,
+                held_ms: millis(self.started, *arrived),
+                took_ms: millis(shared.now(), self.started),
+                left_ms: self.left_ms.load(Ordering::Relaxed),
+                outcome: self.outcome,
+                status: self.status,
+                withheld: self.withheld.get().copied(),
+                connect_fault: self.connect_fault,
+                feedback: self.feedback.get().copied().unwrap_or_default(),
+                assignment: self.assignment,
+                object: *object,
+            },
+        );
+    }
+}
+
 /// A routed and authorized request while it is steered and sent.
 pub(super) struct RoutedRequest {
     pub(super) shared: Arc<Shared>,
@@ -140,21 +210,18 @@
         decisions: &async_channel::Receiver<Decision>,
         may_have_run: &mut bool,
     ) -> (FollowUp, Option<Response>) {
-        let start = self.shared.now();
-        let reported = OnceLock::new();
-        let withheld = OnceLock::new();
-        let left_ms = AtomicU64::new(0);
+        let mut log = AttemptLog::new(self, assignment);
         let remaining = || match self
             .shared
             .read(|now, d| (now, d.withheld(now, assignment)))
         {
             (now, None) => {
-                left_ms.store(millis(limit, now), Ordering::Relaxed);
+                log.left_ms.store(millis(limit, now), Ordering::Relaxed);
                 Some(limit.since(now))
             }
             (_, Some(reason)) => {
                 // A request is withheld once at most.
-                let _ = withheld.set(reason);
+                let _ = log.withheld.set(reason);
                 None
             }
         };
@@ -164,7 +231,7 @@
                 let target = (&assignment.target, assignment.incarnation);
                 feedback::apply(&self.shared, target, told, fields, self.id());
                 // The closure runs once at most.
-                let _ = reported.set(told);
+                let _ = log.feedback.set(told);
             };
             let run = self.send(assignment, &remaining, report);
             let run = future::or(run, given_up(decisions));
@@ -182,28 +249,10 @@
         let follow_up = self
             .shared
             .decide(|now, direct| direct.finish_attempt(now, assignment.ticket, outcome));
-        let status = answer.as_ref().map_or(0, |a| a.status().as_u16());
-        events::attempt_ended(
-            &self.shared,
-            &events::Attempt {
-                request: self.id(),
-                route: &self.route.name,
-                team: self.team.as_deref(),
-                origin: self.origin,
-                target: &assignment.target,
-                number: assignment.attempt,
-                held_ms: millis(start, self.arrived),
-                took_ms: millis(self.shared.now(), start),
-                left_ms: left_ms.into_inner(),
-                outcome: outcome.name(),
-                status,
-                withheld: withheld.into_inner(),
-                connect_fault,
-                feedback: reported.into_inner().unwrap_or_default(),
-                assignment,
-                object: self.object,
-            },
-        );
+        log.outcome = outcome.name();
+        log.status = answer.as_ref().map_or(0, |a| a.status().as_u16());
+        log.connect_fault = connect_fault;
+        drop(log);
         let usable = matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Failed);
         let answer = answer.filter(|a| usable && !attempt::implies_not_run(a.status()));
         (follow_up, answer)
--- a/crates/auburnrouter/src/direct/events/requests.rs
+++ b/crates/auburnrouter/src/direct/events/requests.rs
@@ -6,7 +6,9 @@
 
 use pool::ConnectFault;
 use serde::Serialize;
+use steer::clock::Time;
 use steer::process::direct::Withheld;
+use steer::process::direct::budget::Grant;
 use steer::process::direct::target::Feedback;
 use steer::request::arrival::Fingerprint;
 
@@ -93,10 +95,37 @@
     /// Strikes against it as a suspect of crashing targets when it was sent.
     #[serde(skip_serializing_if = "is_zero")]
     strikes: u8,
+    /// How it was allowed, if it is a retry.
+    #[serde(flatten, skip_serializing_if = "Option::is_none")]
+    retry: Option<RetryFields>,
     /// Version of the configuration it was decided by.
     config: u64,
 }
 
+/// How a retry was allowed.
+#[derive(Serialize)]
+struct RetryFields {
+    /// Milliseconds from the decision to allow it until it was sent.
+    allowed_ms: u64,
+    /// Requests of its service in the operator's window that ended with that decision.
+    window_requests: usize,
+    /// Retries in the same window.
+    window_retries: usize,
+    /// Instances among which the bound was divided.
+    sharing: usize,
+}
+
+impl RetryFields {
+    fn new(grant: &Grant, started: Time) -> Self {
+        Self {
+            allowed_ms: millis(started.since(grant.at)),
+            window_requests: grant.used.requests,
+            window_retries: grant.used.retries,
+            sharing: grant.instances,
+        }
+    }
+}
+
 /// An attempt that has ended.
 pub struct Attempt<'a> {
     /// The request's id.
@@ -111,6 +140,8 @@
     pub target: &'a str,
     /// Number of the attempt, from 1.
     pub number: usize,
+    /// Start of the attempt.
+    pub started: Time,
     /// Milliseconds from the request's arrival to the start of this attempt.
     pub held_ms: u64,
     /// Duration of the attempt in milliseconds.
@@ -185,6 +216,11 @@
         object: a.object,
         fingerprint: a.assignment.fingerprint.to_string(),
         strikes: a.assignment.strikes,
+        retry: a
+            .assignment
+            .grant
+            .as_deref()
+            .map(|grant| RetryFields::new(grant, a.started)),
         config: a.assignment.version,
     };
     write(shared, "attempt", fields);
--- a/crates/auburnrouter/tests/direct/requests.rs
+++ b/crates/auburnrouter/tests/direct/requests.rs
@@ -11,7 +11,8 @@
 use rustix::process::Signal;
 
 use super::harness::{
-    Entry, HOST, Harness, MS, ROUTES, WAIT_TIMEOUT, read_answer, request, send_raw, wait_until,
+    Entry, HOST, Harness, MS, ROUTES, WAIT_TIMEOUT, read_answer, request, send_raw, wait_for_line,
+    wait_until,
 };
 
 #[test]
@@ -144,6 +145,9 @@
         "{:?}",
         disconnected.elapsed()
     );
+    // Arrivals at targets can be told from the lines of instances, also of such requests.
+    let line = wait_for_line(&harness.entry, r#""ending":"abandoned""#);
+    assert!(line.contains(r#""request":"r1""#), "{line}");
 }
 
 /// While the process is stopped, as it may be under overload, a caller sends a look-up and
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -329,6 +329,7 @@
             is_remote: None,
             admission: Admission::New,
             has_spare_slots: false,
+            grant: None,
             state: State::Waiting,
         });
         Ok(ticket)
--- a/crates/steer/src/process/direct/budget.rs
+++ b/crates/steer/src/process/direct/budget.rs
@@ -51,6 +51,17 @@
     pub refused: u64,
 }
 
+/// Permission for one retry, and what it was decided from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Time of the decision.
+    pub at: Time,
+    /// Use of the budget before it.
+    pub used: Use,
+    /// Number of instances that shared the bound.
+    pub instances: usize,
+}
+
 impl Budget {
     /// Records a request from a caller.
     pub fn record_request(&mut self, now: Time, rule: &Rule) {
@@ -64,7 +75,7 @@
         clippy::cast_precision_loss,
         reason = "counts within a window are small"
     )]
-    pub fn try_spend(&mut self, now: Time, rule: &Rule, instances: usize) -> bool {
+    pub fn try_spend(&mut self, now: Time, rule: &Rule, instances: usize) -> Option<Grant> {
         remove_expired(&mut self.requests, now, rule.window);
         // A retry stays counted for a little longer than the window, since it
         // reaches its target later than it is counted here.
@@ -78,12 +89,17 @@
         let allotment = rule.ratio * self.requests.len() as f64 + slack;
         let used = self.retries.len() as f64;
         let is_allowed = used < (allotment * USED_RATIO).floor();
-        if is_allowed {
-            self.retries.push_back(now);
-        } else {
+        if !is_allowed {
             self.refused += 1;
+            return None;
         }
-        is_allowed
+        let grant = Grant {
+            at: now,
+            used: self.recent_use(now, rule),
+            instances,
+        };
+        self.retries.push_back(now);
+        Some(grant)
     }
 
     /// Returns the use of the budget in the window that ends now.
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -314,9 +314,16 @@
         // The bound is on retries that follow an attempt which reached a target; one
         // that was never sent cost no target anything.
         let is_possible = is_safe && has_attempts && has_time && all_back_off.is_none();
-        if is_possible && (!was_sent || self.budget(&service).try_spend(now, &rule, instances)) {
+        if is_possible && !was_sent {
             return FollowUp::Retry;
         }
+        if is_possible {
+            let grant = self.budget(&service).try_spend(now, &rule, instances);
+            if let Some(grant) = grant {
+                self.jobs[at].grant = Some(Box::new(grant));
+                return FollowUp::Retry;
+            }
+        }
         let job = self.jobs.remove(at);
         if may_have_run {
             return FollowUp::Settled;
--- a/crates/steer/src/process/direct/job.rs
+++ b/crates/steer/src/process/direct/job.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use super::budget::Grant;
 use super::message::{Admission, Rejection, Request, Ticket};
 use crate::clock::Time;
 
@@ -58,6 +59,8 @@
     pub(super) admission: Admission,
     /// Whether the regions where it may run had spare slots at that decision.
     pub(super) has_spare_slots: bool,
+    /// Permission for the latest retry.
+    pub(super) grant: Option<Box<Grant>>,
     pub(super) state: State,
 }
 
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use super::access::{self, Authorized};
-use super::budget::Rule;
+use super::budget::{Grant, Rule};
 use super::limit;
 use super::members::Registration;
 use super::quota;
@@ -178,6 +178,8 @@
     pub leaving_age: Option<Duration>,
     /// Time since the target last reported its load.
     pub load_age: Duration,
+    /// Permission for this attempt, if it is a retry of one that was sent.
+    pub grant: Option<Box<Grant>>,
     /// Version of the configuration in force.
     pub version: u64,
     /// Instance that is to send it; `None` if this one does.
--- a/crates/steer/src/process/direct/queue.rs
+++ b/crates/steer/src/process/direct/queue.rs
@@ -238,7 +238,7 @@
             relay: relay.as_ref().map(|r| Arc::clone(&r.name)),
             is_given_up: false,
         };
-        let (attempt, strikes) = (job.tried.len(), job.strikes);
+        let (attempt, strikes, grant) = (job.tried.len(), job.strikes, job.grant.clone());
         self.use_permit(fingerprint, ticket);
         Assignment {
             ticket,
@@ -256,6 +256,7 @@
             backoff_left,
             leaving_age,
             load_age: age,
+            grant,
             version,
             relay,
         }
--- a/crates/steer/tests/direct/budget.rs
+++ b/crates/steer/tests/direct/budget.rs
@@ -30,7 +30,7 @@
                 budget.record_request(now, &RULE);
                 requests.push(millis);
             }
-            while budget.try_spend(now, &RULE, instances) {
+            while budget.try_spend(now, &RULE, instances).is_some() {
                 retries.push(millis);
             }
         }
@@ -58,7 +58,7 @@
     for i in 0..100 {
         budget.record_request(at(i), &RULE);
     }
-    while budget.try_spend(at(100), &RULE, 1_000) {
+    while budget.try_spend(at(100), &RULE, 1_000).is_some() {
         spent += 1;
     }
     assert_eq!(spent, 16, "0.8 of a fifth of 100 and of 0.058");
@@ -86,7 +86,7 @@
             }
             let age = millis - *started;
             let known = if age < ALONE { 1 } else { instances };
-            while budget.try_spend(at(age), &RULE, known) {
+            while budget.try_spend(at(age), &RULE, known).is_some() {
                 retries.push(millis);
             }
         }
--- a/crates/steer/tests/direct/retry.rs
+++ b/crates/steer/tests/direct/retry.rs
@@ -217,3 +217,17 @@
     let counts: Vec<_> = retries.map(|u| (u.retries, u.refused)).collect();
     assert_eq!(counts, [(attempts - 1, 0)]);
 }
+
+/// A retry tells when it was allowed, by what use of the budget, and among how many
+/// instances the bound was divided; a first attempt has no such permission.
+#[test]
+fn tell_how_retry_was_allowed() {
+    let (mut bench, _) = send_and_finish(true, AttemptOutcome::Failed);
+    let Some(Decision::Send(retry)) = bench.decide(at(30)) else {
+        panic!("another target is free");
+    };
+    let grant = retry.grant.expect("a retry was allowed");
+    assert_eq!((grant.at, grant.instances), (at(10), 1));
+    assert_eq!((grant.used.requests, grant.used.retries), (1, 0));
+    assert!(bench.send(at(40), Some(2)).grant.is_none());
+}
