Show that two waves of requests earn more retries than a window allows

The tests check what the operator checks: each window of 10 s, with the requests of that window, of the one before or of the one half a window before, whichever has most. The older tests looked only at windows in which every instance had steady traffic.

--- a/crates/steer/tests/direct/budget.rs
+++ b/crates/steer/tests/direct/budget.rs
@@ -2,10 +2,13 @@
 
 use core::time::Duration;
 
+use fastrand::Rng;
 use rstest::rstest;
 use steer::process::direct::budget::{Budget, Rule};
+use steer::process::direct::{AttemptOutcome, Bounds, Decision, FollowUp, Rejection};
+use steer::version::routes::Route;
 
-use super::bench::at;
+use super::bench::{Bench, at, entry, route};
 
 const RULE: Rule = Rule {
     ratio: 0.2,
@@ -98,3 +101,189 @@
     }
     assert!(!retries.is_empty() || instances == 100);
 }
+
+/// What the operator counts: times in milliseconds at which callers sent requests and at
+/// which retries arrived at targets.
+#[derive(Default)]
+struct Operator {
+    requests: Vec<u64>,
+    retries: Vec<u64>,
+}
+
+impl Operator {
+    const WINDOW: u64 = 10_000;
+    /// Time between the starts of two windows.
+    const STEP: usize = 50;
+
+    /// Largest number of retries in a window over what its requests allow; the requests are
+    /// those of that window, of the one before or of the one half a window before,
+    /// whichever has most.
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "counts within a window are small"
+    )]
+    fn largest_use(mut self) -> f64 {
+        self.requests.sort_unstable();
+        self.retries.sort_unstable();
+        let count = |times: &[u64], start: u64| {
+            let before = |end: u64| times.partition_point(|t| *t < end);
+            before(start + Self::WINDOW) - before(start)
+        };
+        let use_from = |start: u64| {
+            let back = [0, Self::WINDOW / 2, Self::WINDOW];
+            let requests = back.map(|back| count(&self.requests, start.saturating_sub(back)));
+            let most = requests.into_iter().max().unwrap_or_default();
+            count(&self.retries, start) as f64 / (RULE.ratio * most as f64 + RULE.slack)
+        };
+        let last = self.retries.last().copied().unwrap_or_default();
+        let starts = (Self::WINDOW..last).step_by(Self::STEP);
+        starts.map(use_from).fold(0.0, f64::max)
+    }
+}
+
+/// Instances counted the requests of two waves as one window's, which no window of the
+/// operator holds both.
+#[rstest]
+#[case::at_all(|_| true, |_| true)]
+#[case::at_other_instances(|i| i < 3, |i| i >= 3)]
+fn keep_sum_over_two_waves(
+    #[case] is_in_first: fn(usize) -> bool,
+    #[case] is_in_second: fn(usize) -> bool,
+    #[values(8_000, 9_500, 12_000)] gap: u64,
+) {
+    const INSTANCES: usize = 7;
+    const FIRST: u64 = 20_000;
+    let mut budgets = vec![Budget::default(); INSTANCES];
+    let mut seen = Operator::default();
+    for millis in (0..50_000).step_by(50) {
+        for (i, budget) in budgets.iter_mut().enumerate() {
+            let is_wave = |start: u64| (start..start + 1_000).contains(&millis);
+            let first = is_wave(FIRST) && is_in_first(i);
+            let second = is_wave(FIRST + gap) && is_in_second(i);
+            for _ in 0..if first || second { 20 } else { 1 } {
+                budget.record_request(at(millis), &RULE);
+                seen.requests.push(millis);
+            }
+            while millis >= FIRST + 4_000
+                && budget.try_spend(at(millis), &RULE, INSTANCES).is_some()
+            {
+                seen.retries.push(millis);
+            }
+        }
+    }
+    assert!(!seen.retries.is_empty());
+    let largest = seen.largest_use();
+    assert!(largest <= 1.0, "{largest} of the bound");
+}
+
+/// Waves, outages, requests that are read late and retries that arrive late added up to more
+/// retries in a window than its requests allow.
+#[rstest]
+fn keep_sum_under_waves_and_delays(#[values(3, 7)] instances: usize) {
+    for seed in 0..60 {
+        let mut rng = Rng::with_seed(seed);
+        let mut budgets = vec![Budget::default(); instances];
+        let mut seen = Operator::default();
+        // Waves and outages begin about a window apart, and delays differ by instance.
+        let mut wave = vec![0..0; instances];
+        let mut outage = vec![0..0; instances];
+        let mut read_delay = vec![0; instances];
+        let mut transit = vec![0; instances];
+        for millis in (0..70_000).step_by(50) {
+            for (i, budget) in budgets.iter_mut().enumerate() {
+                if millis >= wave[i].end + 7_000 && rng.u32(..20) == 0 {
+                    wave[i] = millis..millis + rng.u64(200..2_000);
+                    read_delay[i] = rng.u64(..1_000);
+                }
+                if millis >= outage[i].end && rng.u32(..50) == 0 {
+                    outage[i] = millis..millis + rng.u64(500..9_000);
+                    transit[i] = rng.u64(..2_500);
+                }
+                for _ in 0..if wave[i].contains(&millis) { 15 } else { 1 } {
+                    budget.record_request(at(millis), &RULE);
+                    seen.requests.push(millis.saturating_sub(read_delay[i]));
+                }
+                while outage[i].contains(&millis)
+                    && budget.try_spend(at(millis), &RULE, instances).is_some()
+                {
+                    // What lies behind a cut arrives when the cut heals.
+                    let healed = (millis + transit[i]).min(outage[i].end).max(millis);
+                    seen.retries.push(healed);
+                }
+            }
+        }
+        let largest = seen.largest_use();
+        assert!(largest <= 1.0, "seed {seed}: {largest} of the bound");
+    }
+}
+
+/// A retry that waited for a target was sent long after it was allowed, by requests that were
+/// long past.
+#[rstest]
+#[case::recent_requests(true)]
+#[case::no_recent_requests(false)]
+fn renew_permission_of_retry_that_waited(#[case] has_requests: bool) {
+    let route = Route {
+        timeout: Duration::from_secs(120),
+        latency_goal: Duration::from_secs(60),
+        ..route()
+    };
+    let only_earned = |bounds: Bounds| Bounds {
+        retries: Rule {
+            slack: 0.0,
+            ..bounds.retries
+        },
+        ..bounds
+    };
+    let mut bench = Bench::bounded(route, &[entry("t1", "near-a")], only_earned);
+    bench.submit_until(at(0), Some(1), at(120_000));
+    let Some(Decision::Send(first)) = bench.decide(at(0)) else {
+        panic!("a target is free");
+    };
+    let follow_up = bench.finish(at(10), &first, AttemptOutcome::Failed);
+    assert_eq!(follow_up, FollowUp::Retry);
+    assert_eq!(bench.decide(at(20)), None, "there is no other target");
+    if has_requests {
+        bench.submit_until(at(5_000), Some(2), at(120_000));
+        assert!(matches!(bench.decide(at(5_000)), Some(Decision::Send(_))));
+    }
+    bench.direct.roster.put(at(6_000), entry("t2", "near-a"));
+    match bench.decide(at(6_000)) {
+        Some(Decision::Send(retry)) => {
+            assert!(has_requests, "no request has earned it");
+            assert_eq!(retry.ticket, first.ticket);
+            assert_eq!(retry.grant.map(|grant| grant.at), Some(at(6_000)));
+        }
+        Some(Decision::Reject { reason, .. }) => {
+            assert!(!has_requests, "a request has earned it");
+            assert_eq!(reason, Rejection::OutcomeUnknown);
+        }
+        other => panic!("not decided: {other:?}"),
+    }
+}
+
+/// Instances that started behind a cut, each with no knowledge of the others, used the whole
+/// slack each.
+#[rstest]
+#[case::no_contact(None, FollowUp::Settled)]
+#[case::contact_just_made(Some(29_000), FollowUp::Settled)]
+#[case::contact_for_a_window(Some(14_000), FollowUp::Retry)]
+fn use_no_slack_before_instances_are_known(
+    #[case] contact: Option<u64>,
+    #[case] expected: FollowUp,
+) {
+    let targets = [entry("t1", "near-a"), entry("t2", "near-a")];
+    let mut bench = Bench::bounded(route(), &targets, |bounds| Bounds {
+        retries: Rule {
+            ratio: 0.0,
+            ..bounds.retries
+        },
+        ..bounds
+    });
+    if let Some(millis) = contact {
+        bench.direct.store_answered(at(millis), 1);
+    }
+    let sent = bench.send(at(30_000), Some(1));
+    let follow_up = bench.finish(at(30_010), &sent, AttemptOutcome::Failed);
+    assert_eq!(follow_up, expected);
+}
