Earn retries by requests of the last moments, at half of the ratio

Cause: an instance allowed itself four fifths of the ratio of all requests in the last window, at the moment of a retry. The operator counts the requests of one window. Both waves lay within the instance's window, and no window of the operator holds both. The margin of a fifth covers steady traffic only. Several instances with a wave each, at other times, break it likewise.

Now a request earns half of the ratio, which is lost after 4 s of a window of 10. Retries that arrive in a window are so earned by requests of that window and the one before, and half of the sum of both is at most the larger one, whatever the waves; no margin is needed for it.

--- a/crates/steer/src/process/direct/budget.rs
+++ b/crates/steer/src/process/direct/budget.rs
@@ -1,16 +1,21 @@
 //! Retry budget of one service, shared by all instances.
 //!
-//! The bound is on a sum over all instances: within any window, retries stay under
-//! `ratio` times the service's requests plus `slack`. It is divided without a
-//! coordinator, so that the allotments can never add up to more: each instance
-//! spends `ratio` of the requests that it received itself, and `slack` over the
-//! number of instances. An instance that is dead or cut off spends nothing or its
-//! own allotment. A process that starts doesn't know what its predecessor has spent, nor
-//! at first with how many it shares the slack, so it uses none of the slack until a
-//! window has passed.
+//! The bound is on a sum over all instances: of the retries that reach targets within any
+//! window, at most `ratio` times the service's requests, plus `slack`. The operator counts
+//! the requests that callers sent in that window or in the one before, whichever are more.
+//! The bound is divided without a coordinator:
 //!
-//! Invariant: within any [`Rule::window`], the retries of this instance don't
-//! exceed its allotment.
+//! - Each request earns half of `ratio` at the instance that receives it, and what it has
+//!   earned is soon lost. All retries that reach targets within a window are then earned by
+//!   requests of that window and the one before, and half of the sum of both is at most the
+//!   larger one, however the requests are spread over time and instances.
+//! - Each instance uses `slack` over the number of instances. A process that starts doesn't
+//!   know what its predecessor has used, nor at first with how many it shares the slack, so
+//!   it uses none of the slack until a window has passed.
+//!
+//! Invariant: the retries of this instance that reach targets within any [`Rule::window`]
+//! don't exceed what the requests of that window and the one before have earned and its part
+//! of the slack, by more than one.
 
 use core::time::Duration;
 use std::collections::VecDeque;
@@ -28,15 +33,37 @@
     pub window: Duration,
 }
 
-/// Part of the allotment that is used. The rest covers requests that are counted
-/// in one window here and in the next at the target.
-const USED_RATIO: f64 = 0.8;
+/// Part of the ratio that a request earns, so that the requests of two windows may earn
+/// retries that arrive in one.
+const EARNED_PART: f64 = 0.5;
+
+const MILLION: u64 = 1_000_000;
+
+/// Fraction of the window after which what a request has earned is lost. The rest of the
+/// window covers a request that is read late, and a retry that is sent and arrives late.
+const EARNED_LIFE_RATIO: f64 = 0.4;
+
+/// Part of the slack that is used. The rest covers what has been earned in part at each
+/// instance.
+const SLACK_USED_RATIO: f64 = 0.8;
 
-/// Times of one service's requests and retries within the last window.
+/// Windows for which a use of the slack is counted, since a retry reaches its target later
+/// than it is counted here.
+const SLACK_COUNTED_WINDOWS: f64 = 1.25;
+
+/// Times of one service's requests and retries within the last window, and what is left to
+/// use.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
     requests: VecDeque<Time>,
     retries: VecDeque<Time>,
+    /// Retries that requests have earned and that are not used yet, by the time of the
+    /// request.
+    earned: VecDeque<Time>,
+    /// Millionths of a retry that requests have earned besides.
+    fraction: u64,
+    /// Uses of the slack.
+    slack_uses: VecDeque<Time>,
     refused: u64,
 }
 
@@ -56,52 +83,93 @@
 pub struct Grant {
     /// Time of the decision.
     pub at: Time,
+    /// Whether a request earned it; otherwise it is a use of the slack.
+    pub is_earned: bool,
     /// Use of the budget before it.
     pub used: Use,
     /// Number of instances that shared the bound.
     pub instances: usize,
 }
 
+impl Rule {
+    /// Millionths of a retry that a request earns.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "a ratio is small and not negative"
+    )]
+    fn earned_by_request(&self) -> u64 {
+        (self.ratio * EARNED_PART * MILLION as f64) as u64
+    }
+
+    /// Time for which a use of the slack is counted, and for which a process that starts
+    /// uses none.
+    #[must_use]
+    pub fn slack_span(&self) -> Duration {
+        self.window.mul_f64(SLACK_COUNTED_WINDOWS)
+    }
+}
+
 impl Budget {
     /// Records a request from a caller.
     pub fn record_request(&mut self, now: Time, rule: &Rule) {
         remove_expired(&mut self.requests, now, rule.window);
         self.requests.push_back(now);
+        self.fraction += rule.earned_by_request();
+        while self.fraction >= MILLION {
+            self.fraction -= MILLION;
+            self.earned.push_back(now);
+        }
+        self.remove_lost(now, rule);
     }
 
     /// Takes one retry from the budget if there is one left; `instances` is the
     /// number of instances that share the bound.
-    #[allow(
-        clippy::cast_precision_loss,
-        reason = "counts within a window are small"
-    )]
     pub fn try_spend(&mut self, now: Time, rule: &Rule, instances: usize) -> Option<Grant> {
-        remove_expired(&mut self.requests, now, rule.window);
-        // A retry stays counted for a little longer than the window, since it
-        // reaches its target later than it is counted here.
-        let counted_span = rule.window + rule.window / 8;
-        remove_expired(&mut self.retries, now, counted_span);
-        let slack = if now < Time::ZERO + counted_span {
-            0.0
-        } else {
-            rule.slack / instances.max(1) as f64
-        };
-        let allotment = rule.ratio * self.requests.len() as f64 + slack;
-        let used = self.retries.len() as f64;
-        let is_allowed = used < (allotment * USED_RATIO).floor();
-        if !is_allowed {
+        self.remove_lost(now, rule);
+        let is_earned = self.earned.pop_front().is_some();
+        if !is_earned && !self.try_use_slack(now, rule, instances) {
             self.refused += 1;
             return None;
         }
+        remove_expired(&mut self.requests, now, rule.window);
+        remove_expired(&mut self.retries, now, rule.window);
         let grant = Grant {
             at: now,
-            used: self.recent_use(now, rule),
+            is_earned,
+            used: Use {
+                requests: self.requests.len(),
+                retries: self.retries.len(),
+                refused: self.refused,
+            },
             instances,
         };
         self.retries.push_back(now);
         Some(grant)
     }
 
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "counts within a window are small"
+    )]
+    fn try_use_slack(&mut self, now: Time, rule: &Rule, instances: usize) -> bool {
+        let span = rule.slack_span();
+        remove_expired(&mut self.slack_uses, now, span);
+        let part = rule.slack * SLACK_USED_RATIO / instances.max(1) as f64;
+        let is_allowed = now >= Time::ZERO + span && (self.slack_uses.len() as f64) < part.floor();
+        if is_allowed {
+            self.slack_uses.push_back(now);
+        }
+        is_allowed
+    }
+
+    /// Removes what was earned too long ago.
+    fn remove_lost(&mut self, now: Time, rule: &Rule) {
+        let life = rule.window.mul_f64(EARNED_LIFE_RATIO);
+        remove_expired(&mut self.earned, now, life);
+    }
+
     /// Returns the use of the budget in the window that ends now.
     #[must_use]
     pub fn recent_use(&self, now: Time, rule: &Rule) -> Use {
--- a/crates/steer/tests/direct/budget.rs
+++ b/crates/steer/tests/direct/budget.rs
@@ -53,7 +53,7 @@
     assert!(!retries.is_empty() || instances == 300);
 }
 
-/// Requests earn retries at the rule's ratio, besides the share of the slack.
+/// Requests earn retries at half of the rule's ratio, besides the share of the slack.
 #[test]
 fn earn_by_requests() {
     let mut budget = Budget::default();
@@ -64,7 +64,7 @@
     while budget.try_spend(at(100), &RULE, 1_000).is_some() {
         spent += 1;
     }
-    assert_eq!(spent, 16, "0.8 of a fifth of 100 and of 0.058");
+    assert_eq!(spent, 10, "half of a fifth of 100, and none of 0.058");
 }
 
 /// Processes that started anew spent the slack of their predecessors once more, and took
@@ -224,8 +224,8 @@
 #[case::no_recent_requests(false)]
 fn renew_permission_of_retry_that_waited(#[case] has_requests: bool) {
     let route = Route {
-        timeout: Duration::from_secs(120),
-        latency_goal: Duration::from_secs(60),
+        timeout: Duration::from_mins(2),
+        latency_goal: Duration::from_mins(1),
         ..route()
     };
     let only_earned = |bounds: Bounds| Bounds {
