Renew the permission of a retry that has waited for a target

A retry is allowed when an attempt fails, and may then wait for a target until its time is over: twenty seconds on some routes. Retries allowed over more than a window could leave together, when targets have room again, and all arrive in one window.

A permission now lasts a fifth of the window. A retry that finds a target later needs a new one, by the requests and the use of the slack of that moment; what it had taken of the slack is given back first, as it was not sent.

--- a/crates/auburnrouter/src/direct/callers/routed.rs
+++ b/crates/auburnrouter/src/direct/callers/routed.rs
@@ -305,6 +305,7 @@
             Rejection::CutOff => self.reject("cut-off", after),
             Rejection::Overload => self.reject_forecast("overload", after, forecast),
             Rejection::Yields => self.reject_forecast("yields", after, forecast),
+            Rejection::NoRetry => self.reject("rejected-by-targets", after),
             Rejection::Suspect => self.reject("suspect-in-flight", after),
             Rejection::Poison => self.reject("crashes-targets", POISON_RETRY_AFTER),
             Rejection::OutcomeUnknown => self.outcome_unknown(),
--- a/crates/steer/src/process/direct/budget.rs
+++ b/crates/steer/src/process/direct/budget.rs
@@ -43,6 +43,9 @@
 /// window covers a request that is read late, and a retry that is sent and arrives late.
 const EARNED_LIFE_RATIO: f64 = 0.4;
 
+/// Fraction of the window for which a retry may wait to be sent once it is allowed.
+const GRANT_LIFE_RATIO: f64 = 0.2;
+
 /// Part of the slack that is used. The rest covers what has been earned in part at each
 /// instance.
 const SLACK_USED_RATIO: f64 = 0.8;
@@ -91,6 +94,14 @@
     pub instances: usize,
 }
 
+impl Grant {
+    /// Whether a retry that is sent now is still covered by this permission.
+    #[must_use]
+    pub fn is_valid(&self, now: Time, rule: &Rule) -> bool {
+        now.since(self.at) < rule.window.mul_f64(GRANT_LIFE_RATIO)
+    }
+}
+
 impl Rule {
     /// Millionths of a retry that a request earns.
     #[allow(
@@ -149,6 +160,22 @@
         Some(grant)
     }
 
+    /// Replaces a permission that is no longer valid by one of now, if there is one left. The
+    /// retry was not sent yet.
+    pub fn renew(
+        &mut self,
+        now: Time,
+        rule: &Rule,
+        instances: usize,
+        grant: &Grant,
+    ) -> Option<Grant> {
+        remove_one(&mut self.retries, grant.at);
+        if !grant.is_earned {
+            remove_one(&mut self.slack_uses, grant.at);
+        }
+        self.try_spend(now, rule, instances)
+    }
+
     #[allow(
         clippy::cast_precision_loss,
         reason = "counts within a window are small"
@@ -190,3 +217,10 @@
         times.pop_front();
     }
 }
+
+/// Removes one entry of this time, if there is one.
+fn remove_one(times: &mut VecDeque<Time>, at: Time) {
+    if let Ok(index) = times.binary_search(&at) {
+        times.remove(index);
+    }
+}
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -334,6 +334,24 @@
         }
     }
 
+    /// Whether a request may be sent now, as far as the retry budget goes: a retry that has
+    /// waited for a target needs a new permission.
+    pub(super) fn may_retry_now(&mut self, now: Time, at: usize) -> bool {
+        let rule = self.bounds.retries;
+        let instances = self.sharing_instances();
+        let job = &self.jobs[at];
+        let Some(grant) = job.grant.as_deref().copied() else {
+            return true;
+        };
+        if grant.is_valid(now, &rule) {
+            return true;
+        }
+        let service = Arc::clone(&job.service);
+        let renewed = self.budget(&service).renew(now, &rule, instances, &grant);
+        self.jobs[at].grant = renewed.map(Box::new);
+        renewed.is_some()
+    }
+
     /// Records for the service's spillover whether an answer met its latency
     /// objective. Answers for cold objects are left out: they are as late locally as
     /// in other regions.
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -140,6 +140,8 @@
     Poison,
     /// A target may have crashed under it, and a copy of it is in flight.
     Suspect,
+    /// Targets rejected it, and the retry budget allows no other attempt any more.
+    NoRetry,
     /// It may have run at a target that gave no complete answer.
     OutcomeUnknown,
 }
--- a/crates/steer/src/process/direct/queue.rs
+++ b/crates/steer/src/process/direct/queue.rs
@@ -117,6 +117,9 @@
             } else {
                 None
             };
+            if !self.may_retry_now(now, at) {
+                return Some(self.reject(now, at, Rejection::NoRetry, None));
+            }
             self.record_urgency_sent(at, &best);
             return Some(Decision::Send(self.send(now, at, &best, relay)));
         }
