Use no slack of the retry budget before the other instances are known

An instance that started behind a cut, with neither the store nor another instance in reach, took itself for the only one, and used the whole slack of the retry budget once a window had passed since its start; so did each region of which all instances had started in a cut.

What requests earn at it is not touched.

--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -373,6 +373,16 @@
         &mut self.budgets[at].1
     }
 
+    /// The bound on retries that applies now. A process that has not known the other
+    /// instances for a while uses none of the slack: it can't tell with how many it shares it.
+    fn retry_rule(&self, now: Time) -> budget::Rule {
+        let rule = self.bounds.retries;
+        if self.has_known_store_for(now, rule.slack_span()) {
+            return rule;
+        }
+        budget::Rule { slack: 0.0, ..rule }
+    }
+
     /// Use of each service's retry budget in the window that ends now.
     pub fn budget_uses(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, budget::Use)> {
         let rule = self.bounds.retries;
--- a/crates/steer/src/process/direct/budget.rs
+++ b/crates/steer/src/process/direct/budget.rs
@@ -10,8 +10,8 @@
 //!   requests of that window and the one before, and half of the sum of both is at most the
 //!   larger one, however the requests are spread over time and instances.
 //! - Each instance uses `slack` over the number of instances. A process that starts doesn't
-//!   know what its predecessor has used, nor at first with how many it shares the slack, so
-//!   it uses none of the slack until a window has passed.
+//!   know what its predecessor has used, so it uses none of the slack until a window has
+//!   passed, nor until it has known the other instances for as long.
 //!
 //! Invariant: the retries of this instance that reach targets within any [`Rule::window`]
 //! don't exceed what the requests of that window and the one before have earned and its part
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -309,7 +309,7 @@
         let may_have_run = job.may_have_run;
         let was_sent = outcome.was_sent();
         let all_back_off = self.all_back_off(now, &self.jobs[at]);
-        let rule = self.bounds.retries;
+        let rule = self.retry_rule(now);
         let instances = self.sharing_instances();
         // The bound is on retries that follow an attempt which reached a target; one
         // that was never sent cost no target anything.
@@ -337,7 +337,7 @@
     /// Whether a request may be sent now, as far as the retry budget goes: a retry that has
     /// waited for a target needs a new permission.
     pub(super) fn may_retry_now(&mut self, now: Time, at: usize) -> bool {
-        let rule = self.bounds.retries;
+        let rule = self.retry_rule(now);
         let instances = self.sharing_instances();
         let job = &self.jobs[at];
         let Some(grant) = job.grant.as_deref().copied() else {
--- a/crates/steer/src/process/direct/contact.rs
+++ b/crates/steer/src/process/direct/contact.rs
@@ -16,6 +16,8 @@
 pub(super) struct StoreLink {
     /// Revision up to which everything is known.
     revision: u64,
+    /// Time at which this process first learned what the store holds.
+    known_at: Option<Time>,
     /// Time of the store's last answer.
     answered_at: Option<Time>,
     /// Time at which the store last answered again after a gap.
--- a/crates/steer/src/process/direct/contact/apply.rs
+++ b/crates/steer/src/process/direct/contact/apply.rs
@@ -37,6 +37,7 @@
     /// Records that the store answered at `answered_at`, and without a gap from `since`
     /// if that is known.
     fn note_answer(&mut self, now: Time, answered_at: Time, since: Option<Time>, revision: u64) {
+        self.store.known_at.get_or_insert(now);
         let last = self.store.answered_at;
         let is_gap = last.is_some_and(|at| answered_at.since(at) > ENTRY_EXPIRY_GAP);
         let is_own_gap = since.is_some() && since <= last;
@@ -63,6 +64,16 @@
         self.is_store_reachable(now) && self.store.since.is_some_and(|since| since <= at)
     }
 
+    /// Whether this process has known for this long what the store holds, so that it knows the
+    /// other instances; the store may be unreachable since.
+    pub(in crate::process::direct) fn has_known_store_for(
+        &self,
+        now: Time,
+        span: Duration,
+    ) -> bool {
+        self.store.known_at.is_some_and(|at| now.since(at) >= span)
+    }
+
     /// Revision up to which everything is known.
     #[must_use]
     pub const fn revision(&self) -> u64 {
