Send nothing to cold targets before the other instances are known

Cause: an instance divides a cold target's bound among the instances that it knows, and used it from 1.25 s of its process on, known or not. What it learned of the store was applied targets first and instances last: log lines show sends from 8.549 to 8.606 s and the first other instances at 8.633 s and later.

Nothing is sent to a cold target now until the store's content has been known for 1.25 s, from the store or another instance, and instances are applied before targets. send_nothing_before_instances_are_known failed before. Fixtures of six tests had targets without ever having learned of the store; they have now.

--- a/crates/auburnrouter/src/direct/source/apply.rs
+++ b/crates/auburnrouter/src/direct/source/apply.rs
@@ -106,9 +106,11 @@
 
 impl Batch<'_> {
     fn apply(&self, shared: &Shared) {
+        // Targets are used as soon as they are known, within bounds on sums that are divided
+        // among the instances known by then.
+        put_members(shared, &self.members);
         put_targets(shared, &self.targets);
         remove_targets(shared, &self.gone);
-        put_members(shared, &self.members);
     }
 }
 
--- a/crates/steer/src/process/direct/place.rs
+++ b/crates/steer/src/process/direct/place.rs
@@ -435,8 +435,9 @@
     /// request.
     fn has_cold_allotment(&self, now: Time, target: &Target) -> bool {
         // An earlier process of this instance may have sent requests just before
-        // this one started, and the other participants aren't known yet.
-        if now < Time::ZERO + COLD_WINDOW {
+        // this one started, and the other participants aren't known before the store's
+        // content is, which instances that start together learn one after the other.
+        if !self.has_known_store_for(now, COLD_WINDOW) {
             return false;
         }
         let rate = self
--- a/crates/steer/tests/direct/cold.rs
+++ b/crates/steer/tests/direct/cold.rs
@@ -69,6 +69,7 @@
 /// for all of them.
 fn with_seven_instances() -> Bench {
     let mut bench = Bench::new(route(), &[cold_target()]);
+    bench.direct.store_answered(at(0), 1);
     for i in 0..6 {
         let heartbeat = heartbeat(&format!("near-{}", i + 2), 1);
         bench.direct.receive_heartbeat(at(2_000), heartbeat);
@@ -98,6 +99,7 @@
 #[test]
 fn leave_allotment_to_leaving_instance() {
     let mut bench = Bench::new(route(), &[cold_target()]);
+    bench.direct.store_answered(at(0), 1);
     let leaving = |seq| Heartbeat {
         is_leaving: true,
         ..heartbeat("near-2", seq)
@@ -131,6 +133,22 @@
 #[test]
 fn send_nothing_right_after_start() {
     let mut bench = Bench::new(route(), &[cold_target()]);
+    bench.direct.store_answered(at(0), 1);
     assert_eq!(burst(&mut bench, 500), 0);
     assert!(burst(&mut bench, 1_300) > 0);
 }
+
+/// Instances that started together knew the targets, but not yet each other, and each used
+/// most of a cold target's bound.
+#[test]
+fn send_nothing_before_instances_are_known() {
+    let mut bench = Bench::new(route(), &[cold_target()]);
+    assert_eq!(burst(&mut bench, 2_000), 0);
+    bench.direct.store_answered(at(3_000), 1);
+    assert_eq!(
+        burst(&mut bench, 3_010),
+        0,
+        "others may be about to register"
+    );
+    assert!(burst(&mut bench, 4_300) > 0);
+}
--- a/crates/steer/tests/direct/health.rs
+++ b/crates/steer/tests/direct/health.rs
@@ -20,6 +20,7 @@
 fn warmed_up(route: Route) -> (Bench, String) {
     let targets = ["t1", "t2", "t3", "t4", "t5", "t6"].map(|id| entry(id, "near-a"));
     let mut bench = Bench::new(route, &targets);
+    bench.direct.store_answered(at(0), 1);
     let first = bench.learn(OBJECT);
     (bench, first)
 }
--- a/crates/steer/tests/direct/limit.rs
+++ b/crates/steer/tests/direct/limit.rs
@@ -229,6 +229,7 @@
 #[test]
 fn probe_limit_once() {
     let mut bench = one_of(7);
+    bench.direct.store_answered(at(0), 1);
     report_limit(&mut bench, at(2_000), Some(0.0));
     assert_eq!(
         requests_sent(&mut bench, 2_100, 12_000),
