Judge retries in every window, and under waves of callers

The model looked only at windows that end with an arrival. The operator's windows slide, and the requests that count for one differ from those of the next: a window that begins with an arrival can be over the bound where none that ends with one is.

Two plans have waves of callers a little less than a window apart, with targets that turn 19 of 20 requests away; one of them kills all instances twice and cuts some off.

--- a/crates/measure/src/sums.rs
+++ b/crates/measure/src/sums.rs
@@ -16,7 +16,7 @@
 use plan::Plan;
 
 /// What happens to a fleet: its name, and the plan.
-const PLANS: [(&str, Plan); 20] = [
+const PLANS: [(&str, Plan); 22] = [
     ("calm", Plan::CALM),
     (
         "bursts",
@@ -77,6 +77,22 @@
             ..Plan::CALM
         },
     ),
+    (
+        "turned-away",
+        Plan {
+            turned_away: true,
+            ..Plan::CALM
+        },
+    ),
+    (
+        "turned-away-all-at-once",
+        Plan {
+            turned_away: true,
+            herd: true,
+            cut: true,
+            ..Plan::CALM
+        },
+    ),
     (
         "limit",
         Plan {
--- a/crates/measure/src/sums/fleet.rs
+++ b/crates/measure/src/sums/fleet.rs
@@ -45,6 +45,8 @@
 const HEARTBEAT_LOSS: f64 = 0.05;
 /// Time between two reads of the store; stands for a watch.
 const STORE_READ_INTERVAL: Duration = Duration::from_millis(300);
+/// Share of the requests that targets turn away while they do.
+const TURNED_AWAY: f64 = 0.95;
 /// Time for which a registration outlives its instance.
 const REGISTRATION_TTL: Duration = Duration::from_secs(3);
 
@@ -258,6 +260,7 @@
         let draw = self.rng.f64();
         let outcome = match draw {
             _ if backoff.is_some() => AttemptOutcome::NotRun,
+            _ if self.is_turning_away() && draw < TURNED_AWAY => AttemptOutcome::NotRun,
             _ if !self.plan.failing => AttemptOutcome::Answered,
             _ if draw < 0.1 => AttemptOutcome::NotRun,
             _ if draw < 0.2 => AttemptOutcome::Failed,
@@ -415,12 +418,7 @@
     }
 
     fn send_due_requests(&mut self) {
-        let second = self.now.as_micros() / 1_000_000;
-        let burst_factor = if self.plan.bursts && second % 10 >= 6 {
-            2.5
-        } else {
-            1.0
-        };
+        let burst_factor = self.burst_factor();
         let scale = f64::from(u32::try_from(self.scale).unwrap_or(1));
         self.due_requests += REQUEST_RATE * scale * burst_factor * STEP.as_secs_f64();
         while self.due_requests >= 1.0 {
--- a/crates/measure/src/sums/fleet/faults.rs
+++ b/crates/measure/src/sums/fleet/faults.rs
@@ -13,6 +13,15 @@
 /// to stop.
 const REPORTING_SPAN: Range<Time> = Time::from_micros(8_000_000)..Time::from_micros(20_000_000);
 
+/// Start of the first wave of callers, in milliseconds, when processes have run long enough
+/// to use all of the retry budget.
+const WAVES_START_MS: u64 = 15_000;
+/// Time from one wave to the next, and length of each, in milliseconds.
+const WAVE_INTERVAL_MS: u64 = 9_500;
+const WAVE_MS: u64 = 1_000;
+/// Traffic in a wave as a multiple of the usual one.
+const WAVE_FACTOR: f64 = 10.0;
+
 impl Fleet {
     pub(super) fn inject_faults(&mut self) {
         let plan = self.plan;
@@ -46,6 +55,25 @@
         }
     }
 
+    /// Traffic now as a multiple of the usual one.
+    pub(super) fn burst_factor(&self) -> f64 {
+        let millis = self.now.as_micros() / 1_000;
+        if self.plan.bursts && millis % 10_000 >= 6_000 {
+            2.5
+        } else if self.plan.turned_away && millis >= WAVES_START_MS {
+            let in_wave = (millis - WAVES_START_MS) % WAVE_INTERVAL_MS < WAVE_MS;
+            if in_wave { WAVE_FACTOR } else { 1.0 }
+        } else {
+            1.0
+        }
+    }
+
+    /// Whether targets turn nearly everything away now.
+    pub(super) fn is_turning_away(&self) -> bool {
+        let from = Time::from_micros((WAVES_START_MS + 2 * WAVE_MS) * 1_000);
+        self.plan.turned_away && self.now >= from
+    }
+
     fn kill(&mut self, instance: usize) {
         let restarts_at = self.now + self.random_duration(300, 2_000);
         let instance = &mut self.instances[instance];
--- a/crates/measure/src/sums/plan.rs
+++ b/crates/measure/src/sums/plan.rs
@@ -8,6 +8,9 @@
 pub struct Plan {
     /// Callers come in waves.
     pub bursts: bool,
+    /// Short waves of many callers come a little less than a retry window apart, and targets
+    /// turn nearly everything away from the first on.
+    pub turned_away: bool,
     /// Targets of a region turn cold now and then.
     pub cold: bool,
     /// A quarter of the attempts fail and may be repeated.
@@ -38,6 +41,7 @@
     /// Nothing fails.
     pub const CALM: Self = Self {
         bursts: false,
+        turned_away: false,
         cold: false,
         failing: false,
         replaced: false,
@@ -54,7 +58,13 @@
     /// Whether instances and targets all stay what they are.
     #[must_use]
     pub const fn is_steady(self) -> bool {
-        !(self.cold || self.failing || self.replaced || self.herd || self.cut || self.added)
+        !(self.turned_away
+            || self.cold
+            || self.failing
+            || self.replaced
+            || self.herd
+            || self.cut
+            || self.added)
             && self.limit.is_none()
             && self.backoff_ms.is_none()
             && !self.leaving
--- a/crates/measure/src/sums/tally.rs
+++ b/crates/measure/src/sums/tally.rs
@@ -90,6 +90,9 @@
 /// reach the target.
 const DRAIN: Duration = Duration::from_millis(2_500);
 
+/// Step by which the windows of retries slide.
+const REPEATS_STEP: Duration = Duration::from_millis(50);
+
 /// Windows between which the share of a region is compared.
 const SHIFT_WINDOW: Duration = Duration::from_secs(2);
 
@@ -218,25 +221,26 @@
             .filter(|a| a.is_repeat)
             .map(|a| a.at)
             .collect();
-        let mut most = 0.0_f64;
-        for (i, &end) in repeats.iter().enumerate() {
-            let seen = repeats[..=i]
-                .iter()
-                .filter(|at| end.since(**at) < rule.window);
-            // The operator counts the requests of this window, of the one
-            // before or of the one half a window before, whichever has most.
-            let within = |back: Duration| {
-                let upto = end.since(Time::ZERO).saturating_sub(back);
-                let from = upto.saturating_sub(rule.window);
-                received
-                    .iter()
-                    .filter(|at| (from..=upto).contains(&at.since(Time::ZERO)))
-                    .count()
-            };
-            let counted = [Duration::ZERO, rule.window / 2, rule.window].map(within);
+        let within = |times: &[Time], from: Time| {
+            let before = |end: Time| times.partition_point(|at| *at < end);
+            before(from + rule.window) - before(from)
+        };
+        // The operator counts the requests of this window, of the one before or of the one
+        // half a window before, whichever has most.
+        let use_from = |from: Time| {
+            let back = [Duration::ZERO, rule.window / 2, rule.window];
+            let counted = back.map(|back| within(&received, from - back));
             let counted = counted.into_iter().max().unwrap_or_default();
-            let bound = rule.ratio * number(counted) + rule.slack;
-            most = most.max(number(seen.count()) / bound);
+            number(within(&repeats, from)) / (rule.ratio * number(counted) + rule.slack)
+        };
+        let Some(&last) = repeats.last() else {
+            return 0.0;
+        };
+        let mut most = 0.0_f64;
+        let mut from = Time::ZERO;
+        while from <= last {
+            most = most.max(use_from(from));
+            from = from + REPEATS_STEP;
         }
         most
     }
