Let what requests earn of the retry budget last for 0.6 of the window

After crashes of many targets an instance with few requests had little left to retry with: what requests earn was lost after 4 s. Permissions now last 1 s of a window of 10 instead of 2, as waiting retries are few and get a new one, and what requests earn lasts 6 s; 3 s remain for reading a request late and for the way to the target.

The tests of the bound pass as before, with delays of up to 3.5 s in keep_sum_under_waves_and_delays.

--- a/crates/steer/src/process/direct/budget.rs
+++ b/crates/steer/src/process/direct/budget.rs
@@ -41,10 +41,10 @@
 
 /// Fraction of the window after which what a request has earned is lost. The rest of the
 /// window covers a request that is read late, and a retry that is sent and arrives late.
-const EARNED_LIFE_RATIO: f64 = 0.4;
+const EARNED_LIFE_RATIO: f64 = 0.6;
 
 /// Fraction of the window for which a retry may wait to be sent once it is allowed.
-const GRANT_LIFE_RATIO: f64 = 0.2;
+const GRANT_LIFE_RATIO: f64 = 0.1;
 
 /// Part of the slack that is used. The rest covers what has been earned in part at each
 /// instance.
