Show that bursts change the share that runs elsewhere faster than allowed

Cause, by the lines of all instances: the share is paced by requests that arrive. In the burst home turns nine of ten of them away, while of all that arrive as many as before run elsewhere: of one service's requests that ran, 4 of 17 before and 14 of 20 in the burst.

--- a/crates/steer/tests/direct/spillover.rs
+++ b/crates/steer/tests/direct/spillover.rs
@@ -2,8 +2,10 @@
 
 use rstest::rstest;
 use steer::process::direct::spillover::Spillover;
+use steer::process::direct::target::Entry;
+use steer::process::direct::{AttemptOutcome, Decision};
 
-use super::bench::at;
+use super::bench::{Bench, at, entry, route};
 
 const BOUND: f64 = 0.15;
 
@@ -93,3 +95,50 @@
     let share = spillover.share();
     assert!((0.4..0.6).contains(&share), "the share is {share:.2}");
 }
+
+/// In a burst the home region turned most requests away, while as many of all requests as
+/// before ran elsewhere: of those that ran, their share jumped.
+#[test]
+fn change_share_of_requests_that_run_slowly() {
+    const WINDOW: u64 = 2_000;
+    const STEP: u64 = 5;
+    const WORK: u64 = 200;
+    const BURST: core::ops::Range<u64> = 10_000..11_500;
+    let target = |id, domain, slots| Entry {
+        slots,
+        ..entry(id, domain)
+    };
+    let targets = [target("t1", "near-a", 45), target("t2", "far-a", 55)];
+    let mut bench = Bench::new(route(), &targets);
+    bench.direct.store_answered(at(0), 1);
+    let mut running = Vec::new();
+    let mut runs = Vec::new();
+    for millis in (0..14_000).step_by(usize::try_from(STEP).expect("it is small")) {
+        let now = at(millis);
+        while running.first().is_some_and(|(end, _)| *end <= millis) {
+            let (_, ticket) = running.remove(0);
+            let answered = AttemptOutcome::Answered;
+            bench.direct.finish_attempt(now, ticket, answered);
+        }
+        let count = if BURST.contains(&millis) { 10 } else { 1 };
+        for i in 0..count {
+            bench.submit(now, Some(millis + i));
+        }
+        for decision in bench.direct.step(now) {
+            if let Decision::Send(sent) = decision {
+                runs.push((millis, &*sent.target == "t2"));
+                running.push((millis + WORK, sent.ticket));
+            }
+        }
+    }
+    let share = |from: u64| {
+        let within = |r: &&(u64, bool)| (from..from + WINDOW).contains(&r.0);
+        let all = runs.iter().filter(within).count();
+        let elsewhere = runs.iter().filter(within).filter(|r| r.1).count();
+        100 * elsewhere / all.max(1)
+    };
+    for start in (2_000..10_000).step_by(100) {
+        let change = share(start).abs_diff(share(start + WINDOW));
+        assert!(change <= 15, "{change} in 100 from {start}");
+    }
+}
