--- a/crates/measure/src/sums.rs
+++ b/crates/measure/src/sums.rs
@@ -85,7 +85,7 @@
         },
     ),
     (
-        "turned-away-all-at-once",
+        "turned-away-restarts",
         Plan {
             turned_away: true,
             herd: true,
--- a/crates/measure/tests/virtual_time.rs
+++ b/crates/measure/tests/virtual_time.rs
@@ -83,7 +83,7 @@
 /// Waves of callers earned retries together that no window of the operator allows.
 #[rstest]
 #[case::waves("turned-away")]
-#[case::restarts_and_cuts("turned-away-all-at-once")]
+#[case::restarts_and_cuts("turned-away-restarts")]
 fn keep_retry_budget_in_waves(#[case] plan: &str, #[values(3, 7)] size: usize) {
     let line = sums::line(1, 1, 40, plan, size).expect("it is a plan");
     assert!(line.repeats > 0, "nothing was seen: {line:?}");
