Restart instances of a test at addresses that no other test uses

The test starts instances again at the ports of the first generation, and another test of the same run had taken one meanwhile.

--- a/crates/auburnrouter/tests/direct/follow.rs
+++ b/crates/auburnrouter/tests/direct/follow.rs
@@ -386,8 +386,9 @@
         let name = format!("near-b-{i}");
         platform_standin::settings(&name, "near-b", store, &[])
     };
+    // At addresses of their own, no other test takes a port before they start again.
     let entries: Vec<Entry> = (0..INSTANCES)
-        .map(|i| Entry::start_with(&settings(i)))
+        .map(|i| Entry::start_with(&with_peers(&settings(i), &format!("127.11.0.{}:0", i + 1))))
         .collect();
     let registered = || harness.store.keys("auburnrouter/").len();
     wait_until("all are registered", || registered() > INSTANCES);
@@ -449,13 +450,17 @@
     line["above"].as_u64()
 }
 
+/// The same settings with this address for calls of peers.
+fn with_peers(settings: &str, addr: &str) -> String {
+    let mut settings: serde_json::Value = serde_json::from_str(settings).expect("it is JSON");
+    settings["listen"]["peers"] = addr.into();
+    settings.to_string()
+}
+
 /// Starts instances again, all at once, at their addresses for calls of peers.
 fn restart_all(peers: &[SocketAddr], settings: impl Fn(usize) -> String + Sync) -> Vec<Entry> {
     let restart = |i: usize, addr: SocketAddr| {
-        let mut settings: serde_json::Value =
-            serde_json::from_str(&settings(i)).expect("it is JSON");
-        settings["listen"]["peers"] = addr.to_string().into();
-        Entry::start_with(&settings.to_string())
+        Entry::start_with(&with_peers(&settings(i), &addr.to_string()))
     };
     let restart = &restart;
     thread::scope(|scope| {
