Say in which unit retries are earned, and all windows that the operator counts

Read as by a newcomer: a constant had no meaning beside its value, and the head of the module named two of the operator's three windows. Comments only; the tests of the budget pass (22).

--- a/crates/steer/src/process/direct/budget.rs
+++ b/crates/steer/src/process/direct/budget.rs
@@ -2,7 +2,8 @@
 //!
 //! The bound is on a sum over all instances: of the retries that reach targets within any
 //! window, at most `ratio` times the service's requests, plus `slack`. The operator counts
-//! the requests that callers sent in that window or in the one before, whichever are more.
+//! the requests that callers sent in that window, in the one before or in the one half a window
+//! before, whichever are most; the first two are enough for what follows.
 //! The bound is divided without a coordinator:
 //!
 //! - Each request earns half of `ratio` at the instance that receives it, and what it has
@@ -37,6 +38,7 @@
 /// retries that arrive in one.
 const EARNED_PART: f64 = 0.5;
 
+/// One retry in the unit of [`Budget::fraction`], which adds up without rounding.
 const MILLION: u64 = 1_000_000;
 
 /// Fraction of the window after which what a request has earned is lost. The rest of the
