--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod instance;
 mod json;
+mod late_report;
 mod record;
 mod slow_reader;
 mod store;
@@ -33,6 +34,7 @@
     let is_troubled = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match &**case {
         "config-storm" => config_storm::run(&record, is_troubled),
+        "late-report" => late_report::run(&record, is_troubled),
         "slow-reader" => slow_reader::run(&record, is_troubled),
         _ => Verdict::NotRun,
     };
