--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http;
@@ -12,7 +13,11 @@
 /// Name of the variable that holds the path of the settings.
 const VARIABLE: &str = "AUBURNROUTER_NODE_FILE";
 
-/// Free ports that stay the same when the process is started again.
+/// Ports to choose from. The system gives none of these to connections, so that they stay
+/// free while a process is started, or started again.
+const PORTS: std::ops::Range<u16> = 12_000..30_000;
+
+/// Addresses that stay the same when the process is started again.
 #[derive(Clone, Copy, Debug)]
 pub struct Ports {
     pub callers: SocketAddr,
@@ -25,19 +30,29 @@
 
 impl Ports {
     pub fn free() -> Self {
-        // All are bound until each is known, so that none is given twice.
-        let tcp: Vec<TcpListener> = (0..5)
-            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-            .collect();
-        let udp = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-        let addr = |at: usize| tcp[at].local_addr().expect("it is bound");
         Self {
-            callers: addr(0),
-            ready: addr(1),
-            directory: addr(2),
-            peers: addr(3),
-            heartbeats: udp.local_addr().expect("it is bound"),
-            operators: addr(4),
+            callers: free(),
+            ready: free(),
+            directory: free(),
+            peers: free(),
+            heartbeats: free(),
+            operators: free(),
+        }
+    }
+}
+
+/// An address on which nothing listens; another one at each call.
+fn free() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let count = u32::from(PORTS.end - PORTS.start);
+    let first = std::process::id().wrapping_mul(97) % count;
+    loop {
+        let turn = NEXT.fetch_add(1, Ordering::Relaxed);
+        assert!(turn < count, "no port is free");
+        let port = PORTS.start + u16::try_from((first + turn) % count).unwrap_or_default();
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
+            return addr;
         }
     }
 }
