--- a/review/standin/config_storm.rs
+++ b/review/standin/config_storm.rs
@@ -1,6 +1,6 @@
 //! Configurations in quick succession, while the configuration is large.
 //!
-//! The operator lets the configuration grow by many routes, three times, and then writes
+//! The operator lets the configuration grow by many routes, twice, and then writes
 //! a change each 60 ms for 1.5 s. The last one moves a route from the service `old`
 //! to the service `new`. The rule is broken if a request that was sent later than
 //! `config_s` after that change was acknowledged is run by `old`.
@@ -19,8 +19,8 @@
 use crate::target::Work;
 
 /// Routes by which the configuration grows at a time, and how often it does.
-const GROWTH: usize = 1400;
-const GROWTHS: usize = 3;
+const GROWTH: usize = 1604;
+const GROWTHS: usize = 2;
 
 /// The succession of changes.
 const GAP: Duration = Duration::from_millis(60);
