Tell responses of the store that are too long, broken off or absent apart

A call to the store whose response was longer than 4 MiB was reported as one without a response, in the log line store-lost as in every other trace: an instance that goes on with an old configuration gives no sign of which it is.

--- a/crates/auburnrouter/src/direct/metrics.rs
+++ b/crates/auburnrouter/src/direct/metrics.rs
@@ -15,7 +15,7 @@
     TextEncoder,
 };
 
-use platform::store::Kind;
+use platform::store::{Cause, Kind};
 use steer::process::direct::mix::Priority;
 
 use super::{Shared, lock};
@@ -83,6 +83,8 @@
     pub evicted_callers: IntCounter,
     gauges: Gauges,
     store_calls: IntGaugeVec,
+    /// Failed calls to the store, by kind and cause.
+    store_failures: IntGaugeVec,
 }
 
 impl Metrics {
@@ -181,6 +183,7 @@
             evicted_callers,
             gauges: Gauges::new(&registry)?,
             store_calls: store_calls(&registry)?,
+            store_failures: store_failures(&registry)?,
             registry,
         })
     }
@@ -228,6 +231,11 @@
         for kind in Kind::ALL {
             let calls = self.store_calls.with_label_values(&[kind.name()]);
             calls.set(int64(shared.store.calls(kind)));
+            for cause in Cause::ALL {
+                let labels = [kind.name(), cause.name()];
+                let failures = self.store_failures.with_label_values(&labels);
+                failures.set(int64(shared.store.failures(kind, cause)));
+            }
         }
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
@@ -273,6 +281,17 @@
     Ok(calls)
 }
 
+/// Registers the gauge of failed calls to the store.
+fn store_failures(registry: &Registry) -> Result<IntGaugeVec, Error> {
+    let options = Opts::new(
+        "auburnrouter_store_failures",
+        "Calls to the store that failed, by kind and cause",
+    );
+    let failures = IntGaugeVec::new(options, &["kind", "cause"])?;
+    registry.register(Box::new(failures.clone()))?;
+    Ok(failures)
+}
+
 /// Registers a counter without labels.
 fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, Error> {
     let counter = IntCounter::new(name, help)?;
