--- a/crates/auburnrouter/tests/direct/follow.rs
+++ b/crates/auburnrouter/tests/direct/follow.rs
@@ -102,7 +102,7 @@
     let harness = Harness::start(1);
     harness
         .store
-        .write_bytes("servers/bytes", vec![0xFF, 0x00, 0x7B]);
+        .write_bytes("servers/bytes", &[0xFF, 0x00, 0x7B]);
     harness.store.write("servers/number", &serde_json::json!(7));
     let state = serde_json::json!({
         "address": "127.0.0.1:1", "info": { "service": "sheets", "zone": "near-a", "slots": 3 },
