Read the store's changes in parts where one answer would be too long

Cause: a watch answers with every version of every item since a revision. An answer over 4 MiB was reported like one that never came, so the reader of each region asked for the same changes again, of which there were only more. All readers are in this state at once, so nobody can tell the others.

Why it works: a larger bound only moves the size at which it fails. After an answer that is too long the same question isn't asked again. Narrower watches from the same revision bring evacuations, targets and the program's own rows, and the configuration is read alone, in which only its last version counts. A part that is still too long is replaced by a list of everything, whose pages the store itself bounds; if changes outgrow the list's own watch, the list stands as of its first page. The bound follows from the store's largest value, a setting now, instead of being a constant that such a value could exceed. Starting processes read the same way.

Also: keys that this program doesn't follow are no longer kept in the replica.

--- a/crates/auburnrouter/src/direct/events.rs
+++ b/crates/auburnrouter/src/direct/events.rs
@@ -18,6 +18,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use platform::store;
 use serde::Serialize;
 use steer::process::direct::lag::BUDGET_MIN;
 use steer::process::direct::starters::StartPlace;
@@ -430,6 +431,20 @@
     write(shared, "store-lost", StoreFields { during, error });
 }
 
+#[derive(Serialize)]
+struct RereadFields<'a> {
+    how: &'a str,
+    known: u64,
+    error: &'a str,
+}
+
+/// Logs that the changes of the store after revision `known` can't be read by one watch,
+/// and are read in `parts`, or by a `list` of everything.
+pub fn store_reread(shared: &Shared, how: &str, known: u64, error: &store::Error) {
+    let error = &error.to_string();
+    write(shared, "store-reread", RereadFields { how, known, error });
+}
+
 /// Logs the first successful call to the store after failed ones.
 pub fn store_recovered(shared: &Shared, during: &str) {
     write(shared, "store-back", StoreFields { during, error: "" });
--- a/crates/auburnrouter/src/direct/shared.rs
+++ b/crates/auburnrouter/src/direct/shared.rs
@@ -182,7 +182,7 @@
             phase: Mutex::new(Phase::Serving),
             closing,
             close,
-            store: platform::store::Store::new(store, settings.store),
+            store: platform::store::Store::new(store, settings.store, settings.value_bytes),
             connections: server::ConnectionCount::new(server::max_connections(&settings)),
             metrics: metrics::Metrics::new()?,
             memory: Arc::new(memory::Account::new(settings.memory_mb)),
--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -6,6 +6,7 @@
 //! of it.
 
 mod apply;
+mod read;
 mod start;
 
 use std::net::SocketAddr;
@@ -16,7 +17,8 @@
 use apply::{Query, apply_changes, apply_update};
 use futures_lite::future;
 use platform::document;
-use platform::store::{Changes, Error, Freshness, Listing};
+use platform::store::{Changes, Error, Freshness};
+use read::Snapshot;
 use start::StartPeers;
 use steer::clock::Time;
 use steer::process::direct::lag::UpstreamCall;
@@ -62,10 +64,6 @@
 /// Time between two checks by [`catch_up`].
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Prefix of all keys: one call that reads everything costs the same as one that
-/// reads a narrower prefix.
-const ALL_KEYS: &str = "";
-
 /// Reads the store's content for the first time, then follows its changes for as
 /// long as the process runs.
 pub async fn follow(shared: Arc<Shared>, executor: Executor) {
@@ -131,7 +129,7 @@
             if is_starting.load(Ordering::Relaxed) {
                 smol::Timer::after(delay.saturating_sub(START_DELAY)).await;
             }
-            FirstAnswer::Store(list_and_watch(&shared, Freshness::Stale).await)
+            FirstAnswer::Store(read::list_and_watch(&shared, Freshness::Stale).await)
         };
         match future::or(from_peer, from_store).await {
             FirstAnswer::Peer(name, connection, changes, query) => {
@@ -245,35 +243,51 @@
         let Some(snapshot) = self.log_transition(result) else {
             return false;
         };
-        let Snapshot {
-            listing,
-            changes,
-            sent_at,
-        } = snapshot;
-        let revision = changes.revision.max(listing.revision);
-        let items = listing.items.into_iter().chain(changes.events);
         let update = Update {
-            revision,
+            revision: snapshot.revision,
             is_full: true,
             since: None,
-            items: items.map(|i| replica_item(&self.shared, i)).collect(),
+            items: replica_items(&self.shared, snapshot.items),
         };
-        apply_update(&self.shared, update, StoreContact::NOW, Some(sent_at));
+        let confirmed = Some(snapshot.confirmed);
+        apply_update(&self.shared, update, StoreContact::NOW, confirmed);
         true
     }
 
-    /// Waits for changes in the store and applies them. If their history is gone or
-    /// the answer malformed, reads everything anew.
+    /// Applies changes that the store told, by which all that it held at `confirmed` is
+    /// known.
+    fn apply_events(&self, changes: Changes, confirmed: Option<Time>) {
+        let update = Update {
+            revision: changes.revision.max(self.known()),
+            is_full: false,
+            since: None,
+            items: replica_items(&self.shared, changes.events),
+        };
+        apply_update(&self.shared, update, StoreContact::NOW, confirmed);
+    }
+
+    /// Revision up to which everything is known.
+    fn known(&self) -> u64 {
+        lock(&self.shared.replica).revision()
+    }
+
+    /// Waits for changes in the store and applies them. If they are too long for one
+    /// answer, reads them in parts; if their history is gone or the answer malformed,
+    /// reads everything anew.
     async fn watch(&mut self) -> bool {
-        let known = lock(&self.shared.replica).revision();
+        let known = self.known();
         let wait = self.shared.read(|now, d| d.watch_wait(now, WATCH_WAIT));
         let sent_at = self.shared.now();
-        let watched = self.shared.store.watch(ALL_KEYS, known, wait).await;
-        if let Err(Error::Compacted | Error::Malformed(_)) = watched {
-            self.read_config().await;
-            // A list that may be old may end before the history that is left.
-            let result = list_and_watch(&self.shared, Freshness::Latest).await;
-            return self.apply_full(result);
+        let watched = self.shared.store.watch(read::ALL_KEYS, known, wait).await;
+        match &watched {
+            Err(error @ Error::TooLong { .. }) => {
+                events::store_reread(&self.shared, "parts", known, error);
+                return self.read_parts(known).await;
+            }
+            Err(error @ (Error::Compacted | Error::Malformed(_))) => {
+                return self.relist(known, error).await;
+            }
+            _ => {}
         }
         let Some(changes) = self.log_transition(watched) else {
             return false;
@@ -287,33 +301,63 @@
         } else {
             sent_at
         };
-        let items = changes.events.into_iter();
-        let update = Update {
-            revision: changes.revision.max(known),
-            is_full: false,
-            since: None,
-            items: items.map(|i| replica_item(&self.shared, i)).collect(),
-        };
-        apply_update(&self.shared, update, StoreContact::NOW, Some(confirmed));
+        self.apply_events(changes, Some(confirmed));
         true
     }
 
-    /// Reads the configuration alone, since a list of everything may take seconds. It is
-    /// never deleted, so it may be known earlier than all else of its revision.
-    async fn read_config(&self) {
-        let shared = &self.shared;
-        let list = shared.store.list(document::CONFIG_KEY, Freshness::Latest);
+    /// Reads the changes after a revision in parts, each applied as soon as it is there.
+    async fn read_parts(&mut self, known: u64) -> bool {
+        let sent_at = self.shared.now();
+        match self.apply_parts(known).await {
+            Ok(revision) => {
+                self.log_transition(Ok(()));
+                let end = Changes {
+                    events: Vec::new(),
+                    revision,
+                };
+                self.apply_events(end, Some(sent_at));
+                true
+            }
+            Err(error @ (Error::TooLong { .. } | Error::Compacted | Error::Malformed(_))) => {
+                self.relist(known, &error).await
+            }
+            Err(error) => self.log_transition(Err::<(), _>(error)).is_some(),
+        }
+    }
+
+    /// Applies the changes after a revision in parts; returns the revision up to which all
+    /// are known then.
+    async fn apply_parts(&self, known: u64) -> Result<u64, Error> {
+        let store = &self.shared.store;
+        let mut revision = u64::MAX;
+        for prefix in read::PARTS {
+            let changes = store.watch(prefix, known, Duration::ZERO).await?;
+            revision = revision.min(changes.revision);
+            self.apply_part(changes.events);
+        }
+        let config = read::config(&self.shared).await?;
+        self.apply_part(config.events);
+        Ok(revision.min(config.revision))
+    }
+
+    /// Applies items of which no earlier change is missing. Others may be missing up to
+    /// their revision.
+    fn apply_part(&self, events: Vec<platform::store::Item>) {
+        let revision = self.known();
+        self.apply_events(Changes { events, revision }, None);
+    }
+
+    /// Reads everything anew after `error`; the configuration first, since the list of
+    /// everything may take seconds.
+    async fn relist(&mut self, known: u64, error: &Error) -> bool {
+        events::store_reread(&self.shared, "list", known, error);
         // If it fails, the list of everything tells.
-        let Ok(listing) = list.await else { return };
-        let items = listing.items.into_iter();
-        let config = items.filter(|item| item.key == document::CONFIG_KEY);
-        let update = Update {
-            revision: lock(&shared.replica).revision(),
-            is_full: false,
-            since: None,
-            items: config.map(|item| replica_item(shared, item)).collect(),
-        };
-        apply_update(shared, update, StoreContact::NOW, None);
+        if let Ok(config) = read::config(&self.shared).await {
+            self.apply_part(config.events);
+        }
+        // A list that may be old may end before the history that is left.
+        let result = read::list_and_watch(&self.shared, Freshness::Latest).await;
+        self.apply_full(result)
     }
 
     /// Logs when reads of the store begin to fail and when they succeed again.
@@ -367,36 +411,17 @@
     shared.read(useful)
 }
 
-/// Everything that the store holds, as read by [`list_and_watch`].
-struct Snapshot {
-    listing: Listing,
-    /// Changes since the listing.
-    changes: Changes,
-    /// When the last call was sent; the snapshot is complete as of then.
-    sent_at: Time,
-}
-
-/// Reads everything from the store: a list and the changes since, so that what changed
-/// between its pages is known too. A list that may be stale costs a tenth of a fresh one;
-/// if the history since is gone, everything is listed anew.
-async fn list_and_watch(shared: &Shared, freshness: Freshness) -> Result<Snapshot, Error> {
-    let store = &shared.store;
-    let listing = store.list(ALL_KEYS, freshness).await?;
-    let sent_at = shared.now();
-    match store
-        .watch(ALL_KEYS, listing.revision, Duration::ZERO)
-        .await
-    {
-        Ok(changes) => Ok(Snapshot {
-            listing,
-            changes,
-            sent_at,
-        }),
-        Err(Error::Compacted) if freshness == Freshness::Stale => {
-            Box::pin(list_and_watch(shared, Freshness::Latest)).await
-        }
-        Err(error) => Err(error),
-    }
+/// Converts what the store told for the replica. Of several versions of the configuration
+/// only the last one counts.
+fn replica_items(shared: &Shared, items: Vec<platform::store::Item>) -> Vec<Item> {
+    let is_config = |item: &platform::store::Item| item.key == document::CONFIG_KEY;
+    let configs = items.iter().filter(|item| is_config(item));
+    let last = configs.map(|item| item.revision).max();
+    let is_wanted = |item: &platform::store::Item| {
+        read::is_followed(&item.key) && (!is_config(item) || Some(item.revision) == last)
+    };
+    let wanted = items.into_iter().filter(is_wanted);
+    wanted.map(|item| replica_item(shared, item)).collect()
 }
 
 /// Converts an item for the replica, which other instances read: the configuration
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -95,6 +95,8 @@
     pub listen: Listen,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Largest value that the store holds, in bytes.
+    pub value_bytes: usize,
     /// Addresses of peers to call first.
     pub seeds: Vec<SocketAddr>,
     /// Addresses of targets as listed, each with the one at which this instance reaches
@@ -131,13 +133,14 @@
 }
 
 /// Fields of a settings file.
-pub const SETTINGS_FIELDS: [&str; 14] = [
+pub const SETTINGS_FIELDS: [&str; 15] = [
     "name",
     "domain",
     "region",
     "domains",
     "listen",
     "store",
+    "value_bytes",
     "seeds",
     "translate",
     "memory_mb",
@@ -194,6 +197,13 @@
     "operators",
 ];
 
+/// Largest value of the store in bytes if the settings name none.
+const VALUE_BYTES_DEFAULT: u64 = 1 << 20;
+
+/// Accepted range of the store's largest value, in bytes. Answers of a few times its
+/// length are read into memory.
+const VALUE_BYTES_RANGE: RangeInclusive<u64> = 1024..=16 << 20;
+
 /// Accepted range of durations, in seconds.
 const SECONDS_RANGE: RangeInclusive<f64> = 0.01..=3600.0;
 /// Accepted range of ratios, factors and counts.
@@ -215,6 +225,7 @@
         writeln!(f, "  beats     {}", listen.heartbeats)?;
         writeln!(f, "  operators {}", listen.operators)?;
         writeln!(f, "  store     {}", self.store)?;
+        writeln!(f, "  values    {} bytes at most", self.value_bytes)?;
         writeln!(f, "  seeds     {}", crate::join(&self.seeds))?;
         for (listed, reached) in &self.translations {
             writeln!(f, "  translate {listed} to {reached}")?;
@@ -296,6 +307,7 @@
     let domains = domains(&fields, faults);
     let listen = listen(&fields, faults);
     let store = addr(&fields, "store", faults);
+    let value_bytes = value_bytes(&fields, faults);
     let seeds = seeds(&fields, faults);
     let translations = translations(&fields, faults);
     let memory_mb = integer(&fields, "memory_mb", 16..=1_048_576, faults);
@@ -311,6 +323,7 @@
         domains: domains?,
         listen: listen?,
         store: store?,
+        value_bytes: value_bytes?,
         seeds: seeds?,
         translations,
         memory_mb: memory_mb?,
@@ -342,6 +355,14 @@
     read::number(node, range, faults)
 }
 
+fn value_bytes(fields: &Fields<'_>, faults: &mut Vec<Fault>) -> Option<usize> {
+    let bytes = match fields.find("value_bytes") {
+        Some(node) => read::number(node, VALUE_BYTES_RANGE, faults)?,
+        None => VALUE_BYTES_DEFAULT,
+    };
+    usize::try_from(bytes).ok()
+}
+
 fn domains(fields: &Fields<'_>, faults: &mut Vec<Fault>) -> Option<Vec<(Arc<str>, Arc<str>)>> {
     let node = fields.require("domains", faults)?;
     let mut domains = Vec::new();
--- a/crates/settings/tests/direct.rs
+++ b/crates/settings/tests/direct.rs
@@ -35,6 +35,7 @@
     r#""processor": { "share": 0.5, "cores": 0 }, "memory_mb""#,
     "cores"
 )]
+#[case::value_bytes(r#""memory_mb""#, r#""value_bytes": 0, "memory_mb""#, "from 1024")]
 #[case::part(r#""memory_mb""#, r#""parts": { "load": true }, "memory_mb""#, "loads")]
 #[case::listed(
     r#""memory_mb""#,
@@ -58,6 +59,7 @@
 fn read_sizes_and_parts() {
     let settings = Settings::parse("own", VALID_TEXT).expect("the settings are valid");
     assert_eq!((settings.processor, settings.link_mbps), (None, None));
+    assert_eq!(settings.value_bytes, 1_048_576);
     assert_eq!(
         settings.parts.to_string(),
         "referral, loads, urgency, regions"
