--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -28,8 +28,6 @@
 mod limits;
 #[path = "direct/loads.rs"]
 mod loads;
-#[path = "direct/long_answers.rs"]
-mod long_answers;
 #[path = "direct/operators.rs"]
 mod operators;
 #[path = "direct/pipeline.rs"]
