--- a/crates/auburnrouter/tests/long_answers.rs
+++ b/crates/auburnrouter/tests/long_answers.rs
@@ -349,3 +349,21 @@
     let last = added.map(|(_, sent)| *sent).max();
     last.expect("requests are sent before the route is added")
 }
+
+/// A page of the largest value took longer over a narrow link than a call may, so an instance
+/// knew nothing for ever.
+#[test]
+fn start_over_narrow_link() {
+    /// A link of 10 Mbit/s, half of it taken by callers.
+    const RATE: u32 = 625_000;
+    let store = Store::start().expect("a port is free");
+    store.set_page_items(500);
+    Document::new(&ROUTES, VALUE_BYTES).write(&store, 10);
+    let target = Target::start("t0", "sheets", "near-a").expect("a port is free");
+    target.register(&store, "ready", 1);
+    let links = Links::open(&[store.addr()]).expect("a port is free");
+    links.set(LinkState::Slow(RATE)).expect("its port is free");
+    let entry = start_entry(INSTANCES[0], &links);
+    entry.await_ready();
+    assert_eq!(entry.send("GET", "/view/x", "r1", "").status, 200);
+}
