Log what an entry of a target was taken for, with its incarnation and number

The line target says that it is ready again, and not why: a report that the store carried out late may be taken for a restart, the entry may have been removed and listed again without what the target had said, or the news that it leaves may have come late. All three give the same line.

Now it tells what the entry was taken for (listed, restarted, reported), the incarnation and the number of the report; the roster returns this change in place of a flag.

--- a/crates/auburnrouter/src/direct/events/targets.rs
+++ b/crates/auburnrouter/src/direct/events/targets.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use steer::process::direct::roster::Change;
+use steer::process::direct::target::Entry;
 
 use super::{millis, write};
 use crate::direct::Shared;
@@ -16,13 +18,18 @@
     region: &'a str,
     slots: u32,
     state: &'a str,
+    /// What the entry was taken for.
+    change: &'a str,
+    /// Start of the target's process by its own clock, and number of its report since.
+    incarnation: u64,
+    seq: u64,
     cold_ms: u64,
     /// Time since the store accepted the entry, at most, in milliseconds; null if unknown.
     stale_ms: Option<u64>,
 }
 
 /// Logs a target that is newly listed or has changed.
-pub fn target_changed(shared: &Shared, entry: &steer::process::direct::target::Entry) {
+pub fn target_changed(shared: &Shared, entry: &Entry, change: Change) {
     let domains = &shared.settings.domains;
     let region = domains.iter().find(|d| d.0 == entry.domain);
     let fields = TargetFields {
@@ -32,6 +39,9 @@
         region: region.map_or("", |d| &d.1),
         slots: entry.slots,
         state: if entry.draining { "leaving" } else { "ready" },
+        change: change.name(),
+        incarnation: entry.incarnation,
+        seq: entry.seq,
         cold_ms: millis(entry.cold),
         stale_ms: staleness(shared),
     };
--- a/crates/auburnrouter/src/direct/source/apply.rs
+++ b/crates/auburnrouter/src/direct/source/apply.rs
@@ -10,6 +10,7 @@
 use steer::clock::Time;
 use steer::process::direct::StoreContact;
 use steer::process::direct::replica::Update;
+use steer::process::direct::roster::Change;
 use wire::direct;
 
 use super::super::{Shared, events, lock, member, verdict};
@@ -177,10 +178,10 @@
         return;
     }
     let listed = entries.clone();
-    let changed = shared.decide(|now, direct| direct.roster.put_all(now, entries));
-    for (entry, changed) in listed.iter().zip(changed) {
-        if changed {
-            events::target_changed(shared, entry);
+    let changes = shared.decide(|now, direct| direct.roster.put_all(now, entries));
+    for (entry, change) in listed.iter().zip(changes) {
+        if change != Change::Nothing {
+            events::target_changed(shared, entry, change);
         }
     }
 }
--- a/crates/steer/src/process/direct/roster.rs
+++ b/crates/steer/src/process/direct/roster.rs
@@ -43,6 +43,32 @@
     unlisted: VecDeque<Unlisted>,
 }
 
+/// What an entry of service discovery changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing that matters for steering.
+    Nothing,
+    /// The target is new, or listed again.
+    Listed,
+    /// It has started anew, perhaps as one of another service.
+    Restarted,
+    /// It has reported another state.
+    Reported,
+}
+
+impl Change {
+    /// Name in log lines.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Nothing => "nothing",
+            Self::Listed => "listed",
+            Self::Restarted => "restarted",
+            Self::Reported => "reported",
+        }
+    }
+}
+
 /// A target that was dropped, with what it had asked.
 #[derive(Clone, Debug)]
 struct Unlisted {
@@ -77,25 +103,23 @@
         self.domains.iter().map(|(_, region)| &**region)
     }
 
-    /// Adds a target or applies its newer report. Returns whether anything that matters
-    /// for steering has changed.
-    pub fn put(&mut self, now: Time, entry: Entry) -> bool {
-        self.put_all(now, vec![entry]) == [true]
+    /// Adds a target or applies its newer report.
+    pub fn put(&mut self, now: Time, entry: Entry) -> Change {
+        self.put_all(now, vec![entry])[0]
     }
 
-    /// Applies several entries, with one rebuild of the index at most. Returns for each
-    /// whether anything that matters for steering has changed.
-    pub fn put_all(&mut self, now: Time, entries: Vec<Entry>) -> Vec<bool> {
-        let mut changed = vec![true; entries.len()];
+    /// Applies several entries, with one rebuild of the index at most. Returns the change
+    /// by each.
+    pub fn put_all(&mut self, now: Time, entries: Vec<Entry>) -> Vec<Change> {
+        let mut changes = vec![Change::Listed; entries.len()];
         let mut moved = false;
         let mut unknown = Vec::new();
         for (at, entry) in entries.into_iter().enumerate() {
             match self.find(&entry.id) {
                 Ok(found) => {
                     let region = self.region(&entry.domain);
-                    let effect = update(now, &mut self.targets[found], entry, region);
-                    changed[at] = effect.is_change;
-                    moved |= effect.is_restart;
+                    changes[at] = update(now, &mut self.targets[found], entry, region);
+                    moved |= changes[at] == Change::Restarted;
                 }
                 Err(_) => unknown.push((at, entry)),
             }
@@ -107,7 +131,7 @@
             match added.last_mut() {
                 Some(last) if last.entry.id == entry.id => {
                     let region = self.region(&entry.domain);
-                    changed[at] = update(now, last, entry, region).is_change;
+                    changes[at] = update(now, last, entry, region);
                 }
                 _ => added.push(self.create(now, entry)),
             }
@@ -117,7 +141,7 @@
         } else if moved {
             self.reindex();
         }
-        changed
+        changes
     }
 
     /// A target that is newly listed, or again after it was dropped.
@@ -456,16 +480,8 @@
     }
 }
 
-/// Effect of an entry on a known target.
-struct Effect {
-    /// Whether anything that matters for steering has changed.
-    is_change: bool,
-    /// Whether the target has started anew, perhaps as one of another service.
-    is_restart: bool,
-}
-
 /// Applies an entry to the known target of its name.
-fn update(now: Time, target: &mut Target, entry: Entry, region: Arc<str>) -> Effect {
+fn update(now: Time, target: &mut Target, entry: Entry, region: Arc<str>) -> Change {
     let known = &target.entry;
     let is_restart = entry.incarnation != known.incarnation
         || entry.seq < known.seq
@@ -473,20 +489,20 @@
         || entry.service != known.service;
     if is_restart {
         target.restart(now, entry, region);
-        return Effect {
-            is_change: true,
-            is_restart,
-        };
-    }
-    let is_change = target.is_gone || target.entry.draining != entry.draining;
+        return Change::Restarted;
+    }
+    let change = if target.is_gone {
+        Change::Listed
+    } else if target.entry.draining == entry.draining {
+        Change::Nothing
+    } else {
+        Change::Reported
+    };
     // Draining is final for an incarnation: a late older report must not undo it.
     let draining = target.entry.draining || entry.draining;
     target.is_gone = false;
     target.drop_at = None;
     target.cold_until = target.cold_until.max(now + entry.cold);
     target.entry = Entry { draining, ..entry };
-    Effect {
-        is_change,
-        is_restart,
-    }
+    change
 }
--- a/crates/steer/tests/direct/roster.rs
+++ b/crates/steer/tests/direct/roster.rs
@@ -4,6 +4,7 @@
 
 use rstest::rstest;
 use steer::process::direct::StoreContact;
+use steer::process::direct::roster::Change;
 use steer::process::direct::target::Entry;
 
 use super::bench::{Bench, MS, at, entry, route};
@@ -107,7 +108,8 @@
         incarnation: 2,
         ..entry("t1", "near-a")
     };
-    assert!(bench.direct.roster.put(at(500), restarted));
+    let change = bench.direct.roster.put(at(500), restarted);
+    assert_eq!(change, Change::Restarted);
     assert!(!bench.send(at(600), Some(5)).is_warm);
 }
 
--- a/crates/steer/tests/direct/scale.rs
+++ b/crates/steer/tests/direct/scale.rs
@@ -5,6 +5,7 @@
 
 use rstest::rstest;
 use steer::process::direct::health::Observation;
+use steer::process::direct::roster::Change;
 use steer::process::direct::target::Entry;
 use steer::process::direct::{AttemptOutcome, Decision, short_hash};
 
@@ -145,7 +146,7 @@
     };
     let both = vec![entry("t1", "near-a"), draining];
     let changed = bench.direct.roster.put_all(at(0), both);
-    assert_eq!(changed, [true, true]);
+    assert_eq!(changed, [Change::Listed, Change::Reported]);
     let listed: Vec<Arc<str>> = bench.direct.roster.listed();
     assert_eq!(listed, ["t1".into()]);
     assert!(!bench.direct.roster.all()[0].is_available());
