Leave out the text of long entries that name no target

Callers could have seen (found by a test, not reported): an instance whose store holds entries of another writer, bytes that can't be read, keeps all of them and passes them on to every other instance; with 40 entries of a MiB an instance of 160 MB took 143 MB, and one that starts 99 MB.

Cause: the replica kept every value of a target's key, readable or not, and a list was collected whole before anything was left out.

Why it works: an entry over 4 KiB that names no target becomes an empty value, as a configuration that can't be read does, page by page while a list is read. Converting what the store tells is a module of its own now; it also leaves out other writers' keys and older versions of the configuration, as before.

--- a/crates/auburnrouter/src/direct/source.rs
+++ b/crates/auburnrouter/src/direct/source.rs
@@ -6,6 +6,7 @@
 //! of it.
 
 mod apply;
+mod items;
 mod read;
 mod start;
 
@@ -16,13 +17,12 @@
 
 use apply::{Query, apply_changes, apply_update};
 use futures_lite::future;
-use platform::document;
 use platform::store::{Changes, Error, Freshness};
 use read::Snapshot;
 use start::StartPeers;
 use steer::clock::Time;
 use steer::process::direct::lag::UpstreamCall;
-use steer::process::direct::replica::{Item, Update};
+use steer::process::direct::replica::Update;
 use steer::process::direct::upstream::{START_DELAY, UPSTREAM_STALE_AGE, Upstream};
 use steer::process::direct::{Direct, StoreContact};
 use wire::direct;
@@ -247,7 +247,7 @@
             revision: snapshot.revision,
             is_full: true,
             since: None,
-            items: replica_items(&self.shared, snapshot.items),
+            items: snapshot.items,
         };
         let confirmed = Some(snapshot.confirmed);
         apply_update(&self.shared, update, StoreContact::NOW, confirmed);
@@ -261,7 +261,7 @@
             revision: changes.revision.max(self.known()),
             is_full: false,
             since: None,
-            items: replica_items(&self.shared, changes.events),
+            items: items::convert(&self.shared, changes.events),
         };
         apply_update(&self.shared, update, StoreContact::NOW, confirmed);
     }
@@ -411,41 +411,6 @@
     shared.read(useful)
 }
 
-/// Converts what the store told for the replica. Of several versions of the configuration
-/// only the last one counts.
-fn replica_items(shared: &Shared, items: Vec<platform::store::Item>) -> Vec<Item> {
-    let is_config = |item: &platform::store::Item| item.key == document::CONFIG_KEY;
-    let configs = items.iter().filter(|item| is_config(item));
-    let last = configs.map(|item| item.revision).max();
-    let is_wanted = |item: &platform::store::Item| {
-        read::is_followed(&item.key) && (!is_config(item) || Some(item.revision) == last)
-    };
-    let wanted = items.into_iter().filter(is_wanted);
-    wanted.map(|item| replica_item(shared, item)).collect()
-}
-
-/// Converts an item for the replica, which other instances read: the configuration
-/// holds digests in place of API keys. One that can't be converted is replaced by an
-/// empty value, so that no key is passed on.
-fn replica_item(shared: &Shared, item: platform::store::Item) -> Item {
-    let value = match item.value {
-        Some(value) if item.key == document::CONFIG_KEY => match document::digest_keys(&value) {
-            Ok(concealed) => Some(concealed),
-            Err(error) => {
-                events::input_rejected(shared, &item.key, &error.to_string());
-                Some(Vec::new())
-            }
-        },
-        other => other,
-    };
-    Item {
-        key: item.key.into(),
-        revision: item.revision,
-        value: value.map(Arc::from),
-        report: None,
-    }
-}
-
 /// Reads changes from another instance while this one is too stale to take callers
 /// with keys, or when another has been ahead for two checks in a row without progress
 /// here. One check isn't enough: a change that has just reached one instance is
--- a/crates/auburnrouter/src/direct/source/read.rs
+++ b/crates/auburnrouter/src/direct/source/read.rs
@@ -10,11 +10,13 @@
 
 use std::time::Duration;
 
-use platform::store::{Changes, Error, Freshness, Item, Listing};
+use platform::store::{Changes, Error, Freshness, Listing};
 use platform::{document, entry};
 use steer::clock::Time;
+use steer::process::direct::replica::Item;
 
 use super::super::{Shared, member, verdict};
+use super::items;
 
 /// Prefix of all keys: one call that reads everything costs the same as one that reads a
 /// narrower prefix.
@@ -28,16 +30,11 @@
     verdict::KEY_PREFIX,
 ];
 
-/// Whether a key is one that this program follows. Others share the store.
-pub(super) fn is_followed(key: &str) -> bool {
-    key == document::CONFIG_KEY || PARTS.iter().any(|prefix| key.starts_with(prefix))
-}
-
 /// Everything that the store holds.
 pub(super) struct Snapshot {
     /// Revision from which on changes are still to be read.
     pub revision: u64,
-    /// An item that changed meanwhile stands there several times.
+    /// As the replica holds them. One that changed meanwhile stands there several times.
     pub items: Vec<Item>,
     /// Time at which the store held no more than this.
     pub confirmed: Time,
@@ -52,14 +49,13 @@
 ) -> Result<Snapshot, Error> {
     let store = &shared.store;
     let listed_at = shared.now();
-    let Listing {
-        mut items,
-        revision,
-    } = store.list(ALL_KEYS, freshness).await?;
+    let mut items = Vec::new();
+    let each = |item| items.extend(items::convert(shared, vec![item]));
+    let revision = store.list_each(ALL_KEYS, freshness, each).await?;
     let watched_at = shared.now();
     match store.watch(ALL_KEYS, revision, Duration::ZERO).await {
         Ok(changes) => {
-            items.extend(changes.events);
+            items.extend(items::convert(shared, changes.events));
             Ok(Snapshot {
                 revision: changes.revision.max(revision),
                 items,
--- a/crates/auburnrouter/tests/long_answers.rs
+++ b/crates/auburnrouter/tests/long_answers.rs
@@ -367,3 +367,27 @@
     entry.await_ready();
     assert_eq!(entry.send("GET", "/view/x", "r1", "").status, 200);
 }
+
+/// Long entries that name no target took the memory of every instance.
+#[test]
+fn leave_out_long_entries_that_name_no_target() {
+    const ENTRIES: usize = 40;
+    let scene = Scene::start();
+    let value = vec![b'v'; VALUE_BYTES];
+    for number in 0..ENTRIES {
+        scene
+            .store
+            .write_bytes(&format!("servers/large-{number}"), &value);
+    }
+    for entry in &scene.entries {
+        harness::wait_for_line(entry, &format!("\"large-{}\"", ENTRIES - 1));
+    }
+    // A snapshot holds all that the others know.
+    let late = start_entry(("near-4", "near-b"), &scene.links[0]);
+    late.await_ready();
+    let entries = scene.entries.iter().chain([&late]);
+    let peaks: Vec<u64> = entries.map(|e| e.peak_memory() >> 20).collect();
+    println!("peaks in MB: {peaks:?}");
+    let together = (ENTRIES * VALUE_BYTES) as u64 >> 20;
+    assert!(peaks.iter().all(|mb| *mb < together), "{peaks:?}");
+}
