Judge in the soak what the store tells late, at length or not at all

Now the stand-in store carries writes of instances out late, or carries them out and doesn't answer; targets' reports of before are carried out up to 3 s after they were listed as leaving; 16 versions of 48 KB come between two reads of instances whose settings bound answers to 340 KB. Beside drains, evacuations and versions of the configuration are judged for every instance that could read the store. keep_bounds_on_news runs these with all instances in touch, so that news is judged often. Seeds of before keep their draws; faults of the store have their own. The runner is in three files.

--- a/crates/auburnrouter/tests/soak.rs
+++ b/crates/auburnrouter/tests/soak.rs
@@ -11,8 +11,6 @@
 mod callers;
 #[path = "soak/crashes.rs"]
 mod crashes;
-#[path = "soak/drains.rs"]
-mod drains;
 #[path = "direct/harness.rs"]
 #[allow(dead_code, reason = "shared with other tests, which use all of it")]
 mod harness;
@@ -20,12 +18,16 @@
 mod invariants;
 #[path = "soak/links.rs"]
 mod links;
+#[path = "soak/news.rs"]
+mod news;
 #[path = "soak/proxy.rs"]
 mod proxy;
 #[path = "soak/requests.rs"]
 mod requests;
 #[path = "soak/runner.rs"]
 mod runner;
+#[path = "soak/store_faults.rs"]
+mod store_faults;
 
 use std::time::Duration;
 
@@ -43,9 +45,9 @@
 }
 
 /// Injects overlapping faults: kills, freezes, stops, broken connections, store
-/// outages, instances whose links to all targets are cut, faulty targets, targets that ask for a backoff or announce their stop,
+/// outages, writes that it carries out late or doesn't answer, more versions than an answer holds, instances whose links to all targets are cut, faulty targets, targets that ask for a backoff or announce their stop,
 /// requests that crash targets, and configuration changes. What targets ask of an instance
-/// must be kept, a target that the store lists as leaving left alone, a request that crashes targets refused, second attempts must stay within
+/// must be kept, news of the store known in time (targets that leave, evacuations, versions), a request that crashes targets refused, second attempts must stay within
 /// their bound and the caller's time, no unsafe request may run
 /// twice, no rejected request may run, every success must be the target's complete
 /// answer, and callers must be served again afterwards.
@@ -62,3 +64,19 @@
         assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
     }
 }
+
+/// The store answers at length, carries writes out late, leaves them unanswered, forgets its
+/// history and is kept from single instances, while targets leave, failure domains are
+/// evacuated and versions of the configuration follow one another.
+#[test]
+fn keep_bounds_on_news() {
+    let first = env_number("SOAK_FIRST", 1);
+    let duration = Duration::from_secs(env_number("SOAK_SECONDS", 5));
+    for seed in first..first + env_number("SOAK_SEEDS", 2) {
+        println!("news, seed {seed}");
+        let report = runner::run_news(seed, duration);
+        println!("  {report}");
+        let violations = report.violations();
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
--- a/crates/auburnrouter/tests/soak/invariants.rs
+++ b/crates/auburnrouter/tests/soak/invariants.rs
@@ -6,6 +6,7 @@
 use platform_standin::target::Run;
 
 use super::harness;
+use super::news::Judged;
 
 /// One request with its answer, as recorded by the caller.
 #[derive(Clone, Debug)]
@@ -54,8 +55,8 @@
     pub suspected: usize,
     /// Attempts that instances made for others, whose links to targets were cut.
     pub relayed: usize,
-    /// Times that an instance could read the store when a target left.
-    pub drains: usize,
+    /// News of the store that is judged.
+    pub judged: Judged,
     /// Other failures, such as a nonzero exit code of an instance.
     pub failures: Vec<String>,
 }
@@ -125,7 +126,7 @@
         write!(
             f,
             "{} faults; {} requests: {} answered, {} rejected ({} as suspects), {} unknown routes, \
-             {} failed, {} with unknown outcome, {unanswered} without an answer; {} runs, {} relayed, {} drains judged",
+             {} failed, {} with unknown outcome, {unanswered} without an answer; {} runs, {} relayed; {}",
             self.faults,
             self.exchanges.len(),
             count(|s| s == 200),
@@ -136,7 +137,7 @@
             count(|s| matches!(s, 502 | 504)),
             self.runs.len(),
             self.relayed,
-            self.drains,
+            self.judged,
         )
     }
 }
--- a/crates/auburnrouter/tests/soak/requests.rs
+++ b/crates/auburnrouter/tests/soak/requests.rs
@@ -16,6 +16,8 @@
     pub lines: Arc<Mutex<Vec<String>>>,
     /// Time at which it was started.
     pub started_at: Instant,
+    /// Time at which it was told to end, or killed.
+    pub ended_at: Option<Instant>,
     /// Times at which it was frozen.
     pub frozen_at: Vec<Instant>,
 }
@@ -132,3 +134,16 @@
     };
     processes.iter().map(count).sum()
 }
+
+/// Versions of the configuration that a process has installed, and when.
+pub fn installed(process: &Process) -> Vec<(u64, Instant)> {
+    let lines = process.lines.lock().expect("the lock is not poisoned");
+    let configs = lines.iter().filter(|l| l.contains(r#""event":"config""#));
+    let read = |line: &String| {
+        let fields: serde_json::Value = serde_json::from_str(line).expect("a line is JSON");
+        let number = |name: &str| fields[name].as_u64().unwrap_or_default();
+        let at = process.started_at + Duration::from_millis(number("at_ms"));
+        (number("version"), at)
+    };
+    configs.map(read).collect()
+}
--- a/crates/auburnrouter/tests/soak/runner.rs
+++ b/crates/auburnrouter/tests/soak/runner.rs
@@ -3,13 +3,15 @@
 //! Invariant: a seed determines the sequence of faults. Which requests they hit depends
 //! on the machine's timing, so a failed seed is run more than once.
 
+mod instances;
+mod operator;
+
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
-use platform_standin::store::{Mode, Route};
+use platform_standin::store::Mode;
 use platform_standin::target::Behavior;
 use platform_standin::{Store, Target};
 use rustix::process::Signal;
@@ -18,12 +20,13 @@
 use super::budget;
 use super::callers;
 use super::crashes;
-use super::drains::{self, Side};
-use super::harness::{self, Entry, HOST, MS, ROUTES, wait_until};
+use super::harness::{Entry, HOST, MS, ROUTES, wait_until};
 use super::invariants::Report;
 use super::links::Links;
+use super::news::{self, Side};
 use super::proxy::{Fault, Proxy};
 use super::requests::{self, Process};
+use super::store_faults::{Step, StoreFaults};
 
 /// Failure domain of each instance.
 const ENTRY_DOMAINS: [&str; 3] = ["near-a", "near-b", "far-a"];
@@ -56,7 +59,7 @@
 
 /// Starts a target and its proxy.
 fn start_target(number: usize) -> (Target, Proxy) {
-    let domain = ENTRY_DOMAINS[number % ENTRY_DOMAINS.len()];
+    let domain = ENTRY_DOMAINS[domain_of(number)];
     let target = Target::start(&format!("t{number}"), "sheets", domain).expect("a port is free");
     target.set(Behavior::Normal, 20 * MS);
     target.crash_on(callers::CRASHING);
@@ -64,6 +67,11 @@
     (target, proxy)
 }
 
+/// Number of the failure domain of a target.
+pub fn domain_of(target: usize) -> usize {
+    target % ENTRY_DOMAINS.len()
+}
+
 struct Cluster {
     rng: Rng,
     /// Rule on second attempts.
@@ -90,7 +98,12 @@
     recoveries: Vec<(Instant, Recovery)>,
     version: u64,
     faults: usize,
-    drains: drains::Record,
+    news: news::Record,
+    store_faults: StoreFaults,
+    /// Number of the last report of each target.
+    reports: Vec<u64>,
+    /// Whether the configuration has the route that comes and goes.
+    has_added: bool,
     failures: Vec<String>,
 }
 
@@ -109,6 +122,7 @@
         cluster.recover_due(Instant::now());
         cluster.inject_fault();
         cluster.faults += cluster.links.step();
+        cluster.inject_store_fault();
         publish(&cluster);
     }
     cluster.recover_all();
@@ -118,6 +132,27 @@
     cluster.stop(exchanges)
 }
 
+/// Runs one seed with news of the store and faults of the store for `span`, after all
+/// instances have been in touch with it for a while; no instance ends or freezes.
+pub fn run_news(seed: u64, span: Duration) -> Report {
+    let mut cluster = Cluster::start(seed);
+    let (callers, threads) = callers::start(seed);
+    *callers.addrs.lock().expect("the lock is not poisoned") = cluster.addrs();
+    thread::sleep(news::START);
+    let until = Instant::now() + span;
+    while Instant::now() < until {
+        let pause = cluster.rng.u64(PAUSE_MS.0..PAUSE_MS.1);
+        thread::sleep(Duration::from_millis(pause));
+        cluster.recover_due(Instant::now());
+        cluster.inject_news();
+        cluster.inject_store_fault();
+    }
+    cluster.recover_all();
+    cluster.await_serving();
+    let exchanges = callers::stop(&callers, threads);
+    cluster.stop(exchanges)
+}
+
 impl Cluster {
     fn start(seed: u64) -> Self {
         let store = Store::start().expect("a port is free");
@@ -144,7 +179,10 @@
             recoveries: Vec::new(),
             version: 1,
             faults: 0,
-            drains: drains::Record::default(),
+            news: news::Record::default(),
+            store_faults: StoreFaults::new(seed),
+            reports: Vec::new(),
+            has_added: false,
             failures: Vec::new(),
         };
         for _ in 0..TARGET_COUNT {
@@ -164,49 +202,34 @@
         self.entries.iter().flatten().map(|e| e.callers).collect()
     }
 
-    fn start_entry(&mut self, number: usize) -> Entry {
-        let seeds: Vec<SocketAddr> = self.entries.iter().flatten().map(|e| e.peers).collect();
-        let name = format!("i{number}");
-        let store = self.store_proxies[number].addr;
-        let settings = platform_standin::settings(&name, ENTRY_DOMAINS[number], store, &seeds);
-        let settings = harness::with_retries(&settings, self.retries.ratio, self.retries.slack);
-        let drain = ("drain_s", drains::DRAIN.as_secs_f64());
-        let settings = harness::with_bound(&settings, drain);
-        let settings = self.links.translate(&settings, number);
-        let entry = Entry::start_with(&settings);
-        self.running[number] = self.processes.len();
-        self.processes.push(Process {
-            lines: Arc::clone(&entry.lines),
-            instance: number,
-            started_at: Instant::now(),
-            frozen_at: Vec::new(),
-        });
-        entry
-    }
-
     fn add_target(&mut self) {
         let number = self.targets.len();
         let (target, proxy) = self.spare.pop().expect("as many as may be added");
         self.target_proxies.push(proxy);
         self.targets.push(target);
-        self.list(number, "ready", 1);
+        self.reports.push(0);
+        self.report(number, "ready");
+    }
+
+    /// Lets a target report to the store.
+    fn report(&mut self, number: usize, state: &str) {
+        self.reports[number] += 1;
+        self.list(number, state, self.reports[number]);
     }
 
     /// Registers a target in the store, with the address of its proxy.
     fn list(&self, number: usize, state: &str, seq: u64) {
-        let entry = json!({
-            "address": self.target_proxies[number].addr, "born": 1_764_700_000_000_u64,
-            "info": { "service": "sheets", "version": "v1",
-                      "zone": ENTRY_DOMAINS[number % ENTRY_DOMAINS.len()], "slots": 3 },
-            "status": { "state": state, "seq": seq, "warmup_left_s": 0 },
-        });
+        let entry = self.entry(number, state, seq);
         self.store.write(&format!("servers/t{number}"), &entry);
     }
 
-    /// Lists a target as draining.
-    fn drain(&mut self, number: usize) {
-        self.list(number, "draining", 9);
-        self.drains.drain(number);
+    fn entry(&self, number: usize, state: &str, seq: u64) -> serde_json::Value {
+        json!({
+            "address": self.target_proxies[number].addr, "born": 1_764_700_000_000_u64,
+            "info": { "service": "sheets", "version": "v1",
+                      "zone": ENTRY_DOMAINS[domain_of(number)], "slots": 3 },
+            "status": { "state": state, "seq": seq, "warmup_left_s": 0 },
+        })
     }
 
     fn inject_fault(&mut self) {
@@ -221,20 +244,20 @@
             4 => {
                 let mode = [Mode::Busy, Mode::Silent][self.rng.usize(0..2)];
                 self.store.set(mode);
-                self.drains.begin(Side::Store);
+                self.news.begin(Side::Store);
                 self.schedule(Recovery::Store);
             }
             5 => self.store.compact(),
             6 => {
                 let fault = self.random_fault();
                 self.store_proxies[entry].set(fault);
-                self.drains.begin(Side::Instance(entry));
+                self.news.begin(Side::Instance(entry));
                 self.schedule(Recovery::StoreProxy(entry));
             }
             7 | 8 => {
                 let fault = self.random_fault();
                 self.target_proxies[target].set(fault);
-                self.drains.begin(Side::Target(target));
+                self.news.begin(Side::Target(target));
                 self.schedule(Recovery::TargetProxy(target));
             }
             9..=13 => self.set_target_faults(target),
@@ -245,57 +268,43 @@
         }
     }
 
-    fn random_fault(&mut self) -> Fault {
-        let delay = Fault::Delay(Duration::from_millis(self.rng.u64(1..60)));
-        [delay, Fault::Cut, Fault::OneWay, Fault::Silence][self.rng.usize(0..4)]
-    }
-
-    fn schedule(&mut self, recovery: Recovery) {
-        let span = Duration::from_millis(self.rng.u64(FAULT_MS.0..FAULT_MS.1));
-        self.recoveries.push((Instant::now() + span, recovery));
+    /// Lets the operator or a target write news, or keeps one instance from the store.
+    fn inject_news(&mut self) {
+        self.faults += 1;
+        let entry = self.rng.usize(0..ENTRY_DOMAINS.len());
+        match self.rng.u8(0..12) {
+            0 => self.evacuate(entry),
+            1 => self.store.compact(),
+            2 => {
+                let fault = self.random_fault();
+                self.store_proxies[entry].set(fault);
+                self.news.begin(Side::Instance(entry));
+                self.schedule(Recovery::StoreProxy(entry));
+            }
+            3..=5 => self.change_config(),
+            _ => {}
+        }
     }
 
-    fn kill(&mut self, number: usize) {
-        if self.frozen.contains(&number) || self.entries[number].take().is_none() {
-            return;
+    fn inject_store_fault(&mut self) {
+        if self.store_faults.step(&self.store) == Step::Flood {
+            self.faults += 1;
+            self.flood();
         }
-        self.schedule(Recovery::Restart(number));
     }
 
-    fn freeze(&mut self, number: usize) {
-        let Some(entry) = &self.entries[number] else {
-            return;
-        };
-        if self.frozen.contains(&number) {
-            return;
-        }
-        entry.signal(Signal::STOP);
-        self.processes[self.running[number]]
-            .frozen_at
-            .push(Instant::now());
-        self.frozen.push(number);
-        self.schedule(Recovery::Wake(number));
+    fn random_fault(&mut self) -> Fault {
+        let delay = Fault::Delay(Duration::from_millis(self.rng.u64(1..60)));
+        [delay, Fault::Cut, Fault::OneWay, Fault::Silence][self.rng.usize(0..4)]
     }
 
-    /// Stops an instance gracefully; callers keep using their connections meanwhile.
-    fn terminate(&mut self, number: usize) {
-        if self.frozen.contains(&number) {
-            return;
-        }
-        let Some(entry) = self.entries[number].take() else {
-            return;
-        };
-        entry.signal(Signal::TERM);
-        self.leaving.push(entry);
-        // A replacement starts at once, as in a rolling release.
-        let entry = self.start_entry(number);
-        self.entries[number] = Some(entry);
+    fn schedule(&mut self, recovery: Recovery) {
+        let span = self.fault_span();
+        self.recoveries.push((Instant::now() + span, recovery));
     }
 
-    fn send_hangup(&self, number: usize) {
-        if let Some(entry) = &self.entries[number] {
-            entry.signal(Signal::HUP);
-        }
+    fn fault_span(&mut self) -> Duration {
+        Duration::from_millis(self.rng.u64(FAULT_MS.0..FAULT_MS.1))
     }
 
     fn set_target_faults(&mut self, number: usize) {
@@ -351,33 +360,6 @@
         }
     }
 
-    fn evacuate(&mut self, number: usize) {
-        let key = format!("op/evacuate/{}", ENTRY_DOMAINS[number]);
-        self.store.write(&key, &json!({}));
-        self.schedule(Recovery::Domain(number));
-    }
-
-    /// Adds or removes a route, or drains a target and adds another.
-    fn change_config(&mut self) {
-        if self.rng.bool() && self.targets.len() < TARGETS_MAX {
-            let leaving = self.rng.usize(0..self.targets.len());
-            self.drain(leaving);
-            self.add_target();
-            return;
-        }
-        self.version += 1;
-        let added = Route {
-            prefix: "/added/",
-            service: "sheets",
-            is_idempotent: true,
-        };
-        let mut routes = ROUTES.to_vec();
-        if self.rng.bool() {
-            routes.push(added);
-        }
-        self.store.configure(self.version, HOST, &routes);
-    }
-
     /// Ends the faults that are due at `now`.
     fn recover_due(&mut self, now: Instant) {
         let recoveries = std::mem::take(&mut self.recoveries);
@@ -404,15 +386,15 @@
             }
             Recovery::Store => {
                 self.store.set(Mode::Up);
-                self.drains.end(Side::Store);
+                self.news.end(Side::Store);
             }
             Recovery::StoreProxy(number) => {
                 self.store_proxies[number].set(Fault::None);
-                self.drains.end(Side::Instance(number));
+                self.news.end(Side::Instance(number));
             }
             Recovery::TargetProxy(number) => {
                 self.target_proxies[number].set(Fault::None);
-                self.drains.end(Side::Target(number));
+                self.news.end(Side::Target(number));
             }
             Recovery::Target(number) => {
                 self.targets[number].set(Behavior::Normal, 20 * MS);
@@ -422,6 +404,7 @@
             Recovery::Domain(number) => {
                 let key = format!("op/evacuate/{}", ENTRY_DOMAINS[number]);
                 self.store.remove(&key);
+                self.news.lift(number);
             }
         }
     }
@@ -436,6 +419,7 @@
             target.ask_backoff(None);
         }
         self.links.restore_all();
+        self.store_faults.restore(&self.store);
     }
 
     /// Waits until every instance serves, now that all faults have ended.
@@ -483,7 +467,7 @@
         let repeats = budget::violations(self.retries, &exchanges, &arrivals, &paths);
         self.failures.extend(repeats);
         let late = self
-            .drains
+            .news
             .violations(&arrivals, &self.processes, &self.links);
         self.failures.extend(late);
         let violations = requests::violations(arrivals, &self.processes, &self.links);
@@ -494,7 +478,7 @@
             faults: self.faults,
             suspected: crashes::rejections(&self.processes),
             relayed: requests::relayed(&self.processes),
-            drains: self.drains.judged(ENTRY_DOMAINS.len()),
+            judged: self.news.judged(&self.processes),
             failures: self.failures,
         }
     }
