Don't count a caller's connection as idle while an answer is being written

Cause: a connection counted as idle when no request was unanswered or arriving. A request is answered as soon as its answer is in the output buffer, and the timeout ran from that moment.

Why it works: idle means that nothing waits to be written either, and the timeout runs from the last byte that was written. A caller that takes nothing is ended by the timeout of blocked output, as before.

--- a/crates/auburnrouter/src/direct/connection.rs
+++ b/crates/auburnrouter/src/direct/connection.rs
@@ -237,7 +237,7 @@
         progressed |= self.poll_answers(cx);
         self.queue_answers();
         progressed |= self.poll_write(cx)?;
-        let is_flushed = self.out.is_empty() && self.body_tail.is_empty();
+        let is_flushed = self.is_flushed();
         if is_flushed && self.pipeline.is_closed() {
             return Ok(StepResult::Finished);
         }
@@ -399,10 +399,14 @@
             if due.is_closing {
                 self.reader.end();
             }
-            self.timeouts.idle_since = Instant::now();
         }
     }
 
+    /// Whether all queued output is written.
+    fn is_flushed(&self) -> bool {
+        self.out.is_empty() && self.body_tail.is_empty()
+    }
+
     /// Writes queued output until the socket blocks; returns whether bytes were written.
     fn poll_write(&mut self, cx: &mut Context<'_>) -> io::Result<bool> {
         let mut progressed = false;
@@ -427,6 +431,9 @@
             self.stall = None;
             progressed = true;
         }
+        if progressed {
+            self.timeouts.idle_since = Instant::now();
+        }
         self.unwritten.clear();
         // An empty rest keeps the whole body.
         self.body_tail = Bytes::new();
--- a/crates/auburnrouter/src/direct/connection/timeouts.rs
+++ b/crates/auburnrouter/src/direct/connection/timeouts.rs
@@ -20,7 +20,7 @@
     pub(super) head_read: Option<Instant>,
     /// Since when the socket takes no more output.
     pub(super) write_blocked: Option<Instant>,
-    /// When the last answer was queued, or the connection opened.
+    /// When bytes of an answer were last written, or the connection opened.
     pub(super) idle_since: Instant,
 }
 
@@ -66,7 +66,7 @@
         let request_due = self
             .reading_since()
             .and_then(|s| s.checked_add(request_timeout));
-        let is_empty = self.pipeline.is_empty() && !self.reader.is_partial();
+        let is_empty = self.pipeline.is_empty() && !self.reader.is_partial() && self.is_flushed();
         let idle_due = self
             .timeouts
             .idle_since
--- a/crates/auburnrouter/tests/direct/slow_readers.rs
+++ b/crates/auburnrouter/tests/direct/slow_readers.rs
@@ -1,10 +1,15 @@
 //! Callers that read their answers slowly or not at all: what they hold is bounded, and
 //! others are turned away before their requests run.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
 
-use super::harness::{Answer, Harness, request, wait_for_line, wait_until};
+use platform_standin::store;
+use rustix::net::{AddressFamily, SocketType, sockopt};
+
+use super::harness::{Answer, HOST, Harness, MS, ROUTES, request, wait_for_line, wait_until};
 
 /// Callers that don't read.
 const CALLERS: usize = 300;
@@ -111,3 +116,63 @@
     wait_until("the answer waits for its caller", || held(&harness) > 0);
     wait_until("the caller is given up", || held(&harness) == 0);
 }
+
+/// Sends a request on a connection whose caller's system takes few bytes ahead of it.
+fn send_narrow(harness: &Harness, id: &str) -> TcpStream {
+    const RECEIVE_BYTES: usize = 64 << 10;
+    let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None);
+    let socket = socket.expect("a socket is free");
+    sockopt::set_socket_recv_buffer_size(&socket, RECEIVE_BYTES).expect("it is not connected");
+    rustix::net::connect(&socket, &harness.entry.callers).expect("the instance listens");
+    let mut stream = TcpStream::from(socket);
+    let text = request("GET", "/view/x", id, "");
+    let sent = stream.write_all(text.as_bytes());
+    sent.expect("the connection is open");
+    stream
+}
+
+/// Reads `rate` bytes a second until the connection is silent or ends; returns the number of
+/// bytes read.
+fn read_steadily(stream: &mut TcpStream, rate: usize) -> usize {
+    const PIECE_TIME: Duration = MS.saturating_mul(100);
+    let until = Some(PIECE_TIME * 10);
+    stream.set_read_timeout(until).expect("the span isn't zero");
+    let mut piece = vec![0; rate / 10];
+    let mut total = 0;
+    let begin = Instant::now();
+    for number in 1.. {
+        match stream.read(&mut piece) {
+            Ok(0) | Err(_) => break,
+            Ok(length) => total += length,
+        }
+        thread::sleep((begin + PIECE_TIME * number).saturating_duration_since(Instant::now()));
+    }
+    total
+}
+
+/// Installs a configuration with other timeouts of callers, in seconds.
+fn set_timeouts(harness: &Harness, header_s: u32, idle_s: u32) {
+    let text = store::document(4, HOST, &ROUTES, &[], 65_536);
+    let text = text.replace(
+        "\"header_timeout_s\":3,\"idle_timeout_s\":15",
+        &format!("\"header_timeout_s\":{header_s},\"idle_timeout_s\":{idle_s}"),
+    );
+    assert!(text.contains(&format!("\"idle_timeout_s\":{idle_s}")));
+    harness.store.write_bytes("op/config", text.as_bytes());
+    wait_until("the configuration is in force", || {
+        harness.entry.dump().contains("\"version\":4,")
+    });
+}
+
+/// A connection counted as idle while a long answer was written to a caller that read all
+/// the time, and was closed in the middle of it.
+#[test]
+fn serve_caller_that_reads_longer_than_idle_timeout() {
+    const RATE: usize = 2_500_000;
+    let harness = Harness::start(1);
+    set_timeouts(&harness, 3, 2);
+    harness.targets[0].pad_answers(ANSWER_BYTES);
+    let mut caller = send_narrow(&harness, "r1");
+    let read = read_steadily(&mut caller, RATE);
+    assert!(read > ANSWER_BYTES, "{read} bytes");
+}
