Fill memory with whole answers before it is to be made free for others

Cause, in the test: it took an answer for held when the memory account rose, which it does when the answer's head arrives. Beside load a body of 12 MB takes a second, so several were on their way at once; some were turned away ('overload', 'no-memory'), and at the end there was room without anyone having to go. The wait for a rise could also be in vain when an answer was given up meanwhile.

The check is the same and stricter: only eviction can make room.

--- a/crates/auburnrouter/tests/direct/harness.rs
+++ b/crates/auburnrouter/tests/direct/harness.rs
@@ -296,14 +296,20 @@
 }
 
 /// Waits for the first log line of an instance that contains `part`. Lines are written a
-/// moment after the event they report.
+/// moment after the event they report. In vain, it shows the last ones.
 pub fn wait_for_line(entry: &Entry, part: &str) -> String {
-    let found = || {
+    const SHOWN: usize = 40;
+    let until = Instant::now() + WAIT_TIMEOUT;
+    loop {
         let lines = entry.lines.lock().expect("the lock is not poisoned");
-        lines.iter().find(|l| l.contains(part)).cloned()
-    };
-    wait_until(part, || found().is_some());
-    found().unwrap_or_default()
+        if let Some(line) = lines.iter().find(|line| line.contains(part)) {
+            return line.clone();
+        }
+        let last = &lines[lines.len().saturating_sub(SHOWN)..];
+        assert!(Instant::now() < until, "in vain: {part}; last: {last:#?}");
+        drop(lines);
+        std::thread::yield_now();
+    }
 }
 
 /// Configured store, targets of service `sheets`, and an instance that is ready and
--- a/crates/auburnrouter/tests/direct/slow_readers.rs
+++ b/crates/auburnrouter/tests/direct/slow_readers.rs
@@ -9,7 +9,9 @@
 use platform_standin::store;
 use rustix::net::{AddressFamily, SocketType, sockopt};
 
-use super::harness::{Answer, HOST, Harness, MS, ROUTES, request, wait_for_line, wait_until};
+use super::harness::{
+    Answer, HOST, Harness, MS, ROUTES, WAIT_TIMEOUT, request, wait_for_line, wait_until,
+};
 
 /// Callers that don't read.
 const CALLERS: usize = 300;
@@ -33,20 +35,25 @@
     stream
 }
 
+/// Sends a request whose answer waits whole for its caller.
+fn hold_answer(harness: &Harness, id: &str) -> TcpStream {
+    let stream = send_unread(harness, id);
+    let line = wait_for_line(&harness.entry, &format!("\"attempt\",\"request\":\"{id}\""));
+    assert!(line.contains("\"answered\""), "{line}");
+    stream
+}
+
 /// Answers for callers that don't read took all memory, and the process was killed with
 /// the requests of all others.
 #[test]
 fn bound_memory_of_unread_answers() {
     let harness = Harness::start(1);
+    set_timeouts(&harness, 60, 60);
     harness.targets[0].pad_answers(ANSWER_BYTES);
     let memory = harness.entry.memory_limit();
     let mut callers = Vec::new();
     while held(&harness) < memory / 4 {
-        let before = held(&harness);
-        callers.push(send_unread(&harness, &format!("first{}", callers.len())));
-        wait_until("the answer waits for its caller", || {
-            held(&harness) > before
-        });
+        callers.push(hold_answer(&harness, &format!("first{}", callers.len())));
     }
     let late = |n: usize| send_unread(&harness, &format!("late{n}"));
     callers.extend((0..CALLERS).map(late));
@@ -89,15 +96,13 @@
 #[test]
 fn make_room_for_callers_that_read() {
     let harness = Harness::start(1);
+    // Nothing but eviction ends callers while the test runs.
+    set_timeouts(&harness, 60, 60);
     harness.targets[0].pad_answers(ANSWER_BYTES);
     let memory = harness.entry.memory_limit();
     let mut callers = Vec::new();
     while held(&harness) + ANSWER_BYTES as u64 <= memory * 3 / 8 {
-        let before = held(&harness);
-        callers.push(send_unread(&harness, &format!("first{}", callers.len())));
-        wait_until("the answer waits for its caller", || {
-            held(&harness) > before
-        });
+        callers.push(hold_answer(&harness, &format!("first{}", callers.len())));
     }
     wait_until("a caller that reads is served", || {
         let id = format!("reads{}", harness.runs().len());
@@ -131,19 +136,22 @@
     stream
 }
 
-/// Reads `rate` bytes a second until the connection is silent or ends; returns the number of
-/// bytes read.
-fn read_steadily(stream: &mut TcpStream, rate: usize) -> usize {
+/// Reads `rate` bytes a second until the connection ends, or `length` bytes are read; returns
+/// the number of bytes read.
+fn read_steadily(stream: &mut TcpStream, length: usize, rate: usize) -> usize {
     const PIECE_TIME: Duration = MS.saturating_mul(100);
-    let until = Some(PIECE_TIME * 10);
-    stream.set_read_timeout(until).expect("the span isn't zero");
+    let timeout = stream.set_read_timeout(Some(WAIT_TIMEOUT));
+    timeout.expect("the span isn't zero");
     let mut piece = vec![0; rate / 10];
     let mut total = 0;
     let begin = Instant::now();
     for number in 1.. {
         match stream.read(&mut piece) {
             Ok(0) | Err(_) => break,
-            Ok(length) => total += length,
+            Ok(read) => total += read,
+        }
+        if total >= length {
+            break;
         }
         thread::sleep((begin + PIECE_TIME * number).saturating_duration_since(Instant::now()));
     }
@@ -168,11 +176,12 @@
 /// the time, and was closed in the middle of it.
 #[test]
 fn serve_caller_that_reads_longer_than_idle_timeout() {
-    const RATE: usize = 2_500_000;
+    const RATE: usize = 1_250_000;
+    const LONG_BYTES: usize = 6 << 20;
     let harness = Harness::start(1);
     set_timeouts(&harness, 3, 2);
-    harness.targets[0].pad_answers(ANSWER_BYTES);
+    harness.targets[0].pad_answers(LONG_BYTES);
     let mut caller = send_narrow(&harness, "r1");
-    let read = read_steadily(&mut caller, RATE);
-    assert!(read > ANSWER_BYTES, "{read} bytes");
+    let read = read_steadily(&mut caller, LONG_BYTES, RATE);
+    assert!(read >= LONG_BYTES, "{read} bytes");
 }
