--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod continuation;
+mod moved_key;
 mod stop;
 
 use std::sync::{Arc, Mutex};
@@ -22,6 +23,7 @@
 ) -> Result<Verdict, Failure> {
     match case {
         "continuation" => continuation::play(program, record, has_trouble),
+        "moved-key" => moved_key::play(program, record, has_trouble),
         "stop" => stop::play(program, record, has_trouble),
         _ => Err(format!("there is no case {case}").into()),
     }
@@ -43,9 +45,22 @@
     pub goal_s: f64,
 }
 
+/// A tenant of the configuration.
+pub struct Tenant<'a> {
+    pub name: &'a str,
+    pub keys: &'a [&'a str],
+}
+
+/// Further bounds of an installation with tenants.
+pub const TENANT_BOUNDS: &str = r#""revoke_s": 5, "quota_window_s": 5, "quota_excess": 0.1, "quota_slack": 20,"#;
+
 impl Platform {
-    /// Starts a store and targets, two in each of three failure domains.
-    pub fn start(routes: &[Route<'_>], record: &Record) -> Result<Self, Failure> {
+    /// Starts a store and targets, one in each of four failure domains.
+    pub fn start(
+        routes: &[Route<'_>],
+        tenants: &[Tenant<'_>],
+        record: &Record,
+    ) -> Result<Self, Failure> {
         let store = Store::start()?;
         let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
         let mut targets = Vec::new();
@@ -54,7 +69,7 @@
             target.register(&store, "archive", domain, 3);
             targets.push(target);
         }
-        store.write("op/config", &document(routes));
+        store.write("op/config", &document(7, routes, tenants));
         Ok(Self {
             store,
             runs,
@@ -64,7 +79,7 @@
 }
 
 /// The operator's document, as the pages show it.
-fn document(routes: &[Route<'_>]) -> String {
+pub fn document(version: u32, routes: &[Route<'_>], tenants: &[Tenant<'_>]) -> String {
     let mut resources: Vec<String> = Vec::new();
     for route in routes {
         let Route {
@@ -75,7 +90,14 @@
             goal_s,
         } = route;
         resources.push(format!(
-            r#"{{"entry_kind":"routes","metadata":{{"name":"{name}"}},"spec":{{"host":"{HOST}","prefix":"{prefix}","kind":"{kind}","timeout_s":{timeout_s},"goal_s":{goal_s},"priority":1,"service":"archive","attempts":2,"affinity":true,"home_regions":[]}}}}"#
+            r#"{{"entry_kind":"routes","metadata":{{"name":"{name}"}},"spec":{{"host":"{HOST}","prefix":"{prefix}","kind":"{kind}","timeout_s":{timeout_s},"goal_s":{goal_s},"priority":1,"service":"archive","attempts":2,"anonymous":false,"affinity":true,"home_regions":[]}}}}"#
+        ));
+    }
+    for Tenant { name, keys } in tenants {
+        let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+        let keys = keys.join(",");
+        resources.push(format!(
+            r#"{{"entry_kind":"tenants","metadata":{{"name":"{name}"}},"spec":{{"api_keys":[{keys}],"priority":1,"rate_per_s":0,"burst":0,"home_regions":[]}}}}"#
         ));
     }
     resources.push(
@@ -84,5 +106,8 @@
     resources.push(
         r#"{"entry_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}"#.to_owned(),
     );
-    format!(r#"{{"version":7,"resources":[{}]}}"#, resources.join(","))
+    format!(
+        r#"{{"version":{version},"resources":[{}]}}"#,
+        resources.join(",")
+    )
 }
--- a/review/standin-2/cases/continuation.rs
+++ b/review/standin-2/cases/continuation.rs
@@ -50,13 +50,14 @@
         timeout_s: 2.5,
         goal_s: 2.0,
     }];
-    let platform = Platform::start(&routes, record)?;
+    let platform = Platform::start(&routes, &[], record)?;
     let plan = Plan {
         name: "edge-seq-a-1",
         domain: "seq-a",
         region: "seq",
         store: platform.store.addr,
         grace_s: 6,
+        further: "",
     };
     let instance = Instance::start(program, &plan)?;
     // Callers come once the instance has been in touch with the store for `contact_s`.
@@ -178,24 +179,24 @@
     record.line(&format!("  the body differs from byte {at} on: {part:?}"));
 }
 
-struct Answer {
-    status: u16,
-    id: String,
-    seal: String,
-    body: Vec<u8>,
+pub struct Answer {
+    pub status: u16,
+    pub id: String,
+    pub seal: String,
+    pub body: Vec<u8>,
 }
 
 /// Reads answers as a caller does, by their lengths.
 #[derive(Default)]
-struct Reader {
-    answers: Vec<Answer>,
+pub struct Reader {
+    pub answers: Vec<Answer>,
     may_continue: bool,
     /// Bytes where an answer was due.
     fault: Option<String>,
 }
 
 impl Reader {
-    fn take(&mut self, input: &mut Vec<u8>) {
+    pub fn take(&mut self, input: &mut Vec<u8>) {
         while self.fault.is_none() {
             let Some(end) = input.windows(4).position(|w| w == b"\r\n\r\n") else {
                 return;
--- a/review/standin-2/cases/stop.rs
+++ b/review/standin-2/cases/stop.rs
@@ -41,13 +41,14 @@
         timeout_s: TIMEOUT_S,
         goal_s: 2.5,
     }];
-    let platform = Platform::start(&routes, record)?;
+    let platform = Platform::start(&routes, &[], record)?;
     let plan = Plan {
         name: "edge-seq-a-1",
         domain: "seq-a",
         region: "seq",
         store: platform.store.addr,
         grace_s: u32::try_from(GRACE.as_secs())?,
+        further: "",
     };
     let instance = Instance::start(program, &plan)?;
     thread::sleep(Duration::from_secs(4));
--- a/review/standin-2/instance.rs
+++ b/review/standin-2/instance.rs
@@ -38,6 +38,8 @@
     pub region: &'a str,
     pub store: SocketAddr,
     pub grace_s: u32,
+    /// Further bounds, as lines of the settings.
+    pub further: &'a str,
 }
 
 /// A running instance.
@@ -140,6 +142,7 @@
         region,
         store,
         grace_s,
+        further,
     } = plan;
     let [callers, ready, directory, peers, operators] = addrs else {
         return String::new();
@@ -181,6 +184,7 @@
     "evacuate_s": 5,
     "backoff_max_s": 300,
     "config_s": 2.5,
+    {further}
     "shift": 0.15
   }}
 }}
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub id: String,
+    /// The tenant that the request names.
+    pub tenant: Option<String>,
     /// Whether the connection was closed while the target worked.
     pub is_cut: bool,
 }
@@ -78,16 +80,18 @@
             let mut runs = self.runs.lock().unwrap();
             runs.push(Run {
                 id: id.clone(),
+                tenant: request.header("tenant").map(str::to_owned),
                 is_cut: false,
             });
             runs.len() - 1
         };
         self.record.line(&format!(
-            "{} begins to run {id}, {} {}, Deadline-Ms {}",
+            "{} begins to run {id}, {} {}, Deadline-Ms {}, Tenant {}",
             self.id,
             request.method(),
             request.target(),
             request.header("deadline-ms").unwrap_or("none"),
+            request.header("tenant").unwrap_or("none"),
         ));
         let is_cut = !wait_while_open(connection, work)?;
         self.runs.lock().unwrap()[at].is_cut = is_cut;
