--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -2,6 +2,7 @@
 
 mod continuation;
 mod moved_key;
+mod read_on;
 mod stop;
 mod uploads;
 
@@ -29,6 +30,7 @@
         "continuation" => continuation::play(program, record, has_trouble),
         "moved-key" => moved_key::play(program, record, has_trouble),
         "uploads" => uploads::play(program, record, has_trouble),
+        "read-on" => read_on::play(program, record, has_trouble),
         "stop" => stop::play(program, record, has_trouble),
         _ => Err(format!("there is no case {case}").into()),
     }
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -45,6 +45,12 @@
         self.query(name)?.parse().ok()
     }
 
+    /// Length of the body that the head announces.
+    pub fn length(&self) -> usize {
+        let length = self.header("content-length");
+        length.and_then(|l| l.parse().ok()).unwrap_or_default()
+    }
+
     /// Status of a response.
     pub fn status(&self) -> u16 {
         self.word(1).parse().unwrap_or_default()
@@ -91,6 +97,15 @@
 
     /// Reads a message; `None` if the connection ends before it begins.
     pub fn read(&mut self) -> io::Result<Option<Message>> {
+        let Some(mut message) = self.read_head()? else {
+            return Ok(None);
+        };
+        self.read_body(&mut message)?;
+        Ok(Some(message))
+    }
+
+    /// Reads the head of a message; `None` if the connection ends before it begins.
+    pub fn read_head(&mut self) -> io::Result<Option<Message>> {
         let end = loop {
             if let Some(at) = self.ahead.windows(4).position(|w| w == b"\r\n\r\n") {
                 break at + 4;
@@ -114,15 +129,19 @@
                 message.headers.push(header);
             }
         }
-        let length = message.header("content-length");
-        let length: usize = length.and_then(|l| l.parse().ok()).unwrap_or_default();
+        Ok(Some(message))
+    }
+
+    /// Reads the body that follows a head.
+    pub fn read_body(&mut self, message: &mut Message) -> io::Result<()> {
+        let length = message.length();
         while self.ahead.len() < length {
             if !self.fill()? {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
         }
         message.body = self.ahead.drain(..length).collect();
-        Ok(Some(message))
+        Ok(())
     }
 
     /// Writes a response with this body.
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -12,12 +12,17 @@
 use crate::record::Record;
 use crate::store::Store;
 
+/// Length from which on a request is long, in bytes.
+const LONG_BYTES: usize = 1 << 20;
+
 /// What became of a request that a target began to run.
 #[derive(Clone, Debug)]
 pub struct Run {
     pub id: String,
     /// The tenant that the request names.
     pub tenant: Option<String>,
+    /// When the request had arrived.
+    pub arrived: Instant,
     /// Whether the connection was closed while the target worked.
     pub is_cut: bool,
 }
@@ -31,6 +36,9 @@
     record: Record,
     /// Whether it rejects each second request, as one that sheds load does.
     is_shedding: Arc<AtomicBool>,
+    /// Time after which it reads the body of a long request that it has answered; it
+    /// answers before it reads.
+    reads_on_after: Arc<Mutex<Option<Duration>>>,
     /// Requests so far.
     count: Arc<AtomicUsize>,
 }
@@ -44,6 +52,7 @@
             runs: Arc::clone(runs),
             record: record.clone(),
             is_shedding: Arc::default(),
+            reads_on_after: Arc::default(),
             count: Arc::default(),
         };
         let serving = target.clone();
@@ -52,8 +61,11 @@
                 let target = serving.clone();
                 thread::spawn(move || {
                     let mut connection = Connection::new(stream);
-                    while let Ok(Some(request)) = connection.read() {
-                        if !target.serve(&mut connection, &request).unwrap_or(false) {
+                    while let Ok(Some(mut request)) = connection.read_head() {
+                        let early = target.answer_early(&mut connection, &mut request);
+                        if !early.unwrap_or(false)
+                            && !target.serve(&mut connection, &mut request).unwrap_or(false)
+                        {
                             return;
                         }
                     }
@@ -68,17 +80,58 @@
         self.is_shedding.store(true, Ordering::Relaxed);
     }
 
+    /// Answers long requests before it reads them from now on, keeps the connection and
+    /// reads on after this time.
+    pub fn read_on_after(&self, time: Duration) {
+        *self.reads_on_after.lock().unwrap() = Some(time);
+    }
+
     /// Writes its entry to the store.
     pub fn register(&self, store: &Store, service: &str, domain: &str, slots: u32) {
+        self.report(store, service, domain, slots, ("ready", 1));
+    }
+
+    /// Writes its entry with this state and number of the report.
+    pub fn report(
+        &self,
+        store: &Store,
+        service: &str,
+        domain: &str,
+        slots: u32,
+        (state, seq): (&str, u32),
+    ) {
         let entry = format!(
-            r#"{{"address":"{}","info":{{"service":"{service}","version":"v1","zone":"{domain}","slots":{slots}}},"status":{{"state":"ready","seq":1,"warmup_left_s":0}},"born":1764700000000}}"#,
+            r#"{{"address":"{}","info":{{"service":"{service}","version":"v1","zone":"{domain}","slots":{slots}}},"status":{{"state":"{state}","seq":{seq},"warmup_left_s":0}},"born":1764700000000}}"#,
             self.addr
         );
         store.write(&format!("servers/{}", self.id), &entry);
     }
 
+    /// Rejects a long request before it is read, and reads it later; returns false if the
+    /// request is to be served as usual.
+    fn answer_early(&self, connection: &mut Connection, request: &mut Message) -> io::Result<bool> {
+        let time = *self.reads_on_after.lock().unwrap();
+        let Some(time) = time.filter(|_| request.length() >= LONG_BYTES) else {
+            return Ok(false);
+        };
+        let id = request.header("request-id").unwrap_or_default().to_owned();
+        let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
+        connection.answer(503, &headers, b"")?;
+        self.record.line(&format!("{} rejects {id} before it reads the body", self.id));
+        thread::sleep(time);
+        connection.read_body(request)?;
+        let is_same = request.body.iter().all(|byte| *byte == b'x');
+        self.record.line(&format!(
+            "{} has read the rest of {id}: {} bytes, as sent: {is_same}",
+            self.id,
+            request.body.len()
+        ));
+        Ok(true)
+    }
+
     /// Serves a request; returns whether the connection stays open.
-    fn serve(&self, connection: &mut Connection, request: &Message) -> io::Result<bool> {
+    fn serve(&self, connection: &mut Connection, request: &mut Message) -> io::Result<bool> {
+        connection.read_body(request)?;
         let id = request.header("request-id").unwrap_or_default().to_owned();
         let echo = ("Request-Id", id.as_str());
         let expected = request.header("target-instance");
@@ -99,6 +152,7 @@
             runs.push(Run {
                 id: id.clone(),
                 tenant: request.header("tenant").map(str::to_owned),
+                arrived: Instant::now(),
                 is_cut: false,
             });
             runs.len() - 1
