--- a/review/standin-2/cases/continuation.rs
+++ b/review/standin-2/cases/continuation.rs
@@ -4,7 +4,7 @@
 //! Disruption: slow reading. Without it the caller reads as fast as it can.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -72,6 +72,13 @@
     Ok(verdict)
 }
 
+/// An address of its own for each caller. The system keeps what it has learnt about a path by
+/// address, so that the buffers of connections from one address depend on earlier ones.
+fn caller_address(number: usize) -> Ipv4Addr {
+    let process = std::process::id();
+    Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, process as u8, 1 + number as u8)
+}
+
 /// Runs one caller; returns whether each answer was that of its request, whole.
 fn call(
     to: SocketAddr,
@@ -80,7 +87,7 @@
     has_trouble: bool,
 ) -> Result<bool, Failure> {
     let mut stream = if has_trouble {
-        socket::connect_narrow(to, RECEIVE_BYTES, SEGMENT_BYTES)?
+        socket::connect_narrow(caller_address(number), to, RECEIVE_BYTES, SEGMENT_BYTES)?
     } else {
         TcpStream::connect(to)?
     };
