--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -62,7 +62,8 @@
 }
 
 /// Further bounds of an installation with tenants.
-pub const TENANT_BOUNDS: &str = r#""revoke_s": 5, "quota_window_s": 5, "quota_excess": 0.1, "quota_slack": 20,"#;
+pub const TENANT_BOUNDS: &str =
+    r#""revoke_s": 5, "quota_window_s": 5, "quota_excess": 0.1, "quota_slack": 20,"#;
 
 impl Platform {
     /// Starts a store and targets, one in each of four failure domains.
--- a/review/standin-2/cases/continuation.rs
+++ b/review/standin-2/cases/continuation.rs
@@ -76,7 +76,12 @@
 /// address, so that the buffers of connections from one address depend on earlier ones.
 fn caller_address(number: usize) -> Ipv4Addr {
     let process = std::process::id();
-    Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, process as u8, 1 + number as u8)
+    Ipv4Addr::new(
+        127,
+        1 + (process >> 8) as u8 % 250,
+        process as u8,
+        1 + number as u8,
+    )
 }
 
 /// Runs one caller; returns whether each answer was that of its request, whole.
@@ -154,7 +159,9 @@
         }
     }
     if let Some(fault) = &reader.fault {
-        record.line(&format!("caller {number}: bytes that are no answer: {fault}"));
+        record.line(&format!(
+            "caller {number}: bytes that are no answer: {fault}"
+        ));
     }
     let mut is_whole = reader.fault.is_none();
     for (id, answer) in ids.iter().zip(&reader.answers) {
@@ -166,7 +173,11 @@
             answer.status,
             answer.id,
             answer.body.len(),
-            if is_complete { "as sealed" } else { "NOT as sealed" },
+            if is_complete {
+                "as sealed"
+            } else {
+                "NOT as sealed"
+            },
         ));
         if answer.status == 200 && !(is_own && is_complete) {
             is_whole = false;
@@ -212,7 +223,9 @@
             let head = String::from_utf8_lossy(&input[..end]).into_owned();
             let mut lines = head.split("\r\n");
             let first = lines.next().unwrap_or_default();
-            let status = first.strip_prefix("HTTP/1.1 ").and_then(|rest| rest.get(..3));
+            let status = first
+                .strip_prefix("HTTP/1.1 ")
+                .and_then(|rest| rest.get(..3));
             let Some(status) = status.and_then(|status| status.parse::<u16>().ok()) else {
                 self.fault = Some(first.chars().take(60).collect());
                 return;
--- a/review/standin-2/cases/moved_key.rs
+++ b/review/standin-2/cases/moved_key.rs
@@ -86,7 +86,9 @@
         if round == "burst" {
             thread::sleep(CHANGED_AFTER);
             if has_trouble {
-                platform.store.write("op/config", &document(9, &routes, &after));
+                platform
+                    .store
+                    .write("op/config", &document(9, &routes, &after));
                 record.line("version 9 is acknowledged: the key belongs to cairns");
             } else {
                 record.line("no new version");
@@ -106,7 +108,9 @@
         }
     }
     let status = send(instance.callers, "later")?;
-    record.line(&format!("a later request with the same key is answered: {status}"));
+    record.line(&format!(
+        "a later request with the same key is answered: {status}"
+    ));
     let allowed = 5 + total / 500;
     record.line(&format!(
         "{denied} of {total} proper requests were ended with 401, {allowed} allowed"
--- a/review/standin-2/cases/read_on.rs
+++ b/review/standin-2/cases/read_on.rs
@@ -125,7 +125,9 @@
     );
     connection.stream.write_all(head.as_bytes())?;
     connection.stream.write_all(&vec![b'x'; length])?;
-    connection.stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+    connection
+        .stream
+        .set_read_timeout(Some(Duration::from_secs(20)))?;
     let answer = connection.read()?.ok_or("the connection was closed")?;
     Ok(answer.status())
 }
--- a/review/standin-2/cases/stop.rs
+++ b/review/standin-2/cases/stop.rs
@@ -96,14 +96,17 @@
         "the caller asks the directory again: {status} (0: no answer; it keeps the old one)"
     ));
     thread::sleep(SENT_AFTER.saturating_sub(stopped.elapsed()));
-    let sent = kept.stream.write_all(request("kept-2", LONG_WORK_MS).as_bytes());
+    let sent = kept
+        .stream
+        .write_all(request("kept-2", LONG_WORK_MS).as_bytes());
     let sent_after = stopped.elapsed();
     record.line(&format!(
         "kept-2 is sent {:.3} s after SIGTERM, whole: {}",
         sent_after.as_secs_f64(),
         sent.is_ok()
     ));
-    kept.stream.set_read_timeout(Some(Duration::from_secs(12)))?;
+    kept.stream
+        .set_read_timeout(Some(Duration::from_secs(12)))?;
     let answer = kept.read();
     let ended_after = stopped.elapsed();
     let status = match &answer {
--- a/review/standin-2/cases/uploads.rs
+++ b/review/standin-2/cases/uploads.rs
@@ -113,7 +113,10 @@
     let runs = platform.runs.lock().unwrap();
     let is_bystander = |id: &str| id.starts_with("at-work-");
     let at_work = runs.iter().filter(|run| is_bystander(&run.id)).count();
-    let lost = runs.iter().filter(|run| is_bystander(&run.id) && run.is_cut).count();
+    let lost = runs
+        .iter()
+        .filter(|run| is_bystander(&run.id) && run.is_cut)
+        .count();
     record.line(&format!(
         "largest memory {} MB of {MEMORY_MB}; the process was ended for it: {was_killed}",
         peak.load(Ordering::Relaxed)
@@ -169,7 +172,10 @@
         connection.stream.write_all(text.as_bytes())?;
         let began = Instant::now();
         let answer = connection.read();
-        let status = answer.as_ref().ok().and_then(|a| Some(a.as_ref()?.status()));
+        let status = answer
+            .as_ref()
+            .ok()
+            .and_then(|a| Some(a.as_ref()?.status()));
         record.line(&format!(
             "{id}: {} after {:.2} s",
             match status {
@@ -193,7 +199,9 @@
     );
     connection.stream.write_all(head.as_bytes())?;
     connection.stream.write_all(&vec![b'x'; UPLOAD_BYTES])?;
-    connection.stream.set_read_timeout(Some(Duration::from_secs(5)))?;
+    connection
+        .stream
+        .set_read_timeout(Some(Duration::from_secs(5)))?;
     let answer = connection.read()?.ok_or("the connection was closed")?;
     Ok(answer.status())
 }
--- a/review/standin-2/instance.rs
+++ b/review/standin-2/instance.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,11 +22,12 @@
 
 /// Ends all processes that were started, and removes the temporary folder.
 pub fn kill_all() {
-    for child in CHILDREN.lock().unwrap().iter_mut() {
+    let mut children = CHILDREN.lock().unwrap_or_else(PoisonError::into_inner);
+    for child in children.iter_mut() {
         let _ = child.kill();
         let _ = child.wait();
     }
-    if let Some(folder) = FOLDER.lock().unwrap().take() {
+    if let Some(folder) = FOLDER.lock().unwrap_or_else(PoisonError::into_inner).take() {
         let _ = fs::remove_dir_all(folder);
     }
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -14,6 +14,7 @@
 mod store;
 mod target;
 
+use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -51,8 +52,10 @@
         }
     };
     record.line(&format!("case {case}, disruption: {has_trouble}"));
-    let result = cases::play(case, program, &record, has_trouble);
+    let play = || cases::play(case, program, &record, has_trouble);
+    let result = panic::catch_unwind(AssertUnwindSafe(play));
     instance::kill_all();
+    let result = result.unwrap_or_else(|_| Err("the stand-in panicked".into()));
     match result {
         Ok(Verdict::Held) => {
             record.line("verdict: the rule held");
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -175,7 +175,10 @@
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let (events, revision) = (events.join(","), state.revision);
-                return (200, format!(r#"{{"events":[{events}],"as_of":{revision}}}"#));
+                return (
+                    200,
+                    format!(r#"{{"events":[{events}],"as_of":{revision}}}"#),
+                );
             }
             let pause = left.min(Duration::from_millis(50));
             state = self.state.1.wait_timeout(state, pause).unwrap().0;
@@ -197,11 +200,18 @@
         }
         let lease = |put: &Json| put.get("lease").number() as u64;
         let puts = body.get("puts").list();
-        if puts.iter().any(|put| lease(put) != 0 && !state.leases.contains_key(&lease(put))) {
+        if puts
+            .iter()
+            .any(|put| lease(put) != 0 && !state.leases.contains_key(&lease(put)))
+        {
             return (404, "{}".to_owned());
         }
         for put in puts {
-            state.put(put.get("key").text(), put.get("value").text().to_owned(), lease(put));
+            state.put(
+                put.get("key").text(),
+                put.get("value").text().to_owned(),
+                lease(put),
+            );
         }
         for key in body.get("deletes").list() {
             state.delete(key.text());
@@ -246,7 +256,11 @@
         }
         for at in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * at)) as usize & 63];
-            text.push(if at <= chunk.len() { digit as char } else { '=' });
+            text.push(if at <= chunk.len() {
+                digit as char
+            } else {
+                '='
+            });
         }
     }
     text
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -117,7 +117,10 @@
         let id = request.header("request-id").unwrap_or_default().to_owned();
         let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
         connection.answer(503, &headers, b"")?;
-        self.record.line(&format!("{} rejects {id} before it reads the body", self.id));
+        self.record.line(&format!(
+            "{} rejects {id} before it reads the body",
+            self.id
+        ));
         thread::sleep(time);
         connection.read_body(request)?;
         let is_same = request.body.iter().all(|byte| *byte == b'x');
@@ -168,16 +171,25 @@
         let is_cut = !wait_while_open(connection, work)?;
         self.runs.lock().unwrap()[at].is_cut = is_cut;
         if is_cut {
-            self.record
-                .line(&format!("{} at work on {id}: its connection was closed", self.id));
+            self.record.line(&format!(
+                "{} at work on {id}: its connection was closed",
+                self.id
+            ));
             return Ok(false);
         }
         let body = body(&id, request.number("bytes").unwrap_or(64) as usize);
         let seal = format!("{:016x}", digest(&body));
-        let headers = [echo, ("Response-Seal", seal.as_str()), ("Server-Load", "1,0,3")];
+        let headers = [
+            echo,
+            ("Response-Seal", seal.as_str()),
+            ("Server-Load", "1,0,3"),
+        ];
         connection.answer(200, &headers, &body)?;
-        self.record
-            .line(&format!("{} has answered {id}: 200, {} bytes", self.id, body.len()));
+        self.record.line(&format!(
+            "{} has answered {id}: 200, {} bytes",
+            self.id,
+            body.len()
+        ));
         Ok(true)
     }
 }
