--- a/review/standin-2/cases/continuation.rs
+++ b/review/standin-2/cases/continuation.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::{HOST, Platform, Route};
+use super::{HOST, Platform, Route, SERVICE};
 use crate::instance::{Instance, Plan};
 use crate::record::Record;
 use crate::socket;
@@ -49,6 +49,7 @@
         kind: "safe",
         timeout_s: 2.5,
         goal_s: 2.0,
+        service: SERVICE,
     }];
     let platform = Platform::start(&routes, &[], record)?;
     let plan = Plan {
--- a/review/standin-2/cases/moved_key.rs
+++ b/review/standin-2/cases/moved_key.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use super::{HOST, Platform, Route, TENANT_BOUNDS, Tenant, document};
+use super::{HOST, Platform, Route, SERVICE, TENANT_BOUNDS, Tenant, document};
 use crate::http::Connection;
 use crate::instance::{Instance, Plan};
 use crate::record::Record;
@@ -39,6 +39,7 @@
         kind: "safe",
         timeout_s: 5.0,
         goal_s: 1.2,
+        service: SERVICE,
     }];
     let before = [
         Tenant {
--- a/review/standin-2/cases/stop.rs
+++ b/review/standin-2/cases/stop.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::{HOST, Platform, Route};
+use super::{HOST, Platform, Route, SERVICE};
 use crate::http::Connection;
 use crate::instance::{self, Instance, Plan};
 use crate::record::Record;
@@ -40,6 +40,7 @@
         kind: "safe",
         timeout_s: TIMEOUT_S,
         goal_s: 2.5,
+        service: SERVICE,
     }];
     let platform = Platform::start(&routes, &[], record)?;
     let plan = Plan {
--- a/review/standin-2/socket.rs
+++ b/review/standin-2/socket.rs
@@ -28,6 +28,7 @@
 const IPPROTO_TCP: i32 = 6;
 const TCP_MAXSEG: i32 = 2;
 
+pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
 /// Sends a signal to a process that this one has started.
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -28,6 +29,10 @@
     pub addr: SocketAddr,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
+    /// Whether it rejects each second request, as one that sheds load does.
+    is_shedding: Arc<AtomicBool>,
+    /// Requests so far.
+    count: Arc<AtomicUsize>,
 }
 
 impl Target {
@@ -38,6 +43,8 @@
             addr: listener.local_addr()?,
             runs: Arc::clone(runs),
             record: record.clone(),
+            is_shedding: Arc::default(),
+            count: Arc::default(),
         };
         let serving = target.clone();
         thread::spawn(move || {
@@ -56,6 +63,11 @@
         Ok(target)
     }
 
+    /// Begins to reject each second request.
+    pub fn shed(&self) {
+        self.is_shedding.store(true, Ordering::Relaxed);
+    }
+
     /// Writes its entry to the store.
     pub fn register(&self, store: &Store, service: &str, domain: &str, slots: u32) {
         let entry = format!(
@@ -75,6 +87,12 @@
             connection.answer(421, &headers, b"")?;
             return Ok(true);
         }
+        let number = self.count.fetch_add(1, Ordering::Relaxed);
+        if self.is_shedding.load(Ordering::Relaxed) && number.is_multiple_of(2) {
+            connection.answer(503, &[echo, ("Not-Executed", "1")], b"")?;
+            self.record.line(&format!("{} rejects {id}", self.id));
+            return Ok(true);
+        }
         let work = Duration::from_millis(request.number("work").unwrap_or_default());
         let at = {
             let mut runs = self.runs.lock().unwrap();
