Send nothing at a stop that may outlast the process

The rule on planned stops excuses only what was sent within 3 s of the signal.

Cause: the only bound on a request of a stopping process was an estimate, 1.5 times the work learnt. Class: an estimate stands where a bound is needed. The reviewer's other guess, that requests are taken for 0.45 of the grace period instead of 3 s, is not the cause: a request whose first bytes come before 2.7 s and whose last after 3 s was cut with grace_s 6 too.

Now from 2.9 s after the signal on a request is sent only if its own limit, the sooner of the caller's and the route's timeout, ends before the process does. The rest is rejected at once with 503 (reason stopping, Retry-After 0, Connection: close), as another instance can take it. The moment that counts is the one at which the bytes leave: the same look is taken at the decision (so also at a request that has waited for a slot), before a second attempt, where a target's answer is kept instead, and when the connection to the target or to a relay is ready. The 0.1 s are for the signal and the request to arrive. The process uses the grace period but for 0.3 s (a tenth of a short one) to end by itself; it gave away 0.7 of 10 s.

Cases 1, 2, 4 and 5 show what must not fall: requests sent 1 s and 2.8 s after SIGTERM, and later ones that end in time, are answered by the target.

--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -151,7 +151,7 @@
             let stopped = Instant::now();
             *lock(&shared.phase) = Phase::Leaving;
             let timeout = server::shutdown_timeout(&shared.settings);
-            shared.update(|now, direct| direct.stop(now + timeout));
+            shared.update(|now, direct| direct.stop(now, now + timeout));
             events::stopping(&shared);
             heartbeat::send_final(&shared, &listeners.heartbeats).await;
             // Removing the registration runs beside the drain: the store may not
--- a/crates/auburnrouter/src/direct/callers/routed.rs
+++ b/crates/auburnrouter/src/direct/callers/routed.rs
@@ -303,6 +303,7 @@
             }
             Rejection::BackingOff => self.reject("targets-back-off", after),
             Rejection::CutOff => self.reject("cut-off", after),
+            Rejection::Stopping => self.reject("stopping", after),
             Rejection::Overload => self.reject_forecast("overload", after, forecast),
             Rejection::Yields => self.reject_forecast("yields", after, forecast),
             Rejection::NoRetry => self.reject("rejected-by-targets", after),
--- a/crates/auburnrouter/src/direct/server.rs
+++ b/crates/auburnrouter/src/direct/server.rs
@@ -210,16 +210,23 @@
 /// and keeps idle ones open: callers use its address until they resolve it again.
 const CLOSE_IDLE_RATIO: f64 = 0.45;
 
-/// Fraction of the grace period after which the process ends even with connections
-/// open.
-const SHUTDOWN_RATIO: f64 = 0.93;
+/// Time before the end of the grace period that the process keeps to end by itself.
+const END_RESERVE: Duration = Duration::from_millis(300);
+
+/// Largest part of a short grace period that is kept for it.
+const END_RESERVE_RATIO_MAX: f64 = 0.1;
 
 /// Time without any open connection after which draining ends early.
 const NO_CONNECTIONS_PERIOD: Duration = Duration::from_millis(300);
 
+/// Time between two looks at the connections that are open.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Longest time from the stop signal to the end of the process.
 pub fn shutdown_timeout(settings: &Settings) -> Duration {
-    settings.bounds.grace.mul_f64(SHUTDOWN_RATIO)
+    let grace = settings.bounds.grace;
+    let reserve = END_RESERVE.min(grace.mul_f64(END_RESERVE_RATIO_MAX));
+    grace.saturating_sub(reserve)
 }
 
 /// Waits until no connection has been open for a while, [`shutdown_timeout`] from
@@ -228,7 +235,11 @@
     let grace = shared.settings.bounds.grace;
     let count = &shared.connections;
     let mut last_open = start;
-    while start.elapsed() < shutdown_timeout(&shared.settings) {
+    loop {
+        let left = shutdown_timeout(&shared.settings).saturating_sub(start.elapsed());
+        if left.is_zero() {
+            return;
+        }
         if start.elapsed() > grace.mul_f64(CLOSE_IDLE_RATIO) {
             shared.start_closing();
         }
@@ -238,7 +249,7 @@
         if last_open.elapsed() >= NO_CONNECTIONS_PERIOD {
             return;
         }
-        smol::Timer::after(Duration::from_millis(50)).await;
+        smol::Timer::after(DRAIN_CHECK_INTERVAL.min(left)).await;
     }
 }
 
--- a/crates/auburnrouter/tests/direct/harness.rs
+++ b/crates/auburnrouter/tests/direct/harness.rs
@@ -322,6 +322,11 @@
 
 impl Harness {
     pub fn start(targets: usize) -> Self {
+        Self::start_with(targets, Clone::clone)
+    }
+
+    /// Starts the instance with settings that `change` returns for the usual ones.
+    pub fn start_with(targets: usize, change: impl FnOnce(&String) -> String) -> Self {
         let store = Store::start().expect("a port is free");
         store.configure(3, HOST, &ROUTES);
         let start = |i: usize| {
@@ -331,7 +336,8 @@
             target
         };
         let targets: Vec<Target> = (0..targets).map(start).collect();
-        let entry = Entry::start("near-1", "near-a", store.addr(), &[]);
+        let settings = platform_standin::settings("near-1", "near-a", store.addr(), &[]);
+        let entry = Entry::start_with(&change(&with_retries(&settings, 2.0, 58.0)));
         entry.await_ready();
         let harness = Self {
             store,
--- a/crates/auburnrouter/tests/direct/stop.rs
+++ b/crates/auburnrouter/tests/direct/stop.rs
@@ -3,11 +3,13 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
 use platform_standin::target::Behavior;
+use rstest::rstest;
 use rustix::process::Signal;
 
-use super::harness::{Harness, MS, read_answer, request, send_raw, wait_until};
+use super::harness::{Harness, MS, read_answer, request, send_raw, wait_until, with_bound};
 
 /// SIGTERM arrives while a payment runs. Its caller gets the complete answer, which closes
 /// the connection, and the process ends by itself with its registration removed.
@@ -103,3 +105,52 @@
     }
     assert_eq!(harness.entry.wait_exit(), Some(0));
 }
+
+/// A request that is sent around the end of what the platform excuses.
+struct LateRequest {
+    /// Grace period.
+    grace_s: u32,
+    /// Times from SIGTERM to its first and its last byte.
+    sent: [Duration; 2],
+    /// Longest time that its caller waits; the route's timeout is 3 s.
+    wait: Duration,
+    /// Time for which its target works.
+    work: Duration,
+}
+
+/// A request whose last byte came later than 3 s after SIGTERM was passed on by an estimate
+/// of its work, and cut at the end of the process.
+#[rstest]
+#[case::usual(LateRequest { grace_s: 6, sent: [1_000 * MS; 2], wait: 20_000 * MS, work: 1_000 * MS }, 200)]
+#[case::excused(LateRequest { grace_s: 6, sent: [2_600 * MS, 2_800 * MS], wait: 20_000 * MS, work: 1_000 * MS }, 200)]
+#[case::unbounded(LateRequest { grace_s: 6, sent: [2_500 * MS, 3_200 * MS], wait: 20_000 * MS, work: 2_800 * MS }, 503)]
+#[case::limited(LateRequest { grace_s: 6, sent: [2_500 * MS, 3_200 * MS], wait: 2_200 * MS, work: 1_000 * MS }, 200)]
+#[case::kept(LateRequest { grace_s: 10, sent: [4_000 * MS; 2], wait: 20_000 * MS, work: 2_000 * MS }, 200)]
+fn stop_without_cutting_late_request(#[case] late: LateRequest, #[case] status: u16) {
+    let mut harness = Harness::start_with(1, |settings| {
+        with_bound(settings, ("grace_s", f64::from(late.grace_s)))
+    });
+    let mut stream = TcpStream::connect(harness.entry.callers).expect("the instance listens");
+    for i in 0..8 {
+        let text = request("GET", "/view/x", &format!("w{i}"), "");
+        stream.write_all(text.as_bytes()).expect("it is open");
+        assert!(read_answer(&mut stream).is_some_and(|a| a.status == 200));
+    }
+    harness.targets[0].set(Behavior::Normal, late.work);
+    harness.entry.signal(Signal::TERM);
+    let stopped = Instant::now();
+    let text = request("PUT", "/pay/x", "r1", "body");
+    let text = text.replace("2500", &late.wait.as_millis().to_string());
+    let (first, last) = text.split_at(text.len() / 2);
+    for (part, at) in [first, last].into_iter().zip(late.sent) {
+        std::thread::sleep(at.saturating_sub(stopped.elapsed()));
+        stream.write_all(part.as_bytes()).expect("it is open");
+    }
+    let answer = read_answer(&mut stream).expect("the request is answered");
+    assert_eq!(answer.status, status, "{answer:?}");
+    assert_eq!(answer.header("connection"), Some("close"));
+    let ran = harness.runs().iter().any(|run| run.id == "r1");
+    assert_eq!(ran, status == 200);
+    assert_eq!(harness.entry.wait_exit(), Some(0));
+    assert!(stopped.elapsed() < Duration::from_secs(late.grace_s.into()));
+}
--- a/crates/steer/src/process/direct.rs
+++ b/crates/steer/src/process/direct.rs
@@ -44,6 +44,7 @@
 pub mod spillover;
 pub mod split;
 pub mod starters;
+mod stop;
 pub mod suspect;
 pub mod target;
 pub mod upstream;
@@ -81,6 +82,7 @@
 use spillover::Spillover;
 use split::Splits;
 use starters::Starters;
+use stop::Stop;
 use upstream::FailedUpstreams;
 use urgency::Urgency;
 
@@ -122,8 +124,8 @@
     /// Upstreams that failed lately, which are not read from for a while.
     failed_upstreams: FailedUpstreams,
     starters: Starters,
-    /// The end of this process, once it was told to stop.
-    stops_at: Option<Time>,
+    /// Set once the process was told to stop.
+    stop: Option<Stop>,
     /// Whether this instance reaches targets by itself.
     reach: reach::Reach,
     /// Instances that don't relay for now, and until when.
@@ -209,7 +211,7 @@
             quotas: quota::Quotas::default(),
             failed_upstreams: FailedUpstreams::default(),
             starters: Starters::default(),
-            stops_at: None,
+            stop: None,
             reach: reach::Reach::default(),
             paused_relays: Vec::new(),
             suspects: Suspects::new(suspect::STRIKES_MAX),
--- a/crates/steer/src/process/direct/completion.rs
+++ b/crates/steer/src/process/direct/completion.rs
@@ -43,6 +43,9 @@
         if !job.is_ok_and(|job| self.withhold_reason(now, &job.request).is_none()) {
             return Some(Withheld::Key);
         }
+        if !job.is_ok_and(|job| self.stop_allows(now, job)) {
+            return Some(Withheld::Stopping);
+        }
         let is_trial = job.is_ok_and(|job| job.is_trial);
         if !is_trial && self.is_refused(now, assignment.fingerprint) {
             return Some(Withheld::Poison);
@@ -317,7 +320,8 @@
         if is_possible && !was_sent {
             return FollowUp::Retry;
         }
-        if is_possible {
+        // A target's answer is worth more to the caller than a rejection at the next step.
+        if is_possible && self.stop_allows(now, &self.jobs[at]) {
             let grant = self.budget(&service).try_spend(now, &rule, instances);
             if let Some(grant) = grant {
                 self.jobs[at].grant = Some(Box::new(grant));
--- a/crates/steer/src/process/direct/contact/apply.rs
+++ b/crates/steer/src/process/direct/contact/apply.rs
@@ -182,12 +182,6 @@
         }
     }
 
-    /// Records that the process was told to stop and will end at `end`. Heartbeats
-    /// report it from now on.
-    pub const fn stop(&mut self, end: Time) {
-        self.stops_at = Some(end);
-    }
-
     /// Next heartbeat of this instance, with its registration for receivers that may
     /// not know it.
     pub fn heartbeat(&mut self, now: Time, with_registration: bool) -> Heartbeat {
@@ -200,7 +194,7 @@
             name: Arc::clone(&self.identity.name),
             incarnation: self.identity.incarnation,
             seq: self.heartbeat_seq,
-            is_leaving: self.stops_at.is_some(),
+            is_leaving: self.is_stopping(),
             is_stale: !self.is_fit_for_callers(now) || self.is_cut_off(),
             revision: self.store.revision,
             version: self.version(),
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -136,6 +136,8 @@
     CutOff,
     /// All targets that could serve it have asked for a time without requests.
     BackingOff,
+    /// This instance may end before the request does.
+    Stopping,
     /// It can't be answered before its deadline.
     Overload,
     /// It can't be answered before its deadline, as more urgent requests need the slots.
@@ -215,6 +217,8 @@
     Suspect,
     /// This instance reaches no target any more.
     CutOff,
+    /// This instance may end before the request does.
+    Stopping,
 }
 
 impl Withheld {
@@ -231,6 +235,7 @@
             Self::Poison => "crashes-targets",
             Self::Suspect => "suspect",
             Self::CutOff => "cut-off",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/steer/src/process/direct/queue.rs
+++ b/crates/steer/src/process/direct/queue.rs
@@ -81,6 +81,10 @@
         if let Some(reason) = self.withhold_reason(now, &self.jobs[at].request) {
             return Some(self.reject(now, at, reason, None));
         }
+        if !self.stop_allows(now, &self.jobs[at]) {
+            // Another instance can take it at once.
+            return Some(self.reject(now, at, Rejection::Stopping, Some(Duration::ZERO)));
+        }
         match self.suspicion(now, at) {
             Suspicion::None => {}
             Suspicion::Refused => return Some(self.reject(now, at, Rejection::Poison, None)),
@@ -153,8 +157,7 @@
     /// that the caller would get none. Another instance can still take the request.
     fn outlasts_process(&self, now: Time, best: &place::Place) -> bool {
         let finish = now + Duration::from_secs_f64(best.cost * COST_UNCERTAINTY_FACTOR);
-        self.stops_at
-            .is_some_and(|end| finish + ANSWER_RESERVE > end)
+        self.stop.is_some_and(|stop| stop.is_too_late(finish))
     }
 
     /// Whether too little time is left for an answer even from a free target where
--- a/crates/steer/src/process/direct/referral.rs
+++ b/crates/steer/src/process/direct/referral.rs
@@ -152,7 +152,7 @@
     /// knows a configuration and targets.
     #[must_use]
     pub fn is_serving(&self) -> bool {
-        self.stops_at.is_none() && self.routes.is_some() && !self.roster.all().is_empty()
+        !self.is_stopping() && self.routes.is_some() && !self.roster.all().is_empty()
     }
 
     /// Sets the size of this instance; `None` if it is unknown.
@@ -316,7 +316,7 @@
 
     /// Whether this instance's heartbeats let others name it.
     fn is_referable(&self, now: Time) -> bool {
-        self.stops_at.is_none() && self.is_fit_for_callers(now) && !self.is_cut_off()
+        !self.is_stopping() && self.is_fit_for_callers(now) && !self.is_cut_off()
     }
 
     const fn own(&self) -> Listed<'_> {
--- a/crates/steer/tests/direct/quota_fleet.rs
+++ b/crates/steer/tests/direct/quota_fleet.rs
@@ -275,7 +275,7 @@
         }
         let clock = self.clock(stopped);
         let end = clock + Duration::from_secs(10);
-        self.nodes[stopped].direct.stop(end);
+        self.nodes[stopped].direct.stop(clock, end);
         let last_heartbeat = self.nodes[stopped].direct.heartbeat(clock, true);
         self.nodes[stopped].down_until = self.now + ROLLING_RESTART_INTERVAL_MS;
         self.nodes[stopped].stops_at = self.now + STOP_GRACE_MS;
--- a/crates/steer/tests/direct/sizes.rs
+++ b/crates/steer/tests/direct/sizes.rs
@@ -645,7 +645,7 @@
     assert_eq!(gone, [rows[0].registration.callers.port()]);
     assert_eq!(after.len(), 4);
     let mut own = start(&rows, 0);
-    own.stop(at(5_000));
+    own.stop(at(0), at(5_000));
     assert_eq!(told(&own, 30), after);
 }
 
@@ -657,7 +657,7 @@
     let mut direct = start(&rows, 0);
     let before = told(&direct, 10);
     assert_eq!(before, ports(&rows, large()));
-    direct.stop(at(5_000));
+    direct.stop(at(0), at(5_000));
     let after = told(&direct, 20);
     let gone: Vec<_> = before.difference(&after).copied().collect();
     assert_eq!(gone, [rows[0].registration.callers.port()]);
