Refuse connections at once after a stopping process accepts no more

Cause: the task that accepts ended, and the listening socket stayed open, as run held a clone of it to the end. Class: a task ends and leaves a resource behind that promises its service.

Now that task is the only owner of the socket and closes it when it ends. Connections that were already open in the queue are accepted first and served like idle ones: closed at once, or answered if a request has arrived. Closing the socket alone would reset them. The farewell heartbeat and the removal of the registration run beside the drain, so that neither can delay the process's end.

Evidence: refuse_connections_once_none_is_accepted fails before (connections are opened until the process ends, 3.27 s after SIGTERM with grace_s 4) and passes now. finish_stop_when_signalled_again, SIGHUP then SIGTERM and either of them again, passes before and now: signals after the first SIGTERM change nothing. All 11 of stop:: pass.

--- a/crates/auburnrouter/src/direct.rs
+++ b/crates/auburnrouter/src/direct.rs
@@ -137,8 +137,13 @@
         events::started(&shared);
         events::bounds_too_short(&shared);
         let membership = Arc::new(member::Membership::new(Arc::clone(&shared)));
-        spawn_traffic(&shared, &traffic, ticks, listeners.callers.clone());
         spawn_control(&shared, &control, &listeners, &membership);
+        let Listeners {
+            callers,
+            heartbeats,
+            ..
+        } = listeners;
+        spawn_traffic(&shared, &traffic, ticks, callers);
         let (end_tx, end_rx) = async_channel::bounded::<()>(1);
         let thread = thread::Builder::new()
             .name("traffic".into())
@@ -153,14 +158,14 @@
             let timeout = server::shutdown_timeout(&shared.settings);
             shared.update(|now, direct| direct.stop(now, now + timeout));
             events::stopping(&shared);
-            heartbeat::send_final(&shared, &listeners.heartbeats).await;
-            // Removing the registration runs beside the drain: the store may not
-            // answer, and the grace period has begun.
-            let deregister = async {
+            // Beside the drain: the network or the store may block, and the grace period
+            // has begun.
+            let leave = async {
+                heartbeat::send_final(&shared, &heartbeats).await;
                 membership.deregister().await;
                 future::pending::<()>().await;
             };
-            future::or(server::drain(&shared, stopped), deregister).await;
+            future::or(leave, server::drain(&shared, stopped)).await;
         }));
         drop(end_tx);
         let joined = thread.join();
--- a/crates/auburnrouter/src/direct/server.rs
+++ b/crates/auburnrouter/src/direct/server.rs
@@ -160,8 +160,8 @@
 const TOO_MANY_CONNECTIONS: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// Accepts connections and serves each in a task of its own. Ends when the process
-/// starts to close connections: a request accepted later could outlast the grace
-/// period and be cut off.
+/// starts to close connections, and closes the socket, so that callers are refused at
+/// once. What they had opened by then is served, or closed if no request has arrived.
 pub async fn accept<S: Service>(
     service: S,
     socket: net::TcpListener,
@@ -171,12 +171,13 @@
     let shared = Arc::clone(service.shared());
     let next_id = AtomicU64::new(0);
     loop {
+        // Connections that are open already go first, or closing the socket would reset them.
         let accepted = async { Some(socket.accept().await) };
         let closing = async {
             shared.until_closing().await;
             None
         };
-        let (mut stream, addr) = match future::or(closing, accepted).await {
+        let (mut stream, addr) = match future::or(accepted, closing).await {
             None => return,
             Some(Ok(accepted)) => accepted,
             Some(Err(_)) => {
--- a/crates/auburnrouter/tests/direct/harness.rs
+++ b/crates/auburnrouter/tests/direct/harness.rs
@@ -162,14 +162,17 @@
         assert!(stopped.expect("the child was started").is_some());
     }
 
+    /// Whether the process has not ended yet.
+    pub fn is_running(&mut self) -> bool {
+        self.child
+            .try_wait()
+            .expect("the child was started")
+            .is_none()
+    }
+
     /// Waits until the process ends and returns its exit code.
     pub fn wait_exit(&mut self) -> Option<i32> {
-        wait_until("the process ends", || {
-            self.child
-                .try_wait()
-                .expect("the child was started")
-                .is_some()
-        });
+        wait_until("the process ends", || !self.is_running());
         self.child.wait().expect("the child was started").code()
     }
 
--- a/crates/auburnrouter/tests/direct/stop.rs
+++ b/crates/auburnrouter/tests/direct/stop.rs
@@ -1,7 +1,7 @@
 //! Graceful shutdown: accepted requests are answered, and none is accepted too late to
 //! be.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -154,3 +154,61 @@
     assert_eq!(harness.entry.wait_exit(), Some(0));
     assert!(stopped.elapsed() < Duration::from_secs(late.grace_s.into()));
 }
+
+/// Callers that connected between the close of the accept and the end of the process hung,
+/// and were reset in the end.
+#[test]
+fn refuse_connections_once_none_is_accepted() {
+    const GRACE: Duration = Duration::from_secs(4);
+    let mut harness = Harness::start_with(1, |settings| {
+        with_bound(settings, ("grace_s", GRACE.as_secs_f64()))
+    });
+    harness.targets[0].set(Behavior::Normal, 5_000 * MS);
+    let mut stream = TcpStream::connect(harness.entry.callers).expect("the instance listens");
+    let text = request("GET", "/view/x", "r1", "");
+    stream
+        .write_all(text.as_bytes())
+        .expect("the connection is open");
+    wait_until("the request runs", || {
+        !harness.targets[0].arrivals().is_empty()
+    });
+    harness.entry.signal(Signal::TERM);
+    let stopped = Instant::now();
+    let mut held = Vec::new();
+    while let Ok(stream) = TcpStream::connect(harness.entry.callers) {
+        held.push((stopped.elapsed(), stream));
+        std::thread::sleep(20 * MS);
+    }
+    assert!(stopped.elapsed() < GRACE / 2, "{:?}", stopped.elapsed());
+    for (at, mut stream) in held {
+        let ended = stream.read(&mut [0]);
+        assert!(matches!(ended, Ok(0)), "opened at {at:?}: {ended:?}");
+    }
+    assert!(stopped.elapsed() < GRACE / 2, "{:?}", stopped.elapsed());
+    assert!(harness.entry.is_running());
+    assert_eq!(harness.entry.wait_exit(), Some(0));
+}
+
+/// A second SIGTERM, or SIGHUP, may come while the process stops.
+#[rstest]
+#[case::term(Signal::TERM)]
+#[case::hangup(Signal::HUP)]
+fn finish_stop_when_signalled_again(#[case] again: Signal) {
+    let mut harness = Harness::start(1);
+    harness.targets[0].set(Behavior::Normal, 1_500 * MS);
+    let mut stream = TcpStream::connect(harness.entry.callers).expect("the instance listens");
+    let text = request("PUT", "/pay/x", "r1", "");
+    stream
+        .write_all(text.as_bytes())
+        .expect("the connection is open");
+    wait_until("the request runs", || {
+        !harness.targets[0].arrivals().is_empty()
+    });
+    for signal in [Signal::HUP, Signal::TERM, again] {
+        harness.entry.signal(signal);
+        std::thread::sleep(200 * MS);
+    }
+    let answer = read_answer(&mut stream).expect("the request is answered");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(harness.entry.wait_exit(), Some(0));
+}
