Pass on no answer whose status is none in HTTP

RFC 9110, 15: a status outside 100 to 599 is invalid.

Now the pool of connections takes a response whose status isn't from 200 to 599 for malformed, where a first line that can't be parsed ends too: the connection is closed, a safe request gets its second attempt, a payment 502, the target a failure in its health, the log `garbled`. That covers both interfaces (the product's own turned 600 into 502 with the target's body, as if it had run), health probes and the store. A relay of an earlier release may still send such a status, so the instance that gets it looks too; there a malformed answer counted as no memory.

--- a/crates/auburnrouter/src/direct/attempt.rs
+++ b/crates/auburnrouter/src/direct/attempt.rs
@@ -250,10 +250,6 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         return AttemptOutcome::WrongTarget;
     }
-    // A final answer never has an interim status.
-    if status.is_informational() {
-        return AttemptOutcome::InvalidResponse;
-    }
     if info.is_not_run {
         return AttemptOutcome::NotRun;
     }
--- a/crates/auburnrouter/src/direct/relay.rs
+++ b/crates/auburnrouter/src/direct/relay.rs
@@ -164,8 +164,9 @@
     let Some(answer) = ended.answer else {
         return Completion::without_answer(outcome);
     };
-    let Some(response) = response(forwarded, answer).await else {
-        return Completion::without_answer(AttemptOutcome::NoMemory);
+    let response = match response(forwarded, answer).await {
+        Ok(response) => response,
+        Err(failed) => return Completion::without_answer(failed),
     };
     if outcome != AttemptOutcome::InvalidResponse && outcome != AttemptOutcome::WrongTarget {
         let info = headers::answer(response.headers());
@@ -180,19 +181,30 @@
     }
 }
 
-/// A relayed answer, charged to the account of memory until its caller has it; `None` if
-/// there is no room for it or it is malformed.
-async fn response(forwarded: &ForwardedRequest, answer: relay::Answer) -> Option<Response> {
+/// A relayed answer, charged to the account of memory until its caller has it.
+///
+/// # Errors
+/// The outcome of the attempt if there is no room for the answer or it is malformed. A relay
+/// of an earlier release may pass on a status that is none.
+async fn response(
+    forwarded: &ForwardedRequest,
+    answer: relay::Answer,
+) -> Result<Response, AttemptOutcome> {
     let memory = &forwarded.memory;
     memory.record(answer.body.len());
     if !memory.hold(answer.body.len()).await {
-        return None;
+        return Err(AttemptOutcome::NoMemory);
     }
+    let status = StatusCode::from_u16(answer.status).ok();
+    let status = status.filter(|status| pool::is_final(*status));
+    let (Some(status), Some(fields)) = (status, decode_headers(answer.headers)) else {
+        return Err(AttemptOutcome::InvalidResponse);
+    };
     let mut response = Response::new(Bytes::from(answer.body));
-    *response.status_mut() = StatusCode::from_u16(answer.status).ok()?;
-    *response.headers_mut() = decode_headers(answer.headers)?;
+    *response.status_mut() = status;
+    *response.headers_mut() = fields;
     response.extensions_mut().insert(Arc::clone(memory));
-    Some(response)
+    Ok(response)
 }
 
 fn encode_headers(fields: &HeaderMap) -> Vec<relay::Header> {
--- a/crates/auburnrouter/tests/direct/cut.rs
+++ b/crates/auburnrouter/tests/direct/cut.rs
@@ -289,3 +289,22 @@
         scene.targets.iter().any(is_abandoned)
     });
 }
+
+/// An answer whose first line names no status of HTTP was passed on by relays too.
+#[rstest]
+#[case("HTTP/1.1 000 None")]
+#[case("HTTP/1.1 600 None")]
+#[case("HTTP/1.1 999 None")]
+fn pass_on_no_relayed_answer_without_status(#[case] line: &'static str) {
+    let scene = Scene::start();
+    scene.set_links(&[0], LinkState::Reset);
+    await_cut_off(&scene, 0);
+    for target in &scene.targets {
+        target.set(Behavior::FirstLine(line), Duration::ZERO);
+    }
+    let answer = scene.entries[0].send("POST", "/pay/9", "odd", "");
+    assert_eq!(answer.status, 502, "{answer:?}");
+    assert_eq!(answer.header("response-seal"), None);
+    let runs: Vec<Run> = scene.targets.iter().flat_map(Target::runs).collect();
+    assert_eq!(runs.iter().filter(|r| r.id == "odd").count(), 1);
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -21,6 +21,7 @@
 
 use futures_lite::future;
 use http_body_util::Full;
+use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
 use smol::net;
@@ -53,6 +54,13 @@
     pub read_buffer_max: Option<usize>,
 }
 
+/// Whether a status may be that of a response that answers a request: HTTP defines none
+/// above 599, and after an interim response another one follows.
+#[must_use]
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Read buffers that a peer may fill while its response makes no progress. More than
 /// one, since bytes are read ahead of what has been taken of the body.
 const BUFFERS_WITHOUT_PROGRESS: usize = 8;
@@ -118,7 +126,7 @@
     /// The connection broke after a byte may have been sent.
     #[error("the connection broke; the request may have been executed")]
     Broken,
-    /// The response is not valid HTTP, or goes on without making progress.
+    /// The response is not valid HTTP, has a status that is none, or goes on without making progress.
     #[error("malformed response; the request may have been executed")]
     Malformed,
 }
@@ -483,6 +491,7 @@
     link.allowance.renew();
     let allowance = link.allowance.clone();
     match link.sender.try_send_request(request).await {
+        Ok(response) if !is_final(response.status()) => Err((Error::Malformed, None)),
         Ok(response) => Ok(Exchange {
             response: response.map(|incoming| ResponseBody {
                 incoming,
--- a/crates/pool/tests/pool.rs
+++ b/crates/pool/tests/pool.rs
@@ -123,6 +123,10 @@
 #[case::silent(b"", Error::Broken)]
 #[case::half_head(b"HTTP/1.1 200 O", Error::Broken)]
 #[case::no_http(b"\x00what?\r\n\r\n", Error::Malformed)]
+#[case::status_000(b"HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", Error::Malformed)]
+#[case::status_600(b"HTTP/1.1 600 None\r\nContent-Length: 0\r\n\r\n", Error::Malformed)]
+#[case::status_999(b"HTTP/1.1 999 None\r\nContent-Length: 0\r\n\r\n", Error::Malformed)]
+#[case::last_interim(b"HTTP/1.1 101 Switching Protocols\r\n\r\n", Error::Malformed)]
 fn send_breaks(#[case] answer: &'static [u8], #[case] error: Error) {
     // The peer read the request and may have executed it, so the error must not be
     // `Unsent`.
