--- a/crates/auburnrouter/tests/direct/cut.rs
+++ b/crates/auburnrouter/tests/direct/cut.rs
@@ -290,6 +290,33 @@
     });
 }
 
+/// A relayed request was cut when its relay, or the instance that its caller had asked, was
+/// told to stop.
+#[rstest]
+#[case::relay(true)]
+#[case::asked(false)]
+fn finish_relayed_request_at_stop(#[case] stops_relay: bool) {
+    let mut scene = Scene::start();
+    scene.set_links(&[0], LinkState::Reset);
+    await_cut_off(&scene, 0);
+    let text = harness::request("POST", "/pay/9?work_ms=1500", "kept", "");
+    let mut stream = TcpStream::connect(scene.entries[0].callers).expect("it listens");
+    stream.write_all(text.as_bytes()).expect("it reads");
+    let arrived = |t: &Target| t.arrivals().iter().any(|a| a.id == "kept");
+    wait_until("the request is at a target", || {
+        scene.targets.iter().any(arrived)
+    });
+    let is_relay = |e: &Entry| e.metrics().contains("auburnrouter_relaying 1");
+    let relay = scene.entries.iter().position(is_relay);
+    let relay = relay.expect("an instance sends it for the other");
+    let stopped = if stops_relay { relay } else { 0 };
+    scene.entries[stopped].signal(Signal::TERM);
+    let answer = harness::read_answer(&mut stream).expect("the request is answered");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.body, "body of kept");
+    assert_eq!(scene.entries[stopped].wait_exit(), Some(0));
+}
+
 /// An answer whose first line names no status of HTTP was passed on by relays too.
 #[rstest]
 #[case("HTTP/1.1 000 None")]
