Judge planned stops in the soak by the rule as written

Callers and targets record what they see. A finding is a request that was passed on and broken off, by a close or by an answer of ours, before its limit, unless it was sent within 3 s and its target was still at work in the last sixth of the grace period; one that was sent whole and ended without an answer 0.2 s later or more; and one that was rejected and ran.

Requests behind one that may be cut are left out: answers come in order.

--- a/crates/auburnrouter/tests/soak.rs
+++ b/crates/auburnrouter/tests/soak.rs
@@ -26,6 +26,8 @@
 mod requests;
 #[path = "soak/runner.rs"]
 mod runner;
+#[path = "soak/stops.rs"]
+mod stops;
 #[path = "soak/store_faults.rs"]
 mod store_faults;
 
@@ -80,3 +82,18 @@
         assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
     }
 }
+
+/// Stops that run at the same time.
+const PARALLEL_STOPS: usize = 8;
+
+/// A request was passed on late in a planned stop and cut, or dropped unanswered.
+#[test]
+fn keep_requests_at_stop() {
+    let first = env_number("SOAK_FIRST", 1);
+    let seeds: Vec<u64> = (first..first + env_number("SOAK_SEEDS", 4)).collect();
+    for (seed, report) in seeds.chunks(PARALLEL_STOPS).flat_map(stops::run_all) {
+        println!("stop, seed {seed}: {report}");
+        let violations = report.violations();
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
