Start the requests of the stop tests in one place

Four tests of a planned stop opened a connection, sent a request and waited until a target ran it, each in its own lines. start_request does it now; all 13 of stop:: pass.

--- a/crates/auburnrouter/tests/direct/stop.rs
+++ b/crates/auburnrouter/tests/direct/stop.rs
@@ -11,18 +11,26 @@
 
 use super::harness::{Harness, MS, read_answer, request, send_raw, wait_until, with_bound};
 
+/// Sends request `r1` and waits until a target runs it.
+fn start_request(harness: &Harness, method: &str, path: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(harness.entry.callers).expect("the instance listens");
+    let text = request(method, path, "r1", "");
+    stream
+        .write_all(text.as_bytes())
+        .expect("the connection is open");
+    wait_until("the request runs", || {
+        harness.runs().iter().any(|run| run.id == "r1")
+    });
+    stream
+}
+
 /// SIGTERM arrives while a payment runs. Its caller gets the complete answer, which closes
 /// the connection, and the process ends by itself with its registration removed.
 #[test]
 fn stop_without_a_cut() {
     let mut harness = Harness::start(1);
     harness.targets[0].set(Behavior::Normal, 700 * MS);
-    let mut stream = TcpStream::connect(harness.entry.callers).expect("the instance listens");
-    let text = request("PUT", "/pay/x", "r1", "");
-    stream
-        .write_all(text.as_bytes())
-        .expect("the connection is open");
-    wait_until("the request runs", || !harness.runs().is_empty());
+    let mut stream = start_request(&harness, "PUT", "/pay/x");
     harness.entry.signal(Signal::TERM);
     let answer = read_answer(&mut stream).expect("the request is answered");
     assert_eq!(answer.status, 200);
@@ -50,12 +58,7 @@
         target.set(Behavior::Normal, 1_500 * MS);
     }
     let before = harness.runs().len();
-    let mut stream = TcpStream::connect(harness.entry.callers).expect("the instance listens");
-    let text = request("GET", "/view/x", "r1", "");
-    stream
-        .write_all(text.as_bytes())
-        .expect("the connection is open");
-    wait_until("the request runs", || harness.runs().len() > before);
+    let mut stream = start_request(&harness, "GET", "/view/x");
     harness.entry.signal(Signal::TERM);
     let answer = read_answer(&mut stream).expect("the request is answered");
     assert_eq!(answer.status, 200, "{answer:?}");
@@ -164,14 +167,7 @@
         with_bound(settings, ("grace_s", GRACE.as_secs_f64()))
     });
     harness.targets[0].set(Behavior::Normal, 5_000 * MS);
-    let mut stream = TcpStream::connect(harness.entry.callers).expect("the instance listens");
-    let text = request("GET", "/view/x", "r1", "");
-    stream
-        .write_all(text.as_bytes())
-        .expect("the connection is open");
-    wait_until("the request runs", || {
-        !harness.targets[0].arrivals().is_empty()
-    });
+    let mut stream = start_request(&harness, "GET", "/view/x");
     harness.entry.signal(Signal::TERM);
     let stopped = Instant::now();
     let mut held = Vec::new();
@@ -196,14 +192,7 @@
 fn finish_stop_when_signalled_again(#[case] again: Signal) {
     let mut harness = Harness::start(1);
     harness.targets[0].set(Behavior::Normal, 1_500 * MS);
-    let mut stream = TcpStream::connect(harness.entry.callers).expect("the instance listens");
-    let text = request("PUT", "/pay/x", "r1", "");
-    stream
-        .write_all(text.as_bytes())
-        .expect("the connection is open");
-    wait_until("the request runs", || {
-        !harness.targets[0].arrivals().is_empty()
-    });
+    let mut stream = start_request(&harness, "PUT", "/pay/x");
     for signal in [Signal::HUP, Signal::TERM, again] {
         harness.entry.signal(signal);
         std::thread::sleep(200 * MS);
