--- a/crates/auburnrouter/tests/direct/stop.rs
+++ b/crates/auburnrouter/tests/direct/stop.rs
@@ -167,7 +167,7 @@
         with_bound(settings, ("grace_s", GRACE.as_secs_f64()))
     });
     harness.targets[0].set(Behavior::Normal, 5_000 * MS);
-    let mut stream = start_request(&harness, "GET", "/view/x");
+    let _working = start_request(&harness, "GET", "/view/x");
     harness.entry.signal(Signal::TERM);
     let stopped = Instant::now();
     let mut held = Vec::new();
