Write bodies to targets without a copy that the connection keeps

Cause: the HTTP library copied a body to the write buffer of its connection, since it can't know whether the stream writes vectors. That buffer keeps its capacity, and pooled connections live on for 30 s. Nothing counted or bounded those bytes.

Fix: bodies are queued beside the head and written as vectors; they are freed once written. Class: a buffer outlives the request that it was reserved for. Elsewhere: callers' connections give buffers of more than 16 KiB back, relays and the store's client use the same pool.

--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -50,3 +50,5 @@
 mod stop;
 #[path = "direct/unread.rs"]
 mod unread;
+#[path = "direct/uploads.rs"]
+mod uploads;
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -412,6 +412,8 @@
         };
         let io = smol_hyper::rt::FuturesIo::new(metered);
         let mut builder = http1::Builder::new();
+        // Otherwise a body is copied to the connection's buffer, which keeps its size.
+        builder.writev(true);
         if let Some(bytes) = self.limits.read_buffer_max {
             builder.max_buf_size(bytes);
         }
