Write 100 Continue only behind what was written of earlier answers

Cause: the interim answer was added to the output as soon as no earlier request was unanswered. A request is answered when its answer is queued, and the rest of a body of more than 16 KiB is written after the output buffer.

Fix: it is added only when nothing waits to be written. A caller that waits for it can't send, so the request timeout is paused meanwhile, as while the pipeline is full; it ran before, and ended the connection with 408 in the middle of an answer that was read steadily. All else that is written to a caller goes through the queue of answers: 408, 413, 431 and the closing answer of a stop.

--- a/crates/auburnrouter/src/direct/connection.rs
+++ b/crates/auburnrouter/src/direct/connection.rs
@@ -286,14 +286,21 @@
                 Step::Fault(fault) => self.fail_read(ReadError::Fault(fault)),
             }
         }
-        if !self.pipeline.has_room() {
-            // While reading is paused, the request timeout doesn't run.
-            self.timeouts.arriving_since = self.timeouts.arriving_since.map(|_| Instant::now());
-        }
-        if self.expects_continue && self.pipeline.is_empty() && self.reader.is_partial() {
+        let is_next = self.pipeline.is_empty() && self.is_flushed();
+        if self.expects_continue && self.reader.is_partial() && is_next {
             self.expects_continue = false;
             self.out.extend_from_slice(answer::CONTINUE);
         }
+        if self.is_paused() {
+            // The request timeout doesn't run.
+            self.timeouts.arriving_since = self.timeouts.arriving_since.map(|_| Instant::now());
+        }
+    }
+
+    /// Whether the caller can't be expected to send: nothing is read, or it waits for
+    /// `100 Continue`, which follows all earlier answers.
+    fn is_paused(&self) -> bool {
+        !self.pipeline.has_room() || self.expects_continue
     }
 
     /// Applies the current limits to the next request.
--- a/crates/auburnrouter/src/direct/connection/timeouts.rs
+++ b/crates/auburnrouter/src/direct/connection/timeouts.rs
@@ -78,11 +78,9 @@
             .min()
     }
 
-    /// Start of the arriving request's timeout; `None` while reading is paused.
+    /// Start of the arriving request's timeout; `None` while it is paused.
     fn reading_since(&self) -> Option<Instant> {
-        self.timeouts
-            .arriving_since
-            .filter(|_| self.pipeline.has_room())
+        self.timeouts.arriving_since.filter(|_| !self.is_paused())
     }
 
     /// Handles an expired timeout: blocked output or an idle connection ends the
