Send no request behind a body that its target may not have read

What callers saw: targets reject uploads of 24 MiB by their heads and read on 4 s later.

Cause: a connection went back to the pool once its answer was read, whether or not the request had been written, let alone read. The next request passed the look at what the instance knows, and then waited in the write buffer or in the system's.

Fix: a connection that carried a body of more than 8 KiB is closed after the answer. Whether it was written to its end is no help, as the system holds megabytes that the target hasn't read. Writing on in the background would hold bytes that no request reserves any more, and closing is what a target that rejected a body expects. Relays, probes and the store's client use the same pool.

send_behind_no_unread_body, in the pool and with a process, two cases each (a body in the system's buffers, one half written): all four fail before (no answer in 10 s; 502) and pass now.

--- a/crates/auburnrouter/tests/direct.rs
+++ b/crates/auburnrouter/tests/direct.rs
@@ -16,6 +16,8 @@
 mod crashes;
 #[path = "direct/cut.rs"]
 mod cut;
+#[path = "direct/early_answers.rs"]
+mod early_answers;
 #[path = "direct/endless.rs"]
 mod endless;
 #[path = "direct/follow.rs"]
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -10,7 +10,8 @@
 //! Invariants: [`Error::Unreachable`] and [`Error::Unsent`] are returned only if no byte
 //! of the request left this process. Only a connection whose last response was read to its end returns
 //! to the pool: a cancelled, late or broken exchange drops its connection, so that
-//! a late response can't be read as the response to the next request.
+//! a late response can't be read as the response to the next request. Neither does one
+//! that carried a long request body, since the next request could wait behind it.
 
 mod progress;
 
@@ -22,7 +23,7 @@
 use futures_lite::future;
 use http_body_util::Full;
 use hyper::StatusCode;
-use hyper::body::Bytes;
+use hyper::body::{Body, Bytes};
 use hyper::client::conn::http1;
 use smol::net;
 use steer::clock::Time;
@@ -65,6 +66,11 @@
 /// one, since bytes are read ahead of what has been taken of the body.
 const BUFFERS_WITHOUT_PROGRESS: usize = 8;
 
+/// Longest request body, in bytes, that a connection carries and is used again. A peer may
+/// respond before it has read a body, and reads the next request only behind the rest of it,
+/// however much later. What the system holds of it can't be told.
+const REUSABLE_BODY_BYTES_MAX: u64 = 8 << 10;
+
 /// The library's bound on a read buffer, in bytes.
 const LIBRARY_BUFFER_MAX: usize = 400 << 10;
 
@@ -165,6 +171,7 @@
     /// Response head, and the body still to be read.
     pub response: hyper::Response<ResponseBody>,
     is_first: bool,
+    is_reusable: bool,
     busy: Busy,
     slot: OpenSlot,
 }
@@ -173,6 +180,7 @@
 /// the connection.
 pub struct PendingBody {
     is_first: bool,
+    is_reusable: bool,
     busy: Busy,
     slot: OpenSlot,
 }
@@ -184,11 +192,13 @@
         let Self {
             response,
             is_first,
+            is_reusable,
             busy,
             slot,
         } = self;
         let pending = PendingBody {
             is_first,
+            is_reusable,
             busy,
             slot,
         };
@@ -204,9 +214,12 @@
         self.is_first
     }
 
-    /// Returns the connection to the pool. To be called only once the response body
-    /// was read to its end.
+    /// Returns the connection to the pool, or closes it if the request's body was long. To be
+    /// called only once the response body was read to its end.
     pub fn put_back(self) {
+        if !self.is_reusable {
+            return;
+        }
         let Self { busy, mut slot, .. } = self;
         let idle = busy.into_idle();
         slot.is_returned = true;
@@ -483,6 +496,7 @@
     if !prepare(&mut request) {
         let unused = PendingBody {
             is_first,
+            is_reusable: true,
             busy,
             slot,
         };
@@ -492,6 +506,8 @@
     link.is_used = true;
     link.allowance.renew();
     let allowance = link.allowance.clone();
+    let length = request.body().size_hint().exact();
+    let is_reusable = length.is_some_and(|length| length <= REUSABLE_BODY_BYTES_MAX);
     match link.sender.try_send_request(request).await {
         Ok(response) if !is_final(response.status()) => Err((Error::Malformed, None)),
         Ok(response) => Ok(Exchange {
@@ -500,6 +516,7 @@
                 allowance,
             }),
             is_first,
+            is_reusable,
             busy,
             slot,
         }),
--- a/crates/pool/tests/pool.rs
+++ b/crates/pool/tests/pool.rs
@@ -92,6 +92,48 @@
     });
 }
 
+/// Reads one head on each connection, answers it, and reads nothing of its body.
+fn serve_heads() -> SocketAddr {
+    let (listener, addr) = listen();
+    listener.set_nonblocking(true).unwrap();
+    let listener = smol::net::TcpListener::try_from(listener).unwrap();
+    smol::spawn(async move {
+        let mut streams = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = Vec::new();
+            let mut byte = [0];
+            while !head.ends_with(b"\r\n\r\n") {
+                stream.read_exact(&mut byte).await.unwrap();
+                head.push(byte[0]);
+            }
+            let answer = b"HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nno";
+            stream.write_all(answer).await.unwrap();
+            streams.push(stream);
+        }
+    })
+    .detach();
+    addr
+}
+
+/// A request waited on a connection behind a body that its peer had answered and not read.
+#[rstest]
+#[case::in_socket_buffers(64 << 10)]
+#[case::half_written(32 << 20)]
+fn send_behind_no_unread_body(#[case] bytes: usize) {
+    run(async |executor| {
+        let addr = serve_heads();
+        let pool = Pool::new(Arc::clone(executor), LIMITS);
+        for _ in 0..3 {
+            let request = hyper::Request::put("/").header("host", "test");
+            let request = request.body(vec![0; bytes].into()).unwrap();
+            let (response, connection) = pool.send(addr, request).await.ok().unwrap().split();
+            let body = response.into_body().collect().await.unwrap().to_bytes();
+            assert_eq!(body, "no");
+            connection.put_back();
+        }
+    });
+}
+
 /// A network may translate the addresses that peers are known by.
 #[test]
 fn send_to_translated_address() {
