Authorize a waiting request anew when its key moves to another team

What callers saw: a version of the configuration removes a key from one team and adds it to another. The next request with the same key was served.

Cause: before each decision the key is looked up again, and one that belonged to another team than on arrival counted as taken away.

Fix: steering tells the two apart. A request whose key moved is withdrawn, which gives its token back, and is authorized by the version in force: it goes on with the new team's name, priority, homes and quota, and with its old deadline. Only a key that no team has is answered with 401. A request that a target has got before is rejected with 503, since as a new one it would escape the bound on retries.

--- a/crates/auburnrouter/src/direct/callers.rs
+++ b/crates/auburnrouter/src/direct/callers.rs
@@ -20,7 +20,7 @@
 use smol::net;
 use steer::clock::Time;
 use steer::process::direct::access::{Access, Credential};
-use steer::process::direct::{self, Request};
+use steer::process::direct::{self, Rejection, Request};
 use steer::request::arrival::Fingerprint;
 use steer::version::routes::{Limits, Route};
 
@@ -224,7 +224,39 @@
         arrived,
         origin,
     };
-    outgoing.run(steer_request).await
+    run(outgoing, steer_request, &host, credential).await
+}
+
+/// Steers a request to its answer. If its key moves to another team while it waits, it goes
+/// on as that team's.
+async fn run(
+    mut outgoing: RoutedRequest,
+    mut request: Request,
+    host: &str,
+    credential: Credential,
+) -> Response {
+    loop {
+        if let Ok(response) = outgoing.run(request.clone()).await {
+            return response;
+        }
+        let route = &outgoing.route;
+        let access = outgoing
+            .shared
+            .read(|now, d| Some(d.access(now, d.routes()?, route, credential)));
+        request.authorized = match access {
+            Some(Access::Granted(authorized)) => Some(authorized),
+            Some(Access::Open) => None,
+            Some(Access::Denied) => return outgoing.reject_key(Rejection::Denied),
+            Some(Access::KeysStale) | None => return outgoing.reject_key(Rejection::KeysStale),
+        };
+        let team = request.authorized.as_ref();
+        let team = team.map(|authorized| Arc::clone(&authorized.team.name));
+        let ForwardedRequest {
+            method, uri, body, ..
+        } = &outgoing.forwarded;
+        request.fingerprint = fingerprint(host, method, uri, team.as_deref(), body);
+        outgoing.set_team(team, request.fingerprint);
+    }
 }
 
 /// Reason for a 401, as counted and logged.
--- a/crates/auburnrouter/src/direct/callers/routed.rs
+++ b/crates/auburnrouter/src/direct/callers/routed.rs
@@ -128,16 +128,29 @@
     pub(super) origin: Origin,
 }
 
+/// A request's key belongs to another team by now, and no target has got the request.
+pub(super) struct KeyMoved;
+
 impl RoutedRequest {
+    /// Makes it a request of this team, or of none.
+    pub(super) fn set_team(&mut self, team: Option<Arc<str>>, fingerprint: Fingerprint) {
+        headers::replace_credential(&mut self.forwarded.headers, team.as_deref());
+        self.team = team;
+        self.fingerprint = fingerprint;
+    }
+
     /// Sends the request to targets as decided by steering until it is answered,
     /// rejected or out of time.
-    pub(super) async fn run(self, request: Request) -> Response {
+    ///
+    /// # Errors
+    /// [`KeyMoved`] if the request is to be authorized anew.
+    pub(super) async fn run(&self, request: Request) -> Result<Response, KeyMoved> {
         let priority = request.priority();
         verdict::claim_trial(&self.shared, self.fingerprint).await;
         let (ticket, decisions) = match self.shared.submit(request) {
             Ok(submitted) => submitted,
             Err(rejection) => {
-                return self.rejection_response(rejection, DEFAULT_RETRY_AFTER, None);
+                return Ok(self.rejection_response(rejection, DEFAULT_RETRY_AFTER, None));
             }
         };
         let guard = TicketGuard {
@@ -147,6 +160,7 @@
         let limit = self.shared.read(|_, d| d.time_limit(ticket));
         let limit = limit.unwrap_or(self.arrived + self.route.timeout);
         let mut may_have_run = false;
+        let mut is_sent = false;
         loop {
             let decision = self.run_until(limit, decisions.recv()).await;
             let assignment = match decision {
@@ -160,31 +174,35 @@
                     ..
                 })) => {
                     drop(guard);
+                    if reason == Rejection::KeyMoved && !is_sent {
+                        return Err(KeyMoved);
+                    }
                     if matches!(reason, Rejection::Overload | Rejection::Yields) {
                         self.shared.metrics.count_rejected(priority);
                     }
-                    return self.rejection_response(reason, retry_after, forecast);
+                    return Ok(self.rejection_response(reason, retry_after, forecast));
                 }
                 Some(Err(_)) | None => {
                     drop(guard);
-                    return if may_have_run {
+                    return Ok(if may_have_run {
                         self.outcome_unknown()
                     } else {
                         self.expired()
-                    };
+                    });
                 }
             };
             let attempt = self.attempt(&assignment, limit, &decisions, &mut may_have_run);
-            let (follow_up, answer) = attempt.await;
+            let (outcome, follow_up, answer) = attempt.await;
+            is_sent |= outcome != AttemptOutcome::Withdrawn;
             match follow_up {
                 FollowUp::Retry => {}
                 FollowUp::Settled => {
                     drop(guard);
-                    return answer.unwrap_or_else(|| self.outcome_unknown());
+                    return Ok(answer.unwrap_or_else(|| self.outcome_unknown()));
                 }
                 FollowUp::Reject { retry_after } => {
                     drop(guard);
-                    return self.reject("rejected-by-targets", retry_after);
+                    return Ok(self.reject("rejected-by-targets", retry_after));
                 }
             }
         }
@@ -201,15 +219,15 @@
     }
 
     /// Sends the request to one target and reports the outcome to steering. Sets
-    /// `may_have_run` unless the request certainly did not run there. Returns what
-    /// to do next, and the target's answer if it may be passed on.
+    /// `may_have_run` unless the request certainly did not run there. Returns the outcome,
+    /// what to do next, and the target's answer if it may be passed on.
     async fn attempt(
         &self,
         assignment: &Assignment,
         limit: Time,
         decisions: &async_channel::Receiver<Decision>,
         may_have_run: &mut bool,
-    ) -> (FollowUp, Option<Response>) {
+    ) -> (AttemptOutcome, FollowUp, Option<Response>) {
         let mut log = AttemptLog::new(self, assignment);
         let remaining = || match self
             .shared
@@ -255,7 +273,7 @@
         drop(log);
         let usable = matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Failed);
         let answer = answer.filter(|a| usable && !attempt::implies_not_run(a.status()));
-        (follow_up, answer)
+        (outcome, follow_up, answer)
     }
 
     /// Sends the request to the assigned target, by the relay if there is one.
@@ -284,6 +302,11 @@
         id.unwrap_or_default()
     }
 
+    /// Rejects the request for its key.
+    pub(super) fn reject_key(&self, reason: Rejection) -> Response {
+        self.rejection_response(reason, DEFAULT_RETRY_AFTER, None)
+    }
+
     /// Maps a rejection by steering to the caller's response.
     fn rejection_response(
         &self,
@@ -294,6 +317,7 @@
         match rejection {
             Rejection::NoTarget => self.reject("no-target", after),
             Rejection::NoRegion => self.reject("no-home", after),
+            Rejection::KeyMoved => self.reject("key-moved", after),
             Rejection::KeysStale => self.reject("unsure-of-keys", DEFAULT_RETRY_AFTER),
             Rejection::Denied => self.own_answer(StatusCode::UNAUTHORIZED, "key-taken-away"),
             Rejection::Quota => {
--- a/crates/auburnrouter/tests/direct/keys.rs
+++ b/crates/auburnrouter/tests/direct/keys.rs
@@ -1,10 +1,12 @@
 //! Tests of API keys and teams: which requests are served, and that keys are not
 //! passed on.
 
+use std::thread;
 use std::time::Duration;
 
 use platform_standin::Store;
 use platform_standin::store::{Mode, Team};
+use platform_standin::target::Behavior;
 use rstest::rstest;
 
 use super::harness::{Entry, HOST, Harness, ROUTES, request, send_raw, wait_until};
@@ -198,3 +200,41 @@
         "{statuses:?}"
     );
 }
+
+/// Requests that waited for a slot ended with 401 when their key moved to another team, though
+/// each version allowed it.
+#[test]
+fn serve_waiting_request_as_team_that_its_key_moved_to() {
+    const SENT: usize = 4;
+    const WAITING: usize = 4;
+    let harness = start(&[masons(&[KEY], 0.0), office()]);
+    harness.targets[0].set(Behavior::Normal, Duration::from_millis(600));
+    let statuses = thread::scope(|scope| {
+        let ask = |i: usize| {
+            let entry = &harness.entry;
+            scope.spawn(move || send(entry, &format!("r{i}"), &bearer(KEY)))
+        };
+        let asked: Vec<_> = (0..SENT + WAITING).map(ask).collect();
+        let waiting = format!("\"requests\":{},\"waiting\":{WAITING},", SENT + WAITING);
+        wait_until("some wait for a slot", || {
+            harness.entry.dump().contains(&waiting)
+        });
+        let second = Team {
+            name: "joiners",
+            ..masons(&[KEY], 0.0)
+        };
+        configure(&harness.store, &harness.entry, 5, &[second, office()]);
+        let statuses = asked.into_iter().map(thread::ScopedJoinHandle::join);
+        statuses.collect::<Result<Vec<u16>, _>>()
+    });
+    let statuses = statuses.expect("no thread panics");
+    let runs = harness.runs();
+    let of = |team| {
+        runs.iter()
+            .filter(|r| r.team.as_deref() == Some(team))
+            .count()
+    };
+    assert_eq!(statuses, [200; SENT + WAITING]);
+    assert_eq!((of("masons"), of("joiners")), (SENT, WAITING));
+    assert!(runs.iter().all(|run| !run.has_key));
+}
--- a/crates/steer/src/process/direct/access/staleness.rs
+++ b/crates/steer/src/process/direct/access/staleness.rs
@@ -101,10 +101,11 @@
             .routes
             .as_ref()
             .and_then(|r| r.teams.find(&authorized.key));
-        if known.is_none_or(|team| team.name != authorized.team.name) {
-            return Some(Rejection::Denied);
+        match known {
+            None => Some(Rejection::Denied),
+            Some(team) if team.name != authorized.team.name => Some(Rejection::KeyMoved),
+            Some(_) => (!self.has_current_keys(now)).then_some(Rejection::KeysStale),
         }
-        (!self.has_current_keys(now)).then_some(Rejection::KeysStale)
     }
 
     /// Bound on revoked keys; `None` if there are certainly no keys.
--- a/crates/steer/src/process/direct/message.rs
+++ b/crates/steer/src/process/direct/message.rs
@@ -128,6 +128,8 @@
     NoRegion,
     /// Its key belongs to no team, or was revoked.
     Denied,
+    /// Its key belongs to another team than on arrival; to be authorized anew.
+    KeyMoved,
     /// This instance may have missed a change of keys.
     KeysStale,
     /// Its team is over its quota.
--- a/crates/steer/tests/direct/access.rs
+++ b/crates/steer/tests/direct/access.rs
@@ -40,7 +40,17 @@
         let key = key(&team.name);
         (team, vec![key])
     };
-    let teams = Teams::new(teams.into_iter().map(keyed).collect()).expect("no two are alike");
+    install(
+        direct,
+        version,
+        route,
+        teams.into_iter().map(keyed).collect(),
+    );
+}
+
+/// Installs this version of the configuration, with these teams and their keys.
+fn install(direct: &mut Direct, version: u64, route: Route, teams: Vec<(Team, Vec<KeyDigest>)>) {
+    let teams = Teams::new(teams).expect("no two are alike");
     direct.install(Arc::new(routes(version, route).with_teams(teams)));
 }
 
@@ -205,6 +215,29 @@
     assert_eq!(held.len(), 8);
 }
 
+/// A key that moved to another team counted as revoked, and who waited was denied.
+#[test]
+fn withhold_request_whose_key_moved() {
+    let (mut bench, assignment) = sent_for_team();
+    let teams = vec![(team("other", &[], None), vec![key("masons")])];
+    install(&mut bench.direct, 3, route(), teams);
+    let reason = bench.direct.withheld(at(20), &assignment);
+    assert_eq!(reason, Some(Withheld::Key));
+    let next = bench
+        .direct
+        .finish_attempt(at(20), assignment.ticket, AttemptOutcome::Withdrawn);
+    assert_eq!(next, FollowUp::Retry);
+    let Some(Decision::Reject { reason, .. }) = bench.decide(at(20)) else {
+        panic!("it may not go on as it is");
+    };
+    assert_eq!(reason, Rejection::KeyMoved);
+    let presented = Credential::Key(key("masons"));
+    let Access::Granted(authorized) = access(&bench, at(20), presented) else {
+        panic!("the key is known");
+    };
+    assert_eq!(&*authorized.team.name, "other");
+}
+
 /// A request of team `masons` that is sent at 10 ms.
 fn sent_for_team() -> (Bench, Assignment) {
     let mut bench = bench(route(), vec![team("masons", &[], None)]);
