Send a request to each target before the store tells much

keep_bounds_while_store_tells_much asks for the last request of two targets, and left it to chance whether they had got one: a target of equal cost may be passed over for as long as the test runs. Each target gets a request before the flood begins, or the test fails; so no bound is wider than before.

--- a/crates/auburnrouter/tests/long_answers.rs
+++ b/crates/auburnrouter/tests/long_answers.rs
@@ -103,6 +103,19 @@
         }
     }
 
+    /// Sends requests until each target has got one.
+    fn use_all_targets(&self) {
+        let mut number = 0;
+        wait_until("each target gets a request", || {
+            let entry = &self.entries[number % self.entries.len()];
+            let text = harness::request("GET", "/view/x", &format!("first-{number}"), "");
+            let key = format!("Affinity-Key: {}", number % 16);
+            harness::send_raw(entry.callers, &text.replace("Affinity-Key: 7", &key));
+            number += 1;
+            self.targets.iter().all(|t| !t.arrivals().is_empty())
+        });
+    }
+
     /// Limits the rate of the near region's reader to the store, in bytes per second.
     fn slow_reader(&self, rate: u32) {
         let near = 0..INSTANCES.len() - 1;
@@ -296,6 +309,7 @@
     }
     old.write(&scene.store, 10);
     scene.await_version(10);
+    scene.use_all_targets();
     if let Some(rate) = slow {
         scene.slow_reader(rate);
     }
