Leave a restarted target as the only one that can be used

use_restarted_target_at_once asked that a target is used again, and left it to chance whether it is chosen among two equals. The other one is removed from the store before, and the drain time passes, during which a leaving target is a last resort. So whoever doesn't take the new report for a restart sends it nothing, and the test fails; seen with the report left out.

--- a/crates/auburnrouter/tests/direct/late_reports.rs
+++ b/crates/auburnrouter/tests/direct/late_reports.rs
@@ -152,6 +152,14 @@
     let (store, target) = (&scene.store, &scene.targets[1]);
     target.register_born(store, "draining", 5, PRESENT);
     scene.await_all("\"leaving\"]");
+    store.remove("servers/t0");
+    for entry in &scene.entries {
+        wait_until("no other target is left", || {
+            !entry.dump().contains("\"t0\"")
+        });
+    }
+    // A target that leaves is a last resort for that long.
+    thread::sleep(DRAIN);
     let before = target.arrivals().len();
     target.register_born(store, "ready", 1, PRESENT - 60_000);
     scene.send_requests();
